--- /dev/null
+++ b/Makefile
@@ -0,0 +1,79 @@
+# Targets: all (default), check, demo, bench, promises, format, format-check, lint, clean.
+CC ?= gcc
+CFLAGS ?= -O2 -g
+PKGS = apr-1 libmicrohttpd libprotobuf-c libcurl yaml-0.1 jansson libsodium
+CPPFLAGS += -D_GNU_SOURCE -Isrc $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+WARN = -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wstrict-prototypes
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lm
+BUILD ?= build
+
+MAIN_SRC = src/daemon.c src/tool.c
+LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+STANDIN_LIB_SRC = standins/control.c
+STANDIN_SRC = $(filter-out $(STANDIN_LIB_SRC),$(wildcard standins/*.c))
+STANDINS = $(STANDIN_SRC:standins/%.c=$(BUILD)/standin-%)
+TEST_SRC = $(wildcard tests/test_*.c)
+TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+STYLED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] standins/*.[ch] tests/*.[ch] bench/*.[ch] load/*.[ch] fuzz/*.[ch]))
+
+all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(STANDINS)
+
+deps:
+	@scripts/install-deps
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -MP -c -o $@ $<
+
+# protoc-c writes code that the project's stricter warnings reject.
+$(BUILD)/src/wire.pb-c.o: WARN = -std=gnu11
+
+$(BUILD)/libtoucanlb.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/toucanlbd: $(BUILD)/src/daemon.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/toucanlb: $(BUILD)/src/tool.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-%: $(BUILD)/standins/%.o $(STANDIN_LIB_SRC:%.c=$(BUILD)/%.o)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs libmicrohttpd jansson libcurl) -lpthread
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs check)
+
+check: deps
+	@$(MAKE) --no-print-directory all build-tests
+	@tests/run
+
+build-tests: $(TESTS)
+
+demo: deps
+	@$(MAKE) --no-print-directory all
+	@scripts/demo
+
+format:
+	clang-format -i $(STYLED)
+
+format-check:
+	clang-format --dry-run -Werror $(STYLED)
+
+# cppcheck can't follow the ring macros of APR (false uninitvar); gcc and clang-tidy check that too.
+lint:
+	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr -j 8 \
+		--enable=warning,performance,portability --suppress=missingIncludeSystem \
+		--suppress=normalCheckLevelMaxBranches --suppress=uninitvar -Isrc \
+		$(filter %.c,$(STYLED))
+	printf '%s\n' $(filter %.c,$(STYLED)) | xargs -P 10 -I{} clang-tidy --quiet {} -- \
+		-std=gnu11 $(CPPFLAGS)
+	shellcheck scripts/* tests/run .ci/run
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all deps check build-tests demo format format-check lint clean
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/counter.h
@@ -0,0 +1,54 @@
+/*
+ * Counters of the daemon. The list below is the one place that names them; docs/OPERATIONS.md is
+ * checked against it. Exposed as text at GET /metrics in the form that metric scrapers read.
+ */
+#ifndef TLB_COUNTER_H
+#define TLB_COUNTER_H
+
+#include <stdint.h>
+#include <stddef.h>
+
+/* X(identifier, exposed name, type, help) */
+#define TLB_COUNTERS(X)                                                                            \
+	X(REQUESTS, "toucanlb_requests_total", "counter", "Requests taken from callers")           \
+	X(ANSWERED, "toucanlb_answered_total", "counter", "Requests answered whole")               \
+	X(REFUSED_NOT_RUN, "toucanlb_refused_not_run_total", "counter", "Refusals as not run")     \
+	X(FAILED_UNKNOWN, "toucanlb_failed_unknown_total", "counter",                              \
+	  "Requests that ended with an unknown outcome")                                           \
+	X(CALLER_GONE, "toucanlb_caller_gone_total", "counter",                                    \
+	  "Requests whose caller closed before the end")                                           \
+	X(IN_FLIGHT, "toucanlb_in_flight", "gauge", "Requests in flight")                          \
+	X(PREFILLS, "toucanlb_prefills_total", "counter", "Prefills started")                      \
+	X(PREFILL_WASTED_TOKENS, "toucanlb_prefill_wasted_tokens_total", "counter",                \
+	  "Prompt tokens computed and then evicted, cancelled or recomputed")                      \
+	X(RESUMES, "toucanlb_resumes_total", "counter", "Streams resumed on another endpoint")     \
+	X(TOKENS_OUT, "toucanlb_tokens_out_total", "counter", "Output tokens sent to callers")     \
+	X(CONFIG_VERSION, "toucanlb_config_version", "gauge", "Configuration version in force")    \
+	X(SESSION_VALID, "toucanlb_session_valid", "gauge", "1 while the session lease is valid")
+
+enum tlb_counter {
+#define X(id, name, type, help) TLB_COUNTER_##id,
+	TLB_COUNTERS(X)
+#undef X
+		TLB_COUNTER_COUNT
+};
+
+/* Owned by the board; zero-initialised. */
+struct tlb_counters {
+	int64_t value[TLB_COUNTER_COUNT];
+};
+
+static inline void tlb_counter_add(struct tlb_counters *c, enum tlb_counter id, int64_t n)
+{
+	c->value[id] += n;
+}
+
+static inline void tlb_counter_set(struct tlb_counters *c, enum tlb_counter id, int64_t n)
+{
+	c->value[id] = n;
+}
+
+/* Renders all counters as exposition text. Returns malloc'd memory, or NULL without memory. */
+char *tlb_counter_render(const struct tlb_counters *c, size_t *len);
+
+#endif
--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,5 @@
+/* Entry point of toucanlbd. */
+int main(void)
+{
+	return 0;
+}
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,84 @@
+/*
+ * Outgoing HTTP calls on the loop, through libcurl's multi-socket interface.
+ *
+ * A call is owned by its user and embedded in the user's struct. Callbacks run from the loop, never
+ * from within tlb_http_start(). After on_done, or after tlb_http_cancel(), no callback runs.
+ */
+#ifndef TLB_HTTP_H
+#define TLB_HTTP_H
+
+#include <curl/curl.h>
+#include <stdbool.h>
+
+#include "error.h"
+#include "loop.h"
+
+struct tlb_http {
+	struct tlb_loop *loop;
+	CURLM *multi;
+	struct tlb_timer timer;
+};
+
+struct tlb_http_call;
+
+/* The result of a call. status is 0 when no response came. sent tells whether any byte of the
+ * request can have reached the peer. */
+struct tlb_http_result {
+	int status;
+	bool sent;
+	bool timed_out;
+	const char *body; /* the whole body, NUL-terminated; "" when on_data takes it */
+	size_t body_len;
+	const char *content_type; /* "" when absent */
+	char reason[120];	  /* what failed below HTTP, "" on success */
+};
+
+/* Takes body bytes as they come (after a 2xx status only). Returns false to end the call, which
+ * then reports a failure through on_done. */
+typedef bool tlb_http_data_fn(void *arg, const char *data, size_t len);
+typedef void tlb_http_done_fn(void *arg, const struct tlb_http_result *result);
+
+struct tlb_http_spec {
+	const char *method; /* "GET", "POST", ... */
+	const char *url;    /* absolute */
+	const char *body;   /* copied; NULL for none */
+	size_t body_len;
+	const char *content_type;  /* NULL for "application/json" when there is a body */
+	tlb_time deadline;	   /* for the whole call; TLB_NEVER for none */
+	bool once;		   /* must not be repeated: fresh connection, never reused */
+	tlb_http_data_fn *on_data; /* NULL: the body is collected */
+	tlb_http_done_fn *on_done;
+	void *arg;
+};
+
+/* Zero-initialised when idle. */
+struct tlb_http_call {
+	struct tlb_http *http;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct tlb_timer deadline_timer;
+	struct tlb_http_spec spec;
+	char *body;
+	size_t body_len;
+	size_t body_cap;
+	bool timed_out;
+	bool too_large;
+};
+
+/* Largest collected response body in bytes; longer ones fail the call. */
+enum { TLB_HTTP_BODY_MAX = 8 << 20 };
+
+int tlb_http_init(struct tlb_http *h, struct tlb_loop *l);
+void tlb_http_finish(struct tlb_http *h);
+
+/* Starts a call. Returns TLB_OK, or TLB_INTERNAL without memory. */
+enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
+			     const struct tlb_http_spec *spec, struct tlb_error *err);
+/* Ends a call without on_done and closes its connection; harmless when idle. */
+void tlb_http_cancel(struct tlb_http_call *c);
+static inline bool tlb_http_active(const struct tlb_http_call *c)
+{
+	return c->easy != NULL;
+}
+
+#endif
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,77 @@
+#include "log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+static log4c_category_t *category;
+static FILE *out;
+
+static const char *format_line(const log4c_layout_t *layout, const log4c_logging_event_t *e)
+{
+	static char line[1200];
+	struct timespec ts;
+	struct tm tm;
+	char when[32];
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	gmtime_r(&ts.tv_sec, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(line, sizeof(line), "%s.%03ldZ %s %s\n", when, ts.tv_nsec / 1000000,
+		 log4c_priority_to_string(e->evt_priority), e->evt_msg);
+	return line;
+}
+
+static int append_line(log4c_appender_t *appender, const log4c_logging_event_t *e)
+{
+	return out ? fputs(e->evt_rendered_msg, out) : 0;
+}
+
+static const log4c_layout_type_t layout_type = {.name = "tlb", .format = format_line};
+static const log4c_appender_type_t appender_type = {.name = "tlb", .append = append_line};
+
+int tlb_log_init(const char *path, const char *level)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+	int priority = log4c_priority_to_int(level);
+
+	if (priority == LOG4C_PRIORITY_UNKNOWN)
+		return -1;
+	out = strcmp(path, "-") == 0 ? stderr : fopen(path, "ae");
+	if (!out)
+		return -1;
+	setvbuf(out, NULL, _IOLBF, 0);
+	log4c_layout_type_set(&layout_type);
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get("tlb");
+	layout = log4c_layout_get("tlb");
+	log4c_layout_set_type(layout, &layout_type);
+	log4c_appender_set_type(appender, &appender_type);
+	log4c_appender_set_layout(appender, layout);
+	category = log4c_category_get("toucanlb");
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, priority);
+	return 0;
+}
+
+void tlb_log_finish(void)
+{
+	if (out && out != stderr)
+		fclose(out);
+	out = NULL;
+	category = NULL;
+}
+
+void tlb_log(int priority, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (!category)
+		return;
+	va_start(ap, fmt);
+	log4c_category_vlog(category, priority, fmt, ap);
+	va_end(ap);
+}
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,22 @@
+/*
+ * Logging through log4c: one line per event, fixed key=value fields. No line may contain a key, a
+ * secret or prompt text.
+ */
+#ifndef TLB_LOG_H
+#define TLB_LOG_H
+
+#include <log4c.h>
+
+/* Opens the log at path ("-" is standard error) with a level name such as "info". Returns 0, or -1
+ * when the file or the level can't be used. */
+int tlb_log_init(const char *path, const char *level);
+void tlb_log_finish(void);
+
+void tlb_log(int priority, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+
+#define tlb_log_error(...) tlb_log(LOG4C_PRIORITY_ERROR, __VA_ARGS__)
+#define tlb_log_warn(...) tlb_log(LOG4C_PRIORITY_WARN, __VA_ARGS__)
+#define tlb_log_info(...) tlb_log(LOG4C_PRIORITY_INFO, __VA_ARGS__)
+#define tlb_log_debug(...) tlb_log(LOG4C_PRIORITY_DEBUG, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,311 @@
+#include "loop.h"
+
+#include <apr_portable.h>
+#include <apr_general.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { POLLSET_SIZE = 4096, HEAP_FIRST = 64 };
+
+struct tlb_watch {
+	APR_RING_ENTRY(tlb_watch) link;
+	apr_socket_t *socket;
+	tlb_watch_fn *fn;
+	void *arg;
+	int fd;
+	int events;
+	bool armed;
+};
+
+static int to_apr(int events)
+{
+	int e = APR_POLLERR | APR_POLLHUP;
+
+	if (events & TLB_READABLE)
+		e |= APR_POLLIN;
+	if (events & TLB_WRITABLE)
+		e |= APR_POLLOUT;
+	return e;
+}
+
+static int from_apr(int rtn)
+{
+	int e = 0;
+
+	if (rtn & APR_POLLIN)
+		e |= TLB_READABLE;
+	if (rtn & APR_POLLOUT)
+		e |= TLB_WRITABLE;
+	if (rtn & (APR_POLLERR | APR_POLLHUP | APR_POLLNVAL))
+		e |= TLB_HANGUP;
+	return e;
+}
+
+static void watch_pollfd(const struct tlb_watch *w, apr_pollfd_t *pfd)
+{
+	memset(pfd, 0, sizeof(*pfd));
+	pfd->desc_type = APR_POLL_SOCKET;
+	pfd->desc.s = w->socket;
+	pfd->reqevents = (apr_int16_t)to_apr(w->events);
+	pfd->client_data = (void *)w;
+}
+
+static apr_status_t watch_arm(struct tlb_loop *l, struct tlb_watch *w)
+{
+	apr_pollfd_t pfd;
+	apr_status_t rv;
+
+	watch_pollfd(w, &pfd);
+	rv = apr_pollset_add(l->pollset, &pfd);
+	w->armed = rv == APR_SUCCESS;
+	return rv;
+}
+
+static void watch_disarm(struct tlb_loop *l, struct tlb_watch *w)
+{
+	apr_pollfd_t pfd;
+
+	if (!w->armed)
+		return;
+	watch_pollfd(w, &pfd);
+	apr_pollset_remove(l->pollset, &pfd);
+	w->armed = false;
+}
+
+apr_status_t tlb_loop_init(struct tlb_loop *l)
+{
+	apr_status_t rv;
+
+	memset(l, 0, sizeof(*l));
+	APR_RING_INIT(&l->idle, tlb_watch, link);
+	APR_RING_INIT(&l->retired, tlb_watch, link);
+	rv = apr_pool_create(&l->pool, NULL);
+	if (rv != APR_SUCCESS)
+		return rv;
+	rv = apr_pollset_create_ex(&l->pollset, POLLSET_SIZE, l->pool, APR_POLLSET_NODEFAULT,
+				   APR_POLLSET_EPOLL);
+	if (rv != APR_SUCCESS)
+		apr_pool_destroy(l->pool);
+	return rv;
+}
+
+static void free_ring(struct tlb_watch_ring *ring)
+{
+	struct tlb_watch *w;
+
+	while (!APR_RING_EMPTY(ring, tlb_watch, link)) {
+		w = APR_RING_FIRST(ring);
+		APR_RING_REMOVE(w, link);
+		free(w);
+	}
+}
+
+void tlb_loop_finish(struct tlb_loop *l)
+{
+	free_ring(&l->idle);
+	free_ring(&l->retired);
+	free(l->heap);
+	apr_pollset_destroy(l->pollset);
+	apr_pool_destroy(l->pool);
+}
+
+static void run_timers(struct tlb_loop *l)
+{
+	tlb_time now = tlb_clock_now();
+	struct tlb_timer *t;
+
+	while (l->heap_len > 0 && l->heap[0]->deadline <= now) {
+		t = l->heap[0];
+		tlb_timer_clear(l, t);
+		t->fn(t->arg);
+	}
+}
+
+static apr_interval_time_t poll_wait(const struct tlb_loop *l, tlb_time wait_until)
+{
+	tlb_time until = wait_until;
+	tlb_time now;
+
+	if (l->heap_len > 0 && l->heap[0]->deadline < until)
+		until = l->heap[0]->deadline;
+	if (until == TLB_NEVER)
+		return -1;
+	now = tlb_clock_now();
+	if (until <= now)
+		return 0;
+	/* The epoll method cuts the wait down to whole milliseconds; rounding up avoids spinning.
+	 */
+	return until - now + TLB_MS - 1;
+}
+
+static void dispatch(const apr_pollfd_t *ready, apr_int32_t n)
+{
+	struct tlb_watch *w;
+	apr_int32_t i;
+
+	for (i = 0; i < n; i++) {
+		w = ready[i].client_data;
+		/* A callback earlier in this round may have removed this watch. */
+		if (w->armed)
+			w->fn(w->arg, from_apr(ready[i].rtnevents));
+	}
+}
+
+void tlb_loop_once(struct tlb_loop *l, tlb_time wait_until)
+{
+	const apr_pollfd_t *ready = NULL;
+	apr_int32_t n = 0;
+	apr_status_t rv;
+
+	rv = apr_pollset_poll(l->pollset, poll_wait(l, wait_until), &n, &ready);
+	if (rv == APR_SUCCESS)
+		dispatch(ready, n);
+	APR_RING_CONCAT(&l->idle, &l->retired, tlb_watch, link);
+	run_timers(l);
+}
+
+void tlb_loop_run(struct tlb_loop *l)
+{
+	while (!l->stopping)
+		tlb_loop_once(l, TLB_NEVER);
+}
+
+void tlb_loop_stop(struct tlb_loop *l)
+{
+	l->stopping = true;
+}
+
+static struct tlb_watch *watch_new(struct tlb_loop *l)
+{
+	struct tlb_watch *w;
+
+	if (!APR_RING_EMPTY(&l->idle, tlb_watch, link)) {
+		w = APR_RING_FIRST(&l->idle);
+		APR_RING_REMOVE(w, link);
+		return w;
+	}
+	return calloc(1, sizeof(*w));
+}
+
+struct tlb_watch *tlb_loop_watch(struct tlb_loop *l, int fd, int events, tlb_watch_fn *fn,
+				 void *arg)
+{
+	struct tlb_watch *w = watch_new(l);
+	apr_os_sock_t os = fd;
+
+	if (!w)
+		return NULL;
+	/* An existing apr_socket_t is reused, so that the loop's pool stays flat. */
+	apr_os_sock_put(&w->socket, &os, l->pool);
+	w->fd = fd;
+	w->fn = fn;
+	w->arg = arg;
+	w->events = events;
+	APR_RING_ELEM_INIT(w, link);
+	if (watch_arm(l, w) != APR_SUCCESS) {
+		APR_RING_INSERT_TAIL(&l->idle, w, tlb_watch, link);
+		return NULL;
+	}
+	return w;
+}
+
+void tlb_loop_rewatch(struct tlb_loop *l, struct tlb_watch *w, int events)
+{
+	if (w->events == events && w->armed)
+		return;
+	watch_disarm(l, w);
+	w->events = events;
+	watch_arm(l, w);
+}
+
+void tlb_loop_unwatch(struct tlb_loop *l, struct tlb_watch *w)
+{
+	if (!w)
+		return;
+	watch_disarm(l, w);
+	APR_RING_INSERT_TAIL(&l->retired, w, tlb_watch, link);
+}
+
+static void heap_put(struct tlb_loop *l, size_t i, struct tlb_timer *t)
+{
+	l->heap[i] = t;
+	t->index = i + 1;
+}
+
+static void heap_up(struct tlb_loop *l, size_t i)
+{
+	struct tlb_timer *t = l->heap[i];
+
+	while (i > 0 && l->heap[(i - 1) / 2]->deadline > t->deadline) {
+		heap_put(l, i, l->heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	heap_put(l, i, t);
+}
+
+static void heap_down(struct tlb_loop *l, size_t i)
+{
+	struct tlb_timer *t = l->heap[i];
+	size_t child;
+
+	for (;;) {
+		child = 2 * i + 1;
+		if (child >= l->heap_len)
+			break;
+		if (child + 1 < l->heap_len &&
+		    l->heap[child + 1]->deadline < l->heap[child]->deadline)
+			child++;
+		if (l->heap[child]->deadline >= t->deadline)
+			break;
+		heap_put(l, i, l->heap[child]);
+		i = child;
+	}
+	heap_put(l, i, t);
+}
+
+void tlb_timer_init(struct tlb_timer *t, tlb_timer_fn *fn, void *arg)
+{
+	memset(t, 0, sizeof(*t));
+	t->fn = fn;
+	t->arg = arg;
+}
+
+static void heap_grow(struct tlb_loop *l)
+{
+	if (l->heap_len < l->heap_cap)
+		return;
+	l->heap_cap = l->heap_cap ? l->heap_cap * 2 : HEAP_FIRST;
+	l->heap = realloc(l->heap, l->heap_cap * sizeof(struct tlb_timer *));
+	/* Without memory for its timers the daemon can't keep any deadline. */
+	if (!l->heap)
+		abort();
+}
+
+void tlb_timer_set(struct tlb_loop *l, struct tlb_timer *t, tlb_time deadline)
+{
+	tlb_timer_clear(l, t);
+	if (deadline == TLB_NEVER)
+		return;
+	heap_grow(l);
+	t->deadline = deadline;
+	l->heap[l->heap_len] = t;
+	t->index = ++l->heap_len;
+	heap_up(l, l->heap_len - 1);
+}
+
+void tlb_timer_clear(struct tlb_loop *l, struct tlb_timer *t)
+{
+	size_t i;
+	struct tlb_timer *last;
+
+	if (!t->index)
+		return;
+	i = t->index - 1;
+	t->index = 0;
+	last = l->heap[--l->heap_len];
+	if (last == t)
+		return;
+	heap_put(l, i, last);
+	heap_up(l, i);
+	heap_down(l, last->index - 1);
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,64 @@
+/*
+ * Settings of one daemon, read from a YAML file and checked whole against a schema before anything
+ * starts. Every fault is reported in one run with file, line, key, value and the range allowed;
+ * unknown keys are faults.
+ */
+#ifndef TLB_SETTINGS_H
+#define TLB_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "table.h"
+
+enum { TLB_URL_LEN = 128, TLB_FILE_LEN = 256, TLB_SECRET_LEN = 32 };
+
+/* A key for frames between daemons; id 1 to 255. */
+struct tlb_peer_key {
+	int id;
+	unsigned char secret[TLB_SECRET_LEN];
+};
+
+/* Caller-owned, no pointers. */
+struct tlb_settings {
+	/* vm: */
+	char vm_id[TLB_ID_LEN];
+	char zone[TLB_ID_LEN];
+	char region[TLB_ID_LEN];
+	/* listen: host:port by IP number; port 0 takes a free one */
+	char caller_addr[TLB_ADDR_LEN];
+	char operator_addr[TLB_ADDR_LEN];
+	char peer_addr[TLB_ADDR_LEN];
+	/* platform: base URLs, "http://127.0.0.1:7000" */
+	char store_url[TLB_URL_LEN];
+	char vmlist_url[TLB_URL_LEN]; /* "" when the platform has none */
+	/* log: */
+	char log_file[TLB_FILE_LEN]; /* "-" is standard error */
+	char log_level[16];
+	/* secrets: file with the peer keys, one "peer_key: <id> <64 hex digits>" a line; the first
+	 * one signs, both are accepted */
+	char secrets_file[TLB_FILE_LEN];
+	struct tlb_peer_key peer_keys[2];
+	int peer_key_count;
+	/* limits: on what comes from callers */
+	int max_body_bytes;	/* default 4194304 */
+	int max_connections;	/* default 2000 */
+	int request_timeout_ms; /* time to send the whole request, default 10000 */
+	int drain_timeout_ms;	/* longest graceful shutdown, default 120000 */
+	/* policy: */
+	int interactive_wait_ms; /* longest wait for tokens and a place, default 1000 */
+	int batch_wait_ms;	 /* default 30000 */
+	int ttft_target_ms;	 /* default 1200 */
+	int token_gap_target_ms; /* default 43 */
+	double goodput_weight;	 /* weights of the four measures, default 1.0 each */
+	double waste_weight;
+	double worst_weight;
+	double refusal_weight;
+	char policy[24]; /* "toucanlb" (default), "round_robin", "least_load" */
+};
+
+/* Reads and checks a file. Writes one line per fault to faults (may be NULL). Returns the number of
+ * faults; 0 means that *s is complete, secrets included. */
+int tlb_settings_load(struct tlb_settings *s, const char *path, FILE *faults);
+
+#endif
--- /dev/null
+++ b/src/tool.c
@@ -0,0 +1,5 @@
+/* Entry point of the toucanlb command-line tool. */
+int main(void)
+{
+	return 0;
+}
--- /dev/null
+++ b/standins/control.c
@@ -0,0 +1,2 @@
+/* Fault control shared by all stand-ins. */
+typedef int standin_placeholder;
--- /dev/null
+++ b/standins/engine.c
@@ -0,0 +1,5 @@
+/* Entry point of the engine stand-in. */
+int main(void)
+{
+	return 0;
+}
