Add the outgoing HTTP client and the table-service client

Cause: the daemon needs calls to engines, services and the table service that never block the loop. Change: http wraps curl multi with the loop's watches and timers; calls marked once get a fresh connection, because libcurl resends a request on a reused connection that the peer closed. store maps answers to applied, conflict, refused (proved not applied) and uncertain.

--- /dev/null
+++ b/src/http.c
@@ -0,0 +1,306 @@
+#include "http.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An idle connection older than this is not reused: something between the two ends may have lost
+ * track of it. */
+enum { IDLE_AGE_S = 5, LIFETIME_S = 60, USER_TIMEOUT_MS = 4000, POOL_SIZE = 512 };
+enum { BODY_FIRST = 1024 };
+
+static void on_timer(void *arg);
+
+static void call_release(struct tlb_http_call *c)
+{
+	tlb_timer_clear(c->http->loop, &c->deadline_timer);
+	curl_multi_remove_handle(c->http->multi, c->easy);
+	curl_easy_cleanup(c->easy);
+	curl_slist_free_all(c->headers);
+	c->easy = NULL;
+	c->headers = NULL;
+}
+
+void tlb_http_cancel(struct tlb_http_call *c)
+{
+	if (!c->easy)
+		return;
+	call_release(c);
+	free(c->body);
+	c->body = NULL;
+}
+
+/* Whether any byte of the request can have left. libcurl counts request bytes as it writes them. */
+static bool request_was_sent(CURL *easy)
+{
+	long size = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &size);
+	return size > 0;
+}
+
+static void call_finish(struct tlb_http_call *c, CURLcode rc)
+{
+	struct tlb_http_result r;
+	char type[80] = "";
+	char *t = NULL;
+	char *body = c->body;
+	long status = 0;
+
+	memset(&r, 0, sizeof(r));
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
+	snprintf(type, sizeof(type), "%s", t ? t : "");
+	r.sent = request_was_sent(c->easy);
+	r.timed_out = c->timed_out;
+	if (c->timed_out)
+		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
+	else if (c->too_large)
+		snprintf(r.reason, sizeof(r.reason), "response larger than %d bytes",
+			 TLB_HTTP_BODY_MAX);
+	else if (rc != CURLE_OK)
+		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
+	else
+		r.status = (int)status;
+	r.body = body ? body : "";
+	r.body_len = body ? c->body_len : 0;
+	r.content_type = type;
+	call_release(c);
+	c->body = NULL;
+	c->spec.on_done(c->spec.arg, &r);
+	free(body);
+}
+
+static void on_deadline(void *arg)
+{
+	struct tlb_http_call *c = arg;
+
+	c->timed_out = true;
+	call_finish(c, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void drain_messages(struct tlb_http *h)
+{
+	struct tlb_http_call *c;
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(h->multi, &left))) {
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		c = NULL;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, (char **)&c);
+		call_finish(c, m->data.result);
+	}
+}
+
+static void act(struct tlb_http *h, curl_socket_t fd, int mask)
+{
+	int running;
+
+	curl_multi_socket_action(h->multi, fd, mask, &running);
+	drain_messages(h);
+}
+
+static void on_timer(void *arg)
+{
+	act(arg, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int set_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct tlb_http *h = arg;
+
+	if (timeout_ms < 0)
+		tlb_timer_clear(h->loop, &h->timer);
+	else
+		tlb_timer_set(h->loop, &h->timer, tlb_clock_now() + timeout_ms * TLB_MS);
+	return 0;
+}
+
+/* The descriptor that a watch belongs to travels in the socket slot, because the loop hands back
+ * only one argument. */
+struct socket_slot {
+	struct tlb_http *http;
+	struct tlb_watch *watch;
+	curl_socket_t fd;
+};
+
+static void on_socket(void *arg, int events)
+{
+	struct socket_slot *slot = arg;
+	int mask = 0;
+
+	if (events & TLB_READABLE)
+		mask |= CURL_CSELECT_IN;
+	if (events & TLB_WRITABLE)
+		mask |= CURL_CSELECT_OUT;
+	if (events & TLB_HANGUP)
+		mask |= CURL_CSELECT_ERR;
+	act(slot->http, slot->fd, mask);
+}
+
+static int set_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
+{
+	struct tlb_http *h = arg;
+	struct socket_slot *slot = socket_arg;
+	int events = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		if (slot)
+			tlb_loop_unwatch(h->loop, slot->watch);
+		free(slot);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= TLB_READABLE;
+	if (what & CURL_POLL_OUT)
+		events |= TLB_WRITABLE;
+	if (slot) {
+		tlb_loop_rewatch(h->loop, slot->watch, events);
+		return 0;
+	}
+	slot = calloc(1, sizeof(*slot));
+	if (!slot)
+		return -1;
+	slot->http = h;
+	slot->fd = fd;
+	slot->watch = tlb_loop_watch(h->loop, fd, events, on_socket, slot);
+	curl_multi_assign(h->multi, fd, slot);
+	return slot->watch ? 0 : -1;
+}
+
+int tlb_http_init(struct tlb_http *h, struct tlb_loop *l)
+{
+	memset(h, 0, sizeof(*h));
+	h->loop = l;
+	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
+		return -1;
+	h->multi = curl_multi_init();
+	if (!h->multi)
+		return -1;
+	tlb_timer_init(&h->timer, on_timer, h);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
+	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, (long)POOL_SIZE);
+	return 0;
+}
+
+void tlb_http_finish(struct tlb_http *h)
+{
+	curl_multi_cleanup(h->multi);
+	tlb_timer_clear(h->loop, &h->timer);
+	curl_global_cleanup();
+}
+
+static bool body_append(struct tlb_http_call *c, const char *data, size_t len)
+{
+	size_t cap = c->body_cap ? c->body_cap : BODY_FIRST;
+	char *grown;
+
+	if (c->body_len + len > TLB_HTTP_BODY_MAX) {
+		c->too_large = true;
+		return false;
+	}
+	while (cap < c->body_len + len + 1)
+		cap *= 2;
+	if (cap != c->body_cap) {
+		grown = realloc(c->body, cap);
+		if (!grown)
+			return false;
+		c->body = grown;
+		c->body_cap = cap;
+	}
+	memcpy(c->body + c->body_len, data, len);
+	c->body_len += len;
+	c->body[c->body_len] = '\0';
+	return true;
+}
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct tlb_http_call *c = arg;
+	long status = 0;
+	size_t len = size * n;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (c->spec.on_data && status >= 200 && status < 300)
+		return c->spec.on_data(c->spec.arg, data, len) ? len : 0;
+	return body_append(c, data, len) ? len : 0;
+}
+
+static int on_sockopt(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+	int one = 1;
+	int timeout_ms = USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	/* Unacknowledged data for this long means that the peer or the path is gone. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static void set_headers(struct tlb_http_call *c, const struct tlb_http_spec *spec)
+{
+	char line[160];
+
+	/* Without this libcurl waits up to a second for "100 Continue" before a large body. */
+	c->headers = curl_slist_append(c->headers, "Expect:");
+	if (spec->body) {
+		snprintf(line, sizeof(line), "Content-Type: %s",
+			 spec->content_type ? spec->content_type : "application/json");
+		c->headers = curl_slist_append(c->headers, line);
+	}
+	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
+}
+
+static void set_options(struct tlb_http_call *c, const struct tlb_http_spec *spec)
+{
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_URL, spec->url);
+	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, spec->method);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_S);
+	curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, (long)LIFETIME_S);
+	if (spec->body) {
+		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)spec->body_len);
+		curl_easy_setopt(e, CURLOPT_COPYPOSTFIELDS, spec->body);
+	}
+	/* libcurl resends a request by itself when a reused connection closes before the first
+	 * byte of the response, so a call that must not be repeated never gets a reused one. */
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->once ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->once ? 1L : 0L);
+}
+
+enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
+			     const struct tlb_http_spec *spec, struct tlb_error *err)
+{
+	memset(c, 0, sizeof(*c));
+	c->http = h;
+	c->spec = *spec;
+	c->easy = curl_easy_init();
+	if (!c->easy)
+		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "http", spec->url,
+				     "no memory for an HTTP call");
+	set_headers(c, spec);
+	set_options(c, spec);
+	/* Only valid during this call; the copies live in libcurl. */
+	c->spec.url = NULL;
+	c->spec.body = NULL;
+	c->spec.method = NULL;
+	tlb_timer_init(&c->deadline_timer, on_deadline, c);
+	tlb_timer_set(h->loop, &c->deadline_timer, spec->deadline);
+	curl_multi_add_handle(h->multi, c->easy);
+	return TLB_OK;
+}
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,130 @@
+#include "store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void tlb_store_init(struct tlb_store *s, struct tlb_http *h, const char *url)
+{
+	memset(s, 0, sizeof(*s));
+	s->http = h;
+	s->up = true;
+	snprintf(s->url, sizeof(s->url), "%s", url);
+}
+
+static enum tlb_store_status status_of(const struct tlb_http_result *r, const json_t *body)
+{
+	if (r->status == 200)
+		return body ? TLB_STORE_OK : TLB_STORE_UNCERTAIN;
+	if (r->status == 409)
+		return TLB_STORE_CONFLICT;
+	if (r->status == 404)
+		return TLB_STORE_ABSENT;
+	/* The protocol promises that these statuses mean "not applied". */
+	if (r->status == 429 || r->status == 503)
+		return TLB_STORE_REFUSED;
+	return r->sent ? TLB_STORE_UNCERTAIN : TLB_STORE_REFUSED;
+}
+
+static void note_health(struct tlb_store *s, enum tlb_store_status status)
+{
+	s->up = status != TLB_STORE_REFUSED && status != TLB_STORE_UNCERTAIN;
+	if (s->up)
+		s->last_success = tlb_clock_now();
+}
+
+static void on_http_done(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_store_op *op = arg;
+	json_t *body = r->body_len ? json_loadb(r->body, r->body_len, 0, NULL) : NULL;
+	enum tlb_store_status status = status_of(r, body);
+	struct tlb_error err;
+
+	memset(&err, 0, sizeof(err));
+	note_health(op->store, status);
+	if (status == TLB_STORE_REFUSED || status == TLB_STORE_UNCERTAIN)
+		tlb_error_set(&err, TLB_STORE_UNAVAILABLE,
+			      status == TLB_STORE_REFUSED ? TLB_NOT_RUN : TLB_UNKNOWN, "store",
+			      op->store->url, "table service: %s (status %d)",
+			      r->reason[0] ? r->reason : "refused", r->status);
+	op->on_done(op->arg, status, body, &err);
+	json_decref(body);
+}
+
+/* A call that can't start is reported from the loop like every other failure. */
+static void start(struct tlb_store *s, struct tlb_store_op *op, struct tlb_http_spec *spec,
+		  tlb_store_done_fn *on_done, void *arg)
+{
+	op->store = s;
+	op->on_done = on_done;
+	op->arg = arg;
+	spec->on_done = on_http_done;
+	spec->arg = op;
+	if (tlb_http_start(s->http, &op->call, spec, NULL) != TLB_OK)
+		abort();
+}
+
+void tlb_store_txn(struct tlb_store *s, struct tlb_store_op *op, json_t *txn, tlb_time deadline,
+		   tlb_store_done_fn *on_done, void *arg)
+{
+	char url[TLB_STORE_URL_LEN + 8];
+	char *text = json_dumps(txn, JSON_COMPACT);
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = text,
+		.body_len = text ? strlen(text) : 0,
+		.deadline = deadline,
+	};
+
+	json_decref(txn);
+	snprintf(url, sizeof(url), "%s/txn", s->url);
+	start(s, op, &spec, on_done, arg);
+	free(text);
+}
+
+static void start_read(struct tlb_store *s, struct tlb_store_op *op, const char *what,
+		       const char *value, tlb_time deadline, tlb_store_done_fn *on_done, void *arg)
+{
+	char url[TLB_STORE_URL_LEN + 1024];
+	char *escaped = curl_easy_escape(NULL, value, 0);
+	struct tlb_http_spec spec = {.method = "GET", .url = url, .deadline = deadline};
+
+	snprintf(url, sizeof(url), "%s/%s=%s", s->url, what, escaped ? escaped : "");
+	curl_free(escaped);
+	start(s, op, &spec, on_done, arg);
+}
+
+void tlb_store_rows(struct tlb_store *s, struct tlb_store_op *op, const char *prefix,
+		    tlb_time deadline, tlb_store_done_fn *on_done, void *arg)
+{
+	start_read(s, op, "rows?prefix", prefix, deadline, on_done, arg);
+}
+
+void tlb_store_row(struct tlb_store *s, struct tlb_store_op *op, const char *key, tlb_time deadline,
+		   tlb_store_done_fn *on_done, void *arg)
+{
+	start_read(s, op, "row?key", key, deadline, on_done, arg);
+}
+
+void tlb_store_cancel(struct tlb_store_op *op)
+{
+	tlb_http_cancel(&op->call);
+}
+
+json_t *tlb_store_txn_new(void)
+{
+	return json_pack("{s:[],s:[]}", "checks", "writes");
+}
+
+void tlb_store_check(json_t *txn, const char *key, int64_t version)
+{
+	json_array_append_new(json_object_get(txn, "checks"),
+			      json_pack("{s:s,s:I}", "key", key, "version", (json_int_t)version));
+}
+
+void tlb_store_write(json_t *txn, const char *key, json_t *value)
+{
+	json_array_append_new(
+		json_object_get(txn, "writes"),
+		json_pack("{s:s,s:o}", "key", key, "value", value ? value : json_null()));
+}
