--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,530 @@
+#include "front.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "address.h"
+
+enum {
+	SWEEP_MS = 200,		   /* how often callers' sockets are looked at */
+	IDLE_CONNECTION_S = 30,	   /* a connection without a request is closed after this */
+	CONNECTION_MEMORY = 32768, /* bytes of headers that one request may have */
+	CALLER_USER_TIMEOUT_MS = 10000,
+	KEEPALIVE_IDLE_S = 5,
+	KEEPALIVE_INTERVAL_S = 2,
+	KEEPALIVE_PROBES = 3,
+	BUFFER_FIRST = 1024,
+};
+
+/* A caller's connection, tracked so that one that never completes a request can be closed: the
+ * timeout of libmicrohttpd starts again with every byte. */
+struct tlb_front_conn {
+	APR_RING_ENTRY(tlb_front_conn) link;
+	int fd;
+	tlb_time idle_deadline; /* TLB_NEVER while a request is in progress */
+};
+
+static void run_soon(struct tlb_front *f)
+{
+	tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now());
+}
+
+static void resume(struct tlb_exchange *x)
+{
+	if (!x->suspended)
+		return;
+	x->suspended = false;
+	MHD_resume_connection(x->conn);
+	run_soon(x->front);
+}
+
+/* --- responses --- */
+
+static ssize_t read_stream(void *arg, uint64_t pos, char *buf, size_t max)
+{
+	struct tlb_exchange *x = arg;
+	size_t n = x->out_len - x->out_pos;
+
+	if (x->gone)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (n == 0 && x->out_done)
+		return x->out_failed ? MHD_CONTENT_READER_END_WITH_ERROR
+				     : MHD_CONTENT_READER_END_OF_STREAM;
+	if (n == 0) {
+		x->suspended = true;
+		MHD_suspend_connection(x->conn);
+		return 0;
+	}
+	if (n > max)
+		n = max;
+	memcpy(buf, x->out + x->out_pos, n);
+	x->out_pos += n;
+	if (x->out_pos == x->out_len) {
+		x->out_pos = 0;
+		x->out_len = 0;
+	}
+	return (ssize_t)n;
+}
+
+static void add_headers(struct tlb_exchange *x, struct MHD_Response *r)
+{
+	char seconds[16];
+
+	MHD_add_response_header(r, "Content-Type", x->reply_type);
+	MHD_add_response_header(r, "X-Request-Id", x->id);
+	if (x->retry_after_s > 0) {
+		snprintf(seconds, sizeof(seconds), "%d", x->retry_after_s);
+		MHD_add_response_header(r, "Retry-After", seconds);
+	}
+	if (x->front->closing)
+		MHD_add_response_header(r, "Connection", "close");
+}
+
+static enum MHD_Result queue_response(struct tlb_exchange *x)
+{
+	struct MHD_Response *r;
+	enum MHD_Result ok;
+
+	if (x->state == TLB_EXCHANGE_STREAMING) {
+		r = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096, read_stream, x, NULL);
+	} else {
+		r = MHD_create_response_from_buffer(x->reply_len, x->reply, MHD_RESPMEM_MUST_FREE);
+		x->reply = NULL;
+	}
+	if (!r)
+		return MHD_NO;
+	add_headers(x, r);
+	x->answered = true;
+	ok = MHD_queue_response(x->conn, (unsigned)x->status, r);
+	MHD_destroy_response(r);
+	return ok;
+}
+
+void tlb_exchange_reply(struct tlb_exchange *x, int status, const char *content_type, char *body,
+			size_t len)
+{
+	x->state = TLB_EXCHANGE_REPLYING;
+	x->on_gone = NULL;
+	x->status = status;
+	x->reply = body;
+	x->reply_len = len;
+	snprintf(x->reply_type, sizeof(x->reply_type), "%s", content_type);
+	resume(x);
+}
+
+void tlb_exchange_refuse(struct tlb_exchange *x, const struct tlb_error *err, int retry_after_s)
+{
+	int status = tlb_error_http_status(err->code);
+	json_t *j = json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "code", tlb_error_name(err->code),
+			      "message", err->message, "outcome", tlb_outcome_name(err->outcome),
+			      "request_id", x->id);
+	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+
+	json_decref(j);
+	if (!text)
+		text = strdup("{}");
+	if ((status == 429 || status == 503) && retry_after_s < 1)
+		retry_after_s = 1;
+	x->retry_after_s = retry_after_s;
+	tlb_exchange_reply(x, status, "application/json", text, strlen(text));
+}
+
+void tlb_exchange_stream_begin(struct tlb_exchange *x)
+{
+	x->state = TLB_EXCHANGE_STREAMING;
+	x->status = 200;
+	snprintf(x->reply_type, sizeof(x->reply_type), "text/event-stream");
+	resume(x);
+}
+
+static bool buffer_append(char **buf, size_t *len, size_t *cap, const char *data, size_t n)
+{
+	size_t want = *cap ? *cap : BUFFER_FIRST;
+	char *grown;
+
+	while (want < *len + n + 1)
+		want *= 2;
+	if (want != *cap) {
+		grown = realloc(*buf, want);
+		if (!grown)
+			return false;
+		*buf = grown;
+		*cap = want;
+	}
+	memcpy(*buf + *len, data, n);
+	*len += n;
+	(*buf)[*len] = '\0';
+	return true;
+}
+
+bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len)
+{
+	if (x->out_len - x->out_pos + len > TLB_STREAM_BACKLOG_MAX)
+		return false;
+	if (!buffer_append(&x->out, &x->out_len, &x->out_cap, data, len))
+		return false;
+	resume(x);
+	return true;
+}
+
+void tlb_exchange_stream_end(struct tlb_exchange *x, bool complete)
+{
+	x->on_gone = NULL;
+	x->out_done = true;
+	x->out_failed = !complete;
+	resume(x);
+}
+
+/* --- requests --- */
+
+static void note_key(struct tlb_exchange *x)
+{
+	const char *h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Authorization");
+
+	if (!h)
+		return;
+	if (strncasecmp(h, "Bearer ", 7) != 0 || strlen(h + 7) < 8 || strlen(h + 7) > 256) {
+		x->key_form = TLB_KEY_MALFORMED;
+		return;
+	}
+	x->key_form = TLB_KEY_PRESENT;
+	crypto_hash_sha256(x->key_hash, (const unsigned char *)h + 7, strlen(h + 7));
+}
+
+static void note_headers(struct tlb_exchange *x)
+{
+	const char *h;
+
+	note_key(x);
+	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Content-Type");
+	snprintf(x->content_type, sizeof(x->content_type), "%s", h ? h : "");
+	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Idempotency-Key");
+	if (!h)
+		return;
+	x->idempotency_key_too_long = strlen(h) >= sizeof(x->idempotency_key);
+	snprintf(x->idempotency_key, sizeof(x->idempotency_key), "%s", h);
+}
+
+static void set_caller_socket(int fd)
+{
+	int one = 1;
+	int user_ms = CALLER_USER_TIMEOUT_MS;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms, sizeof(user_ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+static void free_exchange(struct tlb_exchange *x)
+{
+	free(x->path);
+	free(x->query);
+	free(x->body);
+	free(x->reply);
+	free(x->out);
+	free(x);
+}
+
+/* Splits the raw request target, which libmicrohttpd hands over before it decodes it. */
+static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
+{
+	struct tlb_front *f = arg;
+	struct tlb_exchange *x = calloc(1, sizeof(*x));
+	const char *mark = strchr(uri, '?');
+
+	if (!x)
+		return NULL;
+	x->front = f;
+	x->conn = conn;
+	x->fd = -1;
+	x->arrived = tlb_clock_now();
+	x->read_deadline = x->arrived + f->limits.request_timeout_ms * TLB_MS;
+	x->path = mark ? strndup(uri, (size_t)(mark - uri)) : strdup(uri);
+	x->query = strdup(mark ? mark + 1 : "");
+	snprintf(x->id, sizeof(x->id), "%s-%llx", f->id_prefix, ++f->next_id);
+	APR_RING_INSERT_TAIL(&f->exchanges, x, tlb_exchange, link);
+	return x;
+}
+
+static struct tlb_front_conn *conn_of(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *i;
+
+	i = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	return i ? i->socket_context : NULL;
+}
+
+static void begin_exchange(struct tlb_exchange *x, const char *method)
+{
+	const union MHD_ConnectionInfo *i;
+	struct tlb_front_conn *fc = conn_of(x->conn);
+
+	i = MHD_get_connection_info(x->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	x->fd = i ? i->connect_fd : -1;
+	if (fc)
+		fc->idle_deadline = TLB_NEVER;
+	snprintf(x->method, sizeof(x->method), "%s", method);
+	note_headers(x);
+}
+
+static void refuse_large(struct tlb_exchange *x)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, TLB_TOO_LARGE, TLB_NOT_RUN, "read", "",
+		      "the request body is larger than %zu bytes", x->front->limits.max_body_bytes);
+	tlb_exchange_refuse(x, &err, 0);
+}
+
+static enum MHD_Result on_access(void *arg, struct MHD_Connection *conn, const char *url,
+				 const char *method, const char *version, const char *data,
+				 size_t *data_len, void **con_cls)
+{
+	struct tlb_exchange *x = *con_cls;
+	struct tlb_front *f = arg;
+
+	if (!x || !x->path || !x->query || x->gone)
+		return MHD_NO;
+	if (!x->method[0]) {
+		begin_exchange(x, method);
+		return MHD_YES;
+	}
+	if (*data_len > 0) {
+		if (x->body_len + *data_len > f->limits.max_body_bytes)
+			x->body_too_large = true;
+		else if (!buffer_append(&x->body, &x->body_len, &x->body_cap, data, *data_len))
+			return MHD_NO;
+		*data_len = 0;
+		return MHD_YES;
+	}
+	if (x->state == TLB_EXCHANGE_READING) {
+		x->state = TLB_EXCHANGE_RUNNING;
+		if (x->body_too_large)
+			refuse_large(x);
+		else
+			f->on_request(f->arg, x);
+	}
+	if (x->state != TLB_EXCHANGE_RUNNING)
+		return queue_response(x);
+	x->suspended = true;
+	MHD_suspend_connection(conn);
+	return MHD_YES;
+}
+
+static void tell_gone(struct tlb_exchange *x)
+{
+	tlb_exchange_gone_fn *fn = x->on_gone;
+
+	x->gone = true;
+	x->on_gone = NULL;
+	if (fn)
+		fn(x->arg);
+}
+
+static void on_completed(void *arg, struct MHD_Connection *conn, void **con_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct tlb_exchange *x = *con_cls;
+	struct tlb_front_conn *fc = conn_of(conn);
+
+	if (fc)
+		fc->idle_deadline = tlb_clock_now() + IDLE_CONNECTION_S * TLB_SECOND;
+	if (!x)
+		return;
+	*con_cls = NULL;
+	tell_gone(x);
+	APR_RING_REMOVE(x, link);
+	free_exchange(x);
+}
+
+static void on_connection(void *arg, struct MHD_Connection *conn, void **socket_context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	struct tlb_front *f = arg;
+	struct tlb_front_conn *fc = *socket_context;
+	const union MHD_ConnectionInfo *i;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		if (fc)
+			APR_RING_REMOVE(fc, link);
+		free(fc);
+		*socket_context = NULL;
+		return;
+	}
+	fc = calloc(1, sizeof(*fc));
+	if (!fc)
+		return;
+	i = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	fc->fd = i->connect_fd;
+	fc->idle_deadline = tlb_clock_now() + f->limits.request_timeout_ms * TLB_MS;
+	set_caller_socket(fc->fd);
+	APR_RING_INSERT_TAIL(&f->conns, fc, tlb_front_conn, link);
+	*socket_context = fc;
+}
+
+/* --- the sweep --- */
+
+/* A caller that closed or half-closed its side can't want the rest; both count as gone. */
+static bool caller_closed(int fd)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+
+	if (fd < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return true;
+	return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+static void sweep_exchange(struct tlb_exchange *x, tlb_time now)
+{
+	if (x->gone || x->fd < 0)
+		return;
+	if (x->state == TLB_EXCHANGE_READING && now >= x->read_deadline)
+		shutdown(x->fd, SHUT_RDWR);
+	/* A suspended connection is not polled by libmicrohttpd. */
+	if (!x->suspended || !caller_closed(x->fd))
+		return;
+	tell_gone(x);
+	resume(x);
+}
+
+static void on_sweep(void *arg)
+{
+	struct tlb_front *f = arg;
+	tlb_time now = tlb_clock_now();
+	struct tlb_exchange *x;
+	struct tlb_exchange *next;
+	struct tlb_front_conn *fc;
+
+	APR_RING_FOREACH_SAFE (x, next, &f->exchanges, tlb_exchange, link) {
+		sweep_exchange(x, now);
+	}
+	APR_RING_FOREACH (fc, &f->conns, tlb_front_conn, link) {
+		if (now >= fc->idle_deadline)
+			shutdown(fc->fd, SHUT_RDWR);
+	}
+	tlb_timer_set(f->loop, &f->sweep_timer, now + SWEEP_MS * TLB_MS);
+}
+
+/* --- running --- */
+
+static void run(struct tlb_front *f)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	MHD_run(f->daemon);
+	if (MHD_get_timeout(f->daemon, &ms) == MHD_YES)
+		tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now() + (tlb_time)ms * TLB_MS);
+}
+
+static void on_readable(void *arg, int events)
+{
+	run(arg);
+}
+
+static void on_run_timer(void *arg)
+{
+	run(arg);
+}
+
+static enum tlb_code start_daemon(struct tlb_front *f, const char *addr, struct tlb_error *err)
+{
+	struct MHD_OptionItem no_more[] = {{MHD_OPTION_END, 0, NULL}};
+
+	f->listen_fd = tlb_address_listen(addr, f->addr, err);
+	if (f->listen_fd < 0)
+		return TLB_BAD_REQUEST;
+	f->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access, f,
+		MHD_OPTION_LISTEN_SOCKET, f->listen_fd, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, f, MHD_OPTION_CONNECTION_LIMIT, f->limits.max_connections,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_ARRAY,
+		no_more, MHD_OPTION_END);
+	if (!f->daemon) {
+		close(f->listen_fd);
+		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "listen", addr,
+				     "the HTTP listener could not start on %s", addr);
+	}
+	return TLB_OK;
+}
+
+enum tlb_code tlb_front_init(struct tlb_front *f, struct tlb_loop *l, const char *addr,
+			     const char *id_prefix, const struct tlb_front_limits *limits,
+			     tlb_front_request_fn *on_request, void *arg, struct tlb_error *err)
+{
+	const union MHD_DaemonInfo *i;
+	enum tlb_code code;
+
+	memset(f, 0, sizeof(*f));
+	f->loop = l;
+	f->limits = *limits;
+	f->on_request = on_request;
+	f->arg = arg;
+	snprintf(f->id_prefix, sizeof(f->id_prefix), "%s", id_prefix);
+	APR_RING_INIT(&f->exchanges, tlb_exchange, link);
+	APR_RING_INIT(&f->conns, tlb_front_conn, link);
+	tlb_timer_init(&f->run_timer, on_run_timer, f);
+	tlb_timer_init(&f->sweep_timer, on_sweep, f);
+	code = start_daemon(f, addr, err);
+	if (code != TLB_OK)
+		return code;
+	i = MHD_get_daemon_info(f->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	f->watch = tlb_loop_watch(l, i->epoll_fd, TLB_READABLE, on_readable, f);
+	tlb_timer_set(l, &f->sweep_timer, tlb_clock_now() + SWEEP_MS * TLB_MS);
+	return TLB_OK;
+}
+
+void tlb_front_finish(struct tlb_front *f)
+{
+	struct tlb_exchange *x;
+
+	APR_RING_FOREACH (x, &f->exchanges, tlb_exchange, link) {
+		tell_gone(x);
+		if (x->suspended)
+			MHD_resume_connection(x->conn);
+		x->suspended = false;
+	}
+	MHD_run(f->daemon);
+	tlb_loop_unwatch(f->loop, f->watch);
+	tlb_timer_clear(f->loop, &f->run_timer);
+	tlb_timer_clear(f->loop, &f->sweep_timer);
+	MHD_stop_daemon(f->daemon);
+}
+
+void tlb_front_close_connections(struct tlb_front *f)
+{
+	f->closing = true;
+}
+
+void tlb_front_stop_accepting(struct tlb_front *f)
+{
+	MHD_socket fd = MHD_quiesce_daemon(f->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+size_t tlb_front_in_flight(const struct tlb_front *f)
+{
+	const struct tlb_exchange *x;
+	size_t n = 0;
+
+	APR_RING_FOREACH (x, &f->exchanges, tlb_exchange, link) {
+		n++;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/front.h
@@ -0,0 +1,141 @@
+/*
+ * The callers' HTTP listener. Takes requests whole, hands each to one handler, and carries the
+ * response or the token stream back. Runs on the loop; libmicrohttpd has no thread of its own.
+ */
+#ifndef TLB_FRONT_H
+#define TLB_FRONT_H
+
+#include <apr_ring.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+
+#include "error.h"
+#include "loop.h"
+#include "table.h"
+
+enum {
+	TLB_REQUEST_ID_LEN = 40,
+	TLB_REQUEST_PREFIX_LEN = 20,
+	TLB_IDEMPOTENCY_KEY_LEN = 160,
+	/* A caller that leaves more than this unread of a stream is treated as gone. */
+	TLB_STREAM_BACKLOG_MAX = 1 << 20,
+};
+
+enum tlb_exchange_state {
+	TLB_EXCHANGE_READING,	/* the request is still arriving */
+	TLB_EXCHANGE_RUNNING,	/* the handler has it */
+	TLB_EXCHANGE_REPLYING,	/* the response is queued; the handler is done with it */
+	TLB_EXCHANGE_STREAMING, /* the handler writes the response piece by piece */
+};
+
+/* How the request presented a key. */
+enum tlb_key_form { TLB_KEY_NONE, TLB_KEY_MALFORMED, TLB_KEY_PRESENT };
+
+struct tlb_front;
+struct tlb_exchange;
+
+/* Called once when the caller has gone before the response was complete. The exchange is freed
+ * afterwards. */
+typedef void tlb_exchange_gone_fn(void *arg);
+
+/* One request and its response. Owned by the front. */
+struct tlb_exchange {
+	APR_RING_ENTRY(tlb_exchange) link;
+	struct tlb_front *front;
+	struct MHD_Connection *conn;
+	int fd;
+	enum tlb_exchange_state state;
+	bool suspended;
+	bool gone;
+	bool answered;
+	char id[TLB_REQUEST_ID_LEN];
+	char method[8];
+	char *path;  /* without the query */
+	char *query; /* after "?", "" when there is none */
+	char content_type[64];
+	enum tlb_key_form key_form;
+	unsigned char key_hash[TLB_KEY_HASH_LEN]; /* the key itself is not kept */
+	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
+	bool idempotency_key_too_long;
+	char *body;
+	size_t body_len;
+	size_t body_cap;
+	bool body_too_large;
+	tlb_time read_deadline;
+	tlb_time arrived;
+	/* The response. */
+	int status;
+	char *reply;
+	size_t reply_len;
+	char reply_type[64];
+	int retry_after_s;
+	/* The stream: bytes from out_pos to out_len are not yet taken by libmicrohttpd. */
+	char *out;
+	size_t out_pos;
+	size_t out_len;
+	size_t out_cap;
+	bool out_done;
+	bool out_failed;
+	/* The handler's. */
+	tlb_exchange_gone_fn *on_gone;
+	void *arg;
+};
+
+APR_RING_HEAD(tlb_exchange_ring, tlb_exchange);
+APR_RING_HEAD(tlb_front_conn_ring, tlb_front_conn);
+
+/* Takes a complete request; must set on_gone and arg or answer before it returns. */
+typedef void tlb_front_request_fn(void *arg, struct tlb_exchange *x);
+
+struct tlb_front_limits {
+	size_t max_body_bytes;
+	unsigned max_connections;
+	int request_timeout_ms;
+};
+
+struct tlb_front {
+	struct tlb_loop *loop;
+	struct MHD_Daemon *daemon;
+	struct tlb_watch *watch;
+	struct tlb_timer run_timer;
+	struct tlb_timer sweep_timer;
+	struct tlb_exchange_ring exchanges;
+	struct tlb_front_conn_ring conns;
+	struct tlb_front_limits limits;
+	tlb_front_request_fn *on_request;
+	void *arg;
+	char id_prefix[TLB_REQUEST_PREFIX_LEN];
+	unsigned long long next_id;
+	char addr[TLB_ADDR_LEN]; /* the address in use, with the port that was taken */
+	bool closing;		 /* every response ends its connection */
+	int listen_fd;
+};
+
+/* Binds addr (host:port; port 0 takes a free one) and begins to serve. id_prefix makes request ids
+ * unique across VMs. Returns TLB_OK or an error that names the address. */
+enum tlb_code tlb_front_init(struct tlb_front *f, struct tlb_loop *l, const char *addr,
+			     const char *id_prefix, const struct tlb_front_limits *limits,
+			     tlb_front_request_fn *on_request, void *arg, struct tlb_error *err);
+/* Cuts what is left and closes the listener. */
+void tlb_front_finish(struct tlb_front *f);
+/* From now on responses carry "Connection: close", so that callers move to other VMs. */
+void tlb_front_close_connections(struct tlb_front *f);
+/* Stops accepting connections; requests in flight go on. */
+void tlb_front_stop_accepting(struct tlb_front *f);
+/* Requests that are not yet answered to the last byte. */
+size_t tlb_front_in_flight(const struct tlb_front *f);
+
+/* Answers with a whole body; takes ownership of the malloc'd body. */
+void tlb_exchange_reply(struct tlb_exchange *x, int status, const char *content_type, char *body,
+			size_t len);
+/* Answers with an error as JSON {"error":{"code","message","outcome"}}. */
+void tlb_exchange_refuse(struct tlb_exchange *x, const struct tlb_error *err, int retry_after_s);
+/* Begins a server-sent event stream. */
+void tlb_exchange_stream_begin(struct tlb_exchange *x);
+/* Appends to the stream. Returns false when the caller's backlog is over the limit. */
+bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len);
+/* Ends the stream. With complete false the connection is cut without the end of the chunked body,
+ * so that the caller can't take it for a whole response. */
+void tlb_exchange_stream_end(struct tlb_exchange *x, bool complete);
+
+#endif
