--- a/src/table.c
+++ b/src/table.c
@@ -7,6 +7,15 @@
 static const char *const kind_names[TLB_ROW_KIND_COUNT] = {"account",  "key",	"model",
 							   "endpoint", "route", "operator"};
 
+bool tlb_table_id_valid(const char *id)
+{
+	size_t len = strlen(id);
+
+	return len > 0 && len < TLB_ID_LEN && strchr("._-", id[0]) == NULL &&
+	       strspn(id, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-") ==
+		       len;
+}
+
 void tlb_table_init(struct tlb_table *t)
 {
 	memset(t, 0, sizeof(*t));
--- a/src/table.h
+++ b/src/table.h
@@ -129,6 +129,8 @@
 /* Splits "config/account/a1" into kind and id (a pointer into key). Returns false for other keys.
  */
 bool tlb_table_split_key(const char *key, enum tlb_row_kind *kind, const char **id);
+/* Whether an id is allowed: 1 to 47 of A-Z a-z 0-9 . _ -, the first a letter or a digit. */
+bool tlb_table_id_valid(const char *id);
 const char *tlb_table_kind_name(enum tlb_row_kind kind);
 
 struct tlb_account *tlb_table_account(const struct tlb_table *t, const char *id);
