--- a/src/settings.c
+++ b/src/settings.c
@@ -309,7 +309,9 @@
 	if (value)
 		set_field(l, f, value);
 	else
-		report(l, l->path, line, "%s.%s: a single value is expected", section, key);
+		report(l, l->path, line,
+		       "%s.%s: value is a list or a mapping; expected a single value", section,
+		       key);
 }
 
 static void load_section(struct loader *l, const char *section, const yaml_node_t *node)
@@ -321,7 +323,7 @@
 	if (value && !*value)
 		return;
 	if (node->type != YAML_MAPPING_NODE) {
-		report(l, l->path, node->start_mark.line + 1, "%s: a mapping of keys is expected",
+		report(l, l->path, node->start_mark.line + 1, "%s: expected a mapping of keys",
 		       section);
 		return;
 	}
@@ -355,7 +357,7 @@
 	if (!root)
 		return;
 	if (root->type != YAML_MAPPING_NODE) {
-		report(l, l->path, root->start_mark.line + 1, "a mapping of sections is expected");
+		report(l, l->path, root->start_mark.line + 1, "expected a mapping of sections");
 		return;
 	}
 	for (p = root->data.mapping.pairs.start; p < root->data.mapping.pairs.top; p++) {
@@ -371,34 +373,46 @@
 	}
 }
 
-static void load_document(struct loader *l, FILE *f)
+static void report_syntax(struct loader *l, const yaml_parser_t *parser)
+{
+	report(l, l->path, parser->problem_mark.line + 1, "not readable as YAML: %s",
+	       parser->problem ? parser->problem : "unknown fault");
+}
+
+static void check_end(struct loader *l, yaml_parser_t *parser)
 {
 	yaml_document_t extra;
+
+	if (!yaml_parser_load(parser, &extra)) {
+		report_syntax(l, parser);
+		return;
+	}
+	if (yaml_document_get_root_node(&extra))
+		report(l, l->path, extra.start_mark.line + 1, "only one YAML document is allowed");
+	yaml_document_delete(&extra);
+}
+
+/* Returns false when there is no document to check. */
+static bool load_document(struct loader *l, FILE *f)
+{
 	yaml_parser_t parser;
+	bool loaded;
 
 	if (!yaml_parser_initialize(&parser)) {
 		report(l, l->path, 0, "out of memory");
-		return;
+		return false;
 	}
 	yaml_parser_set_input_file(&parser, f);
-	if (!yaml_parser_load(&parser, &l->doc)) {
-		report(l, l->path, parser.problem_mark.line + 1, "not readable as YAML: %s",
-		       parser.problem ? parser.problem : "unknown fault");
-		yaml_parser_delete(&parser);
-		return;
-	}
-	load_root(l, yaml_document_get_root_node(&l->doc));
-	yaml_document_delete(&l->doc);
-	if (!yaml_parser_load(&parser, &extra)) {
-		report(l, l->path, parser.problem_mark.line + 1, "not readable as YAML: %s",
-		       parser.problem ? parser.problem : "unknown fault");
+	loaded = yaml_parser_load(&parser, &l->doc);
+	if (loaded) {
+		load_root(l, yaml_document_get_root_node(&l->doc));
+		yaml_document_delete(&l->doc);
+		check_end(l, &parser);
 	} else {
-		if (yaml_document_get_root_node(&extra))
-			report(l, l->path, extra.start_mark.line + 1,
-			       "only one YAML document is allowed");
-		yaml_document_delete(&extra);
+		report_syntax(l, &parser);
 	}
 	yaml_parser_delete(&parser);
+	return loaded;
 }
 
 static void finish_fields(struct loader *l)
@@ -446,7 +460,7 @@
 	check_apart(l, "peer", s->peer_addr, "operator", s->operator_addr);
 	if (s->goodput_weight + s->waste_weight + s->worst_weight + s->refusal_weight <= 0)
 		report(l, l->path, line_of(l, "policy", "goodput_weight"),
-		       "policy: at least one weight above 0 is expected");
+		       "policy: expected at least one weight above 0");
 }
 
 /* The secrets file's name: relative to the directory of the settings file. */
@@ -591,9 +605,10 @@
 
 	l->fields = fields;
 	l->field_count = sizeof(fields) / sizeof(fields[0]);
-	load_document(l, f);
-	finish_fields(l);
-	check_whole(l, s);
+	if (load_document(l, f)) {
+		finish_fields(l);
+		check_whole(l, s);
+	}
 	if (s->secrets_file[0])
 		load_secrets(l, s);
 	l->fields = NULL;
