--- a/src/address.c
+++ b/src/address.c
@@ -84,6 +84,21 @@
 	snprintf(out, TLB_PEER_LEN, "%s:%d", host, ntohs(a4->sin_port));
 }
 
+int tlb_address_port(const struct sockaddr_storage *a)
+{
+	if (a->ss_family == AF_INET6)
+		return ntohs(((const struct sockaddr_in6 *)a)->sin6_port);
+	return ntohs(((const struct sockaddr_in *)a)->sin_port);
+}
+
+bool tlb_address_valid(const char *text, int min_port)
+{
+	struct sockaddr_storage a;
+	socklen_t len;
+
+	return tlb_address_parse(text, &a, &len) && tlb_address_port(&a) >= min_port;
+}
+
 static int open_listener(const struct sockaddr_storage *a, socklen_t len)
 {
 	int fd = socket(a->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/address.h
+++ b/src/address.h
@@ -9,6 +9,10 @@
 
 /* Parses "127.0.0.1:80" or "[::1]:80". Returns false when the text is not of that form. */
 bool tlb_address_parse(const char *text, struct sockaddr_storage *out, socklen_t *len);
+/* The port of an address filled by tlb_address_parse(), in host byte order. */
+int tlb_address_port(const struct sockaddr_storage *a);
+/* Whether text is an address whose port is min_port or more. */
+bool tlb_address_valid(const char *text, int min_port);
 /* Writes the text form of an address; size of out is TLB_PEER_LEN. */
 void tlb_address_format(const struct sockaddr_storage *a, char *out);
 /* Opens a non-blocking listening socket and writes the address in use (port 0 takes a free port) to
