--- /dev/null
+++ b/src/cluster.h
@@ -0,0 +1,104 @@
+/*
+ * The daemons as one system: links, session lease, shard map and membership behind one interface.
+ *
+ * Callbacks run from the loop, never from within the function that asked for them, except where
+ * stated. After tlb_cluster_finish() none runs.
+ */
+#ifndef TLB_CLUSTER_H
+#define TLB_CLUSTER_H
+
+#include "peer.h"
+#include "settings.h"
+#include "shard.h"
+#include "store.h"
+
+struct tlb_cluster;
+
+/* Handles one incoming message; msg is borrowed for the duration of the call. The reply, if the
+ * message wants one, is sent with tlb_cluster_reply(), now or later. */
+typedef void tlb_cluster_message_fn(void *arg, const struct tlb_peer_return *from,
+				    const Toucan__Envelope *msg);
+
+/* What the rest of the daemon supplies; copied by tlb_cluster_init(). Any function may be NULL;
+ * arg is the first argument of all of them. */
+struct tlb_cluster_handlers {
+	void *arg;
+
+	/* Incoming messages. */
+	tlb_cluster_message_fn *reserve_tokens;
+	tlb_cluster_message_fn *return_tokens;
+	tlb_cluster_message_fn *book_decode;
+	tlb_cluster_message_fn *renew_bookings;
+	tlb_cluster_message_fn *release_booking;
+	tlb_cluster_message_fn *bookings_pull;
+	tlb_cluster_message_fn *config_push;
+	tlb_cluster_message_fn *config_pull;
+
+	/* The shards that this daemon acts for have changed; tlb_cluster_shards() has the new set.
+	 * A shard that came without a HandOver (see below) starts from what its standby knows. */
+	void (*on_shards_changed)(void *arg, tlb_shard_set gained, tlb_shard_set lost);
+	/* Fills out with the state of these shards (buckets, bookings; the shard numbers are set by
+	 * the cluster). From this call on tlb_cluster_owner() no longer answers SELF for them.
+	 * Repeated fields and strings are malloc'd; the cluster frees them. */
+	void (*hand_over)(void *arg, tlb_shard_set shards, Toucan__HandOver *out);
+	/* State of shards that a former owner handed over; follows on_shards_changed with these
+	 * shards in gained at once. Borrowed. */
+	void (*on_hand_over)(void *arg, tlb_shard_set shards, const Toucan__HandOver *state);
+	/* The incarnation is certainly not acting any more and never will again. */
+	void (*on_fenced)(void *arg, const char *vm, uint64_t incarnation);
+	/* A peer's heartbeat names this configuration version (called when it changes). */
+	void (*on_peer_config_version)(void *arg, const char *vm, int64_t version);
+	/* Called when the session has run out; acting must already have stopped, because it is
+	 * guarded by tlb_cluster_valid() and not by this call. */
+	void (*on_session_lost)(void *arg);
+	void (*on_session_regained)(void *arg);
+	/* Another VM has fenced this incarnation: the cluster joins again under a new one; requests
+	 * in flight can't be accounted for any more. */
+	void (*on_self_fenced)(void *arg);
+	/* The configuration version that heartbeats carry. */
+	int64_t (*config_version)(void *arg);
+};
+
+enum tlb_owner { TLB_OWNER_SELF, TLB_OWNER_PEER, TLB_OWNER_NONE };
+
+typedef void tlb_cluster_done_fn(void *arg);
+
+/* Sets up a cluster on memory that the caller owns. settings, loop, store and counters are borrowed
+ * and must outlive it. */
+void tlb_cluster_init(struct tlb_cluster *c, struct tlb_loop *loop,
+		      const struct tlb_settings *settings, struct tlb_store *store,
+		      struct tlb_counters *counters, const struct tlb_cluster_handlers *handlers);
+/* Binds the peer listener and starts to join. Joining needs the table service and is repeated until
+ * it succeeds. Returns TLB_INTERNAL when the listener can't be bound. */
+enum tlb_code tlb_cluster_start(struct tlb_cluster *c, struct tlb_error *err);
+void tlb_cluster_finish(struct tlb_cluster *c);
+/* Graceful shutdown: hands every shard to its standby, then writes the VM row as left. done runs
+ * once, at the latest at the deadline. */
+void tlb_cluster_leave(struct tlb_cluster *c, tlb_time deadline, tlb_cluster_done_fn *done,
+		       void *arg);
+
+/* True when this daemon has joined and its session is valid at now: it may act. */
+bool tlb_cluster_valid(const struct tlb_cluster *c, tlb_time now);
+/* The incarnation of this daemon; "<vm id>/<incarnation>" as text for engines. */
+uint64_t tlb_cluster_incarnation(const struct tlb_cluster *c);
+const char *tlb_cluster_owner_name(const struct tlb_cluster *c);
+/* The shards that this daemon acts for (whether it may act now is tlb_cluster_valid()). */
+tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c);
+/* Who accounts for an id. For TLB_OWNER_PEER vm is the owner; otherwise "". */
+enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN]);
+/* Calls fn for each live VM except this one. fn must not change the cluster. */
+void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm),
+		      void *arg);
+
+/* Sends a request. body needs only its oneof set; it is encoded before the function returns.
+ * on_reply runs once, at the latest at the deadline. */
+void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
+		      Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
+		      void *arg);
+/* Sends a one-way message. Returns false when it was dropped for lack of a link. */
+bool tlb_cluster_send(struct tlb_cluster *c, const char *vm, Toucan__Envelope *body);
+/* Replies to a request; dropped when the sender is gone or has restarted. */
+void tlb_cluster_reply(struct tlb_cluster *c, const struct tlb_peer_return *to,
+		       Toucan__Envelope *body);
+
+#endif
