--- /dev/null
+++ b/src/book.h
@@ -0,0 +1,125 @@
+/*
+ * Exact book of the memory pieces of one decode endpoint, kept by the owner of the endpoint's
+ * shard. Pure functions with a given clock; no allocation.
+ *
+ * Rule: free pieces = total - booked - strays, where a stray is held at the engine without a
+ * booking. A booking is granted when it fits; batch work must also leave batch_reserve pieces free.
+ * A booking that is not renewed expires and stays counted as a stray until the engine's list no
+ * longer names it. A stray seen for longer than the grace period is to be cancelled.
+ *
+ * Reason: a prefill without a place at a decode engine is evicted within a second and has to be
+ * computed again, so the place is booked first. Load reports lag by up to seconds, during which
+ * eight routers would all book the same free piece; one book can't be overbooked.
+ */
+#ifndef TLB_BOOK_H
+#define TLB_BOOK_H
+
+#include <apr_ring.h>
+#include <stdbool.h>
+
+#include "clock.h"
+#include "queue.h"
+
+enum {
+	TLB_REQUEST_ID_LEN = 64,
+	TLB_OWNER_LEN = 80,   /* "<vm id>/<incarnation>" */
+	TLB_BOOK_STRAYS = 64, /* an engine's memory holds about 20 requests */
+};
+
+/* One booking; owned by the caller, who embeds or allocates it. In the book from a successful
+ * tlb_book_add() or tlb_book_adopt() until release, expire or pop returns it. */
+struct tlb_booking {
+	APR_RING_ENTRY(tlb_booking) link;
+	char request_id[TLB_REQUEST_ID_LEN];
+	char owner[TLB_OWNER_LEN];
+	int pieces;
+	enum tlb_class class;
+	tlb_time expires;
+};
+
+APR_RING_HEAD(tlb_booking_ring, tlb_booking);
+
+/* Memory held at the engine without a booking, or about to be cancelled. */
+struct tlb_stray {
+	char request_id[TLB_REQUEST_ID_LEN];
+	int pieces;
+	tlb_time first_seen;
+	bool listed; /* named by the engine's latest list */
+};
+
+/* Caller-owned; holds bookings but does not own them. */
+struct tlb_book {
+	struct tlb_booking_ring bookings;
+	int total_pieces;
+	int booked_pieces;
+	int batch_reserve; /* pieces that batch work leaves free */
+	tlb_time grace;	   /* a length of time: how long a stray may live */
+	bool granting;	   /* false until the engine's list has been seen */
+	struct tlb_stray strays[TLB_BOOK_STRAYS];
+	int stray_count;
+};
+
+/* One entry of the engine's held list; filled by the caller but for cancel. */
+struct tlb_held {
+	char request_id[TLB_REQUEST_ID_LEN];
+	char owner[TLB_OWNER_LEN];
+	int pieces;
+	bool cancel; /* set by tlb_book_reconcile() */
+};
+
+enum tlb_book_result {
+	TLB_BOOK_OK,
+	TLB_BOOK_FULL,	       /* does not fit now */
+	TLB_BOOK_RESERVED,     /* would fit, but batch work must leave room */
+	TLB_BOOK_NOT_GRANTING, /* a new owner has not seen the engine's list */
+	TLB_BOOK_DUPLICATE,    /* the request id is booked by another owner */
+	TLB_BOOK_TOO_BIG,      /* more than the endpoint has, or not positive */
+};
+
+void tlb_book_init(struct tlb_book *b, int total_pieces, int batch_reserve, tlb_time grace);
+
+/* The row changed; bookings stay even when they no longer fit. */
+void tlb_book_resize(struct tlb_book *b, int total_pieces, int batch_reserve);
+
+/* Adds *k if it may be granted. Repeating a booking of the same request and owner renews the one in
+ * the book and returns TLB_BOOK_OK; *k then is not in the book: check tlb_book_find() == k. */
+enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k);
+
+/* Enters a booking that another owner granted, whether it fits or not. Returns false, with *k not
+ * in the book, when the request is already booked (it is renewed instead). */
+bool tlb_book_adopt(struct tlb_book *b, struct tlb_booking *k);
+
+struct tlb_booking *tlb_book_find(const struct tlb_book *b, const char *request_id);
+
+/* Moves the expiry deadline. Returns false when the booking is unknown or owned by another: the
+ * caller adopts it (new owner) or tells the VM to stop. */
+bool tlb_book_renew(struct tlb_book *b, const char *request_id, const char *owner,
+		    tlb_time expires);
+
+/* Takes a booking out and returns it, or NULL when it is unknown or owned by another. The pieces
+ * are free at once: release follows the end of the stream or the answer to the cancel. */
+struct tlb_booking *tlb_book_release(struct tlb_book *b, const char *request_id, const char *owner);
+
+/* Takes out the next booking that expired by now, or returns NULL. Its pieces stay counted as a
+ * stray; the caller cancels the request at the engine. */
+struct tlb_booking *tlb_book_expire(struct tlb_book *b, tlb_time now);
+
+/* The engine confirmed a cancel: the stray's pieces are free. Harmless for unknown ids. */
+void tlb_book_cancelled(struct tlb_book *b, const char *request_id);
+
+/* Takes out any booking, for hand-over and finish; NULL when the book is empty. */
+struct tlb_booking *tlb_book_pop(struct tlb_book *b);
+
+/* Compares with the engine's complete held list as of now, which starts granting. Sets cancel on
+ * the entries that have been strays for longer than the grace period and returns their number. */
+int tlb_book_reconcile(struct tlb_book *b, struct tlb_held *held, int count, tlb_time now);
+
+/* Pieces that an interactive request may book now; never negative. */
+int tlb_book_free(const struct tlb_book *b);
+
+/* Earliest expiry deadline in the book, or TLB_NEVER. */
+tlb_time tlb_book_next_expiry(const struct tlb_book *b);
+
+const char *tlb_book_result_name(enum tlb_book_result result);
+
+#endif
