--- a/src/book.h
+++ b/src/book.h
@@ -18,13 +18,10 @@
 #include <stdbool.h>
 
 #include "clock.h"
+#include "ident.h"
 #include "queue.h"
 
-enum {
-	TLB_REQUEST_ID_LEN = 64,
-	TLB_OWNER_LEN = 80,   /* "<vm id>/<incarnation>" */
-	TLB_BOOK_STRAYS = 64, /* an engine's memory holds about 20 requests */
-};
+enum { TLB_BOOK_STRAYS = 64 }; /* an engine's memory holds about 20 requests */
 
 /* One booking; owned by the caller, who embeds or allocates it. In the book from a successful
  * tlb_book_add() or tlb_book_adopt() until release, expire or pop returns it. */
--- a/src/front.h
+++ b/src/front.h
@@ -10,11 +10,11 @@
 #include <stdbool.h>
 
 #include "error.h"
+#include "ident.h"
 #include "loop.h"
 #include "table.h"
 
 enum {
-	TLB_REQUEST_ID_LEN = 40,
 	TLB_REQUEST_PREFIX_LEN = 20,
 	TLB_IDEMPOTENCY_KEY_LEN = 160,
 	/* A caller that leaves more than this unread of a stream is treated as gone. */
