--- /dev/null
+++ b/src/book.c
@@ -0,0 +1,253 @@
+#include "book.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+void tlb_book_init(struct tlb_book *b, int total_pieces, int batch_reserve, tlb_time grace)
+{
+	memset(b, 0, sizeof(*b));
+	APR_RING_INIT(&b->bookings, tlb_booking, link);
+	b->grace = grace;
+	tlb_book_resize(b, total_pieces, batch_reserve);
+}
+
+void tlb_book_resize(struct tlb_book *b, int total_pieces, int batch_reserve)
+{
+	b->total_pieces = total_pieces;
+	b->batch_reserve = batch_reserve;
+}
+
+int tlb_book_free(const struct tlb_book *b)
+{
+	int left = b->total_pieces - b->booked_pieces;
+	int i;
+
+	for (i = 0; i < b->stray_count; i++)
+		left -= b->strays[i].pieces;
+	return left > 0 ? left : 0;
+}
+
+struct tlb_booking *tlb_book_find(const struct tlb_book *b, const char *request_id)
+{
+	struct tlb_booking *k;
+
+	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
+		if (!strcmp(k->request_id, request_id))
+			return k;
+	}
+	return NULL;
+}
+
+static struct tlb_booking *find_owned(const struct tlb_book *b, const char *request_id,
+				      const char *owner)
+{
+	struct tlb_booking *k = tlb_book_find(b, request_id);
+
+	return k && !strcmp(k->owner, owner) ? k : NULL;
+}
+
+static struct tlb_stray *find_stray(struct tlb_book *b, const char *request_id)
+{
+	int i;
+
+	for (i = 0; i < b->stray_count; i++) {
+		if (!strcmp(b->strays[i].request_id, request_id))
+			return &b->strays[i];
+	}
+	return NULL;
+}
+
+static void drop_stray(struct tlb_book *b, struct tlb_stray *s)
+{
+	*s = b->strays[--b->stray_count];
+}
+
+/* Returns NULL when the table is full; the next list brings the entry again. */
+static struct tlb_stray *add_stray(struct tlb_book *b, const char *request_id, int pieces,
+				   tlb_time now)
+{
+	struct tlb_stray *s;
+
+	if (b->stray_count == TLB_BOOK_STRAYS)
+		return NULL;
+	s = &b->strays[b->stray_count++];
+	memset(s, 0, sizeof(*s));
+	apr_cpystrn(s->request_id, request_id, sizeof(s->request_id));
+	s->pieces = pieces;
+	s->first_seen = now;
+	return s;
+}
+
+static void insert(struct tlb_book *b, struct tlb_booking *k)
+{
+	struct tlb_stray *s = find_stray(b, k->request_id);
+
+	if (s)
+		drop_stray(b, s);
+	APR_RING_INSERT_TAIL(&b->bookings, k, tlb_booking, link);
+	b->booked_pieces += k->pieces;
+}
+
+static void take_out(struct tlb_book *b, struct tlb_booking *k)
+{
+	APR_RING_REMOVE(k, link);
+	b->booked_pieces -= k->pieces;
+}
+
+enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k)
+{
+	const struct tlb_booking *known = tlb_book_find(b, k->request_id);
+
+	if (!b->granting)
+		return TLB_BOOK_NOT_GRANTING;
+	if (known) {
+		return tlb_book_renew(b, k->request_id, k->owner, k->expires) ? TLB_BOOK_OK
+									      : TLB_BOOK_DUPLICATE;
+	}
+	if (k->pieces <= 0 || k->pieces > b->total_pieces)
+		return TLB_BOOK_TOO_BIG;
+	if (k->pieces > tlb_book_free(b))
+		return TLB_BOOK_FULL;
+	if (k->class == TLB_BATCH && k->pieces + b->batch_reserve > tlb_book_free(b))
+		return TLB_BOOK_RESERVED;
+	insert(b, k);
+	return TLB_BOOK_OK;
+}
+
+bool tlb_book_adopt(struct tlb_book *b, struct tlb_booking *k)
+{
+	if (tlb_book_find(b, k->request_id)) {
+		tlb_book_renew(b, k->request_id, k->owner, k->expires);
+		return false;
+	}
+	insert(b, k);
+	return true;
+}
+
+bool tlb_book_renew(struct tlb_book *b, const char *request_id, const char *owner, tlb_time expires)
+{
+	struct tlb_booking *k = find_owned(b, request_id, owner);
+
+	if (!k)
+		return false;
+	/* A delayed renewal must not shorten the booking. */
+	if (expires > k->expires)
+		k->expires = expires;
+	return true;
+}
+
+struct tlb_booking *tlb_book_release(struct tlb_book *b, const char *request_id, const char *owner)
+{
+	struct tlb_booking *k = find_owned(b, request_id, owner);
+
+	if (k)
+		take_out(b, k);
+	return k;
+}
+
+struct tlb_booking *tlb_book_expire(struct tlb_book *b, tlb_time now)
+{
+	struct tlb_booking *k;
+
+	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
+		if (k->expires > now)
+			continue;
+		take_out(b, k);
+		add_stray(b, k->request_id, k->pieces, now);
+		return k;
+	}
+	return NULL;
+}
+
+void tlb_book_cancelled(struct tlb_book *b, const char *request_id)
+{
+	struct tlb_stray *s = find_stray(b, request_id);
+
+	if (s)
+		drop_stray(b, s);
+}
+
+struct tlb_booking *tlb_book_pop(struct tlb_book *b)
+{
+	struct tlb_booking *k;
+
+	if (APR_RING_EMPTY(&b->bookings, tlb_booking, link))
+		return NULL;
+	k = APR_RING_FIRST(&b->bookings);
+	take_out(b, k);
+	return k;
+}
+
+/* Notes one entry without a booking; returns whether it is to be cancelled. */
+static bool note_stray(struct tlb_book *b, const struct tlb_held *h, tlb_time now)
+{
+	struct tlb_stray *s = find_stray(b, h->request_id);
+
+	if (!s)
+		s = add_stray(b, h->request_id, h->pieces, now);
+	if (!s)
+		return false;
+	s->listed = true;
+	s->pieces = h->pieces;
+	return now - s->first_seen > b->grace;
+}
+
+static void drop_unlisted(struct tlb_book *b)
+{
+	int i;
+
+	for (i = b->stray_count - 1; i >= 0; i--) {
+		if (!b->strays[i].listed)
+			drop_stray(b, &b->strays[i]);
+	}
+}
+
+int tlb_book_reconcile(struct tlb_book *b, struct tlb_held *held, int count, tlb_time now)
+{
+	int cancels = 0;
+	int i;
+
+	for (i = 0; i < b->stray_count; i++)
+		b->strays[i].listed = false;
+	for (i = 0; i < count; i++) {
+		held[i].cancel = false;
+		if (tlb_book_find(b, held[i].request_id))
+			continue;
+		held[i].cancel = note_stray(b, &held[i], now);
+		cancels += held[i].cancel;
+	}
+	drop_unlisted(b);
+	b->granting = true;
+	return cancels;
+}
+
+tlb_time tlb_book_next_expiry(const struct tlb_book *b)
+{
+	struct tlb_booking *k;
+	tlb_time first = TLB_NEVER;
+
+	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
+		if (k->expires < first)
+			first = k->expires;
+	}
+	return first;
+}
+
+const char *tlb_book_result_name(enum tlb_book_result result)
+{
+	switch (result) {
+	case TLB_BOOK_OK:
+		return "ok";
+	case TLB_BOOK_FULL:
+		return "full";
+	case TLB_BOOK_RESERVED:
+		return "reserved";
+	case TLB_BOOK_NOT_GRANTING:
+		return "not_granting";
+	case TLB_BOOK_DUPLICATE:
+		return "duplicate";
+	case TLB_BOOK_TOO_BIG:
+		return "too_big";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,336 @@
+#include "queue.h"
+
+#include <math.h>
+#include <stddef.h>
+
+/* Half-life of the measured service rate: long against one request, short against a peak. */
+#define RATE_HALF_LIFE_US (5.0 * TLB_SECOND)
+
+/* Keeps tokens / weight finite when a row carries a weight of 0. */
+#define MIN_WEIGHT 1e-6
+
+void tlb_queue_init(struct tlb_queue *q)
+{
+	*q = (struct tlb_queue){0};
+	APR_RING_INIT(&q->flows, tlb_flow, link);
+}
+
+void tlb_flow_init(struct tlb_flow *f, double weight)
+{
+	int c;
+
+	*f = (struct tlb_flow){0};
+	for (c = 0; c < TLB_CLASS_COUNT; c++)
+		APR_RING_INIT(&f->items[c], tlb_item, link);
+	tlb_flow_reweight(f, weight);
+}
+
+void tlb_flow_reweight(struct tlb_flow *f, double weight)
+{
+	f->weight = weight > MIN_WEIGHT ? weight : MIN_WEIGHT;
+}
+
+static void enter(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it)
+{
+	if (!f->count++)
+		APR_RING_INSERT_TAIL(&q->flows, f, tlb_flow, link);
+	f->tokens[it->class] += it->tokens;
+	q->count[it->class]++;
+	it->flow = f;
+}
+
+/* An account that comes back from idling in this class starts at the queue's virtual time. */
+static void catch_up(const struct tlb_queue *q, struct tlb_flow *f, enum tlb_class class)
+{
+	if (f->vtime[class] < q->vtime[class])
+		f->vtime[class] = q->vtime[class];
+}
+
+void tlb_queue_push(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it, tlb_time now)
+{
+	if (APR_RING_EMPTY(&f->items[it->class], tlb_item, link))
+		catch_up(q, f, it->class);
+	it->queued_at = now;
+	it->passes = 0;
+	APR_RING_INSERT_TAIL(&f->items[it->class], it, tlb_item, link);
+	enter(q, f, it);
+}
+
+static void leave(struct tlb_queue *q, struct tlb_item *it)
+{
+	struct tlb_flow *f = it->flow;
+
+	APR_RING_REMOVE(it, link);
+	f->tokens[it->class] -= it->tokens;
+	q->count[it->class]--;
+	it->flow = NULL;
+	if (!--f->count)
+		APR_RING_REMOVE(f, link);
+	if (!tlb_queue_count(q))
+		q->last_pop = 0;
+}
+
+void tlb_queue_remove(struct tlb_queue *q, struct tlb_item *it)
+{
+	if (it->flow)
+		leave(q, it);
+}
+
+/* The class whose virtual time a request is charged to now. */
+static enum tlb_class lane_of(const struct tlb_item *it, tlb_time now)
+{
+	return it->class == TLB_BATCH && it->latest_start > now ? TLB_BATCH : TLB_INTERACTIVE;
+}
+
+/* The state of one search. */
+struct search {
+	struct tlb_queue *q;
+	tlb_queue_fits_fn *fits;
+	void *arg;
+	tlb_time now;
+	enum tlb_class lane;
+	bool blocked; /* a request that nothing may overtake any more doesn't fit */
+};
+
+static bool competes(const struct search *s, const struct tlb_item *it)
+{
+	return it->expires > s->now && lane_of(it, s->now) == s->lane;
+}
+
+static struct tlb_item *first_fitting(struct search *s, const struct tlb_flow *f,
+				      enum tlb_class class)
+{
+	struct tlb_item *it;
+
+	APR_RING_FOREACH (it, &f->items[class], tlb_item, link) {
+		if (!competes(s, it))
+			continue;
+		if (s->fits(s->arg, it))
+			return it;
+		if (it->passes >= TLB_QUEUE_MAX_PASSES)
+			s->blocked = true;
+	}
+	return NULL;
+}
+
+/* A batch request counts as having arrived when it became urgent. */
+static tlb_time arrival(const struct tlb_item *it)
+{
+	return it->class == TLB_BATCH && it->latest_start > it->queued_at ? it->latest_start
+									  : it->queued_at;
+}
+
+static struct tlb_item *flow_candidate(struct search *s, const struct tlb_flow *f)
+{
+	struct tlb_item *batch = first_fitting(s, f, TLB_BATCH);
+	struct tlb_item *it;
+
+	if (s->lane == TLB_BATCH)
+		return batch;
+	it = first_fitting(s, f, TLB_INTERACTIVE);
+	if (!it || !batch)
+		return it ? it : batch;
+	return arrival(batch) < arrival(it) ? batch : it;
+}
+
+/* Where the account stands in the lane. Urgent batch requests earn no credit for the time that
+ * their account had nothing interactive. */
+static double lane_vtime(const struct search *s, const struct tlb_flow *f)
+{
+	double v = f->vtime[s->lane];
+
+	if (!APR_RING_EMPTY(&f->items[s->lane], tlb_item, link) || v > s->q->vtime[s->lane])
+		return v;
+	return s->q->vtime[s->lane];
+}
+
+static struct tlb_item *search_lane(struct search *s)
+{
+	struct tlb_item *best = NULL;
+	struct tlb_flow *f;
+	double least = 0;
+
+	APR_RING_FOREACH (f, &s->q->flows, tlb_flow, link) {
+		struct tlb_item *it = flow_candidate(s, f);
+		double v = lane_vtime(s, f);
+
+		if (it && (!best || v < least)) {
+			best = it;
+			least = v;
+		}
+	}
+	return s->blocked ? NULL : best;
+}
+
+static void count_flow_passes(const struct search *s, const struct tlb_flow *f,
+			      const struct tlb_item *winner)
+{
+	struct tlb_item *it;
+	int c;
+
+	for (c = 0; c < TLB_CLASS_COUNT; c++) {
+		APR_RING_FOREACH (it, &f->items[c], tlb_item, link) {
+			if (it == winner || !competes(s, it) || s->fits(s->arg, it))
+				continue;
+			if (f != winner->flow || arrival(it) <= arrival(winner))
+				it->passes++;
+		}
+	}
+}
+
+/* Charges every request that would have gone before the winner if it had fitted. */
+static void count_passes(const struct search *s, const struct tlb_item *winner)
+{
+	double v = lane_vtime(s, winner->flow);
+	struct tlb_flow *f;
+
+	APR_RING_FOREACH (f, &s->q->flows, tlb_flow, link) {
+		if (lane_vtime(s, f) <= v)
+			count_flow_passes(s, f, winner);
+	}
+}
+
+static void measure(struct tlb_queue *q, int64_t tokens, tlb_time now)
+{
+	double elapsed = (double)(now - q->last_pop);
+	double keep;
+
+	if (q->last_pop) {
+		keep = exp2(-elapsed / RATE_HALF_LIFE_US);
+		q->served_tokens = q->served_tokens * keep + (double)tokens;
+		q->served_us = q->served_us * keep + elapsed;
+	}
+	q->last_pop = now;
+}
+
+static void charge(const struct search *s, const struct tlb_item *it)
+{
+	struct tlb_flow *f = it->flow;
+	double start = lane_vtime(s, f);
+
+	if (start > s->q->vtime[s->lane])
+		s->q->vtime[s->lane] = start;
+	f->vtime[s->lane] = start + (double)it->tokens / f->weight;
+}
+
+struct tlb_item *tlb_queue_pop(struct tlb_queue *q, tlb_queue_fits_fn *fits, void *arg,
+			       tlb_time now)
+{
+	struct search s = {.q = q, .fits = fits, .arg = arg, .now = now};
+	struct tlb_item *it = NULL;
+	int lane;
+
+	for (lane = TLB_INTERACTIVE; lane < TLB_CLASS_COUNT && !it && !s.blocked; lane++) {
+		s.lane = lane;
+		it = search_lane(&s);
+		if (it)
+			break;
+	}
+	if (!it)
+		return NULL;
+	count_passes(&s, it);
+	charge(&s, it);
+	it->lane = s.lane;
+	measure(q, it->tokens, now);
+	leave(q, it);
+	return it;
+}
+
+void tlb_queue_unpop(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it)
+{
+	f->vtime[it->lane] -= (double)it->tokens / f->weight;
+	APR_RING_INSERT_HEAD(&f->items[it->class], it, tlb_item, link);
+	enter(q, f, it);
+}
+
+struct tlb_item *tlb_queue_expire(struct tlb_queue *q, tlb_time now)
+{
+	struct tlb_flow *f;
+	struct tlb_item *it;
+	int c;
+
+	APR_RING_FOREACH (f, &q->flows, tlb_flow, link) {
+		for (c = 0; c < TLB_CLASS_COUNT; c++) {
+			APR_RING_FOREACH (it, &f->items[c], tlb_item, link) {
+				if (it->expires > now)
+					continue;
+				leave(q, it);
+				return it;
+			}
+		}
+	}
+	return NULL;
+}
+
+tlb_time tlb_queue_next_expiry(const struct tlb_queue *q)
+{
+	tlb_time first = TLB_NEVER;
+	struct tlb_flow *f;
+	struct tlb_item *it;
+	int c;
+
+	APR_RING_FOREACH (f, &q->flows, tlb_flow, link) {
+		for (c = 0; c < TLB_CLASS_COUNT; c++) {
+			APR_RING_FOREACH (it, &f->items[c], tlb_item, link) {
+				if (it->expires < first)
+					first = it->expires;
+			}
+		}
+	}
+	return first;
+}
+
+int tlb_queue_count(const struct tlb_queue *q)
+{
+	return q->count[TLB_INTERACTIVE] + q->count[TLB_BATCH];
+}
+
+/* Tokens of one class that fair queueing serves before a new request of f ends. */
+static double tokens_before(const struct tlb_queue *q, const struct tlb_flow *f,
+			    enum tlb_class class, int64_t tokens)
+{
+	double from =
+		f->count && f->vtime[class] > q->vtime[class] ? f->vtime[class] : q->vtime[class];
+	double until = from + (double)(f->tokens[class] + tokens) / f->weight;
+	double before = (double)f->tokens[class];
+	struct tlb_flow *g;
+
+	APR_RING_FOREACH (g, &q->flows, tlb_flow, link) {
+		double share = (until - g->vtime[class]) * g->weight;
+
+		if (g != f && share > 0)
+			before += fmin(share, (double)g->tokens[class]);
+	}
+	return before;
+}
+
+static double all_tokens(const struct tlb_queue *q, enum tlb_class class)
+{
+	double sum = 0;
+	struct tlb_flow *f;
+
+	APR_RING_FOREACH (f, &q->flows, tlb_flow, link)
+		sum += (double)f->tokens[class];
+	return sum;
+}
+
+tlb_time tlb_queue_wait(const struct tlb_queue *q, const struct tlb_flow *f, enum tlb_class class,
+			int64_t tokens)
+{
+	double before;
+
+	if (!tlb_queue_count(q) || q->served_tokens <= 0)
+		return 0;
+	before = tokens_before(q, f, class, tokens);
+	if (class == TLB_BATCH)
+		before += all_tokens(q, TLB_INTERACTIVE);
+	return llround(before * q->served_us / q->served_tokens);
+}
+
+bool tlb_queue_would_miss(const struct tlb_queue *q, const struct tlb_flow *f, enum tlb_class class,
+			  int64_t tokens, tlb_time service_us, tlb_time target_us, double factor)
+{
+	tlb_time expected = tlb_queue_wait(q, f, class, tokens) + service_us;
+
+	return (double)expected > (double)target_us * factor;
+}
--- a/src/queue.h
+++ b/src/queue.h
@@ -36,6 +36,7 @@
 	tlb_time queued_at;    /* set by push */
 	tlb_time latest_start; /* batch: competes as interactive from then on; else TLB_NEVER */
 	tlb_time expires;      /* end of the maximum wait or the caller's deadline: refuse then */
+	enum tlb_class lane;   /* set by pop: the class that it was charged to */
 	int passes;	       /* how often a later request overtook this one */
 };
 
@@ -73,7 +74,7 @@
 void tlb_queue_push(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it, tlb_time now);
 /* Puts a popped item back at the head of its account and takes back its charge, when the place
  * that the predicate saw was gone. */
-void tlb_queue_unpop(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it, tlb_time now);
+void tlb_queue_unpop(struct tlb_queue *q, struct tlb_flow *f, struct tlb_item *it);
 
 /* Whether a request can start now. Must not change the queue. */
 typedef bool tlb_queue_fits_fn(void *arg, const struct tlb_item *it);
--- /dev/null
+++ b/src/retry.c
@@ -0,0 +1,69 @@
+#include "retry.h"
+
+/* The first delay is above a round trip between zones (2 ms) and far below the first-token target
+ * (1.2 s); the longest still fits a handful of tries into a client's patience. */
+#define BACKOFF_BASE (10 * TLB_MS)
+#define BACKOFF_MOST (500 * TLB_MS)
+
+void tlb_retry_init(struct tlb_retry *r, double fraction, double most)
+{
+	r->fraction = fraction;
+	r->most = most;
+	r->budget = most / 2;
+}
+
+void tlb_retry_first(struct tlb_retry *r)
+{
+	r->budget += r->fraction;
+	if (r->budget > r->most)
+		r->budget = r->most;
+}
+
+bool tlb_retry_allowed(enum tlb_step step, bool sent)
+{
+	switch (step) {
+	case TLB_STEP_RESERVE:
+	case TLB_STEP_BOOK:
+	case TLB_STEP_PREFILL:
+	case TLB_STEP_IMPORT:
+	case TLB_STEP_DECODE:
+	case TLB_STEP_CANCEL:
+	case TLB_STEP_CALL:
+	case TLB_STEP_STORE_READ:
+	case TLB_STEP_STORE_WRITE:
+		return true;
+	case TLB_STEP_PAID_CALL:
+		return !sent;
+	}
+	return false;
+}
+
+tlb_time tlb_retry_backoff(int attempt, tlb_time base_us, tlb_time most_us, struct tlb_random *rnd)
+{
+	tlb_time delay = base_us;
+	int i;
+
+	for (i = 1; i < attempt && delay < most_us; i++)
+		delay *= 2;
+	if (delay > most_us)
+		delay = most_us;
+	return (tlb_time)((double)delay * (0.5 + tlb_random_unit(rnd) / 2));
+}
+
+enum tlb_retry_answer tlb_retry_ask(struct tlb_retry *r, enum tlb_step step, bool sent, int attempt,
+				    tlb_time now, tlb_time deadline, struct tlb_random *rnd,
+				    tlb_time *at)
+{
+	tlb_time when;
+
+	if (attempt > TLB_RETRY_MAX_ATTEMPTS || !tlb_retry_allowed(step, sent))
+		return TLB_RETRY_NEVER;
+	if (r->budget < 1)
+		return TLB_RETRY_SPENT;
+	when = now + tlb_retry_backoff(attempt, BACKOFF_BASE, BACKOFF_MOST, rnd);
+	if (when >= deadline)
+		return TLB_RETRY_LATE;
+	r->budget -= 1;
+	*at = when;
+	return TLB_RETRY_GO;
+}
--- /dev/null
+++ b/tests/test_book.c
@@ -0,0 +1,162 @@
+/* Guards the memory book of a decode endpoint: never overbooked, nothing held for callers that are
+ * gone, nothing cancelled that is booked. */
+#include <apr_strings.h>
+#include <check.h>
+#include <stdlib.h>
+
+#include "book.h"
+
+enum { TOTAL = 20, RESERVE = 4 };
+
+static const tlb_time grace = 2 * TLB_SECOND;
+static struct tlb_book book;
+static struct tlb_booking bookings[8];
+
+static struct tlb_booking *make(int i, const char *id, const char *owner, int pieces,
+				enum tlb_class class, tlb_time expires)
+{
+	struct tlb_booking *k = &bookings[i];
+
+	apr_cpystrn(k->request_id, id, sizeof(k->request_id));
+	apr_cpystrn(k->owner, owner, sizeof(k->owner));
+	k->pieces = pieces;
+	k->class = class;
+	k->expires = expires;
+	return k;
+}
+
+static struct tlb_held held_entry(const char *id, int pieces)
+{
+	struct tlb_held h = {.pieces = pieces};
+
+	apr_cpystrn(h.request_id, id, sizeof(h.request_id));
+	return h;
+}
+
+static void setup(void)
+{
+	tlb_book_init(&book, TOTAL, RESERVE, grace);
+	ck_assert_int_eq(tlb_book_reconcile(&book, NULL, 0, 0), 0);
+}
+
+/* Each row books on a book where "a" of vm1 already holds `before` pieces. */
+static const struct {
+	int before;
+	const char *id, *owner;
+	int pieces;
+	enum tlb_class class;
+	enum tlb_book_result result;
+	int free_after;
+} add_cases[] = {
+	{10, "b", "vm1/1", 10, TLB_INTERACTIVE, TLB_BOOK_OK, 0},
+	{10, "b", "vm1/1", 11, TLB_INTERACTIVE, TLB_BOOK_FULL, 10},
+	{10, "b", "vm1/1", 6, TLB_BATCH, TLB_BOOK_OK, 4},
+	{10, "b", "vm1/1", 7, TLB_BATCH, TLB_BOOK_RESERVED, 10},
+	{10, "b", "vm1/1", 21, TLB_INTERACTIVE, TLB_BOOK_TOO_BIG, 10},
+	{10, "b", "vm1/1", 0, TLB_INTERACTIVE, TLB_BOOK_TOO_BIG, 10},
+	{10, "a", "vm1/1", 10, TLB_INTERACTIVE, TLB_BOOK_OK, 10}, /* a resent message */
+	{10, "a", "vm2/1", 10, TLB_INTERACTIVE, TLB_BOOK_DUPLICATE, 10},
+};
+
+START_TEST(booking_follows_room_and_reserve)
+{
+	struct tlb_booking *k;
+
+	k = make(0, "a", "vm1/1", add_cases[_i].before, TLB_INTERACTIVE, TLB_SECOND);
+	ck_assert_int_eq(tlb_book_add(&book, k), TLB_BOOK_OK);
+	k = make(1, add_cases[_i].id, add_cases[_i].owner, add_cases[_i].pieces,
+		 add_cases[_i].class, TLB_SECOND);
+	ck_assert_int_eq(tlb_book_add(&book, k), add_cases[_i].result);
+	ck_assert_int_eq(tlb_book_free(&book), add_cases[_i].free_after);
+}
+END_TEST
+
+/* A new owner that granted at once would book memory that others still hold. */
+START_TEST(new_owner_grants_only_after_the_list)
+{
+	struct tlb_held held[1] = {held_entry("old", 15)};
+
+	tlb_book_init(&book, TOTAL, RESERVE, grace);
+	ck_assert_int_eq(tlb_book_add(&book, make(0, "a", "vm1/1", 1, TLB_INTERACTIVE, 1)),
+			 TLB_BOOK_NOT_GRANTING);
+	tlb_book_reconcile(&book, held, 1, 0);
+	ck_assert_int_eq(tlb_book_free(&book), 5);
+	/* The VM reports its booking: the memory is counted once. */
+	ck_assert(tlb_book_adopt(&book, make(0, "old", "vm1/1", 15, TLB_INTERACTIVE, 1)));
+	ck_assert(!tlb_book_adopt(&book, make(1, "old", "vm1/1", 15, TLB_INTERACTIVE, 9)));
+	ck_assert_int_eq(tlb_book_free(&book), 5);
+	ck_assert_int_eq(bookings[0].expires, 9);
+}
+END_TEST
+
+/* A VM that dies must not hold memory, and its memory isn't free before the engine says so. */
+START_TEST(expired_booking_stays_counted_until_gone)
+{
+	struct tlb_held held[2] = {held_entry("a", 12), held_entry("b", 2)};
+
+	tlb_book_add(&book, make(0, "a", "vm1/1", 12, TLB_INTERACTIVE, 5 * TLB_SECOND));
+	tlb_book_add(&book, make(1, "b", "vm2/1", 2, TLB_INTERACTIVE, 5 * TLB_SECOND));
+	ck_assert_int_eq(tlb_book_next_expiry(&book), 5 * TLB_SECOND);
+	ck_assert(tlb_book_renew(&book, "b", "vm2/1", 9 * TLB_SECOND));
+	ck_assert(!tlb_book_renew(&book, "b", "vm1/1", 99 * TLB_SECOND));
+	ck_assert_ptr_eq(tlb_book_expire(&book, 5 * TLB_SECOND), &bookings[0]);
+	ck_assert_ptr_null(tlb_book_expire(&book, 5 * TLB_SECOND));
+	ck_assert_int_eq(tlb_book_free(&book), 6);
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 6 * TLB_SECOND), 0);
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 8 * TLB_SECOND), 1);
+	ck_assert(held[0].cancel);
+	ck_assert(!held[1].cancel);
+	tlb_book_cancelled(&book, "a");
+	ck_assert_int_eq(tlb_book_free(&book), 18);
+}
+END_TEST
+
+/* A lost cancel is repeated; a booked request and a fresh stray are left alone. */
+START_TEST(strays_are_cancelled_after_the_grace_period)
+{
+	struct tlb_held held[2] = {held_entry("x", 3), held_entry("b", 2)};
+
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 10 * TLB_SECOND), 0);
+	ck_assert_int_eq(tlb_book_free(&book), 15);
+	tlb_book_add(&book, make(0, "b", "vm1/1", 2, TLB_INTERACTIVE, 99 * TLB_SECOND));
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 10 * TLB_SECOND + grace), 0);
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 11 * TLB_SECOND + grace), 1);
+	ck_assert_int_eq(tlb_book_reconcile(&book, held, 2, 12 * TLB_SECOND + grace), 1);
+	ck_assert(held[0].cancel);
+	ck_assert_int_eq(tlb_book_reconcile(&book, held + 1, 1, 13 * TLB_SECOND + grace), 0);
+	ck_assert_int_eq(tlb_book_free(&book), 18);
+}
+END_TEST
+
+/* Another VM's release must not free a booking. */
+START_TEST(release_needs_the_owner)
+{
+	tlb_book_add(&book, make(0, "a", "vm1/1", 12, TLB_INTERACTIVE, TLB_SECOND));
+	ck_assert_ptr_null(tlb_book_release(&book, "a", "vm1/2"));
+	ck_assert_ptr_eq(tlb_book_release(&book, "a", "vm1/1"), &bookings[0]);
+	ck_assert_ptr_null(tlb_book_release(&book, "a", "vm1/1"));
+	ck_assert_int_eq(tlb_book_free(&book), TOTAL);
+	ck_assert_ptr_null(tlb_book_pop(&book));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("book");
+	TCase *tc = tcase_create("book");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_loop_test(tc, booking_follows_room_and_reserve, 0,
+			    sizeof(add_cases) / sizeof(add_cases[0]));
+	tcase_add_test(tc, new_owner_grants_only_after_the_list);
+	tcase_add_test(tc, expired_booking_stays_counted_until_gone);
+	tcase_add_test(tc, strays_are_cancelled_after_the_grace_period);
+	tcase_add_test(tc, release_needs_the_owner);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_queue.c
@@ -0,0 +1,200 @@
+/* Guards fair admission: no account starves another, batch work meets its deadlines without
+ * delaying interactive work before they come close, and nobody waits past the maximum wait. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "queue.h"
+
+enum { ITEMS = 600 };
+
+static struct tlb_queue queue;
+static struct tlb_flow flows[3];
+static struct tlb_item items[ITEMS];
+
+static void setup(void)
+{
+	int i;
+
+	tlb_queue_init(&queue);
+	for (i = 0; i < 3; i++)
+		tlb_flow_init(&flows[i], 1);
+}
+
+static struct tlb_item *push(int i, int flow, enum tlb_class class, int64_t tokens, tlb_time now)
+{
+	struct tlb_item *it = &items[i];
+
+	it->class = class;
+	it->tokens = tokens;
+	it->latest_start = TLB_NEVER;
+	it->expires = TLB_NEVER;
+	tlb_queue_push(&queue, &flows[flow], it, now);
+	return it;
+}
+
+static bool fits_all(void *arg, const struct tlb_item *it)
+{
+	return true;
+}
+
+static bool fits_below(void *arg, const struct tlb_item *it)
+{
+	return it->tokens < *(int64_t *)arg;
+}
+
+static struct tlb_item *pop(tlb_time now)
+{
+	return tlb_queue_pop(&queue, fits_all, NULL, now);
+}
+
+/* One account queues 500 requests, another's single request comes last and goes second. */
+START_TEST(small_account_is_not_starved)
+{
+	int i;
+
+	for (i = 0; i < 500; i++)
+		push(i, 0, TLB_INTERACTIVE, 1000, 0);
+	ck_assert_ptr_eq(pop(1), &items[0]);
+	push(500, 1, TLB_INTERACTIVE, 3000, 1);
+	ck_assert_ptr_eq(pop(2), &items[500]);
+}
+END_TEST
+
+/* Served tokens follow the weights 1:2:4 whatever the request sizes are. */
+START_TEST(shares_follow_weights)
+{
+	int64_t served[3] = {0};
+	int i;
+	int f;
+
+	for (f = 0; f < 3; f++)
+		tlb_flow_reweight(&flows[f], 1 << f);
+	for (i = 0; i < ITEMS; i++)
+		push(i, i % 3, TLB_INTERACTIVE, 500 * (3 - i % 3), 0);
+	for (i = 0; i < 200; i++) {
+		const struct tlb_item *it = pop(i + 1);
+
+		served[(it - items) % 3] += it->tokens;
+	}
+	ck_assert_double_eq_tol((double)served[1] / (double)served[0], 2, 0.2);
+	ck_assert_double_eq_tol((double)served[2] / (double)served[0], 4, 0.4);
+}
+END_TEST
+
+/* An account that was idle must not claim the service it did not ask for. */
+START_TEST(idling_earns_no_credit)
+{
+	int i;
+
+	for (i = 0; i < 100; i++)
+		push(i, 0, TLB_INTERACTIVE, 1000, 0);
+	for (i = 0; i < 50; i++)
+		pop(1);
+	for (i = 100; i < 110; i++)
+		push(i, 1, TLB_INTERACTIVE, 1000, 2);
+	for (i = 0; i < 4; i++)
+		ck_assert_ptr_eq(pop(3)->flow, NULL);
+	ck_assert_int_eq(flows[1].tokens[0], 8000);
+}
+END_TEST
+
+START_TEST(batch_waits_until_its_latest_start)
+{
+	push(0, 0, TLB_BATCH, 1000, 0)->latest_start = 100;
+	push(1, 1, TLB_INTERACTIVE, 1000, 1);
+	push(2, 1, TLB_INTERACTIVE, 1000, 2);
+	ck_assert_ptr_eq(pop(50), &items[1]);
+	ck_assert_ptr_eq(pop(100), &items[0]);
+	ck_assert_ptr_eq(pop(101), &items[2]);
+}
+END_TEST
+
+/* A large request that doesn't fit is overtaken, but not for ever. */
+START_TEST(misfit_is_overtaken_a_bounded_number_of_times)
+{
+	int64_t limit = 5000;
+	int i;
+
+	push(0, 0, TLB_INTERACTIVE, 9000, 0);
+	for (i = 1; i <= TLB_QUEUE_MAX_PASSES + 1; i++)
+		push(i, 0, TLB_INTERACTIVE, 100, 1);
+	for (i = 1; i <= TLB_QUEUE_MAX_PASSES; i++)
+		ck_assert_ptr_eq(tlb_queue_pop(&queue, fits_below, &limit, 2), &items[i]);
+	ck_assert_ptr_null(tlb_queue_pop(&queue, fits_below, &limit, 2));
+	limit = 10000;
+	ck_assert_ptr_eq(tlb_queue_pop(&queue, fits_below, &limit, 2), &items[0]);
+}
+END_TEST
+
+START_TEST(expired_requests_are_not_started)
+{
+	push(0, 0, TLB_INTERACTIVE, 1000, 0)->expires = 10;
+	push(1, 0, TLB_BATCH, 1000, 0)->expires = 20;
+	push(2, 1, TLB_BATCH, 1000, 0);
+	ck_assert_int_eq(tlb_queue_next_expiry(&queue), 10);
+	ck_assert_ptr_eq(pop(20), &items[2]);
+	ck_assert_ptr_eq(tlb_queue_expire(&queue, 10), &items[0]);
+	ck_assert_ptr_null(tlb_queue_expire(&queue, 10));
+	tlb_queue_remove(&queue, &items[1]);
+	tlb_queue_remove(&queue, &items[1]);
+	ck_assert_int_eq(tlb_queue_count(&queue), 0);
+	ck_assert(APR_RING_EMPTY(&queue.flows, tlb_flow, link));
+}
+END_TEST
+
+/* A request put back keeps its turn and is charged once. */
+START_TEST(unpop_restores_order_and_charge)
+{
+	double before;
+
+	push(0, 0, TLB_INTERACTIVE, 1000, 0);
+	push(1, 0, TLB_INTERACTIVE, 1000, 0);
+	before = flows[0].vtime[0];
+	ck_assert_ptr_eq(pop(1), &items[0]);
+	tlb_queue_unpop(&queue, &flows[0], &items[0]);
+	ck_assert_double_eq_tol(flows[0].vtime[0], before, 1e-9);
+	ck_assert_ptr_eq(pop(2), &items[0]);
+}
+END_TEST
+
+/* 1,000 tokens every 10 ms: a newcomer of an idle account waits for a fair share, not for all. */
+START_TEST(wait_estimate_follows_the_fair_share)
+{
+	int i;
+
+	ck_assert_int_eq(tlb_queue_wait(&queue, &flows[1], TLB_INTERACTIVE, 1000), 0);
+	for (i = 0; i < 400; i++)
+		push(i, 0, TLB_INTERACTIVE, 1000, 0);
+	for (i = 1; i <= 200; i++)
+		pop(i * 10 * TLB_MS);
+	ck_assert_int_eq(tlb_queue_wait(&queue, &flows[0], TLB_INTERACTIVE, 1000) / TLB_MS, 2000);
+	ck_assert_int_le(tlb_queue_wait(&queue, &flows[1], TLB_INTERACTIVE, 1000), 10 * TLB_MS);
+	ck_assert(tlb_queue_would_miss(&queue, &flows[0], TLB_INTERACTIVE, 1000, 300 * TLB_MS,
+				       1200 * TLB_MS, 1.5));
+	ck_assert(!tlb_queue_would_miss(&queue, &flows[1], TLB_INTERACTIVE, 1000, 300 * TLB_MS,
+					1200 * TLB_MS, 1.0));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("queue");
+	TCase *tc = tcase_create("queue");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, small_account_is_not_starved);
+	tcase_add_test(tc, shares_follow_weights);
+	tcase_add_test(tc, idling_earns_no_credit);
+	tcase_add_test(tc, batch_waits_until_its_latest_start);
+	tcase_add_test(tc, misfit_is_overtaken_a_bounded_number_of_times);
+	tcase_add_test(tc, expired_requests_are_not_started);
+	tcase_add_test(tc, unpop_restores_order_and_charge);
+	tcase_add_test(tc, wait_estimate_follows_the_fair_share);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
