--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 MAIN_SRC = src/daemon.c src/tool.c
 LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
-STANDIN_LIB_SRC = standins/control.c
+STANDIN_LIB_SRC = standins/control.c standins/serve.c
 STANDIN_SRC = $(filter-out $(STANDIN_LIB_SRC),$(wildcard standins/*.c))
 STANDINS = $(STANDIN_SRC:standins/%.c=$(BUILD)/standin-%)
 TEST_SRC = $(wildcard tests/test_*.c)
--- a/standins/control.c
+++ b/standins/control.c
@@ -1,2 +1,400 @@
-/* Fault control shared by all stand-ins. */
-typedef int standin_placeholder;
+#include "control.h"
+
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "serve.h"
+
+enum {
+	RECORD_COUNT = 200,
+	RECORD_BYTES_MAX = 32 << 20,
+	FAULT_MAX = 32,
+	OPTION_MAX = 32,
+	BURST_PER_SECOND = 5, /* the burst of a rate is 1/5 s */
+};
+
+struct record {
+	char *method;
+	char *url;
+	json_t *headers;
+	char *body;
+	size_t body_len;
+};
+
+/* The last requests, and the faults in the order in which they were set. */
+static struct {
+	pthread_mutex_t lock;
+	struct record records[RECORD_COUNT];
+	size_t first;
+	size_t count;
+	size_t bytes;
+	int64_t requests_seen;
+	struct standin_fault faults[FAULT_MAX];
+	size_t fault_count;
+	const struct standin_program *program;
+	struct standin_listener service;
+	struct standin_listener control;
+} frame = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static const char *const kind_names[STANDIN_FAULT_KINDS] = {
+	[STANDIN_NONE] = "none",     [STANDIN_DELAY] = "delay",
+	[STANDIN_STALL] = "stall",   [STANDIN_DROP_ANSWER] = "drop_answer",
+	[STANDIN_SILENT] = "silent", [STANDIN_REFUSE] = "refuse",
+	[STANDIN_DIE] = "die",	     [STANDIN_CLOSE_AFTER_READ] = "close_after_read",
+	[STANDIN_CUT] = "cut",
+};
+
+uint64_t standin_hash(uint64_t hash, const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++)
+		hash = (hash ^ (unsigned char)data[i]) * UINT64_C(0x100000001b3);
+	return hash;
+}
+
+static double rate_burst(const struct standin_rate *r)
+{
+	double burst = (double)r->per_second / BURST_PER_SECOND;
+
+	return burst < 1 ? 1 : burst;
+}
+
+void standin_rate_init(struct standin_rate *r, int64_t per_second)
+{
+	r->per_second = per_second;
+	r->level = rate_burst(r);
+	r->updated = tlb_clock_now();
+}
+
+bool standin_rate_take(struct standin_rate *r)
+{
+	tlb_time now = tlb_clock_now();
+
+	r->level += (double)(now - r->updated) * (double)r->per_second / TLB_SECOND;
+	r->updated = now;
+	if (r->level > rate_burst(r))
+		r->level = rate_burst(r);
+	if (r->level < 1)
+		return false;
+	r->level -= 1;
+	return true;
+}
+
+static void record_drop_first(void)
+{
+	struct record *r = &frame.records[frame.first];
+
+	frame.bytes -= r->body_len;
+	free(r->method);
+	free(r->url);
+	free(r->body);
+	json_decref(r->headers);
+	frame.first = (frame.first + 1) % RECORD_COUNT;
+	frame.count--;
+}
+
+static json_t *headers_json(const struct standin_request *rq)
+{
+	json_t *headers = json_object();
+	size_t i;
+
+	for (i = 0; i < rq->header_count; i++)
+		json_object_set_new(headers, rq->headers[i].name,
+				    json_string_nocheck(rq->headers[i].value));
+	return headers;
+}
+
+static void record_add(const struct standin_request *rq)
+{
+	struct record *r;
+
+	while (frame.count == RECORD_COUNT ||
+	       (frame.count > 0 && frame.bytes + rq->body_len > RECORD_BYTES_MAX))
+		record_drop_first();
+	r = &frame.records[(frame.first + frame.count++) % RECORD_COUNT];
+	r->method = strdup(rq->method);
+	r->url = strdup(rq->url);
+	r->headers = headers_json(rq);
+	r->body = malloc(rq->body_len + 1);
+	if (!r->body)
+		abort();
+	memcpy(r->body, rq->body, rq->body_len + 1);
+	r->body_len = rq->body_len;
+	frame.bytes += r->body_len;
+}
+
+static void fault_remove(size_t i)
+{
+	frame.fault_count--;
+	memmove(&frame.faults[i], &frame.faults[i + 1],
+		(frame.fault_count - i) * sizeof(frame.faults[0]));
+}
+
+/* Finds the first fault set for this path and counts the hit. */
+static void fault_take(struct standin_request *rq)
+{
+	struct standin_fault *f;
+	size_t i;
+
+	for (i = 0; i < frame.fault_count; i++) {
+		f = &frame.faults[i];
+		if (strncmp(rq->path, f->path, strlen(f->path)) != 0)
+			continue;
+		rq->fault = *f;
+		if (f->count > 0 && --f->count == 0)
+			fault_remove(i);
+		return;
+	}
+}
+
+static void on_read(struct standin_request *rq)
+{
+	pthread_mutex_lock(&frame.lock);
+	frame.requests_seen++;
+	record_add(rq);
+	fault_take(rq);
+	pthread_mutex_unlock(&frame.lock);
+}
+
+/* A body that is not UTF-8 is given in hexadecimal as "body_hex". */
+static void set_body(json_t *out, const struct record *r)
+{
+	json_t *body = json_stringn(r->body, r->body_len);
+	char *hex;
+	size_t i;
+
+	if (body) {
+		json_object_set_new(out, "body", body);
+		return;
+	}
+	hex = calloc(2, r->body_len + 1);
+	if (!hex)
+		abort();
+	for (i = 0; i < r->body_len; i++)
+		snprintf(hex + 2 * i, 3, "%02x", (unsigned char)r->body[i]);
+	json_object_set_new(out, "body_hex", json_string(hex));
+	free(hex);
+}
+
+static json_t *records_json(void)
+{
+	json_t *list = json_array();
+	struct record *r;
+	json_t *out;
+	size_t i;
+
+	for (i = 0; i < frame.count; i++) {
+		r = &frame.records[(frame.first + i) % RECORD_COUNT];
+		out = json_pack("{s:s, s:s, s:O}", "method", r->method, "url", r->url, "headers",
+				r->headers);
+		set_body(out, r);
+		json_array_append_new(list, out);
+	}
+	return list;
+}
+
+static bool kind_parse(const char *name, enum standin_fault_kind *kind)
+{
+	int i;
+
+	for (i = 0; i < STANDIN_FAULT_KINDS; i++) {
+		if (strcmp(kind_names[i], name) != 0)
+			continue;
+		*kind = i;
+		return true;
+	}
+	return false;
+}
+
+static bool fault_parse(json_t *body, struct standin_fault *f)
+{
+	const char *kind = "";
+	const char *path = "";
+	json_int_t ms = 0;
+	json_int_t count = 1;
+	json_int_t after = 0;
+
+	if (json_unpack(body, "{s:s, s?I, s?s, s?I, s?I}", "kind", &kind, "ms", &ms, "path", &path,
+			"count", &count, "after_tokens", &after) != 0)
+		return false;
+	f->length = ms * TLB_MS;
+	f->count = count;
+	f->after_tokens = after;
+	snprintf(f->path, sizeof(f->path), "%s", path);
+	return kind_parse(kind, &f->kind);
+}
+
+static bool fault_add(const struct standin_fault *f)
+{
+	bool room;
+
+	pthread_mutex_lock(&frame.lock);
+	room = frame.fault_count < FAULT_MAX;
+	if (room)
+		frame.faults[frame.fault_count++] = *f;
+	pthread_mutex_unlock(&frame.lock);
+	return room;
+}
+
+static void fault_clear(void)
+{
+	pthread_mutex_lock(&frame.lock);
+	frame.fault_count = 0;
+	pthread_mutex_unlock(&frame.lock);
+}
+
+static void fault_set(struct standin_request *rq, const struct standin_fault *f)
+{
+	bool ok = true;
+
+	if (f->kind == STANDIN_NONE)
+		fault_clear();
+	else if (f->kind == STANDIN_SILENT)
+		standin_silence(&frame.service);
+	else if (f->kind == STANDIN_DIE && !f->path[0] && !f->after_tokens)
+		_exit(0);
+	else
+		ok = fault_add(f);
+	if (ok)
+		standin_reply(rq, MHD_HTTP_OK, json_object());
+	else
+		standin_reply_error(rq, MHD_HTTP_INSUFFICIENT_STORAGE, "too_many_faults");
+}
+
+static void handle_fault(struct standin_request *rq)
+{
+	struct standin_fault f = {0};
+	json_t *body = standin_body(rq);
+
+	if (!body)
+		return;
+	if (fault_parse(body, &f))
+		fault_set(rq, &f);
+	else
+		standin_reply_error(rq, MHD_HTTP_BAD_REQUEST, "bad_fault");
+	json_decref(body);
+}
+
+static void handle_state(struct standin_request *rq)
+{
+	json_t *state = json_pack("{s:i, s:i}", "held_requests", 0, "held_pieces", 0);
+
+	pthread_mutex_lock(&frame.lock);
+	json_object_set_new(state, "requests_seen", json_integer(frame.requests_seen));
+	json_object_set_new(state, "faults", json_integer((json_int_t)frame.fault_count));
+	pthread_mutex_unlock(&frame.lock);
+	if (frame.program->state)
+		frame.program->state(state);
+	standin_reply(rq, MHD_HTTP_OK, state);
+}
+
+static void handle_control(struct standin_request *rq)
+{
+	json_t *list;
+
+	if (standin_is(rq, "GET", "/state")) {
+		handle_state(rq);
+	} else if (standin_is(rq, "POST", "/fault")) {
+		handle_fault(rq);
+	} else if (standin_is(rq, "GET", "/requests")) {
+		pthread_mutex_lock(&frame.lock);
+		list = records_json();
+		pthread_mutex_unlock(&frame.lock);
+		standin_reply(rq, MHD_HTTP_OK, list);
+	} else if (frame.program->control) {
+		frame.program->control(rq);
+	}
+}
+
+static bool option_set(const struct standin_option *o, const char *value)
+{
+	char *end;
+
+	if (o->flag)
+		*o->flag = true;
+	if (o->text)
+		*o->text = value;
+	if (!o->number)
+		return true;
+	*o->number = strtoll(value, &end, 10);
+	return *value && !*end;
+}
+
+/* Reads --listen, --control and the program's own options. */
+static bool parse_options(int argc, char **argv, const struct standin_option *const own,
+			  const char **listen, const char **control)
+{
+	struct standin_option all[OPTION_MAX] = {{.name = "listen", .text = listen},
+						 {.name = "control", .text = control}};
+	struct option lng[OPTION_MAX] = {{0}};
+	const struct standin_option *o;
+	int n = 2;
+	int i;
+
+	for (o = own; o && o->name && n < OPTION_MAX - 1; o++)
+		all[n++] = *o;
+	for (i = 0; i < n; i++) {
+		lng[i].name = all[i].name;
+		lng[i].has_arg = all[i].flag ? no_argument : required_argument;
+		lng[i].val = i + 1;
+	}
+	while ((i = getopt_long(argc, argv, "", lng, NULL)) != -1) {
+		if (i < 1 || i > n)
+			return false;
+		if (!option_set(&all[i - 1], optarg)) {
+			fprintf(stderr, "%s: --%s: \"%s\" is not a number\n", argv[0],
+				all[i - 1].name, optarg);
+			return false;
+		}
+	}
+	return optind == argc;
+}
+
+static bool start_listeners(const char *listen, const char *control)
+{
+	frame.service.handle = frame.program->handle;
+	frame.service.on_read = on_read;
+	frame.control.handle = handle_control;
+	if (!standin_listen(&frame.service, listen)) {
+		fprintf(stderr, "%s: cannot listen on %s\n", frame.program->name, listen);
+		return false;
+	}
+	if (!standin_listen(&frame.control, control)) {
+		fprintf(stderr, "%s: cannot listen on %s\n", frame.program->name, control);
+		return false;
+	}
+	return true;
+}
+
+int standin_main(int argc, char **argv, const struct standin_program *p)
+{
+	const char *listen = "127.0.0.1:0";
+	const char *control = "127.0.0.1:0";
+	sigset_t stop;
+	int sig;
+
+	frame.program = p;
+	json_object_seed(0);
+	if (!parse_options(argc, argv, p->options, &listen, &control))
+		return EXIT_FAILURE;
+	if (p->start && !p->start())
+		return EXIT_FAILURE;
+	sigemptyset(&stop);
+	sigaddset(&stop, SIGTERM);
+	sigaddset(&stop, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &stop, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (!start_listeners(listen, control))
+		return EXIT_FAILURE;
+	printf("ready listen=%s control=%s\n", frame.service.address, frame.control.address);
+	fflush(stdout);
+	sigwait(&stop, &sig);
+	/* Connection threads may block in a fault; there is nothing to save, so they are not
+	 * joined. */
+	_exit(EXIT_SUCCESS);
+}
