--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 MAIN_SRC = src/daemon.c src/tool.c
 LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
-STANDIN_LIB_SRC = standins/control.c standins/serve.c
-STANDIN_SRC = $(filter-out $(STANDIN_LIB_SRC),$(wildcard standins/*.c))
+STANDIN_LIB_SRC = standins/control.c standins/link.c standins/serve.c
+STANDIN_ENGINE_SRC = standins/held.c standins/import.c standins/prefix.c
+STANDIN_SRC = $(filter-out $(STANDIN_LIB_SRC) $(STANDIN_ENGINE_SRC),$(wildcard standins/*.c))
 STANDINS = $(STANDIN_SRC:standins/%.c=$(BUILD)/standin-%)
 TEST_SRC = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
@@ -39,6 +40,7 @@
 $(BUILD)/toucanlb: $(BUILD)/src/tool.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/standin-engine: $(STANDIN_ENGINE_SRC:%.c=$(BUILD)/%.o)
 $(BUILD)/standin-%: $(BUILD)/standins/%.o $(STANDIN_LIB_SRC:%.c=$(BUILD)/%.o)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs libmicrohttpd jansson libcurl) -lpthread
 
