Keep every header and non-UTF-8 bytes in the record of requests

A repeated header replaced the earlier one, so a leaked key could have gone unseen; bytes that are not UTF-8 ended the process, because jansson can't dump them. The limit of the record is an option now, since load polls push the interesting requests out of the last 200.

--- a/standins/control.c
+++ b/standins/control.c
@@ -10,10 +10,10 @@
 #include "serve.h"
 
 enum {
-	RECORD_COUNT = 200,
 	RECORD_BYTES_MAX = 32 << 20,
 	FAULT_MAX = 32,
 	OPTION_MAX = 32,
+	PATHS_MAX = 1000,     /* counted by name; further paths are not counted */
 	BURST_PER_SECOND = 5, /* the burst of a rate is 1/5 s */
 };
 
@@ -28,17 +28,19 @@
 /* The last requests, and the faults in the order in which they were set. */
 static struct {
 	pthread_mutex_t lock;
-	struct record records[RECORD_COUNT];
+	struct record *records;
+	int64_t record_limit;
 	size_t first;
 	size_t count;
 	size_t bytes;
 	int64_t requests_seen;
+	json_t *seen_by_path;
 	struct standin_fault faults[FAULT_MAX];
 	size_t fault_count;
 	const struct standin_program *program;
 	struct standin_listener service;
 	struct standin_listener control;
-} frame = {.lock = PTHREAD_MUTEX_INITIALIZER};
+} frame = {.lock = PTHREAD_MUTEX_INITIALIZER, .record_limit = 200};
 
 static const char *const kind_names[STANDIN_FAULT_KINDS] = {
 	[STANDIN_NONE] = "none",     [STANDIN_DELAY] = "delay",
@@ -94,18 +96,52 @@
 	free(r->url);
 	free(r->body);
 	json_decref(r->headers);
-	frame.first = (frame.first + 1) % RECORD_COUNT;
+	frame.first = (frame.first + 1) % frame.record_limit;
 	frame.count--;
 }
 
+/* Bytes as received: a string, or {"hex":"..."} when they are not UTF-8. */
+static json_t *bytes_json(const char *data, size_t len)
+{
+	json_t *text = json_stringn(data, len);
+	char *hex;
+	size_t i;
+
+	if (text)
+		return text;
+	hex = calloc(2, len + 1);
+	if (!hex)
+		abort();
+	for (i = 0; i < len; i++)
+		snprintf(hex + 2 * i, 3, "%02x", (unsigned char)data[i]);
+	text = json_pack("{s:s}", "hex", hex);
+	free(hex);
+	return text;
+}
+
+/* A header that occurs more than once is given as a list. */
+static void header_add(json_t *headers, const char *name, json_t *value)
+{
+	json_t *old = json_object_get(headers, name);
+
+	if (!old) {
+		json_object_set_new(headers, name, value);
+		return;
+	}
+	if (!json_is_array(old)) {
+		old = json_pack("[O]", old);
+		json_object_set_new(headers, name, old);
+	}
+	json_array_append_new(old, value);
+}
+
 static json_t *headers_json(const struct standin_request *rq)
 {
 	json_t *headers = json_object();
-	size_t i;
+	const struct standin_header *h;
 
-	for (i = 0; i < rq->header_count; i++)
-		json_object_set_new(headers, rq->headers[i].name,
-				    json_string_nocheck(rq->headers[i].value));
+	for (h = rq->headers; h < rq->headers + rq->header_count; h++)
+		header_add(headers, h->name, bytes_json(h->value, strlen(h->value)));
 	return headers;
 }
 
@@ -113,10 +149,10 @@
 {
 	struct record *r;
 
-	while (frame.count == RECORD_COUNT ||
+	while (frame.count == (size_t)frame.record_limit ||
 	       (frame.count > 0 && frame.bytes + rq->body_len > RECORD_BYTES_MAX))
 		record_drop_first();
-	r = &frame.records[(frame.first + frame.count++) % RECORD_COUNT];
+	r = &frame.records[(frame.first + frame.count++) % frame.record_limit];
 	r->method = strdup(rq->method);
 	r->url = strdup(rq->url);
 	r->headers = headers_json(rq);
@@ -152,36 +188,28 @@
 	}
 }
 
+static void count_path(const char *path)
+{
+	json_t *n = json_object_get(frame.seen_by_path, path);
+
+	if (n)
+		json_integer_set(n, json_integer_value(n) + 1);
+	else if (json_object_size(frame.seen_by_path) < PATHS_MAX)
+		json_object_set_new(frame.seen_by_path, path, json_integer(1));
+}
+
 static void on_read(struct standin_request *rq)
 {
 	pthread_mutex_lock(&frame.lock);
 	frame.requests_seen++;
+	count_path(rq->path);
 	record_add(rq);
 	fault_take(rq);
 	pthread_mutex_unlock(&frame.lock);
 }
 
-/* A body that is not UTF-8 is given in hexadecimal as "body_hex". */
-static void set_body(json_t *out, const struct record *r)
-{
-	json_t *body = json_stringn(r->body, r->body_len);
-	char *hex;
-	size_t i;
-
-	if (body) {
-		json_object_set_new(out, "body", body);
-		return;
-	}
-	hex = calloc(2, r->body_len + 1);
-	if (!hex)
-		abort();
-	for (i = 0; i < r->body_len; i++)
-		snprintf(hex + 2 * i, 3, "%02x", (unsigned char)r->body[i]);
-	json_object_set_new(out, "body_hex", json_string(hex));
-	free(hex);
-}
-
-static json_t *records_json(void)
+/* The recorded requests whose URL begins with prefix, oldest first. */
+static json_t *records_json(const char *prefix)
 {
 	json_t *list = json_array();
 	struct record *r;
@@ -189,10 +217,12 @@
 	size_t i;
 
 	for (i = 0; i < frame.count; i++) {
-		r = &frame.records[(frame.first + i) % RECORD_COUNT];
-		out = json_pack("{s:s, s:s, s:O}", "method", r->method, "url", r->url, "headers",
-				r->headers);
-		set_body(out, r);
+		r = &frame.records[(frame.first + i) % frame.record_limit];
+		if (strncmp(r->url, prefix, strlen(prefix)) != 0)
+			continue;
+		out = json_pack("{s:s, s:o, s:O, s:o}", "method", r->method, "url",
+				bytes_json(r->url, strlen(r->url)), "headers", r->headers, "body",
+				bytes_json(r->body, r->body_len));
 		json_array_append_new(list, out);
 	}
 	return list;
@@ -257,7 +287,7 @@
 	else if (f->kind == STANDIN_SILENT)
 		standin_silence(&frame.service);
 	else if (f->kind == STANDIN_DIE && !f->path[0] && !f->after_tokens)
-		_exit(0);
+		rq->exit_after = true;
 	else
 		ok = fault_add(f);
 	if (ok)
@@ -286,6 +316,7 @@
 
 	pthread_mutex_lock(&frame.lock);
 	json_object_set_new(state, "requests_seen", json_integer(frame.requests_seen));
+	json_object_set_new(state, "seen_by_path", json_deep_copy(frame.seen_by_path));
 	json_object_set_new(state, "faults", json_integer((json_int_t)frame.fault_count));
 	pthread_mutex_unlock(&frame.lock);
 	if (frame.program->state)
@@ -295,6 +326,7 @@
 
 static void handle_control(struct standin_request *rq)
 {
+	const char *prefix = standin_query(rq, "path");
 	json_t *list;
 
 	if (standin_is(rq, "GET", "/state")) {
@@ -303,7 +335,7 @@
 		handle_fault(rq);
 	} else if (standin_is(rq, "GET", "/requests")) {
 		pthread_mutex_lock(&frame.lock);
-		list = records_json();
+		list = records_json(prefix ? prefix : "");
 		pthread_mutex_unlock(&frame.lock);
 		standin_reply(rq, MHD_HTTP_OK, list);
 	} else if (frame.program->control) {
@@ -325,15 +357,17 @@
 	return *value && !*end;
 }
 
-/* Reads --listen, --control and the program's own options. */
+/* Reads --listen, --control, --record-count and the program's own options. */
 static bool parse_options(int argc, char **argv, const struct standin_option *const own,
 			  const char **listen, const char **control)
 {
-	struct standin_option all[OPTION_MAX] = {{.name = "listen", .text = listen},
-						 {.name = "control", .text = control}};
+	struct standin_option all[OPTION_MAX] = {
+		{.name = "listen", .text = listen},
+		{.name = "control", .text = control},
+		{.name = "record-count", .number = &frame.record_limit}};
 	struct option lng[OPTION_MAX] = {{0}};
 	const struct standin_option *o;
-	int n = 2;
+	int n = 3;
 	int i;
 
 	for (o = own; o && o->name && n < OPTION_MAX - 1; o++)
@@ -371,6 +405,16 @@
 	return true;
 }
 
+static void frame_init(void)
+{
+	if (frame.record_limit < 1)
+		frame.record_limit = 1;
+	frame.records = calloc(frame.record_limit, sizeof(struct record));
+	frame.seen_by_path = json_object();
+	if (!frame.records || !frame.seen_by_path)
+		abort();
+}
+
 int standin_main(int argc, char **argv, const struct standin_program *p)
 {
 	const char *listen = "127.0.0.1:0";
@@ -382,6 +426,7 @@
 	json_object_seed(0);
 	if (!parse_options(argc, argv, p->options, &listen, &control))
 		return EXIT_FAILURE;
+	frame_init();
 	if (p->start && !p->start())
 		return EXIT_FAILURE;
 	sigemptyset(&stop);
--- a/standins/control.h
+++ b/standins/control.h
@@ -14,7 +14,8 @@
 
 #include "clock.h"
 
-/* What a request can meet. A fault with after_tokens acts on a stream after that many events. */
+/* What a request can meet. With after_tokens, delay, stall, die and cut act on a stream after that
+ * many events; other answers then go on normally. */
 enum standin_fault_kind {
 	STANDIN_NONE,
 	STANDIN_DELAY,		  /* waits ms, then goes on normally */
@@ -73,6 +74,7 @@
 	void (*stream_free)(void *arg);
 	void *stream_arg;
 	int64_t events_sent;
+	bool exit_after; /* the process exits when the answer was sent */
 };
 
 typedef void standin_handle_fn(struct standin_request *rq);
--- a/standins/held.c
+++ b/standins/held.c
@@ -7,17 +7,13 @@
 enum { LOAD_COUNT = 4096 };
 
 /* One change of the load. */
-struct load {
+struct held_load {
 	tlb_time since;
 	int running;
 	int queued;
 	int64_t held_pieces;
 };
 
-/* The last changes of the load, oldest overwritten first. */
-static struct load loads[LOAD_COUNT];
-static int64_t load_count;
-
 void held_init(struct held_table *t, int64_t pieces, tlb_time load_lag)
 {
 	pthread_condattr_t attr;
@@ -31,7 +27,10 @@
 	t->total_pieces = pieces;
 	t->free_pieces = pieces;
 	t->load_lag = load_lag;
-	load_count = 1;
+	t->loads = calloc(LOAD_COUNT, sizeof(struct held_load));
+	if (!t->loads)
+		abort();
+	t->load_count = 1;
 }
 
 void held_unref(struct held *h)
@@ -135,9 +134,10 @@
 	return h->state == HELD_PREFILLING || h->state == HELD_DECODING;
 }
 
-static struct load load_now(const struct held_table *t)
+static struct held_load load_now(const struct held_table *t)
 {
-	struct load l = {.since = tlb_clock_now(), .held_pieces = t->total_pieces - t->free_pieces};
+	struct held_load l = {.since = tlb_clock_now(),
+			      .held_pieces = t->total_pieces - t->free_pieces};
 	const struct held *h;
 
 	APR_RING_FOREACH (h, &t->ring, held, link) {
@@ -156,12 +156,12 @@
 
 static void record_load(struct held_table *t)
 {
-	const struct load *last = &loads[(load_count - 1) % LOAD_COUNT];
-	struct load l = load_now(t);
+	const struct held_load *last = &t->loads[(t->load_count - 1) % LOAD_COUNT];
+	struct held_load l = load_now(t);
 
 	if (l.running != last->running || l.queued != last->queued ||
 	    l.held_pieces != last->held_pieces)
-		loads[load_count++ % LOAD_COUNT] = l;
+		t->loads[t->load_count++ % LOAD_COUNT] = l;
 }
 
 void held_lock(struct held_table *t)
@@ -212,12 +212,12 @@
 	int64_t i;
 
 	record_load(t);
-	i = load_count - 1;
-	while (i > 0 && i > load_count - LOAD_COUNT && loads[i % LOAD_COUNT].since > then)
+	i = t->load_count - 1;
+	while (i > 0 && i > t->load_count - LOAD_COUNT && t->loads[i % LOAD_COUNT].since > then)
 		i--;
-	return json_pack("{s:i, s:i, s:I, s:I, s:I}", "running", loads[i % LOAD_COUNT].running,
-			 "queued", loads[i % LOAD_COUNT].queued, "held_pieces",
-			 (json_int_t)loads[i % LOAD_COUNT].held_pieces, "total_pieces",
+	return json_pack("{s:i, s:i, s:I, s:I, s:I}", "running", t->loads[i % LOAD_COUNT].running,
+			 "queued", t->loads[i % LOAD_COUNT].queued, "held_pieces",
+			 (json_int_t)t->loads[i % LOAD_COUNT].held_pieces, "total_pieces",
 			 (json_int_t)t->total_pieces, "age_ms", (json_int_t)(t->load_lag / TLB_MS));
 }
 
--- a/standins/held.h
+++ b/standins/held.h
@@ -61,6 +61,8 @@
 	int64_t tokens_streamed;
 };
 
+struct held_load;
+
 struct held_table {
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
@@ -69,6 +71,8 @@
 	int64_t free_pieces;
 	bool prefill_busy;
 	tlb_time load_lag;
+	struct held_load *loads; /* the last changes; the oldest is overwritten */
+	int64_t load_count;
 	struct held_counters counters;
 };
 
--- a/standins/serve.c
+++ b/standins/serve.c
@@ -15,7 +15,6 @@
 	CONNECTION_LIMIT = 4096,
 	STREAM_BLOCK = 4096,
 	BODY_MAX = 64 << 20,
-	DIE_STATUS = 3,
 };
 
 #define POLL_MAX (3600 * TLB_SECOND)
@@ -67,12 +66,17 @@
 {
 	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
 
+	json_decref(body);
+	if (!text) {
+		/* The request brought text that is not UTF-8. */
+		status = MHD_HTTP_BAD_REQUEST;
+		text = strdup("{\"error\":\"not_utf8\"}");
+	}
 	if (!text)
 		abort();
 	standin_reply_bytes(rq, status, text, strlen(text));
 	rq->content_type = "application/json";
 	free(text);
-	json_decref(body);
 }
 
 void standin_reply_error(struct standin_request *rq, int status, const char *code)
@@ -234,7 +238,7 @@
 		hold_open(rq, rq->fault.length);
 		return false;
 	case STANDIN_DIE:
-		_exit(DIE_STATUS);
+		_exit(STANDIN_DIE_STATUS);
 	case STANDIN_CUT:
 		return false;
 	default:
@@ -307,18 +311,21 @@
 /* Applies a fault before the request is executed; returns false when it is not. */
 static bool fault_before(struct standin_request *rq)
 {
-	if (rq->fault.after_tokens > 0)
-		return true;
+	bool later = rq->fault.after_tokens > 0;
+
 	switch (rq->fault.kind) {
 	case STANDIN_DELAY:
-		return standin_wait(rq, tlb_clock_now() + rq->fault.length);
+		return later || standin_wait(rq, tlb_clock_now() + rq->fault.length);
 	case STANDIN_STALL:
-		hold_open(rq, rq->fault.length);
-		return false;
+		if (!later)
+			hold_open(rq, rq->fault.length);
+		return later;
 	case STANDIN_CLOSE_AFTER_READ:
 		return false;
 	case STANDIN_DIE:
-		_exit(DIE_STATUS);
+		if (!later)
+			_exit(STANDIN_DIE_STATUS);
+		return true;
 	default:
 		return true;
 	}
@@ -363,8 +370,13 @@
 static void on_completed(void *cls, struct MHD_Connection *mhd, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
-	if (*con_cls)
-		request_free(*con_cls);
+	struct standin_request *rq = *con_cls;
+
+	if (!rq)
+		return;
+	if (rq->exit_after)
+		_exit(STANDIN_DIE_STATUS);
+	request_free(rq);
 	*con_cls = NULL;
 }
 
--- a/standins/serve.h
+++ b/standins/serve.h
@@ -30,6 +30,9 @@
 
 /* Listens on HOST:PORT; port 0 takes any free port, which address then states. */
 bool standin_listen(struct standin_listener *l, const char *address);
+/* The exit status of a process that a fault ended. */
+enum { STANDIN_DIE_STATUS = 3 };
+
 /* Makes all connections that are open now silent. */
 void standin_silence(struct standin_listener *l);
 
--- a/standins/service.c
+++ b/standins/service.c
@@ -22,7 +22,7 @@
 {
 	json_int_t n = json_integer_value(json_object_get(counts, name)) + 1;
 
-	json_object_set_new_nocheck(counts, name, json_integer(n));
+	json_object_set_new(counts, name, json_integer(n));
 	return n;
 }
 
