--- a/standins/engine.c
+++ b/standins/engine.c
@@ -463,6 +463,15 @@
 			d->total, d->limited ? "length" : "stop");
 }
 
+/* When the next token is ready. A stream that was held up goes on at its usual pace. */
+static tlb_time next_due(const struct decode *d)
+{
+	tlb_time now = tlb_clock_now();
+	tlb_time length = token_time();
+
+	return (now - d->due > length ? now : d->due) + length;
+}
+
 static ssize_t decode_next(void *arg, struct standin_request *rq, char *buf, size_t max)
 {
 	struct decode *d = arg;
@@ -474,7 +483,7 @@
 		return -1;
 	if (index >= d->total)
 		return decode_end(d, buf, max);
-	d->due += token_time();
+	d->due = next_due(d);
 	if (!standin_wait(rq, d->due) || d->held->cancelled)
 		return -1;
 	d->index++;
