--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,8 @@
 		$(filter %.c,$(STYLED))
 	printf '%s\n' $(filter %.c,$(STYLED)) | xargs -P 10 -I{} clang-tidy --quiet {} -- \
 		-std=gnu11 $(CPPFLAGS)
-	shellcheck scripts/* tests/run .ci/run
+	grep -lE '^#!/bin/(ba)?sh' scripts/* tests/run tests/cases/* .ci/run | xargs shellcheck
+	grep -lE '^#!/usr/bin/env python3' scripts/* | xargs pyflakes3 tests/*.py
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/src/booking.c
@@ -0,0 +1,687 @@
+#include "booking.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+#define CANCEL_TIMEOUT (1 * TLB_SECOND) /* one attempt */
+#define CANCEL_RETRY (200 * TLB_MS)
+#define CANCEL_GIVE_UP (10 * TLB_SECOND) /* after this the owner's reconciliation cancels */
+#define HELD_TIMEOUT (1 * TLB_SECOND)
+#define PULL_TIMEOUT (1 * TLB_SECOND)
+
+enum { HELD_MAX = 512, RENEW_MAX = 512 };
+
+/* A cancel at an engine that is repeated until it is confirmed; owned by the bookings. */
+struct tlb_cancel {
+	APR_RING_ENTRY(tlb_cancel) link;
+	struct tlb_bookings *bookings;
+	struct tlb_target *target;
+	char request_id[TLB_REQUEST_ID_LEN];
+	bool release; /* release this daemon's booking once confirmed */
+	struct tlb_http_call call;
+	struct tlb_timer timer;
+	tlb_time deadline;
+};
+
+/* A question to another VM for its bookings; owned by the bookings. */
+struct tlb_pull {
+	APR_RING_ENTRY(tlb_pull) link;
+	struct tlb_bookings *bookings;
+	struct tlb_peer_call call;
+};
+
+static void on_renew_timer(void *arg);
+static void on_held_timer(void *arg);
+static void cancel_try(void *arg);
+
+void tlb_bookings_init(struct tlb_bookings *b, struct tlb_board *board)
+{
+	memset(b, 0, sizeof(*b));
+	b->board = board;
+	APR_RING_INIT(&b->holds, tlb_hold, link);
+	APR_RING_INIT(&b->cancels, tlb_cancel, link);
+	APR_RING_INIT(&b->pulls, tlb_pull, link);
+	tlb_timer_init(&b->renew_timer, on_renew_timer, b);
+	tlb_timer_init(&b->held_timer, on_held_timer, b);
+}
+
+void tlb_bookings_start(struct tlb_bookings *b)
+{
+	tlb_timer_set(b->board->loop, &b->renew_timer, tlb_clock_now() + TLB_BOOKING_RENEW);
+	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
+}
+
+static void free_cancel(struct tlb_cancel *c)
+{
+	tlb_http_cancel(&c->call);
+	tlb_timer_clear(c->bookings->board->loop, &c->timer);
+	APR_RING_REMOVE(c, link);
+	free(c);
+}
+
+static void free_pull(struct tlb_pull *p)
+{
+	tlb_peer_cancel(&p->call);
+	APR_RING_REMOVE(p, link);
+	free(p);
+}
+
+static void empty_book(struct tlb_book *book)
+{
+	struct tlb_booking *k;
+
+	while ((k = tlb_book_pop(book)))
+		free(k);
+}
+
+void tlb_bookings_finish(struct tlb_bookings *b)
+{
+	struct tlb_target *t;
+
+	while (!APR_RING_EMPTY(&b->cancels, tlb_cancel, link))
+		free_cancel(APR_RING_FIRST(&b->cancels));
+	while (!APR_RING_EMPTY(&b->pulls, tlb_pull, link))
+		free_pull(APR_RING_FIRST(&b->pulls));
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+		if (t->role == TLB_ROLE_DECODE)
+			empty_book(&t->book);
+	}
+	tlb_timer_clear(b->board->loop, &b->renew_timer);
+	tlb_timer_clear(b->board->loop, &b->held_timer);
+}
+
+static bool owned(const struct tlb_board *b, const char *endpoint)
+{
+	char vm[TLB_ID_LEN];
+
+	return tlb_board_owner(b, endpoint, vm) == TLB_OWNER_SELF;
+}
+
+/* --- the owner's side --- */
+
+static enum tlb_book_result book_add(struct tlb_target *t, const char *request_id,
+				     const char *owner, int pieces, enum tlb_class class)
+{
+	struct tlb_booking *k = calloc(1, sizeof(*k));
+	enum tlb_book_result result;
+
+	if (!k)
+		return TLB_BOOK_FULL;
+	snprintf(k->request_id, sizeof(k->request_id), "%s", request_id);
+	snprintf(k->owner, sizeof(k->owner), "%s", owner);
+	k->pieces = pieces;
+	k->class = class;
+	k->expires = tlb_clock_now() + TLB_BOOKING_LAPSE;
+	/* A leaving endpoint gets no new work, whichever VM asks. */
+	if (!t->present || t->state != TLB_ENDPOINT_ACTIVE)
+		result = TLB_BOOK_NOT_GRANTING;
+	else
+		result = tlb_book_add(&t->book, k);
+	if (result != TLB_BOOK_OK || tlb_book_find(&t->book, request_id) != k)
+		free(k);
+	return result;
+}
+
+static void book_release(struct tlb_target *t, const char *request_id, const char *owner)
+{
+	free(tlb_book_release(&t->book, request_id, owner));
+	tlb_pools_kick(&t->board->pools);
+}
+
+static void expire_bookings(struct tlb_target *t, tlb_time now)
+{
+	struct tlb_booking *k;
+
+	while ((k = tlb_book_expire(&t->book, now))) {
+		tlb_log_warn("event=booking_lapsed endpoint=%s request=%s owner=%s pieces=%d",
+			     t->id, k->request_id, k->owner, k->pieces);
+		tlb_booking_cancel(&t->board->bookings, t, k->request_id);
+		free(k);
+	}
+}
+
+static int parse_held(const json_t *j, struct tlb_held *held)
+{
+	const json_t *list = json_object_get(j, "held");
+	const json_t *e;
+	size_t i;
+	int n = 0;
+
+	json_array_foreach (list, i, e) {
+		const char *id = json_string_value(json_object_get(e, "request_id"));
+		const char *owner = json_string_value(json_object_get(e, "owner"));
+
+		if (n == HELD_MAX || !id)
+			continue;
+		memset(&held[n], 0, sizeof(held[n]));
+		snprintf(held[n].request_id, sizeof(held[n].request_id), "%s", id);
+		snprintf(held[n].owner, sizeof(held[n].owner), "%s", owner ? owner : "");
+		held[n].pieces = (int)json_integer_value(json_object_get(e, "pieces"));
+		n++;
+	}
+	return n;
+}
+
+static void reconcile(struct tlb_target *t, const json_t *j)
+{
+	struct tlb_held held[HELD_MAX];
+	int n = parse_held(j, held);
+	int i;
+
+	tlb_book_reconcile(&t->book, held, n, tlb_clock_now());
+	for (i = 0; i < n; i++) {
+		if (!held[i].cancel)
+			continue;
+		tlb_log_warn("event=orphan endpoint=%s request=%s owner=%s pieces=%d", t->id,
+			     held[i].request_id, held[i].owner, held[i].pieces);
+		tlb_booking_cancel(&t->board->bookings, t, held[i].request_id);
+	}
+	tlb_pools_kick(&t->board->pools);
+}
+
+static void on_held(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_target *t = arg;
+	json_t *j = r->status == 200 ? json_loadb(r->body, r->body_len, 0, NULL) : NULL;
+
+	if (j && owned(t->board, t->id) && tlb_board_valid(t->board))
+		reconcile(t, j);
+	json_decref(j);
+}
+
+static void ask_held(struct tlb_target *t)
+{
+	char url[TLB_ADDR_LEN + 32];
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = url,
+		.deadline = tlb_clock_now() + HELD_TIMEOUT,
+		.on_done = on_held,
+		.arg = t,
+	};
+
+	if (tlb_http_active(&t->held_call))
+		return;
+	snprintf(url, sizeof(url), "http://%s/held", t->addr);
+	tlb_http_start(t->board->http, &t->held_call, &spec, NULL);
+}
+
+static void on_held_timer(void *arg)
+{
+	struct tlb_bookings *b = arg;
+	struct tlb_target *t;
+	/* Bookings that other VMs hold have to be known before the engine's list is judged. */
+	bool pulling = !APR_RING_EMPTY(&b->pulls, tlb_pull, link);
+
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+		if (t->role != TLB_ROLE_DECODE || !t->present || !owned(b->board, t->id))
+			continue;
+		if (!pulling)
+			ask_held(t);
+	}
+	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now() + TLB_HELD_INTERVAL);
+}
+
+/* --- cancels --- */
+
+static void cancel_confirmed(struct tlb_cancel *c)
+{
+	struct tlb_board *board = c->bookings->board;
+
+	if (owned(board, c->target->id))
+		tlb_book_cancelled(&c->target->book, c->request_id);
+}
+
+static void release_booking(struct tlb_board *board, struct tlb_target *t, const char *request_id)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__ReleaseBooking m = TOUCAN__RELEASE_BOOKING__INIT;
+	char vm[TLB_ID_LEN];
+
+	switch (tlb_board_owner(board, t->id, vm)) {
+	case TLB_OWNER_SELF:
+		book_release(t, request_id, board->owner);
+		break;
+	case TLB_OWNER_PEER:
+		m.endpoint = t->id;
+		m.request_id = (char *)request_id;
+		e.body_case = TOUCAN__ENVELOPE__BODY_RELEASE_BOOKING;
+		e.release_booking = &m;
+		tlb_cluster_send(board->cluster, vm, &e);
+		break;
+	case TLB_OWNER_NONE:
+		break;
+	}
+}
+
+static void on_cancelled(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_cancel *c = arg;
+	tlb_time now = tlb_clock_now();
+
+	if (r->status == 200) {
+		cancel_confirmed(c);
+		if (c->release)
+			release_booking(c->bookings->board, c->target, c->request_id);
+		free_cancel(c);
+		return;
+	}
+	if (now >= c->deadline) {
+		tlb_log_warn("event=cancel_failed endpoint=%s request=%s reason=\"%s\"",
+			     c->target->id, c->request_id, r->reason);
+		free_cancel(c);
+		return;
+	}
+	tlb_timer_set(c->bookings->board->loop, &c->timer, now + CANCEL_RETRY);
+}
+
+static void cancel_try(void *arg)
+{
+	struct tlb_cancel *c = arg;
+	char url[TLB_ADDR_LEN + 32];
+	char body[TLB_REQUEST_ID_LEN + 32];
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.deadline = tlb_clock_now() + CANCEL_TIMEOUT,
+		.on_done = on_cancelled,
+		.arg = c,
+	};
+
+	snprintf(url, sizeof(url), "http://%s/cancel", c->target->addr);
+	spec.body_len =
+		(size_t)snprintf(body, sizeof(body), "{\"request_id\":\"%s\"}", c->request_id);
+	tlb_http_start(c->bookings->board->http, &c->call, &spec, NULL);
+}
+
+static void cancel_start(struct tlb_bookings *b, struct tlb_target *t, const char *request_id,
+			 bool release)
+{
+	struct tlb_cancel *c = calloc(1, sizeof(*c));
+
+	/* Without memory the booking lapses and the owner's reconciliation cancels. */
+	if (!c)
+		return;
+	c->bookings = b;
+	c->target = t;
+	c->release = release;
+	snprintf(c->request_id, sizeof(c->request_id), "%s", request_id);
+	c->deadline = tlb_clock_now() + CANCEL_GIVE_UP;
+	tlb_timer_init(&c->timer, cancel_try, c);
+	APR_RING_INSERT_TAIL(&b->cancels, c, tlb_cancel, link);
+	cancel_try(c);
+}
+
+void tlb_booking_cancel(struct tlb_bookings *b, struct tlb_target *t, const char *request_id)
+{
+	cancel_start(b, t, request_id, false);
+}
+
+/* --- this daemon's bookings --- */
+
+static void hold_end(struct tlb_hold *h)
+{
+	if (h->state == TLB_HOLD_HELD)
+		APR_RING_REMOVE(h, link);
+	h->state = TLB_HOLD_IDLE;
+}
+
+static void hold_begin(struct tlb_hold *h)
+{
+	h->state = TLB_HOLD_HELD;
+	h->target->own_pieces += h->pieces;
+	APR_RING_INSERT_TAIL(&h->board->bookings.holds, h, tlb_hold, link);
+}
+
+static void on_book_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	struct tlb_hold *h = arg;
+	const Toucan__BookReply *m;
+
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_BOOK_REPLY) {
+		h->state = TLB_HOLD_IDLE;
+		/* The owner may have booked: the release is harmless if it did not. */
+		release_booking(h->board, h->target, h->request_id);
+		h->on_done(h->arg, TLB_BOOK_NOT_GRANTING, true);
+		return;
+	}
+	m = reply->book_reply;
+	h->target->free_pieces = m->free_pieces;
+	h->target->reported_at = tlb_clock_now();
+	h->target->own_pieces = 0;
+	if (m->granted)
+		hold_begin(h);
+	else
+		h->state = TLB_HOLD_IDLE;
+	/* free_pieces already counts this booking. */
+	h->target->own_pieces = 0;
+	h->on_done(h->arg, m->granted ? TLB_BOOK_OK : TLB_BOOK_FULL, false);
+}
+
+static void hold_remote(struct tlb_hold *h, const char *vm, tlb_time deadline)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__BookDecode m = TOUCAN__BOOK_DECODE__INIT;
+
+	m.endpoint = h->target->id;
+	m.request_id = h->request_id;
+	m.owner = h->board->owner;
+	m.pieces = h->pieces;
+	m.klass = h->class;
+	e.body_case = TOUCAN__ENVELOPE__BODY_BOOK_DECODE;
+	e.book_decode = &m;
+	h->state = TLB_HOLD_ASKING;
+	tlb_cluster_call(h->board->cluster, vm, &h->call, &e, deadline, on_book_reply, h);
+}
+
+static void hold_local(struct tlb_hold *h)
+{
+	enum tlb_book_result result =
+		book_add(h->target, h->request_id, h->board->owner, h->pieces, h->class);
+
+	if (result == TLB_BOOK_OK)
+		hold_begin(h);
+	h->on_done(h->arg, result, false);
+}
+
+void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
+		      const char *request_id, int pieces, enum tlb_class class, tlb_time deadline,
+		      tlb_hold_done_fn *on_done, void *arg)
+{
+	char vm[TLB_ID_LEN];
+
+	memset(h, 0, sizeof(*h));
+	h->board = b->board;
+	h->target = t;
+	h->pieces = pieces;
+	h->class = class;
+	h->on_done = on_done;
+	h->arg = arg;
+	snprintf(h->request_id, sizeof(h->request_id), "%s", request_id);
+	switch (tlb_board_owner(b->board, t->id, vm)) {
+	case TLB_OWNER_SELF:
+		hold_local(h);
+		break;
+	case TLB_OWNER_PEER:
+		hold_remote(h, vm, deadline);
+		break;
+	case TLB_OWNER_NONE:
+		h->on_done(h->arg, TLB_BOOK_NOT_GRANTING, true);
+		break;
+	}
+}
+
+void tlb_booking_release(struct tlb_hold *h, bool cancel)
+{
+	switch (h->state) {
+	case TLB_HOLD_IDLE:
+		return;
+	case TLB_HOLD_ASKING:
+		tlb_peer_cancel(&h->call);
+		release_booking(h->board, h->target, h->request_id);
+		break;
+	case TLB_HOLD_HELD:
+		if (cancel)
+			cancel_start(&h->board->bookings, h->target, h->request_id, true);
+		else
+			release_booking(h->board, h->target, h->request_id);
+		break;
+	}
+	hold_end(h);
+}
+
+/* --- renewals --- */
+
+struct renewal {
+	struct tlb_bookings *bookings;
+	tlb_time expires;
+	char *ids[RENEW_MAX];
+};
+
+static void renew_one(struct renewal *r, struct tlb_target *t, char *request_id, const char *vm,
+		      size_t *n)
+{
+	struct tlb_board *board = r->bookings->board;
+	char owner_vm[TLB_ID_LEN];
+	enum tlb_owner o = tlb_board_owner(board, t->id, owner_vm);
+
+	if (!vm && o == TLB_OWNER_SELF)
+		tlb_book_renew(&t->book, request_id, board->owner, r->expires);
+	else if (vm && o == TLB_OWNER_PEER && strcmp(vm, owner_vm) == 0 && *n < RENEW_MAX)
+		r->ids[(*n)++] = request_id;
+}
+
+/* Renews everything that one owner keeps; vm is NULL for this daemon itself. */
+static size_t collect(struct renewal *r, const char *vm)
+{
+	struct tlb_hold *h;
+	struct tlb_cancel *c;
+	size_t n = 0;
+
+	APR_RING_FOREACH (h, &r->bookings->holds, tlb_hold, link) {
+		renew_one(r, h->target, h->request_id, vm, &n);
+	}
+	APR_RING_FOREACH (c, &r->bookings->cancels, tlb_cancel, link) {
+		if (c->release)
+			renew_one(r, c->target, c->request_id, vm, &n);
+	}
+	return n;
+}
+
+static void renew_at(void *arg, const char *vm)
+{
+	struct renewal *r = arg;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__RenewBookings m = TOUCAN__RENEW_BOOKINGS__INIT;
+
+	m.n_request_ids = collect(r, vm);
+	if (m.n_request_ids == 0)
+		return;
+	m.request_ids = r->ids;
+	e.body_case = TOUCAN__ENVELOPE__BODY_RENEW_BOOKINGS;
+	e.renew_bookings = &m;
+	tlb_cluster_send(r->bookings->board->cluster, vm, &e);
+}
+
+static void on_renew_timer(void *arg)
+{
+	struct tlb_bookings *b = arg;
+	struct tlb_target *t;
+	struct renewal r = {.bookings = b, .expires = tlb_clock_now() + TLB_BOOKING_LAPSE};
+
+	/* A daemon without a valid session must let its bookings lapse. */
+	if (tlb_board_valid(b->board)) {
+		collect(&r, NULL);
+		if (b->board->cluster)
+			tlb_cluster_each(b->board->cluster, renew_at, &r);
+	}
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+		if (t->role == TLB_ROLE_DECODE && owned(b->board, t->id) &&
+		    tlb_board_valid(b->board))
+			expire_bookings(t, tlb_clock_now());
+	}
+	tlb_timer_set(b->board->loop, &b->renew_timer, tlb_clock_now() + TLB_BOOKING_RENEW);
+}
+
+/* --- moves of shards --- */
+
+static void adopt(struct tlb_bookings *b, const Toucan__Booking *m)
+{
+	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
+	struct tlb_booking *k;
+
+	if (!t || t->role != TLB_ROLE_DECODE || !owned(b->board, t->id))
+		return;
+	k = calloc(1, sizeof(*k));
+	if (!k)
+		return;
+	snprintf(k->request_id, sizeof(k->request_id), "%s", m->request_id);
+	snprintf(k->owner, sizeof(k->owner), "%s", m->owner);
+	k->pieces = m->pieces;
+	k->class = m->klass == TLB_BATCH ? TLB_BATCH : TLB_INTERACTIVE;
+	k->expires = tlb_clock_now() + TLB_BOOKING_LAPSE;
+	if (!tlb_book_adopt(&t->book, k))
+		free(k);
+}
+
+static void on_bookings(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	struct tlb_pull *p = arg;
+	struct tlb_bookings *b = p->bookings;
+	size_t i;
+
+	if (reply && reply->body_case == TOUCAN__ENVELOPE__BODY_BOOKINGS_REPLY)
+		for (i = 0; i < reply->bookings_reply->n_bookings; i++)
+			adopt(b, reply->bookings_reply->bookings[i]);
+	free_pull(p);
+	if (APR_RING_EMPTY(&b->pulls, tlb_pull, link))
+		tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
+}
+
+static void pull_from(void *arg, const char *vm)
+{
+	struct tlb_bookings *b = arg;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__BookingsPull m = TOUCAN__BOOKINGS_PULL__INIT;
+	struct tlb_pull *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return;
+	p->bookings = b;
+	APR_RING_INSERT_TAIL(&b->pulls, p, tlb_pull, link);
+	e.body_case = TOUCAN__ENVELOPE__BODY_BOOKINGS_PULL;
+	e.bookings_pull = &m;
+	tlb_cluster_call(b->board->cluster, vm, &p->call, &e, tlb_clock_now() + PULL_TIMEOUT,
+			 on_bookings, p);
+}
+
+static void adopt_own(struct tlb_bookings *b)
+{
+	struct tlb_hold *h;
+	Toucan__Booking m = TOUCAN__BOOKING__INIT;
+
+	APR_RING_FOREACH (h, &b->holds, tlb_hold, link) {
+		m.endpoint = h->target->id;
+		m.request_id = h->request_id;
+		m.owner = b->board->owner;
+		m.pieces = h->pieces;
+		m.klass = h->class;
+		adopt(b, &m);
+	}
+}
+
+void tlb_bookings_shards_changed(struct tlb_bookings *b, tlb_shard_set gained, tlb_shard_set lost)
+{
+	struct tlb_target *t;
+
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+		if (t->role != TLB_ROLE_DECODE)
+			continue;
+		if (tlb_shard_in(gained | lost, tlb_shard_of(t->id))) {
+			empty_book(&t->book);
+			tlb_book_init(&t->book, t->total_pieces, 0, 2 * TLB_SECOND);
+		}
+	}
+	if (!gained)
+		return;
+	adopt_own(b);
+	if (b->board->cluster)
+		tlb_cluster_each(b->board->cluster, pull_from, b);
+	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
+}
+
+/* --- messages --- */
+
+static void reply_book(struct tlb_bookings *b, const struct tlb_peer_return *to,
+		       enum tlb_book_result result, const struct tlb_target *t)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__BookReply m = TOUCAN__BOOK_REPLY__INIT;
+
+	m.granted = result == TLB_BOOK_OK;
+	m.free_pieces = t ? tlb_book_free(&t->book) : 0;
+	m.booked = t ? t->book.booked_pieces : 0;
+	e.body_case = TOUCAN__ENVELOPE__BODY_BOOK_REPLY;
+	e.book_reply = &m;
+	tlb_cluster_reply(b->board->cluster, to, &e);
+}
+
+void tlb_bookings_on_book(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			  const Toucan__BookDecode *m)
+{
+	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
+	enum tlb_class class = m->klass == TLB_BATCH ? TLB_BATCH : TLB_INTERACTIVE;
+
+	if (!t || t->role != TLB_ROLE_DECODE || !owned(b->board, t->id) ||
+	    !tlb_board_valid(b->board)) {
+		reply_book(b, from, TLB_BOOK_NOT_GRANTING, NULL);
+		return;
+	}
+	reply_book(b, from, book_add(t, m->request_id, m->owner, m->pieces, class), t);
+}
+
+static void owner_of(const struct tlb_peer_return *from, char *out, size_t len)
+{
+	snprintf(out, len, "%s/%016llx", from->vm, (unsigned long long)from->incarnation);
+}
+
+void tlb_bookings_on_renew(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			   const Toucan__RenewBookings *m)
+{
+	char owner[TLB_OWNER_LEN];
+	struct tlb_target *t;
+	size_t i;
+
+	owner_of(from, owner, sizeof(owner));
+	for (i = 0; i < m->n_request_ids; i++) {
+		APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+			if (t->role == TLB_ROLE_DECODE &&
+			    tlb_book_renew(&t->book, m->request_ids[i], owner,
+					   tlb_clock_now() + TLB_BOOKING_LAPSE))
+				break;
+		}
+	}
+}
+
+void tlb_bookings_on_release(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			     const Toucan__ReleaseBooking *m)
+{
+	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
+	char owner[TLB_OWNER_LEN];
+
+	owner_of(from, owner, sizeof(owner));
+	if (t && t->role == TLB_ROLE_DECODE)
+		book_release(t, m->request_id, owner);
+}
+
+void tlb_bookings_on_pull(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			  const Toucan__BookingsPull *m)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__BookingsReply r = TOUCAN__BOOKINGS_REPLY__INIT;
+	Toucan__Booking rows[HELD_MAX];
+	Toucan__Booking *list[HELD_MAX];
+	struct tlb_hold *h;
+
+	APR_RING_FOREACH (h, &b->holds, tlb_hold, link) {
+		if (r.n_bookings == HELD_MAX)
+			break;
+		toucan__booking__init(&rows[r.n_bookings]);
+		rows[r.n_bookings].endpoint = h->target->id;
+		rows[r.n_bookings].request_id = h->request_id;
+		rows[r.n_bookings].owner = b->board->owner;
+		rows[r.n_bookings].pieces = h->pieces;
+		rows[r.n_bookings].klass = h->class;
+		list[r.n_bookings] = &rows[r.n_bookings];
+		r.n_bookings++;
+	}
+	r.bookings = list;
+	e.body_case = TOUCAN__ENVELOPE__BODY_BOOKINGS_REPLY;
+	e.bookings_reply = &r;
+	tlb_cluster_reply(b->board->cluster, from, &e);
+}
--- /dev/null
+++ b/src/booking.h
@@ -0,0 +1,85 @@
+/*
+ * Decode memory bookings. The owner of an endpoint's shard keeps the exact book; other daemons book
+ * by message. A booking lives while its daemon renews it; when it expires the owner cancels the
+ * request at the engine, so that no memory stays held for callers or daemons that are gone.
+ */
+#ifndef TLB_BOOKING_H
+#define TLB_BOOKING_H
+
+#include <apr_ring.h>
+
+#include "book.h"
+#include "cluster.h"
+#include "http.h"
+
+struct tlb_board;
+struct tlb_target;
+struct tlb_hold;
+
+#define TLB_BOOKING_RENEW (1 * TLB_SECOND) /* how often a daemon renews its bookings */
+#define TLB_BOOKING_LAPSE (5 * TLB_SECOND) /* an unrenewed booking ends after this */
+#define TLB_HELD_INTERVAL (2 * TLB_SECOND) /* how often an owner compares with the engine */
+
+/* result is TLB_BOOK_OK or why not; unreachable when the owner did not answer. */
+typedef void tlb_hold_done_fn(void *arg, enum tlb_book_result result, bool unreachable);
+
+enum tlb_hold_state { TLB_HOLD_IDLE, TLB_HOLD_ASKING, TLB_HOLD_HELD };
+
+/* This daemon's side of one booking. Owned by its user and embedded in the user's struct;
+ * zero-initialised when idle. */
+struct tlb_hold {
+	APR_RING_ENTRY(tlb_hold) link;
+	struct tlb_board *board;
+	enum tlb_hold_state state;
+	struct tlb_target *target;
+	char request_id[TLB_REQUEST_ID_LEN];
+	int pieces;
+	enum tlb_class class;
+	struct tlb_peer_call call;
+	tlb_hold_done_fn *on_done;
+	void *arg;
+};
+
+APR_RING_HEAD(tlb_hold_ring, tlb_hold);
+APR_RING_HEAD(tlb_cancel_ring, tlb_cancel);
+APR_RING_HEAD(tlb_pull_ring, tlb_pull);
+
+/* Owned by the board. */
+struct tlb_bookings {
+	struct tlb_board *board;
+	struct tlb_hold_ring holds;
+	struct tlb_cancel_ring cancels;
+	struct tlb_pull_ring pulls; /* questions to other VMs after a takeover */
+	struct tlb_timer renew_timer;
+	struct tlb_timer held_timer;
+};
+
+void tlb_bookings_init(struct tlb_bookings *b, struct tlb_board *board);
+void tlb_bookings_start(struct tlb_bookings *b);
+void tlb_bookings_finish(struct tlb_bookings *b);
+
+/* Books pieces at a decode endpoint. on_done runs at once when this daemon owns the book. */
+void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
+		      const char *request_id, int pieces, enum tlb_class class, tlb_time deadline,
+		      tlb_hold_done_fn *on_done, void *arg);
+/* Ends a booking, or gives up asking; harmless when idle. With cancel the engine may still hold the
+ * request: it is cancelled there first, and the pieces are free when the engine has confirmed. */
+void tlb_booking_release(struct tlb_hold *h, bool cancel);
+
+/* Cancels a request at an engine, repeated until it is confirmed or a deadline passes. */
+void tlb_booking_cancel(struct tlb_bookings *b, struct tlb_target *t, const char *request_id);
+
+/* Shards moved: a book gained without a hand-over grants nothing until the engine and the other VMs
+ * have told what they hold. */
+void tlb_bookings_shards_changed(struct tlb_bookings *b, tlb_shard_set gained, tlb_shard_set lost);
+/* Messages from other daemons. */
+void tlb_bookings_on_book(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			  const Toucan__BookDecode *m);
+void tlb_bookings_on_renew(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			   const Toucan__RenewBookings *m);
+void tlb_bookings_on_release(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			     const Toucan__ReleaseBooking *m);
+void tlb_bookings_on_pull(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			  const Toucan__BookingsPull *m);
+
+#endif
--- /dev/null
+++ b/src/caller.c
@@ -0,0 +1,100 @@
+#include "caller.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+static void refuse(struct tlb_board *b, struct tlb_exchange *x, enum tlb_code code,
+		   const char *message)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, TLB_NOT_RUN, "caller", "", "%s", message);
+	tlb_counter_add(&b->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
+	tlb_log_info("event=refuse request=%s code=%s reason=\"%s\"", x->id, tlb_error_name(code),
+		     message);
+	tlb_exchange_refuse(x, &err, 1);
+}
+
+/* The account whose key came with the request; NULL when the request was refused. */
+static const struct tlb_account *authenticate(struct tlb_board *b, struct tlb_exchange *x)
+{
+	const struct tlb_account *a;
+	const struct tlb_key *k;
+
+	switch (x->key_form) {
+	case TLB_KEY_NONE:
+		refuse(b, x, TLB_MISSING_KEY, "the request carries no bearer key");
+		return NULL;
+	case TLB_KEY_MALFORMED:
+		refuse(b, x, TLB_INVALID_KEY, "the Authorization header is not a bearer key");
+		return NULL;
+	case TLB_KEY_PRESENT:
+		break;
+	}
+	k = tlb_table_key(b->table, x->key_hash);
+	a = k && !k->withdrawn ? tlb_table_account(b->table, k->account) : NULL;
+	/* Withdrawn and unknown keys get the same words, which tell nothing to a guesser. */
+	if (!a)
+		refuse(b, x, TLB_INVALID_KEY, "the key is not valid");
+	return a;
+}
+
+static bool is_completion(const struct tlb_exchange *x, bool *chat)
+{
+	*chat = strcmp(x->path, "/v1/chat/completions") == 0;
+	return *chat || strcmp(x->path, "/v1/completions") == 0;
+}
+
+static void take_completion(struct tlb_board *b, struct tlb_exchange *x, bool chat)
+{
+	const struct tlb_account *a;
+
+	if (strcmp(x->method, "POST") != 0) {
+		refuse(b, x, TLB_METHOD_NOT_ALLOWED, "use POST");
+		return;
+	}
+	a = authenticate(b, x);
+	if (a)
+		tlb_request_start(&b->requests, x, a->id, chat);
+}
+
+static void take_route(struct tlb_board *b, struct tlb_exchange *x)
+{
+	const struct tlb_account *a = NULL;
+	const struct tlb_route *r;
+	bool path_known;
+
+	r = tlb_table_route(b->table, x->method, x->path, &path_known);
+	if (!r && path_known) {
+		refuse(b, x, TLB_METHOD_NOT_ALLOWED, "the route does not take this method");
+		return;
+	}
+	/* Without a key a caller learns nothing about which paths exist. */
+	if (!r || !r->open) {
+		a = authenticate(b, x);
+		if (!a)
+			return;
+	}
+	if (!r) {
+		refuse(b, x, TLB_NOT_FOUND, "there is no such path");
+		return;
+	}
+	tlb_service_start(&b->services, x, r, a ? a->id : "");
+}
+
+void tlb_caller_take(void *arg, struct tlb_exchange *x)
+{
+	struct tlb_board *b = arg;
+	bool chat;
+
+	tlb_counter_add(&b->counters, TLB_COUNTER_REQUESTS, 1);
+	if (b->table->version == 0 || !tlb_board_valid(b))
+		refuse(b, x, TLB_NOT_READY, "this VM is not ready to serve");
+	else if (is_completion(x, &chat))
+		take_completion(b, x, chat);
+	else
+		take_route(b, x);
+}
--- /dev/null
+++ b/src/idem.c
@@ -0,0 +1,270 @@
+#include "idem.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { ATTEMPTS_MAX = 4, BODY_MAX = 65536 };
+
+#define ATTEMPT_TIMEOUT (1 * TLB_SECOND)
+
+static void insert(struct tlb_idem *i);
+static void read_back(struct tlb_idem *i);
+static void write_record(struct tlb_idem *i);
+
+static void hash_hex(char out[TLB_IDEM_HASH_LEN], const char *const *parts, const size_t *lens,
+		     int n)
+{
+	crypto_hash_sha256_state st;
+	unsigned char digest[crypto_hash_sha256_BYTES];
+	uint64_t len;
+	int k;
+
+	crypto_hash_sha256_init(&st);
+	for (k = 0; k < n; k++) {
+		/* The length keeps ("ab","c") apart from ("a","bc"). */
+		len = lens[k];
+		crypto_hash_sha256_update(&st, (const unsigned char *)&len, sizeof(len));
+		crypto_hash_sha256_update(&st, (const unsigned char *)parts[k], lens[k]);
+	}
+	crypto_hash_sha256_final(&st, digest);
+	sodium_bin2hex(out, TLB_IDEM_HASH_LEN, digest, sizeof(digest));
+}
+
+static tlb_time attempt_deadline(const struct tlb_idem *i)
+{
+	tlb_time d = tlb_clock_now() + ATTEMPT_TIMEOUT;
+
+	return d < i->deadline ? d : i->deadline;
+}
+
+static void done(struct tlb_idem *i, enum tlb_idem_result result,
+		 const struct tlb_idem_record *record)
+{
+	i->on_done(i->arg, result, record);
+}
+
+static bool may_try(struct tlb_idem *i)
+{
+	return i->attempts++ < ATTEMPTS_MAX && tlb_clock_now() < i->deadline;
+}
+
+/* Judges the row that stands where our claim should go. */
+static void judge(struct tlb_idem *i, json_t *row)
+{
+	const json_t *v = json_object_get(row, "value");
+	const char *claim = json_string_value(json_object_get(v, "claim"));
+	const char *hash = json_string_value(json_object_get(v, "request_hash"));
+	const json_t *response = json_object_get(v, "response");
+	struct tlb_idem_record rec = {0};
+
+	if (claim && strcmp(claim, i->claim) == 0 && !response) {
+		i->version = json_integer_value(json_object_get(row, "version"));
+		done(i, TLB_IDEM_CLAIMED, NULL);
+		return;
+	}
+	if (!hash || strcmp(hash, i->request_hash) != 0) {
+		done(i, TLB_IDEM_MISMATCH, NULL);
+		return;
+	}
+	if (!response) {
+		done(i, TLB_IDEM_IN_PROGRESS, NULL);
+		return;
+	}
+	rec.status = (int)json_integer_value(json_object_get(response, "status"));
+	rec.content_type = json_string_value(json_object_get(response, "content_type"));
+	rec.body = json_string_value(json_object_get(response, "body"));
+	rec.body_len = json_string_length(json_object_get(response, "body"));
+	done(i, TLB_IDEM_RECORDED, &rec);
+}
+
+static void on_row(void *arg, enum tlb_store_status status, json_t *body,
+		   const struct tlb_error *err)
+{
+	struct tlb_idem *i = arg;
+
+	switch (status) {
+	case TLB_STORE_OK:
+		judge(i, body);
+		break;
+	case TLB_STORE_ABSENT:
+		/* The insert did not take effect. */
+		if (may_try(i))
+			insert(i);
+		else
+			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		break;
+	case TLB_STORE_CONFLICT:
+	case TLB_STORE_REFUSED:
+	case TLB_STORE_UNCERTAIN:
+		if (may_try(i))
+			read_back(i);
+		else
+			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		break;
+	}
+}
+
+static void read_back(struct tlb_idem *i)
+{
+	tlb_store_row(i->store, &i->op, i->row, attempt_deadline(i), on_row, i);
+}
+
+static void on_insert(void *arg, enum tlb_store_status status, json_t *body,
+		      const struct tlb_error *err)
+{
+	struct tlb_idem *i = arg;
+
+	switch (status) {
+	case TLB_STORE_OK:
+		i->version = json_integer_value(
+			json_object_get(json_object_get(body, "versions"), i->row));
+		done(i, TLB_IDEM_CLAIMED, NULL);
+		break;
+	case TLB_STORE_REFUSED:
+		if (may_try(i))
+			insert(i);
+		else
+			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		break;
+	case TLB_STORE_CONFLICT:
+	case TLB_STORE_UNCERTAIN:
+	case TLB_STORE_ABSENT:
+		/* Another's claim stands there, or ours took effect and the answer was lost. */
+		read_back(i);
+		break;
+	}
+}
+
+static json_t *row_value(const struct tlb_idem *i)
+{
+	return json_pack("{s:s,s:s,s:s,s:I}", "claim", i->claim, "request_hash", i->request_hash,
+			 "vm", i->vm, "wall_ms", (json_int_t)tlb_clock_wall_ms());
+}
+
+static void insert(struct tlb_idem *i)
+{
+	json_t *txn = tlb_store_txn_new();
+
+	tlb_store_check(txn, i->row, 0);
+	tlb_store_write(txn, i->row, row_value(i));
+	tlb_store_txn(i->store, &i->op, txn, attempt_deadline(i), on_insert, i);
+}
+
+void tlb_idem_claim(struct tlb_idem *i, struct tlb_store *s, const char *account, const char *key,
+		    const char *vm, const char *method, const char *target, const char *body,
+		    size_t body_len, tlb_time deadline, tlb_idem_done_fn *on_done, void *arg)
+{
+	const char *request[] = {method, target, body ? body : ""};
+	size_t lens[] = {strlen(method), strlen(target), body_len};
+	size_t key_len = strlen(key);
+	char key_hash[TLB_IDEM_HASH_LEN];
+	unsigned char nonce[16];
+
+	memset(i, 0, sizeof(*i));
+	i->store = s;
+	i->deadline = deadline;
+	i->on_done = on_done;
+	i->arg = arg;
+	hash_hex(key_hash, &key, &key_len, 1);
+	hash_hex(i->request_hash, request, lens, 3);
+	snprintf(i->row, sizeof(i->row), "idem/%s/%s", account, key_hash);
+	snprintf(i->vm, sizeof(i->vm), "%s", vm);
+	randombytes_buf(nonce, sizeof(nonce));
+	sodium_bin2hex(i->claim, sizeof(i->claim), nonce, sizeof(nonce));
+	i->attempts = 1;
+	insert(i);
+}
+
+/* --- recording --- */
+
+static void recorded(struct tlb_idem *i, bool ok)
+{
+	json_decref(i->response);
+	i->response = NULL;
+	i->on_recorded(i->arg, ok);
+}
+
+/* An uncertain write is settled by reading: the version has moved on only if it took effect. */
+static void on_check(void *arg, enum tlb_store_status status, json_t *body,
+		     const struct tlb_error *err)
+{
+	struct tlb_idem *i = arg;
+	bool gone = status == TLB_STORE_ABSENT;
+
+	if (status == TLB_STORE_OK &&
+	    json_integer_value(json_object_get(body, "version")) != i->version) {
+		recorded(i, true);
+		return;
+	}
+	if (gone || tlb_clock_now() >= i->deadline) {
+		recorded(i, gone);
+		return;
+	}
+	write_record(i);
+}
+
+static void on_written(void *arg, enum tlb_store_status status, json_t *body,
+		       const struct tlb_error *err)
+{
+	struct tlb_idem *i = arg;
+
+	if (status == TLB_STORE_OK) {
+		recorded(i, true);
+		return;
+	}
+	if (tlb_clock_now() >= i->deadline) {
+		recorded(i, false);
+		return;
+	}
+	tlb_store_row(i->store, &i->op, i->row, attempt_deadline(i), on_check, i);
+}
+
+static void write_record(struct tlb_idem *i)
+{
+	json_t *txn = tlb_store_txn_new();
+	json_t *value = NULL;
+
+	if (i->response) {
+		value = row_value(i);
+		json_object_set(value, "response", i->response);
+	}
+	tlb_store_check(txn, i->row, i->version);
+	tlb_store_write(txn, i->row, value);
+	tlb_store_txn(i->store, &i->op, txn, attempt_deadline(i), on_written, i);
+}
+
+void tlb_idem_record(struct tlb_idem *i, const struct tlb_idem_record *r, tlb_time deadline,
+		     tlb_idem_recorded_fn *on_recorded, void *arg)
+{
+	bool keep = r->body_len <= BODY_MAX;
+
+	i->deadline = deadline;
+	i->on_recorded = on_recorded;
+	i->arg = arg;
+	i->response =
+		json_pack("{s:i,s:s,s:s%}", "status", r->status, "content_type", r->content_type,
+			  "body", keep ? r->body : "", keep ? r->body_len : 0);
+	/* A body that is not UTF-8 can't be kept; the status still answers a repeat. */
+	if (!i->response)
+		i->response = json_pack("{s:i,s:s,s:s}", "status", r->status, "content_type",
+					r->content_type, "body", "");
+	write_record(i);
+}
+
+void tlb_idem_withdraw(struct tlb_idem *i, tlb_time deadline, tlb_idem_recorded_fn *on_recorded,
+		       void *arg)
+{
+	i->deadline = deadline;
+	i->on_recorded = on_recorded;
+	i->arg = arg;
+	i->response = NULL;
+	write_record(i);
+}
+
+void tlb_idem_cancel(struct tlb_idem *i)
+{
+	tlb_store_cancel(&i->op);
+	json_decref(i->response);
+	i->response = NULL;
+}
--- /dev/null
+++ b/src/limit.c
@@ -0,0 +1,472 @@
+#include "limit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+/* Time that a reservation's reply may take beyond the wait at the owner. */
+#define REPLY_MARGIN (500 * TLB_MS)
+
+/* One request that waits for tokens at this owner; for a local reservation or a remote one. */
+struct tlb_limit_waiter {
+	APR_RING_ENTRY(tlb_limit_waiter) link;
+	struct tlb_limit_account *account;
+	struct tlb_reservation *local; /* NULL for a remote one */
+	struct tlb_peer_return from;
+	char id[TLB_REQUEST_ID_LEN];
+	int64_t tokens;
+	tlb_time deadline;
+};
+
+/* Tokens granted to a request and not yet settled, so that a VM that dies leaves none booked. */
+struct tlb_limit_grant {
+	APR_RING_ENTRY(tlb_limit_grant) link;
+	char id[TLB_REQUEST_ID_LEN];
+	char vm[TLB_ID_LEN];
+	uint64_t incarnation;
+	int64_t tokens;
+};
+
+APR_RING_HEAD(tlb_limit_waiter_ring, tlb_limit_waiter);
+APR_RING_HEAD(tlb_limit_grant_ring, tlb_limit_grant);
+
+/* One account of a shard that this daemon owns. */
+struct tlb_limit_account {
+	APR_RING_ENTRY(tlb_limit_account) link;
+	struct tlb_limit *limit;
+	char id[TLB_ID_LEN];
+	struct tlb_bucket bucket;
+	struct tlb_limit_waiter_ring waiters;
+	struct tlb_limit_grant_ring grants;
+	struct tlb_timer timer;
+};
+
+static void serve(void *arg);
+
+void tlb_limit_init(struct tlb_limit *l, struct tlb_board *b)
+{
+	l->board = b;
+	APR_RING_INIT(&l->accounts, tlb_limit_account, link);
+}
+
+static struct tlb_limit_account *find(const struct tlb_limit *l, const char *id)
+{
+	struct tlb_limit_account *a;
+
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
+		if (strcmp(a->id, id) == 0)
+			return a;
+	}
+	return NULL;
+}
+
+/* Starts a bucket at level 0: nothing is known of what a former owner granted up to now. */
+static struct tlb_limit_account *account_for(struct tlb_limit *l, const char *id)
+{
+	const struct tlb_account *row = tlb_table_account(l->board->table, id);
+	struct tlb_limit_account *a = find(l, id);
+
+	if (a || !row)
+		return a;
+	a = calloc(1, sizeof(*a));
+	if (!a)
+		return NULL;
+	a->limit = l;
+	strcpy(a->id, id);
+	APR_RING_INIT(&a->waiters, tlb_limit_waiter, link);
+	APR_RING_INIT(&a->grants, tlb_limit_grant, link);
+	tlb_timer_init(&a->timer, serve, a);
+	tlb_bucket_init(&a->bucket, row->rate, row->burst, 0, tlb_clock_now());
+	APR_RING_INSERT_TAIL(&l->accounts, a, tlb_limit_account, link);
+	return a;
+}
+
+static struct tlb_limit_grant *find_grant(const struct tlb_limit_account *a, const char *id)
+{
+	struct tlb_limit_grant *g;
+
+	APR_RING_FOREACH (g, &a->grants, tlb_limit_grant, link) {
+		if (strcmp(g->id, id) == 0)
+			return g;
+	}
+	return NULL;
+}
+
+static bool add_grant(struct tlb_limit_account *a, const struct tlb_limit_waiter *w)
+{
+	struct tlb_limit_grant *g = calloc(1, sizeof(*g));
+
+	if (!g)
+		return false;
+	strcpy(g->id, w->id);
+	strcpy(g->vm, w->from.vm);
+	g->incarnation = w->from.incarnation;
+	g->tokens = w->tokens;
+	APR_RING_INSERT_TAIL(&a->grants, g, tlb_limit_grant, link);
+	return true;
+}
+
+static void free_waiter(struct tlb_limit_waiter *w)
+{
+	if (w->local)
+		w->local->waiter = NULL;
+	APR_RING_REMOVE(w, link);
+	free(w);
+}
+
+static void reply_remote(struct tlb_limit *l, const struct tlb_peer_return *to, bool granted,
+			 tlb_time retry_after)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__TokensReply m = TOUCAN__TOKENS_REPLY__INIT;
+
+	m.granted = granted;
+	m.retry_after_us = retry_after;
+	e.body_case = TOUCAN__ENVELOPE__BODY_TOKENS_REPLY;
+	e.tokens_reply = &m;
+	tlb_cluster_reply(l->board->cluster, to, &e);
+}
+
+static void refuse_tokens(struct tlb_error *err, const char *account, tlb_time retry_after)
+{
+	if (retry_after == TLB_NEVER)
+		tlb_error_set(err, TLB_RATE_LIMITED, TLB_NOT_RUN, "reserve", account,
+			      "the request needs more tokens than the account's burst");
+	else
+		tlb_error_set(err, TLB_RATE_LIMITED, TLB_NOT_RUN, "reserve", account,
+			      "the account's token rate is used up");
+}
+
+/* Ends a wait; the waiter is freed before the callback, which may reserve again. */
+static void answer(struct tlb_limit_waiter *w, bool granted, tlb_time retry_after)
+{
+	struct tlb_limit *l = w->account->limit;
+	struct tlb_reservation *r = w->local;
+	struct tlb_peer_return from = w->from;
+	struct tlb_error err = {0};
+
+	free_waiter(w);
+	if (!r) {
+		reply_remote(l, &from, granted, retry_after);
+		return;
+	}
+	r->state = granted ? TLB_RESERVATION_GRANTED : TLB_RESERVATION_IDLE;
+	if (!granted)
+		refuse_tokens(&err, r->account, retry_after);
+	r->on_done(r->arg, granted, retry_after, &err);
+}
+
+/* Grants in order as tokens come in; a wait that can't end in time is refused at once. */
+static void serve(void *arg)
+{
+	struct tlb_limit_account *a = arg;
+	struct tlb_limit_waiter *w;
+	tlb_time now = tlb_clock_now();
+	tlb_time ready;
+
+	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link)) {
+		w = APR_RING_FIRST(&a->waiters);
+		if (tlb_bucket_take(&a->bucket, 0, w->tokens, now)) {
+			if (!add_grant(a, w)) {
+				tlb_bucket_settle(&a->bucket, w->tokens, 0, now);
+				answer(w, false, TLB_SECOND);
+				continue;
+			}
+			answer(w, true, 0);
+			continue;
+		}
+		if (now >= w->deadline || tlb_bucket_exceeds_burst(&a->bucket, w->tokens)) {
+			ready = tlb_bucket_ready_at(&a->bucket, w->tokens, now);
+			answer(w, false,
+			       tlb_bucket_exceeds_burst(&a->bucket, w->tokens) ? TLB_NEVER
+			       : ready == TLB_NEVER			       ? TLB_SECOND
+									       : ready - now);
+			continue;
+		}
+		ready = tlb_bucket_ready_at(&a->bucket, w->tokens, now);
+		tlb_timer_set(a->limit->board->loop, &a->timer,
+			      ready < w->deadline ? ready : w->deadline);
+		return;
+	}
+}
+
+static struct tlb_limit_waiter *add_waiter(struct tlb_limit_account *a, const char *id,
+					   int64_t tokens, tlb_time deadline)
+{
+	struct tlb_limit_waiter *w = calloc(1, sizeof(*w));
+
+	if (!w)
+		return NULL;
+	w->account = a;
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->tokens = tokens;
+	w->deadline = deadline;
+	APR_RING_INSERT_TAIL(&a->waiters, w, tlb_limit_waiter, link);
+	return w;
+}
+
+static void fail(struct tlb_reservation *r, enum tlb_code code, const char *message)
+{
+	struct tlb_error err;
+
+	r->state = TLB_RESERVATION_IDLE;
+	tlb_error_set(&err, code, TLB_NOT_RUN, "reserve", r->account, "%s", message);
+	r->on_done(r->arg, false, TLB_SECOND, &err);
+}
+
+static void reserve_local(struct tlb_limit *l, struct tlb_reservation *r, tlb_time deadline)
+{
+	struct tlb_limit_account *a = account_for(l, r->account);
+	struct tlb_limit_waiter *w = a ? add_waiter(a, r->id, r->tokens, deadline) : NULL;
+
+	if (!w) {
+		fail(r, TLB_NOT_READY, "the account is not known here");
+		return;
+	}
+	w->local = r;
+	snprintf(w->from.vm, sizeof(w->from.vm), "%s", l->board->settings->vm_id);
+	r->waiter = w;
+	r->state = TLB_RESERVATION_WAITING;
+	serve(a);
+}
+
+static void send_return(struct tlb_reservation *r, int64_t booked, int64_t used)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__ReturnTokens m = TOUCAN__RETURN_TOKENS__INIT;
+	char vm[TLB_ID_LEN];
+
+	if (tlb_board_owner(r->board, r->account, vm) != TLB_OWNER_PEER)
+		return;
+	m.account = r->account;
+	m.reservation_id = r->id;
+	m.output_booked = booked;
+	m.output_used = used;
+	e.body_case = TOUCAN__ENVELOPE__BODY_RETURN_TOKENS;
+	e.return_tokens = &m;
+	tlb_cluster_send(r->board->cluster, vm, &e);
+}
+
+static void on_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *e)
+{
+	struct tlb_reservation *r = arg;
+	const Toucan__TokensReply *m;
+	struct tlb_error err = {0};
+
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_TOKENS_REPLY) {
+		/* The owner may have granted; what it booked must not stay booked. */
+		send_return(r, r->tokens, 0);
+		fail(r, TLB_NOT_READY,
+		     "the VM that accounts for this client account did not answer");
+		return;
+	}
+	m = reply->tokens_reply;
+	r->state = m->granted ? TLB_RESERVATION_GRANTED : TLB_RESERVATION_IDLE;
+	if (!m->granted)
+		refuse_tokens(&err, r->account, m->retry_after_us);
+	r->on_done(r->arg, m->granted, m->retry_after_us, &err);
+}
+
+static void reserve_remote(struct tlb_limit *l, struct tlb_reservation *r, const char *vm,
+			   tlb_time deadline)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__ReserveTokens m = TOUCAN__RESERVE_TOKENS__INIT;
+
+	m.account = r->account;
+	m.reservation_id = r->id;
+	m.output_tokens = r->tokens;
+	m.wait_us = deadline - tlb_clock_now();
+	e.body_case = TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS;
+	e.reserve_tokens = &m;
+	r->state = TLB_RESERVATION_REMOTE;
+	tlb_cluster_call(l->board->cluster, vm, &r->call, &e, deadline + REPLY_MARGIN, on_reply, r);
+}
+
+void tlb_limit_reserve(struct tlb_limit *l, struct tlb_reservation *r, const char *account,
+		       const char *request_id, int64_t tokens, tlb_time deadline,
+		       tlb_limit_done_fn *on_done, void *arg)
+{
+	char vm[TLB_ID_LEN];
+
+	memset(r, 0, sizeof(*r));
+	r->board = l->board;
+	r->on_done = on_done;
+	r->arg = arg;
+	r->tokens = tokens;
+	snprintf(r->account, sizeof(r->account), "%s", account);
+	snprintf(r->id, sizeof(r->id), "%s", request_id);
+	switch (tlb_board_owner(l->board, account, vm)) {
+	case TLB_OWNER_SELF:
+		reserve_local(l, r, deadline);
+		break;
+	case TLB_OWNER_PEER:
+		reserve_remote(l, r, vm, deadline);
+		break;
+	case TLB_OWNER_NONE:
+		fail(r, TLB_NOT_READY, "no VM accounts for this client account now");
+		break;
+	}
+}
+
+/* Settles at this owner. A grant that is not known here was made by a former owner, whose
+ * outstanding sum came with the hand-over. */
+static void settle_here(struct tlb_limit *l, const char *account, const char *id, int64_t booked,
+			int64_t used)
+{
+	struct tlb_limit_account *a = find(l, account);
+	struct tlb_limit_grant *g;
+
+	if (!a)
+		return;
+	g = find_grant(a, id);
+	if (g && booked > g->tokens)
+		booked = g->tokens;
+	tlb_bucket_settle(&a->bucket, booked, used, tlb_clock_now());
+	if (g) {
+		g->tokens -= booked;
+		if (g->tokens <= 0) {
+			APR_RING_REMOVE(g, link);
+			free(g);
+		}
+	}
+	serve(a);
+}
+
+void tlb_limit_settle(struct tlb_reservation *r, int64_t booked, int64_t used)
+{
+	char vm[TLB_ID_LEN];
+
+	if (r->state != TLB_RESERVATION_GRANTED)
+		return;
+	if (booked > r->tokens)
+		booked = r->tokens;
+	r->tokens -= booked;
+	if (tlb_board_owner(r->board, r->account, vm) == TLB_OWNER_SELF)
+		settle_here(&r->board->limit, r->account, r->id, booked, used);
+	else
+		send_return(r, booked, used);
+}
+
+void tlb_limit_release(struct tlb_reservation *r)
+{
+	switch (r->state) {
+	case TLB_RESERVATION_IDLE:
+		break;
+	case TLB_RESERVATION_WAITING:
+		free_waiter(r->waiter);
+		break;
+	case TLB_RESERVATION_REMOTE:
+		tlb_peer_cancel(&r->call);
+		send_return(r, r->tokens, 0);
+		break;
+	case TLB_RESERVATION_GRANTED:
+		if (r->tokens > 0)
+			tlb_limit_settle(r, r->tokens, 0);
+		break;
+	}
+	r->state = TLB_RESERVATION_IDLE;
+}
+
+static void free_account(struct tlb_limit_account *a)
+{
+	struct tlb_limit_grant *g;
+
+	while (!APR_RING_EMPTY(&a->grants, tlb_limit_grant, link)) {
+		g = APR_RING_FIRST(&a->grants);
+		APR_RING_REMOVE(g, link);
+		free(g);
+	}
+	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
+		free_waiter(APR_RING_FIRST(&a->waiters));
+	tlb_timer_clear(a->limit->board->loop, &a->timer);
+	APR_RING_REMOVE(a, link);
+	free(a);
+}
+
+/* Ends an account that this daemon no longer owns; its waiters are told to come again. */
+static void drop_account(struct tlb_limit_account *a)
+{
+	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
+		answer(APR_RING_FIRST(&a->waiters), false, TLB_SECOND);
+	free_account(a);
+}
+
+void tlb_limit_finish(struct tlb_limit *l)
+{
+	while (!APR_RING_EMPTY(&l->accounts, tlb_limit_account, link))
+		free_account(APR_RING_FIRST(&l->accounts));
+}
+
+void tlb_limit_sync(struct tlb_limit *l)
+{
+	const struct tlb_account *row;
+	struct tlb_limit_account *a;
+	struct tlb_limit_account *next;
+
+	APR_RING_FOREACH_SAFE (a, next, &l->accounts, tlb_limit_account, link) {
+		row = tlb_table_account(l->board->table, a->id);
+		if (!row)
+			drop_account(a);
+		else
+			tlb_bucket_reconfigure(&a->bucket, row->rate, row->burst, tlb_clock_now());
+	}
+}
+
+void tlb_limit_shards_changed(struct tlb_limit *l, tlb_shard_set gained, tlb_shard_set lost)
+{
+	struct tlb_account *row;
+	struct tlb_limit_account *a;
+	struct tlb_limit_account *next;
+
+	APR_RING_FOREACH_SAFE (a, next, &l->accounts, tlb_limit_account, link) {
+		if (tlb_shard_in(lost, tlb_shard_of(a->id)))
+			drop_account(a);
+	}
+	/* Buckets of gained shards begin to fill now, not when the first request comes. */
+	APR_RING_FOREACH (row, &l->board->table->accounts, tlb_account, link) {
+		if (tlb_shard_in(gained, tlb_shard_of(row->id)))
+			account_for(l, row->id);
+	}
+}
+
+void tlb_limit_on_reserve(struct tlb_limit *l, const struct tlb_peer_return *from,
+			  const Toucan__ReserveTokens *m)
+{
+	char vm[TLB_ID_LEN];
+	struct tlb_limit_account *a = NULL;
+	struct tlb_limit_waiter *w = NULL;
+
+	if (tlb_board_valid(l->board) &&
+	    tlb_board_owner(l->board, m->account, vm) == TLB_OWNER_SELF)
+		a = account_for(l, m->account);
+	if (a && m->output_tokens >= 0 && m->prompt_tokens >= 0)
+		w = add_waiter(a, m->reservation_id, m->output_tokens + m->prompt_tokens,
+			       tlb_clock_now() + m->wait_us);
+	if (!w) {
+		reply_remote(l, from, false, TLB_SECOND);
+		return;
+	}
+	w->from = *from;
+	serve(a);
+}
+
+void tlb_limit_on_return(struct tlb_limit *l, const struct tlb_peer_return *from,
+			 const Toucan__ReturnTokens *m)
+{
+	struct tlb_limit_account *a = find(l, m->account);
+	struct tlb_limit_waiter *w;
+
+	if (!a)
+		return;
+	/* The request gave up while it still waited. */
+	APR_RING_FOREACH (w, &a->waiters, tlb_limit_waiter, link) {
+		if (!w->local && strcmp(w->id, m->reservation_id) == 0) {
+			free_waiter(w);
+			return;
+		}
+	}
+	settle_here(l, m->account, m->reservation_id, m->output_booked, m->output_used);
+}
--- /dev/null
+++ b/src/load.c
@@ -0,0 +1,184 @@
+#include "load.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+/* A report that takes longer is taken as a failed call. */
+#define REPORT_TIMEOUT (1 * TLB_SECOND)
+
+static void poll_target(void *arg);
+
+void tlb_load_init(struct tlb_load *l, struct tlb_board *b)
+{
+	l->board = b;
+	APR_RING_INIT(&l->targets, tlb_target, link);
+}
+
+void tlb_load_finish(struct tlb_load *l)
+{
+	struct tlb_target *t;
+
+	while (!APR_RING_EMPTY(&l->targets, tlb_target, link)) {
+		t = APR_RING_FIRST(&l->targets);
+		APR_RING_REMOVE(t, link);
+		tlb_http_cancel(&t->call);
+		tlb_http_cancel(&t->held_call);
+		tlb_timer_clear(l->board->loop, &t->timer);
+		free(t);
+	}
+}
+
+struct tlb_target *tlb_load_find(const struct tlb_load *l, const char *id)
+{
+	struct tlb_target *t;
+
+	APR_RING_FOREACH (t, &l->targets, tlb_target, link) {
+		if (strcmp(t->id, id) == 0)
+			return t;
+	}
+	return NULL;
+}
+
+static void take_report(struct tlb_target *t, const json_t *j)
+{
+	tlb_time age_us = json_integer_value(json_object_get(j, "age_ms")) * TLB_MS;
+	int held = (int)json_integer_value(json_object_get(j, "held_pieces"));
+	int total = (int)json_integer_value(json_object_get(j, "total_pieces"));
+
+	t->reported_at = tlb_clock_now() - age_us;
+	t->running = (int)json_integer_value(json_object_get(j, "running"));
+	t->queued_tokens = json_integer_value(json_object_get(j, "queued_tokens"));
+	if (total > 0)
+		t->free_pieces = total - held;
+	t->own_pieces = 0;
+	t->own_tokens = 0;
+}
+
+static void on_report(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_target *t = arg;
+	json_t *j = r->status == 200 ? json_loadb(r->body, r->body_len, 0, NULL) : NULL;
+
+	if (j)
+		take_report(t, j);
+	json_decref(j);
+	tlb_timer_set(t->board->loop, &t->timer, tlb_clock_now() + TLB_LOAD_INTERVAL);
+}
+
+static void poll_target(void *arg)
+{
+	struct tlb_target *t = arg;
+	char url[TLB_ADDR_LEN + 32];
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = url,
+		.deadline = tlb_clock_now() + REPORT_TIMEOUT,
+		.on_done = on_report,
+		.arg = t,
+	};
+
+	if (!t->present)
+		return;
+	snprintf(url, sizeof(url), "http://%s/load", t->addr);
+	tlb_http_start(t->board->http, &t->call, &spec, NULL);
+}
+
+static struct tlb_target *target_new(struct tlb_load *l, const char *id)
+{
+	struct tlb_target *t = calloc(1, sizeof(*t));
+
+	/* A daemon that can't hold its endpoints can't serve. */
+	if (!t)
+		abort();
+	t->board = l->board;
+	strcpy(t->id, id);
+	tlb_timer_init(&t->timer, poll_target, t);
+	APR_RING_INSERT_TAIL(&l->targets, t, tlb_target, link);
+	return t;
+}
+
+static void log_state(const struct tlb_target *t, const struct tlb_endpoint *e)
+{
+	static const char *const names[] = {"joining", "active", "leaving"};
+
+	tlb_log_info("event=endpoint endpoint=%s state=%s addr=%s", e->id, names[e->state],
+		     e->addr);
+}
+
+static void take_row(struct tlb_target *t, const struct tlb_endpoint *e)
+{
+	bool fresh = !t->present;
+
+	if (fresh || t->state != e->state || strcmp(t->addr, e->addr) != 0)
+		log_state(t, e);
+	if (e->state == TLB_ENDPOINT_ACTIVE && !fresh && t->state != TLB_ENDPOINT_ACTIVE)
+		t->health.joined_at = tlb_clock_now();
+	t->present = true;
+	t->role = e->role;
+	t->state = e->state;
+	t->checks_fencing = e->checks_fencing;
+	t->link_mbps = e->link_mbps;
+	strcpy(t->pool, e->pool);
+	strcpy(t->zone, e->zone);
+	strcpy(t->addr, e->addr);
+	if (fresh) {
+		t->free_pieces = e->pieces;
+		tlb_book_init(&t->book, e->pieces, 0, 2 * TLB_SECOND);
+	} else if (t->total_pieces != e->pieces) {
+		tlb_book_resize(&t->book, e->pieces, 0);
+	}
+	t->total_pieces = e->pieces;
+	if (fresh && e->role != TLB_ROLE_SERVICE)
+		tlb_timer_set(t->board->loop, &t->timer, tlb_clock_now());
+}
+
+void tlb_load_sync(struct tlb_load *l)
+{
+	struct tlb_endpoint *e;
+	struct tlb_target *t;
+
+	APR_RING_FOREACH (t, &l->targets, tlb_target, link) {
+		if (!tlb_table_endpoint(l->board->table, t->id))
+			t->present = false;
+	}
+	APR_RING_FOREACH (e, &l->board->table->endpoints, tlb_endpoint, link) {
+		t = tlb_load_find(l, e->id);
+		if (!t)
+			t = target_new(l, e->id);
+		take_row(t, e);
+	}
+}
+
+void tlb_load_candidate(const struct tlb_target *t, tlb_time now, struct tlb_candidate *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->id = t->id;
+	c->zone = t->zone;
+	c->usable = t->present && t->state == TLB_ENDPOINT_ACTIVE;
+	c->link_mbps = t->link_mbps;
+	c->reported_at = t->reported_at;
+	c->joined_at = t->health.joined_at;
+	c->ejected_until = t->health.ejected_until;
+	c->total_pieces = t->total_pieces;
+	c->free_pieces = t->free_pieces;
+	c->own_pieces = t->own_pieces;
+	c->running = t->running;
+	c->token_gap_us = t->token_gap_us;
+	c->queued_tokens = t->queued_tokens;
+	c->own_tokens = t->own_tokens;
+	c->tokens_per_second = t->tokens_per_second;
+}
+
+void tlb_load_outcome(struct tlb_target *t, bool ok, tlb_time latency_us)
+{
+	tlb_time now = tlb_clock_now();
+
+	if (!tlb_place_eject(&t->health, ok, latency_us, 0, now))
+		return;
+	tlb_log_warn("event=eject endpoint=%s until_ms=%lld failures=%d", t->id,
+		     (long long)((t->health.ejected_until - now) / TLB_MS), t->health.failures);
+}
--- /dev/null
+++ b/src/pool.c
@@ -0,0 +1,207 @@
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+struct pool_flow {
+	APR_RING_ENTRY(pool_flow) link;
+	char account[TLB_ID_LEN];
+	struct tlb_flow flow;
+};
+
+APR_RING_HEAD(pool_flow_ring, pool_flow);
+
+struct tlb_pool {
+	APR_RING_ENTRY(tlb_pool) link;
+	struct tlb_pools *pools;
+	char id[TLB_ID_LEN];
+	struct tlb_queue queue;
+	struct pool_flow_ring flows;
+};
+
+static void on_timer(void *arg);
+
+void tlb_pools_init(struct tlb_pools *p, struct tlb_board *b)
+{
+	p->board = b;
+	APR_RING_INIT(&p->pools, tlb_pool, link);
+	tlb_timer_init(&p->timer, on_timer, p);
+}
+
+void tlb_pools_finish(struct tlb_pools *p)
+{
+	struct tlb_pool *pool;
+	struct pool_flow *f;
+
+	while (!APR_RING_EMPTY(&p->pools, tlb_pool, link)) {
+		pool = APR_RING_FIRST(&p->pools);
+		while (!APR_RING_EMPTY(&pool->flows, pool_flow, link)) {
+			f = APR_RING_FIRST(&pool->flows);
+			APR_RING_REMOVE(f, link);
+			free(f);
+		}
+		APR_RING_REMOVE(pool, link);
+		free(pool);
+	}
+	tlb_timer_clear(p->board->loop, &p->timer);
+}
+
+static double weight_of(const struct tlb_pools *p, const char *account)
+{
+	const struct tlb_account *a = tlb_table_account(p->board->table, account);
+
+	return a ? a->weight : 1.0;
+}
+
+void tlb_pools_sync(struct tlb_pools *p)
+{
+	struct tlb_pool *pool;
+	struct pool_flow *f;
+
+	APR_RING_FOREACH (pool, &p->pools, tlb_pool, link) {
+		APR_RING_FOREACH (f, &pool->flows, pool_flow, link) {
+			tlb_flow_reweight(&f->flow, weight_of(p, f->account));
+		}
+	}
+	tlb_pools_kick(p);
+}
+
+static struct tlb_pool *pool_for(struct tlb_pools *p, const char *id)
+{
+	struct tlb_pool *pool;
+
+	APR_RING_FOREACH (pool, &p->pools, tlb_pool, link) {
+		if (strcmp(pool->id, id) == 0)
+			return pool;
+	}
+	pool = calloc(1, sizeof(*pool));
+	if (!pool)
+		abort();
+	pool->pools = p;
+	snprintf(pool->id, sizeof(pool->id), "%s", id);
+	tlb_queue_init(&pool->queue);
+	APR_RING_INIT(&pool->flows, pool_flow, link);
+	APR_RING_INSERT_TAIL(&p->pools, pool, tlb_pool, link);
+	return pool;
+}
+
+static struct tlb_flow *flow_for(struct tlb_pool *pool, const char *account)
+{
+	struct pool_flow *f;
+
+	APR_RING_FOREACH (f, &pool->flows, pool_flow, link) {
+		if (strcmp(f->account, account) == 0)
+			return &f->flow;
+	}
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		abort();
+	snprintf(f->account, sizeof(f->account), "%s", account);
+	tlb_flow_init(&f->flow, weight_of(pool->pools, account));
+	APR_RING_INSERT_TAIL(&pool->flows, f, pool_flow, link);
+	return &f->flow;
+}
+
+static struct tlb_wait *wait_of(struct tlb_item *it)
+{
+	return (struct tlb_wait *)it;
+}
+
+static bool has_room(const struct tlb_board *b, const struct tlb_target *t, int pieces)
+{
+	char vm[TLB_ID_LEN];
+
+	if (!t->present || t->state != TLB_ENDPOINT_ACTIVE)
+		return false;
+	if (tlb_board_owner(b, t->id, vm) == TLB_OWNER_SELF)
+		return t->book.granting && tlb_book_free(&t->book) >= pieces;
+	return t->free_pieces - t->own_pieces >= pieces;
+}
+
+/* Whether some decode endpoint of the pool seems to have room. */
+static bool fits(void *arg, const struct tlb_item *it)
+{
+	const struct tlb_pool *pool = arg;
+	const struct tlb_board *b = pool->pools->board;
+	const struct tlb_wait *w = (const struct tlb_wait *)it;
+	const struct tlb_target *t;
+
+	APR_RING_FOREACH (t, &b->load.targets, tlb_target, link) {
+		if (t->role == TLB_ROLE_DECODE && strcmp(t->pool, pool->id) == 0 &&
+		    has_room(b, t, w->pieces))
+			return true;
+	}
+	return false;
+}
+
+static void pump(struct tlb_pool *pool)
+{
+	tlb_time now = tlb_clock_now();
+	struct tlb_item *it;
+	/* A start that finds its place gone is put back, so the count bounds the round. */
+	int left = tlb_queue_count(&pool->queue);
+
+	while ((it = tlb_queue_expire(&pool->queue, now)))
+		wait_of(it)->on_expire(wait_of(it));
+	while (left-- > 0) {
+		it = tlb_queue_pop(&pool->queue, fits, pool, now);
+		if (!it)
+			break;
+		wait_of(it)->on_start(wait_of(it));
+	}
+}
+
+static void on_timer(void *arg)
+{
+	struct tlb_pools *p = arg;
+	struct tlb_pool *pool;
+
+	APR_RING_FOREACH (pool, &p->pools, tlb_pool, link) {
+		pump(pool);
+	}
+	if (tlb_pools_waiting(p) > 0)
+		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now() + TLB_POOL_RETRY);
+}
+
+void tlb_pools_kick(struct tlb_pools *p)
+{
+	if (tlb_pools_waiting(p) > 0)
+		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now());
+}
+
+int tlb_pools_waiting(const struct tlb_pools *p)
+{
+	const struct tlb_pool *pool;
+	int n = 0;
+
+	APR_RING_FOREACH (pool, &p->pools, tlb_pool, link) {
+		n += tlb_queue_count(&pool->queue);
+	}
+	return n;
+}
+
+void tlb_pool_push(struct tlb_pools *p, const char *id, const char *account, struct tlb_wait *w)
+{
+	struct tlb_pool *pool = pool_for(p, id);
+
+	w->pool = pool;
+	tlb_queue_push(&pool->queue, flow_for(pool, account), &w->item, tlb_clock_now());
+	tlb_pools_kick(p);
+}
+
+void tlb_pool_unpop(struct tlb_pools *p, const char *id, const char *account, struct tlb_wait *w)
+{
+	struct tlb_pool *pool = pool_for(p, id);
+
+	tlb_queue_unpop(&pool->queue, flow_for(pool, account), &w->item);
+	if (!p->timer.index)
+		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now() + TLB_POOL_RETRY);
+}
+
+void tlb_pool_remove(struct tlb_wait *w)
+{
+	if (w->pool)
+		tlb_queue_remove(&w->pool->queue, &w->item);
+}
--- /dev/null
+++ b/src/prefix.c
@@ -0,0 +1,59 @@
+#include "prefix.h"
+
+#include <string.h>
+
+/* FNV-1a: not meant against forgery; a false match only costs a worse placement. */
+static uint64_t fold(uint64_t h, const char *data, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len; i++) {
+		h ^= (unsigned char)data[i];
+		h *= UINT64_C(1099511628211);
+	}
+	return h;
+}
+
+void tlb_prefix_of(struct tlb_prefix *p, const char *prompt, size_t len)
+{
+	uint64_t h = UINT64_C(14695981039346656037);
+	size_t at = 0;
+
+	p->count = 0;
+	while (p->count < TLB_PREFIX_BLOCKS && at + TLB_PREFIX_BLOCK <= len) {
+		h = fold(h, prompt + at, TLB_PREFIX_BLOCK);
+		at += TLB_PREFIX_BLOCK;
+		p->hash[p->count++] = h;
+	}
+}
+
+static int find(const struct tlb_prefix_cache *c, uint64_t hash)
+{
+	int i;
+
+	for (i = 0; i < TLB_PREFIX_ENTRIES; i++)
+		if (c->hash[i] == hash)
+			return i;
+	return -1;
+}
+
+void tlb_prefix_note(struct tlb_prefix_cache *c, const struct tlb_prefix *p)
+{
+	int i;
+
+	for (i = 0; i < p->count; i++) {
+		if (find(c, p->hash[i]) >= 0)
+			continue;
+		c->hash[c->next] = p->hash[i];
+		c->next = (c->next + 1) % TLB_PREFIX_ENTRIES;
+	}
+}
+
+size_t tlb_prefix_match(const struct tlb_prefix_cache *c, const struct tlb_prefix *p)
+{
+	int n = p->count;
+
+	while (n > 0 && find(c, p->hash[n - 1]) < 0)
+		n--;
+	return (size_t)n * TLB_PREFIX_BLOCK;
+}
--- /dev/null
+++ b/src/request.c
@@ -0,0 +1,886 @@
+#include "request.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "completion.h"
+#include "log.h"
+#include "sse.h"
+
+#define HOLD_TIMEOUT (500 * TLB_MS)
+#define PREFILL_BASE (3 * TLB_SECOND)	  /* longest prefill: this plus a share per token */
+#define PREFILL_PER_TOKEN ((tlb_time)500) /* microseconds */
+#define IMPORT_BASE (1 * TLB_SECOND)
+#define IMPORT_PER_TOKEN ((tlb_time)200) /* microseconds */
+#define TOKEN_SILENCE (2 * TLB_SECOND)	 /* a decode stream without a byte for this long failed */
+#define CALL_NEVER_LONGER (600 * TLB_SECOND)
+#define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
+
+enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
+
+enum step { STEP_RESERVE, STEP_QUEUE, STEP_HOLD, STEP_PREFILL, STEP_IMPORT, STEP_DECODE };
+
+static const char *const step_names[] = {"reserve", "queue", "hold", "prefill", "import", "decode"};
+
+/* Endpoints that failed or refused this request since it last waited. */
+struct tried {
+	const struct tlb_target *target[TRIED_MAX];
+	int count;
+};
+
+/* Owned by the board's ring from start to end(). */
+struct tlb_request {
+	APR_RING_ENTRY(tlb_request) link;
+	struct tlb_wait wait;
+	struct tlb_board *board;
+	struct tlb_exchange *x; /* NULL once the caller has gone or was answered */
+	char id[TLB_REQUEST_ID_LEN];
+	char account[TLB_ID_LEN];
+	struct tlb_completion completion;
+	char pool[TLB_ID_LEN];
+	int piece_tokens;
+	int prompt_tokens;
+	int max_tokens;
+	tlb_time arrived;
+	enum step step;
+	struct tlb_reservation reservation;
+	bool dispatched; /* a byte may have reached an engine */
+	struct tlb_hold hold;
+	struct tlb_http_call call;
+	struct tlb_target *decode;
+	struct tlb_target *prefill;
+	struct tried tried_decode;
+	struct tried tried_prefill;
+	struct tlb_prefix prefix;
+	int attempt;
+	char engine_id[TLB_REQUEST_ID_LEN]; /* of this attempt: a late cancel of an earlier one
+					       can't hit it */
+	char kv_id[TLB_REQUEST_ID_LEN];
+	bool prefill_done; /* computed and not yet used: wasted if it ends here */
+	tlb_time call_began;
+	/* The answer so far. */
+	struct tlb_sse sse;
+	char *text;
+	size_t text_len;
+	size_t text_cap;
+	int next_index;
+	bool engine_done;
+	char reason[16];
+	struct tlb_timer silence;
+	tlb_time first_token_at;
+	tlb_time last_token_at;
+};
+
+static void start_decode(struct tlb_request *r);
+static void place(struct tlb_request *r);
+static void on_silence(void *arg);
+
+void tlb_requests_init(struct tlb_requests *q, struct tlb_board *b)
+{
+	q->board = b;
+	APR_RING_INIT(&q->requests, tlb_request, link);
+}
+
+size_t tlb_requests_count(const struct tlb_requests *q)
+{
+	const struct tlb_request *r;
+	size_t n = 0;
+
+	APR_RING_FOREACH (r, &q->requests, tlb_request, link) {
+		n++;
+	}
+	return n;
+}
+
+json_t *tlb_requests_list(const struct tlb_requests *q)
+{
+	const struct tlb_request *r;
+	json_t *list = json_array();
+	tlb_time now = tlb_clock_now();
+
+	APR_RING_FOREACH (r, &q->requests, tlb_request, link) {
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:i}", "id", r->id, "account",
+					r->account, "model", r->completion.model, "step",
+					step_names[r->step], "class",
+					r->completion.class == TLB_BATCH ? "batch" : "interactive",
+					"age_ms", (json_int_t)((now - r->arrived) / TLB_MS),
+					"tokens", r->next_index));
+	}
+	return list;
+}
+
+/* --- ends --- */
+
+static void count_waste(struct tlb_request *r)
+{
+	if (r->prefill_done)
+		tlb_counter_add(&r->board->counters, TLB_COUNTER_PREFILL_WASTED_TOKENS,
+				r->prompt_tokens);
+	r->prefill_done = false;
+}
+
+/* Leaves the engines of this attempt. With cancel they may still work on it. */
+static void leave_engines(struct tlb_request *r, bool cancel)
+{
+	bool decode_involved = r->step == STEP_IMPORT || r->step == STEP_DECODE;
+
+	tlb_http_cancel(&r->call);
+	tlb_timer_clear(r->board->loop, &r->silence);
+	tlb_sse_finish(&r->sse);
+	if (cancel && r->prefill && (r->step == STEP_PREFILL || r->step == STEP_IMPORT))
+		tlb_booking_cancel(&r->board->bookings, r->prefill, r->engine_id);
+	if (r->prefill && r->step == STEP_PREFILL)
+		r->prefill->in_flight--;
+	tlb_booking_release(&r->hold, cancel && decode_involved);
+	count_waste(r);
+}
+
+static void end(struct tlb_request *r, bool cancel)
+{
+	leave_engines(r, cancel);
+	tlb_pool_remove(&r->wait);
+	if (r->reservation.state == TLB_RESERVATION_GRANTED && r->dispatched)
+		tlb_limit_settle(&r->reservation, r->reservation.tokens, r->next_index);
+	tlb_limit_release(&r->reservation);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_IN_FLIGHT, -1);
+	tlb_completion_finish(&r->completion);
+	APR_RING_REMOVE(r, link);
+	tlb_pools_kick(&r->board->pools);
+	free(r->text);
+	free(r);
+}
+
+static void log_end(const struct tlb_request *r, const char *result, const char *code)
+{
+	tlb_time now = tlb_clock_now();
+
+	tlb_log_info("event=end request=%s account=%s result=%s code=%s step=%s prefill=%s "
+		     "decode=%s attempts=%d prompt_tokens=%d output_tokens=%d ttft_ms=%lld "
+		     "total_ms=%lld",
+		     r->id, r->account, result, code, step_names[r->step],
+		     r->prefill ? r->prefill->id : "-", r->decode ? r->decode->id : "-", r->attempt,
+		     r->prompt_tokens, r->next_index,
+		     r->first_token_at ? (long long)((r->first_token_at - r->arrived) / TLB_MS)
+				       : -1,
+		     (long long)((now - r->arrived) / TLB_MS));
+}
+
+static void stream_error(struct tlb_request *r, const struct tlb_error *err)
+{
+	char *event = tlb_completion_error_event(r->id, err);
+
+	if (event)
+		tlb_exchange_stream_write(r->x, event, strlen(event));
+	free(event);
+	tlb_exchange_stream_end(r->x, false);
+}
+
+static void fail(struct tlb_request *r, struct tlb_error *err, tlb_time retry_after)
+{
+	int retry_s = retry_after > 0 && retry_after < TLB_NEVER
+			      ? (int)((retry_after + TLB_SECOND - 1) / TLB_SECOND)
+			      : 0;
+
+	err->outcome = r->dispatched ? TLB_UNKNOWN : TLB_NOT_RUN;
+	log_end(r, "refused", tlb_error_name(err->code));
+	tlb_counter_add(&r->board->counters,
+			r->dispatched ? TLB_COUNTER_FAILED_UNKNOWN : TLB_COUNTER_REFUSED_NOT_RUN,
+			1);
+	if (r->x && r->x->state == TLB_EXCHANGE_STREAMING)
+		stream_error(r, err);
+	else if (r->x)
+		tlb_exchange_refuse(r->x, err, retry_s);
+	r->x = NULL;
+	end(r, true);
+}
+
+static void fail_with(struct tlb_request *r, enum tlb_code code, const char *peer,
+		      const char *message)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, TLB_NOT_RUN, step_names[r->step], peer, "%s", message);
+	fail(r, &err, TLB_SECOND);
+}
+
+static void on_gone(void *arg)
+{
+	struct tlb_request *r = arg;
+
+	r->x = NULL;
+	log_end(r, "caller_gone", "-");
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_CALLER_GONE, 1);
+	end(r, true);
+}
+
+void tlb_requests_finish(struct tlb_requests *q)
+{
+	struct tlb_request *r;
+
+	while (!APR_RING_EMPTY(&q->requests, tlb_request, link)) {
+		r = APR_RING_FIRST(&q->requests);
+		fail_with(r, TLB_DRAINING, "", "this VM is shutting down");
+	}
+}
+
+/* --- waiting for a place --- */
+
+static struct tlb_request *request_of(struct tlb_wait *w)
+{
+	return (struct tlb_request *)((char *)w - offsetof(struct tlb_request, wait));
+}
+
+static void on_expire(struct tlb_wait *w)
+{
+	struct tlb_request *r = request_of(w);
+
+	if (r->completion.deadline_ms && tlb_clock_wall_ms() >= r->completion.deadline_ms)
+		fail_with(r, TLB_EXPIRED, "", "the request's deadline has passed");
+	else if (r->dispatched)
+		fail_with(r, TLB_ENDPOINT_FAILED, "",
+			  "an engine failed and no other had a place in time");
+	else
+		fail_with(r, TLB_OVERLOADED, "", "no engine had a place in time");
+}
+
+static void on_start(struct tlb_wait *w)
+{
+	struct tlb_request *r = request_of(w);
+
+	r->tried_decode.count = 0;
+	r->tried_prefill.count = 0;
+	place(r);
+}
+
+/* The caller's deadline on the loop's clock. */
+static tlb_time caller_deadline(const struct tlb_request *r)
+{
+	if (!r->completion.deadline_ms)
+		return TLB_NEVER;
+	return tlb_clock_now() + (r->completion.deadline_ms - tlb_clock_wall_ms()) * TLB_MS;
+}
+
+static tlb_time min_time(tlb_time a, tlb_time b)
+{
+	return a < b ? a : b;
+}
+
+static int pieces_needed(const struct tlb_request *r)
+{
+	return (r->prompt_tokens + r->max_tokens + r->piece_tokens - 1) / r->piece_tokens;
+}
+
+static void enqueue(struct tlb_request *r, tlb_time wait_until)
+{
+	r->step = STEP_QUEUE;
+	r->wait.pieces = pieces_needed(r);
+	r->wait.on_start = on_start;
+	r->wait.on_expire = on_expire;
+	r->wait.item.class = r->completion.class;
+	r->wait.item.tokens = r->prompt_tokens + r->max_tokens;
+	r->wait.item.latest_start = TLB_NEVER;
+	r->wait.item.expires = min_time(wait_until, caller_deadline(r));
+	if (r->completion.class == TLB_BATCH && r->completion.deadline_ms)
+		r->wait.item.latest_start =
+			caller_deadline(r) - 5 * TLB_SECOND -
+			r->max_tokens * r->board->settings->token_gap_target_ms * TLB_MS;
+	tlb_pool_push(&r->board->pools, r->pool, r->account, &r->wait);
+}
+
+/* Tries again elsewhere after an engine failed; tokens already sent stay sent. */
+static void retry(struct tlb_request *r, const char *peer, const char *why)
+{
+	tlb_log_warn(
+		"event=retry request=%s step=%s endpoint=%s attempt=%d tokens=%d reason=\"%s\"",
+		r->id, step_names[r->step], peer, r->attempt, r->next_index, why);
+	leave_engines(r, true);
+	if (r->attempt >= ATTEMPTS_MAX) {
+		fail_with(r, TLB_ENDPOINT_FAILED, peer, "engines failed repeatedly");
+		return;
+	}
+	if (r->next_index > 0)
+		tlb_counter_add(&r->board->counters, TLB_COUNTER_RESUMES, 1);
+	enqueue(r, tlb_clock_now() + RESUME_WAIT);
+}
+
+/* --- placement --- */
+
+static bool was_tried(const struct tried *t, const struct tlb_target *target)
+{
+	int i;
+
+	for (i = 0; i < t->count; i++)
+		if (t->target[i] == target)
+			return true;
+	return false;
+}
+
+static void note_tried(struct tried *t, const struct tlb_target *target)
+{
+	if (t->count < TRIED_MAX)
+		t->target[t->count++] = target;
+}
+
+struct candidates {
+	struct tlb_candidate list[CANDIDATES_MAX];
+	struct tlb_target *target[CANDIDATES_MAX];
+	int count;
+};
+
+static void collect(const struct tlb_request *r, enum tlb_role role, const struct tried *tried,
+		    tlb_time now, struct candidates *c)
+{
+	struct tlb_target *t;
+	struct tlb_candidate *k;
+	char vm[TLB_ID_LEN];
+
+	c->count = 0;
+	APR_RING_FOREACH (t, &r->board->load.targets, tlb_target, link) {
+		if (t->role != role || strcmp(t->pool, r->pool) != 0 || c->count == CANDIDATES_MAX)
+			continue;
+		k = &c->list[c->count];
+		tlb_load_candidate(t, now, k);
+		k->tried = was_tried(tried, t);
+		if (role == TLB_ROLE_DECODE &&
+		    tlb_board_owner(r->board, t->id, vm) == TLB_OWNER_SELF) {
+			k->exact = true;
+			k->free_pieces = tlb_book_free(&t->book);
+			k->own_pieces = 0;
+		}
+		if (role == TLB_ROLE_PREFILL)
+			k->cached_tokens =
+				tlb_completion_tokens(tlb_prefix_match(&t->prefixes, &r->prefix));
+		c->target[c->count++] = t;
+	}
+}
+
+static void log_placement(const struct tlb_request *r, const char *what,
+			  const struct tlb_placement *pl, const struct candidates *c)
+{
+	char line[400];
+
+	tlb_place_describe(pl, c->list, line, sizeof(line));
+	tlb_log_info("event=%s request=%s account=%s attempt=%d %s", what, r->id, r->account,
+		     r->attempt, line);
+}
+
+static struct tlb_place_request place_request(const struct tlb_request *r)
+{
+	struct tlb_place_request p = {
+		.prompt_tokens = r->prompt_tokens + r->next_index,
+		.pieces = pieces_needed(r),
+		.class = r->completion.class,
+		.now = tlb_clock_now(),
+	};
+
+	return p;
+}
+
+static void engine_name(const struct tlb_request *r, char *out)
+{
+	snprintf(out, TLB_REQUEST_ID_LEN, "%.48s.%d", r->id, r->attempt);
+}
+
+static void choose_prefill(struct tlb_request *r);
+
+static void on_hold(void *arg, enum tlb_book_result result, bool unreachable)
+{
+	struct tlb_request *r = arg;
+
+	if (result == TLB_BOOK_OK) {
+		choose_prefill(r);
+		return;
+	}
+	tlb_log_debug("event=hold_refused request=%s endpoint=%s result=%s unreachable=%d", r->id,
+		      r->decode->id, tlb_book_result_name(result), unreachable);
+	note_tried(&r->tried_decode, r->decode);
+	place(r);
+}
+
+static void place(struct tlb_request *r)
+{
+	static struct candidates c;
+	struct tlb_place_request p = place_request(r);
+	struct tlb_placement pl;
+
+	collect(r, TLB_ROLE_DECODE, &r->tried_decode, p.now, &c);
+	pl = tlb_place_decode(&r->board->place, &p, c.list, c.count);
+	if (pl.chosen < 0) {
+		r->step = STEP_QUEUE;
+		tlb_pool_unpop(&r->board->pools, r->pool, r->account, &r->wait);
+		return;
+	}
+	r->attempt++;
+	engine_name(r, r->engine_id);
+	r->decode = c.target[pl.chosen];
+	r->step = STEP_HOLD;
+	log_placement(r, "place_decode", &pl, &c);
+	tlb_booking_hold(&r->board->bookings, &r->hold, r->decode, r->engine_id, p.pieces,
+			 r->completion.class, p.now + HOLD_TIMEOUT, on_hold, r);
+}
+
+/* --- prefill --- */
+
+static char *prefill_body(const struct tlb_request *r)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:s}", "request_id", r->engine_id, "owner",
+			      r->board->owner, "model", r->completion.model, "prompt",
+			      r->completion.prompt, "priority",
+			      r->completion.class == TLB_BATCH ? "batch" : "interactive");
+	char *text;
+
+	if (j && r->next_index > 0) {
+		json_object_set_new(j, "generated", json_string(r->text));
+		json_object_set_new(j, "prefix_tokens", json_integer(r->next_index));
+	}
+	text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	json_decref(j);
+	return text;
+}
+
+static void start_import(struct tlb_request *r);
+
+static bool read_prefill(struct tlb_request *r, const struct tlb_http_result *res)
+{
+	json_t *j = json_loadb(res->body, res->body_len, 0, NULL);
+	const char *kv = json_string_value(json_object_get(j, "kv_id"));
+	bool ok = kv && strlen(kv) < sizeof(r->kv_id);
+
+	if (ok)
+		strcpy(r->kv_id, kv);
+	json_decref(j);
+	return ok;
+}
+
+static void on_prefill(void *arg, const struct tlb_http_result *res)
+{
+	struct tlb_request *r = arg;
+	tlb_time took = tlb_clock_now() - r->call_began;
+	bool ok = res->status == 200 && read_prefill(r, res);
+
+	r->prefill->in_flight--;
+	tlb_load_outcome(r->prefill, ok, took);
+	if (ok) {
+		r->prefill_done = true;
+		start_import(r);
+		return;
+	}
+	tlb_log_warn("event=prefill_failed request=%s endpoint=%s status=%d reason=\"%s\"", r->id,
+		     r->prefill->id, res->status, res->reason);
+	if (res->sent)
+		tlb_booking_cancel(&r->board->bookings, r->prefill, r->engine_id);
+	note_tried(&r->tried_prefill, r->prefill);
+	choose_prefill(r);
+}
+
+static void start_prefill(struct tlb_request *r)
+{
+	char url[TLB_ADDR_LEN + 32];
+	char *body = prefill_body(r);
+	tlb_time now = tlb_clock_now();
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.body_len = body ? strlen(body) : 0,
+		.deadline = now + PREFILL_BASE + r->prompt_tokens * PREFILL_PER_TOKEN,
+		.on_done = on_prefill,
+		.arg = r,
+	};
+
+	snprintf(url, sizeof(url), "http://%s/prefill", r->prefill->addr);
+	r->step = STEP_PREFILL;
+	r->call_began = now;
+	if (!r->dispatched)
+		tlb_limit_settle(&r->reservation, r->prompt_tokens, r->prompt_tokens);
+	r->dispatched = true;
+	r->prefill->own_tokens += r->prompt_tokens;
+	r->prefill->in_flight++;
+	tlb_prefix_note(&r->prefill->prefixes, &r->prefix);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_PREFILLS, 1);
+	tlb_http_start(r->board->http, &r->call, &spec, NULL);
+	free(body);
+}
+
+static void choose_prefill(struct tlb_request *r)
+{
+	static struct candidates c;
+	struct tlb_place_request p = place_request(r);
+	struct tlb_candidate decode;
+	struct tlb_placement pl;
+
+	/* The right to act may have ended while the owner of the book was asked. */
+	if (!tlb_board_valid(r->board)) {
+		r->prefill = NULL;
+		fail_with(r, TLB_NOT_READY, "", "this VM has lost contact with the fleet");
+		return;
+	}
+	collect(r, TLB_ROLE_PREFILL, &r->tried_prefill, p.now, &c);
+	tlb_load_candidate(r->decode, p.now, &decode);
+	pl = tlb_place_prefill(&r->board->place, &p, &decode, c.list, c.count);
+	if (pl.chosen < 0) {
+		r->prefill = NULL;
+		retry(r, "", "no prefill engine is usable");
+		return;
+	}
+	r->prefill = c.target[pl.chosen];
+	log_placement(r, "place_prefill", &pl, &c);
+	start_prefill(r);
+}
+
+/* --- transfer --- */
+
+static void on_import(void *arg, const struct tlb_http_result *res)
+{
+	struct tlb_request *r = arg;
+
+	if (res->status == 200) {
+		start_decode(r);
+		return;
+	}
+	tlb_log_warn("event=import_failed request=%s prefill=%s decode=%s status=%d reason=\"%s\"",
+		     r->id, r->prefill->id, r->decode->id, res->status, res->reason);
+	if (res->status == 410) {
+		/* Evicted before it was fetched: the booking stays, the prompt is computed again.
+		 */
+		count_waste(r);
+		r->step = STEP_HOLD;
+		if (r->attempt++ < ATTEMPTS_MAX) {
+			choose_prefill(r);
+			return;
+		}
+	}
+	if (res->status != 507)
+		tlb_load_outcome(r->decode, false, 0);
+	note_tried(&r->tried_decode, r->decode);
+	retry(r, r->decode->id, "the KV transfer failed");
+}
+
+static void start_import(struct tlb_request *r)
+{
+	char url[TLB_ADDR_LEN + 32];
+	char *body = NULL;
+	tlb_time now = tlb_clock_now();
+	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i}", "request_id", r->engine_id, "owner",
+			      r->board->owner, "kv_id", r->kv_id, "source", r->prefill->addr,
+			      "max_tokens", r->max_tokens - r->next_index);
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.deadline = now + IMPORT_BASE + r->prompt_tokens * IMPORT_PER_TOKEN,
+		.on_done = on_import,
+		.arg = r,
+	};
+
+	body = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	json_decref(j);
+	snprintf(url, sizeof(url), "http://%s/kv/import", r->decode->addr);
+	spec.body = body;
+	spec.body_len = body ? strlen(body) : 0;
+	r->step = STEP_IMPORT;
+	r->call_began = now;
+	tlb_http_start(r->board->http, &r->call, &spec, NULL);
+	free(body);
+}
+
+/* --- decode --- */
+
+static bool append_text(struct tlb_request *r, const char *token)
+{
+	size_t n = strlen(token);
+	size_t want = r->text_cap ? r->text_cap : 1024;
+	char *grown;
+
+	while (want < r->text_len + n + 1)
+		want *= 2;
+	if (want != r->text_cap) {
+		grown = realloc(r->text, want);
+		if (!grown)
+			return false;
+		r->text = grown;
+		r->text_cap = want;
+	}
+	memcpy(r->text + r->text_len, token, n + 1);
+	r->text_len += n;
+	return true;
+}
+
+static bool send_token(struct tlb_request *r, const char *token)
+{
+	char *event;
+	bool ok;
+
+	if (!r->completion.stream)
+		return true;
+	if (r->x->state != TLB_EXCHANGE_STREAMING)
+		tlb_exchange_stream_begin(r->x);
+	event = tlb_completion_event(&r->completion, r->id, token, NULL);
+	ok = event && tlb_exchange_stream_write(r->x, event, strlen(event));
+	free(event);
+	return ok;
+}
+
+static void note_token_time(struct tlb_request *r)
+{
+	tlb_time now = tlb_clock_now();
+	tlb_time gap = now - r->last_token_at;
+
+	if (!r->first_token_at)
+		r->first_token_at = now;
+	else if (r->last_token_at)
+		r->decode->token_gap_us += (gap - r->decode->token_gap_us) / 16;
+	r->last_token_at = now;
+	tlb_timer_set(r->board->loop, &r->silence, now + TOKEN_SILENCE);
+}
+
+static bool take_token(struct tlb_request *r, int index, const char *token)
+{
+	/* Only the next index is taken, so that no token is missing or doubled. */
+	if (index != r->next_index)
+		return index < r->next_index;
+	if (!append_text(r, token) || !send_token(r, token))
+		return false;
+	r->next_index++;
+	r->prefill_done = false;
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_TOKENS_OUT, 1);
+	note_token_time(r);
+	return true;
+}
+
+static bool take_done(struct tlb_request *r, const json_t *j)
+{
+	const char *reason = json_string_value(json_object_get(j, "reason"));
+
+	if (json_integer_value(json_object_get(j, "count")) != r->next_index)
+		return false;
+	r->engine_done = true;
+	snprintf(r->reason, sizeof(r->reason), "%.15s", reason ? reason : "stop");
+	return true;
+}
+
+static bool on_event(void *arg, const char *data, size_t len)
+{
+	struct tlb_request *r = arg;
+	json_t *j = json_loadb(data, len, 0, NULL);
+	const char *token = json_string_value(json_object_get(j, "token"));
+	bool ok = false;
+
+	if (json_is_true(json_object_get(j, "done")))
+		ok = take_done(r, j);
+	else if (token && json_is_integer(json_object_get(j, "index")))
+		ok = take_token(r, (int)json_integer_value(json_object_get(j, "index")), token);
+	json_decref(j);
+	return ok;
+}
+
+static bool on_decode_data(void *arg, const char *data, size_t len)
+{
+	struct tlb_request *r = arg;
+
+	return tlb_sse_feed(&r->sse, data, len, on_event, r);
+}
+
+static void send_stream_end(struct tlb_request *r)
+{
+	static const char mark[] = "data: [DONE]\n\n";
+	char *event = tlb_completion_event(&r->completion, r->id, "", r->reason);
+	bool ok;
+
+	if (r->x->state != TLB_EXCHANGE_STREAMING)
+		tlb_exchange_stream_begin(r->x);
+	ok = event && tlb_exchange_stream_write(r->x, event, strlen(event)) &&
+	     tlb_exchange_stream_write(r->x, mark, sizeof(mark) - 1);
+	free(event);
+	tlb_exchange_stream_end(r->x, ok);
+}
+
+static void send_whole(struct tlb_request *r)
+{
+	char *body = tlb_completion_response(&r->completion, r->id, r->text ? r->text : "",
+					     r->reason, r->prompt_tokens, r->next_index);
+
+	if (!body)
+		body = strdup("{}");
+	tlb_exchange_reply(r->x, 200, "application/json", body, strlen(body));
+}
+
+static void complete(struct tlb_request *r)
+{
+	tlb_load_outcome(r->decode, true, tlb_clock_now() - r->call_began);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_ANSWERED, 1);
+	log_end(r, "answered", "ok");
+	if (r->completion.stream)
+		send_stream_end(r);
+	else
+		send_whole(r);
+	r->x = NULL;
+	end(r, false);
+}
+
+static void decode_failed(struct tlb_request *r, const char *why)
+{
+	tlb_load_outcome(r->decode, false, 0);
+	note_tried(&r->tried_decode, r->decode);
+	retry(r, r->decode->id, why);
+}
+
+static void on_decode_done(void *arg, const struct tlb_http_result *res)
+{
+	struct tlb_request *r = arg;
+
+	if (r->engine_done && res->status == 200) {
+		complete(r);
+		return;
+	}
+	/* A caller that does not read its stream is treated as gone. */
+	if (r->x && r->x->state == TLB_EXCHANGE_STREAMING &&
+	    r->x->out_len - r->x->out_pos > TLB_STREAM_BACKLOG_MAX / 2) {
+		fail_with(r, TLB_TIMEOUT, "", "the caller does not read its stream");
+		return;
+	}
+	decode_failed(r, res->reason[0] ? res->reason : "the stream ended without its end mark");
+}
+
+static void on_silence(void *arg)
+{
+	struct tlb_request *r = arg;
+
+	tlb_http_cancel(&r->call);
+	decode_failed(r, "no token for 2 s");
+}
+
+static void start_decode(struct tlb_request *r)
+{
+	char url[TLB_ADDR_LEN + 32];
+	char *body = NULL;
+	tlb_time now = tlb_clock_now();
+	json_t *j = json_pack("{s:s,s:s,s:i,s:i,s:s}", "request_id", r->engine_id, "owner",
+			      r->board->owner, "max_tokens", r->max_tokens, "first_index",
+			      r->next_index, "priority",
+			      r->completion.class == TLB_BATCH ? "batch" : "interactive");
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.deadline = now + CALL_NEVER_LONGER,
+		.on_data = on_decode_data,
+		.on_done = on_decode_done,
+		.arg = r,
+	};
+
+	body = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	json_decref(j);
+	snprintf(url, sizeof(url), "http://%s/decode", r->decode->addr);
+	spec.body = body;
+	spec.body_len = body ? strlen(body) : 0;
+	r->step = STEP_DECODE;
+	r->call_began = now;
+	r->last_token_at = 0;
+	tlb_timer_set(r->board->loop, &r->silence, now + TOKEN_SILENCE);
+	tlb_http_start(r->board->http, &r->call, &spec, NULL);
+	free(body);
+}
+
+/* --- start --- */
+
+static void on_reserved(void *arg, bool granted, tlb_time retry_after, const struct tlb_error *e)
+{
+	struct tlb_request *r = arg;
+	const struct tlb_settings *s = r->board->settings;
+	struct tlb_error err = *e;
+	int wait_ms = r->completion.class == TLB_BATCH ? s->batch_wait_ms : s->interactive_wait_ms;
+
+	if (!granted) {
+		fail(r, &err, retry_after);
+		return;
+	}
+	enqueue(r, r->completion.deadline_ms && r->completion.class == TLB_BATCH
+			   ? TLB_NEVER
+			   : r->arrived + wait_ms * TLB_MS);
+}
+
+static void refuse(struct tlb_requests *q, struct tlb_exchange *x, struct tlb_error *err)
+{
+	tlb_counter_add(&q->board->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
+	tlb_log_info("event=refuse request=%s code=%s reason=\"%s\"", x->id,
+		     tlb_error_name(err->code), err->message);
+	tlb_exchange_refuse(x, err, 1);
+}
+
+/* Checks the request against the model's row and fills what depends on it. */
+static enum tlb_code fit_model(struct tlb_request *r, struct tlb_error *err)
+{
+	const struct tlb_model *m = tlb_table_model(r->board->table, r->completion.model);
+
+	if (!m)
+		return tlb_error_set(err, TLB_UNKNOWN_MODEL, TLB_NOT_RUN, "parse", "",
+				     "there is no model \"%s\"", r->completion.model);
+	r->prompt_tokens = tlb_completion_tokens(r->completion.prompt_len);
+	if (r->prompt_tokens > m->max_prompt)
+		return tlb_error_set(err, TLB_TOO_LARGE, TLB_NOT_RUN, "parse", "",
+				     "the prompt has about %d tokens; the model takes %d",
+				     r->prompt_tokens, m->max_prompt);
+	r->max_tokens = r->completion.max_tokens;
+	if (r->max_tokens == 0 || r->max_tokens > m->max_output)
+		r->max_tokens = m->max_output;
+	r->piece_tokens = m->piece_tokens;
+	strcpy(r->pool, m->pool);
+	if (r->completion.deadline_ms && r->completion.deadline_ms <= tlb_clock_wall_ms())
+		return tlb_error_set(err, TLB_EXPIRED, TLB_NOT_RUN, "parse", "",
+				     "the request's deadline has passed");
+	return TLB_OK;
+}
+
+static struct tlb_request *request_new(struct tlb_requests *q, struct tlb_exchange *x,
+				       const char *account)
+{
+	struct tlb_request *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->board = q->board;
+	r->x = x;
+	r->arrived = x->arrived;
+	snprintf(r->id, sizeof(r->id), "%s", x->id);
+	snprintf(r->account, sizeof(r->account), "%s", account);
+	tlb_timer_init(&r->silence, on_silence, r);
+	return r;
+}
+
+static enum tlb_code parse(struct tlb_request *r, bool chat, struct tlb_error *err)
+{
+	if (tlb_completion_parse(&r->completion, r->x->body, r->x->body_len, chat, err) != TLB_OK)
+		return err->code;
+	return fit_model(r, err);
+}
+
+void tlb_request_start(struct tlb_requests *q, struct tlb_exchange *x, const char *account,
+		       bool chat)
+{
+	struct tlb_request *r = request_new(q, x, account);
+	struct tlb_error err;
+	int wait_ms;
+
+	if (!r || parse(r, chat, &err) != TLB_OK) {
+		if (!r)
+			tlb_error_set(&err, TLB_INTERNAL, TLB_NOT_RUN, "parse", "", "no memory");
+		else
+			tlb_completion_finish(&r->completion);
+		free(r);
+		refuse(q, x, &err);
+		return;
+	}
+	x->on_gone = on_gone;
+	x->arg = r;
+	tlb_prefix_of(&r->prefix, r->completion.prompt, r->completion.prompt_len);
+	APR_RING_INSERT_TAIL(&q->requests, r, tlb_request, link);
+	tlb_counter_add(&q->board->counters, TLB_COUNTER_IN_FLIGHT, 1);
+	wait_ms = r->completion.class == TLB_BATCH ? q->board->settings->batch_wait_ms
+						   : q->board->settings->interactive_wait_ms;
+	r->step = STEP_RESERVE;
+	tlb_limit_reserve(
+		&q->board->limit, &r->reservation, account, r->id, r->prompt_tokens + r->max_tokens,
+		min_time(r->arrived + wait_ms * TLB_MS, caller_deadline(r)), on_reserved, r);
+}
--- /dev/null
+++ b/src/service.c
@@ -0,0 +1,502 @@
+#include "service.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "idem.h"
+#include "log.h"
+#include "retry.h"
+
+#define CLAIM_TIMEOUT (3 * TLB_SECOND)
+#define RECORD_TIMEOUT (20 * TLB_SECOND)
+
+enum { TRIED_MAX = 8, URL_LEN = 4096 };
+
+/* Retries per first attempt, and how many an idle time may save up. */
+#define RETRY_FRACTION 0.1
+#define RETRY_MOST 10.0
+
+enum step { STEP_RESERVE, STEP_CLAIM, STEP_CALL, STEP_BACKOFF, STEP_RECORD };
+
+static const char *const step_names[] = {"reserve", "claim", "call", "backoff", "record"};
+
+/* One call to a plain service; owned by the board's ring. */
+struct tlb_service_call {
+	APR_RING_ENTRY(tlb_service_call) link;
+	struct tlb_board *board;
+	struct tlb_exchange *x; /* NULL once the caller has gone or was answered */
+	char id[TLB_REQUEST_ID_LEN];
+	char account[TLB_ID_LEN];
+	char pool[TLB_ID_LEN];
+	char route[TLB_ID_LEN];
+	char method[8];
+	char *target; /* path and query */
+	char content_type[64];
+	char *body;
+	size_t body_len;
+	bool idempotent;
+	bool claimed;
+	bool dispatched;
+	enum step step;
+	int64_t cost;
+	tlb_time arrived;
+	tlb_time deadline;
+	struct tlb_reservation reservation;
+	struct tlb_idem idem;
+	struct tlb_http_call call;
+	struct tlb_target *endpoint;
+	const struct tlb_target *tried[TRIED_MAX];
+	int tried_count;
+	int attempt;
+	tlb_time call_began;
+	struct tlb_timer timer;
+	/* What the caller gets once a claimed call is recorded. */
+	int status;
+	char reply_type[64];
+	char *reply;
+	size_t reply_len;
+};
+
+static void dispatch(struct tlb_service_call *c);
+
+void tlb_services_init(struct tlb_services *s, struct tlb_board *b)
+{
+	s->board = b;
+	tlb_retry_init(&s->retry, RETRY_FRACTION, RETRY_MOST);
+	APR_RING_INIT(&s->calls, tlb_service_call, link);
+}
+
+size_t tlb_services_count(const struct tlb_services *s)
+{
+	const struct tlb_service_call *c;
+	size_t n = 0;
+
+	APR_RING_FOREACH (c, &s->calls, tlb_service_call, link) {
+		n++;
+	}
+	return n;
+}
+
+json_t *tlb_services_list(const struct tlb_services *s)
+{
+	const struct tlb_service_call *c;
+	json_t *list = json_array();
+	tlb_time now = tlb_clock_now();
+
+	APR_RING_FOREACH (c, &s->calls, tlb_service_call, link) {
+		json_array_append_new(
+			list, json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:i}", "id", c->id, "account",
+					c->account, "model", c->route, "step", step_names[c->step],
+					"class", "service", "age_ms",
+					(json_int_t)((now - c->arrived) / TLB_MS), "tokens", 0));
+	}
+	return list;
+}
+
+static void free_call(struct tlb_service_call *c)
+{
+	tlb_http_cancel(&c->call);
+	tlb_idem_cancel(&c->idem);
+	tlb_limit_release(&c->reservation);
+	tlb_timer_clear(c->board->loop, &c->timer);
+	tlb_counter_add(&c->board->counters, TLB_COUNTER_IN_FLIGHT, -1);
+	APR_RING_REMOVE(c, link);
+	free(c->target);
+	free(c->body);
+	free(c->reply);
+	free(c);
+}
+
+static void log_end(const struct tlb_service_call *c, const char *result, const char *code)
+{
+	tlb_log_info("event=end request=%s account=%s result=%s code=%s step=%s route=%s "
+		     "endpoint=%s attempts=%d total_ms=%lld",
+		     c->id, c->account, result, code, step_names[c->step], c->route,
+		     c->endpoint ? c->endpoint->id : "-", c->attempt,
+		     (long long)((tlb_clock_now() - c->arrived) / TLB_MS));
+}
+
+static void fail(struct tlb_service_call *c, enum tlb_code code, enum tlb_outcome outcome,
+		 int retry_after_s, const char *message)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, outcome, step_names[c->step], c->endpoint ? c->endpoint->id : "",
+		      "%s", message);
+	log_end(c, "refused", tlb_error_name(code));
+	tlb_counter_add(&c->board->counters,
+			outcome == TLB_UNKNOWN ? TLB_COUNTER_FAILED_UNKNOWN
+					       : TLB_COUNTER_REFUSED_NOT_RUN,
+			1);
+	if (c->x)
+		tlb_exchange_refuse(c->x, &err, retry_after_s);
+	c->x = NULL;
+	free_call(c);
+}
+
+static void answer(struct tlb_service_call *c)
+{
+	log_end(c, "answered", "ok");
+	tlb_counter_add(&c->board->counters, TLB_COUNTER_ANSWERED, 1);
+	if (c->x) {
+		tlb_exchange_reply(c->x, c->status, c->reply_type, c->reply, c->reply_len);
+		c->reply = NULL;
+	}
+	c->x = NULL;
+	free_call(c);
+}
+
+/* A claimed call goes on without its caller, so that its response is recorded; a claim that is
+ * being written is awaited, so that it can be withdrawn. Others end here. */
+static void on_gone(void *arg)
+{
+	struct tlb_service_call *c = arg;
+
+	c->x = NULL;
+	tlb_counter_add(&c->board->counters, TLB_COUNTER_CALLER_GONE, 1);
+	if (c->step == STEP_CLAIM || c->claimed)
+		return;
+	log_end(c, "caller_gone", "-");
+	free_call(c);
+}
+
+/* --- the outcome of a claimed call --- */
+
+static void on_recorded(void *arg, bool recorded)
+{
+	struct tlb_service_call *c = arg;
+
+	if (!recorded)
+		tlb_log_warn("event=record_failed request=%s row=%s", c->id, c->idem.row);
+	answer(c);
+}
+
+static void on_withdrawn(void *arg, bool withdrawn)
+{
+	struct tlb_service_call *c = arg;
+
+	/* While the claim stands a repeat is told "in progress", which is still true to "not run":
+	 * nothing was dispatched and nothing will be. */
+	fail(c, TLB_NO_ENDPOINT, TLB_NOT_RUN, 1, "no endpoint could be reached");
+}
+
+static void settle(struct tlb_service_call *c)
+{
+	struct tlb_idem_record r = {c->status, c->reply_type, c->reply, c->reply_len};
+
+	if (!c->claimed) {
+		answer(c);
+		return;
+	}
+	c->step = STEP_RECORD;
+	tlb_idem_record(&c->idem, &r, tlb_clock_now() + RECORD_TIMEOUT, on_recorded, c);
+}
+
+static void not_run(struct tlb_service_call *c)
+{
+	if (!c->claimed) {
+		fail(c, TLB_NO_ENDPOINT, TLB_NOT_RUN, 1, "no endpoint could be reached");
+		return;
+	}
+	c->step = STEP_RECORD;
+	tlb_idem_withdraw(&c->idem, tlb_clock_now() + RECORD_TIMEOUT, on_withdrawn, c);
+}
+
+/* --- the call itself --- */
+
+static void on_backoff(void *arg)
+{
+	dispatch(arg);
+}
+
+/* Failed; sent tells whether the endpoint can have acted on it. */
+static void call_failed(struct tlb_service_call *c, bool sent, const char *reason)
+{
+	tlb_time now = tlb_clock_now();
+	tlb_time at;
+
+	tlb_log_warn("event=call_failed request=%s endpoint=%s attempt=%d sent=%d reason=\"%s\"",
+		     c->id, c->endpoint->id, c->attempt, sent, reason);
+	if (sent && !c->idempotent) {
+		fail(c, now >= c->deadline ? TLB_TIMEOUT : TLB_ENDPOINT_FAILED, TLB_UNKNOWN, 0,
+		     "the endpoint did not complete its response; the call may have run");
+		return;
+	}
+	if (c->tried_count < TRIED_MAX)
+		c->tried[c->tried_count++] = c->endpoint;
+	if (tlb_retry_ask(&c->board->services.retry,
+			  c->idempotent ? TLB_STEP_CALL : TLB_STEP_PAID_CALL, sent, c->attempt, now,
+			  c->deadline, &c->board->place.random, &at) == TLB_RETRY_GO) {
+		c->step = STEP_BACKOFF;
+		tlb_timer_set(c->board->loop, &c->timer, at);
+		return;
+	}
+	if (c->dispatched)
+		fail(c, TLB_ENDPOINT_FAILED, TLB_UNKNOWN, 0, "endpoints failed repeatedly");
+	else
+		not_run(c);
+}
+
+static void on_response(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_service_call *c = arg;
+
+	c->endpoint->in_flight--;
+	if (r->sent)
+		c->dispatched = true;
+	tlb_load_outcome(c->endpoint, r->status > 0 && r->status < 500,
+			 tlb_clock_now() - c->call_began);
+	/* 503 with an idempotent call is worth another endpoint; a non-idempotent one gets the
+	 * endpoint's own words. */
+	if (r->status == 0 || (r->status == 503 && c->idempotent)) {
+		call_failed(c, r->sent, r->reason[0] ? r->reason : "status 503");
+		return;
+	}
+	c->status = r->status;
+	snprintf(c->reply_type, sizeof(c->reply_type), "%s",
+		 r->content_type[0] ? r->content_type : "application/octet-stream");
+	c->reply = malloc(r->body_len + 1);
+	if (c->reply) {
+		memcpy(c->reply, r->body, r->body_len + 1);
+		c->reply_len = r->body_len;
+	}
+	settle(c);
+}
+
+static bool was_tried(const struct tlb_service_call *c, const struct tlb_target *t)
+{
+	int i;
+
+	for (i = 0; i < c->tried_count; i++)
+		if (c->tried[i] == t)
+			return true;
+	return false;
+}
+
+/* The least busy usable endpoint by this daemon's own calls, in the own zone first; ejected and
+ * tried ones only when nothing else is left. */
+static double badness(const struct tlb_service_call *c, const struct tlb_target *t, tlb_time now)
+{
+	double cost = t->in_flight;
+
+	if (strcmp(t->zone, c->board->settings->zone) != 0)
+		cost += 1.0;
+	if (t->health.ejected_until > now)
+		cost += 1000.0;
+	if (was_tried(c, t))
+		cost += 10000.0;
+	return cost + tlb_random_unit(&c->board->place.random);
+}
+
+static struct tlb_target *choose(struct tlb_service_call *c, int *weighed)
+{
+	struct tlb_target *best = NULL;
+	struct tlb_target *t;
+	tlb_time now = tlb_clock_now();
+	double best_cost = 0;
+	double cost;
+
+	*weighed = 0;
+	APR_RING_FOREACH (t, &c->board->load.targets, tlb_target, link) {
+		if (t->role != TLB_ROLE_SERVICE || strcmp(t->pool, c->pool) != 0 || !t->present ||
+		    t->state != TLB_ENDPOINT_ACTIVE)
+			continue;
+		(*weighed)++;
+		cost = badness(c, t, now);
+		if (best && cost >= best_cost)
+			continue;
+		best = t;
+		best_cost = cost;
+	}
+	return best;
+}
+
+static void dispatch(struct tlb_service_call *c)
+{
+	char url[URL_LEN];
+	int weighed;
+	struct tlb_http_spec spec = {
+		.method = c->method,
+		.url = url,
+		.body = c->body ? c->body : (strcmp(c->method, "POST") == 0 ? "" : NULL),
+		.body_len = c->body_len,
+		.content_type = c->content_type[0] ? c->content_type : NULL,
+		.deadline = c->deadline,
+		.once = !c->idempotent,
+		.on_done = on_response,
+		.arg = c,
+	};
+
+	c->step = STEP_CALL;
+	c->endpoint = choose(c, &weighed);
+	if (!c->endpoint || !tlb_board_valid(c->board)) {
+		not_run(c);
+		return;
+	}
+	c->attempt++;
+	tlb_log_info("event=place_service request=%s account=%s route=%s attempt=%d chosen=%s "
+		     "weighed=%d reason=least_busy",
+		     c->id, c->account, c->route, c->attempt, c->endpoint->id, weighed);
+	snprintf(url, sizeof(url), "http://%s%s", c->endpoint->addr, c->target);
+	c->endpoint->in_flight++;
+	c->call_began = tlb_clock_now();
+	tlb_http_start(c->board->http, &c->call, &spec, NULL);
+}
+
+/* --- claim and reservation --- */
+
+static void give_again(struct tlb_service_call *c, const struct tlb_idem_record *r)
+{
+	c->status = r->status;
+	snprintf(c->reply_type, sizeof(c->reply_type), "%s",
+		 r->content_type ? r->content_type : "application/octet-stream");
+	c->reply = strndup(r->body ? r->body : "", r->body_len);
+	c->reply_len = c->reply ? r->body_len : 0;
+	answer(c);
+}
+
+static void on_claim(void *arg, enum tlb_idem_result result, const struct tlb_idem_record *r)
+{
+	struct tlb_service_call *c = arg;
+
+	switch (result) {
+	case TLB_IDEM_CLAIMED:
+		c->claimed = true;
+		if (c->x)
+			dispatch(c);
+		else
+			not_run(c);
+		break;
+	case TLB_IDEM_RECORDED:
+		give_again(c, r);
+		break;
+	case TLB_IDEM_IN_PROGRESS:
+		fail(c, TLB_IN_PROGRESS, TLB_UNKNOWN, 0,
+		     "a call with this Idempotency-Key was begun and has no recorded response");
+		break;
+	case TLB_IDEM_MISMATCH:
+		fail(c, TLB_BODY_MISMATCH, TLB_NOT_RUN, 0,
+		     "this Idempotency-Key was used for another request");
+		break;
+	case TLB_IDEM_UNAVAILABLE:
+		fail(c, TLB_STORE_UNAVAILABLE, TLB_NOT_RUN, 2,
+		     "the record of paid calls can't be reached; nothing was sent");
+		break;
+	}
+}
+
+static void claim(struct tlb_service_call *c)
+{
+	c->step = STEP_CLAIM;
+	tlb_idem_claim(&c->idem, c->board->store, c->account, c->x->idempotency_key,
+		       c->board->settings->vm_id, c->method, c->target, c->body, c->body_len,
+		       tlb_clock_now() + CLAIM_TIMEOUT, on_claim, c);
+}
+
+static void proceed(struct tlb_service_call *c)
+{
+	if (!c->idempotent && c->x->idempotency_key[0])
+		claim(c);
+	else
+		dispatch(c);
+}
+
+static void on_reserved(void *arg, bool granted, tlb_time retry_after, const struct tlb_error *err)
+{
+	struct tlb_service_call *c = arg;
+
+	if (!granted) {
+		fail(c, err->code, TLB_NOT_RUN,
+		     retry_after > 0 && retry_after < TLB_NEVER
+			     ? (int)(retry_after / TLB_SECOND) + 1
+			     : 1,
+		     err->message);
+		return;
+	}
+	tlb_limit_settle(&c->reservation, c->cost, c->cost);
+	proceed(c);
+}
+
+static struct tlb_service_call *call_new(struct tlb_services *s, struct tlb_exchange *x,
+					 const struct tlb_route *route, const char *account)
+{
+	struct tlb_service_call *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->board = s->board;
+	c->x = x;
+	c->arrived = x->arrived;
+	c->deadline = tlb_clock_now() + route->timeout_ms * TLB_MS;
+	c->idempotent = route->idempotent;
+	c->cost = route->cost;
+	snprintf(c->id, sizeof(c->id), "%s", x->id);
+	snprintf(c->account, sizeof(c->account), "%s", account);
+	strcpy(c->pool, route->pool);
+	strcpy(c->route, route->id);
+	strcpy(c->method, x->method);
+	snprintf(c->content_type, sizeof(c->content_type), "%s", x->content_type);
+	c->body = x->body;
+	c->body_len = x->body_len;
+	x->body = NULL;
+	if (asprintf(&c->target, "%s%s%s", x->path, x->query[0] ? "?" : "", x->query) < 0)
+		c->target = NULL;
+	tlb_timer_init(&c->timer, on_backoff, c);
+	return c;
+}
+
+static void refuse(struct tlb_services *s, struct tlb_exchange *x, enum tlb_code code,
+		   const char *message)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, TLB_NOT_RUN, "parse", "", "%s", message);
+	tlb_counter_add(&s->board->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
+	tlb_exchange_refuse(x, &err, 1);
+}
+
+void tlb_service_start(struct tlb_services *s, struct tlb_exchange *x,
+		       const struct tlb_route *route, const char *account)
+{
+	struct tlb_service_call *c;
+
+	if (x->idempotency_key_too_long) {
+		refuse(s, x, TLB_BAD_REQUEST, "the Idempotency-Key is too long");
+		return;
+	}
+	if (strlen(x->path) + strlen(x->query) + TLB_ADDR_LEN + 16 > URL_LEN) {
+		refuse(s, x, TLB_TOO_LARGE, "the path and query are too long");
+		return;
+	}
+	c = call_new(s, x, route, account);
+	if (!c || !c->target) {
+		free(c);
+		refuse(s, x, TLB_INTERNAL, "no memory");
+		return;
+	}
+	x->on_gone = on_gone;
+	x->arg = c;
+	APR_RING_INSERT_TAIL(&s->calls, c, tlb_service_call, link);
+	tlb_counter_add(&s->board->counters, TLB_COUNTER_IN_FLIGHT, 1);
+	c->step = STEP_RESERVE;
+	tlb_retry_first(&s->retry);
+	if (!account[0] || c->cost == 0)
+		proceed(c);
+	else
+		tlb_limit_reserve(&s->board->limit, &c->reservation, account, c->id, c->cost,
+				  c->arrived + s->board->settings->interactive_wait_ms * TLB_MS,
+				  on_reserved, c);
+}
+
+void tlb_services_finish(struct tlb_services *s)
+{
+	struct tlb_service_call *c;
+
+	while (!APR_RING_EMPTY(&s->calls, tlb_service_call, link)) {
+		c = APR_RING_FIRST(&s->calls);
+		fail(c, TLB_DRAINING,
+		     c->dispatched || c->step == STEP_CALL ? TLB_UNKNOWN : TLB_NOT_RUN, 1,
+		     "this VM is shutting down");
+	}
+}
