Refuse requests that carry a key outside the Authorization header; end requests of withdrawn keys

Change: keyscan looks for the presented key and for words whose hash is that of a known key in what would be passed on; a new table ends the requests whose key it no longer grants. Conclusion: words of long prompts are only hashed when they look like a generated key, because hashing each would cost milliseconds a request.

--- a/src/caller.c
+++ b/src/caller.c
@@ -42,6 +42,15 @@
 	return a;
 }
 
+/* Whether what would be passed on contains a key. */
+static bool carries_key(const struct tlb_board *b, const struct tlb_exchange *x)
+{
+	return tlb_keyscan(b->table, x->key, x->path, strlen(x->path)) ||
+	       tlb_keyscan(b->table, x->key, x->query, strlen(x->query)) ||
+	       tlb_keyscan(b->table, x->key, x->content_type, strlen(x->content_type)) ||
+	       tlb_keyscan(b->table, x->key, x->body, x->body_len);
+}
+
 static bool is_completion(const struct tlb_exchange *x, bool *chat)
 {
 	*chat = strcmp(x->path, "/v1/chat/completions") == 0;
@@ -93,6 +102,8 @@
 	tlb_counter_add(&b->counters, TLB_COUNTER_REQUESTS, 1);
 	if (b->table->version == 0 || !tlb_board_valid(b))
 		refuse(b, x, TLB_NOT_READY, "this VM is not ready to serve");
+	else if (carries_key(b, x))
+		refuse(b, x, TLB_BAD_REQUEST, "a key may only be sent in the Authorization header");
 	else if (is_completion(x, &chat))
 		take_completion(b, x, chat);
 	else
--- a/src/front.c
+++ b/src/front.c
@@ -190,11 +190,13 @@
 
 	if (!h)
 		return;
-	if (strncasecmp(h, "Bearer ", 7) != 0 || strlen(h + 7) < 8 || strlen(h + 7) > 256) {
+	if (strncasecmp(h, "Bearer ", 7) != 0 || strlen(h + 7) < TLB_KEY_MIN ||
+	    strlen(h + 7) > TLB_KEY_MAX) {
 		x->key_form = TLB_KEY_MALFORMED;
 		return;
 	}
 	x->key_form = TLB_KEY_PRESENT;
+	strcpy(x->key, h + 7);
 	crypto_hash_sha256(x->key_hash, (const unsigned char *)h + 7, strlen(h + 7));
 }
 
@@ -230,6 +232,7 @@
 
 static void free_exchange(struct tlb_exchange *x)
 {
+	sodium_memzero(x->key, sizeof(x->key));
 	free(x->path);
 	free(x->query);
 	free(x->body);
@@ -316,6 +319,7 @@
 			refuse_large(x);
 		else
 			f->on_request(f->arg, x);
+		sodium_memzero(x->key, sizeof(x->key));
 	}
 	if (x->state != TLB_EXCHANGE_RUNNING)
 		return queue_response(x);
--- a/src/front.h
+++ b/src/front.h
@@ -11,6 +11,7 @@
 
 #include "error.h"
 #include "ident.h"
+#include "keyscan.h"
 #include "loop.h"
 #include "table.h"
 
@@ -54,7 +55,8 @@
 	char *query; /* after "?", "" when there is none */
 	char content_type[64];
 	enum tlb_key_form key_form;
-	unsigned char key_hash[TLB_KEY_HASH_LEN]; /* the key itself is not kept */
+	unsigned char key_hash[TLB_KEY_HASH_LEN];
+	char key[TLB_KEY_MAX + 1]; /* wiped as soon as the handler has taken the request */
 	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
 	bool idempotency_key_too_long;
 	char *body;
--- /dev/null
+++ b/src/keyscan.c
@@ -0,0 +1,56 @@
+#include "keyscan.h"
+
+#include <ctype.h>
+#include <sodium.h>
+#include <string.h>
+
+static bool is_word(unsigned char c)
+{
+	return isalnum(c) || c == '_' || c == '-' || c == '.' || c == '~';
+}
+
+static bool is_key(const struct tlb_table *t, const char *word, size_t len)
+{
+	unsigned char hash[TLB_KEY_HASH_LEN];
+
+	if (len < TLB_KEY_MIN || len > TLB_KEY_MAX)
+		return false;
+	crypto_hash_sha256(hash, (const unsigned char *)word, len);
+	return tlb_table_key(t, hash) != NULL;
+}
+
+static bool looks_generated(const char *word, size_t len)
+{
+	return len >= sizeof(TLB_KEY_PREFIX) - 1 &&
+	       memcmp(word, TLB_KEY_PREFIX, sizeof(TLB_KEY_PREFIX) - 1) == 0;
+}
+
+static bool scan_words(const struct tlb_table *t, const char *data, size_t len, size_t every)
+{
+	size_t begin = 0;
+	size_t end;
+
+	while (begin < len) {
+		if (!is_word((unsigned char)data[begin])) {
+			begin++;
+			continue;
+		}
+		end = begin;
+		while (end < len && is_word((unsigned char)data[end]))
+			end++;
+		if ((end <= every || looks_generated(data + begin, end - begin)) &&
+		    is_key(t, data + begin, end - begin))
+			return true;
+		begin = end;
+	}
+	return false;
+}
+
+bool tlb_keyscan(const struct tlb_table *t, const char *presented, const char *data, size_t len)
+{
+	if (!data || len == 0)
+		return false;
+	if (presented[0] && memmem(data, len, presented, strlen(presented)))
+		return true;
+	return scan_words(t, data, len, presented[0] ? 0 : TLB_KEYSCAN_EVERY_WORD);
+}
--- a/src/request.c
+++ b/src/request.c
@@ -38,6 +38,7 @@
 	struct tlb_exchange *x; /* NULL once the caller has gone or was answered */
 	char id[TLB_REQUEST_ID_LEN];
 	char account[TLB_ID_LEN];
+	unsigned char key_hash[TLB_KEY_HASH_LEN];
 	struct tlb_completion completion;
 	char pool[TLB_ID_LEN];
 	int piece_tokens;
@@ -226,6 +227,19 @@
 	}
 }
 
+void tlb_requests_sync(struct tlb_requests *q)
+{
+	struct tlb_request *r;
+	struct tlb_request *next;
+	const struct tlb_key *k;
+
+	APR_RING_FOREACH_SAFE (r, next, &q->requests, tlb_request, link) {
+		k = tlb_table_key(q->board->table, r->key_hash);
+		if (!k || k->withdrawn || strcmp(k->account, r->account) != 0)
+			fail_with(r, TLB_INVALID_KEY, "", "the key was withdrawn");
+	}
+}
+
 /* --- waiting for a place --- */
 
 static struct tlb_request *request_of(struct tlb_wait *w)
@@ -845,6 +859,7 @@
 	r->arrived = x->arrived;
 	snprintf(r->id, sizeof(r->id), "%s", x->id);
 	snprintf(r->account, sizeof(r->account), "%s", account);
+	memcpy(r->key_hash, x->key_hash, sizeof(r->key_hash));
 	tlb_timer_init(&r->silence, on_silence, r);
 	return r;
 }
--- a/src/request.h
+++ b/src/request.h
@@ -29,6 +29,8 @@
 /* Ends every request: engines are told to cancel as far as the loop still runs. */
 void tlb_requests_finish(struct tlb_requests *q);
 size_t tlb_requests_count(const struct tlb_requests *q);
+/* Ends the requests whose key is no longer granted by the table in force. */
+void tlb_requests_sync(struct tlb_requests *q);
 /* The requests in flight as JSON: [{"id","account","model","step","class","age_ms","tokens"}]. */
 json_t *tlb_requests_list(const struct tlb_requests *q);
 
