Hand buckets and books over between owners

Cause: a moved shard must bring neither a fresh burst nor a forgotten booking. Change: limit and booking write and read HandOver messages; a fenced VM's grants count as used. Conclusion: connected in the daemon when the cluster layer lands.

--- a/src/booking.c
+++ b/src/booking.c
@@ -595,6 +595,57 @@
 	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
 }
 
+static Toucan__Booking *booking_message(const struct tlb_target *t, const struct tlb_booking *k)
+{
+	Toucan__Booking *m = malloc(sizeof(*m));
+
+	if (!m)
+		return NULL;
+	toucan__booking__init(m);
+	m->endpoint = strdup(t->id);
+	m->request_id = strdup(k->request_id);
+	m->owner = strdup(k->owner);
+	m->pieces = k->pieces;
+	m->klass = k->class;
+	return m;
+}
+
+static void hand_over_book(const struct tlb_target *t, Toucan__HandOver *out)
+{
+	const struct tlb_booking *k;
+	Toucan__Booking **grown;
+
+	APR_RING_FOREACH(k, &t->book.bookings, tlb_booking, link)
+	{
+		grown = realloc(out->bookings, (out->n_bookings + 1) * sizeof(Toucan__Booking *));
+		if (!grown)
+			return;
+		out->bookings = grown;
+		out->bookings[out->n_bookings] = booking_message(t, k);
+		if (out->bookings[out->n_bookings])
+			out->n_bookings++;
+	}
+}
+
+void tlb_bookings_hand_over(struct tlb_bookings *b, tlb_shard_set shards, Toucan__HandOver *out)
+{
+	const struct tlb_target *t;
+
+	APR_RING_FOREACH(t, &b->board->load.targets, tlb_target, link)
+	{
+		if (t->role == TLB_ROLE_DECODE && tlb_shard_in(shards, tlb_shard_of(t->id)))
+			hand_over_book(t, out);
+	}
+}
+
+void tlb_bookings_take_over(struct tlb_bookings *b, const Toucan__HandOver *state)
+{
+	size_t i;
+
+	for (i = 0; i < state->n_bookings; i++)
+		adopt(b, state->bookings[i]);
+}
+
 /* --- messages --- */
 
 static void reply_book(struct tlb_bookings *b, const struct tlb_peer_return *to,
--- a/src/booking.h
+++ b/src/booking.h
@@ -72,6 +72,10 @@
 /* Shards moved: a book gained without a hand-over grants nothing until the engine and the other VMs
  * have told what they hold. */
 void tlb_bookings_shards_changed(struct tlb_bookings *b, tlb_shard_set gained, tlb_shard_set lost);
+/* Adds the books of these shards to a hand-over, and takes the ones that a former owner handed
+ * over; malloc'd for the cluster to free. */
+void tlb_bookings_hand_over(struct tlb_bookings *b, tlb_shard_set shards, Toucan__HandOver *out);
+void tlb_bookings_take_over(struct tlb_bookings *b, const Toucan__HandOver *state);
 /* Messages from other daemons. */
 void tlb_bookings_on_book(struct tlb_bookings *b, const struct tlb_peer_return *from,
 			  const Toucan__BookDecode *m);
--- a/src/limit.c
+++ b/src/limit.c
@@ -432,6 +432,124 @@
 	}
 }
 
+static size_t count_in(const struct tlb_limit *l, tlb_shard_set shards)
+{
+	const struct tlb_limit_account *a;
+	size_t n = 0;
+
+	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
+	{
+		if (tlb_shard_in(shards, tlb_shard_of(a->id)))
+			n++;
+	}
+	return n;
+}
+
+static Toucan__Bucket *bucket_message(struct tlb_limit_account *a)
+{
+	Toucan__Bucket *m = malloc(sizeof(*m));
+	struct tlb_bucket_snapshot s;
+
+	if (!m)
+		return NULL;
+	toucan__bucket__init(m);
+	s = tlb_bucket_snapshot(&a->bucket, tlb_clock_now());
+	m->account = strdup(a->id);
+	m->level = s.level / TLB_BUCKET_SCALE;
+	m->held = s.outstanding;
+	return m;
+}
+
+void tlb_limit_hand_over(struct tlb_limit *l, tlb_shard_set shards, Toucan__HandOver *out)
+{
+	struct tlb_limit_account *a;
+	size_t n = count_in(l, shards);
+
+	if (n == 0)
+		return;
+	out->buckets = calloc(n, sizeof(*out->buckets));
+	if (!out->buckets)
+		return;
+	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
+	{
+		if (!tlb_shard_in(shards, tlb_shard_of(a->id)))
+			continue;
+		out->buckets[out->n_buckets] = bucket_message(a);
+		if (out->buckets[out->n_buckets])
+			out->n_buckets++;
+	}
+}
+
+void tlb_limit_take_over(struct tlb_limit *l, const Toucan__HandOver *state)
+{
+	const Toucan__Bucket *m;
+	const struct tlb_account *row;
+	struct tlb_limit_account *a;
+	struct tlb_bucket_snapshot s;
+	size_t i;
+
+	for (i = 0; i < state->n_buckets; i++) {
+		m = state->buckets[i];
+		row = tlb_table_account(l->board->table, m->account);
+		a = account_for(l, m->account);
+		if (!a || !row)
+			continue;
+		s.level = m->level * TLB_BUCKET_SCALE;
+		s.outstanding = m->held;
+		tlb_bucket_restore(&a->bucket, row->rate, row->burst, &s, tlb_clock_now());
+		serve(a);
+	}
+}
+
+static void settle_fenced(struct tlb_limit_account *a, const char *vm, uint64_t incarnation)
+{
+	struct tlb_limit_grant *g;
+	struct tlb_limit_grant *next;
+
+	APR_RING_FOREACH_SAFE(g, next, &a->grants, tlb_limit_grant, link)
+	{
+		if (strcmp(g->vm, vm) != 0 || g->incarnation != incarnation)
+			continue;
+		tlb_bucket_settle(&a->bucket, g->tokens, g->tokens, tlb_clock_now());
+		APR_RING_REMOVE(g, link);
+		free(g);
+	}
+}
+
+void tlb_limit_fenced(struct tlb_limit *l, const char *vm, uint64_t incarnation)
+{
+	struct tlb_limit_account *a;
+
+	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
+	{
+		settle_fenced(a, vm, incarnation);
+	}
+}
+
+json_t *tlb_limit_list(struct tlb_limit *l)
+{
+	struct tlb_limit_account *a;
+	struct tlb_limit_waiter *w;
+	struct tlb_bucket_snapshot s;
+	json_t *list = json_array();
+	int waiting;
+
+	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
+	{
+		waiting = 0;
+		APR_RING_FOREACH(w, &a->waiters, tlb_limit_waiter, link)
+		{
+			waiting++;
+		}
+		s = tlb_bucket_snapshot(&a->bucket, tlb_clock_now());
+		json_array_append_new(
+			list, json_pack("{s:s,s:I,s:I,s:i}", "account", a->id, "level",
+					(json_int_t)(s.level / TLB_BUCKET_SCALE), "outstanding",
+					(json_int_t)s.outstanding, "waiting", waiting));
+	}
+	return list;
+}
+
 void tlb_limit_on_reserve(struct tlb_limit *l, const struct tlb_peer_return *from,
 			  const Toucan__ReserveTokens *m)
 {
--- a/src/limit.h
+++ b/src/limit.h
@@ -65,6 +65,16 @@
 
 /* Shards moved here or away: buckets gained without a hand-over start empty, lost ones end. */
 void tlb_limit_shards_changed(struct tlb_limit *l, tlb_shard_set gained, tlb_shard_set lost);
+/* Adds the buckets of these shards to a hand-over; strings and arrays are malloc'd for the cluster
+ * to free. */
+void tlb_limit_hand_over(struct tlb_limit *l, tlb_shard_set shards, Toucan__HandOver *out);
+/* Takes buckets that a former owner handed over. */
+void tlb_limit_take_over(struct tlb_limit *l, const Toucan__HandOver *state);
+/* A VM is gone: what it had booked counts as used. */
+void tlb_limit_fenced(struct tlb_limit *l, const char *vm, uint64_t incarnation);
+/* Buckets of the accounts that this daemon accounts for, as JSON:
+ * [{"account","level","outstanding","waiting"}]. */
+json_t *tlb_limit_list(struct tlb_limit *l);
 /* Messages from other daemons. */
 void tlb_limit_on_reserve(struct tlb_limit *l, const struct tlb_peer_return *from,
 			  const Toucan__ReserveTokens *m);
