Check the configuration table as a whole and index it

A change was checked row by row and told its first fault only; a key could name an account that did not exist, and two keys could share a hash. Rows are now read through one schema (row.c), every fault of a change is listed with row, column, value and what is allowed (faults.c), and the table is checked across its rows.

Accounts, keys and operators are found through hash tables instead of ring scans; the index of hashes is keyed with a random secret so that timing tells nothing about a match.

--- a/src/address.c
+++ b/src/address.c
@@ -17,6 +17,9 @@
 
 	if (*text < '0' || *text > '9')
 		return false;
+	/* One port has one text form, so that equal addresses are equal texts. */
+	if (text[0] == '0' && text[1])
+		return false;
 	n = strtol(text, &end, 10);
 	if (*end || n > 65535)
 		return false;
--- /dev/null
+++ b/src/row.h
@@ -0,0 +1,34 @@
+/*
+ * The columns of each kind of row: their types, limits and defaults, in one schema from which rows
+ * are read, checked and written as JSON and as text.
+ */
+#ifndef TLB_ROW_H
+#define TLB_ROW_H
+
+#include "faults.h"
+#include "table.h"
+
+/* Size in bytes of the struct of a kind. */
+size_t tlb_row_size(enum tlb_row_kind kind);
+/* The id of a row of any kind. */
+const char *tlb_row_id(const void *row);
+
+/* Fills a zeroed row from its JSON value and adds every fault to f. With strict, an unknown column
+ * is a fault; without, it is ignored, so that rows written by a later release can be read. Returns
+ * false when there was a fault. */
+bool tlb_row_read(enum tlb_row_kind kind, const char *id, const json_t *value, bool strict,
+		  void *row, struct tlb_faults *f);
+/* The JSON value of a row, every column included. New reference. */
+json_t *tlb_row_write(enum tlb_row_kind kind, const void *row);
+
+size_t tlb_row_column_count(enum tlb_row_kind kind);
+/* The name of column i, in the order of the schema. */
+const char *tlb_row_column(enum tlb_row_kind kind, size_t i);
+/* Converts text ("5", "true", "a1") to the JSON type of a column. Text that is no number or
+ * truth value stays a string, which tlb_row_read() then refuses with the column's limits. Returns
+ * NULL for an unknown column. New reference. */
+json_t *tlb_row_from_text(enum tlb_row_kind kind, const char *column, const char *text);
+/* The text of a column's value: strings as they are, other values as JSON. malloc'd. */
+char *tlb_row_to_text(const json_t *value);
+
+#endif
--- a/src/table.c
+++ b/src/table.c
@@ -1,9 +1,13 @@
 #include "table.h"
 
+#include <apr_general.h>
+#include <apr_strings.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "row.h"
+
 static const char *const kind_names[TLB_ROW_KIND_COUNT] = {"account",  "key",	"model",
 							   "endpoint", "route", "operator"};
 
@@ -16,259 +20,386 @@
 		       len;
 }
 
+/* Without memory for its table the daemon can't tell what is allowed. */
+static int on_no_memory(int rv)
+{
+	abort();
+}
+
 void tlb_table_init(struct tlb_table *t)
 {
+	int i;
+
 	memset(t, 0, sizeof(*t));
+	/* Counted by APR, so that a second call is harmless. */
+	apr_initialize();
+	if (apr_pool_create_ex(&t->pool, NULL, on_no_memory, NULL) != APR_SUCCESS)
+		abort();
 	APR_RING_INIT(&t->accounts, tlb_account, link);
 	APR_RING_INIT(&t->keys, tlb_key, link);
 	APR_RING_INIT(&t->models, tlb_model, link);
 	APR_RING_INIT(&t->endpoints, tlb_endpoint, link);
 	APR_RING_INIT(&t->routes, tlb_route, link);
 	APR_RING_INIT(&t->operators, tlb_operator, link);
+	for (i = 0; i < TLB_ROW_KIND_COUNT; i++)
+		t->by_id[i] = apr_hash_make(t->pool);
+	t->keys_by_hash = apr_hash_make(t->pool);
+	t->operators_by_hash = apr_hash_make(t->pool);
+	randombytes_buf(t->index_secret, sizeof(t->index_secret));
 }
 
-#define FREE_RING(ring, type)                                                                      \
-	while (!APR_RING_EMPTY(ring, type, link)) {                                                \
-		struct type *row = APR_RING_FIRST(ring);                                           \
-		APR_RING_REMOVE(row, link);                                                        \
-		free(row);                                                                         \
-	}
-
 void tlb_table_finish(struct tlb_table *t)
 {
-	FREE_RING(&t->accounts, tlb_account)
-	FREE_RING(&t->keys, tlb_key)
-	FREE_RING(&t->models, tlb_model)
-	FREE_RING(&t->endpoints, tlb_endpoint)
-	FREE_RING(&t->routes, tlb_route)
-	FREE_RING(&t->operators, tlb_operator)
-}
-
-/* Reads the columns of one row; the first fault is kept in err. */
-struct reader {
-	const char *kind;
-	const char *id;
-	const json_t *value;
-	struct tlb_error *err;
-	bool failed;
-};
+	if (t->pool)
+		apr_pool_destroy(t->pool);
+	memset(t, 0, sizeof(*t));
+}
 
-static void fault(struct reader *r, const char *column, const char *allowed)
+/* --- rows --- */
+
+static void make_digest(const struct tlb_table *t, const unsigned char *hash, unsigned char *out)
 {
-	char *text = json_dumps(json_object_get(r->value, column), JSON_ENCODE_ANY);
+	_Static_assert(TLB_INDEX_LEN == crypto_shorthash_siphashx24_BYTES, "digest length");
+	_Static_assert(TLB_INDEX_LEN == crypto_shorthash_siphashx24_KEYBYTES, "secret length");
+	crypto_shorthash_siphashx24(out, hash, TLB_KEY_HASH_LEN, t->index_secret);
+}
 
-	if (!r->failed)
-		tlb_error_set(r->err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "",
-			      "row %s/%s, column %s: value %.60s is not allowed; expected %s",
-			      r->kind, r->id, column, text ? text : "(missing)", allowed);
-	r->failed = true;
-	free(text);
+static void index_key(struct tlb_table *t, struct tlb_key *k)
+{
+	make_digest(t, k->hash, k->digest);
+	apr_hash_set(t->keys_by_hash, k->digest, TLB_INDEX_LEN, k);
 }
 
-static void read_text(struct reader *r, const char *column, char *out, size_t size)
+static void index_operator(struct tlb_table *t, struct tlb_operator *o)
 {
-	const json_t *v = json_object_get(r->value, column);
-	const char *s = json_string_value(v);
+	make_digest(t, o->hash, o->digest);
+	apr_hash_set(t->operators_by_hash, o->digest, TLB_INDEX_LEN, o);
+}
 
-	if (!s || !*s || strlen(s) >= size)
-		fault(r, column, "a non-empty string of limited length");
-	else
-		strcpy(out, s);
+/* Removes an entry of an index unless another row with the same hash has taken it over. */
+static void drop_digest(apr_hash_t *index, const unsigned char *digest, const void *row)
+{
+	if (apr_hash_get(index, digest, TLB_INDEX_LEN) == row)
+		apr_hash_set(index, digest, TLB_INDEX_LEN, NULL);
 }
 
-static int64_t read_int(struct reader *r, const char *column, int64_t min, int64_t max,
-			int64_t fallback)
+#define APPEND(ring, type, any)                                                                    \
+	do {                                                                                       \
+		struct type *typed = any;                                                          \
+		APR_RING_ELEM_INIT(typed, link);                                                   \
+		APR_RING_INSERT_TAIL(ring, typed, type, link);                                     \
+	} while (0)
+
+static void insert(struct tlb_table *t, enum tlb_row_kind kind, void *row)
 {
-	const json_t *v = json_object_get(r->value, column);
-	char allowed[80];
+	apr_hash_set(t->by_id[kind], tlb_row_id(row), APR_HASH_KEY_STRING, row);
+	switch (kind) {
+	case TLB_ROW_ACCOUNT:
+		APPEND(&t->accounts, tlb_account, row);
+		break;
+	case TLB_ROW_KEY:
+		APPEND(&t->keys, tlb_key, row);
+		index_key(t, row);
+		break;
+	case TLB_ROW_MODEL:
+		APPEND(&t->models, tlb_model, row);
+		break;
+	case TLB_ROW_ENDPOINT:
+		APPEND(&t->endpoints, tlb_endpoint, row);
+		break;
+	case TLB_ROW_ROUTE:
+		APPEND(&t->routes, tlb_route, row);
+		break;
+	case TLB_ROW_OPERATOR:
+		APPEND(&t->operators, tlb_operator, row);
+		index_operator(t, row);
+		break;
+	case TLB_ROW_KIND_COUNT:
+		break;
+	}
+}
+
+#define UNLINK(type, any)                                                                          \
+	do {                                                                                       \
+		struct type *typed = any;                                                          \
+		APR_RING_REMOVE(typed, link);                                                      \
+	} while (0)
 
-	if (!v && fallback >= min)
-		return fallback;
-	if (json_is_integer(v) && json_integer_value(v) >= min && json_integer_value(v) <= max)
-		return json_integer_value(v);
-	snprintf(allowed, sizeof(allowed), "an integer from %lld to %lld", (long long)min,
-		 (long long)max);
-	fault(r, column, allowed);
-	return min;
+static void unlink_key(struct tlb_table *t, struct tlb_key *k)
+{
+	drop_digest(t->keys_by_hash, k->digest, k);
+	APR_RING_REMOVE(k, link);
 }
 
-static bool read_bool(struct reader *r, const char *column, bool fallback)
+static void unlink_operator(struct tlb_table *t, struct tlb_operator *o)
 {
-	const json_t *v = json_object_get(r->value, column);
+	drop_digest(t->operators_by_hash, o->digest, o);
+	APR_RING_REMOVE(o, link);
+}
 
-	if (!v)
-		return fallback;
-	if (!json_is_boolean(v))
-		fault(r, column, "true or false");
-	return json_is_true(v);
+bool tlb_table_remove(struct tlb_table *t, enum tlb_row_kind kind, const char *id)
+{
+	void *row = apr_hash_get(t->by_id[kind], id, APR_HASH_KEY_STRING);
+
+	if (!row)
+		return false;
+	apr_hash_set(t->by_id[kind], id, APR_HASH_KEY_STRING, NULL);
+	switch (kind) {
+	case TLB_ROW_ACCOUNT:
+		UNLINK(tlb_account, row);
+		break;
+	case TLB_ROW_KEY:
+		unlink_key(t, row);
+		break;
+	case TLB_ROW_MODEL:
+		UNLINK(tlb_model, row);
+		break;
+	case TLB_ROW_ENDPOINT:
+		UNLINK(tlb_endpoint, row);
+		break;
+	case TLB_ROW_ROUTE:
+		UNLINK(tlb_route, row);
+		break;
+	case TLB_ROW_OPERATOR:
+		unlink_operator(t, row);
+		break;
+	case TLB_ROW_KIND_COUNT:
+		break;
+	}
+	return true;
 }
 
-static int read_choice(struct reader *r, const char *column, const char *const *names, int n,
-		       const char *allowed)
+bool tlb_table_put(struct tlb_table *t, enum tlb_row_kind kind, const char *id, const json_t *value,
+		   bool strict, struct tlb_faults *f)
 {
-	const char *s = json_string_value(json_object_get(r->value, column));
-	int i;
+	void *row = apr_pcalloc(t->pool, tlb_row_size(kind));
+
+	if (!tlb_row_read(kind, id, value, strict, row, f))
+		return false;
+	tlb_table_remove(t, kind, id);
+	insert(t, kind, row);
+	return true;
+}
 
-	for (i = 0; s && i < n; i++)
-		if (strcmp(s, names[i]) == 0)
-			return i;
-	fault(r, column, allowed);
-	return 0;
+static enum tlb_code add_checked(struct tlb_table *t, enum tlb_row_kind kind, const char *id,
+				 const json_t *value, struct tlb_faults *f, struct tlb_error *err)
+{
+	if (apr_hash_get(t->by_id[kind], id, APR_HASH_KEY_STRING))
+		return tlb_error_set(err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "",
+				     "row %s/%s: the id is used twice", kind_names[kind], id);
+	if (!tlb_table_put(t, kind, id, value, true, f))
+		return tlb_error_set(err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "", "%s",
+				     tlb_faults_first(f));
+	return TLB_OK;
 }
 
-static void read_hash(struct reader *r, unsigned char *out)
+enum tlb_code tlb_table_add(struct tlb_table *t, enum tlb_row_kind kind, const char *id,
+			    const json_t *value, struct tlb_error *err)
 {
-	const char *s = json_string_value(json_object_get(r->value, "hash"));
-	size_t len = 0;
+	struct tlb_faults f;
+	enum tlb_code code;
 
-	if (!s || strlen(s) != 2 * TLB_KEY_HASH_LEN ||
-	    sodium_hex2bin(out, TLB_KEY_HASH_LEN, s, strlen(s), NULL, &len, NULL) != 0 ||
-	    len != TLB_KEY_HASH_LEN)
-		fault(r, "hash", "64 hex digits");
+	tlb_faults_init(&f);
+	code = add_checked(t, kind, id, value, &f, err);
+	tlb_faults_finish(&f);
+	return code;
 }
 
-static const char *const key_states[] = {"granted", "withdrawn"};
-static const char *const roles[] = {"prefill", "decode", "service"};
-static const char *const endpoint_states[] = {"joining", "active", "leaving"};
+static void copy_kind(struct tlb_table *t, const struct tlb_table *from, enum tlb_row_kind kind)
+{
+	apr_hash_index_t *i = apr_hash_first(t->pool, from->by_id[kind]);
+
+	for (; i; i = apr_hash_next(i))
+		insert(t, kind, apr_pmemdup(t->pool, apr_hash_this_val(i), tlb_row_size(kind)));
+}
 
-static double read_weight(struct reader *r)
+void tlb_table_copy(struct tlb_table *t, const struct tlb_table *from)
 {
-	const json_t *v = json_object_get(r->value, "weight");
-	double weight = json_number_value(v);
+	int kind;
+
+	t->version = from->version;
+	for (kind = 0; kind < TLB_ROW_KIND_COUNT; kind++)
+		copy_kind(t, from, kind);
+}
+
+/* --- the table as a whole --- */
 
-	if (!json_is_number(v) || !(weight >= 0.01 && weight <= 1000))
-		fault(r, "weight", "a number from 0.01 to 1000");
-	return weight;
+/* What the checks across rows carry along. */
+struct checker {
+	struct tlb_table *t;
+	struct tlb_faults *faults;
+	size_t faults_before;
+};
+
+enum { ROW_NAME_LEN = TLB_ID_LEN + 16 };
+
+static void row_name(enum tlb_row_kind kind, const char *id, char *out)
+{
+	snprintf(out, ROW_NAME_LEN, "%s/%s", kind_names[kind], id);
 }
 
-static struct tlb_account *read_account(struct reader *r)
+static void cross_fault(struct checker *c, enum tlb_row_kind kind, const char *id,
+			const char *column, const char *value, const char *allowed)
 {
-	struct tlb_account *a = calloc(1, sizeof(*a));
+	char name[ROW_NAME_LEN];
+	json_t *v = json_string(value);
 
-	if (!a)
-		return NULL;
-	a->weight = read_weight(r);
-	a->rate = read_int(r, "rate", 1, 1000000000, 0);
-	a->burst = read_int(r, "burst", 1, 10000000000, 0);
-	return a;
+	row_name(kind, id, name);
+	tlb_faults_add(c->faults, name, column, v, allowed);
+	json_decref(v);
 }
 
-static struct tlb_key *read_key(struct reader *r)
+static void twice_fault(struct checker *c, enum tlb_row_kind kind, const char *id,
+			const char *column, const char *value, enum tlb_row_kind other_kind,
+			const char *other)
 {
-	struct tlb_key *k = calloc(1, sizeof(*k));
+	char name[ROW_NAME_LEN];
+	char allowed[ROW_NAME_LEN + 64];
 
-	if (!k)
-		return NULL;
-	read_text(r, "account", k->account, sizeof(k->account));
-	read_hash(r, k->hash);
-	k->withdrawn = read_choice(r, "state", key_states, 2, "granted or withdrawn") == 1;
-	return k;
+	row_name(other_kind, other, name);
+	snprintf(allowed, sizeof(allowed), "a value that row %s does not have", name);
+	cross_fault(c, kind, id, column, value, allowed);
 }
 
-static struct tlb_model *read_model(struct reader *r)
+static void check_key(struct checker *c, struct tlb_key *k)
 {
-	struct tlb_model *m = calloc(1, sizeof(*m));
+	struct tlb_key *other = tlb_table_key(c->t, k->hash);
 
-	if (!m)
-		return NULL;
-	read_text(r, "version", m->version, sizeof(m->version));
-	read_text(r, "pool", m->pool, sizeof(m->pool));
-	m->piece_tokens = (int)read_int(r, "piece_tokens", 1, 1000000, 2000);
-	m->max_output = (int)read_int(r, "max_output", 1, 1000000, 4096);
-	m->max_prompt = (int)read_int(r, "max_prompt", 1, 10000000, 65536);
-	return m;
+	if (!tlb_table_account(c->t, k->account))
+		cross_fault(c, TLB_ROW_KEY, k->id, "account", k->account,
+			    "the id of an account in the table");
+	if (other)
+		twice_fault(c, TLB_ROW_KEY, k->id, "hash", "(hidden)", TLB_ROW_KEY, other->id);
+	else
+		index_key(c->t, k);
 }
 
-static struct tlb_endpoint *read_endpoint(struct reader *r)
+/* The indexes are made anew: while rows change one by one, two may have one hash. */
+static void check_keys(struct checker *c)
 {
-	struct tlb_endpoint *e = calloc(1, sizeof(*e));
+	struct tlb_key *k;
 
-	if (!e)
-		return NULL;
-	e->role = read_choice(r, "role", roles, 3, "prefill, decode or service");
-	read_text(r, "pool", e->pool, sizeof(e->pool));
-	read_text(r, "zone", e->zone, sizeof(e->zone));
-	read_text(r, "addr", e->addr, sizeof(e->addr));
-	e->state = read_choice(r, "state", endpoint_states, 3, "joining, active or leaving");
-	e->checks_fencing = read_bool(r, "fencing", false);
-	e->pieces = (int)read_int(r, "pieces", 1, 1000000, 40);
-	e->link_mbps = (int)read_int(r, "link_mbps", 1, 10000000, 10000);
-	return e;
+	apr_hash_clear(c->t->keys_by_hash);
+	APR_RING_FOREACH (k, &c->t->keys, tlb_key, link) {
+		check_key(c, k);
+	}
 }
 
-static struct tlb_route *read_route(struct reader *r)
+static void check_operator(struct checker *c, struct tlb_operator *o)
 {
-	struct tlb_route *o = calloc(1, sizeof(*o));
+	struct tlb_operator *other = tlb_table_operator(c->t, o->hash);
+	struct tlb_key *k = tlb_table_key(c->t, o->hash);
 
-	if (!o)
-		return NULL;
-	read_text(r, "path", o->path, sizeof(o->path));
-	read_text(r, "method", o->method, sizeof(o->method));
-	read_text(r, "pool", o->pool, sizeof(o->pool));
-	o->open = read_bool(r, "open", false);
-	o->idempotent = read_bool(r, "idempotent", false);
-	o->cost = read_int(r, "cost", 0, 1000000, 1);
-	o->timeout_ms = (int)read_int(r, "timeout_ms", 1, 600000, 5000);
-	return o;
+	if (other)
+		twice_fault(c, TLB_ROW_OPERATOR, o->id, "hash", "(hidden)", TLB_ROW_OPERATOR,
+			    other->id);
+	else
+		index_operator(c->t, o);
+	if (k)
+		twice_fault(c, TLB_ROW_OPERATOR, o->id, "hash", "(hidden)", TLB_ROW_KEY, k->id);
 }
 
-static struct tlb_operator *read_operator(struct reader *r)
+static void check_operators(struct checker *c)
 {
-	struct tlb_operator *o = calloc(1, sizeof(*o));
+	struct tlb_operator *o;
 
-	if (!o)
-		return NULL;
-	read_hash(r, o->hash);
-	o->withdrawn = read_choice(r, "state", key_states, 2, "granted or withdrawn") == 1;
-	return o;
+	apr_hash_clear(c->t->operators_by_hash);
+	APR_RING_FOREACH (o, &c->t->operators, tlb_operator, link) {
+		check_operator(c, o);
+	}
 }
 
-#define ADD_ROW(type, ring, make)                                                                  \
-	do {                                                                                       \
-		struct type *row = make;                                                           \
-		if (!row || r.failed) {                                                            \
-			free(row);                                                                 \
-			break;                                                                     \
-		}                                                                                  \
-		strcpy(row->id, id);                                                               \
-		APR_RING_INSERT_TAIL(ring, row, type, link);                                       \
-	} while (0)
+static void check_endpoints(struct checker *c, apr_pool_t *pool)
+{
+	apr_hash_t *by_addr = apr_hash_make(pool);
+	struct tlb_endpoint *other;
+	struct tlb_endpoint *e;
+
+	APR_RING_FOREACH (e, &c->t->endpoints, tlb_endpoint, link) {
+		other = apr_hash_get(by_addr, e->addr, APR_HASH_KEY_STRING);
+		if (other)
+			twice_fault(c, TLB_ROW_ENDPOINT, e->id, "addr", e->addr, TLB_ROW_ENDPOINT,
+				    other->id);
+		else
+			apr_hash_set(by_addr, e->addr, APR_HASH_KEY_STRING, e);
+	}
+}
 
-enum tlb_code tlb_table_add(struct tlb_table *t, enum tlb_row_kind kind, const char *id,
-			    const json_t *value, struct tlb_error *err)
+static bool pool_has(const struct tlb_table *t, const char *pool, enum tlb_role role)
 {
-	struct reader r = {kind_names[kind], id, value, err, false};
+	struct tlb_endpoint *e;
 
-	if (!*id || strlen(id) >= TLB_ID_LEN)
-		return tlb_error_set(err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "",
-				     "row id of %s must have 1 to %d characters", kind_names[kind],
-				     TLB_ID_LEN - 1);
-	switch (kind) {
-	case TLB_ROW_ACCOUNT:
-		ADD_ROW(tlb_account, &t->accounts, read_account(&r));
-		break;
-	case TLB_ROW_KEY:
-		ADD_ROW(tlb_key, &t->keys, read_key(&r));
-		break;
-	case TLB_ROW_MODEL:
-		ADD_ROW(tlb_model, &t->models, read_model(&r));
-		break;
-	case TLB_ROW_ENDPOINT:
-		ADD_ROW(tlb_endpoint, &t->endpoints, read_endpoint(&r));
-		break;
-	case TLB_ROW_ROUTE:
-		ADD_ROW(tlb_route, &t->routes, read_route(&r));
-		break;
-	case TLB_ROW_OPERATOR:
-		ADD_ROW(tlb_operator, &t->operators, read_operator(&r));
-		break;
-	case TLB_ROW_KIND_COUNT:
-		r.failed = true;
-		break;
+	APR_RING_FOREACH (e, &t->endpoints, tlb_endpoint, link) {
+		if (e->role == role && e->state != TLB_ENDPOINT_LEAVING &&
+		    strcmp(e->pool, pool) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void warn_pool(struct checker *c, enum tlb_row_kind kind, const char *id, const char *pool,
+		      const char *role)
+{
+	char name[ROW_NAME_LEN];
+	char allowed[80];
+	json_t *v = json_string(pool);
+
+	row_name(kind, id, name);
+	snprintf(allowed, sizeof(allowed), "a pool with a %s endpoint that is not leaving", role);
+	tlb_faults_warn(c->faults, name, "pool", v, allowed);
+	json_decref(v);
+}
+
+static void check_models(struct checker *c)
+{
+	struct tlb_model *m;
+
+	APR_RING_FOREACH (m, &c->t->models, tlb_model, link) {
+		if (!pool_has(c->t, m->pool, TLB_ROLE_PREFILL))
+			warn_pool(c, TLB_ROW_MODEL, m->id, m->pool, "prefill");
+		if (!pool_has(c->t, m->pool, TLB_ROLE_DECODE))
+			warn_pool(c, TLB_ROW_MODEL, m->id, m->pool, "decode");
+	}
+}
+
+static void check_routes(struct checker *c, apr_pool_t *pool)
+{
+	apr_hash_t *by_path = apr_hash_make(pool);
+	struct tlb_route *other;
+	struct tlb_route *r;
+	char *path;
+
+	APR_RING_FOREACH (r, &c->t->routes, tlb_route, link) {
+		path = apr_pstrcat(pool, r->method, " ", r->path, NULL);
+		other = apr_hash_get(by_path, path, APR_HASH_KEY_STRING);
+		if (other)
+			twice_fault(c, TLB_ROW_ROUTE, r->id, "path", path, TLB_ROW_ROUTE,
+				    other->id);
+		else
+			apr_hash_set(by_path, path, APR_HASH_KEY_STRING, r);
+		if (!pool_has(c->t, r->pool, TLB_ROLE_SERVICE))
+			warn_pool(c, TLB_ROW_ROUTE, r->id, r->pool, "service");
 	}
-	return r.failed ? TLB_BAD_REQUEST : TLB_OK;
 }
 
+bool tlb_table_check(struct tlb_table *t, struct tlb_faults *f)
+{
+	struct checker c = {t, f, f->fault_count};
+	apr_pool_t *pool;
+
+	if (apr_pool_create_ex(&pool, t->pool, on_no_memory, NULL) != APR_SUCCESS)
+		abort();
+	check_keys(&c);
+	check_operators(&c);
+	check_endpoints(&c, pool);
+	check_models(&c);
+	check_routes(&c, pool);
+	apr_pool_destroy(pool);
+	return f->fault_count == c.faults_before;
+}
+
+/* --- names and lookups --- */
+
 bool tlb_table_split_key(const char *key, enum tlb_row_kind *kind, const char **id)
 {
 	const char *name;
@@ -294,27 +425,84 @@
 	return kind_names[kind];
 }
 
-#define FIND_ROW(type, ring, wanted)                                                               \
-	struct type *row;                                                                          \
-	APR_RING_FOREACH (row, ring, type, link) {                                                 \
-		if (strcmp(row->id, wanted) == 0)                                                  \
-			return row;                                                                \
-	}                                                                                          \
-	return NULL
+bool tlb_table_kind(const char *name, enum tlb_row_kind *kind)
+{
+	int i;
+
+	for (i = 0; i < TLB_ROW_KIND_COUNT; i++) {
+		if (strcmp(kind_names[i], name) != 0)
+			continue;
+		*kind = i;
+		return true;
+	}
+	return false;
+}
+
+size_t tlb_table_count(const struct tlb_table *t, enum tlb_row_kind kind)
+{
+	return apr_hash_count(t->by_id[kind]);
+}
+
+json_t *tlb_table_row(const struct tlb_table *t, enum tlb_row_kind kind, const char *id)
+{
+	const void *row = apr_hash_get(t->by_id[kind], id, APR_HASH_KEY_STRING);
+
+	return row ? tlb_row_write(kind, row) : NULL;
+}
+
+static int compare_ids(const void *a, const void *b)
+{
+	const char *const *x = a;
+	const char *const *y = b;
+
+	return strcmp(*x, *y);
+}
+
+/* The ids of a kind in order, in memory of pool. */
+static const char **sorted_ids(const struct tlb_table *t, enum tlb_row_kind kind, apr_pool_t *pool)
+{
+	const char **ids = apr_palloc(pool, (tlb_table_count(t, kind) + 1) * sizeof(const char *));
+	apr_hash_index_t *i = apr_hash_first(pool, t->by_id[kind]);
+	size_t n = 0;
+
+	for (; i; i = apr_hash_next(i))
+		ids[n++] = apr_hash_this_key(i);
+	ids[n] = NULL;
+	qsort(ids, n, sizeof(const char *), compare_ids);
+	return ids;
+}
+
+json_t *tlb_table_rows(const struct tlb_table *t, enum tlb_row_kind kind)
+{
+	json_t *rows = json_array();
+	char key[TLB_ID_LEN + 24];
+	apr_pool_t *pool;
+	const char **id;
+
+	if (apr_pool_create_ex(&pool, NULL, on_no_memory, NULL) != APR_SUCCESS)
+		abort();
+	for (id = sorted_ids(t, kind, pool); *id; id++) {
+		snprintf(key, sizeof(key), "config/%s/%s", kind_names[kind], *id);
+		json_array_append_new(rows, json_pack("{s:s, s:o}", "key", key, "value",
+						      tlb_table_row(t, kind, *id)));
+	}
+	apr_pool_destroy(pool);
+	return rows;
+}
 
 struct tlb_account *tlb_table_account(const struct tlb_table *t, const char *id)
 {
-	FIND_ROW(tlb_account, &t->accounts, id);
+	return apr_hash_get(t->by_id[TLB_ROW_ACCOUNT], id, APR_HASH_KEY_STRING);
 }
 
 struct tlb_model *tlb_table_model(const struct tlb_table *t, const char *id)
 {
-	FIND_ROW(tlb_model, &t->models, id);
+	return apr_hash_get(t->by_id[TLB_ROW_MODEL], id, APR_HASH_KEY_STRING);
 }
 
 struct tlb_endpoint *tlb_table_endpoint(const struct tlb_table *t, const char *id)
 {
-	FIND_ROW(tlb_endpoint, &t->endpoints, id);
+	return apr_hash_get(t->by_id[TLB_ROW_ENDPOINT], id, APR_HASH_KEY_STRING);
 }
 
 static bool is_prefix(const char *prefix, const char *path)
@@ -347,13 +535,20 @@
 
 struct tlb_key *tlb_table_key(const struct tlb_table *t, const unsigned char *hash)
 {
-	struct tlb_key *found = NULL;
+	unsigned char digest[TLB_INDEX_LEN];
 	struct tlb_key *k;
 
-	/* Every key is compared, so that the time taken tells nothing about the match. */
-	APR_RING_FOREACH (k, &t->keys, tlb_key, link) {
-		if (sodium_memcmp(k->hash, hash, TLB_KEY_HASH_LEN) == 0)
-			found = k;
-	}
-	return found;
+	make_digest(t, hash, digest);
+	k = apr_hash_get(t->keys_by_hash, digest, TLB_INDEX_LEN);
+	return k && sodium_memcmp(k->hash, hash, TLB_KEY_HASH_LEN) == 0 ? k : NULL;
+}
+
+struct tlb_operator *tlb_table_operator(const struct tlb_table *t, const unsigned char *hash)
+{
+	unsigned char digest[TLB_INDEX_LEN];
+	struct tlb_operator *o;
+
+	make_digest(t, hash, digest);
+	o = apr_hash_get(t->operators_by_hash, digest, TLB_INDEX_LEN);
+	return o && sodium_memcmp(o->hash, hash, TLB_KEY_HASH_LEN) == 0 ? o : NULL;
 }
--- a/src/table.h
+++ b/src/table.h
@@ -7,14 +7,19 @@
 #ifndef TLB_TABLE_H
 #define TLB_TABLE_H
 
+#include <apr_hash.h>
+#include <apr_pools.h>
 #include <apr_ring.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "error.h"
+#include "faults.h"
 
 enum { TLB_ID_LEN = 48, TLB_KEY_HASH_LEN = 32, TLB_ADDR_LEN = 64, TLB_PATH_LEN = 96 };
+/* Length of the keyed digest under which a hash is indexed, and of its secret. */
+enum { TLB_INDEX_LEN = 16 };
 
 enum tlb_row_kind {
 	TLB_ROW_ACCOUNT,
@@ -42,6 +47,7 @@
 	char account[TLB_ID_LEN];
 	unsigned char hash[TLB_KEY_HASH_LEN];
 	bool withdrawn;
+	unsigned char digest[TLB_INDEX_LEN];
 };
 
 /* {"version":"1","pool":"main","piece_tokens":2000,"max_output":4096,"max_prompt":65536};
@@ -98,6 +104,7 @@
 	char id[TLB_ID_LEN];
 	unsigned char hash[TLB_KEY_HASH_LEN];
 	bool withdrawn;
+	unsigned char digest[TLB_INDEX_LEN];
 };
 
 APR_RING_HEAD(tlb_account_ring, tlb_account);
@@ -107,7 +114,7 @@
 APR_RING_HEAD(tlb_route_ring, tlb_route);
 APR_RING_HEAD(tlb_operator_ring, tlb_operator);
 
-/* Owned by the board; owns its rows. */
+/* Owned by the board or the configuration controller; owns its rows, which live in pool. */
 struct tlb_table {
 	int64_t version;
 	struct tlb_account_ring accounts;
@@ -116,13 +123,30 @@
 	struct tlb_endpoint_ring endpoints;
 	struct tlb_route_ring routes;
 	struct tlb_operator_ring operators;
+	apr_pool_t *pool;
+	apr_hash_t *by_id[TLB_ROW_KIND_COUNT];
+	apr_hash_t *keys_by_hash;
+	apr_hash_t *operators_by_hash;
+	unsigned char index_secret[TLB_INDEX_LEN];
 };
 
 void tlb_table_init(struct tlb_table *t);
 void tlb_table_finish(struct tlb_table *t);
-
-/* Adds one row from its JSON value. A fault leaves the table unchanged and names row, column, value
- * and what is allowed. */
+/* Copies version and rows into an empty table. */
+void tlb_table_copy(struct tlb_table *t, const struct tlb_table *from);
+
+/* Adds or replaces one row. Every fault of the row is added to f, and then the table is unchanged
+ * and false is returned. With strict, unknown columns are faults. */
+bool tlb_table_put(struct tlb_table *t, enum tlb_row_kind kind, const char *id, const json_t *value,
+		   bool strict, struct tlb_faults *f);
+/* Removes a row. Returns false when there is none. */
+bool tlb_table_remove(struct tlb_table *t, enum tlb_row_kind kind, const char *id);
+/* Checks the table as a whole (references, duplicates, pools without endpoints). Returns false when
+ * there was a fault; warnings don't count. */
+bool tlb_table_check(struct tlb_table *t, struct tlb_faults *f);
+
+/* Adds one row from its JSON value; a second row with one id is refused. A fault leaves the table
+ * unchanged; err names row, column, value and what is allowed, for the first fault. */
 enum tlb_code tlb_table_add(struct tlb_table *t, enum tlb_row_kind kind, const char *id,
 			    const json_t *value, struct tlb_error *err);
 
@@ -132,7 +156,16 @@
 /* Whether an id is allowed: 1 to 47 of A-Z a-z 0-9 . _ -, the first a letter or a digit. */
 bool tlb_table_id_valid(const char *id);
 const char *tlb_table_kind_name(enum tlb_row_kind kind);
+/* The kind of a name such as "account". Returns false when there is none. */
+bool tlb_table_kind(const char *name, enum tlb_row_kind *kind);
+
+size_t tlb_table_count(const struct tlb_table *t, enum tlb_row_kind kind);
+/* The JSON value of a row, or NULL. New reference. */
+json_t *tlb_table_row(const struct tlb_table *t, enum tlb_row_kind kind, const char *id);
+/* The rows of a kind by id: [{"key":"config/<kind>/<id>","value":{...}}]. New reference. */
+json_t *tlb_table_rows(const struct tlb_table *t, enum tlb_row_kind kind);
 
+/* Lookups take constant time, whatever the size of the table. */
 struct tlb_account *tlb_table_account(const struct tlb_table *t, const char *id);
 struct tlb_model *tlb_table_model(const struct tlb_table *t, const char *id);
 struct tlb_endpoint *tlb_table_endpoint(const struct tlb_table *t, const char *id);
@@ -140,7 +173,10 @@
  * some route has this path with another method. */
 struct tlb_route *tlb_table_route(const struct tlb_table *t, const char *method, const char *path,
 				  bool *path_known);
-/* The key with this SHA-256 hash, compared in constant time, or NULL. */
+/* The key or operator with this SHA-256 hash, or NULL; withdrawn ones included. The time taken
+ * tells nothing about how much of a hash matches: the index is keyed with a random secret, and the
+ * hash itself is compared in constant time. */
 struct tlb_key *tlb_table_key(const struct tlb_table *t, const unsigned char *hash);
+struct tlb_operator *tlb_table_operator(const struct tlb_table *t, const unsigned char *hash);
 
 #endif
