--- a/src/row.c
+++ b/src/row.c
@@ -442,6 +442,20 @@
 	return value;
 }
 
+/* Rows start zeroed, so that the bytes behind a text are the same too. */
+bool tlb_row_equal(enum tlb_row_kind kind, const void *a, const void *b)
+{
+	const struct column *c = schemas[kind].columns;
+	const struct column *end = c + schemas[kind].count;
+	const unsigned char *x = a;
+	const unsigned char *y = b;
+
+	for (; c < end; c++)
+		if (memcmp(x + c->offset, y + c->offset, c->size) != 0)
+			return false;
+	return true;
+}
+
 size_t tlb_row_size(enum tlb_row_kind kind)
 {
 	return schemas[kind].size;
--- a/src/row.h
+++ b/src/row.h
@@ -20,6 +20,8 @@
 		  void *row, struct tlb_faults *f);
 /* The JSON value of a row, every column included. New reference. */
 json_t *tlb_row_write(enum tlb_row_kind kind, const void *row);
+/* Whether every column of two rows of one kind is the same. */
+bool tlb_row_equal(enum tlb_row_kind kind, const void *a, const void *b);
 
 size_t tlb_row_column_count(enum tlb_row_kind kind);
 /* The name of column i, in the order of the schema. */
--- a/src/table.c
+++ b/src/table.c
@@ -26,6 +26,15 @@
 	abort();
 }
 
+static apr_pool_t *make_pool(apr_pool_t *parent)
+{
+	apr_pool_t *pool;
+
+	if (apr_pool_create_ex(&pool, parent, on_no_memory, NULL) != APR_SUCCESS)
+		abort();
+	return pool;
+}
+
 void tlb_table_init(struct tlb_table *t)
 {
 	int i;
@@ -33,8 +42,7 @@
 	memset(t, 0, sizeof(*t));
 	/* Counted by APR, so that a second call is harmless. */
 	apr_initialize();
-	if (apr_pool_create_ex(&t->pool, NULL, on_no_memory, NULL) != APR_SUCCESS)
-		abort();
+	t->pool = make_pool(NULL);
 	APR_RING_INIT(&t->accounts, tlb_account, link);
 	APR_RING_INIT(&t->keys, tlb_key, link);
 	APR_RING_INIT(&t->models, tlb_model, link);
@@ -385,10 +393,8 @@
 bool tlb_table_check(struct tlb_table *t, struct tlb_faults *f)
 {
 	struct checker c = {t, f, f->fault_count};
-	apr_pool_t *pool;
+	apr_pool_t *pool = make_pool(t->pool);
 
-	if (apr_pool_create_ex(&pool, t->pool, on_no_memory, NULL) != APR_SUCCESS)
-		abort();
 	check_keys(&c);
 	check_operators(&c);
 	check_endpoints(&c, pool);
@@ -476,11 +482,9 @@
 {
 	json_t *rows = json_array();
 	char key[TLB_ID_LEN + 24];
-	apr_pool_t *pool;
+	apr_pool_t *pool = make_pool(NULL);
 	const char **id;
 
-	if (apr_pool_create_ex(&pool, NULL, on_no_memory, NULL) != APR_SUCCESS)
-		abort();
 	for (id = sorted_ids(t, kind, pool); *id; id++) {
 		snprintf(key, sizeof(key), "config/%s/%s", kind_names[kind], *id);
 		json_array_append_new(rows, json_pack("{s:s, s:o}", "key", key, "value",
@@ -490,6 +494,43 @@
 	return rows;
 }
 
+static void add_key(json_t *keys, enum tlb_row_kind kind, const char *id)
+{
+	json_array_append_new(keys, json_sprintf("config/%s/%s", kind_names[kind], id));
+}
+
+static void diff_kind(const struct tlb_table *a, const struct tlb_table *b, enum tlb_row_kind kind,
+		      apr_pool_t *pool, json_t *keys)
+{
+	apr_hash_index_t *i;
+	const void *other;
+	const char *id;
+
+	for (i = apr_hash_first(pool, a->by_id[kind]); i; i = apr_hash_next(i)) {
+		id = apr_hash_this_key(i);
+		other = apr_hash_get(b->by_id[kind], id, APR_HASH_KEY_STRING);
+		if (!other || !tlb_row_equal(kind, apr_hash_this_val(i), other))
+			add_key(keys, kind, id);
+	}
+	for (i = apr_hash_first(pool, b->by_id[kind]); i; i = apr_hash_next(i)) {
+		id = apr_hash_this_key(i);
+		if (!apr_hash_get(a->by_id[kind], id, APR_HASH_KEY_STRING))
+			add_key(keys, kind, id);
+	}
+}
+
+json_t *tlb_table_diff(const struct tlb_table *a, const struct tlb_table *b)
+{
+	json_t *keys = json_array();
+	apr_pool_t *pool = make_pool(NULL);
+	int kind;
+
+	for (kind = 0; kind < TLB_ROW_KIND_COUNT; kind++)
+		diff_kind(a, b, kind, pool, keys);
+	apr_pool_destroy(pool);
+	return keys;
+}
+
 struct tlb_account *tlb_table_account(const struct tlb_table *t, const char *id)
 {
 	return apr_hash_get(t->by_id[TLB_ROW_ACCOUNT], id, APR_HASH_KEY_STRING);
--- a/src/table.h
+++ b/src/table.h
@@ -165,6 +165,9 @@
 /* The rows of a kind by id: [{"key":"config/<kind>/<id>","value":{...}}]. New reference. */
 json_t *tlb_table_rows(const struct tlb_table *t, enum tlb_row_kind kind);
 
+/* The keys of the rows that differ between two tables: ["config/<kind>/<id>"]. New reference. */
+json_t *tlb_table_diff(const struct tlb_table *a, const struct tlb_table *b);
+
 /* Lookups take constant time, whatever the size of the table. */
 struct tlb_account *tlb_table_account(const struct tlb_table *t, const char *id);
 struct tlb_model *tlb_table_model(const struct tlb_table *t, const char *id);
