Add the operators' listener

Operators read the table, change it, and see status, requests, endpoints, accounts and which VM has which version in force. Credentials are compared by hash with the operator rows. Before the first operator row exists, a hash in the secrets file lets one credential in, so that a new deployment needs no hand-made rows in the table service. What other modules know comes through a struct of functions. Every fault of a change is in the answer; a conflict names the winning change.

--- a/src/booking.c
+++ b/src/booking.c
@@ -615,8 +615,7 @@
 	const struct tlb_booking *k;
 	Toucan__Booking **grown;
 
-	APR_RING_FOREACH(k, &t->book.bookings, tlb_booking, link)
-	{
+	APR_RING_FOREACH (k, &t->book.bookings, tlb_booking, link) {
 		grown = realloc(out->bookings, (out->n_bookings + 1) * sizeof(Toucan__Booking *));
 		if (!grown)
 			return;
@@ -631,8 +630,7 @@
 {
 	const struct tlb_target *t;
 
-	APR_RING_FOREACH(t, &b->board->load.targets, tlb_target, link)
-	{
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
 		if (t->role == TLB_ROLE_DECODE && tlb_shard_in(shards, tlb_shard_of(t->id)))
 			hand_over_book(t, out);
 	}
--- a/src/limit.c
+++ b/src/limit.c
@@ -437,8 +437,7 @@
 	const struct tlb_limit_account *a;
 	size_t n = 0;
 
-	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
-	{
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
 		if (tlb_shard_in(shards, tlb_shard_of(a->id)))
 			n++;
 	}
@@ -470,8 +469,7 @@
 	out->buckets = calloc(n, sizeof(*out->buckets));
 	if (!out->buckets)
 		return;
-	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
-	{
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
 		if (!tlb_shard_in(shards, tlb_shard_of(a->id)))
 			continue;
 		out->buckets[out->n_buckets] = bucket_message(a);
@@ -506,8 +504,7 @@
 	struct tlb_limit_grant *g;
 	struct tlb_limit_grant *next;
 
-	APR_RING_FOREACH_SAFE(g, next, &a->grants, tlb_limit_grant, link)
-	{
+	APR_RING_FOREACH_SAFE (g, next, &a->grants, tlb_limit_grant, link) {
 		if (strcmp(g->vm, vm) != 0 || g->incarnation != incarnation)
 			continue;
 		tlb_bucket_settle(&a->bucket, g->tokens, g->tokens, tlb_clock_now());
@@ -520,8 +517,7 @@
 {
 	struct tlb_limit_account *a;
 
-	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
-	{
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
 		settle_fenced(a, vm, incarnation);
 	}
 }
@@ -534,11 +530,9 @@
 	json_t *list = json_array();
 	int waiting;
 
-	APR_RING_FOREACH(a, &l->accounts, tlb_limit_account, link)
-	{
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
 		waiting = 0;
-		APR_RING_FOREACH(w, &a->waiters, tlb_limit_waiter, link)
-		{
+		APR_RING_FOREACH (w, &a->waiters, tlb_limit_waiter, link) {
 			waiting++;
 		}
 		s = tlb_bucket_snapshot(&a->bucket, tlb_clock_now());
--- /dev/null
+++ b/src/operator.c
@@ -0,0 +1,627 @@
+#include "operator.h"
+
+#include <ctype.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "csv.h"
+
+/* The author of changes made with the credential of the secrets file. */
+static const char first_operator_id[] = "first-operator";
+
+/* --- answers --- */
+
+static void answer_text(struct tlb_exchange *x, int status, const char *type, char *text,
+			size_t len)
+{
+	struct tlb_error err;
+
+	if (text) {
+		tlb_exchange_reply(x, status, type, text, len);
+		return;
+	}
+	tlb_error_set(&err, TLB_INTERNAL, TLB_UNKNOWN, "answer", "", "out of memory");
+	tlb_exchange_refuse(x, &err, 0);
+}
+
+/* Takes the reference to body. */
+static void answer(struct tlb_exchange *x, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_REAL_PRECISION(15));
+
+	json_decref(body);
+	answer_text(x, status, "application/json", text, text ? strlen(text) : 0);
+}
+
+static void refuse(struct tlb_exchange *x, enum tlb_code code, const char *message)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, TLB_NOT_RUN, "operator", "", "%s", message);
+	tlb_exchange_refuse(x, &err, 0);
+}
+
+static json_t *error_body(const struct tlb_error *err)
+{
+	return json_pack("{s:{s:s, s:s, s:s}}", "error", "code", tlb_error_name(err->code),
+			 "message", err->message, "outcome", tlb_outcome_name(err->outcome));
+}
+
+static void answer_faults(struct tlb_exchange *x, const struct tlb_error *err,
+			  const struct tlb_faults *f)
+{
+	json_t *body = error_body(err);
+
+	json_object_set(body, "faults", f->faults);
+	json_object_set_new(body, "fault_count", json_integer((json_int_t)f->fault_count));
+	json_object_set(body, "warnings", f->warnings);
+	answer(x, tlb_error_http_status(err->code), body);
+}
+
+/* --- who asks --- */
+
+static bool has_granted(const struct tlb_table *t)
+{
+	const struct tlb_operator *o;
+
+	APR_RING_FOREACH (o, &t->operators, tlb_operator, link) {
+		if (!o->withdrawn)
+			return true;
+	}
+	return false;
+}
+
+/* The id of the operator who asks, or NULL. */
+static const char *find_author(const struct tlb_operator_listener *o, const struct tlb_exchange *x)
+{
+	const struct tlb_table *t = o->config->table;
+	const struct tlb_operator *row;
+
+	if (x->key_form != TLB_KEY_PRESENT)
+		return NULL;
+	row = tlb_table_operator(t, x->key_hash);
+	if (row)
+		return row->withdrawn ? NULL : row->id;
+	if (o->settings->has_first_operator &&
+	    sodium_memcmp(o->settings->first_operator, x->key_hash, TLB_KEY_HASH_LEN) == 0 &&
+	    o->config->loaded && !has_granted(t))
+		return first_operator_id;
+	return NULL;
+}
+
+/* --- the query --- */
+
+/* Copies the value of a parameter; "" when it is absent. Values need no decoding, because kinds and
+ * numbers have no escaped characters. */
+static void find_param(const struct tlb_exchange *x, const char *name, char *out, size_t size)
+{
+	size_t name_len = strlen(name);
+	const char *p = x->query;
+	size_t len;
+
+	out[0] = '\0';
+	while (*p) {
+		len = strcspn(p, "&");
+		if (len > name_len && strncmp(p, name, name_len) == 0 && p[name_len] == '=') {
+			snprintf(out, size, "%.*s", (int)(len - name_len - 1), p + name_len + 1);
+			return;
+		}
+		p += len + (p[len] == '&');
+	}
+}
+
+/* Returns false after a refusal. *given tells whether there is such a parameter. */
+static bool find_kind(struct tlb_exchange *x, enum tlb_row_kind *kind, bool *given)
+{
+	char name[16];
+
+	find_param(x, "kind", name, sizeof(name));
+	*given = name[0] != '\0';
+	if (!*given || tlb_table_kind(name, kind))
+		return true;
+	refuse(x, TLB_BAD_REQUEST,
+	       "kind is not allowed; expected one of account, key, model, endpoint, route, "
+	       "operator");
+	return false;
+}
+
+/* --- health, readiness, counters --- */
+
+static bool is_ready(const struct tlb_operator_listener *o, const char **reason)
+{
+	*reason = "no configuration has been loaded";
+	if (!o->config->loaded || o->config->table->version == 0)
+		return false;
+	return !o->source.ready || o->source.ready(o->source.arg, reason);
+}
+
+static void on_healthz(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	answer(x, 200, json_pack("{s:b}", "ok", 1));
+}
+
+static void on_readyz(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	const char *reason;
+
+	if (is_ready(o, &reason))
+		answer(x, 200, json_pack("{s:b}", "ready", 1));
+	else
+		refuse(x, TLB_NOT_READY, reason);
+}
+
+static void on_metrics(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	size_t len = 0;
+	char *text;
+
+	if (o->source.refresh_counters)
+		o->source.refresh_counters(o->source.arg);
+	text = tlb_counter_render(o->counters, &len);
+	answer_text(x, 200, "text/plain; version=0.0.4", text, len);
+}
+
+/* --- the table --- */
+
+static void append_rows(json_t *all, const struct tlb_table *t, enum tlb_row_kind kind)
+{
+	json_t *rows = tlb_table_rows(t, kind);
+
+	json_array_extend(all, rows);
+	json_decref(rows);
+}
+
+static void on_table(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	const struct tlb_table *t = o->config->table;
+	json_t *rows;
+	enum tlb_row_kind kind = TLB_ROW_ACCOUNT;
+	bool given;
+	int k;
+
+	if (!find_kind(x, &kind, &given))
+		return;
+	rows = json_array();
+	for (k = 0; k < TLB_ROW_KIND_COUNT; k++)
+		if (!given || k == (int)kind)
+			append_rows(rows, t, k);
+	answer(x, 200, json_pack("{s:I, s:o}", "version", (json_int_t)t->version, "rows", rows));
+}
+
+static void on_table_csv(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	enum tlb_row_kind kind = TLB_ROW_ACCOUNT;
+	size_t len = 0;
+	bool given;
+	char *text;
+
+	if (!find_kind(x, &kind, &given))
+		return;
+	if (!given) {
+		refuse(x, TLB_BAD_REQUEST, "the parameter kind is missing");
+		return;
+	}
+	text = tlb_csv_write(o->config->table, kind, &len);
+	answer_text(x, 200, "text/csv; charset=utf-8", text, len);
+}
+
+/* --- changes --- */
+
+/* A parsed request body. */
+struct request {
+	json_t *body; /* owned */
+	const char *change_id;
+	const char *summary;
+	int64_t base_version;
+	json_t *rows;
+	struct tlb_faults faults;
+};
+
+static void finish_request(struct request *r)
+{
+	json_decref(r->body);
+	tlb_faults_finish(&r->faults);
+}
+
+static void body_fault(struct request *r, const char *member, const char *allowed)
+{
+	tlb_faults_add(&r->faults, "change", member, json_object_get(r->body, member), allowed);
+}
+
+static bool is_printable(const char *s)
+{
+	for (; *s; s++)
+		if (iscntrl((unsigned char)*s))
+			return false;
+	return true;
+}
+
+static void check_rows(struct request *r)
+{
+	json_t *row;
+	json_t *value;
+	size_t i;
+
+	json_array_foreach (r->rows, i, row) {
+		value = json_object_get(row, "value");
+		if (json_is_string(json_object_get(row, "key")) && json_object_size(row) == 2 &&
+		    (json_is_object(value) || json_is_null(value)))
+			continue;
+		body_fault(r, "",
+			   "each row as {\"key\":\"config/<kind>/<id>\",\"value\":<object "
+			   "or null>}");
+		return;
+	}
+}
+
+static void check_members(struct request *r)
+{
+	static const char *const known[] = {"change_id", "base_version", "summary", "rows"};
+	const char *name;
+	json_t *v;
+	size_t i;
+
+	json_object_foreach (r->body, name, v) {
+		for (i = 0; i < 4 && strcmp(name, known[i]) != 0; i++)
+			;
+		if (i == 4)
+			tlb_faults_add(&r->faults, "change", name, NULL,
+				       "one of change_id, base_version, summary, rows");
+	}
+}
+
+static void check_shape(struct request *r)
+{
+	const json_t *base = json_object_get(r->body, "base_version");
+
+	r->change_id = json_string_value(json_object_get(r->body, "change_id"));
+	r->summary = json_string_value(json_object_get(r->body, "summary"));
+	r->rows = json_object_get(r->body, "rows");
+	r->base_version = json_integer_value(base);
+	if (!r->change_id || !tlb_table_id_valid(r->change_id))
+		body_fault(r, "change_id",
+			   "1 to 47 of A-Z a-z 0-9 . _ -, the first a letter or a digit");
+	if (!json_is_integer(base) || r->base_version < 0)
+		body_fault(r, "base_version", "the version that the change is based on");
+	if (!r->summary || !*r->summary || strlen(r->summary) >= TLB_SUMMARY_LEN ||
+	    !is_printable(r->summary))
+		body_fault(r, "summary", "1 to 199 bytes of text without control characters");
+	if (!json_is_array(r->rows) || json_array_size(r->rows) < 1 ||
+	    json_array_size(r->rows) > TLB_OPERATOR_ROWS_MAX)
+		tlb_faults_add(&r->faults, "change", "rows", NULL, "an array of 1 to 25000 rows");
+	check_rows(r);
+	check_members(r);
+}
+
+/* Parses the body. After a refusal returns false, and r needs no end. */
+static bool parse_request(struct tlb_exchange *x, struct request *r)
+{
+	struct tlb_error err;
+	json_error_t where = {.line = 1};
+	char message[160];
+
+	memset(r, 0, sizeof(*r));
+	r->body = json_loadb(x->body ? x->body : "", x->body_len, JSON_REJECT_DUPLICATES, &where);
+	if (!json_is_object(r->body)) {
+		/* Not the parser's own text, which quotes the body. */
+		snprintf(message, sizeof(message),
+			 "the body is not a JSON object (line %d, column %d)", where.line,
+			 where.column);
+		json_decref(r->body);
+		refuse(x, TLB_BAD_REQUEST, message);
+		return false;
+	}
+	tlb_faults_init(&r->faults);
+	check_shape(r);
+	if (r->faults.fault_count == 0)
+		return true;
+	tlb_error_set(&err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "", "%s",
+		      tlb_faults_first(&r->faults));
+	answer_faults(x, &err, &r->faults);
+	finish_request(r);
+	return false;
+}
+
+/* A change under way and the exchange that waits for it. */
+struct pending {
+	struct tlb_exchange *exchange;
+	struct tlb_change *change;
+};
+
+static void on_asker_gone(void *arg)
+{
+	struct pending *p = arg;
+
+	tlb_change_detach(p->change);
+	free(p);
+}
+
+static void answer_conflict(struct tlb_exchange *x, const struct tlb_change_result *r)
+{
+	json_t *body = error_body(&r->error);
+	json_t *winner = json_object();
+	static const char *const members[] = {"version", "author", "summary", "change_id",
+					      "wall_ms"};
+	size_t i;
+
+	for (i = 0; i < sizeof(members) / sizeof(members[0]); i++)
+		json_object_set(winner, members[i], json_object_get(r->winner, members[i]));
+	json_object_set_new(body, "winner", winner);
+	answer(x, tlb_error_http_status(TLB_CONFLICT), body);
+}
+
+static void on_change_done(void *arg, const struct tlb_change_result *r)
+{
+	struct pending *p = arg;
+	struct tlb_exchange *x = p->exchange;
+
+	free(p);
+	switch (r->error.code) {
+	case TLB_OK:
+		answer(x, 200,
+		       json_pack("{s:I, s:O}", "version", (json_int_t)r->version, "warnings",
+				 r->faults->warnings));
+		break;
+	case TLB_BAD_REQUEST:
+		answer_faults(x, &r->error, r->faults);
+		break;
+	case TLB_CONFLICT:
+		answer_conflict(x, r);
+		break;
+	default:
+		tlb_exchange_refuse(x, &r->error, 1);
+		break;
+	}
+}
+
+static void start_change(struct tlb_operator_listener *o, struct tlb_exchange *x,
+			 const struct request *r)
+{
+	struct tlb_change_spec spec = {
+		.author = find_author(o, x),
+		.change_id = r->change_id,
+		.summary = r->summary,
+		.base_version = r->base_version,
+		.rows = r->rows,
+	};
+	struct pending *p = calloc(1, sizeof(*p));
+	struct tlb_error err;
+
+	if (!p) {
+		refuse(x, TLB_INTERNAL, "out of memory");
+		return;
+	}
+	p->exchange = x;
+	p->change = tlb_change_start(o->changes, &spec, on_change_done, p, &err);
+	if (!p->change) {
+		free(p);
+		tlb_exchange_refuse(x, &err, 1);
+		return;
+	}
+	x->on_gone = on_asker_gone;
+	x->arg = p;
+}
+
+static void on_change(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	struct request r;
+
+	if (!parse_request(x, &r))
+		return;
+	start_change(o, x, &r);
+	finish_request(&r);
+}
+
+static void check_request(struct tlb_operator_listener *o, struct tlb_exchange *x,
+			  struct request *r)
+{
+	struct tlb_error err;
+
+	if (tlb_change_check(o->config, r->rows, &r->faults)) {
+		answer(x, 200,
+		       json_pack("{s:b, s:I, s:O}", "ok", 1, "version",
+				 (json_int_t)o->config->table->version, "warnings",
+				 r->faults.warnings));
+		return;
+	}
+	tlb_error_set(&err, TLB_BAD_REQUEST, TLB_NOT_RUN, "check", "", "%s",
+		      tlb_faults_first(&r->faults));
+	answer_faults(x, &err, &r->faults);
+}
+
+/* The check is made against the version in force, whatever base_version says. */
+static void on_check(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	struct request r;
+
+	if (!parse_request(x, &r))
+		return;
+	check_request(o, x, &r);
+	finish_request(&r);
+}
+
+/* --- the state of the daemon --- */
+
+static json_t *store_state(const struct tlb_store *s)
+{
+	json_t *age = json_null();
+
+	if (s->last_success)
+		age = json_integer((tlb_clock_now() - s->last_success) / TLB_MS);
+	return json_pack("{s:b, s:o}", "up", s->up, "last_answer_age_ms", age);
+}
+
+static void on_status(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	const char *reason = "";
+	bool ready = is_ready(o, &reason);
+	json_t *body;
+	json_t *more;
+
+	body = json_pack("{s:s, s:s, s:s, s:I, s:b, s:s, s:o}", "vm", o->settings->vm_id, "zone",
+			 o->settings->zone, "region", o->settings->region, "config_version",
+			 (json_int_t)o->config->table->version, "ready", ready, "not_ready_reason",
+			 ready ? "" : reason, "store", store_state(o->config->store));
+	if (o->config->refused_version > o->config->table->version)
+		json_object_set_new(body, "refused_config_version",
+				    json_integer(o->config->refused_version));
+	more = o->source.status ? o->source.status(o->source.arg) : NULL;
+	json_object_update(body, more);
+	json_decref(more);
+	answer(x, 200, body);
+}
+
+/* Answers {"<name>":<list>}; without a source, the list is the table's rows of a kind. */
+static void answer_list(struct tlb_operator_listener *o, struct tlb_exchange *x, const char *name,
+			json_t *(*list)(void *arg), enum tlb_row_kind kind)
+{
+	json_t *items = NULL;
+
+	if (list)
+		items = list(o->source.arg);
+	else if (kind != TLB_ROW_KIND_COUNT)
+		items = tlb_table_rows(o->config->table, kind);
+	answer(x, 200, json_pack("{s:o}", name, items ? items : json_array()));
+}
+
+static void on_requests(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	answer_list(o, x, "requests", o->source.requests, TLB_ROW_KIND_COUNT);
+}
+
+static void on_endpoints(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	answer_list(o, x, "endpoints", o->source.endpoints, TLB_ROW_ENDPOINT);
+}
+
+static void on_accounts(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	answer_list(o, x, "accounts", o->source.accounts, TLB_ROW_ACCOUNT);
+}
+
+static bool everywhere(const json_t *vms, int64_t version)
+{
+	const json_t *vm;
+	size_t i;
+
+	json_array_foreach (vms, i, vm) {
+		if (json_integer_value(json_object_get(vm, "version")) < version)
+			return false;
+	}
+	return true;
+}
+
+/* The version asked for, or the one in force here. Returns -1 for anything else. */
+static int64_t wanted_version(const struct tlb_operator_listener *o, const struct tlb_exchange *x)
+{
+	char text[20];
+
+	find_param(x, "version", text, sizeof(text));
+	if (!text[0])
+		return o->config->table->version;
+	if (strlen(text) > 18 || text[strspn(text, "0123456789")])
+		return -1;
+	return strtoll(text, NULL, 10);
+}
+
+static void on_force(struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	int64_t version = wanted_version(o, x);
+	json_t *peers;
+	json_t *vms;
+
+	if (version < 0) {
+		refuse(x, TLB_BAD_REQUEST, "version is not allowed; expected an integer");
+		return;
+	}
+	vms = json_pack("[{s:s, s:I}]", "vm", o->settings->vm_id, "version",
+			(json_int_t)o->config->table->version);
+	peers = o->source.peers ? o->source.peers(o->source.arg) : NULL;
+	json_array_extend(vms, peers);
+	json_decref(peers);
+	answer(x, 200,
+	       json_pack("{s:I, s:b, s:o}", "version", (json_int_t)version, "everywhere",
+			 everywhere(vms, version), "vms", vms));
+}
+
+/* --- dispatch --- */
+
+typedef void handler_fn(struct tlb_operator_listener *o, struct tlb_exchange *x);
+
+static const struct {
+	const char *path;
+	const char *method;
+	bool open; /* needs no credential */
+	handler_fn *handle;
+} handlers[] = {
+	{"/healthz", "GET", true, on_healthz},
+	{"/readyz", "GET", true, on_readyz},
+	{"/metrics", "GET", true, on_metrics},
+	{"/v1/table", "GET", false, on_table},
+	{"/v1/table.csv", "GET", false, on_table_csv},
+	{"/v1/change", "POST", false, on_change},
+	{"/v1/check", "POST", false, on_check},
+	{"/v1/status", "GET", false, on_status},
+	{"/v1/requests", "GET", false, on_requests},
+	{"/v1/endpoints", "GET", false, on_endpoints},
+	{"/v1/accounts", "GET", false, on_accounts},
+	{"/v1/force", "GET", false, on_force},
+};
+
+enum { HANDLER_COUNT = sizeof(handlers) / sizeof(handlers[0]) };
+
+static void refuse_stranger(const struct tlb_operator_listener *o, struct tlb_exchange *x)
+{
+	if (!o->config->loaded)
+		refuse(x, TLB_NOT_READY, "no configuration has been loaded");
+	else if (x->key_form == TLB_KEY_NONE)
+		refuse(x, TLB_MISSING_KEY,
+		       "an operator's credential is needed as Authorization: Bearer");
+	else
+		refuse(x, TLB_INVALID_KEY, "this credential is not that of a granted operator");
+}
+
+static void on_request(void *arg, struct tlb_exchange *x)
+{
+	struct tlb_operator_listener *o = arg;
+	size_t i;
+
+	for (i = 0; i < HANDLER_COUNT && strcmp(handlers[i].path, x->path) != 0; i++)
+		;
+	/* A stranger isn't told which paths exist. */
+	if ((i == HANDLER_COUNT || !handlers[i].open) && !find_author(o, x))
+		refuse_stranger(o, x);
+	else if (i == HANDLER_COUNT)
+		refuse(x, TLB_NOT_FOUND, "there is no such path");
+	else if (strcmp(handlers[i].method, x->method) != 0)
+		refuse(x, TLB_METHOD_NOT_ALLOWED, "this path has another method");
+	else
+		handlers[i].handle(o, x);
+}
+
+enum tlb_code tlb_operator_init(struct tlb_operator_listener *o, struct tlb_loop *l,
+				struct tlb_config *config, struct tlb_changes *changes,
+				struct tlb_counters *counters, const struct tlb_settings *settings,
+				const struct tlb_operator_source *source, struct tlb_error *err)
+{
+	struct tlb_front_limits limits = {
+		.max_body_bytes = TLB_OPERATOR_BODY_MAX,
+		.max_connections = TLB_OPERATOR_CONNECTIONS,
+		.request_timeout_ms = TLB_OPERATOR_REQUEST_MS,
+	};
+
+	memset(o, 0, sizeof(*o));
+	o->config = config;
+	o->changes = changes;
+	o->counters = counters;
+	o->settings = settings;
+	o->source = *source;
+	return tlb_front_init(&o->front, l, settings->operator_addr, "operator", &limits,
+			      on_request, o, err);
+}
+
+void tlb_operator_finish(struct tlb_operator_listener *o)
+{
+	tlb_front_finish(&o->front);
+}
--- /dev/null
+++ b/src/operator.h
@@ -0,0 +1,68 @@
+/*
+ * The operators' HTTP listener. GET /healthz, /readyz and /metrics need no credential; everything
+ * under /v1/ needs "Authorization: Bearer <credential>" of a granted operator row.
+ *
+ *   GET  /v1/table[?kind=K]      {"version","rows":[{"key","value"}]}
+ *   GET  /v1/table.csv?kind=K    the rows of a kind (csv.h)
+ *   POST /v1/change              {"change_id","base_version","summary","rows":[{"key","value"}]}
+ *                                -> 200 {"version","warnings"}, 400 {"error","faults","warnings"},
+ *                                409 {"error","winner"}
+ *   POST /v1/check               the same body; changes nothing
+ *   GET  /v1/status, /v1/requests, /v1/endpoints, /v1/accounts
+ *   GET  /v1/force?version=N     {"version","everywhere","vms":[{"vm","version"}]}
+ *
+ * Refusals are {"error":{"code","message","outcome"}}.
+ */
+#ifndef TLB_OPERATOR_H
+#define TLB_OPERATOR_H
+
+#include "change.h"
+#include "front.h"
+#include "settings.h"
+
+enum {
+	TLB_OPERATOR_BODY_MAX = 6 << 20, /* bytes; 11,000 keys in one import take about 3 MB */
+	TLB_OPERATOR_CONNECTIONS = 64,
+	TLB_OPERATOR_REQUEST_MS = 10000,
+	TLB_OPERATOR_ROWS_MAX = 25000, /* rows in one change */
+};
+
+/* What other modules know; copied by tlb_operator_init(). Any function may be NULL; each returns a
+ * new reference, or NULL without memory. */
+struct tlb_operator_source {
+	void *arg;
+	/* Members of GET /v1/status: {"incarnation","session_valid","shards",...}. */
+	json_t *(*status)(void *arg);
+	/* GET /v1/requests: array of requests in flight. */
+	json_t *(*requests)(void *arg);
+	/* GET /v1/endpoints and /v1/accounts: arrays; the table's rows when NULL. */
+	json_t *(*endpoints)(void *arg);
+	json_t *(*accounts)(void *arg);
+	/* The other VMs: [{"vm","version",...}], version being the configuration in force there. */
+	json_t *(*peers)(void *arg);
+	/* Whether callers' requests are served; if not, *reason is a static text. */
+	bool (*ready)(void *arg, const char **reason);
+	/* Brings gauges up to date before GET /metrics. */
+	void (*refresh_counters)(void *arg);
+};
+
+/* Owned by its user. */
+struct tlb_operator_listener {
+	struct tlb_front front;
+	struct tlb_config *config;
+	struct tlb_changes *changes;
+	struct tlb_counters *counters;
+	const struct tlb_settings *settings;
+	struct tlb_operator_source source;
+};
+
+/* Binds settings->operator_addr and begins to serve. config, changes, counters and settings are
+ * borrowed. */
+enum tlb_code tlb_operator_init(struct tlb_operator_listener *o, struct tlb_loop *l,
+				struct tlb_config *config, struct tlb_changes *changes,
+				struct tlb_counters *counters, const struct tlb_settings *settings,
+				const struct tlb_operator_source *source, struct tlb_error *err);
+/* Call before tlb_changes_finish(). */
+void tlb_operator_finish(struct tlb_operator_listener *o);
+
+#endif
--- a/src/settings.c
+++ b/src/settings.c
@@ -484,24 +484,25 @@
 	return false;
 }
 
-/* Parses "peer_key: <id> <64 hex digits>" and returns what is wrong, or NULL. */
-static const char *take_secret(struct tlb_settings *s, const char *line)
+static bool read_hex(const char *s, unsigned char *out, size_t size)
+{
+	size_t len = 0;
+
+	return strlen(s) == 2 * size &&
+	       sodium_hex2bin(out, size, s, strlen(s), NULL, &len, NULL) == 0 && len == size;
+}
+
+/* Takes "<id> <64 hex digits>" and returns what is wrong, or NULL. */
+static const char *take_peer_key(struct tlb_settings *s, const char *value)
 {
 	static const char expected[] =
 		"peer_key: expected an id from 1 to 255 and 64 hexadecimal digits";
 	struct tlb_peer_key key;
-	size_t len = 0;
 	int used = 0;
 
-	if (strncmp(line, "peer_key:", 9) != 0)
-		return "key is not allowed; expected peer_key";
-	if (sscanf(line + 9, "%3d %n", &key.id, &used) != 1 || used == 0 || key.id < 1 ||
-	    key.id > 255)
+	if (sscanf(value, "%3d %n", &key.id, &used) != 1 || used == 0 || key.id < 1 || key.id > 255)
 		return expected;
-	line += 9 + used;
-	if (strlen(line) != 2 * TLB_SECRET_LEN ||
-	    sodium_hex2bin(key.secret, sizeof(key.secret), line, strlen(line), NULL, &len, NULL) ||
-	    len != sizeof(key.secret))
+	if (!read_hex(value + used, key.secret, sizeof(key.secret)))
 		return expected;
 	if (s->peer_key_count == (int)(sizeof(s->peer_keys) / sizeof(s->peer_keys[0])))
 		return "peer_key: at most two keys are allowed";
@@ -512,6 +513,27 @@
 	return NULL;
 }
 
+/* Takes "<64 hex digits>" and returns what is wrong, or NULL. */
+static const char *take_operator(struct tlb_settings *s, const char *value)
+{
+	if (s->has_first_operator)
+		return "operator: duplicate key";
+	if (!read_hex(value + strspn(value, " "), s->first_operator, sizeof(s->first_operator)))
+		return "operator: expected the SHA-256 hash of a credential as 64 hexadecimal "
+		       "digits";
+	s->has_first_operator = true;
+	return NULL;
+}
+
+static const char *take_secret(struct tlb_settings *s, const char *line)
+{
+	if (strncmp(line, "peer_key:", 9) == 0)
+		return take_peer_key(s, line + 9);
+	if (strncmp(line, "operator:", 9) == 0)
+		return take_operator(s, line + 9);
+	return "key is not allowed; expected one of peer_key, operator";
+}
+
 static void load_secret_lines(struct loader *l, struct tlb_settings *s, const char *path, FILE *f)
 {
 	char line[200];
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,6 +40,10 @@
 	char secrets_file[TLB_FILE_LEN];
 	struct tlb_peer_key peer_keys[2];
 	int peer_key_count;
+	/* and at most one "operator: <64 hex digits>", the SHA-256 hash of a credential that is
+	 * accepted only while the table has no granted operator */
+	bool has_first_operator;
+	unsigned char first_operator[TLB_KEY_HASH_LEN];
 	/* limits: on what comes from callers */
 	int max_body_bytes;	/* default 4194304 */
 	int max_connections;	/* default 2000 */
