--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,12 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs check)
 
+$(BUILD)/bench: bench/bench.c bench/model.c bench/model.h $(BUILD)/libtoucanlb.a
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
+
+bench: $(BUILD)/bench
+	$<
+
 check: deps
 	@$(MAKE) --no-print-directory all build-tests
 	@tests/run
@@ -74,6 +80,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all deps check build-tests demo format format-check lint clean
+.PHONY: all deps bench check build-tests demo format format-check lint clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/bench/bench.c
@@ -0,0 +1,248 @@
+/*
+ * Measures the policies under load in the model (model.h). Prints a short table of medians, or all
+ * runs as CSV with --csv. The same seeds give the same arrivals to every policy; policies are
+ * interleaved within each seed.
+ */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "model.h"
+
+enum { MAX_SEEDS = 100 };
+
+#define ROWS(table) (int)(sizeof(table) / sizeof((table)[0]))
+
+/* A few large accounts each. Weights: bakstehuset's evening jobs must finish before the ovens
+ * start; a refusal at Pal & Sons' gate costs trust. */
+static const struct deployment deployments[] = {
+	{"bakstehuset", 4, 5, 7, {0.40, 0.25, 0.20, 0.10, 0.05}, 2, 2, 1, 1},
+	{"pal", 3, 4, 4, {0.45, 0.30, 0.15, 0.07, 0.03}, 1, 1, 2, 2},
+};
+
+/* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
+ * queue, no priorities at the engines. The _booked forms are what the daemon does with these
+ * settings: everything but the choice of endpoints as in toucanlb. */
+static const struct flow flows[] = {
+	{.name = "round_robin", .policy = TLB_POLICY_ROUND_ROBIN},
+	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD},
+	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, .booked = true},
+	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, .booked = true},
+	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, .booked = true},
+};
+
+#define LAG (100 * TLB_MS)
+
+/* Columns as in struct scenario. */
+/* clang-format off */
+static const struct scenario scenarios[] = {
+	/* load: base, peak, batch; greedy, few; fault; links, lag, loss; prefixes */
+	{"sustain",       0.90, 0.90, 0.00, -1, false, FAULT_NONE,        1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"peak",          0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"greedy",        0.55, 0.55, 0.00,  2, false, FAULT_NONE,        1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"few_large",     1.20, 1.20, 0.00, -1, true,  FAULT_NONE,        1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"decode_lost",   0.55, 0.85, 0.40, -1, false, FAULT_DECODE_LOST, 1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"zone_lost",     0.55, 0.85, 0.40, -1, false, FAULT_ZONE_LOST,   1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"leaving",       0.55, 0.85, 0.40, -1, false, FAULT_LEAVING,     1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"half_links",    0.55, 0.85, 0.40, -1, false, FAULT_NONE,        0.5, LAG, 0.02, 0.3, 48, 1500},
+	{"old_reports",   0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, 2 * TLB_SECOND, 0.02, 0.3, 48, 1500},
+	{"cache_gaps",    0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, LAG, 0.33, 0.3, 48, 1500},
+	{"shared_prefix", 0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, LAG, 0.02, 0.9,  8, 2000},
+	{"no_prefix",     0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, LAG, 0.02, 0.0, 48, 1500},
+};
+/* clang-format on */
+
+struct options {
+	const char *deployment; /* NULL: all */
+	const char *scenario;
+	const char *flow;
+	int seeds;
+	double load;
+	bool csv;
+};
+
+static const struct argp_option argp_options[] = {
+	{"deployment", 'd', "NAME", 0, "Only this deployment", 0},
+	{"scenario", 's', "NAME", 0, "Only this scenario", 0},
+	{"policy", 'p', "NAME", 0, "Only this policy", 0},
+	{"seeds", 'n', "N", 0, "Seeds 1 to N (default 3)", 0},
+	{"load", 'l', "FACTOR", 0, "Multiplies the load (default 1)", 0},
+	{"csv", 'c', NULL, 0, "Print every run as CSV", 0},
+	{0},
+};
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct options *o = state->input;
+
+	switch (key) {
+	case 'd':
+		o->deployment = arg;
+		return 0;
+	case 's':
+		o->scenario = arg;
+		return 0;
+	case 'p':
+		o->flow = arg;
+		return 0;
+	case 'n':
+		o->seeds = (int)strtol(arg, NULL, 10);
+		if (o->seeds < 1 || o->seeds > MAX_SEEDS)
+			argp_error(state, "seeds: %s; allowed: 1 to %d", arg, MAX_SEEDS);
+		return 0;
+	case 'l':
+		o->load = strtod(arg, NULL);
+		return 0;
+	case 'c':
+		o->csv = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* The measures in the order of the CSV columns; X(member, factor). */
+#define COLUMNS(X)                                                                                 \
+	X(offered, 1)                                                                              \
+	X(goodput, 1)                                                                              \
+	X(good_share, 100)                                                                         \
+	X(ttft_share, 100)                                                                         \
+	X(gap_share, 100)                                                                          \
+	X(ttft_p95_ms, 1)                                                                          \
+	X(wasted, 100)                                                                             \
+	X(worst, 1)                                                                                \
+	X(wrongful, 100)                                                                           \
+	X(broken, 100)                                                                             \
+	X(queue_ms[0][0], 1)                                                                       \
+	X(queue_ms[0][1], 1)                                                                       \
+	X(queue_ms[1][0], 1)                                                                       \
+	X(queue_ms[1][1], 1)                                                                       \
+	X(batch_done, 100)                                                                         \
+	X(memory, 100)                                                                             \
+	X(missed_transfers, 100)
+
+static void print_csv_head(void)
+{
+	printf("deployment,scenario,policy,seed,load,requests,offered_rps,goodput_rps,"
+	       "good_pct,ttft_ok_pct,gap_ok_pct,ttft_p95_ms,wasted_pct,worst_share,"
+	       "wrongful_pct,broken_pct,queue_interactive_p50_ms,queue_interactive_p95_ms,"
+	       "queue_batch_p50_ms,queue_batch_p95_ms,batch_done_pct,memory_pct,"
+	       "missed_transfers_pct\n");
+}
+
+static void print_csv(const struct run *r, const struct measures *m)
+{
+	printf("%s,%s,%s,%lu,%.2f,%d", r->deployment->name, r->scenario->name, r->flow->name,
+	       (unsigned long)r->seed, r->load_factor, m->requests);
+#define X(column, factor) printf(",%.4f", m->column *(factor));
+	COLUMNS(X)
+#undef X
+	printf("\n");
+	fflush(stdout);
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void print_cell(double *v, int n)
+{
+	qsort(v, (size_t)n, sizeof(*v), compare);
+	printf(" %7.2f", v[n / 2]);
+}
+
+static void print_head(const struct deployment *d, const struct scenario *s)
+{
+	printf("\n%s %s (medians of the seeds; shares in %%)\n%-20s %7s %7s %7s %7s %7s %7s %7s "
+	       "%7s %7s %7s %7s\n",
+	       d->name, s->name, "policy", "goodput", "good", "ttftp95", "gap_ok", "wasted",
+	       "worst", "wrongfl", "broken", "batch", "memory", "missed");
+}
+
+static void print_row(const struct flow *f, const struct measures *m, int n)
+{
+	double v[MAX_SEEDS];
+	int i;
+
+	printf("%-20s", f->name);
+#define CELL(column, factor)                                                                       \
+	do {                                                                                       \
+		for (i = 0; i < n; i++)                                                            \
+			v[i] = m[i].column * (factor);                                             \
+		print_cell(v, n);                                                                  \
+	} while (0)
+	CELL(goodput, 1);
+	CELL(good_share, 100);
+	CELL(ttft_p95_ms, 1);
+	CELL(gap_share, 100);
+	CELL(wasted, 100);
+	CELL(worst, 1);
+	CELL(wrongful, 100);
+	CELL(broken, 100);
+	CELL(batch_done, 100);
+	CELL(memory, 100);
+	CELL(missed_transfers, 100);
+#undef CELL
+	printf("\n");
+}
+
+static bool selected(const char *wanted, const char *name)
+{
+	return !wanted || !strcmp(wanted, name);
+}
+
+static void measure_all(const struct options *o, const struct deployment *d,
+			const struct scenario *s)
+{
+	struct measures m[ROWS(flows)][MAX_SEEDS];
+	int seed;
+	int f;
+
+	for (seed = 0; seed < o->seeds; seed++) {
+		for (f = 0; f < ROWS(flows); f++) {
+			struct run r = {d, s, &flows[f], (uint64_t)seed + 1, o->load};
+
+			if (!selected(o->flow, flows[f].name))
+				continue;
+			if (model_run(&r, &m[f][seed])) {
+				fprintf(stderr, "out of memory\n");
+				exit(EXIT_FAILURE);
+			}
+			if (o->csv)
+				print_csv(&r, &m[f][seed]);
+		}
+	}
+	if (o->csv)
+		return;
+	print_head(d, s);
+	for (f = 0; f < ROWS(flows); f++) {
+		if (selected(o->flow, flows[f].name))
+			print_row(&flows[f], m[f], o->seeds);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	struct options o = {.seeds = 3, .load = 1};
+	const struct argp argp = {argp_options, parse, NULL, "Measures the policies in a model.",
+				  NULL,		NULL,  NULL};
+	int d;
+	int s;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &o);
+	if (o.csv)
+		print_csv_head();
+	for (d = 0; d < ROWS(deployments); d++) {
+		for (s = 0; s < ROWS(scenarios); s++) {
+			if (selected(o.deployment, deployments[d].name) &&
+			    selected(o.scenario, scenarios[s].name))
+				measure_all(&o, &deployments[d], &scenarios[s]);
+		}
+	}
+	return 0;
+}
