Add the load tool

Sends a seeded open-loop mix of model, stream, status and paid requests to every caller address in turn and checks each answer against the stand-ins' deterministic output.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,9 @@
 TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 STYLED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] standins/*.[ch] tests/*.[ch] bench/*.[ch] load/*.[ch] fuzz/*.[ch]))
 
-all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(STANDINS)
+LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard load/*.c))
+
+all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/toucanlb-load $(STANDINS)
 
 deps:
 	@scripts/install-deps
@@ -40,6 +42,9 @@
 $(BUILD)/toucanlb: $(BUILD)/src/tool.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/toucanlb-load: $(LOAD_OBJ)
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs libcurl jansson) -lm
+
 $(BUILD)/standin-engine: $(STANDIN_ENGINE_SRC:%.c=$(BUILD)/%.o)
 $(BUILD)/standin-%: $(BUILD)/standins/%.o $(STANDIN_LIB_SRC:%.c=$(BUILD)/%.o)
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(shell pkg-config --libs libmicrohttpd jansson libcurl) -lpthread
--- /dev/null
+++ b/load/env.c
@@ -0,0 +1,82 @@
+#include "env.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Returns a copy of the value when the line sets this name. */
+static char *value_of(const char *line, const char *name)
+{
+	size_t n = strlen(name);
+	const char *end;
+
+	if (strncmp(line, name, n) != 0 || strncmp(line + n, "=\"", 2) != 0)
+		return NULL;
+	line += n + 2;
+	end = strchr(line, '"');
+	return end ? strndup(line, (size_t)(end - line)) : NULL;
+}
+
+static void take(char **field, const char *line, const char *name)
+{
+	char *value = value_of(line, name);
+
+	if (!value)
+		return;
+	free(*field);
+	*field = value;
+}
+
+static void take_callers(struct load_env *e, const char *line)
+{
+	char *list = value_of(line, "CALLER_ADDRS");
+	char *rest = NULL;
+	char *word;
+
+	if (!list)
+		return;
+	for (word = strtok_r(list, " ", &rest); word && e->vms < LOAD_VMS_MAX;
+	     word = strtok_r(NULL, " ", &rest))
+		e->caller[e->vms++] = strdup(word);
+	free(list);
+}
+
+bool load_env_read(struct load_env *e, const char *path)
+{
+	FILE *f = fopen(path, "r");
+	char *line = NULL;
+	size_t cap = 0;
+
+	memset(e, 0, sizeof(*e));
+	if (!f) {
+		fprintf(stderr, "toucanlb-load: cannot read %s\n", path);
+		return false;
+	}
+	while (getline(&line, &cap, f) >= 0) {
+		take_callers(e, line);
+		take(&e->key, line, "KEY");
+		take(&e->model, line, "MODEL");
+		take(&e->service_path, line, "SERVICE_PATH");
+		take(&e->paid_path, line, "PAID_PATH");
+	}
+	free(line);
+	fclose(f);
+	if (e->vms > 0 && e->key && e->model && e->service_path && e->paid_path)
+		return true;
+	fprintf(stderr,
+		"toucanlb-load: %s must set CALLER_ADDRS, KEY, MODEL, SERVICE_PATH and PAID_PATH\n",
+		path);
+	return false;
+}
+
+void load_env_finish(struct load_env *e)
+{
+	int i;
+
+	for (i = 0; i < e->vms; i++)
+		free(e->caller[i]);
+	free(e->key);
+	free(e->model);
+	free(e->service_path);
+	free(e->paid_path);
+}
