--- a/tests/standins.py
+++ b/tests/standins.py
@@ -26,8 +26,8 @@
     def __init__(self, name, *options):
         program, *default = OPTIONS.get(name, [name])
         self.process = subprocess.Popen(
-            [f"{BUILD}/standin-{program}", *default, *options, "--listen", "127.0.0.1:0",
-             "--control", "127.0.0.1:0"], stdout=subprocess.PIPE, text=True)
+            [f"{BUILD}/standin-{program}", "--listen", "127.0.0.1:0", "--control", "127.0.0.1:0",
+             *default, *options], stdout=subprocess.PIPE, text=True)
         words = self.process.stdout.readline().split()
         assert words and words[0] == "ready", f"{name} did not start"
         self.listen = words[1].removeprefix("listen=")
@@ -303,7 +303,7 @@
         assert prefill.json("GET", f"/events?after={numbers[-1]}")["events"] == []
 
 
-def import_seconds(prefill, decodes, link):
+def import_seconds(prefill, decodes):
     """Imports into all decode engines at once; returns the time until the last is done."""
     kvs = [prefill.json("POST", "/prefill", {"request_id": str(i), "prompt": "a" * 400})
            for i in range(len(decodes))]
@@ -325,9 +325,23 @@
     with Standin("prefill", *link) as prefill, Standin("decode", "--link-mbps", "0") as d1, \
             Standin("decode", "--link-mbps", "0") as d2, Standin("decode", *link) as slow, \
             Standin("prefill", "--kv-bytes-per-token", "10000", "--link-mbps", "0") as fast:
-        assert 0.09 < import_seconds(prefill, [d1], link) < 0.19
-        assert 0.18 < import_seconds(prefill, [d1, d2], link) < 0.38
-        assert 0.18 < import_seconds(fast, [slow, slow], link) < 0.38
+        assert 0.09 < import_seconds(prefill, [d1]) < 0.19
+        assert 0.18 < import_seconds(prefill, [d1, d2]) < 0.38
+        assert 0.18 < import_seconds(fast, [slow, slow]) < 0.38
+
+
+def test_broken_transfers():
+    """Guards against a broken transfer that passes for a complete one or keeps memory."""
+    with Standin("prefill", "--evict-ms", "300") as prefill, Standin("decode") as decode:
+        prefill.fault(kind="cut", path="/kv/export", after_tokens=1)
+        assert load_kv(prefill, decode, "a") == "502"
+        prefill.fault(kind="stall", path="/kv/export", after_tokens=1)
+        kv = prefill.json("POST", "/prefill", {"request_id": "b", "prompt": "a"})
+        body = {"request_id": "b", "kv_id": kv["kv_id"], "source": prefill.listen}
+        assert decode.call("POST", "/kv/import", body, SILENCE)[0] == "silent"
+        eventually(lambda: decode.state()["held_pieces"] == 0, "import not given up")
+        eventually(lambda: prefill.state()["held_pieces"] == 0, "result not evicted")
+        assert decode.state()["imported"] == 0 and prefill.state()["exported"] == 0
 
 
 def test_load_lag():
@@ -453,6 +467,18 @@
         assert 0.09 < time.monotonic() - start < 0.3
 
 
+def test_restart_on_the_same_address():
+    """Guards against a restart that fails while connections of the dead process linger."""
+    with Standin("service") as service:
+        conns = [connect(service.listen) for _ in range(3)]
+        assert [exchange(c, "GET", "/a")[0] for c in conns] == ["200"] * 3
+        service.fault(kind="die")
+        assert service.process.wait(5) == 3
+        with Standin("service", "--listen", service.listen, "--control", service.control) as again:
+            assert (again.listen, again.control) == (service.listen, service.control)
+            assert again.call("GET", "/a")[1] == {"path": "/a", "count": 1}
+
+
 def test_termination():
     """Guards against a stand-in that does not end on SIGTERM while a request is stalled."""
     standin = Standin("service")
