--- /dev/null
+++ b/src/cluster.c
@@ -0,0 +1,1023 @@
+#include "cluster.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+/* Silence after which a VM's witnesses begin to fence it, and a session is given up as lost. */
+#define SILENCE (TLB_SESSION_LEASE + TLB_FENCE_MARGIN)
+/* Witnesses begin one after the other, so that usually one does the work. */
+#define FENCE_STEP (200 * TLB_MS)
+#define FENCE_RETRY (1 * TLB_SECOND)
+#define FENCE_CALL_TIMEOUT (1 * TLB_SECOND)
+/* A witness without a link for this long is replaced. */
+#define WITNESS_LOST (10 * TLB_SECOND)
+/* Longest wait for a proposed set of witnesses to grant. */
+#define PROPOSAL_TIMEOUT (5 * TLB_SECOND)
+/* A heartbeat this late means that the process was paused. */
+#define PAUSE_MIN (2 * TLB_SECOND)
+
+static int64_t config_version(const struct tlb_cluster *c)
+{
+	return c->handlers.config_version ? c->handlers.config_version(c->handlers.arg) : 0;
+}
+
+static struct tlb_fleet fleet_of(const struct tlb_cluster *c)
+{
+	struct tlb_fleet f = {.gone = c->roster.gone, .gone_count = c->roster.gone_count};
+
+	return f;
+}
+
+static bool linked_to(const struct tlb_cluster *c, const char *vm)
+{
+	return tlb_peer_is_up(tlb_peers_find(&c->peers, vm));
+}
+
+/* Session. */
+
+bool tlb_cluster_valid(const struct tlb_cluster *c, tlb_time now)
+{
+	return c->joined && tlb_session_valid(&c->session, now);
+}
+
+static void check_session(struct tlb_cluster *c)
+{
+	tlb_time now = tlb_clock_now();
+	bool valid = tlb_cluster_valid(c, now);
+
+	tlb_timer_set(c->loop, &c->expiry, valid ? c->session.valid_until : TLB_NEVER);
+	if (valid == c->was_valid)
+		return;
+	c->was_valid = valid;
+	c->invalid_since = now;
+	tlb_counter_set(c->counters, TLB_COUNTER_SESSION_VALID, valid);
+	if (!valid)
+		tlb_counter_add(c->counters, TLB_COUNTER_SESSION_LOST, 1);
+	tlb_log_info("event=%s incarnation=%016" PRIx64 " witnesses=%d",
+		     valid ? "session_gained" : "session_lost", c->self.incarnation,
+		     c->session.set[0].count);
+	if (valid && c->handlers.on_session_regained)
+		c->handlers.on_session_regained(c->handlers.arg);
+	if (!valid && c->handlers.on_session_lost)
+		c->handlers.on_session_lost(c->handlers.arg);
+}
+
+static void expiry_timer(void *arg)
+{
+	check_session(arg);
+}
+
+/* Shards. */
+
+static struct tlb_hand_over *find_hand_over(struct tlb_cluster *c, const struct tlb_vm_name *from,
+					    uint64_t ticket)
+{
+	int i;
+
+	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
+		if (c->hand_over[i].state && c->hand_over[i].state->ticket == ticket &&
+		    tlb_vm_name_equal(&c->hand_over[i].from, from))
+			return &c->hand_over[i];
+	return NULL;
+}
+
+static void drop_hand_over(struct tlb_hand_over *h)
+{
+	toucan__hand_over__free_unpacked(h->state, NULL);
+	h->state = NULL;
+}
+
+/* State that was handed over counts only if the map in force is the one written right after it:
+ * otherwise the former owner may have acted on since. */
+static void deliver_hand_overs(struct tlb_cluster *c, const struct tlb_shard_map *before)
+{
+	struct tlb_hand_over *h;
+	tlb_shard_set shards;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		h = find_hand_over(c, &before->entry[i].owner, c->map.ticket);
+		if (!h)
+			continue;
+		shards = tlb_shard_given(before, &c->map, &h->from, &c->self);
+		if (shards && c->handlers.on_hand_over)
+			c->handlers.on_hand_over(c->handlers.arg, shards, h->state);
+		drop_hand_over(h);
+	}
+}
+
+void tlb_cluster_update(struct tlb_cluster *c)
+{
+	struct tlb_fleet f = fleet_of(c);
+	tlb_shard_set now = tlb_shard_acting(&c->map, &f, &c->self, &c->release);
+	tlb_shard_set gained = now & ~c->acting;
+	tlb_shard_set lost = c->acting & ~now;
+
+	if (!c->joined) {
+		lost = c->acting;
+		gained = now = 0;
+	}
+	c->acting = now;
+	if (!gained && !lost)
+		return;
+	tlb_counter_set(c->counters, TLB_COUNTER_SHARDS, __builtin_popcountll(now));
+	tlb_log_info("event=shards map=%" PRId64 " owned=%d gained=%016" PRIx64 " lost=%016" PRIx64,
+		     c->map.version, __builtin_popcountll(now), gained, lost);
+	if (c->handlers.on_shards_changed)
+		c->handlers.on_shards_changed(c->handlers.arg, gained, lost);
+}
+
+void tlb_cluster_take_map(struct tlb_cluster *c, const struct tlb_shard_map *map)
+{
+	struct tlb_shard_map before = c->map;
+
+	if (map->version <= c->map.version)
+		return;
+	c->map = *map;
+	tlb_member_map_changed(&c->membership);
+	tlb_cluster_update(c);
+	deliver_hand_overs(c, &before);
+	tlb_member_changed(&c->membership);
+}
+
+tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c)
+{
+	return c->acting & ~c->yielding;
+}
+
+enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN])
+{
+	struct tlb_fleet f = fleet_of(c);
+	int shard = tlb_shard_of(id);
+	const struct tlb_vm_name *owner = tlb_shard_owner(&c->map, shard, &f);
+
+	vm[0] = '\0';
+	if (!owner)
+		return TLB_OWNER_NONE;
+	if (tlb_vm_name_equal(owner, &c->self))
+		return tlb_shard_in(tlb_cluster_shards(c), shard) ? TLB_OWNER_SELF : TLB_OWNER_NONE;
+	memcpy(vm, owner->id, TLB_ID_LEN);
+	return TLB_OWNER_PEER;
+}
+
+/* Fences. */
+
+static void send_fence_notice(struct tlb_cluster *c, const char *to, const struct tlb_vm_name *vm)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__FenceNotice notice = TOUCAN__FENCE_NOTICE__INIT;
+	Toucan__Vm name = TOUCAN__VM__INIT;
+	struct tlb_vm_name copy = *vm;
+
+	name.id = copy.id;
+	name.incarnation = copy.incarnation;
+	notice.vm = &name;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_NOTICE;
+	envelope.fence_notice = &notice;
+	tlb_peers_send(&c->peers, to, &envelope);
+}
+
+void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm)
+{
+	const struct tlb_peer *peer;
+
+	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
+		send_fence_notice(c, peer->id, vm);
+}
+
+static void stop_attempt(struct tlb_fence_attempt *a)
+{
+	int i;
+
+	for (i = 0; i < TLB_WITNESS_MAX; i++)
+		tlb_peer_cancel(&a->call[i]);
+	a->fence.vm.id[0] = '\0';
+}
+
+static struct tlb_fence_attempt *find_attempt(struct tlb_cluster *c, const struct tlb_vm_name *vm)
+{
+	int i;
+
+	for (i = 0; i < TLB_FENCES_MAX; i++)
+		if (c->fence[i].fence.vm.id[0] && tlb_vm_name_equal(&c->fence[i].fence.vm, vm))
+			return &c->fence[i];
+	return NULL;
+}
+
+/* The incarnation certainly acts no more. */
+static void take_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
+		      bool proven_here)
+{
+	struct tlb_vm_name name = *vm;
+	struct tlb_fence_attempt *a = find_attempt(c, &name);
+
+	if (a)
+		stop_attempt(a);
+	if (!tlb_roster_set_gone(&c->roster, &name))
+		return;
+	tlb_counter_add(c->counters, TLB_COUNTER_FENCES, 1);
+	tlb_log_info("event=fence vm=%s incarnation=%016" PRIx64 " source=%s", name.id,
+		     name.incarnation, why);
+	if (c->handlers.on_fenced)
+		c->handlers.on_fenced(c->handlers.arg, name.id, name.incarnation);
+	tlb_cluster_update(c);
+	tlb_member_gone(&c->membership, proven_here);
+}
+
+static void check_proof(struct tlb_fence_attempt *a)
+{
+	struct tlb_cluster *c = a->cluster;
+	struct tlb_vm_name vm = a->fence.vm;
+
+	if (!tlb_fence_proven(&a->fence))
+		return;
+	take_gone(c, &vm, "witnesses", true);
+	tlb_cluster_announce_gone(c, &vm);
+}
+
+static void on_fence_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	struct tlb_fence_attempt *a = arg;
+
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_FENCE_REPLY)
+		return;
+	if (reply->fence_reply->answer == TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED)
+		tlb_member_want_row(&a->cluster->membership, a->fence.vm.id);
+	if (reply->fence_reply->answer != TOUCAN__FENCE_REPLY__ANSWER__AGREED)
+		return;
+	tlb_fence_agree(&a->fence, reply->source);
+	check_proof(a);
+}
+
+static void ask_witness(struct tlb_fence_attempt *a, int i)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__FenceRequest request = TOUCAN__FENCE_REQUEST__INIT;
+	Toucan__Vm name = TOUCAN__VM__INIT;
+
+	name.id = a->fence.vm.id;
+	name.incarnation = a->fence.vm.incarnation;
+	request.vm = &name;
+	request.row_version = a->fence.row_version;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_REQUEST;
+	envelope.fence_request = &request;
+	tlb_peer_cancel(&a->call[i]);
+	tlb_peers_call(&a->cluster->peers, a->fence.witness[i], &a->call[i], &envelope,
+		       tlb_clock_now() + FENCE_CALL_TIMEOUT, on_fence_reply, a);
+}
+
+static int missing_agreements(const struct tlb_fence *f)
+{
+	int missing = f->count / 2 + 1;
+	int i;
+
+	for (i = 0; i < f->count; i++)
+		missing -= f->agreed[i];
+	return missing;
+}
+
+/* The own agreement comes last: it can't be taken back, and alone it would only cost the other VM a
+ * witness. */
+static void ask_self(struct tlb_fence_attempt *a)
+{
+	struct tlb_cluster *c = a->cluster;
+	int64_t known;
+
+	if (missing_agreements(&a->fence) > 1)
+		return;
+	if (tlb_witness_fence(&c->witness, &a->fence.vm, a->fence.row_version, tlb_clock_now(),
+			      &known) == TLB_FENCE_AGREED)
+		tlb_fence_agree(&a->fence, c->self.id);
+}
+
+static void run_attempt(struct tlb_fence_attempt *a)
+{
+	int i;
+
+	a->next = tlb_clock_now() + FENCE_RETRY;
+	for (i = 0; i < a->fence.count; i++) {
+		if (a->fence.agreed[i])
+			continue;
+		if (strcmp(a->fence.witness[i], a->cluster->self.id) == 0)
+			ask_self(a);
+		else
+			ask_witness(a, i);
+	}
+	check_proof(a);
+}
+
+void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row)
+{
+	struct tlb_fence_attempt *a = find_attempt(c, &row->name);
+	int i;
+
+	if (a && a->fence.row_version != row->version) {
+		stop_attempt(a);
+		a = NULL;
+	}
+	for (i = 0; !a && i < TLB_FENCES_MAX; i++)
+		if (!c->fence[i].fence.vm.id[0]) {
+			a = &c->fence[i];
+			a->cluster = c;
+			a->next = 0;
+			tlb_fence_init(&a->fence, &row->name, row->version, row->witness,
+				       row->witness_count);
+			tlb_log_info("event=fence_attempt vm=%s incarnation=%016" PRIx64
+				     " witnesses=%d",
+				     row->name.id, row->name.incarnation, row->witness_count);
+		}
+	if (a && tlb_clock_now() >= a->next)
+		run_attempt(a);
+}
+
+static tlb_time heard_at(const struct tlb_cluster *c, const struct tlb_member *m)
+{
+	const struct tlb_peer *peer = tlb_peers_find(&c->peers, m->row.name.id);
+	tlb_time at = m->since > c->listening_since ? m->since : c->listening_since;
+
+	if (peer && peer->incarnation == m->row.name.incarnation && peer->heard > at)
+		at = peer->heard;
+	return at;
+}
+
+/* The position of this daemon among the witnesses of a VM, or -1. */
+static int witness_position(const struct tlb_cluster *c, const struct tlb_vm_row *row)
+{
+	int i;
+
+	for (i = 0; i < row->witness_count; i++)
+		if (strcmp(row->witness[i].id, c->self.id) == 0)
+			return i;
+	return -1;
+}
+
+static void check_silence(struct tlb_cluster *c)
+{
+	tlb_time now = tlb_clock_now();
+	struct tlb_fence_attempt *a;
+	const struct tlb_member *m;
+	int position;
+	int i;
+
+	for (i = 0; i < c->roster.count; i++) {
+		m = &c->roster.member[i];
+		position = witness_position(c, &m->row);
+		if (position < 0 || !tlb_roster_live(&c->roster, m))
+			continue;
+		if (now - heard_at(c, m) > SILENCE + position * FENCE_STEP) {
+			tlb_cluster_fence(c, &m->row);
+			continue;
+		}
+		a = find_attempt(c, &m->row.name);
+		if (a && now - heard_at(c, m) < TLB_PEER_SILENCE)
+			stop_attempt(a);
+	}
+}
+
+/* Witnesses. */
+
+int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out)
+{
+	struct tlb_witness_candidate *candidate =
+		calloc(c->roster.count + 1, sizeof(struct tlb_witness_candidate));
+	const struct tlb_member *m;
+	int count = 0;
+	int i;
+	int j;
+
+	for (i = 0; candidate && i < c->roster.count; i++) {
+		m = &c->roster.member[i];
+		if (!tlb_roster_live(&c->roster, m) || strcmp(m->row.name.id, c->self.id) == 0 ||
+		    strcmp(m->row.region, c->settings->region) != 0 ||
+		    m->promised == c->self.incarnation)
+			continue;
+		if (linked && !linked_to(c, m->row.name.id))
+			continue;
+		candidate[count].name = m->row.name;
+		memcpy(candidate[count].zone, m->row.zone, TLB_ID_LEN);
+		for (j = 0; j < c->session.set[0].count; j++)
+			if (tlb_vm_name_equal(&c->session.set[0].grant[j].witness, &m->row.name))
+				candidate[count].current = true;
+		count++;
+	}
+	count = tlb_session_choose(c->self.id, candidate, count, out);
+	free(candidate);
+	return count;
+}
+
+static bool witness_lost(const struct tlb_cluster *c, const struct tlb_vm_name *witness)
+{
+	const struct tlb_member *m = tlb_roster_find(&c->roster, witness->id);
+
+	if (!m || !tlb_roster_live(&c->roster, m) || !tlb_vm_name_equal(&m->row.name, witness))
+		return true;
+	if (m->promised == c->self.incarnation)
+		return true;
+	return !linked_to(c, witness->id) && tlb_clock_now() - heard_at(c, m) > WITNESS_LOST;
+}
+
+static int lost_witnesses(const struct tlb_cluster *c)
+{
+	const struct tlb_witness_set *set = &c->session.set[0];
+	int n = 0;
+	int i;
+
+	for (i = 0; i < set->count; i++)
+		n += witness_lost(c, &set->grant[i].witness);
+	return n;
+}
+
+static int live_others(const struct tlb_cluster *c)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < c->roster.count; i++)
+		n += tlb_roster_live(&c->roster, &c->roster.member[i]) &&
+		     strcmp(c->roster.member[i].row.name.id, c->self.id) != 0;
+	return n;
+}
+
+/* A session whose witnesses are lost can't be regained; a new incarnation can have one, if it would
+ * have a majority. On the small side of a partition that is never so. */
+static bool must_rejoin(const struct tlb_cluster *c, int linked_witnesses)
+{
+	int lost = lost_witnesses(c);
+	int others = live_others(c);
+	int wanted = others < TLB_WITNESS_MAX ? others : TLB_WITNESS_MAX;
+
+	if (c->was_valid || tlb_clock_now() - c->invalid_since <= SILENCE)
+		return false;
+	if (2 * lost < c->session.set[0].count)
+		return false;
+	return linked_witnesses > wanted / 2 || others == 0;
+}
+
+static void check_witnesses(struct tlb_cluster *c)
+{
+	struct tlb_vm_name want[TLB_WITNESS_MAX];
+	tlb_time now = tlb_clock_now();
+	int count;
+
+	if (!c->joined)
+		return;
+	if (c->session.phase == TLB_SESSION_PROPOSED) {
+		if (tlb_session_proposal_ready(&c->session, now))
+			tlb_member_kick(&c->membership);
+		else if (now - c->proposed_at > PROPOSAL_TIMEOUT)
+			tlb_session_withdraw(&c->session);
+		return;
+	}
+	count = tlb_cluster_choose_witnesses(c, true, want);
+	if (must_rejoin(c, count)) {
+		tlb_cluster_rejoin(c, "witnesses lost");
+		return;
+	}
+	if (c->session.phase != TLB_SESSION_STEADY || now < c->membership.witness_at)
+		return;
+	if (count == 0 || (count <= c->session.set[0].count && !lost_witnesses(c)))
+		return;
+	tlb_session_propose(&c->session, want, count);
+	c->proposed_at = now;
+}
+
+/* Heartbeats. */
+
+static const struct tlb_vm_name *as_witness(const struct tlb_cluster *c, const char *vm)
+{
+	const struct tlb_witness_set *set;
+	int sets = c->session.phase >= TLB_SESSION_PROPOSED ? 2 : 1;
+	const struct tlb_member *m = tlb_roster_find(&c->roster, vm);
+	int i;
+	int j;
+
+	for (j = 0; m && j < sets; j++) {
+		set = &c->session.set[j];
+		for (i = 0; i < set->count; i++)
+			if (tlb_vm_name_equal(&set->grant[i].witness, &m->row.name))
+				return &set->grant[i].witness;
+	}
+	return NULL;
+}
+
+static int64_t own_row_version(const struct tlb_cluster *c)
+{
+	return c->session.set[c->session.phase == TLB_SESSION_CONFIRMING].row_version;
+}
+
+static void send_heartbeat(struct tlb_cluster *c, const struct tlb_peer *peer)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__Heartbeat heartbeat = TOUCAN__HEARTBEAT__INIT;
+	const struct tlb_vm_name *witness = as_witness(c, peer->id);
+
+	heartbeat.number = c->heartbeat_number;
+	heartbeat.grant_wanted = c->joined && witness;
+	heartbeat.witness_incarnation = witness ? witness->incarnation : 0;
+	heartbeat.row_version = c->joined ? own_row_version(c) : 0;
+	heartbeat.config_version = config_version(c);
+	heartbeat.shards_version = c->map.version;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	tlb_peers_send(&c->peers, peer->id, &envelope);
+}
+
+static void next_heartbeat(struct tlb_cluster *c)
+{
+	c->heartbeat_number++;
+	c->sent[c->heartbeat_number % TLB_HEARTBEATS_KEPT] = tlb_clock_now();
+}
+
+static void heartbeat_timer(void *arg)
+{
+	struct tlb_cluster *c = arg;
+	const struct tlb_peer *peer;
+	tlb_time now = tlb_clock_now();
+
+	if (now - c->heartbeat.deadline > PAUSE_MIN)
+		c->listening_since = now;
+	tlb_timer_set(c->loop, &c->heartbeat, now + TLB_HEARTBEAT_INTERVAL);
+	next_heartbeat(c);
+	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
+		if (tlb_peer_is_up(peer))
+			send_heartbeat(c, peer);
+	check_session(c);
+	check_silence(c);
+	check_witnesses(c);
+	tlb_member_kick(&c->membership);
+}
+
+static void ack_heartbeat(struct tlb_cluster *c, const struct tlb_vm_name *vm,
+			  const Toucan__Heartbeat *heartbeat)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__HeartbeatAck ack = TOUCAN__HEARTBEAT_ACK__INIT;
+
+	ack.number = heartbeat->number;
+	ack.granted =
+		tlb_witness_heartbeat(&c->witness, vm, heartbeat->witness_incarnation,
+				      heartbeat->row_version, tlb_clock_now(), &ack.row_version);
+	ack.promised = tlb_witness_promised(&c->witness, vm);
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT_ACK;
+	envelope.heartbeat_ack = &ack;
+	tlb_peers_send(&c->peers, vm->id, &envelope);
+}
+
+static void take_heartbeat(struct tlb_cluster *c, const struct tlb_vm_name *vm,
+			   const Toucan__Heartbeat *heartbeat)
+{
+	struct tlb_member *m = tlb_roster_find(&c->roster, vm->id);
+
+	if (heartbeat->grant_wanted)
+		ack_heartbeat(c, vm, heartbeat);
+	if (heartbeat->shards_version > c->map.version)
+		tlb_member_want_shards(&c->membership);
+	if (!m || heartbeat->row_version > m->row.version)
+		tlb_member_want_row(&c->membership, vm->id);
+	if (!m)
+		return;
+	if (heartbeat->shards_version < c->map.version && m->notified < c->map.version) {
+		m->notified = c->map.version;
+		tlb_cluster_send_map(c, vm->id);
+	}
+	if (heartbeat->config_version == m->config_version)
+		return;
+	m->config_version = heartbeat->config_version;
+	if (c->handlers.on_peer_config_version)
+		c->handlers.on_peer_config_version(c->handlers.arg, vm->id, m->config_version);
+}
+
+static void take_ack(struct tlb_cluster *c, const struct tlb_vm_name *vm,
+		     const Toucan__HeartbeatAck *ack)
+{
+	struct tlb_member *m = tlb_roster_find(&c->roster, vm->id);
+	bool known = ack->number <= c->heartbeat_number &&
+		     ack->number + TLB_HEARTBEATS_KEPT > c->heartbeat_number;
+
+	if (m && ack->promised && m->promised != c->self.incarnation) {
+		m->promised = c->self.incarnation;
+		tlb_log_info("event=grant_refused vm=%s", vm->id);
+	}
+	if (!known || !ack->granted)
+		return;
+	tlb_session_grant(&c->session, vm, c->sent[ack->number % TLB_HEARTBEATS_KEPT],
+			  ack->row_version);
+	check_session(c);
+	if (tlb_session_proposal_ready(&c->session, tlb_clock_now()))
+		tlb_member_kick(&c->membership);
+}
+
+/* Messages. */
+
+static void take_fence_request(struct tlb_cluster *c, const struct tlb_peer_return *from,
+			       const Toucan__FenceRequest *request)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__FenceReply reply = TOUCAN__FENCE_REPLY__INIT;
+	struct tlb_vm_name vm;
+
+	if (!request->vm || strlen(request->vm->id) >= TLB_ID_LEN)
+		return;
+	tlb_vm_name_set(&vm, request->vm->id, request->vm->incarnation);
+	switch (tlb_witness_fence(&c->witness, &vm, request->row_version, tlb_clock_now(),
+				  &reply.row_version)) {
+	case TLB_FENCE_AGREED:
+		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__AGREED;
+		break;
+	case TLB_FENCE_SUPERSEDED:
+		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED;
+		break;
+	case TLB_FENCE_REFUSED:
+		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__REFUSED;
+		break;
+	}
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_REPLY;
+	envelope.fence_reply = &reply;
+	tlb_peers_reply(&c->peers, from, &envelope);
+}
+
+static void take_fence_notice(struct tlb_cluster *c, const Toucan__FenceNotice *notice)
+{
+	struct tlb_vm_name vm;
+
+	if (!notice->vm || strlen(notice->vm->id) >= TLB_ID_LEN)
+		return;
+	tlb_vm_name_set(&vm, notice->vm->id, notice->vm->incarnation);
+	if (tlb_vm_name_equal(&vm, &c->self)) {
+		tlb_cluster_rejoin(c, "fenced");
+		return;
+	}
+	take_gone(c, &vm, "notice", false);
+	tlb_member_want_row(&c->membership, vm.id);
+}
+
+static void send_done(struct tlb_cluster *c, const struct tlb_peer_return *to)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__Done done = TOUCAN__DONE__INIT;
+
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_DONE;
+	envelope.done = &done;
+	tlb_peers_reply(&c->peers, to, &envelope);
+}
+
+static tlb_shard_set to_set(const uint32_t *shards, size_t count)
+{
+	tlb_shard_set set = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (shards[i] < TLB_SHARD_COUNT)
+			set |= (tlb_shard_set)1 << shards[i];
+	return set;
+}
+
+static void take_standby_release(struct tlb_cluster *c, const struct tlb_peer_return *from,
+				 const Toucan__StandbyRelease *release)
+{
+	struct tlb_vm_name owner;
+
+	tlb_vm_name_set(&owner, from->vm, from->incarnation);
+	/* The right has been used already. */
+	if (tlb_roster_gone(&c->roster, &owner))
+		return;
+	tlb_shard_release(&c->release, to_set(release->shards, release->n_shards),
+			  release->shards_version);
+	tlb_cluster_update(c);
+	send_done(c, from);
+}
+
+static void take_shards_notice(struct tlb_cluster *c, const Toucan__ShardsNotice *notice)
+{
+	struct tlb_shard_map map;
+	json_t *value;
+
+	if (notice->version <= c->map.version)
+		return;
+	value = json_loads(notice->json, 0, NULL);
+	if (value && tlb_shard_map_parse(&map, notice->version, value))
+		tlb_cluster_take_map(c, &map);
+	json_decref(value);
+}
+
+static void take_hand_over(struct tlb_cluster *c, const struct tlb_peer_return *from,
+			   Toucan__Envelope *msg)
+{
+	struct tlb_hand_over *oldest = &c->hand_over[0];
+	int i;
+
+	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
+		if (!c->hand_over[i].state || c->hand_over[i].came < oldest->came) {
+			oldest = &c->hand_over[i];
+			if (!oldest->state)
+				break;
+		}
+	if (oldest->state)
+		drop_hand_over(oldest);
+	tlb_vm_name_set(&oldest->from, from->vm, from->incarnation);
+	oldest->came = tlb_clock_now();
+	oldest->state = msg->hand_over;
+	msg->body_case = TOUCAN__ENVELOPE__BODY__NOT_SET;
+	send_done(c, from);
+}
+
+static tlb_cluster_message_fn *handler_for(const struct tlb_cluster_handlers *h,
+					   Toucan__Envelope__BodyCase kind)
+{
+	switch (kind) {
+	case TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS:
+		return h->reserve_tokens;
+	case TOUCAN__ENVELOPE__BODY_RETURN_TOKENS:
+		return h->return_tokens;
+	case TOUCAN__ENVELOPE__BODY_BOOK_DECODE:
+		return h->book_decode;
+	case TOUCAN__ENVELOPE__BODY_RENEW_BOOKINGS:
+		return h->renew_bookings;
+	case TOUCAN__ENVELOPE__BODY_RELEASE_BOOKING:
+		return h->release_booking;
+	case TOUCAN__ENVELOPE__BODY_BOOKINGS_PULL:
+		return h->bookings_pull;
+	case TOUCAN__ENVELOPE__BODY_CONFIG_PUSH:
+		return h->config_push;
+	case TOUCAN__ENVELOPE__BODY_CONFIG_PULL:
+		return h->config_pull;
+	default:
+		return NULL;
+	}
+}
+
+static void on_message(void *arg, struct tlb_peer *peer, Toucan__Envelope *msg)
+{
+	struct tlb_cluster *c = arg;
+	struct tlb_peer_return from = {.incarnation = peer->incarnation, .id = msg->id};
+	tlb_cluster_message_fn *handler;
+	struct tlb_vm_name vm;
+
+	memcpy(from.vm, peer->id, TLB_ID_LEN);
+	tlb_vm_name_set(&vm, peer->id, peer->incarnation);
+	switch (msg->body_case) {
+	case TOUCAN__ENVELOPE__BODY_HEARTBEAT:
+		take_heartbeat(c, &vm, msg->heartbeat);
+		break;
+	case TOUCAN__ENVELOPE__BODY_HEARTBEAT_ACK:
+		take_ack(c, &vm, msg->heartbeat_ack);
+		break;
+	case TOUCAN__ENVELOPE__BODY_FENCE_REQUEST:
+		take_fence_request(c, &from, msg->fence_request);
+		break;
+	case TOUCAN__ENVELOPE__BODY_FENCE_NOTICE:
+		take_fence_notice(c, msg->fence_notice);
+		break;
+	case TOUCAN__ENVELOPE__BODY_STANDBY_RELEASE:
+		take_standby_release(c, &from, msg->standby_release);
+		break;
+	case TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE:
+		take_shards_notice(c, msg->shards_notice);
+		break;
+	case TOUCAN__ENVELOPE__BODY_HAND_OVER:
+		take_hand_over(c, &from, msg);
+		break;
+	default:
+		handler = handler_for(&c->handlers, msg->body_case);
+		if (handler)
+			handler(c->handlers.arg, &from, msg);
+	}
+}
+
+static bool accepts(void *arg, const char *vm, uint64_t incarnation)
+{
+	const struct tlb_cluster *c = arg;
+	struct tlb_vm_name name;
+
+	tlb_vm_name_set(&name, vm, incarnation);
+	return !tlb_roster_gone(&c->roster, &name);
+}
+
+/* A VM whose fence is not written yet may have been missed by a peer without a link. */
+static void repeat_fences(struct tlb_cluster *c, const char *to)
+{
+	const struct tlb_member *m;
+	int i;
+
+	for (i = 0; i < c->roster.count; i++) {
+		m = &c->roster.member[i];
+		if (m->row.state == TLB_VM_LIVE && !tlb_roster_live(&c->roster, m))
+			send_fence_notice(c, to, &m->row.name);
+	}
+}
+
+static void on_up(void *arg, struct tlb_peer *peer)
+{
+	struct tlb_cluster *c = arg;
+
+	peer->heard = tlb_clock_now();
+	send_heartbeat(c, peer);
+	repeat_fences(c, peer->id);
+	tlb_member_changed(&c->membership);
+}
+
+static void on_down(void *arg, struct tlb_peer *peer)
+{
+	struct tlb_cluster *c = arg;
+
+	tlb_member_changed(&c->membership);
+}
+
+void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__ShardsNotice notice = TOUCAN__SHARDS_NOTICE__INIT;
+	json_t *value = tlb_shard_map_json(&c->map);
+
+	notice.version = c->map.version;
+	notice.json = json_dumps(value, JSON_COMPACT);
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE;
+	envelope.shards_notice = &notice;
+	if (notice.json)
+		tlb_peers_send(&c->peers, vm, &envelope);
+	free(notice.json);
+	json_decref(value);
+}
+
+/* Membership. */
+
+void tlb_cluster_take_row(struct tlb_cluster *c, const struct tlb_vm_row *row)
+{
+	const struct tlb_member *m = tlb_roster_find(&c->roster, row->name.id);
+	bool self = strcmp(row->name.id, c->self.id) == 0;
+	bool known_gone;
+
+	if (m && m->row.version >= row->version)
+		return;
+	tlb_witness_row(&c->witness, &row->name, row->version);
+	known_gone = !m || tlb_vm_name_equal(&m->row.name, &row->name) ||
+		     tlb_roster_gone(&c->roster, &m->row.name);
+	if (!known_gone)
+		take_gone(c, &m->row.name, "row", false);
+	if (row->state != TLB_VM_LIVE)
+		take_gone(c, &row->name, "row", false);
+	tlb_roster_put(&c->roster, row, tlb_clock_now());
+	if (self && c->joined && !c->membership.leaving &&
+	    (!tlb_vm_name_equal(&row->name, &c->self) || row->state != TLB_VM_LIVE))
+		tlb_cluster_rejoin(c, "the VM row names another incarnation");
+	if (self)
+		return;
+	if (row->state == TLB_VM_LIVE)
+		tlb_peers_add(&c->peers, row->name.id, row->addr);
+	else if (row->state == TLB_VM_LEFT)
+		tlb_peers_drop(&c->peers, row->name.id);
+	tlb_member_changed(&c->membership);
+}
+
+void tlb_cluster_joined(struct tlb_cluster *c, const struct tlb_vm_row *row)
+{
+	tlb_time now = tlb_clock_now();
+
+	c->joined = true;
+	tlb_session_begin(&c->session, row->version, row->witness, row->witness_count);
+	/* Only now is the former incarnation of this VM certainly gone; see session.h. */
+	tlb_witness_restart(&c->witness, c->self.incarnation, now);
+	c->invalid_since = now;
+	c->listening_since = now;
+	tlb_log_info("event=joined vm=%s incarnation=%016" PRIx64 " row=%" PRId64 " witnesses=%d",
+		     c->self.id, c->self.incarnation, row->version, row->witness_count);
+	check_session(c);
+	tlb_cluster_update(c);
+	heartbeat_timer(c);
+}
+
+static void set_incarnation(struct tlb_cluster *c)
+{
+	randombytes_buf(&c->self.incarnation, sizeof(c->self.incarnation));
+	snprintf(c->owner_name, sizeof(c->owner_name), "%s/%016" PRIx64, c->self.id,
+		 c->self.incarnation);
+}
+
+void tlb_cluster_rejoin(struct tlb_cluster *c, const char *reason)
+{
+	struct tlb_vm_name former = c->self;
+
+	if (!c->joined)
+		return;
+	tlb_log_warn("event=rejoin vm=%s incarnation=%016" PRIx64 " reason=\"%s\"", c->self.id,
+		     c->self.incarnation, reason);
+	tlb_session_fence(&c->session);
+	c->joined = false;
+	c->yielding = 0;
+	check_session(c);
+	set_incarnation(c);
+	tlb_cluster_update(c);
+	/* This process is the proof that its former incarnation acts no more. */
+	take_gone(c, &former, "self", false);
+	if (c->handlers.on_self_fenced)
+		c->handlers.on_self_fenced(c->handlers.arg);
+	tlb_peers_set_incarnation(&c->peers, c->self.incarnation);
+	tlb_member_join(&c->membership);
+}
+
+/* Interface. */
+
+void tlb_cluster_init(struct tlb_cluster *c, struct tlb_loop *loop,
+		      const struct tlb_settings *settings, struct tlb_store *store,
+		      struct tlb_counters *counters, const struct tlb_cluster_handlers *handlers)
+{
+	struct tlb_peers_handlers peer_handlers = {
+		.arg = c,
+		.accepts = accepts,
+		.on_up = on_up,
+		.on_down = on_down,
+		.on_message = on_message,
+	};
+
+	memset(c, 0, sizeof(*c));
+	c->loop = loop;
+	c->settings = settings;
+	c->store = store;
+	c->counters = counters;
+	c->handlers = *handlers;
+	tlb_vm_name_set(&c->self, settings->vm_id, 0);
+	set_incarnation(c);
+	tlb_peers_init(&c->peers, loop, counters, settings, &peer_handlers);
+	tlb_peers_set_incarnation(&c->peers, c->self.incarnation);
+	tlb_witness_init(&c->witness, 0, tlb_clock_now());
+	tlb_member_init(&c->membership, c);
+	tlb_timer_init(&c->heartbeat, heartbeat_timer, c);
+	tlb_timer_init(&c->expiry, expiry_timer, c);
+}
+
+enum tlb_code tlb_cluster_start(struct tlb_cluster *c, struct tlb_error *err)
+{
+	enum tlb_code code = tlb_peers_listen(&c->peers, c->settings->peer_addr, err);
+
+	if (code == TLB_OK)
+		tlb_member_join(&c->membership);
+	return code;
+}
+
+void tlb_cluster_finish(struct tlb_cluster *c)
+{
+	int i;
+
+	for (i = 0; i < TLB_FENCES_MAX; i++)
+		if (c->fence[i].cluster)
+			stop_attempt(&c->fence[i]);
+	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
+		if (c->hand_over[i].state)
+			drop_hand_over(&c->hand_over[i]);
+	tlb_timer_clear(c->loop, &c->heartbeat);
+	tlb_timer_clear(c->loop, &c->expiry);
+	tlb_member_finish(&c->membership);
+	tlb_peers_finish(&c->peers);
+	tlb_timer_clear(c->loop, &c->membership.step);
+	tlb_witness_finish(&c->witness);
+	tlb_roster_finish(&c->roster);
+}
+
+void tlb_cluster_leave(struct tlb_cluster *c, tlb_time deadline, tlb_cluster_done_fn *done,
+		       void *arg)
+{
+	tlb_member_leave(&c->membership, deadline, done, arg);
+}
+
+uint64_t tlb_cluster_incarnation(const struct tlb_cluster *c)
+{
+	return c->self.incarnation;
+}
+
+const char *tlb_cluster_owner_name(const struct tlb_cluster *c)
+{
+	return c->owner_name;
+}
+
+void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm), void *arg)
+{
+	int i;
+
+	for (i = 0; i < c->roster.count; i++)
+		if (tlb_roster_live(&c->roster, &c->roster.member[i]) &&
+		    strcmp(c->roster.member[i].row.name.id, c->self.id) != 0)
+			fn(arg, c->roster.member[i].row.name.id);
+}
+
+void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
+		      Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
+		      void *arg)
+{
+	tlb_peers_call(&c->peers, vm, call, body, deadline, on_reply, arg);
+}
+
+bool tlb_cluster_send(struct tlb_cluster *c, const char *vm, Toucan__Envelope *body)
+{
+	return tlb_peers_send(&c->peers, vm, body);
+}
+
+void tlb_cluster_reply(struct tlb_cluster *c, const struct tlb_peer_return *to,
+		       Toucan__Envelope *body)
+{
+	tlb_peers_reply(&c->peers, to, body);
+}
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -7,9 +7,11 @@
 #ifndef TLB_CLUSTER_H
 #define TLB_CLUSTER_H
 
+#include "ident.h"
+#include "member.h"
 #include "peer.h"
+#include "roster.h"
 #include "settings.h"
-#include "shard.h"
 #include "store.h"
 
 struct tlb_cluster;
@@ -37,9 +39,11 @@
 	/* The shards that this daemon acts for have changed; tlb_cluster_shards() has the new set.
 	 * A shard that came without a HandOver (see below) starts from what its standby knows. */
 	void (*on_shards_changed)(void *arg, tlb_shard_set gained, tlb_shard_set lost);
-	/* Fills out with the state of these shards (buckets, bookings; the shard numbers are set by
-	 * the cluster). From this call on tlb_cluster_owner() no longer answers SELF for them.
-	 * Repeated fields and strings are malloc'd; the cluster frees them. */
+	/* Fills out with the state of these shards (buckets, bookings; the other fields are set by
+	 * the cluster). From this call on tlb_cluster_owner() no longer answers SELF for them. The
+	 * state must be kept until on_shards_changed reports the shards as lost: when the write of
+	 * the map fails, SELF is answered again without a further call. Repeated fields and strings
+	 * are malloc'd; the cluster frees them. */
 	void (*hand_over)(void *arg, tlb_shard_set shards, Toucan__HandOver *out);
 	/* State of shards that a former owner handed over; follows on_shards_changed with these
 	 * shards in gained at once. Borrowed. */
@@ -63,6 +67,56 @@
 
 typedef void tlb_cluster_done_fn(void *arg);
 
+enum { TLB_HEARTBEATS_KEPT = 8, TLB_FENCES_MAX = 16, TLB_HAND_OVERS_MAX = 16 };
+
+/* An attempt to fence one incarnation. */
+struct tlb_fence_attempt {
+	struct tlb_cluster *cluster;
+	struct tlb_fence fence; /* fence.vm.id is "" when the slot is free */
+	struct tlb_peer_call call[TLB_WITNESS_MAX];
+	tlb_time next;
+};
+
+/* State of shards received from their owner, until the map says that they have moved. */
+struct tlb_hand_over {
+	struct tlb_vm_name from;
+	tlb_time came;
+	Toucan__HandOver *state; /* owned; NULL when the slot is free */
+};
+
+/* Owns all parts; the fields are private to cluster.c and member.c. */
+struct tlb_cluster {
+	struct tlb_loop *loop;
+	const struct tlb_settings *settings;
+	struct tlb_store *store;
+	struct tlb_counters *counters;
+	struct tlb_cluster_handlers handlers;
+
+	struct tlb_vm_name self;
+	char owner_name[TLB_OWNER_LEN];
+	bool joined;
+	struct tlb_peers peers;
+	struct tlb_session session;
+	struct tlb_witness witness;
+	struct tlb_roster roster;
+	struct tlb_shard_map map;
+	struct tlb_shard_release release; /* rights that this daemon has released as a standby */
+	tlb_shard_set acting;		  /* as reported by on_shards_changed */
+	tlb_shard_set yielding;		  /* handed over; the write is not certain yet */
+	struct tlb_membership membership;
+
+	struct tlb_timer heartbeat;
+	uint64_t heartbeat_number;
+	tlb_time sent[TLB_HEARTBEATS_KEPT]; /* by number */
+	struct tlb_timer expiry;	    /* of the session */
+	bool was_valid;
+	tlb_time invalid_since;
+	tlb_time listening_since; /* silence before this instant says nothing about others */
+	tlb_time proposed_at;
+	struct tlb_fence_attempt fence[TLB_FENCES_MAX];
+	struct tlb_hand_over hand_over[TLB_HAND_OVERS_MAX];
+};
+
 /* Sets up a cluster on memory that the caller owns. settings, loop, store and counters are borrowed
  * and must outlive it. */
 void tlb_cluster_init(struct tlb_cluster *c, struct tlb_loop *loop,
@@ -101,4 +155,23 @@
 void tlb_cluster_reply(struct tlb_cluster *c, const struct tlb_peer_return *to,
 		       Toucan__Envelope *body);
 
+/* For member.c. */
+
+/* Takes a newer shard map into force. */
+void tlb_cluster_take_map(struct tlb_cluster *c, const struct tlb_shard_map *map);
+void tlb_cluster_take_row(struct tlb_cluster *c, const struct tlb_vm_row *row);
+/* Recomputes what this daemon acts for and reports changes. */
+void tlb_cluster_update(struct tlb_cluster *c);
+/* The own row is written: the lease begins. */
+void tlb_cluster_joined(struct tlb_cluster *c, const struct tlb_vm_row *row);
+/* Starts over under a new incarnation; the one so far acts no more. */
+void tlb_cluster_rejoin(struct tlb_cluster *c, const char *reason);
+/* Attempts to fence an incarnation, for which this daemon need not be a witness. */
+void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row);
+/* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
+void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm);
+void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
+/* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
+int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
+
 #endif
--- a/src/counter.h
+++ b/src/counter.h
@@ -24,7 +24,19 @@
 	X(RESUMES, "toucanlb_resumes_total", "counter", "Streams resumed on another endpoint")     \
 	X(TOKENS_OUT, "toucanlb_tokens_out_total", "counter", "Output tokens sent to callers")     \
 	X(CONFIG_VERSION, "toucanlb_config_version", "gauge", "Configuration version in force")    \
-	X(SESSION_VALID, "toucanlb_session_valid", "gauge", "1 while the session lease is valid")
+	X(SESSION_VALID, "toucanlb_session_valid", "gauge", "1 while the session lease is valid")  \
+	X(SESSION_LOST, "toucanlb_session_lost_total", "counter", "Times the session ran out")     \
+	X(FENCES, "toucanlb_fences_total", "counter", "Incarnations of other VMs known as fenced") \
+	X(SHARDS, "toucanlb_shards", "gauge", "Shards that this daemon acts for")                  \
+	X(PEER_LINKS, "toucanlb_peer_links", "gauge", "Links to other daemons that are up")        \
+	X(PEER_FRAMES_IN, "toucanlb_peer_frames_in_total", "counter", "Frames from daemons")       \
+	X(PEER_FRAMES_OUT, "toucanlb_peer_frames_out_total", "counter", "Frames to daemons")       \
+	X(PEER_BYTES_IN, "toucanlb_peer_bytes_in_total", "counter", "Bytes from daemons")          \
+	X(PEER_BYTES_OUT, "toucanlb_peer_bytes_out_total", "counter", "Bytes to daemons")          \
+	X(PEER_BAD_FRAMES, "toucanlb_peer_bad_frames_total", "counter",                            \
+	  "Links closed for a frame that is too large, malformed or not authentic")                \
+	X(PEER_SILENT, "toucanlb_peer_silent_total", "counter",                                    \
+	  "Links closed because no frame arrived in time")
 
 enum tlb_counter {
 #define X(id, name, type, help) TLB_COUNTER_##id,
--- /dev/null
+++ b/src/frame.c
@@ -0,0 +1,137 @@
+#include "frame.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	KEY_ID_AT = TLB_FRAME_LENGTH_BYTES,
+	MAC_AT = KEY_ID_AT + 1,
+	BUFFER_FIRST = 1024,
+};
+
+_Static_assert(TLB_FRAME_MAC_BYTES == crypto_auth_hmacsha512256_BYTES, "MAC size");
+
+void tlb_frame_buffer_finish(struct tlb_frame_buffer *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
+
+unsigned char *tlb_frame_buffer_reserve(struct tlb_frame_buffer *b, size_t len)
+{
+	size_t used = b->end - b->start;
+	size_t cap = b->cap ? b->cap : BUFFER_FIRST;
+	unsigned char *data;
+
+	if (b->start > 0 && (used == 0 || b->cap - b->end < len)) {
+		memmove(b->data, b->data + b->start, used);
+		b->start = 0;
+		b->end = used;
+	}
+	if (b->cap - b->end >= len)
+		return b->data + b->end;
+	while (cap - b->end < len)
+		cap *= 2;
+	data = realloc(b->data, cap);
+	if (!data)
+		return NULL;
+	b->data = data;
+	b->cap = cap;
+	return data + b->end;
+}
+
+/* The algorithm of crypto_auth, in parts, because key id and payload are not adjacent. */
+static void compute_mac(unsigned char *mac, const struct tlb_peer_key *key, unsigned char key_id,
+			const unsigned char *payload, size_t len)
+{
+	crypto_auth_hmacsha512256_state state;
+
+	crypto_auth_hmacsha512256_init(&state, key->secret, sizeof(key->secret));
+	crypto_auth_hmacsha512256_update(&state, &key_id, 1);
+	crypto_auth_hmacsha512256_update(&state, payload, len);
+	crypto_auth_hmacsha512256_final(&state, mac);
+}
+
+static void put_length(unsigned char *p, size_t len)
+{
+	p[0] = len >> 24 & 0xff;
+	p[1] = len >> 16 & 0xff;
+	p[2] = len >> 8 & 0xff;
+	p[3] = len & 0xff;
+}
+
+static size_t get_length(const unsigned char *p)
+{
+	return (size_t)p[0] << 24 | (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
+}
+
+enum tlb_code tlb_frame_encode(struct tlb_frame_buffer *out, const struct tlb_frame_keys *keys,
+			       const Toucan__Envelope *envelope)
+{
+	size_t len = toucan__envelope__get_packed_size(envelope);
+	unsigned char *p;
+
+	if (len > TLB_FRAME_MAX - TLB_FRAME_HEADER)
+		return TLB_TOO_LARGE;
+	if (keys->count == 0)
+		return TLB_INVALID_KEY;
+	p = tlb_frame_buffer_reserve(out, TLB_FRAME_HEADER + len);
+	if (!p)
+		return TLB_INTERNAL;
+	put_length(p, TLB_FRAME_HEADER - TLB_FRAME_LENGTH_BYTES + len);
+	p[KEY_ID_AT] = keys->key[0].id;
+	toucan__envelope__pack(envelope, p + TLB_FRAME_HEADER);
+	compute_mac(p + MAC_AT, &keys->key[0], p[KEY_ID_AT], p + TLB_FRAME_HEADER, len);
+	out->end += TLB_FRAME_HEADER + len;
+	return TLB_OK;
+}
+
+static const struct tlb_peer_key *find_key(const struct tlb_frame_keys *keys, int id)
+{
+	int i;
+
+	for (i = 0; i < keys->count; i++)
+		if (keys->key[i].id == id)
+			return &keys->key[i];
+	return NULL;
+}
+
+static enum tlb_code open_frame(const unsigned char *p, size_t payload_len,
+				const struct tlb_frame_keys *keys, Toucan__Envelope **envelope)
+{
+	const struct tlb_peer_key *key = find_key(keys, p[KEY_ID_AT]);
+	unsigned char mac[TLB_FRAME_MAC_BYTES];
+
+	if (!key)
+		return TLB_INVALID_KEY;
+	compute_mac(mac, key, p[KEY_ID_AT], p + TLB_FRAME_HEADER, payload_len);
+	if (sodium_memcmp(mac, p + MAC_AT, sizeof(mac)) != 0)
+		return TLB_INVALID_KEY;
+	*envelope = toucan__envelope__unpack(NULL, payload_len, p + TLB_FRAME_HEADER);
+	return *envelope ? TLB_OK : TLB_BAD_REQUEST;
+}
+
+enum tlb_code tlb_frame_decode(struct tlb_frame_buffer *in, const struct tlb_frame_keys *keys,
+			       Toucan__Envelope **envelope)
+{
+	size_t have = in->end - in->start;
+	const unsigned char *p = in->data + in->start;
+	size_t total;
+	enum tlb_code code;
+
+	*envelope = NULL;
+	if (have < TLB_FRAME_LENGTH_BYTES)
+		return TLB_OK;
+	total = TLB_FRAME_LENGTH_BYTES + get_length(p);
+	if (total > TLB_FRAME_MAX)
+		return TLB_TOO_LARGE;
+	if (total < TLB_FRAME_HEADER)
+		return TLB_BAD_REQUEST;
+	if (have < total)
+		return TLB_OK;
+	code = open_frame(p, total - TLB_FRAME_HEADER, keys, envelope);
+	if (code == TLB_OK)
+		in->start += total;
+	return code;
+}
--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,1032 @@
+#include "member.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cluster.h"
+#include "log.h"
+
+#define STORE_TIMEOUT (2 * TLB_SECOND)
+#define CALL_TIMEOUT (2 * TLB_SECOND)
+#define BACKOFF_MIN (100 * TLB_MS)
+#define BACKOFF_MAX (4 * TLB_SECOND)
+/* Time for links to come up between reading the rows and choosing witnesses. */
+#define JOIN_DELAY (300 * TLB_MS)
+#define JOIN_BLOCKED_RETRY (500 * TLB_MS)
+/* The daemon that proved a fence writes it; the others step in if it does not. */
+#define FENCE_DELAY (3 * TLB_SECOND)
+/* Moves wait until a change of the fleet has settled; all owners would write at once otherwise. */
+#define MOVE_DELAY (300 * TLB_MS)
+#define MOVE_SPREAD (500 * TLB_MS)
+#define MOVE_RETRY (3 * TLB_SECOND)
+#define WITNESS_RETRY (5 * TLB_SECOND)
+#define REFRESH_INTERVAL (60 * TLB_SECOND)
+
+enum { BACKOFF_DOUBLINGS = 6, KEY_LEN = TLB_ID_LEN + 3 };
+
+static const char shards_key[] = "shards";
+
+static tlb_time spread(tlb_time range)
+{
+	return randombytes_uniform(range);
+}
+
+static void vm_key(char key[KEY_LEN], const char *id)
+{
+	snprintf(key, KEY_LEN, "vm/%s", id);
+}
+
+static const struct tlb_vm_row *own_row(const struct tlb_cluster *c)
+{
+	const struct tlb_member *member = tlb_roster_find(&c->roster, c->self.id);
+
+	return member ? &member->row : NULL;
+}
+
+static int64_t own_row_version(const struct tlb_cluster *c)
+{
+	const struct tlb_vm_row *row = own_row(c);
+
+	return row ? row->version : 0;
+}
+
+static void sooner(tlb_time *at, tlb_time when)
+{
+	if (when < *at)
+		*at = when;
+}
+
+/* The VMs that can be given shards. Owns the list. */
+struct fleet {
+	struct tlb_fleet view;
+	struct tlb_shard_vm *live;
+};
+
+static void fleet_add(struct fleet *f, const struct tlb_vm_name *name, const char *zone)
+{
+	struct tlb_shard_vm *vm = &f->live[f->view.live_count++];
+
+	vm->name = *name;
+	snprintf(vm->zone, sizeof(vm->zone), "%s", zone);
+}
+
+static void fleet_init(struct fleet *f, const struct tlb_cluster *c, bool with_self)
+{
+	const struct tlb_member *member;
+	int i;
+
+	memset(f, 0, sizeof(*f));
+	f->live = calloc(c->roster.count + 1, sizeof(struct tlb_shard_vm));
+	if (!f->live)
+		abort();
+	f->view.live = f->live;
+	f->view.gone = c->roster.gone;
+	f->view.gone_count = c->roster.gone_count;
+	if (with_self)
+		fleet_add(f, &c->self, c->settings->zone);
+	for (i = 0; i < c->roster.count; i++) {
+		member = &c->roster.member[i];
+		if (strcmp(member->row.name.id, c->self.id) != 0 &&
+		    tlb_roster_live(&c->roster, member) &&
+		    tlb_peer_is_up(tlb_peers_find(&c->peers, member->row.name.id)))
+			fleet_add(f, &member->row.name, member->row.zone);
+	}
+}
+
+static void fleet_finish(struct fleet *f)
+{
+	free(f->live);
+}
+
+/* Outcomes of operations. */
+
+static void back_off(struct tlb_membership *m)
+{
+	int doublings = m->failures < BACKOFF_DOUBLINGS ? m->failures : BACKOFF_DOUBLINGS;
+	tlb_time delay = BACKOFF_MIN << doublings;
+
+	if (delay > BACKOFF_MAX)
+		delay = BACKOFF_MAX;
+	m->failures++;
+	m->retry_at = tlb_clock_now() + delay / 2 + spread(delay);
+}
+
+static void read_again(struct tlb_membership *m)
+{
+	m->shards_wanted = true;
+	m->rows_wanted = true;
+}
+
+static const char *status_name(enum tlb_store_status status)
+{
+	switch (status) {
+	case TLB_STORE_OK:
+		return "ok";
+	case TLB_STORE_CONFLICT:
+		return "conflict";
+	case TLB_STORE_ABSENT:
+		return "absent";
+	case TLB_STORE_REFUSED:
+		return "refused";
+	case TLB_STORE_UNCERTAIN:
+		return "uncertain";
+	}
+	return "";
+}
+
+/* Common to all operations; returns true when the operation took effect. */
+static bool finish_op(struct tlb_membership *m, const char *what, enum tlb_store_status status)
+{
+	m->busy = false;
+	tlb_member_kick(m);
+	if (status == TLB_STORE_OK || status == TLB_STORE_ABSENT) {
+		m->failures = 0;
+		return true;
+	}
+	tlb_log_info("event=store_retry step=%s status=%s", what, status_name(status));
+	if (status == TLB_STORE_CONFLICT)
+		m->retry_at = tlb_clock_now() + spread(BACKOFF_MIN);
+	else
+		back_off(m);
+	return false;
+}
+
+static int64_t written_version(const json_t *body, const char *key)
+{
+	return json_integer_value(json_object_get(json_object_get(body, "versions"), key));
+}
+
+static tlb_time op_deadline(struct tlb_membership *m)
+{
+	m->busy = true;
+	return tlb_clock_now() + STORE_TIMEOUT;
+}
+
+static void send_txn(struct tlb_membership *m, json_t *txn, tlb_store_done_fn *on_done)
+{
+	tlb_store_txn(m->cluster->store, &m->op, txn, op_deadline(m), on_done, m);
+}
+
+/* Reads. */
+
+static void on_shards_read(void *arg, enum tlb_store_status status, json_t *body,
+			   const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+	int64_t version;
+	struct tlb_shard_map map;
+
+	if (!finish_op(m, "read_shards", status))
+		return;
+	m->shards_wanted = false;
+	if (status == TLB_STORE_ABSENT)
+		return;
+	version = json_integer_value(json_object_get(body, "version"));
+	if (tlb_shard_map_parse(&map, version, json_object_get(body, "value")))
+		tlb_cluster_take_map(m->cluster, &map);
+	else
+		tlb_log_error("event=bad_row key=shards version=%" PRId64, version);
+}
+
+static void take_row(struct tlb_membership *m, const json_t *entry)
+{
+	const char *key = json_string_value(json_object_get(entry, "key"));
+	int64_t version = json_integer_value(json_object_get(entry, "version"));
+	struct tlb_vm_row row;
+
+	if (!key)
+		return;
+	if (tlb_vm_row_parse(&row, key, version, json_object_get(entry, "value")))
+		tlb_cluster_take_row(m->cluster, &row);
+	else
+		tlb_log_error("event=bad_row key=%s version=%" PRId64, key, version);
+}
+
+static void on_rows_read(void *arg, enum tlb_store_status status, json_t *body,
+			 const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+	struct tlb_cluster *c = m->cluster;
+	const json_t *entry;
+	size_t i;
+
+	if (!finish_op(m, "read_rows", status))
+		return;
+	m->rows_wanted = false;
+	m->refresh_at = tlb_clock_now() + REFRESH_INTERVAL + spread(REFRESH_INTERVAL / 4);
+	json_array_foreach (json_object_get(body, "rows"), i, entry)
+		take_row(m, entry);
+	if (m->map_at_read == c->map.version)
+		tlb_roster_infer_gone(&c->roster, &c->map);
+	if (m->joined_at_read && c->joined)
+		c->witness.rows_read = true;
+	if (!c->joined && m->join_at == TLB_NEVER)
+		m->join_at = tlb_clock_now() + JOIN_DELAY;
+	tlb_cluster_update(c);
+}
+
+static void on_row_read(void *arg, enum tlb_store_status status, json_t *body,
+			const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+
+	if (!finish_op(m, "read_row", status))
+		return;
+	m->row_wanted[0] = '\0';
+	if (status == TLB_STORE_OK)
+		take_row(m, body);
+}
+
+/* The map is read before the rows, so that an incarnation named in the map but in no row is known
+ * to be gone. */
+static bool start_read(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	char key[KEY_LEN];
+
+	if (m->shards_wanted) {
+		tlb_store_row(c->store, &m->op, shards_key, op_deadline(m), on_shards_read, m);
+	} else if (m->rows_wanted) {
+		m->map_at_read = c->map.version;
+		m->joined_at_read = c->joined;
+		tlb_store_rows(c->store, &m->op, "vm/", op_deadline(m), on_rows_read, m);
+	} else if (m->row_wanted[0]) {
+		vm_key(key, m->row_wanted);
+		tlb_store_row(c->store, &m->op, key, op_deadline(m), on_row_read, m);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+void tlb_member_want_shards(struct tlb_membership *m)
+{
+	m->shards_wanted = true;
+	tlb_member_kick(m);
+}
+
+void tlb_member_want_row(struct tlb_membership *m, const char *vm)
+{
+	if (strcmp(m->row_wanted, vm) == 0 || m->rows_wanted)
+		return;
+	if (m->row_wanted[0])
+		m->rows_wanted = true;
+	else
+		snprintf(m->row_wanted, sizeof(m->row_wanted), "%s", vm);
+	tlb_member_kick(m);
+}
+
+/* Transactions. */
+
+static void check_row(json_t *txn, const char *id, int64_t version)
+{
+	char key[KEY_LEN];
+
+	vm_key(key, id);
+	tlb_store_check(txn, key, version);
+}
+
+static void write_row(json_t *txn, const struct tlb_vm_row *row)
+{
+	char key[KEY_LEN];
+
+	vm_key(key, row->name.id);
+	tlb_store_write(txn, key, tlb_vm_row_json(row));
+}
+
+static void write_map(struct tlb_membership *m, json_t *txn)
+{
+	if (!m->next.ticket)
+		randombytes_buf(&m->next.ticket, sizeof(m->next.ticket));
+	tlb_store_write(txn, shards_key, tlb_shard_map_json(&m->next));
+}
+
+static void broadcast_map(struct tlb_cluster *c)
+{
+	const struct tlb_peer *peer;
+
+	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
+		if (tlb_peer_is_up(peer))
+			tlb_cluster_send_map(c, peer->id);
+}
+
+/* The map that a transaction wrote comes into force. */
+static void take_next(struct tlb_membership *m, const json_t *body)
+{
+	m->next.version = written_version(body, shards_key);
+	if (m->next.version <= m->cluster->map.version)
+		return;
+	tlb_cluster_take_map(m->cluster, &m->next);
+	broadcast_map(m->cluster);
+}
+
+/* Join. */
+
+static void fill_row(const struct tlb_cluster *c, struct tlb_vm_row *row)
+{
+	memset(row, 0, sizeof(*row));
+	row->name = c->self;
+	row->state = TLB_VM_LIVE;
+	strcpy(row->addr, c->peers.addr);
+	strcpy(row->zone, c->settings->zone);
+	strcpy(row->region, c->settings->region);
+}
+
+/* A former incarnation of this VM must be gone before the new one may begin. That this process
+ * could bind the same address proves it; otherwise the witnesses must. */
+static bool former_is_gone(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	const struct tlb_vm_row *row = own_row(c);
+
+	if (!row || row->state != TLB_VM_LIVE || tlb_roster_gone(&c->roster, &row->name))
+		return true;
+	if (strcmp(row->addr, c->peers.addr) == 0) {
+		tlb_log_info("event=fence vm=%s incarnation=%016" PRIx64 " source=bind",
+			     row->name.id, row->name.incarnation);
+		tlb_roster_set_gone(&c->roster, &row->name);
+		return true;
+	}
+	tlb_log_warn("event=join_blocked vm=%s addr=%s former_addr=%s", c->self.id, c->peers.addr,
+		     row->addr);
+	tlb_cluster_fence(c, row);
+	return false;
+}
+
+static void on_join_written(void *arg, enum tlb_store_status status, json_t *body,
+			    const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+
+	if (finish_op(m, "join", status))
+		take_next(m, body);
+	/* Also after success: the row read back has the witnesses, and the rows of all VMs must be
+	 * read again before this daemon may agree to fences. */
+	read_again(m);
+}
+
+static void write_join(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	json_t *txn = tlb_store_txn_new();
+	struct tlb_vm_row row;
+	struct fleet f;
+	int changed = TLB_SHARD_COUNT;
+
+	fleet_init(&f, c, true);
+	m->next = c->map;
+	m->next.ticket = 0;
+	if (c->map.version == 0)
+		tlb_shard_create(&m->next, &c->self);
+	else
+		changed = tlb_shard_apply_gone(&m->next, &f.view);
+	fleet_finish(&f);
+	fill_row(c, &row);
+	row.witness_count = tlb_cluster_choose_witnesses(c, true, row.witness);
+	if (row.witness_count == 0)
+		row.witness_count = tlb_cluster_choose_witnesses(c, false, row.witness);
+	check_row(txn, c->self.id, own_row_version(c));
+	tlb_store_check(txn, shards_key, c->map.version);
+	write_row(txn, &row);
+	if (changed)
+		write_map(m, txn);
+	send_txn(m, txn, on_join_written);
+}
+
+/* Returns the instant at which to look again. */
+static tlb_time step_join(struct tlb_membership *m, tlb_time now)
+{
+	struct tlb_cluster *c = m->cluster;
+	const struct tlb_vm_row *row = own_row(c);
+
+	if (now < m->join_at)
+		return m->join_at;
+	if (row && tlb_vm_name_equal(&row->name, &c->self) && row->state == TLB_VM_LIVE) {
+		tlb_cluster_joined(c, row);
+		m->rows_wanted = true;
+		tlb_member_changed(m);
+		return now;
+	}
+	if (!former_is_gone(m))
+		return now + JOIN_BLOCKED_RETRY;
+	write_join(m);
+	return TLB_NEVER;
+}
+
+/* Fences. */
+
+static void on_fences_written(void *arg, enum tlb_store_status status, json_t *body,
+			      const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+
+	if (finish_op(m, "fence", status)) {
+		tlb_log_info("event=fence_written map=%" PRId64, written_version(body, shards_key));
+		take_next(m, body);
+		m->rows_wanted = true;
+		return;
+	}
+	/* Whatever came of it: what the rows still lack is written anew. */
+	read_again(m);
+}
+
+static int add_fenced_rows(const struct tlb_cluster *c, json_t *txn)
+{
+	const struct tlb_member *member;
+	struct tlb_vm_row row;
+	int n = 0;
+	int i;
+
+	for (i = 0; i < c->roster.count; i++) {
+		member = &c->roster.member[i];
+		if (member->row.state != TLB_VM_LIVE || tlb_roster_live(&c->roster, member))
+			continue;
+		row = member->row;
+		row.state = TLB_VM_FENCED;
+		check_row(txn, row.name.id, row.version);
+		write_row(txn, &row);
+		n++;
+	}
+	return n;
+}
+
+/* One transaction for all VMs that are gone. Returns false when there is nothing to write. */
+static bool write_fences(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	json_t *txn = tlb_store_txn_new();
+	struct fleet f;
+	int changed;
+	int rows;
+
+	fleet_init(&f, c, !m->leaving);
+	m->next = c->map;
+	m->next.ticket = 0;
+	changed = f.view.live_count ? tlb_shard_apply_gone(&m->next, &f.view) : 0;
+	fleet_finish(&f);
+	rows = add_fenced_rows(c, txn);
+	m->fence_at = TLB_NEVER;
+	if (!changed && !rows) {
+		json_decref(txn);
+		return false;
+	}
+	tlb_log_info("event=fence_write vms=%d shards=%d base=%" PRId64, rows, changed,
+		     c->map.version);
+	tlb_store_check(txn, shards_key, c->map.version);
+	if (changed)
+		write_map(m, txn);
+	m->fence_at = tlb_clock_now() + FENCE_DELAY;
+	send_txn(m, txn, on_fences_written);
+	return true;
+}
+
+void tlb_member_gone(struct tlb_membership *m, bool proven_here)
+{
+	tlb_time now = tlb_clock_now();
+
+	sooner(&m->fence_at, proven_here ? now : now + FENCE_DELAY + spread(FENCE_DELAY));
+	tlb_member_kick(m);
+}
+
+/* Open writes. */
+
+static void stop_calls(struct tlb_membership *m)
+{
+	int i;
+
+	for (i = 0; i < m->call_count; i++)
+		tlb_peer_cancel(&m->call[i]);
+	free(m->call);
+	m->call = NULL;
+	m->call_count = 0;
+	m->call_waiting = 0;
+	m->call_failed = false;
+}
+
+static void close_write(struct tlb_membership *m)
+{
+	stop_calls(m);
+	m->write = TLB_WRITE_NONE;
+	m->uncertain = false;
+	m->cluster->yielding = 0;
+	tlb_member_kick(m);
+}
+
+static void abandon_move(struct tlb_membership *m, const char *reason)
+{
+	tlb_log_info("event=rebalance_abandoned map=%" PRId64 " reason=\"%s\"", m->base_shards,
+		     reason);
+	m->move_at = tlb_clock_now() + MOVE_RETRY + spread(MOVE_RETRY);
+	close_write(m);
+}
+
+static void open_write(struct tlb_membership *m, enum tlb_member_write kind,
+		       enum tlb_member_phase phase)
+{
+	m->write = kind;
+	m->phase = phase;
+	m->uncertain = false;
+	m->base_row = own_row_version(m->cluster);
+	m->base_shards = m->cluster->map.version;
+}
+
+static void finish_leave(struct tlb_membership *m)
+{
+	void (*on_left)(void *arg) = m->on_left;
+
+	tlb_timer_clear(m->cluster->loop, &m->leave_timer);
+	m->on_left = NULL;
+	if (on_left)
+		on_left(m->on_left_arg);
+}
+
+static void witnesses_done(struct tlb_membership *m, int64_t version)
+{
+	struct tlb_cluster *c = m->cluster;
+	struct tlb_vm_row row = *own_row(c);
+	int i;
+
+	row.version = version;
+	row.witness_count = c->session.set[1].count;
+	for (i = 0; i < row.witness_count; i++)
+		row.witness[i] = c->session.set[1].grant[i].witness;
+	tlb_session_write_done(&c->session, version);
+	tlb_log_info("event=witnesses row=%" PRId64 " count=%d", version, row.witness_count);
+	close_write(m);
+	tlb_cluster_take_row(c, &row);
+}
+
+static void write_undone(struct tlb_membership *m)
+{
+	switch (m->write) {
+	case TLB_WRITE_WITNESSES:
+		tlb_session_write_undone(&m->cluster->session);
+		m->witness_at = tlb_clock_now() + WITNESS_RETRY;
+		close_write(m);
+		break;
+	case TLB_WRITE_MOVE:
+		abandon_move(m, "not written");
+		break;
+	case TLB_WRITE_LEAVE:
+		close_write(m);
+		break;
+	case TLB_WRITE_NONE:
+		break;
+	}
+}
+
+static void write_done(struct tlb_membership *m, const json_t *body)
+{
+	struct tlb_cluster *c = m->cluster;
+	char key[KEY_LEN];
+
+	vm_key(key, c->self.id);
+	switch (m->write) {
+	case TLB_WRITE_WITNESSES:
+		witnesses_done(m, written_version(body, key));
+		break;
+	case TLB_WRITE_MOVE:
+		tlb_log_info("event=rebalance base=%" PRId64 " map=%" PRId64, m->base_shards,
+			     written_version(body, shards_key));
+		take_next(m, body);
+		close_write(m);
+		break;
+	case TLB_WRITE_LEAVE:
+		tlb_log_info("event=left vm=%s map=%" PRId64, c->self.id,
+			     written_version(body, shards_key));
+		take_next(m, body);
+		tlb_cluster_announce_gone(c, &c->self);
+		close_write(m);
+		finish_leave(m);
+		break;
+	case TLB_WRITE_NONE:
+		break;
+	}
+}
+
+static void on_written(void *arg, enum tlb_store_status status, json_t *body,
+		       const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+	bool done = finish_op(m, "write", status);
+
+	/* A rejoin may have closed the write meanwhile. */
+	if (m->write == TLB_WRITE_NONE)
+		return;
+	if (done) {
+		write_done(m, body);
+	} else if (status == TLB_STORE_REFUSED && !m->uncertain) {
+		write_undone(m);
+	} else if (status != TLB_STORE_REFUSED) {
+		m->uncertain = m->uncertain || status == TLB_STORE_UNCERTAIN;
+		m->phase = TLB_PHASE_READ_BACK;
+		read_again(m);
+	}
+}
+
+static void send_write(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	json_t *txn = tlb_store_txn_new();
+	struct tlb_vm_row row = *own_row(c);
+	int i;
+
+	check_row(txn, c->self.id, m->base_row);
+	if (m->write == TLB_WRITE_WITNESSES) {
+		row.witness_count = c->session.set[1].count;
+		for (i = 0; i < row.witness_count; i++)
+			row.witness[i] = c->session.set[1].grant[i].witness;
+		write_row(txn, &row);
+	} else {
+		tlb_store_check(txn, shards_key, m->base_shards);
+		write_map(m, txn);
+	}
+	if (m->write == TLB_WRITE_LEAVE) {
+		row.state = TLB_VM_LEFT;
+		write_row(txn, &row);
+	}
+	send_txn(m, txn, on_written);
+}
+
+static bool same_witnesses(const struct tlb_vm_row *row, const struct tlb_witness_set *set)
+{
+	int i;
+
+	for (i = 0; i < row->witness_count && i < set->count; i++)
+		if (!tlb_vm_name_equal(&row->witness[i], &set->grant[i].witness))
+			return false;
+	return row->witness_count == set->count;
+}
+
+/* The rows were read back after a conflict or an uncertain outcome. If one of the rows that the
+ * write depends on has moved, it took effect already or never will. */
+static void resolve(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	bool moved = own_row_version(c) > m->base_row;
+
+	if (m->write != TLB_WRITE_WITNESSES)
+		moved = moved || c->map.version > m->base_shards;
+	if (!moved && m->uncertain) {
+		m->phase = TLB_PHASE_WRITE;
+		send_write(m);
+	} else if (moved && m->write == TLB_WRITE_WITNESSES &&
+		   same_witnesses(own_row(c), &c->session.set[1])) {
+		witnesses_done(m, own_row_version(c));
+	} else {
+		write_undone(m);
+	}
+}
+
+void tlb_member_map_changed(struct tlb_membership *m)
+{
+	if (m->write != TLB_WRITE_MOVE && m->write != TLB_WRITE_LEAVE)
+		return;
+	if (m->cluster->map.version <= m->base_shards)
+		return;
+	/* The write has taken effect or never will; either way the map tells who acts. */
+	m->cluster->yielding = 0;
+	if (m->phase == TLB_PHASE_RELEASE || m->phase == TLB_PHASE_HAND_OVER)
+		close_write(m);
+}
+
+/* Moves. */
+
+static void on_call_done(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	struct tlb_membership *m = arg;
+
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_DONE)
+		m->call_failed = true;
+	m->call_waiting--;
+	if (m->call_waiting == 0)
+		tlb_member_kick(m);
+}
+
+static void call_vm(struct tlb_membership *m, const char *vm, Toucan__Envelope *envelope)
+{
+	m->call_waiting++;
+	tlb_peers_call(&m->cluster->peers, vm, &m->call[m->call_count++], envelope,
+		       tlb_clock_now() + CALL_TIMEOUT, on_call_done, m);
+}
+
+static void prepare_calls(struct tlb_membership *m)
+{
+	stop_calls(m);
+	m->call = calloc(m->cluster->roster.count + 1, sizeof(struct tlb_peer_call));
+	if (!m->call)
+		abort();
+}
+
+static size_t list_shards(tlb_shard_set set, uint32_t *out)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++)
+		if (tlb_shard_in(set, i))
+			out[n++] = i;
+	return n;
+}
+
+static void send_release(struct tlb_membership *m, const char *vm, tlb_shard_set set)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__StandbyRelease release = TOUCAN__STANDBY_RELEASE__INIT;
+	uint32_t shards[TLB_SHARD_COUNT];
+
+	release.n_shards = list_shards(set, shards);
+	release.shards = shards;
+	release.shards_version = m->base_shards;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_STANDBY_RELEASE;
+	envelope.standby_release = &release;
+	call_vm(m, vm, &envelope);
+}
+
+/* The shards whose standby must release its right. */
+static tlb_shard_set rights_to_release(const struct tlb_membership *m)
+{
+	const struct tlb_cluster *c = m->cluster;
+	const struct tlb_vm_name *standby;
+	tlb_shard_set set = 0;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		standby = &c->map.entry[i].standby;
+		if (standby->id[0] && !tlb_roster_gone(&c->roster, standby))
+			set |= tlb_shard_released(&c->map, &m->next, &c->self, standby);
+	}
+	return set;
+}
+
+static void ask_releases(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	tlb_shard_set open = rights_to_release(m);
+	tlb_shard_set set;
+	int i;
+
+	prepare_calls(m);
+	for (i = 0; i < c->roster.count; i++) {
+		set = tlb_shard_released(&c->map, &m->next, &c->self,
+					 &c->roster.member[i].row.name) &
+		      open;
+		open &= ~set;
+		if (set)
+			send_release(m, c->roster.member[i].row.name.id, set);
+	}
+	/* A standby under an incarnation that no row names can't be asked. */
+	if (open)
+		m->call_failed = true;
+	if (m->call_waiting == 0)
+		tlb_member_kick(m);
+}
+
+static void free_hand_over(Toucan__HandOver *state)
+{
+	size_t i;
+
+	for (i = 0; i < state->n_buckets; i++) {
+		free(state->buckets[i]->account);
+		free(state->buckets[i]);
+	}
+	for (i = 0; i < state->n_bookings; i++) {
+		free(state->bookings[i]->endpoint);
+		free(state->bookings[i]->request_id);
+		free(state->bookings[i]->owner);
+		free(state->bookings[i]);
+	}
+	free(state->buckets);
+	free(state->bookings);
+}
+
+static void send_hand_over(struct tlb_membership *m, const char *vm, tlb_shard_set set)
+{
+	const struct tlb_cluster_handlers *h = &m->cluster->handlers;
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__HandOver state = TOUCAN__HAND_OVER__INIT;
+	uint32_t shards[TLB_SHARD_COUNT];
+
+	if (h->hand_over)
+		h->hand_over(h->arg, set, &state);
+	state.n_shards = list_shards(set, shards);
+	state.shards = shards;
+	state.ticket = m->next.ticket;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_HAND_OVER;
+	envelope.hand_over = &state;
+	call_vm(m, vm, &envelope);
+	free_hand_over(&state);
+}
+
+static void send_hand_overs(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	tlb_shard_set set;
+	int i;
+
+	m->phase = TLB_PHASE_HAND_OVER;
+	prepare_calls(m);
+	for (i = 0; i < c->roster.count; i++)
+		c->yielding |=
+			tlb_shard_given(&c->map, &m->next, &c->self, &c->roster.member[i].row.name);
+	for (i = 0; i < c->roster.count; i++) {
+		set = tlb_shard_given(&c->map, &m->next, &c->self, &c->roster.member[i].row.name);
+		if (set)
+			send_hand_over(m, c->roster.member[i].row.name.id, set);
+	}
+	if (m->call_waiting == 0)
+		tlb_member_kick(m);
+}
+
+static void advance_write(struct tlb_membership *m)
+{
+	if (m->call_waiting > 0)
+		return;
+	switch (m->phase) {
+	case TLB_PHASE_RELEASE:
+		if (m->call_failed)
+			abandon_move(m, "a standby did not release its right");
+		else
+			send_hand_overs(m);
+		break;
+	case TLB_PHASE_HAND_OVER:
+		/* A daemon that leaves can't wait: the new owner starts from what it knows. */
+		if (m->call_failed && m->write == TLB_WRITE_MOVE) {
+			abandon_move(m, "the new owner did not take the state");
+			break;
+		}
+		m->phase = TLB_PHASE_WRITE;
+		send_write(m);
+		break;
+	case TLB_PHASE_WRITE:
+		send_write(m);
+		break;
+	case TLB_PHASE_READ_BACK:
+		resolve(m);
+		break;
+	}
+}
+
+/* Returns false when nothing has to move. */
+static bool begin_move(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	struct fleet f;
+	int changed;
+
+	m->move_at = TLB_NEVER;
+	if (!tlb_cluster_valid(c, tlb_clock_now()))
+		return false;
+	fleet_init(&f, c, true);
+	m->next = c->map;
+	changed = tlb_shard_plan(&m->next, &f.view, &c->self);
+	fleet_finish(&f);
+	if (!changed)
+		return false;
+	randombytes_buf(&m->next.ticket, sizeof(m->next.ticket));
+	open_write(m, TLB_WRITE_MOVE, TLB_PHASE_RELEASE);
+	ask_releases(m);
+	return true;
+}
+
+static void begin_leave(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+	struct fleet f;
+
+	fleet_init(&f, c, false);
+	m->next = c->map;
+	if (f.view.live_count > 0)
+		tlb_shard_leave(&m->next, &f.view, &c->self);
+	fleet_finish(&f);
+	randombytes_buf(&m->next.ticket, sizeof(m->next.ticket));
+	open_write(m, TLB_WRITE_LEAVE, TLB_PHASE_RELEASE);
+	ask_releases(m);
+}
+
+static bool begin_witnesses(struct tlb_membership *m)
+{
+	struct tlb_cluster *c = m->cluster;
+
+	if (!tlb_session_proposal_ready(&c->session, tlb_clock_now()))
+		return false;
+	open_write(m, TLB_WRITE_WITNESSES, TLB_PHASE_WRITE);
+	tlb_session_write_begun(&c->session);
+	send_write(m);
+	return true;
+}
+
+/* Deciding what to do next. */
+
+static tlb_time step_joined(struct tlb_membership *m, tlb_time now)
+{
+	tlb_time next;
+
+	if (m->write != TLB_WRITE_NONE) {
+		advance_write(m);
+		return TLB_NEVER;
+	}
+	if (now >= m->fence_at && write_fences(m))
+		return TLB_NEVER;
+	if (m->leaving) {
+		if (m->on_left)
+			begin_leave(m);
+		return TLB_NEVER;
+	}
+	if (begin_witnesses(m))
+		return TLB_NEVER;
+	if (now >= m->move_at && begin_move(m))
+		return TLB_NEVER;
+	if (now >= m->refresh_at) {
+		m->rows_wanted = true;
+		return now;
+	}
+	next = m->refresh_at;
+	sooner(&next, m->fence_at);
+	sooner(&next, m->move_at);
+	return next;
+}
+
+static void step(void *arg)
+{
+	struct tlb_membership *m = arg;
+	tlb_time now = tlb_clock_now();
+	tlb_time next;
+
+	if (m->busy)
+		return;
+	if (now < m->retry_at) {
+		tlb_timer_set(m->cluster->loop, &m->step, m->retry_at);
+		return;
+	}
+	if (start_read(m))
+		return;
+	next = m->cluster->joined ? step_joined(m, now) : step_join(m, now);
+	/* What ran above may have asked for the next step itself. */
+	if (!m->step.index && !m->busy)
+		tlb_timer_set(m->cluster->loop, &m->step, next);
+}
+
+void tlb_member_kick(struct tlb_membership *m)
+{
+	tlb_timer_set(m->cluster->loop, &m->step, tlb_clock_now());
+}
+
+void tlb_member_changed(struct tlb_membership *m)
+{
+	sooner(&m->move_at, tlb_clock_now() + MOVE_DELAY + spread(MOVE_SPREAD));
+	tlb_member_kick(m);
+}
+
+void tlb_member_init(struct tlb_membership *m, struct tlb_cluster *c)
+{
+	memset(m, 0, sizeof(*m));
+	m->cluster = c;
+	m->join_at = TLB_NEVER;
+	m->fence_at = TLB_NEVER;
+	m->move_at = TLB_NEVER;
+	m->refresh_at = TLB_NEVER;
+	tlb_timer_init(&m->step, step, m);
+}
+
+void tlb_member_finish(struct tlb_membership *m)
+{
+	stop_calls(m);
+	tlb_store_cancel(&m->op);
+	tlb_timer_clear(m->cluster->loop, &m->step);
+	if (m->on_left)
+		tlb_timer_clear(m->cluster->loop, &m->leave_timer);
+}
+
+void tlb_member_join(struct tlb_membership *m)
+{
+	stop_calls(m);
+	m->write = TLB_WRITE_NONE;
+	m->join_at = TLB_NEVER;
+	read_again(m);
+	tlb_member_kick(m);
+}
+
+static void leave_expired(void *arg)
+{
+	struct tlb_membership *m = arg;
+
+	tlb_log_warn("event=leave_expired vm=%s", m->cluster->self.id);
+	finish_leave(m);
+}
+
+void tlb_member_leave(struct tlb_membership *m, tlb_time deadline, void (*on_left)(void *arg),
+		      void *arg)
+{
+	m->leaving = true;
+	m->on_left = on_left;
+	m->on_left_arg = arg;
+	tlb_timer_init(&m->leave_timer, leave_expired, m);
+	/* Before the join there is nothing to give back. */
+	tlb_timer_set(m->cluster->loop, &m->leave_timer,
+		      m->cluster->joined ? deadline : tlb_clock_now());
+	tlb_member_kick(m);
+}
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,680 @@
+#include "peer.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "address.h"
+#include "log.h"
+
+enum {
+	READ_BYTES = 64 << 10,
+	HELLO_BYTES_MAX = 4096, /* before the Hello nothing larger is buffered */
+	BACKOFF_DOUBLINGS = 6,
+};
+
+enum link_state { LINK_CONNECTING, LINK_HELLO, LINK_UP, LINK_CLOSED };
+
+/* One TCP connection. Owned by struct tlb_peers. */
+struct tlb_peer_link {
+	APR_RING_ENTRY(tlb_peer_link) link;
+	struct tlb_peers *peers;
+	struct tlb_peer *peer; /* NULL before the Hello of an accepted connection */
+	enum link_state state;
+	bool opened_here;
+	bool broken; /* a write failed; closed from the loop */
+	int fd;
+	struct tlb_watch *watch;
+	struct tlb_timer timer;
+	tlb_time heard;
+	struct tlb_frame_buffer in;
+	struct tlb_frame_buffer out;
+	uint64_t queued;  /* bytes of the stream so far, written or not */
+	uint64_t written; /* bytes of the stream that the kernel took */
+	struct tlb_peer_call_ring calls;
+};
+
+static void link_event(void *arg, int events);
+static void link_timer(void *arg);
+static void peer_retry(void *arg);
+
+/* Calls. */
+
+void tlb_peer_cancel(struct tlb_peer_call *call)
+{
+	struct tlb_peers *p = call->peers;
+
+	if (!p)
+		return;
+	APR_RING_REMOVE(call, link);
+	tlb_timer_clear(p->loop, &call->timer);
+	call->peers = NULL;
+	call->on = NULL;
+}
+
+static void call_fail(struct tlb_peer_call *call, enum tlb_code code, const char *reason)
+{
+	bool sent = call->on && call->on->written > call->starts_at;
+	struct tlb_error err;
+
+	tlb_error_set(&err, code, sent ? TLB_UNKNOWN : TLB_NOT_RUN, "peer", call->vm, "%s", reason);
+	tlb_peer_cancel(call);
+	call->on_reply(call->arg, NULL, &err);
+}
+
+static void call_timer(void *arg)
+{
+	struct tlb_peer_call *call = arg;
+
+	if (call->failed != TLB_OK)
+		call_fail(call, call->failed, "no link to the VM, or its queue is full");
+	else
+		call_fail(call, TLB_TIMEOUT, "no reply before the deadline");
+}
+
+/* Reports a failure from the loop, because on_reply never runs within tlb_peers_call(). */
+static void call_fail_later(struct tlb_peers *p, struct tlb_peer_call *call, enum tlb_code code)
+{
+	call->failed = code;
+	APR_RING_INSERT_TAIL(&p->failing, call, tlb_peer_call, link);
+	tlb_timer_set(p->loop, &call->timer, tlb_clock_now());
+}
+
+static void fail_calls(struct tlb_peer_link *l)
+{
+	struct tlb_peer_call_ring calls;
+
+	APR_RING_INIT(&calls, tlb_peer_call, link);
+	APR_RING_CONCAT(&calls, &l->calls, tlb_peer_call, link);
+	while (!APR_RING_EMPTY(&calls, tlb_peer_call, link))
+		call_fail(APR_RING_FIRST(&calls), TLB_NOT_READY, "the link to the VM closed");
+}
+
+/* Peers. */
+
+struct tlb_peer *tlb_peers_find(const struct tlb_peers *p, const char *vm)
+{
+	struct tlb_peer *peer;
+
+	APR_RING_FOREACH (peer, &p->peers, tlb_peer, link)
+		if (strcmp(peer->id, vm) == 0)
+			return peer;
+	return NULL;
+}
+
+static struct tlb_peer *peer_get(struct tlb_peers *p, const char *vm)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, vm);
+
+	if (peer || strlen(vm) >= sizeof(peer->id))
+		return peer;
+	peer = calloc(1, sizeof(*peer));
+	if (!peer)
+		return NULL;
+	peer->peers = p;
+	strcpy(peer->id, vm);
+	tlb_timer_init(&peer->retry, peer_retry, peer);
+	APR_RING_INSERT_TAIL(&p->peers, peer, tlb_peer, link);
+	return peer;
+}
+
+/* A random part keeps daemons that lost the same VM from reconnecting at the same moment. */
+static void retry_later(struct tlb_peer *peer)
+{
+	tlb_time delay =
+		TLB_PEER_BACKOFF_MIN
+		<< (peer->attempts < BACKOFF_DOUBLINGS ? peer->attempts : BACKOFF_DOUBLINGS);
+
+	if (!peer->wanted || peer->up || peer->opening || !*peer->addr)
+		return;
+	if (delay > TLB_PEER_BACKOFF_MAX)
+		delay = TLB_PEER_BACKOFF_MAX;
+	delay = delay / 2 + randombytes_uniform(delay / 2);
+	peer->attempts++;
+	tlb_timer_set(peer->peers->loop, &peer->retry, tlb_clock_now() + delay);
+}
+
+/* Links. */
+
+static void reap(void *arg)
+{
+	struct tlb_peers *p = arg;
+	struct tlb_peer_link *l;
+
+	while (!APR_RING_EMPTY(&p->closed, tlb_peer_link, link)) {
+		l = APR_RING_FIRST(&p->closed);
+		APR_RING_REMOVE(l, link);
+		tlb_frame_buffer_finish(&l->in);
+		tlb_frame_buffer_finish(&l->out);
+		free(l);
+	}
+}
+
+static void link_detach(struct tlb_peer_link *l)
+{
+	struct tlb_peers *p = l->peers;
+
+	if (!l->peer)
+		p->unknown_links--;
+	tlb_loop_unwatch(p->loop, l->watch);
+	tlb_timer_clear(p->loop, &l->timer);
+	close(l->fd);
+	l->fd = -1;
+	l->state = LINK_CLOSED;
+	APR_RING_REMOVE(l, link);
+	APR_RING_INSERT_TAIL(&p->closed, l, tlb_peer_link, link);
+	tlb_timer_set(p->loop, &p->reaper, tlb_clock_now());
+}
+
+/* Closes a link without an attempt to open it again. */
+static void link_close(struct tlb_peer_link *l, const char *reason)
+{
+	struct tlb_peer *peer = l->peer;
+	struct tlb_peers *p = l->peers;
+
+	if (l->state == LINK_CLOSED)
+		return;
+	link_detach(l);
+	if (peer && peer->opening == l)
+		peer->opening = NULL;
+	if (peer && peer->up == l) {
+		peer->up = NULL;
+		tlb_counter_add(p->counters, TLB_COUNTER_PEER_LINKS, -1);
+		tlb_log_info("event=link_down vm=%s reason=\"%s\"", peer->id, reason);
+		p->handlers.on_down(p->handlers.arg, peer);
+	}
+	fail_calls(l);
+}
+
+static void link_lost(struct tlb_peer_link *l, const char *reason)
+{
+	struct tlb_peer *peer = l->peer;
+
+	link_close(l, reason);
+	if (peer)
+		retry_later(peer);
+}
+
+static void link_want(struct tlb_peer_link *l)
+{
+	bool pending = l->state == LINK_CONNECTING || l->out.end > l->out.start;
+
+	tlb_loop_rewatch(l->peers->loop, l->watch, TLB_READABLE | (pending ? TLB_WRITABLE : 0));
+}
+
+/* Writes what the kernel takes. A failure closes the link later, from the loop. */
+static void link_write(struct tlb_peer_link *l)
+{
+	ssize_t n;
+
+	while (l->out.end > l->out.start) {
+		n = send(l->fd, l->out.data + l->out.start, l->out.end - l->out.start,
+			 MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno != EAGAIN) {
+			l->broken = true;
+			tlb_timer_set(l->peers->loop, &l->timer, tlb_clock_now());
+		}
+		if (n < 0)
+			break;
+		l->out.start += n;
+		l->written += n;
+		tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_BYTES_OUT, n);
+	}
+	link_want(l);
+}
+
+static enum tlb_code link_send(struct tlb_peer_link *l, Toucan__Envelope *body)
+{
+	struct tlb_peers *p = l->peers;
+	size_t before = l->out.end - l->out.start;
+	enum tlb_code code;
+
+	if (before > TLB_PEER_QUEUE_MAX)
+		return TLB_OVERLOADED;
+	body->source = p->self;
+	body->incarnation = p->incarnation;
+	code = tlb_frame_encode(&l->out, &p->keys, body);
+	if (code != TLB_OK)
+		return code;
+	l->queued += l->out.end - l->out.start - before;
+	tlb_counter_add(p->counters, TLB_COUNTER_PEER_FRAMES_OUT, 1);
+	if (before == 0 && !l->broken)
+		link_write(l);
+	return TLB_OK;
+}
+
+static void send_hello(struct tlb_peer_link *l)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__Hello hello = TOUCAN__HELLO__INIT;
+
+	hello.target = l->peer->id;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	link_send(l, &envelope);
+}
+
+static struct tlb_peer_link *link_new(struct tlb_peers *p, int fd, int events)
+{
+	struct tlb_peer_link *l = calloc(1, sizeof(*l));
+	int on = 1;
+
+	if (!l)
+		return NULL;
+	l->peers = p;
+	l->fd = fd;
+	l->watch = tlb_loop_watch(p->loop, fd, events, link_event, l);
+	if (!l->watch) {
+		free(l);
+		return NULL;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	APR_RING_INIT(&l->calls, tlb_peer_call, link);
+	APR_RING_INSERT_TAIL(&p->links, l, tlb_peer_link, link);
+	tlb_timer_init(&l->timer, link_timer, l);
+	tlb_timer_set(p->loop, &l->timer, tlb_clock_now() + TLB_PEER_HELLO_TIMEOUT);
+	return l;
+}
+
+static int connect_to(const char *addr)
+{
+	struct sockaddr_storage to;
+	socklen_t len;
+	int fd;
+
+	if (!tlb_address_parse(addr, &to, &len))
+		return -1;
+	fd = socket(to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	if (connect(fd, (const struct sockaddr *)&to, len) == 0 || errno == EINPROGRESS)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static void peer_retry(void *arg)
+{
+	struct tlb_peer *peer = arg;
+	int fd;
+
+	if (!peer->wanted || peer->up || peer->opening)
+		return;
+	fd = connect_to(peer->addr);
+	if (fd >= 0)
+		peer->opening = link_new(peer->peers, fd, TLB_READABLE | TLB_WRITABLE);
+	if (!peer->opening) {
+		if (fd >= 0)
+			close(fd);
+		retry_later(peer);
+		return;
+	}
+	peer->opening->peer = peer;
+	peer->opening->opened_here = true;
+	peer->opening->state = LINK_CONNECTING;
+}
+
+/* Of two links between the same processes both sides must keep the same one. */
+static bool replaces(const struct tlb_peer_link *old, const struct tlb_peer_link *l,
+		     uint64_t incarnation)
+{
+	bool lower_is_here = strcmp(l->peers->self, l->peer->id) < 0;
+
+	if (l->peer->incarnation != incarnation)
+		return true;
+	if (tlb_clock_now() - old->heard > TLB_PEER_HEALTHY)
+		return true;
+	return l->opened_here == lower_is_here;
+}
+
+static void link_up(struct tlb_peer_link *l, uint64_t incarnation)
+{
+	struct tlb_peer *peer = l->peer;
+	struct tlb_peers *p = l->peers;
+
+	if (peer->up && !replaces(peer->up, l, incarnation)) {
+		link_close(l, "another link is in use");
+		return;
+	}
+	if (peer->opening == l)
+		peer->opening = NULL;
+	if (peer->up)
+		link_close(peer->up, "replaced by a newer link");
+	peer->up = l;
+	peer->incarnation = incarnation;
+	l->state = LINK_UP;
+	tlb_timer_clear(p->loop, &peer->retry);
+	tlb_timer_set(p->loop, &l->timer, tlb_clock_now() + TLB_PEER_SILENCE);
+	tlb_counter_add(p->counters, TLB_COUNTER_PEER_LINKS, 1);
+	tlb_log_info("event=link_up vm=%s incarnation=%016llx opened_here=%d", peer->id,
+		     (unsigned long long)incarnation, l->opened_here);
+	p->handlers.on_up(p->handlers.arg, peer);
+}
+
+static void take_hello(struct tlb_peer_link *l, const Toucan__Envelope *msg)
+{
+	struct tlb_peers *p = l->peers;
+
+	if (msg->body_case != TOUCAN__ENVELOPE__BODY_HELLO ||
+	    strcmp(msg->hello->target, p->self) != 0 || strcmp(msg->source, p->self) == 0 ||
+	    (l->peer && strcmp(msg->source, l->peer->id) != 0)) {
+		link_lost(l, "the other end is not the VM expected");
+		return;
+	}
+	if (!p->handlers.accepts(p->handlers.arg, msg->source, msg->incarnation)) {
+		link_lost(l, "the other end is fenced");
+		return;
+	}
+	if (!l->peer) {
+		l->peer = peer_get(p, msg->source);
+		if (!l->peer) {
+			link_close(l, "the VM id is too long");
+			return;
+		}
+		p->unknown_links--;
+		send_hello(l);
+	}
+	link_up(l, msg->incarnation);
+}
+
+static void take_reply(struct tlb_peer_link *l, const Toucan__Envelope *msg)
+{
+	struct tlb_peer_call *call;
+
+	APR_RING_FOREACH (call, &l->calls, tlb_peer_call, link)
+		if (call->id == msg->reply_to) {
+			tlb_peer_cancel(call);
+			call->on_reply(call->arg, msg, NULL);
+			return;
+		}
+}
+
+static void take_message(struct tlb_peer_link *l, Toucan__Envelope *msg)
+{
+	struct tlb_peer *peer = l->peer;
+
+	l->heard = tlb_clock_now();
+	tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_FRAMES_IN, 1);
+	if (l->state != LINK_UP) {
+		take_hello(l, msg);
+		return;
+	}
+	if (strcmp(msg->source, peer->id) != 0 || msg->incarnation != peer->incarnation) {
+		link_lost(l, "a frame names another sender");
+		return;
+	}
+	peer->attempts = 0;
+	peer->heard = l->heard;
+	if (msg->reply_to)
+		take_reply(l, msg);
+	else
+		l->peers->handlers.on_message(l->peers->handlers.arg, peer, msg);
+}
+
+static void link_decode(struct tlb_peer_link *l)
+{
+	Toucan__Envelope *msg;
+	enum tlb_code code;
+
+	while (l->state != LINK_CLOSED) {
+		code = tlb_frame_decode(&l->in, &l->peers->keys, &msg);
+		if (code != TLB_OK) {
+			tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_BAD_FRAMES, 1);
+			tlb_log_warn("event=bad_frame vm=%s fault=%s", l->peer ? l->peer->id : "",
+				     tlb_error_name(code));
+			link_lost(l, "bad frame");
+			return;
+		}
+		if (!msg)
+			break;
+		take_message(l, msg);
+		toucan__envelope__free_unpacked(msg, NULL);
+	}
+	if (l->state == LINK_HELLO && l->in.end - l->in.start > HELLO_BYTES_MAX)
+		link_lost(l, "too much before the Hello");
+}
+
+static void link_read(struct tlb_peer_link *l)
+{
+	unsigned char *room = tlb_frame_buffer_reserve(&l->in, READ_BYTES);
+	ssize_t n = room ? recv(l->fd, room, READ_BYTES, 0) : 0;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		link_lost(l, n < 0 ? strerror(errno) : "closed by the other end");
+		return;
+	}
+	l->in.end += n;
+	tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_BYTES_IN, n);
+	link_decode(l);
+}
+
+static void link_connected(struct tlb_peer_link *l)
+{
+	socklen_t len = sizeof(int);
+	int fault = 0;
+
+	getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+	if (fault) {
+		link_lost(l, strerror(fault));
+		return;
+	}
+	l->state = LINK_HELLO;
+	send_hello(l);
+}
+
+static void link_event(void *arg, int events)
+{
+	struct tlb_peer_link *l = arg;
+
+	if (l->state == LINK_CONNECTING) {
+		link_connected(l);
+		return;
+	}
+	if (events & TLB_WRITABLE)
+		link_write(l);
+	if (events & (TLB_READABLE | TLB_HANGUP))
+		link_read(l);
+}
+
+static void link_timer(void *arg)
+{
+	struct tlb_peer_link *l = arg;
+	tlb_time until = l->heard + TLB_PEER_SILENCE;
+
+	if (l->broken) {
+		link_lost(l, "write failed");
+		return;
+	}
+	if (l->state == LINK_UP && tlb_clock_now() < until) {
+		tlb_timer_set(l->peers->loop, &l->timer, until);
+		return;
+	}
+	if (l->state == LINK_UP)
+		tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_SILENT, 1);
+	link_lost(l, l->state == LINK_UP ? "no frame in time" : "no Hello in time");
+}
+
+/* The set as a whole. */
+
+static void accept_links(void *arg, int events)
+{
+	struct tlb_peers *p = arg;
+	struct tlb_peer_link *l;
+	int fd;
+
+	for (;;) {
+		fd = accept4(p->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		l = p->unknown_links < TLB_PEER_UNKNOWN_MAX ? link_new(p, fd, TLB_READABLE) : NULL;
+		if (!l) {
+			close(fd);
+			continue;
+		}
+		l->state = LINK_HELLO;
+		p->unknown_links++;
+	}
+}
+
+void tlb_peers_init(struct tlb_peers *p, struct tlb_loop *loop, struct tlb_counters *counters,
+		    const struct tlb_settings *settings, const struct tlb_peers_handlers *handlers)
+{
+	memset(p, 0, sizeof(*p));
+	p->loop = loop;
+	p->counters = counters;
+	p->keys.key = settings->peer_keys;
+	p->keys.count = settings->peer_key_count;
+	p->handlers = *handlers;
+	strcpy(p->self, settings->vm_id);
+	p->listener = -1;
+	APR_RING_INIT(&p->peers, tlb_peer, link);
+	APR_RING_INIT(&p->links, tlb_peer_link, link);
+	APR_RING_INIT(&p->closed, tlb_peer_link, link);
+	APR_RING_INIT(&p->failing, tlb_peer_call, link);
+	tlb_timer_init(&p->reaper, reap, p);
+}
+
+static void drop_calls(struct tlb_peer_call_ring *calls)
+{
+	while (!APR_RING_EMPTY(calls, tlb_peer_call, link))
+		tlb_peer_cancel(APR_RING_FIRST(calls));
+}
+
+void tlb_peers_finish(struct tlb_peers *p)
+{
+	struct tlb_peer_link *l;
+	struct tlb_peer *peer;
+
+	drop_calls(&p->failing);
+	while (!APR_RING_EMPTY(&p->links, tlb_peer_link, link)) {
+		l = APR_RING_FIRST(&p->links);
+		drop_calls(&l->calls);
+		link_detach(l);
+	}
+	reap(p);
+	tlb_timer_clear(p->loop, &p->reaper);
+	while (!APR_RING_EMPTY(&p->peers, tlb_peer, link)) {
+		peer = APR_RING_FIRST(&p->peers);
+		tlb_timer_clear(p->loop, &peer->retry);
+		APR_RING_REMOVE(peer, link);
+		free(peer);
+	}
+	tlb_loop_unwatch(p->loop, p->watch);
+	p->watch = NULL;
+	if (p->listener >= 0)
+		close(p->listener);
+	p->listener = -1;
+}
+
+enum tlb_code tlb_peers_listen(struct tlb_peers *p, const char *addr, struct tlb_error *err)
+{
+	p->listener = tlb_address_listen(addr, p->addr, err);
+	if (p->listener < 0)
+		return TLB_INTERNAL;
+	p->watch = tlb_loop_watch(p->loop, p->listener, TLB_READABLE, accept_links, p);
+	if (!p->watch)
+		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "listen", addr,
+				     "the listener can't be polled");
+	return TLB_OK;
+}
+
+void tlb_peers_set_incarnation(struct tlb_peers *p, uint64_t incarnation)
+{
+	struct tlb_peer *peer;
+
+	p->incarnation = incarnation;
+	APR_RING_FOREACH (peer, &p->peers, tlb_peer, link) {
+		if (peer->opening)
+			link_lost(peer->opening, "new incarnation");
+		if (peer->up)
+			link_lost(peer->up, "new incarnation");
+	}
+}
+
+void tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr)
+{
+	struct tlb_peer *peer = peer_get(p, vm);
+
+	if (!peer || strlen(addr) >= sizeof(peer->addr))
+		return;
+	strcpy(peer->addr, addr);
+	if (peer->wanted)
+		return;
+	peer->wanted = true;
+	if (!peer->up && !peer->opening)
+		tlb_timer_set(p->loop, &peer->retry, tlb_clock_now());
+}
+
+void tlb_peers_drop(struct tlb_peers *p, const char *vm)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, vm);
+
+	if (!peer)
+		return;
+	peer->wanted = false;
+	tlb_timer_clear(p->loop, &peer->retry);
+	if (peer->opening)
+		link_close(peer->opening, "the VM left");
+	if (peer->up)
+		link_close(peer->up, "the VM left");
+}
+
+void tlb_peers_call(struct tlb_peers *p, const char *vm, struct tlb_peer_call *call,
+		    Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
+		    void *arg)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, vm);
+	struct tlb_peer_link *l = peer ? peer->up : NULL;
+	enum tlb_code code = TLB_NOT_READY;
+
+	memset(call, 0, sizeof(*call));
+	tlb_timer_init(&call->timer, call_timer, call);
+	call->peers = p;
+	call->id = ++p->last_id;
+	call->on_reply = on_reply;
+	call->arg = arg;
+	snprintf(call->vm, sizeof(call->vm), "%s", vm);
+	body->id = call->id;
+	body->reply_to = 0;
+	if (l) {
+		call->starts_at = l->queued;
+		code = link_send(l, body);
+	}
+	if (code != TLB_OK) {
+		call_fail_later(p, call, code);
+		return;
+	}
+	call->on = l;
+	APR_RING_INSERT_TAIL(&l->calls, call, tlb_peer_call, link);
+	tlb_timer_set(p->loop, &call->timer, deadline);
+}
+
+bool tlb_peers_send(struct tlb_peers *p, const char *vm, Toucan__Envelope *body)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, vm);
+
+	body->id = 0;
+	body->reply_to = 0;
+	return tlb_peer_is_up(peer) && link_send(peer->up, body) == TLB_OK;
+}
+
+void tlb_peers_reply(struct tlb_peers *p, const struct tlb_peer_return *to, Toucan__Envelope *body)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, to->vm);
+
+	if (to->id == 0 || !tlb_peer_is_up(peer) || peer->incarnation != to->incarnation)
+		return;
+	body->id = 0;
+	body->reply_to = to->id;
+	link_send(peer->up, body);
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -1,6 +1,7 @@
 /*
  * TCP links to other daemons: connect and accept, reconnect with backoff, frames, requests and
- * replies. A link on which no frame arrived for TLB_PEER_SILENCE is closed and opened again.
+ * replies. A link on which no frame arrived for TLB_PEER_SILENCE is closed and opened again. Either
+ * side opens a missing link; of two that cross, the one that the lower VM id opened is kept.
  */
 #ifndef TLB_PEER_H
 #define TLB_PEER_H
@@ -11,18 +12,23 @@
 #include "frame.h"
 #include "loop.h"
 
-#define TLB_PEER_SILENCE (3 * TLB_SECOND)	  /* longest time without a frame */
-#define TLB_PEER_BACKOFF_MIN (50 * TLB_MS)	  /* first delay before a reconnect */
-#define TLB_PEER_BACKOFF_MAX (2 * TLB_SECOND)	  /* longest delay before a reconnect */
-#define TLB_PEER_CONNECT_TIMEOUT (2 * TLB_SECOND) /* includes the exchange of Hello */
+#define TLB_PEER_SILENCE (3 * TLB_SECOND)	/* longest time without a frame */
+#define TLB_PEER_BACKOFF_MIN (50 * TLB_MS)	/* first delay before a reconnect */
+#define TLB_PEER_BACKOFF_MAX (2 * TLB_SECOND)	/* longest delay before a reconnect */
+#define TLB_PEER_HELLO_TIMEOUT (2 * TLB_SECOND) /* for connecting and the exchange of Hello */
+#define TLB_PEER_HEALTHY (1500 * TLB_MS)	/* a link with a frame this recent is in use */
 
-enum { TLB_PEER_QUEUE_MAX = 8 << 20 }; /* bytes waiting to be written to one link */
+enum {
+	TLB_PEER_QUEUE_MAX = 8 << 20, /* bytes waiting to be written to one link */
+	TLB_PEER_UNKNOWN_MAX = 64,    /* accepted connections before their Hello */
+};
 
 struct tlb_peers;
 struct tlb_peer;
+struct tlb_peer_link;
 
 /* reply is borrowed for the duration of the call; NULL means that there is none and err tells why:
- * outcome TLB_NOT_RUN when the request was never written to a connection. */
+ * outcome TLB_NOT_RUN when no byte of the request was written to a connection. */
 typedef void tlb_peer_reply_fn(void *arg, const Toucan__Envelope *reply,
 			       const struct tlb_error *err);
 
@@ -31,10 +37,12 @@
 struct tlb_peer_call {
 	APR_RING_ENTRY(tlb_peer_call) link;
 	struct tlb_peers *peers; /* NULL when idle */
-	struct tlb_peer *peer;
+	struct tlb_peer_link *on;
 	struct tlb_timer timer;
 	uint64_t id;
-	bool written;
+	uint64_t starts_at; /* position of the request in the link's stream of bytes */
+	enum tlb_code failed;
+	char vm[TLB_ID_LEN];
 	tlb_peer_reply_fn *on_reply;
 	void *arg;
 };
@@ -46,6 +54,9 @@
 	return call->peers != NULL;
 }
 
+/* Ends a call without on_reply; harmless when idle. */
+void tlb_peer_cancel(struct tlb_peer_call *call);
+
 /* Where to send a reply; a value type, so that a handler can keep it and reply later. */
 struct tlb_peer_return {
 	char vm[TLB_ID_LEN];
@@ -53,7 +64,77 @@
 	uint64_t id; /* 0: the message was one-way and a reply is dropped */
 };
 
-/* Ends a call without on_reply; harmless when idle. */
-void tlb_peer_cancel(struct tlb_peer_call *call);
+/* One other VM. Owned by struct tlb_peers. */
+struct tlb_peer {
+	APR_RING_ENTRY(tlb_peer) link;
+	struct tlb_peers *peers;
+	char id[TLB_ID_LEN];
+	char addr[TLB_ADDR_LEN]; /* "" when not known */
+	bool wanted;		 /* a missing link is opened */
+	uint64_t incarnation;	 /* of the process at the other end of up */
+	struct tlb_peer_link *up;
+	struct tlb_peer_link *opening;
+	int attempts;
+	struct tlb_timer retry;
+	tlb_time heard; /* when the last frame came */
+};
+
+APR_RING_HEAD(tlb_peer_ring, tlb_peer);
+APR_RING_HEAD(tlb_peer_link_ring, tlb_peer_link);
+
+struct tlb_peers_handlers {
+	void *arg;
+	/* Whether a connection of this incarnation is taken. */
+	bool (*accepts)(void *arg, const char *vm, uint64_t incarnation);
+	void (*on_up)(void *arg, struct tlb_peer *peer);
+	void (*on_down)(void *arg, struct tlb_peer *peer);
+	/* Every message that is no reply. msg is borrowed, but its body may be taken out. */
+	void (*on_message)(void *arg, struct tlb_peer *peer, Toucan__Envelope *msg);
+};
+
+/* Owns peers and links. */
+struct tlb_peers {
+	struct tlb_loop *loop;
+	struct tlb_counters *counters;
+	struct tlb_frame_keys keys;
+	struct tlb_peers_handlers handlers;
+	char self[TLB_ID_LEN];
+	uint64_t incarnation;
+	char addr[TLB_ADDR_LEN]; /* where the listener is bound */
+	int listener;
+	struct tlb_watch *watch;
+	struct tlb_peer_ring peers;
+	struct tlb_peer_link_ring links;
+	struct tlb_peer_link_ring closed;  /* freed by reaper, because callers may still use them */
+	struct tlb_peer_call_ring failing; /* calls without a link, until their timer runs */
+	struct tlb_timer reaper;
+	uint64_t last_id;
+	int unknown_links;
+};
+
+void tlb_peers_init(struct tlb_peers *p, struct tlb_loop *loop, struct tlb_counters *counters,
+		    const struct tlb_settings *settings, const struct tlb_peers_handlers *handlers);
+/* Closes everything; calls that wait become idle without on_reply. */
+void tlb_peers_finish(struct tlb_peers *p);
+/* Binds and listens at host:port by IP number; port 0 takes a free one. */
+enum tlb_code tlb_peers_listen(struct tlb_peers *p, const char *addr, struct tlb_error *err);
+/* Closes all links: the next ones are opened under the new incarnation. */
+void tlb_peers_set_incarnation(struct tlb_peers *p, uint64_t incarnation);
+
+struct tlb_peer *tlb_peers_find(const struct tlb_peers *p, const char *vm);
+/* Makes a VM known, or changes its address, and keeps a link to it from now on. */
+void tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr);
+/* Closes the link to a VM and opens none any more. */
+void tlb_peers_drop(struct tlb_peers *p, const char *vm);
+static inline bool tlb_peer_is_up(const struct tlb_peer *peer)
+{
+	return peer && peer->up;
+}
+
+void tlb_peers_call(struct tlb_peers *p, const char *vm, struct tlb_peer_call *call,
+		    Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
+		    void *arg);
+bool tlb_peers_send(struct tlb_peers *p, const char *vm, Toucan__Envelope *body);
+void tlb_peers_reply(struct tlb_peers *p, const struct tlb_peer_return *to, Toucan__Envelope *body);
 
 #endif
--- /dev/null
+++ b/src/roster.c
@@ -0,0 +1,192 @@
+#include "roster.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { MEMBERS_FIRST = 16, HEX_BASE = 16, HEX_LEN = 17 };
+
+static const char *const state_names[] = {"live", "fenced", "left"};
+
+static bool read_text(char *out, size_t size, const json_t *value, const char *column)
+{
+	const char *text = json_string_value(json_object_get(value, column));
+
+	if (!text || strlen(text) >= size)
+		return false;
+	strcpy(out, text);
+	return true;
+}
+
+static bool read_hex(uint64_t *out, const json_t *value)
+{
+	const char *text = json_string_value(value);
+	char *end = NULL;
+
+	if (!text || !*text)
+		return false;
+	*out = strtoull(text, &end, HEX_BASE);
+	return *end == '\0';
+}
+
+static bool read_state(enum tlb_vm_state *out, const json_t *value)
+{
+	const char *text = json_string_value(json_object_get(value, "state"));
+	int i;
+
+	for (i = TLB_VM_LIVE; text && i <= TLB_VM_LEFT; i++)
+		if (strcmp(text, state_names[i]) == 0) {
+			*out = i;
+			return true;
+		}
+	return false;
+}
+
+static bool read_witness(struct tlb_vm_name *out, const json_t *pair)
+{
+	const char *id = json_string_value(json_array_get(pair, 0));
+
+	if (!id || strlen(id) >= TLB_ID_LEN)
+		return false;
+	tlb_vm_name_set(out, id, 0);
+	return read_hex(&out->incarnation, json_array_get(pair, 1));
+}
+
+bool tlb_vm_row_parse(struct tlb_vm_row *row, const char *key, int64_t version, const json_t *value)
+{
+	const json_t *witnesses = json_object_get(value, "witnesses");
+	struct tlb_vm_row read;
+	size_t i;
+
+	memset(&read, 0, sizeof(read));
+	read.version = version;
+	if (strncmp(key, "vm/", 3) != 0 || strlen(key + 3) >= TLB_ID_LEN)
+		return false;
+	tlb_vm_name_set(&read.name, key + 3, 0);
+	if (!read_hex(&read.name.incarnation, json_object_get(value, "incarnation")) ||
+	    !read_state(&read.state, value) ||
+	    !read_text(read.addr, sizeof(read.addr), value, "peer_addr") ||
+	    !read_text(read.zone, sizeof(read.zone), value, "zone") ||
+	    !read_text(read.region, sizeof(read.region), value, "region") ||
+	    json_array_size(witnesses) > TLB_WITNESS_MAX)
+		return false;
+	for (i = 0; i < json_array_size(witnesses); i++)
+		if (!read_witness(&read.witness[read.witness_count++],
+				  json_array_get(witnesses, i)))
+			return false;
+	*row = read;
+	return true;
+}
+
+static json_t *hex_json(uint64_t value)
+{
+	char text[HEX_LEN];
+
+	snprintf(text, sizeof(text), "%016" PRIx64, value);
+	return json_string(text);
+}
+
+json_t *tlb_vm_row_json(const struct tlb_vm_row *row)
+{
+	json_t *witnesses = json_array();
+	json_t *pair;
+	int i;
+
+	for (i = 0; i < row->witness_count; i++) {
+		pair = json_array();
+		json_array_append_new(pair, json_string(row->witness[i].id));
+		json_array_append_new(pair, hex_json(row->witness[i].incarnation));
+		json_array_append_new(witnesses, pair);
+	}
+	return json_pack("{s:o,s:s,s:s,s:s,s:s,s:o}", "incarnation",
+			 hex_json(row->name.incarnation), "state", state_names[row->state],
+			 "peer_addr", row->addr, "zone", row->zone, "region", row->region,
+			 "witnesses", witnesses);
+}
+
+void tlb_roster_finish(struct tlb_roster *r)
+{
+	free(r->member);
+	memset(r, 0, sizeof(*r));
+}
+
+struct tlb_member *tlb_roster_find(const struct tlb_roster *r, const char *id)
+{
+	int i;
+
+	for (i = 0; i < r->count; i++)
+		if (strcmp(r->member[i].row.name.id, id) == 0)
+			return &r->member[i];
+	return NULL;
+}
+
+static struct tlb_member *add_member(struct tlb_roster *r)
+{
+	if (r->count == r->cap) {
+		r->cap = r->cap ? 2 * r->cap : MEMBERS_FIRST;
+		r->member = realloc(r->member, r->cap * sizeof(*r->member));
+		/* Without the list of VMs the daemon can't tell who owns what. */
+		if (!r->member)
+			abort();
+	}
+	memset(&r->member[r->count], 0, sizeof(*r->member));
+	return &r->member[r->count++];
+}
+
+struct tlb_member *tlb_roster_put(struct tlb_roster *r, const struct tlb_vm_row *row, tlb_time now)
+{
+	struct tlb_member *m = tlb_roster_find(r, row->name.id);
+
+	if (m && row->version <= m->row.version)
+		return m;
+	if (m && !tlb_vm_name_equal(&m->row.name, &row->name))
+		tlb_roster_set_gone(r, &m->row.name);
+	if (!m)
+		m = add_member(r);
+	m->row = *row;
+	m->since = now;
+	m->stale = false;
+	if (row->state != TLB_VM_LIVE)
+		tlb_roster_set_gone(r, &row->name);
+	return m;
+}
+
+bool tlb_roster_set_gone(struct tlb_roster *r, const struct tlb_vm_name *name)
+{
+	if (tlb_roster_gone(r, name))
+		return false;
+	r->gone[r->gone_next] = *name;
+	r->gone_next = (r->gone_next + 1) % TLB_GONE_MAX;
+	if (r->gone_count < TLB_GONE_MAX)
+		r->gone_count++;
+	return true;
+}
+
+bool tlb_roster_gone(const struct tlb_roster *r, const struct tlb_vm_name *name)
+{
+	int i;
+
+	for (i = 0; i < r->gone_count; i++)
+		if (tlb_vm_name_equal(&r->gone[i], name))
+			return true;
+	return false;
+}
+
+static void infer(struct tlb_roster *r, const struct tlb_vm_name *name)
+{
+	const struct tlb_member *m = tlb_roster_find(r, name->id);
+
+	if (m && m->row.version > 0 && !tlb_vm_name_equal(&m->row.name, name))
+		tlb_roster_set_gone(r, name);
+}
+
+void tlb_roster_infer_gone(struct tlb_roster *r, const struct tlb_shard_map *m)
+{
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		infer(r, &m->entry[i].owner);
+		infer(r, &m->entry[i].standby);
+	}
+}
--- /dev/null
+++ b/tests/test_cluster.c
@@ -0,0 +1,376 @@
+/*
+ * Several daemons' cluster layers in one process and one loop, against the table-service stand-in:
+ * joining, fencing with and without the store, restart, graceful shutdown.
+ */
+#include <apr_general.h>
+#include <check.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "cluster.h"
+#include "log.h"
+
+enum { NODES = 5, LINE_LEN = 256 };
+
+struct node {
+	bool running;
+	struct tlb_settings settings;
+	struct tlb_counters counters;
+	struct tlb_http http;
+	struct tlb_store store;
+	struct tlb_cluster cluster;
+	tlb_shard_set handed; /* shards whose state came by HandOver */
+	tlb_shard_set held;   /* as on_shards_changed tells */
+	bool left;
+};
+
+static struct tlb_loop loop;
+static struct node nodes[NODES];
+static pid_t store_pid;
+static char store_url[LINE_LEN];
+static char control_url[LINE_LEN];
+
+static void start_store(void)
+{
+	char line[LINE_LEN] = "";
+	char listen[LINE_LEN];
+	char control[LINE_LEN];
+	int out[2];
+	FILE *f;
+
+	ck_assert_int_eq(pipe(out), 0);
+	store_pid = fork();
+	if (store_pid == 0) {
+		dup2(out[1], STDOUT_FILENO);
+		execl("build/standin-table", "standin-table", (char *)NULL);
+		_exit(EXIT_FAILURE);
+	}
+	close(out[1]);
+	f = fdopen(out[0], "r");
+	ck_assert_ptr_nonnull(fgets(line, sizeof(line), f));
+	ck_assert_int_eq(sscanf(line, "ready listen=%200s control=%200s", listen, control), 2);
+	fclose(f);
+	snprintf(store_url, sizeof(store_url), "http://%.200s", listen);
+	snprintf(control_url, sizeof(control_url), "http://%.200s/fault", control);
+}
+
+static void set_fault(const char *body)
+{
+	CURL *easy = curl_easy_init();
+
+	curl_easy_setopt(easy, CURLOPT_URL, control_url);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	ck_assert_int_eq(curl_easy_perform(easy), CURLE_OK);
+	curl_easy_cleanup(easy);
+}
+
+static void on_shards_changed(void *arg, tlb_shard_set gained, tlb_shard_set lost)
+{
+	struct node *n = arg;
+
+	n->held = (n->held | gained) & ~lost;
+}
+
+static void hand_over(void *arg, tlb_shard_set shards, Toucan__HandOver *out)
+{
+	out->buckets = calloc(1, sizeof(*out->buckets));
+	out->buckets[0] = calloc(1, sizeof(**out->buckets));
+	toucan__bucket__init(out->buckets[0]);
+	out->buckets[0]->account = strdup("a");
+	out->buckets[0]->level = 7;
+	out->n_buckets = 1;
+}
+
+static void on_hand_over(void *arg, tlb_shard_set shards, const Toucan__HandOver *state)
+{
+	struct node *n = arg;
+
+	ck_assert_int_eq(state->n_buckets, 1);
+	ck_assert_int_eq(state->buckets[0]->level, 7);
+	ck_assert_uint_eq(shards & ~n->held, 0);
+	n->handed |= shards;
+}
+
+static void on_left(void *arg)
+{
+	struct node *n = arg;
+
+	n->left = true;
+}
+
+static void start_node(int i)
+{
+	struct node *n = &nodes[i];
+	struct tlb_cluster_handlers h = {
+		.arg = n,
+		.on_shards_changed = on_shards_changed,
+		.hand_over = hand_over,
+		.on_hand_over = on_hand_over,
+	};
+	char addr[TLB_ADDR_LEN] = "127.0.0.1:0";
+
+	if (n->settings.peer_addr[0])
+		snprintf(addr, sizeof(addr), "%s", n->settings.peer_addr);
+	memset(n, 0, sizeof(*n));
+	snprintf(n->settings.vm_id, TLB_ID_LEN, "vm%d", i);
+	snprintf(n->settings.zone, TLB_ID_LEN, "z%d", i % 3);
+	strcpy(n->settings.region, "r1");
+	strcpy(n->settings.peer_addr, addr);
+	n->settings.peer_key_count = 1;
+	n->settings.peer_keys[0].id = 1;
+	tlb_http_init(&n->http, &loop);
+	tlb_store_init(&n->store, &n->http, store_url);
+	tlb_cluster_init(&n->cluster, &loop, &n->settings, &n->store, &n->counters, &h);
+	ck_assert_int_eq(tlb_cluster_start(&n->cluster, NULL), TLB_OK);
+	strcpy(n->settings.peer_addr, n->cluster.peers.addr);
+	n->running = true;
+}
+
+static void stop_node(int i)
+{
+	if (!nodes[i].running)
+		return;
+	tlb_cluster_finish(&nodes[i].cluster);
+	tlb_http_finish(&nodes[i].http);
+	nodes[i].running = false;
+}
+
+/* Runs the loop until cond holds; fails the test at the deadline. All the while no shard may have
+ * two owners that may act. */
+static void run_until(bool (*cond)(void), tlb_time limit)
+{
+	tlb_time end = tlb_clock_now() + limit;
+	tlb_shard_set all;
+	tlb_shard_set own;
+	tlb_time now;
+	int i;
+
+	while (!cond()) {
+		now = tlb_clock_now();
+		ck_assert_msg(now < end, "the fleet did not reach the state in time");
+		tlb_loop_once(&loop, now + 10 * TLB_MS);
+		all = 0;
+		now = tlb_clock_now();
+		for (i = 0; i < NODES; i++) {
+			if (!nodes[i].running || !tlb_cluster_valid(&nodes[i].cluster, now))
+				continue;
+			own = tlb_cluster_shards(&nodes[i].cluster);
+			ck_assert_msg(!(all & own), "two owners of a shard");
+			all |= own;
+		}
+	}
+}
+
+/* Every running node may act, and together they own every shard. */
+static bool complete(void)
+{
+	tlb_shard_set all = 0;
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (!nodes[i].running)
+			continue;
+		if (!tlb_cluster_valid(&nodes[i].cluster, tlb_clock_now()))
+			return false;
+		all |= tlb_cluster_shards(&nodes[i].cluster);
+	}
+	return all == ~(tlb_shard_set)0;
+}
+
+static bool even(void)
+{
+	int running = 0;
+	int n;
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		running += nodes[i].running;
+	for (i = 0; i < NODES; i++) {
+		n = __builtin_popcountll(tlb_cluster_shards(&nodes[i].cluster));
+		if (nodes[i].running &&
+		    (n < TLB_SHARD_COUNT / running || n > TLB_SHARD_COUNT / running + 1))
+			return false;
+	}
+	return complete();
+}
+
+/* Every shard has a live standby, and the witnesses are as many as can be. */
+static bool settled(void)
+{
+	const struct tlb_cluster *c;
+	int running = 0;
+	int wanted;
+	int i;
+	int j;
+
+	for (i = 0; i < NODES; i++)
+		running += nodes[i].running;
+	wanted = running - 1 - (running - 1 > 0 && (running - 1) % 2 == 0);
+	for (i = 0; i < NODES; i++) {
+		c = &nodes[i].cluster;
+		if (!nodes[i].running)
+			continue;
+		if (c->session.phase != TLB_SESSION_STEADY || c->session.set[0].count != wanted)
+			return false;
+		for (j = 0; j < TLB_SHARD_COUNT; j++)
+			if (running > 1 && !c->map.entry[j].standby.id[0])
+				return false;
+	}
+	return even();
+}
+
+static void run_for(tlb_time time)
+{
+	tlb_time end = tlb_clock_now() + time;
+
+	while (tlb_clock_now() < end)
+		tlb_loop_once(&loop, end);
+}
+
+static void start_fleet(int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		start_node(i);
+	run_until(settled, 30 * TLB_SECOND);
+}
+
+static void setup(void)
+{
+	ck_assert_int_eq(tlb_loop_init(&loop), APR_SUCCESS);
+	start_store();
+}
+
+static void teardown(void)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		stop_node(i);
+	tlb_loop_finish(&loop);
+	kill(store_pid, SIGTERM);
+	waitpid(store_pid, NULL, 0);
+}
+
+/* Guards against shards that stay with the first daemon or are lost while moving. */
+START_TEST(fleet_forms_and_spreads_shards)
+{
+	tlb_time begun = tlb_clock_now();
+	struct node *n;
+	int64_t bytes;
+	int64_t frames;
+
+	start_fleet(NODES);
+	printf("fleet of %d settled after %.1f s\n", NODES,
+	       (double)(tlb_clock_now() - begun) / TLB_SECOND);
+	n = &nodes[1];
+	run_for(2 * TLB_SECOND);
+	bytes = n->counters.value[TLB_COUNTER_PEER_BYTES_OUT];
+	frames = n->counters.value[TLB_COUNTER_PEER_FRAMES_OUT];
+	run_for(5 * TLB_SECOND);
+	printf("idle, per VM and second: %.1f frames, %.0f bytes out\n",
+	       (double)(n->counters.value[TLB_COUNTER_PEER_FRAMES_OUT] - frames) / 5,
+	       (double)(n->counters.value[TLB_COUNTER_PEER_BYTES_OUT] - bytes) / 5);
+}
+END_TEST
+
+/* Guards against shards of a dead VM that stay unowned, and against two owners meanwhile. */
+START_TEST(killed_vm_is_fenced)
+{
+	tlb_time begun;
+
+	start_fleet(NODES);
+	stop_node(2);
+	begun = tlb_clock_now();
+	run_until(complete, 10 * TLB_SECOND);
+	printf("all shards owned %.1f s after a kill\n",
+	       (double)(tlb_clock_now() - begun) / TLB_SECOND);
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against a takeover that needs the store, and against a lost fence when it comes back. */
+START_TEST(killed_vm_is_fenced_without_store)
+{
+	start_fleet(NODES);
+	set_fault("{\"kind\":\"refuse\"}");
+	stop_node(2);
+	run_until(complete, 10 * TLB_SECOND);
+	set_fault("{\"kind\":\"none\"}");
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against a restarted VM that waits for its own former incarnation. */
+START_TEST(restarted_vm_replaces_its_former_incarnation)
+{
+	uint64_t former;
+
+	start_fleet(NODES);
+	former = nodes[2].cluster.self.incarnation;
+	stop_node(2);
+	start_node(2);
+	ck_assert_uint_ne(former, nodes[2].cluster.self.incarnation);
+	run_until(complete, 4 * TLB_SECOND);
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+static bool first_has_left(void)
+{
+	return nodes[0].left;
+}
+
+/* Guards against state lost, or shards unowned, in a graceful shutdown. */
+START_TEST(leaving_vm_hands_its_shards_over)
+{
+	tlb_shard_set shards;
+	tlb_shard_set handed = 0;
+	int i;
+
+	start_fleet(NODES);
+	for (i = 0; i < NODES; i++)
+		nodes[i].handed = 0;
+	shards = tlb_cluster_shards(&nodes[0].cluster);
+	tlb_cluster_leave(&nodes[0].cluster, tlb_clock_now() + 5 * TLB_SECOND, on_left, &nodes[0]);
+	run_until(first_has_left, 3 * TLB_SECOND);
+	stop_node(0);
+	run_until(complete, 1 * TLB_SECOND);
+	for (i = 0; i < NODES; i++)
+		handed |= nodes[i].handed;
+	ck_assert_uint_eq(handed & shards, shards);
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("cluster");
+	TCase *tc = tcase_create("fleet");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	apr_initialize();
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	if (getenv("TOUCANLB_TEST_LOG"))
+		tlb_log_init("-", "info");
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, fleet_forms_and_spreads_shards);
+	tcase_add_test(tc, killed_vm_is_fenced);
+	tcase_add_test(tc, killed_vm_is_fenced_without_store);
+	tcase_add_test(tc, restarted_vm_replaces_its_former_incarnation);
+	tcase_add_test(tc, leaving_vm_hands_its_shards_over);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
