Add the operators' command-line tool

Each command changes or shows one thing through the operator listeners, which are asked in turn. Changes carry a change id, so that a request whose answer was lost is repeated safely; a single row is changed by compare-and-set, and a change to other rows in between is no conflict. Keys and credentials come from files or are generated, never from the command line, and only their hash is sent.

--- /dev/null
+++ b/src/command.c
@@ -0,0 +1,990 @@
+#include "command.h"
+
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "change.h"
+#include "client.h"
+#include "csv.h"
+#include "print.h"
+#include "row.h"
+#include "settings.h"
+
+enum {
+	PATH_LEN = 160,
+	KEY_BYTES = 32,	  /* random bytes of a generated key */
+	REBASE_TRIES = 5, /* attempts when changes to other rows come first */
+	WAIT_MS = 10000,  /* longest wait for a version to be in force everywhere */
+	WAIT_STEP_MS = 250,
+	IMPORT_MAX = 16 << 20, /* bytes */
+};
+
+static void complain(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+
+static void complain(const char *fmt, ...)
+{
+	va_list ap;
+
+	fputs("toucanlb: ", stderr);
+	va_start(ap, fmt);
+	vfprintf(stderr, fmt, ap);
+	va_end(ap);
+	fputc('\n', stderr);
+}
+
+/* --- reaching a listener --- */
+
+static const char *setting(const char *option, const char *variable)
+{
+	return option ? option : getenv(variable);
+}
+
+static bool load_credential(struct tlb_client *c, const struct tlb_options *o)
+{
+	const char *path = setting(o->credential_file, "TOUCANLB_CREDENTIAL_FILE");
+	char reason[240];
+
+	if (!path) {
+		complain("no credential: give --credential-file or TOUCANLB_CREDENTIAL_FILE");
+		return false;
+	}
+	if (tlb_client_read_secret(path, c->credential, sizeof(c->credential), reason,
+				   sizeof(reason)))
+		return true;
+	complain("%s", reason);
+	return false;
+}
+
+/* Opens a client from the options. Returns false after a complaint. */
+static bool open_client(struct tlb_client *c, const struct tlb_options *o, bool credential)
+{
+	const char *operators = setting(o->operators, "TOUCANLB_OPERATORS");
+	char reason[240];
+
+	if (!operators) {
+		complain("no operator address: give --operator or TOUCANLB_OPERATORS");
+		return false;
+	}
+	if (!tlb_client_init(c, operators, reason, sizeof(reason))) {
+		complain("%s", reason);
+		return false;
+	}
+	if (!credential || load_credential(c, o))
+		return true;
+	tlb_client_finish(c);
+	return false;
+}
+
+static enum tlb_exit exit_of(const struct tlb_client_answer *a)
+{
+	if (a->status == 200)
+		return TLB_EXIT_OK;
+	if (a->status == 409)
+		return TLB_EXIT_CONFLICT;
+	if (a->status >= 400 && a->status < 500)
+		return TLB_EXIT_REFUSED;
+	return TLB_EXIT_UNREACHABLE;
+}
+
+static void print_messages(const char *what, const json_t *list)
+{
+	const json_t *item;
+	const char *message;
+	size_t i;
+
+	json_array_foreach (list, i, item) {
+		message = json_string_value(json_object_get(item, "message"));
+		fprintf(stderr, "%s: %s\n", what, message ? message : "");
+	}
+}
+
+static void print_winner(const json_t *winner)
+{
+	const char *author = json_string_value(json_object_get(winner, "author"));
+	const char *summary = json_string_value(json_object_get(winner, "summary"));
+
+	if (!winner)
+		return;
+	fprintf(stderr, "winner: version %lld by %s: %s\n",
+		(long long)json_integer_value(json_object_get(winner, "version")),
+		author ? author : "?", summary ? summary : "");
+}
+
+/* Tells why an answer is not a success. */
+static void print_refusal(const struct tlb_options *o, const struct tlb_client_answer *a)
+{
+	const json_t *error = json_object_get(a->json, "error");
+	const char *code = json_string_value(json_object_get(error, "code"));
+	const char *message = json_string_value(json_object_get(error, "message"));
+	const char *outcome = json_string_value(json_object_get(error, "outcome"));
+
+	if (o->json && a->json)
+		tlb_print_json(stdout, a->json);
+	if (a->status == 0)
+		complain("no operator listener can be reached: %s", a->reason);
+	else if (json_array_size(json_object_get(a->json, "faults")) == 0)
+		complain("%s: %s (outcome: %s)", code ? code : "error", message ? message : "",
+			 outcome ? outcome : "unknown");
+	print_messages("fault", json_object_get(a->json, "faults"));
+	print_messages("warning", json_object_get(a->json, "warnings"));
+	print_winner(json_object_get(a->json, "winner"));
+}
+
+/* --- reading --- */
+
+typedef void print_fn(const struct tlb_client_answer *a);
+
+static enum tlb_exit read_path(const struct tlb_options *o, const char *path, bool credential,
+			       print_fn *print)
+{
+	struct tlb_client_answer a;
+	struct tlb_client c;
+	enum tlb_exit code;
+
+	if (!open_client(&c, o, credential))
+		return TLB_EXIT_USAGE;
+	tlb_client_call(&c, "GET", path, NULL, &a);
+	code = exit_of(&a);
+	if (code != TLB_EXIT_OK)
+		print_refusal(o, &a);
+	else if (o->json && a.json)
+		tlb_print_json(stdout, a.json);
+	else
+		print(&a);
+	tlb_client_answer_finish(&a);
+	tlb_client_finish(&c);
+	return code;
+}
+
+static void print_body(const struct tlb_client_answer *a)
+{
+	fputs(a->body ? a->body : "", stdout);
+}
+
+static void print_status(const struct tlb_client_answer *a)
+{
+	tlb_print_object(stdout, a->json);
+}
+
+static void print_requests(const struct tlb_client_answer *a)
+{
+	tlb_print_list(stdout, json_object_get(a->json, "requests"));
+}
+
+static void print_accounts(const struct tlb_client_answer *a)
+{
+	tlb_print_list(stdout, json_object_get(a->json, "accounts"));
+}
+
+static void print_endpoints(const struct tlb_client_answer *a)
+{
+	tlb_print_list(stdout, json_object_get(a->json, "endpoints"));
+}
+
+/* The rows of a table answer that are of one kind. New reference. */
+static json_t *rows_of_kind(const json_t *rows, enum tlb_row_kind wanted)
+{
+	json_t *list = json_array();
+	enum tlb_row_kind kind;
+	const char *key;
+	const char *id;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		key = json_string_value(json_object_get(row, "key"));
+		if (key && tlb_table_split_key(key, &kind, &id) && kind == wanted)
+			json_array_append(list, row);
+	}
+	return list;
+}
+
+static void print_table(const struct tlb_client_answer *a)
+{
+	json_t *list;
+	int kind;
+
+	printf("version: %lld\n",
+	       (long long)json_integer_value(json_object_get(a->json, "version")));
+	for (kind = 0; kind < TLB_ROW_KIND_COUNT; kind++) {
+		list = rows_of_kind(json_object_get(a->json, "rows"), kind);
+		if (json_array_size(list) > 0)
+			printf("\n%s\n", tlb_table_kind_name(kind));
+		tlb_print_list(stdout, list);
+		json_decref(list);
+	}
+}
+
+static bool take_kind(const char *name, enum tlb_row_kind *kind)
+{
+	if (tlb_table_kind(name, kind))
+		return true;
+	complain("kind \"%s\" is not allowed; expected one of account, key, model, endpoint, "
+		 "route, operator",
+		 name);
+	return false;
+}
+
+static bool take_id(const char *id)
+{
+	if (tlb_table_id_valid(id))
+		return true;
+	complain("id \"%s\" is not allowed; expected 1 to 47 of A-Z a-z 0-9 . _ -, the first a "
+		 "letter or a digit",
+		 id);
+	return false;
+}
+
+static enum tlb_exit run_show(const struct tlb_options *o, char **args, int count)
+{
+	enum tlb_row_kind kind;
+	char path[PATH_LEN] = "/v1/table";
+
+	if (count > 0 && !take_kind(args[0], &kind))
+		return TLB_EXIT_USAGE;
+	if (count > 0)
+		snprintf(path, sizeof(path), "/v1/table?kind=%s", args[0]);
+	return read_path(o, path, true, print_table);
+}
+
+static enum tlb_exit run_export(const struct tlb_options *o, char **args, int count)
+{
+	enum tlb_row_kind kind;
+	char path[PATH_LEN];
+
+	if (!take_kind(args[0], &kind))
+		return TLB_EXIT_USAGE;
+	snprintf(path, sizeof(path), o->json ? "/v1/table?kind=%s" : "/v1/table.csv?kind=%s",
+		 args[0]);
+	return read_path(o, path, true, print_body);
+}
+
+static enum tlb_exit run_status(const struct tlb_options *o, char **args, int count)
+{
+	return read_path(o, "/v1/status", true, print_status);
+}
+
+static enum tlb_exit run_requests(const struct tlb_options *o, char **args, int count)
+{
+	return read_path(o, "/v1/requests", true, print_requests);
+}
+
+static enum tlb_exit run_accounts(const struct tlb_options *o, char **args, int count)
+{
+	return read_path(o, "/v1/accounts", true, print_accounts);
+}
+
+static enum tlb_exit run_endpoints(const struct tlb_options *o, char **args, int count)
+{
+	return read_path(o, "/v1/endpoints", true, print_endpoints);
+}
+
+/* "<name> <value>" lines as an object; comments are passed over. New reference. */
+static json_t *parse_metrics(const char *text)
+{
+	json_t *values = json_object();
+	char name[100];
+	long long n;
+
+	for (; text && *text; text += strcspn(text, "\n"), text += *text == '\n')
+		if (*text != '#' && sscanf(text, "%99s %lld", name, &n) == 2)
+			json_object_set_new(values, name, json_integer(n));
+	return values;
+}
+
+static void print_metrics_json(const struct tlb_client_answer *a)
+{
+	json_t *values = parse_metrics(a->body);
+
+	tlb_print_json(stdout, values);
+	json_decref(values);
+}
+
+static enum tlb_exit run_metrics(const struct tlb_options *o, char **args, int count)
+{
+	return read_path(o, "/metrics", false, o->json ? print_metrics_json : print_body);
+}
+
+/* --- which version is in force where --- */
+
+static void pause_step(void)
+{
+	struct timespec step = {.tv_nsec = WAIT_STEP_MS * 1000000L};
+
+	nanosleep(&step, NULL);
+}
+
+/* Asks until the version is in force everywhere or, without wait, once. */
+static enum tlb_exit ask_force(struct tlb_client *c, const char *path, bool wait,
+			       struct tlb_client_answer *a)
+{
+	tlb_time end = tlb_clock_now() + (wait ? WAIT_MS * TLB_MS : 0);
+	enum tlb_exit code;
+
+	for (;;) {
+		tlb_client_call(c, "GET", path, NULL, a);
+		code = exit_of(a);
+		if (code != TLB_EXIT_OK || json_is_true(json_object_get(a->json, "everywhere")))
+			return code;
+		if (tlb_clock_now() >= end)
+			return TLB_EXIT_REFUSED;
+		tlb_client_answer_finish(a);
+		pause_step();
+	}
+}
+
+static void print_force(const struct tlb_options *o, const struct tlb_client_answer *a)
+{
+	bool everywhere = json_is_true(json_object_get(a->json, "everywhere"));
+
+	if (o->json) {
+		tlb_print_json(stdout, a->json);
+		return;
+	}
+	tlb_print_list(stdout, json_object_get(a->json, "vms"));
+	printf("version %lld is %s\n",
+	       (long long)json_integer_value(json_object_get(a->json, "version")),
+	       everywhere ? "in force everywhere" : "not in force everywhere");
+}
+
+static enum tlb_exit run_force(const struct tlb_options *o, char **args, int count)
+{
+	struct tlb_client_answer a;
+	struct tlb_client c;
+	enum tlb_exit code;
+	char path[PATH_LEN] = "/v1/force";
+
+	if (count > 0 && (strlen(args[0]) > 18 || args[0][strspn(args[0], "0123456789")])) {
+		complain("version \"%s\" is not allowed; expected an integer", args[0]);
+		return TLB_EXIT_USAGE;
+	}
+	if (count > 0)
+		snprintf(path, sizeof(path), "/v1/force?version=%s", args[0]);
+	if (!open_client(&c, o, true))
+		return TLB_EXIT_USAGE;
+	code = ask_force(&c, path, o->wait, &a);
+	if (a.status == 200)
+		print_force(o, &a);
+	else
+		print_refusal(o, &a);
+	tlb_client_answer_finish(&a);
+	tlb_client_finish(&c);
+	return code;
+}
+
+/* --- changes --- */
+
+/* A change on its way: what is asked, and the last answer. */
+struct edit {
+	const struct tlb_options *options;
+	struct tlb_client client;
+	struct tlb_client_answer answer;
+	char change_id[2 * 16 + 1];
+	char summary[TLB_SUMMARY_LEN];
+	const char *secret; /* printed when the change has succeeded; borrowed, may be NULL */
+	json_t *before;	    /* the row as the first attempt read it; null when absent */
+	json_t *winner;	    /* of the last conflict */
+};
+
+static bool open_edit(struct edit *e, const struct tlb_options *o, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* Returns false after a complaint. */
+static bool open_edit(struct edit *e, const struct tlb_options *o, const char *fmt, ...)
+{
+	unsigned char id[16];
+	va_list ap;
+
+	memset(e, 0, sizeof(*e));
+	e->options = o;
+	randombytes_buf(id, sizeof(id));
+	sodium_bin2hex(e->change_id, sizeof(e->change_id), id, sizeof(id));
+	va_start(ap, fmt);
+	vsnprintf(e->summary, sizeof(e->summary), fmt, ap);
+	va_end(ap);
+	if (o->summary && strlen(o->summary) >= sizeof(e->summary)) {
+		complain("the summary is longer than %d bytes", TLB_SUMMARY_LEN - 1);
+		return false;
+	}
+	if (o->summary)
+		strcpy(e->summary, o->summary);
+	return open_client(&e->client, o, true);
+}
+
+static void close_edit(struct edit *e)
+{
+	tlb_client_answer_finish(&e->answer);
+	tlb_client_finish(&e->client);
+	json_decref(e->before);
+	json_decref(e->winner);
+}
+
+/* Sends rows as one change on a version; takes the reference to rows. */
+static enum tlb_exit send_rows(struct edit *e, int64_t base, json_t *rows)
+{
+	json_t *body = json_pack("{s:s, s:I, s:s, s:o}", "change_id", e->change_id, "base_version",
+				 (json_int_t)base, "summary", e->summary, "rows", rows);
+
+	tlb_client_answer_finish(&e->answer);
+	tlb_client_call(&e->client, "POST", e->options->dry_run ? "/v1/check" : "/v1/change", body,
+			&e->answer);
+	json_decref(body);
+	return exit_of(&e->answer);
+}
+
+static enum tlb_exit wait_everywhere(struct edit *e, int64_t version)
+{
+	struct tlb_client_answer a;
+	char path[PATH_LEN];
+	enum tlb_exit code;
+
+	snprintf(path, sizeof(path), "/v1/force?version=%lld", (long long)version);
+	code = ask_force(&e->client, path, true, &a);
+	json_object_set_new(e->answer.json, "everywhere", json_boolean(code == TLB_EXIT_OK));
+	if (code == TLB_EXIT_REFUSED && a.status == 200)
+		complain("version %lld is not in force everywhere after %d s; see \"toucanlb "
+			 "force\"",
+			 (long long)version, WAIT_MS / 1000);
+	else if (code != TLB_EXIT_OK)
+		print_refusal(e->options, &a);
+	tlb_client_answer_finish(&a);
+	return code;
+}
+
+static void print_success(const struct edit *e, int64_t version)
+{
+	const struct tlb_options *o = e->options;
+
+	if (e->secret && o->json)
+		json_object_set_new(e->answer.json, "key", json_string(e->secret));
+	if (o->json)
+		tlb_print_json(stdout, e->answer.json);
+	else if (e->secret)
+		/* Alone on standard output, so that it can go to a file. */
+		printf("%s\n", e->secret);
+	else if (o->dry_run)
+		printf("the change passes the checks on version %lld\n", (long long)version);
+	else
+		printf("version %lld\n", (long long)version);
+}
+
+/* Tells how a change ended and returns the exit code of the command. */
+static enum tlb_exit finish_edit(struct edit *e, enum tlb_exit code)
+{
+	int64_t version = json_integer_value(json_object_get(e->answer.json, "version"));
+
+	if (code != TLB_EXIT_OK) {
+		print_refusal(e->options, &e->answer);
+		return code;
+	}
+	if (e->options->wait && !e->options->dry_run)
+		code = wait_everywhere(e, version);
+	print_messages("warning", json_object_get(e->answer.json, "warnings"));
+	print_success(e, version);
+	return code;
+}
+
+/* What becomes of one row. */
+struct row_edit {
+	enum tlb_row_kind kind;
+	const char *id;
+	json_t *columns; /* columns to set; NULL removes the row. Owned by the command */
+	bool must_exist;
+	bool must_be_new;
+};
+
+/* Reads the row and the version of the table. *row is borrowed from the answer, NULL when there is
+ * no such row. */
+static enum tlb_exit fetch_row(struct edit *e, const struct row_edit *r, int64_t *version,
+			       json_t **row)
+{
+	char path[PATH_LEN];
+	enum tlb_exit code;
+
+	snprintf(path, sizeof(path), "/v1/table?kind=%s&id=%s", tlb_table_kind_name(r->kind),
+		 r->id);
+	tlb_client_answer_finish(&e->answer);
+	tlb_client_call(&e->client, "GET", path, NULL, &e->answer);
+	code = exit_of(&e->answer);
+	*version = json_integer_value(json_object_get(e->answer.json, "version"));
+	*row = json_object_get(json_array_get(json_object_get(e->answer.json, "rows"), 0), "value");
+	return code;
+}
+
+/* The rows of the change, made from the row as it is. New reference. */
+static json_t *make_rows(const struct row_edit *r, const json_t *row)
+{
+	json_t *value = NULL;
+
+	if (r->columns) {
+		value = row ? json_deep_copy(row) : json_object();
+		json_object_update(value, r->columns);
+	}
+	return json_pack("[{s:o, s:o}]", "key",
+			 json_sprintf("config/%s/%s", tlb_table_kind_name(r->kind), r->id), "value",
+			 value ? value : json_null());
+}
+
+static bool may_edit(const struct row_edit *r, const json_t *row)
+{
+	if (r->must_exist && !row)
+		complain("there is no row %s/%s", tlb_table_kind_name(r->kind), r->id);
+	else if (r->must_be_new && row)
+		complain("row %s/%s exists already", tlb_table_kind_name(r->kind), r->id);
+	else
+		return true;
+	return false;
+}
+
+/* Someone else changed the row between the first read and the last attempt. */
+static enum tlb_exit tell_row_conflict(const struct edit *e, const struct row_edit *r)
+{
+	static const char message[] = "the row was changed by someone else in the meantime";
+	json_t *body;
+
+	complain("%s/%s: %s", tlb_table_kind_name(r->kind), r->id, message);
+	print_winner(e->winner);
+	if (!e->options->json)
+		return TLB_EXIT_CONFLICT;
+	body = json_pack("{s:{s:s, s:s, s:s}, s:O?}", "error", "code", "conflict", "message",
+			 message, "outcome", "not_run", "winner", e->winner);
+	tlb_print_json(stdout, body);
+	json_decref(body);
+	return TLB_EXIT_CONFLICT;
+}
+
+static void keep_winner(struct edit *e)
+{
+	json_decref(e->winner);
+	e->winner = json_incref(json_object_get(e->answer.json, "winner"));
+}
+
+/* Whether the row is as the first attempt read it. */
+static bool is_unchanged(struct edit *e, json_t *row)
+{
+	json_t *now = row ? json_incref(row) : json_null();
+	bool same;
+
+	if (!e->before)
+		e->before = json_incref(now);
+	same = json_equal(e->before, now);
+	json_decref(now);
+	return same;
+}
+
+/* Changes one row by compare-and-set on the version read. When changes to other rows came first, it
+ * is tried again on their version. */
+static enum tlb_exit edit_row(struct edit *e, const struct row_edit *r)
+{
+	enum tlb_exit code;
+	int64_t version;
+	json_t *row;
+	int i;
+
+	for (i = 0; i < REBASE_TRIES; i++) {
+		code = fetch_row(e, r, &version, &row);
+		if (code != TLB_EXIT_OK)
+			return finish_edit(e, code);
+		if (!is_unchanged(e, row))
+			return tell_row_conflict(e, r);
+		if (!may_edit(r, row))
+			return TLB_EXIT_REFUSED;
+		code = send_rows(e, version, make_rows(r, row));
+		if (code != TLB_EXIT_CONFLICT)
+			break;
+		keep_winner(e);
+	}
+	return finish_edit(e, code);
+}
+
+/* --- commands that change one row --- */
+
+/* Parses COLUMN=VALUE arguments. Returns NULL after a complaint. New reference. */
+static json_t *parse_columns(enum tlb_row_kind kind, char **args, int count)
+{
+	json_t *columns = json_object();
+	char *equals;
+	json_t *value;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		equals = strchr(args[i], '=');
+		if (equals)
+			*equals = '\0';
+		value = equals ? tlb_row_from_text(kind, args[i], equals + 1) : NULL;
+		if (!value || json_object_get(columns, args[i])) {
+			complain("\"%s\" is not allowed; expected COLUMN=VALUE, each column of %s "
+				 "at "
+				 "most once",
+				 args[i], tlb_table_kind_name(kind));
+			json_decref(value);
+			json_decref(columns);
+			return NULL;
+		}
+		json_object_set_new(columns, args[i], value);
+	}
+	return columns;
+}
+
+static enum tlb_exit run_set(const struct tlb_options *o, char **args, int count)
+{
+	struct row_edit r = {.id = args[1]};
+	struct edit e;
+	enum tlb_exit code = TLB_EXIT_USAGE;
+
+	if (!take_kind(args[0], &r.kind) || !take_id(args[1]))
+		return TLB_EXIT_USAGE;
+	r.columns = parse_columns(r.kind, args + 2, count - 2);
+	if (r.columns && open_edit(&e, o, "set %s %s", args[0], args[1])) {
+		code = edit_row(&e, &r);
+		close_edit(&e);
+	}
+	json_decref(r.columns);
+	return code;
+}
+
+static enum tlb_exit run_delete(const struct tlb_options *o, char **args, int count)
+{
+	struct row_edit r = {.id = args[1], .must_exist = true};
+	struct edit e;
+	enum tlb_exit code;
+
+	if (!take_kind(args[0], &r.kind) || !take_id(args[1]) ||
+	    !open_edit(&e, o, "delete %s %s", args[0], args[1]))
+		return TLB_EXIT_USAGE;
+	code = edit_row(&e, &r);
+	close_edit(&e);
+	return code;
+}
+
+/* Sets one column of an existing row. */
+static enum tlb_exit set_state(const struct tlb_options *o, enum tlb_row_kind kind, const char *id,
+			       const char *state)
+{
+	struct row_edit r = {.kind = kind, .id = id, .must_exist = true};
+	struct edit e;
+	enum tlb_exit code;
+
+	if (!take_id(id) || !open_edit(&e, o, "%s %s is %s", tlb_table_kind_name(kind), id, state))
+		return TLB_EXIT_USAGE;
+	r.columns = json_pack("{s:s}", "state", state);
+	code = edit_row(&e, &r);
+	json_decref(r.columns);
+	close_edit(&e);
+	return code;
+}
+
+static enum tlb_exit run_leave(const struct tlb_options *o, char **args, int count)
+{
+	return set_state(o, TLB_ROW_ENDPOINT, args[0], "leaving");
+}
+
+static enum tlb_exit run_withdraw_key(const struct tlb_options *o, char **args, int count)
+{
+	return set_state(o, TLB_ROW_KEY, args[0], "withdrawn");
+}
+
+static enum tlb_exit run_withdraw_operator(const struct tlb_options *o, char **args, int count)
+{
+	return set_state(o, TLB_ROW_OPERATOR, args[0], "withdrawn");
+}
+
+static void make_key(char *key, size_t size)
+{
+	unsigned char random[KEY_BYTES];
+
+	randombytes_buf(random, sizeof(random));
+	sodium_bin2base64(key, size, random, sizeof(random),
+			  sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+	sodium_memzero(random, sizeof(random));
+}
+
+/* Takes the key from --key-file or makes one. Returns false after a complaint. */
+static bool obtain_key(const struct tlb_options *o, char *key, size_t size)
+{
+	char reason[240];
+
+	if (!o->key_file) {
+		make_key(key, size);
+		return true;
+	}
+	if (tlb_client_read_secret(o->key_file, key, size, reason, sizeof(reason)))
+		return true;
+	complain("%s", reason);
+	return false;
+}
+
+/* The columns of a granted row. account is NULL for an operator. New reference. */
+static json_t *granted_columns(const char *key, const char *account)
+{
+	unsigned char hash[TLB_KEY_HASH_LEN];
+	char hex[2 * TLB_KEY_HASH_LEN + 1];
+	json_t *columns;
+
+	crypto_hash_sha256(hash, (const unsigned char *)key, strlen(key));
+	sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+	columns = json_pack("{s:s, s:s}", "hash", hex, "state", "granted");
+	if (account)
+		json_object_set_new(columns, "account", json_string(account));
+	return columns;
+}
+
+static enum tlb_exit grant(const struct tlb_options *o, enum tlb_row_kind kind, const char *id,
+			   const char *account)
+{
+	struct row_edit r = {.kind = kind, .id = id, .must_be_new = true};
+	char key[TLB_CREDENTIAL_LEN];
+	struct edit e;
+	enum tlb_exit code;
+
+	if (!take_id(id) || !obtain_key(o, key, sizeof(key)) ||
+	    !open_edit(&e, o, "grant %s %s", tlb_table_kind_name(kind), id))
+		return TLB_EXIT_USAGE;
+	/* A key that came from a file is known already. */
+	e.secret = o->key_file || o->dry_run ? NULL : key;
+	r.columns = granted_columns(key, account);
+	code = edit_row(&e, &r);
+	json_decref(r.columns);
+	close_edit(&e);
+	sodium_memzero(key, sizeof(key));
+	return code;
+}
+
+static enum tlb_exit run_grant_key(const struct tlb_options *o, char **args, int count)
+{
+	if (!take_id(args[1]))
+		return TLB_EXIT_USAGE;
+	return grant(o, TLB_ROW_KEY, args[0], args[1]);
+}
+
+static enum tlb_exit run_grant_operator(const struct tlb_options *o, char **args, int count)
+{
+	return grant(o, TLB_ROW_OPERATOR, args[0], NULL);
+}
+
+/* --- import --- */
+
+/* Reads a file, "-" being standard input. malloc'd, or NULL after a complaint. */
+static char *read_whole(const char *path, size_t *len)
+{
+	FILE *f = strcmp(path, "-") == 0 ? stdin : fopen(path, "re");
+	char *text = f ? malloc(IMPORT_MAX) : NULL;
+
+	*len = text ? fread(text, 1, IMPORT_MAX, f) : 0;
+	if (!text || ferror(f) || *len == IMPORT_MAX) {
+		complain("%s can't be read or is larger than %d bytes", path, IMPORT_MAX - 1);
+		free(text);
+		text = NULL;
+	}
+	if (f && f != stdin)
+		fclose(f);
+	return text;
+}
+
+/* Reads the rows of a CSV file. Returns NULL after complaints. New reference. */
+static json_t *read_import(enum tlb_row_kind kind, const char *path)
+{
+	size_t len = 0;
+	char *text = read_whole(path, &len);
+	json_t *rows;
+
+	if (!text)
+		return NULL;
+	rows = tlb_csv_read(kind, text, len, stderr);
+	free(text);
+	if (!rows)
+		complain("%s is not imported: no row was changed", path);
+	return rows;
+}
+
+/* The values of rows by key. New reference. */
+static json_t *by_key(const json_t *rows)
+{
+	json_t *map = json_object();
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		json_object_set(map, json_string_value(json_object_get(row, "key")),
+				json_object_get(row, "value"));
+	}
+	return map;
+}
+
+/* Adds the removal of every row that is in the table but not in the file. */
+static void add_removals(json_t *rows, const json_t *present)
+{
+	json_t *wanted = by_key(rows);
+	const char *key;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (present, i, row) {
+		key = json_string_value(json_object_get(row, "key"));
+		if (!json_object_get(wanted, key))
+			json_array_append_new(rows, json_pack("{s:s, s:n}", "key", key, "value"));
+	}
+	json_decref(wanted);
+}
+
+/* The rows of the file that differ from those of the table. New reference. */
+static json_t *only_changed(const json_t *rows, const json_t *present)
+{
+	json_t *before = by_key(present);
+	json_t *changed = json_array();
+	json_t *row;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		if (!json_equal(json_object_get(row, "value"),
+				json_object_get(before,
+						json_string_value(json_object_get(row, "key")))))
+			json_array_append(changed, row);
+	}
+	json_decref(before);
+	return changed;
+}
+
+/* Sends the rows as one change on the version that is in force. */
+static enum tlb_exit import_rows(struct edit *e, const char *kind, json_t *rows)
+{
+	const json_t *present;
+	json_t *changed;
+	char path[PATH_LEN];
+	enum tlb_exit code;
+	int64_t version;
+
+	snprintf(path, sizeof(path), "/v1/table?kind=%s", kind);
+	tlb_client_call(&e->client, "GET", path, NULL, &e->answer);
+	code = exit_of(&e->answer);
+	if (code != TLB_EXIT_OK)
+		return finish_edit(e, code);
+	present = json_object_get(e->answer.json, "rows");
+	version = json_integer_value(json_object_get(e->answer.json, "version"));
+	if (e->options->replace)
+		add_removals(rows, present);
+	changed = only_changed(rows, present);
+	if (json_array_size(changed) > 0)
+		return finish_edit(e, send_rows(e, version, changed));
+	json_decref(changed);
+	/* Nothing to change: what was read stands for the answer. */
+	json_object_del(e->answer.json, "rows");
+	return finish_edit(e, TLB_EXIT_OK);
+}
+
+static enum tlb_exit run_import(const struct tlb_options *o, char **args, int count)
+{
+	enum tlb_row_kind kind;
+	struct edit e;
+	enum tlb_exit code;
+	json_t *rows;
+
+	if (!take_kind(args[0], &kind))
+		return TLB_EXIT_USAGE;
+	rows = read_import(kind, args[1]);
+	if (!rows)
+		return TLB_EXIT_REFUSED;
+	if (!open_edit(&e, o, "import %zu rows of %s", json_array_size(rows), args[0])) {
+		json_decref(rows);
+		return TLB_EXIT_USAGE;
+	}
+	code = import_rows(&e, args[0], rows);
+	close_edit(&e);
+	json_decref(rows);
+	return code;
+}
+
+/* --- check --- */
+
+/* Prints {"ok","faults":[lines]}. */
+static void print_check_json(const char *faults)
+{
+	json_t *list = json_array();
+	size_t len;
+
+	for (; *faults; faults += len + (faults[len] == '\n')) {
+		len = strcspn(faults, "\n");
+		json_array_append_new(list, json_stringn(faults, len));
+	}
+	list = json_pack("{s:b, s:o}", "ok", json_array_size(list) == 0, "faults", list);
+	tlb_print_json(stdout, list);
+	json_decref(list);
+}
+
+static enum tlb_exit run_check(const struct tlb_options *o, char **args, int count)
+{
+	struct tlb_settings s;
+	char *faults = NULL;
+	size_t len = 0;
+	FILE *f = open_memstream(&faults, &len);
+	int n;
+
+	if (!f)
+		return TLB_EXIT_REFUSED;
+	n = tlb_settings_load(&s, args[0], f);
+	sodium_memzero(&s, sizeof(s));
+	fclose(f);
+	if (o->json)
+		print_check_json(faults);
+	else if (n > 0)
+		fputs(faults, stderr);
+	else
+		printf("%s: ok\n", args[0]);
+	free(faults);
+	return n > 0 ? TLB_EXIT_REFUSED : TLB_EXIT_OK;
+}
+
+/* --- the list --- */
+
+enum {
+	READS = TLB_OPTIONS_REMOTE,
+	WRITES = TLB_OPTIONS_REMOTE | TLB_OPTIONS_CHANGE | TLB_OPTIONS_WAIT,
+};
+
+const struct tlb_command tlb_commands[] = {
+	{"check", "FILE", "Check a settings file and report every fault in it.", 1, 1, 0,
+	 run_check},
+	{"show", "[KIND]", "Show the rows of the configuration table.", 0, 1, READS, run_show},
+	{"set", "KIND ID COLUMN=VALUE...",
+	 "Set columns of a row; a row that does not exist is added.", 3, 64, WRITES, run_set},
+	{"delete", "KIND ID", "Remove a row.", 2, 2, WRITES, run_delete},
+	{"grant-key", "ID ACCOUNT",
+	 "Grant a key to a client account. The key is printed once; the table holds its hash.", 2,
+	 2, WRITES | TLB_OPTIONS_KEY, run_grant_key},
+	{"withdraw-key", "ID", "Withdraw a key.", 1, 1, WRITES, run_withdraw_key},
+	{"grant-operator", "ID",
+	 "Grant a credential to an operator. The credential is printed once.", 1, 1,
+	 WRITES | TLB_OPTIONS_KEY, run_grant_operator},
+	{"withdraw-operator", "ID", "Withdraw an operator's credential.", 1, 1, WRITES,
+	 run_withdraw_operator},
+	{"leave", "ENDPOINT", "Let an endpoint leave: it gets no new work.", 1, 1, WRITES,
+	 run_leave},
+	{"export", "KIND", "Write the rows of a kind to standard output as CSV.", 1, 1, READS,
+	 run_export},
+	{"import", "KIND FILE",
+	 "Add and change rows from a CSV file (\"-\" is standard input), all or none.", 2, 2,
+	 WRITES | TLB_OPTIONS_REPLACE, run_import},
+	{"status", "", "Show the state of a daemon.", 0, 0, READS, run_status},
+	{"force", "[VERSION]", "Show which configuration version is in force on which VM.", 0, 1,
+	 READS | TLB_OPTIONS_WAIT, run_force},
+	{"requests", "", "Show the requests in flight.", 0, 0, READS, run_requests},
+	{"accounts", "", "Show the client accounts and their use.", 0, 0, READS, run_accounts},
+	{"endpoints", "", "Show the endpoints and their load.", 0, 0, READS, run_endpoints},
+	{"metrics", "", "Show the counters of a daemon. Needs no credential.", 0, 0, READS,
+	 run_metrics},
+	{NULL, NULL, NULL, 0, 0, 0, NULL},
+};
+
+const struct tlb_command *tlb_command_find(const char *name)
+{
+	const struct tlb_command *c;
+
+	for (c = tlb_commands; c->name; c++)
+		if (strcmp(c->name, name) == 0)
+			return c;
+	return NULL;
+}
--- a/src/operator.c
+++ b/src/operator.c
@@ -172,19 +172,37 @@
 	json_decref(rows);
 }
 
+static void append_row(json_t *all, const struct tlb_table *t, enum tlb_row_kind kind,
+		       const char *id)
+{
+	json_t *value = tlb_table_row(t, kind, id);
+	json_t *key;
+
+	if (!value)
+		return;
+	key = json_sprintf("config/%s/%s", tlb_table_kind_name(kind), id);
+	json_array_append_new(all, json_pack("{s:o, s:o}", "key", key, "value", value));
+}
+
 static void on_table(struct tlb_operator_listener *o, struct tlb_exchange *x)
 {
 	const struct tlb_table *t = o->config->table;
 	json_t *rows;
 	enum tlb_row_kind kind = TLB_ROW_ACCOUNT;
+	char id[TLB_ID_LEN];
 	bool given;
 	int k;
 
 	if (!find_kind(x, &kind, &given))
 		return;
+	find_param(x, "id", id, sizeof(id));
 	rows = json_array();
-	for (k = 0; k < TLB_ROW_KIND_COUNT; k++)
-		if (!given || k == (int)kind)
+	if (given && id[0])
+		append_row(rows, t, kind, id);
+	else if (given)
+		append_rows(rows, t, kind);
+	else
+		for (k = 0; k < TLB_ROW_KIND_COUNT; k++)
 			append_rows(rows, t, k);
 	answer(x, 200, json_pack("{s:I, s:o}", "version", (json_int_t)t->version, "rows", rows));
 }
--- a/src/operator.h
+++ b/src/operator.h
@@ -2,7 +2,8 @@
  * The operators' HTTP listener. GET /healthz, /readyz and /metrics need no credential; everything
  * under /v1/ needs "Authorization: Bearer <credential>" of a granted operator row.
  *
- *   GET  /v1/table[?kind=K]      {"version","rows":[{"key","value"}]}
+ *   GET  /v1/table[?kind=K[&id=I]]
+ *                                {"version","rows":[{"key","value"}]}
  *   GET  /v1/table.csv?kind=K    the rows of a kind (csv.h)
  *   POST /v1/change              {"change_id","base_version","summary","rows":[{"key","value"}]}
  *                                -> 200 {"version","warnings"}, 400 {"error","faults","warnings"},
