Limit the requests booked at one decode endpoint

Cause: memory full of small requests runs more of them than the target between tokens allows (20 ms + 1 ms a request in the model; 43 ms is 23 running). Change: a book grants at most max_requests bookings. Conclusion: 24, which allows for bookings whose prefill still runs.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -24,12 +24,12 @@
 /* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
  * queue, no priorities at the engines. The _booked forms are what the daemon does with these
  * settings: everything but the choice of endpoints as in toucanlb. */
-static const struct flow flows[] = {
+static const struct flow policies[] = {
 	{.name = "round_robin", .policy = TLB_POLICY_ROUND_ROBIN},
 	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD},
 	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, .booked = true},
 	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, .booked = true},
-	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, .booked = true},
+	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, .booked = true, .max_requests = 24},
 };
 
 #define LAG (100 * TLB_MS)
@@ -60,6 +60,7 @@
 	int seeds;
 	double load;
 	bool csv;
+	struct flow flows[ROWS(policies)]; /* policies with --set applied */
 };
 
 static const struct argp_option argp_options[] = {
@@ -68,10 +69,35 @@
 	{"policy", 'p', "NAME", 0, "Only this policy", 0},
 	{"seeds", 'n', "N", 0, "Seeds 1 to N (default 3)", 0},
 	{"load", 'l', "FACTOR", 0, "Multiplies the load (default 1)", 0},
+	{"set", 'o', "NAME=VALUE", 0, "Changes a setting of toucanlb (struct flow; ms)", 0},
 	{"csv", 'c', NULL, 0, "Print every run as CSV", 0},
 	{0},
 };
 
+/* Applies "name=value" to the toucanlb policy; returns false for an unknown name. */
+static bool set(struct flow *f, const char *setting)
+{
+	const char *value = strchr(setting, '=');
+	size_t len = value ? (size_t)(value - setting) : 0;
+	double v = value ? strtod(value + 1, NULL) : 0;
+
+#define SET(member, factor)                                                                        \
+	if (len == strlen(#member) && !strncmp(setting, #member, len)) {                           \
+		f->member = v * (factor);                                                          \
+		return true;                                                                       \
+	}
+	SET(booked, 1)
+	SET(reply_free, 1)
+	SET(least_pieces, 1)
+	SET(max_requests, 1)
+	SET(batch_reserve, 1)
+	SET(prefill_limit, TLB_MS)
+	SET(batch_limit, TLB_MS)
+	SET(early, 1)
+#undef SET
+	return false;
+}
+
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct options *o = state->input;
@@ -94,6 +120,10 @@
 	case 'l':
 		o->load = strtod(arg, NULL);
 		return 0;
+	case 'o':
+		if (!set(&o->flows[ROWS(policies) - 1], arg))
+			argp_error(state, "unknown setting: %s", arg);
+		return 0;
 	case 'c':
 		o->csv = true;
 		return 0;
@@ -199,15 +229,15 @@
 static void measure_all(const struct options *o, const struct deployment *d,
 			const struct scenario *s)
 {
-	struct measures m[ROWS(flows)][MAX_SEEDS];
+	struct measures m[ROWS(policies)][MAX_SEEDS];
 	int seed;
 	int f;
 
 	for (seed = 0; seed < o->seeds; seed++) {
-		for (f = 0; f < ROWS(flows); f++) {
-			struct run r = {d, s, &flows[f], (uint64_t)seed + 1, o->load};
+		for (f = 0; f < ROWS(policies); f++) {
+			struct run r = {d, s, &o->flows[f], (uint64_t)seed + 1, o->load};
 
-			if (!selected(o->flow, flows[f].name))
+			if (!selected(o->flow, o->flows[f].name))
 				continue;
 			if (model_run(&r, &m[f][seed])) {
 				fprintf(stderr, "out of memory\n");
@@ -220,9 +250,9 @@
 	if (o->csv)
 		return;
 	print_head(d, s);
-	for (f = 0; f < ROWS(flows); f++) {
-		if (selected(o->flow, flows[f].name))
-			print_row(&flows[f], m[f], o->seeds);
+	for (f = 0; f < ROWS(policies); f++) {
+		if (selected(o->flow, o->flows[f].name))
+			print_row(&o->flows[f], m[f], o->seeds);
 	}
 }
 
@@ -234,6 +264,7 @@
 	int d;
 	int s;
 
+	memcpy(o.flows, policies, sizeof(policies));
 	argp_parse(&argp, argc, argv, 0, NULL, &o);
 	if (o.csv)
 		print_csv_head();
--- a/bench/model.c
+++ b/bench/model.c
@@ -1393,6 +1393,7 @@
 		if (!en->decode || en->owner != e->a)
 			continue;
 		tlb_book_init(&en->book, DECODE_PIECES, m->run->flow->batch_reserve, HELD_GRACE);
+		en->book.max_requests = m->run->flow->max_requests;
 		for (k = 0; k < m->job_count; k++) {
 			struct job *j = &m->jobs[k];
 
@@ -1508,6 +1509,7 @@
 	for (c = 0; c < CACHE_SLOTS; c++)
 		e->cache[c] = -1;
 	tlb_book_init(&e->book, DECODE_PIECES, m->run->flow->batch_reserve, HELD_GRACE);
+	e->book.max_requests = m->run->flow->max_requests;
 	tlb_book_reconcile(&e->book, NULL, 0, 0);
 	/* Engines report and are compared at different times. */
 	post(m, tlb_random_below(&m->random, REPORT_PERIOD), on_report, NULL)->engine = i;
--- a/bench/model.h
+++ b/bench/model.h
@@ -32,6 +32,7 @@
 	bool booked;		/* decode memory is booked before the prefill, with a fair queue */
 	bool reply_free;	/* a booking's reply tells the free pieces */
 	int least_pieces;	/* every booking is at least this large; 0: its true size */
+	int max_requests;	/* bookings of an endpoint at once; 0: as many as memory holds */
 	int batch_reserve;	/* pieces that batch work leaves free */
 	tlb_time prefill_limit; /* start nothing while every prefill queue is longer; 0: no limit */
 	tlb_time batch_limit;	/* the same for batch requests */
--- a/src/book.c
+++ b/src/book.c
@@ -22,6 +22,8 @@
 	int left = b->total_pieces - b->booked_pieces;
 	int i;
 
+	if (b->max_requests && b->booking_count + b->stray_count >= b->max_requests)
+		return 0;
 	for (i = 0; i < b->stray_count; i++)
 		left -= b->strays[i].pieces;
 	return left > 0 ? left : 0;
@@ -86,12 +88,14 @@
 		drop_stray(b, s);
 	APR_RING_INSERT_TAIL(&b->bookings, k, tlb_booking, link);
 	b->booked_pieces += k->pieces;
+	b->booking_count++;
 }
 
 static void take_out(struct tlb_book *b, struct tlb_booking *k)
 {
 	APR_RING_REMOVE(k, link);
 	b->booked_pieces -= k->pieces;
+	b->booking_count--;
 }
 
 enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k)
--- a/src/book.h
+++ b/src/book.h
@@ -7,9 +7,13 @@
  * A booking that is not renewed expires and stays counted as a stray until the engine's list no
  * longer names it. A stray seen for longer than the grace period is to be cancelled.
  *
+ * No more than max_requests are booked at once.
+ *
  * Reason: a prefill without a place at a decode engine is evicted within a second and has to be
  * computed again, so the place is booked first. Load reports lag by up to seconds, during which
  * eight routers would all book the same free piece; one book can't be overbooked.
+ * Each running request lengthens the time between tokens of all: memory alone does not keep an
+ * engine with many small requests within the target.
  */
 #ifndef TLB_BOOK_H
 #define TLB_BOOK_H
@@ -52,7 +56,9 @@
 	struct tlb_booking_ring bookings;
 	int total_pieces;
 	int booked_pieces;
+	int booking_count;
 	int batch_reserve; /* pieces that batch work leaves free */
+	int max_requests;  /* bookings at once; 0, as init sets it: no limit */
 	tlb_time grace;	   /* a length of time: how long a stray may live */
 	bool granting;	   /* false until the engine's list has been seen */
 	struct tlb_stray strays[TLB_BOOK_STRAYS];
@@ -114,7 +120,7 @@
  * the entries that have been strays for longer than the grace period and returns their number. */
 int tlb_book_reconcile(struct tlb_book *b, struct tlb_held *held, int count, tlb_time now);
 
-/* Pieces that an interactive request may book now; never negative. */
+/* Pieces that an interactive request may book now; never negative, 0 at max_requests. */
 int tlb_book_free(const struct tlb_book *b);
 
 /* Earliest expiry deadline in the book, or TLB_NEVER. */
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -71,6 +71,20 @@
 }
 END_TEST
 
+/* Many small requests would push the time between tokens past its target. */
+START_TEST(request_limit_holds_though_memory_is_free)
+{
+	book.max_requests = 1;
+	ck_assert_int_eq(tlb_book_add(&book, make(0, "a", "vm1/1", 1, TLB_INTERACTIVE, 1)),
+			 TLB_BOOK_OK);
+	ck_assert_int_eq(tlb_book_free(&book), 0);
+	ck_assert_int_eq(tlb_book_add(&book, make(1, "b", "vm1/1", 1, TLB_INTERACTIVE, 1)),
+			 TLB_BOOK_FULL);
+	tlb_book_release(&book, "a", "vm1/1");
+	ck_assert_int_eq(tlb_book_free(&book), TOTAL);
+}
+END_TEST
+
 /* A new owner that granted at once would book memory that others still hold. */
 START_TEST(new_owner_grants_only_after_the_list)
 {
@@ -150,6 +164,7 @@
 	tcase_add_checked_fixture(tc, setup, NULL);
 	tcase_add_loop_test(tc, booking_follows_room_and_reserve, 0,
 			    sizeof(add_cases) / sizeof(add_cases[0]));
+	tcase_add_test(tc, request_limit_holds_though_memory_is_free);
 	tcase_add_test(tc, new_owner_grants_only_after_the_list);
 	tcase_add_test(tc, expired_booking_stays_counted_until_gone);
 	tcase_add_test(tc, strays_are_cancelled_after_the_grace_period);
