Reserve decode memory for interactive requests

Cause: batch work takes the last places, and interactive requests wait out their second. Change: batch bookings leave batch_reserve pieces free (of 56).

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -29,7 +29,11 @@
 	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD},
 	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, .booked = true},
 	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, .booked = true},
-	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, .booked = true, .max_requests = 24},
+	{.name = "toucanlb",
+	 .policy = TLB_POLICY_TOUCANLB,
+	 .booked = true,
+	 .max_requests = 24,
+	 .batch_reserve = 8},
 };
 
 #define LAG (100 * TLB_MS)
