Run the daemon as one of a fleet: cluster, configuration spread, operators, drain

Cause: each daemon acted alone and read the table once. Change: daemon connects the cluster's messages and events to limits, bookings and configuration; spread pushes accepted changes and pulls what heartbeats show to be missing; SIGTERM drains: not ready, still serving while the balancer lags, then no new connections, then the shards are handed over. Retry-After is now sent with 429 and 503 only.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -llog4c -lm
 BUILD ?= build
 
-MAIN_SRC = src/daemon.c src/tool.c
+MAIN_SRC = src/toucanlbd.c src/tool.c
 LIB_SRC = $(filter-out $(MAIN_SRC),$(wildcard src/*.c))
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 STANDIN_LIB_SRC = standins/control.c standins/link.c standins/serve.c
@@ -36,7 +36,7 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/toucanlbd: $(BUILD)/src/daemon.o $(BUILD)/libtoucanlb.a
+$(BUILD)/toucanlbd: $(BUILD)/src/toucanlbd.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/toucanlb: $(BUILD)/src/tool.o $(BUILD)/libtoucanlb.a
@@ -58,6 +58,16 @@
 bench: $(BUILD)/bench
 	$<
 
+# Every parser of outside bytes under the sanitizers, with fixed seeds; see fuzz/run.
+fuzz:
+	@$(MAKE) --no-print-directory BUILD=$(BUILD)/asan \
+		CFLAGS="-O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all" \
+		$(BUILD)/asan/fuzzer
+	@fuzz/run $(BUILD)/asan/fuzzer
+
+$(BUILD)/fuzzer: $(BUILD)/fuzz/fuzz.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 check: deps
 	@$(MAKE) --no-print-directory all build-tests
 	@tests/run
@@ -88,6 +98,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all deps bench check build-tests demo format format-check lint clean
+.PHONY: fuzz all deps bench check build-tests demo format format-check lint clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/fuzz/fuzz.c
@@ -0,0 +1,254 @@
+/*
+ * Feeds mutated inputs to every parser of bytes from outside: settings, table rows, peer frames,
+ * engine events, completion bodies, addresses. Built with the address and undefined-behaviour
+ * sanitizers, which end the run at the first fault.
+ *
+ *   fuzz TARGET SEED COUNT SAMPLE...
+ *
+ * Each SAMPLE file is a valid input; each round mutates one of them. The same seed gives the same
+ * inputs on every machine.
+ */
+#include <apr_general.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "address.h"
+#include "completion.h"
+#include "frame.h"
+#include "random.h"
+#include "settings.h"
+#include "sse.h"
+#include "table.h"
+
+enum { SAMPLES_MAX = 16, SAMPLE_MAX = 32768, INPUT_MAX = 65536, MUTATIONS_MAX = 8 };
+
+struct sample {
+	char data[SAMPLE_MAX];
+	size_t len;
+};
+
+typedef void target_fn(const char *data, size_t len);
+
+static void fuzz_settings(const char *data, size_t len)
+{
+	static struct tlb_settings s;
+	char path[] = "/tmp/toucanlb-fuzz-XXXXXX";
+	int fd = mkstemp(path);
+	FILE *sink = fopen("/dev/null", "we");
+
+	if (fd < 0 || !sink || write(fd, data, len) != (ssize_t)len)
+		abort();
+	close(fd);
+	tlb_settings_load(&s, path, sink);
+	unlink(path);
+	fclose(sink);
+}
+
+/* The input is a JSON object of rows: {"config/account/a1":{...},...}. */
+static void fuzz_table(const char *data, size_t len)
+{
+	json_t *rows = json_loadb(data, len, 0, NULL);
+	struct tlb_table t;
+	struct tlb_error err;
+	enum tlb_row_kind kind;
+	const char *key;
+	const char *id;
+	json_t *value;
+
+	if (!json_is_object(rows)) {
+		json_decref(rows);
+		return;
+	}
+	tlb_table_init(&t);
+	json_object_foreach (rows, key, value) {
+		if (tlb_table_split_key(key, &kind, &id))
+			tlb_table_add(&t, kind, id, value, &err);
+	}
+	tlb_table_finish(&t);
+	json_decref(rows);
+}
+
+static bool ignore_event(void *arg, const char *data, size_t len)
+{
+	return true;
+}
+
+static void fuzz_events(const char *data, size_t len)
+{
+	struct tlb_sse s = {0};
+	size_t half = len / 2;
+
+	if (tlb_sse_feed(&s, data, half, ignore_event, NULL))
+		tlb_sse_feed(&s, data + half, len - half, ignore_event, NULL);
+	tlb_sse_finish(&s);
+}
+
+static void fuzz_completion(const char *data, size_t len)
+{
+	struct tlb_completion c;
+	struct tlb_error err;
+
+	if (tlb_completion_parse(&c, data, len, false, &err) == TLB_OK)
+		tlb_completion_finish(&c);
+	if (tlb_completion_parse(&c, data, len, true, &err) == TLB_OK)
+		tlb_completion_finish(&c);
+}
+
+static void fuzz_address(const char *data, size_t len)
+{
+	struct sockaddr_storage a;
+	socklen_t alen;
+	char text[128];
+	char out[TLB_PEER_LEN];
+
+	snprintf(text, sizeof(text), "%.*s", (int)(len < 127 ? len : 127), data);
+	if (tlb_address_parse(text, &a, &alen))
+		tlb_address_format(&a, out);
+}
+
+/* The MAC covers the key id and the payload; see frame.h. */
+static void sign(unsigned char *frame, size_t payload, const struct tlb_peer_key *key)
+{
+	static unsigned char covered[INPUT_MAX + 1];
+
+	covered[0] = frame[TLB_FRAME_LENGTH_BYTES];
+	memcpy(covered + 1, frame + TLB_FRAME_HEADER, payload);
+	crypto_auth(frame + TLB_FRAME_LENGTH_BYTES + 1, covered, payload + 1, key->secret);
+}
+
+/* The bytes as they are, and the same bytes as the payload of a frame whose MAC is right, so that
+ * the message decoder is reached. */
+static void fuzz_frame(const char *data, size_t len)
+{
+	static const struct tlb_peer_key key = {.id = 1};
+	const struct tlb_frame_keys keys = {&key, 1};
+	struct tlb_frame_buffer in = {0};
+	Toucan__Envelope *e = NULL;
+	unsigned char *p = tlb_frame_buffer_reserve(&in, len + TLB_FRAME_HEADER);
+	uint32_t n = (uint32_t)(len + 1 + TLB_FRAME_MAC_BYTES);
+
+	memcpy(p, data, len);
+	in.end = len;
+	while (tlb_frame_decode(&in, &keys, &e) == TLB_OK && e)
+		toucan__envelope__free_unpacked(e, NULL);
+	in.start = 0;
+	p = in.data;
+	p[0] = (unsigned char)(n >> 24);
+	p[1] = (unsigned char)(n >> 16);
+	p[2] = (unsigned char)(n >> 8);
+	p[3] = (unsigned char)n;
+	p[4] = 1;
+	memcpy(p + TLB_FRAME_HEADER, data, len);
+	sign(p, len, &key);
+	in.end = len + TLB_FRAME_HEADER;
+	e = NULL;
+	if (tlb_frame_decode(&in, &keys, &e) == TLB_OK && e)
+		toucan__envelope__free_unpacked(e, NULL);
+	tlb_frame_buffer_finish(&in);
+}
+
+static const struct {
+	const char *name;
+	target_fn *fn;
+} targets[] = {
+	{"settings", fuzz_settings},	 {"table", fuzz_table},	    {"events", fuzz_events},
+	{"completion", fuzz_completion}, {"address", fuzz_address}, {"frame", fuzz_frame},
+};
+
+static struct sample read_sample(const char *path)
+{
+	struct sample s;
+	FILE *f = fopen(path, "re");
+
+	if (!f) {
+		fprintf(stderr, "fuzz: can't read %s\n", path);
+		exit(EXIT_FAILURE);
+	}
+	s.len = fread(s.data, 1, sizeof(s.data), f);
+	fclose(f);
+	return s;
+}
+
+static size_t pick(struct tlb_random *r, size_t n)
+{
+	return n > 0 ? (size_t)tlb_random_below(r, (int)n) : 0;
+}
+
+/* One mutation: flip, overwrite, delete, repeat, or truncate. */
+static size_t mutate(struct tlb_random *r, char *data, size_t len)
+{
+	size_t at = pick(r, len);
+	size_t n = 1 + pick(r, 16);
+
+	if (len == 0)
+		return 0;
+	if (n > len - at)
+		n = len - at;
+	switch (tlb_random_below(r, 5)) {
+	case 0:
+		data[at] ^= (char)(1 << tlb_random_below(r, 8));
+		return len;
+	case 1:
+		data[at] = (char)tlb_random_below(r, 256);
+		return len;
+	case 2:
+		memmove(data + at, data + at + n, len - at - n);
+		return len - n;
+	case 3:
+		if (len + n > INPUT_MAX)
+			return len;
+		memmove(data + at + n, data + at, len - at);
+		return len + n;
+	default:
+		return pick(r, 20) == 0 ? at : len;
+	}
+}
+
+static void run(target_fn *fn, const struct sample *samples, int count, uint64_t seed, int rounds)
+{
+	static char data[INPUT_MAX];
+	struct tlb_random r;
+	const struct sample *s;
+	size_t len;
+	int i;
+	int k;
+
+	tlb_random_init(&r, seed);
+	for (i = 0; i < rounds; i++) {
+		s = &samples[tlb_random_below(&r, count)];
+		memcpy(data, s->data, s->len);
+		len = s->len;
+		/* The first round is the sample itself. */
+		for (k = i == 0 ? MUTATIONS_MAX : tlb_random_below(&r, MUTATIONS_MAX);
+		     k < MUTATIONS_MAX; k++)
+			len = mutate(&r, data, len);
+		fn(data, len);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static struct sample samples[SAMPLES_MAX];
+	int count = 0;
+	size_t i;
+
+	if (argc < 5 || argc - 4 > SAMPLES_MAX || apr_initialize() != APR_SUCCESS ||
+	    sodium_init() < 0) {
+		fprintf(stderr, "usage: fuzz TARGET SEED COUNT SAMPLE...\n");
+		return EXIT_FAILURE;
+	}
+	for (; count < argc - 4; count++)
+		samples[count] = read_sample(argv[4 + count]);
+	for (i = 0; i < sizeof(targets) / sizeof(targets[0]); i++) {
+		if (strcmp(targets[i].name, argv[1]) != 0)
+			continue;
+		run(targets[i].fn, samples, count, strtoull(argv[2], NULL, 10), atoi(argv[3]));
+		printf("fuzz target=%s seed=%s inputs=%s ok\n", argv[1], argv[2], argv[3]);
+		return EXIT_SUCCESS;
+	}
+	fprintf(stderr, "fuzz: unknown target %s\n", argv[1]);
+	return EXIT_FAILURE;
+}
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,96 +1,331 @@
-/* Entry point of toucanlbd: settings, start, the loop, and the graceful shutdown. */
-#include <apr_general.h>
-#include <argp.h>
+#include "daemon.h"
+
+#include <inttypes.h>
 #include <signal.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
-#include "board.h"
 #include "caller.h"
 #include "log.h"
 
-#define CONFIG_INTERVAL (2 * TLB_SECOND)
-#define CONFIG_TIMEOUT (2 * TLB_SECOND)
-
-struct daemon {
-	struct tlb_settings settings;
-	struct tlb_loop loop;
-	struct tlb_http http;
-	struct tlb_store store;
-	struct tlb_store_op config_op;
-	struct tlb_timer config_timer;
-	struct tlb_table tables[2];
-	int current;
-	struct tlb_front front;
-	struct tlb_board board;
-	int signal_fd;
-	struct tlb_watch *signal_watch;
-};
-
-static void add_row(struct tlb_table *t, const json_t *row)
-{
-	const char *key = json_string_value(json_object_get(row, "key"));
-	enum tlb_row_kind kind;
-	const char *id;
-	struct tlb_error err;
-
-	if (!key || !tlb_table_split_key(key, &kind, &id))
-		return;
-	if (tlb_table_add(t, kind, id, json_object_get(row, "value"), &err) != TLB_OK)
-		tlb_log_error("event=config_row_refused reason=\"%s\"", err.message);
-}
+/* The balancer may send new requests for this long after the first refusal of readiness. */
+#define DRAIN_NOTICE (2 * TLB_SECOND)
+/* The notice goes on while new requests keep coming, up to this. */
+#define DRAIN_NOTICE_MAX (30 * TLB_SECOND)
+#define DRAIN_QUIET (1 * TLB_SECOND) /* no new request for this long ends the notice */
+#define DRAIN_CHECK (50 * TLB_MS)
+#define LEAVE_TIMEOUT (5 * TLB_SECOND)
 
-static void use_table(struct daemon *d, json_t *rows)
+/* --- the table in force --- */
+
+static void take_table(struct tlb_daemon *d)
 {
-	struct tlb_table *t = &d->tables[!d->current];
-	const json_t *row;
-	size_t i;
+	int64_t former = d->table_version;
 
-	tlb_table_finish(t);
-	tlb_table_init(t);
-	json_array_foreach (rows, i, row) {
-		add_row(t, row);
-	}
-	t->version = 1;
-	d->current = !d->current;
-	d->board.table = t;
+	d->board.table = d->config.table;
+	d->table_version = d->config.table->version;
 	tlb_load_sync(&d->board.load);
 	tlb_limit_sync(&d->board.limit);
 	tlb_pools_sync(&d->board.pools);
+	tlb_requests_sync(&d->board.requests);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_CONFIG_VERSION, d->table_version);
+	/* A VM that read the store by itself need not tell the others: heartbeats do. */
+	if (d->config.source == TLB_CONFIG_FROM_CHANGE)
+		tlb_spread_push(&d->spread, former);
+}
+
+static void on_table(void *arg)
+{
+	take_table(arg);
+}
+
+/* --- messages and events of the cluster --- */
+
+static void on_reserve_tokens(void *arg, const struct tlb_peer_return *from,
+			      const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_limit_on_reserve(&d->board.limit, from, m->reserve_tokens);
+}
+
+static void on_return_tokens(void *arg, const struct tlb_peer_return *from,
+			     const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_limit_on_return(&d->board.limit, from, m->return_tokens);
+}
+
+static void on_book_decode(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_bookings_on_book(&d->board.bookings, from, m->book_decode);
+}
+
+static void on_renew_bookings(void *arg, const struct tlb_peer_return *from,
+			      const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_bookings_on_renew(&d->board.bookings, from, m->renew_bookings);
+}
+
+static void on_release_booking(void *arg, const struct tlb_peer_return *from,
+			       const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_bookings_on_release(&d->board.bookings, from, m->release_booking);
+}
+
+static void on_bookings_pull(void *arg, const struct tlb_peer_return *from,
+			     const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_bookings_on_pull(&d->board.bookings, from, m->bookings_pull);
+}
+
+static void on_config_push(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_spread_on_push(&d->spread, from, m->config_push);
 }
 
-static void on_config(void *arg, enum tlb_store_status status, json_t *body,
-		      const struct tlb_error *err)
+static void on_config_pull(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
 {
-	struct daemon *d = arg;
+	struct tlb_daemon *d = arg;
 
-	if (status == TLB_STORE_OK && d->board.table->version == 0)
-		use_table(d, json_object_get(body, "rows"));
-	tlb_timer_set(&d->loop, &d->config_timer, tlb_clock_now() + CONFIG_INTERVAL);
+	tlb_spread_on_pull(&d->spread, from, m->config_pull);
 }
 
-static void ask_config(void *arg)
+static void on_shards_changed(void *arg, tlb_shard_set gained, tlb_shard_set lost)
 {
-	struct daemon *d = arg;
+	struct tlb_daemon *d = arg;
 
-	tlb_store_rows(&d->store, &d->config_op, "config/", tlb_clock_now() + CONFIG_TIMEOUT,
-		       on_config, d);
+	tlb_limit_shards_changed(&d->board.limit, gained, lost);
+	tlb_bookings_shards_changed(&d->board.bookings, gained, lost);
+}
+
+static void hand_over(void *arg, tlb_shard_set shards, Toucan__HandOver *out)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_limit_hand_over(&d->board.limit, shards, out);
+	tlb_bookings_hand_over(&d->board.bookings, shards, out);
+}
+
+static void on_hand_over(void *arg, tlb_shard_set shards, const Toucan__HandOver *state)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_limit_take_over(&d->board.limit, state);
+	tlb_bookings_take_over(&d->board.bookings, state);
+}
+
+static void on_fenced(void *arg, const char *vm, uint64_t incarnation)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_limit_fenced(&d->board.limit, vm, incarnation);
+}
+
+static void on_peer_config_version(void *arg, const char *vm, int64_t version)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_spread_on_version(&d->spread, vm, version);
+}
+
+static void set_owner(struct tlb_daemon *d)
+{
+	snprintf(d->board.owner, sizeof(d->board.owner), "%s", tlb_cluster_owner_name(&d->cluster));
+}
+
+static void on_session_lost(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_SESSION_VALID, 0);
+}
+
+static void on_session_regained(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	set_owner(d);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_SESSION_VALID, 1);
+}
+
+static void on_self_fenced(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	/* Others have freed what these requests had booked. */
+	tlb_requests_finish(&d->board.requests);
+	set_owner(d);
+}
+
+static int64_t config_version(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	return tlb_config_version(&d->config);
+}
+
+/* --- what operators see --- */
+
+static json_t *show_status(void *arg)
+{
+	struct tlb_daemon *d = arg;
+	char incarnation[24];
+
+	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
+		 tlb_cluster_incarnation(&d->cluster));
+	return json_pack("{s:s,s:b,s:i,s:b,s:i,s:i}", "incarnation", incarnation, "session_valid",
+			 tlb_board_valid(&d->board), "shards",
+			 __builtin_popcountll(tlb_cluster_shards(&d->cluster)), "store_up",
+			 d->store.up, "waiting", tlb_pools_waiting(&d->board.pools), "in_flight",
+			 (int)tlb_front_in_flight(&d->front));
+}
+
+static json_t *show_requests(void *arg)
+{
+	struct tlb_daemon *d = arg;
+	json_t *list = tlb_requests_list(&d->board.requests);
+	json_t *calls = tlb_services_list(&d->board.services);
+
+	json_array_extend(list, calls);
+	json_decref(calls);
+	return list;
+}
+
+static json_t *show_endpoints(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	return tlb_load_list(&d->board.load);
+}
+
+static json_t *show_accounts(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	return tlb_limit_list(&d->board.limit);
+}
+
+static bool show_ready(void *arg, const char **reason)
+{
+	struct tlb_daemon *d = arg;
+
+	if (d->phase != TLB_DAEMON_SERVING)
+		*reason = "this VM is shutting down";
+	else if (d->config.table->version == 0)
+		*reason = "no configuration yet";
+	else if (!tlb_board_valid(&d->board))
+		*reason = "the session lease is not valid";
+	return tlb_daemon_ready(d);
+}
+
+bool tlb_daemon_ready(const struct tlb_daemon *d)
+{
+	return d->phase == TLB_DAEMON_SERVING && d->config.table->version > 0 &&
+	       tlb_board_valid(&d->board);
+}
+
+/* --- shutdown --- */
+
+static void on_left(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_loop_stop(&d->loop);
+}
+
+static bool work_left(const struct tlb_daemon *d)
+{
+	return tlb_front_in_flight(&d->front) > 0 || tlb_requests_count(&d->board.requests) > 0 ||
+	       tlb_services_count(&d->board.services) > 0;
+}
+
+static void begin_leave(struct tlb_daemon *d)
+{
+	tlb_log_info("event=shutdown phase=leaving");
+	d->phase = TLB_DAEMON_LEAVING;
+	tlb_cluster_leave(&d->cluster, tlb_clock_now() + LEAVE_TIMEOUT, on_left, d);
+}
+
+static bool notice_over(struct tlb_daemon *d, tlb_time now)
+{
+	int64_t requests = d->board.counters.value[TLB_COUNTER_REQUESTS];
+
+	if (requests != d->seen_requests) {
+		d->seen_requests = requests;
+		d->last_request = now;
+	}
+	if (now >= d->notice_deadline + DRAIN_NOTICE_MAX - DRAIN_NOTICE)
+		return true;
+	return now >= d->notice_deadline && now >= d->last_request + DRAIN_QUIET;
+}
+
+static void on_drain(void *arg)
+{
+	struct tlb_daemon *d = arg;
+	tlb_time now = tlb_clock_now();
+
+	if (d->phase == TLB_DAEMON_NOTICE && notice_over(d, now)) {
+		tlb_log_info("event=shutdown phase=draining in_flight=%zu",
+			     tlb_front_in_flight(&d->front));
+		d->phase = TLB_DAEMON_DRAINING;
+		tlb_front_stop_accepting(&d->front);
+	}
+	if (now >= d->drain_deadline && d->phase != TLB_DAEMON_LEAVING) {
+		tlb_log_warn("event=shutdown phase=timeout in_flight=%zu",
+			     tlb_front_in_flight(&d->front));
+		begin_leave(d);
+		return;
+	}
+	if (d->phase == TLB_DAEMON_DRAINING && !work_left(d)) {
+		begin_leave(d);
+		return;
+	}
+	tlb_timer_set(&d->loop, &d->drain_timer, now + DRAIN_CHECK);
+}
+
+static void begin_shutdown(struct tlb_daemon *d)
+{
+	tlb_time now = tlb_clock_now();
+
+	if (d->phase != TLB_DAEMON_SERVING)
+		return;
+	tlb_log_info("event=shutdown phase=notice in_flight=%zu", tlb_front_in_flight(&d->front));
+	d->phase = TLB_DAEMON_NOTICE;
+	d->notice_deadline = now + DRAIN_NOTICE;
+	d->drain_deadline = now + d->settings.drain_timeout_ms * TLB_MS;
+	d->seen_requests = d->board.counters.value[TLB_COUNTER_REQUESTS];
+	d->last_request = now;
+	tlb_front_close_connections(&d->front);
+	tlb_timer_set(&d->loop, &d->drain_timer, now + DRAIN_CHECK);
 }
 
 static void on_signal(void *arg, int events)
 {
-	struct daemon *d = arg;
+	struct tlb_daemon *d = arg;
 	struct signalfd_siginfo info;
 
 	if (read(d->signal_fd, &info, sizeof(info)) == sizeof(info))
-		tlb_loop_stop(&d->loop);
+		begin_shutdown(d);
 }
 
-static void init_board(struct daemon *d)
+/* --- start --- */
+
+static void init_board(struct tlb_daemon *d)
 {
 	struct tlb_board *b = &d->board;
 	enum tlb_policy policy = TLB_POLICY_TOUCANLB;
@@ -100,12 +335,11 @@
 	b->loop = &d->loop;
 	b->http = &d->http;
 	b->store = &d->store;
-	b->table = &d->tables[0];
+	b->cluster = &d->cluster;
+	b->table = d->config.table;
 	randombytes_buf(&seed, sizeof(seed));
 	tlb_policy_parse(d->settings.policy, &policy);
 	tlb_place_init(&b->place, policy, d->settings.zone, seed);
-	snprintf(b->owner, sizeof(b->owner), "%s/%016llx", d->settings.vm_id,
-		 (unsigned long long)seed);
 	tlb_load_init(&b->load, b);
 	tlb_limit_init(&b->limit, b);
 	tlb_bookings_init(&b->bookings, b);
@@ -115,23 +349,65 @@
 	tlb_bookings_start(&b->bookings);
 }
 
-static int start_front(struct daemon *d)
+static void init_cluster(struct tlb_daemon *d)
 {
+	const struct tlb_cluster_handlers handlers = {
+		.arg = d,
+		.reserve_tokens = on_reserve_tokens,
+		.return_tokens = on_return_tokens,
+		.book_decode = on_book_decode,
+		.renew_bookings = on_renew_bookings,
+		.release_booking = on_release_booking,
+		.bookings_pull = on_bookings_pull,
+		.config_push = on_config_push,
+		.config_pull = on_config_pull,
+		.on_shards_changed = on_shards_changed,
+		.hand_over = hand_over,
+		.on_hand_over = on_hand_over,
+		.on_fenced = on_fenced,
+		.on_peer_config_version = on_peer_config_version,
+		.on_session_lost = on_session_lost,
+		.on_session_regained = on_session_regained,
+		.on_self_fenced = on_self_fenced,
+		.config_version = config_version,
+	};
+
+	tlb_cluster_init(&d->cluster, &d->loop, &d->settings, &d->store, &d->board.counters,
+			 &handlers);
+	set_owner(d);
+}
+
+static enum tlb_code start_front(struct tlb_daemon *d, struct tlb_error *err)
+{
+	char prefix[TLB_REQUEST_PREFIX_LEN];
 	struct tlb_front_limits limits = {
 		.max_body_bytes = (size_t)d->settings.max_body_bytes,
 		.max_connections = (unsigned)d->settings.max_connections,
 		.request_timeout_ms = d->settings.request_timeout_ms,
 	};
-	struct tlb_error err;
 
-	if (tlb_front_init(&d->front, &d->loop, d->settings.caller_addr, d->settings.vm_id, &limits,
-			   tlb_caller_take, &d->board, &err) == TLB_OK)
-		return 0;
-	fprintf(stderr, "toucanlbd: %s\n", err.message);
-	return -1;
+	/* The incarnation makes request ids unique across VMs and restarts. */
+	snprintf(prefix, sizeof(prefix), "%016" PRIx64, tlb_cluster_incarnation(&d->cluster));
+	return tlb_front_init(&d->front, &d->loop, d->settings.caller_addr, prefix, &limits,
+			      tlb_caller_take, &d->board, err);
+}
+
+static enum tlb_code start_operators(struct tlb_daemon *d, struct tlb_error *err)
+{
+	const struct tlb_operator_source source = {
+		.arg = d,
+		.status = show_status,
+		.requests = show_requests,
+		.endpoints = show_endpoints,
+		.accounts = show_accounts,
+		.ready = show_ready,
+	};
+
+	return tlb_operator_init(&d->operators, &d->loop, &d->config, &d->changes,
+				 &d->board.counters, &d->settings, &source, err);
 }
 
-static void watch_signals(struct daemon *d)
+static void watch_signals(struct tlb_daemon *d)
 {
 	sigset_t set;
 
@@ -144,40 +420,55 @@
 	d->signal_watch = tlb_loop_watch(&d->loop, d->signal_fd, TLB_READABLE, on_signal, d);
 }
 
-static int run(struct daemon *d)
+enum tlb_code tlb_daemon_init(struct tlb_daemon *d, struct tlb_error *err)
 {
-	tlb_table_init(&d->tables[0]);
-	tlb_table_init(&d->tables[1]);
-	tlb_loop_init(&d->loop);
-	tlb_http_init(&d->http, &d->loop);
+	if (tlb_loop_init(&d->loop) != APR_SUCCESS || tlb_http_init(&d->http, &d->loop) != 0)
+		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "start", "",
+				     "the event loop could not start");
 	tlb_store_init(&d->store, &d->http, d->settings.store_url);
-	watch_signals(d);
+	tlb_config_init(&d->config, &d->loop, &d->store, &d->board.counters, on_table, d);
+	tlb_changes_init(&d->changes, &d->config);
+	tlb_timer_init(&d->drain_timer, on_drain, d);
+	init_cluster(d);
+	tlb_spread_init(&d->spread, &d->cluster, &d->config);
 	init_board(d);
-	if (start_front(d) != 0)
-		return EXIT_FAILURE;
-	tlb_timer_init(&d->config_timer, ask_config, d);
-	ask_config(d);
-	printf("ready caller=%s\n", d->front.addr);
-	fflush(stdout);
-	tlb_loop_run(&d->loop);
-	return EXIT_SUCCESS;
+	watch_signals(d);
+	if (tlb_cluster_start(&d->cluster, err) != TLB_OK)
+		return err->code;
+	if (start_front(d, err) != TLB_OK)
+		return err->code;
+	if (start_operators(d, err) != TLB_OK)
+		return err->code;
+	tlb_config_start(&d->config);
+	return TLB_OK;
 }
 
-int main(int argc, char **argv)
+void tlb_daemon_run(struct tlb_daemon *d)
 {
-	static struct daemon d;
+	tlb_log_info("event=start vm=%s incarnation=%016" PRIx64 " caller=%s operator=%s",
+		     d->settings.vm_id, tlb_cluster_incarnation(&d->cluster), d->front.addr,
+		     d->operators.front.addr);
+	tlb_loop_run(&d->loop);
+	tlb_log_info("event=stop vm=%s", d->settings.vm_id);
+}
 
-	if (argc != 2) {
-		fprintf(stderr, "usage: toucanlbd SETTINGS\n");
-		return EXIT_FAILURE;
-	}
-	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0)
-		return EXIT_FAILURE;
-	if (tlb_settings_load(&d.settings, argv[1], stderr) != 0)
-		return EXIT_FAILURE;
-	if (tlb_log_init(d.settings.log_file, d.settings.log_level) != 0) {
-		fprintf(stderr, "toucanlbd: can't open the log %s\n", d.settings.log_file);
-		return EXIT_FAILURE;
-	}
-	return run(&d);
+void tlb_daemon_finish(struct tlb_daemon *d)
+{
+	tlb_requests_finish(&d->board.requests);
+	tlb_services_finish(&d->board.services);
+	tlb_operator_finish(&d->operators);
+	tlb_front_finish(&d->front);
+	tlb_bookings_finish(&d->board.bookings);
+	tlb_pools_finish(&d->board.pools);
+	tlb_limit_finish(&d->board.limit);
+	tlb_load_finish(&d->board.load);
+	tlb_spread_finish(&d->spread);
+	tlb_cluster_finish(&d->cluster);
+	tlb_changes_finish(&d->changes);
+	tlb_config_finish(&d->config);
+	tlb_timer_clear(&d->loop, &d->drain_timer);
+	tlb_loop_unwatch(&d->loop, d->signal_watch);
+	close(d->signal_fd);
+	tlb_http_finish(&d->http);
+	tlb_loop_finish(&d->loop);
 }
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,50 @@
+/* One running daemon: its parts, how they are connected, and its graceful shutdown. */
+#ifndef TLB_DAEMON_H
+#define TLB_DAEMON_H
+
+#include "board.h"
+#include "change.h"
+#include "config.h"
+#include "operator.h"
+#include "spread.h"
+
+enum tlb_daemon_phase {
+	TLB_DAEMON_SERVING,
+	TLB_DAEMON_NOTICE,   /* not ready for the balancer, still takes new requests */
+	TLB_DAEMON_DRAINING, /* takes no new connections; requests in flight go on */
+	TLB_DAEMON_LEAVING,  /* hands its shards over */
+};
+
+/* Owned by main(). */
+struct tlb_daemon {
+	struct tlb_settings settings;
+	struct tlb_loop loop;
+	struct tlb_http http;
+	struct tlb_store store;
+	struct tlb_config config;
+	struct tlb_changes changes;
+	struct tlb_cluster cluster;
+	struct tlb_spread spread;
+	struct tlb_front front;
+	struct tlb_operator_listener operators;
+	struct tlb_board board;
+	enum tlb_daemon_phase phase;
+	tlb_time notice_deadline; /* earliest end of TLB_DAEMON_NOTICE */
+	tlb_time drain_deadline;
+	int64_t seen_requests; /* when the balancer was last seen to send new requests */
+	tlb_time last_request;
+	struct tlb_timer drain_timer;
+	int signal_fd;
+	struct tlb_watch *signal_watch;
+	int64_t table_version; /* that the controllers last took over */
+};
+
+/* Sets up every part with loaded settings. On failure err says which and nothing is left open. */
+enum tlb_code tlb_daemon_init(struct tlb_daemon *d, struct tlb_error *err);
+/* Serves until a shutdown is complete. */
+void tlb_daemon_run(struct tlb_daemon *d);
+void tlb_daemon_finish(struct tlb_daemon *d);
+/* Whether the platform's balancer should send requests here. */
+bool tlb_daemon_ready(const struct tlb_daemon *d);
+
+#endif
--- a/src/front.c
+++ b/src/front.c
@@ -130,9 +130,8 @@
 	json_decref(j);
 	if (!text)
 		text = strdup("{}");
-	if ((status == 429 || status == 503) && retry_after_s < 1)
-		retry_after_s = 1;
-	x->retry_after_s = retry_after_s;
+	if (status == 429 || status == 503)
+		x->retry_after_s = retry_after_s > 0 ? retry_after_s : 1;
 	tlb_exchange_reply(x, status, "application/json", text, strlen(text));
 }
 
--- a/src/load.c
+++ b/src/load.c
@@ -101,11 +101,12 @@
 	return t;
 }
 
+static const char *const state_names[] = {"joining", "active", "leaving"};
+static const char *const role_names[] = {"prefill", "decode", "service"};
+
 static void log_state(const struct tlb_target *t, const struct tlb_endpoint *e)
 {
-	static const char *const names[] = {"joining", "active", "leaving"};
-
-	tlb_log_info("event=endpoint endpoint=%s state=%s addr=%s", e->id, names[e->state],
+	tlb_log_info("event=endpoint endpoint=%s state=%s addr=%s", e->id, state_names[e->state],
 		     e->addr);
 }
 
@@ -182,3 +183,30 @@
 	tlb_log_warn("event=eject endpoint=%s until_ms=%lld failures=%d", t->id,
 		     (long long)((t->health.ejected_until - now) / TLB_MS), t->health.failures);
 }
+
+static json_t *show(const struct tlb_target *t, tlb_time now)
+{
+	char vm[TLB_ID_LEN];
+	bool exact = t->role == TLB_ROLE_DECODE &&
+		     tlb_board_owner(t->board, t->id, vm) == TLB_OWNER_SELF;
+	int free_pieces = exact ? tlb_book_free(&t->book) : t->free_pieces;
+	json_int_t age_ms = t->reported_at ? (now - t->reported_at) / TLB_MS : -1;
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:b}", "endpoint", t->id, "role",
+			 role_names[t->role], "pool", t->pool, "zone", t->zone, "state",
+			 state_names[t->state], "free_pieces", free_pieces, "total_pieces",
+			 t->total_pieces, "running", t->running, "in_flight", t->in_flight,
+			 "report_age_ms", age_ms, "ejected", t->health.ejected_until > now);
+}
+
+json_t *tlb_load_list(const struct tlb_load *l)
+{
+	const struct tlb_target *t;
+	json_t *list = json_array();
+
+	APR_RING_FOREACH (t, &l->targets, tlb_target, link) {
+		if (t->present)
+			json_array_append_new(list, show(t, tlb_clock_now()));
+	}
+	return list;
+}
--- a/src/load.h
+++ b/src/load.h
@@ -70,6 +70,9 @@
 
 /* Fills what the placement functions need to know. Strings stay owned by the target. */
 void tlb_load_candidate(const struct tlb_target *t, tlb_time now, struct tlb_candidate *c);
+/* The endpoints as JSON: [{"endpoint","role","pool","zone","state","free_pieces","total_pieces",
+ * "running","in_flight","report_age_ms","ejected"}]; report_age_ms is -1 without a report. */
+json_t *tlb_load_list(const struct tlb_load *l);
 /* Records how a call to the endpoint ended, for ejection. */
 void tlb_load_outcome(struct tlb_target *t, bool ok, tlb_time latency_us);
 
--- /dev/null
+++ b/src/toucanlbd.c
@@ -0,0 +1,72 @@
+/* Entry point of toucanlbd: options, settings, log, then the daemon. */
+#include <apr_general.h>
+#include <argp.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon.h"
+#include "log.h"
+
+/* Exit codes; the same as in man/toucanlbd.8. */
+enum { EXIT_START = 1, EXIT_SETTINGS = 2 };
+
+static char doc[] = "toucanlbd -- the daemon of the toucanlb router"
+		    "\vSIGTERM ends it gracefully: requests in flight are completed.";
+static char args_doc[] = "SETTINGS";
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	const char **settings = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		if (state->arg_num > 0)
+			argp_usage(state);
+		*settings = arg;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int serve(struct tlb_daemon *d)
+{
+	struct tlb_error err;
+
+	if (tlb_daemon_init(d, &err) != TLB_OK) {
+		fprintf(stderr, "toucanlbd: %s\n", err.message);
+		return EXIT_START;
+	}
+	printf("ready caller=%s operator=%s\n", d->front.addr, d->operators.front.addr);
+	fflush(stdout);
+	tlb_daemon_run(d);
+	tlb_daemon_finish(d);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	static struct tlb_daemon d;
+	const char *settings = NULL;
+	struct argp argp = {.parser = parse, .doc = doc, .args_doc = args_doc};
+	int rc;
+
+	argp_err_exit_status = EXIT_SETTINGS;
+	argp_parse(&argp, argc, argv, 0, NULL, &settings);
+	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0)
+		return EXIT_START;
+	if (tlb_settings_load(&d.settings, settings, stderr) != 0)
+		return EXIT_SETTINGS;
+	if (tlb_log_init(d.settings.log_file, d.settings.log_level) != 0) {
+		fprintf(stderr, "toucanlbd: can't open the log file %s\n", d.settings.log_file);
+		return EXIT_START;
+	}
+	rc = serve(&d);
+	tlb_log_finish();
+	apr_terminate();
+	return rc;
+}
--- /dev/null
+++ b/tests/golden.py
@@ -0,0 +1,104 @@
+#!/usr/bin/env python3
+"""Runs the golden sessions in tests/golden/*.txt against a fleet of one VM.
+
+A session is a list of exchanges: lines that begin with "> " are the request (method and target,
+then headers, then an empty "> " line and the body), lines that begin with "< " the expected
+response: status, the headers that matter, an empty "< " line, the body. $KEY, $KEY_WITHDRAWN and
+$MODEL stand for the values of fleet.env. Ids and times are replaced by ID and TIME on both sides.
+With --update the responses in the files are written anew.
+"""
+import glob
+import http.client
+import os
+import re
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+SHOWN_HEADERS = ("Content-Type", "Retry-After", "Transfer-Encoding")
+
+
+def read_env(path):
+    with open(path, encoding="utf-8") as f:
+        return dict(re.findall(r'^(\w+)="(.*)"$', f.read(), re.M))
+
+
+def parse(text):
+    """Yields (comment lines, request lines, response lines) of each exchange."""
+    exchanges, current = [], ([], [], [])
+    for line in text.splitlines():
+        if line.startswith(">") and current[2]:
+            exchanges.append(current)
+            current = ([], [], [])
+        kind = 1 if line.startswith(">") else 2 if line.startswith("<") else 0
+        if kind == 0 and current[2]:
+            exchanges.append(current)
+            current = ([], [], [])
+        current[kind].append(line[2:] if kind else line)
+    if current[1]:
+        exchanges.append(current)
+    return exchanges
+
+
+def normalise(text):
+    text = re.sub(r"\b[0-9a-f]{16}-[0-9a-f]+\b", "ID", text)
+    return re.sub(r'"created":\d+', '"created":TIME', text)
+
+
+def substitute(line, env):
+    return re.sub(r"\$(\w+)", lambda m: env.get(m.group(1), m.group(0)), line)
+
+
+def perform(address, lines, env):
+    lines = [substitute(line, env) for line in lines]
+    blank = lines.index("") if "" in lines else len(lines)
+    method, target = lines[0].split(" ", 1)
+    headers = dict(h.split(": ", 1) for h in lines[1:blank])
+    body = "\n".join(lines[blank + 1:]).encode()
+    conn = http.client.HTTPConnection(address, timeout=20)
+    conn.request(method, target, body if body else None, headers)
+    r = conn.getresponse()
+    text = r.read().decode()
+    conn.close()
+    out = [str(r.status)]
+    out += [f"{name}: {r.getheader(name)}" for name in SHOWN_HEADERS if r.getheader(name)]
+    return out + [""] + normalise(text).rstrip("\n").split("\n")
+
+
+def run_file(path, address, env, update):
+    with open(path, encoding="utf-8") as f:
+        exchanges = parse(f.read())
+    failed, out = 0, []
+    for comment, request, expected in exchanges:
+        got = perform(address, request, env)
+        got = [line.replace(env["MODEL"], "$MODEL") for line in got]
+        if got != expected and not update:
+            failed += 1
+            print(f"{path}: {request[0]}\n  expected {expected}\n  got      {got}")
+        out += comment + [f"> {s}".rstrip() for s in request] + [f"< {s}".rstrip() for s in got]
+    if update:
+        with open(path, "w", encoding="utf-8") as f:
+            f.write("\n".join(out) + "\n")
+    return len(exchanges) - failed, failed
+
+
+def main():
+    update = "--update" in sys.argv
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = os.path.join(ROOT, "scripts", "fleet")
+        subprocess.run([fleet, "start", directory, "--vms", "1"], check=True,
+                       stdout=subprocess.DEVNULL)
+        try:
+            env = read_env(os.path.join(directory, "fleet.env"))
+            results = [run_file(p, env["CALLER_ADDRS"], env, update)
+                       for p in sorted(glob.glob(os.path.join(ROOT, "tests/golden/*.txt")))]
+        finally:
+            subprocess.run([fleet, "stop", directory], check=True, stdout=subprocess.DEVNULL)
+    passed, failed = (sum(r[i] for r in results) for i in (0, 1))
+    print(f"golden: {passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
