Name the change in force when a row was changed in between

The tool told the winner of the last conflict, which may have concerned another row. It also sends a number column as one JSON form, so that an import without changes makes no change.

--- a/src/command.c
+++ b/src/command.c
@@ -540,12 +540,21 @@
 	return false;
 }
 
-/* Someone else changed the row between the first read and the last attempt. */
-static enum tlb_exit tell_row_conflict(const struct edit *e, const struct row_edit *r)
+static void keep_winner(struct edit *e)
+{
+	json_decref(e->winner);
+	e->winner = json_incref(json_object_get(e->answer.json, "winner"));
+}
+
+/* Someone else changed the row between the first read and the last attempt. Asking once more on the
+ * version of the last attempt, which can't succeed any more, tells the change that is in force. */
+static enum tlb_exit tell_row_conflict(struct edit *e, const struct row_edit *r, int64_t tried)
 {
 	static const char message[] = "the row was changed by someone else in the meantime";
 	json_t *body;
 
+	if (send_rows(e, tried, make_rows(r, NULL)) == TLB_EXIT_CONFLICT)
+		keep_winner(e);
 	complain("%s/%s: %s", tlb_table_kind_name(r->kind), r->id, message);
 	print_winner(e->winner);
 	if (!e->options->json)
@@ -557,12 +566,6 @@
 	return TLB_EXIT_CONFLICT;
 }
 
-static void keep_winner(struct edit *e)
-{
-	json_decref(e->winner);
-	e->winner = json_incref(json_object_get(e->answer.json, "winner"));
-}
-
 /* Whether the row is as the first attempt read it. */
 static bool is_unchanged(struct edit *e, json_t *row)
 {
@@ -580,17 +583,18 @@
  * is tried again on their version. */
 static enum tlb_exit edit_row(struct edit *e, const struct row_edit *r)
 {
-	enum tlb_exit code;
+	enum tlb_exit code = TLB_EXIT_CONFLICT;
+	int64_t tried = 0;
 	int64_t version;
 	json_t *row;
 	int i;
 
-	for (i = 0; i < REBASE_TRIES; i++) {
+	for (i = 0; i < REBASE_TRIES; i++, tried = version) {
 		code = fetch_row(e, r, &version, &row);
 		if (code != TLB_EXIT_OK)
 			return finish_edit(e, code);
 		if (!is_unchanged(e, row))
-			return tell_row_conflict(e, r);
+			return tell_row_conflict(e, r, tried);
 		if (!may_edit(r, row))
 			return TLB_EXIT_REFUSED;
 		code = send_rows(e, version, make_rows(r, row));
@@ -603,29 +607,44 @@
 
 /* --- commands that change one row --- */
 
+static void complain_columns(enum tlb_row_kind kind, const char *arg)
+{
+	size_t i;
+
+	fprintf(stderr, "toucanlb: \"%s\" is not allowed; expected COLUMN=VALUE, with each of",
+		arg);
+	for (i = 0; i < tlb_row_column_count(kind); i++)
+		fprintf(stderr, "%s %s", i ? "," : "", tlb_row_column(kind, i));
+	fputs(" at most once\n", stderr);
+}
+
+/* Adds one COLUMN=VALUE argument. Returns false when it is not allowed; arg is then cut at "=". */
+static bool add_column(json_t *columns, enum tlb_row_kind kind, char *arg)
+{
+	char *equals = strchr(arg, '=');
+	json_t *value;
+
+	if (!equals)
+		return false;
+	*equals = '\0';
+	if (json_object_get(columns, arg))
+		return false;
+	value = tlb_row_from_text(kind, arg, equals + 1);
+	return value && json_object_set_new(columns, arg, value) == 0;
+}
+
 /* Parses COLUMN=VALUE arguments. Returns NULL after a complaint. New reference. */
 static json_t *parse_columns(enum tlb_row_kind kind, char **args, int count)
 {
 	json_t *columns = json_object();
-	char *equals;
-	json_t *value;
 	int i;
 
 	for (i = 0; i < count; i++) {
-		equals = strchr(args[i], '=');
-		if (equals)
-			*equals = '\0';
-		value = equals ? tlb_row_from_text(kind, args[i], equals + 1) : NULL;
-		if (!value || json_object_get(columns, args[i])) {
-			complain("\"%s\" is not allowed; expected COLUMN=VALUE, each column of %s "
-				 "at "
-				 "most once",
-				 args[i], tlb_table_kind_name(kind));
-			json_decref(value);
-			json_decref(columns);
-			return NULL;
-		}
-		json_object_set_new(columns, args[i], value);
+		if (add_column(columns, kind, args[i]))
+			continue;
+		complain_columns(kind, args[i]);
+		json_decref(columns);
+		return NULL;
 	}
 	return columns;
 }
--- a/src/faults.c
+++ b/src/faults.c
@@ -27,9 +27,12 @@
 	char *text = value ? json_dumps(value, JSON_ENCODE_ANY | JSON_ENSURE_ASCII) : NULL;
 	char message[MESSAGE_LEN];
 
-	snprintf(message, sizeof(message), "row %s%s%s: value %.*s%s; expected %s", row,
-		 *column ? ", column " : "", column, VALUE_SHOWN, text ? text : "(missing)",
-		 verdict, allowed);
+	if (!value && !*column)
+		snprintf(message, sizeof(message), "row %s: expected %s", row, allowed);
+	else
+		snprintf(message, sizeof(message), "row %s%s%s: value %.*s%s; expected %s", row,
+			 *column ? ", column " : "", column, VALUE_SHOWN, text ? text : "(missing)",
+			 verdict, allowed);
 	free(text);
 	return json_pack("{s:s, s:s, s:o, s:s, s:s}", "row", row, "column", column, "value",
 			 value ? json_deep_copy(value) : json_null(), "allowed", allowed, "message",
--- a/src/row.c
+++ b/src/row.c
@@ -489,6 +489,18 @@
 	return json_string(text);
 }
 
+/* One number has one JSON form, so that equal rows are equal as JSON. Takes the reference to v. */
+static json_t *as_real(json_t *v)
+{
+	json_t *real;
+
+	if (!json_is_integer(v))
+		return v;
+	real = json_real((double)json_integer_value(v));
+	json_decref(v);
+	return real;
+}
+
 json_t *tlb_row_from_text(enum tlb_row_kind kind, const char *column, const char *text)
 {
 	const struct column *c = find_column(kind, column);
@@ -497,9 +509,10 @@
 		return NULL;
 	switch (c->type) {
 	case COLUMN_INT:
-	case COLUMN_NUMBER:
 	case COLUMN_BOOL:
 		return parse_scalar(text);
+	case COLUMN_NUMBER:
+		return as_real(parse_scalar(text));
 	default:
 		return json_string(text);
 	}
