Tell the changes that came first when a change conflicts

A conflict names every change since the version that the operator read, with author and summary, because the change in force need not be the one that touched the same row.

--- a/src/change.c
+++ b/src/change.c
@@ -254,7 +254,7 @@
 	}
 }
 
-/* The list of recent change ids with this change added. New reference. */
+/* The list of recent changes with this one added. New reference. */
 static json_t *make_recent(const struct tlb_change *x, const json_t *head)
 {
 	json_t *recent = json_copy(json_object_get(head, "recent"));
@@ -264,8 +264,9 @@
 		recent = json_array();
 	}
 	json_array_append_new(recent,
-			      json_pack("{s:I, s:s}", "version", (json_int_t)x->candidate->version,
-					"change_id", x->change_id));
+			      json_pack("{s:I, s:s, s:s, s:s}", "version",
+					(json_int_t)x->candidate->version, "change_id",
+					x->change_id, "author", x->author, "summary", x->summary));
 	while (json_array_size(recent) > TLB_CHANGE_RECENT)
 		json_array_remove(recent, 0);
 	return recent;
--- a/src/change.h
+++ b/src/change.h
@@ -13,13 +13,13 @@
 	TLB_SUMMARY_LEN = 200,
 	TLB_CHANGE_QUEUE_MAX = 32, /* changes that wait for their turn */
 	TLB_CHANGE_TIMEOUT_MS = 8000,
-	TLB_CHANGE_RECENT = 32, /* change ids kept in the head row */
+	TLB_CHANGE_RECENT = 32, /* changes kept in the head row */
 };
 
 /* The outcome of a change. Everything is borrowed for the duration of the callback.
  *   TLB_OK: version is the new one (or the one that this change id got earlier).
  *   TLB_BAD_REQUEST: faults lists what is wrong.
- *   TLB_CONFLICT: winner is {"version","author","summary","change_id"} of the change in force.
+ *   TLB_CONFLICT: winner is the head row of the change in force (config.h).
  *   TLB_STORE_UNAVAILABLE, TLB_OVERLOADED: error.outcome tells whether it can have taken effect. */
 struct tlb_change_result {
 	struct tlb_error error;
--- a/src/command.c
+++ b/src/command.c
@@ -102,18 +102,31 @@
 	}
 }
 
-static void print_winner(const json_t *winner)
+static void print_change(const char *what, const json_t *change)
 {
-	const char *author = json_string_value(json_object_get(winner, "author"));
-	const char *summary = json_string_value(json_object_get(winner, "summary"));
+	const char *author = json_string_value(json_object_get(change, "author"));
+	const char *summary = json_string_value(json_object_get(change, "summary"));
 
-	if (!winner)
-		return;
-	fprintf(stderr, "winner: version %lld by %s: %s\n",
-		(long long)json_integer_value(json_object_get(winner, "version")),
+	fprintf(stderr, "%s: version %lld by %s: %s\n", what,
+		(long long)json_integer_value(json_object_get(change, "version")),
 		author ? author : "?", summary ? summary : "");
 }
 
+/* Tells the changes that came first, and the one that is in force. */
+static void print_conflict(const json_t *body)
+{
+	const json_t *since = json_object_get(body, "since");
+	const json_t *winner = json_object_get(body, "winner");
+	const json_t *change;
+	size_t i;
+
+	json_array_foreach (since, i, change) {
+		print_change("came first", change);
+	}
+	if (winner && json_array_size(since) == 0)
+		print_change("came first", winner);
+}
+
 /* Tells why an answer is not a success. */
 static void print_refusal(const struct tlb_options *o, const struct tlb_client_answer *a)
 {
@@ -131,7 +144,7 @@
 			 outcome ? outcome : "unknown");
 	print_messages("fault", json_object_get(a->json, "faults"));
 	print_messages("warning", json_object_get(a->json, "warnings"));
-	print_winner(json_object_get(a->json, "winner"));
+	print_conflict(a->json);
 }
 
 /* --- reading --- */
@@ -387,7 +400,6 @@
 	char summary[TLB_SUMMARY_LEN];
 	const char *secret; /* printed when the change has succeeded; borrowed, may be NULL */
 	json_t *before;	    /* the row as the first attempt read it; null when absent */
-	json_t *winner;	    /* of the last conflict */
 };
 
 static bool open_edit(struct edit *e, const struct tlb_options *o, const char *fmt, ...)
@@ -420,7 +432,6 @@
 	tlb_client_answer_finish(&e->answer);
 	tlb_client_finish(&e->client);
 	json_decref(e->before);
-	json_decref(e->winner);
 }
 
 /* Sends rows as one change on a version; takes the reference to rows. */
@@ -540,29 +551,16 @@
 	return false;
 }
 
-static void keep_winner(struct edit *e)
+/* Someone else changed the row after it was read. Asking once more on the version that it was read
+ * at, which can't succeed any more, tells the changes since. */
+static enum tlb_exit tell_row_conflict(struct edit *e, const struct row_edit *r, int64_t read_at)
 {
-	json_decref(e->winner);
-	e->winner = json_incref(json_object_get(e->answer.json, "winner"));
-}
-
-/* Someone else changed the row between the first read and the last attempt. Asking once more on the
- * version of the last attempt, which can't succeed any more, tells the change that is in force. */
-static enum tlb_exit tell_row_conflict(struct edit *e, const struct row_edit *r, int64_t tried)
-{
-	static const char message[] = "the row was changed by someone else in the meantime";
-	json_t *body;
+	enum tlb_exit code = send_rows(e, read_at, make_rows(r, NULL));
 
-	if (send_rows(e, tried, make_rows(r, NULL)) == TLB_EXIT_CONFLICT)
-		keep_winner(e);
-	complain("%s/%s: %s", tlb_table_kind_name(r->kind), r->id, message);
-	print_winner(e->winner);
-	if (!e->options->json)
-		return TLB_EXIT_CONFLICT;
-	body = json_pack("{s:{s:s, s:s, s:s}, s:O?}", "error", "code", "conflict", "message",
-			 message, "outcome", "not_run", "winner", e->winner);
-	tlb_print_json(stdout, body);
-	json_decref(body);
+	complain("%s/%s was changed by someone else in the meantime", tlb_table_kind_name(r->kind),
+		 r->id);
+	if (code == TLB_EXIT_CONFLICT)
+		return finish_edit(e, code);
 	return TLB_EXIT_CONFLICT;
 }
 
@@ -584,23 +582,27 @@
 static enum tlb_exit edit_row(struct edit *e, const struct row_edit *r)
 {
 	enum tlb_exit code = TLB_EXIT_CONFLICT;
-	int64_t tried = 0;
+	int64_t read_at = 0;
 	int64_t version;
 	json_t *row;
 	int i;
 
-	for (i = 0; i < REBASE_TRIES; i++, tried = version) {
+	for (i = 0; i < REBASE_TRIES; i++) {
+		/* A daemon that is behind needs a moment to learn the version that won. */
+		if (i > 0)
+			pause_step();
 		code = fetch_row(e, r, &version, &row);
 		if (code != TLB_EXIT_OK)
 			return finish_edit(e, code);
 		if (!is_unchanged(e, row))
-			return tell_row_conflict(e, r, tried);
+			return tell_row_conflict(e, r, read_at);
 		if (!may_edit(r, row))
 			return TLB_EXIT_REFUSED;
 		code = send_rows(e, version, make_rows(r, row));
 		if (code != TLB_EXIT_CONFLICT)
 			break;
-		keep_winner(e);
+		if (i == 0)
+			read_at = version;
 	}
 	return finish_edit(e, code);
 }
--- a/src/config.h
+++ b/src/config.h
@@ -4,8 +4,8 @@
  * change.h. A version lower than the one in force is never applied.
  *
  * The row "config/head" is {"version":N,"author","change_id","summary","wall_ms","recent"}, where
- * "recent" lists the last changes, [{"version","change_id"}], so that a change whose answer was
- * lost is recognised although others followed it.
+ * "recent" lists the last changes, [{"version","change_id","author","summary"}], so that a change
+ * whose answer was lost is recognised although others followed it.
  */
 #ifndef TLB_CONFIG_H
 #define TLB_CONFIG_H
--- a/src/operator.c
+++ b/src/operator.c
@@ -345,6 +345,7 @@
 struct pending {
 	struct tlb_exchange *exchange;
 	struct tlb_change *change;
+	int64_t base_version;
 };
 
 static void on_asker_gone(void *arg)
@@ -355,7 +356,21 @@
 	free(p);
 }
 
-static void answer_conflict(struct tlb_exchange *x, const struct tlb_change_result *r)
+/* The recent changes after version base. New reference. */
+static json_t *changes_since(const json_t *head, int64_t base)
+{
+	json_t *list = json_array();
+	json_t *item;
+	size_t i;
+
+	json_array_foreach (json_object_get(head, "recent"), i, item) {
+		if (json_integer_value(json_object_get(item, "version")) > base)
+			json_array_append(list, item);
+	}
+	return list;
+}
+
+static void answer_conflict(struct tlb_exchange *x, const struct tlb_change_result *r, int64_t base)
 {
 	json_t *body = error_body(&r->error);
 	json_t *winner = json_object();
@@ -366,6 +381,7 @@
 	for (i = 0; i < sizeof(members) / sizeof(members[0]); i++)
 		json_object_set(winner, members[i], json_object_get(r->winner, members[i]));
 	json_object_set_new(body, "winner", winner);
+	json_object_set_new(body, "since", changes_since(r->winner, base));
 	answer(x, tlb_error_http_status(TLB_CONFLICT), body);
 }
 
@@ -373,6 +389,7 @@
 {
 	struct pending *p = arg;
 	struct tlb_exchange *x = p->exchange;
+	int64_t base = p->base_version;
 
 	free(p);
 	switch (r->error.code) {
@@ -385,7 +402,7 @@
 		answer_faults(x, &r->error, r->faults);
 		break;
 	case TLB_CONFLICT:
-		answer_conflict(x, r);
+		answer_conflict(x, r, base);
 		break;
 	default:
 		tlb_exchange_refuse(x, &r->error, 1);
@@ -411,6 +428,7 @@
 		return;
 	}
 	p->exchange = x;
+	p->base_version = r->base_version;
 	p->change = tlb_change_start(o->changes, &spec, on_change_done, p, &err);
 	if (!p->change) {
 		free(p);
--- a/src/operator.h
+++ b/src/operator.h
@@ -7,7 +7,7 @@
  *   GET  /v1/table.csv?kind=K    the rows of a kind (csv.h)
  *   POST /v1/change              {"change_id","base_version","summary","rows":[{"key","value"}]}
  *                                -> 200 {"version","warnings"}, 400 {"error","faults","warnings"},
- *                                409 {"error","winner"}
+ *                                409 {"error","winner","since"}
  *   POST /v1/check               the same body; changes nothing
  *   GET  /v1/status, /v1/requests, /v1/endpoints, /v1/accounts
  *   GET  /v1/force?version=N     {"version","everywhere","vms":[{"vm","version"}]}
