Let interactive requests wait up to 4 s before they are refused

Cause: after 1 s a request is refused though a place would come up soon; nearly all of those refused need 6 or more of the 56 pieces at once. Change: the longest interactive wait, 1 s to 4 s (settings: interactive_wait_ms).

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -21,19 +21,19 @@
 	{"pal", 3, 4, 4, {0.45, 0.30, 0.15, 0.07, 0.03}, 1, 1, 2, 2},
 };
 
+#define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 15 * TLB_SECOND
+
+#define BOOKING .booked = true, .max_requests = 24, .batch_reserve = 8
+
 /* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
  * queue, no priorities at the engines. The _booked forms are what the daemon does with these
  * settings: everything but the choice of endpoints as in toucanlb. */
 static const struct flow policies[] = {
-	{.name = "round_robin", .policy = TLB_POLICY_ROUND_ROBIN},
-	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD},
-	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, .booked = true},
-	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, .booked = true},
-	{.name = "toucanlb",
-	 .policy = TLB_POLICY_TOUCANLB,
-	 .booked = true,
-	 .max_requests = 24,
-	 .batch_reserve = 8},
+	{.name = "round_robin", .policy = TLB_POLICY_ROUND_ROBIN, WAITS},
+	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD, WAITS},
+	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, WAITS, BOOKING},
+	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, WAITS, BOOKING},
+	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, WAITS, BOOKING},
 };
 
 #define LAG (100 * TLB_MS)
@@ -97,6 +97,8 @@
 	SET(batch_reserve, 1)
 	SET(prefill_limit, TLB_MS)
 	SET(batch_limit, TLB_MS)
+	SET(interactive_wait, TLB_MS)
+	SET(batch_slack, TLB_MS)
 	SET(early, 1)
 #undef SET
 	return false;
--- a/bench/model.c
+++ b/bench/model.c
@@ -54,10 +54,8 @@
 
 #define TTFT_TARGET (1200 * TLB_MS)
 #define GAP_TARGET (43 * TLB_MS)
-#define INTERACTIVE_WAIT (1 * TLB_SECOND)
 #define CALLER_PATIENCE (10 * TLB_SECOND)
 #define BATCH_DEADLINE (60 * TLB_SECOND)
-#define BATCH_SLACK (15 * TLB_SECOND)
 #define CANCEL_SHARE 0.01
 
 #define RETRY_QUEUE (20 * TLB_MS)
@@ -1121,8 +1119,10 @@
 	j->deadline = m->now + (class == TLB_BATCH ? BATCH_DEADLINE : CALLER_PATIENCE);
 	j->item.class = class;
 	j->item.tokens = j->prompt + MAX_OUTPUT;
-	j->item.latest_start = class == TLB_BATCH ? j->deadline - BATCH_SLACK : TLB_NEVER;
-	j->item.expires = class == TLB_BATCH ? j->deadline : m->now + INTERACTIVE_WAIT;
+	j->item.latest_start =
+		class == TLB_BATCH ? j->deadline - m->run->flow->batch_slack : TLB_NEVER;
+	j->item.expires =
+		class == TLB_BATCH ? j->deadline : m->now + m->run->flow->interactive_wait;
 	note_demand(m, j);
 	if (!m->routers[j->router].alive) {
 		j->stage = STAGE_ENDED;
--- a/bench/model.h
+++ b/bench/model.h
@@ -36,7 +36,9 @@
 	int batch_reserve;	/* pieces that batch work leaves free */
 	tlb_time prefill_limit; /* start nothing while every prefill queue is longer; 0: no limit */
 	tlb_time batch_limit;	/* the same for batch requests */
-	double early;		/* refuse when the target is missed by this factor; 0: never */
+	tlb_time interactive_wait; /* longest wait for tokens and a place */
+	tlb_time batch_slack; /* batch requests become urgent this long before their deadline */
+	double early;	      /* refuse when the target is missed by this factor; 0: never */
 };
 
 enum fault { FAULT_NONE, FAULT_DECODE_LOST, FAULT_ZONE_LOST, FAULT_LEAVING };
