Treat batch requests as urgent 10 s before their deadline

Cause: batch requests that become urgent 15 s ahead compete with interactive ones in the last minute of the peak, although one takes about 6 s.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -21,7 +21,7 @@
 	{"pal", 3, 4, 4, {0.45, 0.30, 0.15, 0.07, 0.03}, 1, 1, 2, 2},
 };
 
-#define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 15 * TLB_SECOND
+#define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 10 * TLB_SECOND
 
 #define BOOKING .booked = true, .max_requests = 24, .batch_reserve = 8
 
