--- a/bench/bench.c
+++ b/bench/bench.c
@@ -91,12 +91,8 @@
 		return true;                                                                       \
 	}
 	SET(booked, 1)
-	SET(reply_free, 1)
-	SET(least_pieces, 1)
 	SET(max_requests, 1)
 	SET(batch_reserve, 1)
-	SET(prefill_limit, TLB_MS)
-	SET(batch_limit, TLB_MS)
 	SET(interactive_wait, TLB_MS)
 	SET(batch_slack, TLB_MS)
 	SET(early, 1)
--- a/bench/model.c
+++ b/bench/model.c
@@ -293,13 +293,6 @@
 	return (int)((j->prompt + j->tokens_done + MAX_OUTPUT + PIECE_TOKENS - 1) / PIECE_TOKENS);
 }
 
-static int booking_pieces(const struct model *m, const struct job *j)
-{
-	int pieces = true_pieces(j);
-
-	return pieces > m->run->flow->least_pieces ? pieces : m->run->flow->least_pieces;
-}
-
 static void describe(const struct model *m, const struct router *r, const struct job *j, int i,
 		     struct tlb_candidate *c)
 {
@@ -351,7 +344,7 @@
 {
 	return (struct tlb_place_request){
 		.prompt_tokens = j->prompt + j->tokens_done,
-		.pieces = booking_pieces(m, j),
+		.pieces = true_pieces(j),
 		.class = j->class,
 		.now = m->now,
 	};
@@ -836,10 +829,6 @@
 	struct job *j = e->job;
 	struct view *v = &m->routers[j->router].views[j->decode];
 
-	if (m->run->flow->reply_free && e->b >= 0) {
-		v->free_pieces = e->b;
-		v->reported_at = e->made;
-	}
 	if (e->a != TLB_BOOK_OK) {
 		note_sent(v, m->now, -j->booking.pieces);
 		j->tried[j->decode] = true;
@@ -872,8 +861,6 @@
 	/* An owner that is gone does not answer; the message's deadline is 100 ms. */
 	reply = post(m, m->now + (served ? HOP : 100 * TLB_MS), on_booked, j);
 	reply->a = result;
-	reply->b = served ? tlb_book_free(&e->book) : -1;
-	reply->made = m->now;
 }
 
 static void start_booking(struct model *m, struct job *j)
@@ -886,7 +873,7 @@
 		no_place(m, j);
 		return;
 	}
-	j->booking.pieces = booking_pieces(m, j);
+	j->booking.pieces = true_pieces(j);
 	j->booking.class = j->class;
 	j->booking.expires = TLB_NEVER;
 	note_sent(&r->views[j->decode], m->now, j->booking.pieces);
@@ -897,10 +884,8 @@
 
 struct room {
 	struct model *m;
-	struct router *r;
 	struct tlb_candidate decode[MAX_ENGINES];
 	int decode_count;
-	tlb_time prefill_wait; /* of the shortest prefill queue */
 };
 
 static bool fits(void *arg, const struct tlb_item *it)
@@ -908,12 +893,9 @@
 	const struct room *room = arg;
 	const struct job *j = (const struct job *)it;
 	const struct flow *f = room->m->run->flow;
-	tlb_time limit = j->class == TLB_BATCH ? f->batch_limit : f->prefill_limit;
-	int need = booking_pieces(room->m, j);
+	int need = true_pieces(j);
 	int i;
 
-	if (limit && room->prefill_wait > limit)
-		return false;
 	if (j->class == TLB_BATCH)
 		need += f->batch_reserve;
 	for (i = 0; i < room->decode_count; i++) {
@@ -927,23 +909,10 @@
 
 static void look_around(struct model *m, struct router *r, struct room *room)
 {
-	struct tlb_candidate c[MAX_ENGINES];
-	struct tlb_place_request none = {.now = m->now};
 	int index[MAX_ENGINES];
-	int count;
-	int i;
 
 	room->m = m;
-	room->r = r;
 	room->decode_count = candidates(m, r, NULL, true, room->decode, index);
-	room->prefill_wait = TLB_NEVER;
-	count = candidates(m, r, NULL, false, c, index);
-	for (i = 0; i < count; i++) {
-		tlb_time wait = tlb_place_prefill_time(&r->place, &none, NULL, &c[i]);
-
-		if (c[i].usable && wait < room->prefill_wait)
-			room->prefill_wait = wait;
-	}
 }
 
 static void dispatch(struct model *m, struct router *r)
--- a/bench/model.h
+++ b/bench/model.h
@@ -29,13 +29,9 @@
 struct flow {
 	const char *name;
 	enum tlb_policy policy;
-	bool booked;		/* decode memory is booked before the prefill, with a fair queue */
-	bool reply_free;	/* a booking's reply tells the free pieces */
-	int least_pieces;	/* every booking is at least this large; 0: its true size */
-	int max_requests;	/* bookings of an endpoint at once; 0: as many as memory holds */
-	int batch_reserve;	/* pieces that batch work leaves free */
-	tlb_time prefill_limit; /* start nothing while every prefill queue is longer; 0: no limit */
-	tlb_time batch_limit;	/* the same for batch requests */
+	bool booked;	   /* decode memory is booked before the prefill, with a fair queue */
+	int max_requests;  /* bookings of an endpoint at once; 0: as many as memory holds */
+	int batch_reserve; /* pieces that batch work leaves free */
 	tlb_time interactive_wait; /* longest wait for tokens and a place */
 	tlb_time batch_slack; /* batch requests become urgent this long before their deadline */
 	double early;	      /* refuse when the target is missed by this factor; 0: never */
