--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,10 @@
 	@$(MAKE) --no-print-directory all
 	@scripts/demo
 
+promises: deps
+	@$(MAKE) --no-print-directory all
+	@python3 tests/promises/run.py
+
 format:
 	clang-format -i $(STYLED)
 
@@ -83,7 +87,7 @@
 	printf '%s\n' $(filter %.c,$(STYLED)) | xargs -P 10 -I{} clang-tidy --quiet {} -- \
 		-std=gnu11 $(CPPFLAGS)
 	grep -lE '^#!/bin/(ba)?sh' scripts/* tests/run tests/cases/* .ci/run | xargs shellcheck
-	grep -lE '^#!/usr/bin/env python3' scripts/* | xargs pyflakes3 tests/*.py
+	grep -lE '^#!/usr/bin/env python3' scripts/* | xargs pyflakes3 tests/*.py tests/promises/*.py
 
 clean:
 	rm -rf $(BUILD)
