Wait for a new owner instead of refusing; keep recorded responses whole

A recorded response over 64 KiB or not in UTF-8 came back empty. Change: a reservation that finds no owner is tried again for up to 9 s (session lease, margin, heartbeat and a round); TokensReply says when its receiver is not the owner. Recorded bodies are base64; a body too large to keep is answered with response_not_kept.

--- a/src/error.c
+++ b/src/error.c
@@ -24,6 +24,7 @@
 	[TLB_ENDPOINT_FAILED] = {"endpoint_failed", 502},
 	[TLB_IN_PROGRESS] = {"in_progress", 409},
 	[TLB_BODY_MISMATCH] = {"body_mismatch", 422},
+	[TLB_RESPONSE_NOT_KEPT] = {"response_not_kept", 409},
 	[TLB_CONFLICT] = {"conflict", 409},
 	[TLB_STORE_UNAVAILABLE] = {"store_unavailable", 503},
 	[TLB_NOT_READY] = {"not_ready", 503},
--- a/src/front.h
+++ b/src/front.h
@@ -130,8 +130,8 @@
 /* Answers with a whole body; takes ownership of the malloc'd body. */
 void tlb_exchange_reply(struct tlb_exchange *x, int status, const char *content_type, char *body,
 			size_t len);
-/* Answers with an error as JSON {"error":{"code","message","outcome","request_id"}}; 429 and 503 carry
- * Retry-After (at least 1 s). */
+/* Answers with an error as JSON {"error":{"code","message","outcome","request_id"}}; 429 and 503
+ * carry Retry-After (at least 1 s). */
 void tlb_exchange_refuse(struct tlb_exchange *x, const struct tlb_error *err, int retry_after_s);
 /* Begins a server-sent event stream. */
 void tlb_exchange_stream_begin(struct tlb_exchange *x);
--- a/src/http.c
+++ b/src/http.c
@@ -254,6 +254,10 @@
 			 spec->content_type ? spec->content_type : "application/json");
 		c->headers = curl_slist_append(c->headers, line);
 	}
+	if (spec->idempotency_key) {
+		snprintf(line, sizeof(line), "Idempotency-Key: %s", spec->idempotency_key);
+		c->headers = curl_slist_append(c->headers, line);
+	}
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 }
 
--- a/src/http.h
+++ b/src/http.h
@@ -43,10 +43,11 @@
 	const char *url;    /* absolute */
 	const char *body;   /* copied; NULL for none */
 	size_t body_len;
-	const char *content_type;  /* NULL for "application/json" when there is a body */
-	tlb_time deadline;	   /* for the whole call; TLB_NEVER for none */
-	bool once;		   /* must not be repeated: fresh connection, never reused */
-	tlb_http_data_fn *on_data; /* NULL: the body is collected */
+	const char *content_type;    /* NULL for "application/json" when there is a body */
+	const char *idempotency_key; /* sent as that header; NULL for none */
+	tlb_time deadline;	     /* for the whole call; TLB_NEVER for none */
+	bool once;		     /* must not be repeated: fresh connection, never reused */
+	tlb_http_data_fn *on_data;   /* NULL: the body is collected */
 	tlb_http_done_fn *on_done;
 	void *arg;
 };
--- a/src/idem.c
+++ b/src/idem.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { ATTEMPTS_MAX = 4, BODY_MAX = 65536 };
+enum { ATTEMPTS_MAX = 4 };
 
 #define ATTEMPT_TIMEOUT (1 * TLB_SECOND)
 
@@ -49,6 +49,32 @@
 	return i->attempts++ < ATTEMPTS_MAX && tlb_clock_now() < i->deadline;
 }
 
+/* Bodies are kept as base64, so that any bytes come back as they were. */
+static void give_recorded(struct tlb_idem *i, const json_t *response)
+{
+	const char *text = json_string_value(json_object_get(response, "body"));
+	size_t text_len = json_string_length(json_object_get(response, "body"));
+	struct tlb_idem_record rec = {0};
+	unsigned char *body;
+
+	rec.status = (int)json_integer_value(json_object_get(response, "status"));
+	rec.content_type = json_string_value(json_object_get(response, "content_type"));
+	if (!text) {
+		done(i, TLB_IDEM_NOT_KEPT, &rec);
+		return;
+	}
+	body = malloc(text_len + 1);
+	if (!body || sodium_base642bin(body, text_len + 1, text, text_len, NULL, &rec.body_len,
+				       NULL, sodium_base64_VARIANT_ORIGINAL) != 0) {
+		free(body);
+		done(i, TLB_IDEM_NOT_KEPT, &rec);
+		return;
+	}
+	rec.body = (const char *)body;
+	done(i, TLB_IDEM_RECORDED, &rec);
+	free(body);
+}
+
 /* Judges the row that stands where our claim should go. */
 static void judge(struct tlb_idem *i, json_t *row)
 {
@@ -56,7 +82,6 @@
 	const char *claim = json_string_value(json_object_get(v, "claim"));
 	const char *hash = json_string_value(json_object_get(v, "request_hash"));
 	const json_t *response = json_object_get(v, "response");
-	struct tlb_idem_record rec = {0};
 
 	if (claim && strcmp(claim, i->claim) == 0 && !response) {
 		i->version = json_integer_value(json_object_get(row, "version"));
@@ -71,11 +96,7 @@
 		done(i, TLB_IDEM_IN_PROGRESS, NULL);
 		return;
 	}
-	rec.status = (int)json_integer_value(json_object_get(response, "status"));
-	rec.content_type = json_string_value(json_object_get(response, "content_type"));
-	rec.body = json_string_value(json_object_get(response, "body"));
-	rec.body_len = json_string_length(json_object_get(response, "body"));
-	done(i, TLB_IDEM_RECORDED, &rec);
+	give_recorded(i, response);
 }
 
 static void on_row(void *arg, enum tlb_store_status status, json_t *body,
@@ -157,7 +178,8 @@
 {
 	const char *request[] = {method, target, body ? body : ""};
 	size_t lens[] = {strlen(method), strlen(target), body_len};
-	size_t key_len = strlen(key);
+	const char *names[] = {account, key};
+	size_t name_lens[] = {strlen(account), strlen(key)};
 	char key_hash[TLB_IDEM_HASH_LEN];
 	unsigned char nonce[16];
 
@@ -166,7 +188,7 @@
 	i->deadline = deadline;
 	i->on_done = on_done;
 	i->arg = arg;
-	hash_hex(key_hash, &key, &key_len, 1);
+	hash_hex(key_hash, names, name_lens, 2);
 	hash_hex(i->request_hash, request, lens, 3);
 	snprintf(i->row, sizeof(i->row), "idem/%s/%s", account, key_hash);
 	snprintf(i->vm, sizeof(i->vm), "%s", vm);
@@ -234,21 +256,30 @@
 	tlb_store_txn(i->store, &i->op, txn, attempt_deadline(i), on_written, i);
 }
 
+/* NULL for a body that is too large to keep. */
+static json_t *body_text(const struct tlb_idem_record *r)
+{
+	size_t len = sodium_base64_encoded_len(r->body_len, sodium_base64_VARIANT_ORIGINAL);
+	char *text = r->body_len <= TLB_IDEM_BODY_MAX ? malloc(len) : NULL;
+	json_t *j;
+
+	if (!text)
+		return NULL;
+	sodium_bin2base64(text, len, (const unsigned char *)r->body, r->body_len,
+			  sodium_base64_VARIANT_ORIGINAL);
+	j = json_string(text);
+	free(text);
+	return j;
+}
+
 void tlb_idem_record(struct tlb_idem *i, const struct tlb_idem_record *r, tlb_time deadline,
 		     tlb_idem_recorded_fn *on_recorded, void *arg)
 {
-	bool keep = r->body_len <= BODY_MAX;
-
 	i->deadline = deadline;
 	i->on_recorded = on_recorded;
 	i->arg = arg;
-	i->response =
-		json_pack("{s:i,s:s,s:s%}", "status", r->status, "content_type", r->content_type,
-			  "body", keep ? r->body : "", keep ? r->body_len : 0);
-	/* A body that is not UTF-8 can't be kept; the status still answers a repeat. */
-	if (!i->response)
-		i->response = json_pack("{s:i,s:s,s:s}", "status", r->status, "content_type",
-					r->content_type, "body", "");
+	i->response = json_pack("{s:i,s:s,s:o*}", "status", r->status, "content_type",
+				r->content_type, "body", body_text(r));
 	write_record(i);
 }
 
--- a/src/idem.h
+++ b/src/idem.h
@@ -1,7 +1,8 @@
 /*
  * Idempotency records in the table service. A non-idempotent call is claimed before it is
  * dispatched; the claim is an insert that only one VM can win. The record then holds the response.
- * Key: "idem/<account>/<SHA-256 of the Idempotency-Key>".
+ * Row: "idem/<account>/<SHA-256 of account and Idempotency-Key>". The hash is also what endpoints
+ * get as Idempotency-Key, so that the keys of two accounts never meet there.
  */
 #ifndef TLB_IDEM_H
 #define TLB_IDEM_H
@@ -12,6 +13,7 @@
 enum tlb_idem_result {
 	TLB_IDEM_CLAIMED,     /* ours to dispatch, once */
 	TLB_IDEM_RECORDED,    /* done before: the recorded response is given again */
+	TLB_IDEM_NOT_KEPT,    /* done before, but its response was too large to be recorded */
 	TLB_IDEM_IN_PROGRESS, /* claimed before, no response recorded: outcome unknown */
 	TLB_IDEM_MISMATCH,    /* the key was used with another request */
 	TLB_IDEM_UNAVAILABLE, /* the table service can't confirm a claim: nothing may be dispatched
@@ -30,6 +32,9 @@
 			      const struct tlb_idem_record *record);
 typedef void tlb_idem_recorded_fn(void *arg, bool recorded);
 
+/* Largest response body that is recorded, in bytes; a row of the table service holds it. */
+enum { TLB_IDEM_BODY_MAX = 65536 };
+
 enum { TLB_IDEM_ROW_LEN = 160, TLB_IDEM_CLAIM_LEN = 40, TLB_IDEM_HASH_LEN = 65 };
 
 /* Owned by its user, embedded in the user's struct; zero-initialised when idle. */
--- a/src/limit.c
+++ b/src/limit.c
@@ -8,6 +8,7 @@
 
 /* Time that a reservation's reply may take beyond the wait at the owner. */
 #define REPLY_MARGIN (500 * TLB_MS)
+#define OWNER_RETRY (150 * TLB_MS)
 
 /* One request that waits for tokens at this owner; for a local reservation or a remote one. */
 struct tlb_limit_waiter {
@@ -116,6 +117,17 @@
 	free(w);
 }
 
+static void reply_unavailable(struct tlb_limit *l, const struct tlb_peer_return *to)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__TokensReply m = TOUCAN__TOKENS_REPLY__INIT;
+
+	m.unavailable = true;
+	e.body_case = TOUCAN__ENVELOPE__BODY_TOKENS_REPLY;
+	e.tokens_reply = &m;
+	tlb_cluster_reply(l->board->cluster, to, &e);
+}
+
 static void reply_remote(struct tlb_limit *l, const struct tlb_peer_return *to, bool granted,
 			 tlb_time retry_after)
 {
@@ -207,12 +219,23 @@
 	return w;
 }
 
-static void fail(struct tlb_reservation *r, enum tlb_code code, const char *message)
+static void try_reserve(struct tlb_reservation *r);
+
+/* Nobody accounts for the account now: waits for the takeover. */
+static void no_owner(struct tlb_reservation *r, const char *message)
 {
 	struct tlb_error err;
+	tlb_time now = tlb_clock_now();
 
+	if (now + OWNER_RETRY < r->owner_deadline) {
+		/* A new owner's bucket starts empty, so the wait for tokens is extended too. */
+		r->deadline = r->owner_deadline;
+		r->state = TLB_RESERVATION_RETRY;
+		tlb_timer_set(r->board->loop, &r->timer, now + OWNER_RETRY);
+		return;
+	}
 	r->state = TLB_RESERVATION_IDLE;
-	tlb_error_set(&err, code, TLB_NOT_RUN, "reserve", r->account, "%s", message);
+	tlb_error_set(&err, TLB_NOT_READY, TLB_NOT_RUN, "reserve", r->account, "%s", message);
 	r->on_done(r->arg, false, TLB_SECOND, &err);
 }
 
@@ -222,7 +245,7 @@
 	struct tlb_limit_waiter *w = a ? add_waiter(a, r->id, r->tokens, deadline) : NULL;
 
 	if (!w) {
-		fail(r, TLB_NOT_READY, "the account is not known here");
+		no_owner(r, "the account is not known here");
 		return;
 	}
 	w->local = r;
@@ -258,59 +281,79 @@
 	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_TOKENS_REPLY) {
 		/* The owner may have granted; what it booked must not stay booked. */
 		send_return(r, r->tokens, 0);
-		fail(r, TLB_NOT_READY,
-		     "the VM that accounts for this client account did not answer");
+		no_owner(r, "the VM that accounts for this client account did not answer");
 		return;
 	}
 	m = reply->tokens_reply;
+	if (m->unavailable) {
+		no_owner(r, "no VM accounts for this client account now");
+		return;
+	}
 	r->state = m->granted ? TLB_RESERVATION_GRANTED : TLB_RESERVATION_IDLE;
 	if (!m->granted)
 		refuse_tokens(&err, r->account, m->retry_after_us);
 	r->on_done(r->arg, m->granted, m->retry_after_us, &err);
 }
 
-static void reserve_remote(struct tlb_limit *l, struct tlb_reservation *r, const char *vm,
-			   tlb_time deadline)
+static void reserve_remote(struct tlb_limit *l, struct tlb_reservation *r, const char *vm)
 {
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 	Toucan__ReserveTokens m = TOUCAN__RESERVE_TOKENS__INIT;
+	tlb_time now = tlb_clock_now();
+	tlb_time wait = r->deadline > now ? r->deadline - now : 0;
 
 	m.account = r->account;
 	m.reservation_id = r->id;
 	m.output_tokens = r->tokens;
-	m.wait_us = deadline - tlb_clock_now();
+	m.wait_us = wait;
 	e.body_case = TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS;
 	e.reserve_tokens = &m;
 	r->state = TLB_RESERVATION_REMOTE;
-	tlb_cluster_call(l->board->cluster, vm, &r->call, &e, deadline + REPLY_MARGIN, on_reply, r);
+	tlb_cluster_call(l->board->cluster, vm, &r->call, &e, now + wait + REPLY_MARGIN, on_reply,
+			 r);
 }
 
-void tlb_limit_reserve(struct tlb_limit *l, struct tlb_reservation *r, const char *account,
-		       const char *request_id, int64_t tokens, tlb_time deadline,
-		       tlb_limit_done_fn *on_done, void *arg)
+static void try_reserve(struct tlb_reservation *r)
 {
+	struct tlb_limit *l = &r->board->limit;
 	char vm[TLB_ID_LEN];
 
-	memset(r, 0, sizeof(*r));
-	r->board = l->board;
-	r->on_done = on_done;
-	r->arg = arg;
-	r->tokens = tokens;
-	snprintf(r->account, sizeof(r->account), "%s", account);
-	snprintf(r->id, sizeof(r->id), "%s", request_id);
-	switch (tlb_board_owner(l->board, account, vm)) {
+	snprintf(r->id, sizeof(r->id), "%.56s:%d", r->request_id, r->attempt++);
+	switch (tlb_board_owner(r->board, r->account, vm)) {
 	case TLB_OWNER_SELF:
-		reserve_local(l, r, deadline);
+		reserve_local(l, r, r->deadline);
 		break;
 	case TLB_OWNER_PEER:
-		reserve_remote(l, r, vm, deadline);
+		reserve_remote(l, r, vm);
 		break;
 	case TLB_OWNER_NONE:
-		fail(r, TLB_NOT_READY, "no VM accounts for this client account now");
+		no_owner(r, "no VM accounts for this client account now");
 		break;
 	}
 }
 
+static void on_retry(void *arg)
+{
+	try_reserve(arg);
+}
+
+void tlb_limit_reserve(struct tlb_limit *l, struct tlb_reservation *r, const char *account,
+		       const char *request_id, int64_t tokens, tlb_time deadline,
+		       tlb_limit_done_fn *on_done, void *arg)
+{
+	memset(r, 0, sizeof(*r));
+	r->board = l->board;
+	r->on_done = on_done;
+	r->arg = arg;
+	r->tokens = tokens;
+	r->deadline = deadline;
+	r->owner_deadline = tlb_clock_now() + TLB_LIMIT_OWNER_WAIT;
+	tlb_timer_init(&r->timer, on_retry, r);
+	snprintf(r->account, sizeof(r->account), "%s", account);
+	snprintf(r->request_id, sizeof(r->request_id), "%s", request_id);
+	try_reserve(r);
+}
+
 /* Settles at this owner. A grant that is not known here was made by a former owner, whose
  * outstanding sum came with the hand-over. */
 static void settle_here(struct tlb_limit *l, const char *account, const char *id, int64_t booked,
@@ -362,6 +405,9 @@
 		tlb_peer_cancel(&r->call);
 		send_return(r, r->tokens, 0);
 		break;
+	case TLB_RESERVATION_RETRY:
+		tlb_timer_clear(r->board->loop, &r->timer);
+		break;
 	case TLB_RESERVATION_GRANTED:
 		if (r->tokens > 0)
 			tlb_limit_settle(r, r->tokens, 0);
@@ -386,11 +432,25 @@
 	free(a);
 }
 
-/* Ends an account that this daemon no longer owns; its waiters are told to come again. */
+/* Sends a waiter to the new owner. */
+static void redirect(struct tlb_limit_waiter *w)
+{
+	struct tlb_limit *l = w->account->limit;
+	struct tlb_reservation *r = w->local;
+	struct tlb_peer_return from = w->from;
+
+	free_waiter(w);
+	if (r)
+		no_owner(r, "no VM accounts for this client account now");
+	else
+		reply_unavailable(l, &from);
+}
+
+/* Ends an account that this daemon no longer owns; its waiters go to the new owner. */
 static void drop_account(struct tlb_limit_account *a)
 {
 	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
-		answer(APR_RING_FIRST(&a->waiters), false, TLB_SECOND);
+		redirect(APR_RING_FIRST(&a->waiters));
 	free_account(a);
 }
 
@@ -558,7 +618,7 @@
 		w = add_waiter(a, m->reservation_id, m->output_tokens + m->prompt_tokens,
 			       tlb_clock_now() + m->wait_us);
 	if (!w) {
-		reply_remote(l, from, false, TLB_SECOND);
+		reply_unavailable(l, from);
 		return;
 	}
 	w->from = *from;
--- a/src/limit.h
+++ b/src/limit.h
@@ -14,6 +14,11 @@
 
 struct tlb_board;
 struct tlb_limit_account;
+
+/* How long a request waits for an account's shard to get a new owner. A dead owner is replaced
+ * within the session lease, the fence margin and a heartbeat; refusing requests meanwhile would
+ * refuse accounts that are within their rate. */
+#define TLB_LIMIT_OWNER_WAIT (9 * TLB_SECOND)
 struct tlb_reservation;
 
 /* granted, or err says why not: rate_limited (retry_after_us is set), not_ready. */
@@ -24,6 +29,7 @@
 	TLB_RESERVATION_IDLE,
 	TLB_RESERVATION_WAITING, /* at this daemon's own bucket */
 	TLB_RESERVATION_REMOTE,	 /* asked the owner */
+	TLB_RESERVATION_RETRY,	 /* no owner answers: waits for a takeover */
 	TLB_RESERVATION_GRANTED,
 };
 
@@ -32,8 +38,13 @@
 	struct tlb_board *board;
 	enum tlb_reservation_state state;
 	char account[TLB_ID_LEN];
-	char id[TLB_REQUEST_ID_LEN];
-	int64_t tokens; /* booked and not yet settled */
+	char request_id[TLB_REQUEST_ID_LEN];
+	char id[TLB_REQUEST_ID_LEN]; /* of this attempt */
+	int64_t tokens;		     /* booked and not yet settled */
+	tlb_time deadline;	     /* of the wait for tokens */
+	tlb_time owner_deadline;     /* of the wait for an owner */
+	struct tlb_timer timer;
+	int attempt; /* keeps an attempt apart from earlier ones whose fate is unknown */
 	struct tlb_limit_waiter *waiter;
 	struct tlb_peer_call call;
 	tlb_limit_done_fn *on_done;
--- a/src/request.c
+++ b/src/request.c
@@ -812,7 +812,7 @@
 	}
 	enqueue(r, r->completion.deadline_ms && r->completion.class == TLB_BATCH
 			   ? TLB_NEVER
-			   : r->arrived + wait_ms * TLB_MS);
+			   : tlb_clock_now() + wait_ms * TLB_MS);
 }
 
 static void refuse(struct tlb_requests *q, struct tlb_exchange *x, struct tlb_error *err)
--- a/src/service.c
+++ b/src/service.c
@@ -322,6 +322,7 @@
 		.body = c->body ? c->body : (strcmp(c->method, "POST") == 0 ? "" : NULL),
 		.body_len = c->body_len,
 		.content_type = c->content_type[0] ? c->content_type : NULL,
+		.idempotency_key = c->claimed ? strrchr(c->idem.row, '/') + 1 : NULL,
 		.deadline = c->deadline,
 		.once = !c->idempotent,
 		.on_done = on_response,
@@ -371,6 +372,10 @@
 	case TLB_IDEM_RECORDED:
 		give_again(c, r);
 		break;
+	case TLB_IDEM_NOT_KEPT:
+		fail(c, TLB_RESPONSE_NOT_KEPT, TLB_UNKNOWN, 0,
+		     "the call ran before; its response was too large to be kept");
+		break;
 	case TLB_IDEM_IN_PROGRESS:
 		fail(c, TLB_IN_PROGRESS, TLB_UNKNOWN, 0,
 		     "a call with this Idempotency-Key was begun and has no recorded response");
@@ -415,6 +420,8 @@
 		return;
 	}
 	tlb_limit_settle(&c->reservation, c->cost, c->cost);
+	/* The route's time is the endpoint's; waiting for tokens does not count. */
+	c->deadline += tlb_clock_now() - c->arrived;
 	proceed(c);
 }
 
@@ -428,7 +435,7 @@
 	c->board = s->board;
 	c->x = x;
 	c->arrived = x->arrived;
-	c->deadline = tlb_clock_now() + route->timeout_ms * TLB_MS;
+	c->deadline = x->arrived + route->timeout_ms * TLB_MS;
 	c->idempotent = route->idempotent;
 	c->cost = route->cost;
 	snprintf(c->id, sizeof(c->id), "%s", x->id);
