--- a/src/change.c
+++ b/src/change.c
@@ -9,7 +9,8 @@
 	STEP_TIMEOUT_MS = 2000, /* one read or write of the store */
 	RETRY_MS = 200,		/* wait before the store is asked again */
 	RETRY_JITTER_MS = 100,
-	BEHIND_MS = 50, /* wait for the table to be loaded */
+	BEHIND_MS = 20, /* wait for the table to be loaded */
+	BEHIND_WAITS = 50,
 };
 
 /* Owned by the queue. */
@@ -22,6 +23,7 @@
 	int64_t base_version;
 	json_t *rows;
 	tlb_time deadline;
+	int waits;		     /* for the table to be loaded */
 	bool uncertain;		     /* a write without an answer may have taken effect */
 	struct tlb_table *candidate; /* what is in force when the write succeeds */
 	struct tlb_faults faults;
@@ -337,25 +339,28 @@
 	return 0;
 }
 
+/* The store is ahead of the table in force here. */
+static void decide_behind(struct tlb_change *x, const json_t *head, int64_t mine)
+{
+	tlb_config_refresh(x->queue->config);
+	if (!mine && json_integer_value(json_object_get(head, "version")) != x->base_version)
+		finish_conflict(x, head);
+	/* A change is answered when it is in force here, unless that takes too long. */
+	else if (mine && x->waits++ == BEHIND_WAITS)
+		finish_ok(x, mine);
+	else
+		again_after(x, BEHIND_MS * TLB_MS);
+}
+
 static void decide(struct tlb_change *x, const json_t *head, int64_t row_version)
 {
-	struct tlb_config *c = x->queue->config;
 	int64_t stored = json_integer_value(json_object_get(head, "version"));
-	int64_t in_force = tlb_config_version(c);
+	int64_t in_force = tlb_config_version(x->queue->config);
 	int64_t mine = find_recent(x, head);
 
-	if (stored > in_force) {
-		tlb_config_refresh(c);
-		/* A change that is in the store needs no table here to be answered. */
-		if (mine)
-			finish_ok(x, mine);
-		else if (stored != x->base_version)
-			finish_conflict(x, head);
-		else
-			again_after(x, BEHIND_MS * TLB_MS);
-		return;
-	}
-	if (mine)
+	if (stored > in_force)
+		decide_behind(x, head, mine);
+	else if (mine)
 		finish_ok(x, mine);
 	/* A store that was set back has a lower version than the one in force, which never
 	 * reverts; changes go on from there. */
