Grant part of an account's tokens from the standby of its shard (model)

Change: the standby holds a bucket of its own with standby_share of rate and burst, and is asked when the owner has too little or does not answer. Together they never exceed burst + rate * window, with or without a fence. Also counts a refusal as wrongful only for accounts that kept within rate and burst, which the earlier measure mixed with refusals of the excess, and adds the scenario of a router lost while the store is down.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -38,7 +38,9 @@
 
 #define LAG (100 * TLB_MS)
 
-/* Columns as in struct scenario. */
+/* Columns as in struct scenario. The store is on the path of no request, so that "store_down" adds
+ * the one thing that would use it: a router is lost, and the standby takes over on the fence
+ * alone. */
 /* clang-format off */
 static const struct scenario scenarios[] = {
 	/* load: base, peak, batch; greedy, few; fault; links, lag, loss; prefixes */
@@ -48,6 +50,7 @@
 	{"few_large",     1.20, 1.20, 0.00, -1, true,  FAULT_NONE,        1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"decode_lost",   0.55, 0.85, 0.40, -1, false, FAULT_DECODE_LOST, 1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"zone_lost",     0.55, 0.85, 0.40, -1, false, FAULT_ZONE_LOST,   1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"store_down",    0.55, 0.85, 0.40, -1, false, FAULT_ROUTER_LOST, 1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"leaving",       0.55, 0.85, 0.40, -1, false, FAULT_LEAVING,     1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"half_links",    0.55, 0.85, 0.40, -1, false, FAULT_NONE,        0.5, LAG, 0.02, 0.3, 48, 1500},
 	{"old_reports",   0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, 2 * TLB_SECOND, 0.02, 0.3, 48, 1500},
@@ -95,6 +98,7 @@
 	SET(batch_reserve, 1)
 	SET(interactive_wait, TLB_MS)
 	SET(batch_slack, TLB_MS)
+	SET(standby_share, 1)
 	SET(early, 1)
 #undef SET
 	return false;
--- a/bench/model.h
+++ b/bench/model.h
@@ -34,10 +34,11 @@
 	int batch_reserve; /* pieces that batch work leaves free */
 	tlb_time interactive_wait; /* longest wait for tokens and a place */
 	tlb_time batch_slack; /* batch requests become urgent this long before their deadline */
+	double standby_share; /* of rate and burst that the standby of the shard grants from */
 	double early;	      /* refuse when the target is missed by this factor; 0: never */
 };
 
-enum fault { FAULT_NONE, FAULT_DECODE_LOST, FAULT_ZONE_LOST, FAULT_LEAVING };
+enum fault { FAULT_NONE, FAULT_DECODE_LOST, FAULT_ROUTER_LOST, FAULT_ZONE_LOST, FAULT_LEAVING };
 
 struct scenario {
 	const char *name;
@@ -56,15 +57,15 @@
 };
 
 struct measures {
-	double offered;		 /* interactive requests per second */
-	double goodput;		 /* interactive requests per second that meet both targets */
-	double good_share;	 /* of the interactive requests */
-	double ttft_share;	 /* share that meets the first-token target */
-	double gap_share;	 /* share of the completed that meets the target between tokens */
-	double wasted;		 /* share of the prompt tokens computed */
-	double worst;		 /* share got over share due of the worst-served account */
-	double wrongful;	 /* refusals within rate, share of the requests within rate */
-	double broken;		 /* lost with a router or engine, or given up by the caller */
+	double offered;	   /* interactive requests per second */
+	double goodput;	   /* interactive requests per second that meet both targets */
+	double good_share; /* of the interactive requests */
+	double ttft_share; /* share that meets the first-token target */
+	double gap_share;  /* share of the completed that meets the target between tokens */
+	double wasted;	   /* share of the prompt tokens computed */
+	double worst;	   /* share got over share due of the worst-served account */
+	double wrongful;   /* refused, share of the requests of accounts within rate and burst */
+	double broken;	   /* lost with a router or engine, or given up by the caller */
 	double queue_ms[2][2];	 /* by class: median and 95th percentile until a place is booked */
 	double batch_done;	 /* batch jobs done by their deadline, share */
 	double memory;		 /* decode memory in use at the peak, share */
