Use a connection of its own for every call that carries a request

A failed engine could be chosen again at once, because each try began with an empty list of failed ones. Change: engine and service calls use fresh connections that are not reused; a response with two lengths fails; answers of the table service must name the keys that were asked for; an endpoint that failed or refused is left out until all others have, too. Conclusion: the cost is one loopback connect a call, to be measured against the pass-through.

--- a/src/http.c
+++ b/src/http.c
@@ -59,6 +59,8 @@
 	else if (c->too_large)
 		snprintf(r.reason, sizeof(r.reason), "response larger than %d bytes",
 			 TLB_HTTP_BODY_MAX);
+	else if (c->ambiguous)
+		snprintf(r.reason, sizeof(r.reason), "two different Content-Length headers");
 	else if (rc != CURLE_OK)
 		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
 	else
@@ -232,6 +234,26 @@
 	return body_append(c, data, len) ? len : 0;
 }
 
+/* RFC 9112, 6.3: a response with two different lengths has no known end. libcurl takes the last. */
+static size_t on_header(char *line, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "Content-Length:";
+	struct tlb_http_call *c = arg;
+	size_t len = size * n;
+	char text[32];
+	long long value;
+
+	if (len < sizeof(name) || strncasecmp(line, name, sizeof(name) - 1) != 0)
+		return len;
+	snprintf(text, sizeof(text), "%.*s", (int)(len - sizeof(name) + 1),
+		 line + sizeof(name) - 1);
+	value = strtoll(text, NULL, 10);
+	if (c->content_length >= 0 && c->content_length != value)
+		c->ambiguous = true;
+	c->content_length = value;
+	return c->ambiguous ? 0 : len;
+}
+
 static int on_sockopt(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
 	int one = 1;
@@ -274,6 +296,8 @@
 	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_S);
 	curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, (long)LIFETIME_S);
@@ -282,9 +306,9 @@
 		curl_easy_setopt(e, CURLOPT_COPYPOSTFIELDS, spec->body);
 	}
 	/* libcurl resends a request by itself when a reused connection closes before the first
-	 * byte of the response, so a call that must not be repeated never gets a reused one. */
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->once ? 1L : 0L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->once ? 1L : 0L);
+	 * byte of the response. */
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->own_connection ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->own_connection ? 1L : 0L);
 }
 
 enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
@@ -292,6 +316,7 @@
 {
 	memset(c, 0, sizeof(*c));
 	c->http = h;
+	c->content_length = -1;
 	c->spec = *spec;
 	c->easy = curl_easy_init();
 	if (!c->easy)
--- a/src/http.h
+++ b/src/http.h
@@ -46,7 +46,9 @@
 	const char *content_type;    /* NULL for "application/json" when there is a body */
 	const char *idempotency_key; /* sent as that header; NULL for none */
 	tlb_time deadline;	     /* for the whole call; TLB_NEVER for none */
-	bool once;		     /* must not be repeated: fresh connection, never reused */
+	/* Uses a connection of its own, so that libcurl can't resend the request and no late or
+	 * doubled response of another request can be taken for this one's. */
+	bool own_connection;
 	tlb_http_data_fn *on_data;   /* NULL: the body is collected */
 	tlb_http_done_fn *on_done;
 	void *arg;
@@ -64,6 +66,8 @@
 	size_t body_cap;
 	bool timed_out;
 	bool too_large;
+	long long content_length; /* of the response; -1 before the header came */
+	bool ambiguous;		  /* two different lengths */
 };
 
 /* Largest collected response body in bytes; longer ones fail the call. */
--- a/src/request.c
+++ b/src/request.c
@@ -264,8 +264,6 @@
 {
 	struct tlb_request *r = request_of(w);
 
-	r->tried_decode.count = 0;
-	r->tried_prefill.count = 0;
 	place(r);
 }
 
@@ -423,6 +421,8 @@
 	collect(r, TLB_ROLE_DECODE, &r->tried_decode, p.now, &c);
 	pl = tlb_place_decode(&r->board->place, &p, c.list, c.count);
 	if (pl.chosen < 0) {
+		/* All have refused or failed; the next round may try each again. */
+		r->tried_decode.count = 0;
 		r->step = STEP_QUEUE;
 		tlb_pool_unpop(&r->board->pools, r->pool, r->account, &r->wait);
 		return;
@@ -498,6 +498,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.body = body,
 		.body_len = body ? strlen(body) : 0,
 		.deadline = now + PREFILL_BASE + r->prompt_tokens * PREFILL_PER_TOKEN,
@@ -537,6 +538,7 @@
 	pl = tlb_place_prefill(&r->board->place, &p, &decode, c.list, c.count);
 	if (pl.chosen < 0) {
 		r->prefill = NULL;
+		r->tried_prefill.count = 0;
 		retry(r, "", "no prefill engine is usable");
 		return;
 	}
@@ -584,6 +586,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.deadline = now + IMPORT_BASE + r->prompt_tokens * IMPORT_PER_TOKEN,
 		.on_done = on_import,
 		.arg = r,
@@ -778,6 +781,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.deadline = now + CALL_NEVER_LONGER,
 		.on_data = on_decode_data,
 		.on_done = on_decode_done,
--- a/src/service.c
+++ b/src/service.c
@@ -324,7 +324,7 @@
 		.content_type = c->content_type[0] ? c->content_type : NULL,
 		.idempotency_key = c->claimed ? strrchr(c->idem.row, '/') + 1 : NULL,
 		.deadline = c->deadline,
-		.once = !c->idempotent,
+		.own_connection = true,
 		.on_done = on_response,
 		.arg = c,
 	};
--- a/src/store.c
+++ b/src/store.c
@@ -11,10 +11,53 @@
 	snprintf(s->url, sizeof(s->url), "%s", url);
 }
 
-static enum tlb_store_status status_of(const struct tlb_http_result *r, const json_t *body)
+static bool names_writes(const json_t *keys, const json_t *body)
+{
+	const json_t *versions = json_object_get(body, "versions");
+	const json_t *key;
+	size_t i;
+
+	json_array_foreach (keys, i, key) {
+		if (!json_object_get(versions, json_string_value(key)))
+			return false;
+	}
+	return true;
+}
+
+static bool names_rows(const char *prefix, const json_t *body)
+{
+	const json_t *rows = json_object_get(body, "rows");
+	const json_t *row;
+	const char *key;
+	size_t i;
+
+	json_array_foreach (rows, i, row) {
+		key = json_string_value(json_object_get(row, "key"));
+		if (!key || strncmp(key, prefix, strlen(prefix)) != 0)
+			return false;
+	}
+	return json_is_array(rows);
+}
+
+/* Whether an answer belongs to this operation: one that came late or twice on the connection may be
+ * another's. */
+static bool is_answer(const struct tlb_store_op *op, const json_t *body)
+{
+	const char *wanted = json_string_value(op->expected);
+	const char *key = json_string_value(json_object_get(body, "key"));
+
+	if (json_is_array(op->expected))
+		return names_writes(op->expected, body);
+	if (op->prefix)
+		return names_rows(wanted, body);
+	return key && strcmp(key, wanted) == 0;
+}
+
+static enum tlb_store_status status_of(const struct tlb_store_op *op,
+				       const struct tlb_http_result *r, const json_t *body)
 {
 	if (r->status == 200)
-		return body ? TLB_STORE_OK : TLB_STORE_UNCERTAIN;
+		return body && is_answer(op, body) ? TLB_STORE_OK : TLB_STORE_UNCERTAIN;
 	if (r->status == 409)
 		return TLB_STORE_CONFLICT;
 	if (r->status == 404)
@@ -36,7 +79,7 @@
 {
 	struct tlb_store_op *op = arg;
 	json_t *body = r->body_len ? json_loadb(r->body, r->body_len, 0, NULL) : NULL;
-	enum tlb_store_status status = status_of(r, body);
+	enum tlb_store_status status = status_of(op, r, body);
 	struct tlb_error err;
 
 	memset(&err, 0, sizeof(err));
@@ -46,6 +89,8 @@
 			      status == TLB_STORE_REFUSED ? TLB_NOT_RUN : TLB_UNKNOWN, "store",
 			      op->store->url, "table service: %s (status %d)",
 			      r->reason[0] ? r->reason : "refused", r->status);
+	json_decref(op->expected);
+	op->expected = NULL;
 	op->on_done(op->arg, status, body, &err);
 	json_decref(body);
 }
@@ -63,6 +108,18 @@
 		abort();
 }
 
+static json_t *written_keys(const json_t *txn)
+{
+	json_t *keys = json_array();
+	const json_t *write;
+	size_t i;
+
+	json_array_foreach (json_object_get(txn, "writes"), i, write) {
+		json_array_append(keys, json_object_get(write, "key"));
+	}
+	return keys;
+}
+
 void tlb_store_txn(struct tlb_store *s, struct tlb_store_op *op, json_t *txn, tlb_time deadline,
 		   tlb_store_done_fn *on_done, void *arg)
 {
@@ -76,6 +133,8 @@
 		.deadline = deadline,
 	};
 
+	op->expected = written_keys(txn);
+	op->prefix = false;
 	json_decref(txn);
 	snprintf(url, sizeof(url), "%s/txn", s->url);
 	start(s, op, &spec, on_done, arg);
@@ -91,6 +150,8 @@
 
 	snprintf(url, sizeof(url), "%s/%s=%s", s->url, what, escaped ? escaped : "");
 	curl_free(escaped);
+	op->expected = json_string(value);
+	op->prefix = strncmp(what, "rows", 4) == 0;
 	start(s, op, &spec, on_done, arg);
 }
 
@@ -109,6 +170,8 @@
 void tlb_store_cancel(struct tlb_store_op *op)
 {
 	tlb_http_cancel(&op->call);
+	json_decref(op->expected);
+	op->expected = NULL;
 }
 
 json_t *tlb_store_txn_new(void)
--- a/src/store.h
+++ b/src/store.h
@@ -34,6 +34,8 @@
 struct tlb_store_op {
 	struct tlb_store *store;
 	struct tlb_http_call call;
+	json_t *expected; /* keys that the answer must name: an array, or the one key or prefix */
+	bool prefix;
 	tlb_store_done_fn *on_done;
 	void *arg;
 };
