End the bookings of a fenced VM at once

Cause: after a VM died its bookings lapsed only after 5 s, and orphans found by the new owner waited out the grace period: 16 s with the store down (bound 15 s). Change: a fence ends the VM's bookings in every book, and held requests whose owner is a fenced incarnation are cancelled without a grace period. Conclusion: the fence, not the lapse, now bounds how long memory stays held.

--- a/src/booking.c
+++ b/src/booking.c
@@ -101,6 +101,12 @@
 	return tlb_board_owner(b, endpoint, vm) == TLB_OWNER_SELF;
 }
 
+/* The form in which engines and books name a daemon. */
+static void format_owner(const char *vm, uint64_t incarnation, char out[TLB_OWNER_LEN])
+{
+	snprintf(out, TLB_OWNER_LEN, "%s/%016llx", vm, (unsigned long long)incarnation);
+}
+
 /* --- the owner's side --- */
 
 static enum tlb_book_result book_add(struct tlb_target *t, const char *request_id,
@@ -166,6 +172,16 @@
 	return n;
 }
 
+static bool is_fenced(const struct tlb_bookings *b, const char *owner)
+{
+	int i;
+
+	for (i = 0; i < TLB_FENCED_OWNERS; i++)
+		if (b->fenced[i][0] && strcmp(b->fenced[i], owner) == 0)
+			return true;
+	return false;
+}
+
 static void reconcile(struct tlb_target *t, const json_t *j)
 {
 	struct tlb_held held[HELD_MAX];
@@ -174,7 +190,7 @@
 
 	tlb_book_reconcile(&t->book, held, n, tlb_clock_now());
 	for (i = 0; i < n; i++) {
-		if (!held[i].cancel)
+		if (!held[i].cancel && !is_fenced(&t->board->bookings, held[i].owner))
 			continue;
 		tlb_log_warn("event=orphan endpoint=%s request=%s owner=%s pieces=%d", t->id,
 			     held[i].request_id, held[i].owner, held[i].pieces);
@@ -595,6 +611,26 @@
 	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
 }
 
+void tlb_bookings_fenced(struct tlb_bookings *b, const char *vm, uint64_t incarnation)
+{
+	char *owner = b->fenced[b->fenced_next];
+	struct tlb_target *t;
+	struct tlb_booking *k;
+
+	format_owner(vm, incarnation, owner);
+	b->fenced_next = (b->fenced_next + 1) % TLB_FENCED_OWNERS;
+	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
+		if (t->role != TLB_ROLE_DECODE || !owned(b->board, t->id))
+			continue;
+		APR_RING_FOREACH (k, &t->book.bookings, tlb_booking, link) {
+			if (strcmp(k->owner, owner) == 0)
+				k->expires = 0;
+		}
+		expire_bookings(t, tlb_clock_now());
+	}
+	tlb_timer_set(b->board->loop, &b->held_timer, tlb_clock_now());
+}
+
 static Toucan__Booking *booking_message(const struct tlb_target *t, const struct tlb_booking *k)
 {
 	Toucan__Booking *m = malloc(sizeof(*m));
@@ -674,11 +710,6 @@
 	reply_book(b, from, book_add(t, m->request_id, m->owner, m->pieces, class), t);
 }
 
-static void owner_of(const struct tlb_peer_return *from, char *out, size_t len)
-{
-	snprintf(out, len, "%s/%016llx", from->vm, (unsigned long long)from->incarnation);
-}
-
 void tlb_bookings_on_renew(struct tlb_bookings *b, const struct tlb_peer_return *from,
 			   const Toucan__RenewBookings *m)
 {
@@ -686,7 +717,7 @@
 	struct tlb_target *t;
 	size_t i;
 
-	owner_of(from, owner, sizeof(owner));
+	format_owner(from->vm, from->incarnation, owner);
 	for (i = 0; i < m->n_request_ids; i++) {
 		APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
 			if (t->role == TLB_ROLE_DECODE &&
@@ -703,7 +734,7 @@
 	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
 	char owner[TLB_OWNER_LEN];
 
-	owner_of(from, owner, sizeof(owner));
+	format_owner(from->vm, from->incarnation, owner);
 	if (t && t->role == TLB_ROLE_DECODE)
 		book_release(t, m->request_id, owner);
 }
--- a/src/booking.h
+++ b/src/booking.h
@@ -44,12 +44,17 @@
 APR_RING_HEAD(tlb_cancel_ring, tlb_cancel);
 APR_RING_HEAD(tlb_pull_ring, tlb_pull);
 
+/* The engine requests of these daemons are orphans: they are cancelled without a grace period. */
+enum { TLB_FENCED_OWNERS = 32 };
+
 /* Owned by the board. */
 struct tlb_bookings {
 	struct tlb_board *board;
 	struct tlb_hold_ring holds;
 	struct tlb_cancel_ring cancels;
-	struct tlb_pull_ring pulls; /* questions to other VMs after a takeover */
+	struct tlb_pull_ring pulls;		       /* questions to other VMs after a takeover */
+	char fenced[TLB_FENCED_OWNERS][TLB_OWNER_LEN]; /* the latest, as engines see them */
+	int fenced_next;
 	struct tlb_timer renew_timer;
 	struct tlb_timer held_timer;
 };
@@ -72,6 +77,8 @@
 /* Shards moved: a book gained without a hand-over grants nothing until the engine and the other VMs
  * have told what they hold. */
 void tlb_bookings_shards_changed(struct tlb_bookings *b, tlb_shard_set gained, tlb_shard_set lost);
+/* A VM is certainly gone: its bookings end now and its requests are cancelled at the engines. */
+void tlb_bookings_fenced(struct tlb_bookings *b, const char *vm, uint64_t incarnation);
 /* Adds the books of these shards to a hand-over, and takes the ones that a former owner handed
  * over; malloc'd for the cluster to free. */
 void tlb_bookings_hand_over(struct tlb_bookings *b, tlb_shard_set shards, Toucan__HandOver *out);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -134,6 +134,7 @@
 	struct tlb_daemon *d = arg;
 
 	tlb_limit_fenced(&d->board.limit, vm, incarnation);
+	tlb_bookings_fenced(&d->board.bookings, vm, incarnation);
 }
 
 static void on_peer_config_version(void *arg, const char *vm, int64_t version)
--- a/src/http.h
+++ b/src/http.h
@@ -49,7 +49,7 @@
 	/* Uses a connection of its own, so that libcurl can't resend the request and no late or
 	 * doubled response of another request can be taken for this one's. */
 	bool own_connection;
-	tlb_http_data_fn *on_data;   /* NULL: the body is collected */
+	tlb_http_data_fn *on_data; /* NULL: the body is collected */
 	tlb_http_done_fn *on_done;
 	void *arg;
 };
