--- /dev/null
+++ b/tests/test_frame.c
@@ -0,0 +1,207 @@
+/* Frames: round trip in pieces, key rotation, and every way in which a frame can be wrong. */
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "frame.h"
+
+static struct tlb_peer_key pair[2];
+static const struct tlb_peer_key stranger = {.id = 1, .secret = {9}};
+
+static struct tlb_frame_keys keys(int first, int count)
+{
+	struct tlb_frame_keys k = {.key = &pair[first], .count = count};
+
+	return k;
+}
+
+static void encode(struct tlb_frame_buffer *out, const struct tlb_frame_keys *k, uint64_t id)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__Heartbeat heartbeat = TOUCAN__HEARTBEAT__INIT;
+	char source[] = "vm1";
+
+	envelope.source = source;
+	envelope.id = id;
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	ck_assert_int_eq(tlb_frame_encode(out, k, &envelope), TLB_OK);
+}
+
+static void setup(void)
+{
+	ck_assert_int_ge(sodium_init(), 0);
+	pair[0].id = 1;
+	pair[1].id = 2;
+	randombytes_buf(pair[0].secret, TLB_SECRET_LEN);
+	randombytes_buf(pair[1].secret, TLB_SECRET_LEN);
+}
+
+/* Guards against a decoder that needs whole frames or loses bytes between two of them. */
+START_TEST(frames_arrive_in_pieces)
+{
+	struct tlb_frame_buffer out = {0};
+	struct tlb_frame_buffer in = {0};
+	struct tlb_frame_keys k = keys(0, 2);
+	Toucan__Envelope *msg;
+	uint64_t got = 0;
+	size_t i;
+
+	for (i = 1; i <= 50; i++)
+		encode(&out, &k, i);
+	for (i = out.start; i < out.end; i++) {
+		*tlb_frame_buffer_reserve(&in, 1) = out.data[i];
+		in.end++;
+		ck_assert_int_eq(tlb_frame_decode(&in, &k, &msg), TLB_OK);
+		if (!msg)
+			continue;
+		ck_assert_uint_eq(msg->id, ++got);
+		toucan__envelope__free_unpacked(msg, NULL);
+	}
+	ck_assert_uint_eq(got, 50);
+	tlb_frame_buffer_finish(&in);
+	tlb_frame_buffer_finish(&out);
+}
+END_TEST
+
+/* Guards against a rotation that cuts links: both orders of keys must understand each other. */
+START_TEST(keys_rotate)
+{
+	struct tlb_frame_buffer b = {0};
+	struct tlb_frame_keys old_first = keys(0, 2);
+	struct tlb_frame_keys new_only = keys(1, 1);
+	struct tlb_frame_keys old_only = keys(0, 1);
+	Toucan__Envelope *msg;
+
+	encode(&b, &new_only, 1);
+	ck_assert_int_eq(tlb_frame_decode(&b, &old_first, &msg), TLB_OK);
+	ck_assert_ptr_nonnull(msg);
+	toucan__envelope__free_unpacked(msg, NULL);
+	encode(&b, &old_only, 2);
+	ck_assert_int_eq(tlb_frame_decode(&b, &new_only, &msg), TLB_INVALID_KEY);
+	tlb_frame_buffer_finish(&b);
+}
+END_TEST
+
+static void set_bytes(struct tlb_frame_buffer *b, size_t at, const unsigned char *bytes, size_t len)
+{
+	memcpy(b->data + at, bytes, len);
+}
+
+/* Guards against a damaged or forged frame that is accepted, and a length that makes the daemon
+ * allocate or wait for ever. */
+START_TEST(wrong_frames_are_refused)
+{
+	static const struct {
+		size_t at;
+		size_t len;
+		unsigned char bytes[4];
+		enum tlb_code code;
+	} cases[] = {
+		{0, 4, {0xff, 0xff, 0xff, 0xff}, TLB_TOO_LARGE},
+		{0, 4, {0x00, 0x10, 0x00, 0x00}, TLB_TOO_LARGE},
+		{0, 4, {0x00, 0x00, 0x00, 0x00}, TLB_BAD_REQUEST},
+		{0, 4, {0x00, 0x00, 0x00, 0x20}, TLB_BAD_REQUEST},
+		{0, 4, {0x00, 0x00, 0x00, 0x22}, TLB_INVALID_KEY},
+		{4, 1, {2}, TLB_INVALID_KEY},
+		{4, 1, {77}, TLB_INVALID_KEY},
+		{5, 1, {0}, TLB_INVALID_KEY},
+		{TLB_FRAME_HEADER, 1, {0x55}, TLB_INVALID_KEY},
+	};
+	struct tlb_frame_keys k = keys(0, 2);
+	Toucan__Envelope *msg;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct tlb_frame_buffer b = {0};
+		unsigned char flipped[4];
+
+		encode(&b, &k, 1);
+		memcpy(flipped, cases[i].bytes, sizeof(flipped));
+		if (cases[i].at == 5)
+			flipped[0] = b.data[5] ^ 1;
+		set_bytes(&b, cases[i].at, flipped, cases[i].len);
+		ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), cases[i].code);
+		ck_assert_ptr_null(msg);
+		tlb_frame_buffer_finish(&b);
+	}
+}
+END_TEST
+
+/* Guards against a MAC that leaves a part of the frame uncovered: any flipped bit must show. */
+START_TEST(every_bit_counts)
+{
+	struct tlb_frame_keys k = keys(0, 2);
+	struct tlb_frame_buffer b = {0};
+	Toucan__Envelope *msg;
+	size_t len;
+	size_t bit;
+
+	encode(&b, &k, 1);
+	len = b.end;
+	for (bit = 0; bit < 8 * len; bit++) {
+		b.data[bit / 8] ^= 1 << bit % 8;
+		/* A longer length waits for more; it is never a message. */
+		tlb_frame_decode(&b, &k, &msg);
+		ck_assert_ptr_null(msg);
+		b.data[bit / 8] ^= 1 << bit % 8;
+	}
+	tlb_frame_buffer_finish(&b);
+}
+END_TEST
+
+START_TEST(forged_and_truncated_frames)
+{
+	struct tlb_frame_keys k = keys(0, 2);
+	struct tlb_frame_keys forger = {.key = &stranger, .count = 1};
+	struct tlb_frame_buffer b = {0};
+	Toucan__Envelope *msg;
+
+	encode(&b, &forger, 1);
+	ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), TLB_INVALID_KEY);
+	b.start = b.end = 0;
+	encode(&b, &k, 1);
+	b.end--;
+	ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), TLB_OK);
+	ck_assert_ptr_null(msg);
+	tlb_frame_buffer_finish(&b);
+}
+END_TEST
+
+/* Guards against a sender that queues what every receiver must refuse. */
+START_TEST(oversized_message_is_not_sent)
+{
+	struct tlb_frame_keys k = keys(0, 1);
+	struct tlb_frame_buffer b = {0};
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	char *text = calloc(1, TLB_FRAME_MAX + 1);
+
+	memset(text, 'a', TLB_FRAME_MAX);
+	envelope.source = text;
+	ck_assert_int_eq(tlb_frame_encode(&b, &k, &envelope), TLB_TOO_LARGE);
+	ck_assert_uint_eq(b.end, 0);
+	free(text);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("frame");
+	TCase *tc = tcase_create("frame");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, frames_arrive_in_pieces);
+	tcase_add_test(tc, keys_rotate);
+	tcase_add_test(tc, wrong_frames_are_refused);
+	tcase_add_test(tc, every_bit_counts);
+	tcase_add_test(tc, forged_and_truncated_frames);
+	tcase_add_test(tc, oversized_message_is_not_sent);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_session.c
@@ -0,0 +1,297 @@
+/* The rules of the session lease: holder, witness and fencing side, each with a given clock. */
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "session.h"
+
+#define S TLB_SECOND
+
+static struct tlb_vm_name vm[8];
+static const struct tlb_vm_name holder = {.id = "x", .incarnation = 100};
+
+static void setup(void)
+{
+	char id[2] = "a";
+	int i;
+
+	for (i = 0; i < 8; i++, id[0]++)
+		tlb_vm_name_set(&vm[i], id, 1);
+}
+
+/* Guards against a majority counted wrongly, and a lease counted from the reply instead of the
+ * sending. sent[i] is when the heartbeat that witness i granted was sent; -1 for none. */
+START_TEST(majority_of_grants)
+{
+	static const struct {
+		int witnesses;
+		tlb_time sent[7];
+		tlb_time valid_until;
+	} cases[] = {
+		{0, {0}, TLB_NEVER},
+		{1, {-1}, 0},
+		{1, {10 * S}, 15 * S},
+		{3, {10 * S, -1, -1}, 0},
+		{3, {10 * S, 12 * S, -1}, 15 * S},
+		{3, {10 * S, 12 * S, 11 * S}, 16 * S},
+		{7, {10 * S, 10 * S, 10 * S, -1, -1, -1, -1}, 0},
+		{7, {10 * S, 20 * S, 20 * S, 9 * S, 1 * S, 20 * S, 2 * S}, 15 * S},
+	};
+	struct tlb_session s;
+	size_t c;
+	int i;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		tlb_session_begin(&s, 1, vm, cases[c].witnesses);
+		for (i = 0; i < cases[c].witnesses; i++)
+			if (cases[c].sent[i] >= 0)
+				tlb_session_grant(&s, &vm[i], cases[c].sent[i], 1);
+		ck_assert_int_eq(s.valid_until, cases[c].valid_until);
+		ck_assert(!tlb_session_valid(&s, cases[c].valid_until));
+		ck_assert(cases[c].valid_until == 0 ||
+			  tlb_session_valid(&s, cases[c].valid_until - 1));
+	}
+}
+END_TEST
+
+/* Guards against grants that don't count: of a restarted witness, of a VM that is no witness, and
+ * for a heartbeat that was overtaken. */
+START_TEST(grants_that_do_not_count)
+{
+	struct tlb_session s;
+	struct tlb_vm_name restarted = vm[0];
+
+	restarted.incarnation++;
+	tlb_session_begin(&s, 1, vm, 1);
+	tlb_session_grant(&s, &restarted, 10 * S, 1);
+	tlb_session_grant(&s, &vm[1], 10 * S, 1);
+	ck_assert(!tlb_session_valid(&s, 10 * S));
+	tlb_session_grant(&s, &vm[0], 10 * S, 1);
+	tlb_session_grant(&s, &vm[0], 8 * S, 1);
+	ck_assert(tlb_session_valid(&s, 14 * S));
+	tlb_session_fence(&s);
+	tlb_session_grant(&s, &vm[0], 11 * S, 1);
+	ck_assert(!tlb_session_valid(&s, 11 * S));
+}
+END_TEST
+
+static void grant_all(struct tlb_session *s, int from, int to, tlb_time sent, int64_t row)
+{
+	int i;
+
+	for (i = from; i < to; i++)
+		tlb_session_grant(s, &vm[i], sent, row);
+}
+
+/* Guards against a holder that counts only one of two sets while either can fence it. Old set: a,
+ * b, c under row 1; new set: c, d, e under row 2. */
+START_TEST(both_sets_count_while_replacing)
+{
+	struct tlb_session s;
+
+	tlb_session_begin(&s, 1, vm, 3);
+	grant_all(&s, 0, 3, 10 * S, 1);
+	tlb_session_propose(&s, vm + 2, 3);
+	ck_assert(!tlb_session_proposal_ready(&s, 11 * S));
+	ck_assert(tlb_session_valid(&s, 14 * S));
+	grant_all(&s, 2, 5, 11 * S, 1);
+	ck_assert(tlb_session_proposal_ready(&s, 12 * S));
+
+	tlb_session_write_begun(&s);
+	grant_all(&s, 0, 2, 20 * S, 1);
+	ck_assert_msg(!tlb_session_valid(&s, 20 * S), "the new set alone may have fenced");
+	grant_all(&s, 3, 5, 20 * S, 1);
+	ck_assert(tlb_session_valid(&s, 24 * S));
+
+	tlb_session_write_done(&s, 2);
+	grant_all(&s, 3, 5, 30 * S, 2);
+	ck_assert_msg(!tlb_session_valid(&s, 30 * S), "the old set does not know the row yet");
+	tlb_session_grant(&s, &vm[0], 30 * S, 2);
+	ck_assert_int_eq(s.phase, TLB_SESSION_CONFIRMING);
+	tlb_session_grant(&s, &vm[1], 30 * S, 2);
+	ck_assert_int_eq(s.phase, TLB_SESSION_STEADY);
+	ck_assert_int_eq(s.set[0].row_version, 2);
+	grant_all(&s, 3, 5, 40 * S, 2);
+	ck_assert(tlb_session_valid(&s, 44 * S));
+}
+END_TEST
+
+/* Guards against a refused write that leaves the holder with the new set. */
+START_TEST(refused_write_keeps_the_old_set)
+{
+	struct tlb_session s;
+
+	tlb_session_begin(&s, 1, vm, 1);
+	tlb_session_propose(&s, vm + 1, 1);
+	tlb_session_grant(&s, &vm[1], 10 * S, 1);
+	tlb_session_write_begun(&s);
+	tlb_session_write_undone(&s);
+	ck_assert(!tlb_session_valid(&s, 10 * S));
+	tlb_session_grant(&s, &vm[0], 10 * S, 1);
+	ck_assert(tlb_session_valid(&s, 10 * S));
+}
+END_TEST
+
+/* Guards against a witness that agrees too early. Times relative to its start at 100 s; last grant
+ * -1 for none. */
+START_TEST(witness_answers)
+{
+	static const struct {
+		tlb_time last_grant;
+		bool rows_read;
+		int64_t known_row;
+		int64_t asked_row;
+		tlb_time asked_at;
+		enum tlb_fence_answer answer;
+	} cases[] = {
+		{10 * S, true, 1, 1, 15 * S, TLB_FENCE_REFUSED},
+		{10 * S, true, 1, 1, 16 * S, TLB_FENCE_REFUSED},
+		{10 * S, true, 1, 1, 16 * S + 1, TLB_FENCE_AGREED},
+		/* A witness that has just started may have granted before it did. */
+		{-1, true, 1, 1, 6 * S - 1, TLB_FENCE_REFUSED},
+		{-1, true, 1, 1, 6 * S, TLB_FENCE_AGREED},
+		/* It may lack a row that its former incarnation knew. */
+		{-1, false, 1, 1, 60 * S, TLB_FENCE_REFUSED},
+		{10 * S, true, 2, 1, 60 * S, TLB_FENCE_SUPERSEDED},
+		{10 * S, true, 1, 2, 60 * S, TLB_FENCE_AGREED},
+		{10 * S, true, 1, 2, 12 * S, TLB_FENCE_REFUSED},
+	};
+	struct tlb_witness w;
+	int64_t known;
+	size_t c;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		tlb_witness_init(&w, 7, 100 * S);
+		w.rows_read = cases[c].rows_read;
+		tlb_witness_row(&w, &holder, cases[c].known_row);
+		if (cases[c].last_grant >= 0)
+			ck_assert(tlb_witness_heartbeat(&w, &holder, 7, cases[c].known_row,
+							100 * S + cases[c].last_grant, &known));
+		ck_assert_int_eq(tlb_witness_fence(&w, &holder, cases[c].asked_row,
+						   100 * S + cases[c].asked_at, &known),
+				 cases[c].answer);
+		/* A promise holds for ever, and nothing else stops grants. */
+		ck_assert(tlb_witness_heartbeat(&w, &holder, 7, 2, 1000 * S, &known) ==
+			  (cases[c].answer != TLB_FENCE_AGREED));
+		tlb_witness_finish(&w);
+	}
+}
+END_TEST
+
+/* Guards against grants to an incarnation that was replaced, or meant for a former witness. */
+START_TEST(witness_grants)
+{
+	struct tlb_vm_name next = {.id = "x", .incarnation = 101};
+	struct tlb_witness w;
+	int64_t known;
+
+	tlb_witness_init(&w, 7, 0);
+	ck_assert(!tlb_witness_heartbeat(&w, &holder, 6, 1, S, &known));
+	ck_assert(tlb_witness_heartbeat(&w, &holder, 7, 1, S, &known));
+	ck_assert(tlb_witness_heartbeat(&w, &next, 7, 2, S, &known));
+	ck_assert(!tlb_witness_heartbeat(&w, &holder, 7, 1, 2 * S, &known));
+	ck_assert_int_eq(known, 2);
+	ck_assert_int_eq(tlb_witness_fence(&w, &holder, 1, 60 * S, &known), TLB_FENCE_SUPERSEDED);
+	tlb_witness_finish(&w);
+}
+END_TEST
+
+/* Guards against a fence without a majority; agreements is a string of witness ids. */
+START_TEST(fence_needs_majority)
+{
+	static const struct {
+		int witnesses;
+		const char *agreements;
+		bool proven;
+	} cases[] = {
+		{0, "abc", false}, {1, "", false},	 {1, "b", false},   {1, "a", true},
+		{3, "a", false},   {3, "aaa", false},	 {3, "ac", true},   {3, "ade", false},
+		{7, "abc", false}, {7, "abcabc", false}, {7, "gfed", true}, {7, "abch", false},
+	};
+	struct tlb_fence f;
+	char id[2] = "";
+	size_t c;
+	const char *p;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		tlb_fence_init(&f, &holder, 1, vm, cases[c].witnesses);
+		for (p = cases[c].agreements; *p; p++) {
+			id[0] = *p;
+			tlb_fence_agree(&f, id);
+		}
+		ck_assert(tlb_fence_proven(&f) == cases[c].proven);
+	}
+}
+END_TEST
+
+/* Guards against an even set, a set in few zones, and a set that changes without a reason. */
+START_TEST(choice_of_witnesses)
+{
+	static const struct {
+		const char *zones; /* one letter a candidate */
+		const char *current;
+		int count;
+		const char *must_include;
+	} cases[] = {
+		{"", "", 0, ""},
+		{"z", "-", 1, "a"},
+		{"zz", "-y", 1, "b"},
+		{"zzz", "---", 3, "abc"},
+		{"zzyy", "----", 3, ""},
+		{"zzzzzzy", "yyyyyyy", 7, "abcdefg"},
+		{"zzzzzzzy", "yyyyyyy-", 7, "h"},
+		{"zzzzzzzz", "-yyyyyyy", 7, "bcdefgh"},
+	};
+	struct tlb_witness_candidate candidate[8];
+	struct tlb_vm_name out[TLB_WITNESS_MAX];
+	bool found;
+	size_t c;
+	int n;
+	int i;
+	const char *p;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		memset(candidate, 0, sizeof(candidate));
+		n = (int)strlen(cases[c].zones);
+		for (i = 0; i < n; i++) {
+			candidate[i].name = vm[i];
+			candidate[i].zone[0] = cases[c].zones[i];
+			candidate[i].current = cases[c].current[i] == 'y';
+		}
+		n = tlb_session_choose("x", candidate, n, out);
+		ck_assert_int_eq(n, cases[c].count);
+		for (p = cases[c].must_include; *p; p++) {
+			found = false;
+			for (i = 0; i < n; i++)
+				found = found || out[i].id[0] == *p;
+			ck_assert(found);
+		}
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("session");
+	TCase *tc = tcase_create("session");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, majority_of_grants);
+	tcase_add_test(tc, grants_that_do_not_count);
+	tcase_add_test(tc, both_sets_count_while_replacing);
+	tcase_add_test(tc, refused_write_keeps_the_old_set);
+	tcase_add_test(tc, witness_answers);
+	tcase_add_test(tc, witness_grants);
+	tcase_add_test(tc, fence_needs_majority);
+	tcase_add_test(tc, choice_of_witnesses);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_session_model.c
@@ -0,0 +1,862 @@
+/*
+ * Random simulation of the session, fence and shard rules: several VMs with clocks of different
+ * rates, pauses, restarts, message loss and delay, partitions, store outages and uncertain writes,
+ * replacement of witnesses and moves of shards. Guards against two VMs that may act for one shard.
+ * Run with a seed as the argument to replay one run.
+ */
+#include <check.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "random.h"
+#include "roster.h"
+
+enum { VMS = 5, MESSAGES = 512, TXNS = 64, SEEDS = 200 };
+
+#define STEP (20 * TLB_MS)
+#define RUN_TIME (90 * TLB_SECOND)
+/* Clock rates differ by up to 5% either way; an act follows its check by up to 300 ms. */
+#define RATE_SPREAD 0.05
+#define ACT_GAP (300 * TLB_MS)
+
+enum kind { HEARTBEAT, ACK, FENCE_ASK, FENCE_YES, FENCE_NOTICE, RELEASE, RELEASE_DONE };
+
+struct message {
+	enum kind kind;
+	tlb_time due;
+	int from;
+	int to;
+	struct tlb_vm_name sender;
+	uint64_t to_incarnation;
+	tlb_time sent; /* on the clock of the one that asked for a grant */
+	int64_t row_version;
+	struct tlb_vm_name vm;
+	tlb_shard_set shards;
+	int64_t map_version;
+};
+
+struct txn {
+	tlb_time apply; /* true time; 0 when the slot is free */
+	int rows;
+	struct tlb_vm_row row[VMS];
+	int64_t check[VMS];
+	bool has_map;
+	struct tlb_shard_map map;
+	int64_t map_check;
+	bool ok;
+	bool decided;
+};
+
+enum write { NO_WRITE, WITNESSES, MOVE };
+
+struct vm {
+	bool joined;
+	double rate;
+	tlb_time offset;
+	tlb_time paused_until;
+	tlb_time down_until;
+	struct tlb_vm_name self;
+	struct tlb_session session;
+	struct tlb_witness witness;
+	struct tlb_roster roster;
+	struct tlb_shard_map map;
+	struct tlb_shard_release release;
+	tlb_shard_set yielding;
+	tlb_time next_heartbeat;
+	tlb_time proposed;
+	tlb_time invalid_since;
+	tlb_time heard[VMS];
+	struct tlb_fence fence[VMS];
+	int txn;	/* in flight, or -1 */
+	tlb_time reply; /* true time of the reply to it */
+	bool reply_lost;
+	bool refused;
+	enum write write;
+	bool sent;
+	bool uncertain;
+	bool read_back;
+	struct tlb_shard_map next;
+	int64_t base_row;
+	int64_t base_map;
+	int releases_open;
+	tlb_time release_deadline;
+	tlb_shard_set acts; /* may still happen until acts_until, in true time */
+	tlb_time acts_until;
+};
+
+/* What is left out of the rules, to show that the model would notice. */
+enum weakness { NOTHING, NO_MARGIN, NO_SILENCE, NO_RELEASE, NO_CONFIRMATION };
+
+struct world {
+	struct tlb_random random;
+	enum weakness weakness;
+	tlb_time now;
+	struct vm vm[VMS];
+	struct message message[MESSAGES];
+	struct txn txn[TXNS];
+	struct tlb_vm_row row[VMS];
+	struct tlb_shard_map map;
+	int64_t version;
+	uint64_t last_incarnation;
+	int side[VMS]; /* of the partition */
+	tlb_time store_down_until;
+	double loss;
+	double haste; /* of fence attempts without a reason, which the rules must withstand */
+	int64_t steps_valid;
+	int violations;
+	int takeovers;
+	int moves;
+	int replacements;
+};
+
+static bool chance(struct world *w, double p)
+{
+	return tlb_random_unit(&w->random) < p;
+}
+
+static tlb_time within(struct world *w, tlb_time max)
+{
+	return (tlb_time)(tlb_random_unit(&w->random) * (double)max);
+}
+
+static tlb_time local(const struct world *w, const struct vm *v)
+{
+	return v->offset + (tlb_time)((double)w->now * v->rate);
+}
+
+static bool running(const struct world *w, const struct vm *v)
+{
+	return w->now >= v->paused_until && w->now >= v->down_until;
+}
+
+static bool valid(const struct world *w, const struct vm *v)
+{
+	return v->joined && tlb_session_valid(&v->session, local(w, v));
+}
+
+static void post(struct world *w, const struct vm *v, int to, struct message m)
+{
+	int i;
+
+	m.from = (int)(v - w->vm);
+	m.to = to;
+	m.sender = v->self;
+	if (w->side[m.from] != w->side[to] || chance(w, w->loss))
+		return;
+	m.due = w->now + within(w, chance(w, 0.05) ? 3 * TLB_SECOND : 200 * TLB_MS) + 1;
+	for (i = 0; i < MESSAGES; i++)
+		if (w->message[i].due == 0) {
+			w->message[i] = m;
+			return;
+		}
+}
+
+static int index_of(const struct tlb_vm_name *name)
+{
+	return name->id[0] - 'a';
+}
+
+static void start(struct world *w, struct vm *v)
+{
+	char id[2] = {(char)('a' + (v - w->vm)), '\0'};
+
+	tlb_witness_finish(&v->witness);
+	tlb_roster_finish(&v->roster);
+	memset(v, 0, sizeof(*v));
+	v->rate = 1 + (tlb_random_unit(&w->random) * 2 - 1) * RATE_SPREAD;
+	v->offset = within(w, 1000 * TLB_SECOND) + TLB_SECOND;
+	v->txn = -1;
+	tlb_vm_name_set(&v->self, id, ++w->last_incarnation);
+	tlb_witness_init(&v->witness, 0, local(w, v));
+}
+
+static struct tlb_fleet fleet(const struct vm *v, struct tlb_shard_vm *live)
+{
+	struct tlb_fleet f = {
+		.live = live, .gone = v->roster.gone, .gone_count = v->roster.gone_count};
+	int i;
+
+	for (i = 0; i < v->roster.count; i++)
+		if (tlb_roster_live(&v->roster, &v->roster.member[i])) {
+			memset(&live[f.live_count], 0, sizeof(*live));
+			live[f.live_count++].name = v->roster.member[i].row.name;
+		}
+	return f;
+}
+
+static void note_acts(struct world *w, struct vm *v)
+{
+	struct tlb_shard_vm live[VMS];
+	struct tlb_fleet f = fleet(v, live);
+	tlb_shard_set acting = tlb_shard_acting(&v->map, &f, &v->self, &v->release) & ~v->yielding;
+
+	if (valid(w, v)) {
+		w->steps_valid++;
+		v->acts = acting;
+		v->acts_until = w->now + ACT_GAP;
+	} else {
+		v->acts &= acting;
+	}
+}
+
+static void check_acts(struct world *w)
+{
+	tlb_shard_set all = 0;
+	int i;
+
+	for (i = 0; i < VMS; i++) {
+		if (!running(w, &w->vm[i]) || w->now >= w->vm[i].acts_until)
+			continue;
+		w->violations += (all & w->vm[i].acts) != 0;
+		all |= w->vm[i].acts;
+	}
+}
+
+/* Store. */
+
+static void apply(struct world *w, struct txn *t)
+{
+	int i;
+
+	t->apply = 0;
+	t->decided = true;
+	t->ok = !t->has_map || t->map_check == w->map.version;
+	for (i = 0; i < t->rows; i++)
+		t->ok = t->ok && t->check[i] == w->row[index_of(&t->row[i].name)].version;
+	if (!t->ok)
+		return;
+	w->version++;
+	for (i = 0; i < t->rows; i++) {
+		w->row[index_of(&t->row[i].name)] = t->row[i];
+		w->row[index_of(&t->row[i].name)].version = w->version;
+	}
+	if (t->has_map) {
+		w->map = t->map;
+		w->map.version = w->version;
+	}
+}
+
+static void submit(struct world *w, struct vm *v, const struct txn *t)
+{
+	int i;
+
+	for (i = 0; i < TXNS && (w->txn[i].apply || w->txn[i].decided); i++)
+		;
+	if (i == TXNS)
+		abort();
+	v->refused = w->now < w->store_down_until || chance(w, 0.1);
+	v->reply_lost = !v->refused && chance(w, 0.2);
+	v->reply = w->now + within(w, 500 * TLB_MS);
+	v->txn = i;
+	w->txn[i] = *t;
+	/* A write without a reply may take effect late, or never. */
+	w->txn[i].apply = v->reply_lost ? w->now + 1 + within(w, 3 * TLB_SECOND) : v->reply;
+	if (v->refused || (v->reply_lost && chance(w, 0.3))) {
+		w->txn[i].apply = 0;
+		w->txn[i].decided = true;
+	}
+}
+
+static void read_all(struct world *w, struct vm *v)
+{
+	bool same = v->map.version == w->map.version;
+	int i;
+
+	if (w->map.version > v->map.version) {
+		v->map = w->map;
+		if (v->write == MOVE && v->map.version > v->base_map)
+			v->yielding = 0;
+	}
+	for (i = 0; i < VMS; i++)
+		if (w->row[i].version) {
+			tlb_witness_row(&v->witness, &w->row[i].name, w->row[i].version);
+			tlb_roster_put(&v->roster, &w->row[i], local(w, v));
+		}
+	if (same)
+		tlb_roster_infer_gone(&v->roster, &v->map);
+	v->witness.rows_read = v->joined;
+}
+
+static void rejoin(struct world *w, struct vm *v)
+{
+	tlb_roster_set_gone(&v->roster, &v->self);
+	tlb_session_fence(&v->session);
+	v->joined = false;
+	v->write = NO_WRITE;
+	v->yielding = 0;
+	v->self.incarnation = ++w->last_incarnation;
+	memset(v->fence, 0, sizeof(v->fence));
+}
+
+static int choose(const struct world *w, const struct vm *v, struct tlb_vm_name *out)
+{
+	struct tlb_witness_candidate c[VMS];
+	int n = 0;
+	int i;
+
+	memset(c, 0, sizeof(c));
+	for (i = 0; i < v->roster.count; i++)
+		if (tlb_roster_live(&v->roster, &v->roster.member[i]) &&
+		    index_of(&v->roster.member[i].row.name) != index_of(&v->self) &&
+		    (!v->joined || local(w, v) - v->heard[index_of(&v->roster.member[i].row.name)] <
+					   3 * TLB_SECOND)) {
+			c[n].name = v->roster.member[i].row.name;
+			c[n].current = tlb_random_unit((struct tlb_random *)&w->random) < 0.5;
+			n++;
+		}
+	return tlb_session_choose(v->self.id, c, n, out);
+}
+
+static const struct tlb_vm_row *own_row(const struct vm *v)
+{
+	const struct tlb_member *m = tlb_roster_find(&v->roster, v->self.id);
+
+	return m ? &m->row : NULL;
+}
+
+static void add_row(struct txn *t, const struct tlb_vm_row *row, int64_t check)
+{
+	t->check[t->rows] = check;
+	t->row[t->rows++] = *row;
+}
+
+static void join(struct world *w, struct vm *v)
+{
+	const struct tlb_vm_row *own = own_row(v);
+	struct tlb_shard_vm live[VMS + 1];
+	struct txn t = {.has_map = true};
+	struct tlb_vm_row row = {.state = TLB_VM_LIVE};
+	struct tlb_fleet f;
+	int i;
+
+	if (own && tlb_vm_name_equal(&own->name, &v->self) && own->state == TLB_VM_LIVE) {
+		v->joined = true;
+		tlb_session_begin(&v->session, own->version, own->witness, own->witness_count);
+		tlb_witness_restart(&v->witness, v->self.incarnation, local(w, v));
+		if (w->weakness == NO_SILENCE)
+			v->witness.silent_until = 0;
+		if (w->weakness == NO_MARGIN)
+			v->witness.fence_after = TLB_SESSION_LEASE;
+		for (i = 0; i < VMS; i++)
+			v->heard[i] = local(w, v);
+		v->invalid_since = local(w, v);
+		return;
+	}
+	if (own)
+		tlb_roster_set_gone(&v->roster, &own->name);
+	f = fleet(v, live);
+	memset(&live[f.live_count], 0, sizeof(live[0]));
+	live[f.live_count++].name = v->self;
+	t.map = v->map;
+	t.map_check = v->map.version;
+	if (v->map.version == 0)
+		tlb_shard_create(&t.map, &v->self);
+	else
+		tlb_shard_apply_gone(&t.map, &f);
+	row.name = v->self;
+	row.witness_count = choose(w, v, row.witness);
+	add_row(&t, &row, own ? own->version : 0);
+	submit(w, v, &t);
+}
+
+/* Returns whether there was anything to write. */
+static bool write_fences(struct world *w, struct vm *v)
+{
+	struct tlb_shard_vm live[VMS];
+	struct tlb_fleet f = fleet(v, live);
+	struct txn t = {.has_map = true};
+	struct tlb_vm_row row;
+	int changed;
+	int i;
+
+	t.map = v->map;
+	t.map_check = v->map.version;
+	changed = tlb_shard_apply_gone(&t.map, &f);
+	for (i = 0; i < v->roster.count; i++) {
+		row = v->roster.member[i].row;
+		if (row.state != TLB_VM_LIVE || !tlb_roster_gone(&v->roster, &row.name))
+			continue;
+		row.state = TLB_VM_FENCED;
+		add_row(&t, &row, row.version);
+	}
+	if (!changed && !t.rows)
+		return false;
+	w->takeovers++;
+	submit(w, v, &t);
+	return true;
+}
+
+static void send_write(struct world *w, struct vm *v)
+{
+	struct txn t = {.has_map = v->write == MOVE};
+	struct tlb_vm_row row = *own_row(v);
+	int i;
+
+	if (v->write == WITNESSES) {
+		row.witness_count = v->session.set[1].count;
+		for (i = 0; i < row.witness_count; i++)
+			row.witness[i] = v->session.set[1].grant[i].witness;
+	}
+	t.map = v->next;
+	t.map_check = v->base_map;
+	add_row(&t, &row, v->base_row);
+	v->sent = true;
+	submit(w, v, &t);
+}
+
+static void open_write(struct vm *v, enum write kind)
+{
+	v->write = kind;
+	v->sent = v->uncertain = v->read_back = false;
+	v->base_row = own_row(v)->version;
+	v->base_map = v->map.version;
+}
+
+/* Gives random shards to random VMs, or names another standby. */
+static void begin_move(struct world *w, struct vm *v)
+{
+	struct tlb_shard_vm live[VMS];
+	struct tlb_fleet f = fleet(v, live);
+	struct message m = {.kind = RELEASE, .map_version = v->map.version};
+	int n = tlb_random_below(&w->random, TLB_SHARD_COUNT);
+	struct tlb_shard_entry *e = &v->next.entry[n];
+	struct tlb_vm_name to;
+
+	v->next = v->map;
+	if (!tlb_vm_name_equal(&e->owner, &v->self) || f.live_count < 2)
+		return;
+	to = live[tlb_random_below(&w->random, f.live_count)].name;
+	if (chance(w, 0.5))
+		e->owner = to;
+	to = live[tlb_random_below(&w->random, f.live_count)].name;
+	if (!tlb_vm_name_equal(&to, &e->owner))
+		e->standby = to;
+	if (tlb_vm_name_equal(&e->standby, &e->owner))
+		memset(&e->standby, 0, sizeof(e->standby));
+	open_write(v, MOVE);
+	v->releases_open = 0;
+	v->release_deadline = local(w, v) + 2 * TLB_SECOND;
+	to = v->map.entry[n].standby;
+	m.shards = tlb_shard_released(&v->map, &v->next, &v->self, &to);
+	if (w->weakness == NO_RELEASE || !to.id[0] || tlb_roster_gone(&v->roster, &to) || !m.shards)
+		return;
+	v->releases_open = 1;
+	m.to_incarnation = to.incarnation;
+	post(w, v, index_of(&to), m);
+}
+
+static void resolve(struct world *w, struct vm *v)
+{
+	bool moved = own_row(v)->version > v->base_row;
+	int i;
+	bool same;
+
+	v->read_back = false;
+	if (v->write == MOVE)
+		moved = moved || v->map.version > v->base_map;
+	if (!moved && v->uncertain) {
+		send_write(w, v);
+		return;
+	}
+	if (v->write == WITNESSES) {
+		same = moved && own_row(v)->witness_count == v->session.set[1].count;
+		for (i = 0; same && i < own_row(v)->witness_count; i++)
+			same = tlb_vm_name_equal(&own_row(v)->witness[i],
+						 &v->session.set[1].grant[i].witness);
+		if (same)
+			tlb_session_write_done(&v->session, own_row(v)->version);
+		else
+			tlb_session_write_undone(&v->session);
+		if (same && w->weakness == NO_CONFIRMATION)
+			tlb_session_begin(&v->session, own_row(v)->version, own_row(v)->witness,
+					  own_row(v)->witness_count);
+		w->replacements += same;
+	}
+	w->moves += v->write == MOVE && moved;
+	v->yielding = 0;
+	v->write = NO_WRITE;
+}
+
+static void take_reply(struct world *w, struct vm *v)
+{
+	struct txn *t = &w->txn[v->txn];
+
+	v->txn = -1;
+	if (v->write == NO_WRITE || !v->sent)
+		return;
+	if (v->refused && !v->uncertain) {
+		if (v->write == WITNESSES)
+			tlb_session_write_undone(&v->session);
+		v->yielding = 0;
+		v->write = NO_WRITE;
+		return;
+	}
+	v->uncertain = v->uncertain || v->reply_lost;
+	v->read_back = true;
+	(void)t;
+}
+
+static void advance_write(struct world *w, struct vm *v)
+{
+	if (v->read_back) {
+		resolve(w, v);
+	} else if (v->write == MOVE && !v->sent && v->map.version > v->base_map) {
+		v->write = NO_WRITE;
+	} else if (v->write == MOVE && !v->sent && v->releases_open) {
+		if (local(w, v) > v->release_deadline)
+			v->write = NO_WRITE;
+	} else if (v->write == MOVE && !v->sent) {
+		v->yielding = 0;
+		for (int i = 0; i < VMS; i++)
+			v->yielding |=
+				tlb_shard_given(&v->map, &v->next, &v->self, &w->row[i].name);
+		note_acts(w, v);
+		send_write(w, v);
+	} else if (v->refused) {
+		send_write(w, v);
+	}
+}
+
+static void step_store(struct world *w, struct vm *v)
+{
+	const struct tlb_vm_row *own;
+
+	if (v->txn >= 0 || w->now < w->store_down_until || !chance(w, 0.1))
+		return;
+	if (!v->joined || v->read_back || chance(w, 0.3))
+		read_all(w, v);
+	own = own_row(v);
+	if (!v->joined) {
+		join(w, v);
+		return;
+	}
+	if (own && (!tlb_vm_name_equal(&own->name, &v->self) || own->state != TLB_VM_LIVE)) {
+		rejoin(w, v);
+		return;
+	}
+	if (v->write != NO_WRITE) {
+		advance_write(w, v);
+		return;
+	}
+	if (write_fences(w, v))
+		return;
+	if (tlb_session_proposal_ready(&v->session, local(w, v))) {
+		open_write(v, WITNESSES);
+		tlb_session_write_begun(&v->session);
+		send_write(w, v);
+	} else if (valid(w, v) && chance(w, 0.2)) {
+		begin_move(w, v);
+	}
+}
+
+/* Witnesses, heartbeats, fences. */
+
+static void heartbeat(struct world *w, struct vm *v)
+{
+	struct message m = {.kind = HEARTBEAT, .sent = local(w, v)};
+	int i;
+	int j;
+
+	m.row_version = v->session.set[v->session.phase == TLB_SESSION_CONFIRMING].row_version;
+	for (i = 0; i < VMS; i++) {
+		m.to_incarnation = 0;
+		for (j = 0; j < 2 * TLB_WITNESS_MAX; j++)
+			if (j % TLB_WITNESS_MAX < v->session.set[j / TLB_WITNESS_MAX].count &&
+			    index_of(&v->session.set[j / TLB_WITNESS_MAX]
+					      .grant[j % TLB_WITNESS_MAX]
+					      .witness) == i)
+				m.to_incarnation = v->session.set[j / TLB_WITNESS_MAX]
+							   .grant[j % TLB_WITNESS_MAX]
+							   .witness.incarnation;
+		if (i != index_of(&v->self))
+			post(w, v, i, m);
+	}
+}
+
+static void announce(struct world *w, struct vm *v, const struct tlb_vm_name *gone)
+{
+	struct message m = {.kind = FENCE_NOTICE, .vm = *gone};
+	int i;
+
+	for (i = 0; i < VMS; i++)
+		post(w, v, i, m);
+}
+
+static void try_fence(struct world *w, struct vm *v, const struct tlb_vm_row *row)
+{
+	struct tlb_fence *f = &v->fence[index_of(&row->name)];
+	struct message m = {.kind = FENCE_ASK, .vm = row->name, .row_version = row->version};
+	int64_t known;
+	int i;
+
+	if (!tlb_vm_name_equal(&f->vm, &row->name) || f->row_version != row->version)
+		tlb_fence_init(f, &row->name, row->version, row->witness, row->witness_count);
+	for (i = 0; i < row->witness_count; i++) {
+		if (index_of(&row->witness[i]) != index_of(&v->self))
+			post(w, v, index_of(&row->witness[i]), m);
+		else if (tlb_witness_fence(&v->witness, &row->name, row->version, local(w, v),
+					   &known) == TLB_FENCE_AGREED)
+			tlb_fence_agree(f, v->self.id);
+	}
+}
+
+static void step_session(struct world *w, struct vm *v)
+{
+	struct tlb_vm_name want[TLB_WITNESS_MAX];
+	tlb_time now = local(w, v);
+	const struct tlb_member *m;
+	int i;
+
+	if (!v->joined)
+		return;
+	if (valid(w, v))
+		v->invalid_since = now;
+	if (now >= v->next_heartbeat) {
+		v->next_heartbeat = now + TLB_HEARTBEAT_INTERVAL;
+		heartbeat(w, v);
+		for (i = 0; i < v->roster.count; i++) {
+			m = &v->roster.member[i];
+			if (tlb_roster_live(&v->roster, m) &&
+			    index_of(&m->row.name) != index_of(&v->self) &&
+			    (now - v->heard[index_of(&m->row.name)] > 5 * TLB_SECOND ||
+			     chance(w, w->haste)))
+				try_fence(w, v, &m->row);
+		}
+	}
+	if (v->session.phase == TLB_SESSION_STEADY && v->write == NO_WRITE && chance(w, 0.01)) {
+		i = choose(w, v, want);
+		if (i > 0)
+			tlb_session_propose(&v->session, want, i);
+		v->proposed = now;
+	}
+	if (v->session.phase == TLB_SESSION_PROPOSED && v->write == NO_WRITE &&
+	    now - v->proposed > 4 * TLB_SECOND)
+		tlb_session_withdraw(&v->session);
+	if (now - v->invalid_since > 8 * TLB_SECOND && w->now >= w->store_down_until &&
+	    chance(w, 0.02))
+		rejoin(w, v);
+}
+
+static void take(struct world *w, const struct message *in)
+{
+	struct vm *v = &w->vm[in->to];
+	struct message out = {.to_incarnation = in->sender.incarnation};
+	int64_t known;
+
+	v->heard[in->from] = local(w, v);
+	switch (in->kind) {
+	case HEARTBEAT:
+		out.kind = ACK;
+		out.sent = in->sent;
+		if (in->to_incarnation &&
+		    tlb_witness_heartbeat(&v->witness, &in->sender, in->to_incarnation,
+					  in->row_version, local(w, v), &out.row_version))
+			post(w, v, in->from, out);
+		break;
+	case ACK:
+		if (in->to_incarnation == v->self.incarnation)
+			tlb_session_grant(&v->session, &in->sender, in->sent, in->row_version);
+		break;
+	case FENCE_ASK:
+		out.kind = FENCE_YES;
+		out.vm = in->vm;
+		out.row_version = in->row_version;
+		if (tlb_witness_fence(&v->witness, &in->vm, in->row_version, local(w, v), &known) ==
+		    TLB_FENCE_AGREED)
+			post(w, v, in->from, out);
+		break;
+	case FENCE_YES:
+		if (tlb_vm_name_equal(&v->fence[index_of(&in->vm)].vm, &in->vm) &&
+		    v->fence[index_of(&in->vm)].row_version == in->row_version)
+			tlb_fence_agree(&v->fence[index_of(&in->vm)], in->sender.id);
+		if (tlb_fence_proven(&v->fence[index_of(&in->vm)]) &&
+		    tlb_roster_set_gone(&v->roster, &v->fence[index_of(&in->vm)].vm))
+			announce(w, v, &v->fence[index_of(&in->vm)].vm);
+		break;
+	case FENCE_NOTICE:
+		if (tlb_vm_name_equal(&in->vm, &v->self) && v->joined)
+			rejoin(w, v);
+		else if (!tlb_vm_name_equal(&in->vm, &v->self))
+			tlb_roster_set_gone(&v->roster, &in->vm);
+		break;
+	case RELEASE:
+		if (in->to_incarnation != v->self.incarnation ||
+		    tlb_roster_gone(&v->roster, &in->sender))
+			break;
+		tlb_shard_release(&v->release, in->shards, in->map_version);
+		out.kind = RELEASE_DONE;
+		out.map_version = in->map_version;
+		post(w, v, in->from, out);
+		break;
+	case RELEASE_DONE:
+		if (in->to_incarnation == v->self.incarnation && v->write == MOVE &&
+		    in->map_version == v->base_map)
+			v->releases_open = 0;
+		break;
+	}
+}
+
+static void disturb(struct world *w)
+{
+	struct vm *v = &w->vm[tlb_random_below(&w->random, VMS)];
+	int i;
+
+	/* Per step of 20 ms: 0.001 is once in 20 s. */
+	if (chance(w, 0.001))
+		v->paused_until = w->now + within(w, 12 * TLB_SECOND);
+	if (chance(w, 0.0012)) {
+		start(w, v);
+		v->down_until = w->now + within(w, chance(w, 0.7) ? TLB_SECOND : 15 * TLB_SECOND);
+	}
+	if (chance(w, 0.001))
+		for (i = 0; i < VMS; i++)
+			w->side[i] = chance(w, 0.3);
+	if (chance(w, 0.002))
+		memset(w->side, 0, sizeof(w->side));
+	if (chance(w, 0.001))
+		w->store_down_until = w->now + within(w, 15 * TLB_SECOND);
+	if (chance(w, 0.01))
+		w->loss = chance(w, 0.8) ? 0.01 : tlb_random_unit(&w->random) * 0.4;
+}
+
+static void step(struct world *w)
+{
+	struct vm *v;
+	int i;
+
+	w->now += STEP;
+	disturb(w);
+	for (i = 0; i < TXNS; i++)
+		if (w->txn[i].apply && w->now >= w->txn[i].apply)
+			apply(w, &w->txn[i]);
+	for (i = 0; i < MESSAGES; i++)
+		if (w->message[i].due && w->now >= w->message[i].due &&
+		    running(w, &w->vm[w->message[i].to])) {
+			take(w, &w->message[i]);
+			w->message[i].due = 0;
+		}
+	for (i = 0; i < VMS; i++) {
+		v = &w->vm[i];
+		if (!running(w, v))
+			continue;
+		if (v->txn >= 0 && w->now >= v->reply)
+			take_reply(w, v);
+		step_session(w, v);
+		step_store(w, v);
+		note_acts(w, v);
+	}
+	/* Slots of writes that are decided and that nobody waits for are free again. */
+	for (i = 0; i < TXNS; i++) {
+		bool waited = false;
+		int j;
+
+		for (j = 0; j < VMS; j++)
+			waited = waited || w->vm[j].txn == i;
+		if (!waited)
+			w->txn[i].decided = false;
+	}
+	check_acts(w);
+}
+
+static struct world *run(uint64_t seed, enum weakness weakness)
+{
+	struct world *w = calloc(1, sizeof(*w));
+	int i;
+
+	if (!w)
+		abort();
+	tlb_random_init(&w->random, seed * UINT64_C(0x9e3779b97f4a7c15));
+	w->weakness = weakness;
+	w->haste = chance(w, 0.5) ? 0.05 : 0;
+	for (i = 0; i < VMS; i++)
+		start(w, &w->vm[i]);
+	while (w->now < RUN_TIME)
+		step(w);
+	for (i = 0; i < VMS; i++) {
+		tlb_witness_finish(&w->vm[i].witness);
+		tlb_roster_finish(&w->vm[i].roster);
+	}
+	return w;
+}
+
+static uint64_t first_seed = 1;
+static int seeds = SEEDS;
+
+START_TEST(no_two_owners)
+{
+	int takeovers = 0;
+	int moves = 0;
+	int replacements = 0;
+	int64_t steps_valid = 0;
+	struct world *w;
+	uint64_t seed;
+
+	for (seed = first_seed; seed < first_seed + seeds; seed++) {
+		w = run(seed, NOTHING);
+		ck_assert_msg(w->violations == 0, "two owners with seed %llu",
+			      (unsigned long long)seed);
+		takeovers += w->takeovers;
+		moves += w->moves;
+		replacements += w->replacements;
+		steps_valid += w->steps_valid;
+		free(w);
+	}
+	printf("model: %d seeds, sessions valid %.0f%% of the time, %d fences written, %d moves, "
+	       "%d witness replacements\n",
+	       seeds, 100.0 * steps_valid / seeds / VMS / ((double)RUN_TIME / STEP), takeovers,
+	       moves, replacements);
+	/* A model in which nothing happens would prove nothing. */
+	ck_assert_int_gt(takeovers, 3 * seeds);
+	ck_assert_int_gt(moves, seeds);
+	ck_assert_int_gt(replacements, seeds);
+}
+END_TEST
+
+/* Each rule left out must show, or the model does not reach what the rule is for. */
+START_TEST(weakened_rules_are_noticed)
+{
+	static const char *const names[] = {"nothing", "fence margin", "start-up silence",
+					    "release by the standby",
+					    "confirmation by the old witnesses"};
+	struct world *w;
+	uint64_t seed;
+	bool found = false;
+
+	for (seed = 1; seed <= 20 * SEEDS && !found; seed++) {
+		w = run(seed, _i);
+		found = w->violations > 0;
+		free(w);
+	}
+	printf("model without %s: two owners %s by seed %llu\n", names[_i],
+	       found ? "found" : "not found", (unsigned long long)seed - 1);
+	ck_assert(found);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	Suite *s = suite_create("session_model");
+	TCase *tc = tcase_create("model");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	if (argc > 1) {
+		first_seed = strtoull(argv[1], NULL, 10);
+		seeds = argc > 2 ? atoi(argv[2]) : 1;
+	}
+	tcase_set_timeout(tc, 600);
+	tcase_add_test(tc, no_two_owners);
+	suite_add_tcase(s, tc);
+	tc = tcase_create("weakened");
+	tcase_set_timeout(tc, 600);
+	tcase_add_loop_test(tc, weakened_rules_are_noticed, NO_MARGIN, NO_CONFIRMATION + 1);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/test_shard.c
@@ -0,0 +1,265 @@
+/* The shard map: takeover, even spreading, leaving, and the rights of standbys. */
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "shard.h"
+
+enum { FLEET_MAX = 8 };
+
+static struct tlb_shard_vm live[FLEET_MAX];
+
+static void setup(void)
+{
+	char id[2] = "a";
+	int i;
+
+	for (i = 0; i < FLEET_MAX; i++, id[0]++) {
+		tlb_vm_name_set(&live[i].name, id, 1);
+		live[i].zone[0] = (char)('0' + i % 4);
+	}
+}
+
+static int owned(const struct tlb_shard_map *m, int vm)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++)
+		n += tlb_vm_name_equal(&m->entry[i].owner, &live[vm].name);
+	return n;
+}
+
+/* Lets every VM plan in turn until none changes anything; fails when that doesn't end. */
+static void rebalance(struct tlb_shard_map *m, const struct tlb_fleet *f)
+{
+	int rounds = 0;
+	int changed = 1;
+	int i;
+
+	while (changed) {
+		ck_assert_int_lt(rounds++, 10);
+		changed = 0;
+		for (i = 0; i < f->live_count; i++)
+			changed += tlb_shard_plan(m, f, &f->live[i].name);
+	}
+}
+
+/* Guards against uneven maps, standbys that are missing or in the owner's zone, and moves that
+ * never settle, for fleets that grow one by one. */
+START_TEST(fleets_grow_evenly)
+{
+	struct tlb_fleet f = {.live = live};
+	struct tlb_shard_map m;
+	int i;
+	int s;
+
+	tlb_shard_create(&m, &live[0].name);
+	for (f.live_count = 1; f.live_count <= FLEET_MAX; f.live_count++) {
+		rebalance(&m, &f);
+		for (i = 0; i < f.live_count; i++) {
+			ck_assert_int_ge(owned(&m, i), TLB_SHARD_COUNT / f.live_count);
+			ck_assert_int_le(owned(&m, i), TLB_SHARD_COUNT / f.live_count + 1);
+		}
+		for (s = 0; s < TLB_SHARD_COUNT && f.live_count > 1; s++) {
+			ck_assert(m.entry[s].standby.id[0]);
+			ck_assert(!tlb_vm_name_equal(&m.entry[s].standby, &m.entry[s].owner));
+		}
+	}
+}
+END_TEST
+
+static void grow(struct tlb_shard_map *m, struct tlb_fleet *f, int count)
+{
+	f->live = live;
+	f->live_count = count;
+	tlb_shard_create(m, &live[0].name);
+	rebalance(m, f);
+}
+
+/* Guards against a fence that moves more than it must, or leaves a shard with a VM that is gone;
+ * gone is how many VMs fail at once, of 8. */
+START_TEST(gone_vms_are_replaced)
+{
+	struct tlb_vm_name gone[FLEET_MAX];
+	struct tlb_shard_map before;
+	struct tlb_shard_map m;
+	struct tlb_fleet f = {0};
+	static const struct {
+		int first;
+		int count;
+	} cases[] = {{0, 1}, {3, 1}, {2, 2}, {0, 4}, {1, 7}};
+	size_t c;
+	int i;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		setup();
+		f.gone_count = 0;
+		grow(&m, &f, FLEET_MAX);
+		before = m;
+		for (i = 0; i < cases[c].count; i++)
+			gone[i] = live[cases[c].first + i].name;
+		memmove(&live[cases[c].first], &live[cases[c].first + cases[c].count],
+			(FLEET_MAX - cases[c].first - cases[c].count) * sizeof(live[0]));
+		f.live_count = FLEET_MAX - cases[c].count;
+		f.gone = gone;
+		f.gone_count = cases[c].count;
+		ck_assert_int_gt(tlb_shard_apply_gone(&m, &f), 0);
+		for (i = 0; i < TLB_SHARD_COUNT; i++) {
+			ck_assert(!tlb_fleet_gone(&f, &m.entry[i].owner));
+			ck_assert(!tlb_fleet_gone(&f, &m.entry[i].standby));
+			/* What a standby may have taken over without the store stays with it. */
+			if (tlb_shard_owner(&before, i, &f))
+				ck_assert(tlb_vm_name_equal(tlb_shard_owner(&before, i, &f),
+							    &m.entry[i].owner));
+		}
+		ck_assert_int_eq(tlb_shard_apply_gone(&m, &f), 0);
+	}
+}
+END_TEST
+
+/* Guards against a takeover by anyone but the standby, and by one that released its right. */
+START_TEST(takeover_on_a_fence_alone)
+{
+	struct tlb_shard_release none = {0};
+	struct tlb_shard_release r = {0};
+	struct tlb_shard_map m;
+	struct tlb_fleet f = {0};
+	tlb_shard_set all = 0;
+	tlb_shard_set set;
+	int i;
+
+	grow(&m, &f, 4);
+	m.version = 5;
+	f.gone = &live[0].name;
+	f.gone_count = 1;
+	for (i = 1; i < 4; i++) {
+		set = tlb_shard_acting(&m, &f, &live[i].name, &none);
+		ck_assert_uint_eq(all & set, 0);
+		all |= set;
+	}
+	ck_assert_uint_eq(all, ~(tlb_shard_set)0);
+
+	set = tlb_shard_acting(&m, &f, &live[1].name, &none);
+	tlb_shard_release(&r, ~(tlb_shard_set)0, 5);
+	ck_assert_int_eq(__builtin_popcountll(tlb_shard_acting(&m, &f, &live[1].name, &r)),
+			 owned(&m, 1));
+	ck_assert_uint_ne(set, tlb_shard_acting(&m, &f, &live[1].name, &r));
+	/* A newer map gives new rights; an outdated release changes nothing. */
+	m.version = 6;
+	tlb_shard_release(&r, ~(tlb_shard_set)0, 4);
+	ck_assert_uint_eq(tlb_shard_acting(&m, &f, &live[1].name, &r), set);
+}
+END_TEST
+
+/* Guards against a write that leaves an outdated standby with its right. Entry 0 is owned by a,
+ * with standby b; owner and standby afterwards as given; c is gone. */
+START_TEST(rights_to_release)
+{
+	static const struct {
+		int owner;
+		int standby;
+		bool release;
+		bool given;
+	} cases[] = {
+		{0, 1, false, false}, {0, 3, true, false}, {1, 0, false, true},
+		{3, 1, true, true},   {3, 0, true, true},
+	};
+	struct tlb_shard_map before;
+	struct tlb_shard_map after;
+	size_t c;
+
+	for (c = 0; c < sizeof(cases) / sizeof(cases[0]); c++) {
+		tlb_shard_create(&before, &live[7].name);
+		before.entry[0].owner = live[0].name;
+		before.entry[0].standby = live[1].name;
+		after = before;
+		after.entry[0].owner = live[cases[c].owner].name;
+		after.entry[0].standby = live[cases[c].standby].name;
+		ck_assert(tlb_shard_released(&before, &after, &live[0].name, &live[1].name) ==
+			  cases[c].release);
+		ck_assert(tlb_shard_given(&before, &after, &live[0].name,
+					  &live[cases[c].owner].name) == cases[c].given);
+	}
+}
+END_TEST
+
+/* Guards against a VM that leaves and still is named, or whose shards go past their standbys. */
+START_TEST(leaving_goes_to_standbys)
+{
+	struct tlb_shard_map before;
+	struct tlb_shard_map m;
+	struct tlb_fleet f = {0};
+	int i;
+
+	grow(&m, &f, 5);
+	before = m;
+	f.live_count = 4;
+	tlb_shard_leave(&m, &f, &live[4].name);
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		ck_assert(!tlb_vm_name_equal(&m.entry[i].owner, &live[4].name));
+		ck_assert(!tlb_vm_name_equal(&m.entry[i].standby, &live[4].name));
+		if (tlb_vm_name_equal(&before.entry[i].owner, &live[4].name))
+			ck_assert(tlb_vm_name_equal(&m.entry[i].owner, &before.entry[i].standby));
+		else
+			ck_assert(tlb_vm_name_equal(&m.entry[i].owner, &before.entry[i].owner));
+	}
+}
+END_TEST
+
+/* Guards against a map that changes on its way through the store, or a malformed one in force. */
+START_TEST(json_form)
+{
+	static const char *const wrong[] = {
+		"{}",
+		"[]",
+		"{\"ticket\":\"1\",\"vms\":[],\"owner\":[],\"standby\":[]}",
+		"{\"ticket\":1,\"vms\":[[\"a\",\"1\"]]}",
+	};
+	struct tlb_shard_map m;
+	struct tlb_shard_map read;
+	struct tlb_fleet f = {0};
+	json_t *value;
+	size_t i;
+
+	grow(&m, &f, FLEET_MAX);
+	m.version = 9;
+	m.ticket = UINT64_C(0xfedcba9876543210);
+	memset(&m.entry[3].standby, 0, sizeof(m.entry[3].standby));
+	value = tlb_shard_map_json(&m);
+	ck_assert(tlb_shard_map_parse(&read, 9, value));
+	ck_assert_mem_eq(&m, &read, sizeof(m));
+	json_array_set_new(json_object_get(value, "owner"), 0, json_integer(99));
+	ck_assert(!tlb_shard_map_parse(&read, 9, value));
+	json_decref(value);
+	for (i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
+		value = json_loads(wrong[i], 0, NULL);
+		ck_assert(!tlb_shard_map_parse(&read, 9, value));
+		json_decref(value);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("shard");
+	TCase *tc = tcase_create("shard");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, fleets_grow_evenly);
+	tcase_add_test(tc, gone_vms_are_replaced);
+	tcase_add_test(tc, takeover_on_a_fence_alone);
+	tcase_add_test(tc, rights_to_release);
+	tcase_add_test(tc, leaving_goes_to_standbys);
+	tcase_add_test(tc, json_form);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
