Refuse changes by an operator withdrawn meanwhile; count changes

A daemon that had not loaded a withdrawal yet took a change of the withdrawn operator when its table service was reachable. The author is now checked against the table that the write is conditional on. /v1/force says null instead of true while the other VMs are not known.

--- a/src/change.c
+++ b/src/change.c
@@ -74,17 +74,6 @@
 	tlb_faults_add(f, row, "", NULL, allowed);
 }
 
-static bool is_granted(const struct tlb_table *t)
-{
-	const struct tlb_operator *o;
-
-	APR_RING_FOREACH (o, &t->operators, tlb_operator, link) {
-		if (!o->withdrawn)
-			return true;
-	}
-	return false;
-}
-
 static void take_row(struct tlb_table *t, const json_t *row, json_t *seen, struct tlb_faults *f)
 {
 	const char *key = json_string_value(json_object_get(row, "key"));
@@ -119,7 +108,7 @@
 	}
 	json_decref(seen);
 	tlb_table_check(t, f);
-	if (is_granted(before) && !is_granted(t))
+	if (tlb_table_has_operator(before) && !tlb_table_has_operator(t))
 		row_fault(f, "operator", "at least one granted operator, who can make changes");
 	return f->fault_count == 0;
 }
@@ -138,6 +127,16 @@
 
 /* --- the end of a change --- */
 
+static void count_result(struct tlb_counters *c, enum tlb_code code)
+{
+	if (code == TLB_OK)
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_CHANGES, 1);
+	else if (code == TLB_CONFLICT)
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_CONFLICTS, 1);
+	else
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_REFUSED, 1);
+}
+
 static void finish(struct tlb_change *x, struct tlb_change_result *r)
 {
 	struct tlb_changes *q = x->queue;
@@ -145,6 +144,7 @@
 	tlb_log_info("change id=%s author=%s base=%lld rows=%zu result=%s version=%lld",
 		     x->change_id, x->author, (long long)x->base_version, json_array_size(x->rows),
 		     tlb_error_name(r->error.code), (long long)r->version);
+	count_result(q->config->counters, r->error.code);
 	r->faults = &x->faults;
 	if (x->on_done)
 		x->on_done(x->arg, r);
@@ -199,6 +199,15 @@
 	finish(x, &r);
 }
 
+static void finish_withdrawn(struct tlb_change *x)
+{
+	struct tlb_change_result r = {.version = 0};
+
+	tlb_error_set(&r.error, TLB_INVALID_KEY, TLB_NOT_RUN, "change", "",
+		      "the credential of operator %s has been withdrawn", x->author);
+	finish(x, &r);
+}
+
 /* --- working on the first change of the queue --- */
 
 static void again_after(struct tlb_change *x, tlb_time wait)
@@ -307,6 +316,13 @@
 {
 	struct tlb_changes *q = x->queue;
 
+	/* The table may be newer than the one that the credential was found in. The write is
+	 * conditional on its version, so that a withdrawn operator changes nothing. */
+	if (tlb_table_has_operator(q->config->table) &&
+	    !tlb_table_is_operator(q->config->table, x->author)) {
+		finish_withdrawn(x);
+		return;
+	}
 	tlb_config_table_free(x->candidate);
 	tlb_faults_finish(&x->faults);
 	tlb_faults_init(&x->faults);
--- a/src/change.h
+++ b/src/change.h
@@ -20,6 +20,7 @@
  *   TLB_OK: version is the new one (or the one that this change id got earlier).
  *   TLB_BAD_REQUEST: faults lists what is wrong.
  *   TLB_CONFLICT: winner is the head row of the change in force (config.h).
+ *   TLB_INVALID_KEY: the author was withdrawn while the change waited.
  *   TLB_STORE_UNAVAILABLE, TLB_OVERLOADED: error.outcome tells whether it can have taken effect. */
 struct tlb_change_result {
 	struct tlb_error error;
--- a/src/counter.h
+++ b/src/counter.h
@@ -24,6 +24,12 @@
 	X(RESUMES, "toucanlb_resumes_total", "counter", "Streams resumed on another endpoint")     \
 	X(TOKENS_OUT, "toucanlb_tokens_out_total", "counter", "Output tokens sent to callers")     \
 	X(CONFIG_VERSION, "toucanlb_config_version", "gauge", "Configuration version in force")    \
+	X(CONFIG_CHANGES, "toucanlb_config_changes_total", "counter",                              \
+	  "Operators' changes accepted by this VM")                                                \
+	X(CONFIG_CONFLICTS, "toucanlb_config_conflicts_total", "counter",                          \
+	  "Operators' changes that lost against another one")                                      \
+	X(CONFIG_REFUSED, "toucanlb_config_refused_total", "counter",                              \
+	  "Operators' changes refused for a fault or for lack of the table service")               \
 	X(SESSION_VALID, "toucanlb_session_valid", "gauge", "1 while the session lease is valid")  \
 	X(SESSION_LOST, "toucanlb_session_lost_total", "counter", "Times the session ran out")     \
 	X(FENCES, "toucanlb_fences_total", "counter", "Incarnations of other VMs known as fenced") \
--- a/src/operator.c
+++ b/src/operator.c
@@ -42,16 +42,17 @@
 	tlb_exchange_refuse(x, &err, 0);
 }
 
-static json_t *error_body(const struct tlb_error *err)
+static json_t *error_body(const struct tlb_exchange *x, const struct tlb_error *err)
 {
-	return json_pack("{s:{s:s, s:s, s:s}}", "error", "code", tlb_error_name(err->code),
-			 "message", err->message, "outcome", tlb_outcome_name(err->outcome));
+	return json_pack("{s:{s:s, s:s, s:s, s:s}}", "error", "code", tlb_error_name(err->code),
+			 "message", err->message, "outcome", tlb_outcome_name(err->outcome),
+			 "request_id", x->id);
 }
 
 static void answer_faults(struct tlb_exchange *x, const struct tlb_error *err,
 			  const struct tlb_faults *f)
 {
-	json_t *body = error_body(err);
+	json_t *body = error_body(x, err);
 
 	json_object_set(body, "faults", f->faults);
 	json_object_set_new(body, "fault_count", json_integer((json_int_t)f->fault_count));
@@ -61,17 +62,6 @@
 
 /* --- who asks --- */
 
-static bool has_granted(const struct tlb_table *t)
-{
-	const struct tlb_operator *o;
-
-	APR_RING_FOREACH (o, &t->operators, tlb_operator, link) {
-		if (!o->withdrawn)
-			return true;
-	}
-	return false;
-}
-
 /* The id of the operator who asks, or NULL. */
 static const char *find_author(const struct tlb_operator_listener *o, const struct tlb_exchange *x)
 {
@@ -85,7 +75,7 @@
 		return row->withdrawn ? NULL : row->id;
 	if (o->settings->has_first_operator &&
 	    sodium_memcmp(o->settings->first_operator, x->key_hash, TLB_KEY_HASH_LEN) == 0 &&
-	    o->config->loaded && !has_granted(t))
+	    o->config->loaded && !tlb_table_has_operator(t))
 		return first_operator_id;
 	return NULL;
 }
@@ -372,7 +362,7 @@
 
 static void answer_conflict(struct tlb_exchange *x, const struct tlb_change_result *r, int64_t base)
 {
-	json_t *body = error_body(&r->error);
+	json_t *body = error_body(x, &r->error);
 	json_t *winner = json_object();
 	static const char *const members[] = {"version", "author", "summary", "change_id",
 					      "wall_ms"};
@@ -575,10 +565,12 @@
 			(json_int_t)o->config->table->version);
 	peers = o->source.peers ? o->source.peers(o->source.arg) : NULL;
 	json_array_extend(vms, peers);
-	json_decref(peers);
+	/* Without the other VMs nobody can tell what is in force there. */
 	answer(x, 200,
-	       json_pack("{s:I, s:b, s:o}", "version", (json_int_t)version, "everywhere",
-			 everywhere(vms, version), "vms", vms));
+	       json_pack("{s:I, s:o, s:o}", "version", (json_int_t)version, "everywhere",
+			 peers ? json_boolean(everywhere(vms, version)) : json_null(), "vms",
+			 vms));
+	json_decref(peers);
 }
 
 /* --- dispatch --- */
--- a/src/operator.h
+++ b/src/operator.h
@@ -10,7 +10,8 @@
  *                                409 {"error","winner","since"}
  *   POST /v1/check               the same body; changes nothing
  *   GET  /v1/status, /v1/requests, /v1/endpoints, /v1/accounts
- *   GET  /v1/force?version=N     {"version","everywhere","vms":[{"vm","version"}]}
+ *   GET  /v1/force?version=N     {"version","everywhere","vms":[{"vm","version"}]}; "everywhere"
+ *                                is null while the other VMs are not known
  *
  * Refusals are {"error":{"code","message","outcome"}}.
  */
--- a/src/table.c
+++ b/src/table.c
@@ -593,3 +593,22 @@
 	o = apr_hash_get(t->operators_by_hash, digest, TLB_INDEX_LEN);
 	return o && sodium_memcmp(o->hash, hash, TLB_KEY_HASH_LEN) == 0 ? o : NULL;
 }
+
+bool tlb_table_has_operator(const struct tlb_table *t)
+{
+	const struct tlb_operator *o;
+
+	APR_RING_FOREACH (o, &t->operators, tlb_operator, link) {
+		if (!o->withdrawn)
+			return true;
+	}
+	return false;
+}
+
+bool tlb_table_is_operator(const struct tlb_table *t, const char *id)
+{
+	const struct tlb_operator *o =
+		apr_hash_get(t->by_id[TLB_ROW_OPERATOR], id, APR_HASH_KEY_STRING);
+
+	return o && !o->withdrawn;
+}
--- a/src/table.h
+++ b/src/table.h
@@ -181,5 +181,8 @@
  * hash itself is compared in constant time. */
 struct tlb_key *tlb_table_key(const struct tlb_table *t, const unsigned char *hash);
 struct tlb_operator *tlb_table_operator(const struct tlb_table *t, const unsigned char *hash);
+/* Whether some operator is granted, and whether the one with this id is. */
+bool tlb_table_has_operator(const struct tlb_table *t);
+bool tlb_table_is_operator(const struct tlb_table *t, const char *id);
 
 #endif
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -339,6 +339,21 @@
 }
 END_TEST
 
+/* Guards against a change by an operator whose withdrawal this daemon has not loaded yet. */
+START_TEST(withdrawn_author)
+{
+	static const char hash[] = "abababababababababababababababababababababababababababababababab";
+	struct outcome o;
+
+	foreign_change(1);
+	put_row("config/operator/bob",
+		json_pack("{s:s, s:s}", "hash", hash, "state", "granted"));
+	o = make_change("c1", 1, account_a1);
+	ck_assert_int_eq(o.code, TLB_INVALID_KEY);
+	ck_assert_int_eq(service.writes, 0);
+}
+END_TEST
+
 START_TEST(store_down)
 {
 	struct outcome o;
@@ -427,6 +442,7 @@
 	tcase_add_test(tc, concurrent_changes);
 	tcase_add_test(tc, lost_answer_is_recognised);
 	tcase_add_test(tc, lost_request_is_repeated);
+	tcase_add_test(tc, withdrawn_author);
 	tcase_add_test(tc, store_down);
 	tcase_add_test(tc, poll_follows_store);
 	tcase_add_test(tc, rows_for_peers);
