--- a/bench/bench.c
+++ b/bench/bench.c
@@ -23,7 +23,7 @@
 
 #define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 10 * TLB_SECOND
 
-#define BOOKING .booked = true, .max_requests = 24, .batch_reserve = 8
+#define BOOKING .booked = true, .max_requests = 24, .batch_reserve = 8, .standby_share = 0.25
 
 /* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
  * queue, no priorities at the engines. The _booked forms are what the daemon does with these
