--- a/src/counter.h
+++ b/src/counter.h
@@ -36,7 +36,13 @@
 	X(PEER_BAD_FRAMES, "toucanlb_peer_bad_frames_total", "counter",                            \
 	  "Links closed for a frame that is too large, malformed or not authentic")                \
 	X(PEER_SILENT, "toucanlb_peer_silent_total", "counter",                                    \
-	  "Links closed because no frame arrived in time")
+	  "Links closed because no frame arrived in time")                                         \
+	X(HTTP_CALLS, "toucanlb_http_calls_total", "counter",                                      \
+	  "Calls to endpoints and the table service that have ended")                              \
+	X(HTTP_CONNECTS, "toucanlb_http_connects_total", "counter",                                \
+	  "Connections opened for these calls")                                                    \
+	X(HTTP_BYTES_IN, "toucanlb_http_bytes_in_total", "counter", "Bytes that these calls read") \
+	X(HTTP_BYTES_OUT, "toucanlb_http_bytes_out_total", "counter", "Bytes that these calls sent")
 
 enum tlb_counter {
 #define X(id, name, type, help) TLB_COUNTER_##id,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -220,6 +220,17 @@
 	return tlb_limit_list(&d->board.limit);
 }
 
+static void refresh_counters(void *arg)
+{
+	struct tlb_daemon *d = arg;
+	const struct tlb_http_totals *t = &d->http.totals;
+
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_CALLS, t->calls);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_CONNECTS, t->connects);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_IN, t->bytes_in);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
+}
+
 static bool show_ready(void *arg, const char **reason)
 {
 	struct tlb_daemon *d = arg;
@@ -401,6 +412,7 @@
 		.endpoints = show_endpoints,
 		.accounts = show_accounts,
 		.ready = show_ready,
+		.refresh_counters = refresh_counters,
 	};
 
 	return tlb_operator_init(&d->operators, &d->loop, &d->config, &d->changes,
--- a/src/http.c
+++ b/src/http.c
@@ -40,6 +40,25 @@
 	return size > 0;
 }
 
+static void add_totals(struct tlb_http_totals *t, CURL *easy)
+{
+	curl_off_t down = 0;
+	curl_off_t up = 0;
+	long header = 0;
+	long request = 0;
+	long connects = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	t->calls++;
+	t->connects += connects;
+	t->bytes_in += down + header;
+	t->bytes_out += up + request;
+}
+
 static void call_finish(struct tlb_http_call *c, CURLcode rc)
 {
 	struct tlb_http_result r;
@@ -53,6 +72,7 @@
 	curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
 	snprintf(type, sizeof(type), "%s", t ? t : "");
 	r.sent = request_was_sent(c->easy);
+	add_totals(&c->http->totals, c->easy);
 	r.timed_out = c->timed_out;
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
--- a/src/http.h
+++ b/src/http.h
@@ -13,10 +13,19 @@
 #include "error.h"
 #include "loop.h"
 
+/* What the calls that have ended cost; bytes of HTTP, headers included. */
+struct tlb_http_totals {
+	int64_t calls;
+	int64_t connects;
+	int64_t bytes_in;
+	int64_t bytes_out;
+};
+
 struct tlb_http {
 	struct tlb_loop *loop;
 	CURLM *multi;
 	struct tlb_timer timer;
+	struct tlb_http_totals totals;
 };
 
 struct tlb_http_call;
