--- a/src/operator.c
+++ b/src/operator.c
@@ -568,8 +568,7 @@
 	/* Without the other VMs nobody can tell what is in force there. */
 	answer(x, 200,
 	       json_pack("{s:I, s:o, s:o}", "version", (json_int_t)version, "everywhere",
-			 peers ? json_boolean(everywhere(vms, version)) : json_null(), "vms",
-			 vms));
+			 peers ? json_boolean(everywhere(vms, version)) : json_null(), "vms", vms));
 	json_decref(peers);
 }
 
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -342,12 +342,12 @@
 /* Guards against a change by an operator whose withdrawal this daemon has not loaded yet. */
 START_TEST(withdrawn_author)
 {
-	static const char hash[] = "abababababababababababababababababababababababababababababababab";
+	static const char hash[] =
+		"abababababababababababababababababababababababababababababababab";
 	struct outcome o;
 
 	foreign_change(1);
-	put_row("config/operator/bob",
-		json_pack("{s:s, s:s}", "hash", hash, "state", "granted"));
+	put_row("config/operator/bob", json_pack("{s:s, s:s}", "hash", hash, "state", "granted"));
 	o = make_change("c1", 1, account_a1);
 	ck_assert_int_eq(o.code, TLB_INVALID_KEY);
 	ck_assert_int_eq(service.writes, 0);
