--- a/src/csv.c
+++ b/src/csv.c
@@ -277,6 +277,15 @@
 	json_decref(fields);
 }
 
+/* Spreadsheets put a byte order mark in front of UTF-8 text. */
+static void skip_mark(struct reader *r)
+{
+	static const char mark[] = "\xef\xbb\xbf";
+
+	if (r->end - r->p >= 3 && memcmp(r->p, mark, 3) == 0)
+		r->p += 3;
+}
+
 json_t *tlb_csv_read(enum tlb_row_kind kind, const char *text, size_t len, FILE *faults)
 {
 	struct reader r = {.kind = kind,
@@ -288,6 +297,7 @@
 			   .rows = json_array()};
 	bool header_good;
 
+	skip_mark(&r);
 	take_header(&r);
 	header_good = r.fault_count == 0;
 	/* Without a usable header every record would be at fault. */
--- a/src/table.c
+++ b/src/table.c
@@ -370,6 +370,12 @@
 	}
 }
 
+/* Paths of model requests, which are never looked up among the routes. */
+static bool is_model_path(const char *path)
+{
+	return strcmp(path, "/v1/completions") == 0 || strcmp(path, "/v1/chat/completions") == 0;
+}
+
 static void check_routes(struct checker *c, apr_pool_t *pool)
 {
 	apr_hash_t *by_path = apr_hash_make(pool);
@@ -385,6 +391,9 @@
 				    other->id);
 		else
 			apr_hash_set(by_path, path, APR_HASH_KEY_STRING, r);
+		if (is_model_path(r->path))
+			cross_fault(c, TLB_ROW_ROUTE, r->id, "path", r->path,
+				    "a path that is not one of model requests");
 		if (!pool_has(c->t, r->pool, TLB_ROLE_SERVICE))
 			warn_pool(c, TLB_ROW_ROUTE, r->id, r->pool, "service");
 	}
