--- a/src/booking.c
+++ b/src/booking.c
@@ -600,7 +600,7 @@
 			continue;
 		if (tlb_shard_in(gained | lost, tlb_shard_of(t->id))) {
 			empty_book(&t->book);
-			tlb_book_init(&t->book, t->total_pieces, 0, 2 * TLB_SECOND);
+			tlb_load_reset_book(t);
 		}
 	}
 	if (!gained)
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -1004,6 +1004,13 @@
 			fn(arg, c->roster.member[i].row.name.id);
 }
 
+int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm)
+{
+	const struct tlb_member *m = tlb_roster_find(&c->roster, vm);
+
+	return m ? m->config_version : 0;
+}
+
 void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
 		      Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
 		      void *arg)
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -144,6 +144,9 @@
 void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm),
 		      void *arg);
 
+/* The configuration version that a VM's last heartbeat named; 0 when none came. */
+int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm);
+
 /* Sends a request. body needs only its oneof set; it is encoded before the function returns.
  * on_reply runs once, at the latest at the deadline. */
 void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -232,6 +232,27 @@
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
 }
 
+struct peer_list {
+	struct tlb_daemon *daemon;
+	json_t *list;
+};
+
+static void add_peer(void *arg, const char *vm)
+{
+	struct peer_list *p = arg;
+	json_int_t version = tlb_cluster_peer_config(&p->daemon->cluster, vm);
+
+	json_array_append_new(p->list, json_pack("{s:s,s:I}", "vm", vm, "version", version));
+}
+
+static json_t *show_peers(void *arg)
+{
+	struct peer_list p = {arg, json_array()};
+
+	tlb_cluster_each(&p.daemon->cluster, add_peer, &p);
+	return p.list;
+}
+
 static bool show_ready(void *arg, const char **reason)
 {
 	struct tlb_daemon *d = arg;
@@ -412,6 +433,7 @@
 		.requests = show_requests,
 		.endpoints = show_endpoints,
 		.accounts = show_accounts,
+		.peers = show_peers,
 		.ready = show_ready,
 		.refresh_counters = refresh_counters,
 	};
@@ -443,7 +465,7 @@
 	tlb_changes_init(&d->changes, &d->config);
 	tlb_timer_init(&d->drain_timer, on_drain, d);
 	init_cluster(d);
-	tlb_spread_init(&d->spread, &d->cluster, &d->config);
+	tlb_spread_init(&d->spread, &d->loop, &d->cluster, &d->config);
 	init_board(d);
 	watch_signals(d);
 	if (tlb_cluster_start(&d->cluster, err) != TLB_OK)
--- a/src/load.c
+++ b/src/load.c
@@ -10,8 +10,21 @@
 /* A report that takes longer is taken as a failed call. */
 #define REPORT_TIMEOUT (1 * TLB_SECOND)
 
+enum { BATCH_RESERVE_SHARE = 7 };
+
+/* How long the engine may hold a request without a booking before it is cancelled: a booking and
+ * the engine's list are never read at the same instant. */
+#define STRAY_GRACE (2 * TLB_SECOND)
+
 static void poll_target(void *arg);
 
+void tlb_load_reset_book(struct tlb_target *t)
+{
+	tlb_book_init(&t->book, t->total_pieces, t->total_pieces / BATCH_RESERVE_SHARE,
+		      STRAY_GRACE);
+	t->book.max_requests = t->max_requests;
+}
+
 void tlb_load_init(struct tlb_load *l, struct tlb_board *b)
 {
 	l->board = b;
@@ -126,13 +139,14 @@
 	strcpy(t->pool, e->pool);
 	strcpy(t->zone, e->zone);
 	strcpy(t->addr, e->addr);
+	t->total_pieces = e->pieces;
+	t->max_requests = e->max_requests;
 	if (fresh) {
 		t->free_pieces = e->pieces;
-		tlb_book_init(&t->book, e->pieces, 0, 2 * TLB_SECOND);
-	} else if (t->total_pieces != e->pieces) {
-		tlb_book_resize(&t->book, e->pieces, 0);
+		tlb_load_reset_book(t);
 	}
-	t->total_pieces = e->pieces;
+	tlb_book_resize(&t->book, e->pieces, e->pieces / BATCH_RESERVE_SHARE);
+	t->book.max_requests = e->max_requests;
 	if (fresh && e->role != TLB_ROLE_SERVICE)
 		tlb_timer_set(t->board->loop, &t->timer, tlb_clock_now());
 }
--- a/src/load.h
+++ b/src/load.h
@@ -32,6 +32,7 @@
 	bool checks_fencing;
 	int link_mbps;
 	int total_pieces;
+	int max_requests;
 
 	/* The last report and what this daemon did since. */
 	tlb_time reported_at;
@@ -56,6 +57,10 @@
 
 APR_RING_HEAD(tlb_target_ring, tlb_target);
 
+/* Readies an empty book for the endpoint: batch work leaves a seventh of the memory free for
+ * interactive requests (docs/POLICY.md). */
+void tlb_load_reset_book(struct tlb_target *t);
+
 /* Owned by the board; owns its targets. */
 struct tlb_load {
 	struct tlb_board *board;
--- a/src/request.c
+++ b/src/request.c
@@ -16,6 +16,8 @@
 #define IMPORT_PER_TOKEN ((tlb_time)200) /* microseconds */
 #define TOKEN_SILENCE (2 * TLB_SECOND)	 /* a decode stream without a byte for this long failed */
 #define CALL_NEVER_LONGER (600 * TLB_SECOND)
+/* Before its deadline by this much a batch request competes as an interactive one. */
+#define BATCH_URGENT (10 * TLB_SECOND)
 #define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
 
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
@@ -297,7 +299,7 @@
 	r->wait.item.expires = min_time(wait_until, caller_deadline(r));
 	if (r->completion.class == TLB_BATCH && r->completion.deadline_ms)
 		r->wait.item.latest_start =
-			caller_deadline(r) - 5 * TLB_SECOND -
+			caller_deadline(r) - BATCH_URGENT -
 			r->max_tokens * r->board->settings->token_gap_target_ms * TLB_MS;
 	tlb_pool_push(&r->board->pools, r->pool, r->account, &r->wait);
 }
--- a/src/row.c
+++ b/src/row.c
@@ -80,6 +80,8 @@
 	{"pieces", COLUMN_INT, MEMBER(tlb_endpoint, pieces), RANGE(1, 1000000), DEFAULT(40)},
 	{"link_mbps", COLUMN_INT, MEMBER(tlb_endpoint, link_mbps), RANGE(1, 10000000),
 	 DEFAULT(10000)},
+	{"max_requests", COLUMN_INT, MEMBER(tlb_endpoint, max_requests), RANGE(1, 100000),
+	 DEFAULT(24)},
 };
 
 static const struct column route_columns[] = {
--- a/src/settings.c
+++ b/src/settings.c
@@ -613,7 +613,7 @@
 		 INTEGER(s->request_timeout_ms, 100, 600000, "10000")},
 		{"limits", "drain_timeout_ms", INTEGER(s->drain_timeout_ms, 0, 3600000, "120000")},
 		{"policy", "interactive_wait_ms",
-		 INTEGER(s->interactive_wait_ms, 0, 600000, "1000")},
+		 INTEGER(s->interactive_wait_ms, 0, 600000, "4000")},
 		{"policy", "batch_wait_ms", INTEGER(s->batch_wait_ms, 0, 3600000, "30000")},
 		{"policy", "ttft_target_ms", INTEGER(s->ttft_target_ms, 1, 600000, "1200")},
 		{"policy", "token_gap_target_ms", INTEGER(s->token_gap_target_ms, 1, 60000, "43")},
--- a/src/settings.h
+++ b/src/settings.h
@@ -50,7 +50,7 @@
 	int request_timeout_ms; /* time to send the whole request, default 10000 */
 	int drain_timeout_ms;	/* longest graceful shutdown, default 120000 */
 	/* policy: */
-	int interactive_wait_ms; /* longest wait for tokens and a place, default 1000 */
+	int interactive_wait_ms; /* longest wait for tokens and a place, default 4000 */
 	int batch_wait_ms;	 /* default 30000 */
 	int ttft_target_ms;	 /* default 1200 */
 	int token_gap_target_ms; /* default 43 */
--- a/src/spread.c
+++ b/src/spread.c
@@ -6,51 +6,87 @@
 #include "log.h"
 
 #define PULL_TIMEOUT (2 * TLB_SECOND)
+#define CHECK_INTERVAL (1 * TLB_SECOND)
 
-/* Rows as messages; the strings borrow from rows and texts. */
+/* Bytes of rows in one message, well below the largest frame. */
+enum { PAGE_BYTES = 256 << 10, BASE_PULL = -1 };
+
+/* Rows as messages; the keys borrow from rows. */
 struct row_messages {
 	json_t *rows;
-	size_t count;
+	size_t count; /* in this page */
+	size_t next;  /* offset of the next page; 0 after the last one */
 	Toucan__ConfigRow *list;
 	Toucan__ConfigRow **pointers;
 };
 
-static void pull(struct tlb_spread *s, const char *vm, int64_t have);
+static void pull(struct tlb_spread *s, const char *vm, int64_t offset);
+
+static void check_peer(void *arg, const char *vm)
+{
+	struct tlb_spread *s = arg;
+
+	tlb_spread_on_version(s, vm, tlb_cluster_peer_config(s->cluster, vm));
+}
 
-void tlb_spread_init(struct tlb_spread *s, struct tlb_cluster *c, struct tlb_config *config)
+/* A pull that failed is tried again although no heartbeat names a new version. */
+static void on_check(void *arg)
+{
+	struct tlb_spread *s = arg;
+
+	tlb_cluster_each(s->cluster, check_peer, s);
+	tlb_timer_set(s->loop, &s->timer, tlb_clock_now() + CHECK_INTERVAL);
+}
+
+void tlb_spread_init(struct tlb_spread *s, struct tlb_loop *l, struct tlb_cluster *c,
+		     struct tlb_config *config)
 {
 	memset(s, 0, sizeof(*s));
+	s->loop = l;
 	s->cluster = c;
 	s->config = config;
+	tlb_timer_init(&s->timer, on_check, s);
+	tlb_timer_set(l, &s->timer, tlb_clock_now() + CHECK_INTERVAL);
 }
 
 void tlb_spread_finish(struct tlb_spread *s)
 {
+	tlb_timer_clear(s->loop, &s->timer);
 	tlb_peer_cancel(&s->call);
+	json_decref(s->pages);
+}
+
+static size_t message_init(Toucan__ConfigRow *m, json_t *row)
+{
+	json_t *value = json_object_get(row, "value");
+
+	toucan__config_row__init(m);
+	m->key = (char *)json_string_value(json_object_get(row, "key"));
+	m->json = json_is_null(value) ? strdup("") : json_dumps(value, JSON_COMPACT);
+	return m->json ? strlen(m->json) + strlen(m->key) : 0;
 }
 
+/* Fills a page of what a peer at version have lacks, from offset on. */
 static bool messages_init(struct row_messages *m, const struct tlb_config *c, int64_t have,
-			  int64_t *base)
+			  size_t offset, int64_t *base)
 {
-	json_t *row;
-	json_t *value;
+	size_t total;
+	size_t bytes = 0;
 	size_t i;
 
 	memset(m, 0, sizeof(*m));
 	m->rows = tlb_config_rows_since(c, have, base);
-	m->count = json_array_size(m->rows);
-	m->list = calloc(m->count + 1, sizeof(*m->list));
-	m->pointers = calloc(m->count + 1, sizeof(Toucan__ConfigRow *));
+	total = json_array_size(m->rows);
+	m->list = calloc(total + 1, sizeof(*m->list));
+	m->pointers = calloc(total + 1, sizeof(Toucan__ConfigRow *));
 	if (!m->list || !m->pointers)
 		return false;
-	json_array_foreach (m->rows, i, row) {
-		value = json_object_get(row, "value");
-		toucan__config_row__init(&m->list[i]);
-		m->list[i].key = (char *)json_string_value(json_object_get(row, "key"));
-		m->list[i].json =
-			json_is_null(value) ? strdup("") : json_dumps(value, JSON_COMPACT);
-		m->pointers[i] = &m->list[i];
+	for (i = offset; i < total && bytes < PAGE_BYTES; i++) {
+		bytes += message_init(&m->list[m->count], json_array_get(m->rows, i));
+		m->pointers[m->count] = &m->list[m->count];
+		m->count++;
 	}
+	m->next = i < total ? i : 0;
 	return true;
 }
 
@@ -65,9 +101,8 @@
 	json_decref(m->rows);
 }
 
-static json_t *rows_from(Toucan__ConfigRow *const *list, size_t n)
+static void add_rows(json_t *rows, Toucan__ConfigRow *const *list, size_t n)
 {
-	json_t *rows = json_array();
 	json_t *value;
 	size_t i;
 
@@ -77,20 +112,17 @@
 		json_array_append_new(rows, json_pack("{s:s,s:o}", "key", list[i]->key, "value",
 						      value ? value : json_null()));
 	}
-	return rows;
 }
 
 static enum tlb_code apply(struct tlb_spread *s, const char *vm, int64_t version, int64_t base,
-			   Toucan__ConfigRow *const *list, size_t n)
+			   const json_t *rows)
 {
-	json_t *rows = rows_from(list, n);
 	struct tlb_error err = {0};
 	enum tlb_code code = tlb_config_apply_rows(s->config, version, base, rows, &err);
 
 	if (code == TLB_BAD_REQUEST)
 		tlb_log_error("event=config_rows_refused peer=%s version=%lld reason=\"%s\"", vm,
 			      (long long)version, err.message);
-	json_decref(rows);
 	return code;
 }
 
@@ -114,10 +146,10 @@
 	struct row_messages rows;
 	int64_t from;
 
-	if (messages_init(&rows, s->config, base, &from)) {
+	if (messages_init(&rows, s->config, base, 0, &from)) {
 		m.version = tlb_config_version(s->config);
-		m.base_version = from;
-		m.n_rows = rows.count;
+		m.base_version = rows.next ? BASE_PULL : from;
+		m.n_rows = rows.next ? 0 : rows.count;
 		m.rows = rows.pointers;
 		e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_PUSH;
 		e.config_push = &m;
@@ -126,15 +158,34 @@
 	messages_finish(&rows);
 }
 
+static void forget_pages(struct tlb_spread *s)
+{
+	json_decref(s->pages);
+	s->pages = NULL;
+	s->pages_version = 0;
+}
+
 static void pull_next(struct tlb_spread *s)
 {
 	char vm[TLB_ID_LEN];
 
+	forget_pages(s);
 	if (!s->next_vm[0] || s->next_version <= tlb_config_version(s->config))
 		return;
 	strcpy(vm, s->next_vm);
 	s->next_vm[0] = '\0';
-	pull(s, vm, tlb_config_version(s->config));
+	pull(s, vm, 0);
+}
+
+/* Adds a page. When the table changed meanwhile the peer begins again with the first page. */
+static void add_page(struct tlb_spread *s, const Toucan__ConfigRows *m)
+{
+	if (s->pages_version != m->version)
+		forget_pages(s);
+	if (!s->pages)
+		s->pages = json_array();
+	s->pages_version = m->version;
+	add_rows(s->pages, m->rows, m->n_rows);
 }
 
 static void on_rows(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
@@ -142,19 +193,28 @@
 	struct tlb_spread *s = arg;
 	const Toucan__ConfigRows *m;
 
-	if (reply && reply->body_case == TOUCAN__ENVELOPE__BODY_CONFIG_ROWS) {
-		m = reply->config_rows;
-		apply(s, reply->source, m->version, m->base_version, m->rows, m->n_rows);
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_CONFIG_ROWS) {
+		pull_next(s);
+		return;
+	}
+	m = reply->config_rows;
+	add_page(s, m);
+	if (m->next_offset > 0) {
+		pull(s, reply->source, m->next_offset);
+		return;
 	}
+	apply(s, reply->source, m->version, m->base_version, s->pages);
 	pull_next(s);
 }
 
-static void pull(struct tlb_spread *s, const char *vm, int64_t have)
+static void pull(struct tlb_spread *s, const char *vm, int64_t offset)
 {
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 	Toucan__ConfigPull m = TOUCAN__CONFIG_PULL__INIT;
 
-	m.have_version = have;
+	m.have_version = tlb_config_version(s->config);
+	m.offset = offset;
+	m.version = s->pages_version;
 	e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_PULL;
 	e.config_pull = &m;
 	tlb_cluster_call(s->cluster, vm, &s->call, &e, tlb_clock_now() + PULL_TIMEOUT, on_rows, s);
@@ -169,13 +229,20 @@
 		s->next_version = version;
 		return;
 	}
-	pull(s, vm, tlb_config_version(s->config));
+	pull(s, vm, 0);
 }
 
 void tlb_spread_on_push(struct tlb_spread *s, const struct tlb_peer_return *from,
 			const Toucan__ConfigPush *m)
 {
-	if (apply(s, from->vm, m->version, m->base_version, m->rows, m->n_rows) == TLB_CONFLICT)
+	json_t *rows = json_array();
+	enum tlb_code code = TLB_CONFLICT;
+
+	add_rows(rows, m->rows, m->n_rows);
+	if (m->base_version != BASE_PULL)
+		code = apply(s, from->vm, m->version, m->base_version, rows);
+	json_decref(rows);
+	if (code == TLB_CONFLICT)
 		tlb_spread_on_version(s, from->vm, m->version);
 }
 
@@ -185,13 +252,17 @@
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 	Toucan__ConfigRows r = TOUCAN__CONFIG_ROWS__INIT;
 	struct row_messages rows;
+	int64_t version = tlb_config_version(s->config);
 	int64_t base;
+	/* The table has changed since the first page: begin again. */
+	int64_t offset = m->version == 0 || m->version == version ? m->offset : 0;
 
-	if (messages_init(&rows, s->config, m->have_version, &base)) {
-		r.version = tlb_config_version(s->config);
+	if (messages_init(&rows, s->config, m->have_version, (size_t)offset, &base)) {
+		r.version = version;
 		r.base_version = base;
 		r.n_rows = rows.count;
 		r.rows = rows.pointers;
+		r.next_offset = (int64_t)rows.next;
 		e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_ROWS;
 		e.config_rows = &r;
 		tlb_cluster_reply(s->cluster, from, &e);
--- a/src/spread.h
+++ b/src/spread.h
@@ -11,14 +11,19 @@
 
 /* Caller-owned. */
 struct tlb_spread {
+	struct tlb_loop *loop;
 	struct tlb_cluster *cluster;
 	struct tlb_config *config;
+	struct tlb_timer timer;
 	struct tlb_peer_call call; /* the pull under way */
-	char next_vm[TLB_ID_LEN];  /* a VM that named a higher version meanwhile */
+	json_t *pages;		   /* rows of the pull under way */
+	int64_t pages_version;
+	char next_vm[TLB_ID_LEN]; /* a VM that named a higher version meanwhile */
 	int64_t next_version;
 };
 
-void tlb_spread_init(struct tlb_spread *s, struct tlb_cluster *c, struct tlb_config *config);
+void tlb_spread_init(struct tlb_spread *s, struct tlb_loop *l, struct tlb_cluster *c,
+		     struct tlb_config *config);
 void tlb_spread_finish(struct tlb_spread *s);
 /* Pushes what came after version base to every peer. */
 void tlb_spread_push(struct tlb_spread *s, int64_t base);
--- a/src/table.h
+++ b/src/table.h
@@ -67,7 +67,8 @@
 enum tlb_endpoint_state { TLB_ENDPOINT_JOINING, TLB_ENDPOINT_ACTIVE, TLB_ENDPOINT_LEAVING };
 
 /* {"role":"prefill"|"decode"|"service","pool":"main","zone":"z1","addr":"127.0.0.1:9001",
- *  "state":"joining"|"active"|"leaving","fencing":true,"pieces":40,"link_mbps":10000};
+ *  "state":"joining"|"active"|"leaving","fencing":true,"pieces":40,"link_mbps":10000,
+ *  "max_requests":24};
  * fencing: whether the endpoint refuses orders with an old fencing number; pieces: decode memory.
  */
 struct tlb_endpoint {
@@ -81,6 +82,7 @@
 	bool checks_fencing;
 	int pieces;
 	int link_mbps;
+	int max_requests;
 };
 
 /* {"path":"/shop/orders","method":"GET","pool":"shop","open":false,"idempotent":true,"cost":10,
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -7,2234 +7,3218 @@
 #endif
 
 #include "wire.pb-c.h"
-void toucan__envelope__init(Toucan__Envelope *message)
+void   toucan__envelope__init
+                     (Toucan__Envelope         *message)
 {
-	static const Toucan__Envelope init_value = TOUCAN__ENVELOPE__INIT;
-	*message = init_value;
+  static const Toucan__Envelope init_value = TOUCAN__ENVELOPE__INIT;
+  *message = init_value;
 }
-size_t toucan__envelope__get_packed_size(const Toucan__Envelope *message)
+size_t toucan__envelope__get_packed_size
+                     (const Toucan__Envelope *message)
 {
-	assert(message->base.descriptor == &toucan__envelope__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__envelope__pack(const Toucan__Envelope *message, uint8_t *out)
+size_t toucan__envelope__pack
+                     (const Toucan__Envelope *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__envelope__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__envelope__pack_to_buffer(const Toucan__Envelope *message, ProtobufCBuffer *buffer)
+size_t toucan__envelope__pack_to_buffer
+                     (const Toucan__Envelope *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__envelope__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Envelope *toucan__envelope__unpack(ProtobufCAllocator *allocator, size_t len,
-					   const uint8_t *data)
+Toucan__Envelope *
+       toucan__envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Envelope *)protobuf_c_message_unpack(&toucan__envelope__descriptor,
-							     allocator, len, data);
+  return (Toucan__Envelope *)
+     protobuf_c_message_unpack (&toucan__envelope__descriptor,
+                                allocator, len, data);
 }
-void toucan__envelope__free_unpacked(Toucan__Envelope *message, ProtobufCAllocator *allocator)
+void   toucan__envelope__free_unpacked
+                     (Toucan__Envelope *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__envelope__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__vm__init(Toucan__Vm *message)
+void   toucan__vm__init
+                     (Toucan__Vm         *message)
 {
-	static const Toucan__Vm init_value = TOUCAN__VM__INIT;
-	*message = init_value;
+  static const Toucan__Vm init_value = TOUCAN__VM__INIT;
+  *message = init_value;
 }
-size_t toucan__vm__get_packed_size(const Toucan__Vm *message)
+size_t toucan__vm__get_packed_size
+                     (const Toucan__Vm *message)
 {
-	assert(message->base.descriptor == &toucan__vm__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__vm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__vm__pack(const Toucan__Vm *message, uint8_t *out)
+size_t toucan__vm__pack
+                     (const Toucan__Vm *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__vm__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__vm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__vm__pack_to_buffer(const Toucan__Vm *message, ProtobufCBuffer *buffer)
+size_t toucan__vm__pack_to_buffer
+                     (const Toucan__Vm *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__vm__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__vm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Vm *toucan__vm__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Toucan__Vm *
+       toucan__vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Vm *)protobuf_c_message_unpack(&toucan__vm__descriptor, allocator, len,
-						       data);
+  return (Toucan__Vm *)
+     protobuf_c_message_unpack (&toucan__vm__descriptor,
+                                allocator, len, data);
 }
-void toucan__vm__free_unpacked(Toucan__Vm *message, ProtobufCAllocator *allocator)
+void   toucan__vm__free_unpacked
+                     (Toucan__Vm *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__vm__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__vm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__hello__init(Toucan__Hello *message)
+void   toucan__hello__init
+                     (Toucan__Hello         *message)
 {
-	static const Toucan__Hello init_value = TOUCAN__HELLO__INIT;
-	*message = init_value;
+  static const Toucan__Hello init_value = TOUCAN__HELLO__INIT;
+  *message = init_value;
 }
-size_t toucan__hello__get_packed_size(const Toucan__Hello *message)
+size_t toucan__hello__get_packed_size
+                     (const Toucan__Hello *message)
 {
-	assert(message->base.descriptor == &toucan__hello__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__hello__pack(const Toucan__Hello *message, uint8_t *out)
+size_t toucan__hello__pack
+                     (const Toucan__Hello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__hello__pack_to_buffer(const Toucan__Hello *message, ProtobufCBuffer *buffer)
+size_t toucan__hello__pack_to_buffer
+                     (const Toucan__Hello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__hello__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Hello *toucan__hello__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Toucan__Hello *
+       toucan__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Hello *)protobuf_c_message_unpack(&toucan__hello__descriptor, allocator,
-							  len, data);
+  return (Toucan__Hello *)
+     protobuf_c_message_unpack (&toucan__hello__descriptor,
+                                allocator, len, data);
 }
-void toucan__hello__free_unpacked(Toucan__Hello *message, ProtobufCAllocator *allocator)
+void   toucan__hello__free_unpacked
+                     (Toucan__Hello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__heartbeat__init(Toucan__Heartbeat *message)
+void   toucan__heartbeat__init
+                     (Toucan__Heartbeat         *message)
 {
-	static const Toucan__Heartbeat init_value = TOUCAN__HEARTBEAT__INIT;
-	*message = init_value;
+  static const Toucan__Heartbeat init_value = TOUCAN__HEARTBEAT__INIT;
+  *message = init_value;
 }
-size_t toucan__heartbeat__get_packed_size(const Toucan__Heartbeat *message)
+size_t toucan__heartbeat__get_packed_size
+                     (const Toucan__Heartbeat *message)
 {
-	assert(message->base.descriptor == &toucan__heartbeat__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__heartbeat__pack(const Toucan__Heartbeat *message, uint8_t *out)
+size_t toucan__heartbeat__pack
+                     (const Toucan__Heartbeat *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__heartbeat__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__heartbeat__pack_to_buffer(const Toucan__Heartbeat *message, ProtobufCBuffer *buffer)
+size_t toucan__heartbeat__pack_to_buffer
+                     (const Toucan__Heartbeat *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__heartbeat__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Heartbeat *toucan__heartbeat__unpack(ProtobufCAllocator *allocator, size_t len,
-					     const uint8_t *data)
+Toucan__Heartbeat *
+       toucan__heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Heartbeat *)protobuf_c_message_unpack(&toucan__heartbeat__descriptor,
-							      allocator, len, data);
+  return (Toucan__Heartbeat *)
+     protobuf_c_message_unpack (&toucan__heartbeat__descriptor,
+                                allocator, len, data);
 }
-void toucan__heartbeat__free_unpacked(Toucan__Heartbeat *message, ProtobufCAllocator *allocator)
+void   toucan__heartbeat__free_unpacked
+                     (Toucan__Heartbeat *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__heartbeat__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__heartbeat_ack__init(Toucan__HeartbeatAck *message)
+void   toucan__heartbeat_ack__init
+                     (Toucan__HeartbeatAck         *message)
 {
-	static const Toucan__HeartbeatAck init_value = TOUCAN__HEARTBEAT_ACK__INIT;
-	*message = init_value;
+  static const Toucan__HeartbeatAck init_value = TOUCAN__HEARTBEAT_ACK__INIT;
+  *message = init_value;
 }
-size_t toucan__heartbeat_ack__get_packed_size(const Toucan__HeartbeatAck *message)
+size_t toucan__heartbeat_ack__get_packed_size
+                     (const Toucan__HeartbeatAck *message)
 {
-	assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__heartbeat_ack__pack(const Toucan__HeartbeatAck *message, uint8_t *out)
+size_t toucan__heartbeat_ack__pack
+                     (const Toucan__HeartbeatAck *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__heartbeat_ack__pack_to_buffer(const Toucan__HeartbeatAck *message,
-					     ProtobufCBuffer *buffer)
+size_t toucan__heartbeat_ack__pack_to_buffer
+                     (const Toucan__HeartbeatAck *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__HeartbeatAck *toucan__heartbeat_ack__unpack(ProtobufCAllocator *allocator, size_t len,
-						    const uint8_t *data)
+Toucan__HeartbeatAck *
+       toucan__heartbeat_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__HeartbeatAck *)protobuf_c_message_unpack(&toucan__heartbeat_ack__descriptor,
-								 allocator, len, data);
+  return (Toucan__HeartbeatAck *)
+     protobuf_c_message_unpack (&toucan__heartbeat_ack__descriptor,
+                                allocator, len, data);
 }
-void toucan__heartbeat_ack__free_unpacked(Toucan__HeartbeatAck *message,
-					  ProtobufCAllocator *allocator)
+void   toucan__heartbeat_ack__free_unpacked
+                     (Toucan__HeartbeatAck *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__heartbeat_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__fence_request__init(Toucan__FenceRequest *message)
+void   toucan__fence_request__init
+                     (Toucan__FenceRequest         *message)
 {
-	static const Toucan__FenceRequest init_value = TOUCAN__FENCE_REQUEST__INIT;
-	*message = init_value;
+  static const Toucan__FenceRequest init_value = TOUCAN__FENCE_REQUEST__INIT;
+  *message = init_value;
 }
-size_t toucan__fence_request__get_packed_size(const Toucan__FenceRequest *message)
+size_t toucan__fence_request__get_packed_size
+                     (const Toucan__FenceRequest *message)
 {
-	assert(message->base.descriptor == &toucan__fence_request__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__fence_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__fence_request__pack(const Toucan__FenceRequest *message, uint8_t *out)
+size_t toucan__fence_request__pack
+                     (const Toucan__FenceRequest *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__fence_request__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__fence_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__fence_request__pack_to_buffer(const Toucan__FenceRequest *message,
-					     ProtobufCBuffer *buffer)
+size_t toucan__fence_request__pack_to_buffer
+                     (const Toucan__FenceRequest *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__fence_request__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__fence_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__FenceRequest *toucan__fence_request__unpack(ProtobufCAllocator *allocator, size_t len,
-						    const uint8_t *data)
+Toucan__FenceRequest *
+       toucan__fence_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__FenceRequest *)protobuf_c_message_unpack(&toucan__fence_request__descriptor,
-								 allocator, len, data);
+  return (Toucan__FenceRequest *)
+     protobuf_c_message_unpack (&toucan__fence_request__descriptor,
+                                allocator, len, data);
 }
-void toucan__fence_request__free_unpacked(Toucan__FenceRequest *message,
-					  ProtobufCAllocator *allocator)
+void   toucan__fence_request__free_unpacked
+                     (Toucan__FenceRequest *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__fence_request__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__fence_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__fence_reply__init(Toucan__FenceReply *message)
+void   toucan__fence_reply__init
+                     (Toucan__FenceReply         *message)
 {
-	static const Toucan__FenceReply init_value = TOUCAN__FENCE_REPLY__INIT;
-	*message = init_value;
+  static const Toucan__FenceReply init_value = TOUCAN__FENCE_REPLY__INIT;
+  *message = init_value;
 }
-size_t toucan__fence_reply__get_packed_size(const Toucan__FenceReply *message)
+size_t toucan__fence_reply__get_packed_size
+                     (const Toucan__FenceReply *message)
 {
-	assert(message->base.descriptor == &toucan__fence_reply__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__fence_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__fence_reply__pack(const Toucan__FenceReply *message, uint8_t *out)
+size_t toucan__fence_reply__pack
+                     (const Toucan__FenceReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__fence_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__fence_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__fence_reply__pack_to_buffer(const Toucan__FenceReply *message,
-					   ProtobufCBuffer *buffer)
+size_t toucan__fence_reply__pack_to_buffer
+                     (const Toucan__FenceReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__fence_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__fence_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__FenceReply *toucan__fence_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
+Toucan__FenceReply *
+       toucan__fence_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__FenceReply *)protobuf_c_message_unpack(&toucan__fence_reply__descriptor,
-							       allocator, len, data);
+  return (Toucan__FenceReply *)
+     protobuf_c_message_unpack (&toucan__fence_reply__descriptor,
+                                allocator, len, data);
 }
-void toucan__fence_reply__free_unpacked(Toucan__FenceReply *message, ProtobufCAllocator *allocator)
+void   toucan__fence_reply__free_unpacked
+                     (Toucan__FenceReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__fence_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__fence_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__fence_notice__init(Toucan__FenceNotice *message)
+void   toucan__fence_notice__init
+                     (Toucan__FenceNotice         *message)
 {
-	static const Toucan__FenceNotice init_value = TOUCAN__FENCE_NOTICE__INIT;
-	*message = init_value;
+  static const Toucan__FenceNotice init_value = TOUCAN__FENCE_NOTICE__INIT;
+  *message = init_value;
 }
-size_t toucan__fence_notice__get_packed_size(const Toucan__FenceNotice *message)
+size_t toucan__fence_notice__get_packed_size
+                     (const Toucan__FenceNotice *message)
 {
-	assert(message->base.descriptor == &toucan__fence_notice__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__fence_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__fence_notice__pack(const Toucan__FenceNotice *message, uint8_t *out)
+size_t toucan__fence_notice__pack
+                     (const Toucan__FenceNotice *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__fence_notice__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__fence_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__fence_notice__pack_to_buffer(const Toucan__FenceNotice *message,
-					    ProtobufCBuffer *buffer)
+size_t toucan__fence_notice__pack_to_buffer
+                     (const Toucan__FenceNotice *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__fence_notice__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__fence_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__FenceNotice *toucan__fence_notice__unpack(ProtobufCAllocator *allocator, size_t len,
-						  const uint8_t *data)
+Toucan__FenceNotice *
+       toucan__fence_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__FenceNotice *)protobuf_c_message_unpack(&toucan__fence_notice__descriptor,
-								allocator, len, data);
+  return (Toucan__FenceNotice *)
+     protobuf_c_message_unpack (&toucan__fence_notice__descriptor,
+                                allocator, len, data);
 }
-void toucan__fence_notice__free_unpacked(Toucan__FenceNotice *message,
-					 ProtobufCAllocator *allocator)
+void   toucan__fence_notice__free_unpacked
+                     (Toucan__FenceNotice *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__fence_notice__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__fence_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__standby_release__init(Toucan__StandbyRelease *message)
+void   toucan__standby_release__init
+                     (Toucan__StandbyRelease         *message)
 {
-	static const Toucan__StandbyRelease init_value = TOUCAN__STANDBY_RELEASE__INIT;
-	*message = init_value;
+  static const Toucan__StandbyRelease init_value = TOUCAN__STANDBY_RELEASE__INIT;
+  *message = init_value;
 }
-size_t toucan__standby_release__get_packed_size(const Toucan__StandbyRelease *message)
+size_t toucan__standby_release__get_packed_size
+                     (const Toucan__StandbyRelease *message)
 {
-	assert(message->base.descriptor == &toucan__standby_release__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__standby_release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__standby_release__pack(const Toucan__StandbyRelease *message, uint8_t *out)
+size_t toucan__standby_release__pack
+                     (const Toucan__StandbyRelease *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__standby_release__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__standby_release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__standby_release__pack_to_buffer(const Toucan__StandbyRelease *message,
-					       ProtobufCBuffer *buffer)
+size_t toucan__standby_release__pack_to_buffer
+                     (const Toucan__StandbyRelease *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__standby_release__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__standby_release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__StandbyRelease *toucan__standby_release__unpack(ProtobufCAllocator *allocator, size_t len,
-							const uint8_t *data)
+Toucan__StandbyRelease *
+       toucan__standby_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__StandbyRelease *)protobuf_c_message_unpack(
-		&toucan__standby_release__descriptor, allocator, len, data);
+  return (Toucan__StandbyRelease *)
+     protobuf_c_message_unpack (&toucan__standby_release__descriptor,
+                                allocator, len, data);
 }
-void toucan__standby_release__free_unpacked(Toucan__StandbyRelease *message,
-					    ProtobufCAllocator *allocator)
+void   toucan__standby_release__free_unpacked
+                     (Toucan__StandbyRelease *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__standby_release__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__standby_release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__done__init(Toucan__Done *message)
+void   toucan__done__init
+                     (Toucan__Done         *message)
 {
-	static const Toucan__Done init_value = TOUCAN__DONE__INIT;
-	*message = init_value;
+  static const Toucan__Done init_value = TOUCAN__DONE__INIT;
+  *message = init_value;
 }
-size_t toucan__done__get_packed_size(const Toucan__Done *message)
+size_t toucan__done__get_packed_size
+                     (const Toucan__Done *message)
 {
-	assert(message->base.descriptor == &toucan__done__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__done__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__done__pack(const Toucan__Done *message, uint8_t *out)
+size_t toucan__done__pack
+                     (const Toucan__Done *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__done__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__done__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__done__pack_to_buffer(const Toucan__Done *message, ProtobufCBuffer *buffer)
+size_t toucan__done__pack_to_buffer
+                     (const Toucan__Done *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__done__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__done__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Done *toucan__done__unpack(ProtobufCAllocator *allocator, size_t len, const uint8_t *data)
+Toucan__Done *
+       toucan__done__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Done *)protobuf_c_message_unpack(&toucan__done__descriptor, allocator, len,
-							 data);
+  return (Toucan__Done *)
+     protobuf_c_message_unpack (&toucan__done__descriptor,
+                                allocator, len, data);
 }
-void toucan__done__free_unpacked(Toucan__Done *message, ProtobufCAllocator *allocator)
+void   toucan__done__free_unpacked
+                     (Toucan__Done *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__done__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__done__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__shards_notice__init(Toucan__ShardsNotice *message)
+void   toucan__shards_notice__init
+                     (Toucan__ShardsNotice         *message)
 {
-	static const Toucan__ShardsNotice init_value = TOUCAN__SHARDS_NOTICE__INIT;
-	*message = init_value;
+  static const Toucan__ShardsNotice init_value = TOUCAN__SHARDS_NOTICE__INIT;
+  *message = init_value;
 }
-size_t toucan__shards_notice__get_packed_size(const Toucan__ShardsNotice *message)
+size_t toucan__shards_notice__get_packed_size
+                     (const Toucan__ShardsNotice *message)
 {
-	assert(message->base.descriptor == &toucan__shards_notice__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__shards_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__shards_notice__pack(const Toucan__ShardsNotice *message, uint8_t *out)
+size_t toucan__shards_notice__pack
+                     (const Toucan__ShardsNotice *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__shards_notice__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__shards_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__shards_notice__pack_to_buffer(const Toucan__ShardsNotice *message,
-					     ProtobufCBuffer *buffer)
+size_t toucan__shards_notice__pack_to_buffer
+                     (const Toucan__ShardsNotice *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__shards_notice__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__shards_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ShardsNotice *toucan__shards_notice__unpack(ProtobufCAllocator *allocator, size_t len,
-						    const uint8_t *data)
+Toucan__ShardsNotice *
+       toucan__shards_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ShardsNotice *)protobuf_c_message_unpack(&toucan__shards_notice__descriptor,
-								 allocator, len, data);
+  return (Toucan__ShardsNotice *)
+     protobuf_c_message_unpack (&toucan__shards_notice__descriptor,
+                                allocator, len, data);
 }
-void toucan__shards_notice__free_unpacked(Toucan__ShardsNotice *message,
-					  ProtobufCAllocator *allocator)
+void   toucan__shards_notice__free_unpacked
+                     (Toucan__ShardsNotice *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__shards_notice__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__shards_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__reserve_tokens__init(Toucan__ReserveTokens *message)
+void   toucan__reserve_tokens__init
+                     (Toucan__ReserveTokens         *message)
 {
-	static const Toucan__ReserveTokens init_value = TOUCAN__RESERVE_TOKENS__INIT;
-	*message = init_value;
+  static const Toucan__ReserveTokens init_value = TOUCAN__RESERVE_TOKENS__INIT;
+  *message = init_value;
 }
-size_t toucan__reserve_tokens__get_packed_size(const Toucan__ReserveTokens *message)
+size_t toucan__reserve_tokens__get_packed_size
+                     (const Toucan__ReserveTokens *message)
 {
-	assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__reserve_tokens__pack(const Toucan__ReserveTokens *message, uint8_t *out)
+size_t toucan__reserve_tokens__pack
+                     (const Toucan__ReserveTokens *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__reserve_tokens__pack_to_buffer(const Toucan__ReserveTokens *message,
-					      ProtobufCBuffer *buffer)
+size_t toucan__reserve_tokens__pack_to_buffer
+                     (const Toucan__ReserveTokens *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ReserveTokens *toucan__reserve_tokens__unpack(ProtobufCAllocator *allocator, size_t len,
-						      const uint8_t *data)
+Toucan__ReserveTokens *
+       toucan__reserve_tokens__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ReserveTokens *)protobuf_c_message_unpack(
-		&toucan__reserve_tokens__descriptor, allocator, len, data);
+  return (Toucan__ReserveTokens *)
+     protobuf_c_message_unpack (&toucan__reserve_tokens__descriptor,
+                                allocator, len, data);
 }
-void toucan__reserve_tokens__free_unpacked(Toucan__ReserveTokens *message,
-					   ProtobufCAllocator *allocator)
+void   toucan__reserve_tokens__free_unpacked
+                     (Toucan__ReserveTokens *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__reserve_tokens__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__tokens_reply__init(Toucan__TokensReply *message)
+void   toucan__tokens_reply__init
+                     (Toucan__TokensReply         *message)
 {
-	static const Toucan__TokensReply init_value = TOUCAN__TOKENS_REPLY__INIT;
-	*message = init_value;
+  static const Toucan__TokensReply init_value = TOUCAN__TOKENS_REPLY__INIT;
+  *message = init_value;
 }
-size_t toucan__tokens_reply__get_packed_size(const Toucan__TokensReply *message)
+size_t toucan__tokens_reply__get_packed_size
+                     (const Toucan__TokensReply *message)
 {
-	assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__tokens_reply__pack(const Toucan__TokensReply *message, uint8_t *out)
+size_t toucan__tokens_reply__pack
+                     (const Toucan__TokensReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__tokens_reply__pack_to_buffer(const Toucan__TokensReply *message,
-					    ProtobufCBuffer *buffer)
+size_t toucan__tokens_reply__pack_to_buffer
+                     (const Toucan__TokensReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__TokensReply *toucan__tokens_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-						  const uint8_t *data)
+Toucan__TokensReply *
+       toucan__tokens_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__TokensReply *)protobuf_c_message_unpack(&toucan__tokens_reply__descriptor,
-								allocator, len, data);
+  return (Toucan__TokensReply *)
+     protobuf_c_message_unpack (&toucan__tokens_reply__descriptor,
+                                allocator, len, data);
 }
-void toucan__tokens_reply__free_unpacked(Toucan__TokensReply *message,
-					 ProtobufCAllocator *allocator)
+void   toucan__tokens_reply__free_unpacked
+                     (Toucan__TokensReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__tokens_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__return_tokens__init(Toucan__ReturnTokens *message)
+void   toucan__return_tokens__init
+                     (Toucan__ReturnTokens         *message)
 {
-	static const Toucan__ReturnTokens init_value = TOUCAN__RETURN_TOKENS__INIT;
-	*message = init_value;
+  static const Toucan__ReturnTokens init_value = TOUCAN__RETURN_TOKENS__INIT;
+  *message = init_value;
 }
-size_t toucan__return_tokens__get_packed_size(const Toucan__ReturnTokens *message)
+size_t toucan__return_tokens__get_packed_size
+                     (const Toucan__ReturnTokens *message)
 {
-	assert(message->base.descriptor == &toucan__return_tokens__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__return_tokens__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__return_tokens__pack(const Toucan__ReturnTokens *message, uint8_t *out)
+size_t toucan__return_tokens__pack
+                     (const Toucan__ReturnTokens *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__return_tokens__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__return_tokens__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__return_tokens__pack_to_buffer(const Toucan__ReturnTokens *message,
-					     ProtobufCBuffer *buffer)
+size_t toucan__return_tokens__pack_to_buffer
+                     (const Toucan__ReturnTokens *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__return_tokens__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__return_tokens__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ReturnTokens *toucan__return_tokens__unpack(ProtobufCAllocator *allocator, size_t len,
-						    const uint8_t *data)
+Toucan__ReturnTokens *
+       toucan__return_tokens__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ReturnTokens *)protobuf_c_message_unpack(&toucan__return_tokens__descriptor,
-								 allocator, len, data);
+  return (Toucan__ReturnTokens *)
+     protobuf_c_message_unpack (&toucan__return_tokens__descriptor,
+                                allocator, len, data);
 }
-void toucan__return_tokens__free_unpacked(Toucan__ReturnTokens *message,
-					  ProtobufCAllocator *allocator)
+void   toucan__return_tokens__free_unpacked
+                     (Toucan__ReturnTokens *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__return_tokens__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__return_tokens__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__book_decode__init(Toucan__BookDecode *message)
+void   toucan__book_decode__init
+                     (Toucan__BookDecode         *message)
 {
-	static const Toucan__BookDecode init_value = TOUCAN__BOOK_DECODE__INIT;
-	*message = init_value;
+  static const Toucan__BookDecode init_value = TOUCAN__BOOK_DECODE__INIT;
+  *message = init_value;
 }
-size_t toucan__book_decode__get_packed_size(const Toucan__BookDecode *message)
+size_t toucan__book_decode__get_packed_size
+                     (const Toucan__BookDecode *message)
 {
-	assert(message->base.descriptor == &toucan__book_decode__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__book_decode__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__book_decode__pack(const Toucan__BookDecode *message, uint8_t *out)
+size_t toucan__book_decode__pack
+                     (const Toucan__BookDecode *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__book_decode__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__book_decode__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__book_decode__pack_to_buffer(const Toucan__BookDecode *message,
-					   ProtobufCBuffer *buffer)
+size_t toucan__book_decode__pack_to_buffer
+                     (const Toucan__BookDecode *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__book_decode__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__book_decode__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__BookDecode *toucan__book_decode__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
+Toucan__BookDecode *
+       toucan__book_decode__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__BookDecode *)protobuf_c_message_unpack(&toucan__book_decode__descriptor,
-							       allocator, len, data);
+  return (Toucan__BookDecode *)
+     protobuf_c_message_unpack (&toucan__book_decode__descriptor,
+                                allocator, len, data);
 }
-void toucan__book_decode__free_unpacked(Toucan__BookDecode *message, ProtobufCAllocator *allocator)
+void   toucan__book_decode__free_unpacked
+                     (Toucan__BookDecode *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__book_decode__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__book_decode__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__book_reply__init(Toucan__BookReply *message)
+void   toucan__book_reply__init
+                     (Toucan__BookReply         *message)
 {
-	static const Toucan__BookReply init_value = TOUCAN__BOOK_REPLY__INIT;
-	*message = init_value;
+  static const Toucan__BookReply init_value = TOUCAN__BOOK_REPLY__INIT;
+  *message = init_value;
 }
-size_t toucan__book_reply__get_packed_size(const Toucan__BookReply *message)
+size_t toucan__book_reply__get_packed_size
+                     (const Toucan__BookReply *message)
 {
-	assert(message->base.descriptor == &toucan__book_reply__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__book_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__book_reply__pack(const Toucan__BookReply *message, uint8_t *out)
+size_t toucan__book_reply__pack
+                     (const Toucan__BookReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__book_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__book_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__book_reply__pack_to_buffer(const Toucan__BookReply *message, ProtobufCBuffer *buffer)
+size_t toucan__book_reply__pack_to_buffer
+                     (const Toucan__BookReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__book_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__book_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__BookReply *toucan__book_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-					      const uint8_t *data)
+Toucan__BookReply *
+       toucan__book_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__BookReply *)protobuf_c_message_unpack(&toucan__book_reply__descriptor,
-							      allocator, len, data);
+  return (Toucan__BookReply *)
+     protobuf_c_message_unpack (&toucan__book_reply__descriptor,
+                                allocator, len, data);
 }
-void toucan__book_reply__free_unpacked(Toucan__BookReply *message, ProtobufCAllocator *allocator)
+void   toucan__book_reply__free_unpacked
+                     (Toucan__BookReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__book_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__book_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__renew_bookings__init(Toucan__RenewBookings *message)
+void   toucan__renew_bookings__init
+                     (Toucan__RenewBookings         *message)
 {
-	static const Toucan__RenewBookings init_value = TOUCAN__RENEW_BOOKINGS__INIT;
-	*message = init_value;
+  static const Toucan__RenewBookings init_value = TOUCAN__RENEW_BOOKINGS__INIT;
+  *message = init_value;
 }
-size_t toucan__renew_bookings__get_packed_size(const Toucan__RenewBookings *message)
+size_t toucan__renew_bookings__get_packed_size
+                     (const Toucan__RenewBookings *message)
 {
-	assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__renew_bookings__pack(const Toucan__RenewBookings *message, uint8_t *out)
+size_t toucan__renew_bookings__pack
+                     (const Toucan__RenewBookings *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__renew_bookings__pack_to_buffer(const Toucan__RenewBookings *message,
-					      ProtobufCBuffer *buffer)
+size_t toucan__renew_bookings__pack_to_buffer
+                     (const Toucan__RenewBookings *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__RenewBookings *toucan__renew_bookings__unpack(ProtobufCAllocator *allocator, size_t len,
-						      const uint8_t *data)
+Toucan__RenewBookings *
+       toucan__renew_bookings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__RenewBookings *)protobuf_c_message_unpack(
-		&toucan__renew_bookings__descriptor, allocator, len, data);
+  return (Toucan__RenewBookings *)
+     protobuf_c_message_unpack (&toucan__renew_bookings__descriptor,
+                                allocator, len, data);
 }
-void toucan__renew_bookings__free_unpacked(Toucan__RenewBookings *message,
-					   ProtobufCAllocator *allocator)
+void   toucan__renew_bookings__free_unpacked
+                     (Toucan__RenewBookings *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__renew_bookings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__release_booking__init(Toucan__ReleaseBooking *message)
+void   toucan__release_booking__init
+                     (Toucan__ReleaseBooking         *message)
 {
-	static const Toucan__ReleaseBooking init_value = TOUCAN__RELEASE_BOOKING__INIT;
-	*message = init_value;
+  static const Toucan__ReleaseBooking init_value = TOUCAN__RELEASE_BOOKING__INIT;
+  *message = init_value;
 }
-size_t toucan__release_booking__get_packed_size(const Toucan__ReleaseBooking *message)
+size_t toucan__release_booking__get_packed_size
+                     (const Toucan__ReleaseBooking *message)
 {
-	assert(message->base.descriptor == &toucan__release_booking__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__release_booking__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__release_booking__pack(const Toucan__ReleaseBooking *message, uint8_t *out)
+size_t toucan__release_booking__pack
+                     (const Toucan__ReleaseBooking *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__release_booking__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__release_booking__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__release_booking__pack_to_buffer(const Toucan__ReleaseBooking *message,
-					       ProtobufCBuffer *buffer)
+size_t toucan__release_booking__pack_to_buffer
+                     (const Toucan__ReleaseBooking *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__release_booking__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__release_booking__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ReleaseBooking *toucan__release_booking__unpack(ProtobufCAllocator *allocator, size_t len,
-							const uint8_t *data)
+Toucan__ReleaseBooking *
+       toucan__release_booking__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ReleaseBooking *)protobuf_c_message_unpack(
-		&toucan__release_booking__descriptor, allocator, len, data);
+  return (Toucan__ReleaseBooking *)
+     protobuf_c_message_unpack (&toucan__release_booking__descriptor,
+                                allocator, len, data);
 }
-void toucan__release_booking__free_unpacked(Toucan__ReleaseBooking *message,
-					    ProtobufCAllocator *allocator)
+void   toucan__release_booking__free_unpacked
+                     (Toucan__ReleaseBooking *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__release_booking__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__release_booking__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__bookings_pull__init(Toucan__BookingsPull *message)
+void   toucan__bookings_pull__init
+                     (Toucan__BookingsPull         *message)
 {
-	static const Toucan__BookingsPull init_value = TOUCAN__BOOKINGS_PULL__INIT;
-	*message = init_value;
+  static const Toucan__BookingsPull init_value = TOUCAN__BOOKINGS_PULL__INIT;
+  *message = init_value;
 }
-size_t toucan__bookings_pull__get_packed_size(const Toucan__BookingsPull *message)
+size_t toucan__bookings_pull__get_packed_size
+                     (const Toucan__BookingsPull *message)
 {
-	assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__bookings_pull__pack(const Toucan__BookingsPull *message, uint8_t *out)
+size_t toucan__bookings_pull__pack
+                     (const Toucan__BookingsPull *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__bookings_pull__pack_to_buffer(const Toucan__BookingsPull *message,
-					     ProtobufCBuffer *buffer)
+size_t toucan__bookings_pull__pack_to_buffer
+                     (const Toucan__BookingsPull *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__BookingsPull *toucan__bookings_pull__unpack(ProtobufCAllocator *allocator, size_t len,
-						    const uint8_t *data)
+Toucan__BookingsPull *
+       toucan__bookings_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__BookingsPull *)protobuf_c_message_unpack(&toucan__bookings_pull__descriptor,
-								 allocator, len, data);
+  return (Toucan__BookingsPull *)
+     protobuf_c_message_unpack (&toucan__bookings_pull__descriptor,
+                                allocator, len, data);
 }
-void toucan__bookings_pull__free_unpacked(Toucan__BookingsPull *message,
-					  ProtobufCAllocator *allocator)
+void   toucan__bookings_pull__free_unpacked
+                     (Toucan__BookingsPull *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__bookings_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__booking__init(Toucan__Booking *message)
+void   toucan__booking__init
+                     (Toucan__Booking         *message)
 {
-	static const Toucan__Booking init_value = TOUCAN__BOOKING__INIT;
-	*message = init_value;
+  static const Toucan__Booking init_value = TOUCAN__BOOKING__INIT;
+  *message = init_value;
 }
-size_t toucan__booking__get_packed_size(const Toucan__Booking *message)
+size_t toucan__booking__get_packed_size
+                     (const Toucan__Booking *message)
 {
-	assert(message->base.descriptor == &toucan__booking__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__booking__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__booking__pack(const Toucan__Booking *message, uint8_t *out)
+size_t toucan__booking__pack
+                     (const Toucan__Booking *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__booking__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__booking__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__booking__pack_to_buffer(const Toucan__Booking *message, ProtobufCBuffer *buffer)
+size_t toucan__booking__pack_to_buffer
+                     (const Toucan__Booking *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__booking__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__booking__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__Booking *toucan__booking__unpack(ProtobufCAllocator *allocator, size_t len,
-					 const uint8_t *data)
+Toucan__Booking *
+       toucan__booking__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__Booking *)protobuf_c_message_unpack(&toucan__booking__descriptor, allocator,
-							    len, data);
+  return (Toucan__Booking *)
+     protobuf_c_message_unpack (&toucan__booking__descriptor,
+                                allocator, len, data);
 }
-void toucan__booking__free_unpacked(Toucan__Booking *message, ProtobufCAllocator *allocator)
+void   toucan__booking__free_unpacked
+                     (Toucan__Booking *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__booking__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__booking__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__bookings_reply__init(Toucan__BookingsReply *message)
+void   toucan__bookings_reply__init
+                     (Toucan__BookingsReply         *message)
 {
-	static const Toucan__BookingsReply init_value = TOUCAN__BOOKINGS_REPLY__INIT;
-	*message = init_value;
+  static const Toucan__BookingsReply init_value = TOUCAN__BOOKINGS_REPLY__INIT;
+  *message = init_value;
 }
-size_t toucan__bookings_reply__get_packed_size(const Toucan__BookingsReply *message)
+size_t toucan__bookings_reply__get_packed_size
+                     (const Toucan__BookingsReply *message)
 {
-	assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__bookings_reply__pack(const Toucan__BookingsReply *message, uint8_t *out)
+size_t toucan__bookings_reply__pack
+                     (const Toucan__BookingsReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__bookings_reply__pack_to_buffer(const Toucan__BookingsReply *message,
-					      ProtobufCBuffer *buffer)
+size_t toucan__bookings_reply__pack_to_buffer
+                     (const Toucan__BookingsReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__BookingsReply *toucan__bookings_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-						      const uint8_t *data)
+Toucan__BookingsReply *
+       toucan__bookings_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__BookingsReply *)protobuf_c_message_unpack(
-		&toucan__bookings_reply__descriptor, allocator, len, data);
+  return (Toucan__BookingsReply *)
+     protobuf_c_message_unpack (&toucan__bookings_reply__descriptor,
+                                allocator, len, data);
 }
-void toucan__bookings_reply__free_unpacked(Toucan__BookingsReply *message,
-					   ProtobufCAllocator *allocator)
+void   toucan__bookings_reply__free_unpacked
+                     (Toucan__BookingsReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__bookings_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__config_row__init(Toucan__ConfigRow *message)
+void   toucan__config_row__init
+                     (Toucan__ConfigRow         *message)
 {
-	static const Toucan__ConfigRow init_value = TOUCAN__CONFIG_ROW__INIT;
-	*message = init_value;
+  static const Toucan__ConfigRow init_value = TOUCAN__CONFIG_ROW__INIT;
+  *message = init_value;
 }
-size_t toucan__config_row__get_packed_size(const Toucan__ConfigRow *message)
+size_t toucan__config_row__get_packed_size
+                     (const Toucan__ConfigRow *message)
 {
-	assert(message->base.descriptor == &toucan__config_row__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__config_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__config_row__pack(const Toucan__ConfigRow *message, uint8_t *out)
+size_t toucan__config_row__pack
+                     (const Toucan__ConfigRow *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__config_row__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__config_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__config_row__pack_to_buffer(const Toucan__ConfigRow *message, ProtobufCBuffer *buffer)
+size_t toucan__config_row__pack_to_buffer
+                     (const Toucan__ConfigRow *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__config_row__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__config_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ConfigRow *toucan__config_row__unpack(ProtobufCAllocator *allocator, size_t len,
-					      const uint8_t *data)
+Toucan__ConfigRow *
+       toucan__config_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ConfigRow *)protobuf_c_message_unpack(&toucan__config_row__descriptor,
-							      allocator, len, data);
+  return (Toucan__ConfigRow *)
+     protobuf_c_message_unpack (&toucan__config_row__descriptor,
+                                allocator, len, data);
 }
-void toucan__config_row__free_unpacked(Toucan__ConfigRow *message, ProtobufCAllocator *allocator)
+void   toucan__config_row__free_unpacked
+                     (Toucan__ConfigRow *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__config_row__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__config_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__config_push__init(Toucan__ConfigPush *message)
+void   toucan__config_push__init
+                     (Toucan__ConfigPush         *message)
 {
-	static const Toucan__ConfigPush init_value = TOUCAN__CONFIG_PUSH__INIT;
-	*message = init_value;
+  static const Toucan__ConfigPush init_value = TOUCAN__CONFIG_PUSH__INIT;
+  *message = init_value;
 }
-size_t toucan__config_push__get_packed_size(const Toucan__ConfigPush *message)
+size_t toucan__config_push__get_packed_size
+                     (const Toucan__ConfigPush *message)
 {
-	assert(message->base.descriptor == &toucan__config_push__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__config_push__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__config_push__pack(const Toucan__ConfigPush *message, uint8_t *out)
+size_t toucan__config_push__pack
+                     (const Toucan__ConfigPush *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__config_push__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__config_push__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__config_push__pack_to_buffer(const Toucan__ConfigPush *message,
-					   ProtobufCBuffer *buffer)
+size_t toucan__config_push__pack_to_buffer
+                     (const Toucan__ConfigPush *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__config_push__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__config_push__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ConfigPush *toucan__config_push__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
+Toucan__ConfigPush *
+       toucan__config_push__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ConfigPush *)protobuf_c_message_unpack(&toucan__config_push__descriptor,
-							       allocator, len, data);
+  return (Toucan__ConfigPush *)
+     protobuf_c_message_unpack (&toucan__config_push__descriptor,
+                                allocator, len, data);
 }
-void toucan__config_push__free_unpacked(Toucan__ConfigPush *message, ProtobufCAllocator *allocator)
+void   toucan__config_push__free_unpacked
+                     (Toucan__ConfigPush *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__config_push__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__config_push__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__config_pull__init(Toucan__ConfigPull *message)
+void   toucan__config_pull__init
+                     (Toucan__ConfigPull         *message)
 {
-	static const Toucan__ConfigPull init_value = TOUCAN__CONFIG_PULL__INIT;
-	*message = init_value;
+  static const Toucan__ConfigPull init_value = TOUCAN__CONFIG_PULL__INIT;
+  *message = init_value;
 }
-size_t toucan__config_pull__get_packed_size(const Toucan__ConfigPull *message)
+size_t toucan__config_pull__get_packed_size
+                     (const Toucan__ConfigPull *message)
 {
-	assert(message->base.descriptor == &toucan__config_pull__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__config_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__config_pull__pack(const Toucan__ConfigPull *message, uint8_t *out)
+size_t toucan__config_pull__pack
+                     (const Toucan__ConfigPull *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__config_pull__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__config_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__config_pull__pack_to_buffer(const Toucan__ConfigPull *message,
-					   ProtobufCBuffer *buffer)
+size_t toucan__config_pull__pack_to_buffer
+                     (const Toucan__ConfigPull *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__config_pull__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__config_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ConfigPull *toucan__config_pull__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
+Toucan__ConfigPull *
+       toucan__config_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ConfigPull *)protobuf_c_message_unpack(&toucan__config_pull__descriptor,
-							       allocator, len, data);
+  return (Toucan__ConfigPull *)
+     protobuf_c_message_unpack (&toucan__config_pull__descriptor,
+                                allocator, len, data);
 }
-void toucan__config_pull__free_unpacked(Toucan__ConfigPull *message, ProtobufCAllocator *allocator)
+void   toucan__config_pull__free_unpacked
+                     (Toucan__ConfigPull *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__config_pull__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__config_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__config_rows__init(Toucan__ConfigRows *message)
+void   toucan__config_rows__init
+                     (Toucan__ConfigRows         *message)
 {
-	static const Toucan__ConfigRows init_value = TOUCAN__CONFIG_ROWS__INIT;
-	*message = init_value;
+  static const Toucan__ConfigRows init_value = TOUCAN__CONFIG_ROWS__INIT;
+  *message = init_value;
 }
-size_t toucan__config_rows__get_packed_size(const Toucan__ConfigRows *message)
+size_t toucan__config_rows__get_packed_size
+                     (const Toucan__ConfigRows *message)
 {
-	assert(message->base.descriptor == &toucan__config_rows__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &toucan__config_rows__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t toucan__config_rows__pack(const Toucan__ConfigRows *message, uint8_t *out)
+size_t toucan__config_rows__pack
+                     (const Toucan__ConfigRows *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &toucan__config_rows__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &toucan__config_rows__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t toucan__config_rows__pack_to_buffer(const Toucan__ConfigRows *message,
-					   ProtobufCBuffer *buffer)
+size_t toucan__config_rows__pack_to_buffer
+                     (const Toucan__ConfigRows *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &toucan__config_rows__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &toucan__config_rows__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Toucan__ConfigRows *toucan__config_rows__unpack(ProtobufCAllocator *allocator, size_t len,
-						const uint8_t *data)
+Toucan__ConfigRows *
+       toucan__config_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (Toucan__ConfigRows *)protobuf_c_message_unpack(&toucan__config_rows__descriptor,
-							       allocator, len, data);
+  return (Toucan__ConfigRows *)
+     protobuf_c_message_unpack (&toucan__config_rows__descriptor,
+                                allocator, len, data);
 }
-void toucan__config_rows__free_unpacked(Toucan__ConfigRows *message, ProtobufCAllocator *allocator)
+void   toucan__config_rows__free_unpacked
+                     (Toucan__ConfigRows *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__config_rows__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__config_rows__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void toucan__bucket__init(Toucan__Bucket *message)
+void   toucan__bucket__init
+                     (Toucan__Bucket         *message)
 {
-	static const Toucan__Bucket init_value = TOUCAN__BUCKET__INIT;
-	*message = init_value;
+  static const Toucan__Bucket init_value = TOUCAN__BUCKET__INIT;
+  *message = init_value;
 }
-size_t toucan__bucket__get_packed_size(const Toucan__Bucket *message)
+size_t toucan__bucket__get_packed_size
+                     (const Toucan__Bucket *message)
 {
-	assert(message->base.descriptor == &toucan__bucket__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t toucan__bucket__pack(const Toucan__Bucket *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &toucan__bucket__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t toucan__bucket__pack_to_buffer(const Toucan__Bucket *message, ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &toucan__bucket__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Toucan__Bucket *toucan__bucket__unpack(ProtobufCAllocator *allocator, size_t len,
-				       const uint8_t *data)
-{
-	return (Toucan__Bucket *)protobuf_c_message_unpack(&toucan__bucket__descriptor, allocator,
-							   len, data);
-}
-void toucan__bucket__free_unpacked(Toucan__Bucket *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__bucket__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-void toucan__hand_over__init(Toucan__HandOver *message)
-{
-	static const Toucan__HandOver init_value = TOUCAN__HAND_OVER__INIT;
-	*message = init_value;
-}
-size_t toucan__hand_over__get_packed_size(const Toucan__HandOver *message)
-{
-	assert(message->base.descriptor == &toucan__hand_over__descriptor);
-	return protobuf_c_message_get_packed_size((const ProtobufCMessage *)(message));
-}
-size_t toucan__hand_over__pack(const Toucan__HandOver *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &toucan__hand_over__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t toucan__hand_over__pack_to_buffer(const Toucan__HandOver *message, ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &toucan__hand_over__descriptor);
-	return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message, buffer);
-}
-Toucan__HandOver *toucan__hand_over__unpack(ProtobufCAllocator *allocator, size_t len,
-					    const uint8_t *data)
-{
-	return (Toucan__HandOver *)protobuf_c_message_unpack(&toucan__hand_over__descriptor,
-							     allocator, len, data);
-}
-void toucan__hand_over__free_unpacked(Toucan__HandOver *message, ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &toucan__hand_over__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
-}
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] = {
-	{
-		"source", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Envelope, source), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0,							/* quantifier_offset */
-		offsetof(Toucan__Envelope, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(Toucan__Envelope, id), NULL, NULL, 0,		   /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reply_to", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						     /* quantifier_offset */
-		offsetof(Toucan__Envelope, reply_to), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"hello", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, hello),
-		&toucan__hello__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"heartbeat", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, heartbeat),
-		&toucan__heartbeat__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"heartbeat_ack", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, heartbeat_ack),
-		&toucan__heartbeat_ack__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"fence_request", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, fence_request),
-		&toucan__fence_request__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"fence_reply", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, fence_reply),
-		&toucan__fence_reply__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence_notice", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, fence_notice),
-		&toucan__fence_notice__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"standby_release", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, standby_release),
-		&toucan__standby_release__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"done", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, done),
-		&toucan__done__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"shards_notice", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, shards_notice),
-		&toucan__shards_notice__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"reserve_tokens", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, reserve_tokens),
-		&toucan__reserve_tokens__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"tokens_reply", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, tokens_reply),
-		&toucan__tokens_reply__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"return_tokens", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, return_tokens),
-		&toucan__return_tokens__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"book_decode", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, book_decode),
-		&toucan__book_decode__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"book_reply", 24, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, book_reply),
-		&toucan__book_reply__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"renew_bookings", 25, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, renew_bookings),
-		&toucan__renew_bookings__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"release_booking", 26, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, release_booking),
-		&toucan__release_booking__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"bookings_pull", 27, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, bookings_pull),
-		&toucan__bookings_pull__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"bookings_reply", 28, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, bookings_reply),
-		&toucan__bookings_reply__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"config_push", 29, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, config_push),
-		&toucan__config_push__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"config_pull", 30, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, config_pull),
-		&toucan__config_pull__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"config_rows", 31, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, config_rows),
-		&toucan__config_rows__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"hand_over", 32, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__Envelope, body_case), offsetof(Toucan__Envelope, hand_over),
-		&toucan__hand_over__descriptor, NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  assert(message->base.descriptor == &toucan__bucket__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__bucket__pack
+                     (const Toucan__Bucket *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__bucket__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__bucket__pack_to_buffer
+                     (const Toucan__Bucket *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__bucket__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__Bucket *
+       toucan__bucket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__Bucket *)
+     protobuf_c_message_unpack (&toucan__bucket__descriptor,
+                                allocator, len, data);
+}
+void   toucan__bucket__free_unpacked
+                     (Toucan__Bucket *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__bucket__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__hand_over__init
+                     (Toucan__HandOver         *message)
+{
+  static const Toucan__HandOver init_value = TOUCAN__HAND_OVER__INIT;
+  *message = init_value;
+}
+size_t toucan__hand_over__get_packed_size
+                     (const Toucan__HandOver *message)
+{
+  assert(message->base.descriptor == &toucan__hand_over__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__hand_over__pack
+                     (const Toucan__HandOver *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__hand_over__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__hand_over__pack_to_buffer
+                     (const Toucan__HandOver *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__hand_over__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__HandOver *
+       toucan__hand_over__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__HandOver *)
+     protobuf_c_message_unpack (&toucan__hand_over__descriptor,
+                                allocator, len, data);
+}
+void   toucan__hand_over__free_unpacked
+                     (Toucan__HandOver *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__hand_over__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] =
+{
+  {
+    "source",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Envelope, source),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Envelope, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Envelope, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply_to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Envelope, reply_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, hello),
+    &toucan__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, heartbeat),
+    &toucan__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat_ack",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, heartbeat_ack),
+    &toucan__heartbeat_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_request",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, fence_request),
+    &toucan__fence_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_reply",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, fence_reply),
+    &toucan__fence_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence_notice",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, fence_notice),
+    &toucan__fence_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standby_release",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, standby_release),
+    &toucan__standby_release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, done),
+    &toucan__done__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shards_notice",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, shards_notice),
+    &toucan__shards_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reserve_tokens",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, reserve_tokens),
+    &toucan__reserve_tokens__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_reply",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, tokens_reply),
+    &toucan__tokens_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "return_tokens",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, return_tokens),
+    &toucan__return_tokens__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "book_decode",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, book_decode),
+    &toucan__book_decode__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "book_reply",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, book_reply),
+    &toucan__book_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renew_bookings",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, renew_bookings),
+    &toucan__renew_bookings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release_booking",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, release_booking),
+    &toucan__release_booking__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bookings_pull",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, bookings_pull),
+    &toucan__bookings_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bookings_reply",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, bookings_reply),
+    &toucan__bookings_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_push",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, config_push),
+    &toucan__config_push__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_pull",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, config_pull),
+    &toucan__config_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_rows",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, config_rows),
+    &toucan__config_rows__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hand_over",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, hand_over),
+    &toucan__hand_over__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
-	16, /* field[16] = book_decode */
-	17, /* field[17] = book_reply */
-	20, /* field[20] = bookings_pull */
-	21, /* field[21] = bookings_reply */
-	23, /* field[23] = config_pull */
-	22, /* field[22] = config_push */
-	24, /* field[24] = config_rows */
-	11, /* field[11] = done */
-	9,  /* field[9] = fence_notice */
-	8,  /* field[8] = fence_reply */
-	7,  /* field[7] = fence_request */
-	25, /* field[25] = hand_over */
-	5,  /* field[5] = heartbeat */
-	6,  /* field[6] = heartbeat_ack */
-	4,  /* field[4] = hello */
-	2,  /* field[2] = id */
-	1,  /* field[1] = incarnation */
-	19, /* field[19] = release_booking */
-	18, /* field[18] = renew_bookings */
-	3,  /* field[3] = reply_to */
-	13, /* field[13] = reserve_tokens */
-	15, /* field[15] = return_tokens */
-	12, /* field[12] = shards_notice */
-	0,  /* field[0] = source */
-	10, /* field[10] = standby_release */
-	14, /* field[14] = tokens_reply */
-};
-static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] = {
-	{1, 0}, {10, 4}, {20, 13}, {0, 26}};
-const ProtobufCMessageDescriptor toucan__envelope__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Envelope",
-	"Envelope",
-	"Toucan__Envelope",
-	"toucan",
-	sizeof(Toucan__Envelope),
-	26,
-	toucan__envelope__field_descriptors,
-	toucan__envelope__field_indices_by_name,
-	3,
-	toucan__envelope__number_ranges,
-	(ProtobufCMessageInit)toucan__envelope__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__vm__field_descriptors[2] = {
-	{
-		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,   /* quantifier_offset */
-		offsetof(Toucan__Vm, id), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0,						  /* quantifier_offset */
-		offsetof(Toucan__Vm, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
+  16,   /* field[16] = book_decode */
+  17,   /* field[17] = book_reply */
+  20,   /* field[20] = bookings_pull */
+  21,   /* field[21] = bookings_reply */
+  23,   /* field[23] = config_pull */
+  22,   /* field[22] = config_push */
+  24,   /* field[24] = config_rows */
+  11,   /* field[11] = done */
+  9,   /* field[9] = fence_notice */
+  8,   /* field[8] = fence_reply */
+  7,   /* field[7] = fence_request */
+  25,   /* field[25] = hand_over */
+  5,   /* field[5] = heartbeat */
+  6,   /* field[6] = heartbeat_ack */
+  4,   /* field[4] = hello */
+  2,   /* field[2] = id */
+  1,   /* field[1] = incarnation */
+  19,   /* field[19] = release_booking */
+  18,   /* field[18] = renew_bookings */
+  3,   /* field[3] = reply_to */
+  13,   /* field[13] = reserve_tokens */
+  15,   /* field[15] = return_tokens */
+  12,   /* field[12] = shards_notice */
+  0,   /* field[0] = source */
+  10,   /* field[10] = standby_release */
+  14,   /* field[14] = tokens_reply */
+};
+static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] =
+{
+  { 1, 0 },
+  { 10, 4 },
+  { 20, 13 },
+  { 0, 26 }
+};
+const ProtobufCMessageDescriptor toucan__envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Envelope",
+  "Envelope",
+  "Toucan__Envelope",
+  "toucan",
+  sizeof(Toucan__Envelope),
+  26,
+  toucan__envelope__field_descriptors,
+  toucan__envelope__field_indices_by_name,
+  3,  toucan__envelope__number_ranges,
+  (ProtobufCMessageInit) toucan__envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__vm__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Vm, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Vm, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__vm__field_indices_by_name[] = {
-	0, /* field[0] = id */
-	1, /* field[1] = incarnation */
-};
-static const ProtobufCIntRange toucan__vm__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__vm__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Vm",
-	"Vm",
-	"Toucan__Vm",
-	"toucan",
-	sizeof(Toucan__Vm),
-	2,
-	toucan__vm__field_descriptors,
-	toucan__vm__field_indices_by_name,
-	1,
-	toucan__vm__number_ranges,
-	(ProtobufCMessageInit)toucan__vm__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__hello__field_descriptors[1] = {
-	{
-		"target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Hello, target), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = id */
+  1,   /* field[1] = incarnation */
+};
+static const ProtobufCIntRange toucan__vm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__vm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Vm",
+  "Vm",
+  "Toucan__Vm",
+  "toucan",
+  sizeof(Toucan__Vm),
+  2,
+  toucan__vm__field_descriptors,
+  toucan__vm__field_indices_by_name,
+  1,  toucan__vm__number_ranges,
+  (ProtobufCMessageInit) toucan__vm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__hello__field_descriptors[1] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Hello, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__hello__field_indices_by_name[] = {
-	0, /* field[0] = target */
-};
-static const ProtobufCIntRange toucan__hello__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor toucan__hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Hello",
-	"Hello",
-	"Toucan__Hello",
-	"toucan",
-	sizeof(Toucan__Hello),
-	1,
-	toucan__hello__field_descriptors,
-	toucan__hello__field_indices_by_name,
-	1,
-	toucan__hello__number_ranges,
-	(ProtobufCMessageInit)toucan__hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[6] = {
-	{
-		"number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						    /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
-	{
-		"grant_wanted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,							  /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, grant_wanted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"witness_incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, witness_incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"row_version", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							 /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, row_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"config_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							    /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, config_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"shards_version", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							    /* quantifier_offset */
-		offsetof(Toucan__Heartbeat, shards_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange toucan__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Hello",
+  "Hello",
+  "Toucan__Hello",
+  "toucan",
+  sizeof(Toucan__Hello),
+  1,
+  toucan__hello__field_descriptors,
+  toucan__hello__field_indices_by_name,
+  1,  toucan__hello__number_ranges,
+  (ProtobufCMessageInit) toucan__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[6] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant_wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, grant_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witness_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, witness_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shards_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, shards_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat__field_indices_by_name[] = {
-	4, /* field[4] = config_version */
-	1, /* field[1] = grant_wanted */
-	0, /* field[0] = number */
-	3, /* field[3] = row_version */
-	5, /* field[5] = shards_version */
-	2, /* field[2] = witness_incarnation */
-};
-static const ProtobufCIntRange toucan__heartbeat__number_ranges[1 + 1] = {{1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor toucan__heartbeat__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Heartbeat",
-	"Heartbeat",
-	"Toucan__Heartbeat",
-	"toucan",
-	sizeof(Toucan__Heartbeat),
-	6,
-	toucan__heartbeat__field_descriptors,
-	toucan__heartbeat__field_indices_by_name,
-	1,
-	toucan__heartbeat__number_ranges,
-	(ProtobufCMessageInit)toucan__heartbeat__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__heartbeat_ack__field_descriptors[4] = {
-	{
-		"number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,						       /* quantifier_offset */
-		offsetof(Toucan__HeartbeatAck, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"granted", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,							/* quantifier_offset */
-		offsetof(Toucan__HeartbeatAck, granted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"row_version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							    /* quantifier_offset */
-		offsetof(Toucan__HeartbeatAck, row_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"promised", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,							 /* quantifier_offset */
-		offsetof(Toucan__HeartbeatAck, promised), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  4,   /* field[4] = config_version */
+  1,   /* field[1] = grant_wanted */
+  0,   /* field[0] = number */
+  3,   /* field[3] = row_version */
+  5,   /* field[5] = shards_version */
+  2,   /* field[2] = witness_incarnation */
+};
+static const ProtobufCIntRange toucan__heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor toucan__heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Heartbeat",
+  "Heartbeat",
+  "Toucan__Heartbeat",
+  "toucan",
+  sizeof(Toucan__Heartbeat),
+  6,
+  toucan__heartbeat__field_descriptors,
+  toucan__heartbeat__field_indices_by_name,
+  1,  toucan__heartbeat__number_ranges,
+  (ProtobufCMessageInit) toucan__heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__heartbeat_ack__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HeartbeatAck, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HeartbeatAck, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HeartbeatAck, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promised",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HeartbeatAck, promised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat_ack__field_indices_by_name[] = {
-	1, /* field[1] = granted */
-	0, /* field[0] = number */
-	3, /* field[3] = promised */
-	2, /* field[2] = row_version */
-};
-static const ProtobufCIntRange toucan__heartbeat_ack__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor toucan__heartbeat_ack__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.HeartbeatAck",
-	"HeartbeatAck",
-	"Toucan__HeartbeatAck",
-	"toucan",
-	sizeof(Toucan__HeartbeatAck),
-	4,
-	toucan__heartbeat_ack__field_descriptors,
-	toucan__heartbeat_ack__field_indices_by_name,
-	1,
-	toucan__heartbeat_ack__number_ranges,
-	(ProtobufCMessageInit)toucan__heartbeat_ack__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__fence_request__field_descriptors[3] = {
-	{
-		"vm", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-		offsetof(Toucan__FenceRequest, vm), &toucan__vm__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"row_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							    /* quantifier_offset */
-		offsetof(Toucan__FenceRequest, row_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"witness_incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__FenceRequest, witness_incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = granted */
+  0,   /* field[0] = number */
+  3,   /* field[3] = promised */
+  2,   /* field[2] = row_version */
+};
+static const ProtobufCIntRange toucan__heartbeat_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__heartbeat_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.HeartbeatAck",
+  "HeartbeatAck",
+  "Toucan__HeartbeatAck",
+  "toucan",
+  sizeof(Toucan__HeartbeatAck),
+  4,
+  toucan__heartbeat_ack__field_descriptors,
+  toucan__heartbeat_ack__field_indices_by_name,
+  1,  toucan__heartbeat_ack__number_ranges,
+  (ProtobufCMessageInit) toucan__heartbeat_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__fence_request__field_descriptors[3] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceRequest, vm),
+    &toucan__vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceRequest, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "witness_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceRequest, witness_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__fence_request__field_indices_by_name[] = {
-	1, /* field[1] = row_version */
-	0, /* field[0] = vm */
-	2, /* field[2] = witness_incarnation */
-};
-static const ProtobufCIntRange toucan__fence_request__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__fence_request__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.FenceRequest",
-	"FenceRequest",
-	"Toucan__FenceRequest",
-	"toucan",
-	sizeof(Toucan__FenceRequest),
-	3,
-	toucan__fence_request__field_descriptors,
-	toucan__fence_request__field_indices_by_name,
-	1,
-	toucan__fence_request__number_ranges,
-	(ProtobufCMessageInit)toucan__fence_request__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue toucan__fence_reply__answer__enum_values_by_number[3] = {
-	{"REFUSED", "TOUCAN__FENCE_REPLY__ANSWER__REFUSED", 0},
-	{"AGREED", "TOUCAN__FENCE_REPLY__ANSWER__AGREED", 1},
-	{"SUPERSEDED", "TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED", 2},
-};
-static const ProtobufCIntRange toucan__fence_reply__answer__value_ranges[] = {{0, 0}, {0, 3}};
-static const ProtobufCEnumValueIndex toucan__fence_reply__answer__enum_values_by_name[3] = {
-	{"AGREED", 1},
-	{"REFUSED", 0},
-	{"SUPERSEDED", 2},
-};
-const ProtobufCEnumDescriptor toucan__fence_reply__answer__descriptor = {
-	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-	"toucan.FenceReply.Answer",
-	"Answer",
-	"Toucan__FenceReply__Answer",
-	"toucan",
-	3,
-	toucan__fence_reply__answer__enum_values_by_number,
-	3,
-	toucan__fence_reply__answer__enum_values_by_name,
-	1,
-	toucan__fence_reply__answer__value_ranges,
-	NULL,
-	NULL,
-	NULL,
-	NULL /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor toucan__fence_reply__field_descriptors[2] = {
-	{
-		"answer", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM, 0, /* quantifier_offset */
-		offsetof(Toucan__FenceReply, answer), &toucan__fence_reply__answer__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"row_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							  /* quantifier_offset */
-		offsetof(Toucan__FenceReply, row_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = row_version */
+  0,   /* field[0] = vm */
+  2,   /* field[2] = witness_incarnation */
+};
+static const ProtobufCIntRange toucan__fence_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__fence_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.FenceRequest",
+  "FenceRequest",
+  "Toucan__FenceRequest",
+  "toucan",
+  sizeof(Toucan__FenceRequest),
+  3,
+  toucan__fence_request__field_descriptors,
+  toucan__fence_request__field_indices_by_name,
+  1,  toucan__fence_request__number_ranges,
+  (ProtobufCMessageInit) toucan__fence_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue toucan__fence_reply__answer__enum_values_by_number[3] =
+{
+  { "REFUSED", "TOUCAN__FENCE_REPLY__ANSWER__REFUSED", 0 },
+  { "AGREED", "TOUCAN__FENCE_REPLY__ANSWER__AGREED", 1 },
+  { "SUPERSEDED", "TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED", 2 },
+};
+static const ProtobufCIntRange toucan__fence_reply__answer__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex toucan__fence_reply__answer__enum_values_by_name[3] =
+{
+  { "AGREED", 1 },
+  { "REFUSED", 0 },
+  { "SUPERSEDED", 2 },
+};
+const ProtobufCEnumDescriptor toucan__fence_reply__answer__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "toucan.FenceReply.Answer",
+  "Answer",
+  "Toucan__FenceReply__Answer",
+  "toucan",
+  3,
+  toucan__fence_reply__answer__enum_values_by_number,
+  3,
+  toucan__fence_reply__answer__enum_values_by_name,
+  1,
+  toucan__fence_reply__answer__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor toucan__fence_reply__field_descriptors[2] =
+{
+  {
+    "answer",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceReply, answer),
+    &toucan__fence_reply__answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceReply, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__fence_reply__field_indices_by_name[] = {
-	0, /* field[0] = answer */
-	1, /* field[1] = row_version */
-};
-static const ProtobufCIntRange toucan__fence_reply__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__fence_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.FenceReply",
-	"FenceReply",
-	"Toucan__FenceReply",
-	"toucan",
-	sizeof(Toucan__FenceReply),
-	2,
-	toucan__fence_reply__field_descriptors,
-	toucan__fence_reply__field_indices_by_name,
-	1,
-	toucan__fence_reply__number_ranges,
-	(ProtobufCMessageInit)toucan__fence_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__fence_notice__field_descriptors[2] = {
-	{
-		"vm", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-		offsetof(Toucan__FenceNotice, vm), &toucan__vm__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"row_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							   /* quantifier_offset */
-		offsetof(Toucan__FenceNotice, row_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = answer */
+  1,   /* field[1] = row_version */
+};
+static const ProtobufCIntRange toucan__fence_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__fence_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.FenceReply",
+  "FenceReply",
+  "Toucan__FenceReply",
+  "toucan",
+  sizeof(Toucan__FenceReply),
+  2,
+  toucan__fence_reply__field_descriptors,
+  toucan__fence_reply__field_indices_by_name,
+  1,  toucan__fence_reply__number_ranges,
+  (ProtobufCMessageInit) toucan__fence_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__fence_notice__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceNotice, vm),
+    &toucan__vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__FenceNotice, row_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__fence_notice__field_indices_by_name[] = {
-	1, /* field[1] = row_version */
-	0, /* field[0] = vm */
-};
-static const ProtobufCIntRange toucan__fence_notice__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__fence_notice__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.FenceNotice",
-	"FenceNotice",
-	"Toucan__FenceNotice",
-	"toucan",
-	sizeof(Toucan__FenceNotice),
-	2,
-	toucan__fence_notice__field_descriptors,
-	toucan__fence_notice__field_indices_by_name,
-	1,
-	toucan__fence_notice__number_ranges,
-	(ProtobufCMessageInit)toucan__fence_notice__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__standby_release__field_descriptors[2] = {
-	{
-		"shards", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Toucan__StandbyRelease, n_shards),
-		offsetof(Toucan__StandbyRelease, shards), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"shards_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__StandbyRelease, shards_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = row_version */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange toucan__fence_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__fence_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.FenceNotice",
+  "FenceNotice",
+  "Toucan__FenceNotice",
+  "toucan",
+  sizeof(Toucan__FenceNotice),
+  2,
+  toucan__fence_notice__field_descriptors,
+  toucan__fence_notice__field_indices_by_name,
+  1,  toucan__fence_notice__number_ranges,
+  (ProtobufCMessageInit) toucan__fence_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__standby_release__field_descriptors[2] =
+{
+  {
+    "shards",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Toucan__StandbyRelease, n_shards),
+    offsetof(Toucan__StandbyRelease, shards),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shards_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__StandbyRelease, shards_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__standby_release__field_indices_by_name[] = {
-	0, /* field[0] = shards */
-	1, /* field[1] = shards_version */
-};
-static const ProtobufCIntRange toucan__standby_release__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__standby_release__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.StandbyRelease",
-	"StandbyRelease",
-	"Toucan__StandbyRelease",
-	"toucan",
-	sizeof(Toucan__StandbyRelease),
-	2,
-	toucan__standby_release__field_descriptors,
-	toucan__standby_release__field_indices_by_name,
-	1,
-	toucan__standby_release__number_ranges,
-	(ProtobufCMessageInit)toucan__standby_release__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  0,   /* field[0] = shards */
+  1,   /* field[1] = shards_version */
+};
+static const ProtobufCIntRange toucan__standby_release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__standby_release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.StandbyRelease",
+  "StandbyRelease",
+  "Toucan__StandbyRelease",
+  "toucan",
+  sizeof(Toucan__StandbyRelease),
+  2,
+  toucan__standby_release__field_descriptors,
+  toucan__standby_release__field_indices_by_name,
+  1,  toucan__standby_release__number_ranges,
+  (ProtobufCMessageInit) toucan__standby_release__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
 #define toucan__done__field_descriptors NULL
 #define toucan__done__field_indices_by_name NULL
 #define toucan__done__number_ranges NULL
-const ProtobufCMessageDescriptor toucan__done__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Done",
-	"Done",
-	"Toucan__Done",
-	"toucan",
-	sizeof(Toucan__Done),
-	0,
-	toucan__done__field_descriptors,
-	toucan__done__field_indices_by_name,
-	0,
-	toucan__done__number_ranges,
-	(ProtobufCMessageInit)toucan__done__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__shards_notice__field_descriptors[2] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							/* quantifier_offset */
-		offsetof(Toucan__ShardsNotice, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"json", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Toucan__ShardsNotice, json), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+const ProtobufCMessageDescriptor toucan__done__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Done",
+  "Done",
+  "Toucan__Done",
+  "toucan",
+  sizeof(Toucan__Done),
+  0,
+  toucan__done__field_descriptors,
+  toucan__done__field_indices_by_name,
+  0,  toucan__done__number_ranges,
+  (ProtobufCMessageInit) toucan__done__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__shards_notice__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ShardsNotice, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "json",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ShardsNotice, json),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__shards_notice__field_indices_by_name[] = {
-	1, /* field[1] = json */
-	0, /* field[0] = version */
-};
-static const ProtobufCIntRange toucan__shards_notice__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__shards_notice__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ShardsNotice",
-	"ShardsNotice",
-	"Toucan__ShardsNotice",
-	"toucan",
-	sizeof(Toucan__ShardsNotice),
-	2,
-	toucan__shards_notice__field_descriptors,
-	toucan__shards_notice__field_indices_by_name,
-	1,
-	toucan__shards_notice__number_ranges,
-	(ProtobufCMessageInit)toucan__shards_notice__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[5] = {
-	{
-		"account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReserveTokens, account), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"prompt_tokens", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReserveTokens, prompt_tokens), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"output_tokens", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReserveTokens, output_tokens), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"wait_us", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							 /* quantifier_offset */
-		offsetof(Toucan__ReserveTokens, wait_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reservation_id", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReserveTokens, reservation_id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = json */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange toucan__shards_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__shards_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ShardsNotice",
+  "ShardsNotice",
+  "Toucan__ShardsNotice",
+  "toucan",
+  sizeof(Toucan__ShardsNotice),
+  2,
+  toucan__shards_notice__field_descriptors,
+  toucan__shards_notice__field_indices_by_name,
+  1,  toucan__shards_notice__number_ranges,
+  (ProtobufCMessageInit) toucan__shards_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[5] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompt_tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, prompt_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "output_tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, output_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reservation_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, reservation_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__reserve_tokens__field_indices_by_name[] = {
-	0, /* field[0] = account */
-	2, /* field[2] = output_tokens */
-	1, /* field[1] = prompt_tokens */
-	4, /* field[4] = reservation_id */
-	3, /* field[3] = wait_us */
-};
-static const ProtobufCIntRange toucan__reserve_tokens__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor toucan__reserve_tokens__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ReserveTokens",
-	"ReserveTokens",
-	"Toucan__ReserveTokens",
-	"toucan",
-	sizeof(Toucan__ReserveTokens),
-	5,
-	toucan__reserve_tokens__field_descriptors,
-	toucan__reserve_tokens__field_indices_by_name,
-	1,
-	toucan__reserve_tokens__number_ranges,
-	(ProtobufCMessageInit)toucan__reserve_tokens__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__tokens_reply__field_descriptors[3] = {
-	{
-		"granted", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						       /* quantifier_offset */
-		offsetof(Toucan__TokensReply, granted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"retry_after_us", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__TokensReply, retry_after_us), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"unavailable", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,							   /* quantifier_offset */
-		offsetof(Toucan__TokensReply, unavailable), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = account */
+  2,   /* field[2] = output_tokens */
+  1,   /* field[1] = prompt_tokens */
+  4,   /* field[4] = reservation_id */
+  3,   /* field[3] = wait_us */
+};
+static const ProtobufCIntRange toucan__reserve_tokens__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__reserve_tokens__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ReserveTokens",
+  "ReserveTokens",
+  "Toucan__ReserveTokens",
+  "toucan",
+  sizeof(Toucan__ReserveTokens),
+  5,
+  toucan__reserve_tokens__field_descriptors,
+  toucan__reserve_tokens__field_indices_by_name,
+  1,  toucan__reserve_tokens__number_ranges,
+  (ProtobufCMessageInit) toucan__reserve_tokens__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__tokens_reply__field_descriptors[3] =
+{
+  {
+    "granted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TokensReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TokensReply, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unavailable",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TokensReply, unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__tokens_reply__field_indices_by_name[] = {
-	0, /* field[0] = granted */
-	1, /* field[1] = retry_after_us */
-	2, /* field[2] = unavailable */
-};
-static const ProtobufCIntRange toucan__tokens_reply__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__tokens_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.TokensReply",
-	"TokensReply",
-	"Toucan__TokensReply",
-	"toucan",
-	sizeof(Toucan__TokensReply),
-	3,
-	toucan__tokens_reply__field_descriptors,
-	toucan__tokens_reply__field_indices_by_name,
-	1,
-	toucan__tokens_reply__number_ranges,
-	(ProtobufCMessageInit)toucan__tokens_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__return_tokens__field_descriptors[4] = {
-	{
-		"account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReturnTokens, account), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reservation_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReturnTokens, reservation_id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"output_booked", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReturnTokens, output_booked), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"output_used", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							    /* quantifier_offset */
-		offsetof(Toucan__ReturnTokens, output_used), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = granted */
+  1,   /* field[1] = retry_after_us */
+  2,   /* field[2] = unavailable */
+};
+static const ProtobufCIntRange toucan__tokens_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__tokens_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.TokensReply",
+  "TokensReply",
+  "Toucan__TokensReply",
+  "toucan",
+  sizeof(Toucan__TokensReply),
+  3,
+  toucan__tokens_reply__field_descriptors,
+  toucan__tokens_reply__field_indices_by_name,
+  1,  toucan__tokens_reply__number_ranges,
+  (ProtobufCMessageInit) toucan__tokens_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__return_tokens__field_descriptors[4] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReturnTokens, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reservation_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReturnTokens, reservation_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "output_booked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReturnTokens, output_booked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "output_used",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReturnTokens, output_used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__return_tokens__field_indices_by_name[] = {
-	0, /* field[0] = account */
-	2, /* field[2] = output_booked */
-	3, /* field[3] = output_used */
-	1, /* field[1] = reservation_id */
-};
-static const ProtobufCIntRange toucan__return_tokens__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor toucan__return_tokens__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ReturnTokens",
-	"ReturnTokens",
-	"Toucan__ReturnTokens",
-	"toucan",
-	sizeof(Toucan__ReturnTokens),
-	4,
-	toucan__return_tokens__field_descriptors,
-	toucan__return_tokens__field_indices_by_name,
-	1,
-	toucan__return_tokens__number_ranges,
-	(ProtobufCMessageInit)toucan__return_tokens__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[5] = {
-	{
-		"endpoint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__BookDecode, endpoint), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__BookDecode, request_id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"owner", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__BookDecode, owner), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"pieces", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0,						     /* quantifier_offset */
-		offsetof(Toucan__BookDecode, pieces), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"klass", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32, 0, /* quantifier_offset */
-		offsetof(Toucan__BookDecode, klass), NULL, NULL, 0,	     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = account */
+  2,   /* field[2] = output_booked */
+  3,   /* field[3] = output_used */
+  1,   /* field[1] = reservation_id */
+};
+static const ProtobufCIntRange toucan__return_tokens__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__return_tokens__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ReturnTokens",
+  "ReturnTokens",
+  "Toucan__ReturnTokens",
+  "toucan",
+  sizeof(Toucan__ReturnTokens),
+  4,
+  toucan__return_tokens__field_descriptors,
+  toucan__return_tokens__field_indices_by_name,
+  1,  toucan__return_tokens__number_ranges,
+  (ProtobufCMessageInit) toucan__return_tokens__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[5] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "klass",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, klass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__book_decode__field_indices_by_name[] = {
-	0, /* field[0] = endpoint */
-	4, /* field[4] = klass */
-	2, /* field[2] = owner */
-	3, /* field[3] = pieces */
-	1, /* field[1] = request_id */
-};
-static const ProtobufCIntRange toucan__book_decode__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor toucan__book_decode__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.BookDecode",
-	"BookDecode",
-	"Toucan__BookDecode",
-	"toucan",
-	sizeof(Toucan__BookDecode),
-	5,
-	toucan__book_decode__field_descriptors,
-	toucan__book_decode__field_indices_by_name,
-	1,
-	toucan__book_decode__number_ranges,
-	(ProtobufCMessageInit)toucan__book_decode__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__book_reply__field_descriptors[3] = {
-	{
-		"granted", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,						     /* quantifier_offset */
-		offsetof(Toucan__BookReply, granted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"free_pieces", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0,							 /* quantifier_offset */
-		offsetof(Toucan__BookReply, free_pieces), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"booked", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0,						    /* quantifier_offset */
-		offsetof(Toucan__BookReply, booked), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					    /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = klass */
+  2,   /* field[2] = owner */
+  3,   /* field[3] = pieces */
+  1,   /* field[1] = request_id */
+};
+static const ProtobufCIntRange toucan__book_decode__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__book_decode__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.BookDecode",
+  "BookDecode",
+  "Toucan__BookDecode",
+  "toucan",
+  sizeof(Toucan__BookDecode),
+  5,
+  toucan__book_decode__field_descriptors,
+  toucan__book_decode__field_indices_by_name,
+  1,  toucan__book_decode__number_ranges,
+  (ProtobufCMessageInit) toucan__book_decode__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__book_reply__field_descriptors[3] =
+{
+  {
+    "granted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookReply, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_pieces",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookReply, free_pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "booked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookReply, booked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__book_reply__field_indices_by_name[] = {
-	2, /* field[2] = booked */
-	1, /* field[1] = free_pieces */
-	0, /* field[0] = granted */
-};
-static const ProtobufCIntRange toucan__book_reply__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__book_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.BookReply",
-	"BookReply",
-	"Toucan__BookReply",
-	"toucan",
-	sizeof(Toucan__BookReply),
-	3,
-	toucan__book_reply__field_descriptors,
-	toucan__book_reply__field_indices_by_name,
-	1,
-	toucan__book_reply__number_ranges,
-	(ProtobufCMessageInit)toucan__book_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__renew_bookings__field_descriptors[1] = {
-	{
-		"request_ids", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-		offsetof(Toucan__RenewBookings, n_request_ids),
-		offsetof(Toucan__RenewBookings, request_ids), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = booked */
+  1,   /* field[1] = free_pieces */
+  0,   /* field[0] = granted */
+};
+static const ProtobufCIntRange toucan__book_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__book_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.BookReply",
+  "BookReply",
+  "Toucan__BookReply",
+  "toucan",
+  sizeof(Toucan__BookReply),
+  3,
+  toucan__book_reply__field_descriptors,
+  toucan__book_reply__field_indices_by_name,
+  1,  toucan__book_reply__number_ranges,
+  (ProtobufCMessageInit) toucan__book_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__renew_bookings__field_descriptors[1] =
+{
+  {
+    "request_ids",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Toucan__RenewBookings, n_request_ids),
+    offsetof(Toucan__RenewBookings, request_ids),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__renew_bookings__field_indices_by_name[] = {
-	0, /* field[0] = request_ids */
-};
-static const ProtobufCIntRange toucan__renew_bookings__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor toucan__renew_bookings__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.RenewBookings",
-	"RenewBookings",
-	"Toucan__RenewBookings",
-	"toucan",
-	sizeof(Toucan__RenewBookings),
-	1,
-	toucan__renew_bookings__field_descriptors,
-	toucan__renew_bookings__field_indices_by_name,
-	1,
-	toucan__renew_bookings__number_ranges,
-	(ProtobufCMessageInit)toucan__renew_bookings__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__release_booking__field_descriptors[2] = {
-	{
-		"endpoint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReleaseBooking, endpoint), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__ReleaseBooking, request_id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = request_ids */
+};
+static const ProtobufCIntRange toucan__renew_bookings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__renew_bookings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.RenewBookings",
+  "RenewBookings",
+  "Toucan__RenewBookings",
+  "toucan",
+  sizeof(Toucan__RenewBookings),
+  1,
+  toucan__renew_bookings__field_descriptors,
+  toucan__renew_bookings__field_indices_by_name,
+  1,  toucan__renew_bookings__number_ranges,
+  (ProtobufCMessageInit) toucan__renew_bookings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__release_booking__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReleaseBooking, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReleaseBooking, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__release_booking__field_indices_by_name[] = {
-	0, /* field[0] = endpoint */
-	1, /* field[1] = request_id */
-};
-static const ProtobufCIntRange toucan__release_booking__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor toucan__release_booking__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ReleaseBooking",
-	"ReleaseBooking",
-	"Toucan__ReleaseBooking",
-	"toucan",
-	sizeof(Toucan__ReleaseBooking),
-	2,
-	toucan__release_booking__field_descriptors,
-	toucan__release_booking__field_indices_by_name,
-	1,
-	toucan__release_booking__number_ranges,
-	(ProtobufCMessageInit)toucan__release_booking__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__bookings_pull__field_descriptors[1] = {
-	{
-		"endpoint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__BookingsPull, endpoint), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = request_id */
+};
+static const ProtobufCIntRange toucan__release_booking__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__release_booking__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ReleaseBooking",
+  "ReleaseBooking",
+  "Toucan__ReleaseBooking",
+  "toucan",
+  sizeof(Toucan__ReleaseBooking),
+  2,
+  toucan__release_booking__field_descriptors,
+  toucan__release_booking__field_indices_by_name,
+  1,  toucan__release_booking__number_ranges,
+  (ProtobufCMessageInit) toucan__release_booking__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__bookings_pull__field_descriptors[1] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookingsPull, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__bookings_pull__field_indices_by_name[] = {
-	0, /* field[0] = endpoint */
-};
-static const ProtobufCIntRange toucan__bookings_pull__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor toucan__bookings_pull__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.BookingsPull",
-	"BookingsPull",
-	"Toucan__BookingsPull",
-	"toucan",
-	sizeof(Toucan__BookingsPull),
-	1,
-	toucan__bookings_pull__field_descriptors,
-	toucan__bookings_pull__field_indices_by_name,
-	1,
-	toucan__bookings_pull__number_ranges,
-	(ProtobufCMessageInit)toucan__bookings_pull__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__booking__field_descriptors[5] = {
-	{
-		"endpoint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Booking, endpoint), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"request_id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Booking, request_id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"owner", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Booking, owner), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"pieces", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0,						  /* quantifier_offset */
-		offsetof(Toucan__Booking, pieces), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					  /* reserved1,reserved2, etc */
-	},
-	{
-		"klass", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32, 0, /* quantifier_offset */
-		offsetof(Toucan__Booking, klass), NULL, NULL, 0,	     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = endpoint */
+};
+static const ProtobufCIntRange toucan__bookings_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__bookings_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.BookingsPull",
+  "BookingsPull",
+  "Toucan__BookingsPull",
+  "toucan",
+  sizeof(Toucan__BookingsPull),
+  1,
+  toucan__bookings_pull__field_descriptors,
+  toucan__bookings_pull__field_indices_by_name,
+  1,  toucan__bookings_pull__number_ranges,
+  (ProtobufCMessageInit) toucan__bookings_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__booking__field_descriptors[5] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Booking, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Booking, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Booking, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Booking, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "klass",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Booking, klass),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__booking__field_indices_by_name[] = {
-	0, /* field[0] = endpoint */
-	4, /* field[4] = klass */
-	2, /* field[2] = owner */
-	3, /* field[3] = pieces */
-	1, /* field[1] = request_id */
-};
-static const ProtobufCIntRange toucan__booking__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor toucan__booking__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Booking",
-	"Booking",
-	"Toucan__Booking",
-	"toucan",
-	sizeof(Toucan__Booking),
-	5,
-	toucan__booking__field_descriptors,
-	toucan__booking__field_indices_by_name,
-	1,
-	toucan__booking__number_ranges,
-	(ProtobufCMessageInit)toucan__booking__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__bookings_reply__field_descriptors[1] = {
-	{
-		"bookings", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__BookingsReply, n_bookings),
-		offsetof(Toucan__BookingsReply, bookings), &toucan__booking__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = klass */
+  2,   /* field[2] = owner */
+  3,   /* field[3] = pieces */
+  1,   /* field[1] = request_id */
+};
+static const ProtobufCIntRange toucan__booking__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__booking__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Booking",
+  "Booking",
+  "Toucan__Booking",
+  "toucan",
+  sizeof(Toucan__Booking),
+  5,
+  toucan__booking__field_descriptors,
+  toucan__booking__field_indices_by_name,
+  1,  toucan__booking__number_ranges,
+  (ProtobufCMessageInit) toucan__booking__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__bookings_reply__field_descriptors[1] =
+{
+  {
+    "bookings",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__BookingsReply, n_bookings),
+    offsetof(Toucan__BookingsReply, bookings),
+    &toucan__booking__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__bookings_reply__field_indices_by_name[] = {
-	0, /* field[0] = bookings */
-};
-static const ProtobufCIntRange toucan__bookings_reply__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor toucan__bookings_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.BookingsReply",
-	"BookingsReply",
-	"Toucan__BookingsReply",
-	"toucan",
-	sizeof(Toucan__BookingsReply),
-	1,
-	toucan__bookings_reply__field_descriptors,
-	toucan__bookings_reply__field_indices_by_name,
-	1,
-	toucan__bookings_reply__number_ranges,
-	(ProtobufCMessageInit)toucan__bookings_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__config_row__field_descriptors[3] = {
-	{
-		"key", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Toucan__ConfigRow, key), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						     /* quantifier_offset */
-		offsetof(Toucan__ConfigRow, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					     /* reserved1,reserved2, etc */
-	},
-	{
-		"json", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(Toucan__ConfigRow, json), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = bookings */
+};
+static const ProtobufCIntRange toucan__bookings_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__bookings_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.BookingsReply",
+  "BookingsReply",
+  "Toucan__BookingsReply",
+  "toucan",
+  sizeof(Toucan__BookingsReply),
+  1,
+  toucan__bookings_reply__field_descriptors,
+  toucan__bookings_reply__field_indices_by_name,
+  1,  toucan__bookings_reply__number_ranges,
+  (ProtobufCMessageInit) toucan__bookings_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__config_row__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRow, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "json",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRow, json),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_row__field_indices_by_name[] = {
-	2, /* field[2] = json */
-	0, /* field[0] = key */
-	1, /* field[1] = version */
-};
-static const ProtobufCIntRange toucan__config_row__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__config_row__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ConfigRow",
-	"ConfigRow",
-	"Toucan__ConfigRow",
-	"toucan",
-	sizeof(Toucan__ConfigRow),
-	3,
-	toucan__config_row__field_descriptors,
-	toucan__config_row__field_indices_by_name,
-	1,
-	toucan__config_row__number_ranges,
-	(ProtobufCMessageInit)toucan__config_row__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__config_push__field_descriptors[3] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Toucan__ConfigPush, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
-	{
-		"base_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							   /* quantifier_offset */
-		offsetof(Toucan__ConfigPush, base_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rows", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__ConfigPush, n_rows), offsetof(Toucan__ConfigPush, rows),
-		&toucan__config_row__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL				  /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = json */
+  0,   /* field[0] = key */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange toucan__config_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__config_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ConfigRow",
+  "ConfigRow",
+  "Toucan__ConfigRow",
+  "toucan",
+  sizeof(Toucan__ConfigRow),
+  3,
+  toucan__config_row__field_descriptors,
+  toucan__config_row__field_indices_by_name,
+  1,  toucan__config_row__number_ranges,
+  (ProtobufCMessageInit) toucan__config_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__config_push__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPush, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPush, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__ConfigPush, n_rows),
+    offsetof(Toucan__ConfigPush, rows),
+    &toucan__config_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_push__field_indices_by_name[] = {
-	1, /* field[1] = base_version */
-	2, /* field[2] = rows */
-	0, /* field[0] = version */
-};
-static const ProtobufCIntRange toucan__config_push__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__config_push__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ConfigPush",
-	"ConfigPush",
-	"Toucan__ConfigPush",
-	"toucan",
-	sizeof(Toucan__ConfigPush),
-	3,
-	toucan__config_push__field_descriptors,
-	toucan__config_push__field_indices_by_name,
-	1,
-	toucan__config_push__number_ranges,
-	(ProtobufCMessageInit)toucan__config_push__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__config_pull__field_descriptors[1] = {
-	{
-		"have_version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							   /* quantifier_offset */
-		offsetof(Toucan__ConfigPull, have_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = base_version */
+  2,   /* field[2] = rows */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange toucan__config_push__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__config_push__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ConfigPush",
+  "ConfigPush",
+  "Toucan__ConfigPush",
+  "toucan",
+  sizeof(Toucan__ConfigPush),
+  3,
+  toucan__config_push__field_descriptors,
+  toucan__config_push__field_indices_by_name,
+  1,  toucan__config_push__number_ranges,
+  (ProtobufCMessageInit) toucan__config_push__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__config_pull__field_descriptors[3] =
+{
+  {
+    "have_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPull, have_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPull, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPull, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_pull__field_indices_by_name[] = {
-	0, /* field[0] = have_version */
-};
-static const ProtobufCIntRange toucan__config_pull__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor toucan__config_pull__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ConfigPull",
-	"ConfigPull",
-	"Toucan__ConfigPull",
-	"toucan",
-	sizeof(Toucan__ConfigPull),
-	1,
-	toucan__config_pull__field_descriptors,
-	toucan__config_pull__field_indices_by_name,
-	1,
-	toucan__config_pull__number_ranges,
-	(ProtobufCMessageInit)toucan__config_pull__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__config_rows__field_descriptors[3] = {
-	{
-		"version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,						      /* quantifier_offset */
-		offsetof(Toucan__ConfigRows, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					      /* reserved1,reserved2, etc */
-	},
-	{
-		"base_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0,							   /* quantifier_offset */
-		offsetof(Toucan__ConfigRows, base_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rows", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__ConfigRows, n_rows), offsetof(Toucan__ConfigRows, rows),
-		&toucan__config_row__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL				  /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = have_version */
+  1,   /* field[1] = offset */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange toucan__config_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__config_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ConfigPull",
+  "ConfigPull",
+  "Toucan__ConfigPull",
+  "toucan",
+  sizeof(Toucan__ConfigPull),
+  3,
+  toucan__config_pull__field_descriptors,
+  toucan__config_pull__field_indices_by_name,
+  1,  toucan__config_pull__number_ranges,
+  (ProtobufCMessageInit) toucan__config_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__config_rows__field_descriptors[4] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRows, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRows, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__ConfigRows, n_rows),
+    offsetof(Toucan__ConfigRows, rows),
+    &toucan__config_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRows, next_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_rows__field_indices_by_name[] = {
-	1, /* field[1] = base_version */
-	2, /* field[2] = rows */
-	0, /* field[0] = version */
-};
-static const ProtobufCIntRange toucan__config_rows__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__config_rows__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.ConfigRows",
-	"ConfigRows",
-	"Toucan__ConfigRows",
-	"toucan",
-	sizeof(Toucan__ConfigRows),
-	3,
-	toucan__config_rows__field_descriptors,
-	toucan__config_rows__field_indices_by_name,
-	1,
-	toucan__config_rows__number_ranges,
-	(ProtobufCMessageInit)toucan__config_rows__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__bucket__field_descriptors[3] = {
-	{
-		"account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(Toucan__Bucket, account), NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"level", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Toucan__Bucket, level), NULL, NULL, 0,		     /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"held", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(Toucan__Bucket, held), NULL, NULL, 0,		    /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = base_version */
+  3,   /* field[3] = next_offset */
+  2,   /* field[2] = rows */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange toucan__config_rows__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__config_rows__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ConfigRows",
+  "ConfigRows",
+  "Toucan__ConfigRows",
+  "toucan",
+  sizeof(Toucan__ConfigRows),
+  4,
+  toucan__config_rows__field_descriptors,
+  toucan__config_rows__field_indices_by_name,
+  1,  toucan__config_rows__number_ranges,
+  (ProtobufCMessageInit) toucan__config_rows__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__bucket__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Bucket, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Bucket, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Bucket, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__bucket__field_indices_by_name[] = {
-	0, /* field[0] = account */
-	2, /* field[2] = held */
-	1, /* field[1] = level */
-};
-static const ProtobufCIntRange toucan__bucket__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor toucan__bucket__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.Bucket",
-	"Bucket",
-	"Toucan__Bucket",
-	"toucan",
-	sizeof(Toucan__Bucket),
-	3,
-	toucan__bucket__field_descriptors,
-	toucan__bucket__field_indices_by_name,
-	1,
-	toucan__bucket__number_ranges,
-	(ProtobufCMessageInit)toucan__bucket__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor toucan__hand_over__field_descriptors[4] = {
-	{
-		"shards", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(Toucan__HandOver, n_shards), offsetof(Toucan__HandOver, shards), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL				/* reserved1,reserved2, etc */
-	},
-	{
-		"buckets", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__HandOver, n_buckets), offsetof(Toucan__HandOver, buckets),
-		&toucan__bucket__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL			      /* reserved1,reserved2, etc */
-	},
-	{
-		"bookings", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(Toucan__HandOver, n_bookings), offsetof(Toucan__HandOver, bookings),
-		&toucan__booking__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL			       /* reserved1,reserved2, etc */
-	},
-	{
-		"ticket", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0,						   /* quantifier_offset */
-		offsetof(Toucan__HandOver, ticket), NULL, NULL, 0, /* flags */
-		0, NULL, NULL					   /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = account */
+  2,   /* field[2] = held */
+  1,   /* field[1] = level */
