+};
+static const ProtobufCIntRange toucan__bucket__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__bucket__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Bucket",
+  "Bucket",
+  "Toucan__Bucket",
+  "toucan",
+  sizeof(Toucan__Bucket),
+  3,
+  toucan__bucket__field_descriptors,
+  toucan__bucket__field_indices_by_name,
+  1,  toucan__bucket__number_ranges,
+  (ProtobufCMessageInit) toucan__bucket__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__hand_over__field_descriptors[4] =
+{
+  {
+    "shards",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Toucan__HandOver, n_shards),
+    offsetof(Toucan__HandOver, shards),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "buckets",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__HandOver, n_buckets),
+    offsetof(Toucan__HandOver, buckets),
+    &toucan__bucket__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bookings",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__HandOver, n_bookings),
+    offsetof(Toucan__HandOver, bookings),
+    &toucan__booking__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HandOver, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__hand_over__field_indices_by_name[] = {
-	2, /* field[2] = bookings */
-	1, /* field[1] = buckets */
-	0, /* field[0] = shards */
-	3, /* field[3] = ticket */
-};
-static const ProtobufCIntRange toucan__hand_over__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor toucan__hand_over__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"toucan.HandOver",
-	"HandOver",
-	"Toucan__HandOver",
-	"toucan",
-	sizeof(Toucan__HandOver),
-	4,
-	toucan__hand_over__field_descriptors,
-	toucan__hand_over__field_indices_by_name,
-	1,
-	toucan__hand_over__number_ranges,
-	(ProtobufCMessageInit)toucan__hand_over__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  2,   /* field[2] = bookings */
+  1,   /* field[1] = buckets */
+  0,   /* field[0] = shards */
+  3,   /* field[3] = ticket */
+};
+static const ProtobufCIntRange toucan__hand_over__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__hand_over__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.HandOver",
+  "HandOver",
+  "Toucan__HandOver",
+  "toucan",
+  sizeof(Toucan__HandOver),
+  4,
+  toucan__hand_over__field_descriptors,
+  toucan__hand_over__field_indices_by_name,
+  1,  toucan__hand_over__number_ranges,
+  (ProtobufCMessageInit) toucan__hand_over__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
