Shorten the session lease to 3 s

Cause: requests of accounts that a dead VM accounted for waited up to 8.1 s for the takeover. Ruled out: taking a refused connection as proof of death, which a firewall that rejects would fake for a living VM. Change: lease 5 s to 3 s, fence margin 1 s to 0.5 s; two lost heartbeats are still survived. The tests of the session rules name the constants instead of their values.

--- a/src/session.h
+++ b/src/session.h
@@ -18,8 +18,8 @@
 #include "clock.h"
 #include "table.h"
 
-#define TLB_SESSION_LEASE (5 * TLB_SECOND)
-#define TLB_FENCE_MARGIN (1 * TLB_SECOND)
+#define TLB_SESSION_LEASE (3 * TLB_SECOND)
+#define TLB_FENCE_MARGIN (500 * TLB_MS)
 #define TLB_HEARTBEAT_INTERVAL (1 * TLB_SECOND)
 
 enum { TLB_WITNESS_MAX = 7 };
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -7,6 +7,8 @@
 #include "session.h"
 
 #define S TLB_SECOND
+#define LEASE TLB_SESSION_LEASE
+#define MARGIN TLB_FENCE_MARGIN
 
 static struct tlb_vm_name vm[8];
 static const struct tlb_vm_name holder = {.id = "x", .incarnation = 100};
@@ -31,12 +33,12 @@
 	} cases[] = {
 		{0, {0}, TLB_NEVER},
 		{1, {-1}, 0},
-		{1, {10 * S}, 15 * S},
+		{1, {10 * S}, 10 * S + LEASE},
 		{3, {10 * S, -1, -1}, 0},
-		{3, {10 * S, 12 * S, -1}, 15 * S},
-		{3, {10 * S, 12 * S, 11 * S}, 16 * S},
+		{3, {10 * S, 12 * S, -1}, 10 * S + LEASE},
+		{3, {10 * S, 12 * S, 11 * S}, 11 * S + LEASE},
 		{7, {10 * S, 10 * S, 10 * S, -1, -1, -1, -1}, 0},
-		{7, {10 * S, 20 * S, 20 * S, 9 * S, 1 * S, 20 * S, 2 * S}, 15 * S},
+		{7, {10 * S, 20 * S, 20 * S, 9 * S, 1 * S, 20 * S, 2 * S}, 10 * S + LEASE},
 	};
 	struct tlb_session s;
 	size_t c;
@@ -69,7 +71,7 @@
 	ck_assert(!tlb_session_valid(&s, 10 * S));
 	tlb_session_grant(&s, &vm[0], 10 * S, 1);
 	tlb_session_grant(&s, &vm[0], 8 * S, 1);
-	ck_assert(tlb_session_valid(&s, 14 * S));
+	ck_assert(tlb_session_valid(&s, 10 * S + LEASE - 1));
 	tlb_session_fence(&s);
 	tlb_session_grant(&s, &vm[0], 11 * S, 1);
 	ck_assert(!tlb_session_valid(&s, 11 * S));
@@ -94,7 +96,7 @@
 	grant_all(&s, 0, 3, 10 * S, 1);
 	tlb_session_propose(&s, vm + 2, 3);
 	ck_assert(!tlb_session_proposal_ready(&s, 11 * S));
-	ck_assert(tlb_session_valid(&s, 14 * S));
+	ck_assert(tlb_session_valid(&s, 10 * S + LEASE - 1));
 	grant_all(&s, 2, 5, 11 * S, 1);
 	ck_assert(tlb_session_proposal_ready(&s, 12 * S));
 
@@ -102,7 +104,7 @@
 	grant_all(&s, 0, 2, 20 * S, 1);
 	ck_assert_msg(!tlb_session_valid(&s, 20 * S), "the new set alone may have fenced");
 	grant_all(&s, 3, 5, 20 * S, 1);
-	ck_assert(tlb_session_valid(&s, 24 * S));
+	ck_assert(tlb_session_valid(&s, 20 * S + LEASE - 1));
 
 	tlb_session_write_done(&s, 2);
 	grant_all(&s, 3, 5, 30 * S, 2);
@@ -113,7 +115,7 @@
 	ck_assert_int_eq(s.phase, TLB_SESSION_STEADY);
 	ck_assert_int_eq(s.set[0].row_version, 2);
 	grant_all(&s, 3, 5, 40 * S, 2);
-	ck_assert(tlb_session_valid(&s, 44 * S));
+	ck_assert(tlb_session_valid(&s, 40 * S + LEASE - 1));
 }
 END_TEST
 
@@ -145,12 +147,12 @@
 		tlb_time asked_at;
 		enum tlb_fence_answer answer;
 	} cases[] = {
-		{10 * S, true, 1, 1, 15 * S, TLB_FENCE_REFUSED},
-		{10 * S, true, 1, 1, 16 * S, TLB_FENCE_REFUSED},
-		{10 * S, true, 1, 1, 16 * S + 1, TLB_FENCE_AGREED},
+		{10 * S, true, 1, 1, 10 * S + LEASE, TLB_FENCE_REFUSED},
+		{10 * S, true, 1, 1, 10 * S + LEASE + MARGIN, TLB_FENCE_REFUSED},
+		{10 * S, true, 1, 1, 10 * S + LEASE + MARGIN + 1, TLB_FENCE_AGREED},
 		/* A witness that has just started may have granted before it did. */
-		{-1, true, 1, 1, 6 * S - 1, TLB_FENCE_REFUSED},
-		{-1, true, 1, 1, 6 * S, TLB_FENCE_AGREED},
+		{-1, true, 1, 1, LEASE + MARGIN - 1, TLB_FENCE_REFUSED},
+		{-1, true, 1, 1, LEASE + MARGIN, TLB_FENCE_AGREED},
 		/* It may lack a row that its former incarnation knew. */
 		{-1, false, 1, 1, 60 * S, TLB_FENCE_REFUSED},
 		{10 * S, true, 2, 1, 60 * S, TLB_FENCE_SUPERSEDED},
