Let a large request claim the pieces that come free at one endpoint

Cause: nearly all requests refused at the peak need 9 or more of the 56 pieces (prompts above 17,000 tokens); small ones take each piece as it comes free. Change: an interactive request of that size that waited 2 s books at the emptiest endpoint and claims what comes free there until it fits (500 ms without repeating ends a claim).

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -23,7 +23,9 @@
 
 #define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 10 * TLB_SECOND
 
-#define BOOKING .booked = true, .max_requests = 24, .batch_reserve = 8, .standby_share = 0.25
+#define BOOKING                                                                                    \
+	.booked = true, .max_requests = 24, .batch_reserve = 8, .standby_share = 0.25,             \
+	.claim_pieces = 9, .claim_after = 2 * TLB_SECOND
 
 /* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
  * queue, no priorities at the engines. The _booked forms are what the daemon does with these
@@ -99,6 +101,8 @@
 	SET(interactive_wait, TLB_MS)
 	SET(batch_slack, TLB_MS)
 	SET(standby_share, 1)
+	SET(claim_after, TLB_MS)
+	SET(claim_pieces, 1)
 	SET(early, 1)
 #undef SET
 	return false;
--- a/bench/model.c
+++ b/bench/model.c
@@ -61,6 +61,7 @@
 /* Deadline of a message to another daemon. */
 #define SILENT_PEER (100 * TLB_MS)
 #define RETRY_QUEUE (20 * TLB_MS)
+#define CLAIM_LIFE (500 * TLB_MS)
 #define RETRY_TOKENS (50 * TLB_MS)
 #define RETRY_IMPORT (20 * TLB_MS)
 
@@ -103,6 +104,8 @@
 	int prefill;
 	int decode; /* engine index, -1: none */
 	bool booked;
+	tlb_time claim_from; /* may claim from then on */
+	bool claims;	     /* too large for what is free: waits at one endpoint for pieces */
 	bool has_tokens;
 	int part;	  /* that granted the tokens, or is asked for them */
 	bool within_rate; /* the reference bucket grants it */
@@ -365,8 +368,11 @@
 	struct router *r = &m->routers[j->router];
 	struct tlb_place_request pr = place_request(m, j);
 	int count = candidates(m, r, j, true, c, index);
-	struct tlb_placement pl = tlb_place_decode(&r->place, &pr, c, count);
+	struct tlb_placement pl;
 
+	if (j->claims)
+		pr.pieces = 0;
+	pl = tlb_place_decode(&r->place, &pr, c, count);
 	return pl.chosen < 0 ? -1 : index[pl.chosen];
 }
 
@@ -775,6 +781,34 @@
 
 /* --- booking --- */
 
+static struct job *stream_of(const struct engine *e, const char *request_id)
+{
+	struct job *j;
+
+	APR_RING_FOREACH (j, &e->streams, job, link) {
+		if (!strcmp(j->booking.request_id, request_id))
+			return j;
+	}
+	return NULL;
+}
+
+static void cancel_at_engine(struct model *m, struct engine *e, const char *request_id)
+{
+	struct job *j = stream_of(e, request_id);
+
+	if (j)
+		leave_streams(m, j);
+	tlb_book_cancelled(&e->book, request_id);
+}
+
+static void expire_bookings(struct model *m, struct engine *e)
+{
+	const struct tlb_booking *k;
+
+	while ((k = tlb_book_expire(&e->book, m->now)))
+		cancel_at_engine(m, e, k->request_id);
+}
+
 static void dispatch(struct model *m, struct router *r);
 
 static void on_wake(struct model *m, const struct event *e)
@@ -807,6 +841,9 @@
 
 	memset(j->tried, 0, sizeof(j->tried));
 	j->decode = -1;
+	if (j->claims)
+		j->claim_from = m->now + CLAIM_LIFE;
+	j->claims = false;
 	if (j->computed || j->tokens_done) {
 		if (j->computed && m->now >= j->evict_at) {
 			m->wasted_tokens += (double)j->computed;
@@ -821,11 +858,28 @@
 	wake(m, r, m->now + again);
 }
 
+static void on_book(struct model *m, const struct event *ev);
+
+static void wait_for_claim(struct model *m, struct job *j)
+{
+	if (m->now >= j->item.expires) {
+		note_sent(&m->routers[j->router].views[j->decode], m->now, -j->booking.pieces);
+		end_job(m, j, END_REFUSED);
+		return;
+	}
+	post(m, m->now + RETRY_QUEUE, on_book, j);
+}
+
 static void on_booked(struct model *m, const struct event *e)
 {
 	struct job *j = e->job;
 	struct view *v = &m->routers[j->router].views[j->decode];
 
+	if (e->b) {
+		wait_for_claim(m, j);
+		return;
+	}
+	j->claims = false;
 	if (e->a != TLB_BOOK_OK) {
 		note_sent(v, m->now, -j->booking.pieces);
 		j->tried[j->decode] = true;
@@ -853,10 +907,15 @@
 	struct event *reply;
 	bool served = m->now >= e->owner_ready;
 
-	if (served)
+	if (served) {
+		expire_bookings(m, e);
 		result = tlb_book_add(&e->book, &j->booking);
+	}
 	reply = post(m, m->now + (served ? HOP : SILENT_PEER), on_booked, j);
 	reply->a = result;
+	if (result == TLB_BOOK_FULL && j->claims)
+		reply->b = tlb_book_claim(&e->book, j->booking.request_id, j->booking.pieces,
+					  m->now + CLAIM_LIFE);
 }
 
 static void start_booking(struct model *m, struct job *j)
@@ -884,6 +943,15 @@
 	int decode_count;
 };
 
+/* A large request that waited for a while books at one endpoint and claims what comes free. */
+static bool may_claim(const struct model *m, const struct job *j)
+{
+	int least = m->run->flow->claim_pieces;
+
+	return least && j->class == TLB_INTERACTIVE && true_pieces(j) >= least &&
+	       m->now > j->claim_from;
+}
+
 static bool fits(void *arg, const struct tlb_item *it)
 {
 	const struct room *room = arg;
@@ -892,6 +960,8 @@
 	int need = true_pieces(j);
 	int i;
 
+	if (may_claim(room->m, j))
+		return true;
 	if (j->class == TLB_BATCH)
 		need += f->batch_reserve;
 	for (i = 0; i < room->decode_count; i++) {
@@ -911,6 +981,12 @@
 	room->decode_count = candidates(m, r, NULL, true, room->decode, index);
 }
 
+static void start(struct model *m, struct job *j)
+{
+	j->claims = may_claim(m, j);
+	start_booking(m, j);
+}
+
 static void dispatch(struct model *m, struct router *r)
 {
 	struct room room;
@@ -920,7 +996,7 @@
 		end_job(m, (struct job *)it, END_REFUSED);
 	look_around(m, r, &room);
 	while ((it = tlb_queue_pop(&r->queue, fits, &room, m->now))) {
-		start_booking(m, (struct job *)it);
+		start(m, (struct job *)it);
 		look_around(m, r, &room);
 	}
 	if (tlb_queue_count(&r->queue))
@@ -945,6 +1021,7 @@
 		return;
 	}
 	j->stage = STAGE_QUEUED;
+	j->claim_from = m->now + m->run->flow->claim_after;
 	tlb_queue_push(&r->queue, &r->flows[j->account], &j->item, m->now);
 	dispatch(m, r);
 }
@@ -1229,26 +1306,6 @@
 	post(m, m->now + REPORT_PERIOD, on_report, NULL)->engine = e->engine;
 }
 
-static struct job *stream_of(const struct engine *e, const char *request_id)
-{
-	struct job *j;
-
-	APR_RING_FOREACH (j, &e->streams, job, link) {
-		if (!strcmp(j->booking.request_id, request_id))
-			return j;
-	}
-	return NULL;
-}
-
-static void cancel_at_engine(struct model *m, struct engine *e, const char *request_id)
-{
-	struct job *j = stream_of(e, request_id);
-
-	if (j)
-		leave_streams(m, j);
-	tlb_book_cancelled(&e->book, request_id);
-}
-
 static int held_list(const struct engine *e, struct tlb_held *held)
 {
 	const struct job *j;
@@ -1267,11 +1324,9 @@
 {
 	struct tlb_held held[DECODE_PIECES];
 	int count = held_list(e, held);
-	const struct tlb_booking *k;
 	int i;
 
-	while ((k = tlb_book_expire(&e->book, m->now)))
-		cancel_at_engine(m, e, k->request_id);
+	expire_bookings(m, e);
 	tlb_book_reconcile(&e->book, held, count, m->now);
 	for (i = 0; i < count; i++) {
 		if (held[i].cancel)
--- a/bench/model.h
+++ b/bench/model.h
@@ -34,6 +34,8 @@
 	int batch_reserve; /* pieces that batch work leaves free */
 	tlb_time interactive_wait; /* longest wait for tokens and a place */
 	tlb_time batch_slack; /* batch requests become urgent this long before their deadline */
+	int claim_pieces;     /* requests from this size on claim what comes free; 0: none */
+	tlb_time claim_after; /* they have waited this long */
 	double standby_share; /* of rate and burst that the standby of the shard grants from */
 	double early;	      /* refuse when the target is missed by this factor; 0: never */
 };
--- a/src/book.c
+++ b/src/book.c
@@ -17,7 +17,8 @@
 	b->batch_reserve = batch_reserve;
 }
 
-int tlb_book_free(const struct tlb_book *b)
+/* Pieces that nobody holds, claimed or not. */
+static int unheld(const struct tlb_book *b)
 {
 	int left = b->total_pieces - b->booked_pieces;
 	int i;
@@ -29,6 +30,35 @@
 	return left > 0 ? left : 0;
 }
 
+int tlb_book_free(const struct tlb_book *b)
+{
+	int left = unheld(b) - b->claim_pieces;
+
+	return left > 0 ? left : 0;
+}
+
+/* Pieces that this request may book: its own claim doesn't stand in its way. */
+static int free_for(const struct tlb_book *b, const char *request_id)
+{
+	return strcmp(b->claim_id, request_id) ? tlb_book_free(b) : unheld(b);
+}
+
+static void drop_claim(struct tlb_book *b)
+{
+	b->claim_id[0] = '\0';
+	b->claim_pieces = 0;
+}
+
+bool tlb_book_claim(struct tlb_book *b, const char *request_id, int pieces, tlb_time expires)
+{
+	if (b->claim_pieces && strcmp(b->claim_id, request_id) != 0)
+		return false;
+	apr_cpystrn(b->claim_id, request_id, sizeof(b->claim_id));
+	b->claim_pieces = pieces;
+	b->claim_expires = expires;
+	return true;
+}
+
 struct tlb_booking *tlb_book_find(const struct tlb_book *b, const char *request_id)
 {
 	struct tlb_booking *k;
@@ -86,6 +116,8 @@
 
 	if (s)
 		drop_stray(b, s);
+	if (!strcmp(b->claim_id, k->request_id))
+		drop_claim(b);
 	APR_RING_INSERT_TAIL(&b->bookings, k, tlb_booking, link);
 	b->booked_pieces += k->pieces;
 	b->booking_count++;
@@ -101,6 +133,7 @@
 enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k)
 {
 	const struct tlb_booking *known = tlb_book_find(b, k->request_id);
+	int left = free_for(b, k->request_id);
 
 	if (!b->granting)
 		return TLB_BOOK_NOT_GRANTING;
@@ -110,9 +143,9 @@
 	}
 	if (k->pieces <= 0 || k->pieces > b->total_pieces)
 		return TLB_BOOK_TOO_BIG;
-	if (k->pieces > tlb_book_free(b))
+	if (k->pieces > left)
 		return TLB_BOOK_FULL;
-	if (k->class == TLB_BATCH && k->pieces + b->batch_reserve > tlb_book_free(b))
+	if (k->class == TLB_BATCH && k->pieces + b->batch_reserve > left)
 		return TLB_BOOK_RESERVED;
 	insert(b, k);
 	return TLB_BOOK_OK;
@@ -153,6 +186,8 @@
 {
 	struct tlb_booking *k;
 
+	if (b->claim_pieces && b->claim_expires <= now)
+		drop_claim(b);
 	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
 		if (k->expires > now)
 			continue;
--- a/src/book.h
+++ b/src/book.h
@@ -61,6 +61,10 @@
 	int max_requests;  /* bookings at once; 0, as init sets it: no limit */
 	tlb_time grace;	   /* a length of time: how long a stray may live */
 	bool granting;	   /* false until the engine's list has been seen */
+	/* Pieces that come free are kept for this request; none when claim_pieces is 0. */
+	char claim_id[TLB_REQUEST_ID_LEN];
+	int claim_pieces;
+	tlb_time claim_expires;
 	struct tlb_stray strays[TLB_BOOK_STRAYS];
 	int stray_count;
 };
@@ -87,6 +91,12 @@
 /* The row changed; bookings stay even when they no longer fit. */
 void tlb_book_resize(struct tlb_book *b, int total_pieces, int batch_reserve);
 
+/* Keeps what is free and comes free for one interactive request that found the book full, until it
+ * books or expires passes. Repeating the claim extends it. Returns false while another request has
+ * the claim. Without claims a request for many pieces starves, because small ones take every piece
+ * as it comes free. */
+bool tlb_book_claim(struct tlb_book *b, const char *request_id, int pieces, tlb_time expires);
+
 /* Adds *k if it may be granted. Repeating a booking of the same request and owner renews the one in
  * the book and returns TLB_BOOK_OK; *k then is not in the book: check tlb_book_find() == k. */
 enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k);
@@ -106,8 +116,8 @@
  * are free at once: release follows the end of the stream or the answer to the cancel. */
 struct tlb_booking *tlb_book_release(struct tlb_book *b, const char *request_id, const char *owner);
 
-/* Takes out the next booking that expired by now, or returns NULL. Its pieces stay counted as a
- * stray; the caller cancels the request at the engine. */
+/* Takes out the next booking that expired by now, or returns NULL; ends an expired claim. Its
+ * pieces stay counted as a stray; the caller cancels the request at the engine. */
 struct tlb_booking *tlb_book_expire(struct tlb_book *b, tlb_time now);
 
 /* The engine confirmed a cancel: the stray's pieces are free. Harmless for unknown ids. */
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -85,6 +85,37 @@
 }
 END_TEST
 
+/* A large request must get its pieces though small ones ask all the time. */
+START_TEST(claim_keeps_freed_pieces)
+{
+	struct tlb_booking *big = make(2, "big", "vm1/1", 12, TLB_INTERACTIVE, TLB_NEVER);
+
+	tlb_book_add(&book, make(0, "a", "vm1/1", 10, TLB_INTERACTIVE, TLB_NEVER));
+	ck_assert_int_eq(tlb_book_add(&book, big), TLB_BOOK_FULL);
+	ck_assert(tlb_book_claim(&book, "big", 12, 100));
+	ck_assert(!tlb_book_claim(&book, "other", 12, 100));
+	ck_assert_int_eq(tlb_book_add(&book, make(1, "b", "vm1/1", 1, TLB_INTERACTIVE, 1)),
+			 TLB_BOOK_FULL);
+	tlb_book_release(&book, "a", "vm1/1");
+	ck_assert_int_eq(tlb_book_free(&book), 8);
+	ck_assert_int_eq(tlb_book_add(&book, big), TLB_BOOK_OK);
+	ck_assert_int_eq(tlb_book_free(&book), 8);
+}
+END_TEST
+
+/* The claim of a caller that is gone must end. */
+START_TEST(claim_ends_when_not_repeated)
+{
+	ck_assert(tlb_book_claim(&book, "gone", 15, 150));
+	ck_assert(tlb_book_claim(&book, "gone", 15, 170));
+	ck_assert_ptr_null(tlb_book_expire(&book, 169));
+	ck_assert_int_eq(tlb_book_free(&book), 5);
+	ck_assert_ptr_null(tlb_book_expire(&book, 170));
+	ck_assert_int_eq(tlb_book_free(&book), TOTAL);
+	ck_assert(tlb_book_claim(&book, "next", 15, 300));
+}
+END_TEST
+
 /* A new owner that granted at once would book memory that others still hold. */
 START_TEST(new_owner_grants_only_after_the_list)
 {
@@ -165,6 +196,8 @@
 	tcase_add_loop_test(tc, booking_follows_room_and_reserve, 0,
 			    sizeof(add_cases) / sizeof(add_cases[0]));
 	tcase_add_test(tc, request_limit_holds_though_memory_is_free);
+	tcase_add_test(tc, claim_keeps_freed_pieces);
+	tcase_add_test(tc, claim_ends_when_not_repeated);
 	tcase_add_test(tc, new_owner_grants_only_after_the_list);
 	tcase_add_test(tc, expired_booking_stays_counted_until_gone);
 	tcase_add_test(tc, strays_are_cancelled_after_the_grace_period);
