--- a/load/env.c
+++ b/load/env.c
@@ -27,17 +27,18 @@
 	*field = value;
 }
 
-static void take_callers(struct load_env *e, const char *line)
+/* Splits a list of addresses at its spaces. */
+static void take_list(char **out, int *count, const char *line, const char *name)
 {
-	char *list = value_of(line, "CALLER_ADDRS");
+	char *list = value_of(line, name);
 	char *rest = NULL;
 	char *word;
 
 	if (!list)
 		return;
-	for (word = strtok_r(list, " ", &rest); word && e->vms < LOAD_VMS_MAX;
+	for (word = strtok_r(list, " ", &rest); word && *count < LOAD_VMS_MAX;
 	     word = strtok_r(NULL, " ", &rest))
-		e->caller[e->vms++] = strdup(word);
+		out[(*count)++] = strdup(word);
 	free(list);
 }
 
@@ -53,7 +54,8 @@
 		return false;
 	}
 	while (getline(&line, &cap, f) >= 0) {
-		take_callers(e, line);
+		take_list(e->caller, &e->vms, line, "CALLER_ADDRS");
+		take_list(e->operator, & e->operators, line, "OPERATOR_ADDRS");
 		take(&e->key, line, "KEY");
 		take(&e->model, line, "MODEL");
 		take(&e->service_path, line, "SERVICE_PATH");
@@ -75,6 +77,8 @@
 
 	for (i = 0; i < e->vms; i++)
 		free(e->caller[i]);
+	for (i = 0; i < e->operators; i++)
+		free(e->operator[i]);
 	free(e->key);
 	free(e->model);
 	free(e->service_path);
--- a/load/env.h
+++ b/load/env.h
@@ -10,6 +10,9 @@
 struct load_env {
 	char *caller[LOAD_VMS_MAX]; /* host:port of each VM's caller listener */
 	int vms;
+	char *
+	operator[LOAD_VMS_MAX]; /* host:port of each VM's operator listener, when it has one */
+	int operators;
 	char *key;
 	char *model;
 	char *service_path;
--- a/load/load.c
+++ b/load/load.c
@@ -8,6 +8,7 @@
 
 #include "answer.h"
 #include "env.h"
+#include "health.h"
 #include "plan.h"
 #include "report.h"
 
@@ -45,6 +46,7 @@
 	struct load_mix mix;
 	struct load_plan plan;
 	struct load_report report;
+	struct load_health health;
 	unsigned long seed;
 	long timeout_ms;
 	bool json;
@@ -136,14 +138,28 @@
 	}
 }
 
-/* Sends the request to the next VM in turn. */
+/* The next VM in turn that is up; the next one when none is. */
+static int choose_vm(struct load_run *r)
+{
+	int first = r->next_vm;
+	int i;
+
+	for (i = 0; i < r->env.vms - 1; i++)
+		if (load_health_up(&r->health, (first + i) % r->env.vms))
+			break;
+	if (i == r->env.vms - 1 && !load_health_up(&r->health, (first + i) % r->env.vms))
+		i = 0;
+	r->next_vm = (first + i + 1) % r->env.vms;
+	return (first + i) % r->env.vms;
+}
+
+/* Sends the request to a VM. */
 static void attempt(struct load_call *c)
 {
 	struct load_run *r = c->run;
 	char url[TEXT_MAX];
 
-	c->vm = r->next_vm;
-	r->next_vm = (r->next_vm + 1) % r->env.vms;
+	c->vm = choose_vm(r);
 	c->again_at = 0;
 	c->token_at = 0;
 	load_answer_reset(&c->answer);
@@ -290,6 +306,7 @@
 		while (sent < r->plan.count && start + r->plan.items[sent].at <= now)
 			start_call(r, &r->plan.items[sent++]);
 		start_repeats(r, now);
+		load_health_run(&r->health);
 		curl_multi_perform(r->multi, &running);
 		read_results(r);
 		now = tlb_clock_now();
@@ -464,11 +481,13 @@
 	APR_RING_INIT(&r.calls, load_call, link);
 	load_plan_init(&r.plan, &r.mix, r.seed);
 	load_report_init(&r.report, r.mix.accounts);
+	load_health_init(&r.health, &r.env);
 	r.multi = curl_multi_init();
 	run(&r);
 	print_report(&r);
 	status = exit_status(&r);
 	curl_multi_cleanup(r.multi);
+	load_health_finish(&r.health);
 	load_report_finish(&r.report);
 	load_plan_finish(&r.plan);
 	load_env_finish(&r.env);
--- /dev/null
+++ b/tests/promises/p04_rate.py
@@ -0,0 +1,263 @@
+#!/usr/bin/env python3
+"""Promise 4: no client account gets more than its rate and burst, in tokens, across all VMs; and a
+caller whose whole traffic lands on one VM gets its full rate."""
+import threading
+import time
+
+from harness import Caller, Failed, case, complete, completion_body, main, output_of
+
+RATE, BURST, COST = 500, 1000, 10  # tokens per second, tokens, tokens per status request
+ACCOUNT = 5
+
+
+def rows(rate=RATE, burst=BURST):
+    return {f"config/account/account-{ACCOUNT}": {"weight": 1, "rate": rate, "burst": burst}}
+
+
+class Flood:
+    """Callers that send status requests of one account as fast as they are answered."""
+
+    def __init__(self, fleet, per_vm, vms=None, gap=0.0, number=ACCOUNT):
+        self.fleet, self.gap = fleet, gap
+        self.key = fleet.account_key(number)
+        self.stop = threading.Event()
+        self.lock = threading.Lock()
+        self.admitted = []  # (sent, answered) of the requests that were run
+        self.refused = 0
+        self.other = []
+        self.threads = [threading.Thread(target=self._run, args=(vm,))
+                        for vm in (vms if vms is not None else range(len(fleet.callers)))
+                        for _ in range(per_vm)]
+        for thread in self.threads:
+            thread.start()
+
+    def end(self):
+        self.stop.set()
+        for thread in self.threads:
+            thread.join()
+        return self
+
+    def _run(self, vm):
+        c = None
+        due = time.monotonic()
+        while not self.stop.is_set():
+            due = max(due + self.gap, time.monotonic() - 0.2)
+            time.sleep(max(0.0, due - time.monotonic()))
+            try:
+                c = c or Caller(self.fleet.callers[vm], 6)
+                sent = time.monotonic()
+                c.send("GET", self.fleet.service_path, self.key)
+                r = c.receive()
+            except OSError:
+                c = None
+                time.sleep(0.05)
+                continue
+            with self.lock:
+                if r.complete and r.status == 200:
+                    self.admitted.append((sent, time.monotonic()))
+                elif r.complete and r.status == 429:
+                    self.refused += 1
+                else:
+                    self.other.append(repr(r))
+            if not r.complete or r.headers.get("connection") == "close":
+                c.close()
+                c = None
+
+
+def worst_window(admitted, rate=RATE, burst=BURST, cost=None):
+    """The largest quotient of tokens surely admitted within a window and burst + rate * window.
+    Each request was admitted at some moment between its sending and its answer, so the window that
+    surely holds requests i..j, by their sending, ends with the latest of their answers."""
+    ordered = sorted(admitted)
+    worst = 0.0
+    for i in range(0, len(ordered), max(1, len(ordered) // 400)):
+        tokens, end = 0, 0.0
+        for k in range(i, len(ordered)):
+            tokens += cost[ordered[k]] if cost else COST
+            end = max(end, ordered[k][1])
+            worst = max(worst, tokens / (burst + rate * (end - ordered[i][0])))
+    return worst
+
+
+def flood(t, seconds=8, during=None, least=0.5):
+    """Floods all VMs; during(fleet) runs after 2 s. least is the share of the rate that must be
+    admitted at all, so that a router that refuses everything doesn't pass."""
+    with t.fleet(rows=rows()) as fleet:
+        time.sleep(3)
+        begin = time.monotonic()
+        run = Flood(fleet, 3)
+        time.sleep(2)
+        if during:
+            during(fleet)
+        time.sleep(max(0, begin + seconds - time.monotonic()))
+        run.end()
+        used = time.monotonic() - begin
+        t.note(f"admitted {len(run.admitted)} refused {run.refused} other {run.other[:2]}")
+        if len(run.admitted) * COST < least * RATE * used:
+            raise Failed("less than the least share of the rate was admitted")
+        return worst_window(run.admitted), 1.0
+
+
+@case
+def all_vms_together(t):
+    """Guards against each VM granting the rate for itself."""
+    return flood(t)
+
+
+@case
+def vm_killed_and_replaced(t):
+    """A new owner of the account's shard must not start with a full bucket."""
+    def during(fleet):
+        vm = t.vm(fleet)
+        fleet.kill(vm)
+        time.sleep(1)
+        fleet.replace(vm, wait=False)
+    return flood(t, 14, during, 0.2)
+
+
+@case
+def each_vm_killed_in_turn(t):
+    """Every shard loses its owner once."""
+    def during(fleet):
+        for vm in range(len(fleet.callers)):
+            fleet.kill(vm)
+            fleet.replace(vm, wait=False)
+            time.sleep(1.5)
+    return flood(t, 16, during, 0.1)
+
+
+@case
+def vm_frozen_and_continued(t):
+    """A frozen owner that goes on must not grant what its successor has granted already."""
+    def during(fleet):
+        vm = t.vm(fleet)
+        fleet.freeze(vm)
+        time.sleep(8)
+        fleet.thaw(vm)
+        time.sleep(2)
+    return flood(t, 14, during, 0.1)
+
+
+@case
+def all_vms_frozen_shortly(t):
+    """Shorter than the lease: the buckets must not be filled for the time twice."""
+    def during(fleet):
+        for vm in range(len(fleet.callers)):
+            fleet.freeze(vm)
+        time.sleep(2.5)
+        for vm in range(len(fleet.callers)):
+            fleet.thaw(vm)
+    return flood(t, 10, during, 0.2)
+
+
+@case
+def store_down(t):
+    """Limits hold, and requests are served, while the store is down."""
+    return flood(t, 8, lambda fleet: fleet.store_down())
+
+
+@case
+def store_down_and_vm_killed(t):
+    def during(fleet):
+        fleet.store_down()
+        fleet.kill(t.vm(fleet))
+    return flood(t, 14, during, 0.2)
+
+
+@case
+def vm_terminated(t):
+    """The bucket is handed over in order."""
+    return flood(t, 10, lambda fleet: fleet.terminate(t.vm(fleet)), 0.3)
+
+
+@case
+def model_requests(t):
+    """Prompt and output tokens of model requests, over all VMs."""
+    rate, burst = 2000, 4000
+    with t.fleet(rows=rows(rate, burst)) as fleet:
+        time.sleep(3)
+        cost, lock = {}, threading.Lock()
+        end = time.monotonic() + 8
+
+        def run(vm):
+            while time.monotonic() < end:
+                prompt = t.prompt(t.random.randint(50, 400))
+                sent = time.monotonic()
+                r = complete(fleet, vm, prompt, 64, False, fleet.account_key(ACCOUNT))
+                if r.complete and r.status == 200:
+                    tokens = (len(prompt) + 3) // 4 + len(output_of(prompt, 64).split())
+                    with lock:
+                        cost[(sent, time.monotonic())] = tokens
+        threads = [threading.Thread(target=run, args=(vm,))
+                   for vm in range(len(fleet.callers)) for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        t.note(f"admitted {len(cost)} requests of {sum(cost.values())} tokens")
+        if sum(cost.values()) < rate * 8 * 0.3:
+            raise Failed("less than three tenths of the rate was admitted")
+        return worst_window(list(cost), rate, burst, cost), 1.0
+
+
+def full_rate(t, vms, disturb=None):
+    """Sends at 0.95 of the rate to these VMs; the figure is the share that was refused or lost."""
+    with t.fleet(rows=rows()) as fleet:
+        time.sleep(3)
+        if disturb:
+            disturb(fleet)
+        chosen = vms(fleet)
+        senders = 2
+        gap = senders * len(chosen) * COST / (RATE * 0.95)
+        run = Flood(fleet, senders, chosen, gap)
+        time.sleep(10)
+        run.end()
+        wanted = 10 * RATE * 0.95 / COST
+        t.note(f"admitted {len(run.admitted)} of {wanted:.0f}, refused {run.refused}, "
+               f"other {run.other[:2]}")
+        return 1 - min(len(run.admitted) / wanted, 1.0) + run.refused / wanted, 0.02
+
+
+@case
+def whole_traffic_on_one_vm(t):
+    """Guards against fixed shares of the rate per VM."""
+    return full_rate(t, lambda fleet: [t.vm(fleet)])
+
+
+@case
+def whole_traffic_on_one_vm_with_store_down(t):
+    return full_rate(t, lambda fleet: [t.vm(fleet)], lambda fleet: fleet.store_down())
+
+
+@case
+def rate_over_all_vms_without_refusal(t):
+    """A caller within its rate is refused nothing, however its traffic is spread."""
+    return full_rate(t, lambda fleet: range(len(fleet.callers)))
+
+
+@case
+def cancelled_requests_return_tokens_once(t):
+    """Callers that leave at once must neither lose the account's tokens for good nor gain any."""
+    rate, burst = 2000, 4000
+    with t.fleet(rows=rows(rate, burst)) as fleet:
+        time.sleep(3)
+        for _ in range(20):
+            with Caller(fleet.callers[t.vm(fleet)]) as c:
+                c.send("POST", "/v1/completions", fleet.account_key(ACCOUNT),
+                       completion_body(fleet, t.prompt(100), 256, True))
+        time.sleep(4)
+        cost = {}
+        for _ in range(14):
+            prompt = t.prompt(200)
+            sent = time.monotonic()
+            r = complete(fleet, t.vm(fleet), prompt, 64, False, fleet.account_key(ACCOUNT))
+            if r.status == 200:
+                cost[(sent, time.monotonic())] = 200 + len(output_of(prompt, 64).split())
+        t.note(f"answered {len(cost)} of 14")
+        if len(cost) < 14:
+            return 2.0, 1.0
+        return worst_window(list(cost), rate, burst, cost), 1.0
+
+
+if __name__ == "__main__":
+    main(4)
