--- a/src/request.c
+++ b/src/request.c
@@ -16,6 +16,8 @@
 #define IMPORT_PER_TOKEN ((tlb_time)200) /* microseconds */
 #define TOKEN_SILENCE (2 * TLB_SECOND)	 /* a decode stream without a byte for this long failed */
 #define CALL_NEVER_LONGER (600 * TLB_SECOND)
+/* Before its deadline by this much a batch request competes as an interactive one. */
+#define BATCH_URGENT (10 * TLB_SECOND)
 #define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
 
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
@@ -264,8 +266,6 @@
 {
 	struct tlb_request *r = request_of(w);
 
-	r->tried_decode.count = 0;
-	r->tried_prefill.count = 0;
 	place(r);
 }
 
@@ -299,7 +299,7 @@
 	r->wait.item.expires = min_time(wait_until, caller_deadline(r));
 	if (r->completion.class == TLB_BATCH && r->completion.deadline_ms)
 		r->wait.item.latest_start =
-			caller_deadline(r) - 5 * TLB_SECOND -
+			caller_deadline(r) - BATCH_URGENT -
 			r->max_tokens * r->board->settings->token_gap_target_ms * TLB_MS;
 	tlb_pool_push(&r->board->pools, r->pool, r->account, &r->wait);
 }
@@ -423,6 +423,8 @@
 	collect(r, TLB_ROLE_DECODE, &r->tried_decode, p.now, &c);
 	pl = tlb_place_decode(&r->board->place, &p, c.list, c.count);
 	if (pl.chosen < 0) {
+		/* All have refused or failed; the next round may try each again. */
+		r->tried_decode.count = 0;
 		r->step = STEP_QUEUE;
 		tlb_pool_unpop(&r->board->pools, r->pool, r->account, &r->wait);
 		return;
@@ -498,6 +500,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.body = body,
 		.body_len = body ? strlen(body) : 0,
 		.deadline = now + PREFILL_BASE + r->prompt_tokens * PREFILL_PER_TOKEN,
@@ -537,6 +540,7 @@
 	pl = tlb_place_prefill(&r->board->place, &p, &decode, c.list, c.count);
 	if (pl.chosen < 0) {
 		r->prefill = NULL;
+		r->tried_prefill.count = 0;
 		retry(r, "", "no prefill engine is usable");
 		return;
 	}
@@ -584,6 +588,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.deadline = now + IMPORT_BASE + r->prompt_tokens * IMPORT_PER_TOKEN,
 		.on_done = on_import,
 		.arg = r,
@@ -778,6 +783,7 @@
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.url = url,
+		.own_connection = true,
 		.deadline = now + CALL_NEVER_LONGER,
 		.on_data = on_decode_data,
 		.on_done = on_decode_done,
