Send orders to engines under the shard owner's lease, with fencing numbers

Change: the owner of an engine's shard orders what the table in force wants, repeats until confirmed and asserts again after a takeover. The fencing number is made of the shard map's version, a bit for takeovers on a fence alone, and the configuration version. The lease is checked again once the connection stands. Model rows get an optional adapter column.

--- a/src/board.h
+++ b/src/board.h
@@ -11,6 +11,7 @@
 #include "booking.h"
 #include "limit.h"
 #include "load.h"
+#include "order.h"
 #include "pool.h"
 #include "request.h"
 #include "service.h"
@@ -34,6 +35,7 @@
 	struct tlb_pools pools;
 	struct tlb_requests requests;
 	struct tlb_services services;
+	struct tlb_orders orders;
 	char owner[TLB_OWNER_LEN]; /* "<vm id>/<incarnation>", as engines see it */
 };
 
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -165,6 +165,13 @@
 	return TLB_OWNER_PEER;
 }
 
+int64_t tlb_cluster_epoch(const struct tlb_cluster *c, const char *id)
+{
+	const struct tlb_shard_entry *e = &c->map.entry[tlb_shard_of(id)];
+
+	return 2 * c->map.version + !tlb_vm_name_equal(&e->owner, &c->self);
+}
+
 /* Fences. */
 
 static void send_fence_notice(struct tlb_cluster *c, const char *to, const struct tlb_vm_name *vm)
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -140,6 +140,10 @@
 tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c);
 /* Who accounts for an id. For TLB_OWNER_PEER vm is the owner; otherwise "". */
 enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN]);
+/* For fencing numbers: grows with every change of the VM that acts for the id's shard. Twice the
+ * version of the shard map, plus 1 while this VM acts as the standby on a fence that the map does
+ * not show yet. Meaningful while tlb_cluster_owner() answers SELF. */
+int64_t tlb_cluster_epoch(const struct tlb_cluster *c, const char *id);
 /* Calls fn for each live VM except this one. fn must not change the cluster. */
 void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm),
 		      void *arg);
--- a/src/counter.h
+++ b/src/counter.h
@@ -43,6 +43,12 @@
 	  "Links closed for a frame that is too large, malformed or not authentic")                \
 	X(PEER_SILENT, "toucanlb_peer_silent_total", "counter",                                    \
 	  "Links closed because no frame arrived in time")                                         \
+	X(ORDERS_SENT, "toucanlb_orders_sent_total", "counter",                                    \
+	  "Orders sent to engines, repeated ones included")                                        \
+	X(ORDERS_CONFIRMED, "toucanlb_orders_confirmed_total", "counter",                          \
+	  "Orders that engines have confirmed")                                                    \
+	X(ORDERS_REFUSED, "toucanlb_orders_refused_total", "counter",                              \
+	  "Orders that engines have refused for an old fencing number")                            \
 	X(HTTP_CALLS, "toucanlb_http_calls_total", "counter",                                      \
 	  "Calls to endpoints and the table service that have ended")                              \
 	X(HTTP_CONNECTS, "toucanlb_http_connects_total", "counter",                                \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -31,6 +31,7 @@
 	tlb_limit_sync(&d->board.limit);
 	tlb_pools_sync(&d->board.pools);
 	tlb_requests_sync(&d->board.requests);
+	tlb_orders_sync(&d->board.orders);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_CONFIG_VERSION, d->table_version);
 	/* A VM that read the store by itself need not tell the others: heartbeats do. */
 	if (d->config.source == TLB_CONFIG_FROM_CHANGE)
@@ -111,6 +112,7 @@
 
 	tlb_limit_shards_changed(&d->board.limit, gained, lost);
 	tlb_bookings_shards_changed(&d->board.bookings, gained, lost);
+	tlb_orders_shards_changed(&d->board.orders, gained, lost);
 }
 
 static void hand_over(void *arg, tlb_shard_set shards, Toucan__HandOver *out)
@@ -358,6 +360,7 @@
 	tlb_pools_init(&b->pools, b);
 	tlb_requests_init(&b->requests, b);
 	tlb_services_init(&b->services, b);
+	tlb_orders_init(&b->orders, b);
 	tlb_bookings_start(&b->bookings);
 }
 
@@ -469,6 +472,7 @@
 {
 	tlb_requests_finish(&d->board.requests);
 	tlb_services_finish(&d->board.services);
+	tlb_orders_finish(&d->board.orders);
 	tlb_operator_finish(&d->operators);
 	tlb_front_finish(&d->front);
 	tlb_bookings_finish(&d->board.bookings);
--- /dev/null
+++ b/src/order.c
@@ -0,0 +1,386 @@
+#include "order.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+#include "retry.h"
+
+#define BACKOFF_BASE (200 * TLB_MS)
+#define BACKOFF_MOST (5 * TLB_SECOND)
+/* Keeps the assertions of engines that changed their owner together apart. */
+#define ASSERT_SPREAD (8 * TLB_SECOND)
+/* How often a held-back order looks whether the lease is valid again or its number has grown; half
+ * of the heartbeat interval, with which both become known. */
+#define RECHECK (500 * TLB_MS)
+
+enum { CONFIG_VERSION_MAX = (1 << TLB_ORDER_CONFIG_BITS) - 1, URL_LEN = TLB_ADDR_LEN + 16 };
+
+static const char *const role_names[] = {"prefill", "decode", "service"};
+
+/* What one engine is told. Owned by struct tlb_orders. */
+struct tlb_order {
+	APR_RING_ENTRY(tlb_order) link;
+	struct tlb_orders *orders;
+	char id[TLB_ID_LEN];
+	char addr[TLB_ADDR_LEN];
+	bool checks_fencing;
+	struct tlb_order_state wanted;
+	const char *reason; /* why the next order is sent; a string constant */
+	bool changed;	    /* while a call is open */
+	int attempt;	    /* since the last confirmation */
+	int64_t number;	    /* of the last order sent */
+	int64_t refused;    /* the highest number that the engine has refused */
+	tlb_time settled;   /* from then on no other order can be in flight */
+	struct tlb_http_call call;
+	struct tlb_timer timer;
+};
+
+enum tlb_order_wish tlb_order_wanted(const struct tlb_table *t, const struct tlb_endpoint *e,
+				     struct tlb_order_state *out)
+{
+	const struct tlb_model *model = NULL;
+	const struct tlb_model *m;
+
+	memset(out, 0, sizeof(*out));
+	if (e->role == TLB_ROLE_SERVICE)
+		return TLB_ORDER_NOT_ENGINE;
+	if (e->state == TLB_ENDPOINT_LEAVING)
+		return TLB_ORDER_LEAVING;
+	APR_RING_FOREACH (m, &t->models, tlb_model, link) {
+		if (strcmp(m->pool, e->pool) != 0)
+			continue;
+		if (model)
+			return TLB_ORDER_AMBIGUOUS;
+		model = m;
+	}
+	if (!model)
+		return TLB_ORDER_NO_MODEL;
+	strcpy(out->model, model->id);
+	strcpy(out->version, model->version);
+	strcpy(out->adapter, model->adapter);
+	out->role = e->role;
+	return TLB_ORDER_WANTED;
+}
+
+int64_t tlb_order_number(int64_t epoch, int64_t config_version)
+{
+	if (config_version > CONFIG_VERSION_MAX)
+		config_version = CONFIG_VERSION_MAX;
+	return (epoch << TLB_ORDER_CONFIG_BITS) + config_version;
+}
+
+static bool state_equal(const struct tlb_order_state *a, const struct tlb_order_state *b)
+{
+	return a->role == b->role && strcmp(a->model, b->model) == 0 &&
+	       strcmp(a->version, b->version) == 0 && strcmp(a->adapter, b->adapter) == 0;
+}
+
+static void schedule(struct tlb_order *o, tlb_time at)
+{
+	tlb_timer_set(o->orders->board->loop, &o->timer, at);
+}
+
+static bool may_send(const struct tlb_order *o)
+{
+	const struct tlb_board *b = o->orders->board;
+	char vm[TLB_ID_LEN];
+
+	return tlb_board_owner(b, o->id, vm) == TLB_OWNER_SELF && tlb_board_valid(b);
+}
+
+static int64_t next_number(const struct tlb_order *o)
+{
+	const struct tlb_board *b = o->orders->board;
+
+	return tlb_order_number(b->cluster ? tlb_cluster_epoch(b->cluster, o->id) : 0,
+				b->table->version);
+}
+
+/* --- the answer --- */
+
+static void log_result(const struct tlb_order *o, const char *decision,
+		       const struct tlb_http_result *r)
+{
+	tlb_log_info("event=order endpoint=%s decision=%s fencing=%" PRId64
+		     " status=%d attempt=%d error=\"%s\"",
+		     o->id, decision, o->number, r->status, o->attempt, r->reason);
+}
+
+static void take_confirmation(struct tlb_order *o, const struct tlb_http_result *r)
+{
+	tlb_time now = tlb_clock_now();
+	double jitter = tlb_random_unit(&o->orders->random);
+
+	tlb_counter_add(&o->orders->board->counters, TLB_COUNTER_ORDERS_CONFIRMED, 1);
+	log_result(o, "confirmed", r);
+	o->attempt = 0;
+	if (!o->checks_fencing && o->settled > now) {
+		o->reason = "settled";
+		schedule(o, o->settled);
+		return;
+	}
+	o->reason = "assert";
+	schedule(o, now + TLB_ORDER_ASSERT - (tlb_time)(jitter * ASSERT_SPREAD));
+}
+
+/* As far as the engine knows, another VM is the owner. */
+static void take_refusal(struct tlb_order *o, const struct tlb_http_result *r)
+{
+	tlb_counter_add(&o->orders->board->counters, TLB_COUNTER_ORDERS_REFUSED, 1);
+	log_result(o, "refused", r);
+	o->refused = o->number;
+	o->reason = "refused";
+	schedule(o, tlb_clock_now() + RECHECK);
+}
+
+static void take_failure(struct tlb_order *o, const struct tlb_http_result *r)
+{
+	tlb_time now = tlb_clock_now();
+
+	o->attempt++;
+	log_result(o, "retry", r);
+	/* Without an answer the engine may still act on it. */
+	if (r->status == 0)
+		o->settled = now + TLB_ORDER_IN_FLIGHT;
+	o->reason = "unconfirmed";
+	schedule(o, now + tlb_retry_backoff(o->attempt, BACKOFF_BASE, BACKOFF_MOST,
+					    &o->orders->random));
+}
+
+static void on_answer(void *arg, const struct tlb_http_result *r)
+{
+	struct tlb_order *o = arg;
+
+	if (r->status == 200)
+		take_confirmation(o, r);
+	else if (r->status == 412)
+		take_refusal(o, r);
+	else
+		take_failure(o, r);
+	if (o->changed) {
+		o->changed = false;
+		o->reason = "table";
+		schedule(o, tlb_clock_now());
+	}
+}
+
+/* --- sending --- */
+
+/* Runs when the connection stands, before the request is written. A process that was paused while
+ * it connected has lost its lease by now. */
+static int before_send(void *arg, char *peer_ip, char *local_ip, int peer_port, int local_port)
+{
+	return may_send(arg) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+static char *order_body(const struct tlb_order *o)
+{
+	json_t *j = json_pack("{s:I,s:s,s:s,s:s,s:s}", "fencing", (json_int_t)o->number, "model",
+			      o->wanted.model, "version", o->wanted.version, "adapter",
+			      o->wanted.adapter, "role", role_names[o->wanted.role]);
+	char *body = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	return body;
+}
+
+static bool start_call(struct tlb_order *o, const char *body)
+{
+	char url[URL_LEN];
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.body_len = strlen(body),
+		.deadline = tlb_clock_now() + TLB_ORDER_TIMEOUT,
+		.own_connection = true,
+		.on_done = on_answer,
+		.arg = o,
+	};
+
+	snprintf(url, sizeof(url), "http://%s/order", o->addr);
+	if (tlb_http_start(o->orders->board->http, &o->call, &spec, NULL) != TLB_OK)
+		return false;
+	curl_easy_setopt(o->call.easy, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(o->call.easy, CURLOPT_PREREQDATA, o);
+	return true;
+}
+
+static void send_order(struct tlb_order *o)
+{
+	char *body = order_body(o);
+	bool started = body && start_call(o, body);
+
+	free(body);
+	if (!started) {
+		schedule(o, tlb_clock_now() + RECHECK);
+		return;
+	}
+	tlb_counter_add(&o->orders->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
+	tlb_log_info("event=order endpoint=%s decision=send fencing=%" PRId64
+		     " reason=%s attempt=%d model=%s version=%s adapter=%s role=%s",
+		     o->id, o->number, o->reason, o->attempt, o->wanted.model, o->wanted.version,
+		     o->wanted.adapter, role_names[o->wanted.role]);
+}
+
+static void on_timer(void *arg)
+{
+	struct tlb_order *o = arg;
+	int64_t number = next_number(o);
+
+	if (tlb_http_active(&o->call))
+		return;
+	if (!may_send(o) || number <= o->refused) {
+		schedule(o, tlb_clock_now() + RECHECK);
+		return;
+	}
+	o->number = number;
+	send_order(o);
+}
+
+/* --- the table and the shards --- */
+
+static struct tlb_order *find(const struct tlb_orders *orders, const char *id)
+{
+	struct tlb_order *o;
+
+	APR_RING_FOREACH (o, &orders->orders, tlb_order, link) {
+		if (strcmp(o->id, id) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+static struct tlb_order *order_new(struct tlb_orders *orders, const char *id)
+{
+	struct tlb_order *o = calloc(1, sizeof(*o));
+
+	/* A daemon that can't hold its endpoints can't serve. */
+	if (!o)
+		abort();
+	o->orders = orders;
+	strcpy(o->id, id);
+	o->settled = tlb_clock_now() + TLB_ORDER_IN_FLIGHT;
+	tlb_timer_init(&o->timer, on_timer, o);
+	APR_RING_INSERT_TAIL(&orders->orders, o, tlb_order, link);
+	return o;
+}
+
+static void order_free(struct tlb_order *o)
+{
+	APR_RING_REMOVE(o, link);
+	tlb_http_cancel(&o->call);
+	tlb_timer_clear(o->orders->board->loop, &o->timer);
+	free(o);
+}
+
+static bool owned(const struct tlb_orders *orders, const char *id)
+{
+	return tlb_shard_in(orders->acting, tlb_shard_of(id));
+}
+
+static void log_no_order(const struct tlb_endpoint *e, enum tlb_order_wish wish)
+{
+	if (wish == TLB_ORDER_AMBIGUOUS)
+		tlb_log_warn("event=order endpoint=%s decision=none reason=several_models pool=%s",
+			     e->id, e->pool);
+}
+
+/* An order whose engine is no longer wanted or no longer ours. */
+static bool outdated(const struct tlb_order *o)
+{
+	const struct tlb_table *t = o->orders->board->table;
+	const struct tlb_endpoint *e = tlb_table_endpoint(t, o->id);
+	struct tlb_order_state wanted;
+
+	return !owned(o->orders, o->id) || !e ||
+	       tlb_order_wanted(t, e, &wanted) != TLB_ORDER_WANTED;
+}
+
+static void drop_outdated(struct tlb_orders *orders)
+{
+	struct tlb_order *o = APR_RING_FIRST(&orders->orders);
+	struct tlb_order *next;
+
+	for (; o != APR_RING_SENTINEL(&orders->orders, tlb_order, link); o = next) {
+		next = APR_RING_NEXT(o, link);
+		if (!outdated(o))
+			continue;
+		tlb_log_info("event=order endpoint=%s decision=stop fencing=%" PRId64 " reason=%s",
+			     o->id, o->number, owned(orders, o->id) ? "table" : "owner");
+		order_free(o);
+	}
+}
+
+static void take_endpoint(struct tlb_orders *orders, const struct tlb_endpoint *e,
+			  const char *reason)
+{
+	struct tlb_order_state wanted;
+	enum tlb_order_wish wish;
+	struct tlb_order *o;
+
+	if (!owned(orders, e->id))
+		return;
+	wish = tlb_order_wanted(orders->board->table, e, &wanted);
+	if (wish != TLB_ORDER_WANTED) {
+		log_no_order(e, wish);
+		return;
+	}
+	o = find(orders, e->id);
+	if (!o)
+		o = order_new(orders, e->id);
+	o->checks_fencing = e->checks_fencing;
+	if (state_equal(&o->wanted, &wanted) && strcmp(o->addr, e->addr) == 0)
+		return;
+	o->wanted = wanted;
+	strcpy(o->addr, e->addr);
+	o->reason = reason;
+	o->attempt = 0;
+	/* One order at a time, so that a later one is not overtaken by an earlier one. */
+	o->changed = tlb_http_active(&o->call);
+	if (!o->changed)
+		schedule(o, tlb_clock_now());
+}
+
+static void refresh(struct tlb_orders *orders, const char *reason)
+{
+	const struct tlb_endpoint *e;
+
+	drop_outdated(orders);
+	APR_RING_FOREACH (e, &orders->board->table->endpoints, tlb_endpoint, link) {
+		take_endpoint(orders, e, reason);
+	}
+}
+
+void tlb_orders_sync(struct tlb_orders *orders)
+{
+	refresh(orders, "table");
+}
+
+void tlb_orders_shards_changed(struct tlb_orders *orders, tlb_shard_set gained, tlb_shard_set lost)
+{
+	orders->acting = (orders->acting & ~lost) | gained;
+	refresh(orders, "owner");
+}
+
+void tlb_orders_init(struct tlb_orders *orders, struct tlb_board *b)
+{
+	uint64_t seed;
+
+	orders->board = b;
+	orders->acting = b->cluster ? 0 : ~(tlb_shard_set)0;
+	APR_RING_INIT(&orders->orders, tlb_order, link);
+	randombytes_buf(&seed, sizeof(seed));
+	tlb_random_init(&orders->random, seed);
+}
+
+void tlb_orders_finish(struct tlb_orders *orders)
+{
+	while (!APR_RING_EMPTY(&orders->orders, tlb_order, link))
+		order_free(APR_RING_FIRST(&orders->orders));
+}
--- a/src/row.c
+++ b/src/row.c
@@ -68,6 +68,7 @@
 	{"max_output", COLUMN_INT, MEMBER(tlb_model, max_output), RANGE(1, 1000000), DEFAULT(4096)},
 	{"max_prompt", COLUMN_INT, MEMBER(tlb_model, max_prompt), RANGE(1, 10000000),
 	 DEFAULT(65536)},
+	{"adapter", COLUMN_ID, MEMBER(tlb_model, adapter), .optional = true},
 };
 
 static const struct column endpoint_columns[] = {
@@ -197,7 +198,7 @@
 		return false;
 	switch (c->type) {
 	case COLUMN_ID:
-		return tlb_table_id_valid(s);
+		return tlb_table_id_valid(s) || (c->optional && s[0] == '\0');
 	case COLUMN_ADDR:
 		return tlb_address_valid(s, 1);
 	case COLUMN_PATH:
@@ -225,8 +226,9 @@
 {
 	switch (c->type) {
 	case COLUMN_ID:
-		snprintf(out, size, "1 to %zu of A-Z a-z 0-9 . _ -, the first a letter or a digit",
-			 c->size - 1);
+		snprintf(out, size,
+			 "%s1 to %zu of A-Z a-z 0-9 . _ -, the first a letter or a digit",
+			 c->optional ? "empty or " : "", c->size - 1);
 		break;
 	case COLUMN_ADDR:
 		snprintf(out, size, "IP:PORT, such as 127.0.0.1:9001 or [::1]:9001");
--- a/src/table.h
+++ b/src/table.h
@@ -50,8 +50,9 @@
 	unsigned char digest[TLB_INDEX_LEN];
 };
 
-/* {"version":"1","pool":"main","piece_tokens":2000,"max_output":4096,"max_prompt":65536};
- * the pool whose prefill and decode endpoints serve the model. */
+/* {"version":"1","pool":"main","piece_tokens":2000,"max_output":4096,"max_prompt":65536,
+ *  "adapter":""}; the pool whose prefill and decode endpoints serve the model, and the adapter that
+ * they load with it ("" for none). */
 struct tlb_model {
 	APR_RING_ENTRY(tlb_model) link;
 	char id[TLB_ID_LEN];
@@ -60,6 +61,7 @@
 	int piece_tokens;
 	int max_output;
 	int max_prompt;
+	char adapter[TLB_ID_LEN];
 };
 
 enum tlb_role { TLB_ROLE_PREFILL, TLB_ROLE_DECODE, TLB_ROLE_SERVICE };
