Keep the witness of a process that joins again; let a fenced VM find out

Cause: in tests/test_cluster.c, two restarts at a time with 3 witnesses each ended in an endless chain: a VM that lost its session joined again, counted as a new witness, and so took the sessions of others. A paused VM stayed out for up to 60 s, because its peers refuse a fenced incarnation and nothing made it read its own row.

Change: as a witness a VM goes by the first incarnation of its process, which keeps its grants and promises; a daemon without a valid session reads its own row every 2 s; it joins again at once when more than half of its witnesses are certainly gone. A HandOver is taken only after the join is confirmed. The prover of a fence repeats the notice after the write, so that the others read the rows instead of writing the same fence.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -104,7 +104,7 @@
 		h = find_hand_over(c, &before->entry[i].owner, c->map.ticket);
 		if (!h)
 			continue;
-		shards = tlb_shard_given(before, &c->map, &h->from, &c->self);
+		shards = tlb_shard_given(before, &c->map, &h->from, &c->self) & c->acting;
 		if (shards && c->handlers.on_hand_over)
 			c->handlers.on_hand_over(c->handlers.arg, shards, h->state);
 		drop_hand_over(h);
@@ -398,10 +398,11 @@
 			continue;
 		if (linked && !linked_to(c, m->row.name.id))
 			continue;
-		candidate[count].name = m->row.name;
+		tlb_vm_name_set(&candidate[count].name, m->row.name.id, m->row.process);
 		memcpy(candidate[count].zone, m->row.zone, TLB_ID_LEN);
 		for (j = 0; j < c->session.set[0].count; j++)
-			if (tlb_vm_name_equal(&c->session.set[0].grant[j].witness, &m->row.name))
+			if (tlb_vm_name_equal(&c->session.set[0].grant[j].witness,
+					      &candidate[count].name))
 				candidate[count].current = true;
 		count++;
 	}
@@ -410,28 +411,39 @@
 	return count;
 }
 
-static bool witness_lost(const struct tlb_cluster *c, const struct tlb_vm_name *witness)
+/* The witness will certainly grant nothing any more. */
+static bool witness_gone(const struct tlb_cluster *c, const struct tlb_vm_name *witness)
+{
+	const struct tlb_member *m = tlb_roster_find(&c->roster, witness->id);
+
+	return !m || m->row.process != witness->incarnation || m->row.state == TLB_VM_LEFT ||
+	       m->promised == c->self.incarnation;
+}
+
+static bool witness_silent(const struct tlb_cluster *c, const struct tlb_vm_name *witness)
 {
 	const struct tlb_member *m = tlb_roster_find(&c->roster, witness->id);
 
-	if (!m || !tlb_roster_live(&c->roster, m) || !tlb_vm_name_equal(&m->row.name, witness))
-		return true;
-	if (m->promised == c->self.incarnation)
-		return true;
-	return !linked_to(c, witness->id) && tlb_clock_now() - heard_at(c, m) > WITNESS_LOST;
+	return m && !linked_to(c, witness->id) && tlb_clock_now() - heard_at(c, m) > WITNESS_LOST;
 }
 
-static int lost_witnesses(const struct tlb_cluster *c)
+static int count_witnesses(const struct tlb_cluster *c,
+			   bool (*is)(const struct tlb_cluster *c, const struct tlb_vm_name *w))
 {
 	const struct tlb_witness_set *set = &c->session.set[0];
 	int n = 0;
 	int i;
 
 	for (i = 0; i < set->count; i++)
-		n += witness_lost(c, &set->grant[i].witness);
+		n += is(c, &set->grant[i].witness);
 	return n;
 }
 
+static bool witness_lost(const struct tlb_cluster *c, const struct tlb_vm_name *witness)
+{
+	return witness_gone(c, witness) || witness_silent(c, witness);
+}
+
 static int live_others(const struct tlb_cluster *c)
 {
 	int n = 0;
@@ -447,13 +459,14 @@
  * have a majority. On the small side of a partition that is never so. */
 static bool must_rejoin(const struct tlb_cluster *c, int linked_witnesses)
 {
-	int lost = lost_witnesses(c);
+	int count = c->session.set[0].count;
 	int others = live_others(c);
 	int wanted = others < TLB_WITNESS_MAX ? others : TLB_WITNESS_MAX;
+	bool hopeless = 2 * count_witnesses(c, witness_gone) >= count;
 
-	if (c->was_valid || tlb_clock_now() - c->invalid_since <= SILENCE)
-		return false;
-	if (2 * lost < c->session.set[0].count)
+	if (tlb_clock_now() - c->invalid_since > SILENCE)
+		hopeless = 2 * count_witnesses(c, witness_lost) >= count;
+	if (c->was_valid || !hopeless)
 		return false;
 	return linked_witnesses > wanted / 2 || others == 0;
 }
@@ -480,7 +493,7 @@
 	}
 	if (c->session.phase != TLB_SESSION_STEADY || now < c->membership.witness_at)
 		return;
-	if (count == 0 || (count <= c->session.set[0].count && !lost_witnesses(c)))
+	if (count == 0 || (count <= c->session.set[0].count && !count_witnesses(c, witness_lost)))
 		return;
 	tlb_session_propose(&c->session, want, count);
 	c->proposed_at = now;
@@ -499,7 +512,8 @@
 	for (j = 0; m && j < sets; j++) {
 		set = &c->session.set[j];
 		for (i = 0; i < set->count; i++)
-			if (tlb_vm_name_equal(&set->grant[i].witness, &m->row.name))
+			if (strcmp(set->grant[i].witness.id, vm) == 0 &&
+			    set->grant[i].witness.incarnation == m->row.process)
 				return &set->grant[i].witness;
 	}
 	return NULL;
@@ -533,6 +547,13 @@
 	c->sent[c->heartbeat_number % TLB_HEARTBEATS_KEPT] = tlb_clock_now();
 }
 
+/* Peers refuse a fenced incarnation, so only the row can tell it. */
+static void check_own_row(struct tlb_cluster *c)
+{
+	if (c->joined && !c->was_valid && c->heartbeat_number % 2 == 0)
+		tlb_member_want_row(&c->membership, c->self.id);
+}
+
 static void heartbeat_timer(void *arg)
 {
 	struct tlb_cluster *c = arg;
@@ -547,6 +568,7 @@
 		if (tlb_peer_is_up(peer))
 			send_heartbeat(c, peer);
 	check_session(c);
+	check_own_row(c);
 	check_silence(c);
 	check_witnesses(c);
 	tlb_member_kick(&c->membership);
@@ -563,6 +585,7 @@
 		tlb_witness_heartbeat(&c->witness, vm, heartbeat->witness_incarnation,
 				      heartbeat->row_version, tlb_clock_now(), &ack.row_version);
 	ack.promised = tlb_witness_promised(&c->witness, vm);
+	ack.witness_incarnation = c->witness.incarnation;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT_ACK;
 	envelope.heartbeat_ack = &ack;
 	tlb_peers_send(&c->peers, vm->id, &envelope);
@@ -598,6 +621,7 @@
 	struct tlb_member *m = tlb_roster_find(&c->roster, vm->id);
 	bool known = ack->number <= c->heartbeat_number &&
 		     ack->number + TLB_HEARTBEATS_KEPT > c->heartbeat_number;
+	struct tlb_vm_name witness;
 
 	if (m && ack->promised && m->promised != c->self.incarnation) {
 		m->promised = c->self.incarnation;
@@ -605,7 +629,8 @@
 	}
 	if (!known || !ack->granted)
 		return;
-	tlb_session_grant(&c->session, vm, c->sent[ack->number % TLB_HEARTBEATS_KEPT],
+	tlb_vm_name_set(&witness, vm->id, ack->witness_incarnation);
+	tlb_session_grant(&c->session, &witness, c->sent[ack->number % TLB_HEARTBEATS_KEPT],
 			  ack->row_version);
 	check_session(c);
 	if (tlb_session_proposal_ready(&c->session, tlb_clock_now()))
@@ -711,6 +736,9 @@
 	struct tlb_hand_over *oldest = &c->hand_over[0];
 	int i;
 
+	/* Others may see the row before this daemon knows that it was written. */
+	if (!c->joined)
+		return;
 	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
 		if (!c->hand_over[i].state || c->hand_over[i].came < oldest->came) {
 			oldest = &c->hand_over[i];
@@ -811,6 +839,14 @@
 	}
 }
 
+void tlb_cluster_repeat_fences(struct tlb_cluster *c)
+{
+	const struct tlb_peer *peer;
+
+	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
+		repeat_fences(c, peer->id);
+}
+
 static void on_up(void *arg, struct tlb_peer *peer)
 {
 	struct tlb_cluster *c = arg;
@@ -880,8 +916,9 @@
 
 	c->joined = true;
 	tlb_session_begin(&c->session, row->version, row->witness, row->witness_count);
-	/* Only now is the former incarnation of this VM certainly gone; see session.h. */
-	tlb_witness_restart(&c->witness, c->self.incarnation, now);
+	/* Only now is the former process of this VM certainly gone; see session.h. */
+	if (c->witness.incarnation != c->process)
+		tlb_witness_restart(&c->witness, c->process, now);
 	c->invalid_since = now;
 	c->listening_since = now;
 	tlb_log_info("event=joined vm=%s incarnation=%016" PRIx64 " row=%" PRId64 " witnesses=%d",
@@ -942,6 +979,7 @@
 	c->handlers = *handlers;
 	tlb_vm_name_set(&c->self, settings->vm_id, 0);
 	set_incarnation(c);
+	c->process = c->self.incarnation;
 	tlb_peers_init(&c->peers, loop, counters, settings, &peer_handlers);
 	tlb_peers_set_incarnation(&c->peers, c->self.incarnation);
 	tlb_witness_init(&c->witness, 0, tlb_clock_now());
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -93,6 +93,7 @@
 	struct tlb_cluster_handlers handlers;
 
 	struct tlb_vm_name self;
+	uint64_t process; /* the first incarnation; see struct tlb_vm_row */
 	char owner_name[TLB_OWNER_LEN];
 	bool joined;
 	struct tlb_peers peers;
@@ -170,6 +171,8 @@
 void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row);
 /* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
 void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm);
+/* Tells all VMs again of the fences that no row known here shows yet. */
+void tlb_cluster_repeat_fences(struct tlb_cluster *c);
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
 /* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
--- a/src/member.c
+++ b/src/member.c
@@ -329,6 +329,7 @@
 {
 	memset(row, 0, sizeof(*row));
 	row->name = c->self;
+	row->process = c->process;
 	row->state = TLB_VM_LIVE;
 	strcpy(row->addr, c->peers.addr);
 	strcpy(row->zone, c->settings->zone);
@@ -426,6 +427,8 @@
 	if (finish_op(m, "fence", status)) {
 		tlb_log_info("event=fence_written map=%" PRId64, written_version(body, shards_key));
 		take_next(m, body);
+		/* The others read the rows now, instead of writing the same. */
+		tlb_cluster_repeat_fences(m->cluster);
 		m->rows_wanted = true;
 		return;
 	}
--- a/src/roster.c
+++ b/src/roster.c
@@ -65,6 +65,7 @@
 		return false;
 	tlb_vm_name_set(&read.name, key + 3, 0);
 	if (!read_hex(&read.name.incarnation, json_object_get(value, "incarnation")) ||
+	    !read_hex(&read.process, json_object_get(value, "process")) ||
 	    !read_state(&read.state, value) ||
 	    !read_text(read.addr, sizeof(read.addr), value, "peer_addr") ||
 	    !read_text(read.zone, sizeof(read.zone), value, "zone") ||
@@ -99,10 +100,10 @@
 		json_array_append_new(pair, hex_json(row->witness[i].incarnation));
 		json_array_append_new(witnesses, pair);
 	}
-	return json_pack("{s:o,s:s,s:s,s:s,s:s,s:o}", "incarnation",
-			 hex_json(row->name.incarnation), "state", state_names[row->state],
-			 "peer_addr", row->addr, "zone", row->zone, "region", row->region,
-			 "witnesses", witnesses);
+	return json_pack("{s:o,s:o,s:s,s:s,s:s,s:s,s:o}", "incarnation",
+			 hex_json(row->name.incarnation), "process", hex_json(row->process),
+			 "state", state_names[row->state], "peer_addr", row->addr, "zone",
+			 row->zone, "region", row->region, "witnesses", witnesses);
 }
 
 void tlb_roster_finish(struct tlb_roster *r)
--- a/src/roster.h
+++ b/src/roster.h
@@ -15,10 +15,15 @@
 	TLB_VM_LEFT,
 };
 
-/* The row "vm/<id>": {"incarnation":"<hex>","state":"live"|"fenced"|"left","peer_addr":"...",
+/* The row "vm/<id>":
+ * {"incarnation":"<hex>","process":"<hex>","state":"live"|"fenced"|"left","peer_addr":"...",
  * "zone":"...","region":"...","witnesses":[["<id>","<hex incarnation>"],...]} */
 struct tlb_vm_row {
 	struct tlb_vm_name name;
+	/* The first incarnation of the process. As a witness a VM goes by this one, because a
+	 * process that joins again keeps its grants and promises; were it to count as another
+	 * witness, one lost session would cost others theirs. */
+	uint64_t process;
 	int64_t version; /* of the row; 0 while there is none */
 	enum tlb_vm_state state;
 	char addr[TLB_ADDR_LEN];
--- a/src/session.h
+++ b/src/session.h
@@ -129,7 +129,7 @@
 
 void tlb_witness_init(struct tlb_witness *w, uint64_t incarnation, tlb_time now);
 void tlb_witness_finish(struct tlb_witness *w);
-/* Starts over under a new incarnation of the same process. Promises stay. */
+/* Begins to answer under this incarnation, once the former process of this VM is certainly gone. */
 void tlb_witness_restart(struct tlb_witness *w, uint64_t incarnation, tlb_time now);
 /* Takes a VM row. After all rows were read, set rows_read. */
 void tlb_witness_row(struct tlb_witness *w, const struct tlb_vm_name *vm, int64_t row_version);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1779,7 +1779,7 @@
   (ProtobufCMessageInit) toucan__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__heartbeat_ack__field_descriptors[4] =
+static const ProtobufCFieldDescriptor toucan__heartbeat_ack__field_descriptors[5] =
 {
   {
     "number",
@@ -1829,17 +1829,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "witness_incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__HeartbeatAck, witness_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat_ack__field_indices_by_name[] = {
   1,   /* field[1] = granted */
   0,   /* field[0] = number */
   3,   /* field[3] = promised */
   2,   /* field[2] = row_version */
+  4,   /* field[4] = witness_incarnation */
 };
 static const ProtobufCIntRange toucan__heartbeat_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__heartbeat_ack__descriptor =
 {
@@ -1849,14 +1862,14 @@
   "Toucan__HeartbeatAck",
   "toucan",
   sizeof(Toucan__HeartbeatAck),
-  4,
+  5,
   toucan__heartbeat_ack__field_descriptors,
   toucan__heartbeat_ack__field_indices_by_name,
   1,  toucan__heartbeat_ack__number_ranges,
   (ProtobufCMessageInit) toucan__heartbeat_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__fence_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__fence_request__field_descriptors[2] =
 {
   {
     "vm",
@@ -1882,28 +1895,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "witness_incarnation",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Toucan__FenceRequest, witness_incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned toucan__fence_request__field_indices_by_name[] = {
   1,   /* field[1] = row_version */
   0,   /* field[0] = vm */
-  2,   /* field[2] = witness_incarnation */
 };
 static const ProtobufCIntRange toucan__fence_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor toucan__fence_request__descriptor =
 {
@@ -1913,7 +1913,7 @@
   "Toucan__FenceRequest",
   "toucan",
   sizeof(Toucan__FenceRequest),
-  3,
+  2,
   toucan__fence_request__field_descriptors,
   toucan__fence_request__field_indices_by_name,
   1,  toucan__fence_request__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -180,6 +180,9 @@
    */
   uint64_t number;
   protobuf_c_boolean grant_wanted;
+  /*
+   * of the process that the row names as witness
+   */
   uint64_t witness_incarnation;
   /*
    * of the sender's VM row
@@ -206,10 +209,14 @@
    * the witness has agreed to a fence of this incarnation
    */
   protobuf_c_boolean promised;
+  /*
+   * of the witness's process
+   */
+  uint64_t witness_incarnation;
 };
 #define TOUCAN__HEARTBEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__heartbeat_ack__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Toucan__FenceRequest
@@ -220,14 +227,10 @@
    * of the VM row in which the witness is named
    */
   int64_t row_version;
-  /*
-   * as named in that row
-   */
-  uint64_t witness_incarnation;
 };
 #define TOUCAN__FENCE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__fence_request__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0 }
 
 
 struct  Toucan__FenceReply
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,6 +1,7 @@
 /*
- * Several daemons' cluster layers in one process and one loop, against the table-service stand-in:
- * joining, fencing with and without the store, restart, graceful shutdown.
+ * Several daemons' cluster layers in one process, each with its own loop, against the table-service
+ * stand-in: joining, fencing with and without the store, restarts, pauses, partitions, lost answers
+ * of the store, graceful shutdown. All the while no shard may have two owners that may act.
  */
 #include <apr_general.h>
 #include <check.h>
@@ -19,6 +20,8 @@
 
 struct node {
 	bool running;
+	bool paused;
+	struct tlb_loop loop;
 	struct tlb_settings settings;
 	struct tlb_counters counters;
 	struct tlb_http http;
@@ -29,7 +32,6 @@
 	bool left;
 };
 
-static struct tlb_loop loop;
 static struct node nodes[NODES];
 static pid_t store_pid;
 static char store_url[LINE_LEN];
@@ -123,9 +125,10 @@
 	strcpy(n->settings.peer_addr, addr);
 	n->settings.peer_key_count = 1;
 	n->settings.peer_keys[0].id = 1;
-	tlb_http_init(&n->http, &loop);
+	ck_assert_int_eq(tlb_loop_init(&n->loop), APR_SUCCESS);
+	tlb_http_init(&n->http, &n->loop);
 	tlb_store_init(&n->store, &n->http, store_url);
-	tlb_cluster_init(&n->cluster, &loop, &n->settings, &n->store, &n->counters, &h);
+	tlb_cluster_init(&n->cluster, &n->loop, &n->settings, &n->store, &n->counters, &h);
 	ck_assert_int_eq(tlb_cluster_start(&n->cluster, NULL), TLB_OK);
 	strcpy(n->settings.peer_addr, n->cluster.peers.addr);
 	n->running = true;
@@ -137,32 +140,45 @@
 		return;
 	tlb_cluster_finish(&nodes[i].cluster);
 	tlb_http_finish(&nodes[i].http);
+	tlb_loop_finish(&nodes[i].loop);
 	nodes[i].running = false;
 }
 
-/* Runs the loop until cond holds; fails the test at the deadline. All the while no shard may have
- * two owners that may act. */
-static void run_until(bool (*cond)(void), tlb_time limit)
+static void check_owners(void)
 {
-	tlb_time end = tlb_clock_now() + limit;
-	tlb_shard_set all;
+	tlb_time now = tlb_clock_now();
+	tlb_shard_set all = 0;
 	tlb_shard_set own;
-	tlb_time now;
 	int i;
 
+	for (i = 0; i < NODES; i++) {
+		if (!nodes[i].running || nodes[i].paused ||
+		    !tlb_cluster_valid(&nodes[i].cluster, now))
+			continue;
+		own = tlb_cluster_shards(&nodes[i].cluster);
+		ck_assert_msg(!(all & own), "two owners of a shard");
+		all |= own;
+	}
+}
+
+static void run_once(void)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		if (nodes[i].running && !nodes[i].paused)
+			tlb_loop_once(&nodes[i].loop, tlb_clock_now() + TLB_MS);
+	check_owners();
+}
+
+/* Runs all nodes until cond holds; fails the test at the limit. */
+static void run_until(bool (*cond)(void), tlb_time limit)
+{
+	tlb_time end = tlb_clock_now() + limit;
+
 	while (!cond()) {
-		now = tlb_clock_now();
-		ck_assert_msg(now < end, "the fleet did not reach the state in time");
-		tlb_loop_once(&loop, now + 10 * TLB_MS);
-		all = 0;
-		now = tlb_clock_now();
-		for (i = 0; i < NODES; i++) {
-			if (!nodes[i].running || !tlb_cluster_valid(&nodes[i].cluster, now))
-				continue;
-			own = tlb_cluster_shards(&nodes[i].cluster);
-			ck_assert_msg(!(all & own), "two owners of a shard");
-			all |= own;
-		}
+		ck_assert_msg(tlb_clock_now() < end, "the fleet did not reach the state in time");
+		run_once();
 	}
 }
 
@@ -173,7 +189,7 @@
 	int i;
 
 	for (i = 0; i < NODES; i++) {
-		if (!nodes[i].running)
+		if (!nodes[i].running || nodes[i].paused)
 			continue;
 		if (!tlb_cluster_valid(&nodes[i].cluster, tlb_clock_now()))
 			return false;
@@ -229,7 +245,7 @@
 	tlb_time end = tlb_clock_now() + time;
 
 	while (tlb_clock_now() < end)
-		tlb_loop_once(&loop, end);
+		run_once();
 }
 
 static void start_fleet(int count)
@@ -243,7 +259,6 @@
 
 static void setup(void)
 {
-	ck_assert_int_eq(tlb_loop_init(&loop), APR_SUCCESS);
 	start_store();
 }
 
@@ -253,7 +268,6 @@
 
 	for (i = 0; i < NODES; i++)
 		stop_node(i);
-	tlb_loop_finish(&loop);
 	kill(store_pid, SIGTERM);
 	waitpid(store_pid, NULL, 0);
 }
@@ -349,6 +363,82 @@
 }
 END_TEST
 
+/* Guards against a VM that acts after a pause, or doesn't come back from it. */
+START_TEST(paused_vm_rejoins)
+{
+	uint64_t former;
+
+	start_fleet(NODES);
+	former = nodes[2].cluster.self.incarnation;
+	nodes[2].paused = true;
+	run_until(complete, 10 * TLB_SECOND);
+	run_for(3 * TLB_SECOND);
+	nodes[2].paused = false;
+	check_owners();
+	run_until(settled, 30 * TLB_SECOND);
+	ck_assert_uint_ne(former, nodes[2].cluster.self.incarnation);
+}
+END_TEST
+
+static bool third_is_invalid(void)
+{
+	return !tlb_cluster_valid(&nodes[2].cluster, tlb_clock_now());
+}
+
+static bool others_are_complete(void)
+{
+	tlb_shard_set all = 0;
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		if (i != 2 && tlb_cluster_valid(&nodes[i].cluster, tlb_clock_now()))
+			all |= tlb_cluster_shards(&nodes[i].cluster);
+	return all == ~(tlb_shard_set)0;
+}
+
+/* Guards against a VM that goes on without its peers while it still reaches the store. The
+ * partition is a key that the others don't have. */
+START_TEST(partitioned_vm_stops)
+{
+	tlb_time begun;
+
+	start_fleet(NODES);
+	nodes[2].settings.peer_keys[0].secret[0] = 1;
+	begun = tlb_clock_now();
+	run_until(third_is_invalid, TLB_SESSION_LEASE);
+	printf("session of a partitioned VM ended after %.1f s\n",
+	       (double)(tlb_clock_now() - begun) / TLB_SECOND);
+	run_until(others_are_complete, 5 * TLB_SECOND);
+	run_for(10 * TLB_SECOND);
+	ck_assert(third_is_invalid());
+	nodes[2].settings.peer_keys[0].secret[0] = 0;
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against writes that are taken for failed, or done twice, when their answer is lost, and
+ * against a daemon that waits for ever after a refusal. */
+START_TEST(answers_of_the_store_are_lost)
+{
+	static const char *const faults[] = {
+		"{\"kind\":\"drop_answer\",\"path\":\"/txn\",\"count\":8}",
+		"{\"kind\":\"refuse\",\"count\":30}",
+		"{\"kind\":\"delay\",\"ms\":1500,\"count\":10}",
+		"{\"kind\":\"stall\",\"path\":\"/txn\",\"count\":3}",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		set_fault(faults[i]);
+		if (i == 0)
+			start_fleet(NODES);
+		stop_node((int)i);
+		start_node((int)i);
+		run_until(settled, 60 * TLB_SECOND);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("cluster");
@@ -368,6 +458,9 @@
 	tcase_add_test(tc, killed_vm_is_fenced_without_store);
 	tcase_add_test(tc, restarted_vm_replaces_its_former_incarnation);
 	tcase_add_test(tc, leaving_vm_hands_its_shards_over);
+	tcase_add_test(tc, paused_vm_rejoins);
+	tcase_add_test(tc, partitioned_vm_stops);
+	tcase_add_test(tc, answers_of_the_store_are_lost);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/tests/test_session_model.c
+++ b/tests/test_session_model.c
@@ -29,6 +29,7 @@
 	int from;
 	int to;
 	struct tlb_vm_name sender;
+	uint64_t process; /* of the sender; it goes by this as a witness */
 	uint64_t to_incarnation;
 	tlb_time sent; /* on the clock of the one that asked for a grant */
 	int64_t row_version;
@@ -58,6 +59,7 @@
 	tlb_time paused_until;
 	tlb_time down_until;
 	struct tlb_vm_name self;
+	uint64_t process;
 	struct tlb_session session;
 	struct tlb_witness witness;
 	struct tlb_roster roster;
@@ -143,6 +145,7 @@
 	m.from = (int)(v - w->vm);
 	m.to = to;
 	m.sender = v->self;
+	m.process = v->process;
 	if (w->side[m.from] != w->side[to] || chance(w, w->loss))
 		return;
 	m.due = w->now + within(w, chance(w, 0.05) ? 3 * TLB_SECOND : 200 * TLB_MS) + 1;
@@ -169,6 +172,7 @@
 	v->offset = within(w, 1000 * TLB_SECOND) + TLB_SECOND;
 	v->txn = -1;
 	tlb_vm_name_set(&v->self, id, ++w->last_incarnation);
+	v->process = v->self.incarnation;
 	tlb_witness_init(&v->witness, 0, local(w, v));
 }
 
@@ -303,6 +307,7 @@
 		    (!v->joined || local(w, v) - v->heard[index_of(&v->roster.member[i].row.name)] <
 					   3 * TLB_SECOND)) {
 			c[n].name = v->roster.member[i].row.name;
+			c[n].name.incarnation = v->roster.member[i].row.process;
 			c[n].current = tlb_random_unit((struct tlb_random *)&w->random) < 0.5;
 			n++;
 		}
@@ -334,7 +339,8 @@
 	if (own && tlb_vm_name_equal(&own->name, &v->self) && own->state == TLB_VM_LIVE) {
 		v->joined = true;
 		tlb_session_begin(&v->session, own->version, own->witness, own->witness_count);
-		tlb_witness_restart(&v->witness, v->self.incarnation, local(w, v));
+		if (v->witness.incarnation != v->process)
+			tlb_witness_restart(&v->witness, v->process, local(w, v));
 		if (w->weakness == NO_SILENCE)
 			v->witness.silent_until = 0;
 		if (w->weakness == NO_MARGIN)
@@ -356,6 +362,7 @@
 	else
 		tlb_shard_apply_gone(&t.map, &f);
 	row.name = v->self;
+	row.process = v->process;
 	row.witness_count = choose(w, v, row.witness);
 	add_row(&t, &row, own ? own->version : 0);
 	submit(w, v, &t);
@@ -643,8 +650,11 @@
 {
 	struct vm *v = &w->vm[in->to];
 	struct message out = {.to_incarnation = in->sender.incarnation};
+	struct tlb_vm_name witness = in->sender;
 	int64_t known;
 
+	witness.incarnation = in->process;
+
 	v->heard[in->from] = local(w, v);
 	switch (in->kind) {
 	case HEARTBEAT:
@@ -657,7 +667,7 @@
 		break;
 	case ACK:
 		if (in->to_incarnation == v->self.incarnation)
-			tlb_session_grant(&v->session, &in->sender, in->sent, in->row_version);
+			tlb_session_grant(&v->session, &witness, in->sent, in->row_version);
 		break;
 	case FENCE_ASK:
 		out.kind = FENCE_YES;
