--- a/src/daemon.c
+++ b/src/daemon.c
@@ -18,6 +18,7 @@
 #define DRAIN_QUIET (1 * TLB_SECOND) /* no new request for this long ends the notice */
 #define DRAIN_CHECK (50 * TLB_MS)
 #define LEAVE_TIMEOUT (5 * TLB_SECOND)
+#define LOG_FLUSH (100 * TLB_MS)
 
 /* --- the table in force --- */
 
@@ -31,6 +32,7 @@
 	tlb_limit_sync(&d->board.limit);
 	tlb_pools_sync(&d->board.pools);
 	tlb_requests_sync(&d->board.requests);
+	tlb_orders_sync(&d->board.orders);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_CONFIG_VERSION, d->table_version);
 	/* A VM that read the store by itself need not tell the others: heartbeats do. */
 	if (d->config.source == TLB_CONFIG_FROM_CHANGE)
@@ -111,6 +113,7 @@
 
 	tlb_limit_shards_changed(&d->board.limit, gained, lost);
 	tlb_bookings_shards_changed(&d->board.bookings, gained, lost);
+	tlb_orders_shards_changed(&d->board.orders, gained, lost);
 }
 
 static void hand_over(void *arg, tlb_shard_set shards, Toucan__HandOver *out)
@@ -358,6 +361,14 @@
 
 /* --- start --- */
 
+static void on_log_timer(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_log_flush();
+	tlb_timer_set(&d->loop, &d->log_timer, tlb_clock_now() + LOG_FLUSH);
+}
+
 static void init_board(struct tlb_daemon *d)
 {
 	struct tlb_board *b = &d->board;
@@ -379,6 +390,7 @@
 	tlb_pools_init(&b->pools, b);
 	tlb_requests_init(&b->requests, b);
 	tlb_services_init(&b->services, b);
+	tlb_orders_init(&b->orders, b);
 	tlb_bookings_start(&b->bookings);
 }
 
@@ -464,6 +476,8 @@
 	tlb_config_init(&d->config, &d->loop, &d->store, &d->board.counters, on_table, d);
 	tlb_changes_init(&d->changes, &d->config);
 	tlb_timer_init(&d->drain_timer, on_drain, d);
+	tlb_timer_init(&d->log_timer, on_log_timer, d);
+	on_log_timer(d);
 	init_cluster(d);
 	tlb_spread_init(&d->spread, &d->loop, &d->cluster, &d->config);
 	init_board(d);
@@ -491,6 +505,7 @@
 {
 	tlb_requests_finish(&d->board.requests);
 	tlb_services_finish(&d->board.services);
+	tlb_orders_finish(&d->board.orders);
 	tlb_operator_finish(&d->operators);
 	tlb_front_finish(&d->front);
 	tlb_bookings_finish(&d->board.bookings);
@@ -502,6 +517,7 @@
 	tlb_changes_finish(&d->changes);
 	tlb_config_finish(&d->config);
 	tlb_timer_clear(&d->loop, &d->drain_timer);
+	tlb_timer_clear(&d->loop, &d->log_timer);
 	tlb_loop_unwatch(&d->loop, d->signal_watch);
 	close(d->signal_fd);
 	tlb_http_finish(&d->http);
