Rotate the peer keys on SIGHUP

Cause: frames between daemons are authenticated with keys from the secrets file, which could only be changed by a restart. Change: SIGHUP loads the settings again and takes over the peer keys, nothing else.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -1049,6 +1049,11 @@
 			fn(arg, c->roster.member[i].row.name.id);
 }
 
+void tlb_cluster_rekey(struct tlb_cluster *c)
+{
+	c->peers.keys.count = c->settings->peer_key_count;
+}
+
 int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm)
 {
 	const struct tlb_member *m = tlb_roster_find(&c->roster, vm);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -127,6 +127,8 @@
  * it succeeds. Returns TLB_INTERNAL when the listener can't be bound. */
 enum tlb_code tlb_cluster_start(struct tlb_cluster *c, struct tlb_error *err);
 void tlb_cluster_finish(struct tlb_cluster *c);
+/* The peer keys in the settings have changed: they count for the next frame sent or received. */
+void tlb_cluster_rekey(struct tlb_cluster *c);
 /* Graceful shutdown: hands every shard to its standby, then writes the VM row as left. done runs
  * once, at the latest at the deadline. */
 void tlb_cluster_leave(struct tlb_cluster *c, tlb_time deadline, tlb_cluster_done_fn *done,
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -350,12 +350,35 @@
 	tlb_timer_set(&d->loop, &d->drain_timer, now + DRAIN_CHECK);
 }
 
+/* Takes over the peer keys of the secrets file, so that they can be rotated without a stop. All
+ * other settings need a restart. */
+static void reload_keys(struct tlb_daemon *d)
+{
+	static struct tlb_settings fresh;
+	int faults = tlb_settings_load(&fresh, d->settings_path, stderr);
+
+	if (faults > 0) {
+		tlb_log_error("event=reload result=refused faults=%d", faults);
+		return;
+	}
+	memcpy(d->settings.peer_keys, fresh.peer_keys, sizeof(fresh.peer_keys));
+	d->settings.peer_key_count = fresh.peer_key_count;
+	sodium_memzero(&fresh, sizeof(fresh));
+	tlb_cluster_rekey(&d->cluster);
+	tlb_log_info("event=reload result=ok peer_keys=%d signing_key=%d",
+		     d->settings.peer_key_count, d->settings.peer_keys[0].id);
+}
+
 static void on_signal(void *arg, int events)
 {
 	struct tlb_daemon *d = arg;
 	struct signalfd_siginfo info;
 
-	if (read(d->signal_fd, &info, sizeof(info)) == sizeof(info))
+	if (read(d->signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	if (info.ssi_signo == SIGHUP)
+		reload_keys(d);
+	else
 		begin_shutdown(d);
 }
 
@@ -461,6 +484,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	d->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -18,6 +18,7 @@
 /* Owned by main(). */
 struct tlb_daemon {
 	struct tlb_settings settings;
+	const char *settings_path;
 	struct tlb_loop loop;
 	struct tlb_http http;
 	struct tlb_store store;
@@ -40,7 +41,8 @@
 	int64_t table_version; /* that the controllers last took over */
 };
 
-/* Sets up every part with loaded settings. On failure err says which and nothing is left open. */
+/* Sets up every part; settings are loaded and settings_path is set. On failure err says which and
+ * nothing is left open. */
 enum tlb_code tlb_daemon_init(struct tlb_daemon *d, struct tlb_error *err);
 /* Serves until a shutdown is complete. */
 void tlb_daemon_run(struct tlb_daemon *d);
--- a/src/toucanlbd.c
+++ b/src/toucanlbd.c
@@ -11,8 +11,10 @@
 /* Exit codes; the same as in man/toucanlbd.8. */
 enum { EXIT_START = 1, EXIT_SETTINGS = 2 };
 
-static char doc[] = "toucanlbd -- the daemon of the toucanlb router"
-		    "\vSIGTERM ends it gracefully: requests in flight are completed.";
+static char doc[] =
+	"toucanlbd -- the daemon of the toucanlb router"
+	"\vSIGTERM ends it gracefully: requests in flight are completed. SIGHUP takes over "
+	"the peer keys of the secrets file.";
 static char args_doc[] = "SETTINGS";
 
 static error_t parse(int key, char *arg, struct argp_state *state)
@@ -65,6 +67,7 @@
 		fprintf(stderr, "toucanlbd: can't open the log file %s\n", d.settings.log_file);
 		return EXIT_START;
 	}
+	d.settings_path = settings;
 	rc = serve(&d);
 	tlb_log_finish();
 	apr_terminate();
