--- a/tests/promises/harness.py
+++ b/tests/promises/harness.py
@@ -84,7 +84,8 @@
 def load_fleet_module():
     path = os.path.join(ROOT, "scripts", "fleet")
     loader = importlib.machinery.SourceFileLoader("fleet_script", path)
-    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("fleet_script", loader))
+    spec = importlib.util.spec_from_loader("fleet_script", loader)
+    module = importlib.util.module_from_spec(spec)
     loader.exec_module(module)
     return module
 
@@ -644,8 +645,8 @@
 # --- endpoints under byte control ---
 
 class FakeService:
-    """A plain service of which a test decides every byte: behave(conn, request_bytes, number) is
-    called with each request read whole and answers on the raw connection; it returns False to close.
+    """A plain service of which a test decides every byte: behave(conn, request, number) gets each
+    request read whole and answers on the raw connection; it returns False to close.
     on_accept(conn, number), when given, runs first and returns False to close at once."""
 
     def __init__(self, behave, on_accept=None):
@@ -749,8 +750,8 @@
     def prompt(self, tokens):
         """A prompt of so many tokens, unlike any other of this test."""
         head = f"{self.name} {self.seed} {self.random.getrandbits(64):016x} "
-        return (head + "abcdefg " * (tokens * TOKEN_BYTES // 8 + 1))[:max(tokens * TOKEN_BYTES,
-                                                                         len(head))]
+        length = max(tokens * TOKEN_BYTES, len(head))
+        return (head + "abcdefg " * (length // 8 + 1))[:length]
 
     def body(self):
         return json.dumps({"order": f"{self.name}-{self.random.getrandbits(64):016x}"})
