--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,8 +2,8 @@
 """Compares docs/OPERATIONS.md with the sources.
 
 Guards against the manual falling behind: a setting, counter, log event or refusal code that it
-does not describe, one that it describes and that no longer exists, and changed defaults, counter
-types, HTTP statuses and log fields.
+does not describe, one that it describes and that no longer exists, and changed defaults, columns of
+configuration rows, counter types, HTTP statuses and log fields.
 """
 import glob
 import os
@@ -47,6 +47,12 @@
     return codes
 
 
+def source_columns(text):
+    """{kind: names of the columns of its rows}"""
+    blocks = re.findall(r"struct column (\w+)_columns\[\] = \{(.*?)\n\};", text, re.S)
+    return {kind: re.findall(r'\{"(\w+)",', block) for kind, block in blocks}
+
+
 def call_text(text, start):
     """The arguments of the call whose parenthesis opens at start."""
     depth, i = 0, start
@@ -139,6 +145,17 @@
             yield f"setting {name} does not exist"
 
 
+def check_columns(page):
+    source = source_columns(read("src/row.c"))
+    rows = dict(re.findall(r"^\| (\w+) \| (.*)", page_section(page, 2), re.M))
+    rows.pop("kind", None)
+    yield from differences("row kind", source, rows)
+    for kind in set(source) & set(rows):
+        for column in source[kind]:
+            if not re.search(rf"\b{column}\b", rows[kind]):
+                yield f"row kind {kind}: column {column} is missing"
+
+
 def check_counters(page):
     source = source_counters(read("src/counter.h"))
     rows = table_rows(page_section(page, 4))
@@ -186,8 +203,8 @@
 def main():
     files = sources()
     page = read(PAGE)
-    faults = [*check_settings(page), *check_counters(page), *check_codes(page),
-              *check_events(page, files), *check_names(page, files)]
+    faults = [*check_settings(page), *check_columns(page), *check_counters(page),
+              *check_codes(page), *check_events(page, files), *check_names(page, files)]
     for fault in faults:
         print(f"{PAGE}: {fault}")
     print(f"docs: {len(faults)} faults")
