--- a/src/cluster.h
+++ b/src/cluster.h
@@ -93,6 +93,7 @@
 	struct tlb_cluster_handlers handlers;
 
 	struct tlb_vm_name self;
+	uint64_t process; /* the first incarnation; see struct tlb_vm_row */
 	char owner_name[TLB_OWNER_LEN];
 	bool joined;
 	struct tlb_peers peers;
@@ -126,6 +127,8 @@
  * it succeeds. Returns TLB_INTERNAL when the listener can't be bound. */
 enum tlb_code tlb_cluster_start(struct tlb_cluster *c, struct tlb_error *err);
 void tlb_cluster_finish(struct tlb_cluster *c);
+/* The peer keys in the settings have changed: they count for the next frame sent or received. */
+void tlb_cluster_rekey(struct tlb_cluster *c);
 /* Graceful shutdown: hands every shard to its standby, then writes the VM row as left. done runs
  * once, at the latest at the deadline. */
 void tlb_cluster_leave(struct tlb_cluster *c, tlb_time deadline, tlb_cluster_done_fn *done,
@@ -177,6 +180,8 @@
 void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row);
 /* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
 void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm);
+/* Tells all VMs again of the fences that no row known here shows yet. */
+void tlb_cluster_repeat_fences(struct tlb_cluster *c);
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
 /* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
