Test silent links and calls to a VM that does not reply

A paused VM now must cost its peers exactly one silent link, a call must fail at its deadline or when the link closes as unknown, and without a link as not run. A peer that reconnects is told the shard map again, because the last notice may have been lost with the link.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -850,7 +850,10 @@
 static void on_up(void *arg, struct tlb_peer *peer)
 {
 	struct tlb_cluster *c = arg;
+	struct tlb_member *m = tlb_roster_find(&c->roster, peer->id);
 
+	if (m)
+		m->notified = 0;
 	peer->heard = tlb_clock_now();
 	send_heartbeat(c, peer);
 	repeat_fences(c, peer->id);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -363,7 +363,42 @@
 }
 END_TEST
 
-/* Guards against a VM that acts after a pause, or doesn't come back from it. */
+static struct tlb_error call_error;
+static int calls_done;
+
+static void on_no_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	ck_assert_ptr_null(reply);
+	call_error = *err;
+	calls_done++;
+}
+
+static bool call_is_done(void)
+{
+	return calls_done == 1;
+}
+
+/* Asks vm2, which doesn't reply, and checks how the call fails. */
+static void call_silent_vm(tlb_time wait, enum tlb_code code, enum tlb_outcome outcome)
+{
+	struct tlb_peer_call call = {0};
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__ReserveTokens body = TOUCAN__RESERVE_TOKENS__INIT;
+
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS;
+	envelope.reserve_tokens = &body;
+	calls_done = 0;
+	tlb_cluster_call(&nodes[0].cluster, "vm2", &call, &envelope, tlb_clock_now() + wait,
+			 on_no_reply, NULL);
+	ck_assert_int_eq(calls_done, 0);
+	run_until(call_is_done, wait + TLB_SECOND);
+	ck_assert_int_eq(call_error.code, code);
+	ck_assert_int_eq(call_error.outcome, outcome);
+	ck_assert(!tlb_peer_call_active(&call));
+}
+
+/* Guards against a VM that acts after a pause, or doesn't come back from it; and against a silent
+ * link that stays open or a call that never ends. */
 START_TEST(paused_vm_rejoins)
 {
 	uint64_t former;
@@ -371,6 +406,10 @@
 	start_fleet(NODES);
 	former = nodes[2].cluster.self.incarnation;
 	nodes[2].paused = true;
+	call_silent_vm(500 * TLB_MS, TLB_TIMEOUT, TLB_UNKNOWN);
+	call_silent_vm(5 * TLB_SECOND, TLB_NOT_READY, TLB_UNKNOWN);
+	ck_assert_int_eq(nodes[0].counters.value[TLB_COUNTER_PEER_SILENT], 1);
+	call_silent_vm(5 * TLB_SECOND, TLB_NOT_READY, TLB_NOT_RUN);
 	run_until(complete, 10 * TLB_SECOND);
 	run_for(3 * TLB_SECOND);
 	nodes[2].paused = false;
