--- a/src/book.h
+++ b/src/book.h
@@ -7,9 +7,13 @@
  * A booking that is not renewed expires and stays counted as a stray until the engine's list no
  * longer names it. A stray seen for longer than the grace period is to be cancelled.
  *
+ * No more than max_requests are booked at once.
+ *
  * Reason: a prefill without a place at a decode engine is evicted within a second and has to be
  * computed again, so the place is booked first. Load reports lag by up to seconds, during which
  * eight routers would all book the same free piece; one book can't be overbooked.
+ * Each running request lengthens the time between tokens of all: memory alone does not keep an
+ * engine with many small requests within the target.
  */
 #ifndef TLB_BOOK_H
 #define TLB_BOOK_H
@@ -49,9 +53,15 @@
 	struct tlb_booking_ring bookings;
 	int total_pieces;
 	int booked_pieces;
+	int booking_count;
 	int batch_reserve; /* pieces that batch work leaves free */
+	int max_requests;  /* bookings at once; 0, as init sets it: no limit */
 	tlb_time grace;	   /* a length of time: how long a stray may live */
 	bool granting;	   /* false until the engine's list has been seen */
+	/* Pieces that come free are kept for this request; none when claim_pieces is 0. */
+	char claim_id[TLB_REQUEST_ID_LEN];
+	int claim_pieces;
+	tlb_time claim_expires;
 	struct tlb_stray strays[TLB_BOOK_STRAYS];
 	int stray_count;
 };
@@ -78,6 +88,12 @@
 /* The row changed; bookings stay even when they no longer fit. */
 void tlb_book_resize(struct tlb_book *b, int total_pieces, int batch_reserve);
 
+/* Keeps what is free and comes free for one interactive request that found the book full, until it
+ * books or expires passes. Repeating the claim extends it. Returns false while another request has
+ * the claim. Without claims a request for many pieces starves, because small ones take every piece
+ * as it comes free. */
+bool tlb_book_claim(struct tlb_book *b, const char *request_id, int pieces, tlb_time expires);
+
 /* Adds *k if it may be granted. Repeating a booking of the same request and owner renews the one in
  * the book and returns TLB_BOOK_OK; *k then is not in the book: check tlb_book_find() == k. */
 enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k);
@@ -97,8 +113,8 @@
  * are free at once: release follows the end of the stream or the answer to the cancel. */
 struct tlb_booking *tlb_book_release(struct tlb_book *b, const char *request_id, const char *owner);
 
-/* Takes out the next booking that expired by now, or returns NULL. Its pieces stay counted as a
- * stray; the caller cancels the request at the engine. */
+/* Takes out the next booking that expired by now, or returns NULL; ends an expired claim. Its
+ * pieces stay counted as a stray; the caller cancels the request at the engine. */
 struct tlb_booking *tlb_book_expire(struct tlb_book *b, tlb_time now);
 
 /* The engine confirmed a cancel: the stray's pieces are free. Harmless for unknown ids. */
@@ -111,7 +127,7 @@
  * the entries that have been strays for longer than the grace period and returns their number. */
 int tlb_book_reconcile(struct tlb_book *b, struct tlb_held *held, int count, tlb_time now);
 
-/* Pieces that an interactive request may book now; never negative. */
+/* Pieces that an interactive request may book now; never negative, 0 at max_requests. */
 int tlb_book_free(const struct tlb_book *b);
 
 /* Earliest expiry deadline in the book, or TLB_NEVER. */
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -165,6 +165,13 @@
 	return TLB_OWNER_PEER;
 }
 
+int64_t tlb_cluster_epoch(const struct tlb_cluster *c, const char *id)
+{
+	const struct tlb_shard_entry *e = &c->map.entry[tlb_shard_of(id)];
+
+	return 2 * c->map.version + !tlb_vm_name_equal(&e->owner, &c->self);
+}
+
 /* Fences. */
 
 static void send_fence_notice(struct tlb_cluster *c, const char *to, const struct tlb_vm_name *vm)
@@ -1045,6 +1052,18 @@
 			fn(arg, c->roster.member[i].row.name.id);
 }
 
+void tlb_cluster_rekey(struct tlb_cluster *c)
+{
+	c->peers.keys.count = c->settings->peer_key_count;
+}
+
+int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm)
+{
+	const struct tlb_member *m = tlb_roster_find(&c->roster, vm);
+
+	return m ? m->config_version : 0;
+}
+
 void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
 		      Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
 		      void *arg)
--- a/src/http.c
+++ b/src/http.c
@@ -12,11 +12,26 @@
 
 static void on_timer(void *arg);
 
+static CURL *take_handle(struct tlb_http *h)
+{
+	return h->idle_count > 0 ? h->idle[--h->idle_count] : curl_easy_init();
+}
+
+static void keep_handle(struct tlb_http *h, CURL *easy)
+{
+	if (h->idle_count == TLB_HTTP_IDLE_HANDLES) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	h->idle[h->idle_count++] = easy;
+}
+
 static void call_release(struct tlb_http_call *c)
 {
 	tlb_timer_clear(c->http->loop, &c->deadline_timer);
 	curl_multi_remove_handle(c->http->multi, c->easy);
-	curl_easy_cleanup(c->easy);
+	keep_handle(c->http, c->easy);
 	curl_slist_free_all(c->headers);
 	c->easy = NULL;
 	c->headers = NULL;
@@ -40,6 +55,25 @@
 	return size > 0;
 }
 
+static void add_totals(struct tlb_http_totals *t, CURL *easy)
+{
+	curl_off_t down = 0;
+	curl_off_t up = 0;
+	long header = 0;
+	long request = 0;
+	long connects = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	t->calls++;
+	t->connects += connects;
+	t->bytes_in += down + header;
+	t->bytes_out += up + request;
+}
+
 static void call_finish(struct tlb_http_call *c, CURLcode rc)
 {
 	struct tlb_http_result r;
@@ -53,12 +87,15 @@
 	curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
 	snprintf(type, sizeof(type), "%s", t ? t : "");
 	r.sent = request_was_sent(c->easy);
+	add_totals(&c->http->totals, c->easy);
 	r.timed_out = c->timed_out;
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
 	else if (c->too_large)
 		snprintf(r.reason, sizeof(r.reason), "response larger than %d bytes",
 			 TLB_HTTP_BODY_MAX);
+	else if (c->ambiguous)
+		snprintf(r.reason, sizeof(r.reason), "two different Content-Length headers");
 	else if (rc != CURLE_OK)
 		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
 	else
@@ -191,6 +228,8 @@
 
 void tlb_http_finish(struct tlb_http *h)
 {
+	while (h->idle_count > 0)
+		curl_easy_cleanup(h->idle[--h->idle_count]);
 	curl_multi_cleanup(h->multi);
 	tlb_timer_clear(h->loop, &h->timer);
 	curl_global_cleanup();
@@ -232,12 +271,30 @@
 	return body_append(c, data, len) ? len : 0;
 }
 
+/* RFC 9112, 6.3: a response with two different lengths has no known end. libcurl takes the last. */
+static size_t on_header(char *line, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "Content-Length:";
+	struct tlb_http_call *c = arg;
+	size_t len = size * n;
+	char text[32];
+	long long value;
+
+	if (len < sizeof(name) || strncasecmp(line, name, sizeof(name) - 1) != 0)
+		return len;
+	snprintf(text, sizeof(text), "%.*s", (int)(len - sizeof(name) + 1),
+		 line + sizeof(name) - 1);
+	value = strtoll(text, NULL, 10);
+	if (c->content_length >= 0 && c->content_length != value)
+		c->ambiguous = true;
+	c->content_length = value;
+	return c->ambiguous ? 0 : len;
+}
+
 static int on_sockopt(void *arg, curl_socket_t fd, curlsocktype purpose)
 {
-	int one = 1;
 	int timeout_ms = USER_TIMEOUT_MS;
 
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	/* Unacknowledged data for this long means that the peer or the path is gone. */
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
 	return CURL_SOCKOPT_OK;
@@ -254,6 +311,10 @@
 			 spec->content_type ? spec->content_type : "application/json");
 		c->headers = curl_slist_append(c->headers, line);
 	}
+	if (spec->idempotency_key) {
+		snprintf(line, sizeof(line), "Idempotency-Key: %s", spec->idempotency_key);
+		c->headers = curl_slist_append(c->headers, line);
+	}
 	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
 }
 
@@ -270,6 +331,8 @@
 	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_S);
 	curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, (long)LIFETIME_S);
@@ -278,9 +341,9 @@
 		curl_easy_setopt(e, CURLOPT_COPYPOSTFIELDS, spec->body);
 	}
 	/* libcurl resends a request by itself when a reused connection closes before the first
-	 * byte of the response, so a call that must not be repeated never gets a reused one. */
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->once ? 1L : 0L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->once ? 1L : 0L);
+	 * byte of the response. */
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->own_connection ? 1L : 0L);
+	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->own_connection ? 1L : 0L);
 }
 
 enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
@@ -288,8 +351,9 @@
 {
 	memset(c, 0, sizeof(*c));
 	c->http = h;
+	c->content_length = -1;
 	c->spec = *spec;
-	c->easy = curl_easy_init();
+	c->easy = take_handle(h);
 	if (!c->easy)
 		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "http", spec->url,
 				     "no memory for an HTTP call");
--- a/src/http.h
+++ b/src/http.h
@@ -13,10 +13,23 @@
 #include "error.h"
 #include "loop.h"
 
+/* What the calls that have ended cost; bytes of HTTP, headers included. */
+struct tlb_http_totals {
+	int64_t calls;
+	int64_t connects;
+	int64_t bytes_in;
+	int64_t bytes_out;
+};
+
+enum { TLB_HTTP_IDLE_HANDLES = 64 };
+
 struct tlb_http {
 	struct tlb_loop *loop;
 	CURLM *multi;
+	CURL *idle[TLB_HTTP_IDLE_HANDLES]; /* handles kept for reuse */
+	int idle_count;
 	struct tlb_timer timer;
+	struct tlb_http_totals totals;
 };
 
 struct tlb_http_call;
@@ -43,9 +56,12 @@
 	const char *url;    /* absolute */
 	const char *body;   /* copied; NULL for none */
 	size_t body_len;
-	const char *content_type;  /* NULL for "application/json" when there is a body */
-	tlb_time deadline;	   /* for the whole call; TLB_NEVER for none */
-	bool once;		   /* must not be repeated: fresh connection, never reused */
+	const char *content_type;    /* NULL for "application/json" when there is a body */
+	const char *idempotency_key; /* sent as that header; NULL for none */
+	tlb_time deadline;	     /* for the whole call; TLB_NEVER for none */
+	/* Uses a connection of its own, so that libcurl can't resend the request and no late or
+	 * doubled response of another request can be taken for this one's. */
+	bool own_connection;
 	tlb_http_data_fn *on_data; /* NULL: the body is collected */
 	tlb_http_done_fn *on_done;
 	void *arg;
@@ -63,6 +79,8 @@
 	size_t body_cap;
 	bool timed_out;
 	bool too_large;
+	long long content_length; /* of the response; -1 before the header came */
+	bool ambiguous;		  /* two different lengths */
 };
 
 /* Largest collected response body in bytes; longer ones fail the call. */
--- a/src/load.c
+++ b/src/load.c
@@ -10,8 +10,21 @@
 /* A report that takes longer is taken as a failed call. */
 #define REPORT_TIMEOUT (1 * TLB_SECOND)
 
+enum { BATCH_RESERVE_SHARE = 7 };
+
+/* How long the engine may hold a request without a booking before it is cancelled: a booking and
+ * the engine's list are never read at the same instant. */
+#define STRAY_GRACE (2 * TLB_SECOND)
+
 static void poll_target(void *arg);
 
+void tlb_load_reset_book(struct tlb_target *t)
+{
+	tlb_book_init(&t->book, t->total_pieces, t->total_pieces / BATCH_RESERVE_SHARE,
+		      STRAY_GRACE);
+	t->book.max_requests = t->max_requests;
+}
+
 void tlb_load_init(struct tlb_load *l, struct tlb_board *b)
 {
 	l->board = b;
@@ -101,11 +114,12 @@
 	return t;
 }
 
+static const char *const state_names[] = {"joining", "active", "leaving"};
+static const char *const role_names[] = {"prefill", "decode", "service"};
+
 static void log_state(const struct tlb_target *t, const struct tlb_endpoint *e)
 {
-	static const char *const names[] = {"joining", "active", "leaving"};
-
-	tlb_log_info("event=endpoint endpoint=%s state=%s addr=%s", e->id, names[e->state],
+	tlb_log_info("event=endpoint endpoint=%s state=%s addr=%s", e->id, state_names[e->state],
 		     e->addr);
 }
 
@@ -125,13 +139,14 @@
 	strcpy(t->pool, e->pool);
 	strcpy(t->zone, e->zone);
 	strcpy(t->addr, e->addr);
+	t->total_pieces = e->pieces;
+	t->max_requests = e->max_requests;
 	if (fresh) {
 		t->free_pieces = e->pieces;
-		tlb_book_init(&t->book, e->pieces, 0, 2 * TLB_SECOND);
-	} else if (t->total_pieces != e->pieces) {
-		tlb_book_resize(&t->book, e->pieces, 0);
+		tlb_load_reset_book(t);
 	}
-	t->total_pieces = e->pieces;
+	tlb_book_resize(&t->book, e->pieces, e->pieces / BATCH_RESERVE_SHARE);
+	t->book.max_requests = e->max_requests;
 	if (fresh && e->role != TLB_ROLE_SERVICE)
 		tlb_timer_set(t->board->loop, &t->timer, tlb_clock_now());
 }
@@ -182,3 +197,30 @@
 	tlb_log_warn("event=eject endpoint=%s until_ms=%lld failures=%d", t->id,
 		     (long long)((t->health.ejected_until - now) / TLB_MS), t->health.failures);
 }
+
+static json_t *show(const struct tlb_target *t, tlb_time now)
+{
+	char vm[TLB_ID_LEN];
+	bool exact = t->role == TLB_ROLE_DECODE &&
+		     tlb_board_owner(t->board, t->id, vm) == TLB_OWNER_SELF;
+	int free_pieces = exact ? tlb_book_free(&t->book) : t->free_pieces;
+	json_int_t age_ms = t->reported_at ? (now - t->reported_at) / TLB_MS : -1;
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:b}", "endpoint", t->id, "role",
+			 role_names[t->role], "pool", t->pool, "zone", t->zone, "state",
+			 state_names[t->state], "free_pieces", free_pieces, "total_pieces",
+			 t->total_pieces, "running", t->running, "in_flight", t->in_flight,
+			 "report_age_ms", age_ms, "ejected", t->health.ejected_until > now);
+}
+
+json_t *tlb_load_list(const struct tlb_load *l)
+{
+	const struct tlb_target *t;
+	json_t *list = json_array();
+
+	APR_RING_FOREACH (t, &l->targets, tlb_target, link) {
+		if (t->present)
+			json_array_append_new(list, show(t, tlb_clock_now()));
+	}
+	return list;
+}
--- a/src/load.h
+++ b/src/load.h
@@ -32,6 +32,7 @@
 	bool checks_fencing;
 	int link_mbps;
 	int total_pieces;
+	int max_requests;
 
 	/* The last report and what this daemon did since. */
 	tlb_time reported_at;
@@ -56,6 +57,10 @@
 
 APR_RING_HEAD(tlb_target_ring, tlb_target);
 
+/* Readies an empty book for the endpoint: batch work leaves a seventh of the memory free for
+ * interactive requests (docs/POLICY.md). */
+void tlb_load_reset_book(struct tlb_target *t);
+
 /* Owned by the board; owns its targets. */
 struct tlb_load {
 	struct tlb_board *board;
@@ -70,6 +75,9 @@
 
 /* Fills what the placement functions need to know. Strings stay owned by the target. */
 void tlb_load_candidate(const struct tlb_target *t, tlb_time now, struct tlb_candidate *c);
+/* The endpoints as JSON: [{"endpoint","role","pool","zone","state","free_pieces","total_pieces",
+ * "running","in_flight","report_age_ms","ejected"}]; report_age_ms is -1 without a report. */
+json_t *tlb_load_list(const struct tlb_load *l);
 /* Records how a call to the endpoint ended, for ejection. */
 void tlb_load_outcome(struct tlb_target *t, bool ok, tlb_time latency_us);
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,13 +40,17 @@
 	char secrets_file[TLB_FILE_LEN];
 	struct tlb_peer_key peer_keys[2];
 	int peer_key_count;
+	/* and at most one "operator: <64 hex digits>", the SHA-256 hash of a credential that is
+	 * accepted only while the table has no granted operator */
+	bool has_first_operator;
+	unsigned char first_operator[TLB_KEY_HASH_LEN];
 	/* limits: on what comes from callers */
 	int max_body_bytes;	/* default 4194304 */
 	int max_connections;	/* default 2000 */
 	int request_timeout_ms; /* time to send the whole request, default 10000 */
 	int drain_timeout_ms;	/* longest graceful shutdown, default 120000 */
 	/* policy: */
-	int interactive_wait_ms; /* longest wait for tokens and a place, default 1000 */
+	int interactive_wait_ms; /* longest wait for tokens and a place, default 4000 */
 	int batch_wait_ms;	 /* default 30000 */
 	int ttft_target_ms;	 /* default 1200 */
 	int token_gap_target_ms; /* default 43 */
--- a/src/table.h
+++ b/src/table.h
@@ -50,8 +50,9 @@
 	unsigned char digest[TLB_INDEX_LEN];
 };
 
-/* {"version":"1","pool":"main","piece_tokens":2000,"max_output":4096,"max_prompt":65536};
- * the pool whose prefill and decode endpoints serve the model. */
+/* {"version":"1","pool":"main","piece_tokens":2000,"max_output":4096,"max_prompt":65536,
+ *  "adapter":""}; the pool whose prefill and decode endpoints serve the model, and the adapter that
+ * they load with it ("" for none). */
 struct tlb_model {
 	APR_RING_ENTRY(tlb_model) link;
 	char id[TLB_ID_LEN];
@@ -60,6 +61,7 @@
 	int piece_tokens;
 	int max_output;
 	int max_prompt;
+	char adapter[TLB_ID_LEN];
 };
 
 enum tlb_role { TLB_ROLE_PREFILL, TLB_ROLE_DECODE, TLB_ROLE_SERVICE };
@@ -67,7 +69,8 @@
 enum tlb_endpoint_state { TLB_ENDPOINT_JOINING, TLB_ENDPOINT_ACTIVE, TLB_ENDPOINT_LEAVING };
 
 /* {"role":"prefill"|"decode"|"service","pool":"main","zone":"z1","addr":"127.0.0.1:9001",
- *  "state":"joining"|"active"|"leaving","fencing":true,"pieces":40,"link_mbps":10000};
+ *  "state":"joining"|"active"|"leaving","fencing":true,"pieces":40,"link_mbps":10000,
+ *  "max_requests":24};
  * fencing: whether the endpoint refuses orders with an old fencing number; pieces: decode memory.
  */
 struct tlb_endpoint {
@@ -81,6 +84,7 @@
 	bool checks_fencing;
 	int pieces;
 	int link_mbps;
+	int max_requests;
 };
 
 /* {"path":"/shop/orders","method":"GET","pool":"shop","open":false,"idempotent":true,"cost":10,
@@ -181,5 +185,8 @@
  * hash itself is compared in constant time. */
 struct tlb_key *tlb_table_key(const struct tlb_table *t, const unsigned char *hash);
 struct tlb_operator *tlb_table_operator(const struct tlb_table *t, const unsigned char *hash);
+/* Whether some operator is granted, and whether the one with this id is. */
+bool tlb_table_has_operator(const struct tlb_table *t);
+bool tlb_table_is_operator(const struct tlb_table *t, const char *id);
 
 #endif
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2262,7 +2262,7 @@
   (ProtobufCMessageInit) toucan__reserve_tokens__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__tokens_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor toucan__tokens_reply__field_descriptors[3] =
 {
   {
     "granted",
@@ -2288,15 +2288,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unavailable",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TokensReply, unavailable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__tokens_reply__field_indices_by_name[] = {
   0,   /* field[0] = granted */
   1,   /* field[1] = retry_after_us */
+  2,   /* field[2] = unavailable */
 };
 static const ProtobufCIntRange toucan__tokens_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__tokens_reply__descriptor =
 {
@@ -2306,7 +2319,7 @@
   "Toucan__TokensReply",
   "toucan",
   sizeof(Toucan__TokensReply),
-  2,
+  3,
   toucan__tokens_reply__field_descriptors,
   toucan__tokens_reply__field_indices_by_name,
   1,  toucan__tokens_reply__number_ranges,
@@ -2927,7 +2940,7 @@
   (ProtobufCMessageInit) toucan__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__config_pull__field_descriptors[1] =
+static const ProtobufCFieldDescriptor toucan__config_pull__field_descriptors[3] =
 {
   {
     "have_version",
@@ -2941,14 +2954,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPull, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigPull, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_pull__field_indices_by_name[] = {
   0,   /* field[0] = have_version */
+  1,   /* field[1] = offset */
+  2,   /* field[2] = version */
 };
 static const ProtobufCIntRange toucan__config_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__config_pull__descriptor =
 {
@@ -2958,14 +2997,14 @@
   "Toucan__ConfigPull",
   "toucan",
   sizeof(Toucan__ConfigPull),
-  1,
+  3,
   toucan__config_pull__field_descriptors,
   toucan__config_pull__field_indices_by_name,
   1,  toucan__config_pull__number_ranges,
   (ProtobufCMessageInit) toucan__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__config_rows__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__config_rows__field_descriptors[4] =
 {
   {
     "version",
@@ -3003,16 +3042,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "next_offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ConfigRows, next_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__config_rows__field_indices_by_name[] = {
   1,   /* field[1] = base_version */
+  3,   /* field[3] = next_offset */
   2,   /* field[2] = rows */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange toucan__config_rows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__config_rows__descriptor =
 {
@@ -3022,7 +3074,7 @@
   "Toucan__ConfigRows",
   "toucan",
   sizeof(Toucan__ConfigRows),
-  3,
+  4,
   toucan__config_rows__field_descriptors,
   toucan__config_rows__field_indices_by_name,
   1,  toucan__config_rows__number_ranges,
