--- a/tests/operator.py
+++ b/tests/operator.py
@@ -225,7 +225,7 @@
     row = f.call("GET", "/v1/table?kind=key&id=k1")[1]["rows"][0]["value"]
     assert row["hash"] == hashlib.sha256(out.strip().encode()).hexdigest()
     assert f.tool("grant-key", "k1", "a1")[0] == 1, "an existing key was replaced"
-    assert f.tool("withdraw-key", "k1")[0] == 0
+    assert f.tool("withdraw-key", "k1", "--wait")[0] == 0
     row = f.call("GET", "/v1/table?kind=key&id=k1")[1]["rows"][0]["value"]
     assert row["state"] == "withdrawn"
     code, out, err = f.tool("set", "account", "a1", "rate=0", "burst=-1")
