--- a/Makefile
+++ b/Makefile
@@ -48,8 +48,11 @@
 $(BUILD)/bench: bench/bench.c bench/model.c bench/model.h $(BUILD)/libtoucanlb.a
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
 
+# The whole matrix is scripts/bench.
 bench: $(BUILD)/bench
-	$<
+	$< --scenario sustain
+	$< --scenario peak
+	$< --scenario greedy
 
 check: deps
 	@$(MAKE) --no-print-directory all build-tests
