--- a/Makefile
+++ b/Makefile
@@ -58,8 +58,11 @@
 $(BUILD)/passthrough: $(BUILD)/bench/passthrough.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+# The whole matrix is scripts/bench.
 bench: $(BUILD)/bench
-	$<
+	$< --scenario sustain
+	$< --scenario peak
+	$< --scenario greedy
 
 # Every parser of outside bytes under the sanitizers, with fixed seeds; see fuzz/run.
 fuzz:
