--- a/src/change.c
+++ b/src/change.c
@@ -9,7 +9,8 @@
 	STEP_TIMEOUT_MS = 2000, /* one read or write of the store */
 	RETRY_MS = 200,		/* wait before the store is asked again */
 	RETRY_JITTER_MS = 100,
-	BEHIND_MS = 50, /* wait for the table to be loaded */
+	BEHIND_MS = 20, /* wait for the table to be loaded */
+	BEHIND_WAITS = 50,
 };
 
 /* Owned by the queue. */
@@ -22,6 +23,7 @@
 	int64_t base_version;
 	json_t *rows;
 	tlb_time deadline;
+	int waits;		     /* for the table to be loaded */
 	bool uncertain;		     /* a write without an answer may have taken effect */
 	struct tlb_table *candidate; /* what is in force when the write succeeds */
 	struct tlb_faults faults;
@@ -72,17 +74,6 @@
 	tlb_faults_add(f, row, "", NULL, allowed);
 }
 
-static bool is_granted(const struct tlb_table *t)
-{
-	const struct tlb_operator *o;
-
-	APR_RING_FOREACH (o, &t->operators, tlb_operator, link) {
-		if (!o->withdrawn)
-			return true;
-	}
-	return false;
-}
-
 static void take_row(struct tlb_table *t, const json_t *row, json_t *seen, struct tlb_faults *f)
 {
 	const char *key = json_string_value(json_object_get(row, "key"));
@@ -117,7 +108,7 @@
 	}
 	json_decref(seen);
 	tlb_table_check(t, f);
-	if (is_granted(before) && !is_granted(t))
+	if (tlb_table_has_operator(before) && !tlb_table_has_operator(t))
 		row_fault(f, "operator", "at least one granted operator, who can make changes");
 	return f->fault_count == 0;
 }
@@ -136,6 +127,16 @@
 
 /* --- the end of a change --- */
 
+static void count_result(struct tlb_counters *c, enum tlb_code code)
+{
+	if (code == TLB_OK)
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_CHANGES, 1);
+	else if (code == TLB_CONFLICT)
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_CONFLICTS, 1);
+	else
+		tlb_counter_add(c, TLB_COUNTER_CONFIG_REFUSED, 1);
+}
+
 static void finish(struct tlb_change *x, struct tlb_change_result *r)
 {
 	struct tlb_changes *q = x->queue;
@@ -143,6 +144,7 @@
 	tlb_log_info("change id=%s author=%s base=%lld rows=%zu result=%s version=%lld",
 		     x->change_id, x->author, (long long)x->base_version, json_array_size(x->rows),
 		     tlb_error_name(r->error.code), (long long)r->version);
+	count_result(q->config->counters, r->error.code);
 	r->faults = &x->faults;
 	if (x->on_done)
 		x->on_done(x->arg, r);
@@ -197,6 +199,15 @@
 	finish(x, &r);
 }
 
+static void finish_withdrawn(struct tlb_change *x)
+{
+	struct tlb_change_result r = {.version = 0};
+
+	tlb_error_set(&r.error, TLB_INVALID_KEY, TLB_NOT_RUN, "change", "",
+		      "the credential of operator %s has been withdrawn", x->author);
+	finish(x, &r);
+}
+
 /* --- working on the first change of the queue --- */
 
 static void again_after(struct tlb_change *x, tlb_time wait)
@@ -254,7 +265,7 @@
 	}
 }
 
-/* The list of recent change ids with this change added. New reference. */
+/* The list of recent changes with this one added. New reference. */
 static json_t *make_recent(const struct tlb_change *x, const json_t *head)
 {
 	json_t *recent = json_copy(json_object_get(head, "recent"));
@@ -264,8 +275,9 @@
 		recent = json_array();
 	}
 	json_array_append_new(recent,
-			      json_pack("{s:I, s:s}", "version", (json_int_t)x->candidate->version,
-					"change_id", x->change_id));
+			      json_pack("{s:I, s:s, s:s, s:s}", "version",
+					(json_int_t)x->candidate->version, "change_id",
+					x->change_id, "author", x->author, "summary", x->summary));
 	while (json_array_size(recent) > TLB_CHANGE_RECENT)
 		json_array_remove(recent, 0);
 	return recent;
@@ -304,6 +316,13 @@
 {
 	struct tlb_changes *q = x->queue;
 
+	/* The table may be newer than the one that the credential was found in. The write is
+	 * conditional on its version, so that a withdrawn operator changes nothing. */
+	if (tlb_table_has_operator(q->config->table) &&
+	    !tlb_table_is_operator(q->config->table, x->author)) {
+		finish_withdrawn(x);
+		return;
+	}
 	tlb_config_table_free(x->candidate);
 	tlb_faults_finish(&x->faults);
 	tlb_faults_init(&x->faults);
@@ -336,25 +355,28 @@
 	return 0;
 }
 
+/* The store is ahead of the table in force here. */
+static void decide_behind(struct tlb_change *x, const json_t *head, int64_t mine)
+{
+	tlb_config_refresh(x->queue->config);
+	if (!mine && json_integer_value(json_object_get(head, "version")) != x->base_version)
+		finish_conflict(x, head);
+	/* A change is answered when it is in force here, unless that takes too long. */
+	else if (mine && x->waits++ == BEHIND_WAITS)
+		finish_ok(x, mine);
+	else
+		again_after(x, BEHIND_MS * TLB_MS);
+}
+
 static void decide(struct tlb_change *x, const json_t *head, int64_t row_version)
 {
-	struct tlb_config *c = x->queue->config;
 	int64_t stored = json_integer_value(json_object_get(head, "version"));
-	int64_t in_force = tlb_config_version(c);
+	int64_t in_force = tlb_config_version(x->queue->config);
 	int64_t mine = find_recent(x, head);
 
-	if (stored > in_force) {
-		tlb_config_refresh(c);
-		/* A change that is in the store needs no table here to be answered. */
-		if (mine)
-			finish_ok(x, mine);
-		else if (stored != x->base_version)
-			finish_conflict(x, head);
-		else
-			again_after(x, BEHIND_MS * TLB_MS);
-		return;
-	}
-	if (mine)
+	if (stored > in_force)
+		decide_behind(x, head, mine);
+	else if (mine)
 		finish_ok(x, mine);
 	/* A store that was set back has a lower version than the one in force, which never
 	 * reverts; changes go on from there. */
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -93,6 +93,7 @@
 	struct tlb_cluster_handlers handlers;
 
 	struct tlb_vm_name self;
+	uint64_t process; /* the first incarnation; see struct tlb_vm_row */
 	char owner_name[TLB_OWNER_LEN];
 	bool joined;
 	struct tlb_peers peers;
@@ -126,6 +127,8 @@
  * it succeeds. Returns TLB_INTERNAL when the listener can't be bound. */
 enum tlb_code tlb_cluster_start(struct tlb_cluster *c, struct tlb_error *err);
 void tlb_cluster_finish(struct tlb_cluster *c);
+/* The peer keys in the settings have changed: they count for the next frame sent or received. */
+void tlb_cluster_rekey(struct tlb_cluster *c);
 /* Graceful shutdown: hands every shard to its standby, then writes the VM row as left. done runs
  * once, at the latest at the deadline. */
 void tlb_cluster_leave(struct tlb_cluster *c, tlb_time deadline, tlb_cluster_done_fn *done,
@@ -140,10 +143,17 @@
 tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c);
 /* Who accounts for an id. For TLB_OWNER_PEER vm is the owner; otherwise "". */
 enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN]);
+/* For fencing numbers: grows with every change of the VM that acts for the id's shard. Twice the
+ * version of the shard map, plus 1 while this VM acts as the standby on a fence that the map does
+ * not show yet. Meaningful while tlb_cluster_owner() answers SELF. */
+int64_t tlb_cluster_epoch(const struct tlb_cluster *c, const char *id);
 /* Calls fn for each live VM except this one. fn must not change the cluster. */
 void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm),
 		      void *arg);
 
+/* The configuration version that a VM's last heartbeat named; 0 when none came. */
+int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm);
+
 /* Sends a request. body needs only its oneof set; it is encoded before the function returns.
  * on_reply runs once, at the latest at the deadline. */
 void tlb_cluster_call(struct tlb_cluster *c, const char *vm, struct tlb_peer_call *call,
@@ -170,6 +180,8 @@
 void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row);
 /* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
 void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm);
+/* Tells all VMs again of the fences that no row known here shows yet. */
+void tlb_cluster_repeat_fences(struct tlb_cluster *c);
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
 /* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
--- a/src/config.h
+++ b/src/config.h
@@ -4,8 +4,8 @@
  * change.h. A version lower than the one in force is never applied.
  *
  * The row "config/head" is {"version":N,"author","change_id","summary","wall_ms","recent"}, where
- * "recent" lists the last changes, [{"version","change_id"}], so that a change whose answer was
- * lost is recognised although others followed it.
+ * "recent" lists the last changes, [{"version","change_id","author","summary"}], so that a change
+ * whose answer was lost is recognised although others followed it.
  */
 #ifndef TLB_CONFIG_H
 #define TLB_CONFIG_H
@@ -44,6 +44,7 @@
 	struct tlb_counters *counters;
 	struct tlb_table *table; /* never NULL; empty with version 0 at first */
 	enum tlb_config_source source;
+	bool trim_due;		 /* memory of a large answer is to be given back */
 	bool loaded;		 /* the store or a peer has been heard */
 	int64_t refused_version; /* a stored version that failed the checks; 0 for none */
 	tlb_config_table_fn *on_table;
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -18,6 +18,7 @@
 #define DRAIN_QUIET (1 * TLB_SECOND) /* no new request for this long ends the notice */
 #define DRAIN_CHECK (50 * TLB_MS)
 #define LEAVE_TIMEOUT (5 * TLB_SECOND)
+#define LOG_FLUSH (100 * TLB_MS)
 
 /* --- the table in force --- */
 
@@ -31,6 +32,7 @@
 	tlb_limit_sync(&d->board.limit);
 	tlb_pools_sync(&d->board.pools);
 	tlb_requests_sync(&d->board.requests);
+	tlb_orders_sync(&d->board.orders);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_CONFIG_VERSION, d->table_version);
 	/* A VM that read the store by itself need not tell the others: heartbeats do. */
 	if (d->config.source == TLB_CONFIG_FROM_CHANGE)
@@ -111,6 +113,7 @@
 
 	tlb_limit_shards_changed(&d->board.limit, gained, lost);
 	tlb_bookings_shards_changed(&d->board.bookings, gained, lost);
+	tlb_orders_shards_changed(&d->board.orders, gained, lost);
 }
 
 static void hand_over(void *arg, tlb_shard_set shards, Toucan__HandOver *out)
@@ -134,6 +137,7 @@
 	struct tlb_daemon *d = arg;
 
 	tlb_limit_fenced(&d->board.limit, vm, incarnation);
+	tlb_bookings_fenced(&d->board.bookings, vm, incarnation);
 }
 
 static void on_peer_config_version(void *arg, const char *vm, int64_t version)
@@ -231,6 +235,27 @@
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
 }
 
+struct peer_list {
+	struct tlb_daemon *daemon;
+	json_t *list;
+};
+
+static void add_peer(void *arg, const char *vm)
+{
+	struct peer_list *p = arg;
+	json_int_t version = tlb_cluster_peer_config(&p->daemon->cluster, vm);
+
+	json_array_append_new(p->list, json_pack("{s:s,s:I}", "vm", vm, "version", version));
+}
+
+static json_t *show_peers(void *arg)
+{
+	struct peer_list p = {arg, json_array()};
+
+	tlb_cluster_each(&p.daemon->cluster, add_peer, &p);
+	return p.list;
+}
+
 static bool show_ready(void *arg, const char **reason)
 {
 	struct tlb_daemon *d = arg;
@@ -325,17 +350,48 @@
 	tlb_timer_set(&d->loop, &d->drain_timer, now + DRAIN_CHECK);
 }
 
+/* Takes over the peer keys of the secrets file, so that they can be rotated without a stop. All
+ * other settings need a restart. */
+static void reload_keys(struct tlb_daemon *d)
+{
+	static struct tlb_settings fresh;
+	int faults = tlb_settings_load(&fresh, d->settings_path, stderr);
+
+	if (faults > 0) {
+		tlb_log_error("event=reload result=refused faults=%d", faults);
+		return;
+	}
+	memcpy(d->settings.peer_keys, fresh.peer_keys, sizeof(fresh.peer_keys));
+	d->settings.peer_key_count = fresh.peer_key_count;
+	sodium_memzero(&fresh, sizeof(fresh));
+	tlb_cluster_rekey(&d->cluster);
+	tlb_log_info("event=reload result=ok peer_keys=%d signing_key=%d",
+		     d->settings.peer_key_count, d->settings.peer_keys[0].id);
+}
+
 static void on_signal(void *arg, int events)
 {
 	struct tlb_daemon *d = arg;
 	struct signalfd_siginfo info;
 
-	if (read(d->signal_fd, &info, sizeof(info)) == sizeof(info))
+	if (read(d->signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	if (info.ssi_signo == SIGHUP)
+		reload_keys(d);
+	else
 		begin_shutdown(d);
 }
 
 /* --- start --- */
 
+static void on_log_timer(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_log_flush();
+	tlb_timer_set(&d->loop, &d->log_timer, tlb_clock_now() + LOG_FLUSH);
+}
+
 static void init_board(struct tlb_daemon *d)
 {
 	struct tlb_board *b = &d->board;
@@ -357,6 +413,7 @@
 	tlb_pools_init(&b->pools, b);
 	tlb_requests_init(&b->requests, b);
 	tlb_services_init(&b->services, b);
+	tlb_orders_init(&b->orders, b);
 	tlb_bookings_start(&b->bookings);
 }
 
@@ -411,6 +468,7 @@
 		.requests = show_requests,
 		.endpoints = show_endpoints,
 		.accounts = show_accounts,
+		.peers = show_peers,
 		.ready = show_ready,
 		.refresh_counters = refresh_counters,
 	};
@@ -426,6 +484,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	d->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
@@ -441,8 +500,10 @@
 	tlb_config_init(&d->config, &d->loop, &d->store, &d->board.counters, on_table, d);
 	tlb_changes_init(&d->changes, &d->config);
 	tlb_timer_init(&d->drain_timer, on_drain, d);
+	tlb_timer_init(&d->log_timer, on_log_timer, d);
+	on_log_timer(d);
 	init_cluster(d);
-	tlb_spread_init(&d->spread, &d->cluster, &d->config);
+	tlb_spread_init(&d->spread, &d->loop, &d->cluster, &d->config);
 	init_board(d);
 	watch_signals(d);
 	if (tlb_cluster_start(&d->cluster, err) != TLB_OK)
@@ -468,6 +529,7 @@
 {
 	tlb_requests_finish(&d->board.requests);
 	tlb_services_finish(&d->board.services);
+	tlb_orders_finish(&d->board.orders);
 	tlb_operator_finish(&d->operators);
 	tlb_front_finish(&d->front);
 	tlb_bookings_finish(&d->board.bookings);
@@ -479,6 +541,7 @@
 	tlb_changes_finish(&d->changes);
 	tlb_config_finish(&d->config);
 	tlb_timer_clear(&d->loop, &d->drain_timer);
+	tlb_timer_clear(&d->loop, &d->log_timer);
 	tlb_loop_unwatch(&d->loop, d->signal_watch);
 	close(d->signal_fd);
 	tlb_http_finish(&d->http);
--- a/src/row.c
+++ b/src/row.c
@@ -68,6 +68,7 @@
 	{"max_output", COLUMN_INT, MEMBER(tlb_model, max_output), RANGE(1, 1000000), DEFAULT(4096)},
 	{"max_prompt", COLUMN_INT, MEMBER(tlb_model, max_prompt), RANGE(1, 10000000),
 	 DEFAULT(65536)},
+	{"adapter", COLUMN_ID, MEMBER(tlb_model, adapter), .optional = true},
 };
 
 static const struct column endpoint_columns[] = {
@@ -80,6 +81,8 @@
 	{"pieces", COLUMN_INT, MEMBER(tlb_endpoint, pieces), RANGE(1, 1000000), DEFAULT(40)},
 	{"link_mbps", COLUMN_INT, MEMBER(tlb_endpoint, link_mbps), RANGE(1, 10000000),
 	 DEFAULT(10000)},
+	{"max_requests", COLUMN_INT, MEMBER(tlb_endpoint, max_requests), RANGE(1, 100000),
+	 DEFAULT(24)},
 };
 
 static const struct column route_columns[] = {
@@ -197,7 +200,7 @@
 		return false;
 	switch (c->type) {
 	case COLUMN_ID:
-		return tlb_table_id_valid(s);
+		return tlb_table_id_valid(s) || (c->optional && s[0] == '\0');
 	case COLUMN_ADDR:
 		return tlb_address_valid(s, 1);
 	case COLUMN_PATH:
@@ -225,8 +228,9 @@
 {
 	switch (c->type) {
 	case COLUMN_ID:
-		snprintf(out, size, "1 to %zu of A-Z a-z 0-9 . _ -, the first a letter or a digit",
-			 c->size - 1);
+		snprintf(out, size,
+			 "%s1 to %zu of A-Z a-z 0-9 . _ -, the first a letter or a digit",
+			 c->optional ? "empty or " : "", c->size - 1);
 		break;
 	case COLUMN_ADDR:
 		snprintf(out, size, "IP:PORT, such as 127.0.0.1:9001 or [::1]:9001");
@@ -489,6 +493,18 @@
 	return json_string(text);
 }
 
+/* One number has one JSON form, so that equal rows are equal as JSON. Takes the reference to v. */
+static json_t *as_real(json_t *v)
+{
+	json_t *real;
+
+	if (!json_is_integer(v))
+		return v;
+	real = json_real((double)json_integer_value(v));
+	json_decref(v);
+	return real;
+}
+
 json_t *tlb_row_from_text(enum tlb_row_kind kind, const char *column, const char *text)
 {
 	const struct column *c = find_column(kind, column);
@@ -497,9 +513,10 @@
 		return NULL;
 	switch (c->type) {
 	case COLUMN_INT:
-	case COLUMN_NUMBER:
 	case COLUMN_BOOL:
 		return parse_scalar(text);
+	case COLUMN_NUMBER:
+		return as_real(parse_scalar(text));
 	default:
 		return json_string(text);
 	}
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -180,6 +180,9 @@
    */
   uint64_t number;
   protobuf_c_boolean grant_wanted;
+  /*
+   * of the process that the row names as witness
+   */
   uint64_t witness_incarnation;
   /*
    * of the sender's VM row
@@ -206,10 +209,14 @@
    * the witness has agreed to a fence of this incarnation
    */
   protobuf_c_boolean promised;
+  /*
+   * of the witness's process
+   */
+  uint64_t witness_incarnation;
 };
 #define TOUCAN__HEARTBEAT_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__heartbeat_ack__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Toucan__FenceRequest
@@ -220,14 +227,10 @@
    * of the VM row in which the witness is named
    */
   int64_t row_version;
-  /*
-   * as named in that row
-   */
-  uint64_t witness_incarnation;
 };
 #define TOUCAN__FENCE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__fence_request__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0 }
 
 
 struct  Toucan__FenceReply
@@ -319,10 +322,14 @@
   ProtobufCMessage base;
   protobuf_c_boolean granted;
   int64_t retry_after_us;
+  /*
+   * the receiver does not account for this account (any more)
+   */
+  protobuf_c_boolean unavailable;
 };
 #define TOUCAN__TOKENS_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__tokens_reply__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Toucan__ReturnTokens
@@ -450,9 +457,12 @@
   ProtobufCMessage base;
   int64_t version;
   /*
-   * the rows are the difference to this version; 0 for the whole table
+   * the rows are the difference to this version; 0 for the whole table,
    */
   int64_t base_version;
+  /*
+   * -1 when they are too many to push: pull them
+   */
   size_t n_rows;
   Toucan__ConfigRow **rows;
 };
@@ -465,12 +475,23 @@
 {
   ProtobufCMessage base;
   int64_t have_version;
+  /*
+   * rows already received of the version below
+   */
+  int64_t offset;
+  /*
+   * 0 with offset 0
+   */
+  int64_t version;
 };
 #define TOUCAN__CONFIG_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__config_pull__descriptor) \
-    , 0 }
+    , 0, 0, 0 }
 
 
+/*
+ * A page of rows: the whole table of a large fleet does not fit in one frame.
+ */
 struct  Toucan__ConfigRows
 {
   ProtobufCMessage base;
@@ -478,10 +499,14 @@
   int64_t base_version;
   size_t n_rows;
   Toucan__ConfigRow **rows;
+  /*
+   * 0: this was the last page
+   */
+  int64_t next_offset;
 };
 #define TOUCAN__CONFIG_ROWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__config_rows__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 struct  Toucan__Bucket
