--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -3,7 +3,7 @@
 
 Guards against the manual falling behind: a setting, counter, log event or refusal code that it
 does not describe, one that it describes and that no longer exists, and changed defaults, columns of
-configuration rows, counter types, HTTP statuses and log fields.
+configuration rows, counter types, HTTP statuses, log fields and time bounds.
 """
 import glob
 import os
@@ -192,6 +192,17 @@
             yield f"log event {name}: field {field} is missing"
 
 
+def check_bounds(page, files):
+    """The time bounds state the values of the constants that they name."""
+    text = "\n".join(files.values())
+    units = {"TLB_MS": 0.001, "TLB_SECOND": 1}
+    for row in re.findall(r"^\|.*\|$", page_section(page, 7), re.M):
+        for name in re.findall(r"`([A-Z_]+)`", row):
+            value = re.search(rf"#define {name} \(?(\d+) \* (TLB_\w+)\)?", text)
+            if value and not re.search(rf"\b{int(value[1]) * units[value[2]]:g} s\b", row):
+                yield f"time bound {name}: not {value[1]} * {value[2]}"
+
+
 def check_names(page, files):
     """Any other name in the form of an identifier must occur in the sources."""
     text = "\n".join(files.values())
@@ -204,7 +215,8 @@
     files = sources()
     page = read(PAGE)
     faults = [*check_settings(page), *check_columns(page), *check_counters(page),
-              *check_codes(page), *check_events(page, files), *check_names(page, files)]
+              *check_codes(page), *check_events(page, files), *check_bounds(page, files),
+              *check_names(page, files)]
     for fault in faults:
         print(f"{PAGE}: {fault}")
     print(f"docs: {len(faults)} faults")
