Claim memory for large requests; hold back sizes that every endpoint refused

Cause: requests for a sixth of an endpoint's memory or more starve, because small ones take every piece as it comes free, and a backlog asked every owner again every 20 ms. A request's attempts also counted refused bookings, so that one engine failure after a long wait ended it. Change: the daemon uses tlb_book_claim() after 2 s of waiting, holds requests back that are as large as one that all have just refused, and counts an attempt only once it leaves an engine.

--- a/src/booking.c
+++ b/src/booking.c
@@ -110,7 +110,8 @@
 /* --- the owner's side --- */
 
 static enum tlb_book_result book_add(struct tlb_target *t, const char *request_id,
-				     const char *owner, int pieces, enum tlb_class class)
+				     const char *owner, int pieces, enum tlb_class class,
+				     bool claim)
 {
 	struct tlb_booking *k = calloc(1, sizeof(*k));
 	enum tlb_book_result result;
@@ -127,6 +128,8 @@
 		result = TLB_BOOK_NOT_GRANTING;
 	else
 		result = tlb_book_add(&t->book, k);
+	if (result == TLB_BOOK_FULL && claim)
+		tlb_book_claim(&t->book, request_id, pieces, tlb_clock_now() + TLB_BOOKING_CLAIM);
 	if (result != TLB_BOOK_OK || tlb_book_find(&t->book, request_id) != k)
 		free(k);
 	return result;
@@ -389,6 +392,7 @@
 	m.owner = h->board->owner;
 	m.pieces = h->pieces;
 	m.klass = h->class;
+	m.claim = h->claim;
 	e.body_case = TOUCAN__ENVELOPE__BODY_BOOK_DECODE;
 	e.book_decode = &m;
 	h->state = TLB_HOLD_ASKING;
@@ -398,7 +402,7 @@
 static void hold_local(struct tlb_hold *h)
 {
 	enum tlb_book_result result =
-		book_add(h->target, h->request_id, h->board->owner, h->pieces, h->class);
+		book_add(h->target, h->request_id, h->board->owner, h->pieces, h->class, h->claim);
 
 	if (result == TLB_BOOK_OK)
 		hold_begin(h);
@@ -406,8 +410,8 @@
 }
 
 void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
-		      const char *request_id, int pieces, enum tlb_class class, tlb_time deadline,
-		      tlb_hold_done_fn *on_done, void *arg)
+		      const char *request_id, int pieces, enum tlb_class class, bool claim,
+		      tlb_time deadline, tlb_hold_done_fn *on_done, void *arg)
 {
 	char vm[TLB_ID_LEN];
 
@@ -416,6 +420,7 @@
 	h->target = t;
 	h->pieces = pieces;
 	h->class = class;
+	h->claim = claim;
 	h->on_done = on_done;
 	h->arg = arg;
 	snprintf(h->request_id, sizeof(h->request_id), "%s", request_id);
@@ -707,7 +712,7 @@
 		reply_book(b, from, TLB_BOOK_NOT_GRANTING, NULL);
 		return;
 	}
-	reply_book(b, from, book_add(t, m->request_id, m->owner, m->pieces, class), t);
+	reply_book(b, from, book_add(t, m->request_id, m->owner, m->pieces, class, m->claim), t);
 }
 
 void tlb_bookings_on_renew(struct tlb_bookings *b, const struct tlb_peer_return *from,
--- a/src/booking.h
+++ b/src/booking.h
@@ -18,6 +18,7 @@
 
 #define TLB_BOOKING_RENEW (1 * TLB_SECOND) /* how often a daemon renews its bookings */
 #define TLB_BOOKING_LAPSE (5 * TLB_SECOND) /* an unrenewed booking ends after this */
+#define TLB_BOOKING_CLAIM (500 * TLB_MS)   /* a claim that is not repeated ends after this */
 #define TLB_HELD_INTERVAL (2 * TLB_SECOND) /* how often an owner compares with the engine */
 
 /* result is TLB_BOOK_OK or why not; unreachable when the owner did not answer. */
@@ -35,6 +36,7 @@
 	char request_id[TLB_REQUEST_ID_LEN];
 	int pieces;
 	enum tlb_class class;
+	bool claim;
 	struct tlb_peer_call call;
 	tlb_hold_done_fn *on_done;
 	void *arg;
@@ -63,10 +65,12 @@
 void tlb_bookings_start(struct tlb_bookings *b);
 void tlb_bookings_finish(struct tlb_bookings *b);
 
-/* Books pieces at a decode endpoint. on_done runs at once when this daemon owns the book. */
+/* Books pieces at a decode endpoint. With claim, an endpoint that is full keeps what comes free for
+ * this request, so that a large one does not starve (tlb_book_claim()); it has to be repeated.
+ * on_done runs at once when this daemon owns the book. */
 void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
-		      const char *request_id, int pieces, enum tlb_class class, tlb_time deadline,
-		      tlb_hold_done_fn *on_done, void *arg);
+		      const char *request_id, int pieces, enum tlb_class class, bool claim,
+		      tlb_time deadline, tlb_hold_done_fn *on_done, void *arg);
 /* Ends a booking, or gives up asking; harmless when idle. With cancel the engine may still hold the
  * request: it is cancelled there first, and the pieces are free when the engine has confirmed. */
 void tlb_booking_release(struct tlb_hold *h, bool cancel);
--- a/src/pool.c
+++ b/src/pool.c
@@ -1,10 +1,14 @@
 #include "pool.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "board.h"
 
+/* A claim lives 500 ms without being repeated (TLB_BOOKING_CLAIM). */
+#define CLAIM_RETRY (100 * TLB_MS)
+
 struct pool_flow {
 	APR_RING_ENTRY(pool_flow) link;
 	char account[TLB_ID_LEN];
@@ -19,6 +23,9 @@
 	char id[TLB_ID_LEN];
 	struct tlb_queue queue;
 	struct pool_flow_ring flows;
+	/* The smallest size of each class that every endpoint has just refused, in pieces. */
+	int refused_pieces[TLB_CLASS_COUNT];
+	tlb_time refused_until;
 };
 
 static void on_timer(void *arg);
@@ -127,7 +134,13 @@
 	const struct tlb_board *b = pool->pools->board;
 	const struct tlb_wait *w = (const struct tlb_wait *)it;
 	const struct tlb_target *t;
+	tlb_time now = tlb_clock_now();
 
+	/* A claim is worth asking for although nothing is free. */
+	if (now >= w->claim_at && now >= w->retry_at)
+		return true;
+	if (now < pool->refused_until && w->pieces >= pool->refused_pieces[it->class])
+		return false;
 	APR_RING_FOREACH (t, &b->load.targets, tlb_target, link) {
 		if (t->role == TLB_ROLE_DECODE && strcmp(t->pool, pool->id) == 0 &&
 		    has_room(b, t, w->pieces))
@@ -187,14 +200,33 @@
 	struct tlb_pool *pool = pool_for(p, id);
 
 	w->pool = pool;
+	w->retry_at = 0;
 	tlb_queue_push(&pool->queue, flow_for(pool, account), &w->item, tlb_clock_now());
 	tlb_pools_kick(p);
 }
 
+/* Asking the owners again for every waiting request of a size that they have just refused would
+ * cost a message each, every retry. */
+static void note_refused(struct tlb_pool *pool, const struct tlb_wait *w, tlb_time now)
+{
+	enum tlb_class class = w->item.class;
+	int i;
+
+	if (now >= pool->refused_until)
+		for (i = 0; i < TLB_CLASS_COUNT; i++)
+			pool->refused_pieces[i] = INT_MAX;
+	if (w->pieces < pool->refused_pieces[class])
+		pool->refused_pieces[class] = w->pieces;
+	pool->refused_until = now + TLB_POOL_RETRY;
+}
+
 void tlb_pool_unpop(struct tlb_pools *p, const char *id, const char *account, struct tlb_wait *w)
 {
 	struct tlb_pool *pool = pool_for(p, id);
+	tlb_time now = tlb_clock_now();
 
+	note_refused(pool, w, now);
+	w->retry_at = now + CLAIM_RETRY;
 	tlb_queue_unpop(&pool->queue, flow_for(pool, account), &w->item);
 	if (!p->timer.index)
 		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now() + TLB_POOL_RETRY);
--- a/src/pool.h
+++ b/src/pool.h
@@ -24,6 +24,8 @@
 	struct tlb_item item;  /* first member: items are converted back to waits */
 	struct tlb_pool *pool; /* set by push */
 	int pieces;	       /* decode memory needed */
+	tlb_time claim_at;     /* may claim pieces that come free from then on */
+	tlb_time retry_at;     /* of a claim; 0 at first */
 	void (*on_start)(struct tlb_wait *w);
 	void (*on_expire)(struct tlb_wait *w);
 };
@@ -42,9 +44,11 @@
 /* Applies changed weights. */
 void tlb_pools_sync(struct tlb_pools *p);
 
-/* Queues a request; item.class, tokens, latest_start, expires, pieces and the callbacks are set. */
+/* Queues a request; claim_at, item.class, tokens, latest_start, expires, pieces and the callbacks
+ * are set. */
 void tlb_pool_push(struct tlb_pools *p, const char *pool, const char *account, struct tlb_wait *w);
-/* Puts a started request back at the head of its account: its place was gone. */
+/* Puts a started request back at the head of its account: every endpoint refused it. Requests of
+ * its class that are as large wait for the next retry, too. */
 void tlb_pool_unpop(struct tlb_pools *p, const char *pool, const char *account, struct tlb_wait *w);
 /* Takes a request out; harmless when it does not wait. */
 void tlb_pool_remove(struct tlb_wait *w);
--- a/src/request.c
+++ b/src/request.c
@@ -16,10 +16,15 @@
 #define IMPORT_PER_TOKEN ((tlb_time)200) /* microseconds */
 #define TOKEN_SILENCE (2 * TLB_SECOND)	 /* a decode stream without a byte for this long failed */
 #define CALL_NEVER_LONGER (600 * TLB_SECOND)
+/* An interactive request that needs a sixth of an endpoint's memory or more claims what comes free
+ * after this wait (docs/POLICY.md). */
+#define CLAIM_AFTER (2 * TLB_SECOND)
 /* Before its deadline by this much a batch request competes as an interactive one. */
 #define BATCH_URGENT (10 * TLB_SECOND)
 #define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
 
+enum { CLAIM_SHARE = 6 };
+
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
 
 enum step { STEP_RESERVE, STEP_QUEUE, STEP_HOLD, STEP_PREFILL, STEP_IMPORT, STEP_DECODE };
@@ -138,6 +143,8 @@
 	if (r->prefill && r->step == STEP_PREFILL)
 		r->prefill->in_flight--;
 	tlb_booking_release(&r->hold, cancel && decode_involved);
+	/* The next attempt gets a name of its own, which a late cancel of this one can't hit. */
+	r->engine_id[0] = '\0';
 	count_waste(r);
 }
 
@@ -293,6 +300,8 @@
 	r->wait.pieces = pieces_needed(r);
 	r->wait.on_start = on_start;
 	r->wait.on_expire = on_expire;
+	r->wait.claim_at =
+		r->completion.class == TLB_INTERACTIVE ? tlb_clock_now() + CLAIM_AFTER : TLB_NEVER;
 	r->wait.item.class = r->completion.class;
 	r->wait.item.tokens = r->prompt_tokens + r->max_tokens;
 	r->wait.item.latest_start = TLB_NEVER;
@@ -414,14 +423,48 @@
 	place(r);
 }
 
+static bool may_claim(const struct tlb_request *r, const struct tlb_candidate *k, tlb_time now)
+{
+	return now >= r->wait.claim_at && k->usable && !k->tried && k->ejected_until <= now &&
+	       pieces_needed(r) * CLAIM_SHARE >= k->total_pieces;
+}
+
+/* The emptiest endpoint that the request may claim at, or -1. */
+static int choose_claim(const struct tlb_request *r, const struct candidates *c, tlb_time now)
+{
+	int best = -1;
+	int i;
+
+	for (i = 0; i < c->count; i++) {
+		if (!may_claim(r, &c->list[i], now))
+			continue;
+		if (best < 0 || c->list[i].free_pieces > c->list[best].free_pieces)
+			best = i;
+	}
+	return best;
+}
+
+static void begin_attempt(struct tlb_request *r)
+{
+	if (r->engine_id[0])
+		return;
+	r->attempt++;
+	engine_name(r, r->engine_id);
+}
+
 static void place(struct tlb_request *r)
 {
 	static struct candidates c;
 	struct tlb_place_request p = place_request(r);
 	struct tlb_placement pl;
+	bool claim = false;
 
 	collect(r, TLB_ROLE_DECODE, &r->tried_decode, p.now, &c);
 	pl = tlb_place_decode(&r->board->place, &p, c.list, c.count);
+	if (pl.chosen < 0) {
+		pl.chosen = choose_claim(r, &c, p.now);
+		claim = pl.chosen >= 0;
+	}
 	if (pl.chosen < 0) {
 		/* All have refused or failed; the next round may try each again. */
 		r->tried_decode.count = 0;
@@ -429,13 +472,12 @@
 		tlb_pool_unpop(&r->board->pools, r->pool, r->account, &r->wait);
 		return;
 	}
-	r->attempt++;
-	engine_name(r, r->engine_id);
+	begin_attempt(r);
 	r->decode = c.target[pl.chosen];
 	r->step = STEP_HOLD;
-	log_placement(r, "place_decode", &pl, &c);
+	log_placement(r, claim ? "claim_decode" : "place_decode", &pl, &c);
 	tlb_booking_hold(&r->board->bookings, &r->hold, r->decode, r->engine_id, p.pieces,
-			 r->completion.class, p.now + HOLD_TIMEOUT, on_hold, r);
+			 r->completion.class, claim, p.now + HOLD_TIMEOUT, on_hold, r);
 }
 
 /* --- prefill --- */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2403,7 +2403,7 @@
   (ProtobufCMessageInit) toucan__return_tokens__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[5] =
+static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[6] =
 {
   {
     "endpoint",
@@ -2465,8 +2465,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claim",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, claim),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__book_decode__field_indices_by_name[] = {
+  5,   /* field[5] = claim */
   0,   /* field[0] = endpoint */
   4,   /* field[4] = klass */
   2,   /* field[2] = owner */
@@ -2476,7 +2489,7 @@
 static const ProtobufCIntRange toucan__book_decode__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor toucan__book_decode__descriptor =
 {
@@ -2486,7 +2499,7 @@
   "Toucan__BookDecode",
   "toucan",
   sizeof(Toucan__BookDecode),
-  5,
+  6,
   toucan__book_decode__field_descriptors,
   toucan__book_decode__field_indices_by_name,
   1,  toucan__book_decode__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -359,10 +359,14 @@
    * priority class
    */
   int32_t klass;
+  /*
+   * when full: keep what comes free for this request
+   */
+  protobuf_c_boolean claim;
 };
 #define TOUCAN__BOOK_DECODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__book_decode__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Toucan__BookReply
