Share one growing buffer

Cause: four copies of the same growing buffer stood in front, sse, http and request, and the stream buffer of a caller that is always a little behind grew with the whole stream.

--- a/bench/passthrough.c
+++ b/bench/passthrough.c
@@ -51,8 +51,8 @@
 	struct tlb_http_spec spec = {
 		.method = x->method,
 		.url = url,
-		.body = x->body,
-		.body_len = x->body_len,
+		.body = x->body.data,
+		.body_len = x->body.len,
 		.deadline = TLB_NEVER,
 		.on_done = on_done,
 		.arg = f,
--- a/src/caller.c
+++ b/src/caller.c
@@ -48,7 +48,7 @@
 	return tlb_keyscan(b->table, x->key, x->path, strlen(x->path)) ||
 	       tlb_keyscan(b->table, x->key, x->query, strlen(x->query)) ||
 	       tlb_keyscan(b->table, x->key, x->content_type, strlen(x->content_type)) ||
-	       tlb_keyscan(b->table, x->key, x->body, x->body_len);
+	       tlb_keyscan(b->table, x->key, x->body.data, x->body.len);
 }
 
 static bool is_completion(const struct tlb_exchange *x, bool *chat)
--- a/src/front.c
+++ b/src/front.c
@@ -20,7 +20,8 @@
 	KEEPALIVE_IDLE_S = 5,
 	KEEPALIVE_INTERVAL_S = 2,
 	KEEPALIVE_PROBES = 3,
-	BUFFER_FIRST = 1024,
+	COMPACT_FROM = 65536, /* bytes already sent before the rest is moved */
+	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
 };
 
 /* A caller's connection, tracked so that one that never completes a request can be closed: the
@@ -50,7 +51,7 @@
 static ssize_t read_stream(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct tlb_exchange *x = arg;
-	size_t n = x->out_len - x->out_pos;
+	size_t n = tlb_exchange_backlog(x);
 
 	if (x->gone)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -64,11 +65,11 @@
 	}
 	if (n > max)
 		n = max;
-	memcpy(buf, x->out + x->out_pos, n);
+	memcpy(buf, x->out.data + x->out_pos, n);
 	x->out_pos += n;
-	if (x->out_pos == x->out_len) {
+	if (x->out_pos == x->out.len) {
 		x->out_pos = 0;
-		x->out_len = 0;
+		x->out.len = 0;
 	}
 	return (ssize_t)n;
 }
@@ -143,31 +144,23 @@
 	resume(x);
 }
 
-static bool buffer_append(char **buf, size_t *len, size_t *cap, const char *data, size_t n)
+/* Moves what is left to the front, so that a caller that is always a little behind does not make
+ * the buffer grow for as long as the stream lasts. */
+static void compact(struct tlb_exchange *x)
 {
-	size_t want = *cap ? *cap : BUFFER_FIRST;
-	char *grown;
-
-	while (want < *len + n + 1)
-		want *= 2;
-	if (want != *cap) {
-		grown = realloc(*buf, want);
-		if (!grown)
-			return false;
-		*buf = grown;
-		*cap = want;
-	}
-	memcpy(*buf + *len, data, n);
-	*len += n;
-	(*buf)[*len] = '\0';
-	return true;
+	if (x->out_pos < COMPACT_FROM)
+		return;
+	memmove(x->out.data, x->out.data + x->out_pos, tlb_exchange_backlog(x));
+	x->out.len -= x->out_pos;
+	x->out_pos = 0;
 }
 
 bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len)
 {
-	if (x->out_len - x->out_pos + len > TLB_STREAM_BACKLOG_MAX)
+	if (tlb_exchange_backlog(x) + len > TLB_STREAM_BACKLOG_MAX)
 		return false;
-	if (!buffer_append(&x->out, &x->out_len, &x->out_cap, data, len))
+	compact(x);
+	if (!tlb_buffer_append(&x->out, data, len, STREAM_BUFFER_MAX))
 		return false;
 	resume(x);
 	return true;
@@ -234,9 +227,9 @@
 	sodium_memzero(x->key, sizeof(x->key));
 	free(x->path);
 	free(x->query);
-	free(x->body);
+	tlb_buffer_finish(&x->body);
 	free(x->reply);
-	free(x->out);
+	tlb_buffer_finish(&x->out);
 	free(x);
 }
 
@@ -305,9 +298,9 @@
 		return MHD_YES;
 	}
 	if (*data_len > 0) {
-		if (x->body_len + *data_len > f->limits.max_body_bytes)
+		if (x->body.len + *data_len > f->limits.max_body_bytes)
 			x->body_too_large = true;
-		else if (!buffer_append(&x->body, &x->body_len, &x->body_cap, data, *data_len))
+		else if (!tlb_buffer_append(&x->body, data, *data_len, f->limits.max_body_bytes))
 			return MHD_NO;
 		*data_len = 0;
 		return MHD_YES;
--- a/src/front.h
+++ b/src/front.h
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 #include <stdbool.h>
 
+#include "buffer.h"
 #include "error.h"
 #include "ident.h"
 #include "keyscan.h"
@@ -59,9 +60,7 @@
 	char key[TLB_KEY_MAX + 1]; /* wiped as soon as the handler has taken the request */
 	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
 	bool idempotency_key_too_long;
-	char *body;
-	size_t body_len;
-	size_t body_cap;
+	struct tlb_buffer body;
 	bool body_too_large;
 	tlb_time read_deadline;
 	tlb_time arrived;
@@ -71,11 +70,9 @@
 	size_t reply_len;
 	char reply_type[64];
 	int retry_after_s;
-	/* The stream: bytes from out_pos to out_len are not yet taken by libmicrohttpd. */
-	char *out;
+	/* The stream: the bytes of out from out_pos on are not yet taken by libmicrohttpd. */
+	struct tlb_buffer out;
 	size_t out_pos;
-	size_t out_len;
-	size_t out_cap;
 	bool out_done;
 	bool out_failed;
 	/* The handler's. */
@@ -137,6 +134,11 @@
 void tlb_exchange_stream_begin(struct tlb_exchange *x);
 /* Appends to the stream. Returns false when the caller's backlog is over the limit. */
 bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len);
+/* Bytes of the stream that the caller has not taken yet. */
+static inline size_t tlb_exchange_backlog(const struct tlb_exchange *x)
+{
+	return x->out.len - x->out_pos;
+}
 /* Ends the stream. With complete false the connection is cut without the end of the chunked body,
  * so that the caller can't take it for a whole response. */
 void tlb_exchange_stream_end(struct tlb_exchange *x, bool complete);
--- a/src/http.c
+++ b/src/http.c
@@ -8,7 +8,6 @@
 /* An idle connection older than this is not reused: something between the two ends may have lost
  * track of it. */
 enum { IDLE_AGE_S = 5, LIFETIME_S = 60, USER_TIMEOUT_MS = 4000, POOL_SIZE = 512 };
-enum { BODY_FIRST = 1024 };
 
 static void on_timer(void *arg);
 
@@ -42,8 +41,7 @@
 	if (!c->easy)
 		return;
 	call_release(c);
-	free(c->body);
-	c->body = NULL;
+	tlb_buffer_finish(&c->body);
 }
 
 /* Whether any byte of the request can have left. libcurl counts request bytes as it writes them. */
@@ -79,7 +77,7 @@
 	struct tlb_http_result r;
 	char type[80] = "";
 	char *t = NULL;
-	char *body = c->body;
+	struct tlb_buffer body = c->body;
 	long status = 0;
 
 	memset(&r, 0, sizeof(r));
@@ -100,13 +98,14 @@
 		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
 	else
 		r.status = (int)status;
-	r.body = body ? body : "";
-	r.body_len = body ? c->body_len : 0;
+	r.body = body.data ? body.data : "";
+	r.body_len = body.len;
 	r.content_type = type;
 	call_release(c);
-	c->body = NULL;
+	/* The callback may use the call again, so the body moves out of it first. */
+	tlb_buffer_take(&c->body);
 	c->spec.on_done(c->spec.arg, &r);
-	free(body);
+	tlb_buffer_finish(&body);
 }
 
 static void on_deadline(void *arg)
@@ -237,26 +236,8 @@
 
 static bool body_append(struct tlb_http_call *c, const char *data, size_t len)
 {
-	size_t cap = c->body_cap ? c->body_cap : BODY_FIRST;
-	char *grown;
-
-	if (c->body_len + len > TLB_HTTP_BODY_MAX) {
-		c->too_large = true;
-		return false;
-	}
-	while (cap < c->body_len + len + 1)
-		cap *= 2;
-	if (cap != c->body_cap) {
-		grown = realloc(c->body, cap);
-		if (!grown)
-			return false;
-		c->body = grown;
-		c->body_cap = cap;
-	}
-	memcpy(c->body + c->body_len, data, len);
-	c->body_len += len;
-	c->body[c->body_len] = '\0';
-	return true;
+	c->too_large = c->body.len + len > TLB_HTTP_BODY_MAX;
+	return tlb_buffer_append(&c->body, data, len, TLB_HTTP_BODY_MAX);
 }
 
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
--- a/src/http.h
+++ b/src/http.h
@@ -10,6 +10,7 @@
 #include <curl/curl.h>
 #include <stdbool.h>
 
+#include "buffer.h"
 #include "error.h"
 #include "loop.h"
 
@@ -74,9 +75,7 @@
 	struct curl_slist *headers;
 	struct tlb_timer deadline_timer;
 	struct tlb_http_spec spec;
-	char *body;
-	size_t body_len;
-	size_t body_cap;
+	struct tlb_buffer body;
 	bool timed_out;
 	bool too_large;
 	long long content_length; /* of the response; -1 before the header came */
--- a/src/operator.c
+++ b/src/operator.c
@@ -310,7 +310,8 @@
 	char message[160];
 
 	memset(r, 0, sizeof(*r));
-	r->body = json_loadb(x->body ? x->body : "", x->body_len, JSON_REJECT_DUPLICATES, &where);
+	r->body = json_loadb(x->body.data ? x->body.data : "", x->body.len, JSON_REJECT_DUPLICATES,
+			     &where);
 	if (!json_is_object(r->body)) {
 		/* Not the parser's own text, which quotes the body. */
 		snprintf(message, sizeof(message),
--- a/src/request.c
+++ b/src/request.c
@@ -23,7 +23,7 @@
 #define BATCH_URGENT (10 * TLB_SECOND)
 #define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
 
-enum { CLAIM_SHARE = 6 };
+enum { CLAIM_SHARE = 6, TEXT_MAX = 16 << 20 /* bytes of one answer */ };
 
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
 
@@ -70,9 +70,7 @@
 	tlb_time call_began;
 	/* The answer so far. */
 	struct tlb_sse sse;
-	char *text;
-	size_t text_len;
-	size_t text_cap;
+	struct tlb_buffer text;
 	int next_index;
 	bool engine_done;
 	char reason[16];
@@ -159,7 +157,7 @@
 	tlb_completion_finish(&r->completion);
 	APR_RING_REMOVE(r, link);
 	tlb_pools_kick(&r->board->pools);
-	free(r->text);
+	tlb_buffer_finish(&r->text);
 	free(r);
 }
 
@@ -491,7 +489,7 @@
 	char *text;
 
 	if (j && r->next_index > 0) {
-		json_object_set_new(j, "generated", json_string(r->text));
+		json_object_set_new(j, "generated", json_string(r->text.data));
 		json_object_set_new(j, "prefix_tokens", json_integer(r->next_index));
 	}
 	text = j ? json_dumps(j, JSON_COMPACT) : NULL;
@@ -649,26 +647,6 @@
 
 /* --- decode --- */
 
-static bool append_text(struct tlb_request *r, const char *token)
-{
-	size_t n = strlen(token);
-	size_t want = r->text_cap ? r->text_cap : 1024;
-	char *grown;
-
-	while (want < r->text_len + n + 1)
-		want *= 2;
-	if (want != r->text_cap) {
-		grown = realloc(r->text, want);
-		if (!grown)
-			return false;
-		r->text = grown;
-		r->text_cap = want;
-	}
-	memcpy(r->text + r->text_len, token, n + 1);
-	r->text_len += n;
-	return true;
-}
-
 static bool send_token(struct tlb_request *r, const char *token)
 {
 	char *event;
@@ -702,7 +680,7 @@
 	/* Only the next index is taken, so that no token is missing or doubled. */
 	if (index != r->next_index)
 		return index < r->next_index;
-	if (!append_text(r, token) || !send_token(r, token))
+	if (!tlb_buffer_append(&r->text, token, strlen(token), TEXT_MAX) || !send_token(r, token))
 		return false;
 	r->next_index++;
 	r->prefill_done = false;
@@ -760,8 +738,9 @@
 
 static void send_whole(struct tlb_request *r)
 {
-	char *body = tlb_completion_response(&r->completion, r->id, r->text ? r->text : "",
-					     r->reason, r->prompt_tokens, r->next_index);
+	char *body =
+		tlb_completion_response(&r->completion, r->id, r->text.data ? r->text.data : "",
+					r->reason, r->prompt_tokens, r->next_index);
 
 	if (!body)
 		body = strdup("{}");
@@ -798,7 +777,7 @@
 	}
 	/* A caller that does not read its stream is treated as gone. */
 	if (r->x && r->x->state == TLB_EXCHANGE_STREAMING &&
-	    r->x->out_len - r->x->out_pos > TLB_STREAM_BACKLOG_MAX / 2) {
+	    tlb_exchange_backlog(r->x) > TLB_STREAM_BACKLOG_MAX / 2) {
 		fail_with(r, TLB_TIMEOUT, "", "the caller does not read its stream");
 		return;
 	}
@@ -914,7 +893,8 @@
 
 static enum tlb_code parse(struct tlb_request *r, bool chat, struct tlb_error *err)
 {
-	if (tlb_completion_parse(&r->completion, r->x->body, r->x->body_len, chat, err) != TLB_OK)
+	if (tlb_completion_parse(&r->completion, r->x->body.data, r->x->body.len, chat, err) !=
+	    TLB_OK)
 		return err->code;
 	return fit_model(r, err);
 }
--- a/src/service.c
+++ b/src/service.c
@@ -444,9 +444,8 @@
 	strcpy(c->route, route->id);
 	strcpy(c->method, x->method);
 	snprintf(c->content_type, sizeof(c->content_type), "%s", x->content_type);
-	c->body = x->body;
-	c->body_len = x->body_len;
-	x->body = NULL;
+	c->body_len = x->body.len;
+	c->body = tlb_buffer_take(&x->body);
 	if (asprintf(&c->target, "%s%s%s", x->path, x->query[0] ? "?" : "", x->query) < 0)
 		c->target = NULL;
 	tlb_timer_init(&c->timer, on_backoff, c);
--- a/src/sse.h
+++ b/src/sse.h
@@ -6,6 +6,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "buffer.h"
+
 enum { TLB_SSE_EVENT_MAX = 65536 }; /* bytes of one event's data */
 
 /* Takes the data of one event, NUL-terminated. Returns false to stop. */
@@ -13,12 +15,8 @@
 
 /* Caller-owned; zero-initialised; owns its buffers. */
 struct tlb_sse {
-	char *line;
-	size_t line_len;
-	size_t line_cap;
-	char *data;
-	size_t data_len;
-	size_t data_cap;
+	struct tlb_buffer line;
+	struct tlb_buffer data;
 };
 
 void tlb_sse_finish(struct tlb_sse *s);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -103,7 +103,7 @@
 		hold(x);
 		return;
 	}
-	txn = json_loadb(x->body, x->body_len, 0, NULL);
+	txn = json_loadb(x->body.data, x->body.len, 0, NULL);
 	ok = run_txn(txn);
 	json_decref(txn);
 	if (service.lose_answers > 0) {
