Remove fields that no decision reads

The number of routers and the first-token target of struct tlb_place, and the measures' weights in the bench.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -14,11 +14,10 @@
 
 #define ROWS(table) (int)(sizeof(table) / sizeof((table)[0]))
 
-/* A few large accounts each. Weights: bakstehuset's evening jobs must finish before the ovens
- * start; a refusal at Pal & Sons' gate costs trust. */
+/* A few large accounts each. */
 static const struct deployment deployments[] = {
-	{"bakstehuset", 4, 5, 7, {0.40, 0.25, 0.20, 0.10, 0.05}, 2, 2, 1, 1},
-	{"pal", 3, 4, 4, {0.45, 0.30, 0.15, 0.07, 0.03}, 1, 1, 2, 2},
+	{"bakstehuset", 4, 5, 7, {0.40, 0.25, 0.20, 0.10, 0.05}},
+	{"pal", 3, 4, 4, {0.45, 0.30, 0.15, 0.07, 0.03}},
 };
 
 #define WAITS .interactive_wait = 4000 * TLB_MS, .batch_slack = 10 * TLB_SECOND
--- a/bench/model.c
+++ b/bench/model.c
@@ -1651,7 +1651,6 @@
 	r->zone_no = i % d->zones;
 	tlb_place_init(&r->place, m->run->flow->policy, zone_names[r->zone_no],
 		       m->run->seed * ROUTERS + (uint64_t)i);
-	r->place.routers = ROUTERS;
 	tlb_queue_init(&r->queue);
 	for (k = 0; k < MAX_ACCOUNTS; k++)
 		tlb_flow_init(&r->flows[k], d->share[k]);
--- a/bench/model.h
+++ b/bench/model.h
@@ -12,17 +12,13 @@
 
 enum { ROUTERS = 8, MAX_ENGINES = 16, MAX_ACCOUNTS = 5, MAX_PREFIXES = 64 };
 
-/* Sizes of today (docs/design.md, section 1.4) and the owner's weights of the measures. */
+/* Sizes of today (docs/design.md, section 1.4). */
 struct deployment {
 	const char *name;
 	int zones;
 	int prefill;
 	int decode;
 	double share[MAX_ACCOUNTS]; /* of the load and of the paid rate; sums to 1 */
-	double goodput_weight;
-	double waste_weight;
-	double worst_weight;
-	double refusal_weight;
 };
 
 /* How requests pass through a router. */
--- a/src/place.c
+++ b/src/place.c
@@ -45,9 +45,7 @@
 	*p = (struct tlb_place){0};
 	p->policy = policy;
 	p->zone = zone;
-	p->routers = 1;
 	p->kv_bytes_per_token = KV_BYTES_PER_TOKEN;
-	p->ttft_target_us = 1200 * TLB_MS;
 	p->token_gap_target_us = 43 * TLB_MS;
 	tlb_random_init(&p->random, seed);
 	/* Daemons that start together must not take turns in step. */
--- a/src/place.h
+++ b/src/place.h
@@ -67,9 +67,7 @@
 	const char *zone; /* this daemon's */
 	struct tlb_random random;
 	unsigned int turn[2];	/* round robin, decode and prefill */
-	int routers;		/* daemons that choose from the same reports; at least 1 */
 	int kv_bytes_per_token; /* init sets 64 KiB */
-	tlb_time ttft_target_us;
 	tlb_time token_gap_target_us;
 };
 
