Run the fuzzer and the promise tests in make check

Cause: make check left out the proofs over real daemons and the parsers' fuzz targets. Change: make check runs tests/run, make fuzz and tests/promises/run.py; a booking first ends expired claims. Conclusion: one command proves the promises.

--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,8 @@
 check: deps
 	@$(MAKE) --no-print-directory all build-tests
 	@tests/run
+	@$(MAKE) --no-print-directory fuzz
+	@python3 tests/promises/run.py --jobs 4
 
 build-tests: $(TESTS)
 
--- a/src/booking.c
+++ b/src/booking.c
@@ -109,6 +109,18 @@
 
 /* --- the owner's side --- */
 
+static void expire_bookings(struct tlb_target *t, tlb_time now)
+{
+	struct tlb_booking *k;
+
+	while ((k = tlb_book_expire(&t->book, now))) {
+		tlb_log_warn("event=booking_lapsed endpoint=%s request=%s owner=%s pieces=%d",
+			     t->id, k->request_id, k->owner, k->pieces);
+		tlb_booking_cancel(&t->board->bookings, t, k->request_id);
+		free(k);
+	}
+}
+
 static enum tlb_book_result book_add(struct tlb_target *t, const char *request_id,
 				     const char *owner, int pieces, enum tlb_class class,
 				     bool claim)
@@ -118,6 +130,8 @@
 
 	if (!k)
 		return TLB_BOOK_FULL;
+	/* Also ends a claim that was not repeated. */
+	expire_bookings(t, tlb_clock_now());
 	snprintf(k->request_id, sizeof(k->request_id), "%s", request_id);
 	snprintf(k->owner, sizeof(k->owner), "%s", owner);
 	k->pieces = pieces;
@@ -141,18 +155,6 @@
 	tlb_pools_kick(&t->board->pools);
 }
 
-static void expire_bookings(struct tlb_target *t, tlb_time now)
-{
-	struct tlb_booking *k;
-
-	while ((k = tlb_book_expire(&t->book, now))) {
-		tlb_log_warn("event=booking_lapsed endpoint=%s request=%s owner=%s pieces=%d",
-			     t->id, k->request_id, k->owner, k->pieces);
-		tlb_booking_cancel(&t->board->bookings, t, k->request_id);
-		free(k);
-	}
-}
-
 static int parse_held(const json_t *j, struct tlb_held *held)
 {
 	const json_t *list = json_object_get(j, "held");
