Move the engine protocol into a module of its own

Cause: request.c held the state machine and the JSON of three engine calls, each with the same frame. Change: engine.c builds the bodies and reads answers and events (a tagged union); the fuzzer reaches the event reader.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -17,6 +17,7 @@
 
 #include "address.h"
 #include "completion.h"
+#include "engine.h"
 #include "frame.h"
 #include "random.h"
 #include "settings.h"
@@ -71,8 +72,11 @@
 	json_decref(rows);
 }
 
-static bool ignore_event(void *arg, const char *data, size_t len)
+static bool read_event(void *arg, const char *data, size_t len)
 {
+	struct tlb_engine_event e;
+
+	tlb_engine_read_event(data, len, &e);
 	return true;
 }
 
@@ -81,8 +85,8 @@
 	struct tlb_sse s = {0};
 	size_t half = len / 2;
 
-	if (tlb_sse_feed(&s, data, half, ignore_event, NULL))
-		tlb_sse_feed(&s, data + half, len - half, ignore_event, NULL);
+	if (tlb_sse_feed(&s, data, half, read_event, NULL))
+		tlb_sse_feed(&s, data + half, len - half, read_event, NULL);
 	tlb_sse_finish(&s);
 }
 
--- a/src/request.c
+++ b/src/request.c
@@ -6,6 +6,7 @@
 
 #include "board.h"
 #include "completion.h"
+#include "engine.h"
 #include "log.h"
 #include "sse.h"
 
@@ -73,7 +74,7 @@
 	struct tlb_buffer text;
 	int next_index;
 	bool engine_done;
-	char reason[16];
+	char reason[TLB_ENGINE_REASON_LEN];
 	struct tlb_timer silence;
 	tlb_time first_token_at;
 	tlb_time last_token_at;
@@ -480,42 +481,45 @@
 
 /* --- prefill --- */
 
-static char *prefill_body(const struct tlb_request *r)
+static struct tlb_engine_job engine_job(const struct tlb_request *r)
 {
-	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:s}", "request_id", r->engine_id, "owner",
-			      r->board->owner, "model", r->completion.model, "prompt",
-			      r->completion.prompt, "priority",
-			      r->completion.class == TLB_BATCH ? "batch" : "interactive");
-	char *text;
+	struct tlb_engine_job j = {
+		.request_id = r->engine_id,
+		.owner = r->board->owner,
+		.class = r->completion.class,
+		.max_tokens = r->max_tokens,
+		.generated_tokens = r->next_index,
+		.generated = r->text.data,
+	};
 
-	if (j && r->next_index > 0) {
-		json_object_set_new(j, "generated", json_string(r->text.data));
-		json_object_set_new(j, "prefix_tokens", json_integer(r->next_index));
-	}
-	text = j ? json_dumps(j, JSON_COMPACT) : NULL;
-	json_decref(j);
-	return text;
+	return j;
 }
 
-static void start_import(struct tlb_request *r);
-
-static bool read_prefill(struct tlb_request *r, const struct tlb_http_result *res)
+/* Makes the call of the next step; body is freed. */
+static void call_engine(struct tlb_request *r, const struct tlb_target *t, const char *path,
+			char *body, struct tlb_http_spec *spec)
 {
-	json_t *j = json_loadb(res->body, res->body_len, 0, NULL);
-	const char *kv = json_string_value(json_object_get(j, "kv_id"));
-	bool ok = kv && strlen(kv) < sizeof(r->kv_id);
+	char url[TLB_ADDR_LEN + 32];
 
-	if (ok)
-		strcpy(r->kv_id, kv);
-	json_decref(j);
-	return ok;
+	snprintf(url, sizeof(url), "http://%s%s", t->addr, path);
+	spec->method = "POST";
+	spec->url = url;
+	spec->body = body;
+	spec->body_len = body ? strlen(body) : 0;
+	spec->own_connection = true;
+	spec->arg = r;
+	r->call_began = tlb_clock_now();
+	tlb_http_start(r->board->http, &r->call, spec, NULL);
+	free(body);
 }
 
+static void start_import(struct tlb_request *r);
+
 static void on_prefill(void *arg, const struct tlb_http_result *res)
 {
 	struct tlb_request *r = arg;
 	tlb_time took = tlb_clock_now() - r->call_began;
-	bool ok = res->status == 200 && read_prefill(r, res);
+	bool ok = res->status == 200 && tlb_engine_read_prefill(res->body, res->body_len, r->kv_id);
 
 	r->prefill->in_flight--;
 	tlb_load_outcome(r->prefill, ok, took);
@@ -534,23 +538,13 @@
 
 static void start_prefill(struct tlb_request *r)
 {
-	char url[TLB_ADDR_LEN + 32];
-	char *body = prefill_body(r);
-	tlb_time now = tlb_clock_now();
+	struct tlb_engine_job job = engine_job(r);
 	struct tlb_http_spec spec = {
-		.method = "POST",
-		.url = url,
-		.own_connection = true,
-		.body = body,
-		.body_len = body ? strlen(body) : 0,
-		.deadline = now + PREFILL_BASE + r->prompt_tokens * PREFILL_PER_TOKEN,
+		.deadline = tlb_clock_now() + PREFILL_BASE + r->prompt_tokens * PREFILL_PER_TOKEN,
 		.on_done = on_prefill,
-		.arg = r,
 	};
 
-	snprintf(url, sizeof(url), "http://%s/prefill", r->prefill->addr);
 	r->step = STEP_PREFILL;
-	r->call_began = now;
 	if (!r->dispatched)
 		tlb_limit_settle(&r->reservation, r->prompt_tokens, r->prompt_tokens);
 	r->dispatched = true;
@@ -558,8 +552,9 @@
 	r->prefill->in_flight++;
 	tlb_prefix_note(&r->prefill->prefixes, &r->prefix);
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_PREFILLS, 1);
-	tlb_http_start(r->board->http, &r->call, &spec, NULL);
-	free(body);
+	call_engine(r, r->prefill, "/prefill",
+		    tlb_engine_prefill_body(&job, r->completion.model, r->completion.prompt),
+		    &spec);
 }
 
 static void choose_prefill(struct tlb_request *r)
@@ -619,30 +614,15 @@
 
 static void start_import(struct tlb_request *r)
 {
-	char url[TLB_ADDR_LEN + 32];
-	char *body = NULL;
-	tlb_time now = tlb_clock_now();
-	json_t *j = json_pack("{s:s,s:s,s:s,s:s,s:i}", "request_id", r->engine_id, "owner",
-			      r->board->owner, "kv_id", r->kv_id, "source", r->prefill->addr,
-			      "max_tokens", r->max_tokens - r->next_index);
+	struct tlb_engine_job job = engine_job(r);
 	struct tlb_http_spec spec = {
-		.method = "POST",
-		.url = url,
-		.own_connection = true,
-		.deadline = now + IMPORT_BASE + r->prompt_tokens * IMPORT_PER_TOKEN,
+		.deadline = tlb_clock_now() + IMPORT_BASE + r->prompt_tokens * IMPORT_PER_TOKEN,
 		.on_done = on_import,
-		.arg = r,
 	};
 
-	body = j ? json_dumps(j, JSON_COMPACT) : NULL;
-	json_decref(j);
-	snprintf(url, sizeof(url), "http://%s/kv/import", r->decode->addr);
-	spec.body = body;
-	spec.body_len = body ? strlen(body) : 0;
 	r->step = STEP_IMPORT;
-	r->call_began = now;
-	tlb_http_start(r->board->http, &r->call, &spec, NULL);
-	free(body);
+	call_engine(r, r->decode, "/kv/import",
+		    tlb_engine_import_body(&job, r->kv_id, r->prefill->addr), &spec);
 }
 
 /* --- decode --- */
@@ -689,30 +669,30 @@
 	return true;
 }
 
-static bool take_done(struct tlb_request *r, const json_t *j)
+static bool take_done(struct tlb_request *r, int count, const char *reason)
 {
-	const char *reason = json_string_value(json_object_get(j, "reason"));
-
-	if (json_integer_value(json_object_get(j, "count")) != r->next_index)
+	if (count != r->next_index)
 		return false;
 	r->engine_done = true;
-	snprintf(r->reason, sizeof(r->reason), "%.15s", reason ? reason : "stop");
+	strcpy(r->reason, reason);
 	return true;
 }
 
 static bool on_event(void *arg, const char *data, size_t len)
 {
 	struct tlb_request *r = arg;
-	json_t *j = json_loadb(data, len, 0, NULL);
-	const char *token = json_string_value(json_object_get(j, "token"));
-	bool ok = false;
-
-	if (json_is_true(json_object_get(j, "done")))
-		ok = take_done(r, j);
-	else if (token && json_is_integer(json_object_get(j, "index")))
-		ok = take_token(r, (int)json_integer_value(json_object_get(j, "index")), token);
-	json_decref(j);
-	return ok;
+	struct tlb_engine_event e;
+
+	tlb_engine_read_event(data, len, &e);
+	switch (e.kind) {
+	case TLB_ENGINE_TOKEN:
+		return take_token(r, e.token.index, e.token.text);
+	case TLB_ENGINE_DONE:
+		return take_done(r, e.done.count, e.done.reason);
+	case TLB_ENGINE_INVALID:
+		break;
+	}
+	return false;
 }
 
 static bool on_decode_data(void *arg, const char *data, size_t len)
@@ -794,34 +774,18 @@
 
 static void start_decode(struct tlb_request *r)
 {
-	char url[TLB_ADDR_LEN + 32];
-	char *body = NULL;
+	struct tlb_engine_job job = engine_job(r);
 	tlb_time now = tlb_clock_now();
-	json_t *j = json_pack("{s:s,s:s,s:i,s:i,s:s}", "request_id", r->engine_id, "owner",
-			      r->board->owner, "max_tokens", r->max_tokens, "first_index",
-			      r->next_index, "priority",
-			      r->completion.class == TLB_BATCH ? "batch" : "interactive");
 	struct tlb_http_spec spec = {
-		.method = "POST",
-		.url = url,
-		.own_connection = true,
 		.deadline = now + CALL_NEVER_LONGER,
 		.on_data = on_decode_data,
 		.on_done = on_decode_done,
-		.arg = r,
 	};
 
-	body = j ? json_dumps(j, JSON_COMPACT) : NULL;
-	json_decref(j);
-	snprintf(url, sizeof(url), "http://%s/decode", r->decode->addr);
-	spec.body = body;
-	spec.body_len = body ? strlen(body) : 0;
 	r->step = STEP_DECODE;
-	r->call_began = now;
 	r->last_token_at = 0;
 	tlb_timer_set(r->board->loop, &r->silence, now + TOKEN_SILENCE);
-	tlb_http_start(r->board->http, &r->call, &spec, NULL);
-	free(body);
+	call_engine(r, r->decode, "/decode", tlb_engine_decode_body(&job), &spec);
 }
 
 /* --- start --- */
