Keep every released right until a newer map; margin for the shorter lease

A standby at map 30 released its right, the owner's write took effect as map 31, then another owner asked for a release against map 34; the later release replaced the earlier one, so the standby, still at map 30, had its old right back and took over on a fence. A release against an older version than the last was dropped as well.

Change: releases add up until the standby has a newer map than all of them. A case of test_shard covers it.

Also: with the lease of 3 s, a margin of 0.5 s no longer covers what the model assumes (rates 5% off either way, 300 ms from check to act: 3.46 s against 3.33 s); 0.7 s does (3.46 s against 3.52 s). A takeover has its own log line.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -222,6 +222,7 @@
 {
 	struct tlb_vm_name name = *vm;
 	struct tlb_fence_attempt *a = find_attempt(c, &name);
+	tlb_shard_set before = c->acting;
 
 	if (a)
 		stop_attempt(a);
@@ -233,6 +234,9 @@
 	if (c->handlers.on_fenced)
 		c->handlers.on_fenced(c->handlers.arg, name.id, name.incarnation);
 	tlb_cluster_update(c);
+	if (c->acting & ~before)
+		tlb_log_info("event=takeover from=%s shards=%d", name.id,
+			     __builtin_popcountll(c->acting & ~before));
 	tlb_member_gone(&c->membership, proven_here);
 }
 
@@ -718,7 +722,7 @@
 	/* The right has been used already. */
 	if (tlb_roster_gone(&c->roster, &owner))
 		return;
-	tlb_shard_release(&c->release, to_set(release->shards, release->n_shards),
+	tlb_shard_release(&c->release, &c->map, to_set(release->shards, release->n_shards),
 			  release->shards_version);
 	tlb_cluster_update(c);
 	send_done(c, from);
--- a/src/session.h
+++ b/src/session.h
@@ -19,7 +19,9 @@
 #include "table.h"
 
 #define TLB_SESSION_LEASE (3 * TLB_SECOND)
-#define TLB_FENCE_MARGIN (500 * TLB_MS)
+/* Covers clock rates 5% off either way and 300 ms from a check to its act: 3 s / 0.95 + 0.3 s must
+ * be less than 3.7 s / 1.05. */
+#define TLB_FENCE_MARGIN (700 * TLB_MS)
 #define TLB_HEARTBEAT_INTERVAL (1 * TLB_SECOND)
 
 enum { TLB_WITNESS_MAX = 7 };
--- a/src/shard.c
+++ b/src/shard.c
@@ -457,12 +457,14 @@
 	return set;
 }
 
-void tlb_shard_release(struct tlb_shard_release *r, tlb_shard_set shards, int64_t version)
-{
-	if (version < r->version)
-		return;
-	r->shards = version > r->version ? shards : r->shards | shards;
-	r->version = version;
+void tlb_shard_release(struct tlb_shard_release *r, const struct tlb_shard_map *m,
+		       tlb_shard_set shards, int64_t version)
+{
+	if (m->version > r->version)
+		r->shards = 0;
+	r->shards |= shards;
+	if (version > r->version)
+		r->version = version;
 }
 
 tlb_shard_set tlb_shard_acting(const struct tlb_shard_map *m, const struct tlb_fleet *f,
--- a/src/shard.h
+++ b/src/shard.h
@@ -89,13 +89,17 @@
 				 const struct tlb_shard_map *after, const struct tlb_vm_name *self,
 				 const struct tlb_vm_name *vm);
 
-/* The right of a standby to take over that it has released for a write against this version. */
+/* The rights to take over that a standby has released for writes against versions up to this one.
+ * All stay released until the standby has a newer map: with an older one it can't tell which of the
+ * writes took effect. */
 struct tlb_shard_release {
 	tlb_shard_set shards;
 	int64_t version;
 };
 
-void tlb_shard_release(struct tlb_shard_release *r, tlb_shard_set shards, int64_t version);
+/* Adds a release for a write against version; m is the map in force here. */
+void tlb_shard_release(struct tlb_shard_release *r, const struct tlb_shard_map *m,
+		       tlb_shard_set shards, int64_t version);
 /* The shards that self acts for, takeovers included. */
 tlb_shard_set tlb_shard_acting(const struct tlb_shard_map *m, const struct tlb_fleet *f,
 			       const struct tlb_vm_name *self, const struct tlb_shard_release *r);
--- a/tests/test_session_model.c
+++ b/tests/test_session_model.c
@@ -695,7 +695,7 @@
 		if (in->to_incarnation != v->self.incarnation ||
 		    tlb_roster_gone(&v->roster, &in->sender))
 			break;
-		tlb_shard_release(&v->release, in->shards, in->map_version);
+		tlb_shard_release(&v->release, &v->map, in->shards, in->map_version);
 		out.kind = RELEASE_DONE;
 		out.map_version = in->map_version;
 		post(w, v, in->from, out);
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -142,13 +142,15 @@
 	ck_assert_uint_eq(all, ~(tlb_shard_set)0);
 
 	set = tlb_shard_acting(&m, &f, &live[1].name, &none);
-	tlb_shard_release(&r, ~(tlb_shard_set)0, 5);
+	tlb_shard_release(&r, &m, ~(tlb_shard_set)0, 5);
+	/* A later release for another write takes none of these back. */
+	tlb_shard_release(&r, &m, 0, 7);
 	ck_assert_int_eq(__builtin_popcountll(tlb_shard_acting(&m, &f, &live[1].name, &r)),
 			 owned(&m, 1));
 	ck_assert_uint_ne(set, tlb_shard_acting(&m, &f, &live[1].name, &r));
 	/* A newer map gives new rights; an outdated release changes nothing. */
-	m.version = 6;
-	tlb_shard_release(&r, ~(tlb_shard_set)0, 4);
+	m.version = 8;
+	tlb_shard_release(&r, &m, ~(tlb_shard_set)0, 4);
 	ck_assert_uint_eq(tlb_shard_acting(&m, &f, &live[1].name, &r), set);
 }
 END_TEST
