--- a/tests/promises/harness.py
+++ b/tests/promises/harness.py
@@ -101,6 +101,7 @@
         self.dir = tempfile.mkdtemp(prefix="toucanlb-promise-")
         self.script = load_fleet_module()
         self.standins = {}
+        self.dead = set()
         self._patch(rows or {}, standin_options or {})
         try:
             with contextlib.redirect_stdout(io.StringIO()):
@@ -196,7 +197,8 @@
     # --- processes ---
 
     def kill(self, vm):
-        """SIGKILL; vm is an index from 0."""
+        """SIGKILL; vm is an index from 0. Another fleet may get its ports from then on."""
+        self.dead.add(vm)
         os.kill(self.pids[vm], signal.SIGKILL)
 
     def freeze(self, vm):
@@ -231,6 +233,7 @@
         pid, ready = self.processes.spawn(f"vm-{vm + 1}",
                                           [os.path.join(BUILD, "toucanlbd"), path])
         self.pids[vm] = pid
+        self.dead.discard(vm)
         self.callers[vm] = ready["caller"]
         if self.operators:
             self.operators[vm] = ready["operator"]
--- a/tests/promises/p10_config.py
+++ b/tests/promises/p10_config.py
@@ -37,13 +37,15 @@
     def _run(self, vm):
         highest, worked = 0, False
         while not self.stop.is_set():
+            if vm in self.fleet.dead:
+                return
             version = self.fleet.version(vm)
             if version is not None and version < highest:
                 self.going_back.append(f"vm-{vm + 1}: {highest} -> {version}")
             highest = max(highest, version or 0)
             if self.key:
                 r = ask(self.fleet.callers[vm], "GET", self.fleet.service_path, self.key, timeout=2)
-                if worked and r.code == "invalid_key":
+                if worked and r.code == "invalid_key" and vm not in self.fleet.dead:
                     self.going_back.append(f"vm-{vm + 1}: the key stopped working")
                 worked = worked or r.status == 200
             time.sleep(0.1)
