--- a/src/front.c
+++ b/src/front.c
@@ -20,7 +20,8 @@
 	KEEPALIVE_IDLE_S = 5,
 	KEEPALIVE_INTERVAL_S = 2,
 	KEEPALIVE_PROBES = 3,
-	BUFFER_FIRST = 1024,
+	COMPACT_FROM = 65536, /* bytes already sent before the rest is moved */
+	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
 };
 
 /* A caller's connection, tracked so that one that never completes a request can be closed: the
@@ -50,7 +51,7 @@
 static ssize_t read_stream(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct tlb_exchange *x = arg;
-	size_t n = x->out_len - x->out_pos;
+	size_t n = tlb_exchange_backlog(x);
 
 	if (x->gone)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -64,11 +65,11 @@
 	}
 	if (n > max)
 		n = max;
-	memcpy(buf, x->out + x->out_pos, n);
+	memcpy(buf, x->out.data + x->out_pos, n);
 	x->out_pos += n;
-	if (x->out_pos == x->out_len) {
+	if (x->out_pos == x->out.len) {
 		x->out_pos = 0;
-		x->out_len = 0;
+		x->out.len = 0;
 	}
 	return (ssize_t)n;
 }
@@ -83,7 +84,7 @@
 		snprintf(seconds, sizeof(seconds), "%d", x->retry_after_s);
 		MHD_add_response_header(r, "Retry-After", seconds);
 	}
-	if (x->front->closing)
+	if (x->front->closing || x->close)
 		MHD_add_response_header(r, "Connection", "close");
 }
 
@@ -143,31 +144,23 @@
 	resume(x);
 }
 
-static bool buffer_append(char **buf, size_t *len, size_t *cap, const char *data, size_t n)
+/* Moves what is left to the front, so that a caller that is always a little behind does not make
+ * the buffer grow for as long as the stream lasts. */
+static void compact(struct tlb_exchange *x)
 {
-	size_t want = *cap ? *cap : BUFFER_FIRST;
-	char *grown;
-
-	while (want < *len + n + 1)
-		want *= 2;
-	if (want != *cap) {
-		grown = realloc(*buf, want);
-		if (!grown)
-			return false;
-		*buf = grown;
-		*cap = want;
-	}
-	memcpy(*buf + *len, data, n);
-	*len += n;
-	(*buf)[*len] = '\0';
-	return true;
+	if (x->out_pos < COMPACT_FROM)
+		return;
+	memmove(x->out.data, x->out.data + x->out_pos, tlb_exchange_backlog(x));
+	x->out.len -= x->out_pos;
+	x->out_pos = 0;
 }
 
 bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len)
 {
-	if (x->out_len - x->out_pos + len > TLB_STREAM_BACKLOG_MAX)
+	if (tlb_exchange_backlog(x) + len > TLB_STREAM_BACKLOG_MAX)
 		return false;
-	if (!buffer_append(&x->out, &x->out_len, &x->out_cap, data, len))
+	compact(x);
+	if (!tlb_buffer_append(&x->out, data, len, STREAM_BUFFER_MAX))
 		return false;
 	resume(x);
 	return true;
@@ -199,6 +192,51 @@
 	crypto_hash_sha256(x->key_hash, (const unsigned char *)h + 7, strlen(h + 7));
 }
 
+static void note_idempotency_key(struct tlb_exchange *x)
+{
+	const char *h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Idempotency-Key");
+
+	if (!h)
+		return;
+	/* Taken as absent it would let a repeat of a paid call run again. */
+	if (!*h || strlen(h) >= sizeof(x->idempotency_key))
+		x->header_fault = "the Idempotency-Key must have 1 to 159 characters";
+	snprintf(x->idempotency_key, sizeof(x->idempotency_key), "%s", h);
+}
+
+struct header_counts {
+	int length;
+	int encoding;
+	int authorization;
+	int idempotency;
+};
+
+static enum MHD_Result count_header(void *arg, enum MHD_ValueKind kind, const char *name,
+				    const char *value)
+{
+	struct header_counts *n = arg;
+
+	n->length += strcasecmp(name, "Content-Length") == 0;
+	n->encoding += strcasecmp(name, "Transfer-Encoding") == 0;
+	n->authorization += strcasecmp(name, "Authorization") == 0;
+	n->idempotency += strcasecmp(name, "Idempotency-Key") == 0;
+	return MHD_YES;
+}
+
+/* A request whose end or whose caller two parties can read differently is refused (RFC 9112, 6.3).
+ */
+static void check_framing(struct tlb_exchange *x)
+{
+	struct header_counts n = {0};
+
+	MHD_get_connection_values(x->conn, MHD_HEADER_KIND, count_header, &n);
+	if (n.length + n.encoding > 1)
+		x->header_fault = "the request states its length more than once";
+	if (n.authorization > 1 || n.idempotency > 1)
+		x->header_fault = "Authorization and Idempotency-Key may be sent only once";
+	x->close = x->header_fault != NULL;
+}
+
 static void note_headers(struct tlb_exchange *x)
 {
 	const char *h;
@@ -206,11 +244,8 @@
 	note_key(x);
 	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Content-Type");
 	snprintf(x->content_type, sizeof(x->content_type), "%s", h ? h : "");
-	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Idempotency-Key");
-	if (!h)
-		return;
-	x->idempotency_key_too_long = strlen(h) >= sizeof(x->idempotency_key);
-	snprintf(x->idempotency_key, sizeof(x->idempotency_key), "%s", h);
+	note_idempotency_key(x);
+	check_framing(x);
 }
 
 static void set_caller_socket(int fd)
@@ -234,9 +269,9 @@
 	sodium_memzero(x->key, sizeof(x->key));
 	free(x->path);
 	free(x->query);
-	free(x->body);
+	tlb_buffer_finish(&x->body);
 	free(x->reply);
-	free(x->out);
+	tlb_buffer_finish(&x->out);
 	free(x);
 }
 
@@ -291,6 +326,14 @@
 	tlb_exchange_refuse(x, &err, 0);
 }
 
+static void refuse_headers(struct tlb_exchange *x)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, TLB_BAD_REQUEST, TLB_NOT_RUN, "read", "", "%s", x->header_fault);
+	tlb_exchange_refuse(x, &err, 0);
+}
+
 static enum MHD_Result on_access(void *arg, struct MHD_Connection *conn, const char *url,
 				 const char *method, const char *version, const char *data,
 				 size_t *data_len, void **con_cls)
@@ -305,16 +348,18 @@
 		return MHD_YES;
 	}
 	if (*data_len > 0) {
-		if (x->body_len + *data_len > f->limits.max_body_bytes)
+		if (x->body.len + *data_len > f->limits.max_body_bytes)
 			x->body_too_large = true;
-		else if (!buffer_append(&x->body, &x->body_len, &x->body_cap, data, *data_len))
+		else if (!tlb_buffer_append(&x->body, data, *data_len, f->limits.max_body_bytes))
 			return MHD_NO;
 		*data_len = 0;
 		return MHD_YES;
 	}
 	if (x->state == TLB_EXCHANGE_READING) {
 		x->state = TLB_EXCHANGE_RUNNING;
-		if (x->body_too_large)
+		if (x->header_fault)
+			refuse_headers(x);
+		else if (x->body_too_large)
 			refuse_large(x);
 		else
 			f->on_request(f->arg, x);
--- a/src/front.h
+++ b/src/front.h
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 #include <stdbool.h>
 
+#include "buffer.h"
 #include "error.h"
 #include "ident.h"
 #include "keyscan.h"
@@ -49,6 +50,7 @@
 	bool suspended;
 	bool gone;
 	bool answered;
+	bool close; /* the connection ends with the response */
 	char id[TLB_REQUEST_ID_LEN];
 	char method[8];
 	char *path;  /* without the query */
@@ -58,10 +60,8 @@
 	unsigned char key_hash[TLB_KEY_HASH_LEN];
 	char key[TLB_KEY_MAX + 1]; /* wiped as soon as the handler has taken the request */
 	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
-	bool idempotency_key_too_long;
-	char *body;
-	size_t body_len;
-	size_t body_cap;
+	const char *header_fault; /* what is wrong with the headers; NULL for nothing */
+	struct tlb_buffer body;
 	bool body_too_large;
 	tlb_time read_deadline;
 	tlb_time arrived;
@@ -71,11 +71,9 @@
 	size_t reply_len;
 	char reply_type[64];
 	int retry_after_s;
-	/* The stream: bytes from out_pos to out_len are not yet taken by libmicrohttpd. */
-	char *out;
+	/* The stream: the bytes of out from out_pos on are not yet taken by libmicrohttpd. */
+	struct tlb_buffer out;
 	size_t out_pos;
-	size_t out_len;
-	size_t out_cap;
 	bool out_done;
 	bool out_failed;
 	/* The handler's. */
@@ -137,6 +135,11 @@
 void tlb_exchange_stream_begin(struct tlb_exchange *x);
 /* Appends to the stream. Returns false when the caller's backlog is over the limit. */
 bool tlb_exchange_stream_write(struct tlb_exchange *x, const char *data, size_t len);
+/* Bytes of the stream that the caller has not taken yet. */
+static inline size_t tlb_exchange_backlog(const struct tlb_exchange *x)
+{
+	return x->out.len - x->out_pos;
+}
 /* Ends the stream. With complete false the connection is cut without the end of the chunked body,
  * so that the caller can't take it for a whole response. */
 void tlb_exchange_stream_end(struct tlb_exchange *x, bool complete);
