Report ready only once the VM can be replaced; wrap server errors of services

Change: readiness waits for 5 witnesses, or as many as the fleet can give, once; a service's server error becomes endpoint_failed with outcome unknown. The clock goes on while a VM is suspended (CLOCK_BOOTTIME), so that leases end then too.

--- a/src/booking.c
+++ b/src/booking.c
@@ -372,8 +372,8 @@
 		return;
 	}
 	m = reply->book_reply;
-	/* The owner's reply tells what is free but not that the engine is alive, so it does not count
-	 * as a report (docs/POLICY.md: it made dead engines look alive). */
+	/* The owner's reply tells what is free but not that the engine is alive, so it does not
+	 * count as a report (docs/POLICY.md: it made dead engines look alive). */
 	h->target->free_pieces = m->free_pieces;
 	if (m->granted)
 		hold_begin(h);
--- a/src/clock.h
+++ b/src/clock.h
@@ -17,7 +17,9 @@
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* Unlike CLOCK_MONOTONIC it goes on while the VM is suspended, so that a lease ends then
+	 * too. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (tlb_time)ts.tv_sec * TLB_SECOND + ts.tv_nsec / 1000;
 }
 
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -1056,6 +1056,22 @@
 			fn(arg, c->roster.member[i].row.name.id);
 }
 
+int tlb_cluster_witnesses(const struct tlb_cluster *c)
+{
+	return c->session.set[0].count;
+}
+
+bool tlb_cluster_replaceable(const struct tlb_cluster *c)
+{
+	int others = live_others(c);
+	/* Sets are odd, so that a majority is as small as it can be. */
+	int possible = others % 2 ? others : others - 1;
+
+	if (possible > TLB_CLUSTER_WITNESSES_ENOUGH)
+		possible = TLB_CLUSTER_WITNESSES_ENOUGH;
+	return c->joined && tlb_cluster_witnesses(c) >= possible;
+}
+
 void tlb_cluster_rekey(struct tlb_cluster *c)
 {
 	c->peers.keys.count = c->settings->peer_key_count;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -63,6 +63,8 @@
 	int64_t (*config_version)(void *arg);
 };
 
+enum { TLB_CLUSTER_WITNESSES_ENOUGH = 5 };
+
 enum tlb_owner { TLB_OWNER_SELF, TLB_OWNER_PEER, TLB_OWNER_NONE };
 
 typedef void tlb_cluster_done_fn(void *arg);
@@ -136,6 +138,12 @@
 
 /* True when this daemon has joined and its session is valid at now: it may act. */
 bool tlb_cluster_valid(const struct tlb_cluster *c, tlb_time now);
+/* Witnesses of the session in force. */
+int tlb_cluster_witnesses(const struct tlb_cluster *c);
+/* True when the session has as many witnesses as the fleet can give, or
+ * TLB_CLUSTER_WITNESSES_ENOUGH: with fewer, this VM could not be fenced if it and a witness died
+ * together, and its shards would stay without an owner. */
+bool tlb_cluster_replaceable(const struct tlb_cluster *c);
 /* The incarnation of this daemon; "<vm id>/<incarnation>" as text for engines. */
 uint64_t tlb_cluster_incarnation(const struct tlb_cluster *c);
 const char *tlb_cluster_owner_name(const struct tlb_cluster *c);
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -192,8 +192,9 @@
 
 	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
 		 tlb_cluster_incarnation(&d->cluster));
-	return json_pack("{s:s,s:b,s:i,s:b,s:i,s:i}", "incarnation", incarnation, "session_valid",
-			 tlb_board_valid(&d->board), "shards",
+	return json_pack("{s:s,s:b,s:i,s:i,s:b,s:i,s:i}", "incarnation", incarnation,
+			 "session_valid", tlb_board_valid(&d->board), "witnesses",
+			 tlb_cluster_witnesses(&d->cluster), "shards",
 			 __builtin_popcountll(tlb_cluster_shards(&d->cluster)), "store_up",
 			 d->store.up, "waiting", tlb_pools_waiting(&d->board.pools), "in_flight",
 			 (int)tlb_front_in_flight(&d->front));
@@ -266,13 +267,18 @@
 		*reason = "no configuration yet";
 	else if (!tlb_board_valid(&d->board))
 		*reason = "the session lease is not valid";
+	else if (!tlb_cluster_replaceable(&d->cluster))
+		*reason = "too few witnesses yet";
 	return tlb_daemon_ready(d);
 }
 
-bool tlb_daemon_ready(const struct tlb_daemon *d)
+bool tlb_daemon_ready(struct tlb_daemon *d)
 {
-	return d->phase == TLB_DAEMON_SERVING && d->config.table->version > 0 &&
-	       tlb_board_valid(&d->board);
+	/* Only at the start: a fleet that loses VMs later must go on serving. */
+	if (tlb_cluster_replaceable(&d->cluster))
+		d->was_replaceable = true;
+	return d->was_replaceable && d->phase == TLB_DAEMON_SERVING &&
+	       d->config.table->version > 0 && tlb_board_valid(&d->board);
 }
 
 /* --- shutdown --- */
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -34,6 +34,7 @@
 	tlb_time drain_deadline;
 	int64_t seen_requests; /* when the balancer was last seen to send new requests */
 	tlb_time last_request;
+	bool was_replaceable; /* tlb_cluster_replaceable() was true once */
 	struct tlb_timer drain_timer;
 	struct tlb_timer log_timer;
 	int signal_fd;
@@ -48,6 +49,6 @@
 void tlb_daemon_run(struct tlb_daemon *d);
 void tlb_daemon_finish(struct tlb_daemon *d);
 /* Whether the platform's balancer should send requests here. */
-bool tlb_daemon_ready(const struct tlb_daemon *d);
+bool tlb_daemon_ready(struct tlb_daemon *d);
 
 #endif
--- a/src/service.c
+++ b/src/service.c
@@ -256,6 +256,37 @@
 		not_run(c);
 }
 
+static void reply_copy(struct tlb_service_call *c, const struct tlb_http_result *r)
+{
+	c->status = r->status;
+	snprintf(c->reply_type, sizeof(c->reply_type), "%s",
+		 r->content_type[0] ? r->content_type : "application/octet-stream");
+	c->reply = malloc(r->body_len + 1);
+	if (!c->reply)
+		return;
+	memcpy(c->reply, r->body, r->body_len + 1);
+	c->reply_len = r->body_len;
+}
+
+/* An endpoint's server error does not prove that nothing ran, whatever its words are, so the caller
+ * gets an error that says so. */
+static void reply_failed(struct tlb_service_call *c, int status)
+{
+	json_t *j =
+		json_pack("{s:{s:s,s:o,s:s,s:s}}", "error", "code",
+			  tlb_error_name(TLB_ENDPOINT_FAILED), "message",
+			  json_sprintf("the endpoint answered with status %d; the call may have "
+				       "run",
+				       status),
+			  "outcome", tlb_outcome_name(TLB_UNKNOWN), "request_id", c->id);
+
+	c->status = tlb_error_http_status(TLB_ENDPOINT_FAILED);
+	snprintf(c->reply_type, sizeof(c->reply_type), "application/json");
+	c->reply = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	c->reply_len = c->reply ? strlen(c->reply) : 0;
+	json_decref(j);
+}
+
 static void on_response(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_service_call *c = arg;
@@ -271,14 +302,10 @@
 		call_failed(c, r->sent, r->reason[0] ? r->reason : "status 503");
 		return;
 	}
-	c->status = r->status;
-	snprintf(c->reply_type, sizeof(c->reply_type), "%s",
-		 r->content_type[0] ? r->content_type : "application/octet-stream");
-	c->reply = malloc(r->body_len + 1);
-	if (c->reply) {
-		memcpy(c->reply, r->body, r->body_len + 1);
-		c->reply_len = r->body_len;
-	}
+	if (r->status >= 500)
+		reply_failed(c, r->status);
+	else
+		reply_copy(c, r);
 	settle(c);
 }
 
