Drop repeated logic in shard and idem

Cause: the least and the most loaded VM were found by two copies of one loop, and a step of a claim was repeated by three copies of one condition. Change: one function each. Conclusion: no change of behaviour.

--- a/src/idem.c
+++ b/src/idem.c
@@ -48,9 +48,13 @@
 	i->on_done(i->arg, result, record);
 }
 
-static bool may_try(struct tlb_idem *i)
+/* Repeats a step of the claim, or gives up: without a confirmed claim nothing may be dispatched. */
+static void try_again(struct tlb_idem *i, void (*step)(struct tlb_idem *i))
 {
-	return i->attempts++ < ATTEMPTS_MAX && tlb_clock_now() < i->deadline;
+	if (i->attempts++ < ATTEMPTS_MAX && tlb_clock_now() < i->deadline)
+		step(i);
+	else
+		done(i, TLB_IDEM_UNAVAILABLE, NULL);
 }
 
 /* Bodies are kept as base64, so that any bytes come back as they were. */
@@ -114,18 +118,12 @@
 		break;
 	case TLB_STORE_ABSENT:
 		/* The insert did not take effect. */
-		if (may_try(i))
-			insert(i);
-		else
-			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		try_again(i, insert);
 		break;
 	case TLB_STORE_CONFLICT:
 	case TLB_STORE_REFUSED:
 	case TLB_STORE_UNCERTAIN:
-		if (may_try(i))
-			read_back(i);
-		else
-			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		try_again(i, read_back);
 		break;
 	}
 }
@@ -147,10 +145,7 @@
 		done(i, TLB_IDEM_CLAIMED, NULL);
 		break;
 	case TLB_STORE_REFUSED:
-		if (may_try(i))
-			insert(i);
-		else
-			done(i, TLB_IDEM_UNAVAILABLE, NULL);
+		try_again(i, insert);
 		break;
 	case TLB_STORE_CONFLICT:
 	case TLB_STORE_UNCERTAIN:
--- a/src/shard.c
+++ b/src/shard.c
@@ -176,17 +176,21 @@
 	return n;
 }
 
-/* The live VM that owns the fewest shards; the lowest id among equals. NULL without live VMs. */
-static const struct tlb_shard_vm *least_loaded(const struct tlb_shard_map *m,
-					       const struct tlb_fleet *f)
+enum load_end { LEAST_LOADED, MOST_LOADED };
+
+/* The live VM that owns the fewest or the most shards; the lowest id among equals. NULL without
+ * live VMs. */
+static const struct tlb_shard_vm *by_load(const struct tlb_shard_map *m, const struct tlb_fleet *f,
+					  enum load_end end)
 {
 	const struct tlb_shard_vm *best = NULL;
+	int sign = end == LEAST_LOADED ? 1 : -1;
 	int best_count = 0;
 	int count;
 	int i;
 
 	for (i = 0; i < f->live_count; i++) {
-		count = owned_count(m, &f->live[i].name);
+		count = sign * owned_count(m, &f->live[i].name);
 		if (best && (count > best_count || (count == best_count &&
 						    strcmp(f->live[i].name.id, best->name.id) > 0)))
 			continue;
@@ -266,7 +270,7 @@
 	const struct tlb_shard_vm *vm;
 
 	if (!usable(f, &e->owner)) {
-		vm = least_loaded(m, f);
+		vm = by_load(m, f, LEAST_LOADED);
 		if (usable(f, &e->standby))
 			e->owner = e->standby;
 		else if (vm)
@@ -303,25 +307,6 @@
 	return changes(&before, m);
 }
 
-static const struct tlb_shard_vm *most_loaded(const struct tlb_shard_map *m,
-					      const struct tlb_fleet *f)
-{
-	const struct tlb_shard_vm *best = NULL;
-	int best_count = 0;
-	int count;
-	int i;
-
-	for (i = 0; i < f->live_count; i++) {
-		count = owned_count(m, &f->live[i].name);
-		if (best && (count < best_count || (count == best_count &&
-						    strcmp(f->live[i].name.id, best->name.id) > 0)))
-			continue;
-		best = &f->live[i];
-		best_count = count;
-	}
-	return best;
-}
-
 /* Prefers a shard whose standby is the receiver: it has the state already. */
 static int shard_to_move(const struct tlb_shard_map *m, const struct tlb_vm_name *from,
 			 const struct tlb_vm_name *to)
@@ -359,8 +344,8 @@
 	if (f->live_count == 0)
 		return;
 	for (i = 0; i < TLB_SHARD_COUNT; i++) {
-		from = most_loaded(&even, f);
-		to = least_loaded(&even, f);
+		from = by_load(&even, f, MOST_LOADED);
+		to = by_load(&even, f, LEAST_LOADED);
 		if (owned_count(&even, &from->name) - owned_count(&even, &to->name) <= 1)
 			break;
 		move_shard(&even.entry[shard_to_move(&even, &from->name, &to->name)], &to->name);
@@ -411,7 +396,7 @@
 	for (i = 0; i < TLB_SHARD_COUNT; i++) {
 		e = &m->entry[i];
 		if (tlb_vm_name_equal(&e->owner, self)) {
-			vm = least_loaded(m, f);
+			vm = by_load(m, f, LEAST_LOADED);
 			if (usable(f, &e->standby))
 				e->owner = e->standby;
 			else if (vm)
