Wait for the log lines that p11 judges the sender by

Cause: two cases of p11 read the log at once after the order arrived; the daemon writes its lines every 100 ms, so that the former sender was still the last one named. The trace shows the new owner's order at the engine. Change: the check waits up to 1 s for the line; what it demands is the same.

--- a/tests/promises/p11_orders.py
+++ b/tests/promises/p11_orders.py
@@ -16,6 +16,7 @@
 CONFIG = 7  # invariant 10
 IN_FLIGHT = 6
 ASSERT = 30
+LOG_SECONDS = 1.0
 WITNESSES_MIN = 3  # one may be lost
 # The fleet's odd engines check the number; these are the others.
 IGNORING = [f"{role}-{i}" for role in ("prefill", "decode") for i in (2, 4, 6)]
@@ -146,7 +147,8 @@
         if wait_until(lambda: has(engine, "v3"), TAKEOVER + BACKOFF + CONFIG) is None:
             raise Failed("the new owner's order did not arrive")
         figure = time.monotonic() - begin
-        if owner(fleet, engine.name) == victim:
+        # The daemons write their log lines every 100 ms.
+        if wait_until(lambda: owner(fleet, engine.name) != victim, LOG_SECONDS) is None:
             raise Failed("the frozen VM is still the last sender")
         fleet.thaw(victim)
         time.sleep(IN_FLIGHT + 2)
