Tell refused orders apart by number in p11 refused_sender_stops

Cause: the case took the engine's orders after the replay by their position in the stand-in's list of the last 200 requests. Eight daemons ask for the load 16 times a second, so the list covers about 12 s; when the fleet's start was slow, earlier orders dropped out during the 7 s wait, positions moved, and the case saw no order where one had been sent and refused. Ruled out: a lost refusal, because the log had one refusal and the daemon logs each.

Change: orders after the replay are those that follow its fencing number, and the case fails when the list no longer has it. An order between the replay and the operator's change now counts, too, so the check is stricter.

Conclusion: a fault of the test, not of the daemon.

--- a/tests/promises/p11_orders.py
+++ b/tests/promises/p11_orders.py
@@ -395,6 +395,16 @@
         return figure, TAKEOVER + 2
 
 
+def sent_after(engine, number):
+    """Fencing numbers of the orders that the engine got after the one with this number. They are
+    told apart by number, not by position: the stand-in keeps its last requests only, so that
+    earlier orders drop out of its list while load reports come in."""
+    numbers = [json.loads(r["body"])["fencing"] for r in engine.requests("/order")]
+    if number not in numbers:
+        raise Failed("the stand-in's list of requests no longer has the order")
+    return numbers[numbers.index(number) + 1:]
+
+
 @case
 def refused_sender_stops(t):
     """A sender that is refused for an old number sends nothing more with such a number."""
@@ -402,10 +412,10 @@
         engine = pair(t, fleet)[0]
         high = orders(engine)[-1]["fencing"] + (1 << 40)
         replay(engine, dict(orders(engine)[-1], fencing=high))
-        before = len(engine.requests("/order"))
         must_order(fleet, "v2", t.vm(fleet))
         time.sleep(CONFIG)
-        sent = [json.loads(r["body"])["fencing"] for r in engine.requests("/order")[before:]]
+        sent = sent_after(engine, high)
+        time.sleep(LOG_SECONDS)
         refused = len(re.findall(rf"endpoint={engine.name} decision=refused", fleet.logs()))
         t.note(f"{refused} refusals logged, numbers sent: {sent}")
         if not sent or refused != len(sent):
