End every refused request with one log line that a caller can't forge

Cause: refusals of the service path and of requests that could not be read wrote no log line, and the line of the others lacked the account. A model name with a line feed began a line of its own in the log, with fields of the caller's choice. Two configuration events and the change event had no event field.

Change: one function writes event=refuse with the account; text that a caller wrote is escaped between quotes, and control characters in any line become "?". config_refused, config_empty and config_load_failed are events of their own.

--- a/src/caller.c
+++ b/src/caller.c
@@ -4,7 +4,13 @@
 #include <string.h>
 
 #include "board.h"
-#include "log.h"
+
+void tlb_caller_refuse(struct tlb_board *b, struct tlb_exchange *x, const char *account,
+		       const struct tlb_error *err)
+{
+	tlb_counter_add(&b->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
+	tlb_exchange_refuse_early(x, account, err);
+}
 
 static void refuse(struct tlb_board *b, struct tlb_exchange *x, enum tlb_code code,
 		   const char *message)
@@ -12,10 +18,7 @@
 	struct tlb_error err;
 
 	tlb_error_set(&err, code, TLB_NOT_RUN, "caller", "", "%s", message);
-	tlb_counter_add(&b->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
-	tlb_log_info("event=refuse request=%s code=%s reason=\"%s\"", x->id, tlb_error_name(code),
-		     message);
-	tlb_exchange_refuse(x, &err, 1);
+	tlb_caller_refuse(b, x, "", &err);
 }
 
 /* The account whose key came with the request; NULL when the request was refused. */
@@ -74,6 +77,7 @@
 {
 	const struct tlb_account *a = NULL;
 	const struct tlb_route *r;
+	struct tlb_error err;
 	bool path_known;
 
 	r = tlb_table_route(b->table, x->method, x->path, &path_known);
@@ -88,7 +92,9 @@
 			return;
 	}
 	if (!r) {
-		refuse(b, x, TLB_NOT_FOUND, "there is no such path");
+		tlb_error_set(&err, TLB_NOT_FOUND, TLB_NOT_RUN, "caller", "",
+			      "there is no such path");
+		tlb_caller_refuse(b, x, a->id, &err);
 		return;
 	}
 	tlb_service_start(&b->services, x, r, a ? a->id : "");
--- a/src/change.c
+++ b/src/change.c
@@ -141,7 +141,7 @@
 {
 	struct tlb_changes *q = x->queue;
 
-	tlb_log_info("change id=%s author=%s base=%lld rows=%zu result=%s version=%lld",
+	tlb_log_info("event=change id=%s author=%s base=%lld rows=%zu result=%s version=%lld",
 		     x->change_id, x->author, (long long)x->base_version, json_array_size(x->rows),
 		     tlb_error_name(r->error.code), (long long)r->version);
 	count_result(q->config->counters, r->error.code);
--- a/src/config.c
+++ b/src/config.c
@@ -108,11 +108,11 @@
 	c->source = source;
 	c->loaded = true;
 	tlb_counter_set(c->counters, TLB_COUNTER_CONFIG_VERSION, t->version);
-	tlb_log_info(
-		"config version=%lld former=%lld source=%s accounts=%zu keys=%zu endpoints=%zu",
-		(long long)t->version, (long long)former->version, source_names[source],
-		tlb_table_count(t, TLB_ROW_ACCOUNT), tlb_table_count(t, TLB_ROW_KEY),
-		tlb_table_count(t, TLB_ROW_ENDPOINT));
+	tlb_log_info("event=config version=%lld former=%lld source=%s accounts=%zu keys=%zu "
+		     "endpoints=%zu",
+		     (long long)t->version, (long long)former->version, source_names[source],
+		     tlb_table_count(t, TLB_ROW_ACCOUNT), tlb_table_count(t, TLB_ROW_KEY),
+		     tlb_table_count(t, TLB_ROW_ENDPOINT));
 	if (c->on_table)
 		c->on_table(c->arg);
 	tlb_config_table_free(former);
@@ -154,9 +154,10 @@
 {
 	/* The same stored version is read at every poll; it is logged once. */
 	if (c->refused_version != t->version)
-		tlb_log_error("config version=%lld source=%s refused, faults=%zu, first: %s",
-			      (long long)t->version, source_names[source], f->fault_count,
-			      tlb_faults_first(f));
+		tlb_log_error(
+			"event=config_refused version=%lld source=%s faults=%zu reason=\"%s\"",
+			(long long)t->version, source_names[source], f->fault_count,
+			tlb_faults_first(f));
 	c->refused_version = t->version;
 	return tlb_error_set(err, TLB_BAD_REQUEST, TLB_NOT_RUN, "config", source_names[source],
 			     "%s", tlb_faults_first(f));
@@ -211,7 +212,7 @@
 	if (c->loaded)
 		return;
 	c->loaded = true;
-	tlb_log_warn("config version=0 source=store: the table service holds no configuration");
+	tlb_log_warn("event=config_empty source=store");
 	if (c->on_table)
 		c->on_table(c->arg);
 }
@@ -225,7 +226,7 @@
 
 	c->trim_due = json_array_size(rows) > TRIM_ROWS;
 	if (status != TLB_STORE_OK) {
-		tlb_log_warn("config load failed: %s", err->message);
+		tlb_log_warn("event=config_load_failed reason=\"%s\"", err->message);
 		return;
 	}
 	if (!head)
--- a/src/front.c
+++ b/src/front.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "address.h"
+#include "log.h"
 
 enum {
 	SWEEP_MS = 200,		   /* how often callers' sockets are looked at */
@@ -136,6 +137,17 @@
 	tlb_exchange_reply(x, status, "application/json", text, strlen(text));
 }
 
+void tlb_exchange_refuse_early(struct tlb_exchange *x, const char *account,
+			       const struct tlb_error *err)
+{
+	char reason[2 * TLB_MESSAGE_LEN];
+
+	tlb_log_info("event=refuse request=%s account=%s code=%s reason=\"%s\"", x->id, account,
+		     tlb_error_name(err->code),
+		     tlb_log_quoted(reason, sizeof(reason), err->message));
+	tlb_exchange_refuse(x, err, 0);
+}
+
 void tlb_exchange_stream_begin(struct tlb_exchange *x)
 {
 	x->state = TLB_EXCHANGE_STREAMING;
@@ -323,7 +335,7 @@
 
 	tlb_error_set(&err, TLB_TOO_LARGE, TLB_NOT_RUN, "read", "",
 		      "the request body is larger than %zu bytes", x->front->limits.max_body_bytes);
-	tlb_exchange_refuse(x, &err, 0);
+	tlb_exchange_refuse_early(x, "", &err);
 }
 
 static void refuse_headers(struct tlb_exchange *x)
@@ -331,7 +343,7 @@
 	struct tlb_error err;
 
 	tlb_error_set(&err, TLB_BAD_REQUEST, TLB_NOT_RUN, "read", "", "%s", x->header_fault);
-	tlb_exchange_refuse(x, &err, 0);
+	tlb_exchange_refuse_early(x, "", &err);
 }
 
 static enum MHD_Result on_access(void *arg, struct MHD_Connection *conn, const char *url,
--- a/src/front.h
+++ b/src/front.h
@@ -131,6 +131,10 @@
 /* Answers with an error as JSON {"error":{"code","message","outcome","request_id"}}; 429 and 503
  * carry Retry-After (at least 1 s). */
 void tlb_exchange_refuse(struct tlb_exchange *x, const struct tlb_error *err, int retry_after_s);
+/* The same before the request is admitted, with the log line event=refuse that ends it. account is
+ * "" when it is not known. */
+void tlb_exchange_refuse_early(struct tlb_exchange *x, const char *account,
+			       const struct tlb_error *err);
 /* Begins a server-sent event stream. */
 void tlb_exchange_stream_begin(struct tlb_exchange *x);
 /* Appends to the stream. Returns false when the caller's backlog is over the limit. */
--- a/src/log.c
+++ b/src/log.c
@@ -5,11 +5,19 @@
 #include <string.h>
 #include <time.h>
 
-enum { BUFFER_BYTES = 65536 };
+enum { BUFFER_BYTES = 65536, DEL = 0x7f };
 
 static log4c_category_t *category;
 static FILE *out;
 
+/* Text that a caller chose must not begin a line of its own. */
+static void replace_controls(char *line)
+{
+	for (; *line; line++)
+		if ((unsigned char)*line < ' ' || *line == DEL)
+			*line = '?';
+}
+
 static const char *format_line(const log4c_layout_t *layout, const log4c_logging_event_t *e)
 {
 	static char line[1200];
@@ -24,8 +32,10 @@
 		strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
 		formatted = ts.tv_sec;
 	}
-	snprintf(line, sizeof(line), "%s.%03ldZ %s %s\n", when, ts.tv_nsec / 1000000,
+	snprintf(line, sizeof(line) - 1, "%s.%03ldZ %s %s", when, ts.tv_nsec / 1000000,
 		 log4c_priority_to_string(e->evt_priority), e->evt_msg);
+	replace_controls(line);
+	strcat(line, "\n");
 	return line;
 }
 
@@ -63,6 +73,19 @@
 	return 0;
 }
 
+const char *tlb_log_quoted(char *buf, size_t size, const char *text)
+{
+	size_t n = 0;
+
+	for (; *text && n + 2 < size; text++) {
+		if (*text == '"' || *text == '\\')
+			buf[n++] = '\\';
+		buf[n++] = *text;
+	}
+	buf[n] = '\0';
+	return buf;
+}
+
 void tlb_log_flush(void)
 {
 	if (out)
--- a/src/log.h
+++ b/src/log.h
@@ -15,6 +15,11 @@
  * of; the daemon flushes them every 100 ms. */
 void tlb_log_flush(void);
 
+/* Escapes text that may hold what a caller wrote, so that it can stand between quotes. Cuts it to
+ * size; returns buf. */
+const char *tlb_log_quoted(char *buf, size_t size, const char *text);
+
+/* Control characters in the line are replaced by "?". */
 void tlb_log(int priority, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
 #define tlb_log_error(...) tlb_log(LOG4C_PRIORITY_ERROR, __VA_ARGS__)
--- a/src/request.c
+++ b/src/request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "caller.h"
 #include "completion.h"
 #include "engine.h"
 #include "log.h"
@@ -806,14 +807,6 @@
 			   : tlb_clock_now() + wait_ms * TLB_MS);
 }
 
-static void refuse(struct tlb_requests *q, struct tlb_exchange *x, struct tlb_error *err)
-{
-	tlb_counter_add(&q->board->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
-	tlb_log_info("event=refuse request=%s code=%s reason=\"%s\"", x->id,
-		     tlb_error_name(err->code), err->message);
-	tlb_exchange_refuse(x, err, 1);
-}
-
 /* Checks the request against the model's row and fills what depends on it. */
 static enum tlb_code fit_model(struct tlb_request *r, struct tlb_error *err)
 {
@@ -876,7 +869,7 @@
 		else
 			tlb_completion_finish(&r->completion);
 		free(r);
-		refuse(q, x, &err);
+		tlb_caller_refuse(q->board, x, account, &err);
 		return;
 	}
 	x->on_gone = on_gone;
--- a/src/service.c
+++ b/src/service.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "caller.h"
 #include "idem.h"
 #include "log.h"
 #include "retry.h"
@@ -497,14 +498,13 @@
 	return c;
 }
 
-static void refuse(struct tlb_services *s, struct tlb_exchange *x, enum tlb_code code,
-		   const char *message)
+static void refuse(struct tlb_services *s, struct tlb_exchange *x, const char *account,
+		   enum tlb_code code, const char *message)
 {
 	struct tlb_error err;
 
 	tlb_error_set(&err, code, TLB_NOT_RUN, "parse", "", "%s", message);
-	tlb_counter_add(&s->board->counters, TLB_COUNTER_REFUSED_NOT_RUN, 1);
-	tlb_exchange_refuse(x, &err, 1);
+	tlb_caller_refuse(s->board, x, account, &err);
 }
 
 void tlb_service_start(struct tlb_services *s, struct tlb_exchange *x,
@@ -513,13 +513,13 @@
 	struct tlb_service_call *c;
 
 	if (strlen(x->path) + strlen(x->query) + TLB_ADDR_LEN + 16 > URL_LEN) {
-		refuse(s, x, TLB_TOO_LARGE, "the path and query are too long");
+		refuse(s, x, account, TLB_TOO_LARGE, "the path and query are too long");
 		return;
 	}
 	c = call_new(s, x, route, account);
 	if (!c || !c->target) {
 		free(c);
-		refuse(s, x, TLB_INTERNAL, "no memory");
+		refuse(s, x, account, TLB_INTERNAL, "no memory");
 		return;
 	}
 	x->on_gone = on_gone;
--- a/standins/control.c
+++ b/standins/control.c
@@ -40,7 +40,7 @@
 	const struct standin_program *program;
 	struct standin_listener service;
 	struct standin_listener control;
-} frame = {.lock = PTHREAD_MUTEX_INITIALIZER, .record_limit = 1000};
+} frame = {.lock = PTHREAD_MUTEX_INITIALIZER, .record_limit = 200};
 
 static const char *const kind_names[STANDIN_FAULT_KINDS] = {
 	[STANDIN_NONE] = "none",     [STANDIN_DELAY] = "delay",
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -6,7 +6,11 @@
 response: status, the headers that matter, an empty "< " line, the body. $KEY, $KEY_WITHDRAWN and
 $MODEL stand for the values of fleet.env. Ids and times are replaced by ID and TIME on both sides.
 With --update the responses in the files are written anew.
+
+Afterwards the daemon's log must have one line that ends each refused request, and no line that a
+caller made up.
 """
+import collections
 import glob
 import http.client
 import os
@@ -14,8 +18,13 @@
 import subprocess
 import sys
 import tempfile
+import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+REQUEST_ID = re.compile(r'"request_id":"([^"]+)"')
+LOG_LINE = re.compile(r"\d{4}-\d\d-\d\dT[\d:.]+Z [A-Z]+ event=\w+ ")
+END_LINE = re.compile(r" event=(?:refuse|end) request=(\S+) account=\S* ")
+LOG_SECONDS = 1.0
 SHOWN_HEADERS = ("Content-Type", "Retry-After", "Transfer-Encoding")
 
 
@@ -50,7 +59,7 @@
     return re.sub(r"\$(\w+)", lambda m: env.get(m.group(1), m.group(0)), line)
 
 
-def perform(address, lines, env):
+def perform(address, lines, env, refused):
     lines = [substitute(line, env) for line in lines]
     blank = lines.index("") if "" in lines else len(lines)
     method, target = lines[0].split(" ", 1)
@@ -67,17 +76,18 @@
     r = conn.getresponse()
     text = r.read().decode()
     conn.close()
+    refused += REQUEST_ID.findall(text)
     out = [str(r.status)]
     out += [f"{name}: {r.getheader(name)}" for name in SHOWN_HEADERS if r.getheader(name)]
     return out + [""] + normalise(text).rstrip("\n").split("\n")
 
 
-def run_file(path, address, env, update):
+def run_file(path, address, env, update, refused):
     with open(path, encoding="utf-8") as f:
         exchanges = parse(f.read())
     failed, out = 0, []
     for comment, request, expected in exchanges:
-        got = perform(address, request, env)
+        got = perform(address, request, env, refused)
         got = [line.replace(env["MODEL"], "$MODEL") for line in got]
         if got != expected and not update:
             failed += 1
@@ -89,6 +99,20 @@
     return len(exchanges) - failed, failed
 
 
+def check_log(path, refused):
+    """Returns the number of faults: an operator must be able to tell from the log why each request
+    was refused."""
+    time.sleep(LOG_SECONDS)
+    with open(path, encoding="utf-8") as f:
+        lines = f.read().splitlines()
+    ended = collections.Counter(m[1] for m in map(END_LINE.search, lines) if m)
+    faults = [f"request {i}: {ended[i]} lines" for i in refused if ended[i] != 1]
+    faults += [f"forged line: {line}" for line in lines if not LOG_LINE.match(line)]
+    for fault in faults:
+        print(f"{path}: {fault}")
+    return len(faults)
+
+
 def main():
     update = "--update" in sys.argv
     with tempfile.TemporaryDirectory() as directory:
@@ -97,8 +121,10 @@
                        stdout=subprocess.DEVNULL)
         try:
             env = read_env(os.path.join(directory, "fleet.env"))
-            results = [run_file(p, env["CALLER_ADDRS"], env, update)
+            refused = []
+            results = [run_file(p, env["CALLER_ADDRS"], env, update, refused)
                        for p in sorted(glob.glob(os.path.join(ROOT, "tests/golden/*.txt")))]
+            results.append((1, check_log(os.path.join(directory, "vm-1.decisions.log"), refused)))
         finally:
             subprocess.run([fleet, "stop", directory], check=True, stdout=subprocess.DEVNULL)
     passed, failed = (sum(r[i] for r in results) for i in (0, 1))
--- a/tests/promises/p11_orders.py
+++ b/tests/promises/p11_orders.py
@@ -20,7 +20,9 @@
 WITNESSES_MIN = 3  # one may be lost
 # The fleet's odd engines check the number; these are the others.
 IGNORING = [f"{role}-{i}" for role in ("prefill", "decode") for i in (2, 4, 6)]
-OPTIONS = {name: ["--ignore-fencing"] for name in IGNORING}
+# A stand-in keeps this many requests: a minute of load reports, so that the orders are among them.
+RECORDS = ["--record-count", "1000"]
+OPTIONS = {"engine": RECORDS, **{name: ["--ignore-fencing", *RECORDS] for name in IGNORING}}
 SEND = re.compile(r"^(\S+) .*event=order endpoint=(\S+) decision=send fencing=(\d+) ", re.M)
 
 
