Advertise another peer address; peer links that go silent

Cause: p12 made the connections to stand-ins go silent, never those between daemons, because nothing could stand between them: a VM row held the address that the listener is bound to. A listener on 0.0.0.0 put 0.0.0.0 into the row, so that the other VMs connected to themselves.

Change: listen.peer_advertised is what the row holds; a wildcard address that would reach the row is a fault of the settings. With an advertised address the bind of the own listener is no proof that a former process has ended. p12 places relays between the daemons.

--- a/src/address.c
+++ b/src/address.c
@@ -94,6 +94,18 @@
 	return ntohs(((const struct sockaddr_in *)a)->sin_port);
 }
 
+bool tlb_address_is_wildcard(const char *text)
+{
+	struct sockaddr_storage a;
+	socklen_t len;
+
+	if (!tlb_address_parse(text, &a, &len))
+		return false;
+	if (a.ss_family == AF_INET6)
+		return IN6_IS_ADDR_UNSPECIFIED(&((const struct sockaddr_in6 *)&a)->sin6_addr);
+	return ((const struct sockaddr_in *)&a)->sin_addr.s_addr == htonl(INADDR_ANY);
+}
+
 bool tlb_address_valid(const char *text, int min_port)
 {
 	struct sockaddr_storage a;
--- a/src/address.h
+++ b/src/address.h
@@ -11,6 +11,8 @@
 bool tlb_address_parse(const char *text, struct sockaddr_storage *out, socklen_t *len);
 /* The port of an address filled by tlb_address_parse(), in host byte order. */
 int tlb_address_port(const struct sockaddr_storage *a);
+/* Whether text is 0.0.0.0 or [::] with any port: a listener can use it, a peer can't. */
+bool tlb_address_is_wildcard(const char *text);
 /* Whether text is an address whose port is min_port or more. */
 bool tlb_address_valid(const char *text, int min_port);
 /* Writes the text form of an address; size of out is TLB_PEER_LEN. */
--- a/src/member.c
+++ b/src/member.c
@@ -325,13 +325,18 @@
 
 /* Join. */
 
+static const char *advertised(const struct tlb_cluster *c)
+{
+	return c->settings->peer_advertised[0] ? c->settings->peer_advertised : c->peers.addr;
+}
+
 static void fill_row(const struct tlb_cluster *c, struct tlb_vm_row *row)
 {
 	memset(row, 0, sizeof(*row));
 	row->name = c->self;
 	row->process = c->process;
 	row->state = TLB_VM_LIVE;
-	strcpy(row->addr, c->peers.addr);
+	strcpy(row->addr, advertised(c));
 	strcpy(row->zone, c->settings->zone);
 	strcpy(row->region, c->settings->region);
 }
@@ -345,7 +350,8 @@
 
 	if (!row || row->state != TLB_VM_LIVE || tlb_roster_gone(&c->roster, &row->name))
 		return true;
-	if (strcmp(row->addr, c->peers.addr) == 0) {
+	/* An advertised address is bound elsewhere, so that it proves nothing. */
+	if (!c->settings->peer_advertised[0] && strcmp(row->addr, c->peers.addr) == 0) {
 		tlb_log_info("event=fence vm=%s incarnation=%016" PRIx64 " source=bind",
 			     row->name.id, row->name.incarnation);
 		tlb_roster_set_gone(&c->roster, &row->name);
--- a/src/settings.c
+++ b/src/settings.c
@@ -123,7 +123,7 @@
 	case FIELD_ID:
 		return tlb_table_id_valid(value);
 	case FIELD_ADDR:
-		return tlb_address_valid(value, 0);
+		return tlb_address_valid(value, 0) || (!f->required && !*value);
 	case FIELD_URL:
 		return url_valid(value) || (!f->required && !*value);
 	case FIELD_FILE:
@@ -453,11 +453,31 @@
 	       key, addr, other_key);
 }
 
+/* The other daemons connect to the address in the VM row. */
+static void check_reachable(struct loader *l, const struct tlb_settings *s)
+{
+	const char *key = s->peer_advertised[0] ? "peer_advertised" : "peer";
+	const char *addr = s->peer_advertised[0] ? s->peer_advertised : s->peer_addr;
+
+	if (tlb_address_is_wildcard(addr))
+		report(l, l->path, line_of(l, "listen", key),
+		       "listen.%s: value \"%s\" is not allowed; expected an address that other VMs "
+		       "can connect to, here or in listen.peer_advertised",
+		       key, addr);
+	if (s->peer_advertised[0] && !tlb_address_valid(s->peer_advertised, 1))
+		report(l, l->path, line_of(l, "listen", "peer_advertised"),
+		       "listen.peer_advertised: value \"%s\" is not allowed; expected a port from "
+		       "1 "
+		       "to 65535",
+		       s->peer_advertised);
+}
+
 static void check_whole(struct loader *l, const struct tlb_settings *s)
 {
 	check_apart(l, "operator", s->operator_addr, "caller", s->caller_addr);
 	check_apart(l, "peer", s->peer_addr, "caller", s->caller_addr);
 	check_apart(l, "peer", s->peer_addr, "operator", s->operator_addr);
+	check_reachable(l, s);
 	if (s->goodput_weight + s->waste_weight + s->worst_weight + s->refusal_weight <= 0)
 		report(l, l->path, line_of(l, "policy", "goodput_weight"),
 		       "policy: expected at least one weight above 0");
@@ -601,6 +621,7 @@
 		{"listen", "caller", FIELD_ADDR, true, NULL, TEXT(s->caller_addr)},
 		{"listen", "operator", FIELD_ADDR, true, NULL, TEXT(s->operator_addr)},
 		{"listen", "peer", FIELD_ADDR, true, NULL, TEXT(s->peer_addr)},
+		{"listen", "peer_advertised", FIELD_ADDR, false, "", TEXT(s->peer_advertised)},
 		{"platform", "store_url", FIELD_URL, true, NULL, TEXT(s->store_url)},
 		{"platform", "vmlist_url", FIELD_URL, false, "", TEXT(s->vmlist_url)},
 		{"log", "file", FIELD_FILE, false, "-", TEXT(s->log_file)},
--- a/src/settings.h
+++ b/src/settings.h
@@ -29,6 +29,7 @@
 	char caller_addr[TLB_ADDR_LEN];
 	char operator_addr[TLB_ADDR_LEN];
 	char peer_addr[TLB_ADDR_LEN];
+	char peer_advertised[TLB_ADDR_LEN]; /* what other VMs connect to; "": peer_addr */
 	/* platform: base URLs, "http://127.0.0.1:7000" */
 	char store_url[TLB_URL_LEN];
 	char vmlist_url[TLB_URL_LEN]; /* "" when the platform has none */
--- a/tests/promises/harness.py
+++ b/tests/promises/harness.py
@@ -94,15 +94,16 @@
     """A running fleet of scripts/fleet.
 
     rows overrides or adds configuration rows (None removes one); standin_options adds options to
-    stand-ins by kind or name.
+    stand-ins by kind or name; edit_settings(vm, path) may change a settings file before its start.
     """
 
-    def __init__(self, vms=8, deployment="bakstehuset", rows=None, standin_options=None):
+    def __init__(self, vms=8, deployment="bakstehuset", rows=None, standin_options=None,
+                 edit_settings=None):
         self.dir = tempfile.mkdtemp(prefix="toucanlb-promise-")
         self.script = load_fleet_module()
         self.standins = {}
         self.dead = set()
-        self._patch(rows or {}, standin_options or {})
+        self._patch(rows or {}, standin_options or {}, edit_settings)
         try:
             with contextlib.redirect_stdout(io.StringIO()):
                 self.script.start(argparse.Namespace(dir=self.dir, vms=vms, deployment=deployment))
@@ -125,7 +126,7 @@
                 self.stop()
                 raise Failed(f"vm-{vm + 1} is not ready 15 s after the fleet's start")
 
-    def _patch(self, rows, options):
+    def _patch(self, rows, options, edit_settings):
         """Hooks into the script: records the fleet, adds rows and options."""
         outer, script = self, self.script
         base_standin, base_rows = script.Fleet.standin, script.other_rows
@@ -153,6 +154,15 @@
                     value.update({k: v for k, v in rows.items() if v is not None})
                 real_dump(value, f)
 
+        base_settings = script.write_settings
+
+        def write_settings(inner, vm, *given):
+            path = base_settings(inner, vm, *given)
+            if edit_settings:
+                edit_settings(vm, path)
+            return path
+
+        script.write_settings = write_settings
         script.Fleet.standin = standin
         script.other_rows = other_rows
         script.json = Json
--- a/tests/promises/observers.py
+++ b/tests/promises/observers.py
@@ -1,5 +1,8 @@
-"""Threads that use a fleet while faults are injected, and judge one promise each from outside."""
+"""Threads that use a fleet while faults are injected, and judge one promise each from outside, and
+relays between the daemons."""
 import secrets
+import select
+import socket
 import threading
 import time
 
@@ -140,3 +143,79 @@
 
 def endpoint_row(fleet, name, state):
     return {f"config/endpoint/{name}": dict(fleet.row(f"config/endpoint/{name}"), state=state)}
+
+
+class Relay(threading.Thread):
+    """Passes the bytes of TCP connections on to an address. silence() lets every open connection
+    go silent for good, without a close, while new ones work."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.target = None
+        self.other = {}  # each socket's other end
+        self.silent = set()
+        self.lock = threading.Lock()
+
+    def silence(self):
+        with self.lock:
+            self.silent |= set(self.other)
+            self.other = {}
+            return len(self.silent) // 2
+
+    def run(self):
+        while True:
+            with self.lock:
+                watched = [self.listener, *self.other]
+            for s in select.select(watched, [], [], 0.05)[0]:
+                if s is self.listener:
+                    self._accept()
+                else:
+                    self._pass(s)
+
+    def _accept(self):
+        conn, _ = self.listener.accept()
+        try:
+            out = socket.create_connection(self.target, 1)
+        except OSError:
+            conn.close()
+            return
+        with self.lock:
+            self.other.update({conn: out, out: conn})
+
+    def _pass(self, s):
+        with self.lock:
+            out = self.other.get(s)
+        if out is None:
+            return
+        try:
+            data = s.recv(65536)
+            if data:
+                out.sendall(data)
+                return
+        except OSError:
+            pass
+        with self.lock:
+            for end in (s, out):
+                self.other.pop(end, None)
+                end.close()
+
+
+def relays_for(count):
+    """Relays in front of the peer listeners of VMs, and the hook that puts them into the settings that
+    scripts/fleet writes."""
+    relays = [Relay() for _ in range(count)]
+
+    def edit(vm, path):
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        with open(path, encoding="utf-8") as f:
+            text = f.read()
+        text = text.replace("  peer: 127.0.0.1:0", f"  peer: 127.0.0.1:{port}\n"
+                            f"  peer_advertised: {relays[vm].addr}")
+        with open(path, "w", encoding="utf-8") as f:
+            f.write(text)
+        relays[vm].target = ("127.0.0.1", port)
+        relays[vm].start()
+    return relays, edit
--- a/tests/promises/p12_silent.py
+++ b/tests/promises/p12_silent.py
@@ -5,6 +5,7 @@
 
 from harness import (Caller, Failed, ask, case, complete, judge_completion, load_result, load_tool,
                      main, parallel, pay)
+from observers import relays_for
 
 # Seconds after which every new request is answered as fast as before. The longest call deadline
 # that applies to these requests is that of a prefill, 3 s and a share for the prompt.
@@ -92,6 +93,34 @@
         return recovery(t, fleet, ("status", "paid", "completion"), since), BOUND
 
 
+def peers_go_silent(t, chosen):
+    """Open connections between daemons go silent: found by the peers, with no VM fenced."""
+    relays, edit = relays_for(8)
+    with t.fleet(edit_settings=edit) as fleet:
+        warm = load_tool(fleet, 3, 40, "completions=2,stream=2,status=4,paid=2", t.seed,
+                         "--prompt-median", "100", "--prompt-max", "400")
+        load_result(warm)
+        before = fleet.logs().count("event=fence ")
+        cut = sum(r.silence() for r in chosen(relays))
+        if not cut:
+            raise Failed("no connection between daemons went through the relays")
+        seconds = recovery(t, fleet, ("status", "paid", "stream", "completion"), time.monotonic())
+        time.sleep(4)
+        fences = fleet.logs().count("event=fence ") - before
+        t.note(f"{cut} connections silent, {fences} fences")
+        return (seconds if not fences else BOUND + 19), BOUND
+
+
+@case
+def all_peer_links_go_silent(t):
+    return peers_go_silent(t, lambda relays: relays)
+
+
+@case
+def peer_links_of_one_vm_go_silent(t):
+    return peers_go_silent(t, lambda relays: [t.random.choice(relays)])
+
+
 @case
 def silence_under_load(t):
     """Nothing is lost or wrong: every request is answered, or refused, or fails explicitly."""
