Step the wall clock of a fleet under load

Cause: PROMISES.md listed a wall clock that steps as not injected.

Change: tests/clockstep.c shifts CLOCK_REALTIME of the daemons of a test fleet while they run; p04 wall_clocks_step steps it by an hour forward and two back under a flood of one account.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,11 @@
 
 LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard load/*.c))
 
-all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(STANDINS)
+$(BUILD)/clockstep.so: tests/clockstep.c
+	@mkdir -p $(BUILD)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -shared -fPIC -o $@ $<
+
+all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(BUILD)/clockstep.so $(STANDINS)
 
 deps:
 	@scripts/install-deps
--- a/tests/promises/observers.py
+++ b/tests/promises/observers.py
@@ -1,12 +1,14 @@
 """Threads that use a fleet while faults are injected, and judge one promise each from outside, and
 relays between the daemons."""
+import os
 import secrets
 import select
 import socket
+import tempfile
 import threading
 import time
 
-from harness import Caller, sha256
+from harness import BUILD, Caller, sha256
 
 ACCOUNT = 5  # the account whose rate the rate tests set
 COST = 10  # tokens per status request
@@ -202,6 +204,25 @@
                 end.close()
 
 
+class WallClock:
+    """Steps the wall clocks of the daemons that are started within it; see tests/clockstep.c."""
+
+    def __enter__(self):
+        with tempfile.NamedTemporaryFile("w", delete=False) as f:
+            self.path = f.name
+        os.environ["CLOCKSTEP_FILE"] = self.path
+        os.environ["LD_PRELOAD"] = os.path.join(BUILD, "clockstep.so")
+        return self
+
+    def step(self, seconds):
+        with open(self.path, "w", encoding="utf-8") as f:
+            f.write(f"{seconds}\n")
+
+    def __exit__(self, kind, *rest):
+        del os.environ["LD_PRELOAD"], os.environ["CLOCKSTEP_FILE"]
+        os.unlink(self.path)
+
+
 def relays_for(count):
     """Relays in front of the peer listeners of VMs, and the hook that puts them into the settings that
     scripts/fleet writes."""
--- a/tests/promises/p04_rate.py
+++ b/tests/promises/p04_rate.py
@@ -5,7 +5,7 @@
 import time
 
 from harness import Caller, Failed, case, complete, completion_body, main, output_of
-from observers import ACCOUNT, COST, Flood, worst_window as worst_window_of
+from observers import ACCOUNT, COST, Flood, WallClock, worst_window as worst_window_of
 
 RATE, BURST = 500, 1000  # tokens per second, tokens
 
@@ -89,6 +89,21 @@
     return flood(t, 10, during, 0.2)
 
 
+@case
+def wall_clocks_step(t):
+    """No rule may go by the wall clock: an hour forward, then two back, refills no bucket and ends no
+    session."""
+    with WallClock() as clock:
+        def during(fleet):
+            lost = fleet.logs().count("event=session_lost")
+            for seconds in (3600, -3600, 0):
+                clock.step(seconds)
+                time.sleep(1.5)
+            if fleet.logs().count("event=session_lost") > lost:
+                raise Failed("a session was lost")
+        return flood(t, 9, during)
+
+
 @case
 def store_down(t):
     """Limits hold, and requests are served, while the store is down."""
