Bind the frames between daemons to one connection and one place in it

Change: each Hello carries a random nonce of 16 bytes. The MAC also covers the receiver's nonce and the frame's number in its direction; neither is transmitted. The accepting side takes no notice of a connection before the opener's LinkReady (new, field 60), the first frame that proves knowledge of its nonce. Without that step a recorded Hello alone would replace the link in use, because a link of the same incarnation that the lower VM id opened wins. The VM is also not named before it, so that a recorded Hello can't postpone the retries of a link or escape the limit of unconfirmed connections.

A Hello of a daemon without nonces is refused: stop the fleet for this upgrade.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -113,14 +113,16 @@
 		tlb_address_format(&a, out);
 }
 
-/* The MAC covers the key id and the payload; see frame.h. */
+/* The MAC covers the nonce, the number of the frame (both zero here), the key id and the payload;
+ * see frame.h. */
 static void sign(unsigned char *frame, size_t payload, const struct tlb_peer_key *key)
 {
-	static unsigned char covered[INPUT_MAX + 1];
+	enum { ZEROS = TLB_FRAME_NONCE_BYTES + 8 };
+	static unsigned char covered[ZEROS + 1 + INPUT_MAX];
 
-	covered[0] = frame[TLB_FRAME_LENGTH_BYTES];
-	memcpy(covered + 1, frame + TLB_FRAME_HEADER, payload);
-	crypto_auth(frame + TLB_FRAME_LENGTH_BYTES + 1, covered, payload + 1, key->secret);
+	covered[ZEROS] = frame[TLB_FRAME_LENGTH_BYTES];
+	memcpy(covered + ZEROS + 1, frame + TLB_FRAME_HEADER, payload);
+	crypto_auth(frame + TLB_FRAME_LENGTH_BYTES + 1, covered, ZEROS + 1 + payload, key->secret);
 }
 
 /* The bytes as they are, and the same bytes as the payload of a frame whose MAC is right, so that
@@ -129,6 +131,7 @@
 {
 	static const struct tlb_peer_key key = {.id = 1};
 	const struct tlb_frame_keys keys = {&key, 1};
+	struct tlb_frame_stream stream = {0};
 	struct tlb_frame_buffer in = {0};
 	Toucan__Envelope *e = NULL;
 	unsigned char *p = tlb_frame_buffer_reserve(&in, len + TLB_FRAME_HEADER);
@@ -136,7 +139,7 @@
 
 	memcpy(p, data, len);
 	in.end = len;
-	while (tlb_frame_decode(&in, &keys, &e) == TLB_OK && e)
+	while (tlb_frame_decode(&in, &keys, &stream, &e) == TLB_OK && e)
 		toucan__envelope__free_unpacked(e, NULL);
 	in.start = 0;
 	p = in.data;
@@ -149,7 +152,8 @@
 	sign(p, len, &key);
 	in.end = len + TLB_FRAME_HEADER;
 	e = NULL;
-	if (tlb_frame_decode(&in, &keys, &e) == TLB_OK && e)
+	memset(&stream, 0, sizeof(stream));
+	if (tlb_frame_decode(&in, &keys, &stream, &e) == TLB_OK && e)
 		toucan__envelope__free_unpacked(e, NULL);
 	tlb_frame_buffer_finish(&in);
 }
--- a/src/frame.c
+++ b/src/frame.c
@@ -8,6 +8,7 @@
 	KEY_ID_AT = TLB_FRAME_LENGTH_BYTES,
 	MAC_AT = KEY_ID_AT + 1,
 	BUFFER_FIRST = 1024,
+	NUMBER_BYTES = 8,
 };
 
 _Static_assert(TLB_FRAME_MAC_BYTES == crypto_auth_hmacsha512256_BYTES, "MAC size");
@@ -41,13 +42,26 @@
 	return data + b->end;
 }
 
-/* The algorithm of crypto_auth, in parts, because key id and payload are not adjacent. */
-static void compute_mac(unsigned char *mac, const struct tlb_peer_key *key, unsigned char key_id,
+static void put_number(unsigned char *p, uint64_t number)
+{
+	int i;
+
+	for (i = 0; i < NUMBER_BYTES; i++)
+		p[i] = number >> 8 * (NUMBER_BYTES - 1 - i) & 0xff;
+}
+
+/* The algorithm of crypto_auth, in parts, because the parts covered are not adjacent. */
+static void compute_mac(unsigned char *mac, const struct tlb_peer_key *key,
+			const struct tlb_frame_stream *stream, unsigned char key_id,
 			const unsigned char *payload, size_t len)
 {
 	crypto_auth_hmacsha512256_state state;
+	unsigned char number[NUMBER_BYTES];
 
+	put_number(number, stream->number);
 	crypto_auth_hmacsha512256_init(&state, key->secret, sizeof(key->secret));
+	crypto_auth_hmacsha512256_update(&state, stream->nonce, sizeof(stream->nonce));
+	crypto_auth_hmacsha512256_update(&state, number, sizeof(number));
 	crypto_auth_hmacsha512256_update(&state, &key_id, 1);
 	crypto_auth_hmacsha512256_update(&state, payload, len);
 	crypto_auth_hmacsha512256_final(&state, mac);
@@ -67,7 +81,7 @@
 }
 
 enum tlb_code tlb_frame_encode(struct tlb_frame_buffer *out, const struct tlb_frame_keys *keys,
-			       const Toucan__Envelope *envelope)
+			       struct tlb_frame_stream *stream, const Toucan__Envelope *envelope)
 {
 	size_t len = toucan__envelope__get_packed_size(envelope);
 	unsigned char *p;
@@ -82,8 +96,9 @@
 	put_length(p, TLB_FRAME_HEADER - TLB_FRAME_LENGTH_BYTES + len);
 	p[KEY_ID_AT] = keys->key[0].id;
 	toucan__envelope__pack(envelope, p + TLB_FRAME_HEADER);
-	compute_mac(p + MAC_AT, &keys->key[0], p[KEY_ID_AT], p + TLB_FRAME_HEADER, len);
+	compute_mac(p + MAC_AT, &keys->key[0], stream, p[KEY_ID_AT], p + TLB_FRAME_HEADER, len);
 	out->end += TLB_FRAME_HEADER + len;
+	stream->number++;
 	return TLB_OK;
 }
 
@@ -98,14 +113,15 @@
 }
 
 static enum tlb_code open_frame(const unsigned char *p, size_t payload_len,
-				const struct tlb_frame_keys *keys, Toucan__Envelope **envelope)
+				const struct tlb_frame_keys *keys,
+				const struct tlb_frame_stream *stream, Toucan__Envelope **envelope)
 {
 	const struct tlb_peer_key *key = find_key(keys, p[KEY_ID_AT]);
 	unsigned char mac[TLB_FRAME_MAC_BYTES];
 
 	if (!key)
 		return TLB_INVALID_KEY;
-	compute_mac(mac, key, p[KEY_ID_AT], p + TLB_FRAME_HEADER, payload_len);
+	compute_mac(mac, key, stream, p[KEY_ID_AT], p + TLB_FRAME_HEADER, payload_len);
 	if (sodium_memcmp(mac, p + MAC_AT, sizeof(mac)) != 0)
 		return TLB_INVALID_KEY;
 	*envelope = toucan__envelope__unpack(NULL, payload_len, p + TLB_FRAME_HEADER);
@@ -113,7 +129,7 @@
 }
 
 enum tlb_code tlb_frame_decode(struct tlb_frame_buffer *in, const struct tlb_frame_keys *keys,
-			       Toucan__Envelope **envelope)
+			       struct tlb_frame_stream *stream, Toucan__Envelope **envelope)
 {
 	size_t have = in->end - in->start;
 	const unsigned char *p = in->data + in->start;
@@ -130,8 +146,10 @@
 		return TLB_BAD_REQUEST;
 	if (have < total)
 		return TLB_OK;
-	code = open_frame(p, total - TLB_FRAME_HEADER, keys, envelope);
-	if (code == TLB_OK)
-		in->start += total;
-	return code;
+	code = open_frame(p, total - TLB_FRAME_HEADER, keys, stream, envelope);
+	if (code != TLB_OK)
+		return code;
+	in->start += total;
+	stream->number++;
+	return TLB_OK;
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -19,13 +19,20 @@
 	BACKOFF_DOUBLINGS = 6,
 };
 
-enum link_state { LINK_CONNECTING, LINK_HELLO, LINK_UP, LINK_CLOSED };
+/* LINK_CONFIRM: an accepted connection whose Hello came, but not yet the LinkReady that proves that
+ * the Hello was not recorded elsewhere. Nothing of it has taken effect so far. */
+enum link_state { LINK_CONNECTING, LINK_HELLO, LINK_CONFIRM, LINK_UP, LINK_CLOSED };
 
 /* One TCP connection. Owned by struct tlb_peers. */
 struct tlb_peer_link {
 	APR_RING_ENTRY(tlb_peer_link) link;
 	struct tlb_peers *peers;
-	struct tlb_peer *peer; /* NULL before the Hello of an accepted connection */
+	struct tlb_peer *peer;	      /* NULL before the LinkReady of an accepted connection */
+	char claimed[TLB_ID_LEN];     /* sender of the Hello of an accepted connection */
+	uint64_t claimed_incarnation; /* of that sender */
+	unsigned char nonce[TLB_FRAME_NONCE_BYTES]; /* of this side */
+	struct tlb_frame_stream received;
+	struct tlb_frame_stream sent;
 	enum link_state state;
 	bool opened_here;
 	bool broken; /* a write failed; closed from the loop */
@@ -241,7 +248,7 @@
 		return TLB_OVERLOADED;
 	body->source = p->self;
 	body->incarnation = p->incarnation;
-	code = tlb_frame_encode(&l->out, &p->keys, body);
+	code = tlb_frame_encode(&l->out, &p->keys, &l->sent, body);
 	if (code != TLB_OK)
 		return code;
 	l->queued += l->out.end - l->out.start - before;
@@ -251,15 +258,29 @@
 	return TLB_OK;
 }
 
-static void send_hello(struct tlb_peer_link *l)
+/* Every later frame of the other side must cover this side's nonce. */
+static void send_hello(struct tlb_peer_link *l, char *target)
 {
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
 	Toucan__Hello hello = TOUCAN__HELLO__INIT;
 
-	hello.target = l->peer->id;
+	hello.target = target;
+	hello.nonce.data = l->nonce;
+	hello.nonce.len = sizeof(l->nonce);
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
 	link_send(l, &envelope);
+	memcpy(l->received.nonce, l->nonce, sizeof(l->nonce));
+}
+
+static void send_ready(struct tlb_peer_link *l)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__LinkReady ready = TOUCAN__LINK_READY__INIT;
+
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_LINK_READY;
+	envelope.link_ready = &ready;
+	link_send(l, &envelope);
 }
 
 static struct tlb_peer_link *link_new(struct tlb_peers *p, int fd, int events)
@@ -271,6 +292,7 @@
 		return NULL;
 	l->peers = p;
 	l->fd = fd;
+	randombytes_buf(l->nonce, sizeof(l->nonce));
 	l->watch = tlb_loop_watch(p->loop, fd, events, link_event, l);
 	if (!l->watch) {
 		free(l);
@@ -351,6 +373,8 @@
 	peer->up = l;
 	peer->incarnation = incarnation;
 	l->state = LINK_UP;
+	if (l->opened_here)
+		send_ready(l);
 	tlb_timer_clear(p->loop, &peer->retry);
 	tlb_timer_set(p->loop, &l->timer, tlb_clock_now() + TLB_PEER_SILENCE);
 	tlb_counter_add(p->counters, TLB_COUNTER_PEER_LINKS, 1);
@@ -359,12 +383,28 @@
 	p->handlers.on_up(p->handlers.arg, peer);
 }
 
+static void answer_hello(struct tlb_peer_link *l, const Toucan__Envelope *msg)
+{
+	if (strlen(msg->source) >= sizeof(l->claimed)) {
+		link_close(l, "the VM id is too long");
+		return;
+	}
+	strcpy(l->claimed, msg->source);
+	l->claimed_incarnation = msg->incarnation;
+	l->state = LINK_CONFIRM;
+	send_hello(l, l->claimed);
+}
+
 static void take_hello(struct tlb_peer_link *l, const Toucan__Envelope *msg)
 {
 	struct tlb_peers *p = l->peers;
 
 	if (msg->body_case != TOUCAN__ENVELOPE__BODY_HELLO ||
-	    strcmp(msg->hello->target, p->self) != 0 || strcmp(msg->source, p->self) == 0 ||
+	    msg->hello->nonce.len != TLB_FRAME_NONCE_BYTES) {
+		link_lost(l, "no Hello with a nonce");
+		return;
+	}
+	if (strcmp(msg->hello->target, p->self) != 0 || strcmp(msg->source, p->self) == 0 ||
 	    (l->peer && strcmp(msg->source, l->peer->id) != 0)) {
 		link_lost(l, "the other end is not the VM expected");
 		return;
@@ -373,18 +413,37 @@
 		link_lost(l, "the other end is fenced");
 		return;
 	}
+	memcpy(l->sent.nonce, msg->hello->nonce.data, sizeof(l->sent.nonce));
 	if (!l->peer) {
-		l->peer = peer_get(p, msg->source);
-		if (!l->peer) {
-			link_close(l, "the VM id is too long");
-			return;
-		}
-		p->unknown_links--;
-		send_hello(l);
+		answer_hello(l, msg);
+		return;
 	}
 	link_up(l, msg->incarnation);
 }
 
+/* The sender knew this side's nonce, so it is here now and its Hello was not a recorded one. */
+static void take_ready(struct tlb_peer_link *l, const Toucan__Envelope *msg)
+{
+	struct tlb_peers *p = l->peers;
+
+	if (msg->body_case != TOUCAN__ENVELOPE__BODY_LINK_READY ||
+	    strcmp(msg->source, l->claimed) != 0 || msg->incarnation != l->claimed_incarnation) {
+		link_close(l, "no LinkReady of the sender of the Hello");
+		return;
+	}
+	if (!p->handlers.accepts(p->handlers.arg, msg->source, msg->incarnation)) {
+		link_close(l, "the other end is fenced");
+		return;
+	}
+	l->peer = peer_get(p, msg->source);
+	if (!l->peer) {
+		link_close(l, "out of memory");
+		return;
+	}
+	p->unknown_links--;
+	link_up(l, msg->incarnation);
+}
+
 static void take_reply(struct tlb_peer_link *l, const Toucan__Envelope *msg)
 {
 	struct tlb_peer_call *call;
@@ -403,10 +462,14 @@
 
 	l->heard = tlb_clock_now();
 	tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_FRAMES_IN, 1);
-	if (l->state != LINK_UP) {
+	if (l->state == LINK_HELLO) {
 		take_hello(l, msg);
 		return;
 	}
+	if (l->state == LINK_CONFIRM) {
+		take_ready(l, msg);
+		return;
+	}
 	if (strcmp(msg->source, peer->id) != 0 || msg->incarnation != peer->incarnation) {
 		link_lost(l, "a frame names another sender");
 		return;
@@ -425,7 +488,7 @@
 	enum tlb_code code;
 
 	while (l->state != LINK_CLOSED) {
-		code = tlb_frame_decode(&l->in, &l->peers->keys, &msg);
+		code = tlb_frame_decode(&l->in, &l->peers->keys, &l->received, &msg);
 		if (code != TLB_OK) {
 			tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_BAD_FRAMES, 1);
 			tlb_log_warn("event=bad_frame vm=%s fault=%s", l->peer ? l->peer->id : "",
@@ -438,7 +501,8 @@
 		take_message(l, msg);
 		toucan__envelope__free_unpacked(msg, NULL);
 	}
-	if (l->state == LINK_HELLO && l->in.end - l->in.start > HELLO_BYTES_MAX)
+	if ((l->state == LINK_HELLO || l->state == LINK_CONFIRM) &&
+	    l->in.end - l->in.start > HELLO_BYTES_MAX)
 		link_lost(l, "too much before the Hello");
 }
 
@@ -469,7 +533,7 @@
 		return;
 	}
 	l->state = LINK_HELLO;
-	send_hello(l);
+	send_hello(l, l->peer->id);
 }
 
 static void link_event(void *arg, int events)
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &toucan__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__link_ready__init
+                     (Toucan__LinkReady         *message)
+{
+  static const Toucan__LinkReady init_value = TOUCAN__LINK_READY__INIT;
+  *message = init_value;
+}
+size_t toucan__link_ready__get_packed_size
+                     (const Toucan__LinkReady *message)
+{
+  assert(message->base.descriptor == &toucan__link_ready__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__link_ready__pack
+                     (const Toucan__LinkReady *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__link_ready__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__link_ready__pack_to_buffer
+                     (const Toucan__LinkReady *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__link_ready__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__LinkReady *
+       toucan__link_ready__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__LinkReady *)
+     protobuf_c_message_unpack (&toucan__link_ready__descriptor,
+                                allocator, len, data);
+}
+void   toucan__link_ready__free_unpacked
+                     (Toucan__LinkReady *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__link_ready__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__heartbeat__init
                      (Toucan__Heartbeat         *message)
 {
@@ -1222,7 +1267,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[27] =
 {
   {
     "source",
@@ -1536,6 +1581,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_ready",
+    60,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, link_ready),
+    &toucan__link_ready__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   16,   /* field[16] = book_decode */
@@ -1555,6 +1612,7 @@
   4,   /* field[4] = hello */
   2,   /* field[2] = id */
   1,   /* field[1] = incarnation */
+  26,   /* field[26] = link_ready */
   19,   /* field[19] = release_booking */
   18,   /* field[18] = renew_bookings */
   3,   /* field[3] = reply_to */
@@ -1565,12 +1623,13 @@
   10,   /* field[10] = standby_release */
   14,   /* field[14] = tokens_reply */
 };
-static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange toucan__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
   { 20, 13 },
-  { 0, 26 }
+  { 60, 26 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -1580,10 +1639,10 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  26,
+  27,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
-  3,  toucan__envelope__number_ranges,
+  4,  toucan__envelope__number_ranges,
   (ProtobufCMessageInit) toucan__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1638,7 +1697,7 @@
   (ProtobufCMessageInit) toucan__vm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__hello__field_descriptors[1] =
+static const ProtobufCFieldDescriptor toucan__hello__field_descriptors[2] =
 {
   {
     "target",
@@ -1652,14 +1711,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "nonce",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__hello__field_indices_by_name[] = {
+  1,   /* field[1] = nonce */
   0,   /* field[0] = target */
 };
-static const ProtobufCIntRange toucan__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 40, 1 },
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor toucan__hello__descriptor =
 {
@@ -1669,13 +1742,31 @@
   "Toucan__Hello",
   "toucan",
   sizeof(Toucan__Hello),
-  1,
+  2,
   toucan__hello__field_descriptors,
   toucan__hello__field_indices_by_name,
-  1,  toucan__hello__number_ranges,
+  2,  toucan__hello__number_ranges,
   (ProtobufCMessageInit) toucan__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define toucan__link_ready__field_descriptors NULL
+#define toucan__link_ready__field_indices_by_name NULL
+#define toucan__link_ready__number_ranges NULL
+const ProtobufCMessageDescriptor toucan__link_ready__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.LinkReady",
+  "LinkReady",
+  "Toucan__LinkReady",
+  "toucan",
+  sizeof(Toucan__LinkReady),
+  0,
+  toucan__link_ready__field_descriptors,
+  toucan__link_ready__field_indices_by_name,
+  0,  toucan__link_ready__number_ranges,
+  (ProtobufCMessageInit) toucan__link_ready__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[6] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Toucan__Envelope Toucan__Envelope;
 typedef struct Toucan__Vm Toucan__Vm;
 typedef struct Toucan__Hello Toucan__Hello;
+typedef struct Toucan__LinkReady Toucan__LinkReady;
 typedef struct Toucan__Heartbeat Toucan__Heartbeat;
 typedef struct Toucan__HeartbeatAck Toucan__HeartbeatAck;
 typedef struct Toucan__FenceRequest Toucan__FenceRequest;
@@ -87,7 +88,8 @@
   TOUCAN__ENVELOPE__BODY_CONFIG_PUSH = 29,
   TOUCAN__ENVELOPE__BODY_CONFIG_PULL = 30,
   TOUCAN__ENVELOPE__BODY_CONFIG_ROWS = 31,
-  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32
+  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32,
+  TOUCAN__ENVELOPE__BODY_LINK_READY = 60
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -137,6 +139,7 @@
     Toucan__ConfigPull *config_pull;
     Toucan__ConfigRows *config_rows;
     Toucan__HandOver *hand_over;
+    Toucan__LinkReady *link_ready;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -163,10 +166,27 @@
 {
   ProtobufCMessage base;
   char *target;
+  /*
+   * 16 random bytes of the sender, covered by every frame sent to it
+   */
+  ProtobufCBinaryData nonce;
 };
 #define TOUCAN__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__hello__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+/*
+ * Second frame of the side that opened a connection. It is the first one that proves that the sender
+ * has read the receiver's nonce: the accepting side uses the connection from here on.
+ */
+struct  Toucan__LinkReady
+{
+  ProtobufCMessage base;
+};
+#define TOUCAN__LINK_READY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__link_ready__descriptor) \
+     }
 
 
 /*
@@ -610,6 +630,25 @@
 void   toucan__hello__free_unpacked
                      (Toucan__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__LinkReady methods */
+void   toucan__link_ready__init
+                     (Toucan__LinkReady         *message);
+size_t toucan__link_ready__get_packed_size
+                     (const Toucan__LinkReady   *message);
+size_t toucan__link_ready__pack
+                     (const Toucan__LinkReady   *message,
+                      uint8_t             *out);
+size_t toucan__link_ready__pack_to_buffer
+                     (const Toucan__LinkReady   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__LinkReady *
+       toucan__link_ready__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__link_ready__free_unpacked
+                     (Toucan__LinkReady *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__Heartbeat methods */
 void   toucan__heartbeat__init
                      (Toucan__Heartbeat         *message);
@@ -1077,6 +1116,9 @@
 typedef void (*Toucan__Hello_Closure)
                  (const Toucan__Hello *message,
                   void *closure_data);
+typedef void (*Toucan__LinkReady_Closure)
+                 (const Toucan__LinkReady *message,
+                  void *closure_data);
 typedef void (*Toucan__Heartbeat_Closure)
                  (const Toucan__Heartbeat *message,
                   void *closure_data);
@@ -1158,6 +1200,7 @@
 extern const ProtobufCMessageDescriptor toucan__envelope__descriptor;
 extern const ProtobufCMessageDescriptor toucan__vm__descriptor;
 extern const ProtobufCMessageDescriptor toucan__hello__descriptor;
+extern const ProtobufCMessageDescriptor toucan__link_ready__descriptor;
 extern const ProtobufCMessageDescriptor toucan__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor toucan__heartbeat_ack__descriptor;
 extern const ProtobufCMessageDescriptor toucan__fence_request__descriptor;
--- /dev/null
+++ b/tests/replay.py
@@ -0,0 +1,336 @@
+#!/usr/bin/env python3
+"""Replays recorded frames to running daemons; guards against a frame that takes effect a second time,
+on another connection, at another VM or out of order. Two daemons reach each other through recording
+proxies, because the table service that each of them sees names a proxy as the other one's address."""
+import argparse
+import hashlib
+import hmac
+import http.server
+import importlib.machinery
+import importlib.util
+import json
+import os
+import re
+import socket
+import struct
+import sys
+import tempfile
+import threading
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# A link is opened again within its backoff; a heartbeat follows every second.
+LINK_SECONDS = 8
+# Hello, LinkReady, the heartbeat that follows at once and that of the next second: by then one of two
+# links that crossed has been closed.
+FRAMES = 4
+LOG_SECONDS = 0.3  # a daemon writes its log lines every 0.1 s
+CLOSE_SECONDS = 2
+
+
+class Proxy:
+    """Forwards connections to one VM; keeps what the opening side sent, split into frames."""
+
+    def __init__(self, vm):
+        self.vm = vm  # index from 0
+        self.target = None
+        self.opened = 0  # when the newest connection came
+        self.frames = []  # of the newest connection, from the opening side
+        self.change = None  # called once with the next frame; returns the bytes to pass on
+        self.ends = 0  # connections that have ended
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            far = connect(self.target)
+            frames = self.frames = []
+            self.opened = time.monotonic()
+            threading.Thread(target=self.forward, args=(near, far, frames), daemon=True).start()
+            threading.Thread(target=self.back, args=(far, near, frames), daemon=True).start()
+
+    def forward(self, near, far, frames):
+        try:
+            while True:
+                frame = read_frame(near)
+                with self.lock:
+                    change, self.change = self.change, None
+                    frames.append(frame)
+                far.sendall(change(frame) if change else frame)
+        except OSError:
+            end(near, far)
+
+    def back(self, far, near, frames):
+        try:
+            while data := far.recv(65536):
+                near.sendall(data)
+        except OSError:
+            pass
+        end(near, far)
+        if self.frames is frames:
+            self.frames = []
+        self.ends += 1
+
+
+def end(*sockets):
+    for s in sockets:
+        try:
+            s.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
+def connect(addr):
+    host, port = addr.rsplit(":", 1)
+    return socket.create_connection((host, int(port)), timeout=LINK_SECONDS)
+
+
+def read_exactly(s, n):
+    data = b""
+    while len(data) < n:
+        more = s.recv(n - len(data))
+        if not more:
+            raise OSError("closed")
+        data += more
+    return data
+
+
+def read_frame(s):
+    head = read_exactly(s, 4)
+    return head + read_exactly(s, struct.unpack(">I", head)[0])
+
+
+def field(number, data):
+    """A protobuf field of bytes; all lengths here are below 128."""
+    return bytes([number << 3 & 0x7f | 2 | (0x80 if number > 15 else 0)] +
+                 ([number >> 4] if number > 15 else []) + [len(data)]) + data
+
+
+def hello(key, source, target, nonce):
+    """A signed Hello: the first frame of a connection, so nonce and number in the MAC are zero."""
+    body = field(1, target.encode()) + (field(40, nonce) if nonce else b"")
+    payload = field(1, source.encode()) + b"\x11" + b"\x05" * 8 + field(10, body)
+    mac = hmac.new(key, bytes(24) + b"\x01" + payload, hashlib.sha512).digest()[:32]
+    return struct.pack(">I", 33 + len(payload)) + b"\x01" + mac + payload
+
+
+class Table(http.server.BaseHTTPRequestHandler):
+    """Passes requests on to the table service; names the proxy as the peer address of its VM."""
+    store = None
+
+    def pass_on(self, body=None):
+        request = urllib.request.Request(f"http://{self.store}{self.path}", body)
+        try:
+            with urllib.request.urlopen(request, timeout=5) as r:
+                status, data = r.status, r.read()
+        except urllib.error.HTTPError as e:
+            status, data = e.code, e.read()
+        self.send_response(status)
+        data = self.rename(data)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def rename(self, data):
+        reply = json.loads(data)
+        for row in reply.get("rows", [reply]) if isinstance(reply, dict) else []:
+            proxy = self.server.proxy
+            if row.get("key") == f"vm/vm-{proxy.vm + 1}" and row.get("value"):
+                proxy.target = row["value"]["peer_addr"]
+                row["value"]["peer_addr"] = proxy.addr
+        return json.dumps(reply).encode()
+
+    def do_GET(self):
+        self.pass_on()
+
+    def do_POST(self):
+        self.pass_on(self.rfile.read(int(self.headers["Content-Length"])))
+
+    def log_message(self, *args):
+        pass
+
+
+def load_fleet_module():
+    loader = importlib.machinery.SourceFileLoader("fleet_script",
+                                                  os.path.join(ROOT, "scripts", "fleet"))
+    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("fleet_script", loader))
+    loader.exec_module(module)
+    return module
+
+
+class Daemons:
+    """The running fleet: counters, logs and the peer key."""
+
+    def __init__(self, directory):
+        self.dir = directory
+        with open(os.path.join(directory, "fleet.env"), encoding="utf-8") as f:
+            self.operators = dict(re.findall(r'^(\w+)="(.*)"$', f.read(), re.M))[
+                "OPERATOR_ADDRS"].split()
+        with open(os.path.join(directory, "peer.secrets"), encoding="utf-8") as f:
+            self.key = bytes.fromhex(f.read().split()[2])
+
+    def counter(self, vm, name):
+        with urllib.request.urlopen(f"http://{self.operators[vm]}/metrics", timeout=3) as r:
+            return int(re.search(rf"^toucanlb_{name} (\d+)", r.read().decode(), re.M)[1])
+
+    def links_lost(self):
+        """Lines that tell of a link that went down, on both VMs."""
+        time.sleep(LOG_SECONDS)
+        lost = 0
+        for vm in (1, 2):
+            path = os.path.join(self.dir, f"vm-{vm}.decisions.log")
+            with open(path, encoding="utf-8") as f:
+                lost += f.read().count("event=link_down")
+        return lost
+
+
+def wait(condition, seconds):
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(0.05)
+    return True
+
+
+def link_in_use(proxies):
+    """The proxy that carries the link between the daemons: the one whose newest connection has
+    frames behind the Hello exchange. None without one in time."""
+    def used():
+        return max(proxies, key=lambda p: (len(p.frames) >= FRAMES, p.opened))
+
+    return used() if wait(lambda: len(used().frames) >= FRAMES, LINK_SECONDS) else None
+
+
+def disturb(daemons, proxies, change):
+    """Changes frames on the link between the daemons; true if the receiver closed it for that, and
+    the link then came back."""
+    proxy = link_in_use(proxies)
+    if not proxy:
+        return False
+    ends, bad = proxy.ends, daemons.counter(proxy.vm, "peer_bad_frames_total")
+    with proxy.lock:
+        proxy.change = change
+    closed = wait(lambda: proxy.ends > ends, LINK_SECONDS)
+    refused = daemons.counter(proxy.vm, "peer_bad_frames_total") == bad + 1
+    for p in proxies:
+        p.change = None
+    return closed and refused and link_in_use(proxies) is not None
+
+
+def swapped(proxies):
+    """Keeps one frame back, passes the next one on and the kept one behind it."""
+    held = []
+
+    def change(frame):
+        held.append(frame)
+        if len(held) == 2:
+            return frame + held[0]
+        if len(held) == 1:
+            for proxy in proxies:
+                proxy.change = change
+        return b""
+
+    return change
+
+
+def refused(daemons, addr, data, answers):
+    """Sends bytes on a connection of its own. True if the daemon closes it after that many frames of
+    its own and no link between the daemons goes down."""
+    lost = daemons.links_lost()
+    with connect(addr) as s:
+        s.settimeout(CLOSE_SECONDS)
+        got = 0
+        begin = time.monotonic()
+        s.sendall(data)
+        try:
+            while True:
+                read_frame(s)
+                got += 1
+        except TimeoutError:
+            return False
+        except OSError:
+            pass
+    prompt = time.monotonic() - begin < CLOSE_SECONDS / 2
+    return prompt and got == answers and daemons.links_lost() == lost
+
+
+def answered(addr, vm, data):
+    with connect(addr) as s:
+        s.sendall(data)
+        return vm.encode() in read_frame(s)
+
+
+def run(daemons, proxies):
+    results = {"frames recorded": link_in_use(proxies) is not None}
+    results["sent again on the same connection"] = disturb(daemons, proxies, lambda f: f + f)
+    early = link_in_use(proxies).frames[1]
+    results["an early frame again"] = disturb(daemons, proxies, lambda f: f + early)
+    results["left out"] = disturb(daemons, proxies, lambda f: b"")
+    results["swapped"] = disturb(daemons, proxies, swapped(proxies))
+    proxy = link_in_use(proxies)
+    recorded, vm, addr = list(proxy.frames), proxy.vm, proxy.target
+    other = proxies[1 - vm].target
+    # The answer is the Hello, which carries a nonce that the recording can't cover.
+    results["on another connection"] = refused(daemons, addr, b"".join(recorded), 1)
+    results["a later frame alone"] = refused(daemons, addr, recorded[-1], 0)
+    results["to another VM"] = refused(daemons, other, b"".join(recorded), 0)
+    nonce = os.urandom(16)
+    target = f"vm-{vm + 1}"
+    results["Hello without a nonce"] = refused(daemons, addr,
+                                               hello(daemons.key, "vm-8", target, b""), 0)
+    results["Hello with a short nonce"] = refused(daemons, addr,
+                                                  hello(daemons.key, "vm-8", target, nonce[1:]), 0)
+    # Shows that the two above are refused for the nonce and nothing else.
+    results["Hello with a nonce is answered"] = answered(addr, target, hello(
+        daemons.key, "vm-8", target, nonce))
+    # A recorded Hello of the other VM, alone, must not replace the link in use.
+    results["Hello alone"] = hello_alone(daemons, vm, addr, recorded[0])
+    return results
+
+
+def hello_alone(daemons, vm, addr, frame):
+    lost, links = daemons.links_lost(), daemons.counter(vm, "peer_links")
+    with connect(addr) as s:
+        s.sendall(frame)
+        read_frame(s)
+        return daemons.links_lost() == lost and daemons.counter(vm, "peer_links") == links
+
+
+def table_view(proxy):
+    """A table service that names the proxy as the peer address of its VM."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Table)
+    server.proxy = proxy
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return f"127.0.0.1:{server.server_port}"
+
+
+def main():
+    script = load_fleet_module()
+    proxies = [Proxy(0), Proxy(1)]
+    views = [table_view(proxies[1]), table_view(proxies[0])]
+    write_settings = script.write_settings
+
+    def settings(fleet, i, d, store, vmlist):
+        Table.store = store
+        return write_settings(fleet, i, d, views[i], vmlist)
+
+    script.write_settings = settings
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            script.start(argparse.Namespace(dir=directory, vms=2, deployment="bakstehuset"))
+            results = run(Daemons(directory), proxies)
+        finally:
+            script.stop(argparse.Namespace(dir=directory))
+    for name, ok in results.items():
+        print(f"replay: {name}: {'ok' if ok else 'FAILED'}")
+    return 0 if all(results.values()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -1,4 +1,5 @@
-/* Frames: round trip in pieces, key rotation, and every way in which a frame can be wrong. */
+/* Frames: round trip in pieces, key rotation, every way in which a frame can be wrong, and right
+ * frames at a wrong place: recorded, left out or swapped. */
 #include <check.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -16,7 +17,9 @@
 	return k;
 }
 
-static void encode(struct tlb_frame_buffer *out, const struct tlb_frame_keys *k, uint64_t id)
+/* The next frame of a stream. */
+static void encode_on(struct tlb_frame_buffer *out, const struct tlb_frame_keys *k,
+		      struct tlb_frame_stream *stream, uint64_t id)
 {
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
 	Toucan__Heartbeat heartbeat = TOUCAN__HEARTBEAT__INIT;
@@ -26,7 +29,24 @@
 	envelope.id = id;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
-	ck_assert_int_eq(tlb_frame_encode(out, k, &envelope), TLB_OK);
+	ck_assert_int_eq(tlb_frame_encode(out, k, stream, &envelope), TLB_OK);
+}
+
+/* The first frame of a stream. */
+static void encode(struct tlb_frame_buffer *out, const struct tlb_frame_keys *k, uint64_t id)
+{
+	struct tlb_frame_stream stream = {0};
+
+	encode_on(out, k, &stream, id);
+}
+
+/* Decodes the first frame of a stream. */
+static enum tlb_code decode(struct tlb_frame_buffer *in, const struct tlb_frame_keys *k,
+			    Toucan__Envelope **msg)
+{
+	struct tlb_frame_stream stream = {0};
+
+	return tlb_frame_decode(in, k, &stream, msg);
 }
 
 static void setup(void)
@@ -43,17 +63,19 @@
 {
 	struct tlb_frame_buffer out = {0};
 	struct tlb_frame_buffer in = {0};
+	struct tlb_frame_stream sent = {.nonce = {7}};
+	struct tlb_frame_stream received = {.nonce = {7}};
 	struct tlb_frame_keys k = keys(0, 2);
 	Toucan__Envelope *msg;
 	uint64_t got = 0;
 	size_t i;
 
 	for (i = 1; i <= 50; i++)
-		encode(&out, &k, i);
+		encode_on(&out, &k, &sent, i);
 	for (i = out.start; i < out.end; i++) {
 		*tlb_frame_buffer_reserve(&in, 1) = out.data[i];
 		in.end++;
-		ck_assert_int_eq(tlb_frame_decode(&in, &k, &msg), TLB_OK);
+		ck_assert_int_eq(tlb_frame_decode(&in, &k, &received, &msg), TLB_OK);
 		if (!msg)
 			continue;
 		ck_assert_uint_eq(msg->id, ++got);
@@ -75,11 +97,11 @@
 	Toucan__Envelope *msg;
 
 	encode(&b, &new_only, 1);
-	ck_assert_int_eq(tlb_frame_decode(&b, &old_first, &msg), TLB_OK);
+	ck_assert_int_eq(decode(&b, &old_first, &msg), TLB_OK);
 	ck_assert_ptr_nonnull(msg);
 	toucan__envelope__free_unpacked(msg, NULL);
 	encode(&b, &old_only, 2);
-	ck_assert_int_eq(tlb_frame_decode(&b, &new_only, &msg), TLB_INVALID_KEY);
+	ck_assert_int_eq(decode(&b, &new_only, &msg), TLB_INVALID_KEY);
 	tlb_frame_buffer_finish(&b);
 }
 END_TEST
@@ -122,7 +144,7 @@
 		if (cases[i].at == 5)
 			flipped[0] = b.data[5] ^ 1;
 		set_bytes(&b, cases[i].at, flipped, cases[i].len);
-		ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), cases[i].code);
+		ck_assert_int_eq(decode(&b, &k, &msg), cases[i].code);
 		ck_assert_ptr_null(msg);
 		tlb_frame_buffer_finish(&b);
 	}
@@ -143,7 +165,7 @@
 	for (bit = 0; bit < 8 * len; bit++) {
 		b.data[bit / 8] ^= 1 << bit % 8;
 		/* A longer length waits for more; it is never a message. */
-		tlb_frame_decode(&b, &k, &msg);
+		decode(&b, &k, &msg);
 		ck_assert_ptr_null(msg);
 		b.data[bit / 8] ^= 1 << bit % 8;
 	}
@@ -159,28 +181,82 @@
 	Toucan__Envelope *msg;
 
 	encode(&b, &forger, 1);
-	ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), TLB_INVALID_KEY);
+	ck_assert_int_eq(decode(&b, &k, &msg), TLB_INVALID_KEY);
 	b.start = b.end = 0;
 	encode(&b, &k, 1);
 	b.end--;
-	ck_assert_int_eq(tlb_frame_decode(&b, &k, &msg), TLB_OK);
+	ck_assert_int_eq(decode(&b, &k, &msg), TLB_OK);
 	ck_assert_ptr_null(msg);
 	tlb_frame_buffer_finish(&b);
 }
 END_TEST
 
+/* Guards against a recorded frame that is taken a second time, elsewhere or out of order: each case
+ * gives the frames of one stream (0 to 2, in the order of arrival) to a receiver with the given
+ * nonce, which must take exactly the first `taken` of them and refuse the next. */
+START_TEST(frames_count_at_one_place_only)
+{
+	static const struct {
+		unsigned char nonce; /* of the receiver; 7 is the one that the frames are for */
+		int order[3];
+		int taken;
+	} cases[] = {
+		{7, {0, 1, 2}, 3}, /* as sent */
+		{7, {0, 0, 1}, 1}, /* the first again */
+		{7, {0, 1, 1}, 2}, /* the last again */
+		{7, {0, 1, 0}, 2}, /* an early one again */
+		{7, {0, 2, 1}, 1}, /* swapped */
+		{7, {1, 2, 0}, 0}, /* the first left out */
+		{7, {0, 2, 2}, 1}, /* one left out */
+		{8, {0, 1, 2}, 0}, /* on another connection */
+		{0, {0, 1, 2}, 0}, /* as the first frames of a connection */
+	};
+	struct tlb_frame_keys k = keys(0, 2);
+	Toucan__Envelope *msg;
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct tlb_frame_stream sent = {.nonce = {7}};
+		struct tlb_frame_stream received = {.nonce = {cases[i].nonce}};
+		struct tlb_frame_buffer frames[3] = {0};
+		enum tlb_code code = TLB_OK;
+
+		for (n = 0; n < 3; n++)
+			encode_on(&frames[n], &k, &sent, n + 1);
+		for (n = 0; n < 3 && code == TLB_OK; n++) {
+			struct tlb_frame_buffer *b = &frames[cases[i].order[n]];
+			size_t end = b->end;
+
+			code = tlb_frame_decode(b, &k, &received, &msg);
+			ck_assert(!msg == (code != TLB_OK));
+			if (msg)
+				toucan__envelope__free_unpacked(msg, NULL);
+			b->start = 0;
+			b->end = end;
+		}
+		ck_assert_uint_eq(received.number, cases[i].taken);
+		ck_assert_int_eq(code, cases[i].taken == 3 ? TLB_OK : TLB_INVALID_KEY);
+		for (n = 0; n < 3; n++)
+			tlb_frame_buffer_finish(&frames[n]);
+	}
+}
+END_TEST
+
 /* Guards against a sender that queues what every receiver must refuse. */
 START_TEST(oversized_message_is_not_sent)
 {
 	struct tlb_frame_keys k = keys(0, 1);
 	struct tlb_frame_buffer b = {0};
+	struct tlb_frame_stream stream = {0};
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
 	char *text = calloc(1, TLB_FRAME_MAX + 1);
 
 	memset(text, 'a', TLB_FRAME_MAX);
 	envelope.source = text;
-	ck_assert_int_eq(tlb_frame_encode(&b, &k, &envelope), TLB_TOO_LARGE);
+	ck_assert_int_eq(tlb_frame_encode(&b, &k, &stream, &envelope), TLB_TOO_LARGE);
 	ck_assert_uint_eq(b.end, 0);
+	ck_assert_uint_eq(stream.number, 0);
 	free(text);
 }
 END_TEST
@@ -198,6 +274,7 @@
 	tcase_add_test(tc, wrong_frames_are_refused);
 	tcase_add_test(tc, every_bit_counts);
 	tcase_add_test(tc, forged_and_truncated_frames);
+	tcase_add_test(tc, frames_count_at_one_place_only);
 	tcase_add_test(tc, oversized_message_is_not_sent);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
