Remove descriptors from the pollset without a search

Cause: a pollset that copies its descriptors goes through all of them for each one that is removed, and each call with a connection of its own removes its descriptor twice.

Change: the pollset keeps pointers to descriptors inside the watches, which are never freed while the loop lives.

--- a/src/loop.c
+++ b/src/loop.c
@@ -10,6 +10,7 @@
 struct tlb_watch {
 	APR_RING_ENTRY(tlb_watch) link;
 	apr_socket_t *socket;
+	apr_pollfd_t pollfd; /* the pollset keeps a pointer to it */
 	tlb_watch_fn *fn;
 	void *arg;
 	int fd;
@@ -41,34 +42,25 @@
 	return e;
 }
 
-static void watch_pollfd(const struct tlb_watch *w, apr_pollfd_t *pfd)
-{
-	memset(pfd, 0, sizeof(*pfd));
-	pfd->desc_type = APR_POLL_SOCKET;
-	pfd->desc.s = w->socket;
-	pfd->reqevents = (apr_int16_t)to_apr(w->events);
-	pfd->client_data = (void *)w;
-}
-
 static apr_status_t watch_arm(struct tlb_loop *l, struct tlb_watch *w)
 {
-	apr_pollfd_t pfd;
 	apr_status_t rv;
 
-	watch_pollfd(w, &pfd);
-	rv = apr_pollset_add(l->pollset, &pfd);
+	memset(&w->pollfd, 0, sizeof(w->pollfd));
+	w->pollfd.desc_type = APR_POLL_SOCKET;
+	w->pollfd.desc.s = w->socket;
+	w->pollfd.reqevents = (apr_int16_t)to_apr(w->events);
+	w->pollfd.client_data = w;
+	rv = apr_pollset_add(l->pollset, &w->pollfd);
 	w->armed = rv == APR_SUCCESS;
 	return rv;
 }
 
 static void watch_disarm(struct tlb_loop *l, struct tlb_watch *w)
 {
-	apr_pollfd_t pfd;
-
 	if (!w->armed)
 		return;
-	watch_pollfd(w, &pfd);
-	apr_pollset_remove(l->pollset, &pfd);
+	apr_pollset_remove(l->pollset, &w->pollfd);
 	w->armed = false;
 }
 
@@ -82,8 +74,9 @@
 	rv = apr_pool_create(&l->pool, NULL);
 	if (rv != APR_SUCCESS)
 		return rv;
-	rv = apr_pollset_create_ex(&l->pollset, POLLSET_SIZE, l->pool, APR_POLLSET_NODEFAULT,
-				   APR_POLLSET_EPOLL);
+	/* A pollset that copies what is added searches all its entries for one that is removed. */
+	rv = apr_pollset_create_ex(&l->pollset, POLLSET_SIZE, l->pool,
+				   APR_POLLSET_NODEFAULT | APR_POLLSET_NOCOPY, APR_POLLSET_EPOLL);
 	if (rv != APR_SUCCESS)
 		apr_pool_destroy(l->pool);
 	return rv;
