Format each log message once

Cause: without a buffer size log4c formats a message into a small buffer first and again into larger ones until it fits; a decision line never fits at once.

--- a/src/log.c
+++ b/src/log.c
@@ -1,11 +1,17 @@
 #include "log.h"
 
+#include <log4c/rc.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
 
-enum { BUFFER_BYTES = 65536, DEL = 0x7f };
+enum {
+	BUFFER_BYTES = 65536,
+	DEL = 0x7f,
+	LINE_LEN = 1200,
+	MESSAGE_LEN = 4096, /* longer than any line, because log4c complains about what it cuts */
+};
 
 static log4c_category_t *category;
 static FILE *out;
@@ -20,7 +26,7 @@
 
 static const char *format_line(const log4c_layout_t *layout, const log4c_logging_event_t *e)
 {
-	static char line[1200];
+	static char line[LINE_LEN];
 	static char when[32];
 	static time_t formatted;
 	struct timespec ts;
@@ -66,6 +72,8 @@
 	log4c_layout_set_type(layout, &layout_type);
 	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
+	/* Without a size log4c formats every message again and again until it fits. */
+	log4c_rc->config.bufsize = MESSAGE_LEN;
 	category = log4c_category_get("toucanlb");
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_additivity(category, 0);
