Move fences into a module of its own

Cause: cluster.c held links, session, shards, fences and messages in 1,100 lines, and the work on kept links changes the part about fences. Change: attempts, notices and the watch of a VM's witnesses move to fence.c; tlb_cluster_fence, tlb_cluster_announce_gone and tlb_cluster_repeat_fences become tlb_fences_attempt, tlb_fences_announce and tlb_fences_repeat_all. No behaviour changes. Ruled out: moving the messages of fences into member.c, which is as large.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -6,14 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fence.h"
 #include "log.h"
 
-/* Silence after which a VM's witnesses begin to fence it, and a session is given up as lost. */
-#define SILENCE (TLB_SESSION_LEASE + TLB_FENCE_MARGIN)
-/* Witnesses begin one after the other, so that usually one does the work. */
-#define FENCE_STEP (200 * TLB_MS)
-#define FENCE_RETRY (1 * TLB_SECOND)
-#define FENCE_CALL_TIMEOUT (1 * TLB_SECOND)
 /* A witness without a link for this long is replaced. */
 #define WITNESS_LOST (10 * TLB_SECOND)
 /* Longest wait for a proposed set of witnesses to grant. */
@@ -172,224 +167,6 @@
 	return 2 * c->map.version + !tlb_vm_name_equal(&e->owner, &c->self);
 }
 
-/* Fences. */
-
-static void send_fence_notice(struct tlb_cluster *c, const char *to, const struct tlb_vm_name *vm)
-{
-	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
-	Toucan__FenceNotice notice = TOUCAN__FENCE_NOTICE__INIT;
-	Toucan__Vm name = TOUCAN__VM__INIT;
-	struct tlb_vm_name copy = *vm;
-
-	name.id = copy.id;
-	name.incarnation = copy.incarnation;
-	notice.vm = &name;
-	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_NOTICE;
-	envelope.fence_notice = &notice;
-	tlb_peers_send(&c->peers, to, &envelope);
-}
-
-void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm)
-{
-	const struct tlb_peer *peer;
-
-	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
-		send_fence_notice(c, peer->id, vm);
-}
-
-static void stop_attempt(struct tlb_fence_attempt *a)
-{
-	int i;
-
-	for (i = 0; i < TLB_WITNESS_MAX; i++)
-		tlb_peer_cancel(&a->call[i]);
-	a->fence.vm.id[0] = '\0';
-}
-
-static struct tlb_fence_attempt *find_attempt(struct tlb_cluster *c, const struct tlb_vm_name *vm)
-{
-	int i;
-
-	for (i = 0; i < TLB_FENCES_MAX; i++)
-		if (c->fence[i].fence.vm.id[0] && tlb_vm_name_equal(&c->fence[i].fence.vm, vm))
-			return &c->fence[i];
-	return NULL;
-}
-
-/* The incarnation certainly acts no more. */
-static void take_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
-		      bool proven_here)
-{
-	struct tlb_vm_name name = *vm;
-	struct tlb_fence_attempt *a = find_attempt(c, &name);
-	tlb_shard_set before = c->acting;
-
-	if (a)
-		stop_attempt(a);
-	if (!tlb_roster_set_gone(&c->roster, &name))
-		return;
-	tlb_counter_add(c->counters, TLB_COUNTER_FENCES, 1);
-	tlb_log_info("event=fence vm=%s incarnation=%016" PRIx64 " source=%s", name.id,
-		     name.incarnation, why);
-	if (c->handlers.on_fenced)
-		c->handlers.on_fenced(c->handlers.arg, name.id, name.incarnation);
-	tlb_cluster_update(c);
-	if (c->acting & ~before)
-		tlb_log_info("event=takeover from=%s shards=%d", name.id,
-			     __builtin_popcountll(c->acting & ~before));
-	tlb_member_gone(&c->membership, proven_here);
-}
-
-static void check_proof(struct tlb_fence_attempt *a)
-{
-	struct tlb_cluster *c = a->cluster;
-	struct tlb_vm_name vm = a->fence.vm;
-
-	if (!tlb_fence_proven(&a->fence))
-		return;
-	take_gone(c, &vm, "witnesses", true);
-	tlb_cluster_announce_gone(c, &vm);
-}
-
-static void on_fence_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
-{
-	struct tlb_fence_attempt *a = arg;
-
-	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_FENCE_REPLY)
-		return;
-	if (reply->fence_reply->answer == TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED)
-		tlb_member_want_row(&a->cluster->membership, a->fence.vm.id);
-	if (reply->fence_reply->answer != TOUCAN__FENCE_REPLY__ANSWER__AGREED)
-		return;
-	tlb_fence_agree(&a->fence, reply->source);
-	check_proof(a);
-}
-
-static void ask_witness(struct tlb_fence_attempt *a, int i)
-{
-	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
-	Toucan__FenceRequest request = TOUCAN__FENCE_REQUEST__INIT;
-	Toucan__Vm name = TOUCAN__VM__INIT;
-
-	name.id = a->fence.vm.id;
-	name.incarnation = a->fence.vm.incarnation;
-	request.vm = &name;
-	request.row_version = a->fence.row_version;
-	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_REQUEST;
-	envelope.fence_request = &request;
-	tlb_peer_cancel(&a->call[i]);
-	tlb_peers_call(&a->cluster->peers, a->fence.witness[i], &a->call[i], &envelope,
-		       tlb_clock_now() + FENCE_CALL_TIMEOUT, on_fence_reply, a);
-}
-
-static int missing_agreements(const struct tlb_fence *f)
-{
-	int missing = f->count / 2 + 1;
-	int i;
-
-	for (i = 0; i < f->count; i++)
-		missing -= f->agreed[i];
-	return missing;
-}
-
-/* The own agreement comes last: it can't be taken back, and alone it would only cost the other VM a
- * witness. */
-static void ask_self(struct tlb_fence_attempt *a)
-{
-	struct tlb_cluster *c = a->cluster;
-	int64_t known;
-
-	if (missing_agreements(&a->fence) > 1)
-		return;
-	if (tlb_witness_fence(&c->witness, &a->fence.vm, a->fence.row_version, tlb_clock_now(),
-			      &known) == TLB_FENCE_AGREED)
-		tlb_fence_agree(&a->fence, c->self.id);
-}
-
-static void run_attempt(struct tlb_fence_attempt *a)
-{
-	int i;
-
-	a->next = tlb_clock_now() + FENCE_RETRY;
-	for (i = 0; i < a->fence.count; i++) {
-		if (a->fence.agreed[i])
-			continue;
-		if (strcmp(a->fence.witness[i], a->cluster->self.id) == 0)
-			ask_self(a);
-		else
-			ask_witness(a, i);
-	}
-	check_proof(a);
-}
-
-void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row)
-{
-	struct tlb_fence_attempt *a = find_attempt(c, &row->name);
-	int i;
-
-	if (a && a->fence.row_version != row->version) {
-		stop_attempt(a);
-		a = NULL;
-	}
-	for (i = 0; !a && i < TLB_FENCES_MAX; i++)
-		if (!c->fence[i].fence.vm.id[0]) {
-			a = &c->fence[i];
-			a->cluster = c;
-			a->next = 0;
-			tlb_fence_init(&a->fence, &row->name, row->version, row->witness,
-				       row->witness_count);
-			tlb_log_info("event=fence_attempt vm=%s incarnation=%016" PRIx64
-				     " witnesses=%d",
-				     row->name.id, row->name.incarnation, row->witness_count);
-		}
-	if (a && tlb_clock_now() >= a->next)
-		run_attempt(a);
-}
-
-static tlb_time heard_at(const struct tlb_cluster *c, const struct tlb_member *m)
-{
-	const struct tlb_peer *peer = tlb_peers_find(&c->peers, m->row.name.id);
-	tlb_time at = m->since > c->listening_since ? m->since : c->listening_since;
-
-	if (peer && peer->incarnation == m->row.name.incarnation && peer->heard > at)
-		at = peer->heard;
-	return at;
-}
-
-/* The position of this daemon among the witnesses of a VM, or -1. */
-static int witness_position(const struct tlb_cluster *c, const struct tlb_vm_row *row)
-{
-	int i;
-
-	for (i = 0; i < row->witness_count; i++)
-		if (strcmp(row->witness[i].id, c->self.id) == 0)
-			return i;
-	return -1;
-}
-
-static void check_silence(struct tlb_cluster *c)
-{
-	tlb_time now = tlb_clock_now();
-	struct tlb_fence_attempt *a;
-	const struct tlb_member *m;
-	int position;
-	int i;
-
-	for (i = 0; i < c->roster.count; i++) {
-		m = &c->roster.member[i];
-		position = witness_position(c, &m->row);
-		if (position < 0 || !tlb_roster_live(&c->roster, m))
-			continue;
-		if (now - heard_at(c, m) > SILENCE + position * FENCE_STEP) {
-			tlb_cluster_fence(c, &m->row);
-			continue;
-		}
-		a = find_attempt(c, &m->row.name);
-		if (a && now - heard_at(c, m) < TLB_PEER_SILENCE)
-			stop_attempt(a);
-	}
-}
-
 /* Witnesses. */
 
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out)
@@ -435,7 +212,8 @@
 {
 	const struct tlb_member *m = tlb_roster_find(&c->roster, witness->id);
 
-	return m && !linked_to(c, witness->id) && tlb_clock_now() - heard_at(c, m) > WITNESS_LOST;
+	return m && !linked_to(c, witness->id) &&
+	       tlb_clock_now() - tlb_fences_heard_at(c, m) > WITNESS_LOST;
 }
 
 static int count_witnesses(const struct tlb_cluster *c,
@@ -475,7 +253,7 @@
 	int wanted = others < TLB_WITNESS_MAX ? others : TLB_WITNESS_MAX;
 	bool hopeless = 2 * count_witnesses(c, witness_gone) >= count;
 
-	if (tlb_clock_now() - c->invalid_since > SILENCE)
+	if (tlb_clock_now() - c->invalid_since > TLB_FENCE_SILENCE)
 		hopeless = 2 * count_witnesses(c, witness_lost) >= count;
 	if (c->was_valid || !hopeless)
 		return false;
@@ -580,7 +358,7 @@
 			send_heartbeat(c, peer);
 	check_session(c);
 	check_own_row(c);
-	check_silence(c);
+	tlb_fences_check(c);
 	check_witnesses(c);
 	tlb_member_kick(&c->membership);
 }
@@ -650,48 +428,6 @@
 
 /* Messages. */
 
-static void take_fence_request(struct tlb_cluster *c, const struct tlb_peer_return *from,
-			       const Toucan__FenceRequest *request)
-{
-	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
-	Toucan__FenceReply reply = TOUCAN__FENCE_REPLY__INIT;
-	struct tlb_vm_name vm;
-
-	if (!request->vm || strlen(request->vm->id) >= TLB_ID_LEN)
-		return;
-	tlb_vm_name_set(&vm, request->vm->id, request->vm->incarnation);
-	switch (tlb_witness_fence(&c->witness, &vm, request->row_version, tlb_clock_now(),
-				  &reply.row_version)) {
-	case TLB_FENCE_AGREED:
-		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__AGREED;
-		break;
-	case TLB_FENCE_SUPERSEDED:
-		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__SUPERSEDED;
-		break;
-	case TLB_FENCE_REFUSED:
-		reply.answer = TOUCAN__FENCE_REPLY__ANSWER__REFUSED;
-		break;
-	}
-	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_REPLY;
-	envelope.fence_reply = &reply;
-	tlb_peers_reply(&c->peers, from, &envelope);
-}
-
-static void take_fence_notice(struct tlb_cluster *c, const Toucan__FenceNotice *notice)
-{
-	struct tlb_vm_name vm;
-
-	if (!notice->vm || strlen(notice->vm->id) >= TLB_ID_LEN)
-		return;
-	tlb_vm_name_set(&vm, notice->vm->id, notice->vm->incarnation);
-	if (tlb_vm_name_equal(&vm, &c->self)) {
-		tlb_cluster_rejoin(c, "fenced");
-		return;
-	}
-	take_gone(c, &vm, "notice", false);
-	tlb_member_want_row(&c->membership, vm.id);
-}
-
 static void send_done(struct tlb_cluster *c, const struct tlb_peer_return *to)
 {
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
@@ -807,10 +543,10 @@
 		take_ack(c, &vm, msg->heartbeat_ack);
 		break;
 	case TOUCAN__ENVELOPE__BODY_FENCE_REQUEST:
-		take_fence_request(c, &from, msg->fence_request);
+		tlb_fences_on_request(c, &from, msg->fence_request);
 		break;
 	case TOUCAN__ENVELOPE__BODY_FENCE_NOTICE:
-		take_fence_notice(c, msg->fence_notice);
+		tlb_fences_on_notice(c, msg->fence_notice);
 		break;
 	case TOUCAN__ENVELOPE__BODY_STANDBY_RELEASE:
 		take_standby_release(c, &from, msg->standby_release);
@@ -837,27 +573,6 @@
 	return !tlb_roster_gone(&c->roster, &name);
 }
 
-/* A VM whose fence is not written yet may have been missed by a peer without a link. */
-static void repeat_fences(struct tlb_cluster *c, const char *to)
-{
-	const struct tlb_member *m;
-	int i;
-
-	for (i = 0; i < c->roster.count; i++) {
-		m = &c->roster.member[i];
-		if (m->row.state == TLB_VM_LIVE && !tlb_roster_live(&c->roster, m))
-			send_fence_notice(c, to, &m->row.name);
-	}
-}
-
-void tlb_cluster_repeat_fences(struct tlb_cluster *c)
-{
-	const struct tlb_peer *peer;
-
-	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
-		repeat_fences(c, peer->id);
-}
-
 static void on_up(void *arg, struct tlb_peer *peer)
 {
 	struct tlb_cluster *c = arg;
@@ -867,7 +582,7 @@
 		m->notified = 0;
 	peer->heard = tlb_clock_now();
 	send_heartbeat(c, peer);
-	repeat_fences(c, peer->id);
+	tlb_fences_repeat(c, peer->id);
 	tlb_member_changed(&c->membership);
 }
 
@@ -908,9 +623,9 @@
 	known_gone = !m || tlb_vm_name_equal(&m->row.name, &row->name) ||
 		     tlb_roster_gone(&c->roster, &m->row.name);
 	if (!known_gone)
-		take_gone(c, &m->row.name, "row", false);
+		tlb_fences_take(c, &m->row.name, "row", false);
 	if (row->state != TLB_VM_LIVE)
-		take_gone(c, &row->name, "row", false);
+		tlb_fences_take(c, &row->name, "row", false);
 	tlb_roster_put(&c->roster, row, tlb_clock_now());
 	if (self && c->joined && !c->membership.leaving &&
 	    (!tlb_vm_name_equal(&row->name, &c->self) || row->state != TLB_VM_LIVE))
@@ -964,7 +679,7 @@
 	set_incarnation(c);
 	tlb_cluster_update(c);
 	/* This process is the proof that its former incarnation acts no more. */
-	take_gone(c, &former, "self", false);
+	tlb_fences_take(c, &former, "self", false);
 	if (c->handlers.on_self_fenced)
 		c->handlers.on_self_fenced(c->handlers.arg);
 	tlb_peers_set_incarnation(&c->peers, c->self.incarnation);
@@ -1015,9 +730,7 @@
 {
 	int i;
 
-	for (i = 0; i < TLB_FENCES_MAX; i++)
-		if (c->fence[i].cluster)
-			stop_attempt(&c->fence[i]);
+	tlb_fences_finish(c);
 	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
 		if (c->hand_over[i].state)
 			drop_hand_over(&c->hand_over[i]);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -86,7 +86,7 @@
 	Toucan__HandOver *state; /* owned; NULL when the slot is free */
 };
 
-/* Owns all parts; the fields are private to cluster.c and member.c. */
+/* Owns all parts; the fields are private to cluster.c, fence.c and member.c. */
 struct tlb_cluster {
 	struct tlb_loop *loop;
 	const struct tlb_settings *settings;
@@ -184,12 +184,6 @@
 void tlb_cluster_joined(struct tlb_cluster *c, const struct tlb_vm_row *row);
 /* Starts over under a new incarnation; the one so far acts no more. */
 void tlb_cluster_rejoin(struct tlb_cluster *c, const char *reason);
-/* Attempts to fence an incarnation, for which this daemon need not be a witness. */
-void tlb_cluster_fence(struct tlb_cluster *c, const struct tlb_vm_row *row);
-/* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
-void tlb_cluster_announce_gone(struct tlb_cluster *c, const struct tlb_vm_name *vm);
-/* Tells all VMs again of the fences that no row known here shows yet. */
-void tlb_cluster_repeat_fences(struct tlb_cluster *c);
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
 /* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
--- a/src/member.c
+++ b/src/member.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "fence.h"
 #include "log.h"
 
 #define STORE_TIMEOUT (2 * TLB_SECOND)
@@ -353,7 +354,7 @@
 	}
 	tlb_log_warn("event=join_blocked vm=%s addr=%s former_addr=%s", c->self.id, c->peers.addr,
 		     row->addr);
-	tlb_cluster_fence(c, row);
+	tlb_fences_attempt(c, row);
 	return false;
 }
 
@@ -428,7 +429,7 @@
 		tlb_log_info("event=fence_written map=%" PRId64, written_version(body, shards_key));
 		take_next(m, body);
 		/* The others read the rows now, instead of writing the same. */
-		tlb_cluster_repeat_fences(m->cluster);
+		tlb_fences_repeat_all(m->cluster);
 		m->rows_wanted = true;
 		return;
 	}
@@ -601,7 +602,7 @@
 		tlb_log_info("event=left vm=%s map=%" PRId64, c->self.id,
 			     written_version(body, shards_key));
 		take_next(m, body);
-		tlb_cluster_announce_gone(c, &c->self);
+		tlb_fences_announce(c, &c->self);
 		close_write(m);
 		finish_leave(m);
 		break;
