Judge liveness for shard placement by rows and fences, not by links

Cause: with links kept to some VMs only, a missing link says nothing about the VM; placement by links would move shards and standby roles away from VMs that live. Change: a VM can be given shards if its row is live and its incarnation is not fenced. A link that comes up or goes down no longer plans a move. A move to a VM that is dead and not yet fenced is abandoned because its HandOver is not answered, as before. Ruled out: a separate measure of silence by every VM; the witnesses measure it already.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -583,14 +583,6 @@
 	peer->heard = tlb_clock_now();
 	send_heartbeat(c, peer);
 	tlb_fences_repeat(c, peer->id);
-	tlb_member_changed(&c->membership);
-}
-
-static void on_down(void *arg, struct tlb_peer *peer)
-{
-	struct tlb_cluster *c = arg;
-
-	tlb_member_changed(&c->membership);
 }
 
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm)
@@ -696,7 +688,6 @@
 		.arg = c,
 		.accepts = accepts,
 		.on_up = on_up,
-		.on_down = on_down,
 		.on_message = on_message,
 	};
 
--- a/src/member.c
+++ b/src/member.c
@@ -60,7 +60,8 @@
 		*at = when;
 }
 
-/* The VMs that can be given shards. Owns the list. */
+/* The VMs that can be given shards: live by row and not fenced, whether or not there is a link to
+ * them. Owns the list. */
 struct fleet {
 	struct tlb_fleet view;
 	struct tlb_shard_vm *live;
@@ -91,8 +92,7 @@
 	for (i = 0; i < c->roster.count; i++) {
 		member = &c->roster.member[i];
 		if (strcmp(member->row.name.id, c->self.id) != 0 &&
-		    tlb_roster_live(&c->roster, member) &&
-		    tlb_peer_is_up(tlb_peers_find(&c->peers, member->row.name.id)))
+		    tlb_roster_live(&c->roster, member))
 			fleet_add(f, &member->row.name, member->row.zone);
 	}
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -187,7 +187,6 @@
 		peer->up = NULL;
 		tlb_counter_add(p->counters, TLB_COUNTER_PEER_LINKS, -1);
 		tlb_log_info("event=link_down vm=%s reason=\"%s\"", peer->id, reason);
-		p->handlers.on_down(p->handlers.arg, peer);
 	}
 	fail_calls(l);
 }
--- a/src/peer.h
+++ b/src/peer.h
@@ -87,7 +87,6 @@
 	/* Whether a connection of this incarnation is taken. */
 	bool (*accepts)(void *arg, const char *vm, uint64_t incarnation);
 	void (*on_up)(void *arg, struct tlb_peer *peer);
-	void (*on_down)(void *arg, struct tlb_peer *peer);
 	/* Every message that is no reply. msg is borrowed, but its body may be taken out. */
 	void (*on_message)(void *arg, struct tlb_peer *peer, Toucan__Envelope *msg);
 };
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -435,6 +435,24 @@
 	return all == ~(tlb_shard_set)0;
 }
 
+/* Guards against a VM that takes shards or standby roles from another because the link between the
+ * two is lost: only rows and fences decide who is live. */
+START_TEST(lost_link_moves_nothing)
+{
+	int64_t version;
+	int i;
+
+	start_fleet(NODES);
+	version = nodes[2].cluster.map.version;
+	tlb_peers_drop(&nodes[0].cluster.peers, "vm1");
+	tlb_peers_drop(&nodes[1].cluster.peers, "vm0");
+	run_for(5 * TLB_SECOND);
+	ck_assert(settled());
+	for (i = 0; i < NODES; i++)
+		ck_assert_int_eq(nodes[i].cluster.map.version, version);
+}
+END_TEST
+
 /* Guards against a VM that goes on without its peers while it still reaches the store. The
  * partition is a key that the others don't have. */
 START_TEST(partitioned_vm_stops)
@@ -498,6 +516,7 @@
 	tcase_add_test(tc, restarted_vm_replaces_its_former_incarnation);
 	tcase_add_test(tc, leaving_vm_hands_its_shards_over);
 	tcase_add_test(tc, paused_vm_rejoins);
+	tcase_add_test(tc, lost_link_moves_nothing);
 	tcase_add_test(tc, partitioned_vm_stops);
 	tcase_add_test(tc, answers_of_the_store_are_lost);
 	suite_add_tcase(s, tc);
