--- a/src/cluster.c
+++ b/src/cluster.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "fence.h"
+#include "gossip.h"
 #include "log.h"
 
 /* A witness without a link for this long is replaced. */
@@ -313,7 +314,7 @@
 	return c->session.set[c->session.phase == TLB_SESSION_CONFIRMING].row_version;
 }
 
-static void send_heartbeat(struct tlb_cluster *c, const struct tlb_peer *peer)
+static void send_heartbeat(struct tlb_cluster *c, const struct tlb_peer *peer, bool with_digest)
 {
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
 	Toucan__Heartbeat heartbeat = TOUCAN__HEARTBEAT__INIT;
@@ -325,6 +326,7 @@
 	heartbeat.row_version = c->joined ? own_row_version(c) : 0;
 	heartbeat.config_version = config_version(c);
 	heartbeat.shards_version = c->map.version;
+	heartbeat.rows_digest = with_digest ? tlb_roster_digest(&c->roster) : 0;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
 	tlb_peers_send(&c->peers, peer->id, &envelope);
@@ -348,17 +350,20 @@
 	struct tlb_cluster *c = arg;
 	const struct tlb_peer *peer;
 	tlb_time now = tlb_clock_now();
+	bool with_digest;
 
 	if (now - c->heartbeat.deadline > PAUSE_MIN)
 		c->listening_since = now;
 	tlb_timer_set(c->loop, &c->heartbeat, now + TLB_HEARTBEAT_INTERVAL);
 	next_heartbeat(c);
+	with_digest = c->heartbeat_number % TLB_GOSSIP_DIGEST_EVERY == 0;
 	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
 		if (tlb_peer_is_up(peer))
-			send_heartbeat(c, peer);
+			send_heartbeat(c, peer, with_digest);
 	check_session(c);
 	check_own_row(c);
 	tlb_fences_check(c);
+	tlb_gossip_check(c);
 	check_witnesses(c);
 	tlb_member_kick(&c->membership);
 }
@@ -387,16 +392,10 @@
 
 	if (heartbeat->grant_wanted)
 		ack_heartbeat(c, vm, heartbeat);
-	if (heartbeat->shards_version > c->map.version)
-		tlb_member_want_shards(&c->membership);
-	if (!m || heartbeat->row_version > m->row.version)
-		tlb_member_want_row(&c->membership, vm->id);
+	tlb_gossip_on_heartbeat(c, vm->id, heartbeat->row_version, heartbeat->shards_version,
+				heartbeat->rows_digest);
 	if (!m)
 		return;
-	if (heartbeat->shards_version < c->map.version && m->notified < c->map.version) {
-		m->notified = c->map.version;
-		tlb_cluster_send_map(c, vm->id);
-	}
 	if (heartbeat->config_version == m->config_version)
 		return;
 	m->config_version = heartbeat->config_version;
@@ -464,19 +463,6 @@
 	send_done(c, from);
 }
 
-static void take_shards_notice(struct tlb_cluster *c, const Toucan__ShardsNotice *notice)
-{
-	struct tlb_shard_map map;
-	json_t *value;
-
-	if (notice->version <= c->map.version)
-		return;
-	value = json_loads(notice->json, 0, NULL);
-	if (value && tlb_shard_map_parse(&map, notice->version, value))
-		tlb_cluster_take_map(c, &map);
-	json_decref(value);
-}
-
 static void take_hand_over(struct tlb_cluster *c, const struct tlb_peer_return *from,
 			   Toucan__Envelope *msg)
 {
@@ -546,13 +532,22 @@
 		tlb_fences_on_request(c, &from, msg->fence_request);
 		break;
 	case TOUCAN__ENVELOPE__BODY_FENCE_NOTICE:
-		tlb_fences_on_notice(c, msg->fence_notice);
+		tlb_fences_on_notice(c, peer->id, msg->fence_notice);
 		break;
 	case TOUCAN__ENVELOPE__BODY_STANDBY_RELEASE:
 		take_standby_release(c, &from, msg->standby_release);
 		break;
 	case TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE:
-		take_shards_notice(c, msg->shards_notice);
+		tlb_gossip_on_map(c, peer->id, msg->shards_notice);
+		break;
+	case TOUCAN__ENVELOPE__BODY_SHARDS_PULL:
+		tlb_gossip_on_map_pull(c, peer->id, msg->shards_pull);
+		break;
+	case TOUCAN__ENVELOPE__BODY_ROW_NOTICE:
+		tlb_gossip_on_rows(c, peer->id, msg->row_notice);
+		break;
+	case TOUCAN__ENVELOPE__BODY_ROWS_PULL:
+		tlb_gossip_on_rows_pull(c, peer->id, msg->rows_pull);
 		break;
 	case TOUCAN__ENVELOPE__BODY_HAND_OVER:
 		take_hand_over(c, &from, msg);
@@ -576,12 +571,9 @@
 static void on_up(void *arg, struct tlb_peer *peer)
 {
 	struct tlb_cluster *c = arg;
-	struct tlb_member *m = tlb_roster_find(&c->roster, peer->id);
 
-	if (m)
-		m->notified = 0;
 	peer->heard = tlb_clock_now();
-	send_heartbeat(c, peer);
+	send_heartbeat(c, peer, true);
 	tlb_fences_repeat(c, peer->id);
 }
 
@@ -646,6 +638,7 @@
 		     c->self.id, c->self.incarnation, row->version, row->witness_count);
 	check_session(c);
 	tlb_cluster_update(c);
+	tlb_gossip_rows(c, row, 1, NULL);
 	heartbeat_timer(c);
 }
 
@@ -781,6 +774,29 @@
 	c->peers.keys.count = c->settings->peer_key_count;
 }
 
+static int64_t config_shown(const struct tlb_member *m)
+{
+	return m->config_version;
+}
+
+int tlb_cluster_lacking_config(const struct tlb_cluster *c, int64_t version,
+			       char vm[TLB_CLUSTER_TARGETS_MAX][TLB_ID_LEN])
+{
+	struct tlb_gossip_targets to;
+
+	tlb_gossip_pick(c, NULL, config_shown, version, &to);
+	memcpy(vm, to.vm, sizeof(to.vm));
+	return to.count;
+}
+
+void tlb_cluster_shown_config(struct tlb_cluster *c, const char *vm, int64_t version)
+{
+	struct tlb_member *m = tlb_roster_find(&c->roster, vm);
+
+	if (m && version > m->config_version)
+		m->config_version = version;
+}
+
 int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm)
 {
 	const struct tlb_member *m = tlb_roster_find(&c->roster, vm);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -63,7 +63,7 @@
 	int64_t (*config_version)(void *arg);
 };
 
-enum { TLB_CLUSTER_WITNESSES_ENOUGH = 5 };
+enum { TLB_CLUSTER_WITNESSES_ENOUGH = 5, TLB_CLUSTER_TARGETS_MAX = 4 };
 
 enum tlb_owner { TLB_OWNER_SELF, TLB_OWNER_PEER, TLB_OWNER_NONE };
 
@@ -86,7 +86,7 @@
 	Toucan__HandOver *state; /* owned; NULL when the slot is free */
 };
 
-/* Owns all parts; the fields are private to cluster.c, fence.c and member.c. */
+/* Owns all parts; the fields are private to cluster.c, fence.c, gossip.c and member.c. */
 struct tlb_cluster {
 	struct tlb_loop *loop;
 	const struct tlb_settings *settings;
@@ -116,6 +116,9 @@
 	tlb_time invalid_since;
 	tlb_time listening_since; /* silence before this instant says nothing about others */
 	tlb_time proposed_at;
+	int64_t pull_map_version; /* what was pulled last, see gossip.c */
+	tlb_time pull_map_at;	  /* not before: the next pull of the same */
+	tlb_time pull_rows_at;
 	struct tlb_fence_attempt fence[TLB_FENCES_MAX];
 	struct tlb_hand_over hand_over[TLB_HAND_OVERS_MAX];
 };
@@ -159,8 +162,13 @@
 void tlb_cluster_each(const struct tlb_cluster *c, void (*fn)(void *arg, const char *vm),
 		      void *arg);
 
-/* The configuration version that a VM's last heartbeat named; 0 when none came. */
+/* The configuration version that a VM has last shown; 0 when none. */
 int64_t tlb_cluster_peer_config(const struct tlb_cluster *c, const char *vm);
+/* A VM has shown this version otherwise than by a heartbeat. */
+void tlb_cluster_shown_config(struct tlb_cluster *c, const char *vm, int64_t version);
+/* Some VMs that have not shown this version, to send it on to; returns their number. */
+int tlb_cluster_lacking_config(const struct tlb_cluster *c, int64_t version,
+			       char vm[TLB_CLUSTER_TARGETS_MAX][TLB_ID_LEN]);
 
 /* Sends a request. body needs only its oneof set; it is encoded before the function returns.
  * on_reply runs once, at the latest at the deadline. */
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -35,7 +35,7 @@
 	tlb_orders_sync(&d->board.orders);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_CONFIG_VERSION, d->table_version);
 	/* A VM that read the store by itself need not tell the others: heartbeats do. */
-	if (d->config.source == TLB_CONFIG_FROM_CHANGE)
+	if (d->config.source != TLB_CONFIG_FROM_STORE)
 		tlb_spread_push(&d->spread, former);
 }
 
--- a/src/fence.c
+++ b/src/fence.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "gossip.h"
 #include "log.h"
 
 /* Witnesses begin one after the other, so that usually one does the work. */
@@ -54,7 +55,7 @@
 }
 
 /* The incarnation certainly acts no more. */
-void tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
+bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
 		     bool proven_here)
 {
 	struct tlb_vm_name name = *vm;
@@ -64,7 +65,7 @@
 	if (a)
 		stop_attempt(a);
 	if (!tlb_roster_set_gone(&c->roster, &name))
-		return;
+		return false;
 	tlb_counter_add(c->counters, TLB_COUNTER_FENCES, 1);
 	tlb_log_info("event=fence vm=%s incarnation=%016" PRIx64 " source=%s", name.id,
 		     name.incarnation, why);
@@ -75,6 +76,7 @@
 		tlb_log_info("event=takeover from=%s shards=%d", name.id,
 			     __builtin_popcountll(c->acting & ~before));
 	tlb_member_gone(&c->membership, proven_here);
+	return true;
 }
 
 static void check_proof(struct tlb_fence_attempt *a)
@@ -254,7 +256,19 @@
 	tlb_peers_reply(&c->peers, from, &envelope);
 }
 
-void tlb_fences_on_notice(struct tlb_cluster *c, const Toucan__FenceNotice *notice)
+/* Sends a notice on to a few VMs, once. */
+static void forward_notice(struct tlb_cluster *c, const char *from, const struct tlb_vm_name *vm)
+{
+	struct tlb_gossip_targets to;
+	int i;
+
+	tlb_gossip_pick(c, from, NULL, 0, &to);
+	for (i = 0; i < to.count; i++)
+		send_fence_notice(c, to.vm[i], vm);
+}
+
+void tlb_fences_on_notice(struct tlb_cluster *c, const char *from,
+			  const Toucan__FenceNotice *notice)
 {
 	struct tlb_vm_name vm;
 
@@ -265,8 +279,8 @@
 		tlb_cluster_rejoin(c, "fenced");
 		return;
 	}
-	tlb_fences_take(c, &vm, "notice", false);
-	tlb_member_want_row(&c->membership, vm.id);
+	if (tlb_fences_take(c, &vm, "notice", false))
+		forward_notice(c, from, &vm);
 }
 
 /* A VM whose fence is not written yet may have been missed by a peer without a link. */
@@ -282,14 +296,6 @@
 	}
 }
 
-void tlb_fences_repeat_all(struct tlb_cluster *c)
-{
-	const struct tlb_peer *peer;
-
-	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
-		tlb_fences_repeat(c, peer->id);
-}
-
 void tlb_fences_finish(struct tlb_cluster *c)
 {
 	int i;
--- a/src/fence.h
+++ b/src/fence.h
@@ -20,18 +20,18 @@
 /* When a VM was last heard, or from when on its silence counts. */
 tlb_time tlb_fences_heard_at(const struct tlb_cluster *c, const struct tlb_member *m);
 /* The incarnation certainly acts no more. why is the source for the log; proven_here when this
- * daemon collected the proof. */
-void tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
+ * daemon collected the proof. Returns false when it was known. */
+bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
 		     bool proven_here);
 /* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
 void tlb_fences_announce(struct tlb_cluster *c, const struct tlb_vm_name *vm);
-/* Tells one VM, or all, of the fences that no row known here shows yet. */
+/* Tells a VM of the fences that no row known here shows yet. */
 void tlb_fences_repeat(struct tlb_cluster *c, const char *to);
-void tlb_fences_repeat_all(struct tlb_cluster *c);
 /* Messages. */
 void tlb_fences_on_request(struct tlb_cluster *c, const struct tlb_peer_return *from,
 			   const Toucan__FenceRequest *request);
-void tlb_fences_on_notice(struct tlb_cluster *c, const Toucan__FenceNotice *notice);
+void tlb_fences_on_notice(struct tlb_cluster *c, const char *from,
+			  const Toucan__FenceNotice *notice);
 void tlb_fences_finish(struct tlb_cluster *c);
 
 #endif
--- a/src/member.c
+++ b/src/member.c
@@ -8,6 +8,7 @@
 
 #include "cluster.h"
 #include "fence.h"
+#include "gossip.h"
 #include "log.h"
 
 #define STORE_TIMEOUT (2 * TLB_SECOND)
@@ -305,23 +306,32 @@
 	tlb_store_write(txn, shards_key, tlb_shard_map_json(&m->next));
 }
 
-static void broadcast_map(struct tlb_cluster *c)
+/* A new owner uses the state that was handed over only with the very map that gives it the shards;
+ * by way of others it could get a newer one first. */
+static void send_map_to_heirs(struct tlb_cluster *c, const struct tlb_shard_map *before)
 {
-	const struct tlb_peer *peer;
+	const struct tlb_vm_name *vm;
+	int i;
 
-	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
-		if (tlb_peer_is_up(peer))
-			tlb_cluster_send_map(c, peer->id);
+	for (i = 0; i < c->roster.count; i++) {
+		vm = &c->roster.member[i].row.name;
+		if (tlb_shard_given(before, &c->map, &c->self, vm))
+			tlb_cluster_send_map(c, vm->id);
+	}
 }
 
 /* The map that a transaction wrote comes into force. */
 static void take_next(struct tlb_membership *m, const json_t *body)
 {
+	struct tlb_cluster *c = m->cluster;
+	struct tlb_shard_map before = c->map;
+
 	m->next.version = written_version(body, shards_key);
-	if (m->next.version <= m->cluster->map.version)
+	if (m->next.version <= c->map.version)
 		return;
-	tlb_cluster_take_map(m->cluster, &m->next);
-	broadcast_map(m->cluster);
+	tlb_cluster_take_map(c, &m->next);
+	send_map_to_heirs(c, &before);
+	tlb_gossip_map(c);
 }
 
 /* Join. */
@@ -420,6 +430,21 @@
 
 /* Fences. */
 
+/* The rows that a transaction has written as fenced are in force; the others are told, instead of
+ * writing the same. */
+static void take_fenced(struct tlb_membership *m, const json_t *body)
+{
+	char key[KEY_LEN];
+	int i;
+
+	for (i = 0; i < m->fenced_count; i++) {
+		vm_key(key, m->fenced[i].name.id);
+		m->fenced[i].version = written_version(body, key);
+		tlb_cluster_take_row(m->cluster, &m->fenced[i]);
+	}
+	tlb_gossip_rows(m->cluster, m->fenced, m->fenced_count, NULL);
+}
+
 static void on_fences_written(void *arg, enum tlb_store_status status, json_t *body,
 			      const struct tlb_error *err)
 {
@@ -428,22 +453,27 @@
 	if (finish_op(m, "fence", status)) {
 		tlb_log_info("event=fence_written map=%" PRId64, written_version(body, shards_key));
 		take_next(m, body);
-		/* The others read the rows now, instead of writing the same. */
-		tlb_fences_repeat_all(m->cluster);
-		m->rows_wanted = true;
+		take_fenced(m, body);
 		return;
 	}
 	/* Whatever came of it: what the rows still lack is written anew. */
 	read_again(m);
 }
 
-static int add_fenced_rows(const struct tlb_cluster *c, json_t *txn)
+static int add_fenced_rows(struct tlb_membership *m, json_t *txn)
 {
+	const struct tlb_cluster *c = m->cluster;
 	const struct tlb_member *member;
 	struct tlb_vm_row row;
 	int n = 0;
 	int i;
 
+	free(m->fenced);
+	m->fenced = calloc(c->roster.count + 1, sizeof(*m->fenced));
+	m->fenced_count = 0;
+	if (!m->fenced)
+		abort();
+
 	for (i = 0; i < c->roster.count; i++) {
 		member = &c->roster.member[i];
 		if (member->row.state != TLB_VM_LIVE || tlb_roster_live(&c->roster, member))
@@ -452,8 +482,9 @@
 		row.state = TLB_VM_FENCED;
 		check_row(txn, row.name.id, row.version);
 		write_row(txn, &row);
-		n++;
+		m->fenced[n++] = row;
 	}
+	m->fenced_count = n;
 	return n;
 }
 
@@ -471,7 +502,7 @@
 	m->next.ticket = 0;
 	changed = f.view.live_count ? tlb_shard_apply_gone(&m->next, &f.view) : 0;
 	fleet_finish(&f);
-	rows = add_fenced_rows(c, txn);
+	rows = add_fenced_rows(m, txn);
 	m->fence_at = TLB_NEVER;
 	if (!changed && !rows) {
 		json_decref(txn);
@@ -561,6 +592,17 @@
 	tlb_log_info("event=witnesses row=%" PRId64 " count=%d", version, row.witness_count);
 	close_write(m);
 	tlb_cluster_take_row(c, &row);
+	tlb_gossip_rows(c, &row, 1, NULL);
+}
+
+/* Only told: this daemon ends with its row. */
+static void tell_left(struct tlb_membership *m, int64_t version)
+{
+	struct tlb_vm_row row = *own_row(m->cluster);
+
+	row.state = TLB_VM_LEFT;
+	row.version = version;
+	tlb_gossip_rows(m->cluster, &row, 1, NULL);
 }
 
 static void write_undone(struct tlb_membership *m)
@@ -602,7 +644,9 @@
 		tlb_log_info("event=left vm=%s map=%" PRId64, c->self.id,
 			     written_version(body, shards_key));
 		take_next(m, body);
+		tlb_gossip_map_to_all(c);
 		tlb_fences_announce(c, &c->self);
+		tell_left(m, written_version(body, key));
 		close_write(m);
 		finish_leave(m);
 		break;
@@ -999,6 +1043,7 @@
 void tlb_member_finish(struct tlb_membership *m)
 {
 	stop_calls(m);
+	free(m->fenced);
 	tlb_store_cancel(&m->op);
 	tlb_timer_clear(m->cluster->loop, &m->step);
 	if (m->on_left)
--- a/src/member.h
+++ b/src/member.h
@@ -53,6 +53,9 @@
 	tlb_time refresh_at; /* when to read all rows again */
 	tlb_time witness_at; /* not before: the next replacement of witnesses */
 
+	struct tlb_vm_row *fenced; /* rows in the last write of fences; owned */
+	int fenced_count;
+
 	enum tlb_member_write write;
 	enum tlb_member_phase phase;
 	bool uncertain;
--- a/src/roster.c
+++ b/src/roster.c
@@ -1,11 +1,12 @@
 #include "roster.h"
 
 #include <inttypes.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-enum { MEMBERS_FIRST = 16, HEX_BASE = 16, HEX_LEN = 17 };
+enum { MEMBERS_FIRST = 16, HEX_BASE = 16, HEX_LEN = 17, DIGEST_LEN = 32 };
 
 static const char *const state_names[] = {"live", "fenced", "left"};
 
@@ -145,6 +146,7 @@
 		tlb_roster_set_gone(r, &m->row.name);
 	if (!m)
 		m = add_member(r);
+	r->digest = 0;
 	m->row = *row;
 	m->since = now;
 	m->stale = false;
@@ -157,6 +159,7 @@
 {
 	if (tlb_roster_gone(r, name))
 		return false;
+	r->digest = 0;
 	r->gone[r->gone_next] = *name;
 	r->gone_next = (r->gone_next + 1) % TLB_GONE_MAX;
 	if (r->gone_count < TLB_GONE_MAX)
@@ -191,3 +194,33 @@
 		infer(r, &m->entry[i].standby);
 	}
 }
+
+/* A row counts by its id, its version and whether a fence of it is known that it does not show. */
+static uint64_t row_digest(const struct tlb_roster *r, const struct tlb_member *m)
+{
+	static const unsigned char key[crypto_shorthash_KEYBYTES];
+	unsigned char out[crypto_shorthash_BYTES];
+	char text[TLB_ID_LEN + DIGEST_LEN];
+	bool fenced = m->row.state == TLB_VM_LIVE && !tlb_roster_live(r, m);
+	uint64_t value;
+	int len;
+
+	len = snprintf(text, sizeof(text), "%s/%" PRId64 "/%d", m->row.name.id, m->row.version,
+		       fenced);
+	crypto_shorthash(out, (const unsigned char *)text, len, key);
+	memcpy(&value, out, sizeof(value));
+	return value;
+}
+
+uint64_t tlb_roster_digest(struct tlb_roster *r)
+{
+	uint64_t digest = 0;
+	int i;
+
+	if (r->digest)
+		return r->digest;
+	for (i = 0; i < r->count; i++)
+		digest ^= row_digest(r, &r->member[i]);
+	r->digest = digest ? digest : 1;
+	return r->digest;
+}
--- a/src/roster.h
+++ b/src/roster.h
@@ -42,7 +42,7 @@
 	struct tlb_vm_row row;
 	tlb_time since;		/* when this row became known */
 	int64_t config_version; /* from its last heartbeat */
-	int64_t notified;	/* version of the shard map that it was last told */
+	int64_t shards_version; /* highest version of the shard map that it has shown */
 	uint64_t promised;	/* our incarnation that it promised not to grant any more */
 	bool stale;		/* it runs under a row newer than the one known */
 };
@@ -55,6 +55,7 @@
 	struct tlb_vm_name gone[TLB_GONE_MAX]; /* the latest; older ones are in no shard map */
 	int gone_count;
 	int gone_next;
+	uint64_t digest; /* see tlb_roster_digest(); 0 when it must be computed anew */
 };
 
 void tlb_roster_finish(struct tlb_roster *r);
@@ -68,6 +69,8 @@
 /* Incarnations named in the map that differ from the row of their VM are gone; only for rows that
  * were read after the map. */
 void tlb_roster_infer_gone(struct tlb_roster *r, const struct tlb_shard_map *m);
+/* Equal at two VMs that know the same rows and the same fences that no row shows yet; never 0. */
+uint64_t tlb_roster_digest(struct tlb_roster *r);
 /* Whether the row's incarnation can be given work. */
 static inline bool tlb_roster_live(const struct tlb_roster *r, const struct tlb_member *m)
 {
--- a/src/spread.c
+++ b/src/spread.c
@@ -126,25 +126,15 @@
 	return code;
 }
 
-struct push {
-	struct tlb_spread *spread;
-	Toucan__Envelope *envelope;
-};
-
-static void push_to(void *arg, const char *vm)
-{
-	struct push *p = arg;
-
-	tlb_cluster_send(p->spread->cluster, vm, p->envelope);
-}
-
 void tlb_spread_push(struct tlb_spread *s, int64_t base)
 {
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 	Toucan__ConfigPush m = TOUCAN__CONFIG_PUSH__INIT;
-	struct push p = {s, &e};
+	char vm[TLB_CLUSTER_TARGETS_MAX][TLB_ID_LEN];
 	struct row_messages rows;
 	int64_t from;
+	int count;
+	int i;
 
 	if (messages_init(&rows, s->config, base, 0, &from)) {
 		m.version = tlb_config_version(s->config);
@@ -153,7 +143,9 @@
 		m.rows = rows.pointers;
 		e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_PUSH;
 		e.config_push = &m;
-		tlb_cluster_each(s->cluster, push_to, &p);
+		count = tlb_cluster_lacking_config(s->cluster, m.version, vm);
+		for (i = 0; i < count; i++)
+			tlb_cluster_send(s->cluster, vm[i], &e);
 	}
 	messages_finish(&rows);
 }
@@ -238,6 +230,7 @@
 	json_t *rows = json_array();
 	enum tlb_code code = TLB_CONFLICT;
 
+	tlb_cluster_shown_config(s->cluster, from->vm, m->version);
 	add_rows(rows, m->rows, m->n_rows);
 	if (m->base_version != BASE_PULL)
 		code = apply(s, from->vm, m->version, m->base_version, rows);
--- a/src/spread.h
+++ b/src/spread.h
@@ -1,7 +1,7 @@
 /*
- * Spreads the configuration between daemons. The VM that accepted a change pushes it to its peers;
- * a VM that sees a higher version in a heartbeat pulls what it lacks. So a change reaches every VM
- * while the table service is down.
+ * Spreads the configuration between daemons. A VM that accepted a change, or took a newer version
+ * from a peer, pushes it to some VMs that have not shown it; a VM that sees a higher version in a
+ * heartbeat pulls what it lacks. So a change reaches every VM while the table service is down.
  */
 #ifndef TLB_SPREAD_H
 #define TLB_SPREAD_H
@@ -25,7 +25,7 @@
 void tlb_spread_init(struct tlb_spread *s, struct tlb_loop *l, struct tlb_cluster *c,
 		     struct tlb_config *config);
 void tlb_spread_finish(struct tlb_spread *s);
-/* Pushes what came after version base to every peer. */
+/* Pushes what came after version base to some VMs that have not shown the version in force. */
 void tlb_spread_push(struct tlb_spread *s, int64_t base);
 /* A peer's heartbeat names this version. */
 void tlb_spread_on_version(struct tlb_spread *s, const char *vm, int64_t version);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -502,6 +502,231 @@
   assert(message->base.descriptor == &toucan__shards_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__vm_row__init
+                     (Toucan__VmRow         *message)
+{
+  static const Toucan__VmRow init_value = TOUCAN__VM_ROW__INIT;
+  *message = init_value;
+}
+size_t toucan__vm_row__get_packed_size
+                     (const Toucan__VmRow *message)
+{
+  assert(message->base.descriptor == &toucan__vm_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__vm_row__pack
+                     (const Toucan__VmRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__vm_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__vm_row__pack_to_buffer
+                     (const Toucan__VmRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__vm_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__VmRow *
+       toucan__vm_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__VmRow *)
+     protobuf_c_message_unpack (&toucan__vm_row__descriptor,
+                                allocator, len, data);
+}
+void   toucan__vm_row__free_unpacked
+                     (Toucan__VmRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__vm_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__row_notice__init
+                     (Toucan__RowNotice         *message)
+{
+  static const Toucan__RowNotice init_value = TOUCAN__ROW_NOTICE__INIT;
+  *message = init_value;
+}
+size_t toucan__row_notice__get_packed_size
+                     (const Toucan__RowNotice *message)
+{
+  assert(message->base.descriptor == &toucan__row_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__row_notice__pack
+                     (const Toucan__RowNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__row_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__row_notice__pack_to_buffer
+                     (const Toucan__RowNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__row_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__RowNotice *
+       toucan__row_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__RowNotice *)
+     protobuf_c_message_unpack (&toucan__row_notice__descriptor,
+                                allocator, len, data);
+}
+void   toucan__row_notice__free_unpacked
+                     (Toucan__RowNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__row_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__row_version__init
+                     (Toucan__RowVersion         *message)
+{
+  static const Toucan__RowVersion init_value = TOUCAN__ROW_VERSION__INIT;
+  *message = init_value;
+}
+size_t toucan__row_version__get_packed_size
+                     (const Toucan__RowVersion *message)
+{
+  assert(message->base.descriptor == &toucan__row_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__row_version__pack
+                     (const Toucan__RowVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__row_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__row_version__pack_to_buffer
+                     (const Toucan__RowVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__row_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__RowVersion *
+       toucan__row_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__RowVersion *)
+     protobuf_c_message_unpack (&toucan__row_version__descriptor,
+                                allocator, len, data);
+}
+void   toucan__row_version__free_unpacked
+                     (Toucan__RowVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__row_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__rows_pull__init
+                     (Toucan__RowsPull         *message)
+{
+  static const Toucan__RowsPull init_value = TOUCAN__ROWS_PULL__INIT;
+  *message = init_value;
+}
+size_t toucan__rows_pull__get_packed_size
+                     (const Toucan__RowsPull *message)
+{
+  assert(message->base.descriptor == &toucan__rows_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__rows_pull__pack
+                     (const Toucan__RowsPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__rows_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__rows_pull__pack_to_buffer
+                     (const Toucan__RowsPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__rows_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__RowsPull *
+       toucan__rows_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__RowsPull *)
+     protobuf_c_message_unpack (&toucan__rows_pull__descriptor,
+                                allocator, len, data);
+}
+void   toucan__rows_pull__free_unpacked
+                     (Toucan__RowsPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__rows_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__shards_pull__init
+                     (Toucan__ShardsPull         *message)
+{
+  static const Toucan__ShardsPull init_value = TOUCAN__SHARDS_PULL__INIT;
+  *message = init_value;
+}
+size_t toucan__shards_pull__get_packed_size
+                     (const Toucan__ShardsPull *message)
+{
+  assert(message->base.descriptor == &toucan__shards_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__shards_pull__pack
+                     (const Toucan__ShardsPull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__shards_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__shards_pull__pack_to_buffer
+                     (const Toucan__ShardsPull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__shards_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__ShardsPull *
+       toucan__shards_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__ShardsPull *)
+     protobuf_c_message_unpack (&toucan__shards_pull__descriptor,
+                                allocator, len, data);
+}
+void   toucan__shards_pull__free_unpacked
+                     (Toucan__ShardsPull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__shards_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__reserve_tokens__init
                      (Toucan__ReserveTokens         *message)
 {
@@ -1222,7 +1447,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[29] =
 {
   {
     "source",
@@ -1536,6 +1761,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "row_notice",
+    50,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, row_notice),
+    &toucan__row_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_pull",
+    51,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, rows_pull),
+    &toucan__rows_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shards_pull",
+    52,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, shards_pull),
+    &toucan__shards_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   16,   /* field[16] = book_decode */
@@ -1560,17 +1821,21 @@
   3,   /* field[3] = reply_to */
   13,   /* field[13] = reserve_tokens */
   15,   /* field[15] = return_tokens */
+  26,   /* field[26] = row_notice */
+  27,   /* field[27] = rows_pull */
   12,   /* field[12] = shards_notice */
+  28,   /* field[28] = shards_pull */
   0,   /* field[0] = source */
   10,   /* field[10] = standby_release */
   14,   /* field[14] = tokens_reply */
 };
-static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange toucan__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
   { 20, 13 },
-  { 0, 26 }
+  { 50, 26 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -1580,10 +1845,10 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  26,
+  29,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
-  3,  toucan__envelope__number_ranges,
+  4,  toucan__envelope__number_ranges,
   (ProtobufCMessageInit) toucan__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1676,7 +1941,7 @@
   (ProtobufCMessageInit) toucan__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[7] =
 {
   {
     "number",
@@ -1750,19 +2015,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows_digest",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, rows_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = grant_wanted */
   0,   /* field[0] = number */
   3,   /* field[3] = row_version */
+  6,   /* field[6] = rows_digest */
   5,   /* field[5] = shards_version */
   2,   /* field[2] = witness_incarnation */
 };
-static const ProtobufCIntRange toucan__heartbeat__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__heartbeat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 30, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor toucan__heartbeat__descriptor =
 {
@@ -1772,10 +2051,10 @@
   "Toucan__Heartbeat",
   "toucan",
   sizeof(Toucan__Heartbeat),
-  6,
+  7,
   toucan__heartbeat__field_descriptors,
   toucan__heartbeat__field_indices_by_name,
-  1,  toucan__heartbeat__number_ranges,
+  2,  toucan__heartbeat__number_ranges,
   (ProtobufCMessageInit) toucan__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2172,6 +2451,235 @@
   (ProtobufCMessageInit) toucan__shards_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__vm_row__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmRow, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "json",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmRow, json),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__vm_row__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = json */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange toucan__vm_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__vm_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.VmRow",
+  "VmRow",
+  "Toucan__VmRow",
+  "toucan",
+  sizeof(Toucan__VmRow),
+  3,
+  toucan__vm_row__field_descriptors,
+  toucan__vm_row__field_indices_by_name,
+  1,  toucan__vm_row__number_ranges,
+  (ProtobufCMessageInit) toucan__vm_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__row_notice__field_descriptors[1] =
+{
+  {
+    "rows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__RowNotice, n_rows),
+    offsetof(Toucan__RowNotice, rows),
+    &toucan__vm_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__row_notice__field_indices_by_name[] = {
+  0,   /* field[0] = rows */
+};
+static const ProtobufCIntRange toucan__row_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__row_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.RowNotice",
+  "RowNotice",
+  "Toucan__RowNotice",
+  "toucan",
+  sizeof(Toucan__RowNotice),
+  1,
+  toucan__row_notice__field_descriptors,
+  toucan__row_notice__field_indices_by_name,
+  1,  toucan__row_notice__number_ranges,
+  (ProtobufCMessageInit) toucan__row_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__row_version__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__RowVersion, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__RowVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__row_version__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange toucan__row_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__row_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.RowVersion",
+  "RowVersion",
+  "Toucan__RowVersion",
+  "toucan",
+  sizeof(Toucan__RowVersion),
+  2,
+  toucan__row_version__field_descriptors,
+  toucan__row_version__field_indices_by_name,
+  1,  toucan__row_version__number_ranges,
+  (ProtobufCMessageInit) toucan__row_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__rows_pull__field_descriptors[1] =
+{
+  {
+    "have",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__RowsPull, n_have),
+    offsetof(Toucan__RowsPull, have),
+    &toucan__row_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__rows_pull__field_indices_by_name[] = {
+  0,   /* field[0] = have */
+};
+static const ProtobufCIntRange toucan__rows_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__rows_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.RowsPull",
+  "RowsPull",
+  "Toucan__RowsPull",
+  "toucan",
+  sizeof(Toucan__RowsPull),
+  1,
+  toucan__rows_pull__field_descriptors,
+  toucan__rows_pull__field_indices_by_name,
+  1,  toucan__rows_pull__number_ranges,
+  (ProtobufCMessageInit) toucan__rows_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__shards_pull__field_descriptors[1] =
+{
+  {
+    "have_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ShardsPull, have_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__shards_pull__field_indices_by_name[] = {
+  0,   /* field[0] = have_version */
+};
+static const ProtobufCIntRange toucan__shards_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__shards_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ShardsPull",
+  "ShardsPull",
+  "Toucan__ShardsPull",
+  "toucan",
+  sizeof(Toucan__ShardsPull),
+  1,
+  toucan__shards_pull__field_descriptors,
+  toucan__shards_pull__field_indices_by_name,
+  1,  toucan__shards_pull__number_ranges,
+  (ProtobufCMessageInit) toucan__shards_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[5] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -26,6 +26,11 @@
 typedef struct Toucan__StandbyRelease Toucan__StandbyRelease;
 typedef struct Toucan__Done Toucan__Done;
 typedef struct Toucan__ShardsNotice Toucan__ShardsNotice;
+typedef struct Toucan__VmRow Toucan__VmRow;
+typedef struct Toucan__RowNotice Toucan__RowNotice;
+typedef struct Toucan__RowVersion Toucan__RowVersion;
+typedef struct Toucan__RowsPull Toucan__RowsPull;
+typedef struct Toucan__ShardsPull Toucan__ShardsPull;
 typedef struct Toucan__ReserveTokens Toucan__ReserveTokens;
 typedef struct Toucan__TokensReply Toucan__TokensReply;
 typedef struct Toucan__ReturnTokens Toucan__ReturnTokens;
@@ -87,7 +92,10 @@
   TOUCAN__ENVELOPE__BODY_CONFIG_PUSH = 29,
   TOUCAN__ENVELOPE__BODY_CONFIG_PULL = 30,
   TOUCAN__ENVELOPE__BODY_CONFIG_ROWS = 31,
-  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32
+  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32,
+  TOUCAN__ENVELOPE__BODY_ROW_NOTICE = 50,
+  TOUCAN__ENVELOPE__BODY_ROWS_PULL = 51,
+  TOUCAN__ENVELOPE__BODY_SHARDS_PULL = 52
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -137,6 +145,9 @@
     Toucan__ConfigPull *config_pull;
     Toucan__ConfigRows *config_rows;
     Toucan__HandOver *hand_over;
+    Toucan__RowNotice *row_notice;
+    Toucan__RowsPull *rows_pull;
+    Toucan__ShardsPull *shards_pull;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -190,10 +201,14 @@
   int64_t row_version;
   int64_t config_version;
   int64_t shards_version;
+  /*
+   * over the VM rows and fences that the sender knows; 0 when left out
+   */
+  uint64_t rows_digest;
 };
 #define TOUCAN__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Toucan__HeartbeatAck
@@ -293,6 +308,9 @@
 {
   ProtobufCMessage base;
   int64_t version;
+  /*
+   * "" to announce the version: pull it
+   */
   char *json;
 };
 #define TOUCAN__SHARDS_NOTICE__INIT \
@@ -300,6 +318,73 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+struct  Toucan__VmRow
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t version;
+  /*
+   * as in the table service
+   */
+  char *json;
+};
+#define TOUCAN__VM_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__vm_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * VM rows, forwarded by whoever did not know them. Older versions are ignored.
+ */
+struct  Toucan__RowNotice
+{
+  ProtobufCMessage base;
+  size_t n_rows;
+  Toucan__VmRow **rows;
+};
+#define TOUCAN__ROW_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__row_notice__descriptor) \
+    , 0,NULL }
+
+
+struct  Toucan__RowVersion
+{
+  ProtobufCMessage base;
+  char *id;
+  int64_t version;
+};
+#define TOUCAN__ROW_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__row_version__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Asks for the rows and fences that the sender lacks; answered by a RowNotice and FenceNotices.
+ */
+struct  Toucan__RowsPull
+{
+  ProtobufCMessage base;
+  size_t n_have;
+  Toucan__RowVersion **have;
+};
+#define TOUCAN__ROWS_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__rows_pull__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Asks for the shard map if it is newer; answered by a ShardsNotice.
+ */
+struct  Toucan__ShardsPull
+{
+  ProtobufCMessage base;
+  int64_t have_version;
+};
+#define TOUCAN__SHARDS_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__shards_pull__descriptor) \
+    , 0 }
+
+
 struct  Toucan__ReserveTokens
 {
   ProtobufCMessage base;
@@ -762,6 +847,101 @@
 void   toucan__shards_notice__free_unpacked
                      (Toucan__ShardsNotice *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__VmRow methods */
+void   toucan__vm_row__init
+                     (Toucan__VmRow         *message);
+size_t toucan__vm_row__get_packed_size
+                     (const Toucan__VmRow   *message);
+size_t toucan__vm_row__pack
+                     (const Toucan__VmRow   *message,
+                      uint8_t             *out);
+size_t toucan__vm_row__pack_to_buffer
+                     (const Toucan__VmRow   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__VmRow *
+       toucan__vm_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__vm_row__free_unpacked
+                     (Toucan__VmRow *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__RowNotice methods */
+void   toucan__row_notice__init
+                     (Toucan__RowNotice         *message);
+size_t toucan__row_notice__get_packed_size
+                     (const Toucan__RowNotice   *message);
+size_t toucan__row_notice__pack
+                     (const Toucan__RowNotice   *message,
+                      uint8_t             *out);
+size_t toucan__row_notice__pack_to_buffer
+                     (const Toucan__RowNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__RowNotice *
+       toucan__row_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__row_notice__free_unpacked
+                     (Toucan__RowNotice *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__RowVersion methods */
+void   toucan__row_version__init
+                     (Toucan__RowVersion         *message);
+size_t toucan__row_version__get_packed_size
+                     (const Toucan__RowVersion   *message);
+size_t toucan__row_version__pack
+                     (const Toucan__RowVersion   *message,
+                      uint8_t             *out);
+size_t toucan__row_version__pack_to_buffer
+                     (const Toucan__RowVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__RowVersion *
+       toucan__row_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__row_version__free_unpacked
+                     (Toucan__RowVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__RowsPull methods */
+void   toucan__rows_pull__init
+                     (Toucan__RowsPull         *message);
+size_t toucan__rows_pull__get_packed_size
+                     (const Toucan__RowsPull   *message);
+size_t toucan__rows_pull__pack
+                     (const Toucan__RowsPull   *message,
+                      uint8_t             *out);
+size_t toucan__rows_pull__pack_to_buffer
+                     (const Toucan__RowsPull   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__RowsPull *
+       toucan__rows_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__rows_pull__free_unpacked
+                     (Toucan__RowsPull *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__ShardsPull methods */
+void   toucan__shards_pull__init
+                     (Toucan__ShardsPull         *message);
+size_t toucan__shards_pull__get_packed_size
+                     (const Toucan__ShardsPull   *message);
+size_t toucan__shards_pull__pack
+                     (const Toucan__ShardsPull   *message,
+                      uint8_t             *out);
+size_t toucan__shards_pull__pack_to_buffer
+                     (const Toucan__ShardsPull   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__ShardsPull *
+       toucan__shards_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__shards_pull__free_unpacked
+                     (Toucan__ShardsPull *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__ReserveTokens methods */
 void   toucan__reserve_tokens__init
                      (Toucan__ReserveTokens         *message);
@@ -1101,6 +1281,21 @@
 typedef void (*Toucan__ShardsNotice_Closure)
                  (const Toucan__ShardsNotice *message,
                   void *closure_data);
+typedef void (*Toucan__VmRow_Closure)
+                 (const Toucan__VmRow *message,
+                  void *closure_data);
+typedef void (*Toucan__RowNotice_Closure)
+                 (const Toucan__RowNotice *message,
+                  void *closure_data);
+typedef void (*Toucan__RowVersion_Closure)
+                 (const Toucan__RowVersion *message,
+                  void *closure_data);
+typedef void (*Toucan__RowsPull_Closure)
+                 (const Toucan__RowsPull *message,
+                  void *closure_data);
+typedef void (*Toucan__ShardsPull_Closure)
+                 (const Toucan__ShardsPull *message,
+                  void *closure_data);
 typedef void (*Toucan__ReserveTokens_Closure)
                  (const Toucan__ReserveTokens *message,
                   void *closure_data);
@@ -1167,6 +1362,11 @@
 extern const ProtobufCMessageDescriptor toucan__standby_release__descriptor;
 extern const ProtobufCMessageDescriptor toucan__done__descriptor;
 extern const ProtobufCMessageDescriptor toucan__shards_notice__descriptor;
+extern const ProtobufCMessageDescriptor toucan__vm_row__descriptor;
+extern const ProtobufCMessageDescriptor toucan__row_notice__descriptor;
+extern const ProtobufCMessageDescriptor toucan__row_version__descriptor;
+extern const ProtobufCMessageDescriptor toucan__rows_pull__descriptor;
+extern const ProtobufCMessageDescriptor toucan__shards_pull__descriptor;
 extern const ProtobufCMessageDescriptor toucan__reserve_tokens__descriptor;
 extern const ProtobufCMessageDescriptor toucan__tokens_reply__descriptor;
 extern const ProtobufCMessageDescriptor toucan__return_tokens__descriptor;
--- a/tests/promises/p10_config.py
+++ b/tests/promises/p10_config.py
@@ -113,6 +113,34 @@
     return accepted_change(t, during)
 
 
+@case
+def third_killed_and_reads_refused(t):
+    """24 VMs; once the change is accepted the table service refuses reads and a third of the VMs
+    is killed at once, but for the accepting one. Guards against news that stop at VMs that are
+    gone. Judged by the version in force, because a VM that lost most of its witnesses must not
+    answer callers."""
+    with t.fleet(vms=24) as fleet:
+        vm = t.vm(fleet)
+        others = [v for v in range(len(fleet.callers)) if v != vm]
+        killed = t.random.sample(others, len(fleet.callers) // 3)
+        watch = Watch(fleet)
+        status, body = fleet.change(grant("tlb_" + secrets.token_urlsafe(24)), vm)
+        since = time.monotonic()
+        if status != 200:
+            raise Failed(f"the change was not accepted: {body}")
+        for v in killed:
+            fleet.kill(v)
+        fleet.table.fault("refuse", "/row")
+        waiting = [v for v in range(len(fleet.callers)) if v not in killed]
+        while waiting and time.monotonic() - since < BOUND + 3:
+            waiting = [v for v in waiting if (fleet.version(v) or 0) < body["version"]]
+            time.sleep(0.05)
+        figure = time.monotonic() - since
+        back = watch.end()
+        t.note((killed, waiting, back))
+        return figure if not waiting and not back else BOUND + 9, BOUND
+
+
 @case
 def accepting_vm_killed_at_once(t):
     """The others must learn the change from the store."""
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "cluster.h"
+#include "gossip.h"
 #include "log.h"
 
 enum { NODES = 5, LINE_LEN = 256 };
@@ -321,6 +322,88 @@
 }
 END_TEST
 
+/* Every running node knows from a row that vm2 is fenced. */
+static bool all_know_the_row(void)
+{
+	const struct tlb_member *m;
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (!nodes[i].running)
+			continue;
+		m = tlb_roster_find(&nodes[i].cluster.roster, "vm2");
+		if (!m || m->row.state != TLB_VM_FENCED)
+			return false;
+	}
+	return true;
+}
+
+static bool one_map(void)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		if (nodes[i].running &&
+		    nodes[i].cluster.map.version != nodes[0].cluster.map.version)
+			return false;
+	return true;
+}
+
+/* Guards against VMs that learn of a changed row and map only by reading the table service. */
+START_TEST(rows_and_map_spread_without_reads)
+{
+	start_fleet(NODES);
+	set_fault("{\"kind\":\"refuse\",\"path\":\"/row\"}");
+	stop_node(2);
+	run_until(all_know_the_row, 12 * TLB_SECOND);
+	run_until(complete, 1 * TLB_SECOND);
+	/* A heartbeat and a pull, when the message was lost. */
+	run_until(one_map, 2 * TLB_SECOND);
+	set_fault("{\"kind\":\"none\"}");
+	run_until(settled, 30 * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against a row that comes late and sets a VM back, and against a row that a VM missed and
+ * that no later message repeats. */
+START_TEST(late_and_lost_rows)
+{
+	struct tlb_cluster *c = &nodes[0].cluster;
+	struct tlb_vm_row former;
+
+	start_fleet(NODES);
+	former = tlb_roster_find(&c->roster, "vm2")->row;
+	stop_node(2);
+	run_until(all_know_the_row, 12 * TLB_SECOND);
+	tlb_cluster_take_row(c, &former);
+	ck_assert_int_eq(tlb_roster_find(&c->roster, "vm2")->row.state, TLB_VM_FENCED);
+
+	tlb_roster_find(&c->roster, "vm2")->row = former;
+	c->roster.digest = 0;
+	run_until(all_know_the_row, (TLB_GOSSIP_DIGEST_EVERY + 2) * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against a fence that a VM missed and that no later message repeats while the store is
+ * down. */
+START_TEST(lost_fence_notice)
+{
+	struct tlb_cluster *c = &nodes[0].cluster;
+	struct tlb_vm_name gone;
+
+	start_fleet(NODES);
+	set_fault("{\"kind\":\"refuse\"}");
+	gone = nodes[3].cluster.self;
+	stop_node(3);
+	run_until(complete, 10 * TLB_SECOND);
+	ck_assert(tlb_roster_gone(&c->roster, &gone));
+	c->roster.gone_count = c->roster.gone_next = 0;
+	c->roster.digest = 0;
+	run_for((TLB_GOSSIP_DIGEST_EVERY + 2) * TLB_SECOND);
+	ck_assert(tlb_roster_gone(&c->roster, &gone));
+}
+END_TEST
+
 /* Guards against a restarted VM that waits for its own former incarnation. */
 START_TEST(restarted_vm_replaces_its_former_incarnation)
 {
@@ -513,6 +596,9 @@
 	tcase_add_test(tc, fleet_forms_and_spreads_shards);
 	tcase_add_test(tc, killed_vm_is_fenced);
 	tcase_add_test(tc, killed_vm_is_fenced_without_store);
+	tcase_add_test(tc, rows_and_map_spread_without_reads);
+	tcase_add_test(tc, late_and_lost_rows);
+	tcase_add_test(tc, lost_fence_notice);
 	tcase_add_test(tc, restarted_vm_replaces_its_former_incarnation);
 	tcase_add_test(tc, leaving_vm_hands_its_shards_over);
 	tcase_add_test(tc, paused_vm_rejoins);
