--- a/src/load.c
+++ b/src/load.c
@@ -150,9 +150,7 @@
 		return false;
 	toucan__load_report__init(out);
 	out->endpoint = (char *)t->id;
-	/* The book also counts what is booked and not yet at the engine. */
-	out->free_pieces = t->role == TLB_ROLE_DECODE && t->book.granting ? tlb_book_free(&t->book)
-									  : t->report.free_pieces;
+	out->free_pieces = free_now(t);
 	out->running = t->report.running;
 	out->queued_tokens = t->report.queued_tokens;
 	out->age_ms = (now - t->report.made_at + TLB_MS - 1) / TLB_MS;
@@ -288,16 +286,17 @@
 		   const Toucan__LoadReport *m)
 {
 	struct tlb_target *t = tlb_load_find(l, m->endpoint);
+	bool sensible = m->age_ms >= 0 && m->age_ms <= TLB_REPORT_LIFE / TLB_MS;
 	struct tlb_report r = {
 		.source = incarnation,
 		.number = m->number,
-		.made_at = tlb_clock_now() - (m->age_ms > 0 ? m->age_ms : 0) * TLB_MS,
+		.made_at = tlb_clock_now() - (sensible ? m->age_ms * TLB_MS : 0),
 		.free_pieces = m->free_pieces,
 		.running = m->running,
 		.queued_tokens = m->queued_tokens,
 	};
 
-	if (!t)
+	if (!t || !sensible)
 		return;
 	/* A former owner that was paused may still send what it knew. */
 	if (!may_report(t, vm)) {
--- a/tests/load_reports.py
+++ b/tests/load_reports.py
@@ -93,6 +93,20 @@
     asked_once(fleet, "continued owner", range(VMS))
 
 
+def no_reports(t, fleet):
+    """No engine answers for its load: requests are placed by the owners' books."""
+    for e in fleet.engines:
+        e.fault("stall", path="/load", ms=0)
+    time.sleep(KNOWN_MS / 1000 + 1.5)
+    seen = [ages(fleet, v) for v in range(VMS)]
+    check("no reports: all are too old", all(a > KNOWN_MS for s in seen for a in s.values()))
+    check("no reports: requests are served", served(t, fleet, range(VMS)))
+    for e in fleet.engines:
+        e.clear()
+    check("reports again: every engine is known",
+          wait_until(lambda: all_known(fleet, range(VMS)), 5) is not None)
+
+
 def dead_engine(fleet):
     """No VM takes a dead engine's report for a fresh one."""
     fleet.decodes[0].fault("die")
@@ -138,6 +152,7 @@
         check("started VM: every engine is known",
               wait_until(lambda: all_known(fleet, range(VMS)), 5) is not None)
         renewals(fleet)
+        no_reports(t, fleet)
         dead_engine(fleet)
     return 0 if results and all(results) else 1
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -236,6 +236,52 @@
 }
 END_TEST
 
+/* One candidate beside a full one with a report: whether it is chosen. Without a report the booking
+ * finds out whether there is room, and ejection still holds. */
+static const struct {
+	bool reported, ejected, leaving;
+	int free_pieces;
+	bool chosen;
+} unknown_cases[] = {
+	{true, false, false, 0, false}, {true, false, false, 20, true},
+	{false, false, false, 0, true}, {false, false, true, 0, false},
+	{false, true, false, 0, true}, /* alone: ejection is ignored */
+};
+
+START_TEST(unknown_load_is_asked_for)
+{
+	struct tlb_placement pl;
+	struct tlb_place p;
+
+	tlb_place_init(&p, TLB_POLICY_TOUCANLB, "z1", 3);
+	cand[0].free_pieces = 0;
+	cand[1].reported_at = unknown_cases[_i].reported ? request.now : 0;
+	cand[1].ejected_until = unknown_cases[_i].ejected ? request.now + 1 : 0;
+	cand[1].usable = !unknown_cases[_i].leaving;
+	cand[1].free_pieces = unknown_cases[_i].free_pieces;
+	pl = tlb_place_decode(&p, &request, cand, 2);
+	ck_assert_int_eq(pl.chosen, unknown_cases[_i].chosen ? 1 : -1);
+	/* An ejected one is not asked while another one may have room. */
+	if (unknown_cases[_i].ejected)
+		ck_assert_int_ne(tlb_place_decode(&p, &request, cand, COUNT).chosen, 1);
+}
+END_TEST
+
+/* Slow start rests on the state of the row, not on reports. */
+START_TEST(unknown_joining_endpoint_starts_slowly)
+{
+	int chosen[COUNT];
+
+	cand[0].joined_at = request.now;
+	cand[0].reported_at = 0;
+	cand[0].free_pieces = cand[0].total_pieces;
+	tally(TLB_POLICY_TOUCANLB, true, chosen);
+	ck_assert_int_lt(chosen[0], DRAWS / COUNT / 2);
+	tally(TLB_POLICY_TOUCANLB, false, chosen);
+	ck_assert_int_lt(chosen[0], DRAWS / COUNT / 2);
+}
+END_TEST
+
 #define ROWS(table) (int)(sizeof(table) / sizeof((table)[0]))
 
 int main(void)
@@ -255,6 +301,8 @@
 	tcase_add_test(tc, failing_and_slow_engines_are_ejected);
 	tcase_add_loop_test(tc, retry_depends_on_step_time_and_attempt, 0, ROWS(retry_cases));
 	tcase_add_test(tc, retries_stay_within_the_budget);
+	tcase_add_loop_test(tc, unknown_load_is_asked_for, 0, ROWS(unknown_cases));
+	tcase_add_test(tc, unknown_joining_endpoint_starts_slowly);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
