--- a/src/cluster.c
+++ b/src/cluster.c
@@ -329,6 +329,9 @@
 	heartbeat.rows_digest = with_digest ? tlb_roster_digest(&c->roster) : 0;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
+	if (c->handlers.load_reports && tlb_cluster_valid(c, tlb_clock_now()))
+		heartbeat.n_load_reports = c->handlers.load_reports(
+			c->handlers.arg, c->heartbeat_number, &heartbeat.load_reports);
 	tlb_peers_send(&c->peers, peer->id, &envelope);
 }
 
@@ -394,6 +397,9 @@
 		ack_heartbeat(c, vm, heartbeat);
 	tlb_gossip_on_heartbeat(c, vm->id, heartbeat->row_version, heartbeat->shards_version,
 				heartbeat->rows_digest);
+	if (c->handlers.on_load_reports)
+		c->handlers.on_load_reports(c->handlers.arg, vm->id, vm->incarnation,
+					    heartbeat->n_load_reports, heartbeat->load_reports);
 	if (!m)
 		return;
 	if (heartbeat->config_version == m->config_version)
@@ -507,6 +513,8 @@
 		return h->config_push;
 	case TOUCAN__ENVELOPE__BODY_CONFIG_PULL:
 		return h->config_pull;
+	case TOUCAN__ENVELOPE__BODY_LOAD_NOTICE:
+		return h->load_notice;
 	default:
 		return NULL;
 	}
@@ -575,6 +583,8 @@
 	peer->heard = tlb_clock_now();
 	send_heartbeat(c, peer, true);
 	tlb_fences_repeat(c, peer->id);
+	if (c->handlers.on_link_up)
+		c->handlers.on_link_up(c->handlers.arg, peer->id);
 }
 
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm)
