Let interactive requests overtake an urgent batch request

A batch request within 10 s of its deadline competes with interactive ones. Passed over 64 times (TLB_QUEUE_MAX_PASSES) it held back every interactive request of its router, although it needs the batch reserve as well: interactive requests of one piece waited 4 s and were refused while one piece was free.

Such a request now holds back batch work only.

--- a/src/queue.c
+++ b/src/queue.c
@@ -97,6 +97,14 @@
 	return it->expires > s->now && lane_of(it, s->now) == s->lane;
 }
 
+/* An urgent batch request that nothing may overtake any more holds back batch requests only: it
+ * needs the batch reserve as well, so that interactive requests would wait for more than it takes.
+ */
+static bool holds_back(const struct search *s, const struct tlb_item *it)
+{
+	return it->passes >= TLB_QUEUE_MAX_PASSES && it->class == s->lane;
+}
+
 static struct tlb_item *first_fitting(struct search *s, const struct tlb_flow *f,
 				      enum tlb_class class)
 {
@@ -107,7 +115,7 @@
 			continue;
 		if (s->fits(s->arg, it))
 			return it;
-		if (it->passes >= TLB_QUEUE_MAX_PASSES)
+		if (holds_back(s, it))
 			s->blocked = true;
 	}
 	return NULL;
--- a/src/queue.h
+++ b/src/queue.h
@@ -7,7 +7,8 @@
  * first, where an account's virtual time advances by tokens / weight for each request popped. An
  * account that was idle starts at the queue's virtual time: idling earns no credit. Within an
  * account and class: first in, first out, but a request that doesn't fit is passed over until it
- * has been passed over TLB_QUEUE_MAX_PASSES times; then nothing of its class overtakes it.
+ * has been passed over TLB_QUEUE_MAX_PASSES times; then nothing of its class overtakes it
+ * (interactive requests still overtake an urgent batch request).
  *
  * Reason: an account that sends five times its share only lengthens its own queue, and a small
  * account's single request goes ahead of a large account's backlog.
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -126,6 +126,21 @@
 }
 END_TEST
 
+/* An urgent batch request needs the batch reserve as well: were interactive requests to wait for it
+ * once it has been passed over often enough, they would be refused while memory is free for them. */
+START_TEST(urgent_batch_request_does_not_hold_back_interactive_ones)
+{
+	int64_t limit = 5000;
+	int i;
+
+	push(0, 0, TLB_BATCH, 9000, 0)->latest_start = 1;
+	for (i = 1; i <= TLB_QUEUE_MAX_PASSES + 1; i++)
+		push(i, 0, TLB_INTERACTIVE, 100, 1);
+	for (i = 1; i <= TLB_QUEUE_MAX_PASSES + 1; i++)
+		ck_assert_ptr_eq(tlb_queue_pop(&queue, fits_below, &limit, 2), &items[i]);
+}
+END_TEST
+
 START_TEST(expired_requests_are_not_started)
 {
 	push(0, 0, TLB_INTERACTIVE, 1000, 0)->expires = 10;
@@ -189,6 +204,7 @@
 	tcase_add_test(tc, idling_earns_no_credit);
 	tcase_add_test(tc, batch_waits_until_its_latest_start);
 	tcase_add_test(tc, misfit_is_overtaken_a_bounded_number_of_times);
+	tcase_add_test(tc, urgent_batch_request_does_not_hold_back_interactive_ones);
 	tcase_add_test(tc, expired_requests_are_not_started);
 	tcase_add_test(tc, unpop_restores_order_and_charge);
 	tcase_add_test(tc, wait_estimate_follows_the_fair_share);
