--- a/src/book.c
+++ b/src/book.c
@@ -59,6 +59,85 @@
 	return true;
 }
 
+/* How long a booking that was asked to give way counts as coming free. */
+#define YIELD_TIME (1 * TLB_SECOND)
+/* Credit for this many preemptions is kept at most. */
+#define PREEMPT_SAVED 24
+
+static void earn_preemption(struct tlb_book *b)
+{
+	int most = b->preempt_cost * PREEMPT_SAVED;
+
+	if (b->preempt_credit < most)
+		b->preempt_credit++;
+}
+
+static bool may_yield(const struct tlb_booking *k, tlb_time now)
+{
+	return k->class == TLB_BATCH && k->preemptible_at <= now && k->urgent_at > now &&
+	       k->yields_until <= now;
+}
+
+static struct tlb_booking *next_victim(const struct tlb_book *b, tlb_time now)
+{
+	struct tlb_booking *best = NULL;
+	struct tlb_booking *k;
+
+	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
+		if (may_yield(k, now) && (!best || k->resume_tokens < best->resume_tokens))
+			best = k;
+	}
+	return best;
+}
+
+/* Whether the request fits when everything that yields is gone. */
+static bool fits_then(const struct tlb_book *b, int pieces, tlb_time now)
+{
+	const struct tlb_booking *k;
+	int left = b->total_pieces - b->booked_pieces;
+	int count = b->booking_count + b->stray_count;
+	int i;
+
+	for (i = 0; i < b->stray_count; i++)
+		left -= b->strays[i].pieces;
+	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
+		if (k->yields_until <= now)
+			continue;
+		left += k->pieces;
+		count--;
+	}
+	return pieces <= left && (!b->max_requests || count < b->max_requests);
+}
+
+static void take_back(struct tlb_booking **victims, int count)
+{
+	while (count > 0)
+		victims[--count]->yields_until = 0;
+}
+
+int tlb_book_preempt(struct tlb_book *b, const char *request_id, int pieces, tlb_time now,
+		     tlb_time expires, struct tlb_booking **victims, int max, bool *claimed)
+{
+	int count = 0;
+
+	*claimed = false;
+	if (!b->preempt_cost || (b->claim_pieces && strcmp(b->claim_id, request_id) != 0))
+		return 0;
+	while (!fits_then(b, pieces, now)) {
+		struct tlb_booking *k = count < max ? next_victim(b, now) : NULL;
+
+		if (!k || (count + 1) * b->preempt_cost > b->preempt_credit) {
+			take_back(victims, count);
+			return 0;
+		}
+		k->yields_until = now + YIELD_TIME;
+		victims[count++] = k;
+	}
+	b->preempt_credit -= count * b->preempt_cost;
+	*claimed = tlb_book_claim(b, request_id, pieces, expires);
+	return count;
+}
+
 struct tlb_booking *tlb_book_find(const struct tlb_book *b, const char *request_id)
 {
 	struct tlb_booking *k;
@@ -148,6 +227,7 @@
 	if (k->class == TLB_BATCH && k->pieces + b->batch_reserve > left)
 		return TLB_BOOK_RESERVED;
 	insert(b, k);
+	earn_preemption(b);
 	return TLB_BOOK_OK;
 }
 
@@ -285,6 +365,8 @@
 		return "not_granting";
 	case TLB_BOOK_DUPLICATE:
 		return "duplicate";
+	case TLB_BOOK_YIELDING:
+		return "yielding";
 	case TLB_BOOK_TOO_BIG:
 		return "too_big";
 	}
--- a/src/book.h
+++ b/src/book.h
@@ -36,6 +36,10 @@
 	int pieces;
 	enum tlb_class class;
 	tlb_time expires;
+	int64_t resume_tokens;	 /* prompt plus output: what a resumption prefills again, at most */
+	tlb_time urgent_at;	 /* batch: is not preempted from then on */
+	tlb_time preemptible_at; /* TLB_NEVER: not asked to give way */
+	tlb_time yields_until;	 /* asked to give way: its pieces count as coming free until then */
 };
 
 APR_RING_HEAD(tlb_booking_ring, tlb_booking);
@@ -62,6 +66,10 @@
 	char claim_id[TLB_REQUEST_ID_LEN];
 	int claim_pieces;
 	tlb_time claim_expires;
+	/* Preemptions are paid from credit: each granted booking earns 1, each costs preempt_cost.
+	 */
+	int preempt_cost; /* 0, as init sets it: no preemption */
+	int preempt_credit;
 	struct tlb_stray strays[TLB_BOOK_STRAYS];
 	int stray_count;
 };
@@ -80,6 +88,7 @@
 	TLB_BOOK_RESERVED,     /* would fit, but batch work must leave room */
 	TLB_BOOK_NOT_GRANTING, /* a new owner has not seen the engine's list */
 	TLB_BOOK_DUPLICATE,    /* the request id is booked by another owner */
+	TLB_BOOK_YIELDING,     /* does not fit yet: batch work gives way to this request */
 	TLB_BOOK_TOO_BIG,      /* more than the endpoint has, or not positive */
 };
 
@@ -94,6 +103,15 @@
  * as it comes free. */
 bool tlb_book_claim(struct tlb_book *b, const char *request_id, int pieces, tlb_time expires);
 
+/* Chooses running batch bookings that give way to an interactive request that found the book full,
+ * marks them as yielding and claims their pieces for the request. Chosen first are those whose
+ * resumption wastes least, and only as many as the request needs beside what is free and what
+ * yields already. Writes them to victims and returns their number. Returns 0 with *claimed set when
+ * enough yields already, and without it when another request has the claim, too little may be
+ * preempted, or the credit is used up. */
+int tlb_book_preempt(struct tlb_book *b, const char *request_id, int pieces, tlb_time now,
+		     tlb_time expires, struct tlb_booking **victims, int max, bool *claimed);
+
 /* Adds *k if it may be granted. Repeating a booking of the same request and owner renews the one in
  * the book and returns TLB_BOOK_OK; *k then is not in the book: check tlb_book_find() == k. */
 enum tlb_book_result tlb_book_add(struct tlb_book *b, struct tlb_booking *k);
--- a/src/booking.c
+++ b/src/booking.c
@@ -13,7 +13,7 @@
 #define HELD_TIMEOUT (1 * TLB_SECOND)
 #define PULL_TIMEOUT (1 * TLB_SECOND)
 
-enum { HELD_MAX = 512, RENEW_MAX = 512 };
+enum { HELD_MAX = 512, RENEW_MAX = 512, VICTIMS_MAX = 32 };
 
 /* A cancel at an engine that is repeated until it is confirmed; owned by the bookings. */
 struct tlb_cancel {
@@ -107,6 +107,20 @@
 	snprintf(out, TLB_OWNER_LEN, "%s/%016llx", vm, (unsigned long long)incarnation);
 }
 
+/* Asks a booking of this daemon to give way; one that is gone already needs nothing. */
+static void yield_hold(struct tlb_bookings *b, const struct tlb_target *t, const char *request_id)
+{
+	struct tlb_hold *h;
+
+	APR_RING_FOREACH (h, &b->holds, tlb_hold, link) {
+		if (h->target != t || strcmp(h->request_id, request_id) != 0)
+			continue;
+		if (h->spec.on_yield)
+			h->spec.on_yield(h->spec.arg);
+		return;
+	}
+}
+
 /* --- the owner's side --- */
 
 static void expire_bookings(struct tlb_target *t, tlb_time now)
@@ -121,31 +135,75 @@
 	}
 }
 
-static enum tlb_book_result book_add(struct tlb_target *t, const char *request_id,
-				     const char *owner, int pieces, enum tlb_class class,
-				     bool claim)
+/* Tells the VM of a booking that it is to give way; a local one does so at once. */
+static void ask_to_yield(struct tlb_target *t, const struct tlb_booking *k, const char *request_id)
+{
+	struct tlb_board *board = t->board;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__Preempt m = TOUCAN__PREEMPT__INIT;
+	char vm[TLB_OWNER_LEN];
+
+	tlb_log_info("event=preempt endpoint=%s request=%s owner=%s pieces=%d resume_tokens=%lld "
+		     "for=%s",
+		     t->id, k->request_id, k->owner, k->pieces, (long long)k->resume_tokens,
+		     request_id);
+	tlb_counter_add(&board->counters, TLB_COUNTER_PREEMPTIONS, 1);
+	if (strcmp(k->owner, board->owner) == 0) {
+		yield_hold(&board->bookings, t, k->request_id);
+		return;
+	}
+	snprintf(vm, sizeof(vm), "%.*s", (int)strcspn(k->owner, "/"), k->owner);
+	m.endpoint = t->id;
+	m.request_id = (char *)k->request_id;
+	e.body_case = TOUCAN__ENVELOPE__BODY_PREEMPT;
+	e.preempt = &m;
+	tlb_cluster_send(board->cluster, vm, &e);
+}
+
+/* Returns whether batch work gives way to the request. */
+static bool preempt(struct tlb_target *t, const struct tlb_hold_spec *spec)
+{
+	struct tlb_booking *victims[VICTIMS_MAX];
+	tlb_time now = tlb_clock_now();
+	bool claimed;
+	int n = tlb_book_preempt(&t->book, spec->request_id, spec->pieces, now,
+				 now + TLB_BOOKING_CLAIM, victims, VICTIMS_MAX, &claimed);
+
+	while (n-- > 0)
+		ask_to_yield(t, victims[n], spec->request_id);
+	return claimed;
+}
+
+static enum tlb_book_result book_add(struct tlb_target *t, const struct tlb_hold_spec *spec,
+				     const char *owner)
 {
 	struct tlb_booking *k = calloc(1, sizeof(*k));
 	enum tlb_book_result result;
+	tlb_time now = tlb_clock_now();
 
 	if (!k)
 		return TLB_BOOK_FULL;
 	/* Also ends a claim that was not repeated. */
-	expire_bookings(t, tlb_clock_now());
-	snprintf(k->request_id, sizeof(k->request_id), "%s", request_id);
+	expire_bookings(t, now);
+	snprintf(k->request_id, sizeof(k->request_id), "%s", spec->request_id);
 	snprintf(k->owner, sizeof(k->owner), "%s", owner);
-	k->pieces = pieces;
-	k->class = class;
-	k->expires = tlb_clock_now() + TLB_BOOKING_LAPSE;
+	k->pieces = spec->pieces;
+	k->class = spec->class;
+	k->expires = now + TLB_BOOKING_LAPSE;
+	k->resume_tokens = spec->resume_tokens;
+	k->urgent_at = spec->urgent_at;
+	k->preemptible_at = now + TLB_PREEMPTIBLE_AGE;
 	/* A leaving endpoint gets no new work, whichever VM asks. */
 	if (!t->present || t->state != TLB_ENDPOINT_ACTIVE)
 		result = TLB_BOOK_NOT_GRANTING;
 	else
 		result = tlb_book_add(&t->book, k);
-	if (result == TLB_BOOK_FULL && claim)
-		tlb_book_claim(&t->book, request_id, pieces, tlb_clock_now() + TLB_BOOKING_CLAIM);
-	if (result != TLB_BOOK_OK || tlb_book_find(&t->book, request_id) != k)
+	if (result != TLB_BOOK_OK || tlb_book_find(&t->book, spec->request_id) != k)
 		free(k);
+	if (result == TLB_BOOK_FULL && spec->preempt && preempt(t, spec))
+		result = TLB_BOOK_YIELDING;
+	if (result == TLB_BOOK_FULL && spec->claim)
+		tlb_book_claim(&t->book, spec->request_id, spec->pieces, now + TLB_BOOKING_CLAIM);
 	return result;
 }
 
@@ -355,10 +413,17 @@
 static void hold_begin(struct tlb_hold *h)
 {
 	h->state = TLB_HOLD_HELD;
-	h->target->own_pieces += h->pieces;
+	h->target->own_pieces += h->spec.pieces;
 	APR_RING_INSERT_TAIL(&h->board->bookings.holds, h, tlb_hold, link);
 }
 
+static enum tlb_book_result result_of(const Toucan__BookReply *m)
+{
+	if (m->granted)
+		return TLB_BOOK_OK;
+	return m->yielding ? TLB_BOOK_YIELDING : TLB_BOOK_FULL;
+}
+
 static void on_book_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
 {
 	struct tlb_hold *h = arg;
@@ -368,7 +433,7 @@
 		h->state = TLB_HOLD_IDLE;
 		/* The owner may have booked: the release is harmless if it did not. */
 		release_booking(h->board, h->target, h->request_id);
-		h->on_done(h->arg, TLB_BOOK_NOT_GRANTING, true);
+		h->spec.on_done(h->spec.arg, TLB_BOOK_NOT_GRANTING, true);
 		return;
 	}
 	m = reply->book_reply;
@@ -381,7 +446,24 @@
 		h->state = TLB_HOLD_IDLE;
 	/* free_pieces already counts this booking. */
 	h->target->own_pieces = 0;
-	h->on_done(h->arg, m->granted ? TLB_BOOK_OK : TLB_BOOK_FULL, false);
+	h->spec.on_done(h->spec.arg, result_of(m), false);
+}
+
+/* Deadlines cross VMs as lengths of time. */
+static int64_t urgent_in(tlb_time urgent_at)
+{
+	tlb_time left = urgent_at - tlb_clock_now();
+
+	if (urgent_at == TLB_NEVER)
+		return TLB_NEVER;
+	return urgent_at && left > 0 ? left : 0;
+}
+
+static tlb_time urgent_at(int64_t in_us)
+{
+	if (in_us <= 0)
+		return 0;
+	return in_us < TLB_NEVER - tlb_clock_now() ? tlb_clock_now() + in_us : TLB_NEVER;
 }
 
 static void hold_remote(struct tlb_hold *h, const char *vm, tlb_time deadline)
@@ -392,9 +474,12 @@
 	m.endpoint = h->target->id;
 	m.request_id = h->request_id;
 	m.owner = h->board->owner;
-	m.pieces = h->pieces;
-	m.klass = h->class;
-	m.claim = h->claim;
+	m.pieces = h->spec.pieces;
+	m.klass = h->spec.class;
+	m.claim = h->spec.claim;
+	m.preempt = h->spec.preempt;
+	m.urgent_in_us = urgent_in(h->spec.urgent_at);
+	m.resume_tokens = h->spec.resume_tokens;
 	e.body_case = TOUCAN__ENVELOPE__BODY_BOOK_DECODE;
 	e.book_decode = &m;
 	h->state = TLB_HOLD_ASKING;
@@ -403,38 +488,33 @@
 
 static void hold_local(struct tlb_hold *h)
 {
-	enum tlb_book_result result =
-		book_add(h->target, h->request_id, h->board->owner, h->pieces, h->class, h->claim);
+	enum tlb_book_result result = book_add(h->target, &h->spec, h->board->owner);
 
 	if (result == TLB_BOOK_OK)
 		hold_begin(h);
-	h->on_done(h->arg, result, false);
+	h->spec.on_done(h->spec.arg, result, false);
 }
 
 void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
-		      const char *request_id, int pieces, enum tlb_class class, bool claim,
-		      tlb_time deadline, tlb_hold_done_fn *on_done, void *arg)
+		      const struct tlb_hold_spec *spec)
 {
 	char vm[TLB_ID_LEN];
 
 	memset(h, 0, sizeof(*h));
 	h->board = b->board;
 	h->target = t;
-	h->pieces = pieces;
-	h->class = class;
-	h->claim = claim;
-	h->on_done = on_done;
-	h->arg = arg;
-	snprintf(h->request_id, sizeof(h->request_id), "%s", request_id);
+	h->spec = *spec;
+	snprintf(h->request_id, sizeof(h->request_id), "%s", spec->request_id);
+	h->spec.request_id = h->request_id;
 	switch (tlb_board_owner(b->board, t->id, vm)) {
 	case TLB_OWNER_SELF:
 		hold_local(h);
 		break;
 	case TLB_OWNER_PEER:
-		hold_remote(h, vm, deadline);
+		hold_remote(h, vm, spec->deadline);
 		break;
 	case TLB_OWNER_NONE:
-		h->on_done(h->arg, TLB_BOOK_NOT_GRANTING, true);
+		h->spec.on_done(h->spec.arg, TLB_BOOK_NOT_GRANTING, true);
 		break;
 	}
 }
@@ -592,8 +672,8 @@
 		m.endpoint = h->target->id;
 		m.request_id = h->request_id;
 		m.owner = b->board->owner;
-		m.pieces = h->pieces;
-		m.klass = h->class;
+		m.pieces = h->spec.pieces;
+		m.klass = h->spec.class;
 		adopt(b, &m);
 	}
 }
@@ -696,6 +776,7 @@
 	Toucan__BookReply m = TOUCAN__BOOK_REPLY__INIT;
 
 	m.granted = result == TLB_BOOK_OK;
+	m.yielding = result == TLB_BOOK_YIELDING;
 	m.free_pieces = t ? tlb_book_free(&t->book) : 0;
 	m.booked = t ? t->book.booked_pieces : 0;
 	e.body_case = TOUCAN__ENVELOPE__BODY_BOOK_REPLY;
@@ -707,14 +788,22 @@
 			  const Toucan__BookDecode *m)
 {
 	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
-	enum tlb_class class = m->klass == TLB_BATCH ? TLB_BATCH : TLB_INTERACTIVE;
+	struct tlb_hold_spec spec = {
+		.request_id = m->request_id,
+		.pieces = m->pieces,
+		.class = m->klass == TLB_BATCH ? TLB_BATCH : TLB_INTERACTIVE,
+		.claim = m->claim,
+		.preempt = m->preempt,
+		.urgent_at = urgent_at(m->urgent_in_us),
+		.resume_tokens = m->resume_tokens,
+	};
 
 	if (!t || t->role != TLB_ROLE_DECODE || !owned(b->board, t->id) ||
 	    !tlb_board_valid(b->board)) {
 		reply_book(b, from, TLB_BOOK_NOT_GRANTING, NULL);
 		return;
 	}
-	reply_book(b, from, book_add(t, m->request_id, m->owner, m->pieces, class, m->claim), t);
+	reply_book(b, from, book_add(t, &spec, m->owner), t);
 }
 
 void tlb_bookings_on_renew(struct tlb_bookings *b, const struct tlb_peer_return *from,
@@ -746,6 +835,19 @@
 		book_release(t, m->request_id, owner);
 }
 
+void tlb_bookings_on_preempt(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			     const Toucan__Preempt *m)
+{
+	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
+	char vm[TLB_ID_LEN];
+
+	/* A message of a former owner, late: its book no longer counts. */
+	if (!t || tlb_board_owner(b->board, t->id, vm) != TLB_OWNER_PEER ||
+	    strcmp(vm, from->vm) != 0)
+		return;
+	yield_hold(b, t, m->request_id);
+}
+
 void tlb_bookings_on_pull(struct tlb_bookings *b, const struct tlb_peer_return *from,
 			  const Toucan__BookingsPull *m)
 {
@@ -762,8 +864,8 @@
 		rows[r.n_bookings].endpoint = h->target->id;
 		rows[r.n_bookings].request_id = h->request_id;
 		rows[r.n_bookings].owner = b->board->owner;
-		rows[r.n_bookings].pieces = h->pieces;
-		rows[r.n_bookings].klass = h->class;
+		rows[r.n_bookings].pieces = h->spec.pieces;
+		rows[r.n_bookings].klass = h->spec.class;
 		list[r.n_bookings] = &rows[r.n_bookings];
 		r.n_bookings++;
 	}
--- a/src/booking.h
+++ b/src/booking.h
@@ -19,11 +19,33 @@
 #define TLB_BOOKING_RENEW (1 * TLB_SECOND) /* how often a daemon renews its bookings */
 #define TLB_BOOKING_LAPSE (5 * TLB_SECOND) /* an unrenewed booking ends after this */
 #define TLB_BOOKING_CLAIM (500 * TLB_MS)   /* a claim that is not repeated ends after this */
+/* A booking may be preempted once it is this old: by then its stream has usually started, and the
+ * holder of one that has not goes on. */
+#define TLB_PREEMPTIBLE_AGE (1 * TLB_SECOND)
 #define TLB_HELD_INTERVAL (2 * TLB_SECOND) /* how often an owner compares with the engine */
 
 /* result is TLB_BOOK_OK or why not; unreachable when the owner did not answer. */
 typedef void tlb_hold_done_fn(void *arg, enum tlb_book_result result, bool unreachable);
 
+/* The owner of the book asks the holder to give its place up to an interactive request; the holder
+ * may go on instead. */
+typedef void tlb_hold_yield_fn(void *arg);
+
+/* What is booked. Strings are copied. */
+struct tlb_hold_spec {
+	const char *request_id;
+	int pieces;
+	enum tlb_class class;
+	bool claim;	    /* a full endpoint keeps what comes free (tlb_book_claim()) */
+	bool preempt;	    /* a full endpoint asks batch work to give way (tlb_book_preempt()) */
+	tlb_time urgent_at; /* batch: may be asked to give way until then; 0: never */
+	int resume_tokens;  /* prompt plus output so far */
+	tlb_time deadline;  /* of the question to the book's owner */
+	tlb_hold_done_fn *on_done;
+	tlb_hold_yield_fn *on_yield; /* NULL with urgent_at 0 */
+	void *arg;
+};
+
 enum tlb_hold_state { TLB_HOLD_IDLE, TLB_HOLD_ASKING, TLB_HOLD_HELD };
 
 /* This daemon's side of one booking. Owned by its user and embedded in the user's struct;
@@ -34,12 +56,8 @@
 	enum tlb_hold_state state;
 	struct tlb_target *target;
 	char request_id[TLB_REQUEST_ID_LEN];
-	int pieces;
-	enum tlb_class class;
-	bool claim;
+	struct tlb_hold_spec spec; /* request_id points to the copy */
 	struct tlb_peer_call call;
-	tlb_hold_done_fn *on_done;
-	void *arg;
 };
 
 APR_RING_HEAD(tlb_hold_ring, tlb_hold);
@@ -65,12 +83,10 @@
 void tlb_bookings_start(struct tlb_bookings *b);
 void tlb_bookings_finish(struct tlb_bookings *b);
 
-/* Books pieces at a decode endpoint. With claim, an endpoint that is full keeps what comes free for
- * this request, so that a large one does not starve (tlb_book_claim()); it has to be repeated.
- * on_done runs at once when this daemon owns the book. */
+/* Books pieces at a decode endpoint. Claims and preemptions have to be repeated until the booking
+ * is granted. on_done runs at once when this daemon owns the book. */
 void tlb_booking_hold(struct tlb_bookings *b, struct tlb_hold *h, struct tlb_target *t,
-		      const char *request_id, int pieces, enum tlb_class class, bool claim,
-		      tlb_time deadline, tlb_hold_done_fn *on_done, void *arg);
+		      const struct tlb_hold_spec *spec);
 /* Ends a booking, or gives up asking; harmless when idle. With cancel the engine may still hold the
  * request: it is cancelled there first, and the pieces are free when the engine has confirmed. */
 void tlb_booking_release(struct tlb_hold *h, bool cancel);
@@ -94,6 +110,8 @@
 			   const Toucan__RenewBookings *m);
 void tlb_bookings_on_release(struct tlb_bookings *b, const struct tlb_peer_return *from,
 			     const Toucan__ReleaseBooking *m);
+void tlb_bookings_on_preempt(struct tlb_bookings *b, const struct tlb_peer_return *from,
+			     const Toucan__Preempt *m);
 void tlb_bookings_on_pull(struct tlb_bookings *b, const struct tlb_peer_return *from,
 			  const Toucan__BookingsPull *m);
 
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -781,6 +781,8 @@
 		return h->release_booking;
 	case TOUCAN__ENVELOPE__BODY_BOOKINGS_PULL:
 		return h->bookings_pull;
+	case TOUCAN__ENVELOPE__BODY_PREEMPT:
+		return h->preempt;
 	case TOUCAN__ENVELOPE__BODY_CONFIG_PUSH:
 		return h->config_push;
 	case TOUCAN__ENVELOPE__BODY_CONFIG_PULL:
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -32,6 +32,7 @@
 	tlb_cluster_message_fn *book_decode;
 	tlb_cluster_message_fn *renew_bookings;
 	tlb_cluster_message_fn *release_booking;
+	tlb_cluster_message_fn *preempt;
 	tlb_cluster_message_fn *bookings_pull;
 	tlb_cluster_message_fn *config_push;
 	tlb_cluster_message_fn *config_pull;
--- a/src/counter.h
+++ b/src/counter.h
@@ -22,6 +22,10 @@
 	X(PREFILL_WASTED_TOKENS, "toucanlb_prefill_wasted_tokens_total", "counter",                \
 	  "Prompt tokens computed and then evicted, cancelled or recomputed")                      \
 	X(RESUMES, "toucanlb_resumes_total", "counter", "Streams resumed on another endpoint")     \
+	X(PREEMPTIONS, "toucanlb_preemptions_total", "counter",                                    \
+	  "Batch streams that this VM, as owner of the endpoint's book, asked to give way")        \
+	X(PREEMPTED, "toucanlb_preempted_total", "counter",                                        \
+	  "Batch streams of this VM that gave way to an interactive request")                      \
 	X(TOKENS_OUT, "toucanlb_tokens_out_total", "counter", "Output tokens sent to callers")     \
 	X(CONFIG_VERSION, "toucanlb_config_version", "gauge", "Configuration version in force")    \
 	X(CONFIG_CHANGES, "toucanlb_config_changes_total", "counter",                              \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -77,6 +77,13 @@
 	tlb_bookings_on_renew(&d->board.bookings, from, m->renew_bookings);
 }
 
+static void on_preempt(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_bookings_on_preempt(&d->board.bookings, from, m->preempt);
+}
+
 static void on_release_booking(void *arg, const struct tlb_peer_return *from,
 			       const Toucan__Envelope *m)
 {
@@ -432,6 +439,7 @@
 		.book_decode = on_book_decode,
 		.renew_bookings = on_renew_bookings,
 		.release_booking = on_release_booking,
+		.preempt = on_preempt,
 		.bookings_pull = on_bookings_pull,
 		.config_push = on_config_push,
 		.config_pull = on_config_pull,
--- a/src/load.c
+++ b/src/load.c
@@ -23,6 +23,7 @@
 	tlb_book_init(&t->book, t->total_pieces, t->total_pieces / BATCH_RESERVE_SHARE,
 		      STRAY_GRACE);
 	t->book.max_requests = t->max_requests;
+	t->book.preempt_cost = TLB_PREEMPT_COST;
 }
 
 void tlb_load_init(struct tlb_load *l, struct tlb_board *b)
--- a/src/load.h
+++ b/src/load.h
@@ -19,6 +19,10 @@
 /* How often an engine's load is asked for. */
 #define TLB_LOAD_INTERVAL (500 * TLB_MS)
 
+/* Granted bookings that pay for one preemption, so that the prefill it wastes stays a bounded share
+ * (docs/POLICY.md). */
+enum { TLB_PREEMPT_COST = 20 };
+
 struct tlb_target {
 	APR_RING_ENTRY(tlb_target) link;
 	struct tlb_board *board;
--- a/src/pool.c
+++ b/src/pool.c
@@ -136,8 +136,8 @@
 	const struct tlb_target *t;
 	tlb_time now = tlb_clock_now();
 
-	/* A claim is worth asking for although nothing is free. */
-	if (now >= w->claim_at && now >= w->retry_at)
+	/* A claim or a preemption is worth asking for although nothing is free. */
+	if ((now >= w->claim_at || now >= w->preempt_at) && now >= w->retry_at)
 		return true;
 	if (now < pool->refused_until && w->pieces >= pool->refused_pieces[it->class])
 		return false;
@@ -220,6 +220,15 @@
 	pool->refused_until = now + TLB_POOL_RETRY;
 }
 
+static void put_back(struct tlb_pool *pool, const char *account, struct tlb_wait *w)
+{
+	struct tlb_pools *p = pool->pools;
+
+	tlb_queue_unpop(&pool->queue, flow_for(pool, account), &w->item);
+	if (!p->timer.index)
+		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now() + TLB_POOL_RETRY);
+}
+
 void tlb_pool_unpop(struct tlb_pools *p, const char *id, const char *account, struct tlb_wait *w)
 {
 	struct tlb_pool *pool = pool_for(p, id);
@@ -227,9 +236,14 @@
 
 	note_refused(pool, w, now);
 	w->retry_at = now + CLAIM_RETRY;
-	tlb_queue_unpop(&pool->queue, flow_for(pool, account), &w->item);
-	if (!p->timer.index)
-		tlb_timer_set(p->board->loop, &p->timer, tlb_clock_now() + TLB_POOL_RETRY);
+	put_back(pool, account, w);
+}
+
+void tlb_pool_unpop_soon(struct tlb_pools *p, const char *id, const char *account,
+			 struct tlb_wait *w)
+{
+	w->retry_at = tlb_clock_now() + TLB_POOL_RETRY;
+	put_back(pool_for(p, id), account, w);
 }
 
 void tlb_pool_remove(struct tlb_wait *w)
--- a/src/pool.h
+++ b/src/pool.h
@@ -25,7 +25,8 @@
 	struct tlb_pool *pool; /* set by push */
 	int pieces;	       /* decode memory needed */
 	tlb_time claim_at;     /* may claim pieces that come free from then on */
-	tlb_time retry_at;     /* of a claim; 0 at first */
+	tlb_time preempt_at;   /* may ask batch work to give way from then on */
+	tlb_time retry_at;     /* of a claim or preemption; 0 at first */
 	void (*on_start)(struct tlb_wait *w);
 	void (*on_expire)(struct tlb_wait *w);
 };
@@ -50,6 +51,9 @@
 /* Puts a started request back at the head of its account: every endpoint refused it. Requests of
  * its class that are as large wait for the next retry, too. */
 void tlb_pool_unpop(struct tlb_pools *p, const char *pool, const char *account, struct tlb_wait *w);
+/* The same for a request to which batch work gives way: only it waits, and is tried again soon. */
+void tlb_pool_unpop_soon(struct tlb_pools *p, const char *pool, const char *account,
+			 struct tlb_wait *w);
 /* Takes a request out; harmless when it does not wait. */
 void tlb_pool_remove(struct tlb_wait *w);
 /* Tries to start requests soon, for example after a booking was released. */
--- a/src/request.c
+++ b/src/request.c
@@ -25,7 +25,10 @@
 #define BATCH_URGENT (10 * TLB_SECOND)
 #define RESUME_WAIT (10 * TLB_SECOND) /* longest wait for a place after an engine failed */
 
-enum { CLAIM_SHARE = 6, TEXT_MAX = 16 << 20 /* bytes of one answer */ };
+/* An interactive request that has waited this long asks batch work to give way (docs/POLICY.md). */
+#define PREEMPT_AFTER (1 * TLB_SECOND)
+
+enum { PREEMPTIONS_MAX = 2, CLAIM_SHARE = 6, TEXT_MAX = 16 << 20 /* bytes of one answer */ };
 
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
 
@@ -61,6 +64,8 @@
 	struct tlb_http_call call;
 	struct tlb_target *decode;
 	struct tlb_target *prefill;
+	struct tlb_target *yielding; /* batch work gives way to this request there; or NULL */
+	int preemptions;	     /* how often this request gave way */
 	struct tried tried_decode;
 	struct tried tried_prefill;
 	struct tlb_prefix prefix;
@@ -302,6 +307,10 @@
 	r->wait.on_expire = on_expire;
 	r->wait.claim_at =
 		r->completion.class == TLB_INTERACTIVE ? tlb_clock_now() + CLAIM_AFTER : TLB_NEVER;
+	r->wait.preempt_at = r->completion.class == TLB_INTERACTIVE
+				     ? tlb_clock_now() + PREEMPT_AFTER
+				     : TLB_NEVER;
+	r->yielding = NULL;
 	r->wait.item.class = r->completion.class;
 	r->wait.item.tokens = r->prompt_tokens + r->max_tokens;
 	r->wait.item.latest_start = TLB_NEVER;
@@ -320,7 +329,7 @@
 		"event=retry request=%s step=%s endpoint=%s attempt=%d tokens=%d reason=\"%s\"",
 		r->id, step_names[r->step], peer, r->attempt, r->next_index, why);
 	leave_engines(r, true);
-	if (r->attempt >= ATTEMPTS_MAX) {
+	if (r->attempt - r->preemptions >= ATTEMPTS_MAX) {
 		fail_with(r, TLB_ENDPOINT_FAILED, peer, "engines failed repeatedly");
 		return;
 	}
@@ -417,12 +426,46 @@
 		choose_prefill(r);
 		return;
 	}
+	r->yielding = NULL;
+	if (result == TLB_BOOK_YIELDING) {
+		r->yielding = r->decode;
+		r->step = STEP_QUEUE;
+		tlb_pool_unpop_soon(&r->board->pools, r->pool, r->account, &r->wait);
+		return;
+	}
 	tlb_log_debug("event=hold_refused request=%s endpoint=%s result=%s unreachable=%d", r->id,
 		      r->decode->id, tlb_book_result_name(result), unreachable);
 	note_tried(&r->tried_decode, r->decode);
 	place(r);
 }
 
+/* Preempted: the stream stops here and goes on later from its next token. */
+static void give_way(struct tlb_request *r)
+{
+	int wait_ms = r->board->settings->batch_wait_ms;
+
+	tlb_log_info("event=preempted request=%s account=%s endpoint=%s tokens=%d preemptions=%d",
+		     r->id, r->account, r->decode->id, r->next_index, r->preemptions + 1);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_PREEMPTED, 1);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_RESUMES, 1);
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_PREFILL_WASTED_TOKENS,
+			r->prompt_tokens + r->next_index);
+	leave_engines(r, true);
+	r->preemptions++;
+	enqueue(r, r->completion.deadline_ms ? TLB_NEVER : tlb_clock_now() + wait_ms * TLB_MS);
+}
+
+/* The book's owner asks this request to give way. It goes on when its prefill would be wasted, it
+ * is urgent by now, or it has given way too often. */
+static void on_yield(void *arg)
+{
+	struct tlb_request *r = arg;
+
+	if (r->step == STEP_DECODE && r->next_index > 0 && !r->engine_done &&
+	    r->preemptions < PREEMPTIONS_MAX && r->wait.item.latest_start > tlb_clock_now())
+		give_way(r);
+}
+
 static bool may_claim(const struct tlb_request *r, const struct tlb_candidate *k, tlb_time now)
 {
 	return now >= r->wait.claim_at && k->usable && !k->tried && k->ejected_until <= now &&
@@ -444,6 +487,63 @@
 	return best;
 }
 
+/* Where batch work may give way: where it does already, or else at the emptiest endpoint that was
+ * not asked yet; -1: nowhere. */
+static int choose_preempt(const struct tlb_request *r, const struct candidates *c, tlb_time now)
+{
+	int best = -1;
+	int i;
+
+	if (now < r->wait.preempt_at)
+		return -1;
+	for (i = 0; i < c->count; i++) {
+		const struct tlb_candidate *k = &c->list[i];
+
+		if (!k->usable || k->tried || k->ejected_until > now)
+			continue;
+		if (c->target[i] == r->yielding)
+			return i;
+		if (best < 0 || k->free_pieces > c->list[best].free_pieces)
+			best = i;
+	}
+	return best;
+}
+
+static tlb_time urgent_at(const struct tlb_request *r)
+{
+	bool yields = r->completion.class == TLB_BATCH && r->preemptions < PREEMPTIONS_MAX;
+
+	return yields ? r->wait.item.latest_start : 0;
+}
+
+/* Where to ask for memory that others hold; sets how. */
+static int choose_full(const struct tlb_request *r, const struct candidates *c,
+		       struct tlb_hold_spec *spec)
+{
+	tlb_time now = tlb_clock_now();
+	int preempt = choose_preempt(r, c, now);
+	int claim = choose_claim(r, c, now);
+
+	spec->preempt = preempt >= 0;
+	spec->claim = claim >= 0;
+	return preempt >= 0 ? preempt : claim;
+}
+
+static void book(struct tlb_request *r, struct tlb_hold_spec *spec)
+{
+	spec->request_id = r->engine_id;
+	spec->pieces = pieces_needed(r);
+	spec->class = r->completion.class;
+	spec->urgent_at = urgent_at(r);
+	spec->resume_tokens = r->prompt_tokens + r->next_index;
+	spec->deadline = tlb_clock_now() + HOLD_TIMEOUT;
+	spec->on_done = on_hold;
+	spec->on_yield = on_yield;
+	spec->arg = r;
+	r->step = STEP_HOLD;
+	tlb_booking_hold(&r->board->bookings, &r->hold, r->decode, spec);
+}
+
 static void begin_attempt(struct tlb_request *r)
 {
 	if (r->engine_id[0])
@@ -457,14 +557,12 @@
 	static struct candidates c;
 	struct tlb_place_request p = place_request(r);
 	struct tlb_placement pl;
-	bool claim = false;
+	struct tlb_hold_spec spec = {0};
 
 	collect(r, TLB_ROLE_DECODE, &r->tried_decode, p.now, &c);
 	pl = tlb_place_decode(&r->board->place, &p, c.list, c.count);
-	if (pl.chosen < 0) {
-		pl.chosen = choose_claim(r, &c, p.now);
-		claim = pl.chosen >= 0;
-	}
+	if (pl.chosen < 0 || r->yielding)
+		pl.chosen = choose_full(r, &c, &spec);
 	if (pl.chosen < 0) {
 		/* All have refused or failed; the next round may try each again. */
 		r->tried_decode.count = 0;
@@ -474,10 +572,8 @@
 	}
 	begin_attempt(r);
 	r->decode = c.target[pl.chosen];
-	r->step = STEP_HOLD;
-	log_placement(r, claim ? "claim_decode" : "place_decode", &pl, &c);
-	tlb_booking_hold(&r->board->bookings, &r->hold, r->decode, r->engine_id, p.pieces,
-			 r->completion.class, claim, p.now + HOLD_TIMEOUT, on_hold, r);
+	log_placement(r, spec.claim || spec.preempt ? "claim_decode" : "place_decode", &pl, &c);
+	book(r, &spec);
 }
 
 /* --- prefill --- */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &toucan__book_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__preempt__init
+                     (Toucan__Preempt         *message)
+{
+  static const Toucan__Preempt init_value = TOUCAN__PREEMPT__INIT;
+  *message = init_value;
+}
+size_t toucan__preempt__get_packed_size
+                     (const Toucan__Preempt *message)
+{
+  assert(message->base.descriptor == &toucan__preempt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__preempt__pack
+                     (const Toucan__Preempt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__preempt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__preempt__pack_to_buffer
+                     (const Toucan__Preempt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__preempt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__Preempt *
+       toucan__preempt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__Preempt *)
+     protobuf_c_message_unpack (&toucan__preempt__descriptor,
+                                allocator, len, data);
+}
+void   toucan__preempt__free_unpacked
+                     (Toucan__Preempt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__preempt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__renew_bookings__init
                      (Toucan__RenewBookings         *message)
 {
@@ -1222,7 +1267,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[27] =
 {
   {
     "source",
@@ -1536,6 +1581,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "preempt",
+    55,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, preempt),
+    &toucan__preempt__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   16,   /* field[16] = book_decode */
@@ -1555,6 +1612,7 @@
   4,   /* field[4] = hello */
   2,   /* field[2] = id */
   1,   /* field[1] = incarnation */
+  26,   /* field[26] = preempt */
   19,   /* field[19] = release_booking */
   18,   /* field[18] = renew_bookings */
   3,   /* field[3] = reply_to */
@@ -1565,12 +1623,13 @@
   10,   /* field[10] = standby_release */
   14,   /* field[14] = tokens_reply */
 };
-static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange toucan__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
   { 20, 13 },
-  { 0, 26 }
+  { 55, 26 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -1580,10 +1639,10 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  26,
+  27,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
-  3,  toucan__envelope__number_ranges,
+  4,  toucan__envelope__number_ranges,
   (ProtobufCMessageInit) toucan__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2403,7 +2462,7 @@
   (ProtobufCMessageInit) toucan__return_tokens__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[6] =
+static const ProtobufCFieldDescriptor toucan__book_decode__field_descriptors[9] =
 {
   {
     "endpoint",
@@ -2477,6 +2536,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "preempt",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, preempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "urgent_in_us",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, urgent_in_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resume_tokens",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookDecode, resume_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__book_decode__field_indices_by_name[] = {
   5,   /* field[5] = claim */
@@ -2484,12 +2579,16 @@
   4,   /* field[4] = klass */
   2,   /* field[2] = owner */
   3,   /* field[3] = pieces */
+  6,   /* field[6] = preempt */
   1,   /* field[1] = request_id */
+  8,   /* field[8] = resume_tokens */
+  7,   /* field[7] = urgent_in_us */
 };
-static const ProtobufCIntRange toucan__book_decode__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__book_decode__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 35, 6 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor toucan__book_decode__descriptor =
 {
@@ -2499,14 +2598,14 @@
   "Toucan__BookDecode",
   "toucan",
   sizeof(Toucan__BookDecode),
-  6,
+  9,
   toucan__book_decode__field_descriptors,
   toucan__book_decode__field_indices_by_name,
-  1,  toucan__book_decode__number_ranges,
+  2,  toucan__book_decode__number_ranges,
   (ProtobufCMessageInit) toucan__book_decode__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__book_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__book_reply__field_descriptors[4] =
 {
   {
     "granted",
@@ -2544,16 +2643,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yielding",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__BookReply, yielding),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__book_reply__field_indices_by_name[] = {
   2,   /* field[2] = booked */
   1,   /* field[1] = free_pieces */
   0,   /* field[0] = granted */
+  3,   /* field[3] = yielding */
 };
-static const ProtobufCIntRange toucan__book_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__book_reply__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 35, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__book_reply__descriptor =
 {
@@ -2563,13 +2676,64 @@
   "Toucan__BookReply",
   "toucan",
   sizeof(Toucan__BookReply),
-  3,
+  4,
   toucan__book_reply__field_descriptors,
   toucan__book_reply__field_indices_by_name,
-  1,  toucan__book_reply__number_ranges,
+  2,  toucan__book_reply__number_ranges,
   (ProtobufCMessageInit) toucan__book_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__preempt__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Preempt, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Preempt, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__preempt__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = request_id */
+};
+static const ProtobufCIntRange toucan__preempt__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__preempt__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Preempt",
+  "Preempt",
+  "Toucan__Preempt",
+  "toucan",
+  sizeof(Toucan__Preempt),
+  2,
+  toucan__preempt__field_descriptors,
+  toucan__preempt__field_indices_by_name,
+  1,  toucan__preempt__number_ranges,
+  (ProtobufCMessageInit) toucan__preempt__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__renew_bookings__field_descriptors[1] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Toucan__ReturnTokens Toucan__ReturnTokens;
 typedef struct Toucan__BookDecode Toucan__BookDecode;
 typedef struct Toucan__BookReply Toucan__BookReply;
+typedef struct Toucan__Preempt Toucan__Preempt;
 typedef struct Toucan__RenewBookings Toucan__RenewBookings;
 typedef struct Toucan__ReleaseBooking Toucan__ReleaseBooking;
 typedef struct Toucan__BookingsPull Toucan__BookingsPull;
@@ -87,7 +88,8 @@
   TOUCAN__ENVELOPE__BODY_CONFIG_PUSH = 29,
   TOUCAN__ENVELOPE__BODY_CONFIG_PULL = 30,
   TOUCAN__ENVELOPE__BODY_CONFIG_ROWS = 31,
-  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32
+  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32,
+  TOUCAN__ENVELOPE__BODY_PREEMPT = 55
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -137,6 +139,7 @@
     Toucan__ConfigPull *config_pull;
     Toucan__ConfigRows *config_rows;
     Toucan__HandOver *hand_over;
+    Toucan__Preempt *preempt;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -363,10 +366,22 @@
    * when full: keep what comes free for this request
    */
   protobuf_c_boolean claim;
+  /*
+   * when full: ask running batch work to give way
+   */
+  protobuf_c_boolean preempt;
+  /*
+   * batch: gives way until then; 0: never, INT64_MAX: no deadline
+   */
+  int64_t urgent_in_us;
+  /*
+   * prompt plus output so far
+   */
+  int32_t resume_tokens;
 };
 #define TOUCAN__BOOK_DECODE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__book_decode__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Toucan__BookReply
@@ -375,10 +390,29 @@
   protobuf_c_boolean granted;
   int32_t free_pieces;
   int32_t booked;
+  /*
+   * not granted yet: batch work gives way to this request; ask again
+   */
+  protobuf_c_boolean yielding;
 };
 #define TOUCAN__BOOK_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__book_reply__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
+
+
+/*
+ * The owner of a book asks the VM of a running batch booking to give its memory up. Not answered:
+ * the VM releases the booking, or the request goes on.
+ */
+struct  Toucan__Preempt
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  char *request_id;
+};
+#define TOUCAN__PREEMPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__preempt__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Toucan__RenewBookings
@@ -857,6 +891,25 @@
 void   toucan__book_reply__free_unpacked
                      (Toucan__BookReply *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__Preempt methods */
+void   toucan__preempt__init
+                     (Toucan__Preempt         *message);
+size_t toucan__preempt__get_packed_size
+                     (const Toucan__Preempt   *message);
+size_t toucan__preempt__pack
+                     (const Toucan__Preempt   *message,
+                      uint8_t             *out);
+size_t toucan__preempt__pack_to_buffer
+                     (const Toucan__Preempt   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__Preempt *
+       toucan__preempt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__preempt__free_unpacked
+                     (Toucan__Preempt *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__RenewBookings methods */
 void   toucan__renew_bookings__init
                      (Toucan__RenewBookings         *message);
@@ -1116,6 +1169,9 @@
 typedef void (*Toucan__BookReply_Closure)
                  (const Toucan__BookReply *message,
                   void *closure_data);
+typedef void (*Toucan__Preempt_Closure)
+                 (const Toucan__Preempt *message,
+                  void *closure_data);
 typedef void (*Toucan__RenewBookings_Closure)
                  (const Toucan__RenewBookings *message,
                   void *closure_data);
@@ -1172,6 +1228,7 @@
 extern const ProtobufCMessageDescriptor toucan__return_tokens__descriptor;
 extern const ProtobufCMessageDescriptor toucan__book_decode__descriptor;
 extern const ProtobufCMessageDescriptor toucan__book_reply__descriptor;
+extern const ProtobufCMessageDescriptor toucan__preempt__descriptor;
 extern const ProtobufCMessageDescriptor toucan__renew_bookings__descriptor;
 extern const ProtobufCMessageDescriptor toucan__release_booking__descriptor;
 extern const ProtobufCMessageDescriptor toucan__bookings_pull__descriptor;
--- /dev/null
+++ b/tests/promises/p14_preempt.py
@@ -0,0 +1,182 @@
+#!/usr/bin/env python3
+"""Preemption of batch work (docs/design.md, section 3.10): a batch stream that gives way to an
+interactive request goes on later with no token missing or doubled, the interactive request gets its
+place, and no memory stays held (promises 1, 2 and 5)."""
+import re
+import threading
+import time
+
+from harness import (Failed, ask, case, complete, completion_body, judge_completion, main, output_of,
+                     parallel, wait_until)
+
+RELEASED = 15.0  # seconds until no piece is held once all callers are answered or gone (promise 1)
+PIECES = 50
+PROMPT_TOKENS = 14000  # with the output 8 pieces
+BATCH_TOKENS = 64
+DECODES = 2
+STREAMS = 10  # five fill an endpoint but for the batch reserve and one more request
+INTERACTIVE = 5
+
+
+def long_prompt(t):
+    """A prompt whose output is long enough to be still running when it is preempted."""
+    while True:
+        prompt = t.prompt(PROMPT_TOKENS)
+        if len(output_of(prompt, BATCH_TOKENS).split()) >= 44:
+            return prompt
+
+
+def start_fleet(t):
+    gone = {f"config/endpoint/decode-{i}": None for i in range(DECODES + 1, 8)}
+    return t.fleet(rows=gone, standin_options={
+        f"decode-{i}": ["--token-us", "180000"] for i in range(1, DECODES + 1)})
+
+
+def earn_credit(t, fleet):
+    """Each endpoint's book preempts one booking in 20 that it granted."""
+    def small(i):
+        r = complete(fleet, i % len(fleet.callers), t.prompt(20), 1, False)
+        if r.status != 200:
+            raise Failed(f"warm-up request: {r}")
+    for _ in range(9):
+        parallel([lambda i=i: small(i) for i in range(32)])
+
+
+def held(fleet):
+    return sum(e.state()["held_pieces"] for e in fleet.decodes[:DECODES])
+
+
+def log_lines(fleet, event):
+    return [line for line in fleet.logs().splitlines() if f"event={event} " in line]
+
+
+class Run:
+    """Batch streams that fill the endpoints, then interactive requests that need their memory."""
+
+    def __init__(self, t, fleet):
+        self.t, self.fleet = t, fleet
+        self.verdicts = []
+        self.lost = set()  # VMs whose callers may see a broken connection
+        self.threads = []
+        self.lock = threading.Lock()
+
+    def one(self, vm, prompt, tokens, **more):
+        body = completion_body(self.fleet, prompt, tokens, True, **more)
+        r = ask(self.fleet.callers[vm], "POST", "/v1/completions", self.fleet.key, body, None, 60)
+        verdict = judge_completion(r, prompt, tokens, True)
+        with self.lock:
+            self.verdicts.append((verdict, vm, more.get("priority", "interactive")))
+        if verdict != "whole":
+            self.t.note((verdict, vm, more, r))
+
+    def start(self, count, tokens, **more):
+        for _ in range(count):
+            args = (self.t.vm(self.fleet, self.lost), long_prompt(self.t), tokens)
+            th = threading.Thread(target=self.one, args=args, kwargs=more)
+            th.start()
+            self.threads.append(th)
+
+    def fill(self):
+        self.start(STREAMS, BATCH_TOKENS, priority="batch")
+        if wait_until(lambda: held(self.fleet) >= STREAMS * 8, 10) is None:
+            raise Failed(f"batch streams hold only {held(self.fleet)} pieces")
+        time.sleep(1.2)
+
+    def finish(self):
+        for th in self.threads:
+            th.join()
+        if not log_lines(self.fleet, "preempt"):
+            raise Failed("no batch stream was asked to give way")
+        bad = [v for v in self.verdicts if v[0] != "whole" and v[1] not in self.lost]
+        bad += [v for v in self.verdicts if v[0] == "wrong" and v[1] in self.lost]
+        if self.fleet.wait_released(RELEASED) is None:
+            self.t.note([(e.name, e.state()) for e in self.fleet.engines])
+            raise Failed(f"memory is held {RELEASED:.0f} s after the last answer")
+        return len(bad), 0
+
+
+def preempt(t, disturb=None):
+    with start_fleet(t) as fleet:
+        earn_credit(t, fleet)
+        run = Run(t, fleet)
+        run.fill()
+        if disturb:
+            disturb(t, fleet, run)
+        else:
+            run.start(INTERACTIVE, 8)
+        return run.finish()
+
+
+@case
+def batch_streams_give_way(t):
+    """Guards against interactive requests that wait for batch streams to end, and against tokens
+    that a preempted stream misses or repeats."""
+    return preempt(t)
+
+
+def victim_vm(fleet, seconds=6):
+    """The VM of the first booking that an owner asks to give way."""
+    def asked():
+        return log_lines(fleet, "preempt")
+    if wait_until(asked, seconds, 0.02) is None:
+        raise Failed("no batch stream was asked to give way")
+    return int(re.search(r"owner=vm-(\d+)/", asked()[0]).group(1)) - 1
+
+
+def freeze_holders(seconds):
+    """A frozen VM takes Preempt late, and again when the owner repeats it."""
+    def disturb(t, fleet, run):
+        holders = t.random.sample(range(len(fleet.callers)), 2)
+        for vm in holders:
+            fleet.freeze(vm)
+        run.lost.update(holders)
+        run.start(INTERACTIVE, 8)
+        time.sleep(seconds)
+        for vm in holders:
+            fleet.thaw(vm)
+    return disturb
+
+
+@case
+def preempt_arrives_late_and_twice(t):
+    """Two VMs are frozen for less than a lease: they get Preempt late, and possibly again. None of
+    their streams may miss or repeat a token."""
+    return preempt(t, freeze_holders(2.2))
+
+
+@case
+def holders_frozen_past_their_lease(t):
+    """Preempt is lost on them; the claim ends and their memory is free within promise 1's bound."""
+    return preempt(t, freeze_holders(8))
+
+
+@case
+def holder_killed(t):
+    """The VM of a stream that was asked to give way dies."""
+    def disturb(_, fleet, run):
+        run.start(INTERACTIVE, 8)
+        vm = victim_vm(fleet)
+        run.lost.add(vm)
+        fleet.kill(vm)
+    return preempt(t, disturb)
+
+
+@case
+def owner_killed(t):
+    """The owner of a book dies after it asked streams to give way: their VMs go on without it."""
+    def disturb(_, fleet, run):
+        run.start(INTERACTIVE, 8)
+        victim_vm(fleet)
+        owner = next(vm for vm in range(len(fleet.callers)) if "event=preempt " in log_of(fleet, vm))
+        run.lost.add(owner)
+        fleet.kill(owner)
+    return preempt(t, disturb)
+
+
+def log_of(fleet, vm):
+    with open(f"{fleet.dir}/vm-{vm + 1}.decisions.log", encoding="utf-8") as f:
+        return f.read()
+
+
+if __name__ == "__main__":
+    main(14)
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -103,6 +103,90 @@
 }
 END_TEST
 
+/* Books three running batch requests, "a" 4 pieces, "b" 6 and "c" 6, and an interactive one of 4,
+ * on a book of 20 with credit for that many preemptions. */
+static void fill_with_batch(int credit)
+{
+	static const struct {
+		const char *id;
+		int pieces;
+		int64_t resume_tokens;
+	} rows[] = {{"a", 4, 9000}, {"b", 6, 3000}, {"c", 6, 5000}};
+	size_t i;
+
+	book.preempt_cost = 20;
+	book.batch_reserve = 0;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct tlb_booking *k =
+			make((int)i, rows[i].id, "vm1/1", rows[i].pieces, TLB_BATCH, TLB_NEVER);
+
+		k->resume_tokens = rows[i].resume_tokens;
+		k->preemptible_at = 10;
+		k->urgent_at = 100;
+		k->yields_until = 0;
+		ck_assert_int_eq(tlb_book_add(&book, k), TLB_BOOK_OK);
+	}
+	tlb_book_add(&book, make(3, "i", "vm1/1", 4, TLB_INTERACTIVE, TLB_NEVER));
+	book.preempt_credit = credit * 20;
+}
+
+/* Each row preempts for pieces at a time. */
+static const struct {
+	int credit;
+	tlb_time now;
+	int pieces;
+	int victims;
+	const char *first;
+	bool claimed;
+} preempt_cases[] = {
+	{2, 50, 6, 1, "b", true},    /* the least to compute again */
+	{2, 50, 7, 2, "b", true},    /* no more than needed */
+	{2, 50, 13, 0, NULL, false}, /* needs three; the credit pays for two */
+	{3, 50, 17, 0, NULL, false}, /* interactive work does not give way */
+	{2, 5, 6, 0, NULL, false},   /* not running yet */
+	{2, 100, 6, 0, NULL, false}, /* urgent by now */
+	{0, 50, 6, 0, NULL, false},
+};
+
+START_TEST(preemption_takes_the_cheapest_that_suffice)
+{
+	struct tlb_booking *victims[4] = {NULL};
+	bool claimed;
+	int n;
+
+	fill_with_batch(preempt_cases[_i].credit);
+	n = tlb_book_preempt(&book, "x", preempt_cases[_i].pieces, preempt_cases[_i].now, 600,
+			     victims, 4, &claimed);
+	ck_assert_int_eq(n, preempt_cases[_i].victims);
+	ck_assert_int_eq(claimed, preempt_cases[_i].claimed);
+	if (n)
+		ck_assert_str_eq(victims[0]->request_id, preempt_cases[_i].first);
+	/* What may not give way for this request stays free to be asked for another. */
+	if (!n)
+		ck_assert_int_eq(bookings[1].yields_until, 0);
+}
+END_TEST
+
+/* A repeated question must not cost a second stream, and what gives way must not go to another. */
+START_TEST(preempted_memory_is_kept_for_the_request)
+{
+	struct tlb_booking *victims[4];
+	struct tlb_booking *x = make(4, "x", "vm1/1", 6, TLB_INTERACTIVE, TLB_NEVER);
+	bool claimed;
+
+	fill_with_batch(3);
+	ck_assert_int_eq(tlb_book_preempt(&book, "x", 6, 50, 600, victims, 4, &claimed), 1);
+	ck_assert_int_eq(tlb_book_preempt(&book, "x", 6, 60, 600, victims, 4, &claimed), 0);
+	ck_assert(claimed);
+	ck_assert_int_eq(tlb_book_preempt(&book, "y", 6, 60, 600, victims, 4, &claimed), 0);
+	ck_assert(!claimed);
+	ck_assert_int_eq(tlb_book_add(&book, x), TLB_BOOK_FULL);
+	tlb_book_release(&book, "b", "vm1/1");
+	ck_assert_int_eq(tlb_book_free(&book), 0);
+	ck_assert_int_eq(tlb_book_add(&book, x), TLB_BOOK_OK);
+}
+END_TEST
+
 /* The claim of a caller that is gone must end. */
 START_TEST(claim_ends_when_not_repeated)
 {
@@ -197,6 +281,9 @@
 			    sizeof(add_cases) / sizeof(add_cases[0]));
 	tcase_add_test(tc, request_limit_holds_though_memory_is_free);
 	tcase_add_test(tc, claim_keeps_freed_pieces);
+	tcase_add_loop_test(tc, preemption_takes_the_cheapest_that_suffice, 0,
+			    sizeof(preempt_cases) / sizeof(preempt_cases[0]));
+	tcase_add_test(tc, preempted_memory_is_kept_for_the_request);
 	tcase_add_test(tc, claim_ends_when_not_repeated);
 	tcase_add_test(tc, new_owner_grants_only_after_the_list);
 	tcase_add_test(tc, expired_booking_stays_counted_until_gone);
