Model preemption, slow and joining engines; split the model

The model had no slow engine and no joining one, so the constants of slow start and ejection were not measured, and nothing measured preemption.

bench/model.c (50 KB) is split into event, view, engine, admit, caller, fault, measure and model, with the common state in parts.h.

--- a/Makefile
+++ b/Makefile
@@ -52,8 +52,14 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs check)
 
-$(BUILD)/bench: bench/bench.c bench/model.c bench/model.h $(BUILD)/libtoucanlb.a
-	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
+BENCH_OBJ = $(patsubst %,$(BUILD)/bench-%.o,bench model event view engine admit caller fault measure)
+
+$(BUILD)/bench-%.o: bench/%.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -MP -c -o $@ $<
+
+$(BUILD)/bench: $(BENCH_OBJ) $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/passthrough: bench/passthrough.c $(BUILD)/libtoucanlb.a
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $^ $(LIBS)
--- a/bench/bench.c
+++ b/bench/bench.c
@@ -10,7 +10,7 @@
 
 #include "model.h"
 
-enum { MAX_SEEDS = 100 };
+enum { MAX_SEEDS = 100, FLOWS_MAX = 32 };
 
 #define ROWS(table) (int)(sizeof(table) / sizeof((table)[0]))
 
@@ -26,15 +26,23 @@
 	.booked = true, .max_requests = 24, .batch_reserve = 8, .standby_share = 0.25,             \
 	.claim_pieces = 9, .claim_after = 2 * TLB_SECOND
 
+#define PREEMPTION .preempt_after = 1 * TLB_SECOND, .preempt_cost = 20
+
 /* round_robin and least_load pass a request on at once, as a plain proxy does: no booking, no fair
  * queue, no priorities at the engines. The _booked forms are what the daemon does with these
- * settings: everything but the choice of endpoints as in toucanlb. */
+ * settings: everything but the choice of endpoints as in toucanlb. toucanlb_waiting does not
+ * preempt batch work. */
 static const struct flow policies[] = {
 	{.name = "round_robin", .policy = TLB_POLICY_ROUND_ROBIN, WAITS},
 	{.name = "least_load", .policy = TLB_POLICY_LEAST_LOAD, WAITS},
-	{.name = "round_robin_booked", .policy = TLB_POLICY_ROUND_ROBIN, WAITS, BOOKING},
-	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, WAITS, BOOKING},
-	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, WAITS, BOOKING},
+	{.name = "round_robin_booked",
+	 .policy = TLB_POLICY_ROUND_ROBIN,
+	 WAITS,
+	 BOOKING,
+	 PREEMPTION},
+	{.name = "least_load_booked", .policy = TLB_POLICY_LEAST_LOAD, WAITS, BOOKING, PREEMPTION},
+	{.name = "toucanlb_waiting", .policy = TLB_POLICY_TOUCANLB, WAITS, BOOKING},
+	{.name = "toucanlb", .policy = TLB_POLICY_TOUCANLB, WAITS, BOOKING, PREEMPTION},
 };
 
 #define LAG (100 * TLB_MS)
@@ -53,6 +61,9 @@
 	{"zone_lost",     0.55, 0.85, 0.40, -1, false, FAULT_ZONE_LOST,   1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"store_down",    0.55, 0.85, 0.40, -1, false, FAULT_ROUTER_LOST, 1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"leaving",       0.55, 0.85, 0.40, -1, false, FAULT_LEAVING,     1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"slow_prefill",  0.55, 0.85, 0.40, -1, false, FAULT_SLOW_PREFILL, 1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"slow_decode",   0.55, 0.85, 0.40, -1, false, FAULT_SLOW_DECODE, 1.0, LAG, 0.02, 0.3, 48, 1500},
+	{"joining",       0.55, 0.85, 0.40, -1, false, FAULT_JOINING,     1.0, LAG, 0.02, 0.3, 48, 1500},
 	{"half_links",    0.55, 0.85, 0.40, -1, false, FAULT_NONE,        0.5, LAG, 0.02, 0.3, 48, 1500},
 	{"old_reports",   0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, 2 * TLB_SECOND, 0.02, 0.3, 48, 1500},
 	{"cache_gaps",    0.55, 0.85, 0.40, -1, false, FAULT_NONE,        1.0, LAG, 0.33, 0.3, 48, 1500},
@@ -68,7 +79,8 @@
 	int seeds;
 	double load;
 	bool csv;
-	struct flow flows[ROWS(policies)]; /* policies with --set applied */
+	int flow_count;
+	struct flow flows[FLOWS_MAX]; /* policies with --set applied, then the variants */
 };
 
 static const struct argp_option argp_options[] = {
@@ -78,6 +90,7 @@
 	{"seeds", 'n', "N", 0, "Seeds 1 to N (default 3)", 0},
 	{"load", 'l', "FACTOR", 0, "Multiplies the load (default 1)", 0},
 	{"set", 'o', "NAME=VALUE", 0, "Changes a setting of toucanlb (struct flow; ms)", 0},
+	{"variant", 'v', "NAME=VALUE:...", 0, "Also measures toucanlb with these settings", 0},
 	{"csv", 'c', NULL, 0, "Print every run as CSV", 0},
 	{0},
 };
@@ -102,11 +115,35 @@
 	SET(standby_share, 1)
 	SET(claim_after, TLB_MS)
 	SET(claim_pieces, 1)
+	SET(preempt_after, TLB_MS)
+	SET(preempt_cost, 1)
+	SET(victims, 1)
+	SET(preempt_urgent, 1)
 	SET(early, 1)
 #undef SET
 	return false;
 }
 
+/* Adds toucanlb with the settings of "name=value:...", which is its name too; false: unknown. */
+static bool add_variant(struct options *o, char *settings)
+{
+	struct flow *f = &o->flows[o->flow_count];
+	char *at = strdup(settings);
+	char *rest = at;
+	char *one;
+	bool ok = o->flow_count < FLOWS_MAX;
+
+	if (ok) {
+		*f = o->flows[ROWS(policies) - 1];
+		f->name = settings;
+		o->flow_count++;
+	}
+	while (ok && (one = strsep(&rest, ":")))
+		ok = set(f, one);
+	free(at);
+	return ok;
+}
+
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct options *o = state->input;
@@ -133,6 +170,10 @@
 		if (!set(&o->flows[ROWS(policies) - 1], arg))
 			argp_error(state, "unknown setting: %s", arg);
 		return 0;
+	case 'v':
+		if (!add_variant(o, arg))
+			argp_error(state, "unknown setting, or too many variants: %s", arg);
+		return 0;
 	case 'c':
 		o->csv = true;
 		return 0;
@@ -159,7 +200,9 @@
 	X(queue_ms[1][1], 1)                                                                       \
 	X(batch_done, 100)                                                                         \
 	X(memory, 100)                                                                             \
-	X(missed_transfers, 100)
+	X(missed_transfers, 100)                                                                   \
+	X(preempted, 1)                                                                            \
+	X(ejections, 1)
 
 static void print_csv_head(void)
 {
@@ -167,7 +210,7 @@
 	       "good_pct,ttft_ok_pct,gap_ok_pct,ttft_p95_ms,wasted_pct,worst_share,"
 	       "wrongful_pct,broken_pct,queue_interactive_p50_ms,queue_interactive_p95_ms,"
 	       "queue_batch_p50_ms,queue_batch_p95_ms,batch_done_pct,memory_pct,"
-	       "missed_transfers_pct\n");
+	       "missed_transfers_pct,preempted,ejections\n");
 }
 
 static void print_csv(const struct run *r, const struct measures *m)
@@ -198,9 +241,9 @@
 static void print_head(const struct deployment *d, const struct scenario *s)
 {
 	printf("\n%s %s (medians of the seeds; shares in %%)\n%-20s %7s %7s %7s %7s %7s %7s %7s "
-	       "%7s %7s %7s %7s\n",
+	       "%7s %7s %7s %7s %7s %7s\n",
 	       d->name, s->name, "policy", "goodput", "good", "ttftp95", "gap_ok", "wasted",
-	       "worst", "wrongfl", "broken", "batch", "memory", "missed");
+	       "worst", "wrongfl", "broken", "batch", "memory", "missed", "preempt", "eject");
 }
 
 static void print_row(const struct flow *f, const struct measures *m, int n)
@@ -226,6 +269,8 @@
 	CELL(batch_done, 100);
 	CELL(memory, 100);
 	CELL(missed_transfers, 100);
+	CELL(preempted, 1);
+	CELL(ejections, 1);
 #undef CELL
 	printf("\n");
 }
@@ -238,12 +283,12 @@
 static void measure_all(const struct options *o, const struct deployment *d,
 			const struct scenario *s)
 {
-	struct measures m[ROWS(policies)][MAX_SEEDS];
+	static struct measures m[FLOWS_MAX][MAX_SEEDS];
 	int seed;
 	int f;
 
 	for (seed = 0; seed < o->seeds; seed++) {
-		for (f = 0; f < ROWS(policies); f++) {
+		for (f = 0; f < o->flow_count; f++) {
 			struct run r = {d, s, &o->flows[f], (uint64_t)seed + 1, o->load};
 
 			if (!selected(o->flow, o->flows[f].name))
@@ -259,7 +304,7 @@
 	if (o->csv)
 		return;
 	print_head(d, s);
-	for (f = 0; f < ROWS(policies); f++) {
+	for (f = 0; f < o->flow_count; f++) {
 		if (selected(o->flow, o->flows[f].name))
 			print_row(&o->flows[f], m[f], o->seeds);
 	}
@@ -267,7 +312,7 @@
 
 int main(int argc, char **argv)
 {
-	struct options o = {.seeds = 3, .load = 1};
+	struct options o = {.seeds = 3, .load = 1, .flow_count = ROWS(policies)};
 	const struct argp argp = {argp_options, parse, NULL, "Measures the policies in a model.",
 				  NULL,		NULL,  NULL};
 	int d;
--- a/bench/model.h
+++ b/bench/model.h
@@ -21,6 +21,9 @@
 	double share[MAX_ACCOUNTS]; /* of the load and of the paid rate; sums to 1 */
 };
 
+/* Which batch streams give way first. */
+enum victims { VICTIMS_LEAST_WASTE, VICTIMS_LATEST_DEADLINE, VICTIMS_LARGEST, VICTIMS_NEWEST };
+
 /* How requests pass through a router. */
 struct flow {
 	const char *name;
@@ -29,14 +32,27 @@
 	int max_requests;  /* bookings of an endpoint at once; 0: as many as memory holds */
 	int batch_reserve; /* pieces that batch work leaves free */
 	tlb_time interactive_wait; /* longest wait for tokens and a place */
-	tlb_time batch_slack; /* batch requests become urgent this long before their deadline */
-	int claim_pieces;     /* requests from this size on claim what comes free; 0: none */
-	tlb_time claim_after; /* they have waited this long */
-	double standby_share; /* of rate and burst that the standby of the shard grants from */
-	double early;	      /* refuse when the target is missed by this factor; 0: never */
+	tlb_time batch_slack;	/* batch requests become urgent this long before their deadline */
+	int claim_pieces;	/* requests from this size on claim what comes free; 0: none */
+	tlb_time claim_after;	/* they have waited this long */
+	double standby_share;	/* of rate and burst that the standby of the shard grants from */
+	tlb_time preempt_after; /* interactive requests preempt batch work after this wait */
+	int preempt_cost;	/* granted bookings that pay for one preemption; 0: none */
+	bool preempt_urgent;	/* urgent batch requests give way, too */
+	enum victims victims;
+	double early; /* refuse when the target is missed by this factor; 0: never */
 };
 
-enum fault { FAULT_NONE, FAULT_DECODE_LOST, FAULT_ROUTER_LOST, FAULT_ZONE_LOST, FAULT_LEAVING };
+enum fault {
+	FAULT_NONE,
+	FAULT_DECODE_LOST,
+	FAULT_ROUTER_LOST,
+	FAULT_ZONE_LOST,
+	FAULT_LEAVING,
+	FAULT_SLOW_PREFILL, /* one engine at a fifth of its speed */
+	FAULT_SLOW_DECODE,
+	FAULT_JOINING /* one engine of each role becomes active */
+};
 
 struct scenario {
 	const char *name;
@@ -68,7 +84,9 @@
 	double batch_done;	 /* batch jobs done by their deadline, share */
 	double memory;		 /* decode memory in use at the peak, share */
 	double missed_transfers; /* share of the transfers */
+	double ejections;	 /* by all routers */
 	double ttft_p95_ms;
+	double preempted; /* batch streams that gave way */
 	int requests;
 };
 
--- a/src/place.c
+++ b/src/place.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* A joining or recovered engine has cold caches and proves itself on a share of the draws that
@@ -29,7 +30,7 @@
 #define EJECT_MOST (60 * TLB_SECOND)
 #define LATENCY_SMOOTHING 0.2
 
-enum { MAX_CANDIDATES = 1024 };
+enum { MAX_CANDIDATES = 1024, MEDIAN_LEAST = 3 };
 
 /* The candidates left after filtering, with their draw weights. */
 struct draw {
@@ -440,6 +441,29 @@
 	return slow;
 }
 
+static int compare_latency(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+tlb_time tlb_place_median(double *latency_us, int count)
+{
+	int known = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (latency_us[i] > 0)
+			latency_us[known++] = latency_us[i];
+	}
+	if (known < MEDIAN_LEAST)
+		return 0;
+	qsort(latency_us, (size_t)known, sizeof(*latency_us), compare_latency);
+	return (tlb_time)latency_us[known / 2];
+}
+
 const char *tlb_place_reason_name(enum tlb_place_reason reason)
 {
 	switch (reason) {
--- a/src/place.h
+++ b/src/place.h
@@ -120,6 +120,10 @@
 bool tlb_place_eject(struct tlb_health *h, bool ok, tlb_time latency_us, tlb_time median_us,
 		     tlb_time now);
 
+/* The median of the known (positive) smoothed latencies of a pool; 0 with fewer than three, among
+ * which a slow one can't be told from a fast one. Reorders the array. */
+tlb_time tlb_place_median(double *latency_us, int count);
+
 const char *tlb_place_reason_name(enum tlb_place_reason reason);
 /* Writes "chosen=d1 other=d3 weighed=6 cost=0.45 other_cost=0.60 reason=cheaper". */
 void tlb_place_describe(const struct tlb_placement *pl, const struct tlb_candidate *c, char *buf,
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -238,6 +238,17 @@
 
 #define ROWS(table) (int)(sizeof(table) / sizeof((table)[0]))
 
+/* A slow engine must stand out against the pool, not against engines that were never measured. */
+START_TEST(median_counts_known_latencies)
+{
+	double few[] = {0, 500, 0, 300};
+	double known[] = {900, 0, 100, 300, 200};
+
+	ck_assert_int_eq(tlb_place_median(few, 4), 0);
+	ck_assert_int_eq(tlb_place_median(known, 5), 300);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("place");
@@ -255,6 +266,7 @@
 	tcase_add_test(tc, failing_and_slow_engines_are_ejected);
 	tcase_add_loop_test(tc, retry_depends_on_step_time_and_attempt, 0, ROWS(retry_cases));
 	tcase_add_test(tc, retries_stay_within_the_budget);
+	tcase_add_test(tc, median_counts_known_latencies);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -127,7 +127,8 @@
 END_TEST
 
 /* An urgent batch request needs the batch reserve as well: were interactive requests to wait for it
- * once it has been passed over often enough, they would be refused while memory is free for them. */
+ * once it has been passed over often enough, they would be refused while memory is free for them.
+ */
 START_TEST(urgent_batch_request_does_not_hold_back_interactive_ones)
 {
 	int64_t limit = 5000;
