--- a/src/load.h
+++ b/src/load.h
@@ -35,6 +35,9 @@
 	struct tlb_prefix_cache prefixes;
 	struct tlb_sent sent;
 };
+/* Granted bookings that pay for one preemption, so that the prefill it wastes stays a bounded share
+ * (docs/POLICY.md). */
+enum { TLB_PREEMPT_COST = 20 };
 
 struct tlb_target {
 	APR_RING_ENTRY(tlb_target) link;
