Measure the cost of a streamed token and the memory of a request in flight

Cause: CAPACITY.md listed the memory of a request in flight as not measured, and the cost of a token was a difference of two request costs without a pass-through beside it.

Change: the pass-through streams the response of /decode; scripts/streams measures processor time a token on both sides in turns, and the resident set over 0, 200 and 400 open streams.

Tried and left out: "Connection: close" on calls with a connection of their own.

--- a/bench/passthrough.c
+++ b/bench/passthrough.c
@@ -1,7 +1,7 @@
 /*
  * A bare pass-through built from the same libraries as the daemon: takes a request with
- * libmicrohttpd, sends it to one address with libcurl, returns the response. It is what
- * scripts/overhead measures the daemon's own cost against.
+ * libmicrohttpd, sends it to one address with libcurl, returns the response; that of /decode as a
+ * stream. It is what scripts/overhead and scripts/streams measure the daemon's own cost against.
  *
  *   passthrough HOST:PORT
  */
@@ -22,6 +22,7 @@
 struct forward {
 	struct tlb_exchange *x;
 	struct tlb_http_call call;
+	bool streaming;
 };
 
 static void on_gone(void *arg)
@@ -32,11 +33,27 @@
 	free(f);
 }
 
+static bool on_data(void *arg, const char *data, size_t len)
+{
+	struct forward *f = arg;
+
+	if (!f->streaming)
+		tlb_exchange_stream_begin(f->x);
+	f->streaming = true;
+	return tlb_exchange_stream_write(f->x, data, len);
+}
+
 static void on_done(void *arg, const struct tlb_http_result *r)
 {
 	struct forward *f = arg;
-	char *body = malloc(r->body_len + 1);
+	char *body;
 
+	if (f->streaming) {
+		tlb_exchange_stream_end(f->x, r->status == 200);
+		free(f);
+		return;
+	}
+	body = malloc(r->body_len + 1);
 	if (!body)
 		abort();
 	memcpy(body, r->body, r->body_len + 1);
@@ -54,6 +71,7 @@
 		.body = x->body.data,
 		.body_len = x->body.len,
 		.deadline = TLB_NEVER,
+		.on_data = strcmp(x->path, "/decode") == 0 ? on_data : NULL,
 		.on_done = on_done,
 		.arg = f,
 	};
