Refuse slow requests and large headers in our own form

Cause: a caller that sent its headers or body too slowly was closed without an answer, and headers over 32 KB got libmicrohttpd's HTML page.

Change: a request whose line has arrived is refused with 408, code timeout, not_run; libmicrohttpd takes no response before the body is whole, so the front writes it to the socket and closes, and the request can't run any more even if its rest arrives. libmicrohttpd has 64 KiB for a connection and the front refuses from 32 KiB with 413, code too_large.

--- a/src/front.c
+++ b/src/front.c
@@ -14,9 +14,13 @@
 #include "log.h"
 
 enum {
-	SWEEP_MS = 200,		   /* how often callers' sockets are looked at */
-	IDLE_CONNECTION_S = 30,	   /* a connection without a request is closed after this */
-	CONNECTION_MEMORY = 32768, /* bytes of headers that one request may have */
+	SWEEP_MS = 200,		/* how often callers' sockets are looked at */
+	IDLE_CONNECTION_S = 30, /* a connection without a request is closed after this */
+	HEADERS_MAX = 32768,	/* bytes of request line and headers that one request may have */
+	HEADER_EXTRA = 4,	/* ": " and the end of the line */
+	/* Of libmicrohttpd, which answers in HTML when a request needs more. Beside the headers it
+	 * holds about 70 bytes for each of them, and the headers of the response. */
+	CONNECTION_MEMORY = 65536,
 	CALLER_USER_TIMEOUT_MS = 10000,
 	KEEPALIVE_IDLE_S = 5,
 	KEEPALIVE_INTERVAL_S = 2,
@@ -49,6 +53,18 @@
 
 /* --- responses --- */
 
+/* The body of a refusal; malloc'd, NULL without memory. */
+static char *refusal_text(const struct tlb_exchange *x, const struct tlb_error *err)
+{
+	json_t *j = json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "code", tlb_error_name(err->code),
+			      "message", err->message, "outcome", tlb_outcome_name(err->outcome),
+			      "request_id", x->id);
+	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+
+	json_decref(j);
+	return text;
+}
+
 static ssize_t read_stream(void *arg, uint64_t pos, char *buf, size_t max)
 {
 	struct tlb_exchange *x = arg;
@@ -124,12 +140,8 @@
 void tlb_exchange_refuse(struct tlb_exchange *x, const struct tlb_error *err, int retry_after_s)
 {
 	int status = tlb_error_http_status(err->code);
-	json_t *j = json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "code", tlb_error_name(err->code),
-			      "message", err->message, "outcome", tlb_outcome_name(err->outcome),
-			      "request_id", x->id);
-	char *text = j ? json_dumps(j, JSON_COMPACT) : NULL;
+	char *text = refusal_text(x, err);
 
-	json_decref(j);
 	if (!text)
 		text = strdup("{}");
 	if (status == 429 || status == 503)
@@ -137,14 +149,20 @@
 	tlb_exchange_reply(x, status, "application/json", text, strlen(text));
 }
 
-void tlb_exchange_refuse_early(struct tlb_exchange *x, const char *account,
-			       const struct tlb_error *err)
+static void log_refusal(const struct tlb_exchange *x, const char *account,
+			const struct tlb_error *err)
 {
 	char reason[2 * TLB_MESSAGE_LEN];
 
 	tlb_log_info("event=refuse request=%s account=%s code=%s reason=\"%s\"", x->id, account,
 		     tlb_error_name(err->code),
 		     tlb_log_quoted(reason, sizeof(reason), err->message));
+}
+
+void tlb_exchange_refuse_early(struct tlb_exchange *x, const char *account,
+			       const struct tlb_error *err)
+{
+	log_refusal(x, account, err);
 	tlb_exchange_refuse(x, err, 0);
 }
 
@@ -217,6 +235,7 @@
 }
 
 struct header_counts {
+	size_t bytes;
 	int length;
 	int encoding;
 	int authorization;
@@ -228,6 +247,7 @@
 {
 	struct header_counts *n = arg;
 
+	n->bytes += strlen(name) + (value ? strlen(value) : 0) + HEADER_EXTRA;
 	n->length += strcasecmp(name, "Content-Length") == 0;
 	n->encoding += strcasecmp(name, "Transfer-Encoding") == 0;
 	n->authorization += strcasecmp(name, "Authorization") == 0;
@@ -237,16 +257,17 @@
 
 /* A request whose end or whose caller two parties can read differently is refused (RFC 9112, 6.3).
  */
-static void check_framing(struct tlb_exchange *x)
+static void check_headers(struct tlb_exchange *x)
 {
-	struct header_counts n = {0};
+	struct header_counts n = {.bytes = strlen(x->path) + strlen(x->query)};
 
 	MHD_get_connection_values(x->conn, MHD_HEADER_KIND, count_header, &n);
 	if (n.length + n.encoding > 1)
 		x->header_fault = "the request states its length more than once";
 	if (n.authorization > 1 || n.idempotency > 1)
 		x->header_fault = "Authorization and Idempotency-Key may be sent only once";
-	x->close = x->header_fault != NULL;
+	x->headers_too_large = n.bytes > HEADERS_MAX;
+	x->close = x->header_fault || x->headers_too_large;
 }
 
 static void note_headers(struct tlb_exchange *x)
@@ -257,7 +278,7 @@
 	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Content-Type");
 	snprintf(x->content_type, sizeof(x->content_type), "%s", h ? h : "");
 	note_idempotency_key(x);
-	check_framing(x);
+	check_headers(x);
 }
 
 static void set_caller_socket(int fd)
@@ -287,6 +308,14 @@
 	free(x);
 }
 
+static int fd_of(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *i;
+
+	i = MHD_get_connection_info(c, MHD_CONNECTION_INFO_CONNECTION_FD);
+	return i ? i->connect_fd : -1;
+}
+
 /* Splits the raw request target, which libmicrohttpd hands over before it decodes it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
@@ -298,7 +327,7 @@
 		return NULL;
 	x->front = f;
 	x->conn = conn;
-	x->fd = -1;
+	x->fd = fd_of(conn);
 	x->arrived = tlb_clock_now();
 	x->read_deadline = x->arrived + f->limits.request_timeout_ms * TLB_MS;
 	x->path = mark ? strndup(uri, (size_t)(mark - uri)) : strdup(uri);
@@ -318,11 +347,8 @@
 
 static void begin_exchange(struct tlb_exchange *x, const char *method)
 {
-	const union MHD_ConnectionInfo *i;
 	struct tlb_front_conn *fc = conn_of(x->conn);
 
-	i = MHD_get_connection_info(x->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	x->fd = i ? i->connect_fd : -1;
 	if (fc)
 		fc->idle_deadline = TLB_NEVER;
 	snprintf(x->method, sizeof(x->method), "%s", method);
@@ -334,10 +360,41 @@
 	struct tlb_error err;
 
 	tlb_error_set(&err, TLB_TOO_LARGE, TLB_NOT_RUN, "read", "",
-		      "the request body is larger than %zu bytes", x->front->limits.max_body_bytes);
+		      "the request %s larger than %zu bytes",
+		      x->headers_too_large ? "line and headers are" : "body is",
+		      x->headers_too_large ? (size_t)HEADERS_MAX : x->front->limits.max_body_bytes);
 	tlb_exchange_refuse_early(x, "", &err);
 }
 
+/* Answers a caller whose request has not arrived whole in time, and closes. libmicrohttpd takes a
+ * response only before or behind the body, so these bytes go to the socket directly; nothing of a
+ * response has been written at this point. */
+static void refuse_slow(struct tlb_exchange *x)
+{
+	struct tlb_error err;
+	char *body;
+	char *text = NULL;
+	int len;
+
+	tlb_error_set(&err, TLB_TIMEOUT, TLB_NOT_RUN, "read", "",
+		      "the request did not arrive whole within %lld ms",
+		      (long long)x->front->limits.request_timeout_ms);
+	log_refusal(x, "", &err);
+	body = refusal_text(x, &err);
+	len = asprintf(&text,
+		       "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\n"
+		       "X-Request-Id: %s\r\nContent-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		       x->id, strlen(body ? body : ""), body ? body : "");
+	if (len > 0)
+		send(x->fd, text, (size_t)len, MSG_DONTWAIT | MSG_NOSIGNAL);
+	if (len >= 0)
+		free(text);
+	free(body);
+	shutdown(x->fd, SHUT_RDWR);
+	/* The rest may have arrived meanwhile; the request must not run any more. */
+	x->gone = true;
+}
+
 static void refuse_headers(struct tlb_exchange *x)
 {
 	struct tlb_error err;
@@ -371,7 +428,7 @@
 		x->state = TLB_EXCHANGE_RUNNING;
 		if (x->header_fault)
 			refuse_headers(x);
-		else if (x->body_too_large)
+		else if (x->headers_too_large || x->body_too_large)
 			refuse_large(x);
 		else
 			f->on_request(f->arg, x);
@@ -453,7 +510,7 @@
 	if (x->gone || x->fd < 0)
 		return;
 	if (x->state == TLB_EXCHANGE_READING && now >= x->read_deadline)
-		shutdown(x->fd, SHUT_RDWR);
+		refuse_slow(x);
 	/* A suspended connection is not polled by libmicrohttpd. */
 	if (!x->suspended || !caller_closed(x->fd))
 		return;
--- a/src/front.h
+++ b/src/front.h
@@ -61,6 +61,7 @@
 	char key[TLB_KEY_MAX + 1]; /* wiped as soon as the handler has taken the request */
 	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
 	const char *header_fault; /* what is wrong with the headers; NULL for nothing */
+	bool headers_too_large;
 	struct tlb_buffer body;
 	bool body_too_large;
 	tlb_time read_deadline;
--- a/tests/golden.py
+++ b/tests/golden.py
@@ -5,7 +5,8 @@
 then headers, then an empty "> " line and the body), lines that begin with "< " the expected
 response: status, the headers that matter, an empty "< " line, the body. $KEY, $KEY_WITHDRAWN and
 $MODEL stand for the values of fleet.env. Ids and times are replaced by ID and TIME on both sides.
-With --update the responses in the files are written anew.
+$PAD_40K and $PAD_80K stand for that many thousand bytes. A request whose headers end in the line "> ..." is not completed: the
+caller waits for the response in the middle of its headers. With --update the responses in the files are written anew.
 
 Afterwards the daemon's log must have one line that ends each refused request, and no line that a
 caller made up.
@@ -15,6 +16,7 @@
 import http.client
 import os
 import re
+import socket
 import subprocess
 import sys
 import tempfile
@@ -65,6 +67,8 @@
     method, target = lines[0].split(" ", 1)
     headers = [h.split(": ", 1) if ": " in h else [h.rstrip(":"), ""] for h in lines[1:blank]]
     body = "\n".join(lines[blank + 1:]).encode()
+    if lines[-1] == "...":
+        return shown(unfinished(address, lines[:-1]), refused)
     conn = http.client.HTTPConnection(address, timeout=20)
     conn.putrequest(method, target, skip_accept_encoding=True)
     for name, value in headers:
@@ -73,9 +77,21 @@
     if body and not framed:
         conn.putheader("Content-Length", str(len(body)))
     conn.endheaders(body if body else None)
-    r = conn.getresponse()
+    return shown(conn.getresponse(), refused)
+
+
+def unfinished(address, lines):
+    """Sends a request line and headers without their end; the response in spite of that."""
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=20) as s:
+        s.sendall("".join(line + "\r\n" for line in [lines[0] + " HTTP/1.1", *lines[1:]]).encode())
+        r = http.client.HTTPResponse(s)
+        r.begin()
+        return r
+
+
+def shown(r, refused):
     text = r.read().decode()
-    conn.close()
     refused += REQUEST_ID.findall(text)
     out = [str(r.status)]
     out += [f"{name}: {r.getheader(name)}" for name in SHOWN_HEADERS if r.getheader(name)]
@@ -120,7 +136,8 @@
         subprocess.run([fleet, "start", directory, "--vms", "1"], check=True,
                        stdout=subprocess.DEVNULL)
         try:
-            env = read_env(os.path.join(directory, "fleet.env"))
+            env = {**read_env(os.path.join(directory, "fleet.env")), "PAD_40K": "x" * 40000,
+                   "PAD_80K": "x" * 80000}
             refused = []
             results = [run_file(p, env["CALLER_ADDRS"], env, update, refused)
                        for p in sorted(glob.glob(os.path.join(ROOT, "tests/golden/*.txt")))]
