--- a/tests/golden.py
+++ b/tests/golden.py
@@ -5,8 +5,9 @@
 then headers, then an empty "> " line and the body), lines that begin with "< " the expected
 response: status, the headers that matter, an empty "< " line, the body. $KEY, $KEY_WITHDRAWN and
 $MODEL stand for the values of fleet.env. Ids and times are replaced by ID and TIME on both sides.
-$PAD_40K and $PAD_80K stand for that many thousand bytes. A request whose headers end in the line "> ..." is not completed: the
-caller waits for the response in the middle of its headers. With --update the responses in the files are written anew.
+$PAD_40K and $PAD_80K stand for that many thousand bytes. A request whose headers end in the line
+"> ..." is not completed: the caller waits for the response in the middle of its headers. With
+--update the responses in the files are written anew.
 
 Afterwards the daemon's log must have one line that ends each refused request, and no line that a
 caller made up.
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
-"""Replays recorded frames to running daemons; guards against a frame that takes effect a second time,
-on another connection, at another VM or out of order. Two daemons reach each other through recording
-proxies, because the table service that each of them sees names a proxy as the other one's address."""
+"""Replays recorded frames to running daemons; guards against a frame that takes effect a second
+time, on another connection, at another VM or out of order. Two daemons reach each other through
+recording proxies, because the table service that each of them sees names a proxy as the other one's
+address."""
 import argparse
 import hashlib
 import hmac
@@ -23,8 +24,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 # A link is opened again within its backoff; a heartbeat follows every second.
 LINK_SECONDS = 8
-# Hello, LinkReady, the heartbeat that follows at once and that of the next second: by then one of two
-# links that crossed has been closed.
+# Hello, LinkReady, the heartbeat that follows at once and that of the next second: by then one of
+# two links that crossed has been closed.
 FRAMES = 4
 LOG_SECONDS = 0.3  # a daemon writes its log lines every 0.1 s
 CLOSE_SECONDS = 2
@@ -158,7 +159,8 @@
 def load_fleet_module():
     loader = importlib.machinery.SourceFileLoader("fleet_script",
                                                   os.path.join(ROOT, "scripts", "fleet"))
-    module = importlib.util.module_from_spec(importlib.util.spec_from_loader("fleet_script", loader))
+    spec = importlib.util.spec_from_loader("fleet_script", loader)
+    module = importlib.util.module_from_spec(spec)
     loader.exec_module(module)
     return module
 
@@ -240,8 +242,8 @@
 
 
 def refused(daemons, addr, data, answers):
-    """Sends bytes on a connection of its own. True if the daemon closes it after that many frames of
-    its own and no link between the daemons goes down."""
+    """Sends bytes on a connection of its own. True if the daemon closes it after that many frames
+    of its own and no link between the daemons goes down."""
     lost = daemons.links_lost()
     with connect(addr) as s:
         s.settimeout(CLOSE_SECONDS)
