Build the pass-through proxy without a folder that hides build/bench

The object file build/bench/passthrough.o made a folder of the name of the program build/bench, so that after make all neither make bench nor scripts/bench built or ran it.

--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,9 @@
 $(BUILD)/bench: bench/bench.c bench/model.c bench/model.h $(BUILD)/libtoucanlb.a
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
 
-$(BUILD)/passthrough: $(BUILD)/bench/passthrough.o $(BUILD)/libtoucanlb.a
-	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+# No object below $(BUILD)/bench, which is a program.
+$(BUILD)/passthrough: bench/passthrough.c $(BUILD)/libtoucanlb.a
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
 
 # The whole matrix is scripts/bench.
 bench: $(BUILD)/bench
