--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
 $(BUILD)/bench: $(BENCH_OBJ) $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+# No object below $(BUILD)/bench, which is a program.
 $(BUILD)/passthrough: bench/passthrough.c $(BUILD)/libtoucanlb.a
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $^ $(LIBS)
 
