--- a/src/bucket.c
+++ b/src/bucket.c
@@ -106,6 +106,14 @@
 	clamp_level(b);
 }
 
+void tlb_bucket_deposit(struct tlb_bucket *b, int64_t level, int64_t outstanding, tlb_time now)
+{
+	refill(b, now);
+	b->level += level;
+	b->outstanding += outstanding;
+	clamp_level(b);
+}
+
 struct tlb_bucket_snapshot tlb_bucket_snapshot(struct tlb_bucket *b, tlb_time now)
 {
 	refill(b, now);
--- a/src/bucket.h
+++ b/src/bucket.h
@@ -65,6 +65,10 @@
  * level is never raised. */
 void tlb_bucket_reconfigure(struct tlb_bucket *b, int64_t rate, int64_t burst, tlb_time now);
 
+/* Adds micro-tokens of level and tokens of outstanding bookings that another bucket of the same
+ * account has given up; the level stays within the burst. */
+void tlb_bucket_deposit(struct tlb_bucket *b, int64_t level, int64_t outstanding, tlb_time now);
+
 struct tlb_bucket_snapshot tlb_bucket_snapshot(struct tlb_bucket *b, tlb_time now);
 /* Starts a bucket from a snapshot at the receiver's own clock; the time in transit is not refilled.
  */
