--- a/src/cluster.c
+++ b/src/cluster.c
@@ -142,6 +142,8 @@
 	tlb_member_map_changed(&c->membership);
 	tlb_cluster_update(c);
 	deliver_hand_overs(c, &before);
+	if (c->handlers.on_map)
+		c->handlers.on_map(c->handlers.arg);
 	tlb_member_changed(&c->membership);
 }
 
@@ -165,6 +167,32 @@
 	return TLB_OWNER_PEER;
 }
 
+const struct tlb_shard_entry *tlb_cluster_entry(const struct tlb_cluster *c, const char *id)
+{
+	return &c->map.entry[tlb_shard_of(id)];
+}
+
+bool tlb_cluster_standby(const struct tlb_cluster *c, const char *id, struct tlb_vm_name *out)
+{
+	const struct tlb_shard_entry *e = tlb_cluster_entry(c, id);
+
+	if (!tlb_vm_name_equal(&e->owner, &c->self) || !e->standby.id[0] ||
+	    tlb_cluster_gone(c, &e->standby))
+		return false;
+	*out = e->standby;
+	return true;
+}
+
+int64_t tlb_cluster_map_version(const struct tlb_cluster *c)
+{
+	return c->map.version;
+}
+
+bool tlb_cluster_gone(const struct tlb_cluster *c, const struct tlb_vm_name *vm)
+{
+	return tlb_roster_gone(&c->roster, vm);
+}
+
 int64_t tlb_cluster_epoch(const struct tlb_cluster *c, const char *id)
 {
 	const struct tlb_shard_entry *e = &c->map.entry[tlb_shard_of(id)];
@@ -724,6 +752,9 @@
 		return;
 	tlb_shard_release(&c->release, &c->map, to_set(release->shards, release->n_shards),
 			  release->shards_version);
+	if (c->handlers.on_released)
+		c->handlers.on_released(c->handlers.arg, to_set(release->shards, release->n_shards),
+					release->shards_version);
 	tlb_cluster_update(c);
 	send_done(c, from);
 }
@@ -785,6 +816,10 @@
 		return h->config_push;
 	case TOUCAN__ENVELOPE__BODY_CONFIG_PULL:
 		return h->config_pull;
+	case TOUCAN__ENVELOPE__BODY_OPEN_PART:
+		return h->open_part;
+	case TOUCAN__ENVELOPE__BODY_CLOSE_PART:
+		return h->close_part;
 	default:
 		return NULL;
 	}
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -35,6 +35,8 @@
 	tlb_cluster_message_fn *bookings_pull;
 	tlb_cluster_message_fn *config_push;
 	tlb_cluster_message_fn *config_pull;
+	tlb_cluster_message_fn *open_part;
+	tlb_cluster_message_fn *close_part;
 
 	/* The shards that this daemon acts for have changed; tlb_cluster_shards() has the new set.
 	 * A shard that came without a HandOver (see below) starts from what its standby knows. */
@@ -48,6 +50,10 @@
 	/* State of shards that a former owner handed over; follows on_shards_changed with these
 	 * shards in gained at once. Borrowed. */
 	void (*on_hand_over)(void *arg, tlb_shard_set shards, const Toucan__HandOver *state);
+	/* A newer shard map is in force; the changes that it brings have been reported. */
+	void (*on_map)(void *arg);
+	/* The right to take these shards over is released for writes against this version. */
+	void (*on_released)(void *arg, tlb_shard_set shards, int64_t version);
 	/* The incarnation is certainly not acting any more and never will again. */
 	void (*on_fenced)(void *arg, const char *vm, uint64_t incarnation);
 	/* A peer's heartbeat names this configuration version (called when it changes). */
@@ -151,6 +157,13 @@
 tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c);
 /* Who accounts for an id. For TLB_OWNER_PEER vm is the owner; otherwise "". */
 enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN]);
+/* The entry of the map in force for an id; "" where there is none. */
+const struct tlb_shard_entry *tlb_cluster_entry(const struct tlb_cluster *c, const char *id);
+/* The standby of an id that this VM owns by the map in force; false when there is none. */
+bool tlb_cluster_standby(const struct tlb_cluster *c, const char *id, struct tlb_vm_name *out);
+int64_t tlb_cluster_map_version(const struct tlb_cluster *c);
+/* The incarnation certainly acts no more. */
+bool tlb_cluster_gone(const struct tlb_cluster *c, const struct tlb_vm_name *vm);
 /* For fencing numbers: grows with every change of the VM that acts for the id's shard. Twice the
  * version of the shard map, plus 1 while this VM acts as the standby on a fence that the map does
  * not show yet. Meaningful while tlb_cluster_owner() answers SELF. */
--- a/src/counter.h
+++ b/src/counter.h
@@ -43,6 +43,8 @@
 	  "Links closed for a frame that is too large, malformed or not authentic")                \
 	X(PEER_SILENT, "toucanlb_peer_silent_total", "counter",                                    \
 	  "Links closed because no frame arrived in time")                                         \
+	X(RESERVE_GRANTS, "toucanlb_reserve_grants_total", "counter",                              \
+	  "Reservations granted as the standby of an account's owner")                             \
 	X(ORDERS_SENT, "toucanlb_orders_sent_total", "counter",                                    \
 	  "Orders sent to engines, repeated ones included")                                        \
 	X(ORDERS_CONFIRMED, "toucanlb_orders_confirmed_total", "counter",                          \
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -62,6 +62,20 @@
 	tlb_limit_on_return(&d->board.limit, from, m->return_tokens);
 }
 
+static void on_open_part(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_standby_on_open(&d->board.limit.standby, from, m->open_part);
+}
+
+static void on_close_part(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_standby_on_close(&d->board.limit.standby, from, m->close_part);
+}
+
 static void on_book_decode(void *arg, const struct tlb_peer_return *from, const Toucan__Envelope *m)
 {
 	struct tlb_daemon *d = arg;
@@ -132,6 +146,20 @@
 	tlb_bookings_take_over(&d->board.bookings, state);
 }
 
+static void on_map(void *arg)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_standby_map(&d->board.limit.standby);
+}
+
+static void on_released(void *arg, tlb_shard_set shards, int64_t version)
+{
+	struct tlb_daemon *d = arg;
+
+	tlb_standby_released(&d->board.limit.standby, shards, version);
+}
+
 static void on_fenced(void *arg, const char *vm, uint64_t incarnation)
 {
 	struct tlb_daemon *d = arg;
@@ -173,6 +201,7 @@
 
 	/* Others have freed what these requests had booked. */
 	tlb_requests_finish(&d->board.requests);
+	tlb_standby_reset(&d->board.limit.standby);
 	set_owner(d);
 }
 
@@ -435,9 +464,13 @@
 		.bookings_pull = on_bookings_pull,
 		.config_push = on_config_push,
 		.config_pull = on_config_pull,
+		.open_part = on_open_part,
+		.close_part = on_close_part,
 		.on_shards_changed = on_shards_changed,
 		.hand_over = hand_over,
 		.on_hand_over = on_hand_over,
+		.on_map = on_map,
+		.on_released = on_released,
 		.on_fenced = on_fenced,
 		.on_peer_config_version = on_peer_config_version,
 		.on_session_lost = on_session_lost,
--- a/src/limit.c
+++ b/src/limit.c
@@ -5,10 +5,13 @@
 
 #include "board.h"
 #include "log.h"
+#include "split.h"
 
 /* Time that a reservation's reply may take beyond the wait at the owner. */
 #define REPLY_MARGIN (500 * TLB_MS)
 #define OWNER_RETRY (150 * TLB_MS)
+/* A standby that is alive answers at once. */
+#define STANDBY_REPLY (500 * TLB_MS)
 
 /* One request that waits for tokens at this owner; for a local reservation or a remote one. */
 struct tlb_limit_waiter {
@@ -21,26 +24,16 @@
 	tlb_time deadline;
 };
 
-/* Tokens granted to a request and not yet settled, so that a VM that dies leaves none booked. */
-struct tlb_limit_grant {
-	APR_RING_ENTRY(tlb_limit_grant) link;
-	char id[TLB_REQUEST_ID_LEN];
-	char vm[TLB_ID_LEN];
-	uint64_t incarnation;
-	int64_t tokens;
-};
-
 APR_RING_HEAD(tlb_limit_waiter_ring, tlb_limit_waiter);
-APR_RING_HEAD(tlb_limit_grant_ring, tlb_limit_grant);
 
 /* One account of a shard that this daemon owns. */
 struct tlb_limit_account {
 	APR_RING_ENTRY(tlb_limit_account) link;
 	struct tlb_limit *limit;
 	char id[TLB_ID_LEN];
-	struct tlb_bucket bucket;
+	struct tlb_ledger ledger;
+	struct tlb_split split;
 	struct tlb_limit_waiter_ring waiters;
-	struct tlb_limit_grant_ring grants;
 	struct tlb_timer timer;
 };
 
@@ -50,6 +43,7 @@
 {
 	l->board = b;
 	APR_RING_INIT(&l->accounts, tlb_limit_account, link);
+	tlb_standby_init(&l->standby, b);
 }
 
 static struct tlb_limit_account *find(const struct tlb_limit *l, const char *id)
@@ -63,7 +57,9 @@
 	return NULL;
 }
 
-/* Starts a bucket at level 0: nothing is known of what a former owner granted up to now. */
+/* Starts a bucket at level 0, or at what this daemon holds as the standby: nothing else is known of
+ * what a former owner granted up to now. No other VM holds a part: the former standby has released
+ * its right or is gone. */
 static struct tlb_limit_account *account_for(struct tlb_limit *l, const char *id)
 {
 	const struct tlb_account *row = tlb_table_account(l->board->table, id);
@@ -77,36 +73,21 @@
 	a->limit = l;
 	strcpy(a->id, id);
 	APR_RING_INIT(&a->waiters, tlb_limit_waiter, link);
-	APR_RING_INIT(&a->grants, tlb_limit_grant, link);
 	tlb_timer_init(&a->timer, serve, a);
-	tlb_bucket_init(&a->bucket, row->rate, row->burst, 0, tlb_clock_now());
+	tlb_ledger_init(&a->ledger, row->rate, row->burst, 0, tlb_clock_now());
+	tlb_split_init(&a->split, l->board, a->id, &a->ledger, serve, a);
+	tlb_standby_adopt(&l->standby, id, &a->ledger);
 	APR_RING_INSERT_TAIL(&l->accounts, a, tlb_limit_account, link);
 	return a;
 }
 
-static struct tlb_limit_grant *find_grant(const struct tlb_limit_account *a, const char *id)
-{
-	struct tlb_limit_grant *g;
-
-	APR_RING_FOREACH (g, &a->grants, tlb_limit_grant, link) {
-		if (strcmp(g->id, id) == 0)
-			return g;
-	}
-	return NULL;
-}
-
-static bool add_grant(struct tlb_limit_account *a, const struct tlb_limit_waiter *w)
+static struct tlb_ledger_entry wanted_by(const struct tlb_limit_waiter *w)
 {
-	struct tlb_limit_grant *g = calloc(1, sizeof(*g));
+	struct tlb_ledger_entry e = {.incarnation = w->from.incarnation, .tokens = w->tokens};
 
-	if (!g)
-		return false;
-	strcpy(g->id, w->id);
-	strcpy(g->vm, w->from.vm);
-	g->incarnation = w->from.incarnation;
-	g->tokens = w->tokens;
-	APR_RING_INSERT_TAIL(&a->grants, g, tlb_limit_grant, link);
-	return true;
+	strcpy(e.id, w->id);
+	strcpy(e.vm, w->from.vm);
+	return e;
 }
 
 static void free_waiter(struct tlb_limit_waiter *w)
@@ -166,48 +147,85 @@
 		return;
 	}
 	r->state = granted ? TLB_RESERVATION_GRANTED : TLB_RESERVATION_IDLE;
+	snprintf(r->granter, sizeof(r->granter), "%s", l->board->settings->vm_id);
 	if (!granted)
 		refuse_tokens(&err, r->account, retry_after);
 	r->on_done(r->arg, granted, retry_after, &err);
 }
 
+static void redirect(struct tlb_limit_waiter *w);
+
+static void redirect_all(struct tlb_limit_account *a)
+{
+	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
+		redirect(APR_RING_FIRST(&a->waiters));
+}
+
+/* Checked right before each grant: a daemon that was frozen, or that has handed the shard over, may
+ * still have waiters. */
+static bool may_grant(const struct tlb_limit_account *a)
+{
+	const struct tlb_board *b = a->limit->board;
+	char vm[TLB_ID_LEN];
+
+	return tlb_board_valid(b) && tlb_board_owner(b, a->id, vm) == TLB_OWNER_SELF;
+}
+
+/* The first waiter can't be granted now. Returns false when its wait has ended here. */
+static bool keep_waiting(struct tlb_limit_account *a, struct tlb_limit_waiter *w, tlb_time now)
+{
+	const struct tlb_account *row = tlb_table_account(a->limit->board->table, a->id);
+	tlb_time ready;
+
+	if (!row || w->tokens > row->burst) {
+		answer(w, false, TLB_NEVER);
+		return false;
+	}
+	tlb_split_recall(&a->split);
+	if (!tlb_split_whole(&a->split)) {
+		/* What the standby holds is not back yet; a lost standby is fenced first. */
+		if (now >= w->deadline) {
+			redirect(w);
+			return false;
+		}
+		tlb_timer_set(a->limit->board->loop, &a->timer, w->deadline);
+		return true;
+	}
+	ready = tlb_bucket_ready_at(&a->ledger.bucket, w->tokens, now);
+	if (now >= w->deadline) {
+		answer(w, false, ready == TLB_NEVER ? TLB_SECOND : ready - now);
+		return false;
+	}
+	tlb_timer_set(a->limit->board->loop, &a->timer, ready < w->deadline ? ready : w->deadline);
+	return true;
+}
+
 /* Grants in order as tokens come in; a wait that can't end in time is refused at once. */
 static void serve(void *arg)
 {
 	struct tlb_limit_account *a = arg;
 	struct tlb_limit_waiter *w;
+	struct tlb_ledger_entry e;
 	tlb_time now = tlb_clock_now();
-	tlb_time ready;
 
+	if (!may_grant(a)) {
+		redirect_all(a);
+		return;
+	}
 	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link)) {
 		w = APR_RING_FIRST(&a->waiters);
-		if (tlb_bucket_take(&a->bucket, 0, w->tokens, now)) {
-			if (!add_grant(a, w)) {
-				tlb_bucket_settle(&a->bucket, w->tokens, 0, now);
-				answer(w, false, TLB_SECOND);
-				continue;
-			}
+		e = wanted_by(w);
+		if (tlb_ledger_take(&a->ledger, &e, now))
 			answer(w, true, 0);
-			continue;
-		}
-		if (now >= w->deadline || tlb_bucket_exceeds_burst(&a->bucket, w->tokens)) {
-			ready = tlb_bucket_ready_at(&a->bucket, w->tokens, now);
-			answer(w, false,
-			       tlb_bucket_exceeds_burst(&a->bucket, w->tokens) ? TLB_NEVER
-			       : ready == TLB_NEVER			       ? TLB_SECOND
-									       : ready - now);
-			continue;
-		}
-		ready = tlb_bucket_ready_at(&a->bucket, w->tokens, now);
-		tlb_timer_set(a->limit->board->loop, &a->timer,
-			      ready < w->deadline ? ready : w->deadline);
-		return;
+		else if (keep_waiting(a, w, now))
+			return;
 	}
 }
 
 static struct tlb_limit_waiter *add_waiter(struct tlb_limit_account *a, const char *id,
 					   int64_t tokens, tlb_time deadline)
 {
+	const struct tlb_account *row = tlb_table_account(a->limit->board->table, a->id);
 	struct tlb_limit_waiter *w = calloc(1, sizeof(*w));
 
 	if (!w)
@@ -216,6 +234,8 @@
 	snprintf(w->id, sizeof(w->id), "%s", id);
 	w->tokens = tokens;
 	w->deadline = deadline;
+	if (row && tokens <= row->burst)
+		tlb_part_note(&a->split.part, tokens);
 	APR_RING_INSERT_TAIL(&a->waiters, w, tlb_limit_waiter, link);
 	return w;
 }
@@ -251,26 +271,149 @@
 	}
 	w->local = r;
 	snprintf(w->from.vm, sizeof(w->from.vm), "%s", l->board->settings->vm_id);
+	if (l->board->cluster)
+		w->from.incarnation = tlb_cluster_incarnation(l->board->cluster);
 	r->waiter = w;
 	r->state = TLB_RESERVATION_WAITING;
 	serve(a);
 }
 
-static void send_return(struct tlb_reservation *r, int64_t booked, int64_t used)
+static bool send_return(struct tlb_board *b, const char *vm, Toucan__ReturnTokens *m)
 {
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+
+	e.body_case = TOUCAN__ENVELOPE__BODY_RETURN_TOKENS;
+	e.return_tokens = m;
+	return tlb_cluster_send(b->cluster, vm, &e);
+}
+
+/* Settles at the VM that granted or, without a link to it, at the owner, which has the grants of a
+ * VM that handed over. */
+static void return_tokens(struct tlb_reservation *r, const char *granter, char *id, int64_t booked,
+			  int64_t used)
+{
 	Toucan__ReturnTokens m = TOUCAN__RETURN_TOKENS__INIT;
 	char vm[TLB_ID_LEN];
 
-	if (tlb_board_owner(r->board, r->account, vm) != TLB_OWNER_PEER)
-		return;
 	m.account = r->account;
-	m.reservation_id = r->id;
+	m.reservation_id = id;
 	m.output_booked = booked;
 	m.output_used = used;
-	e.body_case = TOUCAN__ENVELOPE__BODY_RETURN_TOKENS;
-	e.return_tokens = &m;
-	tlb_cluster_send(r->board->cluster, vm, &e);
+	if (granter[0] && send_return(r->board, granter, &m))
+		return;
+	if (tlb_board_owner(r->board, r->account, vm) == TLB_OWNER_PEER && strcmp(vm, granter) != 0)
+		send_return(r->board, vm, &m);
+}
+
+static void standby_id(const struct tlb_reservation *r, char id[TLB_REQUEST_ID_LEN])
+{
+	snprintf(id, TLB_REQUEST_ID_LEN, "%.62ss", r->id);
+}
+
+/* Ends the attempt that runs. What the VMs asked may have granted must not stay booked. */
+static void end_attempt(struct tlb_reservation *r)
+{
+	char id[TLB_REQUEST_ID_LEN];
+
+	standby_id(r, id);
+	tlb_timer_clear(r->board->loop, &r->timer);
+	if (tlb_peer_call_active(&r->call)) {
+		tlb_peer_cancel(&r->call);
+		return_tokens(r, r->granter, r->id, r->tokens, 0);
+	}
+	if (tlb_peer_call_active(&r->standby_call)) {
+		tlb_peer_cancel(&r->standby_call);
+		return_tokens(r, r->standby, id, r->tokens, 0);
+	}
+}
+
+static void granted_by_standby(struct tlb_reservation *r)
+{
+	struct tlb_error err = {0};
+	char id[TLB_REQUEST_ID_LEN];
+
+	standby_id(r, id);
+	end_attempt(r);
+	strcpy(r->id, id);
+	strcpy(r->granter, r->standby);
+	r->state = TLB_RESERVATION_GRANTED;
+	r->on_done(r->arg, true, 0, &err);
+}
+
+static void on_standby_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *e)
+{
+	struct tlb_reservation *r = arg;
+	char id[TLB_REQUEST_ID_LEN];
+	bool answered = reply && reply->body_case == TOUCAN__ENVELOPE__BODY_TOKENS_REPLY;
+
+	if (answered && reply->tokens_reply->granted) {
+		granted_by_standby(r);
+		return;
+	}
+	standby_id(r, id);
+	if (!answered)
+		return_tokens(r, r->standby, id, r->tokens, 0);
+	if (r->owner_failed)
+		no_owner(r, "no VM accounts for this client account now");
+}
+
+static void call_standby(struct tlb_reservation *r)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__ReserveTokens m = TOUCAN__RESERVE_TOKENS__INIT;
+	char id[TLB_REQUEST_ID_LEN];
+
+	standby_id(r, id);
+	m.account = r->account;
+	m.reservation_id = id;
+	m.output_tokens = r->tokens;
+	m.reserve = true;
+	e.body_case = TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS;
+	e.reserve_tokens = &m;
+	tlb_cluster_call(r->board->cluster, r->standby, &r->standby_call, &e,
+			 tlb_clock_now() + STANDBY_REPLY, on_standby_reply, r);
+}
+
+/* This daemon is the standby itself. */
+static bool take_here(struct tlb_reservation *r)
+{
+	struct tlb_ledger_entry e = {.tokens = r->tokens};
+
+	standby_id(r, e.id);
+	snprintf(e.vm, sizeof(e.vm), "%s", r->standby);
+	e.incarnation = tlb_cluster_incarnation(r->board->cluster);
+	return tlb_standby_take(&r->board->limit.standby, r->account, &e);
+}
+
+/* Asks the standby once in each attempt. Returns false when no reply of it will come. */
+static bool ask_standby(struct tlb_reservation *r)
+{
+	const struct tlb_shard_entry *e = tlb_cluster_entry(r->board->cluster, r->account);
+
+	if (r->standby_asked)
+		return tlb_peer_call_active(&r->standby_call);
+	r->standby_asked = true;
+	if (!e->standby.id[0] || strcmp(e->standby.id, r->granter) == 0 ||
+	    tlb_cluster_gone(r->board->cluster, &e->standby))
+		return false;
+	strcpy(r->standby, e->standby.id);
+	if (strcmp(r->standby, r->board->settings->vm_id) != 0) {
+		call_standby(r);
+		return true;
+	}
+	if (!take_here(r))
+		return false;
+	granted_by_standby(r);
+	return true;
+}
+
+/* The owner's call has ended without a reply to count on. */
+static void owner_failed(struct tlb_reservation *r, const char *message)
+{
+	r->owner_failed = true;
+	tlb_timer_clear(r->board->loop, &r->timer);
+	if (!ask_standby(r))
+		no_owner(r, message);
 }
 
 static void on_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *e)
@@ -281,15 +424,16 @@
 
 	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_TOKENS_REPLY) {
 		/* The owner may have granted; what it booked must not stay booked. */
-		send_return(r, r->tokens, 0);
-		no_owner(r, "the VM that accounts for this client account did not answer");
+		return_tokens(r, r->granter, r->id, r->tokens, 0);
+		owner_failed(r, "the VM that accounts for this client account did not answer");
 		return;
 	}
 	m = reply->tokens_reply;
 	if (m->unavailable) {
-		no_owner(r, "no VM accounts for this client account now");
+		owner_failed(r, "no VM accounts for this client account now");
 		return;
 	}
+	end_attempt(r);
 	r->state = m->granted ? TLB_RESERVATION_GRANTED : TLB_RESERVATION_IDLE;
 	if (!m->granted)
 		refuse_tokens(&err, r->account, m->retry_after_us);
@@ -309,7 +453,11 @@
 	m.wait_us = wait;
 	e.body_case = TOUCAN__ENVELOPE__BODY_RESERVE_TOKENS;
 	e.reserve_tokens = &m;
+	snprintf(r->granter, sizeof(r->granter), "%s", vm);
 	r->state = TLB_RESERVATION_REMOTE;
+	r->standby_asked = false;
+	r->owner_failed = false;
+	tlb_timer_set(l->board->loop, &r->timer, now + TLB_LIMIT_OWNER_SILENT);
 	tlb_cluster_call(l->board->cluster, vm, &r->call, &e, now + wait + REPLY_MARGIN, on_reply,
 			 r);
 }
@@ -335,7 +483,12 @@
 
 static void on_retry(void *arg)
 {
-	try_reserve(arg);
+	struct tlb_reservation *r = arg;
+
+	if (r->state == TLB_RESERVATION_REMOTE)
+		ask_standby(r);
+	else
+		try_reserve(r);
 }
 
 void tlb_limit_reserve(struct tlb_limit *l, struct tlb_reservation *r, const char *account,
@@ -355,43 +508,50 @@
 	try_reserve(r);
 }
 
-/* Settles at this owner. A grant that is not known here was made by a former owner, whose
- * outstanding sum came with the hand-over. */
-static void settle_here(struct tlb_limit *l, const char *account, const char *id, int64_t booked,
+/* Settles a grant that this daemon holds, as owner or standby. Returns false when it holds none, or
+ * when another VM may hold it as well. */
+static bool settle_here(struct tlb_limit *l, const char *account, const char *id, int64_t booked,
 			int64_t used)
 {
 	struct tlb_limit_account *a = find(l, account);
-	struct tlb_limit_grant *g;
 
-	if (!a)
-		return;
-	g = find_grant(a, id);
-	if (g && booked > g->tokens)
-		booked = g->tokens;
-	tlb_bucket_settle(&a->bucket, booked, used, tlb_clock_now());
-	if (g) {
-		g->tokens -= booked;
-		if (g->tokens <= 0) {
-			APR_RING_REMOVE(g, link);
-			free(g);
-		}
+	if (a && tlb_ledger_settle(&a->ledger, id, booked, used, tlb_clock_now())) {
+		serve(a);
+		return true;
 	}
-	serve(a);
+	return tlb_standby_settle(&l->standby, account, id, booked, used) == TLB_STANDBY_SETTLED;
 }
 
-void tlb_limit_settle(struct tlb_reservation *r, int64_t booked, int64_t used)
+/* Settles here, and passes on to the owner what is not known to be settled. */
+static void settle_or_pass_on(struct tlb_limit *l, Toucan__ReturnTokens *m)
 {
 	char vm[TLB_ID_LEN];
 
+	if (settle_here(l, m->account, m->reservation_id, m->output_booked, m->output_used) ||
+	    m->forwarded || tlb_board_owner(l->board, m->account, vm) != TLB_OWNER_PEER)
+		return;
+	m->forwarded = true;
+	send_return(l->board, vm, m);
+}
+
+void tlb_limit_settle(struct tlb_reservation *r, int64_t booked, int64_t used)
+{
+	Toucan__ReturnTokens m = TOUCAN__RETURN_TOKENS__INIT;
+
 	if (r->state != TLB_RESERVATION_GRANTED)
 		return;
 	if (booked > r->tokens)
 		booked = r->tokens;
 	r->tokens -= booked;
-	if (tlb_board_owner(r->board, r->account, vm) == TLB_OWNER_SELF)
-		settle_here(&r->board->limit, r->account, r->id, booked, used);
-	else
-		send_return(r, booked, used);
+	if (strcmp(r->granter, r->board->settings->vm_id) != 0) {
+		return_tokens(r, r->granter, r->id, booked, used);
+		return;
+	}
+	m.account = r->account;
+	m.reservation_id = r->id;
+	m.output_booked = booked;
+	m.output_used = used;
+	settle_or_pass_on(&r->board->limit, &m);
 }
 
 void tlb_limit_release(struct tlb_reservation *r)
@@ -403,8 +563,7 @@
 		free_waiter(r->waiter);
 		break;
 	case TLB_RESERVATION_REMOTE:
-		tlb_peer_cancel(&r->call);
-		send_return(r, r->tokens, 0);
+		end_attempt(r);
 		break;
 	case TLB_RESERVATION_RETRY:
 		tlb_timer_clear(r->board->loop, &r->timer);
@@ -419,16 +578,11 @@
 
 static void free_account(struct tlb_limit_account *a)
 {
-	struct tlb_limit_grant *g;
-
-	while (!APR_RING_EMPTY(&a->grants, tlb_limit_grant, link)) {
-		g = APR_RING_FIRST(&a->grants);
-		APR_RING_REMOVE(g, link);
-		free(g);
-	}
 	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
 		free_waiter(APR_RING_FIRST(&a->waiters));
 	tlb_timer_clear(a->limit->board->loop, &a->timer);
+	tlb_split_finish(&a->split);
+	tlb_ledger_finish(&a->ledger);
 	APR_RING_REMOVE(a, link);
 	free(a);
 }
@@ -450,8 +604,7 @@
 /* Ends an account that this daemon no longer owns; its waiters go to the new owner. */
 static void drop_account(struct tlb_limit_account *a)
 {
-	while (!APR_RING_EMPTY(&a->waiters, tlb_limit_waiter, link))
-		redirect(APR_RING_FIRST(&a->waiters));
+	redirect_all(a);
 	free_account(a);
 }
 
@@ -459,21 +612,20 @@
 {
 	while (!APR_RING_EMPTY(&l->accounts, tlb_limit_account, link))
 		free_account(APR_RING_FIRST(&l->accounts));
+	tlb_standby_finish(&l->standby);
 }
 
 void tlb_limit_sync(struct tlb_limit *l)
 {
-	const struct tlb_account *row;
 	struct tlb_limit_account *a;
-	struct tlb_limit_account *next;
 
-	APR_RING_FOREACH_SAFE (a, next, &l->accounts, tlb_limit_account, link) {
-		row = tlb_table_account(l->board->table, a->id);
-		if (!row)
-			drop_account(a);
-		else
-			tlb_bucket_reconfigure(&a->bucket, row->rate, row->burst, tlb_clock_now());
+	/* A removed account keeps its state, without rate and burst: the standby may hold a part.
+	 */
+	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
+		tlb_split_configure(&a->split, tlb_clock_now());
+		serve(a);
 	}
+	tlb_standby_sync(&l->standby);
 }
 
 void tlb_limit_shards_changed(struct tlb_limit *l, tlb_shard_set gained, tlb_shard_set lost)
@@ -505,6 +657,29 @@
 	return n;
 }
 
+/* The grants of a bucket in one block; their strings are the ledger's. */
+static size_t list_grants(struct tlb_ledger *l, Toucan__Grant ***out)
+{
+	Toucan__Grant **list = malloc(l->count * (sizeof(*list) + sizeof(**list)) + 1);
+	Toucan__Grant *m = list ? (Toucan__Grant *)(void *)(list + l->count) : NULL;
+	struct tlb_ledger_grant *g;
+	size_t n = 0;
+
+	*out = list;
+	if (!list)
+		return 0;
+	APR_RING_FOREACH (g, &l->grants, tlb_ledger_grant, link) {
+		toucan__grant__init(&m[n]);
+		m[n].reservation_id = g->entry.id;
+		m[n].vm = g->entry.vm;
+		m[n].incarnation = g->entry.incarnation;
+		m[n].tokens = g->entry.tokens;
+		list[n] = &m[n];
+		n++;
+	}
+	return n;
+}
+
 static Toucan__Bucket *bucket_message(struct tlb_limit_account *a)
 {
 	Toucan__Bucket *m = malloc(sizeof(*m));
@@ -513,10 +688,11 @@
 	if (!m)
 		return NULL;
 	toucan__bucket__init(m);
-	s = tlb_bucket_snapshot(&a->bucket, tlb_clock_now());
+	s = tlb_bucket_snapshot(&a->ledger.bucket, tlb_clock_now());
 	m->account = strdup(a->id);
 	m->level = s.level / TLB_BUCKET_SCALE;
 	m->held = s.outstanding;
+	m->n_grants = list_grants(&a->ledger, &m->grants);
 	return m;
 }
 
@@ -533,54 +709,51 @@
 	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
 		if (!tlb_shard_in(shards, tlb_shard_of(a->id)))
 			continue;
+		redirect_all(a);
 		out->buckets[out->n_buckets] = bucket_message(a);
 		if (out->buckets[out->n_buckets])
 			out->n_buckets++;
 	}
 }
 
+static void adopt_grant(struct tlb_ledger *l, const Toucan__Grant *m)
+{
+	struct tlb_ledger_entry e = {.incarnation = m->incarnation, .tokens = m->tokens};
+
+	snprintf(e.id, sizeof(e.id), "%s", m->reservation_id);
+	snprintf(e.vm, sizeof(e.vm), "%s", m->vm);
+	tlb_ledger_adopt(l, &e, tlb_clock_now());
+}
+
 void tlb_limit_take_over(struct tlb_limit *l, const Toucan__HandOver *state)
 {
 	const Toucan__Bucket *m;
-	const struct tlb_account *row;
 	struct tlb_limit_account *a;
-	struct tlb_bucket_snapshot s;
 	size_t i;
+	size_t k;
 
 	for (i = 0; i < state->n_buckets; i++) {
 		m = state->buckets[i];
-		row = tlb_table_account(l->board->table, m->account);
 		a = account_for(l, m->account);
-		if (!a || !row)
+		if (!a)
 			continue;
-		s.level = m->level * TLB_BUCKET_SCALE;
-		s.outstanding = m->held;
-		tlb_bucket_restore(&a->bucket, row->rate, row->burst, &s, tlb_clock_now());
+		for (k = 0; k < m->n_grants; k++)
+			adopt_grant(&a->ledger, m->grants[k]);
+		tlb_ledger_deposit(&a->ledger, m->level * TLB_BUCKET_SCALE, tlb_clock_now());
 		serve(a);
 	}
 }
 
-static void settle_fenced(struct tlb_limit_account *a, const char *vm, uint64_t incarnation)
-{
-	struct tlb_limit_grant *g;
-	struct tlb_limit_grant *next;
-
-	APR_RING_FOREACH_SAFE (g, next, &a->grants, tlb_limit_grant, link) {
-		if (strcmp(g->vm, vm) != 0 || g->incarnation != incarnation)
-			continue;
-		tlb_bucket_settle(&a->bucket, g->tokens, g->tokens, tlb_clock_now());
-		APR_RING_REMOVE(g, link);
-		free(g);
-	}
-}
-
 void tlb_limit_fenced(struct tlb_limit *l, const char *vm, uint64_t incarnation)
 {
 	struct tlb_limit_account *a;
 
 	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
-		settle_fenced(a, vm, incarnation);
+		tlb_ledger_fenced(&a->ledger, vm, incarnation, tlb_clock_now());
+		tlb_split_fenced(&a->split, vm, incarnation);
+		serve(a);
 	}
+	tlb_standby_fenced(&l->standby, vm, incarnation);
 }
 
 json_t *tlb_limit_list(struct tlb_limit *l)
@@ -592,11 +765,13 @@
 	int waiting;
 
 	APR_RING_FOREACH (a, &l->accounts, tlb_limit_account, link) {
+		if (!tlb_table_account(l->board->table, a->id))
+			continue;
 		waiting = 0;
 		APR_RING_FOREACH (w, &a->waiters, tlb_limit_waiter, link) {
 			waiting++;
 		}
-		s = tlb_bucket_snapshot(&a->bucket, tlb_clock_now());
+		s = tlb_bucket_snapshot(&a->ledger.bucket, tlb_clock_now());
 		json_array_append_new(
 			list, json_pack("{s:s,s:I,s:I,s:i}", "account", a->id, "level",
 					(json_int_t)(s.level / TLB_BUCKET_SCALE), "outstanding",
@@ -605,15 +780,34 @@
 	return list;
 }
 
+/* From the part that this daemon holds as the standby, without waiting. */
+static void reserve_from_part(struct tlb_limit *l, const struct tlb_peer_return *from,
+			      const Toucan__ReserveTokens *m)
+{
+	struct tlb_ledger_entry e = {.incarnation = from->incarnation, .tokens = m->output_tokens};
+
+	snprintf(e.id, sizeof(e.id), "%s", m->reservation_id);
+	snprintf(e.vm, sizeof(e.vm), "%s", from->vm);
+	if (e.tokens >= 0 && tlb_standby_take(&l->standby, m->account, &e))
+		reply_remote(l, from, true, 0);
+	else
+		reply_unavailable(l, from);
+}
+
 void tlb_limit_on_reserve(struct tlb_limit *l, const struct tlb_peer_return *from,
 			  const Toucan__ReserveTokens *m)
 {
 	char vm[TLB_ID_LEN];
 	struct tlb_limit_account *a = NULL;
 	struct tlb_limit_waiter *w = NULL;
+	bool self = tlb_board_valid(l->board) &&
+		    tlb_board_owner(l->board, m->account, vm) == TLB_OWNER_SELF;
 
-	if (tlb_board_valid(l->board) &&
-	    tlb_board_owner(l->board, m->account, vm) == TLB_OWNER_SELF)
+	if (m->reserve && !self) {
+		reserve_from_part(l, from, m);
+		return;
+	}
+	if (self)
 		a = account_for(l, m->account);
 	if (a && m->output_tokens >= 0 && m->prompt_tokens >= 0)
 		w = add_waiter(a, m->reservation_id, m->output_tokens + m->prompt_tokens,
@@ -630,16 +824,17 @@
 			 const Toucan__ReturnTokens *m)
 {
 	struct tlb_limit_account *a = find(l, m->account);
+	Toucan__ReturnTokens copy = *m;
 	struct tlb_limit_waiter *w;
 
-	if (!a)
-		return;
 	/* The request gave up while it still waited. */
-	APR_RING_FOREACH (w, &a->waiters, tlb_limit_waiter, link) {
+	for (w = a ? APR_RING_FIRST(&a->waiters) : NULL;
+	     w && w != APR_RING_SENTINEL(&a->waiters, tlb_limit_waiter, link);
+	     w = APR_RING_NEXT(w, link)) {
 		if (!w->local && strcmp(w->id, m->reservation_id) == 0) {
 			free_waiter(w);
 			return;
 		}
 	}
-	settle_here(l, m->account, m->reservation_id, m->output_booked, m->output_used);
+	settle_or_pass_on(l, &copy);
 }
--- a/src/limit.h
+++ b/src/limit.h
@@ -1,20 +1,23 @@
 /*
  * Rate and burst of client accounts across all VMs. The owner of an account's shard keeps its token
  * bucket; other daemons reserve there by message. A request that finds too few tokens waits at the
- * owner, first in, first out for each account, until its deadline.
+ * owner, first in, first out for each account, until its deadline. While the owner is silent, the
+ * standby grants from its part (split.h, standby.h).
  */
 #ifndef TLB_LIMIT_H
 #define TLB_LIMIT_H
 
 #include <apr_ring.h>
 
-#include "bucket.h"
 #include "cluster.h"
 #include "ident.h"
+#include "standby.h"
 
 struct tlb_board;
 struct tlb_limit_account;
 
+/* Silence of the owner after which the standby is asked. */
+#define TLB_LIMIT_OWNER_SILENT (300 * TLB_MS)
 /* How long a request waits for an account's shard to get a new owner. A dead owner is replaced
  * within the session lease, the fence margin and a heartbeat; refusing requests meanwhile would
  * refuse accounts that are within their rate. */
@@ -28,7 +31,7 @@
 enum tlb_reservation_state {
 	TLB_RESERVATION_IDLE,
 	TLB_RESERVATION_WAITING, /* at this daemon's own bucket */
-	TLB_RESERVATION_REMOTE,	 /* asked the owner */
+	TLB_RESERVATION_REMOTE,	 /* asked the owner, and later the standby */
 	TLB_RESERVATION_RETRY,	 /* no owner answers: waits for a takeover */
 	TLB_RESERVATION_GRANTED,
 };
@@ -46,17 +49,23 @@
 	struct tlb_timer timer;
 	int attempt; /* keeps an attempt apart from earlier ones whose fate is unknown */
 	struct tlb_limit_waiter *waiter;
-	struct tlb_peer_call call;
+	struct tlb_peer_call call; /* to the owner */
+	struct tlb_peer_call standby_call;
+	bool standby_asked;
+	bool owner_failed; /* its call has ended without a reply to count on */
+	char standby[TLB_ID_LEN];
+	char granter[TLB_ID_LEN]; /* that holds the grant */
 	tlb_limit_done_fn *on_done;
 	void *arg;
 };
 
 APR_RING_HEAD(tlb_limit_account_ring, tlb_limit_account);
 
-/* Owned by the board; owns the accounts' buckets and waiters. */
+/* Owned by the board; owns the accounts' ledgers and waiters, and the parts held as standby. */
 struct tlb_limit {
 	struct tlb_board *board;
 	struct tlb_limit_account_ring accounts;
+	struct tlb_standby standby;
 };
 
 void tlb_limit_init(struct tlb_limit *l, struct tlb_board *b);
--- a/src/member.c
+++ b/src/member.c
@@ -794,6 +794,7 @@
 
 	for (i = 0; i < state->n_buckets; i++) {
 		free(state->buckets[i]->account);
+		free(state->buckets[i]->grants);
 		free(state->buckets[i]);
 	}
 	for (i = 0; i < state->n_bookings; i++) {
--- /dev/null
+++ b/src/split.c
@@ -0,0 +1,242 @@
+#include "split.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+/* How often a whole bucket is checked for opening, and an open part for a change of standby. */
+#define CHECK (1 * TLB_SECOND)
+#define RETRY (300 * TLB_MS)
+#define CALL_TIMEOUT (1 * TLB_SECOND)
+
+/* Of this process: a standby compares numbers of one incarnation only. */
+static uint64_t last_seq;
+
+static const char *const mode_names[] = {
+	[TLB_PART_WHOLE] = "whole",
+	[TLB_PART_OPENING] = "opening",
+	[TLB_PART_OPEN] = "open",
+	[TLB_PART_CLOSING] = "closing",
+};
+
+static void log_mode(const struct tlb_split *s, const char *reason)
+{
+	tlb_log_info("event=part account=%s standby=%s mode=%s reason=%s", s->account,
+		     s->part.standby.id, mode_names[s->part.mode], reason);
+}
+
+static const struct tlb_account *row_of(const struct tlb_split *s)
+{
+	return tlb_table_account(s->board->table, s->account);
+}
+
+static void on_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err);
+
+static void call_standby(struct tlb_split *s, Toucan__Envelope *e)
+{
+	tlb_cluster_call(s->board->cluster, s->part.standby.id, &s->call, e,
+			 tlb_clock_now() + CALL_TIMEOUT, on_reply, s);
+}
+
+static void send_open(struct tlb_split *s)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__OpenPart m = TOUCAN__OPEN_PART__INIT;
+	char account[TLB_ID_LEN];
+
+	snprintf(account, sizeof(account), "%s", s->account);
+	m.account = account;
+	m.seq = s->part.seq;
+	m.level = s->part.lent;
+	m.shards_version = tlb_cluster_map_version(s->board->cluster);
+	m.standby_incarnation = s->part.standby.incarnation;
+	e.body_case = TOUCAN__ENVELOPE__BODY_OPEN_PART;
+	e.open_part = &m;
+	call_standby(s, &e);
+}
+
+static void send_close(struct tlb_split *s)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__ClosePart m = TOUCAN__CLOSE_PART__INIT;
+	char account[TLB_ID_LEN];
+
+	snprintf(account, sizeof(account), "%s", s->account);
+	m.account = account;
+	m.seq = s->part.seq;
+	m.standby_incarnation = s->part.standby.incarnation;
+	e.body_case = TOUCAN__ENVELOPE__BODY_CLOSE_PART;
+	e.close_part = &m;
+	call_standby(s, &e);
+}
+
+static struct tlb_ledger_entry *entries_of(const Toucan__PartReply *m)
+{
+	struct tlb_ledger_entry *list = calloc(m->n_grants + 1, sizeof(*list));
+	size_t i;
+
+	for (i = 0; list && i < m->n_grants; i++) {
+		snprintf(list[i].id, sizeof(list[i].id), "%s", m->grants[i]->reservation_id);
+		snprintf(list[i].vm, sizeof(list[i].vm), "%s", m->grants[i]->vm);
+		list[i].incarnation = m->grants[i]->incarnation;
+		list[i].tokens = m->grants[i]->tokens;
+	}
+	return list;
+}
+
+/* A part that the standby has used up is taken back, to be opened again with a full one. */
+static bool worn(const struct tlb_split *s, const Toucan__PartReply *m, int64_t burst)
+{
+	return s->part.mode == TLB_PART_OPEN &&
+	       m->level < tlb_part_standby_burst(burst) * TLB_BUCKET_SCALE / 2;
+}
+
+static void take_reply(struct tlb_split *s, const Toucan__PartReply *m)
+{
+	const struct tlb_account *row = row_of(s);
+	enum tlb_part_mode before = s->part.mode;
+	struct tlb_ledger_entry *list = entries_of(m);
+	struct tlb_part_reply r = {
+		.seq = m->seq,
+		.part_seq = m->part_seq,
+		.open = m->open,
+		.level = m->level,
+		.entries = list,
+		.count = list ? m->n_grants : 0,
+	};
+
+	tlb_part_on_reply(&s->part, s->ledger, &r, row ? row->rate : 0, row ? row->burst : 0,
+			  tlb_clock_now());
+	free(list);
+	if (s->part.mode != before)
+		log_mode(s, "reply");
+	if (before == TLB_PART_OPEN && worn(s, m, row ? row->burst : 0))
+		tlb_split_recall(s);
+}
+
+static void on_reply(void *arg, const Toucan__Envelope *reply, const struct tlb_error *err)
+{
+	struct tlb_split *s = arg;
+
+	tlb_timer_set(s->board->loop, &s->timer, tlb_clock_now() + RETRY);
+	/* Another process of that VM knows nothing of the part. */
+	if (!reply || reply->body_case != TOUCAN__ENVELOPE__BODY_PART_REPLY ||
+	    reply->incarnation != s->part.standby.incarnation)
+		return;
+	take_reply(s, reply->part_reply);
+	s->on_change(s->arg);
+}
+
+static bool standby_of(const struct tlb_split *s, struct tlb_vm_name *out)
+{
+	char vm[TLB_ID_LEN];
+
+	if (!s->board->cluster || !tlb_board_valid(s->board) ||
+	    tlb_board_owner(s->board, s->account, vm) != TLB_OWNER_SELF)
+		return false;
+	return tlb_cluster_standby(s->board->cluster, s->account, out);
+}
+
+static void check_whole(struct tlb_split *s, tlb_time now)
+{
+	struct tlb_vm_name standby;
+
+	if (!row_of(s) || !tlb_part_can_open(&s->part, s->ledger, now) || !standby_of(s, &standby))
+		return;
+	tlb_part_open(&s->part, s->ledger, &standby, ++last_seq, now);
+	log_mode(s, "level");
+	send_open(s);
+}
+
+static void check_open(struct tlb_split *s, tlb_time now)
+{
+	struct tlb_vm_name standby;
+
+	if (standby_of(s, &standby) && !tlb_vm_name_equal(&standby, &s->part.standby)) {
+		tlb_split_recall(s);
+		return;
+	}
+	if (now < s->part.next)
+		return;
+	s->part.next = now + TLB_PART_REFRESH;
+	send_open(s);
+}
+
+static void on_timer(void *arg)
+{
+	struct tlb_split *s = arg;
+	tlb_time now = tlb_clock_now();
+
+	tlb_timer_set(s->board->loop, &s->timer, now + CHECK);
+	if (tlb_peer_call_active(&s->call))
+		return;
+	switch (s->part.mode) {
+	case TLB_PART_WHOLE:
+		check_whole(s, now);
+		break;
+	case TLB_PART_OPENING:
+		send_open(s);
+		break;
+	case TLB_PART_OPEN:
+		check_open(s, now);
+		break;
+	case TLB_PART_CLOSING:
+		send_close(s);
+		break;
+	}
+}
+
+void tlb_split_init(struct tlb_split *s, struct tlb_board *b, const char *account,
+		    struct tlb_ledger *ledger, tlb_split_change_fn *on_change, void *arg)
+{
+	memset(s, 0, sizeof(*s));
+	s->board = b;
+	s->account = account;
+	s->ledger = ledger;
+	s->on_change = on_change;
+	s->arg = arg;
+	tlb_timer_init(&s->timer, on_timer, s);
+	if (b->cluster)
+		tlb_timer_set(b->loop, &s->timer, tlb_clock_now() + CHECK);
+}
+
+void tlb_split_finish(struct tlb_split *s)
+{
+	tlb_peer_cancel(&s->call);
+	tlb_timer_clear(s->board->loop, &s->timer);
+}
+
+void tlb_split_configure(struct tlb_split *s, tlb_time now)
+{
+	const struct tlb_account *row = row_of(s);
+
+	tlb_part_configure(&s->part, s->ledger, row ? row->rate : 0, row ? row->burst : 0, now);
+}
+
+void tlb_split_recall(struct tlb_split *s)
+{
+	if (s->part.mode != TLB_PART_OPEN && s->part.mode != TLB_PART_OPENING)
+		return;
+	tlb_part_recall(&s->part, ++last_seq);
+	log_mode(s, "recall");
+	tlb_peer_cancel(&s->call);
+	send_close(s);
+}
+
+void tlb_split_fenced(struct tlb_split *s, const char *vm, uint64_t incarnation)
+{
+	const struct tlb_account *row = row_of(s);
+	struct tlb_vm_name name;
+
+	if (tlb_split_whole(s))
+		return;
+	tlb_vm_name_set(&name, vm, incarnation);
+	tlb_part_gone(&s->part, s->ledger, &name, row ? row->rate : 0, row ? row->burst : 0,
+		      tlb_clock_now());
+	if (!tlb_split_whole(s))
+		return;
+	log_mode(s, "fence");
+	tlb_peer_cancel(&s->call);
+}
--- /dev/null
+++ b/src/standby.c
@@ -0,0 +1,297 @@
+#include "standby.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "log.h"
+
+/* Grants in one reply: a frame holds 1 MiB. Those beyond it count as used. */
+enum { REPLY_GRANTS_MAX = 4096 };
+
+void tlb_standby_init(struct tlb_standby *s, struct tlb_board *b)
+{
+	memset(s, 0, sizeof(*s));
+	s->board = b;
+	APR_RING_INIT(&s->parts, tlb_standby_part, link);
+}
+
+static void free_part(struct tlb_standby_part *p)
+{
+	tlb_part_standby_finish(&p->part);
+	APR_RING_REMOVE(p, link);
+	free(p);
+}
+
+void tlb_standby_finish(struct tlb_standby *s)
+{
+	while (!APR_RING_EMPTY(&s->parts, tlb_standby_part, link))
+		free_part(APR_RING_FIRST(&s->parts));
+}
+
+void tlb_standby_reset(struct tlb_standby *s)
+{
+	tlb_standby_finish(s);
+}
+
+static struct tlb_standby_part *find(struct tlb_standby *s, const char *account,
+				     const struct tlb_vm_name *owner)
+{
+	struct tlb_standby_part *p;
+
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		if (strcmp(p->account, account) == 0 && tlb_vm_name_equal(&p->owner, owner))
+			return p;
+	}
+	return NULL;
+}
+
+static struct tlb_standby_part *part_for(struct tlb_standby *s, const char *account,
+					 const struct tlb_vm_name *owner)
+{
+	struct tlb_standby_part *p = find(s, account, owner);
+
+	if (p || strlen(account) >= TLB_ID_LEN)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return NULL;
+	strcpy(p->account, account);
+	p->owner = *owner;
+	tlb_part_standby_init(&p->part, tlb_clock_now());
+	APR_RING_INSERT_TAIL(&s->parts, p, tlb_standby_part, link);
+	return p;
+}
+
+static struct tlb_vm_name sender(const struct tlb_peer_return *from)
+{
+	struct tlb_vm_name name;
+
+	tlb_vm_name_set(&name, from->vm, from->incarnation);
+	return name;
+}
+
+/* The map in force names owner and this daemon, and both may act. */
+static bool may_act(const struct tlb_standby *s, const char *account,
+		    const struct tlb_vm_name *owner)
+{
+	const struct tlb_cluster *c = s->board->cluster;
+	const struct tlb_shard_entry *e = tlb_cluster_entry(c, account);
+
+	return tlb_board_valid(s->board) && tlb_vm_name_equal(&e->owner, owner) &&
+	       tlb_vm_name_equal(&e->standby, &c->self) && !tlb_cluster_gone(c, owner);
+}
+
+struct grant_list {
+	Toucan__Grant *grants;
+	Toucan__Grant **pointers;
+	size_t count;
+};
+
+static void list_grants(struct grant_list *list, struct tlb_ledger *ledger)
+{
+	size_t room = ledger->count < REPLY_GRANTS_MAX ? ledger->count : REPLY_GRANTS_MAX;
+	struct tlb_ledger_grant *g;
+	Toucan__Grant *m;
+
+	list->count = 0;
+	list->grants = calloc(room + 1, sizeof(*list->grants));
+	list->pointers = calloc(room + 1, sizeof(*list->pointers));
+	if (!list->grants || !list->pointers)
+		return;
+	APR_RING_FOREACH (g, &ledger->grants, tlb_ledger_grant, link) {
+		if (list->count == room)
+			break;
+		m = &list->grants[list->count];
+		toucan__grant__init(m);
+		m->reservation_id = g->entry.id;
+		m->vm = g->entry.vm;
+		m->incarnation = g->entry.incarnation;
+		m->tokens = g->entry.tokens;
+		list->pointers[list->count++] = m;
+	}
+}
+
+static void reply(struct tlb_standby *s, const struct tlb_peer_return *to, uint64_t seq,
+		  struct tlb_part_standby *part)
+{
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__PartReply m = TOUCAN__PART_REPLY__INIT;
+	struct grant_list list = {0};
+
+	m.seq = seq;
+	m.part_seq = part->part_seq;
+	m.open = part->open;
+	m.level = part->ledger.bucket.level;
+	if (!part->open) {
+		list_grants(&list, &part->ledger);
+		m.grants = list.pointers;
+		m.n_grants = list.count;
+	}
+	e.body_case = TOUCAN__ENVELOPE__BODY_PART_REPLY;
+	e.part_reply = &m;
+	tlb_cluster_reply(s->board->cluster, to, &e);
+	free(list.grants);
+	free(list.pointers);
+}
+
+static void log_part(const struct tlb_standby_part *p, const char *action)
+{
+	tlb_log_info("event=reserve account=%s owner=%s open=%d action=%s", p->account, p->owner.id,
+		     p->part.open, action);
+}
+
+void tlb_standby_on_open(struct tlb_standby *s, const struct tlb_peer_return *from,
+			 const Toucan__OpenPart *m)
+{
+	const struct tlb_account *row = tlb_table_account(s->board->table, m->account);
+	struct tlb_vm_name owner = sender(from);
+	struct tlb_standby_part *p;
+	bool allowed;
+
+	if (m->standby_incarnation != tlb_cluster_incarnation(s->board->cluster))
+		return;
+	allowed = row && may_act(s, m->account, &owner) &&
+		  m->shards_version >= s->floor[tlb_shard_of(m->account)];
+	p = part_for(s, m->account, &owner);
+	if (!p)
+		return;
+	if (m->seq > p->part.seq) {
+		tlb_part_on_open(&p->part, m->seq, m->level, allowed, row ? row->burst : 0,
+				 tlb_clock_now());
+		log_part(p, allowed ? "open" : "refuse");
+	}
+	if (m->seq == p->part.seq)
+		reply(s, from, m->seq, &p->part);
+}
+
+void tlb_standby_on_close(struct tlb_standby *s, const struct tlb_peer_return *from,
+			  const Toucan__ClosePart *m)
+{
+	struct tlb_vm_name owner = sender(from);
+	struct tlb_standby_part *p;
+
+	if (m->standby_incarnation != tlb_cluster_incarnation(s->board->cluster))
+		return;
+	p = part_for(s, m->account, &owner);
+	if (!p || !tlb_part_on_close(&p->part, m->seq))
+		return;
+	log_part(p, "close");
+	reply(s, from, m->seq, &p->part);
+}
+
+bool tlb_standby_take(struct tlb_standby *s, const char *account,
+		      const struct tlb_ledger_entry *wanted)
+{
+	const struct tlb_shard_entry *e;
+	struct tlb_standby_part *p;
+
+	if (!s->board->cluster)
+		return false;
+	e = tlb_cluster_entry(s->board->cluster, account);
+	p = find(s, account, &e->owner);
+	if (!p || !may_act(s, account, &e->owner) ||
+	    !tlb_part_take(&p->part, wanted, tlb_clock_now()))
+		return false;
+	tlb_counter_add(&s->board->counters, TLB_COUNTER_RESERVE_GRANTS, 1);
+	return true;
+}
+
+enum tlb_standby_settled tlb_standby_settle(struct tlb_standby *s, const char *account,
+					    const char *id, int64_t booked, int64_t used)
+{
+	struct tlb_standby_part *p;
+
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		if (strcmp(p->account, account) != 0 ||
+		    !tlb_ledger_settle(&p->part.ledger, id, booked, used, tlb_clock_now()))
+			continue;
+		return p->part.open ? TLB_STANDBY_SETTLED : TLB_STANDBY_PASS_ON;
+	}
+	return TLB_STANDBY_UNKNOWN;
+}
+
+void tlb_standby_adopt(struct tlb_standby *s, const char *account, struct tlb_ledger *ledger)
+{
+	struct tlb_standby_part *p;
+
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		if (strcmp(p->account, account) != 0)
+			continue;
+		if (p->part.open)
+			log_part(p, "adopt");
+		tlb_part_adopt(&p->part, ledger, tlb_clock_now());
+	}
+}
+
+void tlb_standby_sync(struct tlb_standby *s)
+{
+	const struct tlb_account *row;
+	struct tlb_standby_part *p;
+
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		row = tlb_table_account(s->board->table, p->account);
+		tlb_part_standby_configure(&p->part, row ? row->burst : 0, tlb_clock_now());
+	}
+}
+
+static void note_entries(struct tlb_standby *s)
+{
+	const struct tlb_shard_map *map = &s->board->cluster->map;
+	const struct tlb_shard_entry *e;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		e = &map->entry[i];
+		if (tlb_vm_name_equal(&e->owner, &s->seen[i].owner) &&
+		    tlb_vm_name_equal(&e->standby, &s->seen[i].standby))
+			continue;
+		s->seen[i] = *e;
+		if (map->version > s->floor[i])
+			s->floor[i] = map->version;
+	}
+}
+
+void tlb_standby_map(struct tlb_standby *s)
+{
+	const struct tlb_cluster *c = s->board->cluster;
+	const struct tlb_shard_entry *e;
+	struct tlb_standby_part *p;
+	struct tlb_standby_part *next;
+
+	note_entries(s);
+	APR_RING_FOREACH_SAFE (p, next, &s->parts, tlb_standby_part, link) {
+		e = tlb_cluster_entry(c, p->account);
+		if (tlb_cluster_gone(c, &p->owner))
+			free_part(p);
+		else if (!tlb_vm_name_equal(&e->owner, &p->owner) ||
+			 !tlb_vm_name_equal(&e->standby, &c->self))
+			tlb_part_freeze(&p->part);
+	}
+}
+
+void tlb_standby_released(struct tlb_standby *s, tlb_shard_set shards, int64_t version)
+{
+	struct tlb_standby_part *p;
+	int i;
+
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		if (tlb_shard_in(shards, i) && s->floor[i] <= version)
+			s->floor[i] = version + 1;
+	}
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		if (!p->part.open || !tlb_shard_in(shards, tlb_shard_of(p->account)))
+			continue;
+		tlb_part_freeze(&p->part);
+		log_part(p, "release");
+	}
+}
+
+void tlb_standby_fenced(struct tlb_standby *s, const char *vm, uint64_t incarnation)
+{
+	struct tlb_standby_part *p;
+
+	APR_RING_FOREACH (p, &s->parts, tlb_standby_part, link) {
+		tlb_ledger_fenced(&p->part.ledger, vm, incarnation, tlb_clock_now());
+	}
+}
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -1132,6 +1132,51 @@
   assert(message->base.descriptor == &toucan__config_rows__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__grant__init
+                     (Toucan__Grant         *message)
+{
+  static const Toucan__Grant init_value = TOUCAN__GRANT__INIT;
+  *message = init_value;
+}
+size_t toucan__grant__get_packed_size
+                     (const Toucan__Grant *message)
+{
+  assert(message->base.descriptor == &toucan__grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__grant__pack
+                     (const Toucan__Grant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__grant__pack_to_buffer
+                     (const Toucan__Grant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__Grant *
+       toucan__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__Grant *)
+     protobuf_c_message_unpack (&toucan__grant__descriptor,
+                                allocator, len, data);
+}
+void   toucan__grant__free_unpacked
+                     (Toucan__Grant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__bucket__init
                      (Toucan__Bucket         *message)
 {
@@ -1177,6 +1222,141 @@
   assert(message->base.descriptor == &toucan__bucket__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__open_part__init
+                     (Toucan__OpenPart         *message)
+{
+  static const Toucan__OpenPart init_value = TOUCAN__OPEN_PART__INIT;
+  *message = init_value;
+}
+size_t toucan__open_part__get_packed_size
+                     (const Toucan__OpenPart *message)
+{
+  assert(message->base.descriptor == &toucan__open_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__open_part__pack
+                     (const Toucan__OpenPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__open_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__open_part__pack_to_buffer
+                     (const Toucan__OpenPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__open_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__OpenPart *
+       toucan__open_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__OpenPart *)
+     protobuf_c_message_unpack (&toucan__open_part__descriptor,
+                                allocator, len, data);
+}
+void   toucan__open_part__free_unpacked
+                     (Toucan__OpenPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__open_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__close_part__init
+                     (Toucan__ClosePart         *message)
+{
+  static const Toucan__ClosePart init_value = TOUCAN__CLOSE_PART__INIT;
+  *message = init_value;
+}
+size_t toucan__close_part__get_packed_size
+                     (const Toucan__ClosePart *message)
+{
+  assert(message->base.descriptor == &toucan__close_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__close_part__pack
+                     (const Toucan__ClosePart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__close_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__close_part__pack_to_buffer
+                     (const Toucan__ClosePart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__close_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__ClosePart *
+       toucan__close_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__ClosePart *)
+     protobuf_c_message_unpack (&toucan__close_part__descriptor,
+                                allocator, len, data);
+}
+void   toucan__close_part__free_unpacked
+                     (Toucan__ClosePart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__close_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__part_reply__init
+                     (Toucan__PartReply         *message)
+{
+  static const Toucan__PartReply init_value = TOUCAN__PART_REPLY__INIT;
+  *message = init_value;
+}
+size_t toucan__part_reply__get_packed_size
+                     (const Toucan__PartReply *message)
+{
+  assert(message->base.descriptor == &toucan__part_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__part_reply__pack
+                     (const Toucan__PartReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__part_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__part_reply__pack_to_buffer
+                     (const Toucan__PartReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__part_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__PartReply *
+       toucan__part_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__PartReply *)
+     protobuf_c_message_unpack (&toucan__part_reply__descriptor,
+                                allocator, len, data);
+}
+void   toucan__part_reply__free_unpacked
+                     (Toucan__PartReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__part_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__hand_over__init
                      (Toucan__HandOver         *message)
 {
@@ -1222,7 +1402,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[29] =
 {
   {
     "source",
@@ -1536,12 +1716,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open_part",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, open_part),
+    &toucan__open_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "close_part",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, close_part),
+    &toucan__close_part__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_reply",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, part_reply),
+    &toucan__part_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   16,   /* field[16] = book_decode */
   17,   /* field[17] = book_reply */
   20,   /* field[20] = bookings_pull */
   21,   /* field[21] = bookings_reply */
+  27,   /* field[27] = close_part */
   23,   /* field[23] = config_pull */
   22,   /* field[22] = config_push */
   24,   /* field[24] = config_rows */
@@ -1555,6 +1772,8 @@
   4,   /* field[4] = hello */
   2,   /* field[2] = id */
   1,   /* field[1] = incarnation */
+  26,   /* field[26] = open_part */
+  28,   /* field[28] = part_reply */
   19,   /* field[19] = release_booking */
   18,   /* field[18] = renew_bookings */
   3,   /* field[3] = reply_to */
@@ -1565,12 +1784,13 @@
   10,   /* field[10] = standby_release */
   14,   /* field[14] = tokens_reply */
 };
-static const ProtobufCIntRange toucan__envelope__number_ranges[3 + 1] =
+static const ProtobufCIntRange toucan__envelope__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
   { 20, 13 },
-  { 0, 26 }
+  { 40, 26 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -1580,10 +1800,10 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  26,
+  29,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
-  3,  toucan__envelope__number_ranges,
+  4,  toucan__envelope__number_ranges,
   (ProtobufCMessageInit) toucan__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2172,7 +2392,7 @@
   (ProtobufCMessageInit) toucan__shards_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[5] =
+static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[6] =
 {
   {
     "account",
@@ -2234,18 +2454,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reserve",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReserveTokens, reserve),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__reserve_tokens__field_indices_by_name[] = {
   0,   /* field[0] = account */
   2,   /* field[2] = output_tokens */
   1,   /* field[1] = prompt_tokens */
   4,   /* field[4] = reservation_id */
+  5,   /* field[5] = reserve */
   3,   /* field[3] = wait_us */
 };
-static const ProtobufCIntRange toucan__reserve_tokens__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__reserve_tokens__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 20, 5 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor toucan__reserve_tokens__descriptor =
 {
@@ -2255,10 +2489,10 @@
   "Toucan__ReserveTokens",
   "toucan",
   sizeof(Toucan__ReserveTokens),
-  5,
+  6,
   toucan__reserve_tokens__field_descriptors,
   toucan__reserve_tokens__field_indices_by_name,
-  1,  toucan__reserve_tokens__number_ranges,
+  2,  toucan__reserve_tokens__number_ranges,
   (ProtobufCMessageInit) toucan__reserve_tokens__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -2326,7 +2560,7 @@
   (ProtobufCMessageInit) toucan__tokens_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__return_tokens__field_descriptors[4] =
+static const ProtobufCFieldDescriptor toucan__return_tokens__field_descriptors[5] =
 {
   {
     "account",
@@ -2376,17 +2610,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forwarded",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ReturnTokens, forwarded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__return_tokens__field_indices_by_name[] = {
   0,   /* field[0] = account */
+  4,   /* field[4] = forwarded */
   2,   /* field[2] = output_booked */
   3,   /* field[3] = output_used */
   1,   /* field[1] = reservation_id */
 };
-static const ProtobufCIntRange toucan__return_tokens__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__return_tokens__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 20, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__return_tokens__descriptor =
 {
@@ -2396,10 +2644,10 @@
   "Toucan__ReturnTokens",
   "toucan",
   sizeof(Toucan__ReturnTokens),
-  4,
+  5,
   toucan__return_tokens__field_descriptors,
   toucan__return_tokens__field_indices_by_name,
-  1,  toucan__return_tokens__number_ranges,
+  2,  toucan__return_tokens__number_ranges,
   (ProtobufCMessageInit) toucan__return_tokens__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3094,7 +3342,84 @@
   (ProtobufCMessageInit) toucan__config_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__bucket__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__grant__field_descriptors[4] =
+{
+  {
+    "reservation_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Grant, reservation_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Grant, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Grant, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Grant, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__grant__field_indices_by_name[] = {
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = reservation_id */
+  3,   /* field[3] = tokens */
+  1,   /* field[1] = vm */
+};
+static const ProtobufCIntRange toucan__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.Grant",
+  "Grant",
+  "Toucan__Grant",
+  "toucan",
+  sizeof(Toucan__Grant),
+  4,
+  toucan__grant__field_descriptors,
+  toucan__grant__field_indices_by_name,
+  1,  toucan__grant__number_ranges,
+  (ProtobufCMessageInit) toucan__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__bucket__field_descriptors[4] =
 {
   {
     "account",
@@ -3132,16 +3457,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grants",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Bucket, n_grants),
+    offsetof(Toucan__Bucket, grants),
+    &toucan__grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__bucket__field_indices_by_name[] = {
   0,   /* field[0] = account */
+  3,   /* field[3] = grants */
   2,   /* field[2] = held */
   1,   /* field[1] = level */
 };
-static const ProtobufCIntRange toucan__bucket__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__bucket__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 20, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__bucket__descriptor =
 {
@@ -3151,13 +3490,257 @@
   "Toucan__Bucket",
   "toucan",
   sizeof(Toucan__Bucket),
-  3,
+  4,
   toucan__bucket__field_descriptors,
   toucan__bucket__field_indices_by_name,
-  1,  toucan__bucket__number_ranges,
+  2,  toucan__bucket__number_ranges,
   (ProtobufCMessageInit) toucan__bucket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__open_part__field_descriptors[5] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OpenPart, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OpenPart, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OpenPart, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shards_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OpenPart, shards_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standby_incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OpenPart, standby_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__open_part__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  2,   /* field[2] = level */
+  1,   /* field[1] = seq */
+  3,   /* field[3] = shards_version */
+  4,   /* field[4] = standby_incarnation */
+};
+static const ProtobufCIntRange toucan__open_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__open_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.OpenPart",
+  "OpenPart",
+  "Toucan__OpenPart",
+  "toucan",
+  sizeof(Toucan__OpenPart),
+  5,
+  toucan__open_part__field_descriptors,
+  toucan__open_part__field_indices_by_name,
+  1,  toucan__open_part__number_ranges,
+  (ProtobufCMessageInit) toucan__open_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__close_part__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ClosePart, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ClosePart, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standby_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__ClosePart, standby_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__close_part__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = seq */
+  2,   /* field[2] = standby_incarnation */
+};
+static const ProtobufCIntRange toucan__close_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__close_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.ClosePart",
+  "ClosePart",
+  "Toucan__ClosePart",
+  "toucan",
+  sizeof(Toucan__ClosePart),
+  3,
+  toucan__close_part__field_descriptors,
+  toucan__close_part__field_indices_by_name,
+  1,  toucan__close_part__number_ranges,
+  (ProtobufCMessageInit) toucan__close_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__part_reply__field_descriptors[5] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartReply, part_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartReply, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartReply, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__PartReply, n_grants),
+    offsetof(Toucan__PartReply, grants),
+    &toucan__grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__part_reply__field_indices_by_name[] = {
+  4,   /* field[4] = grants */
+  3,   /* field[3] = level */
+  2,   /* field[2] = open */
+  1,   /* field[1] = part_seq */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange toucan__part_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__part_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.PartReply",
+  "PartReply",
+  "Toucan__PartReply",
+  "toucan",
+  sizeof(Toucan__PartReply),
+  5,
+  toucan__part_reply__field_descriptors,
+  toucan__part_reply__field_indices_by_name,
+  1,  toucan__part_reply__number_ranges,
+  (ProtobufCMessageInit) toucan__part_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__hand_over__field_descriptors[4] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -40,7 +40,11 @@
 typedef struct Toucan__ConfigPush Toucan__ConfigPush;
 typedef struct Toucan__ConfigPull Toucan__ConfigPull;
 typedef struct Toucan__ConfigRows Toucan__ConfigRows;
+typedef struct Toucan__Grant Toucan__Grant;
 typedef struct Toucan__Bucket Toucan__Bucket;
+typedef struct Toucan__OpenPart Toucan__OpenPart;
+typedef struct Toucan__ClosePart Toucan__ClosePart;
+typedef struct Toucan__PartReply Toucan__PartReply;
 typedef struct Toucan__HandOver Toucan__HandOver;
 
 
@@ -87,7 +91,10 @@
   TOUCAN__ENVELOPE__BODY_CONFIG_PUSH = 29,
   TOUCAN__ENVELOPE__BODY_CONFIG_PULL = 30,
   TOUCAN__ENVELOPE__BODY_CONFIG_ROWS = 31,
-  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32
+  TOUCAN__ENVELOPE__BODY_HAND_OVER = 32,
+  TOUCAN__ENVELOPE__BODY_OPEN_PART = 40,
+  TOUCAN__ENVELOPE__BODY_CLOSE_PART = 41,
+  TOUCAN__ENVELOPE__BODY_PART_REPLY = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -137,6 +144,9 @@
     Toucan__ConfigPull *config_pull;
     Toucan__ConfigRows *config_rows;
     Toucan__HandOver *hand_over;
+    Toucan__OpenPart *open_part;
+    Toucan__ClosePart *close_part;
+    Toucan__PartReply *part_reply;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -311,10 +321,14 @@
    */
   int64_t wait_us;
   char *reservation_id;
+  /*
+   * from the standby's open part: the owner is silent
+   */
+  protobuf_c_boolean reserve;
 };
 #define TOUCAN__RESERVE_TOKENS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__reserve_tokens__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Toucan__TokensReply
@@ -339,10 +353,14 @@
   char *reservation_id;
   int64_t output_booked;
   int64_t output_used;
+  /*
+   * by a VM that does not hold the grant; not forwarded again
+   */
+  protobuf_c_boolean forwarded;
 };
 #define TOUCAN__RETURN_TOKENS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__return_tokens__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Toucan__BookDecode
@@ -513,6 +531,25 @@
     , 0, 0, 0,NULL, 0 }
 
 
+/*
+ * Tokens booked for a request and not settled.
+ */
+struct  Toucan__Grant
+{
+  ProtobufCMessage base;
+  char *reservation_id;
+  /*
+   * that asked for them
+   */
+  char *vm;
+  uint64_t incarnation;
+  int64_t tokens;
+};
+#define TOUCAN__GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__grant__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Toucan__Bucket
 {
   ProtobufCMessage base;
@@ -522,15 +559,91 @@
    */
   int64_t level;
   /*
-   * outstanding output bookings, tokens
+   * sum of the grants, tokens
    */
   int64_t held;
+  size_t n_grants;
+  Toucan__Grant **grants;
 };
 #define TOUCAN__BUCKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__bucket__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * An owner gives the standby a reserve of an account's burst. Answered by PartReply.
+ */
+struct  Toucan__OpenPart
+{
+  ProtobufCMessage base;
+  char *account;
+  /*
+   * grows with every operation of the sender's incarnation
+   */
+  uint64_t seq;
+  /*
+   * micro-tokens
+   */
+  int64_t level;
+  /*
+   * of the map in force at the sender
+   */
+  int64_t shards_version;
+  /*
+   * another process gives no reply
+   */
+  uint64_t standby_incarnation;
+};
+#define TOUCAN__OPEN_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__open_part__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * The owner takes the reserve back. Answered by PartReply.
+ */
+struct  Toucan__ClosePart
+{
+  ProtobufCMessage base;
+  char *account;
+  uint64_t seq;
+  uint64_t standby_incarnation;
+};
+#define TOUCAN__CLOSE_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__close_part__descriptor) \
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+struct  Toucan__PartReply
+{
+  ProtobufCMessage base;
+  /*
+   * of the operation answered
+   */
+  uint64_t seq;
+  /*
+   * under which the part was opened; 0 for none
+   */
+  uint64_t part_seq;
+  /*
+   * false: grants nothing under numbers up to seq any more
+   */
+  protobuf_c_boolean open;
+  /*
+   * micro-tokens
+   */
+  int64_t level;
+  /*
+   * made from the part and not settled; only when not open
+   */
+  size_t n_grants;
+  Toucan__Grant **grants;
+};
+#define TOUCAN__PART_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__part_reply__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
 /*
  * State of shards that the sender has stopped acting for. Answered by Done.
  */
@@ -1028,6 +1141,25 @@
 void   toucan__config_rows__free_unpacked
                      (Toucan__ConfigRows *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__Grant methods */
+void   toucan__grant__init
+                     (Toucan__Grant         *message);
+size_t toucan__grant__get_packed_size
+                     (const Toucan__Grant   *message);
+size_t toucan__grant__pack
+                     (const Toucan__Grant   *message,
+                      uint8_t             *out);
+size_t toucan__grant__pack_to_buffer
+                     (const Toucan__Grant   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__Grant *
+       toucan__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__grant__free_unpacked
+                     (Toucan__Grant *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__Bucket methods */
 void   toucan__bucket__init
                      (Toucan__Bucket         *message);
@@ -1047,6 +1179,63 @@
 void   toucan__bucket__free_unpacked
                      (Toucan__Bucket *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__OpenPart methods */
+void   toucan__open_part__init
+                     (Toucan__OpenPart         *message);
+size_t toucan__open_part__get_packed_size
+                     (const Toucan__OpenPart   *message);
+size_t toucan__open_part__pack
+                     (const Toucan__OpenPart   *message,
+                      uint8_t             *out);
+size_t toucan__open_part__pack_to_buffer
+                     (const Toucan__OpenPart   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__OpenPart *
+       toucan__open_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__open_part__free_unpacked
+                     (Toucan__OpenPart *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__ClosePart methods */
+void   toucan__close_part__init
+                     (Toucan__ClosePart         *message);
+size_t toucan__close_part__get_packed_size
+                     (const Toucan__ClosePart   *message);
+size_t toucan__close_part__pack
+                     (const Toucan__ClosePart   *message,
+                      uint8_t             *out);
+size_t toucan__close_part__pack_to_buffer
+                     (const Toucan__ClosePart   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__ClosePart *
+       toucan__close_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__close_part__free_unpacked
+                     (Toucan__ClosePart *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__PartReply methods */
+void   toucan__part_reply__init
+                     (Toucan__PartReply         *message);
+size_t toucan__part_reply__get_packed_size
+                     (const Toucan__PartReply   *message);
+size_t toucan__part_reply__pack
+                     (const Toucan__PartReply   *message,
+                      uint8_t             *out);
+size_t toucan__part_reply__pack_to_buffer
+                     (const Toucan__PartReply   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__PartReply *
+       toucan__part_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__part_reply__free_unpacked
+                     (Toucan__PartReply *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__HandOver methods */
 void   toucan__hand_over__init
                      (Toucan__HandOver         *message);
@@ -1143,9 +1332,21 @@
 typedef void (*Toucan__ConfigRows_Closure)
                  (const Toucan__ConfigRows *message,
                   void *closure_data);
+typedef void (*Toucan__Grant_Closure)
+                 (const Toucan__Grant *message,
+                  void *closure_data);
 typedef void (*Toucan__Bucket_Closure)
                  (const Toucan__Bucket *message,
                   void *closure_data);
+typedef void (*Toucan__OpenPart_Closure)
+                 (const Toucan__OpenPart *message,
+                  void *closure_data);
+typedef void (*Toucan__ClosePart_Closure)
+                 (const Toucan__ClosePart *message,
+                  void *closure_data);
+typedef void (*Toucan__PartReply_Closure)
+                 (const Toucan__PartReply *message,
+                  void *closure_data);
 typedef void (*Toucan__HandOver_Closure)
                  (const Toucan__HandOver *message,
                   void *closure_data);
@@ -1181,7 +1382,11 @@
 extern const ProtobufCMessageDescriptor toucan__config_push__descriptor;
 extern const ProtobufCMessageDescriptor toucan__config_pull__descriptor;
 extern const ProtobufCMessageDescriptor toucan__config_rows__descriptor;
+extern const ProtobufCMessageDescriptor toucan__grant__descriptor;
 extern const ProtobufCMessageDescriptor toucan__bucket__descriptor;
+extern const ProtobufCMessageDescriptor toucan__open_part__descriptor;
+extern const ProtobufCMessageDescriptor toucan__close_part__descriptor;
+extern const ProtobufCMessageDescriptor toucan__part_reply__descriptor;
 extern const ProtobufCMessageDescriptor toucan__hand_over__descriptor;
 
 PROTOBUF_C__END_DECLS
