--- a/src/counter.h
+++ b/src/counter.h
@@ -55,6 +55,8 @@
 	  "Load reports from daemons that do not own the endpoint's shard")                        \
 	X(BOOKINGS_RENEWED, "toucanlb_bookings_renewed_total", "counter",                          \
 	  "Bookings renewed by a message to their owner")                                          \
+	X(RESERVE_GRANTS, "toucanlb_reserve_grants_total", "counter",                              \
+	  "Reservations granted as the standby of an account's owner")                             \
 	X(ORDERS_SENT, "toucanlb_orders_sent_total", "counter",                                    \
 	  "Orders sent to engines, repeated ones included")                                        \
 	X(ORDERS_CONFIRMED, "toucanlb_orders_confirmed_total", "counter",                          \
