Compare an endpoint's latency with the median of its pool

src/load.c passed 0 as the median to tlb_place_eject(), so that an engine that is slow but not dead was never ejected by the daemon. It now passes the median of the known latencies of the engines of the same pool and role (none with fewer than three); services keep 0, because their routes differ in what a call takes.

--- a/src/load.c
+++ b/src/load.c
@@ -10,7 +10,7 @@
 /* A report that takes longer is taken as a failed call. */
 #define REPORT_TIMEOUT (1 * TLB_SECOND)
 
-enum { BATCH_RESERVE_SHARE = 7 };
+enum { BATCH_RESERVE_SHARE = 7, MEDIAN_ENGINES = 256 };
 
 /* How long the engine may hold a request without a booking before it is cancelled: a booking and
  * the engine's list are never read at the same instant. */
@@ -189,11 +189,29 @@
 	c->tokens_per_second = t->tokens_per_second;
 }
 
+/* Median latency of the engines of the target's pool and role; 0 for services, whose routes differ
+ * in what a call takes. */
+static tlb_time median_latency(const struct tlb_target *t)
+{
+	double latency[MEDIAN_ENGINES];
+	const struct tlb_target *k;
+	int n = 0;
+
+	if (t->role == TLB_ROLE_SERVICE)
+		return 0;
+	APR_RING_FOREACH (k, &t->board->load.targets, tlb_target, link) {
+		if (n < MEDIAN_ENGINES && k->present && k->role == t->role &&
+		    strcmp(k->pool, t->pool) == 0)
+			latency[n++] = k->health.latency_us;
+	}
+	return tlb_place_median(latency, n);
+}
+
 void tlb_load_outcome(struct tlb_target *t, bool ok, tlb_time latency_us)
 {
 	tlb_time now = tlb_clock_now();
 
-	if (!tlb_place_eject(&t->health, ok, latency_us, 0, now))
+	if (!tlb_place_eject(&t->health, ok, latency_us, ok ? median_latency(t) : 0, now))
 		return;
 	tlb_log_warn("event=eject endpoint=%s until_ms=%lld failures=%d", t->id,
 		     (long long)((t->health.ejected_until - now) / TLB_MS), t->health.failures);
--- a/src/load.h
+++ b/src/load.h
@@ -82,7 +82,8 @@
 /* The endpoints as JSON: [{"endpoint","role","pool","zone","state","free_pieces","total_pieces",
  * "running","in_flight","report_age_ms","ejected"}]; report_age_ms is -1 without a report. */
 json_t *tlb_load_list(const struct tlb_load *l);
-/* Records how a call to the endpoint ended, for ejection. */
+/* Records how a call to the endpoint ended, for ejection; latency_us is the whole prefill call, or
+ * of a decode stream the time per token. */
 void tlb_load_outcome(struct tlb_target *t, bool ok, tlb_time latency_us);
 
 #endif
--- a/src/request.c
+++ b/src/request.c
@@ -79,6 +79,7 @@
 	struct tlb_sse sse;
 	struct tlb_buffer text;
 	int next_index;
+	int first_index; /* of the running stream */
 	bool engine_done;
 	char reason[TLB_ENGINE_REASON_LEN];
 	struct tlb_timer silence;
@@ -824,9 +825,17 @@
 	tlb_exchange_reply(r->x, 200, "application/json", body, strlen(body));
 }
 
+/* Streams differ in length, endpoints are compared by the time that a token takes. */
+static tlb_time stream_time_per_token(const struct tlb_request *r)
+{
+	int tokens = r->next_index - r->first_index;
+
+	return (tlb_clock_now() - r->call_began) / (tokens > 0 ? tokens : 1);
+}
+
 static void complete(struct tlb_request *r)
 {
-	tlb_load_outcome(r->decode, true, tlb_clock_now() - r->call_began);
+	tlb_load_outcome(r->decode, true, stream_time_per_token(r));
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ANSWERED, 1);
 	log_end(r, "answered", "ok");
 	if (r->completion.stream)
@@ -881,6 +890,7 @@
 
 	r->step = STEP_DECODE;
 	r->last_token_at = 0;
+	r->first_index = r->next_index;
 	tlb_timer_set(r->board->loop, &r->silence, now + TOKEN_SILENCE);
 	call_engine(r, r->decode, "/decode", tlb_engine_decode_body(&job), &spec);
 }
--- a/tests/promises/p05_whole.py
+++ b/tests/promises/p05_whole.py
@@ -67,6 +67,21 @@
     return engine_fault(t, "die", 0.3, path="/decode", after_tokens=5)
 
 
+@case
+def slow_prefill_engine_is_ejected(t):
+    """Guards against an engine that is slow but not dead and keeps getting work: its latency has to
+    be compared with the median of its pool."""
+    with t.fleet(vms=2, standin_options={"prefill-1": ["--prefill-us-per-token", "600"]}) as fleet:
+        counts = {}
+        for _ in range(5):
+            counts = run_requests(t, fleet, 40, tokens=400, max_tokens=8)
+        ejected = [line for line in fleet.logs().splitlines() if "event=eject " in line]
+        t.note(ejected)
+        others = [line for line in ejected if "endpoint=prefill-1 " not in line]
+        wrong, bound = wrong_and_few(counts, 40, 1)
+        return wrong + (0 if len(ejected) > len(others) else 1), bound
+
+
 @case
 def decode_engine_dies_at_first_token(t):
     return engine_fault(t, "die", 0.9, hit=2, path="/decode", after_tokens=1)
