--- a/bench/fault.c
+++ b/bench/fault.c
@@ -53,7 +53,8 @@
 	r->b = en->stream_count;
 	r->c = queued_tokens(m, en);
 	r->made = m->now;
-	model_post(m, m->now + m->run->flow->report_period, model_on_report, NULL)->engine = e->engine;
+	model_post(m, m->now + m->run->flow->report_period, model_on_report, NULL)->engine =
+		e->engine;
 }
 
 static int held_list(const struct engine *e, struct tlb_held *held)
@@ -205,7 +206,8 @@
 
 		if (!en->decode || en->owner != e->a)
 			continue;
-		tlb_book_init(&en->book, en->strays, DECODE_PIECES, m->run->flow->batch_reserve, HELD_GRACE);
+		tlb_book_init(&en->book, en->strays, DECODE_PIECES, m->run->flow->batch_reserve,
+			      HELD_GRACE);
 		en->book.max_requests = m->run->flow->max_requests;
 		en->book.preempt_cost = m->run->flow->preempt_cost;
 		for (k = 0; k < m->job_count; k++) {
--- a/bench/model.c
+++ b/bench/model.c
@@ -33,8 +33,9 @@
 	e->book.preempt_cost = m->run->flow->preempt_cost;
 	tlb_book_reconcile(&e->book, NULL, 0, 0);
 	/* Engines report and are compared at different times. */
-	model_post(m, tlb_random_below(&m->random, m->run->flow->report_period), model_on_report, NULL)->engine =
-		i;
+	model_post(m, tlb_random_below(&m->random, m->run->flow->report_period), model_on_report,
+		   NULL)
+		->engine = i;
 	if (e->decode)
 		model_post(m, tlb_random_below(&m->random, HELD_PERIOD), model_on_reconcile, NULL)
 			->engine = i;
--- a/bench/model.h
+++ b/bench/model.h
@@ -40,7 +40,7 @@
 	int preempt_cost;	/* granted bookings that pay for one preemption; 0: none */
 	bool preempt_urgent;	/* urgent batch requests give way, too */
 	enum victims victims;
-	double early; /* refuse when the target is missed by this factor; 0: never */
+	double early;		/* refuse when the target is missed by this factor; 0: never */
 	tlb_time report_period; /* a router gets a load report of each engine this often */
 	tlb_time report_age;	/* it is up to this old when it is sent */
 };
--- a/src/booking.h
+++ b/src/booking.h
@@ -59,7 +59,7 @@
 	struct tlb_target *target;
 	char request_id[TLB_REQUEST_ID_LEN];
 	struct tlb_hold_spec spec; /* request_id points to the copy */
-	tlb_time renewed_at; /* when the booking or its latest renewal was sent */
+	tlb_time renewed_at;	   /* when the booking or its latest renewal was sent */
 	struct tlb_peer_call call;
 };
 
