--- a/tests/promises/p14_preempt.py
+++ b/tests/promises/p14_preempt.py
@@ -10,12 +10,12 @@
                      parallel, wait_until)
 
 RELEASED = 15.0  # seconds until no piece is held once all callers are answered or gone (promise 1)
-PIECES = 50
 PROMPT_TOKENS = 14000  # with the output 8 pieces
 BATCH_TOKENS = 64
 DECODES = 2
 STREAMS = 10  # five fill an endpoint but for the batch reserve and one more request
-INTERACTIVE = 5
+INTERACTIVE = 6
+INTERACTIVE_TOKENS = 40  # so long that those which wait can't follow those which found room
 
 
 def long_prompt(t):
@@ -85,8 +85,8 @@
     def finish(self):
         for th in self.threads:
             th.join()
-        if not log_lines(self.fleet, "preempt"):
-            raise Failed("no batch stream was asked to give way")
+        if not log_lines(self.fleet, "preempted"):
+            raise Failed("no batch stream gave way")
         bad = [v for v in self.verdicts if v[0] != "whole" and v[1] not in self.lost]
         bad += [v for v in self.verdicts if v[0] == "wrong" and v[1] in self.lost]
         if self.fleet.wait_released(RELEASED) is None:
@@ -103,7 +103,7 @@
         if disturb:
             disturb(t, fleet, run)
         else:
-            run.start(INTERACTIVE, 8)
+            run.start(INTERACTIVE, INTERACTIVE_TOKENS)
         return run.finish()
 
 
@@ -130,7 +130,7 @@
         for vm in holders:
             fleet.freeze(vm)
         run.lost.update(holders)
-        run.start(INTERACTIVE, 8)
+        run.start(INTERACTIVE, INTERACTIVE_TOKENS)
         time.sleep(seconds)
         for vm in holders:
             fleet.thaw(vm)
@@ -154,7 +154,7 @@
 def holder_killed(t):
     """The VM of a stream that was asked to give way dies."""
     def disturb(_, fleet, run):
-        run.start(INTERACTIVE, 8)
+        run.start(INTERACTIVE, INTERACTIVE_TOKENS)
         vm = victim_vm(fleet)
         run.lost.add(vm)
         fleet.kill(vm)
@@ -165,7 +165,7 @@
 def owner_killed(t):
     """The owner of a book dies after it asked streams to give way: their VMs go on without it."""
     def disturb(_, fleet, run):
-        run.start(INTERACTIVE, 8)
+        run.start(INTERACTIVE, INTERACTIVE_TOKENS)
         victim_vm(fleet)
         owner = next(vm for vm in range(len(fleet.callers)) if "event=preempt " in log_of(fleet, vm))
         run.lost.add(owner)
