--- a/src/cluster.c
+++ b/src/cluster.c
@@ -9,6 +9,7 @@
 #include "fence.h"
 #include "gossip.h"
 #include "log.h"
+#include "mesh.h"
 
 /* A witness without a link for this long is replaced. */
 #define WITNESS_LOST (10 * TLB_SECOND)
@@ -70,16 +71,15 @@
 
 /* Shards. */
 
-static struct tlb_hand_over *find_hand_over(struct tlb_cluster *c, const struct tlb_vm_name *from,
-					    uint64_t ticket)
+static tlb_shard_set to_set(const uint32_t *shards, size_t count)
 {
-	int i;
+	tlb_shard_set set = 0;
+	size_t i;
 
-	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
-		if (c->hand_over[i].state && c->hand_over[i].state->ticket == ticket &&
-		    tlb_vm_name_equal(&c->hand_over[i].from, from))
-			return &c->hand_over[i];
-	return NULL;
+	for (i = 0; i < count; i++)
+		if (shards[i] < TLB_SHARD_COUNT)
+			set |= (tlb_shard_set)1 << shards[i];
+	return set;
 }
 
 static void drop_hand_over(struct tlb_hand_over *h)
@@ -89,18 +89,19 @@
 }
 
 /* State that was handed over counts only if the map in force is the one written right after it:
- * otherwise the former owner may have acted on since. */
-static void deliver_hand_overs(struct tlb_cluster *c, const struct tlb_shard_map *before)
+ * otherwise the former owner may have acted on since. The ticket tells; the map in force before may
+ * have been an older one than the former owner's. */
+static void deliver_hand_overs(struct tlb_cluster *c)
 {
 	struct tlb_hand_over *h;
 	tlb_shard_set shards;
 	int i;
 
-	for (i = 0; i < TLB_SHARD_COUNT; i++) {
-		h = find_hand_over(c, &before->entry[i].owner, c->map.ticket);
-		if (!h)
+	for (i = 0; i < TLB_HAND_OVERS_MAX; i++) {
+		h = &c->hand_over[i];
+		if (!h->state || h->state->ticket != c->map.ticket)
 			continue;
-		shards = tlb_shard_given(before, &c->map, &h->from, &c->self) & c->acting;
+		shards = to_set(h->state->shards, h->state->n_shards) & c->acting;
 		if (shards && c->handlers.on_hand_over)
 			c->handlers.on_hand_over(c->handlers.arg, shards, h->state);
 		drop_hand_over(h);
@@ -130,14 +131,12 @@
 
 void tlb_cluster_take_map(struct tlb_cluster *c, const struct tlb_shard_map *map)
 {
-	struct tlb_shard_map before = c->map;
-
 	if (map->version <= c->map.version)
 		return;
 	c->map = *map;
 	tlb_member_map_changed(&c->membership);
 	tlb_cluster_update(c);
-	deliver_hand_overs(c, &before);
+	deliver_hand_overs(c);
 	tlb_member_changed(&c->membership);
 }
 
@@ -289,7 +288,9 @@
 	c->proposed_at = now;
 }
 
-/* Heartbeats. */
+/* Links. */
+
+static void send_heartbeat(struct tlb_cluster *c, const struct tlb_peer *peer, bool with_digest);
 
 static const struct tlb_vm_name *as_witness(const struct tlb_cluster *c, const char *vm)
 {
@@ -309,6 +310,127 @@
 	return NULL;
 }
 
+static bool names_self(const struct tlb_cluster *c, const struct tlb_vm_row *row)
+{
+	int i;
+
+	for (i = 0; i < row->witness_count; i++)
+		if (strcmp(row->witness[i].id, c->self.id) == 0)
+			return true;
+	return false;
+}
+
+static bool is_among(const struct tlb_vm_name *list, int count, const char *vm)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (strcmp(list[i].id, vm) == 0)
+			return true;
+	return false;
+}
+
+static uint32_t random_below(void *arg, uint32_t bound)
+{
+	return randombytes_uniform(bound);
+}
+
+static void describe_link(const struct tlb_cluster *c, const struct tlb_member *m,
+			  const struct tlb_vm_name *wanted, int wanted_count,
+			  struct tlb_mesh_vm *out)
+{
+	const char *vm = m->row.name.id;
+	const struct tlb_peer *peer = tlb_peers_find(&c->peers, vm);
+
+	/* A fenced VM is still called by those that it named: when it starts again while the table
+	 * service is down it knows nobody, and learns the configuration from them. */
+	out->unreached = true;
+	out->needed = names_self(c, &m->row);
+	if (!tlb_roster_live(&c->roster, m))
+		return;
+	out->needed = out->needed || as_witness(c, vm) || is_among(wanted, wanted_count, vm);
+	out->chosen = m->gossip;
+	out->kept_by = peer && peer->up && tlb_clock_now() < peer->kept_by;
+	out->unreached = !peer || (!peer->up && peer->attempts > 0);
+}
+
+/* Tells the other end that its heartbeats are no longer expected. */
+static void stop_keeping(struct tlb_cluster *c, const char *vm)
+{
+	const struct tlb_peer *peer = tlb_peers_find(&c->peers, vm);
+	bool was_kept = peer && peer->kept;
+
+	tlb_peers_keep(&c->peers, vm, false);
+	if (was_kept && peer->up)
+		send_heartbeat(c, peer, false);
+}
+
+static bool is_keeping(const struct tlb_cluster *c, const char *vm)
+{
+	const struct tlb_peer *peer = tlb_peers_find(&c->peers, vm);
+
+	return peer && peer->kept;
+}
+
+static bool can_link(const struct tlb_cluster *c, const struct tlb_member *m)
+{
+	return m->row.state != TLB_VM_LEFT && strcmp(m->row.name.id, c->self.id) != 0;
+}
+
+static void apply_links(struct tlb_cluster *c, const struct tlb_mesh_vm *vms)
+{
+	struct tlb_member *m;
+	int kept = 0;
+	int chosen = 0;
+	bool changed = false;
+	bool keep;
+	int n = 0;
+	int i;
+
+	for (i = 0; i < c->roster.count; i++) {
+		m = &c->roster.member[i];
+		keep = false;
+		m->gossip = false;
+		if (can_link(c, m)) {
+			m->gossip = vms[n].chosen;
+			keep = vms[n++].keep;
+		}
+		kept += keep;
+		chosen += m->gossip;
+		changed = changed || keep != is_keeping(c, m->row.name.id);
+		if (keep)
+			tlb_peers_keep(&c->peers, m->row.name.id, true);
+		else
+			stop_keeping(c, m->row.name.id);
+	}
+	if (changed)
+		tlb_log_info("event=links kept=%d random=%d", kept, chosen);
+}
+
+void tlb_cluster_choose_links(struct tlb_cluster *c)
+{
+	struct tlb_mesh_vm *vms = calloc(c->roster.count + 1, sizeof(*vms));
+	struct tlb_vm_name wanted[TLB_WITNESS_MAX];
+	int wanted_count = tlb_cluster_choose_witnesses(c, false, wanted);
+	tlb_time now = tlb_clock_now();
+	bool renew = now >= c->renew_links_at;
+	int count = 0;
+	int i;
+
+	if (!vms)
+		return;
+	if (renew)
+		c->renew_links_at = now + TLB_MESH_RENEW / 2 + randombytes_uniform(TLB_MESH_RENEW);
+	for (i = 0; i < c->roster.count; i++)
+		if (can_link(c, &c->roster.member[i]))
+			describe_link(c, &c->roster.member[i], wanted, wanted_count, &vms[count++]);
+	tlb_mesh_choose(vms, count, renew, random_below, NULL);
+	apply_links(c, vms);
+	free(vms);
+}
+
+/* Heartbeats. */
+
 static int64_t own_row_version(const struct tlb_cluster *c)
 {
 	return c->session.set[c->session.phase == TLB_SESSION_CONFIRMING].row_version;
@@ -326,10 +448,11 @@
 	heartbeat.row_version = c->joined ? own_row_version(c) : 0;
 	heartbeat.config_version = config_version(c);
 	heartbeat.shards_version = c->map.version;
+	heartbeat.keep = peer->kept;
 	heartbeat.rows_digest = with_digest ? tlb_roster_digest(&c->roster) : 0;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
-	tlb_peers_send(&c->peers, peer->id, &envelope);
+	tlb_peers_tell(&c->peers, peer->id, &envelope);
 }
 
 static void next_heartbeat(struct tlb_cluster *c)
@@ -357,13 +480,15 @@
 	tlb_timer_set(c->loop, &c->heartbeat, now + TLB_HEARTBEAT_INTERVAL);
 	next_heartbeat(c);
 	with_digest = c->heartbeat_number % TLB_GOSSIP_DIGEST_EVERY == 0;
+	tlb_cluster_choose_links(c);
 	APR_RING_FOREACH (peer, &c->peers.peers, tlb_peer, link)
-		if (tlb_peer_is_up(peer))
+		if (tlb_peer_is_up(peer) && tlb_peer_is_kept(peer))
 			send_heartbeat(c, peer, with_digest);
 	check_session(c);
 	check_own_row(c);
 	tlb_fences_check(c);
 	tlb_gossip_check(c);
+	tlb_member_check(&c->membership);
 	check_witnesses(c);
 	tlb_member_kick(&c->membership);
 }
@@ -382,14 +507,25 @@
 	ack.witness_incarnation = c->witness.incarnation;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_HEARTBEAT_ACK;
 	envelope.heartbeat_ack = &ack;
-	tlb_peers_send(&c->peers, vm->id, &envelope);
+	tlb_peers_tell(&c->peers, vm->id, &envelope);
+}
+
+/* The other end began or ceased to keep the link. */
+static void take_keep(struct tlb_cluster *c, struct tlb_peer *peer, bool keep)
+{
+	bool was_kept = tlb_peer_is_kept(peer);
+
+	peer->kept_by = keep ? tlb_clock_now() + TLB_PEER_KEPT_BY : 0;
+	if (!was_kept && keep)
+		send_heartbeat(c, peer, true);
 }
 
-static void take_heartbeat(struct tlb_cluster *c, const struct tlb_vm_name *vm,
-			   const Toucan__Heartbeat *heartbeat)
+static void take_heartbeat(struct tlb_cluster *c, struct tlb_peer *peer,
+			   const struct tlb_vm_name *vm, const Toucan__Heartbeat *heartbeat)
 {
 	struct tlb_member *m = tlb_roster_find(&c->roster, vm->id);
 
+	take_keep(c, peer, heartbeat->keep);
 	if (heartbeat->grant_wanted)
 		ack_heartbeat(c, vm, heartbeat);
 	tlb_gossip_on_heartbeat(c, vm->id, heartbeat->row_version, heartbeat->shards_version,
@@ -437,17 +573,6 @@
 	tlb_peers_reply(&c->peers, to, &envelope);
 }
 
-static tlb_shard_set to_set(const uint32_t *shards, size_t count)
-{
-	tlb_shard_set set = 0;
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		if (shards[i] < TLB_SHARD_COUNT)
-			set |= (tlb_shard_set)1 << shards[i];
-	return set;
-}
-
 static void take_standby_release(struct tlb_cluster *c, const struct tlb_peer_return *from,
 				 const Toucan__StandbyRelease *release)
 {
@@ -523,7 +648,7 @@
 	tlb_vm_name_set(&vm, peer->id, peer->incarnation);
 	switch (msg->body_case) {
 	case TOUCAN__ENVELOPE__BODY_HEARTBEAT:
-		take_heartbeat(c, &vm, msg->heartbeat);
+		take_heartbeat(c, peer, &vm, msg->heartbeat);
 		break;
 	case TOUCAN__ENVELOPE__BODY_HEARTBEAT_ACK:
 		take_ack(c, &vm, msg->heartbeat_ack);
@@ -573,7 +698,8 @@
 	struct tlb_cluster *c = arg;
 
 	peer->heard = tlb_clock_now();
-	send_heartbeat(c, peer, true);
+	if (tlb_peer_is_kept(peer))
+		send_heartbeat(c, peer, true);
 	tlb_fences_repeat(c, peer->id);
 }
 
@@ -588,7 +714,7 @@
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE;
 	envelope.shards_notice = &notice;
 	if (notice.json)
-		tlb_peers_send(&c->peers, vm, &envelope);
+		tlb_peers_tell(&c->peers, vm, &envelope);
 	free(notice.json);
 	json_decref(value);
 }
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -119,6 +119,7 @@
 	int64_t pull_map_version; /* what was pulled last, see gossip.c */
 	tlb_time pull_map_at;	  /* not before: the next pull of the same */
 	tlb_time pull_rows_at;
+	tlb_time renew_links_at; /* when to choose one of the random links anew */
 	struct tlb_fence_attempt fence[TLB_FENCES_MAX];
 	struct tlb_hand_over hand_over[TLB_HAND_OVERS_MAX];
 };
@@ -193,6 +194,8 @@
 /* Starts over under a new incarnation; the one so far acts no more. */
 void tlb_cluster_rejoin(struct tlb_cluster *c, const char *reason);
 void tlb_cluster_send_map(struct tlb_cluster *c, const char *vm);
+/* Chooses the VMs to keep links to. */
+void tlb_cluster_choose_links(struct tlb_cluster *c);
 /* The witnesses to have now; returns their number. Only VMs with a link when linked is set. */
 int tlb_cluster_choose_witnesses(const struct tlb_cluster *c, bool linked, struct tlb_vm_name *out);
 
--- a/src/fence.c
+++ b/src/fence.c
@@ -24,7 +24,7 @@
 	notice.vm = &name;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_NOTICE;
 	envelope.fence_notice = &notice;
-	tlb_peers_send(&c->peers, to, &envelope);
+	tlb_peers_tell(&c->peers, to, &envelope);
 }
 
 void tlb_fences_announce(struct tlb_cluster *c, const struct tlb_vm_name *vm)
@@ -190,6 +190,8 @@
 	const struct tlb_peer *peer = tlb_peers_find(&c->peers, m->row.name.id);
 	tlb_time at = m->since > c->listening_since ? m->since : c->listening_since;
 
+	if (peer && peer->kept && peer->kept_since > at)
+		at = peer->kept_since;
 	if (peer && peer->incarnation == m->row.name.incarnation && peer->heard > at)
 		at = peer->heard;
 	return at;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -21,6 +21,7 @@
 		     int64_t version, struct tlb_gossip_targets *out)
 {
 	const struct tlb_member *m;
+	const struct tlb_peer *peer;
 	int seen = 0;
 	int at;
 	int i;
@@ -28,7 +29,8 @@
 	memset(out, 0, sizeof(*out));
 	for (i = 0; i < c->roster.count; i++) {
 		m = &c->roster.member[i];
-		if (!tlb_peer_is_up(tlb_peers_find(&c->peers, m->row.name.id)) ||
+		peer = tlb_peers_find(&c->peers, m->row.name.id);
+		if (!tlb_peer_is_up(peer) || !tlb_peer_is_kept(peer) ||
 		    (except && strcmp(m->row.name.id, except) == 0) ||
 		    (shown && shown(m) >= version))
 			continue;
@@ -94,7 +96,7 @@
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_ROW_NOTICE;
 	envelope.row_notice = &notice;
 	for (i = 0; i < to->count; i++)
-		tlb_peers_send(&c->peers, to->vm[i], &envelope);
+		tlb_peers_tell(&c->peers, to->vm[i], &envelope);
 }
 
 void tlb_gossip_rows(struct tlb_cluster *c, const struct tlb_vm_row *rows, int count,
@@ -164,7 +166,7 @@
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_ROWS_PULL;
 	envelope.rows_pull = &pull;
 	if (list && pointers)
-		tlb_peers_send(&c->peers, vm, &envelope);
+		tlb_peers_tell(&c->peers, vm, &envelope);
 	free(list);
 	free(pointers);
 }
@@ -219,7 +221,7 @@
 	envelope.shards_notice = &notice;
 	tlb_gossip_pick(c, except, map_shown, c->map.version, &to);
 	for (i = 0; i < to.count; i++)
-		tlb_peers_send(&c->peers, to.vm[i], &envelope);
+		tlb_peers_tell(&c->peers, to.vm[i], &envelope);
 }
 
 void tlb_gossip_map(struct tlb_cluster *c)
@@ -264,7 +266,7 @@
 	pull.have_version = c->map.version;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_SHARDS_PULL;
 	envelope.shards_pull = &pull;
-	tlb_peers_send(&c->peers, vm, &envelope);
+	tlb_peers_tell(&c->peers, vm, &envelope);
 }
 
 void tlb_gossip_on_map(struct tlb_cluster *c, const char *from, const Toucan__ShardsNotice *notice)
--- a/src/member.c
+++ b/src/member.c
@@ -25,6 +25,8 @@
 #define MOVE_SPREAD (500 * TLB_MS)
 #define MOVE_RETRY (3 * TLB_SECOND)
 #define WITNESS_RETRY (5 * TLB_SECOND)
+/* A row that the map needs arrives within this, or is read from the table service. */
+#define UNKNOWN_DELAY (2 * TLB_SECOND)
 #define REFRESH_INTERVAL (60 * TLB_SECOND)
 
 enum { BACKOFF_DOUBLINGS = 6, KEY_LEN = TLB_ID_LEN + 3 };
@@ -225,6 +227,8 @@
 		tlb_roster_infer_gone(&c->roster, &c->map);
 	if (m->joined_at_read && c->joined)
 		c->witness.rows_read = true;
+	if (!c->joined)
+		tlb_cluster_choose_links(c);
 	if (!c->joined && m->join_at == TLB_NEVER)
 		m->join_at = tlb_clock_now() + JOIN_DELAY;
 	tlb_cluster_update(c);
@@ -526,6 +530,55 @@
 	tlb_member_kick(m);
 }
 
+static bool is_unknown(const struct tlb_cluster *c, const struct tlb_vm_name *name)
+{
+	const struct tlb_member *member = tlb_roster_find(&c->roster, name->id);
+
+	return name->id[0] && !tlb_roster_gone(&c->roster, name) &&
+	       !(member && tlb_vm_name_equal(&member->row.name, name));
+}
+
+/* Counts the owners and standbys in the map that are gone, and those of which neither a row nor a
+ * fence is known. */
+static void count_names(const struct tlb_cluster *c, int *gone, int *unknown)
+{
+	const struct tlb_shard_entry *e;
+	int i;
+
+	*gone = 0;
+	*unknown = 0;
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		e = &c->map.entry[i];
+		*gone += tlb_roster_gone(&c->roster, &e->owner) ||
+			 tlb_roster_gone(&c->roster, &e->standby);
+		*unknown += is_unknown(c, &e->owner) || is_unknown(c, &e->standby);
+	}
+}
+
+void tlb_member_check(struct tlb_membership *m)
+{
+	tlb_time now = tlb_clock_now();
+	int gone;
+	int unknown;
+
+	if (!m->cluster->joined)
+		return;
+	count_names(m->cluster, &gone, &unknown);
+	if (gone && m->fence_at == TLB_NEVER)
+		tlb_member_gone(m, false);
+	if (!unknown) {
+		m->unknown_at = TLB_NEVER;
+	} else if (m->unknown_at == TLB_NEVER) {
+		m->unknown_at = now + UNKNOWN_DELAY + spread(UNKNOWN_DELAY);
+	} else if (now >= m->unknown_at) {
+		tlb_log_info("event=names_unknown map=%" PRId64 " shards=%d",
+			     m->cluster->map.version, unknown);
+		m->unknown_at = now + UNKNOWN_DELAY + spread(UNKNOWN_DELAY);
+		read_again(m);
+		tlb_member_kick(m);
+	}
+}
+
 /* Open writes. */
 
 static void stop_calls(struct tlb_membership *m)
@@ -1035,6 +1088,7 @@
 	m->cluster = c;
 	m->join_at = TLB_NEVER;
 	m->fence_at = TLB_NEVER;
+	m->unknown_at = TLB_NEVER;
 	m->move_at = TLB_NEVER;
 	m->refresh_at = TLB_NEVER;
 	tlb_timer_init(&m->step, step, m);
--- a/src/member.h
+++ b/src/member.h
@@ -49,6 +49,7 @@
 	tlb_time join_at;	     /* when to write the join; TLB_NEVER before the first reads */
 
 	tlb_time fence_at;   /* when to write fences that others have not written */
+	tlb_time unknown_at; /* when to read rows that the map names and that have not arrived */
 	tlb_time move_at;    /* when to look for shards to move */
 	tlb_time refresh_at; /* when to read all rows again */
 	tlb_time witness_at; /* not before: the next replacement of witnesses */
@@ -86,6 +87,9 @@
 void tlb_member_want_row(struct tlb_membership *m, const char *vm);
 /* An incarnation is gone; proven_here when this daemon proved it and so writes first. */
 void tlb_member_gone(struct tlb_membership *m, bool proven_here);
+/* Once a heartbeat: an owner whose row was late may have given a shard to an incarnation that was
+ * gone already, and nothing else would change that entry. */
+void tlb_member_check(struct tlb_membership *m);
 /* The live VMs or the map have changed: shards may have to move. */
 void tlb_member_changed(struct tlb_membership *m);
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -17,10 +17,22 @@
 	READ_BYTES = 64 << 10,
 	HELLO_BYTES_MAX = 4096, /* before the Hello nothing larger is buffered */
 	BACKOFF_DOUBLINGS = 6,
+	CROSSED_RETRIES = 3, /* attempts whose refusal may be due to a link of the other side */
 };
 
+#define LINK_CHECK (1 * TLB_SECOND)
+
 enum link_state { LINK_CONNECTING, LINK_HELLO, LINK_UP, LINK_CLOSED };
 
+/* A frame for a link that is being opened, not encoded yet. Owned by struct tlb_peer. */
+struct tlb_peer_waiting {
+	APR_RING_ENTRY(tlb_peer_waiting) link;
+	struct tlb_peer *peer;
+	struct tlb_peer_call *call; /* NULL for a one-way message */
+	size_t len;
+	unsigned char packed[]; /* the Envelope */
+};
+
 /* One TCP connection. Owned by struct tlb_peers. */
 struct tlb_peer_link {
 	APR_RING_ENTRY(tlb_peer_link) link;
@@ -28,11 +40,14 @@
 	struct tlb_peer *peer; /* NULL before the Hello of an accepted connection */
 	enum link_state state;
 	bool opened_here;
-	bool broken; /* a write failed; closed from the loop */
+	bool broken;  /* a write failed; closed from the loop */
+	bool refused; /* closed by the other end instead of a Hello */
+	bool closing; /* LinkClose was sent or received: carries no new calls */
 	int fd;
 	struct tlb_watch *watch;
 	struct tlb_timer timer;
 	tlb_time heard;
+	tlb_time used; /* when the last frame came or went */
 	struct tlb_frame_buffer in;
 	struct tlb_frame_buffer out;
 	uint64_t queued;  /* bytes of the stream so far, written or not */
@@ -43,6 +58,39 @@
 static void link_event(void *arg, int events);
 static void link_timer(void *arg);
 static void peer_retry(void *arg);
+static void peer_open(struct tlb_peer *peer);
+
+/* Frames that wait for a link. */
+
+static void waiting_drop(struct tlb_peer_waiting *w)
+{
+	if (w->call)
+		w->call->waiting = NULL;
+	APR_RING_REMOVE(w, link);
+	w->peer->waiting_count--;
+	free(w);
+}
+
+static enum tlb_code waiting_add(struct tlb_peer *peer, const Toucan__Envelope *body,
+				 struct tlb_peer_call *call)
+{
+	size_t len = toucan__envelope__get_packed_size(body);
+	struct tlb_peer_waiting *w;
+
+	if (peer->waiting_count >= TLB_PEER_WAITING_MAX)
+		return TLB_OVERLOADED;
+	w = malloc(sizeof(*w) + len);
+	if (!w)
+		return TLB_OVERLOADED;
+	w->peer = peer;
+	w->call = call;
+	w->len = toucan__envelope__pack(body, w->packed);
+	if (call)
+		call->waiting = w;
+	APR_RING_INSERT_TAIL(&peer->waiting, w, tlb_peer_waiting, link);
+	peer->waiting_count++;
+	return TLB_OK;
+}
 
 /* Calls. */
 
@@ -52,7 +100,10 @@
 
 	if (!p)
 		return;
-	APR_RING_REMOVE(call, link);
+	if (call->waiting)
+		waiting_drop(call->waiting);
+	else
+		APR_RING_REMOVE(call, link);
 	tlb_timer_clear(p->loop, &call->timer);
 	call->peers = NULL;
 	call->on = NULL;
@@ -96,6 +147,24 @@
 		call_fail(APR_RING_FIRST(&calls), TLB_NOT_READY, "the link to the VM closed");
 }
 
+/* None of it was written. */
+static void fail_waiting(struct tlb_peer *peer)
+{
+	struct tlb_peer_waiting_ring waiting;
+	struct tlb_peer_waiting *w;
+
+	/* A reply function may queue a new call. */
+	APR_RING_INIT(&waiting, tlb_peer_waiting, link);
+	APR_RING_CONCAT(&waiting, &peer->waiting, tlb_peer_waiting, link);
+	while (!APR_RING_EMPTY(&waiting, tlb_peer_waiting, link)) {
+		w = APR_RING_FIRST(&waiting);
+		if (w->call)
+			call_fail(w->call, TLB_NOT_READY, "no link to the VM");
+		else
+			waiting_drop(w);
+	}
+}
+
 /* Peers. */
 
 struct tlb_peer *tlb_peers_find(const struct tlb_peers *p, const char *vm)
@@ -120,18 +189,20 @@
 	peer->peers = p;
 	strcpy(peer->id, vm);
 	tlb_timer_init(&peer->retry, peer_retry, peer);
+	APR_RING_INIT(&peer->waiting, tlb_peer_waiting, link);
 	APR_RING_INSERT_TAIL(&p->peers, peer, tlb_peer, link);
 	return peer;
 }
 
-/* A random part keeps daemons that lost the same VM from reconnecting at the same moment. */
+/* Delays the next attempt. A random part keeps daemons that lost the same VM from reconnecting at
+ * the same moment. */
 static void retry_later(struct tlb_peer *peer)
 {
 	tlb_time delay =
 		TLB_PEER_BACKOFF_MIN
 		<< (peer->attempts < BACKOFF_DOUBLINGS ? peer->attempts : BACKOFF_DOUBLINGS);
 
-	if (!peer->wanted || peer->up || peer->opening || !*peer->addr)
+	if (peer->up || peer->opening || !*peer->addr)
 		return;
 	if (delay > TLB_PEER_BACKOFF_MAX)
 		delay = TLB_PEER_BACKOFF_MAX;
@@ -191,12 +262,30 @@
 	fail_calls(l);
 }
 
+/* A link that could not be opened. Two VMs that open one to each other at once refuse one of the
+ * two; whoever lost waits for the other link, or tries again. Any other failure is told to those
+ * who wait, and holds attempts off for a while. */
+static void open_failed(struct tlb_peer *peer, bool refused)
+{
+	if (!refused || peer->attempts >= CROSSED_RETRIES)
+		fail_waiting(peer);
+	retry_later(peer);
+	peer->not_before = peer->retry.deadline;
+}
+
 static void link_lost(struct tlb_peer_link *l, const char *reason)
 {
 	struct tlb_peer *peer = l->peer;
+	bool was_up = l->state == LINK_UP;
 
 	link_close(l, reason);
-	if (peer)
+	if (!peer || peer->up)
+		return;
+	if (!was_up)
+		open_failed(peer, l->refused);
+	else if (peer->waiting_count > 0)
+		peer_open(peer);
+	else
 		retry_later(peer);
 }
 
@@ -244,12 +333,23 @@
 	if (code != TLB_OK)
 		return code;
 	l->queued += l->out.end - l->out.start - before;
+	l->used = tlb_clock_now();
 	tlb_counter_add(p->counters, TLB_COUNTER_PEER_FRAMES_OUT, 1);
 	if (before == 0 && !l->broken)
 		link_write(l);
 	return TLB_OK;
 }
 
+/* For a body that owns its fields: link_send() borrows the source. */
+static enum tlb_code link_send_copy(struct tlb_peer_link *l, Toucan__Envelope *body)
+{
+	char *source = body->source;
+	enum tlb_code code = link_send(l, body);
+
+	body->source = source;
+	return code;
+}
+
 static void send_hello(struct tlb_peer_link *l)
 {
 	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
@@ -300,19 +400,20 @@
 	return -1;
 }
 
-static void peer_retry(void *arg)
+static void peer_open(struct tlb_peer *peer)
 {
-	struct tlb_peer *peer = arg;
 	int fd;
 
-	if (!peer->wanted || peer->up || peer->opening)
+	if (peer->up || peer->opening)
 		return;
+	tlb_timer_clear(peer->peers->loop, &peer->retry);
 	fd = connect_to(peer->addr);
 	if (fd >= 0)
 		peer->opening = link_new(peer->peers, fd, TLB_READABLE | TLB_WRITABLE);
 	if (!peer->opening) {
 		if (fd >= 0)
 			close(fd);
+		fail_waiting(peer);
 		retry_later(peer);
 		return;
 	}
@@ -321,6 +422,14 @@
 	peer->opening->state = LINK_CONNECTING;
 }
 
+static void peer_retry(void *arg)
+{
+	struct tlb_peer *peer = arg;
+
+	if (peer->kept || peer->waiting_count > 0)
+		peer_open(peer);
+}
+
 /* Of two links between the same processes both sides must keep the same one. */
 static bool replaces(const struct tlb_peer_link *old, const struct tlb_peer_link *l,
 		     uint64_t incarnation)
@@ -329,11 +438,45 @@
 
 	if (l->peer->incarnation != incarnation)
 		return true;
-	if (tlb_clock_now() - old->heard > TLB_PEER_HEALTHY)
+	if (old->closing || tlb_clock_now() - old->heard > TLB_PEER_HEALTHY)
 		return true;
 	return l->opened_here == lower_is_here;
 }
 
+static void call_start(struct tlb_peer_link *l, struct tlb_peer_call *call, uint64_t starts_at)
+{
+	call->on = l;
+	call->starts_at = starts_at;
+	call->since = tlb_clock_now();
+	APR_RING_INSERT_TAIL(&l->calls, call, tlb_peer_call, link);
+}
+
+/* Sends what has waited for the link. */
+static void send_waiting(struct tlb_peer_link *l)
+{
+	struct tlb_peer *peer = l->peer;
+	struct tlb_peer_waiting *w;
+	struct tlb_peer_call *call;
+	Toucan__Envelope *body;
+	uint64_t starts_at;
+	enum tlb_code code;
+
+	while (!APR_RING_EMPTY(&peer->waiting, tlb_peer_waiting, link)) {
+		w = APR_RING_FIRST(&peer->waiting);
+		call = w->call;
+		body = toucan__envelope__unpack(NULL, w->len, w->packed);
+		starts_at = l->queued;
+		waiting_drop(w);
+		code = body ? link_send_copy(l, body) : TLB_OVERLOADED;
+		if (body)
+			toucan__envelope__free_unpacked(body, NULL);
+		if (call && code == TLB_OK)
+			call_start(l, call, starts_at);
+		else if (call)
+			call_fail_later(l->peers, call, code);
+	}
+}
+
 static void link_up(struct tlb_peer_link *l, uint64_t incarnation)
 {
 	struct tlb_peer *peer = l->peer;
@@ -345,19 +488,30 @@
 	}
 	if (peer->opening == l)
 		peer->opening = NULL;
+	if (peer->opening)
+		link_close(peer->opening, "another link is in use");
 	if (peer->up)
 		link_close(peer->up, "replaced by a newer link");
 	peer->up = l;
 	peer->incarnation = incarnation;
 	l->state = LINK_UP;
 	tlb_timer_clear(p->loop, &peer->retry);
-	tlb_timer_set(p->loop, &l->timer, tlb_clock_now() + TLB_PEER_SILENCE);
+	tlb_timer_set(p->loop, &l->timer, tlb_clock_now());
 	tlb_counter_add(p->counters, TLB_COUNTER_PEER_LINKS, 1);
 	tlb_log_info("event=link_up vm=%s incarnation=%016llx opened_here=%d", peer->id,
 		     (unsigned long long)incarnation, l->opened_here);
+	send_waiting(l);
 	p->handlers.on_up(p->handlers.arg, peer);
 }
 
+/* The other VM opened this link while one to it is being opened here. */
+static bool crosses(const struct tlb_peer_link *l)
+{
+	const struct tlb_peer *peer = l->peer;
+
+	return peer->opening && !peer->up && strcmp(l->peers->self, peer->id) < 0;
+}
+
 static void take_hello(struct tlb_peer_link *l, const Toucan__Envelope *msg)
 {
 	struct tlb_peers *p = l->peers;
@@ -379,11 +533,23 @@
 			return;
 		}
 		p->unknown_links--;
+		if (crosses(l)) {
+			link_close(l, "the link opened here is used");
+			return;
+		}
 		send_hello(l);
 	}
 	link_up(l, msg->incarnation);
 }
 
+/* After LinkClose the side that received it closes, once its own calls have ended. */
+static void close_if_ended(struct tlb_peer_link *l)
+{
+	if (l->state == LINK_UP && l->closing && !l->opened_here &&
+	    APR_RING_EMPTY(&l->calls, tlb_peer_call, link))
+		link_lost(l, "idle");
+}
+
 static void take_reply(struct tlb_peer_link *l, const Toucan__Envelope *msg)
 {
 	struct tlb_peer_call *call;
@@ -392,8 +558,15 @@
 		if (call->id == msg->reply_to) {
 			tlb_peer_cancel(call);
 			call->on_reply(call->arg, msg, NULL);
-			return;
+			break;
 		}
+	close_if_ended(l);
+}
+
+static void take_link_close(struct tlb_peer_link *l)
+{
+	l->closing = true;
+	close_if_ended(l);
 }
 
 static void take_message(struct tlb_peer_link *l, Toucan__Envelope *msg)
@@ -401,6 +574,7 @@
 	struct tlb_peer *peer = l->peer;
 
 	l->heard = tlb_clock_now();
+	l->used = l->heard;
 	tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_FRAMES_IN, 1);
 	if (l->state != LINK_UP) {
 		take_hello(l, msg);
@@ -412,7 +586,9 @@
 	}
 	peer->attempts = 0;
 	peer->heard = l->heard;
-	if (msg->reply_to)
+	if (msg->body_case == TOUCAN__ENVELOPE__BODY_LINK_CLOSE)
+		take_link_close(l);
+	else if (msg->reply_to)
 		take_reply(l, msg);
 	else
 		l->peers->handlers.on_message(l->peers->handlers.arg, peer, msg);
@@ -449,6 +625,7 @@
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
+		l->refused = l->state == LINK_HELLO;
 		link_lost(l, n < 0 ? strerror(errno) : "closed by the other end");
 		return;
 	}
@@ -485,22 +662,81 @@
 		link_read(l);
 }
 
-static void link_timer(void *arg)
+/* The instant at which the link counts as silent, if no frame arrives before; TLB_NEVER while
+ * nothing is expected on it. */
+static tlb_time silent_at(const struct tlb_peer_link *l)
 {
-	struct tlb_peer_link *l = arg;
-	tlb_time until = l->heard + TLB_PEER_SILENCE;
+	const struct tlb_peer_call *call = APR_RING_FIRST(&l->calls);
+	tlb_time from = l->heard;
 
-	if (l->broken) {
-		link_lost(l, "write failed");
+	if (tlb_peer_is_kept(l->peer) || l->closing)
+		return l->heard + TLB_PEER_SILENCE;
+	if (APR_RING_EMPTY(&l->calls, tlb_peer_call, link))
+		return TLB_NEVER;
+	if (call->since > from)
+		from = call->since;
+	return from + TLB_PEER_SILENCE;
+}
+
+/* The side that opened an idle link begins to close it; the other one has the longer limit, for the
+ * case that the first is gone. */
+static void close_idle(struct tlb_peer_link *l)
+{
+	Toucan__Envelope envelope = TOUCAN__ENVELOPE__INIT;
+	Toucan__LinkClose close = TOUCAN__LINK_CLOSE__INIT;
+
+	if (!l->opened_here) {
+		link_lost(l, "idle");
+		return;
+	}
+	l->closing = true;
+	l->heard = tlb_clock_now();
+	envelope.body_case = TOUCAN__ENVELOPE__BODY_LINK_CLOSE;
+	envelope.link_close = &close;
+	link_send(l, &envelope);
+	tlb_timer_set(l->peers->loop, &l->timer, l->heard + TLB_PEER_SILENCE);
+}
+
+static tlb_time idle_at(const struct tlb_peer_link *l)
+{
+	if (tlb_peer_is_kept(l->peer) || l->closing ||
+	    !APR_RING_EMPTY(&l->calls, tlb_peer_call, link))
+		return TLB_NEVER;
+	return l->used + l->peers->idle_after + (l->opened_here ? 0 : TLB_PEER_SILENCE);
+}
+
+/* Calls may start at any time: the link is looked at once a second. */
+static void check_up(struct tlb_peer_link *l)
+{
+	tlb_time now = tlb_clock_now();
+	tlb_time silent = silent_at(l);
+	tlb_time idle = l->peers->idle_after;
+	tlb_time next = now + (idle < LINK_CHECK ? idle : LINK_CHECK);
+
+	if (now >= silent) {
+		tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_SILENT, 1);
+		link_lost(l, "no frame in time");
 		return;
 	}
-	if (l->state == LINK_UP && tlb_clock_now() < until) {
-		tlb_timer_set(l->peers->loop, &l->timer, until);
+	if (now >= idle_at(l)) {
+		close_idle(l);
 		return;
 	}
-	if (l->state == LINK_UP)
-		tlb_counter_add(l->peers->counters, TLB_COUNTER_PEER_SILENT, 1);
-	link_lost(l, l->state == LINK_UP ? "no frame in time" : "no Hello in time");
+	if (silent < next)
+		next = silent;
+	tlb_timer_set(l->peers->loop, &l->timer, next);
+}
+
+static void link_timer(void *arg)
+{
+	struct tlb_peer_link *l = arg;
+
+	if (l->broken)
+		link_lost(l, "write failed");
+	else if (l->state == LINK_UP)
+		check_up(l);
+	else
+		link_lost(l, "no Hello in time");
 }
 
 /* The set as a whole. */
@@ -536,6 +772,7 @@
 	p->handlers = *handlers;
 	strcpy(p->self, settings->vm_id);
 	p->listener = -1;
+	p->idle_after = TLB_PEER_IDLE;
 	APR_RING_INIT(&p->peers, tlb_peer, link);
 	APR_RING_INIT(&p->links, tlb_peer_link, link);
 	APR_RING_INIT(&p->closed, tlb_peer_link, link);
@@ -549,11 +786,26 @@
 		tlb_peer_cancel(APR_RING_FIRST(calls));
 }
 
+static void drop_waiting(struct tlb_peer *peer)
+{
+	struct tlb_peer_waiting *w;
+
+	while (!APR_RING_EMPTY(&peer->waiting, tlb_peer_waiting, link)) {
+		w = APR_RING_FIRST(&peer->waiting);
+		if (w->call)
+			tlb_peer_cancel(w->call);
+		else
+			waiting_drop(w);
+	}
+}
+
 void tlb_peers_finish(struct tlb_peers *p)
 {
 	struct tlb_peer_link *l;
 	struct tlb_peer *peer;
 
+	APR_RING_FOREACH (peer, &p->peers, tlb_peer, link)
+		drop_waiting(peer);
 	drop_calls(&p->failing);
 	while (!APR_RING_EMPTY(&p->links, tlb_peer_link, link)) {
 		l = APR_RING_FIRST(&p->links);
@@ -607,10 +859,20 @@
 	if (!peer || strlen(addr) >= sizeof(peer->addr))
 		return;
 	strcpy(peer->addr, addr);
-	if (peer->wanted)
+	peer->not_before = 0;
+}
+
+void tlb_peers_keep(struct tlb_peers *p, const char *vm, bool keep)
+{
+	struct tlb_peer *peer = tlb_peers_find(p, vm);
+
+	if (!peer || peer->kept == keep)
 		return;
-	peer->wanted = true;
-	if (!peer->up && !peer->opening)
+	peer->kept = keep;
+	peer->kept_since = tlb_clock_now();
+	if (!keep && peer->waiting_count == 0)
+		tlb_timer_clear(p->loop, &peer->retry);
+	if (keep && *peer->addr && !peer->up && !peer->opening)
 		tlb_timer_set(p->loop, &peer->retry, tlb_clock_now());
 }
 
@@ -620,20 +882,54 @@
 
 	if (!peer)
 		return;
-	peer->wanted = false;
+	peer->kept = false;
+	peer->kept_by = 0;
+	fail_waiting(peer);
 	tlb_timer_clear(p->loop, &peer->retry);
+	strcpy(peer->addr, "");
 	if (peer->opening)
 		link_close(peer->opening, "the VM left");
 	if (peer->up)
 		link_close(peer->up, "the VM left");
 }
 
+/* Whether a frame may wait for a link to be opened, or for a new one after the end of one that is
+ * being closed. */
+static bool can_wait(const struct tlb_peer *peer)
+{
+	if (!peer || !*peer->addr)
+		return false;
+	if (peer->up)
+		return peer->up->closing;
+	return peer->opening || tlb_clock_now() >= peer->not_before;
+}
+
+static enum tlb_code wait_for_link(struct tlb_peer *peer, Toucan__Envelope *body,
+				   struct tlb_peer_call *call)
+{
+	enum tlb_code code;
+
+	body->source = peer->peers->self;
+	body->incarnation = peer->peers->incarnation;
+	code = waiting_add(peer, body, call);
+	/* Opened from the loop, because on_reply never runs within tlb_peers_call(). */
+	if (code == TLB_OK && !peer->up && !peer->opening)
+		tlb_timer_set(peer->peers->loop, &peer->retry, tlb_clock_now());
+	return code;
+}
+
+static struct tlb_peer_link *usable_link(const struct tlb_peer *peer)
+{
+	return peer && peer->up && !peer->up->closing ? peer->up : NULL;
+}
+
 void tlb_peers_call(struct tlb_peers *p, const char *vm, struct tlb_peer_call *call,
 		    Toucan__Envelope *body, tlb_time deadline, tlb_peer_reply_fn *on_reply,
 		    void *arg)
 {
 	struct tlb_peer *peer = tlb_peers_find(p, vm);
-	struct tlb_peer_link *l = peer ? peer->up : NULL;
+	struct tlb_peer_link *l = usable_link(peer);
+	uint64_t starts_at = l ? l->queued : 0;
 	enum tlb_code code = TLB_NOT_READY;
 
 	memset(call, 0, sizeof(*call));
@@ -645,26 +941,37 @@
 	snprintf(call->vm, sizeof(call->vm), "%s", vm);
 	body->id = call->id;
 	body->reply_to = 0;
-	if (l) {
-		call->starts_at = l->queued;
+	if (l)
 		code = link_send(l, body);
-	}
+	else if (can_wait(peer))
+		code = wait_for_link(peer, body, call);
 	if (code != TLB_OK) {
 		call_fail_later(p, call, code);
 		return;
 	}
-	call->on = l;
-	APR_RING_INSERT_TAIL(&l->calls, call, tlb_peer_call, link);
+	if (l)
+		call_start(l, call, starts_at);
 	tlb_timer_set(p->loop, &call->timer, deadline);
 }
 
+bool tlb_peers_tell(struct tlb_peers *p, const char *vm, Toucan__Envelope *body)
+{
+	struct tlb_peer_link *l = usable_link(tlb_peers_find(p, vm));
+
+	body->id = 0;
+	body->reply_to = 0;
+	return l && link_send(l, body) == TLB_OK;
+}
+
 bool tlb_peers_send(struct tlb_peers *p, const char *vm, Toucan__Envelope *body)
 {
 	struct tlb_peer *peer = tlb_peers_find(p, vm);
 
+	if (usable_link(peer))
+		return tlb_peers_tell(p, vm, body);
 	body->id = 0;
 	body->reply_to = 0;
-	return tlb_peer_is_up(peer) && link_send(peer->up, body) == TLB_OK;
+	return can_wait(peer) && wait_for_link(peer, body, NULL) == TLB_OK;
 }
 
 void tlb_peers_reply(struct tlb_peers *p, const struct tlb_peer_return *to, Toucan__Envelope *body)
--- a/src/roster.h
+++ b/src/roster.h
@@ -44,6 +44,7 @@
 	int64_t config_version; /* from its last heartbeat */
 	int64_t shards_version; /* highest version of the shard map that it has shown */
 	uint64_t promised;	/* our incarnation that it promised not to grant any more */
+	bool gossip;		/* a link to it is kept as one of the random ones */
 	bool stale;		/* it runs under a row newer than the one known */
 };
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &toucan__shards_pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__link_close__init
+                     (Toucan__LinkClose         *message)
+{
+  static const Toucan__LinkClose init_value = TOUCAN__LINK_CLOSE__INIT;
+  *message = init_value;
+}
+size_t toucan__link_close__get_packed_size
+                     (const Toucan__LinkClose *message)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__link_close__pack
+                     (const Toucan__LinkClose *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__link_close__pack_to_buffer
+                     (const Toucan__LinkClose *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__LinkClose *
+       toucan__link_close__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__LinkClose *)
+     protobuf_c_message_unpack (&toucan__link_close__descriptor,
+                                allocator, len, data);
+}
+void   toucan__link_close__free_unpacked
+                     (Toucan__LinkClose *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__reserve_tokens__init
                      (Toucan__ReserveTokens         *message)
 {
@@ -1447,7 +1492,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[29] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[30] =
 {
   {
     "source",
@@ -1797,6 +1842,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_close",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, link_close),
+    &toucan__link_close__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   16,   /* field[16] = book_decode */
@@ -1816,6 +1873,7 @@
   4,   /* field[4] = hello */
   2,   /* field[2] = id */
   1,   /* field[1] = incarnation */
+  29,   /* field[29] = link_close */
   19,   /* field[19] = release_booking */
   18,   /* field[18] = renew_bookings */
   3,   /* field[3] = reply_to */
@@ -1835,7 +1893,7 @@
   { 10, 4 },
   { 20, 13 },
   { 50, 26 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -1845,7 +1903,7 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  29,
+  30,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
   4,  toucan__envelope__number_ranges,
@@ -1941,7 +1999,7 @@
   (ProtobufCMessageInit) toucan__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[8] =
 {
   {
     "number",
@@ -2027,10 +2085,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keep",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, keep),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = grant_wanted */
+  7,   /* field[7] = keep */
   0,   /* field[0] = number */
   3,   /* field[3] = row_version */
   6,   /* field[6] = rows_digest */
@@ -2041,7 +2112,7 @@
 {
   { 1, 0 },
   { 30, 6 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor toucan__heartbeat__descriptor =
 {
@@ -2051,7 +2122,7 @@
   "Toucan__Heartbeat",
   "toucan",
   sizeof(Toucan__Heartbeat),
-  7,
+  8,
   toucan__heartbeat__field_descriptors,
   toucan__heartbeat__field_indices_by_name,
   2,  toucan__heartbeat__number_ranges,
@@ -2680,6 +2751,24 @@
   (ProtobufCMessageInit) toucan__shards_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define toucan__link_close__field_descriptors NULL
+#define toucan__link_close__field_indices_by_name NULL
+#define toucan__link_close__number_ranges NULL
+const ProtobufCMessageDescriptor toucan__link_close__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.LinkClose",
+  "LinkClose",
+  "Toucan__LinkClose",
+  "toucan",
+  sizeof(Toucan__LinkClose),
+  0,
+  toucan__link_close__field_descriptors,
+  toucan__link_close__field_indices_by_name,
+  0,  toucan__link_close__number_ranges,
+  (ProtobufCMessageInit) toucan__link_close__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[5] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Toucan__RowVersion Toucan__RowVersion;
 typedef struct Toucan__RowsPull Toucan__RowsPull;
 typedef struct Toucan__ShardsPull Toucan__ShardsPull;
+typedef struct Toucan__LinkClose Toucan__LinkClose;
 typedef struct Toucan__ReserveTokens Toucan__ReserveTokens;
 typedef struct Toucan__TokensReply Toucan__TokensReply;
 typedef struct Toucan__ReturnTokens Toucan__ReturnTokens;
@@ -95,7 +96,8 @@
   TOUCAN__ENVELOPE__BODY_HAND_OVER = 32,
   TOUCAN__ENVELOPE__BODY_ROW_NOTICE = 50,
   TOUCAN__ENVELOPE__BODY_ROWS_PULL = 51,
-  TOUCAN__ENVELOPE__BODY_SHARDS_PULL = 52
+  TOUCAN__ENVELOPE__BODY_SHARDS_PULL = 52,
+  TOUCAN__ENVELOPE__BODY_LINK_CLOSE = 53
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -148,6 +150,7 @@
     Toucan__RowNotice *row_notice;
     Toucan__RowsPull *rows_pull;
     Toucan__ShardsPull *shards_pull;
+    Toucan__LinkClose *link_close;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -181,7 +184,7 @@
 
 
 /*
- * Sent every second on every connection. Witnesses answer with HeartbeatAck.
+ * Sent every second on every kept connection. Witnesses answer with HeartbeatAck.
  */
 struct  Toucan__Heartbeat
 {
@@ -201,6 +204,10 @@
   int64_t row_version;
   int64_t config_version;
   int64_t shards_version;
+  /*
+   * the sender keeps this link, so the receiver sends heartbeats, too
+   */
+  protobuf_c_boolean keep;
   /*
    * over the VM rows and fences that the sender knows; 0 when left out
    */
@@ -208,7 +215,7 @@
 };
 #define TOUCAN__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Toucan__HeartbeatAck
@@ -385,6 +392,19 @@
     , 0 }
 
 
+/*
+ * The sender ends an idle link that it opened: the receiver closes it when its own calls on it have
+ * been answered.
+ */
+struct  Toucan__LinkClose
+{
+  ProtobufCMessage base;
+};
+#define TOUCAN__LINK_CLOSE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__link_close__descriptor) \
+     }
+
+
 struct  Toucan__ReserveTokens
 {
   ProtobufCMessage base;
@@ -942,6 +962,25 @@
 void   toucan__shards_pull__free_unpacked
                      (Toucan__ShardsPull *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__LinkClose methods */
+void   toucan__link_close__init
+                     (Toucan__LinkClose         *message);
+size_t toucan__link_close__get_packed_size
+                     (const Toucan__LinkClose   *message);
+size_t toucan__link_close__pack
+                     (const Toucan__LinkClose   *message,
+                      uint8_t             *out);
+size_t toucan__link_close__pack_to_buffer
+                     (const Toucan__LinkClose   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__LinkClose *
+       toucan__link_close__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__link_close__free_unpacked
+                     (Toucan__LinkClose *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__ReserveTokens methods */
 void   toucan__reserve_tokens__init
                      (Toucan__ReserveTokens         *message);
@@ -1296,6 +1335,9 @@
 typedef void (*Toucan__ShardsPull_Closure)
                  (const Toucan__ShardsPull *message,
                   void *closure_data);
+typedef void (*Toucan__LinkClose_Closure)
+                 (const Toucan__LinkClose *message,
+                  void *closure_data);
 typedef void (*Toucan__ReserveTokens_Closure)
                  (const Toucan__ReserveTokens *message,
                   void *closure_data);
@@ -1367,6 +1409,7 @@
 extern const ProtobufCMessageDescriptor toucan__row_version__descriptor;
 extern const ProtobufCMessageDescriptor toucan__rows_pull__descriptor;
 extern const ProtobufCMessageDescriptor toucan__shards_pull__descriptor;
+extern const ProtobufCMessageDescriptor toucan__link_close__descriptor;
 extern const ProtobufCMessageDescriptor toucan__reserve_tokens__descriptor;
 extern const ProtobufCMessageDescriptor toucan__tokens_reply__descriptor;
 extern const ProtobufCMessageDescriptor toucan__return_tokens__descriptor;
