Let one VM write a fence, by rank

Cause: every VM that proved a fence wrote it at once, so a lost quarter of 48 VMs led to 22 transactions and conflicts among their writers. Change: every VM that knows of a fence waits 1 s + 3 s x its rank in an order that the version of the shard map and the live ids decide, and writes what rows and map still lack. A newer map gives a new order, which can only make a VM write sooner. Takeovers need no write and are not delayed. Ruled out: waiting anew after each change of the map, which could put a write off without end while shards move.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -733,9 +733,9 @@
 	known_gone = !m || tlb_vm_name_equal(&m->row.name, &row->name) ||
 		     tlb_roster_gone(&c->roster, &m->row.name);
 	if (!known_gone)
-		tlb_fences_take(c, &m->row.name, "row", false);
+		tlb_fences_take(c, &m->row.name, "row");
 	if (row->state != TLB_VM_LIVE)
-		tlb_fences_take(c, &row->name, "row", false);
+		tlb_fences_take(c, &row->name, "row");
 	tlb_roster_put(&c->roster, row, tlb_clock_now());
 	if (self && c->joined && !c->membership.leaving &&
 	    (!tlb_vm_name_equal(&row->name, &c->self) || row->state != TLB_VM_LIVE))
@@ -790,7 +790,7 @@
 	set_incarnation(c);
 	tlb_cluster_update(c);
 	/* This process is the proof that its former incarnation acts no more. */
-	tlb_fences_take(c, &former, "self", false);
+	tlb_fences_take(c, &former, "self");
 	if (c->handlers.on_self_fenced)
 		c->handlers.on_self_fenced(c->handlers.arg);
 	tlb_peers_set_incarnation(&c->peers, c->self.incarnation);
--- a/src/fence.c
+++ b/src/fence.c
@@ -55,8 +55,7 @@
 }
 
 /* The incarnation certainly acts no more. */
-bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
-		     bool proven_here)
+bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why)
 {
 	struct tlb_vm_name name = *vm;
 	struct tlb_fence_attempt *a = find_attempt(c, &name);
@@ -75,7 +74,7 @@
 	if (c->acting & ~before)
 		tlb_log_info("event=takeover from=%s shards=%d", name.id,
 			     __builtin_popcountll(c->acting & ~before));
-	tlb_member_gone(&c->membership, proven_here);
+	tlb_member_gone(&c->membership);
 	return true;
 }
 
@@ -86,7 +85,7 @@
 
 	if (!tlb_fence_proven(&a->fence))
 		return;
-	tlb_fences_take(c, &vm, "witnesses", true);
+	tlb_fences_take(c, &vm, "witnesses");
 	tlb_fences_announce(c, &vm);
 }
 
@@ -281,7 +280,7 @@
 		tlb_cluster_rejoin(c, "fenced");
 		return;
 	}
-	if (tlb_fences_take(c, &vm, "notice", false))
+	if (tlb_fences_take(c, &vm, "notice"))
 		forward_notice(c, from, &vm);
 }
 
--- a/src/fence.h
+++ b/src/fence.h
@@ -19,10 +19,9 @@
 void tlb_fences_check(struct tlb_cluster *c);
 /* When a VM was last heard, or from when on its silence counts. */
 tlb_time tlb_fences_heard_at(const struct tlb_cluster *c, const struct tlb_member *m);
-/* The incarnation certainly acts no more. why is the source for the log; proven_here when this
- * daemon collected the proof. Returns false when it was known. */
-bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
-		     bool proven_here);
+/* The incarnation certainly acts no more. why is the source for the log. Returns false when it was
+ * known. */
+bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why);
 /* Tells all VMs that an incarnation is gone: fenced, or itself leaving. */
 void tlb_fences_announce(struct tlb_cluster *c, const struct tlb_vm_name *vm);
 /* Tells a VM of the fences that no row known here shows yet. */
--- a/src/member.c
+++ b/src/member.c
@@ -18,8 +18,11 @@
 /* Time for links to come up between reading the rows and choosing witnesses. */
 #define JOIN_DELAY (300 * TLB_MS)
 #define JOIN_BLOCKED_RETRY (500 * TLB_MS)
-/* The daemon that proved a fence writes it; the others step in if it does not. */
-#define FENCE_DELAY (3 * TLB_SECOND)
+/* Usually one daemon writes the fences: the first in an order that all compute alike, once the
+ * fences of VMs that were lost at the same moment have arrived. The next ones step in if it does
+ * not. */
+#define FENCE_DELAY (1 * TLB_SECOND)
+#define FENCE_RANK_STEP (3 * TLB_SECOND)
 /* Moves wait until a change of the fleet has settled; all owners would write at once otherwise. */
 #define MOVE_DELAY (300 * TLB_MS)
 #define MOVE_SPREAD (500 * TLB_MS)
@@ -517,19 +520,25 @@
 	tlb_store_check(txn, shards_key, c->map.version);
 	if (changed)
 		write_map(m, txn);
-	m->fence_at = tlb_clock_now() + FENCE_DELAY;
+	m->fence_at = tlb_clock_now() + FENCE_RANK_STEP;
 	send_txn(m, txn, on_fences_written);
 	return true;
 }
 
-void tlb_member_gone(struct tlb_membership *m, bool proven_here)
+static void plan_fences(struct tlb_membership *m)
 {
-	tlb_time now = tlb_clock_now();
+	const struct tlb_cluster *c = m->cluster;
+	int rank = tlb_roster_rank(&c->roster, c->self.id, c->map.version);
 
-	sooner(&m->fence_at, proven_here ? now : now + FENCE_DELAY + spread(FENCE_DELAY));
+	sooner(&m->fence_at, tlb_clock_now() + FENCE_DELAY + rank * FENCE_RANK_STEP);
 	tlb_member_kick(m);
 }
 
+void tlb_member_gone(struct tlb_membership *m)
+{
+	plan_fences(m);
+}
+
 static bool is_unknown(const struct tlb_cluster *c, const struct tlb_vm_name *name)
 {
 	const struct tlb_member *member = tlb_roster_find(&c->roster, name->id);
@@ -565,7 +574,7 @@
 		return;
 	count_names(m->cluster, &gone, &unknown);
 	if (gone && m->fence_at == TLB_NEVER)
-		tlb_member_gone(m, false);
+		plan_fences(m);
 	if (!unknown) {
 		m->unknown_at = TLB_NEVER;
 	} else if (m->unknown_at == TLB_NEVER) {
@@ -784,6 +793,9 @@
 
 void tlb_member_map_changed(struct tlb_membership *m)
 {
+	/* The order is another one now. */
+	if (m->fence_at != TLB_NEVER)
+		plan_fences(m);
 	if (m->write != TLB_WRITE_MOVE && m->write != TLB_WRITE_LEAVE)
 		return;
 	if (m->cluster->map.version <= m->base_shards)
--- a/src/member.h
+++ b/src/member.h
@@ -85,8 +85,8 @@
 void tlb_member_map_changed(struct tlb_membership *m);
 void tlb_member_want_shards(struct tlb_membership *m);
 void tlb_member_want_row(struct tlb_membership *m, const char *vm);
-/* An incarnation is gone; proven_here when this daemon proved it and so writes first. */
-void tlb_member_gone(struct tlb_membership *m, bool proven_here);
+/* An incarnation is gone: its fence must be written, here if no other daemon does. */
+void tlb_member_gone(struct tlb_membership *m);
 /* Once a heartbeat: an owner whose row was late may have given a shard to an incarnation that was
  * gone already, and nothing else would change that entry. */
 void tlb_member_check(struct tlb_membership *m);
--- a/src/roster.c
+++ b/src/roster.c
@@ -195,21 +195,27 @@
 	}
 }
 
-/* A row counts by its id, its version and whether a fence of it is known that it does not show. */
-static uint64_t row_digest(const struct tlb_roster *r, const struct tlb_member *m)
+static uint64_t hash_text(const char *text, int len)
 {
 	static const unsigned char key[crypto_shorthash_KEYBYTES];
 	unsigned char out[crypto_shorthash_BYTES];
+	uint64_t value;
+
+	crypto_shorthash(out, (const unsigned char *)text, len, key);
+	memcpy(&value, out, sizeof(value));
+	return value;
+}
+
+/* A row counts by its id, its version and whether a fence of it is known that it does not show. */
+static uint64_t row_digest(const struct tlb_roster *r, const struct tlb_member *m)
+{
 	char text[TLB_ID_LEN + DIGEST_LEN];
 	bool fenced = m->row.state == TLB_VM_LIVE && !tlb_roster_live(r, m);
-	uint64_t value;
 	int len;
 
 	len = snprintf(text, sizeof(text), "%s/%" PRId64 "/%d", m->row.name.id, m->row.version,
 		       fenced);
-	crypto_shorthash(out, (const unsigned char *)text, len, key);
-	memcpy(&value, out, sizeof(value));
-	return value;
+	return hash_text(text, len);
 }
 
 uint64_t tlb_roster_digest(struct tlb_roster *r)
@@ -224,3 +230,26 @@
 	r->digest = digest ? digest : 1;
 	return r->digest;
 }
+
+static uint64_t rank_of(const char *id, int64_t number)
+{
+	char text[TLB_ID_LEN + DIGEST_LEN];
+	int len = snprintf(text, sizeof(text), "%s/%" PRId64, id, number);
+
+	return hash_text(text, len);
+}
+
+int tlb_roster_rank(const struct tlb_roster *r, const char *self, int64_t number)
+{
+	uint64_t own = rank_of(self, number);
+	const struct tlb_member *m;
+	int rank = 0;
+	int i;
+
+	for (i = 0; i < r->count; i++) {
+		m = &r->member[i];
+		rank += tlb_roster_live(r, m) && strcmp(m->row.name.id, self) != 0 &&
+			rank_of(m->row.name.id, number) < own;
+	}
+	return rank;
+}
--- a/src/roster.h
+++ b/src/roster.h
@@ -72,6 +72,9 @@
 void tlb_roster_infer_gone(struct tlb_roster *r, const struct tlb_shard_map *m);
 /* Equal at two VMs that know the same rows and the same fences that no row shows yet; never 0. */
 uint64_t tlb_roster_digest(struct tlb_roster *r);
+/* The position of self among the live VMs, from 0, in an order that a number such as the version of
+ * the shard map decides: the same at VMs that know the same rows and fences. */
+int tlb_roster_rank(const struct tlb_roster *r, const char *self, int64_t number);
 /* Whether the row's incarnation can be given work. */
 static inline bool tlb_roster_live(const struct tlb_roster *r, const struct tlb_member *m)
 {
--- /dev/null
+++ b/tests/test_roster.c
@@ -0,0 +1,120 @@
+/*
+ * The VMs as one daemon knows them: the digest by which two daemons compare what they know, and the
+ * order in which they write fences.
+ */
+#include <check.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "roster.h"
+
+enum { VMS = 48, NUMBERS = 100 };
+
+static struct tlb_vm_row make_row(int i, int64_t version)
+{
+	struct tlb_vm_row row;
+	char id[TLB_ID_LEN];
+
+	memset(&row, 0, sizeof(row));
+	snprintf(id, sizeof(id), "vm-%d", i);
+	tlb_vm_name_set(&row.name, id, i + 1);
+	row.version = version;
+	return row;
+}
+
+static void put(struct tlb_roster *r, int i, int64_t version)
+{
+	struct tlb_vm_row row = make_row(i, version);
+
+	tlb_roster_put(r, &row, 0);
+}
+
+/* Guards against two VMs that know different things and take them for the same, or the other way
+ * round, for which they would pull from each other for ever. */
+START_TEST(digest_tells_what_is_known)
+{
+	struct tlb_roster a = {0};
+	struct tlb_roster b = {0};
+	struct tlb_vm_row row = make_row(3, 1);
+	int i;
+
+	for (i = 0; i < VMS; i++) {
+		put(&a, i, 1);
+		put(&b, VMS - 1 - i, 1);
+	}
+	ck_assert_uint_eq(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	put(&a, 5, 2);
+	ck_assert_uint_ne(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	put(&b, 5, 2);
+	put(&b, 5, 1);
+	ck_assert_uint_eq(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	tlb_roster_set_gone(&a, &row.name);
+	ck_assert_uint_ne(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	tlb_roster_set_gone(&b, &row.name);
+	ck_assert_uint_eq(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	/* Once the row shows it, it is the same whether the fence was known before. */
+	row.version = 2;
+	row.state = TLB_VM_FENCED;
+	tlb_roster_put(&a, &row, 0);
+	tlb_roster_finish(&b);
+	for (i = 0; i < VMS; i++)
+		put(&b, i, i == 5 ? 2 : 1);
+	tlb_roster_put(&b, &row, 0);
+	ck_assert_uint_eq(tlb_roster_digest(&a), tlb_roster_digest(&b));
+	tlb_roster_finish(&a);
+	tlb_roster_finish(&b);
+}
+END_TEST
+
+/* Guards against fences that two VMs write at once, that none writes, or that always the same VM
+ * has to write. */
+START_TEST(ranks_are_distinct_and_vary)
+{
+	struct tlb_roster r = {0};
+	struct tlb_vm_row gone = make_row(7, 1);
+	bool first[VMS] = {false};
+	bool seen[VMS];
+	int firsts = 0;
+	int number;
+	int rank;
+	int i;
+
+	for (i = 0; i < VMS; i++)
+		put(&r, i, 1);
+	tlb_roster_set_gone(&r, &gone.name);
+	for (number = 1; number <= NUMBERS; number++) {
+		memset(seen, 0, sizeof(seen));
+		for (i = 0; i < VMS; i++) {
+			if (i == 7)
+				continue;
+			rank = tlb_roster_rank(&r, r.member[i].row.name.id, number);
+			ck_assert(rank >= 0 && rank < VMS - 1 && !seen[rank]);
+			seen[rank] = true;
+			first[i] = first[i] || rank == 0;
+		}
+	}
+	for (i = 0; i < VMS; i++)
+		firsts += first[i];
+	ck_assert_int_ge(firsts, VMS / 2);
+	tlb_roster_finish(&r);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("roster");
+	TCase *tc = tcase_create("roster");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	tcase_add_test(tc, digest_tells_what_is_known);
+	tcase_add_test(tc, ranks_are_distinct_and_vary);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
