--- a/src/fence.c
+++ b/src/fence.c
@@ -24,7 +24,7 @@
 	notice.vm = &name;
 	envelope.body_case = TOUCAN__ENVELOPE__BODY_FENCE_NOTICE;
 	envelope.fence_notice = &notice;
-	tlb_peers_send(&c->peers, to, &envelope);
+	tlb_peers_tell(&c->peers, to, &envelope);
 }
 
 void tlb_fences_announce(struct tlb_cluster *c, const struct tlb_vm_name *vm)
@@ -55,8 +55,7 @@
 }
 
 /* The incarnation certainly acts no more. */
-bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why,
-		     bool proven_here)
+bool tlb_fences_take(struct tlb_cluster *c, const struct tlb_vm_name *vm, const char *why)
 {
 	struct tlb_vm_name name = *vm;
 	struct tlb_fence_attempt *a = find_attempt(c, &name);
@@ -75,7 +74,7 @@
 	if (c->acting & ~before)
 		tlb_log_info("event=takeover from=%s shards=%d", name.id,
 			     __builtin_popcountll(c->acting & ~before));
-	tlb_member_gone(&c->membership, proven_here);
+	tlb_member_gone(&c->membership);
 	return true;
 }
 
@@ -86,7 +85,7 @@
 
 	if (!tlb_fence_proven(&a->fence))
 		return;
-	tlb_fences_take(c, &vm, "witnesses", true);
+	tlb_fences_take(c, &vm, "witnesses");
 	tlb_fences_announce(c, &vm);
 }
 
@@ -190,6 +189,8 @@
 	const struct tlb_peer *peer = tlb_peers_find(&c->peers, m->row.name.id);
 	tlb_time at = m->since > c->listening_since ? m->since : c->listening_since;
 
+	if (peer && peer->kept && peer->kept_since > at)
+		at = peer->kept_since;
 	if (peer && peer->incarnation == m->row.name.incarnation && peer->heard > at)
 		at = peer->heard;
 	return at;
@@ -279,7 +280,7 @@
 		tlb_cluster_rejoin(c, "fenced");
 		return;
 	}
-	if (tlb_fences_take(c, &vm, "notice", false))
+	if (tlb_fences_take(c, &vm, "notice"))
 		forward_notice(c, from, &vm);
 }
 
--- a/src/member.c
+++ b/src/member.c
@@ -18,13 +18,18 @@
 /* Time for links to come up between reading the rows and choosing witnesses. */
 #define JOIN_DELAY (300 * TLB_MS)
 #define JOIN_BLOCKED_RETRY (500 * TLB_MS)
-/* The daemon that proved a fence writes it; the others step in if it does not. */
-#define FENCE_DELAY (3 * TLB_SECOND)
+/* Usually one daemon writes the fences: the first in an order that all compute alike, once the
+ * fences of VMs that were lost at the same moment have arrived. The next ones step in if it does
+ * not. */
+#define FENCE_DELAY (1 * TLB_SECOND)
+#define FENCE_RANK_STEP (3 * TLB_SECOND)
 /* Moves wait until a change of the fleet has settled; all owners would write at once otherwise. */
 #define MOVE_DELAY (300 * TLB_MS)
 #define MOVE_SPREAD (500 * TLB_MS)
 #define MOVE_RETRY (3 * TLB_SECOND)
 #define WITNESS_RETRY (5 * TLB_SECOND)
+/* A row that the map needs arrives within this, or is read from the table service. */
+#define UNKNOWN_DELAY (2 * TLB_SECOND)
 #define REFRESH_INTERVAL (60 * TLB_SECOND)
 
 enum { BACKOFF_DOUBLINGS = 6, KEY_LEN = TLB_ID_LEN + 3 };
@@ -225,6 +230,8 @@
 		tlb_roster_infer_gone(&c->roster, &c->map);
 	if (m->joined_at_read && c->joined)
 		c->witness.rows_read = true;
+	if (!c->joined)
+		tlb_cluster_choose_links(c);
 	if (!c->joined && m->join_at == TLB_NEVER)
 		m->join_at = tlb_clock_now() + JOIN_DELAY;
 	tlb_cluster_update(c);
@@ -519,19 +526,74 @@
 	tlb_store_check(txn, shards_key, c->map.version);
 	if (changed)
 		write_map(m, txn);
-	m->fence_at = tlb_clock_now() + FENCE_DELAY;
+	m->fence_at = tlb_clock_now() + FENCE_RANK_STEP;
 	send_txn(m, txn, on_fences_written);
 	return true;
 }
 
-void tlb_member_gone(struct tlb_membership *m, bool proven_here)
+static void plan_fences(struct tlb_membership *m)
 {
-	tlb_time now = tlb_clock_now();
+	const struct tlb_cluster *c = m->cluster;
+	int rank = tlb_roster_rank(&c->roster, c->self.id, c->map.version);
 
-	sooner(&m->fence_at, proven_here ? now : now + FENCE_DELAY + spread(FENCE_DELAY));
+	sooner(&m->fence_at, tlb_clock_now() + FENCE_DELAY + rank * FENCE_RANK_STEP);
 	tlb_member_kick(m);
 }
 
+void tlb_member_gone(struct tlb_membership *m)
+{
+	plan_fences(m);
+}
+
+static bool is_unknown(const struct tlb_cluster *c, const struct tlb_vm_name *name)
+{
+	const struct tlb_member *member = tlb_roster_find(&c->roster, name->id);
+
+	return name->id[0] && !tlb_roster_gone(&c->roster, name) &&
+	       !(member && tlb_vm_name_equal(&member->row.name, name));
+}
+
+/* Counts the owners and standbys in the map that are gone, and those of which neither a row nor a
+ * fence is known. */
+static void count_names(const struct tlb_cluster *c, int *gone, int *unknown)
+{
+	const struct tlb_shard_entry *e;
+	int i;
+
+	*gone = 0;
+	*unknown = 0;
+	for (i = 0; i < TLB_SHARD_COUNT; i++) {
+		e = &c->map.entry[i];
+		*gone += tlb_roster_gone(&c->roster, &e->owner) ||
+			 tlb_roster_gone(&c->roster, &e->standby);
+		*unknown += is_unknown(c, &e->owner) || is_unknown(c, &e->standby);
+	}
+}
+
+void tlb_member_check(struct tlb_membership *m)
+{
+	tlb_time now = tlb_clock_now();
+	int gone;
+	int unknown;
+
+	if (!m->cluster->joined)
+		return;
+	count_names(m->cluster, &gone, &unknown);
+	if (gone && m->fence_at == TLB_NEVER)
+		plan_fences(m);
+	if (!unknown) {
+		m->unknown_at = TLB_NEVER;
+	} else if (m->unknown_at == TLB_NEVER) {
+		m->unknown_at = now + UNKNOWN_DELAY + spread(UNKNOWN_DELAY);
+	} else if (now >= m->unknown_at) {
+		tlb_log_info("event=names_unknown map=%" PRId64 " shards=%d",
+			     m->cluster->map.version, unknown);
+		m->unknown_at = now + UNKNOWN_DELAY + spread(UNKNOWN_DELAY);
+		read_again(m);
+		tlb_member_kick(m);
+	}
+}
+
 /* Open writes. */
 
 static void stop_calls(struct tlb_membership *m)
@@ -737,6 +799,9 @@
 
 void tlb_member_map_changed(struct tlb_membership *m)
 {
+	/* The order is another one now. */
+	if (m->fence_at != TLB_NEVER)
+		plan_fences(m);
 	if (m->write != TLB_WRITE_MOVE && m->write != TLB_WRITE_LEAVE)
 		return;
 	if (m->cluster->map.version <= m->base_shards)
@@ -1042,6 +1107,7 @@
 	m->cluster = c;
 	m->join_at = TLB_NEVER;
 	m->fence_at = TLB_NEVER;
+	m->unknown_at = TLB_NEVER;
 	m->move_at = TLB_NEVER;
 	m->refresh_at = TLB_NEVER;
 	tlb_timer_init(&m->step, step, m);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -862,6 +862,51 @@
   assert(message->base.descriptor == &toucan__shards_pull__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__link_close__init
+                     (Toucan__LinkClose         *message)
+{
+  static const Toucan__LinkClose init_value = TOUCAN__LINK_CLOSE__INIT;
+  *message = init_value;
+}
+size_t toucan__link_close__get_packed_size
+                     (const Toucan__LinkClose *message)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__link_close__pack
+                     (const Toucan__LinkClose *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__link_close__pack_to_buffer
+                     (const Toucan__LinkClose *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__LinkClose *
+       toucan__link_close__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__LinkClose *)
+     protobuf_c_message_unpack (&toucan__link_close__descriptor,
+                                allocator, len, data);
+}
+void   toucan__link_close__free_unpacked
+                     (Toucan__LinkClose *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__link_close__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__reserve_tokens__init
                      (Toucan__ReserveTokens         *message)
 {
@@ -1807,7 +1852,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[35] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[36] =
 {
   {
     "source",
@@ -2205,6 +2250,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_close",
+    53,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, link_close),
+    &toucan__link_close__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "preempt",
     55,
@@ -2249,11 +2306,12 @@
   4,   /* field[4] = hello */
   2,   /* field[2] = id */
   1,   /* field[1] = incarnation */
-  34,   /* field[34] = link_ready */
+  33,   /* field[33] = link_close */
+  35,   /* field[35] = link_ready */
   29,   /* field[29] = load_notice */
   26,   /* field[26] = open_part */
   28,   /* field[28] = part_reply */
-  33,   /* field[33] = preempt */
+  34,   /* field[34] = preempt */
   19,   /* field[19] = release_booking */
   18,   /* field[18] = renew_bookings */
   3,   /* field[3] = reply_to */
@@ -2275,9 +2333,9 @@
   { 40, 26 },
   { 45, 29 },
   { 50, 30 },
-  { 55, 33 },
-  { 60, 34 },
-  { 0, 35 }
+  { 55, 34 },
+  { 60, 35 },
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -2287,7 +2345,7 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  35,
+  36,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
   8,  toucan__envelope__number_ranges,
@@ -2415,7 +2473,7 @@
   (ProtobufCMessageInit) toucan__link_ready__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor toucan__heartbeat__field_descriptors[9] =
 {
   {
     "number",
@@ -2513,10 +2571,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keep",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__Heartbeat, keep),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__heartbeat__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = grant_wanted */
+  8,   /* field[8] = keep */
   6,   /* field[6] = load_reports */
   0,   /* field[0] = number */
   3,   /* field[3] = row_version */
@@ -2529,7 +2600,7 @@
   { 1, 0 },
   { 25, 6 },
   { 30, 7 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor toucan__heartbeat__descriptor =
 {
@@ -2539,7 +2610,7 @@
   "Toucan__Heartbeat",
   "toucan",
   sizeof(Toucan__Heartbeat),
-  8,
+  9,
   toucan__heartbeat__field_descriptors,
   toucan__heartbeat__field_indices_by_name,
   3,  toucan__heartbeat__number_ranges,
@@ -3309,6 +3380,24 @@
   (ProtobufCMessageInit) toucan__shards_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+#define toucan__link_close__field_descriptors NULL
+#define toucan__link_close__field_indices_by_name NULL
+#define toucan__link_close__number_ranges NULL
+const ProtobufCMessageDescriptor toucan__link_close__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.LinkClose",
+  "LinkClose",
+  "Toucan__LinkClose",
+  "toucan",
+  sizeof(Toucan__LinkClose),
+  0,
+  toucan__link_close__field_descriptors,
+  toucan__link_close__field_indices_by_name,
+  0,  toucan__link_close__number_ranges,
+  (ProtobufCMessageInit) toucan__link_close__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__reserve_tokens__field_descriptors[6] =
 {
   {
