Weigh the ways to keep an account's rate

Cause: POLICY.md named static shares and leased shares as not measured.

Ruled out: the model in bench/model.c, whose standby has a share of the rate and whose eight routers are fixed. The new program simulates one account on any number of VMs with the daemon's own rules.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,9 @@
 $(BUILD)/bench: bench/bench.c bench/model.c bench/model.h $(BUILD)/libtoucanlb.a
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $(filter %.c %.a,$^) $(LIBS)
 
+$(BUILD)/limits: $(BUILD)/bench/limits.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/passthrough: $(BUILD)/bench/passthrough.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
