--- a/Makefile
+++ b/Makefile
@@ -58,16 +58,19 @@
 
 BENCH_OBJ = $(patsubst %,$(BUILD)/bench-%.o,bench model event view engine admit caller fault measure)
 
+# No object below $(BUILD)/bench, which is a program.
 $(BUILD)/bench-%.o: bench/%.c
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -MP -c -o $@ $<
 
+$(BUILD)/limits: $(BUILD)/bench-limits.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/bench: $(BENCH_OBJ) $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-# No object below $(BUILD)/bench, which is a program.
-$(BUILD)/passthrough: bench/passthrough.c $(BUILD)/libtoucanlb.a
-	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) $(LDFLAGS) -o $@ $^ $(LIBS)
+$(BUILD)/passthrough: $(BUILD)/bench-passthrough.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 # The whole matrix is scripts/bench.
 bench: $(BUILD)/bench
