--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Compares docs/OPERATIONS.md with the sources.
+"""Compares docs/OPERATIONS.md, and the list of modules in docs/design.md, with the sources.
 
 Guards against the manual falling behind: a setting, counter, log event or refusal code that it
 does not describe, one that it describes and that no longer exists, and changed defaults, columns of
@@ -12,6 +12,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PAGE = "docs/OPERATIONS.md"
+DESIGN = "docs/design.md"
 STRING = re.compile(r'"((?:[^"\\]|\\.)*)"')
 
 
@@ -211,6 +212,15 @@
             yield f"name {name} does not occur in the sources"
 
 
+def check_modules(design, files):
+    """Guards against a module that a newcomer does not find in the list, and one that is gone."""
+    section = page_section(design, 9)
+    described = [name for first in re.findall(r"^\| (`[^|]*)\|", section, re.M)
+                 for name in re.findall(r"`([^`]+)`", first)]
+    source = {os.path.splitext(os.path.basename(name))[0] for name in files} | {"wire.pb-c"}
+    return differences("module", source, described)
+
+
 def main():
     files = sources()
     page = read(PAGE)
@@ -219,6 +229,10 @@
               *check_names(page, files)]
     for fault in faults:
         print(f"{PAGE}: {fault}")
+    missing = list(check_modules(read(DESIGN), files))
+    for fault in missing:
+        print(f"{DESIGN}: {fault}")
+    faults += missing
     print(f"docs: {len(faults)} faults")
     return 1 if faults else 0
 
