Hold the ports of dead services in p06 all_services_dead

Cause: beside another fleet on the machine, a service of that fleet could take the port of a service that this case had ended; the router's calls were then executed there and answered 200. Ruled out: an answer without a connection, because the bodies carry the other fleet's execution.

Change: the case binds the ports of its dead services without listening.

--- a/tests/promises/harness.py
+++ b/tests/promises/harness.py
@@ -80,6 +80,22 @@
     def clear(self):
         http_json(self.control, "POST", "/fault", {"kind": "none"})
 
+    def hold_port(self):
+        """Takes the port of a stand-in that has ended, without listening: a fleet that runs beside this
+        one could get it otherwise, and would execute what is sent to the dead stand-in."""
+        host, port = self.listen.split(":")
+        self.port_holder = socket.socket()
+        self.port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if wait_until(lambda: self._bind(host, int(port)), 2, 0.01) is None:
+            raise Failed(f"the port of {self.name} was taken")
+
+    def _bind(self, host, port):
+        try:
+            self.port_holder.bind((host, port))
+            return True
+        except OSError:
+            return False
+
 
 def load_fleet_module():
     path = os.path.join(ROOT, "scripts", "fleet")
--- a/tests/promises/p06_not_run.py
+++ b/tests/promises/p06_not_run.py
@@ -103,6 +103,7 @@
     with t.fleet() as fleet:
         for s in fleet.services:
             s.fault("die")
+            s.hold_port()
         time.sleep(0.3)
         wrong = 0
         for i in range(6):
