Let the weights of the measures decide over preemption

Change: interactive requests preempt batch streams when worst_weight + refusal_weight is at least goodput_weight + waste_weight.

--- a/src/request.c
+++ b/src/request.c
@@ -300,6 +300,18 @@
 	return (r->prompt_tokens + r->max_tokens + r->piece_tokens - 1) / r->piece_tokens;
 }
 
+/* Preemption serves refusals and the worst-served account, and costs prefill and, in overload,
+ * goodput (docs/POLICY.md), so that the owners' weights decide. */
+static tlb_time preempt_at(const struct tlb_request *r)
+{
+	const struct tlb_settings *s = r->board->settings;
+	bool pays = s->worst_weight + s->refusal_weight >= s->goodput_weight + s->waste_weight;
+
+	if (!pays || r->completion.class != TLB_INTERACTIVE)
+		return TLB_NEVER;
+	return tlb_clock_now() + PREEMPT_AFTER;
+}
+
 static void enqueue(struct tlb_request *r, tlb_time wait_until)
 {
 	r->step = STEP_QUEUE;
@@ -308,9 +320,7 @@
 	r->wait.on_expire = on_expire;
 	r->wait.claim_at =
 		r->completion.class == TLB_INTERACTIVE ? tlb_clock_now() + CLAIM_AFTER : TLB_NEVER;
-	r->wait.preempt_at = r->completion.class == TLB_INTERACTIVE
-				     ? tlb_clock_now() + PREEMPT_AFTER
-				     : TLB_NEVER;
+	r->wait.preempt_at = preempt_at(r);
 	r->yielding = NULL;
 	r->wait.item.class = r->completion.class;
 	r->wait.item.tokens = r->prompt_tokens + r->max_tokens;
--- a/tests/promises/p14_preempt.py
+++ b/tests/promises/p14_preempt.py
@@ -26,9 +26,9 @@
             return prompt
 
 
-def start_fleet(t):
+def start_fleet(t, edit_settings=None):
     gone = {f"config/endpoint/decode-{i}": None for i in range(DECODES + 1, 8)}
-    return t.fleet(rows=gone, standin_options={
+    return t.fleet(rows=gone, edit_settings=edit_settings, standin_options={
         f"decode-{i}": ["--token-us", "180000"] for i in range(1, DECODES + 1)})
 
 
@@ -114,6 +114,25 @@
     return preempt(t)
 
 
+@case
+def weights_keep_batch_streams(t):
+    """Settings that weigh goodput more: no batch stream gives way, and each is whole."""
+    def edit(_, path):
+        with open(path, "a", encoding="utf-8") as f:
+            f.write("policy:\n  goodput_weight: 3.0\n")
+    with start_fleet(t, edit) as fleet:
+        earn_credit(t, fleet)
+        run = Run(t, fleet)
+        run.fill()
+        filled = list(run.threads)
+        run.start(INTERACTIVE, INTERACTIVE_TOKENS)
+        for th in run.threads:
+            th.join()
+        t.note(run.verdicts)
+        whole = sum(v[0] == "whole" for v in run.verdicts)
+        return len(log_lines(fleet, "preempt")) + max(0, len(filled) - whole), 0
+
+
 def victim_vm(fleet, seconds=6):
     """The VM of the first booking that an owner asks to give way."""
     def asked():
