--- a/tests/promises/p04_rate.py
+++ b/tests/promises/p04_rate.py
@@ -13,6 +13,7 @@
 
 
 def worst_window(admitted, rate=RATE, burst=BURST, cost=None):
+    """With the rate and burst of most cases here; see observers.py."""
     return worst_window_of(admitted, rate, burst, cost)
 
 
