Start an HTTP call from within a callback of another

Cause: libcurl refuses to add a transfer from its own callbacks, and tlb_http_start() passed over the refusal: the call was reported as started and met its deadline without having been sent. Ruled out: a slow endpoint; the call never reached it. Change: such a call is added by the loop after the callback; any other refusal is returned as an error.

--- a/src/http.c
+++ b/src/http.c
@@ -29,6 +29,7 @@
 static void call_release(struct tlb_http_call *c)
 {
 	tlb_timer_clear(c->http->loop, &c->deadline_timer);
+	tlb_timer_clear(c->http->loop, &c->start_timer);
 	curl_multi_remove_handle(c->http->multi, c->easy);
 	keep_handle(c->http, c->easy);
 	curl_slist_free_all(c->headers);
@@ -383,9 +384,23 @@
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->own_connection ? 1L : 0L);
 }
 
+/* libcurl takes no new transfer from within its own callbacks; the loop adds it after them. */
+static void on_start(void *arg)
+{
+	struct tlb_http_call *c = arg;
+	CURLMcode rc = curl_multi_add_handle(c->http->multi, c->easy);
+
+	if (rc == CURLM_RECURSIVE_API_CALL)
+		tlb_timer_set(c->http->loop, &c->start_timer, tlb_clock_now());
+	else if (rc != CURLM_OK)
+		call_finish(c, CURLE_FAILED_INIT);
+}
+
 enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
 			     const struct tlb_http_spec *spec, struct tlb_error *err)
 {
+	CURLMcode rc;
+
 	memset(c, 0, sizeof(*c));
 	c->http = h;
 	c->content_length = -1;
@@ -404,7 +419,16 @@
 	c->spec.target = NULL;
 	c->spec.headers = NULL;
 	tlb_timer_init(&c->deadline_timer, on_deadline, c);
+	tlb_timer_init(&c->start_timer, on_start, c);
 	tlb_timer_set(h->loop, &c->deadline_timer, spec->deadline);
-	curl_multi_add_handle(h->multi, c->easy);
-	return TLB_OK;
+	rc = curl_multi_add_handle(h->multi, c->easy);
+	if (rc == CURLM_OK)
+		return TLB_OK;
+	if (rc == CURLM_RECURSIVE_API_CALL) {
+		tlb_timer_set(h->loop, &c->start_timer, tlb_clock_now());
+		return TLB_OK;
+	}
+	tlb_http_cancel(c);
+	return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "http", "", "%s",
+			     curl_multi_strerror(rc));
 }
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,161 @@
+/* A call that is started from within another call's on_data must be made. Guards against libcurl's
+ * refusal to add a transfer from its own callbacks, after which the call only met its deadline. */
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <check.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http.h"
+
+#define TEST_WAIT (3 * TLB_SECOND)
+#define CALL_WAIT (2 * TLB_SECOND)
+
+static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
+
+struct pair {
+	struct tlb_http http;
+	struct tlb_http_call first;
+	struct tlb_http_call second;
+	char url[64];
+	int first_status;
+	int second_status;
+	bool cancel_second;
+};
+
+/* Answers two connections, one after the other. */
+static void *serve(void *arg)
+{
+	int listener = *(int *)arg;
+	char request[4096];
+	int peer;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		peer = accept(listener, NULL, NULL);
+		if (peer < 0)
+			return NULL;
+		if (read(peer, request, sizeof(request)) > 0 &&
+		    write(peer, answer, sizeof(answer) - 1) < 0)
+			abort();
+		close(peer);
+	}
+	return NULL;
+}
+
+static int listen_on_loopback(char *url, size_t size)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&a, sizeof(a)), 0);
+	ck_assert_int_eq(listen(fd, 4), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&a, &len), 0);
+	snprintf(url, size, "http://127.0.0.1:%d/", ntohs(a.sin_port));
+	return fd;
+}
+
+static void on_second_done(void *arg, const struct tlb_http_result *r)
+{
+	struct pair *p = arg;
+
+	p->second_status = r->status;
+}
+
+static void on_first_done(void *arg, const struct tlb_http_result *r)
+{
+	struct pair *p = arg;
+
+	p->first_status = r->status;
+}
+
+static bool on_first_data(void *arg, const char *data, size_t len)
+{
+	struct pair *p = arg;
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = p->url,
+		.own_connection = true,
+		.deadline = tlb_clock_now() + CALL_WAIT,
+		.on_done = on_second_done,
+		.arg = p,
+	};
+	struct tlb_error err;
+
+	ck_assert_int_eq(tlb_http_start(&p->http, &p->second, &spec, &err), TLB_OK);
+	if (p->cancel_second)
+		tlb_http_cancel(&p->second);
+	return true;
+}
+
+static void run_pair(struct pair *p)
+{
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = p->url,
+		.own_connection = true,
+		.deadline = tlb_clock_now() + CALL_WAIT,
+		.on_data = on_first_data,
+		.on_done = on_first_done,
+		.arg = p,
+	};
+	tlb_time end = tlb_clock_now() + TEST_WAIT;
+	struct tlb_loop l;
+	struct tlb_error err;
+	pthread_t server;
+	int listener = listen_on_loopback(p->url, sizeof(p->url));
+
+	ck_assert_int_eq(pthread_create(&server, NULL, serve, &listener), 0);
+	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
+	ck_assert_int_eq(tlb_http_init(&p->http, &l), 0);
+	ck_assert_int_eq(tlb_http_start(&p->http, &p->first, &spec, &err), TLB_OK);
+	while (tlb_clock_now() < end && (tlb_http_active(&p->first) || tlb_http_active(&p->second)))
+		tlb_loop_once(&l, tlb_clock_now() + 10 * TLB_MS);
+	tlb_http_finish(&p->http);
+	tlb_loop_finish(&l);
+	shutdown(listener, SHUT_RDWR);
+	close(listener);
+	pthread_join(server, NULL);
+}
+
+START_TEST(call_started_within_a_callback_is_made)
+{
+	struct pair p = {0};
+
+	run_pair(&p);
+	ck_assert_int_eq(p.first_status, 200);
+	ck_assert_int_eq(p.second_status, 200);
+}
+END_TEST
+
+START_TEST(call_cancelled_before_it_was_added_is_not_made)
+{
+	struct pair p = {.cancel_second = true};
+
+	run_pair(&p);
+	ck_assert_int_eq(p.first_status, 200);
+	ck_assert_int_eq(p.second_status, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("http");
+	TCase *t = tcase_create("nested");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	apr_initialize();
+	tcase_add_test(t, call_started_within_a_callback_is_made);
+	tcase_add_test(t, call_cancelled_before_it_was_added_is_not_made);
+	suite_add_tcase(s, t);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed > 0;
+}
