Change engines' roles by their load reports

Change: module roles. One VM reads the load reports of all engines twice a second and orders under a claim in the store. A prefill engine that refuses is left out for the time of a change.

--- a/src/edge.c
+++ b/src/edge.c
@@ -353,6 +353,7 @@
 	b->vms.arg = e;
 	tlb_forwards_init(&b->forwards, b);
 	tlb_generations_init(&b->generations, b);
+	tlb_roles_init(&b->roles, b, &e->store);
 	return TLB_OK;
 }
 
@@ -412,6 +413,7 @@
 	tlb_watcher_start(&e->config_watcher);
 	tlb_watcher_start(&e->instance_watcher);
 	tlb_vms_start(&e->board.vms);
+	tlb_roles_start(&e->board.roles);
 	return TLB_OK;
 }
 
@@ -427,6 +429,7 @@
 
 void tlb_edge_finish(struct tlb_edge *e)
 {
+	tlb_roles_finish(&e->board.roles);
 	tlb_forwards_finish(&e->board.forwards);
 	tlb_generations_finish(&e->board.generations);
 	tlb_front_finish(&e->scrapers);
--- a/src/edgeboard.h
+++ b/src/edgeboard.h
@@ -12,6 +12,7 @@
 #include "instance.h"
 #include "latency.h"
 #include "quota.h"
+#include "roles.h"
 #include "settings.h"
 #include "vms.h"
 
@@ -26,6 +27,7 @@
 	struct tlb_vms vms;
 	struct tlb_forwards forwards;
 	struct tlb_generations generations;
+	struct tlb_roles roles;
 	struct tlb_counters counters;
 	struct tlb_latencies latencies;
 	struct tlb_random random;
--- a/src/generation.c
+++ b/src/generation.c
@@ -19,6 +19,8 @@
 #define PREFILL_SMOOTHING 0.1
 /* A prefill that takes longer is given up. */
 #define PREFILL_WAIT (2500 * TLB_MS)
+/* A prefill endpoint that refused is left out for this long, while there are others. */
+#define PREFILL_REFUSED (300 * TLB_MS)
 /* Silence after which a stream goes on elsewhere: before its first event, when the endpoint also
  * prefills, and between events. All lie above what a preempted request waits. */
 #define FIRST_EVENT_WAIT (1500 * TLB_MS)
@@ -423,6 +425,14 @@
 		fail_stream(f, "no decode endpoint is usable");
 }
 
+/* A prefill endpoint that refuses has a full queue, or its role is being changed. */
+static tlb_time refused_prefill_pause(const struct tlb_forward *f)
+{
+	tlb_time change = f->info ? f->info->role_switch_ms * TLB_MS : 0;
+
+	return change > PREFILL_REFUSED ? change : PREFILL_REFUSED;
+}
+
 static void on_prefill_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
@@ -432,7 +442,8 @@
 	bool ok = r->status == 200 && tlb_platform_handle(r->body, r->body_len, handle);
 
 	tlb_instance_hold(i);
-	tlb_forward_ended(f, r);
+	if (tlb_forward_ended(f, r) == TLB_ATTEMPT_NOT_RUN && r->sent)
+		i->full_until = tlb_clock_now() + refused_prefill_pause(f);
 	end_prefill(f, i, ok);
 	if (ok) {
 		keep_handle(f, i, handle);
--- a/src/inbound.h
+++ b/src/inbound.h
@@ -54,4 +54,12 @@
 	char attempt_id[TLB_ATTEMPT_ID_LEN];
 };
 
+/* What an endpoint reports of its load, some hundred ms old; memory in tokens. */
+struct tlb_load_report {
+	int running;
+	int waiting;
+	int64_t kv_used; /* by requests and reservations */
+	int64_t kv_total;
+};
+
 #endif
--- a/src/instance.c
+++ b/src/instance.c
@@ -84,6 +84,10 @@
 	if (!i)
 		return add(s, row) != NULL;
 	changed = i->row.leaving != row->leaving || i->row.role != row->role;
+	if (i->row.role != row->role) {
+		i->switching_until = 0;
+		i->full_until = 0;
+	}
 	i->row = *row;
 	i->listed = true;
 	i->unlisted_deadline = 0;
@@ -131,7 +135,8 @@
 
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
 {
-	return !i->row.leaving && (i->listed || now < i->unlisted_deadline);
+	return !i->row.leaving && now >= i->switching_until &&
+	       (i->listed || now < i->unlisted_deadline);
 }
 
 void tlb_tried_add(struct tlb_tried *t, const char *id)
@@ -239,18 +244,16 @@
 	return left > 0 ? (int64_t)left : 0;
 }
 
-struct tlb_instance *tlb_instances_for_prefill(struct tlb_instances *s, const struct tlb_placing *p)
+static void weigh_prefills(struct tlb_instances *s, const struct tlb_placing *p, bool full_ones)
 {
-	struct tlb_place_request r = place_request(p);
-	struct tlb_placement pl;
 	struct tlb_instance *i;
 	struct tlb_candidate *c;
 
 	s->count = 0;
-	if (p->info && p->info->kv_bytes_per_token > 0)
-		s->place.kv_bytes_per_token = p->info->kv_bytes_per_token;
 	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
-		c = i->row.role == TLB_ROLE_PREFILL ? add_candidate(s, i, p) : NULL;
+		if (i->row.role != TLB_ROLE_PREFILL || (!full_ones && p->now < i->full_until))
+			continue;
+		c = add_candidate(s, i, p);
 		if (!c)
 			continue;
 		c->tokens_per_second = (int64_t)i->tokens_per_second;
@@ -260,6 +263,18 @@
 		 * drained with it. */
 		c->reported_at = p->now;
 	}
+}
+
+struct tlb_instance *tlb_instances_for_prefill(struct tlb_instances *s, const struct tlb_placing *p)
+{
+	struct tlb_place_request r = place_request(p);
+	struct tlb_placement pl;
+
+	if (p->info && p->info->kv_bytes_per_token > 0)
+		s->place.kv_bytes_per_token = p->info->kv_bytes_per_token;
+	weigh_prefills(s, p, false);
+	if (s->count == 0)
+		weigh_prefills(s, p, true);
 	pl = tlb_place_prefill(&s->place, &r, NULL, s->candidate, s->count);
 	return chosen(s, &pl);
 }
--- a/src/instance.h
+++ b/src/instance.h
@@ -40,7 +40,8 @@
 	bool listed;		    /* discovery names it */
 	tlb_time unlisted_deadline; /* in use until then although not listed; 0: not */
 	struct tlb_health health;
-	tlb_time full_until;	   /* had no room for a reservation; 0: not known to be full */
+	tlb_time full_until;	   /* had no room a moment ago; 0: not known to be full */
+	tlb_time switching_until;  /* its role is being changed; 0: it is not */
 	int in_flight;		   /* requests of this VM */
 	int64_t prefill_in_flight; /* prompt tokens of this VM being prefilled */
 	double tokens_per_second;  /* prefill speed, the best of late */
--- /dev/null
+++ b/src/roles.c
@@ -0,0 +1,376 @@
+#include "roles.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edgeboard.h"
+#include "log.h"
+#include "platform.h"
+
+static const char claim_table[] = "toucanlb-role";
+
+#define ROUND_INTERVAL (500 * TLB_MS)
+#define REPORT_WAIT (200 * TLB_MS)
+#define ORDER_WAIT (700 * TLB_MS)
+/* After a change until the load is judged again: the engines are back and have filled. */
+#define SETTLE (6 * TLB_SECOND)
+/* A report is a sample; loads are judged by several. */
+#define LOAD_SMOOTHING 0.25
+enum { ROUNDS_LEAST = 4 };
+/* Share of prefill engines that may be busy at the mean; the rest keeps their queues short. */
+#define PREFILL_LOAD_MOST 0.65
+/* From this load on prefill engines are overloaded. */
+#define PREFILL_LOAD_HIGH 0.9
+/* Share of decode engines' memory, reservations included, from which on they lack memory at the
+ * next peak, and below which they can spare an engine. */
+#define DECODE_FULL 0.5
+#define DECODE_FREE 0.35
+/* Engines of each role that stay, so that the loss of one leaves one. */
+enum { ROLE_LEAST = 2 };
+
+static void read_next(struct tlb_roles *r);
+static void change_next(struct tlb_roles *r);
+
+/* --- the decision --- */
+
+/* Share of prefill engines that are busy when some of them decode, and are full as the others. */
+static double prefill_load_after(const struct tlb_role_load *l, int moved)
+{
+	double growth = (double)(l->decodes + moved) / l->decodes;
+
+	return l->prefills_busy * growth / (l->prefills - moved);
+}
+
+int tlb_roles_surplus(const struct tlb_role_load *l)
+{
+	int moved = 0;
+
+	if (l->prefills < 1 || l->decodes < 1)
+		return 0;
+	if (l->decodes_filled < DECODE_FREE * l->decodes && l->decodes > ROLE_LEAST &&
+	    l->prefills_busy > PREFILL_LOAD_HIGH * l->prefills)
+		return -1;
+	if (l->decodes_filled < DECODE_FULL * l->decodes)
+		return 0;
+	while (moved < TLB_ROLES_BATCH && l->prefills - moved - 1 >= ROLE_LEAST &&
+	       prefill_load_after(l, moved + 1) <= PREFILL_LOAD_MOST)
+		moved++;
+	return moved;
+}
+
+/* --- orders --- */
+
+static void stop(struct tlb_roles *r, const char *reason)
+{
+	if (reason)
+		tlb_log_info("event=role_change_given_up service=%s instance=%s reason=\"%s\"",
+			     r->service, r->instance, reason);
+	r->wanted = 0;
+	r->step = TLB_ROLES_IDLE;
+}
+
+static void on_ordered(void *arg, const struct tlb_http_result *res)
+{
+	struct tlb_roles *r = arg;
+	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
+
+	tlb_log_info("event=role_ordered instance=%s role=%d status=%d reason=\"%s\"", r->instance,
+		     (int)r->role, res->status, res->reason);
+	/* Without an answer the order may have been accepted, or may be carried out later. */
+	if (i && (res->status == 202 || res->status == 0))
+		i->switching_until = tlb_clock_now() + r->switch_ms * TLB_MS;
+	r->wanted--;
+	change_next(r);
+}
+
+static void order(struct tlb_roles *r, int64_t fence)
+{
+	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
+	char *body = tlb_platform_role_order(r->role, r->board->settings->vm_id, fence);
+	char url[160];
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = body,
+		.body_len = body ? strlen(body) : 0,
+		.own_connection = true,
+		.deadline = tlb_clock_now() + ORDER_WAIT,
+		.on_done = on_ordered,
+		.arg = r,
+	};
+	struct tlb_error err;
+
+	if (!i || !body || tlb_clock_now() >= r->act_deadline) {
+		free(body);
+		stop(r, "the claim came too late");
+		return;
+	}
+	r->step = TLB_ROLES_ORDERING;
+	spec.headers = tlb_platform_order_headers(i->row.id);
+	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, tlb_platform_order_target());
+	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
+	if (tlb_http_start(r->board->http, &r->call, &spec, &err) != TLB_OK)
+		stop(r, err.message);
+	free(body);
+}
+
+/* --- the claim --- */
+
+static void on_claimed(void *arg, enum tlb_rowstore_status status, const struct tlb_rows *rows,
+		       const char *reason)
+{
+	struct tlb_roles *r = arg;
+
+	if (status != TLB_ROWS_OK) {
+		stop(r, *reason ? reason : "another VM has claimed it");
+		return;
+	}
+	r->claim_version = rows->version;
+	order(r, rows->version);
+}
+
+static void claim(struct tlb_roles *r)
+{
+	json_t *j = json_pack("{s:s,s:I}", "vm", r->board->settings->vm_id, "at_ms",
+			      (json_int_t)r->now_ms);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	r->act_deadline = tlb_clock_now() + TLB_ROLES_ACT;
+	tlb_rowstore_write(r->store, &r->op, claim_table, r->service, r->claim_version, text,
+			   on_claimed, r);
+	free(text);
+	json_decref(j);
+}
+
+/* Whether another VM's claim stands, by the store's clock; one that can't be read counts as new. */
+static bool is_claimed(const struct tlb_roles *r, const struct tlb_stored_row *row)
+{
+	json_t *j = json_loadb(row->value, row->len, 0, NULL);
+	const char *vm = json_string_value(json_object_get(j, "vm"));
+	const json_t *at = json_object_get(j, "at_ms");
+	bool own = vm && strcmp(vm, r->board->settings->vm_id) == 0;
+	bool old = json_is_integer(at) &&
+		   r->now_ms >= json_integer_value(at) + TLB_ROLES_CLAIM / TLB_MS;
+
+	json_decref(j);
+	return !own && !old;
+}
+
+static void on_claim_read(void *arg, enum tlb_rowstore_status status, const struct tlb_rows *rows,
+			  const char *reason)
+{
+	struct tlb_roles *r = arg;
+	int i;
+
+	if (status != TLB_ROWS_OK) {
+		stop(r, reason);
+		return;
+	}
+	r->now_ms = rows->now_ms;
+	r->claim_version = 0;
+	for (i = 0; i < rows->count; i++) {
+		if (strcmp(rows->row[i].key, r->service) != 0 || rows->row[i].removed)
+			continue;
+		if (is_claimed(r, &rows->row[i])) {
+			stop(r, "another VM has claimed it");
+			return;
+		}
+		r->claim_version = rows->row[i].version;
+	}
+	claim(r);
+}
+
+/* The engine of the other role that has least to do here. */
+static const struct tlb_instance *choose(const struct tlb_roles *r, tlb_time now)
+{
+	enum tlb_role from = r->role == TLB_ROLE_DECODE ? TLB_ROLE_PREFILL : TLB_ROLE_DECODE;
+	const struct tlb_instance *best = NULL;
+	const struct tlb_instance *i;
+
+	APR_RING_FOREACH (i, &r->board->instances.all, tlb_instance, link) {
+		if (i->row.role != from || !i->listed || !tlb_instance_usable(i, now) ||
+		    strcmp(i->row.service, r->service) != 0)
+			continue;
+		if (!best || i->in_flight < best->in_flight)
+			best = i;
+	}
+	return best;
+}
+
+/* Claims and orders the next engine; each order needs a claim of its own, which renews it. */
+static void change_next(struct tlb_roles *r)
+{
+	const struct tlb_instance *i =
+		r->wanted > 0 && !r->board->draining ? choose(r, tlb_clock_now()) : NULL;
+
+	if (!i) {
+		stop(r, NULL);
+		return;
+	}
+	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
+	r->step = TLB_ROLES_CLAIMING;
+	tlb_rowstore_list(r->store, &r->op, claim_table, r->service, on_claim_read, r);
+}
+
+static void judge(struct tlb_roles *r)
+{
+	const struct tlb_service_info *info = tlb_routing_service(r->board->routing, r->service);
+	const struct tlb_role_load *l = &r->smoothed;
+	int surplus = tlb_roles_surplus(l);
+	tlb_time now = tlb_clock_now();
+
+	r->step = TLB_ROLES_IDLE;
+	if (r->rounds < ROUNDS_LEAST || surplus == 0 || now < r->settled_until || !info)
+		return;
+	tlb_log_info("event=role_change service=%s prefills=%d busy=%.2f decodes=%d filled=%.2f "
+		     "surplus=%d",
+		     r->service, l->prefills, l->prefills_busy, l->decodes, l->decodes_filled,
+		     surplus);
+	r->role = surplus > 0 ? TLB_ROLE_DECODE : TLB_ROLE_PREFILL;
+	r->wanted = surplus > 0 ? surplus : -surplus;
+	r->switch_ms = info->role_switch_ms;
+	r->settled_until = now + info->role_switch_ms * TLB_MS + SETTLE;
+	r->rounds = 0;
+	change_next(r);
+}
+
+/* --- load --- */
+
+static void smooth(double *mean, double value, int rounds)
+{
+	double weight = rounds > 1 ? LOAD_SMOOTHING : 1;
+
+	*mean += weight * (value - *mean);
+}
+
+static void end_round(struct tlb_roles *r)
+{
+	r->rounds++;
+	r->smoothed.prefills = r->round.prefills;
+	r->smoothed.decodes = r->round.decodes;
+	smooth(&r->smoothed.prefills_busy, r->round.prefills_busy, r->rounds);
+	smooth(&r->smoothed.decodes_filled, r->round.decodes_filled, r->rounds);
+	judge(r);
+}
+
+static double filled(const struct tlb_load_report *p, int slots)
+{
+	double memory = p->kv_total > 0 ? (double)p->kv_used / (double)p->kv_total : 0;
+	double places = slots > 0 ? (double)p->running / slots : 0;
+
+	return memory > places ? memory : places;
+}
+
+static void on_report(void *arg, const struct tlb_http_result *res)
+{
+	struct tlb_roles *r = arg;
+	const struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->next);
+	struct tlb_load_report p;
+
+	if (i && res->status == 200 && tlb_platform_load_report(res->body, res->body_len, &p)) {
+		r->round.prefills += i->row.role == TLB_ROLE_PREFILL;
+		r->round.decodes += i->row.role == TLB_ROLE_DECODE;
+		if (i->row.role == TLB_ROLE_PREFILL)
+			r->round.prefills_busy += p.running + p.waiting > 0;
+		else
+			r->round.decodes_filled += filled(&p, i->row.slots);
+	}
+	read_next(r);
+}
+
+/* The usable engine whose id follows that one. */
+static const struct tlb_instance *following(const struct tlb_roles *r, const char *id)
+{
+	const struct tlb_instance *best = NULL;
+	const struct tlb_instance *i;
+	tlb_time now = tlb_clock_now();
+
+	APR_RING_FOREACH (i, &r->board->instances.all, tlb_instance, link) {
+		if (i->row.role == TLB_ROLE_SERVICE || !tlb_instance_usable(i, now) ||
+		    strcmp(i->row.service, r->service) != 0 || strcmp(i->row.id, id) <= 0)
+			continue;
+		if (!best || strcmp(i->row.id, best->row.id) < 0)
+			best = i;
+	}
+	return best;
+}
+
+static void read_next(struct tlb_roles *r)
+{
+	const struct tlb_instance *i = following(r, r->next);
+	char url[160];
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = url,
+		.own_connection = true,
+		.deadline = tlb_clock_now() + REPORT_WAIT,
+		.on_done = on_report,
+		.arg = r,
+	};
+	struct tlb_error err;
+
+	if (!i) {
+		end_round(r);
+		return;
+	}
+	snprintf(r->next, sizeof(r->next), "%s", i->row.id);
+	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, tlb_platform_report_target());
+	if (tlb_http_start(r->board->http, &r->call, &spec, &err) != TLB_OK)
+		stop(r, err.message);
+}
+
+/* The service whose engines' roles can be changed. One for all: each would need rounds of its own.
+ */
+static const struct tlb_generation_pool *changeable(const struct tlb_roles *r)
+{
+	const struct tlb_generation_pool *p;
+	const struct tlb_service_info *info;
+
+	APR_RING_FOREACH (p, &r->board->generations.pools, tlb_generation_pool, link) {
+		info = tlb_routing_service(r->board->routing, p->service);
+		if (info && info->role_switch_ms > 0)
+			return p;
+	}
+	return NULL;
+}
+
+static void on_timer(void *arg)
+{
+	struct tlb_roles *r = arg;
+	const struct tlb_generation_pool *p = changeable(r);
+	tlb_time now = tlb_clock_now();
+
+	tlb_timer_set(r->board->loop, &r->timer, now + ROUND_INTERVAL);
+	if (r->step != TLB_ROLES_IDLE || now < r->settled_until)
+		return;
+	if (!p || r->board->draining || !tlb_vms_is_first(&r->board->vms, now)) {
+		r->rounds = 0;
+		return;
+	}
+	snprintf(r->service, sizeof(r->service), "%s", p->service);
+	r->round = (struct tlb_role_load){0};
+	r->next[0] = '\0';
+	r->step = TLB_ROLES_READING;
+	read_next(r);
+}
+
+void tlb_roles_init(struct tlb_roles *r, struct tlb_edge_board *b, struct tlb_rowstore *store)
+{
+	memset(r, 0, sizeof(*r));
+	r->board = b;
+	r->store = store;
+	tlb_timer_init(&r->timer, on_timer, r);
+}
+
+void tlb_roles_start(struct tlb_roles *r)
+{
+	tlb_timer_set(r->board->loop, &r->timer, tlb_clock_now() + ROUND_INTERVAL);
+}
+
+void tlb_roles_finish(struct tlb_roles *r)
+{
+	tlb_timer_clear(r->board->loop, &r->timer);
+	tlb_rowstore_cancel(&r->op);
+	tlb_http_cancel(&r->call);
+}
--- a/src/routing.h
+++ b/src/routing.h
@@ -67,6 +67,7 @@
 	int64_t kv_tokens;   /* memory of an engine */
 	int kv_bytes_per_token;
 	int link_mbps;
+	int role_switch_ms; /* time without work when its role is changed; 0: it can't be */
 	int hold_ms;	    /* longest reservation at a decode endpoint; 0: it takes none */
 	int handle_life_ms; /* how long a prefilled KV cache is kept */
 };
--- a/src/rows.h
+++ b/src/rows.h
@@ -19,6 +19,7 @@
 /* Owns its rows. */
 struct tlb_rows {
 	int64_t version; /* the newest of the store when it answered */
+	int64_t now_ms;	 /* the store's steady clock when it answered */
 	bool more;	 /* the listing goes on behind the last row */
 	int count;
 	struct tlb_stored_row *row;
--- a/src/vms.c
+++ b/src/vms.c
@@ -162,6 +162,20 @@
 	return (double)(heard + 1) / (neighbours + 1);
 }
 
+bool tlb_vms_is_first(const struct tlb_vms *v, tlb_time now)
+{
+	const struct tlb_vm *m;
+
+	if (!v->listening || v->leaving)
+		return false;
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		if (!m->leaving && now < m->known_at + TLB_VMS_FORGET / 3 &&
+		    strcmp(m->id, v->peers.self) < 0)
+			return false;
+	}
+	return true;
+}
+
 static void apply_share(struct tlb_vms *v, tlb_time now)
 {
 	struct tlb_quotas *q = &v->board->quotas;
--- a/src/vms.h
+++ b/src/vms.h
@@ -107,6 +107,9 @@
 /* All entries up to this version of the store are known here. */
 void tlb_vms_note_instances_known(struct tlb_vms *v, int64_t version);
 
+/* Whether this VM has the least id of those that it hears: one VM does what one VM is to do. Two
+ * may believe it; whatever they do must be claimed in the store as well. */
+bool tlb_vms_is_first(const struct tlb_vms *v, tlb_time now);
 /* How often each VM states itself. */
 tlb_time tlb_vms_interval(const struct tlb_vms *v);
 /* VMs of the fleet, this one included; at least 1. */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -412,6 +412,68 @@
         equal(late_answer(vm, 5300), 200, "status of a less patient one")
 
 
+def role_config():
+    """A configuration whose engines change their role within 0.5 s."""
+    c = config(3)
+    c["services"][1]["engine"]["stageSwitchS"] = 0.5
+    return c
+
+
+def start_with_full_decodes(w):
+    """Decode engines that are full beside idle prefill engines."""
+    for d in w.decodes:
+        d.load = {"running": 8, "kvUsed": 900}
+    w.start(role_config())
+    for vm in w.vms:
+        equal(late_answer(vm, 6000), 200, "status")
+
+
+def orders_of(w):
+    return [(e.name, o) for e in w.prefills + w.decodes for o in e.orders]
+
+
+def check_idle_prefill_engine_becomes_a_decode_engine():
+    """Engines must not idle in one role while the other one is full; one VM gives each order."""
+    with World(vms=2, prefills=3) as w:
+        start_with_full_decodes(w)
+        wait(lambda: len(orders_of(w)) == 1, "an order", 8)
+        time.sleep(1.5)
+        equal(len(orders_of(w)), 1, "orders: two prefill engines stay")
+        name, order = orders_of(w)[0]
+        equal((order["op"], order["stage"], order["instance"]), ("stage", "decode", name), "order")
+        assert order["fence"] > 0 and order["holder"] == "vm-0", order
+
+
+def check_claimed_roles_are_left_alone():
+    """No second VM may give orders while another one's claim in the store stands."""
+    with World(prefills=3) as w:
+        w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
+        start_with_full_decodes(w)
+        wait(lambda: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
+        equal(orders_of(w), [], "orders")
+
+
+def check_unanswered_order_is_not_repeated():
+    """An order without an answer may be carried out later: the engine gets no second one."""
+    with World(prefills=3) as w:
+        for e in w.prefills:
+            e.mute = True
+        start_with_full_decodes(w)
+        wait(lambda: len(orders_of(w)) == 1, "an order", 8)
+        time.sleep(2)
+        equal(len(orders_of(w)), 1, "orders")
+
+
+def check_refusing_prefill_engine_is_left_out():
+    """An engine whose role is being changed refuses for seconds; it is not asked each time."""
+    with World(prefills=2) as w:
+        w.start(role_config())
+        w.prefills[0].plan = lambda h: h.reply(503, headers=[("X-Not-Executed", "1")]) or True
+        for _ in range(6):
+            equal(late_answer(w.vms[0], 6000), 200, "status")
+        assert len(w.prefills[0].seen) <= 2, f"asked {len(w.prefills[0].seen)} times"
+
+
 def check_stream_goes_on_where_its_prompt_is():
     """A stream whose connection broke while its endpoint lives must not have its prompt prefilled
     again: the endpoint still has it."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -169,6 +169,9 @@
         self.room = True
         self.free_tokens = None  # a reservation over this is refused; None: there is no limit
         self.reserved = []  # tokens of the reservations granted
+        self.load = {}  # of the load report
+        self.orders = []
+        self.mute = False  # orders get no answer
         self.seen = []
         self.holds = 0
         self.released = []
@@ -192,10 +195,18 @@
     pause = 0.0
 
     def do_GET(self):
-        self.run()
+        if self.path == "/report":
+            report = {"stage": self.endpoint.stage, "running": 0, "waiting": 0, "kvUsed": 0,
+                      "kvTotal": 1000}
+            return self.reply(200, dict(report, **self.endpoint.load))
+        return self.run()
 
     def do_POST(self):
         e = self.endpoint
+        if self.path == "/order":
+            e.orders.append(dict(json.loads(self.body()),
+                                 instance=self.headers.get("X-Target-Instance")))
+            return self.cut() if e.mute else self.reply(202)
         if self.path == "/hold-take":
             tokens = json.loads(self.body())["tokens"]
             e.holds += 1
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -14,7 +14,8 @@
 #define TEST_WAIT (3 * TLB_SECOND)
 #define CALL_WAIT (2 * TLB_SECOND)
 
-static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
+static const char answer[] =
+	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
 
 struct pair {
 	struct tlb_http http;
