Let long outputs leave room for usual ones at a peak

Change: a request asks for as much room beside its own as its output is longer than the usual one. Prompts do not count, so that large prompts are served as before.

--- a/src/generation.c
+++ b/src/generation.c
@@ -42,6 +42,8 @@
 /* Callers' estimates of their output are right at the median; the margin covers most of those that
  * are too low. */
 #define ESTIMATE_MARGIN 1.8
+/* The usual output is that of the last tens of requests. */
+#define OUTPUT_SMOOTHING 0.05
 #define EVENT_MAX (1 << 20)
 
 /* How urgent a request is to an engine, 0 to 9; 5 is an engine's default. */
@@ -508,25 +510,33 @@
 	tlb_timer_set(p->board->loop, &p->timer, p->full_until);
 }
 
-/* Memory to reserve. A request that outgrows its reservation may be preempted and prefilled again,
- * which costs more than some memory that stays unused for seconds. */
-static int64_t reserved_tokens(const struct tlb_forward *f)
+/* Output to reserve memory for. A request that outgrows its reservation may be preempted and
+ * prefilled again, which costs more than some memory that stays unused for seconds. */
+static int64_t reserved_output(const struct tlb_forward *f)
 {
 	int64_t most = f->in.max_output_tokens;
 	int64_t output = (int64_t)((double)f->in.expected_output_tokens * ESTIMATE_MARGIN);
 
-	if (output <= 0 || output > most)
-		output = most;
-	return f->in.prompt_tokens + output;
+	return output > 0 && output < most ? output : most;
+}
+
+static int64_t reserved_tokens(const struct tlb_forward *f)
+{
+	return f->in.prompt_tokens + reserved_output(f);
 }
 
-/* Memory that stays free beside the reservation. A request that is late already leaves room for one
- * that can still be on time, which may wait at another VM. */
+/* Memory that must stay free beside the reservation, for requests at other VMs: a request that is
+ * late already leaves room for one that can still be on time, and a long output, which holds its
+ * memory longer, for a usual one. */
 static int64_t spare_tokens(const struct tlb_forward *f)
 {
-	bool late = f->gen.item.class == TLB_BATCH && !f->gen.streaming && f->runs == 0;
+	int64_t longer = reserved_output(f) - (int64_t)f->gen.pool->usual_output;
 
-	return late ? reserved_tokens(f) : 0;
+	if (f->gen.streaming || f->runs > 0)
+		return 0;
+	if (f->gen.item.class == TLB_BATCH)
+		return reserved_tokens(f);
+	return longer > 0 ? longer : 0;
 }
 
 static void begin(struct tlb_forward *f)
@@ -725,6 +735,13 @@
 	return p;
 }
 
+static void note_output(struct tlb_generation_pool *p, double output)
+{
+	if (p->usual_output == 0)
+		p->usual_output = output;
+	p->usual_output += OUTPUT_SMOOTHING * (output - p->usual_output);
+}
+
 void tlb_generation_start(struct tlb_forward *f)
 {
 	struct tlb_generation_pool *p = pool_of(&f->board->generations, f);
@@ -739,6 +756,8 @@
 	if (f->in.deadline != TLB_NEVER &&
 	    f->in.deadline - f->exchange->arrived > p->usual_patience)
 		p->usual_patience = f->in.deadline - f->exchange->arrived;
+	if (is_first_try(f))
+		note_output(p, (double)reserved_output(f));
 	tlb_counter_add(&f->board->counters, TLB_COUNTER_PREFILLS, 1);
 	tlb_log_info("event=queue request=%s attempt=%s account=%s prompt=%lld output=%lld "
 		     "expected=%lld waiting=%d window=%.1f in_window=%d prefill_ms=%lld",
--- a/src/generation.h
+++ b/src/generation.h
@@ -41,6 +41,7 @@
 	tlb_time full_until;	 /* no decode endpoint had room a moment ago */
 	struct tlb_timer timer;	 /* the next request whose class or wait ends */
 	tlb_time usual_patience; /* longest time that callers gave a request at its first try */
+	double usual_output;	 /* mean of the outputs that memory is reserved for, in tokens */
 	int64_t prefill_us;	 /* smoothed time of a prefill, hand-over included */
 };
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -376,9 +376,9 @@
         equal(len(w.prefills[0].seen), 0, "prefills")
 
 
-def late_answer(vm, deadline_ms):
+def late_answer(vm, deadline_ms, **more):
     """Status of a request whose caller has that much time left."""
-    headers = dict(GEN, **{"X-Deadline-Ms": str(deadline_ms)})
+    headers = dict(GEN, **{"X-Deadline-Ms": str(deadline_ms)}, **more)
     r = vm.send("/gen/1", "POST", b"prompt", headers=headers)
     r.read()
     return r.status
@@ -402,6 +402,22 @@
         wait(lambda: sum(len(d.released) for d in w.decodes) == 1, "the larger one is given back")
 
 
+def check_long_output_leaves_room():
+    """At a peak a long output must not take the room of several usual ones, which end sooner."""
+    with World() as w:
+        vm = w.start()
+        usual = {"X-Length-Hint": "10"}  # 18 tokens with the margin
+        long = {"X-Length-Hint": "25"}  # 45
+        equal(late_answer(vm, 6000, **usual), 200, "status of a usual one")
+        for d in w.decodes:
+            d.free_tokens = 150  # of them the prompt has 100
+        equal(late_answer(vm, 6000, **usual), 200, "status of a usual one, little room")
+        equal(late_answer(vm, 6000, **long), 503, "status of a long one, little room")
+        for d in w.decodes:
+            d.free_tokens = 200
+        equal(late_answer(vm, 6000, **long), 200, "status of a long one, more room")
+
+
 def check_less_patient_first_try_is_on_time():
     """Callers differ in the time that they give; a shorter one is no sign of an earlier try."""
     with World() as w:
