--- a/src/generation.c
+++ b/src/generation.c
@@ -484,6 +484,7 @@
 	struct tlb_instance *i;
 
 	p.tokens = f->in.prompt_tokens;
+	p.decode_zone = f->gen.room.at->row.zone;
 	i = tlb_instances_for_prefill(&f->board->instances, &p);
 	if (!i) {
 		count_prefill(f, f->gen.room.at);
--- a/src/instance.c
+++ b/src/instance.c
@@ -268,6 +268,7 @@
 struct tlb_instance *tlb_instances_for_prefill(struct tlb_instances *s, const struct tlb_placing *p)
 {
 	struct tlb_place_request r = place_request(p);
+	struct tlb_candidate decode = {.zone = p->decode_zone};
 	struct tlb_placement pl;
 
 	if (p->info && p->info->kv_bytes_per_token > 0)
@@ -275,7 +276,9 @@
 	weigh_prefills(s, p, false);
 	if (s->count == 0)
 		weigh_prefills(s, p, true);
-	pl = tlb_place_prefill(&s->place, &r, NULL, s->candidate, s->count);
+	decode.link_mbps = p->info ? p->info->link_mbps : 0;
+	pl = tlb_place_prefill(&s->place, &r, p->decode_zone ? &decode : NULL, s->candidate,
+			       s->count);
 	return chosen(s, &pl);
 }
 
--- a/src/instance.h
+++ b/src/instance.h
@@ -93,6 +93,7 @@
 	const char *service;
 	const struct tlb_service_info *info; /* NULL when not known */
 	int64_t tokens;			     /* prompt tokens to prefill; 0 for plain calls */
+	const char *decode_zone;	     /* where a prefill is decoded; NULL when not known */
 	const struct tlb_tried *tried;	     /* left out while others are left */
 	tlb_time now;
 };
--- a/src/place.c
+++ b/src/place.c
@@ -246,7 +246,8 @@
 static struct tlb_placement take_cheaper(struct tlb_place *p, const struct tlb_place_request *r,
 					 const struct tlb_candidate *decode,
 					 const struct tlb_candidate *c, const struct draw *d,
-					 cost_fn *cost, int favourite)
+					 cost_fn *cost, int favourite,
+					 enum tlb_place_reason favoured)
 {
 	struct tlb_placement pl = nothing(d);
 	int first;
@@ -262,9 +263,9 @@
 		weigh(&pl, i, cost(p, r, decode, &c[i]), TLB_PLACE_CHEAPER);
 	}
 	if (favourite >= 0) {
-		weigh(&pl, favourite, cost(p, r, decode, &c[favourite]), TLB_PLACE_CACHED);
+		weigh(&pl, favourite, cost(p, r, decode, &c[favourite]), favoured);
 		if (pl.chosen == favourite)
-			pl.reason = TLB_PLACE_CACHED;
+			pl.reason = favoured;
 	}
 	pl.weighed = d->count;
 	pl.reason = reason_of(d, pl.reason);
@@ -313,7 +314,7 @@
 		break;
 	}
 	filter(&d, r, c, count, has_room);
-	return take_cheaper(p, r, NULL, c, &d, decode_cost, -1);
+	return take_cheaper(p, r, NULL, c, &d, decode_cost, -1, TLB_PLACE_CHEAPER);
 }
 
 static double speed_of(const struct tlb_candidate *c)
@@ -370,11 +371,35 @@
 	return best;
 }
 
+/* The cheapest candidate in the zone of the decode endpoint, or -1. Two drawn at random of many are
+ * seldom there, and its zone saves the KV cache's way between zones. */
+static int best_beside(const struct tlb_place *p, const struct tlb_place_request *r,
+		       const struct tlb_candidate *decode, const struct draw *d,
+		       const struct tlb_candidate *c)
+{
+	double least = 0;
+	double cost;
+	int best = -1;
+	int i;
+
+	for (i = 0; decode && i < d->count; i++) {
+		if (strcmp(c[d->index[i]].zone, decode->zone) != 0)
+			continue;
+		cost = prefill_cost(p, r, decode, &c[d->index[i]]);
+		if (best >= 0 && cost >= least)
+			continue;
+		best = d->index[i];
+		least = cost;
+	}
+	return best;
+}
+
 struct tlb_placement tlb_place_prefill(struct tlb_place *p, const struct tlb_place_request *r,
 				       const struct tlb_candidate *decode,
 				       const struct tlb_candidate *c, int count)
 {
 	struct draw d;
+	int favourite;
 
 	filter(&d, r, c, count, any_room);
 	switch (p->policy) {
@@ -385,7 +410,11 @@
 	case TLB_POLICY_TOUCANLB:
 		break;
 	}
-	return take_cheaper(p, r, decode, c, &d, prefill_cost, best_cached(&d, c));
+	favourite = best_cached(&d, c);
+	if (favourite >= 0)
+		return take_cheaper(p, r, decode, c, &d, prefill_cost, favourite, TLB_PLACE_CACHED);
+	favourite = best_beside(p, r, decode, &d, c);
+	return take_cheaper(p, r, decode, c, &d, prefill_cost, favourite, TLB_PLACE_BESIDE);
 }
 
 tlb_time tlb_place_prefill_time(const struct tlb_place *p, const struct tlb_place_request *r,
@@ -473,6 +502,8 @@
 		return "full";
 	case TLB_PLACE_ONLY:
 		return "only";
+	case TLB_PLACE_BESIDE:
+		return "beside";
 	case TLB_PLACE_CACHED:
 		return "cached";
 	case TLB_PLACE_CHEAPER:
--- a/src/place.h
+++ b/src/place.h
@@ -54,6 +54,7 @@
 	TLB_PLACE_NONE,	      /* no usable candidate */
 	TLB_PLACE_FULL,	      /* usable candidates, but none has room */
 	TLB_PLACE_ONLY,	      /* one candidate was left */
+	TLB_PLACE_BESIDE,     /* cheaper in the zone of the decode endpoint */
 	TLB_PLACE_CACHED,     /* cheaper because of its cached prefix */
 	TLB_PLACE_CHEAPER,    /* cheaper of two */
 	TLB_PLACE_TURN,	      /* round robin */
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -150,6 +150,33 @@
 }
 END_TEST
 
+/* A prefill beside its decode endpoint saves the KV cache's way between zones, until the queue
+ * there costs more. */
+static const struct {
+	int64_t queued;
+	bool wins;
+} beside_cases[] = {{0, true}, {50, true}, {20000, false}};
+
+START_TEST(prefill_goes_beside_its_decode_endpoint)
+{
+	const struct tlb_candidate decode = {.id = "d", .zone = "z9"};
+	struct tlb_place p;
+	struct tlb_placement pl;
+	char line[200];
+	int i;
+
+	tlb_place_init(&p, TLB_POLICY_TOUCANLB, "z1", 1);
+	cand[5].zone = "z9";
+	cand[5].queued_tokens = beside_cases[_i].queued;
+	for (i = 0; i < DRAWS / COUNT; i++) {
+		pl = tlb_place_prefill(&p, &request, &decode, cand, COUNT);
+		ck_assert_int_eq(pl.chosen == 5, beside_cases[_i].wins);
+	}
+	tlb_place_describe(&pl, cand, line, sizeof(line));
+	ck_assert_int_eq(strstr(line, "reason=beside") != NULL, beside_cases[_i].wins);
+}
+END_TEST
+
 START_TEST(full_and_none_are_told_apart)
 {
 	struct tlb_place p;
@@ -308,6 +335,7 @@
 	tcase_add_test(tc, joining_endpoint_starts_slowly);
 	tcase_add_test(tc, ejection_never_empties_the_pool);
 	tcase_add_loop_test(tc, cached_prefix_is_weighed_against_the_queue, 0, ROWS(cached_cases));
+	tcase_add_loop_test(tc, prefill_goes_beside_its_decode_endpoint, 0, ROWS(beside_cases));
 	tcase_add_test(tc, full_and_none_are_told_apart);
 	tcase_add_test(tc, failing_and_slow_engines_are_ejected);
 	tcase_add_loop_test(tc, retry_depends_on_step_time_and_attempt, 0, ROWS(retry_cases));
