Wait for the takeover of a lost owner's book before an interactive request is refused

Ruled out: places that were lost; they were free as soon as the book had an owner. Change: such a request waits on, in steps of 250 ms and up to 6 s, while a book that could place it has no owner or a silent one.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -15,6 +15,8 @@
 #define WITNESS_LOST (10 * TLB_SECOND)
 /* Longest wait for a proposed set of witnesses to grant. */
 #define PROPOSAL_TIMEOUT (5 * TLB_SECOND)
+/* An owner that has missed two heartbeats, which come once a second, is probably lost. */
+#define OWNER_SILENT (2200 * TLB_MS)
 /* A heartbeat this late means that the process was paused. */
 #define PAUSE_MIN (2 * TLB_SECOND)
 
@@ -162,6 +164,23 @@
 	return TLB_OWNER_PEER;
 }
 
+bool tlb_cluster_owner_lost(const struct tlb_cluster *c, const char *id)
+{
+	const struct tlb_peer *peer;
+	char vm[TLB_ID_LEN];
+
+	switch (tlb_cluster_owner(c, id, vm)) {
+	case TLB_OWNER_SELF:
+		return false;
+	case TLB_OWNER_NONE:
+		return true;
+	case TLB_OWNER_PEER:
+		break;
+	}
+	peer = tlb_peers_find(&c->peers, vm);
+	return !tlb_peer_is_up(peer) || tlb_clock_now() > peer->heard + OWNER_SILENT;
+}
+
 const struct tlb_shard_entry *tlb_cluster_entry(const struct tlb_cluster *c, const char *id)
 {
 	return &c->map.entry[tlb_shard_of(id)];
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -171,6 +171,9 @@
 tlb_shard_set tlb_cluster_shards(const struct tlb_cluster *c);
 /* Who accounts for an id. For TLB_OWNER_PEER vm is the owner; otherwise "". */
 enum tlb_owner tlb_cluster_owner(const struct tlb_cluster *c, const char *id, char vm[TLB_ID_LEN]);
+/* Whether nobody accounts for an id at present: it has no owner, or its owner has fallen silent and
+ * is replaced unless it is heard again. */
+bool tlb_cluster_owner_lost(const struct tlb_cluster *c, const char *id);
 /* The entry of the map in force for an id; "" where there is none. */
 const struct tlb_shard_entry *tlb_cluster_entry(const struct tlb_cluster *c, const char *id);
 /* The standby of an id that this VM owns by the map in force; false when there is none. */
--- a/src/request.c
+++ b/src/request.c
@@ -28,6 +28,11 @@
 /* An interactive request that has waited this long asks batch work to give way (docs/POLICY.md). */
 #define PREEMPT_AFTER (1 * TLB_SECOND)
 
+/* Longest wait beyond the settings' for a lost owner's book: a fence takes 3.7 s of silence, and
+ * the new owner reads the engine's book before it grants. */
+#define TAKEOVER_WAIT (6 * TLB_SECOND)
+#define TAKEOVER_CHECK (250 * TLB_MS)
+
 enum { PREEMPTIONS_MAX = 2, CLAIM_SHARE = 6, TEXT_MAX = 16 << 20 /* bytes of one answer */ };
 
 enum { ATTEMPTS_MAX = 5, TRIED_MAX = 16, CANDIDATES_MAX = 256 };
@@ -58,6 +63,7 @@
 	int max_tokens;
 	tlb_time arrived;
 	enum step step;
+	tlb_time takeover_deadline; /* waits no longer for a lost owner's book */
 	struct tlb_reservation reservation;
 	bool dispatched; /* a byte may have reached an engine */
 	struct tlb_hold hold;
@@ -262,10 +268,57 @@
 	return (struct tlb_request *)((char *)w - offsetof(struct tlb_request, wait));
 }
 
+/* The caller's deadline on the loop's clock. */
+static tlb_time caller_deadline(const struct tlb_request *r)
+{
+	if (!r->completion.deadline_ms)
+		return TLB_NEVER;
+	return tlb_clock_now() + (r->completion.deadline_ms - tlb_clock_wall_ms()) * TLB_MS;
+}
+
+static tlb_time min_time(tlb_time a, tlb_time b)
+{
+	return a < b ? a : b;
+}
+
+/* Whether the book of an engine that could take the request has no owner for now. */
+static bool is_book_lost(const struct tlb_request *r)
+{
+	const struct tlb_target *t;
+
+	if (!r->board->cluster)
+		return false;
+	APR_RING_FOREACH (t, &r->board->load.targets, tlb_target, link) {
+		if (t->role == TLB_ROLE_DECODE && strcmp(t->pool, r->pool) == 0 &&
+		    tlb_cluster_owner_lost(r->board->cluster, t->id))
+			return true;
+	}
+	return false;
+}
+
+/* Waits on while a lost owner's book is taken over: its engine's places can't be booked until then,
+ * but will be. */
+static bool await_takeover(struct tlb_request *r)
+{
+	tlb_time now = tlb_clock_now();
+
+	if (r->completion.class != TLB_INTERACTIVE || now >= r->takeover_deadline ||
+	    now >= caller_deadline(r) || !is_book_lost(r))
+		return false;
+	tlb_log_info("event=takeover_awaited request=%s pool=%s left_ms=%lld", r->id, r->pool,
+		     (long long)((r->takeover_deadline - now) / TLB_MS));
+	r->wait.item.expires =
+		min_time(now + TAKEOVER_CHECK, min_time(r->takeover_deadline, caller_deadline(r)));
+	tlb_pool_push(&r->board->pools, r->pool, r->account, &r->wait);
+	return true;
+}
+
 static void on_expire(struct tlb_wait *w)
 {
 	struct tlb_request *r = request_of(w);
 
+	if (await_takeover(r))
+		return;
 	if (r->completion.deadline_ms && tlb_clock_wall_ms() >= r->completion.deadline_ms)
 		fail_with(r, TLB_EXPIRED, "", "the request's deadline has passed");
 	else if (r->dispatched)
@@ -282,19 +335,6 @@
 	place(r);
 }
 
-/* The caller's deadline on the loop's clock. */
-static tlb_time caller_deadline(const struct tlb_request *r)
-{
-	if (!r->completion.deadline_ms)
-		return TLB_NEVER;
-	return tlb_clock_now() + (r->completion.deadline_ms - tlb_clock_wall_ms()) * TLB_MS;
-}
-
-static tlb_time min_time(tlb_time a, tlb_time b)
-{
-	return a < b ? a : b;
-}
-
 static int pieces_needed(const struct tlb_request *r)
 {
 	return (r->prompt_tokens + r->max_tokens + r->piece_tokens - 1) / r->piece_tokens;
@@ -326,6 +366,7 @@
 	r->wait.item.tokens = r->prompt_tokens + r->max_tokens;
 	r->wait.item.latest_start = TLB_NEVER;
 	r->wait.item.expires = min_time(wait_until, caller_deadline(r));
+	r->takeover_deadline = wait_until == TLB_NEVER ? TLB_NEVER : wait_until + TAKEOVER_WAIT;
 	if (r->completion.class == TLB_BATCH && r->completion.deadline_ms)
 		r->wait.item.latest_start =
 			caller_deadline(r) - BATCH_URGENT -
