Set up the soak's endpoints by the stand-in's own fields

Ruled out: the daemon; its log shows room_failed, 'Server returned nothing', for every reservation. Change: fields are set by a method that both use.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -139,8 +139,8 @@
 
     def make(self, name, service, stage):
         e = edge_standin.Endpoint.__new__(edge_standin.Endpoint)
-        e.name, e.service, e.stage, e.slots = name, service, stage, 8
-        e.mode, e.room, e.holds, e.released, e.seen = "", True, 0, [], []
+        e.begin(name, service, stage)
+        e.mode = ""
         e.server, e.direct = edge_standin.serve(SoakEndpoint, endpoint=e, judge=self.judge)
         e.link = proxy.Proxy(e.direct)
         e.addr = e.link.addr
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -161,6 +161,11 @@
     returning True."""
 
     def __init__(self, name, service, stage=None, slots=8):
+        self.begin(name, service, stage, slots)
+        self.server, self.addr = serve(EndpointHandler, endpoint=self)
+
+    def begin(self, name, service, stage=None, slots=8):
+        """Sets all fields but the address, for users that serve it in their own way."""
         self.name = name
         self.service = service
         self.stage = stage
@@ -176,7 +181,6 @@
         self.holds = 0
         self.released = []
         self.broken_off = 0
-        self.server, self.addr = serve(EndpointHandler, endpoint=self)
 
     def entry(self, state="ready"):
         row = {"service": self.service, "address": self.addr, "zone": "z1", "version": "v1",
