--- a/soak/soak.py
+++ b/soak/soak.py
@@ -8,6 +8,7 @@
 A line ends each seed: "seed=N ok" or "seed=N FAILED: ..."; the directory of a failed one is kept."""
 import argparse
 import http.client
+import json
 import os
 import random
 import shutil
@@ -29,6 +30,8 @@
 CALLERS = 6
 WITHDRAWN = "a-key-that-is-withdrawn"
 EVENTS = 6
+SWITCH_SECONDS = 0.3      # an engine changes its role
+LEASE_SECONDS = 3.0       # within which an engine has one holder
 
 
 class Judge:
@@ -37,6 +40,7 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.runs = {}
+        self.orders = {}  # by engine: time, holder and fence of each
         self.answers = {}
         self.faults = []
 
@@ -63,6 +67,18 @@
                 self.faults.append(f"{kind} {attempt} ran")
 
 
+    def ordered(self, engine, holder, fence):
+        """An engine's orders come with growing fences, and from one VM within a lease."""
+        with self.lock:
+            now = time.monotonic()
+            for at, other, older in self.orders.get(engine, []):
+                if fence <= older:
+                    self.faults.append(f"{engine}: fence {fence} after {older}")
+                if other != holder and now < at + LEASE_SECONDS:
+                    self.faults.append(f"{engine}: orders from {other} and {holder}")
+            self.orders.setdefault(engine, []).append((now, holder, fence))
+
+
 def stream_text(attempt):
     return "".join(f"id: {n}\ndata: {attempt} {n}\n\n" for n in range(1, EVENTS + 1))
 
@@ -99,6 +115,19 @@
         time.sleep(0.005)
         return self.answer(200, f"done {attempt}".encode())
 
+    def do_POST(self):
+        return self.order() if self.path == "/order" else super().do_POST()
+
+    def order(self):
+        """Takes an order for another role; one whose answer is lost is carried out all the same."""
+        e = self.endpoint
+        order = json.loads(self.body())
+        if self.headers.get("X-Target-Instance") != e.name:
+            return self.reply(421)
+        self.judge.ordered(e.name, order["holder"], order["fence"])
+        threading.Timer(SWITCH_SECONDS, e.take_role, (order["stage"],)).start()
+        return self.cut() if e.mode in ("mute", "lose") else self.reply(202)
+
     def generate(self, attempt):
         cut_at = EVENTS // 2 if self.endpoint.mode == "cut" else None
         try:
@@ -127,7 +156,7 @@
         self.restarting = threading.Lock()
         self.store = edge_standin.Store()
         self.endpoints = [self.make(f"shop-{n}", "shop", None) for n in range(3)]
-        self.endpoints += [self.make(f"pre-{n}", "llm", "prefill") for n in range(2)]
+        self.endpoints += [self.make(f"pre-{n}", "llm", "prefill") for n in range(3)]
         self.endpoints += [self.make(f"dec-{n}", "llm", "decode") for n in range(3)]
         for e in self.endpoints:
             self.announce(e)
@@ -141,11 +170,16 @@
         e = edge_standin.Endpoint.__new__(edge_standin.Endpoint)
         e.begin(name, service, stage)
         e.mode = ""
+        e.take_role = lambda role: self.take_role(e, role)
         e.server, e.direct = edge_standin.serve(SoakEndpoint, endpoint=e, judge=self.judge)
         e.link = proxy.Proxy(e.direct)
         e.addr = e.link.addr
         return e
 
+    def take_role(self, e, role):
+        e.stage = role
+        self.announce(e)
+
     def announce(self, e, state="ready"):
         self.store.put("servers", e.name, e.entry(state))
 
@@ -154,7 +188,9 @@
         self.version += self.rnd.randint(1, 3)
         tenant = {"name": "acct", "apiKeys": keys, "unit": "token_count", "plainTokens": 1,
                   "ratePerS": 0, "burst": 0}
-        self.store.put("op", "config", edge.config(self.version, tenants=[tenant]))
+        config = edge.config(self.version, tenants=[tenant])
+        config["services"][1]["engine"]["stageSwitchS"] = SWITCH_SECONDS
+        self.store.put("op", "config", config)
 
     def restart(self, n, old):
         """Starts a VM again whose process has ended; only once for each process."""
@@ -195,7 +231,8 @@
     def draw(self):
         kinds = [self.freeze, self.kill, self.terminate, self.close_door, self.store_down,
                  self.link_fault, self.link_fault, self.reset_links, self.endpoint_fault,
-                 self.endpoint_fault, self.leave, self.lapse, self.change, self.forget, self.hup]
+                 self.endpoint_fault, self.leave, self.lapse, self.change, self.forget, self.hup,
+                 self.crowd, self.crowd]
         self.rnd.choice(kinds)()
 
     def step(self):
@@ -299,6 +336,17 @@
             s.log.clear()
         self.begin("forget", 0, lambda: None)
 
+    def crowd(self):
+        """Load reports that ask for another role of an engine, one way or the other."""
+        full = self.rnd.choice(["prefill", "decode"])
+        for e in self.fleet.endpoints:
+            e.load = {"running": 8, "kvUsed": 900} if e.stage == full else {}
+        self.begin(f"crowd-{full}", self.rnd.uniform(2, 5), self.calm)
+
+    def calm(self):
+        for e in self.fleet.endpoints:
+            e.load = {}
+
     def hup(self):
         process = self.fleet.vms[self.pick_vm()].process
         if process.poll() is None:
@@ -441,8 +489,8 @@
             print(f"seed={seed} FAILED: {'; '.join(judge.faults[:6])}\n  faults: "
                   f"{' '.join(faults.log)}\n  logs: {directory}", flush=True)
         else:
-            print(f"seed={seed} ok answers={len(judge.answers)} faults={len(faults.log)}",
-                  flush=True)
+            print(f"seed={seed} ok answers={len(judge.answers)} faults={len(faults.log)} "
+                  f"orders={sum(len(o) for o in judge.orders.values())}", flush=True)
     print(f"soak: {len(seeds) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
