End a change of roles when an engine refuses its order

After a refused order (409, 400, 421) the same engine was chosen again, up to as many times as engines were to be changed. Change: a refusal ends the change. The load report's parser has cases in test_platform and a sample for the fuzzer; the order's body has a test. Figures: tests/edge.py refused_order_ends_the_change failed first, passes now.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -134,6 +134,7 @@
 {
 	char *head = strndup(data, len);
 	struct tlb_outcome_info info;
+	struct tlb_load_report report;
 	char handle[TLB_HANDLE_LEN];
 
 	if (!head)
@@ -142,6 +143,7 @@
 	free(tlb_platform_forwarded_head(head));
 	tlb_platform_handle(data, len, handle);
 	tlb_platform_hold(data, len, handle);
+	tlb_platform_load_report(data, len, &report);
 	free(head);
 }
 
--- a/src/http.h
+++ b/src/http.h
@@ -97,7 +97,8 @@
 int tlb_http_init(struct tlb_http *h, struct tlb_loop *l);
 void tlb_http_finish(struct tlb_http *h);
 
-/* Starts a call; also from within on_data of another one. Returns TLB_OK, or TLB_INTERNAL without memory. */
+/* Starts a call; also from within on_data of another one. Returns TLB_OK, or TLB_INTERNAL without
+ * memory. */
 enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
 			     const struct tlb_http_spec *spec, struct tlb_error *err);
 /* Ends a call without on_done and closes its connection; harmless when idle. */
--- a/src/roles.c
+++ b/src/roles.c
@@ -28,6 +28,8 @@
 #define DECODE_FREE 0.35
 /* Engines of each role that stay, so that the loss of one leaves one. */
 enum { ROLE_LEAST = 2 };
+/* Engines changed in one go at most: each order needs a claim of its own. */
+enum { BATCH_MOST = 16 };
 
 static void read_next(struct tlb_roles *r);
 static void change_next(struct tlb_roles *r);
@@ -53,7 +55,7 @@
 		return -1;
 	if (l->decodes_filled < DECODE_FULL * l->decodes)
 		return 0;
-	while (moved < TLB_ROLES_BATCH && l->prefills - moved - 1 >= ROLE_LEAST &&
+	while (moved < BATCH_MOST && l->prefills - moved - 1 >= ROLE_LEAST &&
 	       prefill_load_after(l, moved + 1) <= PREFILL_LOAD_MOST)
 		moved++;
 	return moved;
@@ -77,8 +79,12 @@
 
 	tlb_log_info("event=role_ordered instance=%s role=%d status=%d reason=\"%s\"", r->instance,
 		     (int)r->role, res->status, res->reason);
+	if (res->status != 0 && res->status != 200 && res->status != 202) {
+		stop(r, "the engine refused the order");
+		return;
+	}
 	/* Without an answer the order may have been accepted, or may be carried out later. */
-	if (i && (res->status == 202 || res->status == 0))
+	if (i && res->status != 200)
 		i->switching_until = tlb_clock_now() + r->switch_ms * TLB_MS;
 	r->wanted--;
 	change_next(r);
--- a/src/roles.h
+++ b/src/roles.h
@@ -37,8 +37,6 @@
 	double decodes_filled; /* engines' worth of memory in use, or of slots where that is more */
 };
 
-enum { TLB_ROLES_BATCH = 16 };
-
 /* How many prefill engines should decode instead; negative: decode engines that should prefill. */
 int tlb_roles_surplus(const struct tlb_role_load *load);
 
@@ -57,9 +55,9 @@
 	enum tlb_roles_step step;
 	char service[TLB_NAME_LEN];
 	char next[TLB_INSTANCE_ID_LEN]; /* the engine whose report is read */
-	struct tlb_role_load round;	/* sums of the round under way */
+	struct tlb_role_load round;	/* sums of the reports read so far */
 	struct tlb_role_load smoothed;
-	int rounds; /* that smoothed covers */
+	int rounds; /* of reports since the last change */
 	int64_t claim_version;
 	int64_t now_ms;	    /* the store's clock when the claim was read */
 	int wanted;	    /* engines still to be changed */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -473,13 +473,23 @@
     """An order without an answer may be carried out later: the engine gets no second one."""
     with World(prefills=3) as w:
         for e in w.prefills:
-            e.mute = True
+            e.order_status = None
         start_with_full_decodes(w)
         wait(lambda: len(orders_of(w)) == 1, "an order", 8)
         time.sleep(2)
         equal(len(orders_of(w)), 1, "orders")
 
 
+def check_refused_order_ends_the_change():
+    """An engine that refuses an order must not be asked again at once, nor the next ones."""
+    with World(prefills=5) as w:
+        for e in w.prefills:
+            e.order_status = 409
+        start_with_full_decodes(w)
+        wait(lambda: w.vms[0].events("role_change_given_up"), "the change is given up", 8)
+        equal(len(orders_of(w)), 1, "orders")
+
+
 def check_refusing_prefill_engine_is_left_out():
     """An engine whose role is being changed refuses for seconds; it is not asked each time."""
     with World(prefills=2) as w:
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -176,7 +176,7 @@
         self.reserved = []  # tokens of the reservations granted
         self.load = {}  # of the load report
         self.orders = []
-        self.mute = False  # orders get no answer
+        self.order_status = 202  # None: orders get no answer
         self.seen = []
         self.holds = 0
         self.released = []
@@ -210,7 +210,7 @@
         if self.path == "/order":
             e.orders.append(dict(json.loads(self.body()),
                                  instance=self.headers.get("X-Target-Instance")))
-            return self.cut() if e.mute else self.reply(202)
+            return self.reply(e.order_status) if e.order_status else self.cut()
         if self.path == "/hold-take":
             tokens = json.loads(self.body())["tokens"]
             e.holds += 1
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -183,6 +183,48 @@
 }
 END_TEST
 
+/* A report that leaves out or spoils what the split of roles rests on must not count as an idle
+ * engine. */
+static const struct {
+	const char *body;
+	bool usable;
+} reports[] = {
+	{"{\"running\":12,\"waiting\":1,\"kvUsed\":41000,\"kvTotal\":90000}", true},
+	{"{\"running\":12,\"kvUsed\":41000,\"kvTotal\":90000}", true},
+	{"{\"running\":12,\"kvTotal\":90000}", false},
+	{"{\"running\":\"12\",\"kvUsed\":41000,\"kvTotal\":90000}", false},
+	{"[]", false},
+	{"nonsense", false},
+};
+
+START_TEST(test_load_report)
+{
+	struct tlb_load_report report;
+	const char *body = reports[_i].body;
+
+	ck_assert_int_eq(tlb_platform_load_report(body, strlen(body), &report), reports[_i].usable);
+	if (!reports[_i].usable)
+		return;
+	ck_assert_int_eq(report.running, 12);
+	ck_assert_int_eq(report.kv_used, 41000);
+	ck_assert_int_eq(report.kv_total, 90000);
+}
+END_TEST
+
+START_TEST(test_role_order)
+{
+	char *text = tlb_platform_role_order(TLB_ROLE_DECODE, "vm-1", 41);
+	json_t *j = json_loads(text, 0, NULL);
+
+	ck_assert_str_eq(json_string_value(json_object_get(j, "op")), "stage");
+	ck_assert_str_eq(json_string_value(json_object_get(j, "stage")), "decode");
+	ck_assert_str_eq(json_string_value(json_object_get(j, "holder")), "vm-1");
+	ck_assert_int_eq(json_integer_value(json_object_get(j, "fence")), 41);
+	json_decref(j);
+	free(text);
+}
+END_TEST
+
 START_TEST(test_write_body)
 {
 	char *text = tlb_platform_write_body("t", "k", 0, "abc", 3);
@@ -228,6 +270,8 @@
 	tcase_add_test(t, test_outcomes);
 	tcase_add_test(t, test_forwarded_head);
 	tcase_add_test(t, test_handles);
+	tcase_add_loop_test(t, test_load_report, 0, sizeof(reports) / sizeof(reports[0]));
+	tcase_add_test(t, test_role_order);
 	tcase_add_test(t, test_write_body);
 	tcase_add_test(t, test_targets_are_escaped);
 	suite_add_tcase(s, t);
