Free the headers of an HTTP call that fails to start in one place

A call that libcurl refused freed its headers, and forward freed them again; roles did not free them when there was no memory for the call. Change: tlb_http_start() takes the headers over also when it fails.

--- a/src/forward.c
+++ b/src/forward.c
@@ -274,7 +274,6 @@
 	if (tlb_http_start(f->board->http, &f->call, &spec, &err) == TLB_OK)
 		return;
 	tlb_log_error("event=send_failed request=%s reason=\"%s\"", x->id, err.message);
-	curl_slist_free_all(spec.headers);
 	let_go(f);
 	tlb_forward_fail(f, err.message);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -407,9 +407,11 @@
 	c->spec = *spec;
 	c->own_headers = spec->headers != NULL;
 	c->easy = take_handle(h);
-	if (!c->easy)
+	if (!c->easy) {
+		curl_slist_free_all(spec->headers);
 		return tlb_error_set(err, TLB_INTERNAL, TLB_NOT_RUN, "http", spec->url,
 				     "no memory for an HTTP call");
+	}
 	set_headers(c, spec);
 	set_options(c, spec);
 	/* Only valid during this call; the copies live in libcurl. */
--- a/src/http.h
+++ b/src/http.h
@@ -60,8 +60,8 @@
 	size_t body_len;
 	const char *content_type;    /* NULL for "application/json" when there is a body */
 	const char *idempotency_key; /* sent as that header; NULL for none */
-	/* The whole set of headers, taken over; the response's headers are then kept, too. NULL for
-	 * the standard set. */
+	/* The whole set of headers, taken over, also when the call fails to start; the response's
+	 * headers are then kept, too. NULL for the standard set. */
 	struct curl_slist *headers;
 	const char *target; /* request target as it stands in the request line; NULL: from url */
 	tlb_time connect_deadline; /* for the connection to stand; 0 for deadline */
