Log load reports that can't be read; call an endpoint in one place

A load report that did not come or could not be read left its engine out of the round without a log line, and a store that told no time would have made every claim look new or old. Three modules built the same call to an endpoint. Change: event role_report_unread; no claim without the store's time; tlb_instance_call() serves room, roles and release.

--- a/src/instance.c
+++ b/src/instance.c
@@ -1,5 +1,6 @@
 #include "instance.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 #define SPEED_DECAY 0.03
 /* Plain calls that a small service holds in its own queue, for each of its slots. */
 enum { CALLS_PER_SLOT = 4 };
+enum { TARGET_LEN = 256 };
 
 void tlb_instances_init(struct tlb_instances *s, const char *zone, uint64_t seed)
 {
@@ -27,6 +29,20 @@
 		free(i);
 }
 
+enum tlb_code tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
+				struct tlb_http_call *call, struct tlb_http_spec *spec,
+				const char *target, const char *body, struct tlb_error *err)
+{
+	char url[TLB_ADDR_LEN + TARGET_LEN];
+
+	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, target);
+	spec->url = url;
+	spec->body = body;
+	spec->body_len = body ? strlen(body) : 0;
+	spec->own_connection = true;
+	return tlb_http_start(http, call, spec, err);
+}
+
 static void drop(struct tlb_instance *i)
 {
 	APR_RING_REMOVE(i, link);
--- a/src/instance.h
+++ b/src/instance.h
@@ -8,6 +8,7 @@
 #include <apr_ring.h>
 #include <stdbool.h>
 
+#include "http.h"
 #include "place.h"
 #include "routing.h"
 
@@ -77,6 +78,11 @@
 
 void tlb_instance_hold(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
+/* Calls the instance on a connection of its own. spec has all but url; body NULL: none. Returns as
+ * tlb_http_start(). */
+enum tlb_code tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
+				struct tlb_http_call *call, struct tlb_http_spec *spec,
+				const char *target, const char *body, struct tlb_error *err);
 /* Whether new work may go there. */
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now);
 
--- a/src/release.c
+++ b/src/release.c
@@ -32,11 +32,8 @@
 void tlb_release_send(struct tlb_http *http, const struct tlb_instance *i, const char *target)
 {
 	struct release *r = calloc(1, sizeof(*r));
-	char url[512];
 	struct tlb_http_spec spec = {
 		.method = "DELETE",
-		.url = url,
-		.own_connection = true,
 		.deadline = tlb_clock_now() + RELEASE_WAIT,
 		.on_done = on_released,
 		.arg = r,
@@ -47,8 +44,7 @@
 		return;
 	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
 	snprintf(r->target, sizeof(r->target), "%s", target);
-	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, target);
-	if (tlb_http_start(http, &r->call, &spec, &err) == TLB_OK)
+	if (tlb_instance_call(i, http, &r->call, &spec, target, NULL, &err) == TLB_OK)
 		return;
 	log_failure(r, 0, err.message);
 	free(r);
--- a/src/roles.c
+++ b/src/roles.c
@@ -94,13 +94,8 @@
 {
 	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
 	char *body = tlb_platform_role_order(r->role, r->board->settings->vm_id, fence);
-	char url[160];
 	struct tlb_http_spec spec = {
 		.method = "POST",
-		.url = url,
-		.body = body,
-		.body_len = body ? strlen(body) : 0,
-		.own_connection = true,
 		.deadline = tlb_clock_now() + ORDER_WAIT,
 		.on_done = on_ordered,
 		.arg = r,
@@ -114,9 +109,9 @@
 	}
 	r->step = TLB_ROLES_ORDERING;
 	spec.headers = tlb_platform_order_headers(i->row.id);
-	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, tlb_platform_order_target());
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
-	if (tlb_http_start(r->board->http, &r->call, &spec, &err) != TLB_OK)
+	if (tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_order_target(), body,
+			      &err) != TLB_OK)
 		stop(r, err.message);
 	free(body);
 }
@@ -175,6 +170,10 @@
 	}
 	r->now_ms = rows->now_ms;
 	r->claim_version = 0;
+	if (r->now_ms <= 0) {
+		stop(r, "the store told no time, so that no claim can be judged");
+		return;
+	}
 	for (i = 0; i < rows->count; i++) {
 		if (strcmp(rows->row[i].key, r->service) != 0 || rows->row[i].removed)
 			continue;
@@ -274,13 +273,15 @@
 	const struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->next);
 	struct tlb_load_report p;
 
-	if (i && res->status == 200 && tlb_platform_load_report(res->body, res->body_len, &p)) {
-		r->round.prefills += i->row.role == TLB_ROLE_PREFILL;
-		r->round.decodes += i->row.role == TLB_ROLE_DECODE;
-		if (i->row.role == TLB_ROLE_PREFILL)
-			r->round.prefills_busy += p.running + p.waiting > 0;
-		else
-			r->round.decodes_filled += filled(&p, i->row.slots);
+	if (!i || res->status != 200 || !tlb_platform_load_report(res->body, res->body_len, &p)) {
+		tlb_log_info("event=role_report_unread instance=%s status=%d reason=\"%s\"",
+			     r->next, res->status, res->reason);
+	} else if (i->row.role == TLB_ROLE_PREFILL) {
+		r->round.prefills++;
+		r->round.prefills_busy += p.running + p.waiting > 0;
+	} else {
+		r->round.decodes++;
+		r->round.decodes_filled += filled(&p, i->row.slots);
 	}
 	read_next(r);
 }
@@ -305,11 +306,8 @@
 static void read_next(struct tlb_roles *r)
 {
 	const struct tlb_instance *i = following(r, r->next);
-	char url[160];
 	struct tlb_http_spec spec = {
 		.method = "GET",
-		.url = url,
-		.own_connection = true,
 		.deadline = tlb_clock_now() + REPORT_WAIT,
 		.on_done = on_report,
 		.arg = r,
@@ -321,8 +319,8 @@
 		return;
 	}
 	snprintf(r->next, sizeof(r->next), "%s", i->row.id);
-	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, tlb_platform_report_target());
-	if (tlb_http_start(r->board->http, &r->call, &spec, &err) != TLB_OK)
+	if (tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_report_target(),
+			      NULL, &err) != TLB_OK)
 		stop(r, err.message);
 }
 
--- a/src/room.c
+++ b/src/room.c
@@ -84,15 +84,10 @@
 
 static void ask(struct tlb_room *r)
 {
-	char url[160];
 	char *body = tlb_platform_hold_body(r->tokens + (r->probing ? r->spare : 0),
 					    r->placing.info->hold_ms);
 	struct tlb_http_spec spec = {
 		.method = "POST",
-		.url = url,
-		.body = body,
-		.body_len = body ? strlen(body) : 0,
-		.own_connection = true,
 		.deadline = tlb_clock_now() + ASK_WAIT,
 		.on_done = on_answer,
 		.arg = r,
@@ -100,8 +95,8 @@
 	struct tlb_error err;
 
 	r->state = TLB_ROOM_ASKING;
-	snprintf(url, sizeof(url), "http://%s%s", r->at->row.addr, tlb_platform_hold_target());
-	if (tlb_http_start(r->board->http, &r->call, &spec, &err) != TLB_OK) {
+	if (tlb_instance_call(r->at, r->board->http, &r->call, &spec, tlb_platform_hold_target(),
+			      body, &err) != TLB_OK) {
 		tlb_log_error("event=room_failed instance=%s reason=\"%s\"", r->at->row.id,
 			      err.message);
 		finish(r, false);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -460,6 +460,16 @@
         assert order["fence"] > 0 and order["holder"] == "vm-0", order
 
 
+def check_unread_load_report_is_logged():
+    """An engine without a usable load report must not count as idle, nor be left out unnoticed."""
+    with World(prefills=3) as w:
+        w.prefills[0].load = {"kvUsed": "many"}
+        start_with_full_decodes(w)
+        wait(lambda: w.vms[0].events("role_report_unread instance=pre-0"), "the log line", 8)
+        time.sleep(2.5)
+        equal(orders_of(w), [], "orders: two prefill engines that report stay")
+
+
 def check_claimed_roles_are_left_alone():
     """No second VM may give orders while another one's claim in the store stands."""
     with World(prefills=3) as w:
