Choose the neighbours of a VM in one pass over stored weights

Cause: every VM that was learned ranked all pairs anew, with a formatted string and a hash for each comparison: n cubed for a list of n VMs. Change: the weight is computed once, when the VM is added, and the lowest ones are found in one pass; the persistence of a link is set only when it changes. The selection is the same.

--- a/src/vms.c
+++ b/src/vms.c
@@ -45,22 +45,43 @@
 	return out;
 }
 
+/* Inserts m into the list of the VMs with the lowest weights, sorted by weight. */
+static int insert_lowest(struct tlb_vm **lowest, int count, struct tlb_vm *m)
+{
+	int i;
+
+	if (count == TLB_VMS_NEIGHBOURS && m->pair_weight >= lowest[count - 1]->pair_weight)
+		return count;
+	if (count < TLB_VMS_NEIGHBOURS)
+		count++;
+	for (i = count - 1; i > 0 && lowest[i - 1]->pair_weight > m->pair_weight; i--)
+		lowest[i] = lowest[i - 1];
+	lowest[i] = m;
+	return count;
+}
+
 /* The VMs with the lowest weights are neighbours, so the selection changes little when VMs join or
- * leave. */
+ * leave. Runs for every VM that is learned, so it makes a single pass over weights that were
+ * computed when the VMs were added. */
 static void choose_neighbours(struct tlb_vms *v)
 {
-	const char *self = v->peers.self;
+	struct tlb_vm *lowest[TLB_VMS_NEIGHBOURS];
 	struct tlb_vm *m;
-	struct tlb_vm *other;
-	int rank;
+	bool selected;
+	int count = 0;
+	int i;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		rank = 0;
-		APR_RING_FOREACH (other, &v->all, tlb_vm, link) {
-			rank += pair_weight(self, other->id) < pair_weight(self, m->id);
-		}
-		m->neighbour = rank < TLB_VMS_NEIGHBOURS;
-		tlb_peers_set_persistent(&v->peers, m->id, m->neighbour);
+		count = insert_lowest(lowest, count, m);
+	}
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		selected = false;
+		for (i = 0; i < count; i++)
+			selected |= lowest[i] == m;
+		if (m->neighbour == selected)
+			continue;
+		m->neighbour = selected;
+		tlb_peers_set_persistent(&v->peers, m->id, selected);
 	}
 }
 
@@ -79,6 +100,7 @@
 		if (!m)
 			return NULL;
 		strcpy(m->id, id);
+		m->pair_weight = pair_weight(v->peers.self, id);
 		m->last_seen_at = tlb_clock_now();
 		APR_RING_INSERT_TAIL(&v->all, m, tlb_vm, link);
 		tlb_log_info("event=vm_known vm=%s addr=%s", id, addr);
--- a/src/vms.h
+++ b/src/vms.h
@@ -51,6 +51,7 @@
 	char id[TLB_ID_LEN];
 	char addr[TLB_ADDR_LEN];
 	uint64_t incarnation;
+	uint64_t pair_weight; /* rendezvous hash of this pair of VMs; the lowest are neighbours */
 	bool leaving;
 	bool neighbour;
 	tlb_time last_report_at; /* last report from the VM itself; 0: never */
