--- a/src/counter.h
+++ b/src/counter.h
@@ -65,6 +65,14 @@
 	  "Orders that engines have refused for an old fencing number")                            \
 	X(STORE_CALLS, "toucanlb_store_calls_total", "counter",                                    \
 	  "Calls to the platform's store behind an adapter")                                       \
+	X(TABLES_FOLLOWING, "toucanlb_tables_following", "gauge",                                  \
+	  "1 while this VM reads the shared tables from the store")                                \
+	X(TABLES_AGE, "toucanlb_tables_age_ms", "gauge",                                           \
+	  "Time since the shared tables were known to be current")                                 \
+	X(CONFIG_ROWS_VERSION, "toucanlb_config_rows_version", "gauge",                            \
+	  "Store version up to which the configuration table is known")                            \
+	X(ENDPOINT_ROWS_VERSION, "toucanlb_endpoint_rows_version", "gauge",                        \
+	  "Store version up to which the endpoint table is known")                                 \
 	X(LOG_DROPPED, "toucanlb_log_dropped_total", "counter",                                    \
 	  "Log lines dropped because the reader of the log was too slow")                          \
 	X(HTTP_CALLS, "toucanlb_http_calls_total", "counter",                                      \
--- a/src/edge.c
+++ b/src/edge.c
@@ -10,7 +10,6 @@
 #include "log.h"
 #include "platform.h"
 
-/* Interval of log flushes and of the updates made with them, see on_log_timer(). */
 #define LOG_FLUSH_INTERVAL (100 * TLB_MS)
 #define DRAIN_CHECK_INTERVAL (50 * TLB_MS)
 /* How long new requests are still served after readiness was withdrawn. The load balancer checks
@@ -19,10 +18,6 @@
 /* The drain ends this long before the end of the platform's grace period, so that the last
  * responses are still sent. */
 #define DRAIN_MARGIN (700 * TLB_MS)
-/* Endpoints whose store entries expired while the store was not reachable stay in use for this long
- * after its return: live endpoints have renewed their entries by then. Must stay below the drain
- * bound of 2 s. */
-#define EXPIRED_ENTRY_GRACE (1900 * TLB_MS)
 /* Interval at which the settings file is checked for changes, which come without a signal. */
 #define SETTINGS_CHECK_INTERVAL (2 * TLB_SECOND)
 /* Added to the configured idle timeout of callers' connections, because callers reuse a connection
@@ -49,9 +44,8 @@
 
 	if (!r) {
 		tlb_counter_add(&b->counters, TLB_COUNTER_CONFIG_REFUSED, 1);
-		tlb_log_error(
-			"event=routing_refused source=%s in_force=%lld bytes=%zu reason=\"%s\"",
-			source, (long long)b->routing->version, len, err.message);
+		tlb_log_error("event=routing_refused in_force=%lld bytes=%zu reason=\"%s\"",
+			      (long long)b->routing->version, len, err.message);
 		return;
 	}
 	if (r->version <= b->routing->version) {
@@ -63,13 +57,11 @@
 	tlb_routing_release(b->routing);
 	b->routing = r;
 	tlb_counter_set(&b->counters, TLB_COUNTER_CONFIG_VERSION, r->version);
-	tlb_vms_set_document(&b->vms, text, len);
-	tlb_vms_on_config_applied(&b->vms);
 	tlb_quotas_configure(&b->quotas, r, tlb_clock_now());
 	apply_limits(e, &r->limits);
 }
 
-static void on_config_row(void *arg, const struct tlb_stored_row *row)
+static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
 {
 	struct tlb_edge *e = arg;
 
@@ -79,33 +71,34 @@
 		tlb_log_warn("event=routing_removed in_force=%lld",
 			     (long long)e->board.routing->version);
 	else
-		apply_config(e, row->value, row->len, "store");
+		apply_config(e, row->value, row->len, e->tables.table[TLB_TABLE_CONFIG].source);
 }
 
-/* A peer has sent its configuration. */
-static void on_peer_document(void *arg, const char *text, size_t len)
+static void ignore_event(void *arg)
 {
-	apply_config(arg, text, len, "peer");
 }
 
-static void ignore_event(void *arg)
+/* --- messages between VMs --- */
+
+static void fill_state(void *arg, Toucan__VmState *state)
 {
+	struct tlb_edge *e = arg;
+
+	tlb_tables_fill_state(&e->tables, state);
 }
 
-/* A peer has a newer configuration than this VM. */
-static void on_config_behind(void *arg)
+static void on_vm_state(void *arg, struct tlb_vm *vm, const Toucan__VmState *state)
 {
 	struct tlb_edge *e = arg;
 
-	tlb_watcher_refresh(&e->config_watcher);
+	tlb_tables_on_state(&e->tables, vm, state);
 }
 
-/* A peer has a newer version of the endpoint table than this VM. */
-static void on_instances_behind(void *arg)
+static void on_table_message(void *arg, const char *vm, const Toucan__Envelope *msg)
 {
 	struct tlb_edge *e = arg;
 
-	tlb_watcher_refresh(&e->instance_watcher);
+	tlb_tables_on_message(&e->tables, vm, msg);
 }
 
 static void on_quota_message(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg)
@@ -117,14 +110,6 @@
 
 /* --- endpoints --- */
 
-/* Until when an endpoint whose store entry is missing stays in use; 0: it is removed at once. */
-static tlb_time expired_entry_deadline(const struct tlb_edge *e)
-{
-	tlb_time until = e->instance_watcher.recovered_at + EXPIRED_ENTRY_GRACE;
-
-	return e->instance_watcher.recovered_at > 0 && until > tlb_clock_now() ? until : 0;
-}
-
 static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row)
 {
 	struct tlb_instance_row r;
@@ -142,35 +127,25 @@
 			     (long long)row->version);
 }
 
-static void on_instance_row(void *arg, const struct tlb_stored_row *row)
+static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
 {
 	struct tlb_edge *e = arg;
-	tlb_time until;
+	tlb_time now = tlb_clock_now();
 
-	tlb_vms_record_instance_version(&e->board.vms, row->version);
 	if (!row->removed) {
 		put_instance(e, row);
 		return;
 	}
-	until = expired_entry_deadline(e);
 	tlb_log_info("event=instance_gone instance=%.63s version=%lld use_ms=%lld", row->key,
 		     (long long)row->version,
-		     (long long)(until ? (until - tlb_clock_now()) / TLB_MS : 0));
-	tlb_instances_remove(&e->board.instances, row->key, until);
+		     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
+	tlb_instances_remove(&e->board.instances, row->key, use_deadline);
 }
 
-static void on_instances_listing(void *arg)
+static void on_instances_changed(void *arg)
 {
 	struct tlb_edge *e = arg;
 
-	tlb_instances_begin_listing(&e->board.instances);
-}
-
-static void on_instances_listed(void *arg)
-{
-	struct tlb_edge *e = arg;
-
-	tlb_instances_end_listing(&e->board.instances, expired_entry_deadline(e));
 	tlb_generations_dispatch(&e->board.generations);
 }
 
@@ -179,7 +154,7 @@
 bool tlb_edge_ready(const struct tlb_edge *e)
 {
 	return e->phase == TLB_EDGE_SERVING && e->board.routing->version > 0 &&
-	       e->instance_watcher.listed;
+	       tlb_tables_listed(&e->tables);
 }
 
 /* Sends text, which is malloc'd and freed by the exchange; NULL is sent as an empty body. */
@@ -215,6 +190,13 @@
 	tlb_counter_set(c, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
 	tlb_counter_set(c, TLB_COUNTER_STORE_CALLS, e->store.calls);
 	tlb_counter_set(c, TLB_COUNTER_LOG_DROPPED, tlb_log_dropped());
+	tlb_counter_set(c, TLB_COUNTER_TABLES_FOLLOWING, e->tables.following);
+	tlb_counter_set(c, TLB_COUNTER_TABLES_AGE,
+			tlb_tables_age(&e->tables, tlb_clock_now()) / TLB_MS);
+	tlb_counter_set(c, TLB_COUNTER_CONFIG_ROWS_VERSION,
+			e->tables.table[TLB_TABLE_CONFIG].replica.complete_version);
+	tlb_counter_set(c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
+			e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version);
 }
 
 static void on_metrics_request(void *arg, struct tlb_exchange *x)
@@ -326,15 +308,11 @@
 
 /* --- start --- */
 
-/* Flushes the log and passes on the number of VMs and the known version of the endpoint table. */
 static void on_log_timer(void *arg)
 {
 	struct tlb_edge *e = arg;
 
 	tlb_log_flush();
-	e->config_watcher.vms = tlb_vms_count(&e->board.vms);
-	e->instance_watcher.vms = e->config_watcher.vms;
-	tlb_vms_record_instances_complete(&e->board.vms, e->instance_watcher.version);
 	tlb_timer_set(&e->loop, &e->log_timer, tlb_clock_now() + LOG_FLUSH_INTERVAL);
 }
 
@@ -355,11 +333,8 @@
 	tlb_instances_init(&b->instances, e->settings.zone, seed ^ 1);
 	tlb_quotas_init(&b->quotas);
 	tlb_vms_init(&b->vms, b, &e->store);
-	b->vms.on_document = on_peer_document;
-	b->vms.on_config_behind = on_config_behind;
-	b->vms.on_instances_behind = on_instances_behind;
-	b->vms.on_quota_message = on_quota_message;
-	b->vms.arg = e;
+	b->vms.handlers = (struct tlb_vms_handlers){e, fill_state, on_vm_state, on_table_message,
+						    on_quota_message};
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
 	tlb_forwards_init(&b->forwards, b);
 	tlb_generations_init(&b->generations, b);
@@ -367,17 +342,13 @@
 	return TLB_OK;
 }
 
-static void init_watchers(struct tlb_edge *e)
+static void init_tables(struct tlb_edge *e)
 {
-	const struct tlb_watcher_handlers config = {e, ignore_event, on_config_row, ignore_event};
-	const struct tlb_watcher_handlers instances = {e, on_instances_listing, on_instance_row,
-						       on_instances_listed};
-	uint64_t seed;
-
-	randombytes_buf(&seed, sizeof(seed));
-	tlb_watcher_init(&e->config_watcher, &e->store, tlb_platform_config_table, &config, seed);
-	tlb_watcher_init(&e->instance_watcher, &e->store, tlb_platform_instance_table, &instances,
-			 seed ^ 1);
+	tlb_tables_init(&e->tables, &e->board, &e->store);
+	e->tables.table[TLB_TABLE_CONFIG].handlers =
+		(struct tlb_table_handlers){e, on_config_row, ignore_event};
+	e->tables.table[TLB_TABLE_ENDPOINTS].handlers =
+		(struct tlb_table_handlers){e, on_instance_row, on_instances_changed};
 }
 
 static enum tlb_code start_fronts(struct tlb_edge *e, struct tlb_error *err)
@@ -412,15 +383,14 @@
 	tlb_timer_init(&e->settings_timer, on_settings_timer, e);
 	if (init_board(e, err) != TLB_OK)
 		return err->code;
-	init_watchers(e);
+	init_tables(e);
 	tlb_signals_init(&e->signals, &e->loop, on_signal, e);
 	if (start_fronts(e, err) != TLB_OK)
 		return err->code;
 	e->settings_changed = modified_at(e->settings_path);
 	on_log_timer(e);
 	on_settings_timer(e);
-	tlb_watcher_start(&e->config_watcher);
-	tlb_watcher_start(&e->instance_watcher);
+	tlb_tables_start(&e->tables);
 	tlb_vms_start(&e->board.vms);
 	tlb_roles_start(&e->board.roles);
 	return TLB_OK;
@@ -445,8 +415,7 @@
 	tlb_listener_finish(&e->metrics_listener);
 	tlb_listener_finish(&e->ready_listener);
 	tlb_listener_finish(&e->caller_listener);
-	tlb_watcher_finish(&e->config_watcher);
-	tlb_watcher_finish(&e->instance_watcher);
+	tlb_tables_finish(&e->tables);
 	tlb_vms_finish(&e->board.vms);
 	tlb_quotas_finish(&e->board.quotas);
 	tlb_instances_finish(&e->board.instances);
--- a/src/edge.h
+++ b/src/edge.h
@@ -8,7 +8,7 @@
 
 #include "edgeboard.h"
 #include "signals.h"
-#include "watch.h"
+#include "tables.h"
 
 enum tlb_edge_phase {
 	TLB_EDGE_SERVING,
@@ -24,8 +24,7 @@
 	struct tlb_loop loop;
 	struct tlb_http http;
 	struct tlb_rowstore store;
-	struct tlb_watcher config_watcher;
-	struct tlb_watcher instance_watcher;
+	struct tlb_tables tables;
 	struct tlb_listener caller_listener;  /* callers' requests */
 	struct tlb_listener ready_listener;   /* readiness checks of the load balancer */
 	struct tlb_listener metrics_listener; /* metrics */
--- /dev/null
+++ b/src/replica.h
@@ -0,0 +1,60 @@
+/*
+ * This VM's copy of one table of the platform's store, with tombstones of removed rows, so that VMs
+ * can pass changes on to each other. Pure data structure without I/O.
+ *
+ * Every row has the store version of its last change. complete_version is a version up to which all
+ * changes are known; a row from another VM with a version up to it is ignored, because this copy
+ * has it already or knows that it was removed. So nothing that was removed comes back from a VM
+ * that lags behind.
+ */
+#ifndef TLB_REPLICA_H
+#define TLB_REPLICA_H
+
+#include <apr_ring.h>
+
+#include "clock.h"
+#include "stored_rows.h"
+
+/* Removed rows that are remembered. A VM that missed more changes gets the complete table. */
+enum { TLB_REPLICA_TOMBSTONES_MAX = 512 };
+
+/* Owned by struct tlb_replica. */
+struct tlb_replica_row {
+	APR_RING_ENTRY(tlb_replica_row) link;
+	struct tlb_stored_row row;
+	tlb_time use_deadline; /* removed: the entry stays in use until then; 0: not */
+	bool listed;	       /* seen in the listing in progress */
+};
+
+APR_RING_HEAD(tlb_replica_ring, tlb_replica_row);
+
+/* Owned by the caller; owns its rows. */
+struct tlb_replica {
+	struct tlb_replica_ring rows;
+	int64_t complete_version;  /* all changes up to this store version are known; 0: none */
+	int64_t rows_version;	   /* highest version of any row or tombstone */
+	int64_t forgotten_version; /* tombstones up to this version may be missing */
+	int tombstones;
+};
+
+typedef void tlb_replica_row_fn(void *arg, const struct tlb_replica_row *row);
+
+void tlb_replica_init(struct tlb_replica *r);
+void tlb_replica_finish(struct tlb_replica *r);
+/* Stores a copy of a row or tombstone unless the copy has that version already or a newer one.
+ * Returns the stored row, or NULL when it is not newer or there is no memory. */
+const struct tlb_replica_row *
+tlb_replica_put(struct tlb_replica *r, const struct tlb_stored_row *row, tlb_time use_deadline);
+/* Brackets a listing of the complete table as of a version, during which tlb_replica_put() is
+ * called for each row. end turns the rows that were not listed into tombstones and calls on_removed
+ * for each. */
+void tlb_replica_begin_listing(struct tlb_replica *r);
+void tlb_replica_end_listing(struct tlb_replica *r, int64_t version, tlb_time use_deadline,
+			     tlb_replica_row_fn *on_removed, void *arg);
+/* Records that all changes up to a version are known. */
+void tlb_replica_set_complete(struct tlb_replica *r, int64_t version);
+/* Whether the changes since a version can be told apart from rows that were never there; otherwise
+ * the complete table is needed. */
+bool tlb_replica_covers(const struct tlb_replica *r, int64_t since);
+
+#endif
--- a/src/vms.c
+++ b/src/vms.c
@@ -10,20 +10,15 @@
 #include "log.h"
 #include "rank.h"
 
-#define REFRESH_INTERVAL (1 * TLB_SECOND)
-#define PULL_INTERVAL (500 * TLB_MS)
 /* Unreported grants, as a share of the account's burst, that trigger an early report. */
 #define EARLY_REPORT_SHARE 0.03
 /* Unreported grants, as a share of the account's burst, below which a report omits the account. */
 #define MIN_REPORT_SHARE 0.002
-/* When a neighbour has had a newer version for this long, this VM has missed the store's
- * notification: its connection to the store may be open but silent. */
-#define BEHIND_DELAY (300 * TLB_MS)
 enum { KEY_ID = 1 };
 
 /* --- list of VMs --- */
 
-static struct tlb_vm *find_vm(const struct tlb_vms *v, const char *id)
+struct tlb_vm *tlb_vms_find(const struct tlb_vms *v, const char *id)
 {
 	struct tlb_vm *m;
 
@@ -78,7 +73,7 @@
 	if (!v->leaving)
 		count = tlb_rank_offer(lowest, count, most, mix(key, v->id_hash), NULL);
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (!m->leaving && m->avoid_until <= now)
+		if (!m->leaving && !m->gone && m->avoid_until <= now)
 			count = tlb_rank_offer(lowest, count, most, mix(key, m->id_hash), m);
 	}
 	for (i = 0; i < count; i++) {
@@ -90,7 +85,7 @@
 
 void tlb_vms_avoid(struct tlb_vms *v, const char *id, tlb_time until)
 {
-	struct tlb_vm *m = find_vm(v, id);
+	struct tlb_vm *m = tlb_vms_find(v, id);
 
 	if (m)
 		m->avoid_until = until;
@@ -108,7 +103,9 @@
 	int i;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		count = tlb_rank_offer(lowest, count, TLB_VMS_NEIGHBOURS, m->pair_weight, m);
+		if (!m->gone)
+			count = tlb_rank_offer(lowest, count, TLB_VMS_NEIGHBOURS, m->pair_weight,
+					       m);
 	}
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
 		selected = false;
@@ -117,6 +114,7 @@
 		if (m->neighbour == selected)
 			continue;
 		m->neighbour = selected;
+		m->last_seen_at = tlb_clock_now();
 		tlb_peers_set_persistent(&v->peers, m->id, selected);
 	}
 }
@@ -128,7 +126,7 @@
 	if (strcmp(id, v->peers.self) == 0 || strlen(id) >= TLB_ID_LEN ||
 	    strlen(addr) >= TLB_ADDR_LEN || !tlb_table_id_valid(id) || !tlb_address_valid(addr, 1))
 		return NULL;
-	m = find_vm(v, id);
+	m = tlb_vms_find(v, id);
 	if (m && strcmp(m->addr, addr) == 0)
 		return m;
 	if (!m) {
@@ -176,11 +174,24 @@
 		       (wait > TLB_VMS_SILENCE_MIN_TIMEOUT ? wait : TLB_VMS_SILENCE_MIN_TIMEOUT);
 }
 
+/* Only neighbours are expected to report; of other VMs it is known by their neighbours that they
+ * are gone. */
 static bool has_expired(const struct tlb_vms *v, const struct tlb_vm *m, tlb_time now)
 {
 	tlb_time since = m->last_report_at > m->last_seen_at ? m->last_report_at : m->last_seen_at;
 
-	return now >= since + TLB_VMS_EXPIRY || (m->leaving && is_silent(v, m, now));
+	return (m->neighbour && now >= since + TLB_VMS_EXPIRY) ||
+	       (m->leaving && is_silent(v, m, now));
+}
+
+/* Takes a VM out of the fleet. The entry is freed once the other VMs were told. */
+static void set_gone(struct tlb_vms *v, struct tlb_vm *m)
+{
+	m->gone = true;
+	m->announce = true;
+	if (m->neighbour)
+		tlb_peers_set_persistent(&v->peers, m->id, false);
+	m->neighbour = false;
 }
 
 static void remove_expired_vms(struct tlb_vms *v, tlb_time now)
@@ -190,10 +201,12 @@
 	bool removed = false;
 
 	APR_RING_FOREACH_SAFE (m, next, &v->all, tlb_vm, link) {
-		if (!has_expired(v, m, now))
-			continue;
-		remove_vm(v, m);
-		removed = true;
+		if (m->gone && !m->announce) {
+			remove_vm(v, m);
+		} else if (!m->gone && has_expired(v, m, now)) {
+			set_gone(v, m);
+			removed = true;
+		}
 	}
 	if (removed)
 		choose_neighbours(v);
@@ -205,7 +218,7 @@
 	int n = 1;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		n += !m->leaving;
+		n += !m->leaving && !m->gone;
 	}
 	return n;
 }
@@ -227,6 +240,12 @@
 	return (double)(reachable + 1) / (neighbours + 1);
 }
 
+/* Whether the VM, to which this one keeps a link, has not reported for a while. */
+static bool is_lost_neighbour(const struct tlb_vms *v, const struct tlb_vm *m, tlb_time now)
+{
+	return m->neighbour && is_silent(v, m, now) && now >= m->last_seen_at + TLB_VMS_EXPIRY / 3;
+}
+
 bool tlb_vms_has_lowest_id(const struct tlb_vms *v, tlb_time now)
 {
 	const struct tlb_vm *m;
@@ -234,7 +253,7 @@
 	if (!v->listening || v->leaving)
 		return false;
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (!m->leaving && now < m->last_seen_at + TLB_VMS_EXPIRY / 3 &&
+		if (!m->leaving && !m->gone && !is_lost_neighbour(v, m, now) &&
 		    strcmp(m->id, v->peers.self) < 0)
 			return false;
 	}
@@ -302,8 +321,8 @@
 	s->own.incarnation = v->incarnation;
 	s->own.addr = v->peers.addr;
 	s->own.config_version = v->board->routing->version;
-	s->own.instances_version = v->instances_version;
 	s->own.leaving = v->leaving;
+	v->handlers.fill_state(v->handlers.arg, &s->own);
 	s->vms[0] = &s->own;
 	s->fleet.vms = s->vms;
 	s->fleet.n_vms = 1;
@@ -324,6 +343,8 @@
 	state->id = m->id;
 	state->incarnation = m->incarnation;
 	state->addr = m->addr;
+	state->leaving = m->leaving;
+	state->gone = m->gone;
 	for (i = 0; i < m->use_count && s->use_count < USES_MAX; i++) {
 		if (!m->uses[i].forward)
 			continue;
@@ -356,9 +377,29 @@
 	return n;
 }
 
+static bool has_announcements(const struct tlb_vms *v)
+{
+	const struct tlb_vm *m;
+
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		if (m->announce)
+			return true;
+	}
+	return false;
+}
+
+static void clear_announcements(struct tlb_vms *v)
+{
+	struct tlb_vm *m;
+
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		m->announce = false;
+	}
+}
+
 /* Sends this VM's own state to every linked VM, and the grants of other VMs to a few of these at
- * random. A VM that was learned from a report is made known to every linked VM, because the ranking
- * of VMs must soon be the same everywhere. In a fleet where all VMs are neighbours nothing needs to
+ * random. Changes of the membership are made known to every linked VM, because the ranking of VMs
+ * must soon be the same everywhere. In a fleet where all VMs are neighbours nothing needs to
  * be forwarded. */
 static void send_reports(struct tlb_vms *v)
 {
@@ -367,12 +408,13 @@
 	size_t n = linked_vms(v, to, sizeof(to) / sizeof(to[0]));
 	bool all_neighbours = tlb_vms_count(v) <= TLB_VMS_NEIGHBOURS + 1;
 	struct tlb_vm *m;
-	size_t fanout = v->announcements ? n : TLB_VMS_FANOUT;
+	size_t fanout = has_announcements(v) ? n : TLB_VMS_FANOUT;
 	size_t remaining = n;
 	size_t i;
 
 	add_own_state(v, &s);
-	v->announcements = false;
+	if (all_neighbours)
+		clear_announcements(v);
 	while (n - remaining < fanout && remaining > 0 && !all_neighbours) {
 		if (remaining == n) {
 			APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
@@ -433,125 +475,88 @@
 	known->forward = true;
 }
 
+/* Applies what another VM says of a third one that has left the fleet. A VM that this one hears
+ * from itself stays, and so does a later incarnation. */
+static void apply_gone(struct tlb_vms *v, const Toucan__VmState *s, tlb_time now)
+{
+	struct tlb_vm *m = tlb_vms_find(v, s->id);
+
+	if (!m || m->gone || s->incarnation < m->incarnation ||
+	    (m->last_report_at > 0 && !is_silent(v, m, now)))
+		return;
+	set_gone(v, m);
+	choose_neighbours(v);
+}
+
+/* Finds or adds the VM that a report describes, and marks it for forwarding when it is new. */
+static struct tlb_vm *vm_of_report(struct tlb_vms *v, const Toucan__VmState *s, bool own)
+{
+	struct tlb_vm *m = tlb_vms_find(v, s->id);
+
+	/* An old rumour must not bring back a VM that is known to be gone. */
+	if (m && m->gone && !own && s->incarnation <= m->incarnation)
+		return NULL;
+	if (m && !m->gone)
+		return add_vm(v, s->id, s->addr);
+	if (s->leaving)
+		return NULL;
+	m = add_vm(v, s->id, s->addr);
+	if (!m)
+		return NULL;
+	m->announce = true;
+	if (m->gone) {
+		m->gone = false;
+		m->leaving = false;
+		tlb_peers_add(&v->peers, m->id, m->addr);
+		choose_neighbours(v);
+	}
+	return m;
+}
+
 /* What a VM granted while partitioned came from its own share, which this VM's bucket was not
  * refilled with either. Only its later grants are deducted from the bucket. */
 static void apply_state(struct tlb_vms *v, const Toucan__VmState *s, bool own)
 {
-	bool known = find_vm(v, s->id) != NULL;
-	struct tlb_vm *m = add_vm(v, s->id, s->addr);
 	tlb_time now = tlb_clock_now();
+	struct tlb_vm *m;
 	bool deduct;
 	size_t i;
 
-	if (!m || s->incarnation < m->incarnation)
+	if (s->gone && !own) {
+		apply_gone(v, s, now);
 		return;
-	if (!known) {
-		m->announce = true;
-		v->announcements = true;
 	}
+	m = vm_of_report(v, s, own);
+	if (!m || s->incarnation < m->incarnation)
+		return;
 	deduct = !m->neighbour || m->last_report_at == 0 || !is_silent(v, m, now);
+	/* A VM that has returned after its shutdown was announced to all as leaving. */
+	m->announce |= m->leaving != s->leaving && (own || s->leaving);
+	if (own || s->leaving || s->incarnation > m->incarnation)
+		m->leaving = s->leaving;
 	if (s->incarnation > m->incarnation) {
 		m->use_count = 0;
+		m->avoid_until = 0;
 		deduct = true;
 	}
 	m->incarnation = s->incarnation;
 	for (i = 0; i < s->n_uses; i++)
 		apply_use(v, m, s->uses[i], deduct, now);
-	m->last_seen_at = now;
 	if (!own)
 		return;
 	if (m->last_report_at && is_silent(v, m, now))
 		tlb_log_info("event=vm_heard_again vm=%s after_ms=%lld", m->id,
 			     (long long)((now - m->last_report_at) / TLB_MS));
-	m->leaving = s->leaving;
+	m->last_seen_at = now;
 	m->last_report_at = now;
 }
 
-static bool is_behind(tlb_time since, tlb_time now)
-{
-	return since > 0 && now >= since + BEHIND_DELAY;
-}
-
-static void set_behind(tlb_time *since, bool behind)
-{
-	if (!behind)
-		*since = 0;
-	else if (*since == 0)
-		*since = tlb_clock_now();
-}
-
-static void compare_versions(struct tlb_vms *v, const Toucan__VmState *s)
-{
-	if (s->config_version > v->board->routing->version)
-		set_behind(&v->config_behind_since, true);
-	if (s->instances_version > v->instances_complete_version)
-		set_behind(&v->instances_behind_since, true);
-}
-
-/* --- configurations --- */
-
-/* Requests the configuration from a neighbour if the store's own notification has not arrived
- * within BEHIND_DELAY; usually it comes at about the same time as the neighbour's report. */
-static void pull_document(struct tlb_vms *v, const char *vm)
-{
-	Toucan__ConfigPull pull = TOUCAN__CONFIG_PULL__INIT;
-	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
-	tlb_time now = tlb_clock_now();
-
-	if (now < v->next_pull_at || !is_behind(v->config_behind_since, now))
-		return;
-	v->next_pull_at = now + PULL_INTERVAL;
-	pull.have_version = v->board->routing->version;
-	e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_PULL;
-	e.config_pull = &pull;
-	tlb_log_info("event=config_pull from=%s have=%lld", vm, (long long)pull.have_version);
-	tlb_peers_send_if_up(&v->peers, vm, &e);
-}
-
-static void send_document(struct tlb_vms *v, const char *vm, int64_t have_version)
-{
-	Toucan__ConfigRow row = TOUCAN__CONFIG_ROW__INIT;
-	Toucan__ConfigRow *rows[1] = {&row};
-	Toucan__ConfigRows reply = TOUCAN__CONFIG_ROWS__INIT;
-	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
-
-	if (!v->document || v->board->routing->version <= have_version)
-		return;
-	row.key = "document";
-	row.version = v->board->routing->version;
-	row.json = v->document;
-	reply.version = row.version;
-	reply.rows = rows;
-	reply.n_rows = 1;
-	e.body_case = TOUCAN__ENVELOPE__BODY_CONFIG_ROWS;
-	e.config_rows = &reply;
-	if (!tlb_peers_send_if_up(&v->peers, vm, &e))
-		tlb_log_warn("event=config_not_sent to=%s version=%lld bytes=%zu", vm,
-			     (long long)reply.version, v->document_len);
-}
-
-static void apply_document(struct tlb_vms *v, const Toucan__ConfigRows *rows)
-{
-	if (rows->n_rows == 1 && rows->version > v->board->routing->version)
-		v->on_document(v->arg, rows->rows[0]->json, strlen(rows->rows[0]->json));
-}
-
-void tlb_vms_set_document(struct tlb_vms *v, const char *text, size_t len)
-{
-	free(v->document);
-	v->document = malloc(len + 1);
-	if (!v->document)
-		return;
-	memcpy(v->document, text, len);
-	v->document[len] = '\0';
-	v->document_len = len;
-}
-
 /* --- messages --- */
 
 static void on_message(void *arg, struct tlb_peer *peer, Toucan__Envelope *msg)
 {
 	struct tlb_vms *v = arg;
+	struct tlb_vm *sender;
 	size_t i;
 
 	switch (msg->body_case) {
@@ -559,21 +564,17 @@
 		for (i = 0; i < msg->fleet_state->n_vms; i++)
 			apply_state(v, msg->fleet_state->vms[i], i == 0);
 		apply_share(v, tlb_clock_now());
-		if (msg->fleet_state->n_vms == 0)
-			return;
-		compare_versions(v, msg->fleet_state->vms[0]);
-		if (msg->fleet_state->vms[0]->config_version > v->board->routing->version)
-			pull_document(v, peer->id);
-		return;
-	case TOUCAN__ENVELOPE__BODY_CONFIG_PULL:
-		send_document(v, peer->id, msg->config_pull->have_version);
+		sender = tlb_vms_find(v, peer->id);
+		if (sender && msg->fleet_state->n_vms > 0)
+			v->handlers.on_state(v->handlers.arg, sender, msg->fleet_state->vms[0]);
 		return;
-	case TOUCAN__ENVELOPE__BODY_CONFIG_ROWS:
-		apply_document(v, msg->config_rows);
+	case TOUCAN__ENVELOPE__BODY_TABLE_ROWS:
+	case TOUCAN__ENVELOPE__BODY_TABLE_PULL:
+		v->handlers.on_table_message(v->handlers.arg, peer->id, msg);
 		return;
 	case TOUCAN__ENVELOPE__BODY_ACQUIRE_COST:
 	case TOUCAN__ENVELOPE__BODY_COST_NOTICE:
-		v->on_quota_message(v->arg, peer, msg);
+		v->handlers.on_quota_message(v->handlers.arg, peer, msg);
 		return;
 	default:
 		tlb_log_warn("event=peer_message_unknown vm=%s kind=%d", peer->id,
@@ -593,20 +594,6 @@
 
 /* --- timers and local events --- */
 
-/* Requests a refresh from the store when neighbours have had newer versions than this VM for too
- * long. */
-static void refresh_if_behind(struct tlb_vms *v, tlb_time now)
-{
-	if (now < v->next_refresh_at)
-		return;
-	if (is_behind(v->config_behind_since, now))
-		v->on_config_behind(v->arg);
-	if (is_behind(v->instances_behind_since, now))
-		v->on_instances_behind(v->arg);
-	if (is_behind(v->config_behind_since, now) || is_behind(v->instances_behind_since, now))
-		v->next_refresh_at = now + REFRESH_INTERVAL;
-}
-
 static void on_report_timer(void *arg)
 {
 	struct tlb_vms *v = arg;
@@ -614,7 +601,6 @@
 
 	remove_expired_vms(v, now);
 	apply_share(v, now);
-	refresh_if_behind(v, now);
 	send_reports(v);
 	v->last_report_at = now;
 	tlb_timer_set(v->board->loop, &v->report_timer, now + tlb_vms_report_interval(v));
@@ -632,26 +618,6 @@
 		tlb_timer_set(v->board->loop, &v->report_timer, at);
 }
 
-void tlb_vms_on_config_applied(struct tlb_vms *v)
-{
-	v->config_behind_since = 0;
-}
-
-void tlb_vms_record_instance_version(struct tlb_vms *v, int64_t version)
-{
-	if (version <= v->instances_version)
-		return;
-	v->instances_version = version;
-}
-
-void tlb_vms_record_instances_complete(struct tlb_vms *v, int64_t version)
-{
-	if (version <= v->instances_complete_version)
-		return;
-	v->instances_complete_version = version;
-	v->instances_behind_since = 0;
-}
-
 /* Called with the peer key, in hexadecimal digits: links to other VMs can be opened. */
 static void open_listener(void *arg, const char *hex)
 {
@@ -683,7 +649,7 @@
 {
 	struct tlb_vms *v = arg;
 
-	if (!find_vm(v, id))
+	if (!tlb_vms_find(v, id))
 		add_vm(v, id, addr);
 }
 
@@ -749,5 +715,4 @@
 		free(m->uses);
 		free(m);
 	}
-	free(v->document);
 }
--- a/src/vms.h
+++ b/src/vms.h
@@ -1,6 +1,6 @@
 /*
  * The VMs of the fleet and the state that they exchange: membership, what each VM has granted of
- * every account's limit, and the version of its configuration. Every VM keeps links to a few
+ * every account's limit by itself, and how current its tables are. Every VM keeps links to a few
  * neighbours, sends them its own state in periodic reports (FleetState), and forwards each grant of
  * another VM once to some of them. The message volume of one VM therefore grows with the grants of
  * the fleet, not with its size. Reports never wait for the store.
@@ -27,8 +27,9 @@
 /* A neighbour is presumed partitioned, and granting from its own share, when no report came from it
  * for TLB_VMS_MISSED_REPORTS intervals and at least this time. */
 #define TLB_VMS_SILENCE_MIN_TIMEOUT (1500 * TLB_MS)
-/* A VM that no report has mentioned for this long is removed, even if its row remains, and its
- * share goes to the others. Longer than a network partition usually lasts. */
+/* A neighbour that has not reported for this long is removed, even if its row remains, and its
+ * share goes to the others; they are told, because only its neighbours hear from it. Longer than a
+ * network partition usually lasts. */
 #define TLB_VMS_EXPIRY (30 * TLB_SECOND)
 
 enum {
@@ -36,7 +37,8 @@
 	TLB_VMS_NEIGHBOURS = 8,
 	TLB_VMS_FANOUT = 3, /* neighbours that a grant is forwarded to; it reaches 94 VMs in 100 */
 	TLB_VMS_MISSED_REPORTS = 3, /* report intervals */
-	TLB_VMS_RANK_MAX = 8,	    /* VMs returned by tlb_vms_rank() */
+	TLB_VMS_TABLES = 2,
+	TLB_VMS_RANK_MAX = 8, /* VMs returned by tlb_vms_rank() */
 };
 
 /* What another VM has granted of one account's limit. */
@@ -57,16 +59,33 @@
 	uint64_t pair_weight; /* rendezvous hash of this pair of VMs; the lowest are neighbours */
 	bool leaving;
 	bool neighbour;
-	bool announce;		 /* newly learned from a report, not forwarded yet */
+	bool announce;		 /* joined, leaving or gone, and not forwarded yet */
+	bool gone;		 /* not part of the fleet; kept until it was announced */
 	tlb_time avoid_until;	 /* not ranked until then, because it did not answer; 0: ranked */
 	tlb_time last_report_at; /* last report from the VM itself; 0: never */
-	tlb_time last_seen_at;	 /* when added, or last mentioned in any report */
+	tlb_time last_seen_at;	 /* when added, chosen as a neighbour, or last reported */
 	struct tlb_vm_account_use *uses;
 	int use_count;
+	/* Store version up to which the VM knows all changes of each table, by enum
+	 * tlb_table_kind; 0: not known. Kept for module tables. */
+	int64_t table_version[TLB_VMS_TABLES];
 };
 
 APR_RING_HEAD(tlb_vm_ring, tlb_vm);
 
+/* What other modules add to reports, and receive over the same links. */
+struct tlb_vms_handlers {
+	void *arg;
+	/* Adds to this VM's state before it is sent. */
+	void (*fill_state)(void *arg, Toucan__VmState *state);
+	/* A linked VM has reported its own state. */
+	void (*on_state)(void *arg, struct tlb_vm *vm, const Toucan__VmState *state);
+	/* A message about a shared table. */
+	void (*on_table_message)(void *arg, const char *vm, const Toucan__Envelope *msg);
+	/* A message about the quota of an account. */
+	void (*on_quota_message)(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg);
+};
+
 /* The fleet as this VM sees it. Owned by the board. */
 struct tlb_vms {
 	struct tlb_edge_board *board;
@@ -77,27 +96,10 @@
 	uint64_t id_hash;      /* of this VM's id */
 	uint64_t last_use_seq; /* sequence number of the last grant total reported */
 	bool leaving;
-	bool announcements; /* some VM is to be made known to all linked VMs */
-	bool listening;	    /* the peer key is available and the listener is open */
+	bool listening; /* the peer key is available and the listener is open */
 	struct tlb_timer report_timer;
-	tlb_time last_report_at;	    /* time of the last periodic report */
-	int64_t instances_version;	    /* of the newest endpoint entry read */
-	int64_t instances_complete_version; /* all entries up to this store version were read */
-	tlb_time config_behind_since;	 /* since when a neighbour has a newer version; 0: none */
-	tlb_time instances_behind_since; /* the same for endpoint entries */
-	tlb_time next_refresh_at;	 /* earliest next refresh outside the regular schedule */
-	tlb_time next_pull_at;		 /* earliest next request for a configuration */
-	/* Text of the active configuration, for VMs that can't read it from the store; owned. */
-	char *document;
-	size_t document_len;
-	/* Receives a configuration sent by another VM. */
-	void (*on_document)(void *arg, const char *text, size_t len);
-	/* A neighbour has had a newer configuration, or newer endpoint entries, for some time. */
-	void (*on_config_behind)(void *arg);
-	void (*on_instances_behind)(void *arg);
-	/* A message about the quota of an account; module quota_owner handles it. */
-	void (*on_quota_message)(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg);
-	void *arg;
+	tlb_time last_report_at;	  /* time of the last periodic report */
+	struct tlb_vms_handlers handlers; /* set by the daemon before the start */
 };
 
 void tlb_vms_init(struct tlb_vms *v, struct tlb_edge_board *b, struct tlb_rowstore *store);
@@ -106,22 +108,15 @@
 void tlb_vms_finish(struct tlb_vms *v);
 /* Announces to the other VMs that this one is leaving, so that they get its share at once. */
 void tlb_vms_leave(struct tlb_vms *v);
-/* Stores a copy of the active configuration's text, for other VMs. */
-void tlb_vms_set_document(struct tlb_vms *v, const char *text, size_t len);
-
 /* Called after a grant of this VM. Brings the next report forward if the grants since the last one
  * are large. */
 void tlb_vms_on_grant(struct tlb_vms *v, struct tlb_quota *q);
 
-/* Called when this VM has applied a configuration, or read an endpoint entry of this version. */
-void tlb_vms_on_config_applied(struct tlb_vms *v);
-void tlb_vms_record_instance_version(struct tlb_vms *v, int64_t version);
-/* Called when this VM has read all endpoint entries up to this store version. */
-void tlb_vms_record_instances_complete(struct tlb_vms *v, int64_t version);
-
 /* Whether this VM has the lowest id among the VMs recently seen; selects one VM for work that only
  * one should do. It can hold on two VMs at once, so such work must be claimed in the store too. */
 bool tlb_vms_has_lowest_id(const struct tlb_vms *v, tlb_time now);
+/* The VM with that id, or NULL; this VM is not in the list. */
+struct tlb_vm *tlb_vms_find(const struct tlb_vms *v, const char *id);
 /* Hash of a name, as a key for tlb_vms_rank(). The same in every process. */
 uint64_t tlb_vms_hash(const char *name);
 /* Writes the ids of the VMs that a rendezvous hash of the key ranks first to ids, at most `most` of
--- a/src/watch.c
+++ b/src/watch.c
@@ -78,6 +78,7 @@
 	w->state = TLB_WATCH_FOLLOWING;
 	w->listed = true;
 	w->handlers.on_list_complete(w->handlers.arg);
+	w->handlers.on_progress(w->handlers.arg, w->version);
 }
 
 static void handle_changes(struct tlb_watcher *w, const struct tlb_stored_rows *rows)
@@ -85,6 +86,7 @@
 	deliver_rows(w, rows);
 	if (rows->version > w->version)
 		w->version = rows->version;
+	w->handlers.on_progress(w->handlers.arg, w->version);
 }
 
 static void restart_listing(struct tlb_watcher *w)
@@ -103,6 +105,8 @@
 				 ? TLB_WATCH_BATCH_DELAY_PER_VM * w->vms
 				 : 0;
 
+	if (changed && delay < w->min_batch_delay)
+		delay = w->min_batch_delay;
 	if (delay > TLB_WATCH_MAX_BATCH_DELAY)
 		delay = TLB_WATCH_MAX_BATCH_DELAY;
 	tlb_timer_set(w->store->http->loop, &w->timer, tlb_clock_now() + delay);
@@ -126,11 +130,13 @@
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
 		handle_page(w, rows);
-		start_next_call(w);
+		if (!w->paused)
+			start_next_call(w);
 		break;
 	case TLB_WATCH_FOLLOWING:
 		handle_changes(w, rows);
-		schedule_follow(w, rows->count > 0);
+		if (!w->paused)
+			schedule_follow(w, rows->count > 0);
 		break;
 	}
 }
@@ -181,19 +187,28 @@
 	tlb_rowstore_cancel(&w->op);
 }
 
-void tlb_watcher_refresh(struct tlb_watcher *w)
+void tlb_watcher_pause(struct tlb_watcher *w)
 {
-	/* A retry or the first listing is already scheduled or running. */
-	if (w->failures > 0 || !w->listed)
-		return;
-	tlb_log_info("event=store_refresh table=%s version=%lld", w->table, (long long)w->version);
+	w->paused = true;
 	tlb_rowstore_cancel(&w->op);
 	tlb_timer_clear(w->store->http->loop, &w->timer);
-	start_next_call(w);
+}
+
+void tlb_watcher_resume(struct tlb_watcher *w, int64_t version, bool outage)
+{
+	w->paused = false;
+	w->next_page_key[0] = '\0';
+	w->state = version > 0 ? TLB_WATCH_FOLLOWING : TLB_WATCH_LISTING;
+	w->listed = version > 0;
+	if (version > w->version)
+		w->version = version;
+	if (outage && w->failures == 0)
+		w->failures = 1;
+	tlb_timer_set(w->store->http->loop, &w->timer, tlb_clock_now());
 }
 
 bool tlb_watcher_store_reachable(const struct tlb_watcher *w, tlb_time now)
 {
-	return w->listed && w->failures == 0 &&
+	return !w->paused && w->listed && w->failures == 0 &&
 	       now < w->last_success_at + wait_ms(w) * TLB_MS + TLB_ROWSTORE_RESPONSE_MARGIN;
 }
--- a/src/watch.h
+++ b/src/watch.h
@@ -8,13 +8,14 @@
 #include "random.h"
 #include "rowstore.h"
 
-/* Long-poll wait with TLB_WATCH_SMALL_FLEET_VMS VMs or fewer. It grows with the fleet up to the
- * maximum, so that the load on the store does not. It also bounds how long a dead connection is
- * mistaken for a table without changes, unless another VM reports a change. */
+/* Long-poll wait with TLB_WATCH_SMALL_FLEET_VMS VMs or fewer. It grows with the number of VMs that
+ * follow the table up to the maximum, so that the load on the store does not. It also bounds how
+ * long a dead connection is mistaken for a table without changes, unless another VM reports a
+ * change. */
 #define TLB_WATCH_POLL_WAIT_MS 3000
 #define TLB_WATCH_MAX_POLL_WAIT_MS 25000
 enum { TLB_WATCH_SMALL_FLEET_VMS = 8 };
-/* Delay after a change before the next poll, per VM of a fleet of more than
+/* Delay after a change before the next poll, per VM that follows the table if there are more than
  * TLB_WATCH_SMALL_FLEET_VMS; the maximum is a fifth of the time within which a change must be
  * applied. */
 #define TLB_WATCH_BATCH_DELAY_PER_VM (6 * TLB_MS)
@@ -26,6 +27,8 @@
 	void (*on_list_begin)(void *arg);
 	void (*on_row)(void *arg, const struct tlb_stored_row *row);
 	void (*on_list_complete)(void *arg);
+	/* All changes up to the watcher's version have been delivered. */
+	void (*on_progress)(void *arg, int64_t version);
 };
 
 enum tlb_watch_state { TLB_WATCH_LISTING, TLB_WATCH_FOLLOWING };
@@ -35,6 +38,9 @@
 	struct tlb_rowstore *store;
 	struct tlb_random random;
 	int vms; /* VMs that follow the table, including this one; set by the user */
+	tlb_time min_batch_delay; /* least delay after a change before the next poll; set by the
+				     user */
+	bool paused;
 	const char *table;
 	struct tlb_watcher_handlers handlers;
 	enum tlb_watch_state state;
@@ -53,8 +59,12 @@
 		      const struct tlb_watcher_handlers *handlers, uint64_t seed);
 void tlb_watcher_start(struct tlb_watcher *w);
 void tlb_watcher_finish(struct tlb_watcher *w);
-/* Polls again on a new connection; called when other VMs have changes that this one lacks. */
-void tlb_watcher_refresh(struct tlb_watcher *w);
+/* Ends the polling; changes come from other VMs until tlb_watcher_resume(). */
+void tlb_watcher_pause(struct tlb_watcher *w);
+/* Polls again for changes after a version up to which all are known; 0: none are, so the table is
+ * listed. outage: the store was not readable by any VM meanwhile, so that entries may have expired.
+ */
+void tlb_watcher_resume(struct tlb_watcher *w, int64_t version, bool outage);
 /* Whether the store is reachable: the last call succeeded and the current one is not overdue. */
 bool tlb_watcher_store_reachable(const struct tlb_watcher *w, tlb_time now);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -142,6 +142,186 @@
   assert(message->base.descriptor == &toucan__vm_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__table_state__init
+                     (Toucan__TableState         *message)
+{
+  static const Toucan__TableState init_value = TOUCAN__TABLE_STATE__INIT;
+  *message = init_value;
+}
+size_t toucan__table_state__get_packed_size
+                     (const Toucan__TableState *message)
+{
+  assert(message->base.descriptor == &toucan__table_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__table_state__pack
+                     (const Toucan__TableState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__table_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__table_state__pack_to_buffer
+                     (const Toucan__TableState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__table_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__TableState *
+       toucan__table_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__TableState *)
+     protobuf_c_message_unpack (&toucan__table_state__descriptor,
+                                allocator, len, data);
+}
+void   toucan__table_state__free_unpacked
+                     (Toucan__TableState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__table_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__table_row__init
+                     (Toucan__TableRow         *message)
+{
+  static const Toucan__TableRow init_value = TOUCAN__TABLE_ROW__INIT;
+  *message = init_value;
+}
+size_t toucan__table_row__get_packed_size
+                     (const Toucan__TableRow *message)
+{
+  assert(message->base.descriptor == &toucan__table_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__table_row__pack
+                     (const Toucan__TableRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__table_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__table_row__pack_to_buffer
+                     (const Toucan__TableRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__table_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__TableRow *
+       toucan__table_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__TableRow *)
+     protobuf_c_message_unpack (&toucan__table_row__descriptor,
+                                allocator, len, data);
+}
+void   toucan__table_row__free_unpacked
+                     (Toucan__TableRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__table_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__table_rows__init
+                     (Toucan__TableRows         *message)
+{
+  static const Toucan__TableRows init_value = TOUCAN__TABLE_ROWS__INIT;
+  *message = init_value;
+}
+size_t toucan__table_rows__get_packed_size
+                     (const Toucan__TableRows *message)
+{
+  assert(message->base.descriptor == &toucan__table_rows__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__table_rows__pack
+                     (const Toucan__TableRows *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__table_rows__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__table_rows__pack_to_buffer
+                     (const Toucan__TableRows *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__table_rows__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__TableRows *
+       toucan__table_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__TableRows *)
+     protobuf_c_message_unpack (&toucan__table_rows__descriptor,
+                                allocator, len, data);
+}
+void   toucan__table_rows__free_unpacked
+                     (Toucan__TableRows *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__table_rows__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__table_pull__init
+                     (Toucan__TablePull         *message)
+{
+  static const Toucan__TablePull init_value = TOUCAN__TABLE_PULL__INIT;
+  *message = init_value;
+}
+size_t toucan__table_pull__get_packed_size
+                     (const Toucan__TablePull *message)
+{
+  assert(message->base.descriptor == &toucan__table_pull__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__table_pull__pack
+                     (const Toucan__TablePull *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__table_pull__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__table_pull__pack_to_buffer
+                     (const Toucan__TablePull *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__table_pull__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__TablePull *
+       toucan__table_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__TablePull *)
+     protobuf_c_message_unpack (&toucan__table_pull__descriptor,
+                                allocator, len, data);
+}
+void   toucan__table_pull__free_unpacked
+                     (Toucan__TablePull *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__table_pull__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__fleet_state__init
                      (Toucan__FleetState         *message)
 {
@@ -2122,7 +2302,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[40] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[42] =
 {
   {
     "source",
@@ -2604,6 +2784,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table_rows",
+    65,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, table_rows),
+    &toucan__table_rows__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_pull",
+    66,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, table_pull),
+    &toucan__table_pull__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   37,   /* field[37] = acquire_cost */
@@ -2645,6 +2849,8 @@
   32,   /* field[32] = shards_pull */
   0,   /* field[0] = source */
   10,   /* field[10] = standby_release */
+  41,   /* field[41] = table_pull */
+  40,   /* field[40] = table_rows */
   14,   /* field[14] = tokens_reply */
 };
 static const ProtobufCIntRange toucan__envelope__number_ranges[8 + 1] =
@@ -2657,7 +2863,7 @@
   { 50, 30 },
   { 55, 34 },
   { 60, 35 },
-  { 0, 40 }
+  { 0, 42 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -2667,7 +2873,7 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  40,
+  42,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
   8,  toucan__envelope__number_ranges,
@@ -2738,7 +2944,7 @@
   (ProtobufCMessageInit) toucan__account_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[9] =
 {
   {
     "id",
@@ -2813,12 +3019,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "instances_version",
-    8,
+    "tables",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__VmState, n_tables),
+    offsetof(Toucan__VmState, tables),
+    &toucan__table_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed_age_ms",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Toucan__VmState, instances_version),
+    offsetof(Toucan__VmState, confirmed_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmState, gone),
     NULL,
     NULL,
     0,             /* flags */
@@ -2828,17 +3058,20 @@
 static const unsigned toucan__vm_state__field_indices_by_name[] = {
   2,   /* field[2] = addr */
   3,   /* field[3] = config_version */
+  7,   /* field[7] = confirmed_age_ms */
+  8,   /* field[8] = gone */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
-  6,   /* field[6] = instances_version */
   4,   /* field[4] = leaving */
+  6,   /* field[6] = tables */
   5,   /* field[5] = uses */
 };
-static const ProtobufCIntRange toucan__vm_state__number_ranges[2 + 1] =
+static const ProtobufCIntRange toucan__vm_state__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 7 }
+  { 9, 6 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor toucan__vm_state__descriptor =
 {
@@ -2848,13 +3081,282 @@
   "Toucan__VmState",
   "toucan",
   sizeof(Toucan__VmState),
-  7,
+  9,
   toucan__vm_state__field_descriptors,
   toucan__vm_state__field_indices_by_name,
-  2,  toucan__vm_state__number_ranges,
+  3,  toucan__vm_state__number_ranges,
   (ProtobufCMessageInit) toucan__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__table_state__field_descriptors[2] =
+{
+  {
+    "complete_version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableState, complete_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableState, rows_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__table_state__field_indices_by_name[] = {
+  0,   /* field[0] = complete_version */
+  1,   /* field[1] = rows_version */
+};
+static const ProtobufCIntRange toucan__table_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__table_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.TableState",
+  "TableState",
+  "Toucan__TableState",
+  "toucan",
+  sizeof(Toucan__TableState),
+  2,
+  toucan__table_state__field_descriptors,
+  toucan__table_state__field_indices_by_name,
+  1,  toucan__table_state__number_ranges,
+  (ProtobufCMessageInit) toucan__table_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__table_row__field_descriptors[5] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "use_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, use_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__table_row__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  2,   /* field[2] = removed */
+  4,   /* field[4] = use_ms */
+  3,   /* field[3] = value */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange toucan__table_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__table_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.TableRow",
+  "TableRow",
+  "Toucan__TableRow",
+  "toucan",
+  sizeof(Toucan__TableRow),
+  5,
+  toucan__table_row__field_descriptors,
+  toucan__table_row__field_indices_by_name,
+  1,  toucan__table_row__number_ranges,
+  (ProtobufCMessageInit) toucan__table_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__table_rows__field_descriptors[4] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRows, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRows, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRows, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__TableRows, n_rows),
+    offsetof(Toucan__TableRows, rows),
+    &toucan__table_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__table_rows__field_indices_by_name[] = {
+  1,   /* field[1] = base_version */
+  3,   /* field[3] = rows */
+  0,   /* field[0] = table */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange toucan__table_rows__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__table_rows__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.TableRows",
+  "TableRows",
+  "Toucan__TableRows",
+  "toucan",
+  sizeof(Toucan__TableRows),
+  4,
+  toucan__table_rows__field_descriptors,
+  toucan__table_rows__field_indices_by_name,
+  1,  toucan__table_rows__number_ranges,
+  (ProtobufCMessageInit) toucan__table_rows__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__table_pull__field_descriptors[2] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TablePull, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "have_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TablePull, have_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__table_pull__field_indices_by_name[] = {
+  1,   /* field[1] = have_version */
+  0,   /* field[0] = table */
+};
+static const ProtobufCIntRange toucan__table_pull__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__table_pull__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.TablePull",
+  "TablePull",
+  "Toucan__TablePull",
+  "toucan",
+  sizeof(Toucan__TablePull),
+  2,
+  toucan__table_pull__field_descriptors,
+  toucan__table_pull__field_indices_by_name,
+  1,  toucan__table_pull__number_ranges,
+  (ProtobufCMessageInit) toucan__table_pull__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__fleet_state__field_descriptors[1] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -18,6 +18,10 @@
 typedef struct Toucan__Envelope Toucan__Envelope;
 typedef struct Toucan__AccountUse Toucan__AccountUse;
 typedef struct Toucan__VmState Toucan__VmState;
+typedef struct Toucan__TableState Toucan__TableState;
+typedef struct Toucan__TableRow Toucan__TableRow;
+typedef struct Toucan__TableRows Toucan__TableRows;
+typedef struct Toucan__TablePull Toucan__TablePull;
 typedef struct Toucan__FleetState Toucan__FleetState;
 typedef struct Toucan__AcquireCost Toucan__AcquireCost;
 typedef struct Toucan__CostReply Toucan__CostReply;
@@ -134,7 +138,9 @@
   TOUCAN__ENVELOPE__BODY_FLEET_STATE = 61,
   TOUCAN__ENVELOPE__BODY_ACQUIRE_COST = 62,
   TOUCAN__ENVELOPE__BODY_COST_REPLY = 63,
-  TOUCAN__ENVELOPE__BODY_COST_NOTICE = 64
+  TOUCAN__ENVELOPE__BODY_COST_NOTICE = 64,
+  TOUCAN__ENVELOPE__BODY_TABLE_ROWS = 65,
+  TOUCAN__ENVELOPE__BODY_TABLE_PULL = 66
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -198,6 +204,8 @@
     Toucan__AcquireCost *acquire_cost;
     Toucan__CostReply *cost_reply;
     Toucan__CostNotice *cost_notice;
+    Toucan__TableRows *table_rows;
+    Toucan__TablePull *table_pull;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -245,10 +253,6 @@
    * in force; 0 in a forwarded state
    */
   int64_t config_version;
-  /*
-   * of the newest endpoint entry; 0 in a forwarded state
-   */
-  int64_t instances_version;
   /*
    * its shutdown has begun
    */
@@ -258,10 +262,103 @@
    */
   size_t n_uses;
   Toucan__AccountUse **uses;
+  /*
+   * in the order of enum tlb_table_kind; none when forwarded
+   */
+  size_t n_tables;
+  Toucan__TableState **tables;
+  /*
+   * time since the tables were known to be current
+   */
+  uint32_t confirmed_age_ms;
+  /*
+   * forwarded: a VM that kept a link to it has not heard from it
+   */
+  protobuf_c_boolean gone;
 };
 #define TOUCAN__VM_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__vm_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * A VM's copy of one table of the platform's store.
+ */
+struct  Toucan__TableState
+{
+  ProtobufCMessage base;
+  /*
+   * all changes up to this store version are known
+   */
+  int64_t complete_version;
+  /*
+   * of the newest row
+   */
+  int64_t rows_version;
+};
+#define TOUCAN__TABLE_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__table_state__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * One row or tombstone.
+ */
+struct  Toucan__TableRow
+{
+  ProtobufCMessage base;
+  char *key;
+  int64_t version;
+  protobuf_c_boolean removed;
+  ProtobufCBinaryData value;
+  /*
+   * removed: remaining time for which the entry stays in use
+   */
+  int64_t use_ms;
+};
+#define TOUCAN__TABLE_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__table_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+
+
+/*
+ * Changes of a table, sent to VMs that lack them. One-way. Without rows it only announces version.
+ */
+struct  Toucan__TableRows
+{
+  ProtobufCMessage base;
+  /*
+   * enum tlb_table_kind
+   */
+  uint32_t table;
+  /*
+   * rows has all changes after it; 0: the complete table
+   */
+  int64_t base_version;
+  /*
+   * up to which all changes are included
+   */
+  int64_t version;
+  size_t n_rows;
+  Toucan__TableRow **rows;
+};
+#define TOUCAN__TABLE_ROWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__table_rows__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
+/*
+ * Requests the changes after have_version. Answered by TableRows as a message of its own.
+ */
+struct  Toucan__TablePull
+{
+  ProtobufCMessage base;
+  uint32_t table;
+  int64_t have_version;
+};
+#define TOUCAN__TABLE_PULL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__table_pull__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -1117,6 +1214,82 @@
 void   toucan__vm_state__free_unpacked
                      (Toucan__VmState *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__TableState methods */
+void   toucan__table_state__init
+                     (Toucan__TableState         *message);
+size_t toucan__table_state__get_packed_size
+                     (const Toucan__TableState   *message);
+size_t toucan__table_state__pack
+                     (const Toucan__TableState   *message,
+                      uint8_t             *out);
+size_t toucan__table_state__pack_to_buffer
+                     (const Toucan__TableState   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__TableState *
+       toucan__table_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__table_state__free_unpacked
+                     (Toucan__TableState *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__TableRow methods */
+void   toucan__table_row__init
+                     (Toucan__TableRow         *message);
+size_t toucan__table_row__get_packed_size
+                     (const Toucan__TableRow   *message);
+size_t toucan__table_row__pack
+                     (const Toucan__TableRow   *message,
+                      uint8_t             *out);
+size_t toucan__table_row__pack_to_buffer
+                     (const Toucan__TableRow   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__TableRow *
+       toucan__table_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__table_row__free_unpacked
+                     (Toucan__TableRow *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__TableRows methods */
+void   toucan__table_rows__init
+                     (Toucan__TableRows         *message);
+size_t toucan__table_rows__get_packed_size
+                     (const Toucan__TableRows   *message);
+size_t toucan__table_rows__pack
+                     (const Toucan__TableRows   *message,
+                      uint8_t             *out);
+size_t toucan__table_rows__pack_to_buffer
+                     (const Toucan__TableRows   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__TableRows *
+       toucan__table_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__table_rows__free_unpacked
+                     (Toucan__TableRows *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__TablePull methods */
+void   toucan__table_pull__init
+                     (Toucan__TablePull         *message);
+size_t toucan__table_pull__get_packed_size
+                     (const Toucan__TablePull   *message);
+size_t toucan__table_pull__pack
+                     (const Toucan__TablePull   *message,
+                      uint8_t             *out);
+size_t toucan__table_pull__pack_to_buffer
+                     (const Toucan__TablePull   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__TablePull *
+       toucan__table_pull__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__table_pull__free_unpacked
+                     (Toucan__TablePull *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__FleetState methods */
 void   toucan__fleet_state__init
                      (Toucan__FleetState         *message);
@@ -1964,6 +2137,18 @@
 typedef void (*Toucan__VmState_Closure)
                  (const Toucan__VmState *message,
                   void *closure_data);
+typedef void (*Toucan__TableState_Closure)
+                 (const Toucan__TableState *message,
+                  void *closure_data);
+typedef void (*Toucan__TableRow_Closure)
+                 (const Toucan__TableRow *message,
+                  void *closure_data);
+typedef void (*Toucan__TableRows_Closure)
+                 (const Toucan__TableRows *message,
+                  void *closure_data);
+typedef void (*Toucan__TablePull_Closure)
+                 (const Toucan__TablePull *message,
+                  void *closure_data);
 typedef void (*Toucan__FleetState_Closure)
                  (const Toucan__FleetState *message,
                   void *closure_data);
@@ -2105,6 +2290,10 @@
 extern const ProtobufCMessageDescriptor toucan__envelope__descriptor;
 extern const ProtobufCMessageDescriptor toucan__account_use__descriptor;
 extern const ProtobufCMessageDescriptor toucan__vm_state__descriptor;
+extern const ProtobufCMessageDescriptor toucan__table_state__descriptor;
+extern const ProtobufCMessageDescriptor toucan__table_row__descriptor;
+extern const ProtobufCMessageDescriptor toucan__table_rows__descriptor;
+extern const ProtobufCMessageDescriptor toucan__table_pull__descriptor;
 extern const ProtobufCMessageDescriptor toucan__fleet_state__descriptor;
 extern const ProtobufCMessageDescriptor toucan__acquire_cost__descriptor;
 extern const ProtobufCMessageDescriptor toucan__cost_reply__descriptor;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -148,9 +148,25 @@
 
     def start(self, configuration=None):
         self.store.put("op", "config", configuration or config(3))
-        wait(lambda: all(vm.ready() for vm in self.vms), "all VMs are ready")
+        try:
+            wait(lambda: all(vm.ready() for vm in self.vms), "all VMs are ready")
+        except AssertionError:
+            self.print_unready()
+            raise
         return self.vms[0]
 
+    def print_unready(self):
+        """Prints why VMs have not started: the exit code and the end of the log."""
+        for vm in self.vms:
+            if vm.ready():
+                continue
+            lines = []
+            if os.path.exists(vm.log):
+                with open(vm.log, encoding="utf-8") as f:
+                    lines = f.readlines()[-8:]
+            print(f"{vm.name} is not ready, exit code {vm.process.poll()}, ports {vm.ports}")
+            print("".join(lines))
+
 
 def wait(condition, what, seconds=6):
     end = time.monotonic() + seconds
@@ -678,6 +694,32 @@
         equal(cut.call("/pay/1")[0], 401, "the withdrawn key at the second")
 
 
+def check_few_vms_of_a_large_fleet_follow_the_store():
+    """Changes must reach every VM of a large fleet while only a few read the store; when the store
+    refuses these, others must take over in time. With every VM following, each change would be
+    answered to all of them."""
+    with World(vms=20, shops=2) as w:
+        w.start()
+        wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
+             "most VMs stop following", 15)
+        calls = w.store.calls
+        for n in range(10):
+            w.store.put("servers", "shop-0", w.shops[0].entry("draining" if n % 2 else "ready"))
+            time.sleep(0.2)
+        w.store.put("op", "config", config(7))
+        wait(lambda: all(v.events("routing_applied source=.* version=7") for v in w.vms),
+             "version 7 at all VMs", 4)
+        wait(lambda: all(v.events("instance instance=shop-0 .*leaving=1")
+                         for v in w.vms), "the endpoint's state at all VMs", 4)
+        assert w.store.calls - calls <= 160, f"{w.store.calls - calls} calls for 11 changes"
+        followers = [n for n, v in enumerate(w.vms) if v.metric("toucanlb_tables_following")]
+        for n in followers:
+            w.doors[n].closed = True
+        w.store.put("op", "config", config(9))
+        wait(lambda: all(v.events("routing_applied source=.* version=9") for v in w.vms),
+             "version 9 with all followers refused", 8)
+
+
 def check_lapsed_entries_stay_in_use():
     """Entries that expire during a store outage belong to live endpoints, which register again
     within two seconds; until then they must stay in use."""
--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -78,6 +78,14 @@
 	tlb_quota_owners_on_message(&n->board.quota_owners, peer, msg);
 }
 
+static void fill_state(void *arg, Toucan__VmState *state)
+{
+}
+
+static void on_state(void *arg, struct tlb_vm *vm, const Toucan__VmState *state)
+{
+}
+
 static void start_node(struct node *n, int number)
 {
 	struct tlb_edge_board *b = &n->board;
@@ -94,8 +102,7 @@
 	tlb_vms_init(&b->vms, b, &store);
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
 	b->quota_owners.warm_at = 0;
-	b->vms.on_quota_message = on_message;
-	b->vms.arg = n;
+	b->vms.handlers = (struct tlb_vms_handlers){n, fill_state, on_state, NULL, on_message};
 	tlb_quotas_configure(&b->quotas, b->routing, tlb_clock_now());
 	tlb_quotas_find(&b->quotas, "acct")->level = BURST;
 	b->vms.rows.handlers.on_secret(b->vms.rows.handlers.arg, secret);
--- /dev/null
+++ b/tests/test_tables.c
@@ -0,0 +1,158 @@
+/*
+ * The copies of the store's tables that VMs pass on to each other. Guards against a removed
+ * endpoint or an old configuration that comes back from a VM that lags behind, against changes that
+ * are lost between two VMs, and against a fleet in which nobody, or everybody, reads the store.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tables.h"
+
+static struct tlb_replica r;
+static int removals;
+
+static void put(const char *key, int64_t version, const char *value, bool expected)
+{
+	struct tlb_stored_row row = {.version = version, .removed = !value};
+
+	strcpy(row.key, key);
+	row.value = (char *)value;
+	row.len = value ? strlen(value) : 0;
+	ck_assert_msg((tlb_replica_put(&r, &row, 0) != NULL) == expected, "%s at %d", key,
+		      (int)version);
+}
+
+static const struct tlb_replica_row *find(const char *key)
+{
+	const struct tlb_replica_row *e;
+
+	APR_RING_FOREACH (e, &r.rows, tlb_replica_row, link) {
+		if (strcmp(e->row.key, key) == 0)
+			return e;
+	}
+	return NULL;
+}
+
+static void on_removed(void *arg, const struct tlb_replica_row *row)
+{
+	removals++;
+}
+
+START_TEST(older_rows_change_nothing)
+{
+	tlb_replica_init(&r);
+	put("a", 5, "five", true);
+	put("a", 4, "four", false);
+	put("a", 5, "again", false);
+	ck_assert_str_eq(find("a")->row.value, "five");
+	put("a", 7, NULL, true);
+	put("a", 6, "six", false);
+	ck_assert(find("a")->row.removed);
+	put("a", 8, "eight", true);
+	ck_assert(!find("a")->row.removed);
+	ck_assert_int_eq(r.rows_version, 8);
+	ck_assert_int_eq(r.tombstones, 0);
+	tlb_replica_finish(&r);
+}
+END_TEST
+
+START_TEST(listing_removes_what_it_lacks)
+{
+	tlb_replica_init(&r);
+	removals = 0;
+	put("stays", 3, "x", true);
+	put("gone", 4, "x", true);
+	put("newer", 12, "x", true);
+	tlb_replica_begin_listing(&r);
+	put("stays", 3, "x", false);
+	put("added", 9, "x", true);
+	tlb_replica_end_listing(&r, 10, 0, on_removed, NULL);
+	ck_assert_int_eq(removals, 1);
+	ck_assert(find("gone")->row.removed);
+	ck_assert_int_eq(find("gone")->row.version, 10);
+	ck_assert(!find("newer")->row.removed);
+	ck_assert_int_eq(r.complete_version, 10);
+	tlb_replica_finish(&r);
+}
+END_TEST
+
+START_TEST(tombstones_are_bounded)
+{
+	char key[32];
+	int i;
+
+	tlb_replica_init(&r);
+	for (i = 1; i <= TLB_REPLICA_TOMBSTONES_MAX + 10; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		put(key, i, NULL, true);
+	}
+	ck_assert_int_eq(r.tombstones, TLB_REPLICA_TOMBSTONES_MAX);
+	ck_assert_int_eq(r.forgotten_version, 10);
+	ck_assert(!tlb_replica_covers(&r, 9));
+	ck_assert(tlb_replica_covers(&r, 10));
+	ck_assert(!tlb_replica_covers(&r, 0));
+	tlb_replica_finish(&r);
+}
+END_TEST
+
+/* One line of tests/tables/follow.txt. Ages are in ms; "-": not set. */
+static void check_line(const char *line, int number)
+{
+	const tlb_time now = 1000 * TLB_SECOND;
+	struct tlb_follow_input i = {.now = now};
+	char behind[16];
+	int listed, chosen, following, heard, age, attempt_in, until, expected;
+
+	ck_assert_int_eq(sscanf(line, "%d %d %d %d %d %d %15s %d %d %d", &i.vms, &listed, &chosen,
+				&following, &heard, &age, behind, &attempt_in, &until, &expected),
+			 10);
+	i.listed = listed;
+	i.chosen = chosen;
+	i.following = following;
+	i.heard = heard;
+	i.confirmed_at = now - age * TLB_MS;
+	i.behind_since = strcmp(behind, "-") == 0 ? 0 : now - atoi(behind) * TLB_MS;
+	i.attempt_at = now + attempt_in * TLB_MS;
+	i.follow_until = now + until * TLB_MS;
+	ck_assert_msg(tlb_tables_should_follow(&i) == expected, "line %d: %s", number, line);
+}
+
+START_TEST(who_follows_by_load_pattern)
+{
+	FILE *f = fopen("tests/tables/follow.txt", "r");
+	char line[256];
+	int number = 0;
+	int checked = 0;
+
+	ck_assert_ptr_nonnull(f);
+	while (fgets(line, sizeof(line), f)) {
+		number++;
+		if (line[0] == '#')
+			continue;
+		check_line(line, number);
+		checked++;
+	}
+	fclose(f);
+	ck_assert_int_gt(checked, 10);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("tables");
+	TCase *t = tcase_create("tables");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(t, older_rows_change_nothing);
+	tcase_add_test(t, listing_removes_what_it_lacks);
+	tcase_add_test(t, tombstones_are_bounded);
+	tcase_add_test(t, who_follows_by_load_pattern);
+	suite_add_tcase(s, t);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed > 0;
+}
--- a/tests/test_vms.c
+++ b/tests/test_vms.c
@@ -1,7 +1,8 @@
 /*
  * The list of VMs behind a users' platform. Learning a fleet of hundreds of VMs took seconds of
  * processor time when every VM that was added ranked all pairs anew, longer than the time between a
- * start and the first request on a small VM.
+ * start and the first request on a small VM. And all VMs must keep the same list, because the
+ * owners of accounts and the followers of tables are ranked from it.
  */
 #include <apr_general.h>
 #include <check.h>
@@ -27,6 +28,14 @@
 
 static struct fixture fx;
 
+static void fill_state(void *arg, Toucan__VmState *state)
+{
+}
+
+static void on_state(void *arg, struct tlb_vm *vm, const Toucan__VmState *state)
+{
+}
+
 static void setup(const char *self)
 {
 	memset(&fx, 0, sizeof(fx));
@@ -41,6 +50,8 @@
 	fx.board.routing = tlb_routing_new();
 	tlb_quotas_init(&fx.board.quotas);
 	tlb_vms_init(&fx.board.vms, &fx.board, &fx.store);
+	fx.board.vms.handlers.fill_state = fill_state;
+	fx.board.vms.handlers.on_state = on_state;
 }
 
 static void teardown(void)
@@ -67,6 +78,37 @@
 	}
 }
 
+/* Runs the report timer, which removes VMs that have expired. */
+static void report(void)
+{
+	fx.board.vms.report_timer.fn(&fx.board.vms);
+}
+
+/* Delivers a report of vm-1, with the state of another VM if that is not NULL. */
+static void receive(uint64_t incarnation, bool leaving, Toucan__VmState *other)
+{
+	struct tlb_peers *p = &fx.board.vms.peers;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__FleetState fleet = TOUCAN__FLEET_STATE__INIT;
+	Toucan__VmState own = TOUCAN__VM_STATE__INIT;
+	Toucan__VmState *states[2] = {&own, other};
+
+	own.id = "vm-1";
+	own.addr = "10.0.1.1:7500";
+	own.incarnation = incarnation;
+	own.leaving = leaving;
+	fleet.vms = states;
+	fleet.n_vms = other ? 2 : 1;
+	e.body_case = TOUCAN__ENVELOPE__BODY_FLEET_STATE;
+	e.fleet_state = &fleet;
+	p->handlers.on_message(p->handlers.arg, tlb_peers_find(p, "vm-1"), &e);
+}
+
+static struct tlb_vm *vm(const char *id)
+{
+	return tlb_vms_find(&fx.board.vms, id);
+}
+
 static int neighbours(void)
 {
 	const struct tlb_vm *m;
@@ -123,6 +165,117 @@
 }
 END_TEST
 
+/* Only the neighbours of a VM hear from it. When VMs that were not mentioned for 30 s were removed,
+ * a large fleet forgot most of itself, and every VM ranked other VMs. */
+START_TEST(silent_vms_that_are_no_neighbours_stay)
+{
+	struct tlb_vm *m;
+
+	setup("vm-0");
+	learn(FLEET);
+	APR_RING_FOREACH (m, &fx.board.vms.all, tlb_vm, link) {
+		m->last_seen_at -= 2 * TLB_VMS_EXPIRY;
+	}
+	report();
+	ck_assert_int_eq(tlb_vms_count(&fx.board.vms), FLEET - TLB_VMS_NEIGHBOURS);
+	report();
+	report();
+	ck_assert_int_eq(tlb_vms_count(&fx.board.vms), FLEET - TLB_VMS_NEIGHBOURS);
+	teardown();
+}
+END_TEST
+
+/* Membership must change at VMs that keep no link to the VM that joins, leaves or dies. */
+START_TEST(changes_of_the_membership_are_passed_on)
+{
+	Toucan__VmState other = TOUCAN__VM_STATE__INIT;
+
+	setup("vm-0");
+	learn(20);
+	other.id = "vm-new";
+	other.addr = "10.0.9.1:7500";
+	other.incarnation = 5;
+	receive(1, false, &other);
+	ck_assert_ptr_nonnull(vm("vm-new"));
+	ck_assert(vm("vm-new")->announce);
+	report();
+	ck_assert_msg(vm("vm-new")->announce, "kept until a link is up");
+	vm("vm-new")->announce = false;
+	receive(1, false, &other);
+	ck_assert_msg(!vm("vm-new")->announce, "a known VM is not passed on again");
+	other.leaving = true;
+	receive(1, false, &other);
+	ck_assert(vm("vm-new")->leaving && vm("vm-new")->announce);
+	report();
+	ck_assert(vm("vm-new")->gone);
+	vm("vm-new")->announce = false;
+	report();
+	ck_assert_ptr_null(vm("vm-new"));
+	other.leaving = false;
+	other.incarnation = 6;
+	receive(1, false, &other);
+	ck_assert_ptr_nonnull(vm("vm-new"));
+	other.gone = true;
+	other.incarnation = 5;
+	receive(1, false, &other);
+	ck_assert_msg(!vm("vm-new")->gone, "news of an earlier incarnation");
+	other.incarnation = 6;
+	receive(1, false, &other);
+	ck_assert(vm("vm-new")->gone && vm("vm-new")->announce);
+	other.id = "vm-1";
+	other.incarnation = 1;
+	receive(1, false, &other);
+	ck_assert_msg(!vm("vm-1")->gone, "a VM that reports itself");
+	teardown();
+}
+END_TEST
+
+/* A VM that was stopped and started again must be ranked again by VMs without a link to it. */
+START_TEST(restarted_vm_is_announced)
+{
+	setup("vm-0");
+	learn(20);
+	receive(1, true, NULL);
+	ck_assert(vm("vm-1")->leaving && vm("vm-1")->announce);
+	vm("vm-1")->announce = false;
+	receive(2, false, NULL);
+	ck_assert(!vm("vm-1")->leaving && vm("vm-1")->announce);
+	teardown();
+}
+END_TEST
+
+/* All VMs must rank the same VM first, and leave out one that does not answer or is leaving. */
+START_TEST(ranking_is_the_same_everywhere)
+{
+	char first[3][TLB_ID_LEN];
+	char ids[3][TLB_ID_LEN];
+	uint64_t key = tlb_vms_hash("some account");
+	tlb_time now = tlb_clock_now();
+	char self[TLB_ID_LEN];
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		snprintf(self, sizeof(self), "vm-%d", i);
+		setup(self);
+		learn(20);
+		ck_assert_int_eq(tlb_vms_rank(&fx.board.vms, key, now, i ? ids : first, 3), 3);
+		if (i)
+			ck_assert_mem_eq(first[0], ids[0], strlen(first[0]) + 1);
+		teardown();
+	}
+	setup("vm-of-another-rank");
+	learn(20);
+	tlb_vms_rank(&fx.board.vms, key, now, first, 3);
+	tlb_vms_avoid(&fx.board.vms, first[0], now + 1);
+	tlb_vms_rank(&fx.board.vms, key, now, ids, 3);
+	ck_assert_str_eq(ids[0], first[1]);
+	vm(first[1])->leaving = true;
+	tlb_vms_rank(&fx.board.vms, key, now, ids, 3);
+	ck_assert_str_eq(ids[0], first[2]);
+	teardown();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("vms");
@@ -136,6 +289,10 @@
 	tcase_add_test(t, a_large_fleet_is_learned_in_little_time);
 	tcase_add_test(t, neighbours_have_the_lowest_weights);
 	tcase_add_test(t, all_vms_of_a_small_fleet_are_neighbours);
+	tcase_add_test(t, silent_vms_that_are_no_neighbours_stay);
+	tcase_add_test(t, changes_of_the_membership_are_passed_on);
+	tcase_add_test(t, restarted_vm_is_announced);
+	tcase_add_test(t, ranking_is_the_same_everywhere);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
