--- a/src/forward.c
+++ b/src/forward.c
@@ -550,6 +550,19 @@
 		dispatch(f);
 }
 
+static void log_over_limit(const struct tlb_forward *f, int64_t cost, tlb_time ready_at)
+{
+	const struct tlb_quota *q = tlb_quotas_find(&f->board->quotas, f->account->name);
+	const char *decider = tlb_quota_acquisition_decider(&f->acquisition);
+
+	tlb_log_info("event=over_limit request=%s account=%s cost=%lld level=%.0f rate=%lld "
+		     "share=%.2f ready_ms=%lld owner=%s",
+		     f->exchange->id, f->account->name, (long long)cost,
+		     *decider ? (double)f->acquisition.level : q->level, (long long)q->rate,
+		     f->board->quotas.share, (long long)((ready_at - tlb_clock_now()) / TLB_MS),
+		     *decider ? decider : "-");
+}
+
 /* Starts the request when its cost was granted; otherwise refuses it. */
 static void on_quota_decided(void *arg, bool granted, tlb_time ready_at)
 {
@@ -561,9 +574,7 @@
 		start_attempts(f);
 		return;
 	}
-	tlb_log_info("event=over_limit request=%s account=%s cost=%lld share=%.2f ready_ms=%lld",
-		     f->exchange->id, f->account->name, (long long)cost, f->board->quotas.share,
-		     (long long)((ready_at - tlb_clock_now()) / TLB_MS));
+	log_over_limit(f, cost, ready_at);
 	tlb_forward_refuse(f, TLB_RATE_LIMITED,
 			   tlb_forward_retry_after_ms(f, ready_at - tlb_clock_now()),
 			   "the client account is at its limit");
--- a/src/quota_owner.c
+++ b/src/quota_owner.c
@@ -60,8 +60,10 @@
 	if (r->cost >= 0)
 		answer = decide(o, r->account, r->cost, r->last_resort, &ready_at);
 	reply.result = results[answer];
-	if (answer == TLB_QUOTA_REFUSED)
+	if (answer == TLB_QUOTA_REFUSED) {
 		reply.ready_in_us = ready_at - tlb_clock_now();
+		reply.level = (int64_t)tlb_quotas_find(o->quotas, r->account)->level;
+	}
 	snprintf(to.vm, sizeof(to.vm), "%s", peer->id);
 	e.body_case = TOUCAN__ENVELOPE__BODY_COST_REPLY;
 	e.cost_reply = &reply;
@@ -180,6 +182,7 @@
 		handle_answer(a, TLB_QUOTA_NO_ANSWER, 0);
 		return;
 	}
+	a->level = reply->cost_reply->level;
 	handle_answer(a, answer_of(reply->cost_reply),
 		      tlb_clock_now() + reply->cost_reply->ready_in_us);
 }
@@ -269,6 +272,11 @@
 		tlb_peer_cancel(&a->call);
 }
 
+const char *tlb_quota_acquisition_decider(const struct tlb_quota_acquisition *a)
+{
+	return a->alone || a->ranked_count == 0 ? "" : a->ranked[a->rank];
+}
+
 void tlb_quota_acquisition_return(struct tlb_quota_acquisition *a)
 {
 	struct tlb_quota *q = tlb_quotas_find(a->owners->quotas, a->account);
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -68,7 +68,8 @@
 	int asked;
 	enum tlb_quota_answer answers[TLB_QUOTA_VMS_ASKED];
 	bool last_resort;
-	bool alone; /* granted from this VM's own fraction */
+	bool alone;    /* granted from this VM's own fraction */
+	int64_t level; /* refused: what the deciding bucket held, for the log */
 	tlb_quota_done_fn *on_done;
 	void *arg;
 };
@@ -96,6 +97,8 @@
 		       void *arg);
 /* Ends an acquisition without calling on_done; no effect when it is idle or has ended. */
 void tlb_quota_acquisition_cancel(struct tlb_quota_acquisition *a);
+/* The VM that decided, for the log; "" when this VM did not ask. */
+const char *tlb_quota_acquisition_decider(const struct tlb_quota_acquisition *a);
 /* Returns the cost of a granted request that did not run. */
 void tlb_quota_acquisition_return(struct tlb_quota_acquisition *a);
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3491,7 +3491,7 @@
   toucan__cost_reply__result__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor toucan__cost_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor toucan__cost_reply__field_descriptors[3] =
 {
   {
     "result",
@@ -3517,15 +3517,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__CostReply, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__cost_reply__field_indices_by_name[] = {
+  2,   /* field[2] = level */
   1,   /* field[1] = ready_in_us */
   0,   /* field[0] = result */
 };
 static const ProtobufCIntRange toucan__cost_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__cost_reply__descriptor =
 {
@@ -3535,7 +3548,7 @@
   "Toucan__CostReply",
   "toucan",
   sizeof(Toucan__CostReply),
-  2,
+  3,
   toucan__cost_reply__field_descriptors,
   toucan__cost_reply__field_indices_by_name,
   1,  toucan__cost_reply__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -402,10 +402,14 @@
    * REFUSED: when the cost can be granted if nothing else changes
    */
   int64_t ready_in_us;
+  /*
+   * REFUSED: cost that the bucket holds, for the log
+   */
+  int64_t level;
 };
 #define TOUCAN__COST_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__cost_reply__descriptor) \
-    , TOUCAN__COST_REPLY__RESULT__UNAVAILABLE, 0 }
+    , TOUCAN__COST_REPLY__RESULT__UNAVAILABLE, 0, 0 }
 
 
 /*
