Read the store once at a start; let eight VMs own all accounts

Change: a VM follows when it has read the list of VMs with its own row in it, two seconds after it wrote that row if it was missing; otherwise it awaits the tables of others for up to 3 to 5 s. The row is written only when it is missing or wrong, and the secret is created after a random delay. Accounts are ranked among eight VMs that a hash selects.

--- a/src/peer.c
+++ b/src/peer.c
@@ -935,14 +935,15 @@
 	}
 }
 
-void tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr)
+struct tlb_peer *tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr)
 {
 	struct tlb_peer *peer = peer_get(p, vm);
 
 	if (!peer || strlen(addr) >= sizeof(peer->addr))
-		return;
+		return NULL;
 	strcpy(peer->addr, addr);
 	peer->next_attempt_at = 0;
+	return peer;
 }
 
 void tlb_peers_set_persistent(struct tlb_peers *p, const char *vm, bool keep)
--- a/src/peer.h
+++ b/src/peer.h
@@ -146,8 +146,9 @@
 void tlb_peers_set_incarnation(struct tlb_peers *p, uint64_t incarnation);
 
 struct tlb_peer *tlb_peers_find(const struct tlb_peers *p, const char *vm);
-/* Adds a VM, or changes its address. */
-void tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr);
+/* Adds a VM, or changes its address. Returns the VM, which exists until tlb_peers_finish(), or NULL
+ * without memory or when a name is too long. */
+struct tlb_peer *tlb_peers_add(struct tlb_peers *p, const char *vm, const char *addr);
 /* Closes the link to a VM and opens no new one until tlb_peers_add(). */
 void tlb_peers_disconnect(struct tlb_peers *p, const char *vm);
 /* Sets whether the link to a VM is persistent. */
--- a/src/quota_owner.c
+++ b/src/quota_owner.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "rank.h"
 
 /* --- the decision --- */
 
@@ -89,6 +90,30 @@
 
 /* --- the asking side --- */
 
+/* Key of the ranking that selects the group of owners. */
+static const char group_key[] = "quota-owners";
+
+/* Sorts the VMs of the owners' group by the account's rendezvous hash. All accounts share the few
+ * VMs of the group, so that every VM needs links to these only. */
+static int rank_owners(const struct tlb_vms *v, const char *account, char ids[][TLB_ID_LEN],
+		       int most)
+{
+	char group[TLB_QUOTA_OWNERS][TLB_ID_LEN];
+	struct tlb_ranked ranked[TLB_QUOTA_OWNERS];
+	uint64_t key = tlb_vms_hash(account);
+	int size =
+		tlb_vms_rank(v, tlb_vms_hash(group_key), tlb_clock_now(), group, TLB_QUOTA_OWNERS);
+	int count = 0;
+	int i;
+
+	for (i = 0; i < size; i++)
+		count = tlb_rank_offer(ranked, count, most,
+				       tlb_vms_weight(key, tlb_vms_hash(group[i])), group[i]);
+	for (i = 0; i < count; i++)
+		strcpy(ids[i], ranked[i].item);
+	return count;
+}
+
 static void ask_next(struct tlb_quota_acquisition *a);
 
 /* Tells a ranked VM of cost that another one granted or that was returned. */
@@ -261,8 +286,7 @@
 		finish(a, false, quota->refused_ready_at);
 		return;
 	}
-	a->ranked_count = tlb_vms_rank(o->vms, tlb_vms_hash(quota->account), now, a->ranked,
-				       TLB_QUOTA_VMS_ASKED + 1);
+	a->ranked_count = rank_owners(o->vms, quota->account, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
 	ask_next(a);
 }
 
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -1,6 +1,7 @@
 /*
  * Limits of client accounts in a fleet that is too large for every VM to hear of every grant in
- * time. The VM that a hash of the account ranks first owns the account's bucket: the others ask it
+ * time. Of a few VMs, selected by a hash, the one that a hash of the account
+ * ranks first owns the account's bucket: the others ask it
  * for the cost of each request, one round trip between VMs. It tells the VM ranked second, which so
  * knows what was granted when it has to decide instead.
  *
@@ -30,7 +31,10 @@
  * returned cost may make the owner grant earlier than it expected. */
 #define TLB_QUOTA_REFUSAL_TTL (200 * TLB_MS)
 
-enum { TLB_QUOTA_VMS_ASKED = 4 }; /* VMs asked for one request */
+enum {
+	TLB_QUOTA_OWNERS = 8,	 /* VMs that own the accounts of a fleet */
+	TLB_QUOTA_VMS_ASKED = 4, /* VMs asked for one request */
+};
 
 /* How one VM has answered. */
 enum tlb_quota_answer {
--- a/src/tables.c
+++ b/src/tables.c
@@ -16,6 +16,7 @@
 #define PUSH_DELAY (30 * TLB_MS)
 #define PULL_INTERVAL (300 * TLB_MS)
 #define ROLE_INTERVAL (200 * TLB_MS)
+#define ROLE_START_INTERVAL (20 * TLB_MS) /* until the tables are known */
 /* Rows of one message to another VM. Larger changes, such as a new configuration, are announced,
  * and each VM requests them once. */
 enum { PUSH_BYTES_MAX = 8 << 10, PULL_BYTES_MAX = 900 << 10, MESSAGE_ROWS_MAX = 2048 };
@@ -28,7 +29,10 @@
 {
 	bool outdated = i->now >= i->confirmed_at + TLB_TABLES_MAX_AGE;
 
-	if (i->vms <= TLB_TABLES_SMALL_FLEET || !i->listed || i->chosen || !i->heard)
+	if (!i->listed)
+		return i->following || i->now >= i->start_deadline ||
+		       (i->vms_known && (i->vms <= TLB_TABLES_SMALL_FLEET || i->chosen));
+	if (i->vms <= TLB_TABLES_SMALL_FLEET || i->chosen || !i->heard)
 		return true;
 	if (i->behind_since > 0 && i->now >= i->behind_since + TLB_TABLES_MAX_BEHIND)
 		return true;
@@ -194,7 +198,7 @@
 	int i;
 
 	APR_RING_FOREACH (m, &t->vms->all, tlb_vm, link) {
-		if (!tlb_peer_is_up(tlb_peers_find(&t->vms->peers, m->id)))
+		if (!tlb_vm_is_linked(m))
 			continue;
 		for (i = 0; i < TLB_TABLE_COUNT; i++)
 			push_to(&t->table[i], m);
@@ -420,6 +424,7 @@
 	tlb_time now = tlb_clock_now();
 	struct tlb_follow_input in = {
 		.vms = tlb_vms_count(t->vms),
+		.vms_known = t->vms->rows.listed,
 		.listed = tlb_tables_listed(t),
 		.chosen = is_chosen(t, now),
 		.following = t->following,
@@ -429,6 +434,7 @@
 		.behind_since = first_behind_since(t),
 		.attempt_at = t->attempt_at,
 		.follow_until = t->follow_until,
+		.start_deadline = t->start_deadline,
 	};
 	bool outdated = now >= t->confirmed_at + TLB_TABLES_MAX_AGE;
 	bool follow;
@@ -448,9 +454,10 @@
 			     in.heard, in.behind_since > 0, in.vms);
 		if (follow)
 			t->follow_until = now + TLB_TABLES_FOLLOW_TIME;
-		set_following(t, follow, outdated);
+		set_following(t, follow, outdated && in.listed);
 	}
-	tlb_timer_set(t->board->loop, &t->role_timer, now + ROLE_INTERVAL);
+	tlb_timer_set(t->board->loop, &t->role_timer,
+		      now + (in.listed ? ROLE_INTERVAL : ROLE_START_INTERVAL));
 }
 
 /* --- start and end --- */
@@ -483,11 +490,10 @@
 
 void tlb_tables_start(struct tlb_tables *t)
 {
-	int i;
-
-	t->following = true;
-	for (i = 0; i < TLB_TABLE_COUNT; i++)
-		tlb_watcher_start(&t->table[i].watcher);
+	t->start_deadline =
+		tlb_clock_now() + TLB_TABLES_START_WAIT +
+		(tlb_time)(tlb_random_unit(&t->board->random) * TLB_TABLES_START_SPREAD);
+	set_following(t, false, false);
 	on_role_timer(t);
 }
 
--- a/src/tables.h
+++ b/src/tables.h
@@ -30,6 +30,10 @@
 #define TLB_TABLES_MAX_BEHIND (1 * TLB_SECOND)
 /* Time for which a VM that started following by itself continues, at least. */
 #define TLB_TABLES_FOLLOW_TIME (4 * TLB_SECOND)
+/* Time from the start within which the tables are expected from other VMs, and the random time
+ * after it until a VM reads them itself. */
+#define TLB_TABLES_START_WAIT (3 * TLB_SECOND)
+#define TLB_TABLES_START_SPREAD (2 * TLB_SECOND)
 /* With outdated tables, the first attempt of a VM is at a random time within this time, per VM of
  * the fleet, so that an outage does not bring attempts of all VMs. */
 #define TLB_TABLES_ATTEMPT_SPREAD (50 * TLB_MS)
@@ -39,8 +43,9 @@
 /* What decides whether a VM follows the store. */
 struct tlb_follow_input {
 	int vms;
-	bool listed; /* all tables are known, from the store or from a VM */
-	bool chosen; /* this VM is one of the chosen followers */
+	bool vms_known; /* the list of VMs has been read */
+	bool listed;	/* all tables are known, from the store or from a VM */
+	bool chosen;	/* this VM is one of the chosen followers */
 	bool following;
 	bool heard; /* a report has come from some VM within TLB_TABLES_MAX_AGE */
 	tlb_time now;
@@ -48,6 +53,8 @@
 	tlb_time behind_since; /* since when another VM has a change that this one lacks; 0: none */
 	tlb_time attempt_at;   /* when this VM may follow with outdated tables */
 	tlb_time follow_until; /* end of the least time of following; 0: none */
+	tlb_time start_deadline; /* until then a VM that has just started awaits the tables of
+				    others */
 };
 
 /* Whether to follow the store. Pure function. */
@@ -87,6 +94,7 @@
 	tlb_time heard_at;     /* last report of any VM */
 	tlb_time attempt_at;
 	tlb_time follow_until;
+	tlb_time start_deadline;
 };
 
 void tlb_tables_init(struct tlb_tables *t, struct tlb_edge_board *b, struct tlb_rowstore *store);
--- a/src/vmrows.c
+++ b/src/vmrows.c
@@ -18,6 +18,13 @@
 #define LIST_INTERVAL (10 * TLB_SECOND)
 #define LIST_RETRY_INTERVAL (1 * TLB_SECOND)
 enum { LIST_INTERVAL_VMS = 8 }; /* fleet size above which the interval grows */
+/* A VM that finds no secret creates one after a random time up to this, unless another one has by
+ * then: VMs that start together would all try. */
+#define CREATE_DELAY (500 * TLB_MS)
+/* The rows are read again this long after this VM has written its own: when a large fleet starts
+ * for the first time, VMs take seconds to start, and one that finds only a few rows takes the fleet
+ * for a small one. */
+#define REREAD_DELAY (2 * TLB_SECOND)
 
 static void list_rows(void *arg);
 static void read_secret(void *arg);
@@ -27,18 +34,32 @@
 	tlb_timer_set(r->store->http->loop, &r->list_timer, at);
 }
 
+static tlb_time list_interval(const struct tlb_vm_rows *r)
+{
+	int n = r->handlers.count(r->handlers.arg);
+
+	return n > LIST_INTERVAL_VMS ? LIST_INTERVAL * n / LIST_INTERVAL_VMS : LIST_INTERVAL;
+}
+
+/* Jitter: VMs started together would otherwise read the rows at the same time for ever. */
+static void schedule_next_list(struct tlb_vm_rows *r, tlb_time delay)
+{
+	delay = (tlb_time)((double)delay * (0.75 + tlb_random_unit(r->random) / 2));
+	schedule_list(r, tlb_clock_now() + delay);
+}
+
 /* The rows are read after this VM's own row was written, so that of two VMs that start together at
  * least one finds the other. */
 static void on_written(void *arg, enum tlb_rowstore_status status,
 		       const struct tlb_stored_rows *rows, const char *reason)
 {
 	struct tlb_vm_rows *r = arg;
-	tlb_time now = tlb_clock_now();
 
 	if (status != TLB_ROWS_OK)
 		tlb_log_warn("event=vm_row_not_written reason=\"%s\"", reason);
-	if (!r->leaving)
-		schedule_list(r, status == TLB_ROWS_OK ? now : now + LIST_RETRY_INTERVAL);
+	if (r->leaving)
+		return;
+	schedule_next_list(r, status == TLB_ROWS_OK ? REREAD_DELAY : LIST_RETRY_INTERVAL);
 }
 
 static void write_row(struct tlb_vm_rows *r)
@@ -66,18 +87,10 @@
 	return matches;
 }
 
-static tlb_time list_interval(const struct tlb_vm_rows *r)
-{
-	int n = r->handlers.count(r->handlers.arg);
-
-	return n > LIST_INTERVAL_VMS ? LIST_INTERVAL * n / LIST_INTERVAL_VMS : LIST_INTERVAL;
-}
-
 static void on_listed(void *arg, enum tlb_rowstore_status status,
 		      const struct tlb_stored_rows *rows, const char *reason)
 {
 	struct tlb_vm_rows *r = arg;
-	tlb_time delay = LIST_RETRY_INTERVAL;
 	bool own = false;
 	int i;
 
@@ -85,15 +98,14 @@
 		own |= handle_row(r, &rows->rows[i]);
 	if (status != TLB_ROWS_OK) {
 		tlb_log_info("event=vm_rows_not_read reason=\"%s\"", reason);
-	} else if (!own && !r->leaving) {
-		write_row(r);
+		schedule_next_list(r, LIST_RETRY_INTERVAL);
 		return;
-	} else {
-		delay = list_interval(r);
 	}
-	/* Jitter: VMs started together would otherwise read the rows at the same time for ever. */
-	delay = (tlb_time)((double)delay * (0.75 + tlb_random_unit(r->random) / 2));
-	schedule_list(r, tlb_clock_now() + delay);
+	r->listed |= own;
+	if (!own && !r->leaving)
+		write_row(r);
+	else
+		schedule_next_list(r, list_interval(r));
 }
 
 static void list_rows(void *arg)
@@ -133,6 +145,15 @@
 	sodium_memzero(hex, sizeof(hex));
 }
 
+/* Gives other VMs that have just started the time to create the secret. */
+static void await_secret(struct tlb_vm_rows *r)
+{
+	tlb_time delay = (tlb_time)(tlb_random_unit(r->random) * CREATE_DELAY);
+
+	r->secret_missed = true;
+	tlb_timer_set(r->store->http->loop, &r->secret_timer, tlb_clock_now() + delay);
+}
+
 static void on_secret(void *arg, enum tlb_rowstore_status status,
 		      const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -142,8 +163,10 @@
 		retry_secret(r, reason);
 	else if (rows->count > 0 && !rows->rows[0].removed)
 		r->handlers.on_secret(r->handlers.arg, rows->rows[0].value);
-	else
+	else if (r->secret_missed)
 		create_secret(r);
+	else
+		await_secret(r);
 }
 
 static void read_secret(void *arg)
@@ -174,7 +197,8 @@
 void tlb_vm_rows_announce(struct tlb_vm_rows *r, const char *addr)
 {
 	r->addr = addr;
-	write_row(r);
+	/* After a restart the row is usually still there. */
+	list_rows(r);
 }
 
 void tlb_vm_rows_withdraw(struct tlb_vm_rows *r)
--- a/src/vmrows.h
+++ b/src/vmrows.h
@@ -27,6 +27,8 @@
 	const char *self; /* id of this VM */
 	const char *addr; /* its address for other VMs */
 	bool leaving;
+	bool listed;	    /* the rows have been read, this VM's own among them */
+	bool secret_missed; /* the secret was missing once; it is created if it is missing again */
 	struct tlb_rowstore_op secret_op;
 	struct tlb_rowstore_op write_op;
 	struct tlb_rowstore_op list_op;
@@ -38,8 +40,8 @@
 		      const char *self, const struct tlb_vm_rows_handlers *handlers);
 /* Reads the secret, or creates it if there is none; retries until on_secret was called. */
 void tlb_vm_rows_start(struct tlb_vm_rows *r);
-/* Writes the row of this VM, reads the rows of the others periodically, and rewrites its own row
- * when it is missing or wrong. addr is borrowed. */
+/* Reads the rows periodically, and writes the row of this VM when it is missing or wrong. addr is
+ * borrowed. */
 void tlb_vm_rows_announce(struct tlb_vm_rows *r, const char *addr);
 /* Removes the row of this VM. */
 void tlb_vm_rows_withdraw(struct tlb_vm_rows *r);
--- a/src/vms.c
+++ b/src/vms.c
@@ -18,12 +18,22 @@
 
 /* --- list of VMs --- */
 
+uint64_t tlb_vms_hash(const char *name)
+{
+	static const unsigned char key[crypto_shorthash_KEYBYTES];
+	uint64_t out;
+
+	crypto_shorthash((unsigned char *)&out, (const unsigned char *)name, strlen(name), key);
+	return out;
+}
+
 struct tlb_vm *tlb_vms_find(const struct tlb_vms *v, const char *id)
 {
+	uint64_t hash = tlb_vms_hash(id);
 	struct tlb_vm *m;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (strcmp(m->id, id) == 0)
+		if (m->id_hash == hash && strcmp(m->id, id) == 0)
 			return m;
 	}
 	return NULL;
@@ -41,17 +51,8 @@
 	return out;
 }
 
-uint64_t tlb_vms_hash(const char *name)
-{
-	static const unsigned char key[crypto_shorthash_KEYBYTES];
-	uint64_t out;
-
-	crypto_shorthash((unsigned char *)&out, (const unsigned char *)name, strlen(name), key);
-	return out;
-}
-
-/* Mixes two hashes into a weight (the finalizer of splitmix64). */
-static uint64_t mix(uint64_t a, uint64_t b)
+/* The finalizer of splitmix64 over a combination of both hashes. */
+uint64_t tlb_vms_weight(uint64_t a, uint64_t b)
 {
 	uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
 
@@ -71,10 +72,11 @@
 	if (most > TLB_VMS_RANK_MAX)
 		most = TLB_VMS_RANK_MAX;
 	if (!v->leaving)
-		count = tlb_rank_offer(lowest, count, most, mix(key, v->id_hash), NULL);
+		count = tlb_rank_offer(lowest, count, most, tlb_vms_weight(key, v->id_hash), NULL);
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
 		if (!m->leaving && !m->gone && m->avoid_until <= now)
-			count = tlb_rank_offer(lowest, count, most, mix(key, m->id_hash), m);
+			count = tlb_rank_offer(lowest, count, most, tlb_vms_weight(key, m->id_hash),
+					       m);
 	}
 	for (i = 0; i < count; i++) {
 		m = lowest[i].item;
@@ -141,7 +143,7 @@
 		tlb_log_info("event=vm_known vm=%s addr=%s", id, addr);
 	}
 	strcpy(m->addr, addr);
-	tlb_peers_add(&v->peers, id, addr);
+	m->peer = tlb_peers_add(&v->peers, id, addr);
 	choose_neighbours(v);
 	return m;
 }
@@ -310,7 +312,8 @@
 	return q->rate > 0 && (change < 0 || change > (double)q->burst * MIN_REPORT_SHARE);
 }
 
-static void add_own_state(struct tlb_vms *v, struct fleet_report *s)
+/* with_grants: adds the grants that are not reported yet, which counts them as reported. */
+static void add_own_state(struct tlb_vms *v, struct fleet_report *s, bool with_grants)
 {
 	struct tlb_quota *q;
 
@@ -327,7 +330,7 @@
 	s->fleet.vms = s->vms;
 	s->fleet.n_vms = 1;
 	APR_RING_FOREACH (q, &v->board->quotas.all, tlb_quota, link) {
-		if (!needs_report(q) || s->use_count == USES_MAX)
+		if (!with_grants || !needs_report(q) || s->use_count == USES_MAX)
 			continue;
 		add_use(s, &s->own, q->account, q->granted, ++v->last_use_seq);
 		q->reported = q->granted;
@@ -371,7 +374,7 @@
 	size_t n = 0;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (n < max && tlb_peer_is_up(tlb_peers_find(&v->peers, m->id)))
+		if (n < max && tlb_vm_is_linked(m))
 			out[n++] = m;
 	}
 	return n;
@@ -412,7 +415,7 @@
 	size_t remaining = n;
 	size_t i;
 
-	add_own_state(v, &s);
+	add_own_state(v, &s, true);
 	if (all_neighbours)
 		clear_announcements(v);
 	while (n - remaining < fanout && remaining > 0 && !all_neighbours) {
@@ -587,9 +590,15 @@
 	return true;
 }
 
+/* The report tells the other VM at once what this one knows and lacks. */
 static void on_up(void *arg, struct tlb_peer *peer)
 {
+	static struct fleet_report s;
+	struct tlb_vms *v = arg;
+
 	tlb_log_info("event=peer_up vm=%s", peer->id);
+	add_own_state(v, &s, false);
+	send_report(v, peer->id, &s);
 }
 
 /* --- timers and local events --- */
--- a/src/vms.h
+++ b/src/vms.h
@@ -54,6 +54,7 @@
 	APR_RING_ENTRY(tlb_vm) link;
 	char id[TLB_ID_LEN];
 	char addr[TLB_ADDR_LEN];
+	struct tlb_peer *peer; /* its links; borrowed, exists as long as the VM */
 	uint64_t incarnation;
 	uint64_t id_hash;
 	uint64_t pair_weight; /* rendezvous hash of this pair of VMs; the lowest are neighbours */
@@ -115,10 +116,17 @@
 /* Whether this VM has the lowest id among the VMs recently seen; selects one VM for work that only
  * one should do. It can hold on two VMs at once, so such work must be claimed in the store too. */
 bool tlb_vms_has_lowest_id(const struct tlb_vms *v, tlb_time now);
+/* Whether messages can be sent to the VM at once. */
+static inline bool tlb_vm_is_linked(const struct tlb_vm *m)
+{
+	return tlb_peer_is_up(m->peer);
+}
 /* The VM with that id, or NULL; this VM is not in the list. */
 struct tlb_vm *tlb_vms_find(const struct tlb_vms *v, const char *id);
 /* Hash of a name, as a key for tlb_vms_rank(). The same in every process. */
 uint64_t tlb_vms_hash(const char *name);
+/* Weight of a VM, by the hash of its id, for a key; the lowest weight ranks first. */
+uint64_t tlb_vms_weight(uint64_t key, uint64_t id_hash);
 /* Writes the ids of the VMs that a rendezvous hash of the key ranks first to ids, at most `most` of
  * them (up to TLB_VMS_RANK_MAX), this VM included; returns their number. Leaves out VMs that are
  * leaving or to be avoided. VMs with the same list of VMs compute the same ranking. */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -32,10 +32,15 @@
 """
 
 
-def free_port():
-    with socket.socket() as s:
+def free_ports(*names):
+    """Returns a different free port for each name; all are held until the last one was chosen."""
+    sockets = {name: socket.socket() for name in names}
+    for s in sockets.values():
         s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    ports = {name: s.getsockname()[1] for name, s in sockets.items()}
+    for s in sockets.values():
+        s.close()
+    return ports
 
 
 def config(version, **changes):
@@ -72,7 +77,7 @@
 
     def __init__(self, name, directory, store):
         self.name = name
-        ports = {k: free_port() for k in ("caller", "ready", "metrics", "peer")}
+        ports = free_ports("caller", "ready", "metrics", "peer")
         self.ports = ports
         self.log = os.path.join(directory, f"{name}.log")
         self.settings = os.path.join(directory, f"{name}.yaml")
@@ -124,7 +129,7 @@
 class World:
     """The store, endpoints and daemons of one check; leaving the context ends the daemons."""
 
-    def __init__(self, vms=1, prefills=1, decodes=2, shops=2):
+    def __init__(self, vms=1, prefills=1, decodes=2, shops=2, first_start=False):
         self.directory = tempfile.TemporaryDirectory()
         self.store = Store()
         self.shops = [Endpoint(f"shop-{n}", "shop") for n in range(shops)]
@@ -135,6 +140,10 @@
         self.doors = [Door(self.store) for _ in range(vms)]
         self.vms = [Vm(f"vm-{n}", self.directory.name, d.addr)
                     for n, d in enumerate(self.doors)]
+        if not first_start:  # as after a restart; VMs that were never there wait for each other
+            self.store.put("toucanlb-secret", "peer", "5a" * 32)
+            for vm in self.vms:
+                self.store.put("toucanlb-vm", vm.name, {"addr": f"127.0.0.1:{vm.ports['peer']}"})
 
     def __enter__(self):
         return self
@@ -720,6 +729,15 @@
              "version 9 with all followers refused", 8)
 
 
+def check_fleet_starts_for_the_first_time():
+    """VMs that start together on an empty store must agree on one secret and find each other."""
+    with World(vms=3, first_start=True) as w:
+        w.start()
+        wait(lambda: all(v.events("link_up") for v in w.vms), "the VMs are linked")
+        equal(len([k for k in w.store.rows if k[0] == "toucanlb-secret"]), 1, "secrets")
+        equal(len([k for k in w.store.rows if k[0] == "toucanlb-vm"]), 3, "rows of VMs")
+
+
 def check_lapsed_entries_stay_in_use():
     """Entries that expire during a store outage belong to live endpoints, which register again
     within two seconds; until then they must stay in use."""
--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -137,12 +137,13 @@
 	}
 }
 
+/* The VM that decided on the last request. */
 static int owner(void)
 {
-	char ids[1][TLB_ID_LEN];
+	const char *id = tlb_quota_acquisition_decider(&requests[sent - 1].acquisition);
 
-	tlb_vms_rank(&nodes[0].board.vms, tlb_vms_hash("acct"), tlb_clock_now(), ids, 1);
-	return atoi(ids[0] + strlen("vm-"));
+	ck_assert(*id);
+	return atoi(id + strlen("vm-"));
 }
 
 static void begin_fault(void)
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -103,11 +103,14 @@
 	const tlb_time now = 1000 * TLB_SECOND;
 	struct tlb_follow_input i = {.now = now};
 	char behind[16];
-	int listed, chosen, following, heard, age, attempt_in, until, expected;
-
-	ck_assert_int_eq(sscanf(line, "%d %d %d %d %d %d %15s %d %d %d", &i.vms, &listed, &chosen,
-				&following, &heard, &age, behind, &attempt_in, &until, &expected),
-			 10);
+	int known, listed, chosen, following, heard, age, attempt_in, until, start_in, expected;
+
+	ck_assert_int_eq(sscanf(line, "%d %d %d %d %d %d %d %15s %d %d %d %d", &i.vms, &known,
+				&listed, &chosen, &following, &heard, &age, behind, &attempt_in,
+				&until, &start_in, &expected),
+			 12);
+	i.vms_known = known;
+	i.start_deadline = now + start_in * TLB_MS;
 	i.listed = listed;
 	i.chosen = chosen;
 	i.following = following;
