--- a/src/vms.c
+++ b/src/vms.c
@@ -93,6 +93,16 @@
 		m->avoid_until = until;
 }
 
+static void count_vms(struct tlb_vms *v)
+{
+	const struct tlb_vm *m;
+
+	v->count = 1;
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		v->count += !m->leaving && !m->gone;
+	}
+}
+
 /* The VMs with the lowest weights are neighbours, so the selection changes little when VMs join or
  * leave. Runs for every VM that is learned, so it makes a single pass over weights that were
  * computed when the VMs were added. */
@@ -119,6 +129,7 @@
 		m->last_seen_at = tlb_clock_now();
 		tlb_peers_set_persistent(&v->peers, m->id, selected);
 	}
+	count_vms(v);
 }
 
 static struct tlb_vm *add_vm(struct tlb_vms *v, const char *id, const char *addr)
@@ -216,13 +227,7 @@
 
 int tlb_vms_count(const struct tlb_vms *v)
 {
-	const struct tlb_vm *m;
-	int n = 1;
-
-	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		n += !m->leaving && !m->gone;
-	}
-	return n;
+	return v->count;
 }
 
 double tlb_vms_reachable_share(const struct tlb_vms *v, tlb_time now)
@@ -535,8 +540,10 @@
 	deduct = !m->neighbour || m->last_report_at == 0 || !is_silent(v, m, now);
 	/* A VM that has returned after its shutdown was announced to all as leaving. */
 	m->announce |= m->leaving != s->leaving && (own || s->leaving);
-	if (own || s->leaving || s->incarnation > m->incarnation)
+	if (m->leaving != s->leaving && (own || s->leaving || s->incarnation > m->incarnation)) {
 		m->leaving = s->leaving;
+		count_vms(v);
+	}
 	if (s->incarnation > m->incarnation) {
 		m->use_count = 0;
 		m->avoid_until = 0;
@@ -566,7 +573,6 @@
 	case TOUCAN__ENVELOPE__BODY_FLEET_STATE:
 		for (i = 0; i < msg->fleet_state->n_vms; i++)
 			apply_state(v, msg->fleet_state->vms[i], i == 0);
-		apply_share(v, tlb_clock_now());
 		sender = tlb_vms_find(v, peer->id);
 		if (sender && msg->fleet_state->n_vms > 0)
 			v->handlers.on_state(v->handlers.arg, sender, msg->fleet_state->vms[0]);
@@ -662,7 +668,7 @@
 		add_vm(v, id, addr);
 }
 
-static int count_vms(void *arg)
+static int count_of_fleet(void *arg)
 {
 	return tlb_vms_count(arg);
 }
@@ -682,7 +688,7 @@
 		.arg = v,
 		.on_secret = open_listener,
 		.on_vm = on_vm_row,
-		.count = count_vms,
+		.count = count_of_fleet,
 	};
 
 	memset(v, 0, sizeof(*v));
@@ -695,6 +701,7 @@
 	tlb_peers_init(&v->peers, b->loop, &b->counters, b->settings, &handlers);
 	tlb_peers_set_incarnation(&v->peers, v->incarnation);
 	v->id_hash = tlb_vms_hash(v->peers.self);
+	v->count = 1;
 }
 
 void tlb_vms_start(struct tlb_vms *v)
--- a/src/vms.h
+++ b/src/vms.h
@@ -93,6 +93,7 @@
 	struct tlb_vm_rows rows;
 	struct tlb_peers peers;
 	struct tlb_vm_ring all;
+	int count; /* VMs that are neither leaving nor gone, this one included */
 	uint64_t incarnation;
 	uint64_t id_hash;      /* of this VM's id */
 	uint64_t last_use_seq; /* sequence number of the last grant total reported */
