--- a/src/watch.c
+++ b/src/watch.c
@@ -141,10 +141,14 @@
 	}
 }
 
+/* After a failure the store is asked to answer at once: a call that is lost in an outage would
+ * otherwise hide its end for the whole wait. */
 static int wait_ms(const struct tlb_watcher *w)
 {
 	int ms = TLB_WATCH_POLL_WAIT_MS;
 
+	if (w->failures > 0)
+		return 0;
 	if (w->vms > TLB_WATCH_SMALL_FLEET_VMS)
 		ms = TLB_WATCH_POLL_WAIT_MS * w->vms / TLB_WATCH_SMALL_FLEET_VMS;
 	return ms < TLB_WATCH_MAX_POLL_WAIT_MS ? ms : TLB_WATCH_MAX_POLL_WAIT_MS;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -738,6 +738,19 @@
         equal(len([k for k in w.store.rows if k[0] == "toucanlb-vm"]), 3, "rows of VMs")
 
 
+def check_store_that_was_silent_is_read_soon():
+    """A call that was lost in an outage must not delay changes until the longest wait for changes
+    has passed; they have to be in force within two seconds of the store's return."""
+    with World() as w:
+        vm = w.start()
+        w.store.silent = True
+        wait(lambda: vm.events("store_lost table=op"), "the outage is noticed", 12)
+        time.sleep(1)  # the next call is lost as well
+        w.store.silent = False
+        w.store.put("op", "config", config(6))
+        wait(lambda: vm.events("routing_applied source=store version=6"), "version 6", 2)
+
+
 def check_lapsed_entries_stay_in_use():
     """Entries that expire during a store outage belong to live endpoints, which register again
     within two seconds; until then they must stay in use."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -63,9 +63,14 @@
         self.server, self.addr = serve(StoreHandler, store=store, door=self)
 
 
+SILENCE = object()
+SILENCE_S = 15  # longer than any call of the router
+
+
 class Store:
-    """Rows with one version counter. Faults: `down`, `read_only`, closed doors, and a dropped
-    change log (`forgotten`: the last version whose change is no longer available)."""
+    """Rows with one version counter. Faults: `down`, `read_only`, closed doors, `silent` (calls that
+    arrive meanwhile are never answered), and a dropped change log (`forgotten`: the last version
+    whose change is no longer available)."""
 
     def __init__(self):
         self.rows = {}
@@ -74,6 +79,7 @@
         self.changed = threading.Condition()
         self.down = False
         self.read_only = False
+        self.silent = False
         self.forgotten = 0
         self.calls = 0
 
@@ -109,6 +115,8 @@
             while True:
                 if after < self.forgotten:
                     return None
+                if self.silent:
+                    return SILENCE
                 rows = [r for r in self.log if r["table"] == table and r["ver"] > after]
                 left = end - time.monotonic()
                 if rows or left <= 0 or self.down or door.closed:
@@ -145,6 +153,9 @@
         if parts.path == "/rows-get":
             return self.reply(200, s.listing(q["table"]))
         answer = s.feed(q["table"], int(q["after"]), int(q["waitMs"]), self.door)
+        if answer is SILENCE:
+            time.sleep(SILENCE_S)
+            return self.cut()
         if self.is_down():
             return self.cut()
         return self.reply(410 if answer is None else 200, answer or {})
