Remove what the shared tables made unused; log and clamp rows from other VMs

tlb_instances_begin_listing and _end_listing go with their check: the replica turns rows that a listing lacks into tombstones (test_tables, listing_removes_what_it_lacks), and edge.py dropped_history_is_read_again now also removes an endpoint from the dropped history. tlb_watcher_start goes: a new watcher is paused until it is resumed.

--- a/src/instance.c
+++ b/src/instance.c
@@ -130,26 +130,6 @@
 		unlist(i, use_deadline);
 }
 
-void tlb_instances_begin_listing(struct tlb_instances *s)
-{
-	struct tlb_instance *i;
-
-	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
-		i->listed = false;
-	}
-}
-
-void tlb_instances_end_listing(struct tlb_instances *s, tlb_time use_deadline)
-{
-	struct tlb_instance *i;
-	struct tlb_instance *next;
-
-	APR_RING_FOREACH_SAFE (i, next, &s->all, tlb_instance, link) {
-		if (!i->listed)
-			unlist(i, use_deadline);
-	}
-}
-
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
 {
 	return !i->row.leaving && now >= i->switching_until &&
--- a/src/instance.h
+++ b/src/instance.h
@@ -39,7 +39,7 @@
 	APR_RING_ENTRY(tlb_instance) link;
 	struct tlb_instance_row row;
 	int refcount;
-	bool listed;		    /* in the latest listing */
+	bool listed;		    /* its entry exists */
 	tlb_time unlisted_deadline; /* usable until then although not listed; 0: not usable */
 	struct tlb_health health;
 	tlb_time full_until;	   /* treated as full until then; 0: not known to be full */
@@ -74,11 +74,6 @@
 /* Handles the removal of an instance from discovery. It stays usable until use_deadline; 0: it is
  * removed at once. A leaving instance is always removed at once. */
 void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline);
-/* Brackets a complete listing: begin marks all instances as not listed, the listing is applied with
- * tlb_instances_put(), and end handles the instances it did not contain as
- * tlb_instances_remove() does. */
-void tlb_instances_begin_listing(struct tlb_instances *s);
-void tlb_instances_end_listing(struct tlb_instances *s, tlb_time use_deadline);
 
 void tlb_instance_acquire(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
--- a/src/quota.h
+++ b/src/quota.h
@@ -1,6 +1,6 @@
 /*
- * Limits rate and burst of client accounts across all VMs without a central owner. The functions
- * have no side effects outside the quotas; the caller passes the time.
+ * Token buckets that limit rate and burst of client accounts across all VMs. The functions have no
+ * side effects outside the quotas; the caller passes the time.
  *
  * In a fleet in which every VM hears every other one, every VM keeps a token bucket with the
  * account's full rate and burst. It subtracts its own grants at once, and the grants of other VMs
@@ -8,7 +8,7 @@
  * the VMs that can reach each other. In larger fleets one of these buckets decides for all VMs; see
  * module quota_owner.
  *
- * No grant waits for another VM or for the store. The account can exceed its limit by at most the
+ * No grant waits for the store. In a small fleet the account can exceed its limit by at most the
  * cost that the VMs grant between two of their reports. The two sides of a network partition
  * together grant no more than the undivided fleet would.
  */
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -1,9 +1,8 @@
 /*
  * Limits of client accounts in a fleet that is too large for every VM to hear of every grant in
- * time. Of a few VMs, selected by a hash, the one that a hash of the account
- * ranks first owns the account's bucket: the others ask it
- * for the cost of each request, one round trip between VMs. It tells the VM ranked second, which so
- * knows what was granted when it has to decide instead.
+ * time. A hash selects a few VMs, and a hash of the account ranks them. The one ranked first owns
+ * the account's bucket: the others ask it for the cost of each request, one round trip between VMs.
+ * The one ranked second is told, so that it knows what was granted when it has to decide instead.
  *
  * Load pattern: hundreds of VMs that each see a few requests of an account, which together come
  * close to its rate or exceed it. With buckets that learn of other VMs' grants by reports, the
--- a/src/tables.c
+++ b/src/tables.c
@@ -107,8 +107,7 @@
 	struct tlb_shared_table *s = arg;
 
 	tlb_replica_set_complete(&s->replica, version);
-	if (s->behind_since > 0)
-		s->behind_since = 0;
+	s->behind_since = 0;
 	s->handlers.on_changed(s->handlers.arg);
 }
 
@@ -254,13 +253,18 @@
 		.value = r->removed ? NULL : (char *)r->value.data,
 		.len = r->removed ? 0 : r->value.len,
 	};
+	int64_t use_ms = r->use_ms;
 
-	if (strlen(r->key) >= sizeof(row.key) || r->use_ms < 0 ||
-	    r->use_ms * TLB_MS > EXPIRED_ENTRY_GRACE)
+	if (strlen(r->key) >= sizeof(row.key)) {
+		tlb_log_warn("event=table_row_ignored table=%d key=%.40s version=%lld",
+			     (int)s->kind, r->key, (long long)r->version);
 		return;
+	}
+	if (use_ms > EXPIRED_ENTRY_GRACE / TLB_MS)
+		use_ms = EXPIRED_ENTRY_GRACE / TLB_MS;
 	strcpy(row.key, r->key);
 	s->source = "peer";
-	apply_row(s, &row, r->use_ms > 0 ? now + r->use_ms * TLB_MS : 0);
+	apply_row(s, &row, use_ms > 0 ? now + use_ms * TLB_MS : 0);
 }
 
 static void on_rows(struct tlb_shared_table *s, const char *vm, const Toucan__TableRows *m)
@@ -493,7 +497,6 @@
 	t->start_deadline =
 		tlb_clock_now() + TLB_TABLES_START_WAIT +
 		(tlb_time)(tlb_random_unit(&t->board->random) * TLB_TABLES_START_SPREAD);
-	set_following(t, false, false);
 	on_role_timer(t);
 }
 
--- a/src/watch.c
+++ b/src/watch.c
@@ -178,11 +178,7 @@
 	w->handlers = *handlers;
 	tlb_random_init(&w->random, seed);
 	tlb_timer_init(&w->timer, start_next_call, w);
-}
-
-void tlb_watcher_start(struct tlb_watcher *w)
-{
-	tlb_timer_set(w->store->http->loop, &w->timer, tlb_clock_now());
+	w->paused = true;
 }
 
 void tlb_watcher_finish(struct tlb_watcher *w)
--- a/src/watch.h
+++ b/src/watch.h
@@ -55,9 +55,9 @@
 	struct tlb_timer timer;
 };
 
+/* Sets up a paused watcher; tlb_watcher_resume() starts it. */
 void tlb_watcher_init(struct tlb_watcher *w, struct tlb_rowstore *store, const char *table,
 		      const struct tlb_watcher_handlers *handlers, uint64_t seed);
-void tlb_watcher_start(struct tlb_watcher *w);
 void tlb_watcher_finish(struct tlb_watcher *w);
 /* Ends the polling; changes come from other VMs until tlb_watcher_resume(). */
 void tlb_watcher_pause(struct tlb_watcher *w);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -784,12 +784,14 @@
         w.store.down = True
         wait(lambda: vm.events("store_lost"), "the outage is noticed")
         w.store.put("op", "config", config(6))
+        w.store.put("servers", "shop-0", None)
         with w.store.changed:
             w.store.forgotten = w.store.version
             w.store.log.clear()
         w.store.down = False
         wait(lambda: vm.events("store_relist"), "the whole table is read again")
         wait(lambda: vm.events("routing_applied source=store version=6"), "version 6")
+        wait(lambda: vm.events("instance_gone instance=shop-0"), "the removed endpoint")
 
 
 def check_limit_holds_over_all_vms():
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -94,18 +94,6 @@
 }
 END_TEST
 
-START_TEST(test_listing_removes_unlisted_instances)
-{
-	put("a", TLB_ROLE_SERVICE);
-	put("b", TLB_ROLE_SERVICE);
-	tlb_instances_begin_listing(&instances);
-	put("b", TLB_ROLE_SERVICE);
-	tlb_instances_end_listing(&instances, 0);
-	ck_assert_ptr_null(tlb_instances_find(&instances, "a"));
-	ck_assert_ptr_nonnull(tlb_instances_find(&instances, "b"));
-}
-END_TEST
-
 START_TEST(test_full_decode_endpoints_are_not_selected)
 {
 	struct tlb_instance *a = put("a", TLB_ROLE_DECODE);
@@ -165,7 +153,6 @@
 	tcase_add_test(t, test_role_change_keeps_instance);
 	tcase_add_test(t, test_removed_entry_is_usable_until_deadline);
 	tcase_add_test(t, test_leaving_entry_is_removed_at_once);
-	tcase_add_test(t, test_listing_removes_unlisted_instances);
 	tcase_add_test(t, test_full_decode_endpoints_are_not_selected);
 	tcase_add_test(t, test_prefill_avoids_queue);
 	tcase_add_test(t, test_selection_respects_roles);
