Bound the response bodies of all calls together

Change: with more than 16 MB in all calls together, a call whose own body exceeds 128 KB fails, so that answers of usual size beside them still come whole.

--- a/src/http.c
+++ b/src/http.c
@@ -47,6 +47,7 @@
 	if (!c->easy)
 		return;
 	call_release(c);
+	c->http->body_bytes -= c->body.len;
 	tlb_buffer_finish(&c->head);
 	tlb_buffer_finish(&c->body);
 }
@@ -113,8 +114,9 @@
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
 	else if (c->too_large)
-		snprintf(r.reason, sizeof(r.reason), "response larger than %d bytes",
-			 TLB_HTTP_BODY_MAX);
+		snprintf(r.reason, sizeof(r.reason),
+			 "response body too large: %zu bytes, %zu in all calls", c->body.len,
+			 c->http->body_bytes);
 	else if (c->conflicting_lengths)
 		snprintf(r.reason, sizeof(r.reason), "two different Content-Length headers");
 	else if (rc != CURLE_OK)
@@ -126,6 +128,7 @@
 	r.head = head.data ? head.data : "";
 	r.content_type = type;
 	call_release(c);
+	c->http->body_bytes -= body.len;
 	/* The callback may start the call again, so body and head are detached from it first. */
 	tlb_buffer_detach(&c->body);
 	tlb_buffer_detach(&c->head);
@@ -262,8 +265,15 @@
 
 static bool body_append(struct tlb_http_call *c, const char *data, size_t len)
 {
-	c->too_large = c->body.len + len > TLB_HTTP_BODY_MAX;
-	return tlb_buffer_append(&c->body, data, len, TLB_HTTP_BODY_MAX);
+	size_t size = c->body.len + len;
+
+	c->too_large =
+		size > TLB_HTTP_BODY_MAX ||
+		(size > TLB_HTTP_SMALL_BODY && c->http->body_bytes + len > TLB_HTTP_BODIES_MAX);
+	if (c->too_large || !tlb_buffer_append(&c->body, data, len, TLB_HTTP_BODY_MAX))
+		return false;
+	c->http->body_bytes += len;
+	return true;
 }
 
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
--- a/src/http.h
+++ b/src/http.h
@@ -32,6 +32,7 @@
 	int idle_count;
 	struct tlb_timer timer;
 	struct tlb_http_totals totals;
+	size_t body_bytes; /* collected response bodies of all calls */
 };
 
 struct tlb_http_call;
@@ -93,8 +94,16 @@
 	bool conflicting_lengths; /* the response has two different Content-Length headers */
 };
 
-/* Largest collected response body and header lines in bytes; a larger response fails the call. */
-enum { TLB_HTTP_BODY_MAX = 8 << 20, TLB_HTTP_HEAD_MAX = 65536 };
+/* Largest collected response body and header lines in bytes; a larger response fails the call. When
+ * the bodies of all calls together exceed TLB_HTTP_BODIES_MAX, a call fails whose body is larger
+ * than TLB_HTTP_SMALL_BODY: endpoints that send bytes without end must not use up the memory of a
+ * small VM, nor make the answers of sound ones fail. */
+enum {
+	TLB_HTTP_BODY_MAX = 8 << 20,
+	TLB_HTTP_BODIES_MAX = 16 << 20,
+	TLB_HTTP_SMALL_BODY = 128 << 10,
+	TLB_HTTP_HEAD_MAX = 65536
+};
 
 /* Returns 0, or -1 when libcurl can't be initialised. */
 int tlb_http_init(struct tlb_http *h, struct tlb_loop *l);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -751,6 +751,70 @@
         wait(lambda: vm.events("routing_applied source=store version=6"), "version 6", 2)
 
 
+ENDLESS_CALLERS = 24
+VM_MEMORY_MB = 88  # of the smallest VMs
+
+
+def endless_body(handler):
+    """Sends a body without end until the router closes the connection."""
+    try:
+        handler.begin_stream()
+        while True:
+            handler.chunk(b"x" * 65536)
+    except OSError:
+        return True
+
+
+def endless_head(handler):
+    """Sends header lines without end until the router closes the connection."""
+    try:
+        handler.wfile.write(b"HTTP/1.1 200 OK\r\n")
+        while True:
+            handler.wfile.write(b"X-Filler: " + b"y" * 8000 + b"\r\n")
+    except OSError:
+        return True
+
+
+def peak_memory_mb(vm):
+    with open(f"/proc/{vm.process.pid}/status", encoding="ascii") as f:
+        return int(re.search(r"VmHWM:\s+(\d+)", f.read())[1]) / 1024
+
+
+def check_bytes_without_end():
+    """Endpoints that send a body, a head or an event without end must not exhaust the memory of a
+    small VM, also when many of their answers arrive together: each request fails within its
+    deadline, the connection is closed, and sound requests beside them are served."""
+    for plan, path, headers in ((endless_body, "/pay/x", {}), (endless_head, "/pay/x", {}),
+                                (endless_body, "/once/x", GEN)):
+        with World(shops=2) as w:
+            vm = w.start()
+            for e in w.shops[:1] + w.decodes:
+                e.plan = lambda h, plan=plan: plan(h) if h.headers.get("X-Attempt-Id", "").startswith(
+                    "endless") else False
+            w.shops[1].plan = w.shops[0].plan
+            results = []
+
+            def call(n, vm=vm, results=results, path=path, headers=headers):
+                try:
+                    status, _, _ = vm.call(path, "POST", b"x", headers=headers,
+                                           attempt=f"endless-{n}")
+                except (http.client.HTTPException, OSError):
+                    status = 0  # a stream that was cut
+                results.append(status)
+
+            threads = [threading.Thread(target=call, args=(n,)) for n in range(ENDLESS_CALLERS)]
+            for t in threads:
+                t.start()
+            for n in range(10):
+                equal(vm.call("/pay/y", "POST", b"x", attempt=f"sound-{n}")[0], 200, "sound request")
+            for t in threads:
+                t.join(8)
+            equal(len(results), ENDLESS_CALLERS, f"requests that ended ({plan.__name__} {path})")
+            assert not any(200 <= r < 300 for r in results), f"answered as complete: {results}"
+            peak = peak_memory_mb(vm)
+            assert peak < VM_MEMORY_MB, f"{peak:.0f} MB with {plan.__name__} on {path}"
+
+
 def check_lapsed_entries_stay_in_use():
     """Entries that expire during a store outage belong to live endpoints, which register again
     within two seconds; until then they must stay in use."""
