Count only new events as progress of a stream

Cause: every byte of a stream set its time limit anew, so that an endpoint that stalled but still sent half an event or a comment now and then held the caller until the deadline.

--- a/src/generation.c
+++ b/src/generation.c
@@ -238,18 +238,20 @@
 	return 0;
 }
 
-/* Stores the id of the last of some complete events. */
-static void store_last_event_id(struct tlb_forward *f, const char *events, size_t len)
+/* Stores the id of the last of some complete events. Returns whether there was a new one. */
+static bool store_last_event_id(struct tlb_forward *f, const char *events, size_t len)
 {
 	const char *line = events;
 	const char *end = events + len;
 	const char *next;
 	const char *value;
+	char before[TLB_EVENT_ID_LEN];
 
+	strcpy(before, f->gen.last_event_id);
 	for (; line < end; line = next + 1) {
 		next = memchr(line, '\n', (size_t)(end - line));
 		if (!next)
-			return;
+			break;
 		if (next - line < 4 || strncmp(line, "id:", 3) != 0)
 			continue;
 		value = line + 3;
@@ -257,6 +259,7 @@
 		snprintf(f->gen.last_event_id, sizeof(f->gen.last_event_id), "%.*s",
 			 (int)strcspn(value, "\r\n"), value);
 	}
+	return strcmp(before, f->gen.last_event_id) != 0;
 }
 
 /* Sends the status and headers of the response, unless it has begun. */
@@ -295,12 +298,13 @@
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
 	release_kv_cache(f, true);
-	set_event_timeout(f, NEXT_EVENT_TIMEOUT);
 	n = complete_events_len(b);
 	if (n == 0)
 		return true;
 	begin_response(f);
-	store_last_event_id(f, b->data, n);
+	/* Bytes without a new event, such as comments, are no progress. */
+	if (store_last_event_id(f, b->data, n))
+		set_event_timeout(f, NEXT_EVENT_TIMEOUT);
 	if (!tlb_exchange_stream_write(f->exchange, b->data, n))
 		return false;
 	memmove(b->data, b->data + n, b->len - n);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -815,6 +815,51 @@
             assert peak < VM_MEMORY_MB, f"{peak:.0f} MB with {plan.__name__} on {path}"
 
 
+def check_dripping_stream_is_resumed_elsewhere():
+    """A stalled stream that still sends a byte or a comment now and then must not count as alive: it
+    is resumed at another endpoint. A slow stream with an event every 0.7 s is left alone."""
+    def half_event(handler):
+        handler.chunk(b"i")
+
+    def comment(handler):
+        handler.chunk(b": still here\n\n")
+
+    def slow_event(handler):
+        handler.sent = getattr(handler, "sent", 2) + 1
+        if handler.sent <= 4:
+            handler.event(handler.sent)
+
+    for drip, pause, resumes in ((half_event, 0.3, 1), (comment, 0.3, 1), (slow_event, 0.7, 0)):
+        with World(decodes=2) as w:
+            vm = w.start()
+
+            def plan(h, drip=drip, pause=pause):
+                if h.headers.get("Last-Event-Id"):
+                    return False
+                try:
+                    h.begin_stream()
+                    h.event(1)
+                    h.event(2)
+                    for _ in range(12):
+                        time.sleep(pause)
+                        drip(h)
+                        if getattr(h, "sent", 0) == 4:
+                            h.wfile.write(b"0\r\n\r\n")
+                            return True
+                except OSError:
+                    pass
+                return True
+
+            for e in w.decodes:
+                e.plan = plan
+            began = time.monotonic()
+            status, body, _ = vm.call("/gen/x", "POST", b"x", headers=GEN)
+            equal(status, 200, "status")
+            equal(re.findall(rb"id: (\d+)", body), [b"1", b"2", b"3", b"4"], drip.__name__)
+            equal(vm.metric("toucanlb_resumes_total"), resumes, f"resumes ({drip.__name__})")
+            assert time.monotonic() - began < 3, f"{drip.__name__}: waited for a stalled stream"
+
+
 def check_lapsed_entries_stay_in_use():
     """Entries that expire during a store outage belong to live endpoints, which register again
     within two seconds; until then they must stay in use."""
