Repeat a recorded response that contains NUL bytes whole

Cause: the recorded body was copied as a string, so that the copy ended at the first NUL byte while its length stayed that of the whole body: the rest of the repeated response was memory of the daemon.

--- a/src/service.c
+++ b/src/service.c
@@ -405,8 +405,13 @@
 	c->status = r->status;
 	snprintf(c->reply_type, sizeof(c->reply_type), "%s",
 		 r->content_type ? r->content_type : "application/octet-stream");
-	c->reply = strndup(r->body ? r->body : "", r->body_len);
+	/* The body may contain NUL bytes. */
+	c->reply = malloc(r->body_len + 1);
 	c->reply_len = c->reply ? r->body_len : 0;
+	if (c->reply_len > 0)
+		memcpy(c->reply, r->body, c->reply_len);
+	if (c->reply)
+		c->reply[c->reply_len] = '\0';
 	finish_call(c);
 }
 
--- a/tests/promises/p07_paid.py
+++ b/tests/promises/p07_paid.py
@@ -290,6 +290,21 @@
         return max(len(service.requests), 1) - 1 + wrong + (answers[0].status != 200), 0
 
 
+@case
+def binary_answer_is_repeated_whole(t):
+    """A recorded response that contains NUL bytes is the same as the first; beyond the first NUL the
+    repeat once had memory of the daemon in place of the response."""
+    data = b"head\x00" + bytes(range(256)) * 200
+    service = FakeService(lambda conn, rq, n: conn.sendall(response_bytes(data)))
+    rows = {**fake_routes(idempotent=False), "config/endpoint/fake-1": service.row()}
+    with t.fleet(rows=rows) as fleet:
+        answers = [ask(fleet.callers[vm], "POST", "/fake", fleet.key, "{}",
+                       {"Idempotency-Key": "binary"}) for vm in (0, 1)]
+        t.note([(r.status, len(r.body), r.code) for r in answers])
+        wrong = sum(1 for r in answers if r.status != 200 or r.body != data)
+        return max(len(service.requests), 1) - 1 + wrong, 0
+
+
 @case
 def store_down_sends_nothing(t):
     """Without the store a call with a key is refused as not run, and it is true."""
