Report to both ends of kept links, and to no others

Cause: a VM reported to the first 32 VMs to which any link was open, those opened on demand for limits included. VMs with more links, at least the eight bucket owners, did not report to all that keep a link to them: these took them for lost, closed the link after three seconds and opened it again. Change: a report tells whether its sender keeps the link; reports and changes of tables go to neighbours and to VMs that keep a link, up to 64. Links opened on demand carry only their requests.

--- a/src/vms.c
+++ b/src/vms.c
@@ -281,7 +281,8 @@
 
 /* --- state reports --- */
 
-enum { USES_MAX = 512, FORWARDED_MAX = 256 };
+/* LINKED_MAX: VMs that get reports; on average twice TLB_VMS_NEIGHBOURS. */
+enum { USES_MAX = 512, FORWARDED_MAX = 256, LINKED_MAX = 8 * TLB_VMS_NEIGHBOURS };
 
 /* One FleetState message. Strings are borrowed from the board until it is sent. */
 struct fleet_report {
@@ -366,8 +367,10 @@
 
 static void send_report(struct tlb_vms *v, const char *vm, struct fleet_report *s)
 {
+	const struct tlb_vm *m = tlb_vms_find(v, vm);
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 
+	s->own.keeps_link = m && m->neighbour;
 	e.body_case = TOUCAN__ENVELOPE__BODY_FLEET_STATE;
 	e.fleet_state = &s->fleet;
 	tlb_peers_send_if_up(&v->peers, vm, &e);
@@ -412,7 +415,7 @@
 static void send_reports(struct tlb_vms *v)
 {
 	static struct fleet_report s;
-	struct tlb_vm *to[4 * TLB_VMS_NEIGHBOURS];
+	struct tlb_vm *to[LINKED_MAX];
 	size_t n = linked_vms(v, to, sizeof(to) / sizeof(to[0]));
 	bool all_neighbours = tlb_vms_count(v) <= TLB_VMS_NEIGHBOURS + 1;
 	struct tlb_vm *m;
@@ -554,6 +557,7 @@
 		apply_use(v, m, s->uses[i], deduct, now);
 	if (!own)
 		return;
+	m->keeps_link = s->keeps_link;
 	if (m->last_report_at && is_silent(v, m, now))
 		tlb_log_info("event=vm_heard_again vm=%s after_ms=%lld", m->id,
 			     (long long)((now - m->last_report_at) / TLB_MS));
@@ -609,12 +613,24 @@
 
 /* --- timers and local events --- */
 
+/* A VM that no longer has this one as its neighbour stops reporting to it. */
+static void forget_unkept_links(struct tlb_vms *v, tlb_time now)
+{
+	struct tlb_vm *m;
+
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		if (m->keeps_link && is_silent(v, m, now))
+			m->keeps_link = false;
+	}
+}
+
 static void on_report_timer(void *arg)
 {
 	struct tlb_vms *v = arg;
 	tlb_time now = tlb_clock_now();
 
 	remove_expired_vms(v, now);
+	forget_unkept_links(v, now);
 	apply_share(v, now);
 	send_reports(v);
 	v->last_report_at = now;
--- a/src/vms.h
+++ b/src/vms.h
@@ -60,6 +60,7 @@
 	uint64_t pair_weight; /* rendezvous hash of this pair of VMs; the lowest are neighbours */
 	bool leaving;
 	bool neighbour;
+	bool keeps_link;	 /* this VM is its neighbour, as far as its reports tell */
 	bool announce;		 /* joined, leaving or gone, and not forwarded yet */
 	bool gone;		 /* not part of the fleet; kept until it was announced */
 	tlb_time avoid_until;	 /* not ranked until then, because it did not answer; 0: ranked */
@@ -117,10 +118,11 @@
 /* Whether this VM has the lowest id among the VMs recently seen; selects one VM for work that only
  * one should do. It can hold on two VMs at once, so such work must be claimed in the store too. */
 bool tlb_vms_has_lowest_id(const struct tlb_vms *v, tlb_time now);
-/* Whether messages can be sent to the VM at once. */
+/* Whether reports and changes of tables are exchanged with the VM: a link is open that one of both
+ * keeps. The links to bucket owners are opened on demand and carry only their requests. */
 static inline bool tlb_vm_is_linked(const struct tlb_vm *m)
 {
-	return tlb_peer_is_up(m->peer);
+	return (m->neighbour || m->keeps_link) && tlb_peer_is_up(m->peer);
 }
 /* The VM with that id, or NULL; this VM is not in the list. */
 struct tlb_vm *tlb_vms_find(const struct tlb_vms *v, const char *id);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -2944,7 +2944,7 @@
   (ProtobufCMessageInit) toucan__account_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[10] =
 {
   {
     "id",
@@ -3054,6 +3054,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keeps_link",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmState, keeps_link),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__vm_state__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -3062,6 +3074,7 @@
   8,   /* field[8] = gone */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
+  9,   /* field[9] = keeps_link */
   4,   /* field[4] = leaving */
   6,   /* field[6] = tables */
   5,   /* field[5] = uses */
@@ -3071,7 +3084,7 @@
   { 1, 0 },
   { 5, 3 },
   { 9, 6 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor toucan__vm_state__descriptor =
 {
@@ -3081,7 +3094,7 @@
   "Toucan__VmState",
   "toucan",
   sizeof(Toucan__VmState),
-  9,
+  10,
   toucan__vm_state__field_descriptors,
   toucan__vm_state__field_indices_by_name,
   3,  toucan__vm_state__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -271,6 +271,10 @@
    * time since the tables were known to be current
    */
   uint32_t confirmed_age_ms;
+  /*
+   * the sender expects reports from the receiver over this link
+   */
+  protobuf_c_boolean keeps_link;
   /*
    * forwarded: a VM that kept a link to it has not heard from it
    */
@@ -278,7 +282,7 @@
 };
 #define TOUCAN__VM_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__vm_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -712,9 +712,14 @@
         wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
              "most VMs stop following", 15)
         calls = w.store.calls
+        silences = sum(len(v.events("vm_heard_again")) for v in w.vms)
+        for n in range(60):  # opens links to the owners of the account's limit
+            w.vms[n % 20].call("/pay/1", "POST", b"x", attempt=f"l{n}")
         for n in range(10):
             w.store.put("servers", "shop-0", w.shops[0].entry("draining" if n % 2 else "ready"))
-            time.sleep(0.2)
+            time.sleep(0.4)
+        # A VM that reports to the wrong ones of its links is taken for lost every three seconds.
+        equal(sum(len(v.events("vm_heard_again")) for v in w.vms) - silences, 0, "silent VMs")
         w.store.put("op", "config", config(7))
         wait(lambda: all(v.events("routing_applied source=.* version=7") for v in w.vms),
              "version 7 at all VMs", 4)
--- a/tests/test_vms.c
+++ b/tests/test_vms.c
@@ -244,6 +244,44 @@
 }
 END_TEST
 
+/* Delivers a report of vm-1 that says whether it keeps its link to this VM. */
+static void receive_keeping(bool keeps)
+{
+	struct tlb_peers *p = &fx.board.vms.peers;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__FleetState fleet = TOUCAN__FLEET_STATE__INIT;
+	Toucan__VmState own = TOUCAN__VM_STATE__INIT;
+	Toucan__VmState *states[1] = {&own};
+
+	own.id = "vm-1";
+	own.addr = "10.0.1.1:7500";
+	own.incarnation = 1;
+	own.keeps_link = keeps;
+	fleet.vms = states;
+	fleet.n_vms = 1;
+	e.body_case = TOUCAN__ENVELOPE__BODY_FLEET_STATE;
+	e.fleet_state = &fleet;
+	p->handlers.on_message(p->handlers.arg, tlb_peers_find(p, "vm-1"), &e);
+}
+
+/* Reports go to both ends of a kept link. A VM with hundreds of links opened on demand reported to
+ * the first 32 of them, and its neighbours took it for lost every three seconds. */
+START_TEST(reports_go_to_vms_that_keep_the_link)
+{
+	setup("vm-0");
+	learn(FLEET);
+	receive_keeping(true);
+	ck_assert(vm("vm-1")->keeps_link);
+	receive_keeping(false);
+	ck_assert(!vm("vm-1")->keeps_link);
+	receive_keeping(true);
+	vm("vm-1")->last_report_at -= TLB_VMS_EXPIRY / 2;
+	report();
+	ck_assert_msg(!vm("vm-1")->keeps_link, "a VM that has stopped reporting");
+	teardown();
+}
+END_TEST
+
 /* All VMs must rank the same VM first, and leave out one that does not answer or is leaving. */
 START_TEST(ranking_is_the_same_everywhere)
 {
@@ -292,6 +330,7 @@
 	tcase_add_test(t, silent_vms_that_are_no_neighbours_stay);
 	tcase_add_test(t, changes_of_the_membership_are_passed_on);
 	tcase_add_test(t, restarted_vm_is_announced);
+	tcase_add_test(t, reports_go_to_vms_that_keep_the_link);
 	tcase_add_test(t, ranking_is_the_same_everywhere);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
