Log the events and the prompt parts of a failed attempt

The log named the endpoint of an attempt that broke off, but neither what the prompt was made of nor whether the answer had begun, so that three hypotheses could not be told apart: the endpoints crash by themselves; one client account's requests crash them; one part of the prompts does.

attempt_failed now has the number of events that had arrived and the shared parts of the prompt.

--- a/src/forward.c
+++ b/src/forward.c
@@ -1,5 +1,6 @@
 #include "forward.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,8 @@
 #define REFUSED_BACKOFF (15 * TLB_MS)
 /* Retry-after time for callers when no endpoint or no configuration is known. */
 #define NO_ENDPOINT_RETRY_AFTER (300 * TLB_MS)
+/* Parts of a prompt listed in a log line, and the length of one: 16 hexadecimal digits, comma. */
+enum { LOGGED_PARTS_MAX = 8, PART_TEXT_LEN = 17 };
 
 static void dispatch(struct tlb_forward *f);
 
@@ -324,6 +327,31 @@
 	return status >= 500;
 }
 
+/* Formats the ids of the prompt's shared parts, separated by commas; "-" when it has none. */
+static void format_parts(const struct tlb_inbound *in, char *out, size_t size)
+{
+	size_t n = 0;
+	int i;
+
+	snprintf(out, size, "-");
+	for (i = 0; i < in->shared_part_count && i < LOGGED_PARTS_MAX; i++)
+		n += (size_t)snprintf(out + n, size - n, "%s%" PRIx64, i ? "," : "",
+				      in->shared_parts[i]);
+}
+
+static void log_failed_attempt(const struct tlb_forward *f, const struct tlb_http_result *r,
+			       bool not_run, tlb_time elapsed)
+{
+	char parts[LOGGED_PARTS_MAX * PART_TEXT_LEN + 1];
+
+	format_parts(&f->inbound, parts, sizeof(parts));
+	tlb_log_info("event=attempt_failed request=%s attempt=%s instance=%s status=%d sent=%d "
+		     "not_run=%d ms=%lld events=%d parts=%s reason=\"%s\"",
+		     f->exchange->id, f->inbound.attempt_id, f->instance->row.id, r->status,
+		     r->sent, not_run, (long long)(elapsed / TLB_MS),
+		     f->step == TLB_FORWARD_DECODING ? f->gen.attempt_events : 0, parts, r->reason);
+}
+
 enum tlb_attempt_result tlb_forward_record_result(struct tlb_forward *f,
 						  const struct tlb_http_result *r)
 {
@@ -339,11 +367,7 @@
 	ok = end == TLB_ATTEMPT_ANSWERED ? !is_server_error(r->status)
 					 : end == TLB_ATTEMPT_NOT_RUN && r->sent;
 	if (end != TLB_ATTEMPT_ANSWERED || !ok)
-		tlb_log_info("event=attempt_failed request=%s attempt=%s instance=%s status=%d "
-			     "sent=%d not_run=%d ms=%lld reason=\"%s\"",
-			     f->exchange->id, f->inbound.attempt_id, f->instance->row.id, r->status,
-			     r->sent, end == TLB_ATTEMPT_NOT_RUN, (long long)(elapsed / TLB_MS),
-			     r->reason);
+		log_failed_attempt(f, r, end == TLB_ATTEMPT_NOT_RUN, elapsed);
 	if (tlb_instances_record_outcome(&f->board->instances, f->instance, ok,
 					 end == TLB_ATTEMPT_ANSWERED &&
 							 f->instance->row.role == TLB_ROLE_SERVICE
--- a/src/generation.c
+++ b/src/generation.c
@@ -258,6 +258,7 @@
 		value += *value == ' ';
 		snprintf(f->gen.last_event_id, sizeof(f->gen.last_event_id), "%.*s",
 			 (int)strcspn(value, "\r\n"), value);
+		f->gen.attempt_events++;
 	}
 	return strcmp(before, f->gen.last_event_id) != 0;
 }
@@ -435,6 +436,7 @@
 		o.kv_handle = f->gen.kv_handle;
 	}
 	f->step = TLB_FORWARD_DECODING;
+	f->gen.attempt_events = 0;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
--- a/src/request_info.h
+++ b/src/request_info.h
@@ -13,6 +13,7 @@
 	TLB_ATTEMPT_ID_LEN = 80,
 	TLB_HANDLE_LEN = 80,
 	TLB_EVENT_ID_LEN = 32,
+	TLB_SHARED_PARTS_MAX = 32, /* further parts of a prompt are not read */
 };
 
 /* Parameters of a caller's request. A value type. */
@@ -25,6 +26,9 @@
 	int64_t max_output_tokens;
 	int64_t expected_output_tokens;	      /* the caller's estimate, often far off; 0 for none */
 	char last_event_id[TLB_EVENT_ID_LEN]; /* resume the stream after this event; "" for none */
+	/* The parts of the prompt that other requests may share, in order: all but the last one. */
+	uint64_t shared_parts[TLB_SHARED_PARTS_MAX];
+	int shared_part_count;
 };
 
 /* The kind of work that an attempt requests from an endpoint. */
