Test answers that end with their connection

An answer or a stream may come with neither a length nor chunks and end with its connection. Closed at the end of an event it is complete; inside an event, or with a reset, it has been broken off.

The check covers both ends on a resumable, a non-resumable, an idempotent and a non-idempotent route.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -642,6 +642,47 @@
         equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
 
 
+def check_answer_that_ends_with_its_connection():
+    """A response with neither a length nor chunks is complete when its connection is closed. One that
+    is reset, or a stream that ends inside an event, must be resumed where the route allows it, and
+    otherwise must not look complete."""
+    events = EVENTS.encode()
+    boundary = events.index(b"id: 3")
+    inside = boundary + len(b"id: 3\ndata: pie")
+    for path, payload, reset, status, complete in (
+            ("/gen/1", events, False, 200, events),
+            ("/once/1", events, False, 200, events),
+            ("/pay/1", b"done", False, 200, b"done"),
+            ("/gen/1", events[:inside], False, 200, events),
+            ("/once/1", events[:inside], False, 200, None),
+            ("/gen/1", events[:boundary], True, 200, events),
+            ("/once/1", events[:boundary], True, 200, None),
+            ("/look/1", b"half", True, 200, b"done"),
+            ("/pay/1", b"half", True, 502, None)):
+        case = f"{path} {payload[-8:]!r} reset={reset}"
+        with World() as w:
+            vm = w.start()
+            began = threading.Event()
+
+            def first(h, payload=payload, reset=reset, began=began):
+                if began.is_set():
+                    return False
+                began.set()
+                return h.answer_until_close(payload, reset)
+
+            for e in w.decodes + w.shops:
+                e.plan = first
+            r = vm.send(path, "POST", b"x", headers=GEN)
+            text, whole = read_stream(r)
+            equal(r.status, status, f"status of {case}")
+            if complete is not None:
+                equal((text.encode(), whole), (complete, True), case)
+            elif status == 200:
+                equal(whole, False, f"whole: {case}")
+            else:
+                assert "half" not in text, case
+
+
 def check_caller_that_leaves_frees_the_endpoint():
     """An endpoint must not continue a stream whose caller has disconnected."""
     with World() as w:
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -255,14 +255,25 @@
                                      ("X-Response-Signature", f"sig-{self.endpoint.name}"),
                                      ("Content-Type", "text/plain")])
 
-    def begin_stream(self):
+    def begin_stream(self, chunked=True):
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
         self.send_header("X-Response-Signature", f"sig-{self.endpoint.name}")
-        self.send_header("Transfer-Encoding", "chunked")
+        if chunked:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
 
+    def answer_until_close(self, payload, reset=False):
+        """Sends a response with neither a length nor chunks, which ends with its connection."""
+        self.begin_stream(chunked=False)
+        self.wfile.write(payload)
+        self.close_connection = True
+        if reset:
+            time.sleep(0.1)  # a reset discards what the router has not read
+            self.cut()
+        return True
+
     def chunk(self, data):
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
         self.wfile.flush()
