Print the logs when VMs of a check are not linked

Once the three VMs of account_cannot_quarantine_parts_of_another_account were not linked within 6 s; the logs were gone. Not seen again in 25 starts on their own and 13 later runs of the check.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -170,21 +170,21 @@
         try:
             wait(lambda: all(vm.ready() for vm in self.vms), "all VMs are ready")
         except AssertionError:
-            self.print_unready()
+            self.print_logs([vm for vm in self.vms if not vm.ready()])
             raise
         return self.vms[0]
 
-    def print_unready(self):
-        """Prints why VMs have not started: the exit code and the end of the log."""
-        for vm in self.vms:
-            if vm.ready():
-                continue
+    def print_logs(self, vms):
+        """Prints the exit codes and the ends of the logs, to show why VMs have not started."""
+        for vm in vms:
             lines = []
             if os.path.exists(vm.log):
                 with open(vm.log, encoding="utf-8") as f:
-                    lines = f.readlines()[-8:]
-            print(f"{vm.name} is not ready, exit code {vm.process.poll()}, ports {vm.ports}")
-            print("".join(lines))
+                    lines = f.readlines()
+            links = [line for line in lines if "event=link_" in line]
+            print(f"{vm.name}: ready {vm.ready()}, exit code {vm.process.poll()}, "
+                  f"ports {vm.ports}")
+            print("".join(links + lines[-8:]))
 
 
 def wait(condition, what, seconds=6):
@@ -1150,7 +1150,11 @@
 
 def start_tainted(w, **changes):
     w.start(config(3, **changes))
-    wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+    try:
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+    except AssertionError:
+        w.print_logs(w.vms)
+        raise
 
 
 TAINTED = {"vms": 3, "prefills": 2, "decodes": 8, "shops": 0}
