--- a/src/counter.h
+++ b/src/counter.h
@@ -73,6 +73,10 @@
 	  "Store version up to which the configuration table is known")                            \
 	X(ENDPOINT_ROWS_VERSION, "toucanlb_endpoint_rows_version", "gauge",                        \
 	  "Store version up to which the endpoint table is known")                                 \
+	X(QUARANTINED_PARTS, "toucanlb_quarantined_parts", "gauge",                                \
+	  "Prompt parts that are quarantined because they crash endpoints")                        \
+	X(QUARANTINE_REFUSED, "toucanlb_quarantine_refused_total", "counter",                      \
+	  "Requests rejected because of a quarantined prompt part")                                \
 	X(LOG_DROPPED, "toucanlb_log_dropped_total", "counter",                                    \
 	  "Log lines dropped because the reader of the log was too slow")                          \
 	X(HTTP_CALLS, "toucanlb_http_calls_total", "counter",                                      \
--- a/src/edge.c
+++ b/src/edge.c
@@ -85,6 +85,7 @@
 	struct tlb_edge *e = arg;
 
 	tlb_tables_fill_state(&e->tables, state);
+	tlb_quarantine_sync_fill_state(&e->board.quarantine_sync, state);
 }
 
 static void on_vm_state(void *arg, struct tlb_vm *vm, const Toucan__VmState *state)
@@ -92,6 +93,7 @@
 	struct tlb_edge *e = arg;
 
 	tlb_tables_on_state(&e->tables, vm, state);
+	tlb_quarantine_sync_on_state(&e->board.quarantine_sync, vm, state);
 }
 
 static void on_table_message(void *arg, const char *vm, const Toucan__Envelope *msg)
@@ -108,6 +110,13 @@
 	tlb_quota_owners_on_message(&e->board.quota_owners, peer, msg);
 }
 
+static void on_suspect_parts(void *arg, const Toucan__SuspectParts *msg)
+{
+	struct tlb_edge *e = arg;
+
+	tlb_quarantine_sync_on_message(&e->board.quarantine_sync, msg);
+}
+
 /* --- endpoints --- */
 
 static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row)
@@ -333,8 +342,10 @@
 	tlb_instances_init(&b->instances, e->settings.zone, seed ^ 1);
 	tlb_quotas_init(&b->quotas);
 	tlb_vms_init(&b->vms, b, &e->store);
-	b->vms.handlers = (struct tlb_vms_handlers){e, fill_state, on_vm_state, on_table_message,
-						    on_quota_message};
+	b->vms.handlers = (struct tlb_vms_handlers){
+		e, fill_state, on_vm_state, on_table_message, on_quota_message, on_suspect_parts};
+	tlb_quarantine_init(&b->quarantine);
+	tlb_quarantine_sync_init(&b->quarantine_sync, b, &e->store);
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
 	tlb_forwards_init(&b->forwards, b);
 	tlb_generations_init(&b->generations, b);
@@ -392,6 +403,7 @@
 	on_settings_timer(e);
 	tlb_tables_start(&e->tables);
 	tlb_vms_start(&e->board.vms);
+	tlb_quarantine_sync_start(&e->board.quarantine_sync);
 	tlb_roles_start(&e->board.roles);
 	return TLB_OK;
 }
@@ -416,6 +428,8 @@
 	tlb_listener_finish(&e->ready_listener);
 	tlb_listener_finish(&e->caller_listener);
 	tlb_tables_finish(&e->tables);
+	tlb_quarantine_sync_finish(&e->board.quarantine_sync);
+	tlb_quarantine_finish(&e->board.quarantine);
 	tlb_vms_finish(&e->board.vms);
 	tlb_quotas_finish(&e->board.quotas);
 	tlb_instances_finish(&e->board.instances);
--- a/src/edgeboard.h
+++ b/src/edgeboard.h
@@ -11,6 +11,7 @@
 #include "http.h"
 #include "instance.h"
 #include "latency.h"
+#include "quarantine_sync.h"
 #include "quota.h"
 #include "quota_owner.h"
 #include "roles.h"
@@ -27,6 +28,8 @@
 	struct tlb_quotas quotas;
 	struct tlb_vms vms;
 	struct tlb_quota_owners quota_owners;
+	struct tlb_quarantine quarantine;
+	struct tlb_quarantine_sync quarantine_sync;
 	struct tlb_forwards forwards;
 	struct tlb_generations generations;
 	struct tlb_roles roles;
--- a/src/error.c
+++ b/src/error.c
@@ -19,6 +19,7 @@
 	[TLB_FORBIDDEN] = {"forbidden", 403},
 	[TLB_RATE_LIMITED] = {"rate_limited", 429},
 	[TLB_OVERLOADED] = {"overloaded", 503},
+	[TLB_QUARANTINED] = {"prompt_quarantined", 503},
 	[TLB_EXPIRED] = {"expired", 408},
 	[TLB_NO_ENDPOINT] = {"no_endpoint", 503},
 	[TLB_ENDPOINT_FAILED] = {"endpoint_failed", 502},
--- a/src/forward.c
+++ b/src/forward.c
@@ -348,8 +348,8 @@
 	tlb_log_info("event=attempt_failed request=%s attempt=%s instance=%s status=%d sent=%d "
 		     "not_run=%d ms=%lld events=%d parts=%s reason=\"%s\"",
 		     f->exchange->id, f->inbound.attempt_id, f->instance->row.id, r->status,
-		     r->sent, not_run, (long long)(elapsed / TLB_MS),
-		     f->step == TLB_FORWARD_DECODING ? f->gen.attempt_events : 0, parts, r->reason);
+		     r->sent, not_run, (long long)(elapsed / TLB_MS), f->gen.events, parts,
+		     r->reason);
 }
 
 enum tlb_attempt_result tlb_forward_record_result(struct tlb_forward *f,
--- a/src/forward.h
+++ b/src/forward.h
@@ -61,7 +61,7 @@
 	tlb_time kv_deadline;		/* the KV cache is not used after this */
 	struct tlb_buffer partial;	/* received bytes of an incomplete event */
 	char last_event_id[TLB_EVENT_ID_LEN]; /* id of the last event sent to the caller */
-	int attempt_events;		      /* new events of the attempt in progress */
+	int events;			      /* new events received, from all attempts */
 	bool streaming;			      /* the response to the caller has begun */
 	bool resumed_in_place;		      /* was resumed at the endpoint that interrupted it */
 };
--- a/src/generation.c
+++ b/src/generation.c
@@ -1,5 +1,6 @@
 #include "generation.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,6 +62,9 @@
 static void decode_at(struct tlb_forward *f, struct tlb_instance *i);
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
+static bool refuse_quarantined(struct tlb_forward *f);
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
+			    const struct tlb_http_result *r, enum tlb_attempt_result end);
 
 /* --- KV caches --- */
 
@@ -258,7 +262,7 @@
 		value += *value == ' ';
 		snprintf(f->gen.last_event_id, sizeof(f->gen.last_event_id), "%.*s",
 			 (int)strcspn(value, "\r\n"), value);
-		f->gen.attempt_events++;
+		f->gen.events++;
 	}
 	return strcmp(before, f->gen.last_event_id) != 0;
 }
@@ -346,6 +350,7 @@
 	}
 	if (end == TLB_ATTEMPT_ANSWERED && f->gen.partial.len > 0)
 		end = TLB_ATTEMPT_UNKNOWN;
+	record_evidence(f, i, r, end);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
@@ -359,6 +364,68 @@
 	start_waiting(p);
 }
 
+/* --- quarantine of prompt parts --- */
+
+static struct tlb_prompt prompt_of(const struct tlb_forward *f)
+{
+	return (struct tlb_prompt){
+		.parts = f->inbound.shared_parts,
+		.count = f->inbound.shared_part_count,
+		.account = f->account ? tlb_vms_hash(f->account->name) : 0,
+	};
+}
+
+/* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
+static bool refuse_quarantined(struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+	const struct tlb_suspect_part *s = tlb_quarantine_find(&f->board->quarantine, &prompt);
+	tlb_time wait;
+
+	if (!s)
+		return false;
+	wait = tlb_quarantine_ends_at(s) - tlb_clock_now();
+	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
+	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
+		     " crashes=%d runs=%d",
+		     f->exchange->id, f->inbound.attempt_id, s->part,
+		     tlb_quarantine_spaced_crashes(s), f->possible_runs);
+	if (f->gen.streaming || f->possible_runs > 0)
+		fail_stream(f, "a part of the prompt crashes endpoints");
+	else
+		tlb_forward_refuse(f, TLB_QUARANTINED, wait > 0 ? (int)(wait / TLB_MS) : 1,
+				   "a part of the prompt crashes endpoints");
+	return true;
+}
+
+/* Hash of the incarnation, the same on all VMs. */
+static uint64_t incarnation_hash(const struct tlb_instance *i)
+{
+	char text[TLB_INSTANCE_ID_LEN + 24];
+
+	snprintf(text, sizeof(text), "%s/%lld", i->row.id, (long long)i->row.started_ms);
+	return tlb_vms_hash(text);
+}
+
+/* Takes the end of an attempt as evidence for or against the parts of the prompt. */
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
+			    const struct tlb_http_result *r, enum tlb_attempt_result end)
+{
+	struct tlb_edge_board *b = f->board;
+	struct tlb_prompt prompt = prompt_of(f);
+	tlb_time now = tlb_clock_now();
+	bool changed = false;
+
+	if (end == TLB_ATTEMPT_ANSWERED && f->gen.streaming)
+		changed = tlb_quarantine_add_answer(&b->quarantine, &prompt, now);
+	else if (end == TLB_ATTEMPT_UNKNOWN && r->broken_off &&
+		 f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
+		changed =
+			tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), now);
+	if (changed)
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+}
+
 /* --- attempts --- */
 
 /* Whether this is the caller's first try. The target latency counts from the first try, which may
@@ -428,6 +495,8 @@
 	struct tlb_outbound o;
 	char hold[TLB_HANDLE_LEN];
 
+	if (refuse_quarantined(f))
+		return;
 	snprintf(hold, sizeof(hold), "%s", f->gen.decode_reservation.id);
 	o = make_outbound(f, i, f->gen.kv_source ? TLB_ATTEMPT_DECODE : TLB_ATTEMPT_CALL);
 	o.reservation_id = hold;
@@ -436,7 +505,6 @@
 		o.kv_handle = f->gen.kv_handle;
 	}
 	f->step = TLB_FORWARD_DECODING;
-	f->gen.attempt_events = 0;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
@@ -472,10 +540,13 @@
 	struct tlb_instance *i = f->instance;
 	char handle[TLB_HANDLE_LEN];
 	bool ok = r->status == 200 && tlb_platform_read_kv_handle(r->body, r->body_len, handle);
+	enum tlb_attempt_result end;
 
 	tlb_instance_acquire(i);
-	if (tlb_forward_record_result(f, r) == TLB_ATTEMPT_NOT_RUN && r->sent)
+	end = tlb_forward_record_result(f, r);
+	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
+	record_evidence(f, i, r, end);
 	end_prefill(f, i, ok);
 	if (ok) {
 		store_kv_handle(f, i, handle);
@@ -516,6 +587,8 @@
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 	struct tlb_instance *i;
 
+	if (refuse_quarantined(f))
+		return;
 	p.tokens = f->inbound.prompt_tokens;
 	p.decode_zone = f->gen.decode_reservation.instance->row.zone;
 	i = tlb_instances_select_prefill(&f->board->instances, &p);
@@ -582,6 +655,8 @@
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
+	if (refuse_quarantined(f))
+		return;
 	if (f->gen.kv_source && p.now < f->gen.kv_deadline) {
 		decode(f);
 		return;
@@ -803,6 +878,8 @@
 		tlb_forward_refuse(f, TLB_OVERLOADED, 0, "no memory for the request");
 		return;
 	}
+	if (refuse_quarantined(f))
+		return;
 	if (f->inbound.deadline != TLB_NEVER &&
 	    f->inbound.deadline - f->exchange->arrived > p->max_time_budget)
 		p->max_time_budget = f->inbound.deadline - f->exchange->arrived;
--- a/src/http.c
+++ b/src/http.c
@@ -111,6 +111,8 @@
 	r.sent = request_was_sent(c->easy);
 	add_totals(&c->http->totals, c->easy);
 	r.timed_out = c->timed_out;
+	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
+		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR;
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
 	else if (c->too_large)
--- a/src/http.h
+++ b/src/http.h
@@ -43,6 +43,7 @@
 	int status;
 	bool sent;
 	bool timed_out;
+	bool broken_off;  /* the peer closed or reset the connection before the response's end */
 	const char *head; /* header lines "Name: value\n" of a call with spec.headers; else "" */
 	const char *body; /* complete body, NUL-terminated; "" when on_data received it */
 	size_t body_len;
--- a/src/loop.h
+++ b/src/loop.h
@@ -69,5 +69,10 @@
 void tlb_timer_set(struct tlb_loop *l, struct tlb_timer *t, tlb_time deadline);
 /* Clears a timer; no effect when it is not set. */
 void tlb_timer_clear(struct tlb_loop *l, struct tlb_timer *t);
+/* Whether the timer is set. */
+static inline bool tlb_timer_active(const struct tlb_timer *t)
+{
+	return t->index != 0;
+}
 
 #endif
--- /dev/null
+++ b/src/quarantine.c
@@ -0,0 +1,372 @@
+#include "quarantine.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum { EXPLAINED_MAX = TLB_QUARANTINE_PARTS_MAX * TLB_QUARANTINE_CRASHES_KEPT };
+
+static bool contains(const uint64_t *list, int count, uint64_t value)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (list[i] == value)
+			return true;
+	return false;
+}
+
+/* --- entries --- */
+
+static struct tlb_suspect_part *find_part(const struct tlb_quarantine *q, uint64_t part)
+{
+	struct tlb_suspect_part *s;
+
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (s->part == part)
+			return s;
+	}
+	return NULL;
+}
+
+static void remove_part(struct tlb_quarantine *q, struct tlb_suspect_part *s)
+{
+	APR_RING_REMOVE(s, link);
+	q->count--;
+	free(s);
+}
+
+static tlb_time last_change_at(const struct tlb_suspect_part *s)
+{
+	tlb_time at = s->crash_count > 0 ? s->crashes[s->crash_count - 1].at : 0;
+
+	return at > s->sound_at ? at : s->sound_at;
+}
+
+/* Removes the part whose evidence is oldest, preferably one that is not quarantined. */
+static void evict_part(struct tlb_quarantine *q)
+{
+	struct tlb_suspect_part *oldest = NULL;
+	struct tlb_suspect_part *s;
+
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (!oldest || s->quarantined < oldest->quarantined ||
+		    (s->quarantined == oldest->quarantined &&
+		     last_change_at(s) < last_change_at(oldest)))
+			oldest = s;
+	}
+	if (oldest)
+		remove_part(q, oldest);
+}
+
+static struct tlb_suspect_part *add_part(struct tlb_quarantine *q, uint64_t part)
+{
+	struct tlb_suspect_part *s = find_part(q, part);
+
+	if (s)
+		return s;
+	s = calloc(1, sizeof(*s));
+	if (!s)
+		return NULL;
+	if (q->count >= TLB_QUARANTINE_PARTS_MAX)
+		evict_part(q);
+	s->part = part;
+	APR_RING_INSERT_TAIL(&q->parts, s, tlb_suspect_part, link);
+	q->count++;
+	return s;
+}
+
+void tlb_quarantine_init(struct tlb_quarantine *q)
+{
+	memset(q, 0, sizeof(*q));
+	APR_RING_INIT(&q->parts, tlb_suspect_part, link);
+}
+
+void tlb_quarantine_finish(struct tlb_quarantine *q)
+{
+	while (!APR_RING_EMPTY(&q->parts, tlb_suspect_part, link))
+		remove_part(q, APR_RING_FIRST(&q->parts));
+}
+
+/* --- evidence; each function returns whether it changed the entry --- */
+
+/* Drops the crashes up to a time. */
+static bool drop_crashes(struct tlb_suspect_part *s, tlb_time until)
+{
+	int n = 0;
+
+	while (n < s->crash_count && s->crashes[n].at <= until)
+		n++;
+	s->crash_count -= n;
+	memmove(s->crashes, s->crashes + n, (size_t)s->crash_count * sizeof(s->crashes[0]));
+	if (s->crash_count == 0) {
+		s->common_count = 0;
+		s->account_count = 0;
+	}
+	return n > 0;
+}
+
+static bool set_sound_at(struct tlb_suspect_part *s, tlb_time at)
+{
+	if (at <= s->sound_at)
+		return false;
+	s->sound_at = at;
+	return drop_crashes(s, at);
+}
+
+/* Inserts a crash by its time; only the latest are kept. Of two reports of one crash the first one
+ * to arrive is kept: they differ by message delays. */
+static bool insert_crash(struct tlb_suspect_part *s, struct tlb_part_crash c)
+{
+	int i;
+
+	for (i = 0; i < s->crash_count; i++)
+		if (s->crashes[i].endpoint == c.endpoint)
+			return false;
+	if (c.at <= s->sound_at)
+		return false;
+	if (s->crash_count == TLB_QUARANTINE_CRASHES_KEPT) {
+		if (c.at <= s->crashes[0].at)
+			return false;
+		drop_crashes(s, s->crashes[0].at);
+	}
+	for (i = s->crash_count++; i > 0 && s->crashes[i - 1].at > c.at; i--)
+		s->crashes[i] = s->crashes[i - 1];
+	s->crashes[i] = c;
+	return true;
+}
+
+/* Keeps the common parts that are in the list. */
+static bool intersect_common(struct tlb_suspect_part *s, const uint64_t *parts, int count)
+{
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < s->common_count; i++)
+		if (contains(parts, count, s->common[i]))
+			s->common[kept++] = s->common[i];
+	if (kept == s->common_count)
+		return false;
+	s->common_count = kept;
+	return true;
+}
+
+static bool add_account(struct tlb_suspect_part *s, uint64_t account)
+{
+	if (s->account_count == TLB_QUARANTINE_ACCOUNTS ||
+	    contains(s->accounts, s->account_count, account))
+		return false;
+	s->accounts[s->account_count++] = account;
+	return true;
+}
+
+/* Sets the common parts for the first crash, and narrows them for later ones. */
+static bool add_common(struct tlb_suspect_part *s, const uint64_t *parts, int count)
+{
+	if (s->common_count > 0)
+		return intersect_common(s, parts, count);
+	memcpy(s->common, parts, (size_t)count * sizeof(parts[0]));
+	s->common_count = count;
+	return true;
+}
+
+/* --- verdicts --- */
+
+static int spaced_crashes(const struct tlb_suspect_part *s, const uint64_t *explained,
+			  int explained_count)
+{
+	tlb_time last = 0;
+	int n = 0;
+	int i;
+
+	for (i = 0; i < s->crash_count; i++) {
+		if (contains(explained, explained_count, s->crashes[i].endpoint) ||
+		    (n > 0 && s->crashes[i].at < last + TLB_QUARANTINE_CRASH_SPACING))
+			continue;
+		last = s->crashes[i].at;
+		n++;
+	}
+	return n;
+}
+
+int tlb_quarantine_spaced_crashes(const struct tlb_suspect_part *s)
+{
+	return spaced_crashes(s, NULL, 0);
+}
+
+tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s)
+{
+	int beyond = tlb_quarantine_spaced_crashes(s) - TLB_QUARANTINE_CRASHES;
+	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
+
+	if (s->crash_count == 0)
+		return 0;
+	if (wait > TLB_QUARANTINE_MAX_TIME)
+		wait = TLB_QUARANTINE_MAX_TIME;
+	return s->crashes[s->crash_count - 1].at + wait;
+}
+
+/* Decides on all parts, those with the most common parts first: their verdict rejects the fewest
+ * prompts, and explains their crashes for the others. */
+static void evaluate(struct tlb_quarantine *q, tlb_time now)
+{
+	static uint64_t explained[EXPLAINED_MAX];
+	struct tlb_suspect_part *s;
+	bool deadly;
+	int before;
+	int n = 0;
+	int common;
+	int i;
+
+	q->quarantined = 0;
+	for (common = TLB_SHARED_PARTS_MAX; common > 0; common--) {
+		before = n;
+		APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+			if (s->common_count != common)
+				continue;
+			deadly = spaced_crashes(s, explained, before) >= TLB_QUARANTINE_CRASHES;
+			for (i = 0; deadly && i < s->crash_count; i++)
+				explained[n++] = s->crashes[i].endpoint;
+			s->quarantined = deadly && now < tlb_quarantine_ends_at(s);
+			q->quarantined += s->quarantined;
+		}
+	}
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (s->common_count == 0)
+			s->quarantined = false;
+	}
+}
+
+bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
+			      uint64_t endpoint, tlb_time now)
+{
+	struct tlb_suspect_part *s;
+	bool changed = false;
+	int i;
+
+	for (i = 0; i < p->count; i++) {
+		s = add_part(q, p->parts[i]);
+		if (!s)
+			continue;
+		s->changed |= insert_crash(s, (struct tlb_part_crash){endpoint, now});
+		s->changed |= add_common(s, p->parts, p->count);
+		s->changed |= add_account(s, p->account);
+		changed |= s->changed;
+	}
+	evaluate(q, now);
+	return changed;
+}
+
+bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now)
+{
+	struct tlb_suspect_part *s;
+	bool changed = false;
+	int kept;
+	int i;
+
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (s->crash_count == 0)
+			continue;
+		if (contains(p->parts, p->count, s->part)) {
+			s->changed |= set_sound_at(s, now);
+			changed |= s->changed;
+			continue;
+		}
+		/* The answered parts crash no endpoint, so that they are no condition for it. */
+		kept = 0;
+		for (i = 0; i < s->common_count; i++)
+			if (!contains(p->parts, p->count, s->common[i]))
+				s->common[kept++] = s->common[i];
+		s->changed |= kept < s->common_count;
+		changed |= kept < s->common_count;
+		s->common_count = kept;
+	}
+	if (changed)
+		evaluate(q, now);
+	return changed;
+}
+
+bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
+			  tlb_time now)
+{
+	struct tlb_suspect_part *s = find_part(q, from->part);
+	bool changed = false;
+	int i;
+
+	if (!s && from->crash_count == 0)
+		return false;
+	s = s ? s : add_part(q, from->part);
+	if (!s)
+		return false;
+	changed |= set_sound_at(s, from->sound_at);
+	for (i = 0; i < from->crash_count; i++)
+		if (from->crashes[i].at > now - TLB_QUARANTINE_MEMORY)
+			changed |= insert_crash(s, from->crashes[i]);
+	if (s->crash_count > 0 && from->common_count > 0)
+		changed |= add_common(s, from->common, from->common_count);
+	for (i = 0; s->crash_count > 0 && i < from->account_count; i++)
+		changed |= add_account(s, from->accounts[i]);
+	s->changed |= changed;
+	if (changed)
+		evaluate(q, now);
+	return changed;
+}
+
+void tlb_quarantine_expire(struct tlb_quarantine *q, tlb_time now)
+{
+	struct tlb_suspect_part *s;
+	struct tlb_suspect_part *next;
+
+	APR_RING_FOREACH_SAFE (s, next, &q->parts, tlb_suspect_part, link) {
+		drop_crashes(s, now - TLB_QUARANTINE_MEMORY);
+		if (s->crash_count == 0 && !s->logged && now >= s->sound_at + TLB_QUARANTINE_MEMORY)
+			remove_part(q, s);
+	}
+	evaluate(q, now);
+}
+
+const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
+						   const struct tlb_prompt *p)
+{
+	const struct tlb_suspect_part *s;
+	int i;
+
+	if (q->quarantined == 0)
+		return NULL;
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (!s->quarantined || (s->account_count < TLB_QUARANTINE_ACCOUNTS &&
+					!contains(s->accounts, s->account_count, p->account)))
+			continue;
+		for (i = 0; i < s->common_count; i++)
+			if (!contains(p->parts, p->count, s->common[i]))
+				break;
+		if (i == s->common_count)
+			return s;
+	}
+	return NULL;
+}
+
+/* The finalizer of splitmix64. */
+static uint64_t mix(uint64_t x)
+{
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return x ^ (x >> 31);
+}
+
+uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q)
+{
+	const struct tlb_suspect_part *s;
+	uint64_t digest = 0;
+	int i;
+
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (!s->quarantined)
+			continue;
+		digest ^= mix(s->part + 1);
+		for (i = 0; i < s->common_count; i++)
+			digest ^= mix(s->part ^ mix(s->common[i]));
+		for (i = 0; i < s->account_count; i++)
+			digest ^= mix(s->part ^ mix(~s->accounts[i]));
+	}
+	return digest;
+}
--- /dev/null
+++ b/src/quarantine.h
@@ -0,0 +1,115 @@
+/*
+ * Quarantine of prompt parts that crash endpoints: evidence, verdicts, and which requests to
+ * reject. Pure data structure without I/O; module quarantine_sync exchanges it between VMs.
+ *
+ * Load pattern: prompts that share one part, no two alike, arrive at all VMs, and the endpoint that
+ * begins to answer one crashes and breaks off its other streams. Retries crash the next endpoints.
+ * Every VM sees only a few of the crashes.
+ *
+ * A crash is evidence against every shared part of the prompts whose answers had just begun at the
+ * endpoint. A part is quarantined after TLB_QUARANTINE_CRASHES crashes of different endpoints, one
+ * after the other, without a complete answer to a prompt with this part since. What sound requests
+ * use is therefore cleared by their next answer. A verdict ends after a time that grows with the
+ * number of crashes; the next crash then restores it. A crash with a more specific explanation (a
+ * quarantined part that occurs together with more other parts) is not held against other parts.
+ *
+ * Rejected are only prompts that have all parts in common that the crashed prompts had, and, while
+ * all of these came from one client account, only this account's: no account can have the sound
+ * requests of another one rejected.
+ *
+ * tlb_quarantine_merge() is commutative and idempotent, so that VMs can exchange entries in any
+ * order.
+ */
+#ifndef TLB_QUARANTINE_H
+#define TLB_QUARANTINE_H
+
+#include <apr_ring.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clock.h"
+#include "request_info.h"
+
+/* A verdict ends this long after the last crash; each crash beyond TLB_QUARANTINE_CRASHES doubles
+ * the time, up to TLB_QUARANTINE_MAX_TIME. */
+#define TLB_QUARANTINE_MIN_TIME (30 * TLB_SECOND)
+#define TLB_QUARANTINE_MAX_TIME (600 * TLB_SECOND)
+/* Crashes and answers after this are forgotten. */
+#define TLB_QUARANTINE_MEMORY (2 * TLB_QUARANTINE_MAX_TIME)
+/* Crashes that follow each other faster count as one: they can have a common cause, such as a
+ * rack that loses power, and a request that is retried takes longer. */
+#define TLB_QUARANTINE_CRASH_SPACING (100 * TLB_MS)
+
+enum {
+	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
+	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
+	TLB_QUARANTINE_ACCOUNTS = 2,	 /* with more accounts than one the verdict is for all */
+	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
+	TLB_QUARANTINE_EARLY_EVENTS_MAX = 2, /* an answer with more events has begun soundly */
+};
+
+/* What a request contributes to the evidence. Borrows the parts. */
+struct tlb_prompt {
+	const uint64_t *parts;
+	int count;
+	uint64_t account; /* hash of the name; 0: no account */
+};
+
+struct tlb_part_crash {
+	uint64_t endpoint; /* hash of the incarnation */
+	tlb_time at;
+};
+
+/* The evidence against one part. Owned by struct tlb_quarantine; a value type otherwise. */
+struct tlb_suspect_part {
+	APR_RING_ENTRY(tlb_suspect_part) link;
+	uint64_t part;
+	uint64_t common[TLB_SHARED_PARTS_MAX]; /* parts that all crashed prompts had, with this one
+						*/
+	int common_count;
+	uint64_t accounts[TLB_QUARANTINE_ACCOUNTS];
+	int account_count;
+	struct tlb_part_crash crashes[TLB_QUARANTINE_CRASHES_KEPT]; /* oldest first */
+	int crash_count;
+	tlb_time sound_at; /* latest complete answer since it was suspected; 0: none */
+	bool quarantined;  /* as of the last evaluation */
+	bool logged;	   /* as quarantined */
+	bool changed;	   /* not yet sent to other VMs */
+};
+
+APR_RING_HEAD(tlb_suspect_part_ring, tlb_suspect_part);
+
+/* Owned by the caller; owns the entries. */
+struct tlb_quarantine {
+	struct tlb_suspect_part_ring parts;
+	int count;
+	int quarantined; /* parts */
+};
+
+void tlb_quarantine_init(struct tlb_quarantine *q);
+void tlb_quarantine_finish(struct tlb_quarantine *q);
+
+/* Records that an endpoint crashed as it began to answer the prompt. Returns whether this was new.
+ */
+bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
+			      uint64_t endpoint, tlb_time now);
+/* Records a complete answer to the prompt. Returns whether it cleared a suspicion. */
+bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now);
+/* Adds what another VM, or the store, knows of a part; times on this VM's clock. Returns whether
+ * something was new. */
+bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
+			  tlb_time now);
+/* Ends verdicts, and forgets what is older than TLB_QUARANTINE_MEMORY. */
+void tlb_quarantine_expire(struct tlb_quarantine *q, tlb_time now);
+
+/* The quarantined part because of which the prompt is rejected, or NULL. */
+const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
+						   const struct tlb_prompt *p);
+/* Crashes that count against the part: not in quick succession. */
+int tlb_quarantine_spaced_crashes(const struct tlb_suspect_part *s);
+/* When the verdict over a part ends unless another crash happens. */
+tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s);
+/* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
+uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q);
+
+#endif
--- a/src/vms.h
+++ b/src/vms.h
@@ -71,6 +71,7 @@
 	/* Store version up to which the VM knows all changes of each table, by enum
 	 * tlb_table_kind; 0: not known. Kept for module tables. */
 	int64_t table_version[TLB_VMS_TABLES];
+	tlb_time verdicts_sent_at; /* last complete transfer of verdicts; 0: none */
 };
 
 APR_RING_HEAD(tlb_vm_ring, tlb_vm);
@@ -86,6 +87,8 @@
 	void (*on_table_message)(void *arg, const char *vm, const Toucan__Envelope *msg);
 	/* A message about the quota of an account. */
 	void (*on_quota_message)(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg);
+	/* Evidence against prompt parts. */
+	void (*on_suspect_parts)(void *arg, const Toucan__SuspectParts *msg);
 };
 
 /* The fleet as this VM sees it. Owned by the board. */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -142,6 +142,141 @@
   assert(message->base.descriptor == &toucan__vm_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__part_crash__init
+                     (Toucan__PartCrash         *message)
+{
+  static const Toucan__PartCrash init_value = TOUCAN__PART_CRASH__INIT;
+  *message = init_value;
+}
+size_t toucan__part_crash__get_packed_size
+                     (const Toucan__PartCrash *message)
+{
+  assert(message->base.descriptor == &toucan__part_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__part_crash__pack
+                     (const Toucan__PartCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__part_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__part_crash__pack_to_buffer
+                     (const Toucan__PartCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__part_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__PartCrash *
+       toucan__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__PartCrash *)
+     protobuf_c_message_unpack (&toucan__part_crash__descriptor,
+                                allocator, len, data);
+}
+void   toucan__part_crash__free_unpacked
+                     (Toucan__PartCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__part_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__suspect_part__init
+                     (Toucan__SuspectPart         *message)
+{
+  static const Toucan__SuspectPart init_value = TOUCAN__SUSPECT_PART__INIT;
+  *message = init_value;
+}
+size_t toucan__suspect_part__get_packed_size
+                     (const Toucan__SuspectPart *message)
+{
+  assert(message->base.descriptor == &toucan__suspect_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__suspect_part__pack
+                     (const Toucan__SuspectPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__suspect_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__suspect_part__pack_to_buffer
+                     (const Toucan__SuspectPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__suspect_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__SuspectPart *
+       toucan__suspect_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__SuspectPart *)
+     protobuf_c_message_unpack (&toucan__suspect_part__descriptor,
+                                allocator, len, data);
+}
+void   toucan__suspect_part__free_unpacked
+                     (Toucan__SuspectPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__suspect_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__suspect_parts__init
+                     (Toucan__SuspectParts         *message)
+{
+  static const Toucan__SuspectParts init_value = TOUCAN__SUSPECT_PARTS__INIT;
+  *message = init_value;
+}
+size_t toucan__suspect_parts__get_packed_size
+                     (const Toucan__SuspectParts *message)
+{
+  assert(message->base.descriptor == &toucan__suspect_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__suspect_parts__pack
+                     (const Toucan__SuspectParts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__suspect_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__suspect_parts__pack_to_buffer
+                     (const Toucan__SuspectParts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__suspect_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__SuspectParts *
+       toucan__suspect_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__SuspectParts *)
+     protobuf_c_message_unpack (&toucan__suspect_parts__descriptor,
+                                allocator, len, data);
+}
+void   toucan__suspect_parts__free_unpacked
+                     (Toucan__SuspectParts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__suspect_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__table_state__init
                      (Toucan__TableState         *message)
 {
@@ -2302,7 +2437,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[42] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[43] =
 {
   {
     "source",
@@ -2808,6 +2943,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect_parts",
+    67,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, suspect_parts),
+    &toucan__suspect_parts__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   37,   /* field[37] = acquire_cost */
@@ -2849,6 +2996,7 @@
   32,   /* field[32] = shards_pull */
   0,   /* field[0] = source */
   10,   /* field[10] = standby_release */
+  42,   /* field[42] = suspect_parts */
   41,   /* field[41] = table_pull */
   40,   /* field[40] = table_rows */
   14,   /* field[14] = tokens_reply */
@@ -2863,7 +3011,7 @@
   { 50, 30 },
   { 55, 34 },
   { 60, 35 },
-  { 0, 42 }
+  { 0, 43 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -2873,7 +3021,7 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  42,
+  43,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
   8,  toucan__envelope__number_ranges,
@@ -2944,7 +3092,7 @@
   (ProtobufCMessageInit) toucan__account_use__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor toucan__vm_state__field_descriptors[12] =
 {
   {
     "id",
@@ -3066,6 +3214,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "verdicts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmState, verdicts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdicts_stored",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__VmState, verdicts_stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__vm_state__field_indices_by_name[] = {
   2,   /* field[2] = addr */
@@ -3078,13 +3250,15 @@
   4,   /* field[4] = leaving */
   6,   /* field[6] = tables */
   5,   /* field[5] = uses */
+  10,   /* field[10] = verdicts */
+  11,   /* field[11] = verdicts_stored */
 };
 static const ProtobufCIntRange toucan__vm_state__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 3 },
   { 9, 6 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor toucan__vm_state__descriptor =
 {
@@ -3094,13 +3268,192 @@
   "Toucan__VmState",
   "toucan",
   sizeof(Toucan__VmState),
-  10,
+  12,
   toucan__vm_state__field_descriptors,
   toucan__vm_state__field_indices_by_name,
   3,  toucan__vm_state__number_ranges,
   (ProtobufCMessageInit) toucan__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__part_crash__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartCrash, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartCrash, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__part_crash__field_indices_by_name[] = {
+  1,   /* field[1] = age_us */
+  0,   /* field[0] = endpoint */
+};
+static const ProtobufCIntRange toucan__part_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__part_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.PartCrash",
+  "PartCrash",
+  "Toucan__PartCrash",
+  "toucan",
+  sizeof(Toucan__PartCrash),
+  2,
+  toucan__part_crash__field_descriptors,
+  toucan__part_crash__field_indices_by_name,
+  1,  toucan__part_crash__number_ranges,
+  (ProtobufCMessageInit) toucan__part_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__suspect_part__field_descriptors[5] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__SuspectPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "common",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Toucan__SuspectPart, n_common),
+    offsetof(Toucan__SuspectPart, common),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accounts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Toucan__SuspectPart, n_accounts),
+    offsetof(Toucan__SuspectPart, accounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__SuspectPart, n_crashes),
+    offsetof(Toucan__SuspectPart, crashes),
+    &toucan__part_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound_age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__SuspectPart, sound_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__suspect_part__field_indices_by_name[] = {
+  2,   /* field[2] = accounts */
+  1,   /* field[1] = common */
+  3,   /* field[3] = crashes */
+  0,   /* field[0] = part */
+  4,   /* field[4] = sound_age_us */
+};
+static const ProtobufCIntRange toucan__suspect_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor toucan__suspect_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.SuspectPart",
+  "SuspectPart",
+  "Toucan__SuspectPart",
+  "toucan",
+  sizeof(Toucan__SuspectPart),
+  5,
+  toucan__suspect_part__field_descriptors,
+  toucan__suspect_part__field_indices_by_name,
+  1,  toucan__suspect_part__number_ranges,
+  (ProtobufCMessageInit) toucan__suspect_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__suspect_parts__field_descriptors[1] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__SuspectParts, n_parts),
+    offsetof(Toucan__SuspectParts, parts),
+    &toucan__suspect_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__suspect_parts__field_indices_by_name[] = {
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange toucan__suspect_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor toucan__suspect_parts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.SuspectParts",
+  "SuspectParts",
+  "Toucan__SuspectParts",
+  "toucan",
+  sizeof(Toucan__SuspectParts),
+  1,
+  toucan__suspect_parts__field_descriptors,
+  toucan__suspect_parts__field_indices_by_name,
+  1,  toucan__suspect_parts__number_ranges,
+  (ProtobufCMessageInit) toucan__suspect_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__table_state__field_descriptors[2] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -18,6 +18,9 @@
 typedef struct Toucan__Envelope Toucan__Envelope;
 typedef struct Toucan__AccountUse Toucan__AccountUse;
 typedef struct Toucan__VmState Toucan__VmState;
+typedef struct Toucan__PartCrash Toucan__PartCrash;
+typedef struct Toucan__SuspectPart Toucan__SuspectPart;
+typedef struct Toucan__SuspectParts Toucan__SuspectParts;
 typedef struct Toucan__TableState Toucan__TableState;
 typedef struct Toucan__TableRow Toucan__TableRow;
 typedef struct Toucan__TableRows Toucan__TableRows;
@@ -140,7 +143,8 @@
   TOUCAN__ENVELOPE__BODY_COST_REPLY = 63,
   TOUCAN__ENVELOPE__BODY_COST_NOTICE = 64,
   TOUCAN__ENVELOPE__BODY_TABLE_ROWS = 65,
-  TOUCAN__ENVELOPE__BODY_TABLE_PULL = 66
+  TOUCAN__ENVELOPE__BODY_TABLE_PULL = 66,
+  TOUCAN__ENVELOPE__BODY_SUSPECT_PARTS = 67
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -206,6 +210,7 @@
     Toucan__CostNotice *cost_notice;
     Toucan__TableRows *table_rows;
     Toucan__TablePull *table_pull;
+    Toucan__SuspectParts *suspect_parts;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -279,10 +284,81 @@
    * forwarded: a VM that kept a link to it has not heard from it
    */
   protobuf_c_boolean gone;
+  /*
+   * hash of the quarantined prompt parts; 0 in a forwarded state
+   */
+  uint64_t verdicts;
+  /*
+   * the store is known to have these verdicts
+   */
+  protobuf_c_boolean verdicts_stored;
 };
 #define TOUCAN__VM_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__vm_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A crash of an endpoint as it began to answer a prompt.
+ */
+struct  Toucan__PartCrash
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the incarnation
+   */
+  uint64_t endpoint;
+  uint64_t age_us;
+};
+#define TOUCAN__PART_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__part_crash__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * What the sender knows of a prompt part that may crash endpoints.
+ */
+struct  Toucan__SuspectPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  /*
+   * parts that all crashed prompts had, this one included
+   */
+  size_t n_common;
+  uint64_t *common;
+  /*
+   * hashes of their client accounts, at most two
+   */
+  size_t n_accounts;
+  uint64_t *accounts;
+  /*
+   * those after the last complete answer
+   */
+  size_t n_crashes;
+  Toucan__PartCrash **crashes;
+  /*
+   * age of the last complete answer, 0: none since suspected
+   */
+  uint64_t sound_age_us;
+};
+#define TOUCAN__SUSPECT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__suspect_part__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * One-way; forwarded as far as it was new to the receiver.
+ */
+struct  Toucan__SuspectParts
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  Toucan__SuspectPart **parts;
+};
+#define TOUCAN__SUSPECT_PARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__suspect_parts__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -1222,6 +1298,63 @@
 void   toucan__vm_state__free_unpacked
                      (Toucan__VmState *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__PartCrash methods */
+void   toucan__part_crash__init
+                     (Toucan__PartCrash         *message);
+size_t toucan__part_crash__get_packed_size
+                     (const Toucan__PartCrash   *message);
+size_t toucan__part_crash__pack
+                     (const Toucan__PartCrash   *message,
+                      uint8_t             *out);
+size_t toucan__part_crash__pack_to_buffer
+                     (const Toucan__PartCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__PartCrash *
+       toucan__part_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__part_crash__free_unpacked
+                     (Toucan__PartCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__SuspectPart methods */
+void   toucan__suspect_part__init
+                     (Toucan__SuspectPart         *message);
+size_t toucan__suspect_part__get_packed_size
+                     (const Toucan__SuspectPart   *message);
+size_t toucan__suspect_part__pack
+                     (const Toucan__SuspectPart   *message,
+                      uint8_t             *out);
+size_t toucan__suspect_part__pack_to_buffer
+                     (const Toucan__SuspectPart   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__SuspectPart *
+       toucan__suspect_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__suspect_part__free_unpacked
+                     (Toucan__SuspectPart *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__SuspectParts methods */
+void   toucan__suspect_parts__init
+                     (Toucan__SuspectParts         *message);
+size_t toucan__suspect_parts__get_packed_size
+                     (const Toucan__SuspectParts   *message);
+size_t toucan__suspect_parts__pack
+                     (const Toucan__SuspectParts   *message,
+                      uint8_t             *out);
+size_t toucan__suspect_parts__pack_to_buffer
+                     (const Toucan__SuspectParts   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__SuspectParts *
+       toucan__suspect_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__suspect_parts__free_unpacked
+                     (Toucan__SuspectParts *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__TableState methods */
 void   toucan__table_state__init
                      (Toucan__TableState         *message);
@@ -2145,6 +2278,15 @@
 typedef void (*Toucan__VmState_Closure)
                  (const Toucan__VmState *message,
                   void *closure_data);
+typedef void (*Toucan__PartCrash_Closure)
+                 (const Toucan__PartCrash *message,
+                  void *closure_data);
+typedef void (*Toucan__SuspectPart_Closure)
+                 (const Toucan__SuspectPart *message,
+                  void *closure_data);
+typedef void (*Toucan__SuspectParts_Closure)
+                 (const Toucan__SuspectParts *message,
+                  void *closure_data);
 typedef void (*Toucan__TableState_Closure)
                  (const Toucan__TableState *message,
                   void *closure_data);
@@ -2298,6 +2440,9 @@
 extern const ProtobufCMessageDescriptor toucan__envelope__descriptor;
 extern const ProtobufCMessageDescriptor toucan__account_use__descriptor;
 extern const ProtobufCMessageDescriptor toucan__vm_state__descriptor;
+extern const ProtobufCMessageDescriptor toucan__part_crash__descriptor;
+extern const ProtobufCMessageDescriptor toucan__suspect_part__descriptor;
+extern const ProtobufCMessageDescriptor toucan__suspect_parts__descriptor;
 extern const ProtobufCMessageDescriptor toucan__table_state__descriptor;
 extern const ProtobufCMessageDescriptor toucan__table_row__descriptor;
 extern const ProtobufCMessageDescriptor toucan__table_rows__descriptor;
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,214 @@
+/*
+ * Verdicts over prompt parts that crash endpoints: tests/quarantine/evidence.txt, replayed. Guards
+ * against requests of one kind that crash one endpoint after the other, against sound requests that
+ * are rejected with them, and against VMs that reach different verdicts from the same evidence.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "quarantine.h"
+
+enum { LINE_LEN = 256, CASES_MIN = 10 };
+/* The clock does not start at 0, which stands for "never". */
+static const tlb_time start = 1000 * TLB_SECOND;
+
+struct text_prompt {
+	uint64_t parts[TLB_SHARED_PARTS_MAX];
+	struct tlb_prompt prompt;
+};
+
+static void set_prompt(struct text_prompt *p, const char *account, const char *parts)
+{
+	int n = 0;
+
+	for (; *parts; parts++)
+		if (*parts != '-')
+			p->parts[n++] = (uint64_t)*parts;
+	p->prompt = (struct tlb_prompt){p->parts, n, (uint64_t)*account};
+}
+
+static uint64_t endpoint(const char *name)
+{
+	return (uint64_t)atoi(name + 1);
+}
+
+/* Applies one line of a case, or checks it. */
+static void apply(struct tlb_quarantine *q, const char *line, int number)
+{
+	struct text_prompt p;
+	char event[16];
+	char a[16];
+	char b[32];
+	char c[32];
+	int ms;
+	int n = sscanf(line, "%d %15s %15s %31s %31s", &ms, event, a, b, c);
+	tlb_time now = start + ms * TLB_MS;
+
+	ck_assert_msg(n >= 4, "line %d: %s", number, line);
+	tlb_quarantine_expire(q, now);
+	if (strcmp(event, "crash") == 0) {
+		ck_assert_int_eq(n, 5);
+		set_prompt(&p, b, c);
+		tlb_quarantine_add_crash(q, &p.prompt, endpoint(a), now);
+		return;
+	}
+	set_prompt(&p, a, b);
+	if (strcmp(event, "answer") == 0)
+		tlb_quarantine_add_answer(q, &p.prompt, now);
+	else
+		ck_assert_msg(!tlb_quarantine_find(q, &p.prompt) == !strcmp(event, "serves"),
+			      "line %d: %s", number, line);
+}
+
+START_TEST(which_prompts_are_rejected)
+{
+	FILE *f = fopen("tests/quarantine/evidence.txt", "r");
+	struct tlb_quarantine q;
+	char line[LINE_LEN];
+	int number = 0;
+	int cases = 0;
+
+	ck_assert_ptr_nonnull(f);
+	tlb_quarantine_init(&q);
+	while (fgets(line, sizeof(line), f)) {
+		number++;
+		if (strncmp(line, "case", 4) == 0) {
+			tlb_quarantine_finish(&q);
+			tlb_quarantine_init(&q);
+			cases++;
+		} else if (line[0] != '#' && line[0] != '\n') {
+			apply(&q, line, number);
+		}
+	}
+	tlb_quarantine_finish(&q);
+	fclose(f);
+	ck_assert_int_gt(cases, CASES_MIN);
+}
+END_TEST
+
+static void crash(struct tlb_quarantine *q, const char *at, const char *account, const char *parts,
+		  int ms)
+{
+	struct text_prompt p;
+
+	set_prompt(&p, account, parts);
+	tlb_quarantine_add_crash(q, &p.prompt, endpoint(at), start + ms * TLB_MS);
+}
+
+static void answer(struct tlb_quarantine *q, const char *account, const char *parts, int ms)
+{
+	struct text_prompt p;
+
+	set_prompt(&p, account, parts);
+	tlb_quarantine_add_answer(q, &p.prompt, start + ms * TLB_MS);
+}
+
+static bool rejects(struct tlb_quarantine *q, const char *account, const char *parts)
+{
+	struct text_prompt p;
+
+	set_prompt(&p, account, parts);
+	return tlb_quarantine_find(q, &p.prompt) != NULL;
+}
+
+static bool merge_all(struct tlb_quarantine *to, const struct tlb_quarantine *from, int ms)
+{
+	const struct tlb_suspect_part *s;
+	bool changed = false;
+
+	APR_RING_FOREACH (s, &from->parts, tlb_suspect_part, link) {
+		changed |= tlb_quarantine_merge(to, s, start + ms * TLB_MS);
+	}
+	return changed;
+}
+
+START_TEST(vms_that_each_see_a_few_crashes_reach_the_same_verdict)
+{
+	struct tlb_quarantine q[3];
+	int i;
+
+	for (i = 0; i < 3; i++)
+		tlb_quarantine_init(&q[i]);
+	crash(&q[0], "e1", "x", "ad", 0);
+	crash(&q[1], "e2", "x", "ad", 200);
+	crash(&q[2], "e3", "y", "bd", 400);
+	merge_all(&q[1], &q[0], 500);
+	merge_all(&q[2], &q[1], 600);
+	merge_all(&q[0], &q[2], 700);
+	merge_all(&q[1], &q[0], 800);
+	for (i = 0; i < 3; i++) {
+		ck_assert(rejects(&q[i], "x", "ad"));
+		ck_assert(rejects(&q[i], "z", "d"));
+		ck_assert(!rejects(&q[i], "x", "ab"));
+		ck_assert(tlb_quarantine_digest(&q[i]) == tlb_quarantine_digest(&q[0]));
+		ck_assert(!merge_all(&q[i], &q[(i + 1) % 3], 900));
+	}
+	ck_assert(tlb_quarantine_digest(&q[0]) != 0);
+	for (i = 0; i < 3; i++)
+		tlb_quarantine_finish(&q[i]);
+}
+END_TEST
+
+START_TEST(an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended)
+{
+	struct tlb_quarantine now;
+	struct tlb_quarantine old;
+
+	tlb_quarantine_init(&now);
+	tlb_quarantine_init(&old);
+	crash(&old, "e1", "x", "a", 0);
+	crash(&old, "e2", "x", "a", 200);
+	crash(&old, "e3", "x", "a", 400);
+	merge_all(&now, &old, 500);
+	ck_assert(rejects(&now, "x", "a"));
+	answer(&now, "x", "a", 600);
+	ck_assert(!rejects(&now, "x", "a"));
+	ck_assert(!merge_all(&now, &old, 700));
+	ck_assert(!rejects(&now, "x", "a"));
+	merge_all(&old, &now, 800);
+	ck_assert(!rejects(&old, "x", "a"));
+	tlb_quarantine_finish(&now);
+	tlb_quarantine_finish(&old);
+}
+END_TEST
+
+START_TEST(memory_is_bounded_and_verdicts_are_kept)
+{
+	struct tlb_quarantine q;
+	uint64_t part;
+	struct tlb_prompt p = {&part, 1, 'x'};
+	int i;
+
+	tlb_quarantine_init(&q);
+	crash(&q, "e1", "x", "d", 0);
+	crash(&q, "e2", "x", "d", 200);
+	crash(&q, "e3", "x", "d", 400);
+	for (i = 0; i < 3 * TLB_QUARANTINE_PARTS_MAX; i++) {
+		part = 1000 + (uint64_t)i;
+		tlb_quarantine_add_crash(&q, &p, 100 + (uint64_t)i, start + (1000 + i) * TLB_MS);
+	}
+	ck_assert_int_le(q.count, TLB_QUARANTINE_PARTS_MAX);
+	ck_assert(rejects(&q, "x", "d"));
+	tlb_quarantine_finish(&q);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("quarantine");
+	TCase *t = tcase_create("quarantine");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(t, which_prompts_are_rejected);
+	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
+	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
+	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
+	suite_add_tcase(s, t);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed > 0;
+}
