--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -102,7 +102,10 @@
 	tlb_vms_init(&b->vms, b, &store);
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
 	b->quota_owners.warm_at = 0;
-	b->vms.handlers = (struct tlb_vms_handlers){n, fill_state, on_state, NULL, on_message};
+	b->vms.handlers = (struct tlb_vms_handlers){.arg = n,
+						    .fill_state = fill_state,
+						    .on_state = on_state,
+						    .on_quota_message = on_message};
 	tlb_quotas_configure(&b->quotas, b->routing, tlb_clock_now());
 	tlb_quotas_find(&b->quotas, "acct")->level = BURST;
 	b->vms.rows.handlers.on_secret(b->vms.rows.handlers.arg, secret);
