Treat a stream that its connection ends before an event as broken off

What callers saw: an engine's answer to a streaming request may have neither a length nor chunks and end with its connection. An engine that broke off such an answer before its first event, or after a comment only, or before the first event after a stream was resumed, left the caller with a complete, empty or truncated, 200; the request was not tried elsewhere.

Cause: libcurl reports such a response as complete, and on_stream_done only looked for an unfinished event. The end of the connection is then the only sign of the end, and says nothing about it.

Change: http tells that only the closed connection ended a response; an attempt that ends so without a new event is broken off: resumed where the route allows it, else 502, or the stream is cut. An empty stream with its last chunk is still passed on as the engine sent it.

--- a/src/forward.h
+++ b/src/forward.h
@@ -62,8 +62,9 @@
 	struct tlb_buffer partial;	/* received bytes of an incomplete event */
 	char last_event_id[TLB_EVENT_ID_LEN]; /* id of the last event sent to the caller */
 	int events;			      /* new events received, from all attempts */
-	bool streaming;			      /* the response to the caller has begun */
-	bool resumed_in_place;		      /* was resumed at the endpoint that interrupted it */
+	int events_before_attempt;
+	bool streaming;	       /* the response to the caller has begun */
+	bool resumed_in_place; /* was resumed at the endpoint that interrupted it */
 };
 
 /* One request in flight. Owned by struct tlb_forwards. */
--- a/src/generation.c
+++ b/src/generation.c
@@ -63,8 +63,8 @@
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
 static bool refuse_quarantined(struct tlb_forward *f);
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
-			    const struct tlb_http_result *r, enum tlb_attempt_result end);
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i, bool broken_off,
+			    enum tlb_attempt_result end);
 
 /* --- KV caches --- */
 
@@ -330,12 +330,21 @@
 		fail_stream(f, "the endpoint failed");
 }
 
+/* Whether a stream that seems to have ended in order was broken off: inside an event, or, when
+ * nothing but the closed connection ended it, before the attempt's first event. */
+static bool ended_early(const struct tlb_forward *f, const struct tlb_http_result *r)
+{
+	return f->gen.partial.len > 0 || (r->ended_by_close && r->status < 300 &&
+					  f->gen.events == f->gen.events_before_attempt);
+}
+
 static void on_stream_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
 	struct tlb_generation_queue *p = f->gen.service_queue;
 	struct tlb_instance *i = f->instance;
 	enum tlb_attempt_result end;
+	bool broken_off = r->broken_off;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_instance_acquire(i);
@@ -348,9 +357,11 @@
 		f->possible_runs++;
 		release_kv_cache(f, true);
 	}
-	if (end == TLB_ATTEMPT_ANSWERED && f->gen.partial.len > 0)
+	if (end == TLB_ATTEMPT_ANSWERED && ended_early(f, r)) {
 		end = TLB_ATTEMPT_UNKNOWN;
-	record_evidence(f, i, r, end);
+		broken_off = true;
+	}
+	record_evidence(f, i, broken_off, end);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
@@ -408,8 +419,8 @@
 }
 
 /* Takes the end of an attempt as evidence for or against the parts of the prompt. */
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
-			    const struct tlb_http_result *r, enum tlb_attempt_result end)
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i, bool broken_off,
+			    enum tlb_attempt_result end)
 {
 	struct tlb_edge_board *b = f->board;
 	struct tlb_prompt prompt = prompt_of(f);
@@ -418,7 +429,7 @@
 
 	if (end == TLB_ATTEMPT_ANSWERED && f->gen.streaming)
 		changed = tlb_quarantine_add_answer(&b->quarantine, &prompt, now);
-	else if (end == TLB_ATTEMPT_UNKNOWN && r->broken_off &&
+	else if (end == TLB_ATTEMPT_UNKNOWN && broken_off &&
 		 f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
 		changed =
 			tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), now);
@@ -505,6 +516,7 @@
 		o.kv_handle = f->gen.kv_handle;
 	}
 	f->step = TLB_FORWARD_DECODING;
+	f->gen.events_before_attempt = f->gen.events;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
@@ -546,7 +558,7 @@
 	end = tlb_forward_record_result(f, r);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
-	record_evidence(f, i, r, end);
+	record_evidence(f, i, r->broken_off, end);
 	end_prefill(f, i, ok);
 	if (ok) {
 		store_kv_handle(f, i, handle);
--- a/src/http.c
+++ b/src/http.c
@@ -113,6 +113,7 @@
 	r.timed_out = c->timed_out;
 	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
 		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR;
+	r.ended_by_close = rc == CURLE_OK && c->content_length < 0 && !c->chunked;
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
 	else if (c->too_large)
@@ -311,6 +312,7 @@
 static size_t on_header(char *line, size_t size, size_t n, void *arg)
 {
 	static const char name[] = "Content-Length:";
+	static const char encoding[] = "Transfer-Encoding:";
 	struct tlb_http_call *c = arg;
 	size_t len = size * n;
 	char text[32];
@@ -318,6 +320,8 @@
 
 	if (c->custom_headers && !store_header(c, line, len))
 		return 0;
+	if (len >= sizeof(encoding) && strncasecmp(line, encoding, sizeof(encoding) - 1) == 0)
+		c->chunked = true;
 	if (len < sizeof(name) || strncasecmp(line, name, sizeof(name) - 1) != 0)
 		return len;
 	snprintf(text, sizeof(text), "%.*s", (int)(len - sizeof(name) + 1),
--- a/src/http.h
+++ b/src/http.h
@@ -43,9 +43,10 @@
 	int status;
 	bool sent;
 	bool timed_out;
-	bool broken_off;  /* the peer closed or reset the connection before the response's end */
-	const char *head; /* header lines "Name: value\n" of a call with spec.headers; else "" */
-	const char *body; /* complete body, NUL-terminated; "" when on_data received it */
+	bool broken_off;     /* the peer closed or reset the connection before the response's end */
+	bool ended_by_close; /* has neither a length nor chunks: the closed connection ended it */
+	const char *head;    /* header lines "Name: value\n" of a call with spec.headers; else "" */
+	const char *body;    /* complete body, NUL-terminated; "" when on_data received it */
 	size_t body_len;
 	const char *content_type; /* "" when absent */
 	char reason[120];	  /* why there is no complete response; "" when there is one */
@@ -93,6 +94,7 @@
 	bool too_large;
 	long long content_length; /* of the response; -1 until the header is received */
 	bool conflicting_lengths; /* the response has two different Content-Length headers */
+	bool chunked;
 };
 
 /* Largest collected response body and header lines in bytes; a larger response fails the call. When
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -654,8 +654,8 @@
 
 def check_answer_that_ends_with_its_connection():
     """A response with neither a length nor chunks is complete when its connection is closed. One
-    that is reset, or a stream that ends inside an event, must be resumed where the route allows it,
-    and otherwise must not look complete."""
+    that is reset, or a stream that ends inside an event or before the first one, must be resumed
+    where the route allows it, and otherwise must not look complete."""
     events = EVENTS.encode()
     boundary = events.index(b"id: 3")
     inside = boundary + len(b"id: 3\ndata: pie")
@@ -665,6 +665,10 @@
             ("/pay/1", b"done", False, 200, b"done"),
             ("/gen/1", events[:inside], False, 200, events),
             ("/once/1", events[:inside], False, 200, None),
+            ("/gen/1", b"", False, 200, events),
+            ("/gen/1", b": comment\n\n", False, 200, b": comment\n\n" + events),
+            ("/once/1", b"", False, 502, None),
+            ("/once/1", b": comment\n\n", False, 200, None),
             ("/gen/1", events[:boundary], True, 200, events),
             ("/once/1", events[:boundary], True, 200, None),
             ("/look/1", b"half", True, 200, b"done"),
