Count crashes so that more of them never take a verdict away

Cause: an entry kept the eight latest crashes and counted those at least 100 ms apart. A burst of crashes 20 ms apart pushed the spaced ones out of the list, so that eight crashes counted as two; and which ones were left depended on the order of messages, so that VMs disagreed.

Evidence: event=part_released crashes=2 answered=0, without any answer.

Change: only crashes that count are kept; one closer than 100 ms to another is not inserted. Of two VMs' lists the longer one prevails. Of the parts with equally many common parts, those with more crashes are decided first, so that a sound prompt that began at the same endpoints is explained by the deadly part; and entries with the fewest crashes are evicted first.

The merge of two VMs' halves of a burst in test_quarantine passed before as well; it guards the new list.

--- a/src/generation.c
+++ b/src/generation.c
@@ -400,7 +400,7 @@
 	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
 		     " crashes=%d runs=%d",
 		     f->exchange->id, f->inbound.attempt_id, s->part,
-		     tlb_quarantine_spaced_crashes(s), f->possible_runs);
+		     s->crash_count, f->possible_runs);
 	if (f->gen.streaming || f->possible_runs > 0)
 		fail_stream(f, "a part of the prompt crashes endpoints");
 	else
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -42,20 +42,20 @@
 	return at > s->sound_at ? at : s->sound_at;
 }
 
-/* Removes the part whose evidence is oldest, preferably one that is not quarantined. */
+/* Removes the part with the fewest crashes; of these, the one whose evidence is oldest. */
 static void evict_part(struct tlb_quarantine *q)
 {
-	struct tlb_suspect_part *oldest = NULL;
+	struct tlb_suspect_part *least = NULL;
 	struct tlb_suspect_part *s;
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-		if (!oldest || s->quarantined < oldest->quarantined ||
-		    (s->quarantined == oldest->quarantined &&
-		     last_change_at(s) < last_change_at(oldest)))
-			oldest = s;
+		if (!least || s->crash_count < least->crash_count ||
+		    (s->crash_count == least->crash_count &&
+		     last_change_at(s) < last_change_at(least)))
+			least = s;
 	}
-	if (oldest)
-		remove_part(q, oldest);
+	if (least)
+		remove_part(q, least);
 }
 
 static struct tlb_suspect_part *add_part(struct tlb_quarantine *q, uint64_t part)
@@ -113,21 +113,32 @@
 	return drop_crashes(s, at);
 }
 
-/* Inserts a crash by its time; only the latest are kept. Of two reports of one crash the first one
- * to arrive is kept: they differ by message delays. */
-static bool insert_crash(struct tlb_suspect_part *s, struct tlb_part_crash c)
+/* Whether the crash can't be counted beside one of the list: it is the same one, or closer than
+ * TLB_QUARANTINE_CRASH_SPACING. */
+static bool is_counted(const struct tlb_suspect_part *s, struct tlb_part_crash c)
 {
 	int i;
 
 	for (i = 0; i < s->crash_count; i++)
-		if (s->crashes[i].endpoint == c.endpoint)
-			return false;
-	if (c.at <= s->sound_at)
+		if (s->crashes[i].endpoint == c.endpoint ||
+		    (c.at < s->crashes[i].at + TLB_QUARANTINE_CRASH_SPACING &&
+		     s->crashes[i].at < c.at + TLB_QUARANTINE_CRASH_SPACING))
+			return true;
+	return false;
+}
+
+/* Inserts a crash by its time, so that the list never gets shorter; only the latest are kept. */
+static bool insert_crash(struct tlb_suspect_part *s, struct tlb_part_crash c)
+{
+	int i;
+
+	if (c.at <= s->sound_at || is_counted(s, c))
 		return false;
 	if (s->crash_count == TLB_QUARANTINE_CRASHES_KEPT) {
 		if (c.at <= s->crashes[0].at)
 			return false;
-		drop_crashes(s, s->crashes[0].at);
+		memmove(s->crashes, s->crashes + 1,
+			(size_t)--s->crash_count * sizeof(s->crashes[0]));
 	}
 	for (i = s->crash_count++; i > 0 && s->crashes[i - 1].at > c.at; i--)
 		s->crashes[i] = s->crashes[i - 1];
@@ -135,6 +146,37 @@
 	return true;
 }
 
+static bool insert_crashes(struct tlb_suspect_part *s, const struct tlb_suspect_part *from,
+			   tlb_time after)
+{
+	bool changed = false;
+	int i;
+
+	for (i = 0; i < from->crash_count; i++)
+		if (from->crashes[i].at > after)
+			changed |= insert_crash(s, from->crashes[i]);
+	return changed;
+}
+
+/* Adds the crashes of another VM's list that are later than a time. Of crashes in quick succession
+ * the lists can count different ones; the longer list prevails, so that all VMs come to the same
+ * number. */
+static bool merge_crashes(struct tlb_suspect_part *s, const struct tlb_suspect_part *from,
+			  tlb_time after)
+{
+	struct tlb_suspect_part merged = *s;
+	bool changed = insert_crashes(s, from, after);
+
+	merged.crash_count = 0;
+	insert_crashes(&merged, from, after);
+	insert_crashes(&merged, s, after);
+	if (merged.crash_count <= s->crash_count)
+		return changed;
+	s->crash_count = merged.crash_count;
+	memcpy(s->crashes, merged.crashes, sizeof(s->crashes));
+	return true;
+}
+
 /* Keeps the common parts that are in the list. */
 static bool intersect_common(struct tlb_suspect_part *s, const uint64_t *parts, int count)
 {
@@ -171,31 +213,21 @@
 
 /* --- verdicts --- */
 
-static int spaced_crashes(const struct tlb_suspect_part *s, const uint64_t *explained,
-			  int explained_count)
+/* Crashes that no part explains. */
+static int unexplained_crashes(const struct tlb_suspect_part *s, const uint64_t *explained,
+			       int explained_count)
 {
-	tlb_time last = 0;
 	int n = 0;
 	int i;
 
-	for (i = 0; i < s->crash_count; i++) {
-		if (contains(explained, explained_count, s->crashes[i].endpoint) ||
-		    (n > 0 && s->crashes[i].at < last + TLB_QUARANTINE_CRASH_SPACING))
-			continue;
-		last = s->crashes[i].at;
-		n++;
-	}
+	for (i = 0; i < s->crash_count; i++)
+		n += !contains(explained, explained_count, s->crashes[i].endpoint);
 	return n;
 }
 
-int tlb_quarantine_spaced_crashes(const struct tlb_suspect_part *s)
-{
-	return spaced_crashes(s, NULL, 0);
-}
-
 tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s)
 {
-	int beyond = tlb_quarantine_spaced_crashes(s) - TLB_QUARANTINE_CRASHES;
+	int beyond = s->crash_count - TLB_QUARANTINE_CRASHES;
 	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
 
 	if (s->crash_count == 0)
@@ -205,35 +237,46 @@
 	return s->crashes[s->crash_count - 1].at + wait;
 }
 
-/* Decides on all parts, those with the most common parts first: their verdict rejects the fewest
- * prompts, and explains their crashes for the others. */
+/* Decides on the parts with that many common parts and crashes. Adds the endpoints whose crashes
+ * they explain; returns the new number of these. */
+static int decide_on(struct tlb_quarantine *q, int common, int crashes, uint64_t *explained,
+		     int explained_count, tlb_time now)
+{
+	struct tlb_suspect_part *s;
+	int n = explained_count;
+	int i;
+
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (s->common_count != common || s->crash_count != crashes ||
+		    unexplained_crashes(s, explained, explained_count) < TLB_QUARANTINE_CRASHES)
+			continue;
+		for (i = 0; i < crashes; i++)
+			explained[n++] = s->crashes[i].endpoint;
+		s->quarantined = now < tlb_quarantine_ends_at(s);
+		q->quarantined += s->quarantined;
+	}
+	return n;
+}
+
+/* Decides on all parts. Those with the most common parts come first, because their verdict rejects
+ * the fewest prompts, and of these the ones with the most crashes; they explain crashes for the
+ * others. */
 static void evaluate(struct tlb_quarantine *q, tlb_time now)
 {
 	static uint64_t explained[EXPLAINED_MAX];
 	struct tlb_suspect_part *s;
-	bool deadly;
-	int before;
-	int n = 0;
 	int common;
-	int i;
+	int crashes;
+	int n = 0;
 
 	q->quarantined = 0;
-	for (common = TLB_SHARED_PARTS_MAX; common > 0; common--) {
-		before = n;
-		APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-			if (s->common_count != common)
-				continue;
-			deadly = spaced_crashes(s, explained, before) >= TLB_QUARANTINE_CRASHES;
-			for (i = 0; deadly && i < s->crash_count; i++)
-				explained[n++] = s->crashes[i].endpoint;
-			s->quarantined = deadly && now < tlb_quarantine_ends_at(s);
-			q->quarantined += s->quarantined;
-		}
-	}
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-		if (s->common_count == 0)
-			s->quarantined = false;
+		s->quarantined = false;
 	}
+	for (common = TLB_SHARED_PARTS_MAX; common > 0 && q->count > 0; common--)
+		for (crashes = TLB_QUARANTINE_CRASHES_KEPT; crashes >= TLB_QUARANTINE_CRASHES;
+		     crashes--)
+			n = decide_on(q, common, crashes, explained, n, now);
 }
 
 bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
@@ -298,9 +341,7 @@
 	if (!s)
 		return false;
 	changed |= set_sound_at(s, from->sound_at);
-	for (i = 0; i < from->crash_count; i++)
-		if (from->crashes[i].at > now - TLB_QUARANTINE_MEMORY)
-			changed |= insert_crash(s, from->crashes[i]);
+	changed |= merge_crashes(s, from, now - TLB_QUARANTINE_MEMORY);
 	if (s->crash_count > 0 && from->common_count > 0)
 		changed |= add_common(s, from->common, from->common_count);
 	for (i = 0; s->crash_count > 0 && i < from->account_count; i++)
@@ -365,8 +406,9 @@
 		digest ^= mix(s->part + 1);
 		for (i = 0; i < s->common_count; i++)
 			digest ^= mix(s->part ^ mix(s->common[i]));
-		for (i = 0; i < s->account_count; i++)
-			digest ^= mix(s->part ^ mix(~s->accounts[i]));
+		/* With several accounts VMs may know different ones. */
+		if (s->account_count == 1)
+			digest ^= mix(s->part ^ mix(~s->accounts[0]));
 	}
 	return digest;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -17,8 +17,8 @@
  * all of these came from one client account, only this account's: no account can have the sound
  * requests of another one rejected.
  *
- * tlb_quarantine_merge() is commutative and idempotent, so that VMs can exchange entries in any
- * order.
+ * tlb_quarantine_merge() never takes a counted crash away and is idempotent, so that VMs that
+ * exchange their entries in any order come to the same verdicts.
  */
 #ifndef TLB_QUARANTINE_H
 #define TLB_QUARANTINE_H
@@ -69,7 +69,8 @@
 	int common_count;
 	uint64_t accounts[TLB_QUARANTINE_ACCOUNTS];
 	int account_count;
-	struct tlb_part_crash crashes[TLB_QUARANTINE_CRASHES_KEPT]; /* oldest first */
+	/* Those that count, oldest first. */
+	struct tlb_part_crash crashes[TLB_QUARANTINE_CRASHES_KEPT];
 	int crash_count;
 	tlb_time sound_at; /* latest complete answer since it was suspected; 0: none */
 	bool quarantined;  /* as of the last evaluation */
@@ -105,8 +106,6 @@
 /* The quarantined part because of which the prompt is rejected, or NULL. */
 const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
 						   const struct tlb_prompt *p);
-/* Crashes that count against the part: not in quick succession. */
-int tlb_quarantine_spaced_crashes(const struct tlb_suspect_part *s);
 /* When the verdict over a part ends unless another crash happens. */
 tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s);
 /* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -26,12 +26,11 @@
 	if (p->quarantined)
 		tlb_log_warn("event=part_quarantined part=%" PRIx64
 			     " crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
-			     p->part, tlb_quarantine_spaced_crashes(p), p->common_count,
-			     p->account_count,
+			     p->part, p->crash_count, p->common_count, p->account_count,
 			     (long long)((tlb_quarantine_ends_at(p) - tlb_clock_now()) / TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
-			     tlb_quarantine_spaced_crashes(p), p->sound_at > 0);
+			     p->crash_count, p->sound_at > 0);
 }
 
 /* Logs the verdicts that have changed since the last call. */
@@ -131,7 +130,7 @@
 static bool concerns_all(const struct tlb_quarantine_sync *s, const struct tlb_suspect_part *p)
 {
 	return tlb_vms_count(&s->board->vms) <= TLB_VMS_SMALL_FLEET || p->sound_at > 0 ||
-	       tlb_quarantine_spaced_crashes(p) > 1;
+	       p->crash_count > 1;
 }
 
 /* Sends the entries that have changed. */
@@ -377,8 +376,7 @@
 	struct tlb_suspect_part stored;
 
 	return read_row(s, row, &stored) && stored.common_count == p->common_count &&
-	       stored.account_count == p->account_count &&
-	       tlb_quarantine_spaced_crashes(&stored) >= tlb_quarantine_spaced_crashes(p);
+	       stored.account_count == p->account_count && stored.crash_count >= p->crash_count;
 }
 
 static bool has_row(const struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -174,6 +174,31 @@
 }
 END_TEST
 
+START_TEST(vms_that_count_different_crashes_of_a_burst_come_to_the_same_number)
+{
+	struct tlb_quarantine q[2];
+	char name[8];
+	int i;
+
+	tlb_quarantine_init(&q[0]);
+	tlb_quarantine_init(&q[1]);
+	for (i = 0; i < 40; i++) {
+		snprintf(name, sizeof(name), "e%d", i);
+		crash(&q[i % 2], name, "x", "ad", i * 37 % 1000);
+	}
+	crash(&q[0], "e50", "x", "ad", 3000);
+	crash(&q[0], "e51", "x", "ad", 3010);
+	for (i = 0; i < 20 && (merge_all(&q[0], &q[1], 4000) | merge_all(&q[1], &q[0], 4000)); i++)
+		;
+	ck_assert_int_lt(i, 20);
+	ck_assert(rejects(&q[0], "x", "ad"));
+	ck_assert(rejects(&q[1], "x", "ad"));
+	ck_assert(tlb_quarantine_digest(&q[0]) == tlb_quarantine_digest(&q[1]));
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(memory_is_bounded_and_verdicts_are_kept)
 {
 	struct tlb_quarantine q;
@@ -205,6 +230,7 @@
 	tcase_add_test(t, which_prompts_are_rejected);
 	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
+	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
