Take crashes for evidence whose callers had left

What callers saw: where callers give up early, engines went on crashing.

Cause: an engine crashes 40 to 130 ms after it got the request. A caller that leaves before ends the request, which cancels the attempt, so that its end is never seen.

Change: an attempt that is cancelled before its third event is remembered for 2 s (64 at most). VMs tell each other which endpoints broke off answers or refused connections (a notice once in 2 s for each endpoint); a crash counts against the prompts of attempts that were abandoned at that endpoint just before. Attempts given up because they were silent are remembered too.

Ruled out: keeping the attempt open until its end is seen; endpoints must not go on working for callers that have left.

--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -52,6 +52,8 @@
 			     r->instance->row.id, res->status, res->reason);
 		tlb_instances_record_outcome(&r->board->instances, r->instance, false, 0, now);
 	}
+	if (res->refused)
+		tlb_generation_on_crash(r->board, r->instance);
 	clear(r);
 	r->refusals++;
 	r->query.now = now;
--- a/src/generation.c
+++ b/src/generation.c
@@ -63,8 +63,10 @@
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
 static bool refuse_quarantined(struct tlb_forward *f);
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i, bool broken_off,
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
+			    const struct tlb_http_result *r, bool early_end,
 			    enum tlb_attempt_result end);
+static void record_abandoned(struct tlb_forward *f);
 
 /* --- KV caches --- */
 
@@ -205,6 +207,7 @@
 
 	snprintf(r.reason, sizeof(r.reason), "%s", reason);
 	tlb_http_cancel(&f->call);
+	record_abandoned(f);
 	end_prefill(f, f->instance, false);
 	end = tlb_forward_record_result(f, &r);
 	f->possible_runs++;
@@ -344,7 +347,7 @@
 	struct tlb_generation_queue *p = f->gen.service_queue;
 	struct tlb_instance *i = f->instance;
 	enum tlb_attempt_result end;
-	bool broken_off = r->broken_off;
+	bool early_end;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_instance_acquire(i);
@@ -357,11 +360,10 @@
 		f->possible_runs++;
 		release_kv_cache(f, true);
 	}
-	if (end == TLB_ATTEMPT_ANSWERED && ended_early(f, r)) {
+	early_end = end == TLB_ATTEMPT_ANSWERED && ended_early(f, r);
+	if (early_end)
 		end = TLB_ATTEMPT_UNKNOWN;
-		broken_off = true;
-	}
-	record_evidence(f, i, broken_off, end);
+	record_evidence(f, i, r, early_end, end);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
@@ -399,8 +401,8 @@
 	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
 	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
 		     " crashes=%d runs=%d",
-		     f->exchange->id, f->inbound.attempt_id, s->part,
-		     s->crash_count, f->possible_runs);
+		     f->exchange->id, f->inbound.attempt_id, s->part, s->crash_count,
+		     f->possible_runs);
 	if (f->gen.streaming || f->possible_runs > 0)
 		fail_stream(f, "a part of the prompt crashes endpoints");
 	else
@@ -418,8 +420,15 @@
 	return tlb_vms_hash(text);
 }
 
+void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i)
+{
+	if (tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now()))
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+}
+
 /* Takes the end of an attempt as evidence for or against the parts of the prompt. */
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i, bool broken_off,
+static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
+			    const struct tlb_http_result *r, bool early_end,
 			    enum tlb_attempt_result end)
 {
 	struct tlb_edge_board *b = f->board;
@@ -429,12 +438,25 @@
 
 	if (end == TLB_ATTEMPT_ANSWERED && f->gen.streaming)
 		changed = tlb_quarantine_add_answer(&b->quarantine, &prompt, now);
-	else if (end == TLB_ATTEMPT_UNKNOWN && broken_off &&
+	else if (end == TLB_ATTEMPT_UNKNOWN && (r->broken_off || early_end) &&
 		 f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
 		changed =
 			tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), now);
 	if (changed)
 		tlb_quarantine_sync_notify(&b->quarantine_sync);
+	if (r->broken_off || r->refused || early_end)
+		tlb_generation_on_crash(b, i);
+}
+
+/* Remembers an attempt that is cancelled as the endpoint begins to answer. */
+static void record_abandoned(struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 &&
+	    f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
+		tlb_quarantine_add_abandoned(&f->board->quarantine, &prompt,
+					     incarnation_hash(f->instance), tlb_clock_now());
 }
 
 /* --- attempts --- */
@@ -558,7 +580,7 @@
 	end = tlb_forward_record_result(f, r);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
-	record_evidence(f, i, r->broken_off, end);
+	record_evidence(f, i, r, false, end);
 	end_prefill(f, i, ok);
 	if (ok) {
 		store_kv_handle(f, i, handle);
@@ -921,8 +943,10 @@
 	if (!g->service_queue)
 		return;
 	tlb_queue_remove(&g->service_queue->queue, &g->item);
-	if (f->instance)
+	if (f->instance) {
+		record_abandoned(f);
 		end_prefill(f, f->instance, false);
+	}
 	release_window_slot(f, 0);
 	release_kv_cache(f, false);
 	tlb_decode_reservation_release(&g->decode_reservation);
--- a/src/http.c
+++ b/src/http.c
@@ -111,6 +111,7 @@
 	r.sent = request_was_sent(c->easy);
 	add_totals(&c->http->totals, c->easy);
 	r.timed_out = c->timed_out;
+	r.refused = rc == CURLE_COULDNT_CONNECT;
 	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
 		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR;
 	r.ended_by_close = rc == CURLE_OK && c->content_length < 0 && !c->chunked;
--- a/src/http.h
+++ b/src/http.h
@@ -43,6 +43,7 @@
 	int status;
 	bool sent;
 	bool timed_out;
+	bool refused;	     /* no connection could be opened, and not for lack of time */
 	bool broken_off;     /* the peer closed or reset the connection before the response's end */
 	bool ended_by_close; /* has neither a length nor chunks: the closed connection ended it */
 	const char *head;    /* header lines "Name: value\n" of a call with spec.headers; else "" */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -299,6 +299,47 @@
 	return changed;
 }
 
+void tlb_quarantine_add_abandoned(struct tlb_quarantine *q, const struct tlb_prompt *p,
+				  uint64_t endpoint, tlb_time now)
+{
+	struct tlb_abandoned_attempt *a = &q->abandoned[q->next_abandoned];
+
+	q->next_abandoned = (q->next_abandoned + 1) % TLB_QUARANTINE_ABANDONED_MAX;
+	a->endpoint = endpoint;
+	a->account = p->account;
+	a->count = p->count;
+	memcpy(a->parts, p->parts, (size_t)p->count * sizeof(p->parts[0]));
+	a->deadline = now + TLB_QUARANTINE_ABANDONED_TIME;
+}
+
+/* Counts the crash against the prompts of the attempts that were abandoned just before. */
+static void add_abandoned_crashes(struct tlb_quarantine *q, uint64_t endpoint, tlb_time now)
+{
+	struct tlb_abandoned_attempt *a;
+
+	for (a = q->abandoned; a < q->abandoned + TLB_QUARANTINE_ABANDONED_MAX; a++) {
+		if (a->endpoint != endpoint || now >= a->deadline)
+			continue;
+		a->deadline = 0;
+		tlb_quarantine_add_crash(q, &(struct tlb_prompt){a->parts, a->count, a->account},
+					 endpoint, now);
+	}
+}
+
+bool tlb_quarantine_note_crash(struct tlb_quarantine *q, uint64_t endpoint, tlb_time now)
+{
+	struct tlb_crash_notice *n;
+
+	for (n = q->notices; n < q->notices + TLB_QUARANTINE_NOTICES_MAX; n++)
+		if (n->endpoint == endpoint && now < n->deadline)
+			return false;
+	n = &q->notices[q->next_notice];
+	q->next_notice = (q->next_notice + 1) % TLB_QUARANTINE_NOTICES_MAX;
+	*n = (struct tlb_crash_notice){endpoint, now + TLB_QUARANTINE_NOTICE_TIME, true};
+	add_abandoned_crashes(q, endpoint, now);
+	return true;
+}
+
 bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now)
 {
 	struct tlb_suspect_part *s;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -40,11 +40,18 @@
  * rack that loses power, and a request that is retried takes longer. */
 #define TLB_QUARANTINE_CRASH_SPACING (100 * TLB_MS)
 
+/* An endpoint that crashes this long after an attempt was abandoned may have crashed because of it.
+ */
+#define TLB_QUARANTINE_ABANDONED_TIME (2 * TLB_SECOND)
+#define TLB_QUARANTINE_NOTICE_TIME (2 * TLB_SECOND)
+
 enum {
 	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
 	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
 	TLB_QUARANTINE_ACCOUNTS = 2,	 /* with more accounts than one the verdict is for all */
 	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
+	TLB_QUARANTINE_ABANDONED_MAX = 64,
+	TLB_QUARANTINE_NOTICES_MAX = 1024,   /* all endpoints can break off at the same time */
 	TLB_QUARANTINE_EARLY_EVENTS_MAX = 2, /* an answer with more events has begun soundly */
 };
 
@@ -80,11 +87,32 @@
 
 APR_RING_HEAD(tlb_suspect_part_ring, tlb_suspect_part);
 
+/* An attempt that this VM cancelled before or just after the first event, for example because the
+ * caller left, so that it can't see how it would have ended. */
+struct tlb_abandoned_attempt {
+	uint64_t endpoint;
+	uint64_t account;
+	uint64_t parts[TLB_SHARED_PARTS_MAX];
+	int count;
+	tlb_time deadline; /* a later crash has another cause; 0: unused */
+};
+
+/* A crash that VMs tell each other, whatever the prompts. */
+struct tlb_crash_notice {
+	uint64_t endpoint;
+	tlb_time deadline; /* until then further notices say nothing new */
+	bool changed;	   /* not yet sent to other VMs */
+};
+
 /* Owned by the caller; owns the entries. */
 struct tlb_quarantine {
 	struct tlb_suspect_part_ring parts;
 	int count;
 	int quarantined; /* parts */
+	struct tlb_abandoned_attempt abandoned[TLB_QUARANTINE_ABANDONED_MAX];
+	int next_abandoned;
+	struct tlb_crash_notice notices[TLB_QUARANTINE_NOTICES_MAX];
+	int next_notice;
 };
 
 void tlb_quarantine_init(struct tlb_quarantine *q);
@@ -94,6 +122,13 @@
  */
 bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
 			      uint64_t endpoint, tlb_time now);
+/* Remembers an attempt that was cancelled as the endpoint began to answer. */
+void tlb_quarantine_add_abandoned(struct tlb_quarantine *q, const struct tlb_prompt *p,
+				  uint64_t endpoint, tlb_time now);
+/* An endpoint has broken off answers or refused a connection, seen by this VM or another one;
+ * counts against the prompts of attempts that this VM abandoned there just before. Returns whether
+ * this was new. */
+bool tlb_quarantine_note_crash(struct tlb_quarantine *q, uint64_t endpoint, tlb_time now);
 /* Records a complete answer to the prompt. Returns whether it cleared a suspicion. */
 bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now);
 /* Adds what another VM, or the store, knows of a part; times on this VM's clock. Returns whether
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -56,12 +56,25 @@
 	Toucan__SuspectPart part[TLB_QUARANTINE_PARTS_SENT_MAX];
 	Toucan__PartCrash *crashes[TLB_QUARANTINE_PARTS_SENT_MAX][TLB_QUARANTINE_CRASHES_KEPT];
 	Toucan__PartCrash crash[TLB_QUARANTINE_PARTS_SENT_MAX][TLB_QUARANTINE_CRASHES_KEPT];
+	uint64_t crashed[TLB_QUARANTINE_NOTICES_MAX];
 };
 
 static void begin_message(struct message *m)
 {
 	toucan__suspect_parts__init(&m->body);
 	m->body.parts = m->parts;
+	m->body.crashed = m->crashed;
+}
+
+static void add_notices(struct message *m, struct tlb_quarantine *q)
+{
+	struct tlb_crash_notice *n;
+
+	for (n = q->notices; n < q->notices + TLB_QUARANTINE_NOTICES_MAX; n++) {
+		if (n->changed)
+			m->crashed[m->body.n_crashed++] = n->endpoint;
+		n->changed = false;
+	}
 }
 
 static void add_to_message(struct message *m, struct tlb_suspect_part *p, tlb_time now)
@@ -105,7 +118,7 @@
 {
 	struct tlb_vm *vm;
 
-	if (m->body.n_parts == 0)
+	if (m->body.n_parts == 0 && m->body.n_crashed == 0)
 		return;
 	APR_RING_FOREACH (vm, &s->board->vms.all, tlb_vm, link) {
 		if (tlb_vm_is_linked(vm))
@@ -157,6 +170,7 @@
 		p->changed = false;
 		add_to_message(m, p, now);
 	}
+	add_notices(&for_all, s->quarantine);
 	send_to_linked(s, &for_all);
 	send_to_collectors(s, &for_collectors);
 }
@@ -227,6 +241,9 @@
 
 	for (i = 0; i < msg->n_parts; i++)
 		merge_received(s, msg->parts[i], now);
+	for (i = 0; i < msg->n_crashed; i++)
+		if (tlb_quarantine_note_crash(s->quarantine, msg->crashed[i], now))
+			tlb_quarantine_sync_notify(s);
 }
 
 void tlb_quarantine_sync_fill_state(const struct tlb_quarantine_sync *s, Toucan__VmState *state)
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3416,7 +3416,7 @@
   (ProtobufCMessageInit) toucan__suspect_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__suspect_parts__field_descriptors[1] =
+static const ProtobufCFieldDescriptor toucan__suspect_parts__field_descriptors[2] =
 {
   {
     "parts",
@@ -3430,14 +3430,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Toucan__SuspectParts, n_crashed),
+    offsetof(Toucan__SuspectParts, crashed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__suspect_parts__field_indices_by_name[] = {
+  1,   /* field[1] = crashed */
   0,   /* field[0] = parts */
 };
 static const ProtobufCIntRange toucan__suspect_parts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor toucan__suspect_parts__descriptor =
 {
@@ -3447,7 +3460,7 @@
   "Toucan__SuspectParts",
   "toucan",
   sizeof(Toucan__SuspectParts),
-  1,
+  2,
   toucan__suspect_parts__field_descriptors,
   toucan__suspect_parts__field_indices_by_name,
   1,  toucan__suspect_parts__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -355,10 +355,15 @@
   ProtobufCMessage base;
   size_t n_parts;
   Toucan__SuspectPart **parts;
+  /*
+   * endpoints that broke off answers, whatever the prompts
+   */
+  size_t n_crashed;
+  uint64_t *crashed;
 };
 #define TOUCAN__SUSPECT_PARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__suspect_parts__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -46,7 +46,7 @@
 	int n = sscanf(line, "%d %15s %15s %31s %31s", &ms, event, a, b, c);
 	tlb_time now = start + ms * TLB_MS;
 
-	ck_assert_msg(n >= 4, "line %d: %s", number, line);
+	ck_assert_msg(n >= 3, "line %d: %s", number, line);
 	tlb_quarantine_expire(q, now);
 	if (strcmp(event, "crash") == 0) {
 		ck_assert_int_eq(n, 5);
@@ -54,6 +54,17 @@
 		tlb_quarantine_add_crash(q, &p.prompt, endpoint(a), now);
 		return;
 	}
+	if (strcmp(event, "abandon") == 0) {
+		ck_assert_int_eq(n, 5);
+		set_prompt(&p, b, c);
+		tlb_quarantine_add_abandoned(q, &p.prompt, endpoint(a), now);
+		return;
+	}
+	if (strcmp(event, "broken") == 0) {
+		tlb_quarantine_note_crash(q, endpoint(a), now);
+		return;
+	}
+	ck_assert_int_eq(n, 4);
 	set_prompt(&p, a, b);
 	if (strcmp(event, "answer") == 0)
 		tlb_quarantine_add_answer(q, &p.prompt, now);
