Log in which step a request ended and whether its response had begun

Cause: forward_end with outcome=shutdown or cut didn't say whether an endpoint was working on the request, whether it waited in a queue, or whether part of the response had been sent. Change: forward_end also gives step, begun and in_progress.

--- a/src/forward.c
+++ b/src/forward.c
@@ -82,14 +82,22 @@
 
 static void log_end(const struct tlb_forward *f, const char *outcome, int status)
 {
+	static const char *const step_names[] = {
+		[TLB_FORWARD_ADMITTING] = "admitting",	   [TLB_FORWARD_CALLING] = "calling",
+		[TLB_FORWARD_BACKING_OFF] = "backing_off", [TLB_FORWARD_QUEUED] = "queued",
+		[TLB_FORWARD_RESERVING] = "reserving",	   [TLB_FORWARD_PREFILLING] = "prefilling",
+		[TLB_FORWARD_DECODING] = "decoding",
+	};
 	tlb_time now = tlb_clock_now();
 
 	tlb_log_info(
 		"event=forward_end request=%s attempt=%s route=%s service=%s account=%s outcome=%s "
-		"cost=%lld status=%d tries=%d runs=%d ms=%lld left_ms=%lld config=%lld",
+		"cost=%lld status=%d tries=%d runs=%d step=%s begun=%d in_progress=%d ms=%lld "
+		"left_ms=%lld config=%lld",
 		f->exchange->id, f->inbound.attempt_id, f->route->name, f->service,
 		f->account ? f->account->name : "-", outcome, (long long)f->cost, status,
-		f->attempts, f->possible_runs, (long long)((now - f->exchange->arrived) / TLB_MS),
+		f->attempts, f->possible_runs, step_names[f->step], f->gen.streaming,
+		f->instance != NULL, (long long)((now - f->exchange->arrived) / TLB_MS),
 		(long long)((f->deadline - now) / TLB_MS), (long long)f->routing->version);
 }
 
