Move a silent stream only once another endpoint has room for it

What callers saw: around planned work, streams ended without their last events, or a request that an endpoint had accepted ended without a response. Cause: after 1 s without an event (1.5 or 2.5 s before the first) the attempt was cancelled first, and only then were the retry budget and the room at other endpoints looked at. Without budget the stream was cut at once; without room it waited in the queue, often until the caller left or the process had ended its drain, while its endpoint would have gone on: one that preempts requests is silent for a second or more. Change: the attempt goes on while a decode reservation elsewhere is searched, every 200 ms, and ends only when the request can move; a new event meanwhile ends the search.

--- a/src/forward.c
+++ b/src/forward.c
@@ -58,14 +58,19 @@
 	tlb_retry_count_first(&g->retry);
 }
 
-/* Takes one retry from the budget of the service; false when it is used up. */
-static bool charge_budget(struct tlb_forward *f)
+bool tlb_forward_retry_affordable(struct tlb_forward *f)
 {
 	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
 
-	if (!g || g->retry.budget < 1)
+	return g && g->retry.budget >= 1;
+}
+
+/* Takes one retry from the budget of the service; false when it is used up. */
+static bool charge_budget(struct tlb_forward *f)
+{
+	if (!tlb_forward_retry_affordable(f))
 		return false;
-	g->retry.budget -= 1;
+	budget_of(&f->board->forwards, f->service)->retry.budget -= 1;
 	return true;
 }
 
@@ -365,10 +370,15 @@
 	return end;
 }
 
+bool tlb_forward_attempts_left(const struct tlb_forward *f)
+{
+	return f->attempts <
+	       (f->gen.service_queue ? TLB_FORWARD_STREAM_MAX_ATTEMPTS : TLB_FORWARD_MAX_ATTEMPTS);
+}
+
 bool tlb_forward_may_retry(struct tlb_forward *f, enum tlb_attempt_result end)
 {
-	if (f->attempts >=
-	    (f->gen.service_queue ? TLB_FORWARD_STREAM_MAX_ATTEMPTS : TLB_FORWARD_MAX_ATTEMPTS))
+	if (!tlb_forward_attempts_left(f))
 		return false;
 	if (end != TLB_ATTEMPT_NOT_RUN &&
 	    (!tlb_forward_repeatable(f) || tlb_forward_endpoints_used(f) >= f->route->max_attempts))
--- a/src/forward.h
+++ b/src/forward.h
@@ -61,6 +61,7 @@
 	tlb_time kv_deadline;		/* the KV cache is not used after this */
 	struct tlb_buffer partial;	/* received bytes of an incomplete event */
 	char last_event_id[TLB_EVENT_ID_LEN]; /* id of the last event sent to the caller */
+	tlb_time event_deadline;	      /* the endpoint counts as silent from then on */
 	bool streaming;			      /* the response to the caller has begun */
 	bool resumed_in_place;		      /* was resumed at the endpoint that interrupted it */
 };
@@ -127,6 +128,10 @@
  * f->instance. */
 enum tlb_attempt_result tlb_forward_record_result(struct tlb_forward *f,
 						  const struct tlb_http_result *r);
+/* Whether the request has had fewer attempts than the maximum. */
+bool tlb_forward_attempts_left(const struct tlb_forward *f);
+/* Whether the retry budget of the service allows a retry. */
+bool tlb_forward_retry_affordable(struct tlb_forward *f);
 /* Whether a retry is allowed after an attempt that ended like this; charges the retry budget. */
 bool tlb_forward_may_retry(struct tlb_forward *f, enum tlb_attempt_result end);
 /* Forwards the endpoint's complete response to the caller and ends the request. */
--- a/src/generation.c
+++ b/src/generation.c
@@ -22,12 +22,14 @@
 #define PREFILL_TIMEOUT (2500 * TLB_MS)
 /* A prefill endpoint that refused is not selected for this long, while there are others. */
 #define PREFILL_REFUSED_BACKOFF (300 * TLB_MS)
-/* Time without an event after which a stream is resumed elsewhere: before the first event, before
- * the first event when the endpoint also prefills, and between events. All are longer than the
- * pause of a request that the engine preempts. */
+/* Time without an event after which a stream is resumed elsewhere, if another endpoint has room:
+ * before the first event, before the first event when the endpoint also prefills, and between
+ * events. */
 #define FIRST_EVENT_TIMEOUT (1500 * TLB_MS)
 #define FIRST_EVENT_TIMEOUT_WITH_PREFILL (2500 * TLB_MS)
 #define NEXT_EVENT_TIMEOUT (1000 * TLB_MS)
+/* Interval between searches for an endpoint that takes over from a silent one. */
+#define MOVE_RETRY_INTERVAL (200 * TLB_MS)
 /* A KV cache is not used any more this long before it expires. */
 #define KV_EXPIRY_MARGIN (60 * TLB_MS)
 /* Lifetime of a KV cache when the configuration has none. */
@@ -61,6 +63,7 @@
 static void decode_at(struct tlb_forward *f, struct tlb_instance *i);
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
+static void on_event_timeout(void *arg);
 
 /* --- KV caches --- */
 
@@ -193,26 +196,6 @@
 	start_waiting(p);
 }
 
-/* Cancels an attempt that has not ended, and retries it elsewhere. It may have run. */
-static void abandon_attempt(struct tlb_forward *f, const char *reason)
-{
-	struct tlb_http_result r = {.sent = true, .timed_out = true, .head = "", .body = ""};
-	enum tlb_attempt_result end;
-
-	snprintf(r.reason, sizeof(r.reason), "%s", reason);
-	tlb_http_cancel(&f->call);
-	end_prefill(f, f->instance, false);
-	end = tlb_forward_record_result(f, &r);
-	f->possible_runs++;
-	release_kv_cache(f, true);
-	retry_or_fail(f, NULL, end, reason);
-}
-
-static void on_event_timeout(void *arg)
-{
-	abandon_attempt(arg, "the endpoint's stream fell silent");
-}
-
 /* Starts the timer for the next event. No timer when no other attempt would be allowed: the router
  * then waits until the deadline. */
 static void set_event_timeout(struct tlb_forward *f, tlb_time wait)
@@ -220,7 +203,8 @@
 	if (!tlb_forward_repeatable(f) ||
 	    tlb_forward_endpoints_used(f) + 1 >= f->route->max_attempts)
 		return;
-	tlb_timer_set(f->board->loop, &f->timer, tlb_clock_now() + wait);
+	f->gen.event_deadline = tlb_clock_now() + wait;
+	tlb_timer_set(f->board->loop, &f->timer, f->gen.event_deadline);
 }
 
 /* Length in bytes of the complete events at the start of b; an event ends with an empty line. */
@@ -333,6 +317,7 @@
 	enum tlb_attempt_result end;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
+	tlb_decode_reservation_release(&f->gen.decode_reservation);
 	tlb_instance_acquire(i);
 	end = tlb_forward_record_result(f, r);
 	end_prefill(f, i, false);
@@ -574,6 +559,59 @@
 	return above_mean > 0 ? above_mean : 0;
 }
 
+/* Ends the attempt in progress, which may have run, to move the request to another endpoint. */
+static void abandon_attempt(struct tlb_forward *f)
+{
+	struct tlb_http_result r = {.sent = true, .timed_out = true, .head = "", .body = ""};
+
+	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
+	tlb_http_cancel(&f->call);
+	end_prefill(f, f->instance, false);
+	tlb_forward_record_result(f, &r);
+	f->possible_runs++;
+	release_kv_cache(f, true);
+	f->gen.partial.len = 0;
+}
+
+static void on_move_reservation(void *arg, bool found)
+{
+	struct tlb_forward *f = arg;
+	struct tlb_generation_queue *p = f->gen.service_queue;
+
+	/* An event has arrived during the search. */
+	if (tlb_clock_now() < f->gen.event_deadline) {
+		tlb_decode_reservation_release(&f->gen.decode_reservation);
+		return;
+	}
+	if (!found || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
+		tlb_decode_reservation_release(&f->gen.decode_reservation);
+		set_event_timeout(f, MOVE_RETRY_INTERVAL);
+		return;
+	}
+	if (f->gen.streaming)
+		tlb_counter_add(&f->board->counters, TLB_COUNTER_RESUMES, 1);
+	abandon_attempt(f);
+	prefill(f);
+	start_waiting(p);
+}
+
+/* Moves a request whose endpoint is silent to another endpoint, once that has room. Until then the
+ * attempt goes on: an endpoint that preempts requests is silent for seconds and then continues. */
+static void on_event_timeout(void *arg)
+{
+	struct tlb_forward *f = arg;
+	struct tlb_instance_query p = tlb_forward_instance_query(f);
+
+	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline)
+		return;
+	if (!tlb_forward_retry_affordable(f)) {
+		set_event_timeout(f, MOVE_RETRY_INTERVAL);
+		return;
+	}
+	tlb_decode_reservation_acquire(&f->gen.decode_reservation, f->board, &p, reserved_tokens(f),
+				       0, on_move_reservation, f);
+}
+
 /* Starts an attempt: decodes from the KV cache when it is still valid, else acquires a decode
  * reservation for a new prefill. */
 static void start_attempt(struct tlb_forward *f)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -689,6 +689,59 @@
         equal(vm.process.wait(6), 0, "exit status")
 
 
+def change_settings(vm, old, new):
+    """Replaces text in the settings file and has the VM reload it."""
+    with open(vm.settings, encoding="utf-8") as f:
+        text = f.read()
+    with open(vm.settings, "w", encoding="utf-8") as f:
+        f.write(text.replace(old, new))
+    before = len(vm.events("edge_reload"))
+    vm.process.send_signal(signal.SIGHUP)
+    wait(lambda: len(vm.events("edge_reload")) > before, "the settings are reloaded")
+
+
+def pausing_stream(begin=lambda: None):
+    """A plan that pauses for 2.5 s after the second event and then goes on."""
+    def plan(h):
+        try:
+            h.begin_stream()
+            for n in range(1, h.events + 1):
+                h.event(n)
+                if n == 2:
+                    begin()
+                    time.sleep(2.5)
+            h.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            h.endpoint.broken_off += 1
+        return True
+    return plan
+
+
+def check_silent_stream_without_room_elsewhere_is_not_ended():
+    """A stream whose endpoint pauses, as one that preempts requests does, must not be taken from it
+    while no other endpoint has room; such streams ended without their last events."""
+    with World() as w:
+        vm = w.start()
+        plan = pausing_stream(lambda: [setattr(d, "room", False) for d in w.decodes])
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
+def check_silent_stream_is_not_ended_for_lack_of_retry_budget():
+    """A stream whose endpoint pauses must not be cut because the retry budget is used up."""
+    with World() as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50", "retry_ratio: 0, retry_slack: 0")
+        for d in w.decodes:
+            d.plan = pausing_stream()
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
