Let the decode endpoint prefill a moved stream when no retry is left

What callers saw: a stream was taken from an endpoint that had only been silent, and ended without its last events. Cause: the move to another endpoint takes one retry of the budget. When the prefill there was refused, another prefill needed one more, and without it the stream was cut, although its decode endpoint was reserved and can prefill. Ruled out: attempts used up (3 of 6), the deadline (5 s left). Change: a stream that has begun is decoded at once at its reserved endpoint, which prefills itself, as without any usable prefill endpoint. No endpoint gets more calls than the move was charged for."

--- a/src/generation.c
+++ b/src/generation.c
@@ -448,6 +448,22 @@
 	return role_switch > PREFILL_REFUSED_BACKOFF ? role_switch : PREFILL_REFUSED_BACKOFF;
 }
 
+/* Starts the accounting of a prefill at i. */
+static void begin_prefill(struct tlb_forward *f, struct tlb_instance *i)
+{
+	f->gen.dispatched_at = tlb_clock_now();
+	f->gen.prefill_tokens = f->inbound.prompt_tokens > 0 ? f->inbound.prompt_tokens : 1;
+	i->prefill_in_flight += f->gen.prefill_tokens;
+}
+
+/* Whether the endpoint of the decode reservation should prefill, after a prefill endpoint did not.
+ * It is slower at that, so only for a stream that has begun and can't have another prefill. */
+static bool may_prefill_at_decode(struct tlb_forward *f)
+{
+	return f->gen.streaming && !tlb_forward_retry_affordable(f) &&
+	       tlb_decode_reservation_is_held(&f->gen.decode_reservation, tlb_clock_now());
+}
+
 static void on_prefill_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
@@ -465,6 +481,11 @@
 		decode(f);
 	}
 	tlb_instance_release(i);
+	if (!ok && may_prefill_at_decode(f)) {
+		begin_prefill(f, f->gen.decode_reservation.instance);
+		decode(f);
+		ok = true;
+	}
 	if (ok)
 		start_waiting(p);
 	else
@@ -484,14 +505,6 @@
 			 on_prefill_done);
 }
 
-/* Starts the accounting of a prefill at i. */
-static void begin_prefill(struct tlb_forward *f, struct tlb_instance *i)
-{
-	f->gen.dispatched_at = tlb_clock_now();
-	f->gen.prefill_tokens = f->inbound.prompt_tokens > 0 ? f->inbound.prompt_tokens : 1;
-	i->prefill_in_flight += f->gen.prefill_tokens;
-}
-
 /* Starts the prefill once a decode reservation is held. Without a usable prefill endpoint the
  * decode endpoint prefills as well. */
 static void prefill(struct tlb_forward *f)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -742,6 +742,31 @@
         equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
 
 
+def check_moved_stream_survives_a_refused_prefill_without_retry_budget():
+    """A stream that moves away from a silent endpoint must go on although its prefill is refused and
+    the retry budget is used up by then; such a stream was cut."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50",
+                        "retry_ratio: 0, retry_slack: 2.5")  # allows one retry
+
+        def refuse_second(h):
+            if sum(len(p.seen) for p in w.prefills) < 2:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_second
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal([len(p.seen) for p in w.prefills], [1, 1], "prefills")
+        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
