Answer requests without a response when the drain ends

What callers saw: a request that had been passed on ended with a closed connection, without any response, when the VM that held it was stopped. Cause: at the end of the drain, 7.3 s after SIGTERM with a grace of 8 s, the loop stopped and every exchange was dropped. One whose endpoint had not begun to answer, such as a request that waits in the endpoint's queue, got nothing; one that was still being prefilled had not run, and its caller wasn't told so. Ruled out: responses that were queued and not sent; those are counted as in flight until they are written. Change: when the drain ends, a request whose response has not begun gets 503 if no endpoint can have run it and 502 otherwise; the process stops when all responses are written, 0.3 s later at most. Streams that have begun use that time too."

--- a/src/edge.c
+++ b/src/edge.c
@@ -15,9 +15,10 @@
 /* How long new requests are still served after readiness was withdrawn. The load balancer checks
  * once a second and removes a VM after two failed checks. */
 #define DRAIN_NOTICE (2600 * TLB_MS)
-/* The drain ends this long before the end of the platform's grace period, so that the last
- * responses are still sent. */
+/* The drain ends this long before the end of the platform's grace period. */
 #define DRAIN_MARGIN (700 * TLB_MS)
+/* How long after the drain the last responses are still sent. */
+#define FLUSH_TIME (300 * TLB_MS)
 /* Interval at which the settings file is checked for changes, which come without a signal. */
 #define SETTINGS_CHECK_INTERVAL (2 * TLB_SECOND)
 /* Added to the configured idle timeout of callers' connections, because callers reuse a connection
@@ -219,21 +220,38 @@
 
 /* --- shutdown --- */
 
-/* Advances the shutdown: from notice to draining, and from draining to the end of the loop. */
+static void begin_draining(struct tlb_edge *e)
+{
+	tlb_log_info("event=edge_shutdown phase=draining in_flight=%zu",
+		     tlb_listener_in_flight(&e->caller_listener));
+	e->phase = TLB_EDGE_DRAINING;
+	e->board.draining = true;
+	tlb_listener_close_idle(&e->caller_listener);
+	tlb_generations_refuse_waiting(&e->board.generations);
+}
+
+static void begin_flush(struct tlb_edge *e)
+{
+	tlb_log_info("event=edge_shutdown phase=flushing in_flight=%zu",
+		     tlb_listener_in_flight(&e->caller_listener));
+	e->phase = TLB_EDGE_FLUSHING;
+	tlb_forwards_fail_unanswered(&e->board.forwards);
+}
+
+/* Advances the shutdown from phase to phase, and then ends the loop. */
 static void on_drain_timer(void *arg)
 {
 	struct tlb_edge *e = arg;
 	tlb_time now = tlb_clock_now();
-	size_t in_flight = tlb_listener_in_flight(&e->caller_listener);
-
-	if (e->phase == TLB_EDGE_NOTICE && now >= e->notice_deadline) {
-		tlb_log_info("event=edge_shutdown phase=draining in_flight=%zu", in_flight);
-		e->phase = TLB_EDGE_DRAINING;
-		e->board.draining = true;
-		tlb_listener_close_idle(&e->caller_listener);
-		tlb_generations_refuse_waiting(&e->board.generations);
-	}
-	if (now >= e->drain_deadline || (e->phase == TLB_EDGE_DRAINING && in_flight == 0)) {
+	size_t in_flight;
+
+	if (e->phase == TLB_EDGE_NOTICE && (now >= e->notice_deadline || now >= e->drain_deadline))
+		begin_draining(e);
+	if (e->phase == TLB_EDGE_DRAINING && now >= e->drain_deadline)
+		begin_flush(e);
+	in_flight = tlb_listener_in_flight(&e->caller_listener);
+	if (now >= e->drain_deadline + FLUSH_TIME ||
+	    (e->phase != TLB_EDGE_NOTICE && in_flight == 0)) {
 		tlb_log_info("event=edge_shutdown phase=over in_flight=%zu", in_flight);
 		tlb_loop_stop(&e->loop);
 		return;
--- a/src/edge.h
+++ b/src/edge.h
@@ -14,6 +14,7 @@
 	TLB_EDGE_SERVING,
 	TLB_EDGE_NOTICE,   /* reports not ready to the load balancer, still serves new requests */
 	TLB_EDGE_DRAINING, /* refuses new requests; those in flight continue */
+	TLB_EDGE_FLUSHING, /* sends the last responses */
 };
 
 /* Owned by main(). */
@@ -32,7 +33,7 @@
 	struct tlb_signals signals;
 	enum tlb_edge_phase phase;
 	tlb_time notice_deadline; /* end of TLB_EDGE_NOTICE */
-	tlb_time drain_deadline;  /* the process exits then, with or without requests in flight */
+	tlb_time drain_deadline;  /* requests without a response are ended then */
 	struct tlb_timer drain_timer;
 	struct tlb_timer log_timer;
 	struct tlb_timer settings_timer;
--- a/src/forward.c
+++ b/src/forward.c
@@ -164,13 +164,19 @@
 	tlb_exchange_refuse_ms(x, &err, retry_after_ms);
 }
 
+/* Whether an endpoint may have run the request, or is running it. */
+static bool may_have_run(const struct tlb_forward *f)
+{
+	return f->possible_runs > 0 || (f->instance && f->step != TLB_FORWARD_PREFILLING);
+}
+
 void tlb_forward_fail(struct tlb_forward *f, const char *reason)
 {
 	struct tlb_exchange *x = f->exchange;
 	enum tlb_code code = tlb_clock_now() >= f->deadline ? TLB_TIMEOUT : TLB_ENDPOINT_FAILED;
 	struct tlb_error err;
 
-	if (f->possible_runs == 0) {
+	if (!may_have_run(f)) {
 		tlb_forward_refuse(f, TLB_OVERLOADED,
 				   tlb_forward_retry_after_ms(f, REFUSED_BACKOFF), reason);
 		return;
@@ -669,6 +675,21 @@
 	APR_RING_INIT(&s->budgets, tlb_service_retry_budget, link);
 }
 
+void tlb_forwards_fail_unanswered(struct tlb_forwards *s)
+{
+	struct tlb_forward *f;
+	struct tlb_forward *next;
+
+	APR_RING_FOREACH_SAFE (f, next, &s->requests, tlb_forward, link) {
+		if (f->gen.streaming)
+			continue;
+		if (may_have_run(f))
+			tlb_forward_fail(f, "this VM is shutting down");
+		else
+			tlb_forward_refuse(f, TLB_DRAINING, 1, "this VM is shutting down");
+	}
+}
+
 void tlb_forwards_finish(struct tlb_forwards *s)
 {
 	struct tlb_service_retry_budget *g;
--- a/src/forward.h
+++ b/src/forward.h
@@ -112,6 +112,8 @@
 };
 
 void tlb_forwards_init(struct tlb_forwards *s, struct tlb_edge_board *b);
+/* Ends with an error every request in flight whose response has not begun. */
+void tlb_forwards_fail_unanswered(struct tlb_forwards *s);
 /* Ends every request in flight without an answer and frees the budgets. */
 void tlb_forwards_finish(struct tlb_forwards *s);
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -767,6 +767,35 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_unanswered_requests_are_answered_when_the_drain_ends():
+    """A request whose endpoint has not begun to answer when the drain ends must get an error
+    response; callers saw a closed connection. Only one that has not run gets a 503."""
+    with World(decodes=1) as w:
+        vm = w.start()
+        change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 4000")
+        w.decodes[0].plan = lambda h: time.sleep(5) or True
+        answers = {}
+
+        def call(name):
+            try:
+                answers[name] = vm.call("/once/1", "POST", b"prompt", attempt=name, headers=GEN)[0]
+            except (OSError, http.client.HTTPException) as e:
+                answers[name] = type(e).__name__
+
+        vm.process.send_signal(signal.SIGTERM)
+        threads = [threading.Thread(target=call, args=("sent",))]
+        threads[0].start()
+        wait(lambda: w.decodes[0].seen, "the decode begins")
+        time.sleep(1.5)
+        w.prefills[0].plan = lambda h: time.sleep(5) or True
+        threads.append(threading.Thread(target=call, args=("prefilling",)))
+        threads[1].start()
+        for t in threads:
+            t.join()
+        equal(answers, {"sent": 502, "prefilling": 503}, "answers")
+        equal(vm.process.wait(3), 0, "exit status")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
