--- a/src/forward.c
+++ b/src/forward.c
@@ -61,14 +61,19 @@
 	tlb_retry_count_first(&g->retry);
 }
 
-/* Takes one retry from the budget of the service; false when it is used up. */
-static bool charge_budget(struct tlb_forward *f)
+bool tlb_forward_retry_affordable(struct tlb_forward *f)
 {
 	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
 
-	if (!g || g->retry.budget < 1)
+	return g && g->retry.budget >= 1;
+}
+
+/* Takes one retry from the budget of the service; false when it is used up. */
+static bool charge_budget(struct tlb_forward *f)
+{
+	if (!tlb_forward_retry_affordable(f))
 		return false;
-	g->retry.budget -= 1;
+	budget_of(&f->board->forwards, f->service)->retry.budget -= 1;
 	return true;
 }
 
@@ -85,14 +90,22 @@
 
 static void log_end(const struct tlb_forward *f, const char *outcome, int status)
 {
+	static const char *const step_names[] = {
+		[TLB_FORWARD_ADMITTING] = "admitting",	   [TLB_FORWARD_CALLING] = "calling",
+		[TLB_FORWARD_BACKING_OFF] = "backing_off", [TLB_FORWARD_QUEUED] = "queued",
+		[TLB_FORWARD_RESERVING] = "reserving",	   [TLB_FORWARD_PREFILLING] = "prefilling",
+		[TLB_FORWARD_DECODING] = "decoding",
+	};
 	tlb_time now = tlb_clock_now();
 
 	tlb_log_info(
 		"event=forward_end request=%s attempt=%s route=%s service=%s account=%s outcome=%s "
-		"cost=%lld status=%d tries=%d runs=%d ms=%lld left_ms=%lld config=%lld",
+		"cost=%lld status=%d tries=%d runs=%d step=%s begun=%d in_progress=%d ms=%lld "
+		"left_ms=%lld config=%lld",
 		f->exchange->id, f->inbound.attempt_id, f->route->name, f->service,
 		f->account ? f->account->name : "-", outcome, (long long)f->cost, status,
-		f->attempts, f->possible_runs, (long long)((now - f->exchange->arrived) / TLB_MS),
+		f->attempts, f->possible_runs, step_names[f->step], f->gen.streaming,
+		f->instance != NULL, (long long)((now - f->exchange->arrived) / TLB_MS),
 		(long long)((f->deadline - now) / TLB_MS), (long long)f->routing->version);
 }
 
@@ -154,13 +167,19 @@
 	tlb_exchange_refuse_ms(x, &err, retry_after_ms);
 }
 
+/* Whether an endpoint may have run the request, or is running it. */
+static bool may_have_run(const struct tlb_forward *f)
+{
+	return f->possible_runs > 0 || (f->instance && f->step != TLB_FORWARD_PREFILLING);
+}
+
 void tlb_forward_fail(struct tlb_forward *f, const char *reason)
 {
 	struct tlb_exchange *x = f->exchange;
 	enum tlb_code code = tlb_clock_now() >= f->deadline ? TLB_TIMEOUT : TLB_ENDPOINT_FAILED;
 	struct tlb_error err;
 
-	if (f->possible_runs == 0) {
+	if (!may_have_run(f)) {
 		tlb_forward_refuse(f, TLB_OVERLOADED,
 				   tlb_forward_retry_after_ms(f, REFUSED_BACKOFF), reason);
 		return;
@@ -381,10 +400,15 @@
 	return end;
 }
 
+bool tlb_forward_attempts_left(const struct tlb_forward *f)
+{
+	return f->attempts <
+	       (f->gen.service_queue ? TLB_FORWARD_STREAM_MAX_ATTEMPTS : TLB_FORWARD_MAX_ATTEMPTS);
+}
+
 bool tlb_forward_may_retry(struct tlb_forward *f, enum tlb_attempt_result end)
 {
-	if (f->attempts >=
-	    (f->gen.service_queue ? TLB_FORWARD_STREAM_MAX_ATTEMPTS : TLB_FORWARD_MAX_ATTEMPTS))
+	if (!tlb_forward_attempts_left(f))
 		return false;
 	if (end != TLB_ATTEMPT_NOT_RUN &&
 	    (!tlb_forward_repeatable(f) || tlb_forward_endpoints_used(f) >= f->route->max_attempts))
@@ -675,6 +699,21 @@
 	APR_RING_INIT(&s->budgets, tlb_service_retry_budget, link);
 }
 
+void tlb_forwards_fail_unanswered(struct tlb_forwards *s)
+{
+	struct tlb_forward *f;
+	struct tlb_forward *next;
+
+	APR_RING_FOREACH_SAFE (f, next, &s->requests, tlb_forward, link) {
+		if (f->gen.streaming)
+			continue;
+		if (may_have_run(f))
+			tlb_forward_fail(f, "this VM is shutting down");
+		else
+			tlb_forward_refuse(f, TLB_DRAINING, 1, "this VM is shutting down");
+	}
+}
+
 void tlb_forwards_finish(struct tlb_forwards *s)
 {
 	struct tlb_service_retry_budget *g;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -744,6 +744,113 @@
         equal(vm.process.wait(6), 0, "exit status")
 
 
+def change_settings(vm, old, new):
+    """Replaces text in the settings file and has the VM reload it."""
+    with open(vm.settings, encoding="utf-8") as f:
+        text = f.read()
+    with open(vm.settings, "w", encoding="utf-8") as f:
+        f.write(text.replace(old, new))
+    before = len(vm.events("edge_reload"))
+    vm.process.send_signal(signal.SIGHUP)
+    wait(lambda: len(vm.events("edge_reload")) > before, "the settings are reloaded")
+
+
+def pausing_stream(begin=lambda: None):
+    """A plan that pauses for 2.5 s after the second event and then goes on."""
+    def plan(h):
+        try:
+            h.begin_stream()
+            for n in range(1, h.events + 1):
+                h.event(n)
+                if n == 2:
+                    begin()
+                    time.sleep(2.5)
+            h.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            h.endpoint.broken_off += 1
+        return True
+    return plan
+
+
+def check_silent_stream_without_room_elsewhere_is_not_ended():
+    """A stream whose endpoint pauses, as one that preempts requests does, must not be taken from it
+    while no other endpoint has room; such streams ended without their last events."""
+    with World() as w:
+        vm = w.start()
+        plan = pausing_stream(lambda: [setattr(d, "room", False) for d in w.decodes])
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
+def check_silent_stream_is_not_ended_for_lack_of_retry_budget():
+    """A stream whose endpoint pauses must not be cut because the retry budget is used up."""
+    with World() as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50", "retry_ratio: 0, retry_slack: 0")
+        for d in w.decodes:
+            d.plan = pausing_stream()
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
+def check_moved_stream_survives_a_refused_prefill_without_retry_budget():
+    """A stream that moves away from a silent endpoint must go on although its prefill is refused and
+    the retry budget is used up by then; such a stream was cut."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50",
+                        "retry_ratio: 0, retry_slack: 2.5")  # allows one retry
+
+        def refuse_second(h):
+            if sum(len(p.seen) for p in w.prefills) < 2:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_second
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal([len(p.seen) for p in w.prefills], [1, 1], "prefills")
+        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+
+
+def check_unanswered_requests_are_answered_when_the_drain_ends():
+    """A request whose endpoint has not begun to answer when the drain ends must get an error
+    response; callers saw a closed connection. Only one that has not run gets a 503."""
+    with World(decodes=1) as w:
+        vm = w.start()
+        change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 4000")
+        w.decodes[0].plan = lambda h: time.sleep(5) or True
+        answers = {}
+
+        def call(name):
+            try:
+                answers[name] = vm.call("/once/1", "POST", b"prompt", attempt=name, headers=GEN)[0]
+            except (OSError, http.client.HTTPException) as e:
+                answers[name] = type(e).__name__
+
+        vm.process.send_signal(signal.SIGTERM)
+        threads = [threading.Thread(target=call, args=("sent",))]
+        threads[0].start()
+        wait(lambda: w.decodes[0].seen, "the decode begins")
+        time.sleep(1.5)
+        w.prefills[0].plan = lambda h: time.sleep(5) or True
+        threads.append(threading.Thread(target=call, args=("prefilling",)))
+        threads[1].start()
+        for t in threads:
+            t.join()
+        equal(answers, {"sent": 502, "prefilling": 503}, "answers")
+        equal(vm.process.wait(3), 0, "exit status")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
