Accept handed-over state under any later map that includes the write

Callers saw an account or an engine's book begin from nothing at its new owner after a VM had handed it over properly, for good and not only for a moment.

Cause: state counted only under the very map that moved the shards. A new owner that missed that map and received a later one, which another VM had written since, dropped the state. The same happened to every new owner when the leaving VM did not receive the response to its write: it read its write back, took it for not written, and wrote a second map, which only then reached the others.

Evidence: trace of a run in which vm4 loses the notice of map 14: vm1 writes map 15 for a rebalance 0.4 s after vm0 has left, vm4 logs "event=shards map=15 gained=" and imports nothing.

Change: a map names its own write and the 16 writes before it (at most 310 bytes in the row, worked out). State counts if the map in force includes the write that it was sent for: only the new owner could have moved the shards on since. State that arrives after such a map is dropped, as the shards were gained without it; so is what was received under a former incarnation. A map written by an older daemon names its own write only, as before.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -91,11 +91,21 @@
 	h->state = NULL;
 }
 
-/* State received from a former owner is valid only if the map in force is the one that the owner
- * wrote right after sending the state; under any other map the owner may have changed the state
- * since. The ticket in both identifies that write. The version of the map can't be used instead,
- * because the map previously in force here may have been older than the former owner's. A shard
- * that was owned here before, after a fence, has a newer state. */
+static void free_hand_overs(struct tlb_cluster *c)
+{
+	int i;
+
+	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
+		if (c->hand_overs[i].state)
+			free_hand_over(&c->hand_overs[i]);
+}
+
+/* State received from a former owner is valid only if the owner wrote the map that moves the shards
+ * right after sending it; otherwise the owner may have changed the state since. The ticket
+ * identifies that write. The map in force includes it even if other VMs have written since and this
+ * VM has missed the map in between: only this VM could have moved the shards on. The version of the
+ * map can't be used instead, because the map previously in force here may have been older than the
+ * former owner's. A shard that was owned here before, after a fence, has a newer state. */
 static void deliver_hand_overs(struct tlb_cluster *c, tlb_shard_set gained)
 {
 	struct tlb_hand_over *h;
@@ -104,7 +114,7 @@
 
 	for (i = 0; i < TLB_HAND_OVERS_MAX; i++) {
 		h = &c->hand_overs[i];
-		if (!h->state || h->state->ticket != c->map.write_id)
+		if (!h->state || !tlb_shard_map_includes(&c->map, h->state->ticket))
 			continue;
 		shards = shard_set_from_list(h->state->shards, h->state->n_shards) & gained;
 		if (shards && c->handlers.import_shards)
@@ -696,6 +706,9 @@
 	/* Other VMs may read this VM's row before this daemon learns that it was written. */
 	if (!c->joined)
 		return;
+	/* The shards were gained without it. */
+	if (tlb_shard_map_includes(&c->map, msg->hand_over->ticket))
+		return;
 	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
 		if (!c->hand_overs[i].state || c->hand_overs[i].received_at < slot->received_at) {
 			slot = &c->hand_overs[i];
@@ -905,6 +918,7 @@
 	check_session(c);
 	set_incarnation(c);
 	tlb_cluster_update_shards(c);
+	free_hand_overs(c);
 	/* This process ran the former incarnation itself, so that no agreement of witnesses is
 	 * needed. */
 	tlb_fences_apply(c, &former, "self");
@@ -955,12 +969,8 @@
 
 void tlb_cluster_finish(struct tlb_cluster *c)
 {
-	int i;
-
 	tlb_fences_finish(c);
-	for (i = 0; i < TLB_HAND_OVERS_MAX; i++)
-		if (c->hand_overs[i].state)
-			free_hand_over(&c->hand_overs[i]);
+	free_hand_overs(c);
 	tlb_timer_clear(c->loop, &c->heartbeat);
 	tlb_timer_clear(c->loop, &c->session_expiry_timer);
 	tlb_membership_finish(&c->membership);
--- a/src/membership.c
+++ b/src/membership.c
@@ -316,8 +316,6 @@
 
 static void write_map(struct tlb_membership *m, json_t *txn)
 {
-	if (!m->next_map.write_id)
-		randombytes_buf(&m->next_map.write_id, sizeof(m->next_map.write_id));
 	tlb_store_write(txn, shards_key, tlb_shard_map_json(&m->next_map));
 }
 
@@ -411,12 +409,12 @@
 
 	fleet_init(&f, c, true);
 	m->next_map = c->map;
-	m->next_map.write_id = 0;
 	if (c->map.version == 0)
 		tlb_shard_create(&m->next_map, &c->self);
 	else
 		changed = tlb_shard_replace_ended(&m->next_map, &f.view);
 	fleet_finish(&f);
+	tlb_shard_map_begin_write(&m->next_map);
 	fill_row(c, &row);
 	row.witness_count = tlb_cluster_select_witnesses(c, true, row.witness);
 	if (row.witness_count == 0)
@@ -523,7 +521,7 @@
 
 	fleet_init(&f, c, !m->leaving);
 	m->next_map = c->map;
-	m->next_map.write_id = 0;
+	tlb_shard_map_begin_write(&m->next_map);
 	changed = f.view.live_count ? tlb_shard_replace_ended(&m->next_map, &f.view) : 0;
 	fleet_finish(&f);
 	rows = add_fenced_rows(m, txn);
@@ -1022,7 +1020,7 @@
 	fleet_finish(&f);
 	if (!changed)
 		return false;
-	randombytes_buf(&m->next_map.write_id, sizeof(m->next_map.write_id));
+	tlb_shard_map_begin_write(&m->next_map);
 	open_write(m, TLB_WRITE_REBALANCE, TLB_PHASE_RELEASE);
 	request_releases(m);
 	return true;
@@ -1038,7 +1036,7 @@
 	if (f.view.live_count > 0)
 		tlb_shard_drain(&m->next_map, &f.view, &c->self);
 	fleet_finish(&f);
-	randombytes_buf(&m->next_map.write_id, sizeof(m->next_map.write_id));
+	tlb_shard_map_begin_write(&m->next_map);
 	open_write(m, TLB_WRITE_LEAVE, TLB_PHASE_RELEASE);
 	request_releases(m);
 }
--- a/src/shard.c
+++ b/src/shard.c
@@ -52,6 +52,41 @@
 	return parse_hex(json_array_get(pair, 1), &name->incarnation);
 }
 
+void tlb_shard_map_begin_write(struct tlb_shard_map *m)
+{
+	memmove(&m->former_write_id[1], &m->former_write_id[0],
+		sizeof(m->former_write_id) - sizeof(m->former_write_id[0]));
+	m->former_write_id[0] = m->write_id;
+	do
+		randombytes_buf(&m->write_id, sizeof(m->write_id));
+	while (!m->write_id);
+}
+
+bool tlb_shard_map_includes(const struct tlb_shard_map *m, uint64_t write_id)
+{
+	int i;
+
+	if (!write_id || write_id == m->write_id)
+		return write_id != 0;
+	for (i = 0; i < TLB_SHARD_WRITES_KEPT; i++)
+		if (m->former_write_id[i] == write_id)
+			return true;
+	return false;
+}
+
+/* Absent in the map of an older daemon. */
+static bool parse_former_tickets(struct tlb_shard_map *m, const json_t *list)
+{
+	size_t i;
+
+	if (json_array_size(list) > TLB_SHARD_WRITES_KEPT)
+		return false;
+	for (i = 0; i < json_array_size(list); i++)
+		if (!parse_hex(json_array_get(list, i), &m->former_write_id[i]))
+			return false;
+	return true;
+}
+
 bool tlb_shard_map_parse(struct tlb_shard_map *m, int64_t version, const json_t *value)
 {
 	const json_t *vms = json_object_get(value, "vms");
@@ -65,7 +100,8 @@
 	if (json_array_size(owner) != TLB_SHARD_COUNT ||
 	    json_array_size(standby) != TLB_SHARD_COUNT)
 		return false;
-	if (!parse_hex(json_object_get(value, "ticket"), &read.write_id))
+	if (!parse_hex(json_object_get(value, "ticket"), &read.write_id) ||
+	    !parse_former_tickets(&read, json_object_get(value, "former_tickets")))
 		return false;
 	for (i = 0; i < TLB_SHARD_COUNT; i++) {
 		if (!parse_name(&read.entry[i].owner, vms, json_array_get(owner, i)))
@@ -110,6 +146,7 @@
 	json_t *vms = json_array();
 	json_t *owner = json_array();
 	json_t *standby = json_array();
+	json_t *former = json_array();
 	json_t *value = json_object();
 	json_t *pair;
 	int i;
@@ -125,7 +162,10 @@
 		json_array_append_new(pair, hex_json(names.name[i].incarnation));
 		json_array_append_new(vms, pair);
 	}
+	for (i = 0; i < TLB_SHARD_WRITES_KEPT && m->former_write_id[i]; i++)
+		json_array_append_new(former, hex_json(m->former_write_id[i]));
 	json_object_set_new(value, "ticket", hex_json(m->write_id));
+	json_object_set_new(value, "former_tickets", former);
 	json_object_set_new(value, "vms", vms);
 	json_object_set_new(value, "owner", owner);
 	json_object_set_new(value, "standby", standby);
--- a/src/shard.h
+++ b/src/shard.h
@@ -19,7 +19,7 @@
 
 #include "session.h"
 
-enum { TLB_SHARD_COUNT = 64 };
+enum { TLB_SHARD_COUNT = 64, TLB_SHARD_WRITES_KEPT = 16 };
 
 /* A set of shard numbers: bit n is shard n. */
 typedef uint64_t tlb_shard_set;
@@ -39,14 +39,21 @@
 };
 
 /* Plain data, copied by assignment. As JSON:
- * {"ticket":"<hex>","vms":[["<id>","<hex incarnation>"],...],
+ * {"ticket":"<hex>","former_tickets":["<hex>",...],"vms":[["<id>","<hex incarnation>"],...],
  * "owner":[<index of vms>,...],"standby":[<index or -1>,...]} */
 struct tlb_shard_map {
 	int64_t version;   /* of the row; 0 before the first write */
 	uint64_t write_id; /* random number that identifies the write */
+	/* Of the writes before, the latest first; 0: none. */
+	uint64_t former_write_id[TLB_SHARD_WRITES_KEPT];
 	struct tlb_shard_entry entry[TLB_SHARD_COUNT];
 };
 
+/* Makes m, a copy of the map in force, the one that the next write replaces it by. */
+void tlb_shard_map_begin_write(struct tlb_shard_map *m);
+/* Whether m is the map of this write or follows it by at most TLB_SHARD_WRITES_KEPT writes. */
+bool tlb_shard_map_includes(const struct tlb_shard_map *m, uint64_t write_id);
+
 /* Returns false and leaves *m unchanged when value is malformed. */
 bool tlb_shard_map_parse(struct tlb_shard_map *m, int64_t version, const json_t *value);
 /* The caller owns the returned value. */
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -545,6 +545,37 @@
 }
 END_TEST
 
+static bool vm1_has_a_later_map(void)
+{
+	return nodes[1].cluster.map.version > nodes[0].cluster.map.version;
+}
+
+/* Guards against state that is lost because the new owner misses the map that moves the shards and
+ * receives one that another VM has written since. */
+START_TEST(hand_over_outlasts_a_missed_map)
+{
+	start_fleet(NODES);
+	lose_at_vm4(TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE);
+	vm4_gains = leave_to_vm4();
+	run_until(vm1_has_a_later_map, 3 * TLB_SECOND);
+	lost_at_vm4[TOUCAN__ENVELOPE__BODY_SHARDS_NOTICE] = false;
+	run_until(vm4_has_imported, 2 * TLB_SECOND);
+	run_until(fleet_steady, 30 * TLB_SECOND);
+}
+END_TEST
+
+/* Guards against state that is lost because the leaving VM does not receive the response to its
+ * write and writes once more. */
+START_TEST(hand_over_outlasts_a_lost_response)
+{
+	start_fleet(NODES);
+	set_fault("{\"kind\":\"drop_answer\",\"path\":\"/txn\",\"count\":1}");
+	vm4_gains = leave_to_vm4();
+	run_until(vm4_has_imported, 2 * TLB_SECOND);
+	run_until(fleet_steady, 30 * TLB_SECOND);
+}
+END_TEST
+
 /* Guards against state that is added to that of a standby which took the shards over and has
  * granted from them since. */
 START_TEST(hand_over_after_a_takeover_is_dropped)
@@ -738,6 +769,8 @@
 	tcase_add_test(tc, restarted_vm_replaces_its_former_incarnation);
 	tcase_add_test(tc, leaving_vm_hands_its_shards_over);
 	tcase_add_test(tc, shards_of_a_left_vm_wait_for_its_map);
+	tcase_add_test(tc, hand_over_outlasts_a_missed_map);
+	tcase_add_test(tc, hand_over_outlasts_a_lost_response);
 	tcase_add_test(tc, hand_over_after_a_takeover_is_dropped);
 	tcase_add_test(tc, left_row_from_the_store_brings_its_map);
 	tcase_add_test(tc, paused_vm_rejoins);
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -235,6 +235,7 @@
 	grow(&m, &f, FLEET_MAX);
 	m.version = 9;
 	m.write_id = UINT64_C(0xfedcba9876543210);
+	tlb_shard_map_begin_write(&m);
 	memset(&m.entry[3].standby, 0, sizeof(m.entry[3].standby));
 	value = tlb_shard_map_json(&m);
 	ck_assert(tlb_shard_map_parse(&read, 9, value));
@@ -242,6 +243,12 @@
 	json_array_set_new(json_object_get(value, "owner"), 0, json_integer(99));
 	ck_assert(!tlb_shard_map_parse(&read, 9, value));
 	json_decref(value);
+	value = tlb_shard_map_json(&m);
+	json_array_set_new(json_object_get(value, "former_tickets"), 0, json_integer(7));
+	ck_assert(!tlb_shard_map_parse(&read, 9, value));
+	json_object_del(value, "former_tickets");
+	ck_assert(tlb_shard_map_parse(&read, 9, value));
+	json_decref(value);
 	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
 		value = json_loads(malformed[i], 0, NULL);
 		ck_assert(!tlb_shard_map_parse(&read, 9, value));
@@ -250,6 +257,30 @@
 }
 END_TEST
 
+/* Guards against a map that no longer shows an earlier write that it follows, or that shows one
+ * that was never made. */
+START_TEST(map_includes_former_writes)
+{
+	struct tlb_shard_map m = {0};
+	uint64_t first;
+	int i;
+
+	ck_assert(!tlb_shard_map_includes(&m, 0));
+	tlb_shard_map_begin_write(&m);
+	first = m.write_id;
+	for (i = 0; i < TLB_SHARD_WRITES_KEPT; i++) {
+		tlb_shard_map_begin_write(&m);
+		ck_assert_uint_ne(m.write_id, first);
+		ck_assert(tlb_shard_map_includes(&m, first));
+		ck_assert(tlb_shard_map_includes(&m, m.write_id));
+		ck_assert(!tlb_shard_map_includes(&m, m.write_id + 1));
+		ck_assert(!tlb_shard_map_includes(&m, 0));
+	}
+	tlb_shard_map_begin_write(&m);
+	ck_assert(!tlb_shard_map_includes(&m, first));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("shard");
@@ -266,6 +297,7 @@
 	tcase_add_test(tc, required_releases);
 	tcase_add_test(tc, leaving_vm_moves_shards_to_standbys);
 	tcase_add_test(tc, json_round_trip);
+	tcase_add_test(tc, map_includes_former_writes);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
