Count a crash after the first events; a prefill is no answer

Cause: a successful prefill went through the same function as a complete answer, and for a stream that had begun it counted as one, which cleared the evidence. And events were counted over all attempts, so that the third crash of a request was no evidence.

Change: only the end of a stream is recorded as an answer. An attempt is at its beginning up to its own second event, unless an earlier attempt got further.

--- a/src/forward.h
+++ b/src/forward.h
@@ -64,6 +64,7 @@
 	tlb_time event_deadline;	      /* the endpoint counts as silent from then on */
 	int events;			      /* new events received, from all attempts */
 	int events_before_attempt;
+	bool begun_soundly;    /* some attempt got beyond the beginning of the answer */
 	bool streaming;	       /* the response to the caller has begun */
 	bool resumed_in_place; /* was resumed at the endpoint that interrupted it */
 };
--- a/src/generation.c
+++ b/src/generation.c
@@ -65,9 +65,10 @@
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
 static bool refuse_quarantined(struct tlb_forward *f);
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
-			    const struct tlb_http_result *r, bool early_end,
-			    enum tlb_attempt_result end);
+static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
+			   const struct tlb_http_result *r, bool early_end);
+static void record_answer(struct tlb_forward *f);
+static bool is_at_beginning(const struct tlb_forward *f);
 static void record_abandoned(struct tlb_forward *f);
 static void on_event_timeout(void *arg);
 
@@ -296,6 +297,7 @@
 	/* Bytes without a new event, such as comments, are no progress. */
 	if (store_last_event_id(f, b->data, n))
 		set_event_timeout(f, NEXT_EVENT_TIMEOUT);
+	f->gen.begun_soundly |= !is_at_beginning(f);
 	if (!tlb_exchange_stream_write(f->exchange, b->data, n))
 		return false;
 	memmove(b->data, b->data + n, b->len - n);
@@ -347,7 +349,10 @@
 	early_end = end == TLB_ATTEMPT_ANSWERED && ended_early(f, r);
 	if (early_end)
 		end = TLB_ATTEMPT_UNKNOWN;
-	record_evidence(f, i, r, early_end, end);
+	if (end != TLB_ATTEMPT_ANSWERED)
+		record_failure(f, i, r, early_end);
+	else if (f->gen.streaming)
+		record_answer(f);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
@@ -410,35 +415,44 @@
 		tlb_quarantine_sync_notify(&b->quarantine_sync);
 }
 
-/* Takes the end of an attempt as evidence for or against the parts of the prompt. */
-static void record_evidence(struct tlb_forward *f, const struct tlb_instance *i,
-			    const struct tlb_http_result *r, bool early_end,
-			    enum tlb_attempt_result end)
+/* Whether the answer has not got beyond its beginning at any endpoint. */
+static bool is_at_beginning(const struct tlb_forward *f)
+{
+	return !f->gen.begun_soundly &&
+	       f->gen.events - f->gen.events_before_attempt <= TLB_QUARANTINE_EARLY_EVENTS_MAX;
+}
+
+/* Takes the failure of an attempt as evidence against the parts of the prompt, if its endpoint
+ * broke it off at the beginning. */
+static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
+			   const struct tlb_http_result *r, bool early_end)
 {
 	struct tlb_edge_board *b = f->board;
 	struct tlb_prompt prompt = prompt_of(f);
-	tlb_time now = tlb_clock_now();
-	bool changed = false;
-
-	if (end == TLB_ATTEMPT_ANSWERED && f->gen.streaming)
-		changed = tlb_quarantine_add_answer(&b->quarantine, &prompt, now);
-	else if (end == TLB_ATTEMPT_UNKNOWN && (r->broken_off || early_end) &&
-		 f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
-		changed =
-			tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), now);
-	if (changed)
+
+	if (r->sent && (r->broken_off || early_end) && is_at_beginning(f) &&
+	    tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), tlb_clock_now()))
 		tlb_quarantine_sync_notify(&b->quarantine_sync);
 	if (r->broken_off || r->refused || early_end)
 		tlb_generation_on_crash(b, i);
 }
 
+/* Takes a complete answer as evidence for the parts of the prompt. */
+static void record_answer(struct tlb_forward *f)
+{
+	struct tlb_edge_board *b = f->board;
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (tlb_quarantine_add_answer(&b->quarantine, &prompt, tlb_clock_now()))
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+}
+
 /* Remembers an attempt that is cancelled as the endpoint begins to answer. */
 static void record_abandoned(struct tlb_forward *f)
 {
 	struct tlb_prompt prompt = prompt_of(f);
 
-	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 &&
-	    f->gen.events <= TLB_QUARANTINE_EARLY_EVENTS_MAX)
+	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 && is_at_beginning(f))
 		tlb_quarantine_add_abandoned(&f->board->quarantine, &prompt,
 					     incarnation_hash(f->instance), tlb_clock_now());
 }
@@ -580,7 +594,7 @@
 	end = tlb_forward_record_result(f, r);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
-	record_evidence(f, i, r, false, end);
+	record_failure(f, i, r, false);
 	end_prefill(f, i, ok);
 	if (ok) {
 		store_kv_handle(f, i, handle);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1151,13 +1151,19 @@
     return dict(GEN, **{"X-Prompt-Prefix": ",".join(parts)})
 
 
-def crash_on_parts(w, part):
-    """Makes decode endpoints crash on a prompt that has a part, not its last, whose id matches."""
+def crash_on_parts(w, part, events=0):
+    """Makes decode endpoints crash on a prompt that has a part, not its last, whose id matches, after
+    that many events."""
     def plan(h, e, new_id):
         ids = [p.split(":")[0] for p in h.headers.get("X-Prompt-Prefix", "").split(",")]
         if not any(re.fullmatch(part, i) for i in ids[:-1]):
             return False
         h.begin_stream()
+        after = int(h.headers.get("Last-Event-Id") or 0)
+        for i in range(after + 1, after + 1 + events):
+            h.event(i)
+        if events:
+            time.sleep(0.05)  # a crash at once would discard events that the router has not read
         e.crash(w.store, new_id=new_id)
         h.cut()
         return True
@@ -1286,6 +1292,20 @@
         sound.check(known)
 
 
+def check_part_that_crashes_endpoints_after_the_first_event_is_quarantined():
+    """The same when the caller has the first event before the crash: the prefill for the resumed
+    stream is no complete answer."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        crash_on_parts(w, "d1", events=1)
+        requests = send_deadly(w.vms)
+        with SoundCallers(w.vms) as sound:
+            crash_until_known(w, requests)
+            known = time.monotonic()
+            expect_refused(w, requests)
+        sound.check(known)
+
+
 def check_quarantine_survives_a_restart_while_the_store_is_away():
     """A restarted VM must refuse a quarantined part although the store refuses all writes and the
     reads that a start does not need, whether it does so since before or after the crashes."""
