Keep a cleared verdict cleared when an old message arrives late

What callers would have seen: after a part had been answered, a VM that was frozen, or behind a slow link, dated the crashes of an old message at its arrival, later than the answer; three came back at once, and a sound part was refused for 30 s.

Cause: a message gives the age of a crash when it was sent; the time under way is not in it. Crashes up to the answer were dropped and forgotten.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -107,9 +107,15 @@
 
 static bool set_sound_at(struct tlb_suspect_part *s, tlb_time at)
 {
+	int i;
+
 	if (at <= s->sound_at)
 		return false;
 	s->sound_at = at;
+	for (i = 0; i < s->crash_count && s->crashes[i].at <= at; i++) {
+		s->cleared[s->next_cleared] = s->crashes[i].endpoint;
+		s->next_cleared = (s->next_cleared + 1) % TLB_QUARANTINE_CRASHES_KEPT;
+	}
 	return drop_crashes(s, at);
 }
 
@@ -132,7 +138,8 @@
 {
 	int i;
 
-	if (c.at <= s->sound_at || is_counted(s, c))
+	if (c.at <= s->sound_at || is_counted(s, c) ||
+	    contains(s->cleared, TLB_QUARANTINE_CRASHES_KEPT, c.endpoint))
 		return false;
 	if (s->crash_count == TLB_QUARANTINE_CRASHES_KEPT) {
 		if (c.at <= s->crashes[0].at)
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -79,6 +79,10 @@
 	/* Those that count, oldest first. */
 	struct tlb_part_crash crashes[TLB_QUARANTINE_CRASHES_KEPT];
 	int crash_count;
+	/* Endpoints whose crashes an answer has cleared. A message that was long under way dates
+	 * them later than the answer. */
+	uint64_t cleared[TLB_QUARANTINE_CRASHES_KEPT];
+	int next_cleared;
 	tlb_time sound_at; /* latest complete answer since it was suspected; 0: none */
 	bool quarantined;  /* as of the last evaluation */
 	bool logged;	   /* as quarantined */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -210,6 +210,30 @@
 }
 END_TEST
 
+START_TEST(a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended)
+{
+	struct tlb_suspect_part late;
+	struct tlb_quarantine q[2];
+	int i;
+
+	tlb_quarantine_init(&q[0]);
+	tlb_quarantine_init(&q[1]);
+	crash(&q[0], "e1", "x", "a", 0);
+	crash(&q[0], "e2", "x", "a", 200);
+	crash(&q[0], "e3", "x", "a", 400);
+	late = *APR_RING_FIRST(&q[0].parts);
+	answer(&q[0], "x", "a", 1000);
+	/* Three seconds under way, for example to a VM that was frozen. */
+	for (i = 0; i < late.crash_count; i++)
+		late.crashes[i].at += 3 * TLB_SECOND;
+	tlb_quarantine_merge(&q[1], &late, start + 3500 * TLB_MS);
+	merge_all(&q[0], &q[1], 3600);
+	ck_assert(!rejects(&q[0], "x", "a"));
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(memory_is_bounded_and_verdicts_are_kept)
 {
 	struct tlb_quarantine q;
@@ -242,6 +266,7 @@
 	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
+	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
