Send verdicts first, and all of them, to a VM that lacks them

What callers would have seen: a VM that was restarted while many parts had been suspected and cleared did not learn a newer verdict; requests with the part went on crashing engines through it.

Cause: a transfer had the first 64 entries by age, cleared ones included, which are kept for 20 minutes; the same 64 went out each second.

Change: quarantined entries go first, then those that an answer cleared, in as many messages as they need.

--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -183,22 +183,33 @@
 		tlb_timer_set(s->board->loop, &s->flush_timer, at);
 }
 
-/* Sends the verdicts, and the answers that ended verdicts, to one VM. */
-static void send_verdicts(struct tlb_quarantine_sync *s, struct tlb_vm *vm, tlb_time now)
+/* Sends the entries that are quarantined, or the others that an answer has cleared, to one VM. */
+static void send_entries(struct tlb_quarantine_sync *s, struct tlb_vm *vm, bool quarantined,
+			 tlb_time now)
 {
 	static struct message m;
 	struct tlb_suspect_part *p;
 
 	begin_message(&m);
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
-		if ((p->quarantined || p->sound_at > 0) &&
-		    m.body.n_parts < TLB_QUARANTINE_PARTS_SENT_MAX)
-			add_to_message(&m, p, now);
+		if (p->quarantined != quarantined || (!quarantined && p->sound_at == 0))
+			continue;
+		if (m.body.n_parts == TLB_QUARANTINE_PARTS_SENT_MAX) {
+			send_message(s, &m, vm->id);
+			begin_message(&m);
+		}
+		add_to_message(&m, p, now);
 	}
-	if (m.body.n_parts == 0)
-		return;
+	if (m.body.n_parts > 0)
+		send_message(s, &m, vm->id);
+}
+
+/* Sends the verdicts, and the answers that ended verdicts, to one VM. */
+static void send_verdicts(struct tlb_quarantine_sync *s, struct tlb_vm *vm, tlb_time now)
+{
 	vm->verdicts_sent_at = now;
-	send_message(s, &m, vm->id);
+	send_entries(s, vm, true, now);
+	send_entries(s, vm, false, now);
 }
 
 static void copy_list(uint64_t *out, int *out_count, const uint64_t *in, size_t count, int most)
--- a/tests/test_quarantine_sync.c
+++ b/tests/test_quarantine_sync.c
@@ -217,6 +217,37 @@
 }
 END_TEST
 
+START_TEST(vm_that_restarts_learns_the_verdict_beside_many_sound_parts)
+{
+	struct tlb_quarantine *q;
+	uint64_t part;
+	struct tlb_prompt p = {&part, 1, ACCOUNT};
+	int i;
+
+	setup(3);
+	q = &nodes[0].board.quarantine;
+	for (i = 0; i < 100; i++) {
+		part = 1000 + (uint64_t)i;
+		tlb_quarantine_add_crash(q, &p, 500, tlb_clock_now());
+	}
+	tlb_quarantine_sync_notify(&nodes[0].board.quarantine_sync);
+	run_for(LINK_TIME);
+	for (i = 0; i < 100; i++) {
+		part = 1000 + (uint64_t)i;
+		tlb_quarantine_add_answer(q, &p, tlb_clock_now());
+	}
+	tlb_quarantine_sync_notify(&nodes[0].board.quarantine_sync);
+	run_for(LINK_TIME);
+	crash_three();
+	expect_rejecting(&deadly_prompt, vms);
+	stop_node(2);
+	start_node(2);
+	introduce(2);
+	expect_rejecting(&deadly_prompt, vms);
+	teardown();
+}
+END_TEST
+
 START_TEST(one_crash_does_not_concern_a_large_fleet)
 {
 	int knowing = 0;
@@ -246,6 +277,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, crashes_seen_by_different_vms_lead_to_a_verdict_of_all, 0, 3);
 	tcase_add_loop_test(t, vm_that_restarts_learns_the_verdict, 0, 3);
+	tcase_add_test(t, vm_that_restarts_learns_the_verdict_beside_many_sound_parts);
 	tcase_add_test(t, one_crash_does_not_concern_a_large_fleet);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
