Tell each crash of an endpoint once, and match it later too

Over links that are slower than that two VMs told each other the same crash for ever (20 of 20 hops in notices_do_not_circulate_over_a_slow_link), and an endpoint that stayed down was announced every 2 s.

Change: a crash is passed on once in 60 s for each incarnation; every notice is matched with the attempts that were abandoned just before.

With the collectors alone a VM whose caller has left would not learn of the crash.

--- a/src/generation.c
+++ b/src/generation.c
@@ -411,8 +411,8 @@
 
 void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i)
 {
-	if (tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now()))
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
+	tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now());
+	tlb_quarantine_sync_notify(&b->quarantine_sync);
 }
 
 /* Whether the answer has not got beyond its beginning at any endpoint. */
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -337,13 +337,13 @@
 {
 	struct tlb_crash_notice *n;
 
+	add_abandoned_crashes(q, endpoint, now);
 	for (n = q->notices; n < q->notices + TLB_QUARANTINE_NOTICES_MAX; n++)
 		if (n->endpoint == endpoint && now < n->deadline)
 			return false;
 	n = &q->notices[q->next_notice];
 	q->next_notice = (q->next_notice + 1) % TLB_QUARANTINE_NOTICES_MAX;
 	*n = (struct tlb_crash_notice){endpoint, now + TLB_QUARANTINE_NOTICE_TIME, true};
-	add_abandoned_crashes(q, endpoint, now);
 	return true;
 }
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -40,10 +40,12 @@
  * rack that loses power, and a request that is retried takes longer. */
 #define TLB_QUARANTINE_CRASH_SPACING (100 * TLB_MS)
 
-/* An endpoint that crashes this long after an attempt was abandoned may have crashed because of it.
- */
+/* An endpoint that crashes within this time after an attempt was abandoned may have crashed because
+ * of it. */
 #define TLB_QUARANTINE_ABANDONED_TIME (2 * TLB_SECOND)
-#define TLB_QUARANTINE_NOTICE_TIME (2 * TLB_SECOND)
+/* Time for which the crash of an incarnation is told to other VMs only once; longer than any
+ * message is under way, so that notices do not circulate. */
+#define TLB_QUARANTINE_NOTICE_TIME (60 * TLB_SECOND)
 
 enum {
 	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
@@ -104,7 +106,7 @@
 /* A crash that VMs tell each other, whatever the prompts. */
 struct tlb_crash_notice {
 	uint64_t endpoint;
-	tlb_time deadline; /* until then further notices say nothing new */
+	tlb_time deadline; /* until then further notices are not passed on */
 	bool changed;	   /* not yet sent to other VMs */
 };
 
@@ -131,7 +133,7 @@
 				  uint64_t endpoint, tlb_time now);
 /* An endpoint has broken off answers or refused a connection, seen by this VM or another one;
  * counts against the prompts of attempts that this VM abandoned there just before. Returns whether
- * this was new. */
+ * other VMs are to be told. */
 bool tlb_quarantine_note_crash(struct tlb_quarantine *q, uint64_t endpoint, tlb_time now);
 /* Records a complete answer to the prompt. Returns whether it cleared a suspicion. */
 bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now);
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -253,8 +253,9 @@
 	for (i = 0; i < msg->n_parts; i++)
 		merge_received(s, msg->parts[i], now);
 	for (i = 0; i < msg->n_crashed; i++)
-		if (tlb_quarantine_note_crash(s->quarantine, msg->crashed[i], now))
-			tlb_quarantine_sync_notify(s);
+		tlb_quarantine_note_crash(s->quarantine, msg->crashed[i], now);
+	if (msg->n_crashed > 0)
+		tlb_quarantine_sync_notify(s);
 }
 
 void tlb_quarantine_sync_fill_state(const struct tlb_quarantine_sync *s, Toucan__VmState *state)
--- a/src/quarantine_sync.h
+++ b/src/quarantine_sync.h
@@ -5,8 +5,11 @@
  * New evidence is sent within TLB_QUARANTINE_FLUSH_DELAY. In a small fleet it goes to all VMs. In a
  * larger one, where crashes of endpoints are frequent and mostly unrelated, evidence of a single
  * crash goes only to a few collectors chosen by a hash, and is passed on to all VMs once a second
- * crash confirms it. Reports carry a hash of the sender's verdicts; a linked VM with other verdicts
- * sends its own, so that VMs that were restarted, cut off or partitioned learn what they missed.
+ * crash confirms it. That an endpoint has broken off answers, whatever the prompts, is told to all
+ * VMs once for each incarnation, for those whose callers had left.
+ *
+ * Reports carry a hash of the sender's verdicts; a linked VM with other verdicts sends its own, so
+ * that VMs that were restarted, cut off or partitioned learn what they missed.
  *
  * One VM writes verdicts to the store; others do so if it has not after some time.
  */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -234,6 +234,25 @@
 }
 END_TEST
 
+/* A long message delay must not make a notice new for ever. */
+START_TEST(notices_do_not_circulate_over_a_slow_link)
+{
+	struct tlb_quarantine q[2];
+	tlb_time at = start;
+	int hops = 0;
+
+	tlb_quarantine_init(&q[0]);
+	tlb_quarantine_init(&q[1]);
+	while (hops < 20 && tlb_quarantine_note_crash(&q[hops % 2], 1, at)) {
+		at += 2200 * TLB_MS;
+		hops++;
+	}
+	ck_assert_int_lt(hops, 20);
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(memory_is_bounded_and_verdicts_are_kept)
 {
 	struct tlb_quarantine q;
@@ -267,6 +286,7 @@
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
+	tcase_add_test(t, notices_do_not_circulate_over_a_slow_link);
 	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
