Tell accounts of a crash apart, so that bystanders do not widen a verdict

What callers would have seen: an account whose prompts crash engines, with a part that others use too, had the requests of all accounts with this part refused once a prompt of another account had just begun at one of the crashed engines.

Cause: the accounts of an entry were collected from every prompt that broke off, also from those beside the one that crashed the engine.

Change: each crash has the account of its prompts with the part, or the mark that they were of several accounts. A verdict holds for all accounts if crashes with a single account came from two of them.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -98,10 +98,8 @@
 		n++;
 	s->crash_count -= n;
 	memmove(s->crashes, s->crashes + n, (size_t)s->crash_count * sizeof(s->crashes[0]));
-	if (s->crash_count == 0) {
+	if (s->crash_count == 0)
 		s->common_count = 0;
-		s->account_count = 0;
-	}
 	return n > 0;
 }
 
@@ -119,6 +117,21 @@
 	return drop_crashes(s, at);
 }
 
+/* Notes that the prompts which a known crash broke off were of several accounts. */
+static bool mix_accounts(struct tlb_suspect_part *s, struct tlb_part_crash c)
+{
+	int i;
+
+	for (i = 0; i < s->crash_count; i++) {
+		if (s->crashes[i].endpoint != c.endpoint || s->crashes[i].account == c.account ||
+		    s->crashes[i].account == TLB_QUARANTINE_MIXED_ACCOUNTS)
+			continue;
+		s->crashes[i].account = TLB_QUARANTINE_MIXED_ACCOUNTS;
+		return true;
+	}
+	return false;
+}
+
 /* Whether the crash can't be counted beside one of the list: it is the same one, or closer than
  * TLB_QUARANTINE_CRASH_SPACING. */
 static bool is_counted(const struct tlb_suspect_part *s, struct tlb_part_crash c)
@@ -138,6 +151,8 @@
 {
 	int i;
 
+	if (mix_accounts(s, c))
+		return true;
 	if (c.at <= s->sound_at || is_counted(s, c) ||
 	    contains(s->cleared, TLB_QUARANTINE_CRASHES_KEPT, c.endpoint))
 		return false;
@@ -199,15 +214,6 @@
 	return true;
 }
 
-static bool add_account(struct tlb_suspect_part *s, uint64_t account)
-{
-	if (s->account_count == TLB_QUARANTINE_ACCOUNTS ||
-	    contains(s->accounts, s->account_count, account))
-		return false;
-	s->accounts[s->account_count++] = account;
-	return true;
-}
-
 /* Sets the common parts for the first crash, and narrows them for later ones. */
 static bool add_common(struct tlb_suspect_part *s, const uint64_t *parts, int count)
 {
@@ -297,9 +303,8 @@
 		s = add_part(q, p->parts[i]);
 		if (!s)
 			continue;
-		s->changed |= insert_crash(s, (struct tlb_part_crash){endpoint, now});
+		s->changed |= insert_crash(s, (struct tlb_part_crash){endpoint, now, p->account});
 		s->changed |= add_common(s, p->parts, p->count);
-		s->changed |= add_account(s, p->account);
 		changed |= s->changed;
 	}
 	evaluate(q, now);
@@ -381,7 +386,6 @@
 {
 	struct tlb_suspect_part *s = find_part(q, from->part);
 	bool changed = false;
-	int i;
 
 	if (!s && from->crash_count == 0)
 		return false;
@@ -392,8 +396,6 @@
 	changed |= merge_crashes(s, from, now - TLB_QUARANTINE_MEMORY);
 	if (s->crash_count > 0 && from->common_count > 0)
 		changed |= add_common(s, from->common, from->common_count);
-	for (i = 0; s->crash_count > 0 && i < from->account_count; i++)
-		changed |= add_account(s, from->accounts[i]);
 	s->changed |= changed;
 	if (changed)
 		evaluate(q, now);
@@ -413,6 +415,29 @@
 	evaluate(q, now);
 }
 
+int tlb_quarantine_accounts(const struct tlb_suspect_part *s, uint64_t *first)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < s->crash_count && n < 2; i++) {
+		if (s->crashes[i].account == TLB_QUARANTINE_MIXED_ACCOUNTS ||
+		    (n == 1 && s->crashes[i].account == *first))
+			continue;
+		if (n == 0)
+			*first = s->crashes[i].account;
+		n++;
+	}
+	return n;
+}
+
+bool tlb_quarantine_concerns(const struct tlb_suspect_part *s, uint64_t account)
+{
+	uint64_t only = 0;
+
+	return tlb_quarantine_accounts(s, &only) != 1 || only == account;
+}
+
 const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
 						   const struct tlb_prompt *p)
 {
@@ -422,8 +447,7 @@
 	if (q->quarantined == 0)
 		return NULL;
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-		if (!s->quarantined || (s->account_count < TLB_QUARANTINE_ACCOUNTS &&
-					!contains(s->accounts, s->account_count, p->account)))
+		if (!s->quarantined || !tlb_quarantine_concerns(s, p->account))
 			continue;
 		for (i = 0; i < s->common_count; i++)
 			if (!contains(p->parts, p->count, s->common[i]))
@@ -446,6 +470,7 @@
 {
 	const struct tlb_suspect_part *s;
 	uint64_t digest = 0;
+	uint64_t account;
 	int i;
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
@@ -455,8 +480,8 @@
 		for (i = 0; i < s->common_count; i++)
 			digest ^= mix(s->part ^ mix(s->common[i]));
 		/* With several accounts VMs may know different ones. */
-		if (s->account_count == 1)
-			digest ^= mix(s->part ^ mix(~s->accounts[0]));
+		if (tlb_quarantine_accounts(s, &account) == 1)
+			digest ^= mix(s->part ^ mix(~account));
 	}
 	return digest;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -50,7 +50,6 @@
 enum {
 	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
 	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
-	TLB_QUARANTINE_ACCOUNTS = 2,	 /* with more accounts than one the verdict is for all */
 	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
 	TLB_QUARANTINE_ABANDONED_MAX = 64,
 	TLB_QUARANTINE_NOTICES_MAX = 1024,   /* all endpoints can break off at the same time */
@@ -64,9 +63,13 @@
 	uint64_t account; /* hash of the name; 0: no account */
 };
 
+/* Stands for the account of a crash that broke off prompts of several accounts. */
+#define TLB_QUARANTINE_MIXED_ACCOUNTS UINT64_MAX
+
 struct tlb_part_crash {
 	uint64_t endpoint; /* hash of the incarnation */
 	tlb_time at;
+	uint64_t account; /* of the prompts with the part; or TLB_QUARANTINE_MIXED_ACCOUNTS */
 };
 
 /* The evidence against one part. Owned by struct tlb_quarantine; a value type otherwise. */
@@ -76,8 +79,6 @@
 	uint64_t common[TLB_SHARED_PARTS_MAX]; /* parts that all crashed prompts had, with this one
 						*/
 	int common_count;
-	uint64_t accounts[TLB_QUARANTINE_ACCOUNTS];
-	int account_count;
 	/* Those that count, oldest first. */
 	struct tlb_part_crash crashes[TLB_QUARANTINE_CRASHES_KEPT];
 	int crash_count;
@@ -147,6 +148,12 @@
 /* The quarantined part because of which the prompt is rejected, or NULL. */
 const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
 						   const struct tlb_prompt *p);
+/* Whether the crashes prove that the part is deadly for the prompts of this account: it is the only
+ * one that the crashes can have come from, or they came from several accounts. */
+bool tlb_quarantine_concerns(const struct tlb_suspect_part *s, uint64_t account);
+/* Accounts that crashes came from; crashes with TLB_QUARANTINE_MIXED_ACCOUNTS are not counted. At
+ * most 2. Sets *first to one of them unless there is none. */
+int tlb_quarantine_accounts(const struct tlb_suspect_part *s, uint64_t *first);
 /* When the verdict over a part ends unless another crash happens. */
 tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s);
 /* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -23,10 +23,13 @@
 
 static void log_verdict(const struct tlb_suspect_part *p)
 {
+	uint64_t account;
+
 	if (p->quarantined)
 		tlb_log_warn("event=part_quarantined part=%" PRIx64
 			     " crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
-			     p->part, p->crash_count, p->common_count, p->account_count,
+			     p->part, p->crash_count, p->common_count,
+			     tlb_quarantine_accounts(p, &account),
 			     (long long)((tlb_quarantine_ends_at(p) - tlb_clock_now()) / TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
@@ -88,13 +91,12 @@
 	out->part = p->part;
 	out->common = p->common;
 	out->n_common = (size_t)p->common_count;
-	out->accounts = p->accounts;
-	out->n_accounts = (size_t)p->account_count;
 	out->crashes = m->crashes[n];
 	out->n_crashes = (size_t)p->crash_count;
 	for (i = 0; i < p->crash_count; i++) {
 		toucan__part_crash__init(&m->crash[n][i]);
 		m->crash[n][i].endpoint = p->crashes[i].endpoint;
+		m->crash[n][i].account = p->crashes[i].account;
 		m->crash[n][i].age_us = (uint64_t)(now - p->crashes[i].at);
 		m->crashes[n][i] = &m->crash[n][i];
 	}
@@ -212,12 +214,6 @@
 	send_entries(s, vm, false, now);
 }
 
-static void copy_list(uint64_t *out, int *out_count, const uint64_t *in, size_t count, int most)
-{
-	*out_count = count < (size_t)most ? (int)count : most;
-	memcpy(out, in, (size_t)*out_count * sizeof(*in));
-}
-
 /* A time that long ago; times that can't be are taken for long ago. */
 static tlb_time time_of_age(tlb_time now, uint64_t age_us)
 {
@@ -233,12 +229,12 @@
 	/* A list that was cut short would widen the verdict. */
 	if (in->n_common > TLB_SHARED_PARTS_MAX)
 		return;
-	copy_list(p.common, &p.common_count, in->common, in->n_common, TLB_SHARED_PARTS_MAX);
-	copy_list(p.accounts, &p.account_count, in->accounts, in->n_accounts,
-		  TLB_QUARANTINE_ACCOUNTS);
+	p.common_count = (int)in->n_common;
+	memcpy(p.common, in->common, in->n_common * sizeof(p.common[0]));
 	for (i = 0; i < in->n_crashes && i < TLB_QUARANTINE_CRASHES_KEPT; i++)
 		p.crashes[p.crash_count++] = (struct tlb_part_crash){
-			in->crashes[i]->endpoint, time_of_age(now, in->crashes[i]->age_us)};
+			in->crashes[i]->endpoint, time_of_age(now, in->crashes[i]->age_us),
+			in->crashes[i]->account};
 	if (in->sound_age_us > 0)
 		p.sound_at = time_of_age(now, in->sound_age_us);
 	if (tlb_quarantine_merge(s->quarantine, &p, now))
@@ -299,10 +295,9 @@
 
 	for (i = 0; i < p->common_count; i++)
 		put_hex(json_object_get(j, "common"), p->common[i]);
-	for (i = 0; i < p->account_count; i++)
-		put_hex(json_object_get(j, "accounts"), p->accounts[i]);
 	for (i = 0; i < p->crash_count; i++) {
 		put_hex(json_object_get(j, "endpoints"), p->crashes[i].endpoint);
+		put_hex(json_object_get(j, "accounts"), p->crashes[i].account);
 		json_array_append_new(json_object_get(j, "at_us"),
 				      json_integer(p->crashes[i].at + s->store_clock_offset));
 	}
@@ -330,20 +325,22 @@
 	json_t *j = json_loadb(row->value, row->len, 0, NULL);
 	const json_t *times = json_object_get(j, "at_us");
 	uint64_t endpoints[TLB_QUARANTINE_CRASHES_KEPT];
+	uint64_t accounts[TLB_QUARANTINE_CRASHES_KEPT] = {0};
 	int i;
 
 	memset(p, 0, sizeof(*p));
 	p->part = strtoull(row->key, NULL, 16);
 	p->common_count =
 		get_hex_list(json_object_get(j, "common"), p->common, TLB_SHARED_PARTS_MAX);
-	p->account_count =
-		get_hex_list(json_object_get(j, "accounts"), p->accounts, TLB_QUARANTINE_ACCOUNTS);
+	get_hex_list(json_object_get(j, "accounts"), accounts, TLB_QUARANTINE_CRASHES_KEPT);
 	p->crash_count = get_hex_list(json_object_get(j, "endpoints"), endpoints,
 				      TLB_QUARANTINE_CRASHES_KEPT);
 	for (i = 0; i < p->crash_count; i++)
 		p->crashes[i] = (struct tlb_part_crash){
-			endpoints[i], json_integer_value(json_array_get(times, (size_t)i)) -
-					      s->store_clock_offset};
+			endpoints[i],
+			json_integer_value(json_array_get(times, (size_t)i)) -
+				s->store_clock_offset,
+			accounts[i]};
 	json_decref(j);
 	return p->crash_count > 0 && p->common_count > 0;
 }
@@ -403,9 +400,13 @@
 			const struct tlb_suspect_part *p)
 {
 	struct tlb_suspect_part stored;
+	uint64_t stored_account = 0;
+	uint64_t account = 0;
 
 	return read_row(s, row, &stored) && stored.common_count == p->common_count &&
-	       stored.account_count == p->account_count && stored.crash_count >= p->crash_count;
+	       stored.crash_count >= p->crash_count &&
+	       tlb_quarantine_accounts(&stored, &stored_account) ==
+		       tlb_quarantine_accounts(p, &account);
 }
 
 static bool has_row(const struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows,
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3275,7 +3275,7 @@
   (ProtobufCMessageInit) toucan__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__part_crash__field_descriptors[2] =
+static const ProtobufCFieldDescriptor toucan__part_crash__field_descriptors[3] =
 {
   {
     "endpoint",
@@ -3301,15 +3301,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "account",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartCrash, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__part_crash__field_indices_by_name[] = {
+  2,   /* field[2] = account */
   1,   /* field[1] = age_us */
   0,   /* field[0] = endpoint */
 };
 static const ProtobufCIntRange toucan__part_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__part_crash__descriptor =
 {
@@ -3319,14 +3332,14 @@
   "Toucan__PartCrash",
   "toucan",
   sizeof(Toucan__PartCrash),
-  2,
+  3,
   toucan__part_crash__field_descriptors,
   toucan__part_crash__field_indices_by_name,
   1,  toucan__part_crash__number_ranges,
   (ProtobufCMessageInit) toucan__part_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__suspect_part__field_descriptors[5] =
+static const ProtobufCFieldDescriptor toucan__suspect_part__field_descriptors[4] =
 {
   {
     "part",
@@ -3352,18 +3365,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "accounts",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Toucan__SuspectPart, n_accounts),
-    offsetof(Toucan__SuspectPart, accounts),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "crashes",
     4,
@@ -3390,16 +3391,16 @@
   },
 };
 static const unsigned toucan__suspect_part__field_indices_by_name[] = {
-  2,   /* field[2] = accounts */
   1,   /* field[1] = common */
-  3,   /* field[3] = crashes */
+  2,   /* field[2] = crashes */
   0,   /* field[0] = part */
-  4,   /* field[4] = sound_age_us */
+  3,   /* field[3] = sound_age_us */
 };
-static const ProtobufCIntRange toucan__suspect_part__number_ranges[1 + 1] =
+static const ProtobufCIntRange toucan__suspect_part__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 4, 2 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__suspect_part__descriptor =
 {
@@ -3409,10 +3410,10 @@
   "Toucan__SuspectPart",
   "toucan",
   sizeof(Toucan__SuspectPart),
-  5,
+  4,
   toucan__suspect_part__field_descriptors,
   toucan__suspect_part__field_indices_by_name,
-  1,  toucan__suspect_part__number_ranges,
+  2,  toucan__suspect_part__number_ranges,
   (ProtobufCMessageInit) toucan__suspect_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -309,10 +309,14 @@
    */
   uint64_t endpoint;
   uint64_t age_us;
+  /*
+   * hash of the prompts' client account; all ones: of several
+   */
+  uint64_t account;
 };
 #define TOUCAN__PART_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__part_crash__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -327,11 +331,6 @@
    */
   size_t n_common;
   uint64_t *common;
-  /*
-   * hashes of their client accounts, at most two
-   */
-  size_t n_accounts;
-  uint64_t *accounts;
   /*
    * those after the last complete answer
    */
@@ -344,7 +343,7 @@
 };
 #define TOUCAN__SUSPECT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__suspect_part__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
