Require crashes of two requests before a prompt part is quarantined

In two of the three cases one request had broken off at three endpoints in a row, tried again each time, while answers were being lost; the three crashes were its own.

Cause: crashes were told apart by endpoint and time, not by request.

Change: each crash has the id of the prompt's own part, which stays the same when a caller repeats its request; a verdict needs crashes of two requests. A deadly part has them, as no two of its requests are alike.

Ruled out: leaving out answers that were reset before their head; an engine that crashes early can look the same.

The third case (three unrelated real crashes within 5.6 s, one request refused) remains possible.

--- a/src/generation.c
+++ b/src/generation.c
@@ -374,6 +374,7 @@
 		.parts = f->inbound.shared_parts,
 		.count = f->inbound.shared_part_count,
 		.account = f->account ? tlb_vms_hash(f->account->name) : 0,
+		.own = f->inbound.own_part,
 	};
 }
 
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -226,16 +226,23 @@
 
 /* --- verdicts --- */
 
-/* Crashes that no part explains. */
-static int unexplained_crashes(const struct tlb_suspect_part *s, const uint64_t *explained,
-			       int explained_count)
+/* Whether enough crashes of enough requests have no explanation by other parts. */
+static bool is_deadly(const struct tlb_suspect_part *s, const uint64_t *explained,
+		      int explained_count)
 {
+	uint64_t requests[TLB_QUARANTINE_CRASHES_KEPT];
+	int request_count = 0;
 	int n = 0;
 	int i;
 
-	for (i = 0; i < s->crash_count; i++)
-		n += !contains(explained, explained_count, s->crashes[i].endpoint);
-	return n;
+	for (i = 0; i < s->crash_count; i++) {
+		if (contains(explained, explained_count, s->crashes[i].endpoint))
+			continue;
+		n++;
+		if (!contains(requests, request_count, s->crashes[i].request))
+			requests[request_count++] = s->crashes[i].request;
+	}
+	return n >= TLB_QUARANTINE_CRASHES && request_count >= TLB_QUARANTINE_REQUESTS;
 }
 
 tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s)
@@ -261,7 +268,7 @@
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
 		if (s->common_count != common || s->crash_count != crashes ||
-		    unexplained_crashes(s, explained, explained_count) < TLB_QUARANTINE_CRASHES)
+		    !is_deadly(s, explained, explained_count))
 			continue;
 		for (i = 0; i < crashes; i++)
 			explained[n++] = s->crashes[i].endpoint;
@@ -303,7 +310,8 @@
 		s = add_part(q, p->parts[i]);
 		if (!s)
 			continue;
-		s->changed |= insert_crash(s, (struct tlb_part_crash){endpoint, now, p->account});
+		s->changed |=
+			insert_crash(s, (struct tlb_part_crash){endpoint, now, p->account, p->own});
 		s->changed |= add_common(s, p->parts, p->count);
 		changed |= s->changed;
 	}
@@ -319,6 +327,7 @@
 	q->next_abandoned = (q->next_abandoned + 1) % TLB_QUARANTINE_ABANDONED_MAX;
 	a->endpoint = endpoint;
 	a->account = p->account;
+	a->own = p->own;
 	a->count = p->count;
 	memcpy(a->parts, p->parts, (size_t)p->count * sizeof(p->parts[0]));
 	a->deadline = now + TLB_QUARANTINE_ABANDONED_TIME;
@@ -333,8 +342,9 @@
 		if (a->endpoint != endpoint || now >= a->deadline)
 			continue;
 		a->deadline = 0;
-		tlb_quarantine_add_crash(q, &(struct tlb_prompt){a->parts, a->count, a->account},
-					 endpoint, now);
+		tlb_quarantine_add_crash(
+			q, &(struct tlb_prompt){a->parts, a->count, a->account, a->own}, endpoint,
+			now);
 	}
 }
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -8,10 +8,11 @@
  *
  * A crash is evidence against every shared part of the prompts whose answers had just begun at the
  * endpoint. A part is quarantined after TLB_QUARANTINE_CRASHES crashes of different endpoints, one
- * after the other, without a complete answer to a prompt with this part since. What sound requests
- * use is therefore cleared by their next answer. A verdict ends after a time that grows with the
- * number of crashes; the next crash then restores it. A crash with a more specific explanation (a
- * quarantined part that occurs together with more other parts) is not held against other parts.
+ * after the other, by different requests, without a complete answer to a prompt with this part
+ * since. What sound requests use is therefore cleared by their next answer. A verdict ends after a
+ * time that grows with the number of crashes; the next crash then restores it. A crash with a more
+ * specific explanation (a quarantined part that occurs together with more other parts) is not held
+ * against other parts.
  *
  * Rejected are only prompts that have all parts in common that the crashed prompts had, and, while
  * all of these came from one client account, only this account's: no account can have the sound
@@ -48,6 +49,8 @@
 #define TLB_QUARANTINE_NOTICE_TIME (60 * TLB_SECOND)
 
 enum {
+	TLB_QUARANTINE_REQUESTS =
+		2, /* that the crashes come from: one may fail for its own reason */
 	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
 	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
 	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
@@ -61,6 +64,7 @@
 	const uint64_t *parts;
 	int count;
 	uint64_t account; /* hash of the name; 0: no account */
+	uint64_t own;	  /* id of the part that no other request has */
 };
 
 /* Stands for the account of a crash that broke off prompts of several accounts. */
@@ -70,6 +74,7 @@
 	uint64_t endpoint; /* hash of the incarnation */
 	tlb_time at;
 	uint64_t account; /* of the prompts with the part; or TLB_QUARANTINE_MIXED_ACCOUNTS */
+	uint64_t request; /* own part of one of these prompts */
 };
 
 /* The evidence against one part. Owned by struct tlb_quarantine; a value type otherwise. */
@@ -99,6 +104,7 @@
 struct tlb_abandoned_attempt {
 	uint64_t endpoint;
 	uint64_t account;
+	uint64_t own;
 	uint64_t parts[TLB_SHARED_PARTS_MAX];
 	int count;
 	tlb_time deadline; /* a later crash has another cause; 0: unused */
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -97,6 +97,7 @@
 		toucan__part_crash__init(&m->crash[n][i]);
 		m->crash[n][i].endpoint = p->crashes[i].endpoint;
 		m->crash[n][i].account = p->crashes[i].account;
+		m->crash[n][i].request = p->crashes[i].request;
 		m->crash[n][i].age_us = (uint64_t)(now - p->crashes[i].at);
 		m->crashes[n][i] = &m->crash[n][i];
 	}
@@ -234,7 +235,7 @@
 	for (i = 0; i < in->n_crashes && i < TLB_QUARANTINE_CRASHES_KEPT; i++)
 		p.crashes[p.crash_count++] = (struct tlb_part_crash){
 			in->crashes[i]->endpoint, time_of_age(now, in->crashes[i]->age_us),
-			in->crashes[i]->account};
+			in->crashes[i]->account, in->crashes[i]->request};
 	if (in->sound_age_us > 0)
 		p.sound_at = time_of_age(now, in->sound_age_us);
 	if (tlb_quarantine_merge(s->quarantine, &p, now))
@@ -289,7 +290,8 @@
 /* The row of an entry, malloc'd; times on the store's clock. */
 static char *format_row(const struct tlb_quarantine_sync *s, const struct tlb_suspect_part *p)
 {
-	json_t *j = json_pack("{s:[],s:[],s:[],s:[]}", "common", "accounts", "endpoints", "at_us");
+	json_t *j = json_pack("{s:[],s:[],s:[],s:[],s:[]}", "common", "accounts", "requests",
+			      "endpoints", "at_us");
 	char *text;
 	int i;
 
@@ -298,6 +300,7 @@
 	for (i = 0; i < p->crash_count; i++) {
 		put_hex(json_object_get(j, "endpoints"), p->crashes[i].endpoint);
 		put_hex(json_object_get(j, "accounts"), p->crashes[i].account);
+		put_hex(json_object_get(j, "requests"), p->crashes[i].request);
 		json_array_append_new(json_object_get(j, "at_us"),
 				      json_integer(p->crashes[i].at + s->store_clock_offset));
 	}
@@ -326,6 +329,7 @@
 	const json_t *times = json_object_get(j, "at_us");
 	uint64_t endpoints[TLB_QUARANTINE_CRASHES_KEPT];
 	uint64_t accounts[TLB_QUARANTINE_CRASHES_KEPT] = {0};
+	uint64_t requests[TLB_QUARANTINE_CRASHES_KEPT] = {0};
 	int i;
 
 	memset(p, 0, sizeof(*p));
@@ -333,6 +337,7 @@
 	p->common_count =
 		get_hex_list(json_object_get(j, "common"), p->common, TLB_SHARED_PARTS_MAX);
 	get_hex_list(json_object_get(j, "accounts"), accounts, TLB_QUARANTINE_CRASHES_KEPT);
+	get_hex_list(json_object_get(j, "requests"), requests, TLB_QUARANTINE_CRASHES_KEPT);
 	p->crash_count = get_hex_list(json_object_get(j, "endpoints"), endpoints,
 				      TLB_QUARANTINE_CRASHES_KEPT);
 	for (i = 0; i < p->crash_count; i++)
@@ -340,7 +345,7 @@
 			endpoints[i],
 			json_integer_value(json_array_get(times, (size_t)i)) -
 				s->store_clock_offset,
-			accounts[i]};
+			accounts[i], requests[i]};
 	json_decref(j);
 	return p->crash_count > 0 && p->common_count > 0;
 }
--- a/src/request_info.h
+++ b/src/request_info.h
@@ -29,6 +29,7 @@
 	/* The parts of the prompt that other requests may share, in order: all but the last one. */
 	uint64_t shared_parts[TLB_SHARED_PARTS_MAX];
 	int shared_part_count;
+	uint64_t own_part; /* id of the last part, the same when the caller retries; 0 for none */
 };
 
 /* The kind of work that an attempt requests from an endpoint. */
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3275,7 +3275,7 @@
   (ProtobufCMessageInit) toucan__vm_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__part_crash__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__part_crash__field_descriptors[4] =
 {
   {
     "endpoint",
@@ -3313,16 +3313,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__PartCrash, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__part_crash__field_indices_by_name[] = {
   2,   /* field[2] = account */
   1,   /* field[1] = age_us */
   0,   /* field[0] = endpoint */
+  3,   /* field[3] = request */
 };
 static const ProtobufCIntRange toucan__part_crash__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__part_crash__descriptor =
 {
@@ -3332,7 +3345,7 @@
   "Toucan__PartCrash",
   "toucan",
   sizeof(Toucan__PartCrash),
-  3,
+  4,
   toucan__part_crash__field_descriptors,
   toucan__part_crash__field_indices_by_name,
   1,  toucan__part_crash__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -313,10 +313,14 @@
    * hash of the prompts' client account; all ones: of several
    */
   uint64_t account;
+  /*
+   * own part of one of these prompts
+   */
+  uint64_t request;
 };
 #define TOUCAN__PART_CRASH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__part_crash__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -19,14 +19,18 @@
 	struct tlb_prompt prompt;
 };
 
+/* Every prompt is another request, unless its parts end in ".N": then it is the request number N.
+ */
 static void set_prompt(struct text_prompt *p, const char *account, const char *parts)
 {
+	static uint64_t last_request = 1000;
 	int n = 0;
 
-	for (; *parts; parts++)
+	for (; *parts && *parts != '.'; parts++)
 		if (*parts != '-')
 			p->parts[n++] = (uint64_t)*parts;
-	p->prompt = (struct tlb_prompt){p->parts, n, (uint64_t)*account};
+	p->prompt = (struct tlb_prompt){p->parts, n, (uint64_t)*account,
+					*parts ? (uint64_t)atoi(parts + 1) : ++last_request};
 }
 
 static uint64_t endpoint(const char *name)
@@ -257,7 +261,7 @@
 {
 	struct tlb_quarantine q;
 	uint64_t part;
-	struct tlb_prompt p = {&part, 1, 'x'};
+	struct tlb_prompt p = {&part, 1, 'x', 1};
 	int i;
 
 	tlb_quarantine_init(&q);
--- a/tests/test_quarantine_sync.c
+++ b/tests/test_quarantine_sync.c
@@ -139,13 +139,14 @@
 }
 
 static const uint64_t deadly[] = {A, D};
-static const struct tlb_prompt deadly_prompt = {deadly, 2, ACCOUNT};
-static const struct tlb_prompt sound_prompt = {deadly, 1, ACCOUNT};
+static struct tlb_prompt deadly_prompt = {deadly, 2, ACCOUNT, 0};
+static const struct tlb_prompt sound_prompt = {deadly, 1, ACCOUNT, 0};
 
 static void crash(int number, uint64_t endpoint)
 {
 	struct tlb_edge_board *b = &nodes[number].board;
 
+	deadly_prompt.own++;
 	if (tlb_quarantine_add_crash(&b->quarantine, &deadly_prompt, endpoint, tlb_clock_now()))
 		tlb_quarantine_sync_notify(&b->quarantine_sync);
 }
@@ -221,7 +222,7 @@
 {
 	struct tlb_quarantine *q;
 	uint64_t part;
-	struct tlb_prompt p = {&part, 1, ACCOUNT};
+	struct tlb_prompt p = {&part, 1, ACCOUNT, 1};
 	int i;
 
 	setup(3);
