Let VMs end a verdict at different times

What callers would have seen: when a verdict ended, it ended at all VMs at the same moment, and refused callers had been told this moment; all requests with the part that came before the next crash was known reached engines.

Change: each VM keeps a verdict up to half as long again, by a hash of its id and the part. The first one that lets such a request through learns whether the part is still deadly, and a crash renews the verdict at the others before they end it.

--- a/src/edge.c
+++ b/src/edge.c
@@ -362,7 +362,7 @@
 	tlb_vms_init(&b->vms, b, &e->store);
 	b->vms.handlers = (struct tlb_vms_handlers){
 		e, fill_state, on_vm_state, on_table_message, on_quota_message, on_suspect_parts};
-	tlb_quarantine_init(&b->quarantine);
+	tlb_quarantine_init(&b->quarantine, b->vms.id_hash);
 	tlb_quarantine_sync_init(&b->quarantine_sync, b, &e->store);
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
 	tlb_forwards_init(&b->forwards, b);
--- a/src/generation.c
+++ b/src/generation.c
@@ -387,7 +387,7 @@
 
 	if (!s)
 		return false;
-	wait = tlb_quarantine_ends_at(s) - tlb_clock_now();
+	wait = tlb_quarantine_ends_at(&f->board->quarantine, s) - tlb_clock_now();
 	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
 	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
 		     " crashes=%d runs=%d",
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -15,6 +15,14 @@
 	return false;
 }
 
+/* The finalizer of splitmix64. */
+static uint64_t mix(uint64_t x)
+{
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+	return x ^ (x >> 31);
+}
+
 /* --- entries --- */
 
 static struct tlb_suspect_part *find_part(const struct tlb_quarantine *q, uint64_t part)
@@ -75,9 +83,10 @@
 	return s;
 }
 
-void tlb_quarantine_init(struct tlb_quarantine *q)
+void tlb_quarantine_init(struct tlb_quarantine *q, uint64_t seed)
 {
 	memset(q, 0, sizeof(*q));
+	q->seed = seed;
 	APR_RING_INIT(&q->parts, tlb_suspect_part, link);
 }
 
@@ -245,16 +254,19 @@
 	return n >= TLB_QUARANTINE_CRASHES && request_count >= TLB_QUARANTINE_REQUESTS;
 }
 
-tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s)
+tlb_time tlb_quarantine_ends_at(const struct tlb_quarantine *q, const struct tlb_suspect_part *s)
 {
 	int beyond = s->crash_count - TLB_QUARANTINE_CRASHES;
 	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
+	tlb_time spread = 0;
 
 	if (s->crash_count == 0)
 		return 0;
 	if (wait > TLB_QUARANTINE_MAX_TIME)
 		wait = TLB_QUARANTINE_MAX_TIME;
-	return s->crashes[s->crash_count - 1].at + wait;
+	if (q->seed)
+		spread = (tlb_time)(mix(q->seed ^ s->part) % (uint64_t)(wait / 2));
+	return s->crashes[s->crash_count - 1].at + wait + spread;
 }
 
 /* Decides on the parts with that many common parts and crashes. Adds the endpoints whose crashes
@@ -272,7 +284,7 @@
 			continue;
 		for (i = 0; i < crashes; i++)
 			explained[n++] = s->crashes[i].endpoint;
-		s->quarantined = now < tlb_quarantine_ends_at(s);
+		s->quarantined = now < tlb_quarantine_ends_at(q, s);
 		q->quarantined += s->quarantined;
 	}
 	return n;
@@ -468,14 +480,6 @@
 	return NULL;
 }
 
-/* The finalizer of splitmix64. */
-static uint64_t mix(uint64_t x)
-{
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-	return x ^ (x >> 31);
-}
-
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q)
 {
 	const struct tlb_suspect_part *s;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -31,8 +31,9 @@
 #include "clock.h"
 #include "request_info.h"
 
-/* A verdict ends this long after the last crash; each crash beyond TLB_QUARANTINE_CRASHES doubles
- * the time, up to TLB_QUARANTINE_MAX_TIME. */
+/* A verdict ends this long after the last crash, and up to half as long again, different at each
+ * VM: if the part is still deadly, one VM finds out first. Each crash beyond TLB_QUARANTINE_CRASHES
+ * doubles the time, up to TLB_QUARANTINE_MAX_TIME. */
 #define TLB_QUARANTINE_MIN_TIME (30 * TLB_SECOND)
 #define TLB_QUARANTINE_MAX_TIME (600 * TLB_SECOND)
 /* Crashes and answers after this are forgotten. */
@@ -119,6 +120,7 @@
 
 /* Owned by the caller; owns the entries. */
 struct tlb_quarantine {
+	uint64_t seed; /* differs between VMs, so that they do not end a verdict at the same time */
 	struct tlb_suspect_part_ring parts;
 	int count;
 	int quarantined; /* parts */
@@ -128,7 +130,8 @@
 	int next_notice;
 };
 
-void tlb_quarantine_init(struct tlb_quarantine *q);
+/* seed: see struct tlb_quarantine; 0: verdicts end at the earliest time. */
+void tlb_quarantine_init(struct tlb_quarantine *q, uint64_t seed);
 void tlb_quarantine_finish(struct tlb_quarantine *q);
 
 /* Records that an endpoint crashed as it began to answer the prompt. Returns whether this was new.
@@ -160,8 +163,8 @@
 /* Accounts that crashes came from; crashes with TLB_QUARANTINE_MIXED_ACCOUNTS are not counted. At
  * most 2. Sets *first to one of them unless there is none. */
 int tlb_quarantine_accounts(const struct tlb_suspect_part *s, uint64_t *first);
-/* When the verdict over a part ends unless another crash happens. */
-tlb_time tlb_quarantine_ends_at(const struct tlb_suspect_part *s);
+/* When the verdict over a part ends at this VM unless another crash happens. */
+tlb_time tlb_quarantine_ends_at(const struct tlb_quarantine *q, const struct tlb_suspect_part *s);
 /* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q);
 
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -21,16 +21,17 @@
 
 /* --- logs --- */
 
-static void log_verdict(const struct tlb_suspect_part *p)
+static void log_verdict(const struct tlb_quarantine *q, const struct tlb_suspect_part *p)
 {
 	uint64_t account;
 
 	if (p->quarantined)
-		tlb_log_warn("event=part_quarantined part=%" PRIx64
-			     " crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
-			     p->part, p->crash_count, p->common_count,
-			     tlb_quarantine_accounts(p, &account),
-			     (long long)((tlb_quarantine_ends_at(p) - tlb_clock_now()) / TLB_MS));
+		tlb_log_warn(
+			"event=part_quarantined part=%" PRIx64
+			" crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
+			p->part, p->crash_count, p->common_count,
+			tlb_quarantine_accounts(p, &account),
+			(long long)((tlb_quarantine_ends_at(q, p) - tlb_clock_now()) / TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
 			     p->crash_count, p->sound_at > 0);
@@ -43,7 +44,7 @@
 
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
 		if (p->quarantined != p->logged)
-			log_verdict(p);
+			log_verdict(s->quarantine, p);
 		p->logged = p->quarantined;
 	}
 	tlb_counter_set(&s->board->counters, TLB_COUNTER_QUARANTINED_PARTS,
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1306,6 +1306,32 @@
         sound.check(known)
 
 
+def check_part_that_crashes_endpoints_stays_quarantined_while_its_requests_come():
+    """A verdict must not end again and again while requests with the deadly part still come, also
+    when they come at all VMs at a time."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        crash_on_parts(w, "d1")
+        with SoundCallers(w.vms):
+            crash_until_known(w, send_deadly(w.vms))
+        before = deadly_arrivals(w)
+        end = time.monotonic() + 45
+
+        def send(vm):
+            for _ in send_deadly([vm]):
+                if time.monotonic() > end:
+                    return
+
+        threads = [threading.Thread(target=send, args=(vm,)) for vm in w.vms]
+        for t in threads:
+            t.start()
+        with SoundCallers(w.vms):
+            for t in threads:
+                t.join()
+        reached = deadly_arrivals(w) - before
+        assert reached <= MAX_REACHED, f"{reached} prefills and runs in 45 s"
+
+
 def check_quarantine_survives_a_restart_while_the_store_is_away():
     """A restarted VM must refuse a quarantined part although the store refuses all writes and the
     reads that a start does not need, whether it does so since before or after the crashes."""
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -86,12 +86,12 @@
 	int cases = 0;
 
 	ck_assert_ptr_nonnull(f);
-	tlb_quarantine_init(&q);
+	tlb_quarantine_init(&q, 0);
 	while (fgets(line, sizeof(line), f)) {
 		number++;
 		if (strncmp(line, "case", 4) == 0) {
 			tlb_quarantine_finish(&q);
-			tlb_quarantine_init(&q);
+			tlb_quarantine_init(&q, 0);
 			cases++;
 		} else if (line[0] != '#' && line[0] != '\n') {
 			apply(&q, line, number);
@@ -145,7 +145,7 @@
 	int i;
 
 	for (i = 0; i < 3; i++)
-		tlb_quarantine_init(&q[i]);
+		tlb_quarantine_init(&q[i], 0);
 	crash(&q[0], "e1", "x", "ad", 0);
 	crash(&q[1], "e2", "x", "ad", 200);
 	crash(&q[2], "e3", "y", "bd", 400);
@@ -171,8 +171,8 @@
 	struct tlb_quarantine now;
 	struct tlb_quarantine old;
 
-	tlb_quarantine_init(&now);
-	tlb_quarantine_init(&old);
+	tlb_quarantine_init(&now, 0);
+	tlb_quarantine_init(&old, 0);
 	crash(&old, "e1", "x", "a", 0);
 	crash(&old, "e2", "x", "a", 200);
 	crash(&old, "e3", "x", "a", 400);
@@ -195,8 +195,8 @@
 	char name[8];
 	int i;
 
-	tlb_quarantine_init(&q[0]);
-	tlb_quarantine_init(&q[1]);
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
 	for (i = 0; i < 40; i++) {
 		snprintf(name, sizeof(name), "e%d", i);
 		crash(&q[i % 2], name, "x", "ad", i * 37 % 1000);
@@ -220,8 +220,8 @@
 	struct tlb_quarantine q[2];
 	int i;
 
-	tlb_quarantine_init(&q[0]);
-	tlb_quarantine_init(&q[1]);
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
 	crash(&q[0], "e1", "x", "a", 0);
 	crash(&q[0], "e2", "x", "a", 200);
 	crash(&q[0], "e3", "x", "a", 400);
@@ -245,8 +245,8 @@
 	tlb_time at = start;
 	int hops = 0;
 
-	tlb_quarantine_init(&q[0]);
-	tlb_quarantine_init(&q[1]);
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
 	while (hops < 20 && tlb_quarantine_note_crash(&q[hops % 2], 1, at)) {
 		at += 2200 * TLB_MS;
 		hops++;
@@ -257,6 +257,41 @@
 }
 END_TEST
 
+/* The time at which a VM with that seed ends the verdict, in ms. */
+static int verdict_ends_ms(uint64_t seed)
+{
+	struct tlb_quarantine q;
+	int ms;
+
+	tlb_quarantine_init(&q, seed);
+	crash(&q, "e1", "x", "a", 0);
+	crash(&q, "e2", "x", "a", 200);
+	crash(&q, "e3", "x", "a", 400);
+	ms = (int)((tlb_quarantine_ends_at(&q, APR_RING_FIRST(&q.parts)) - start) / TLB_MS);
+	tlb_quarantine_finish(&q);
+	return ms;
+}
+
+/* Otherwise requests at all VMs would reach endpoints at the same moment. */
+START_TEST(vms_do_not_end_a_verdict_at_the_same_time)
+{
+	const int earliest = 400 + (int)(TLB_QUARANTINE_MIN_TIME / TLB_MS);
+	const int latest = earliest + (int)(TLB_QUARANTINE_MIN_TIME / TLB_MS) / 2;
+	int first = latest;
+	int last = earliest;
+	int ms;
+	int i;
+
+	for (i = 1; i <= 100; i++) {
+		ms = verdict_ends_ms((uint64_t)i);
+		ck_assert(ms >= earliest && ms <= latest);
+		first = ms < first ? ms : first;
+		last = ms > last ? ms : last;
+	}
+	ck_assert_int_ge(last - first, (latest - earliest) * 3 / 4);
+}
+END_TEST
+
 START_TEST(memory_is_bounded_and_verdicts_are_kept)
 {
 	struct tlb_quarantine q;
@@ -264,7 +299,7 @@
 	struct tlb_prompt p = {&part, 1, 'x', 1};
 	int i;
 
-	tlb_quarantine_init(&q);
+	tlb_quarantine_init(&q, 0);
 	crash(&q, "e1", "x", "d", 0);
 	crash(&q, "e2", "x", "d", 200);
 	crash(&q, "e3", "x", "d", 400);
@@ -291,6 +326,7 @@
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, notices_do_not_circulate_over_a_slow_link);
+	tcase_add_test(t, vms_do_not_end_a_verdict_at_the_same_time);
 	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
--- a/tests/test_quarantine_sync.c
+++ b/tests/test_quarantine_sync.c
@@ -71,7 +71,7 @@
 						    .fill_state = fill_state,
 						    .on_state = on_state,
 						    .on_suspect_parts = on_suspect_parts};
-	tlb_quarantine_init(&b->quarantine);
+	tlb_quarantine_init(&b->quarantine, b->vms.id_hash);
 	tlb_quarantine_sync_init(&b->quarantine_sync, b, &store);
 	tlb_quarantine_sync_start(&b->quarantine_sync);
 	b->vms.rows.handlers.on_secret(b->vms.rows.handlers.arg, secret);
