Leave uncounted crashes and unwritable rows of the quarantine alone

- A crash that does not count, because an answer has cleared it, set the common parts of an entry without crashes; the next real crash narrowed them, which would have widened a verdict.
- An entry of another VM that was too old to count created an empty one, which could evict a real one.
- Without memory for a row's text the row would have been removed from the store.

The claim of quarantine.h that any order of merges leads to the same verdicts is weakened to what holds: the same number of crashes.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -324,7 +324,8 @@
 			continue;
 		s->changed |=
 			insert_crash(s, (struct tlb_part_crash){endpoint, now, p->account, p->own});
-		s->changed |= add_common(s, p->parts, p->count);
+		if (s->crash_count > 0)
+			s->changed |= add_common(s, p->parts, p->count);
 		changed |= s->changed;
 	}
 	evaluate(q, now);
@@ -407,15 +408,16 @@
 			  tlb_time now)
 {
 	struct tlb_suspect_part *s = find_part(q, from->part);
+	tlb_time oldest = now - TLB_QUARANTINE_MEMORY;
 	bool changed = false;
 
-	if (!s && from->crash_count == 0)
+	if (!s && (from->crash_count == 0 || last_change_at(from) <= oldest))
 		return false;
 	s = s ? s : add_part(q, from->part);
 	if (!s)
 		return false;
 	changed |= set_sound_at(s, from->sound_at);
-	changed |= merge_crashes(s, from, now - TLB_QUARANTINE_MEMORY);
+	changed |= merge_crashes(s, from, oldest);
 	if (s->crash_count > 0 && from->common_count > 0)
 		changed |= add_common(s, from->common, from->common_count);
 	s->changed |= changed;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -19,7 +19,8 @@
  * requests of another one rejected.
  *
  * tlb_quarantine_merge() never takes a counted crash away and is idempotent, so that VMs that
- * exchange their entries in any order come to the same verdicts.
+ * exchange their entries in any order come to the same number of crashes. Which crashes of a burst
+ * they count can differ.
  */
 #ifndef TLB_QUARANTINE_H
 #define TLB_QUARANTINE_H
@@ -50,9 +51,9 @@
 #define TLB_QUARANTINE_NOTICE_TIME (60 * TLB_SECOND)
 
 enum {
-	TLB_QUARANTINE_REQUESTS =
-		2, /* that the crashes come from: one may fail for its own reason */
-	TLB_QUARANTINE_CRASHES = 3,	 /* crashes before the verdict */
+	/* Crashes before the verdict, and different requests that they must come from. */
+	TLB_QUARANTINE_CRASHES = 3,
+	TLB_QUARANTINE_REQUESTS = 2,
 	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
 	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
 	TLB_QUARANTINE_ABANDONED_MAX = 64,
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -266,7 +266,6 @@
 				  const Toucan__VmState *state)
 {
 	tlb_time now = tlb_clock_now();
-
 	uint64_t own = tlb_quarantine_digest(s->quarantine);
 
 	if (state->verdicts == own && state->verdicts_stored) {
@@ -438,7 +437,11 @@
 		if (!p->quarantined || has_row(s, rows, p, key))
 			continue;
 		value = format_row(s, p);
-		write_row(s, key, value);
+		/* Without a value the row would be removed. */
+		if (value)
+			write_row(s, key, value);
+		else
+			retry_later(s, "no memory for the row");
 		free(value);
 		return true;
 	}
