--- a/src/generation.c
+++ b/src/generation.c
@@ -64,12 +64,6 @@
 static void decode_at(struct tlb_forward *f, struct tlb_instance *i);
 static void requeue(struct tlb_forward *f, tlb_time now);
 static void start_waiting(struct tlb_generation_queue *p);
-static bool refuse_quarantined(struct tlb_forward *f);
-static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
-			   const struct tlb_http_result *r, bool early_end);
-static void record_answer(struct tlb_forward *f);
-static bool is_at_beginning(const struct tlb_forward *f);
-static void record_abandoned(struct tlb_forward *f);
 static void on_event_timeout(void *arg);
 
 /* --- KV caches --- */
@@ -140,7 +134,7 @@
 	release_window_slot(f, ok ? elapsed : 0);
 }
 
-/* --- streams --- */
+/* --- end of a request --- */
 
 /* Ends the request with an error, or by cutting the stream when the response has begun. */
 static void fail_stream(struct tlb_forward *f, const char *reason)
@@ -167,6 +161,100 @@
 	tlb_exchange_stream_end(x, true);
 }
 
+/* --- quarantine of prompt parts --- */
+
+static struct tlb_prompt prompt_of(const struct tlb_forward *f)
+{
+	return (struct tlb_prompt){
+		.parts = f->inbound.shared_parts,
+		.count = f->inbound.shared_part_count,
+		.account = f->account ? tlb_vms_hash(f->account->name) : 0,
+		.own = f->inbound.own_part,
+	};
+}
+
+/* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
+static bool refuse_quarantined(struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+	const struct tlb_suspect_part *s = tlb_quarantine_find(&f->board->quarantine, &prompt);
+	tlb_time wait;
+
+	if (!s)
+		return false;
+	wait = tlb_quarantine_ends_at(&f->board->quarantine, s) - tlb_clock_now();
+	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
+	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
+		     " crashes=%d runs=%d",
+		     f->exchange->id, f->inbound.attempt_id, s->part, s->crash_count,
+		     f->possible_runs);
+	if (f->gen.streaming || f->possible_runs > 0)
+		fail_stream(f, "a part of the prompt crashes endpoints");
+	else
+		tlb_forward_refuse(f, TLB_QUARANTINED, wait > 0 ? (int)(wait / TLB_MS) : 1,
+				   "a part of the prompt crashes endpoints");
+	return true;
+}
+
+/* Hash of the incarnation, the same on all VMs. */
+static uint64_t incarnation_hash(const struct tlb_instance *i)
+{
+	char text[TLB_INSTANCE_ID_LEN + 24];
+
+	snprintf(text, sizeof(text), "%s/%lld", i->row.id, (long long)i->row.started_ms);
+	return tlb_vms_hash(text);
+}
+
+void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i)
+{
+	tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now());
+	tlb_quarantine_sync_notify(&b->quarantine_sync);
+}
+
+/* Whether the answer has not got beyond its beginning at any endpoint. */
+static bool is_at_beginning(const struct tlb_forward *f)
+{
+	return !f->gen.begun_soundly &&
+	       f->gen.events - f->gen.events_before_attempt <= TLB_QUARANTINE_EARLY_EVENTS_MAX;
+}
+
+/* Takes the failure of an attempt as evidence against the parts of the prompt, if its endpoint
+ * broke it off at the beginning. */
+static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
+			   const struct tlb_http_result *r, bool early_end)
+{
+	struct tlb_edge_board *b = f->board;
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (r->sent && (r->broken_off || early_end) && is_at_beginning(f) &&
+	    tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), tlb_clock_now()))
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+	if (r->broken_off || r->refused || early_end)
+		tlb_generation_on_crash(b, i);
+}
+
+/* Takes a complete answer as evidence for the parts of the prompt. */
+static void record_answer(struct tlb_forward *f)
+{
+	struct tlb_edge_board *b = f->board;
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (tlb_quarantine_add_answer(&b->quarantine, &prompt, tlb_clock_now()))
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+}
+
+/* Remembers an attempt that is cancelled as the endpoint begins to answer. */
+static void record_abandoned(struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 && is_at_beginning(f))
+		tlb_quarantine_add_abandoned(&f->board->quarantine, &prompt,
+					     incarnation_hash(f->instance), tlb_clock_now());
+}
+
+/* --- streams --- */
+
 /* Whether the stream can be resumed at the endpoint that interrupted it: the endpoint is usable and
  * has the prompt in its cache, so that no second prefill is needed. Only once for each request: an
  * endpoint that interrupts a stream twice is likely to be faulty. */
@@ -366,98 +454,6 @@
 	start_waiting(p);
 }
 
-/* --- quarantine of prompt parts --- */
-
-static struct tlb_prompt prompt_of(const struct tlb_forward *f)
-{
-	return (struct tlb_prompt){
-		.parts = f->inbound.shared_parts,
-		.count = f->inbound.shared_part_count,
-		.account = f->account ? tlb_vms_hash(f->account->name) : 0,
-		.own = f->inbound.own_part,
-	};
-}
-
-/* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
-static bool refuse_quarantined(struct tlb_forward *f)
-{
-	struct tlb_prompt prompt = prompt_of(f);
-	const struct tlb_suspect_part *s = tlb_quarantine_find(&f->board->quarantine, &prompt);
-	tlb_time wait;
-
-	if (!s)
-		return false;
-	wait = tlb_quarantine_ends_at(&f->board->quarantine, s) - tlb_clock_now();
-	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
-	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
-		     " crashes=%d runs=%d",
-		     f->exchange->id, f->inbound.attempt_id, s->part, s->crash_count,
-		     f->possible_runs);
-	if (f->gen.streaming || f->possible_runs > 0)
-		fail_stream(f, "a part of the prompt crashes endpoints");
-	else
-		tlb_forward_refuse(f, TLB_QUARANTINED, wait > 0 ? (int)(wait / TLB_MS) : 1,
-				   "a part of the prompt crashes endpoints");
-	return true;
-}
-
-/* Hash of the incarnation, the same on all VMs. */
-static uint64_t incarnation_hash(const struct tlb_instance *i)
-{
-	char text[TLB_INSTANCE_ID_LEN + 24];
-
-	snprintf(text, sizeof(text), "%s/%lld", i->row.id, (long long)i->row.started_ms);
-	return tlb_vms_hash(text);
-}
-
-void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i)
-{
-	tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now());
-	tlb_quarantine_sync_notify(&b->quarantine_sync);
-}
-
-/* Whether the answer has not got beyond its beginning at any endpoint. */
-static bool is_at_beginning(const struct tlb_forward *f)
-{
-	return !f->gen.begun_soundly &&
-	       f->gen.events - f->gen.events_before_attempt <= TLB_QUARANTINE_EARLY_EVENTS_MAX;
-}
-
-/* Takes the failure of an attempt as evidence against the parts of the prompt, if its endpoint
- * broke it off at the beginning. */
-static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
-			   const struct tlb_http_result *r, bool early_end)
-{
-	struct tlb_edge_board *b = f->board;
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (r->sent && (r->broken_off || early_end) && is_at_beginning(f) &&
-	    tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), tlb_clock_now()))
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
-	if (r->broken_off || r->refused || early_end)
-		tlb_generation_on_crash(b, i);
-}
-
-/* Takes a complete answer as evidence for the parts of the prompt. */
-static void record_answer(struct tlb_forward *f)
-{
-	struct tlb_edge_board *b = f->board;
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (tlb_quarantine_add_answer(&b->quarantine, &prompt, tlb_clock_now()))
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
-}
-
-/* Remembers an attempt that is cancelled as the endpoint begins to answer. */
-static void record_abandoned(struct tlb_forward *f)
-{
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 && is_at_beginning(f))
-		tlb_quarantine_add_abandoned(&f->board->quarantine, &prompt,
-					     incarnation_hash(f->instance), tlb_clock_now());
-}
-
 /* --- attempts --- */
 
 /* Whether this is the caller's first try. The target latency counts from the first try, which may
