Ask another stream to give way when the first one does not

What callers saw: interactive requests were refused as overloaded (not run) after waiting 4 s, beside batch streams that would have given way. Cause: an owner that preempts for a request chose the stream with the fewest tokens to prefill again, and after a second without effect the same one again. One whose VM has died never gives way, nor does one that may not stop any more. Ruled out: a missing takeover (it is logged before the refusal), used-up credit (the requests beside it were granted theirs). Change: streams that were asked before come after those that were not.

--- a/src/booking_table.c
+++ b/src/booking_table.c
@@ -82,13 +82,22 @@
 	       k->preempting_until <= now;
 }
 
-static struct tlb_booking *cheapest_victim(const struct tlb_booking_table *b, tlb_time now)
+/* Whether k is a better victim than other: the one asked less recently, because a stream that has
+ * not given way when asked may not be able to; then the one with fewer tokens to prefill again. */
+static bool better_victim(const struct tlb_booking *k, const struct tlb_booking *other)
+{
+	if (k->preempting_until != other->preempting_until)
+		return k->preempting_until < other->preempting_until;
+	return k->resume_tokens < other->resume_tokens;
+}
+
+static struct tlb_booking *best_victim(const struct tlb_booking_table *b, tlb_time now)
 {
 	struct tlb_booking *best = NULL;
 	struct tlb_booking *k;
 
 	APR_RING_FOREACH (k, &b->bookings, tlb_booking, link) {
-		if (preemptible(k, now) && (!best || k->resume_tokens < best->resume_tokens))
+		if (preemptible(k, now) && (!best || better_victim(k, best)))
 			best = k;
 	}
 	return best;
@@ -129,7 +138,7 @@
 	if (!b->preempt_cost || (b->claim_blocks && strcmp(b->claim_id, request_id) != 0))
 		return 0;
 	while (!fits_after_preemption(b, blocks, now)) {
-		struct tlb_booking *k = count < max ? cheapest_victim(b, now) : NULL;
+		struct tlb_booking *k = count < max ? best_victim(b, now) : NULL;
 
 		if (!k || (count + 1) * b->preempt_cost > b->preempt_credit) {
 			unmark_victims(victims, count);
--- a/src/booking_table.h
+++ b/src/booking_table.h
@@ -114,11 +114,12 @@
 			     tlb_time expires);
 
 /* Chooses running batch bookings to preempt for an interactive request that did not fit, marks them
- * as being preempted and claims their blocks for the request. Those with the fewest tokens to
- * prefill again come first, and only as many are chosen as the request needs in addition to the
- * blocks that are free or already being preempted. Writes them to victims (at most max) and returns
- * their number. Returns 0 with *claimed set when the pending preemptions suffice, and 0 without it
- * when another request has the claim, not enough may be preempted, or the credit is used up. */
+ * as being preempted and claims their blocks for the request. Those that were not asked before come
+ * first, then those with the fewest tokens to prefill again, and only as many are chosen as the
+ * request needs in addition to the blocks that are free or already being preempted. Writes them to
+ * victims (at most max) and returns their number. Returns 0 with *claimed set when the pending
+ * preemptions suffice, and 0 without it when another request has the claim, not enough may be
+ * preempted, or the credit is used up. */
 int tlb_booking_table_preempt(struct tlb_booking_table *b, const char *request_id, int blocks,
 			      tlb_time now, tlb_time expires, struct tlb_booking **victims, int max,
 			      bool *claimed);
--- a/tests/test_booking_table.c
+++ b/tests/test_booking_table.c
@@ -196,6 +196,30 @@
 }
 END_TEST
 
+/* A stream that does not give way, because its VM has died or it may not stop any more, must not be
+ * asked again and again while others would give way. */
+START_TEST(unanswered_preemption_moves_to_another_stream)
+{
+	static const char *const expected[] = {"b", "c", "b"};
+	struct tlb_booking *victims[4];
+	tlb_time now = 50;
+	bool claimed;
+	size_t i;
+
+	fill_with_batch(3);
+	for (i = 0; i < 3; i++)
+		bookings[i].preemptible_until = TLB_NEVER;
+	bookings[0].preemptible_from = TLB_NEVER;
+	for (i = 0; i < sizeof(expected) / sizeof(expected[0]); i++, now += 2 * TLB_SECOND) {
+		ck_assert_int_eq(tlb_booking_table_preempt(&table, "x", 6, now, TLB_NEVER, victims,
+							   4, &claimed),
+				 1);
+		ck_assert_str_eq(victims[0]->request_id, expected[i]);
+		ck_assert(claimed);
+	}
+}
+END_TEST
+
 /* The claim of a disconnected caller must expire. */
 START_TEST(claim_expires_unless_repeated)
 {
@@ -303,6 +327,7 @@
 	tcase_add_loop_test(tc, preempts_cheapest_sufficient_set, 0,
 			    sizeof(preempt_cases) / sizeof(preempt_cases[0]));
 	tcase_add_test(tc, preempted_memory_is_reserved_for_the_request);
+	tcase_add_test(tc, unanswered_preemption_moves_to_another_stream);
 	tcase_add_test(tc, claim_expires_unless_repeated);
 	tcase_add_test(tc, new_owner_grants_only_after_reconciliation);
 	tcase_add_test(tc, expired_booking_counts_until_engine_frees_it);
