Let one prompt at a time through when the time of a verdict is over

What callers saw: 30 to 45 s after a prompt part was quarantined every VM ended the verdict by itself. All requests with the part that came until the first of them had crashed its endpoint and the crash was known reached endpoints; an endpoint can take seconds from the request to the crash.

Cause: a verdict had no state between "rejects all" and "serves all".

Ruled out: more spread between the VMs (one VM alone serves all its requests meanwhile); a verdict that lasts as long as requests come (a part rejected wrongly would never have the answer that clears it).

Change: a verdict lasts until an answer, or until its crashes are forgotten. After the time that it lasted before, a VM lets one prompt through when it is sent to an endpoint, and tells the other VMs, which let none through for 5 s.

--- a/src/generation.c
+++ b/src/generation.c
@@ -177,12 +177,13 @@
 static bool refuse_quarantined(struct tlb_forward *f)
 {
 	struct tlb_prompt prompt = prompt_of(f);
-	const struct tlb_suspect_part *s = tlb_quarantine_find(&f->board->quarantine, &prompt);
+	const struct tlb_suspect_part *s =
+		tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
 	tlb_time wait;
 
 	if (!s)
 		return false;
-	wait = tlb_quarantine_ends_at(&f->board->quarantine, s) - tlb_clock_now();
+	wait = tlb_quarantine_next_probe_at(&f->board->quarantine, s) - tlb_clock_now();
 	tlb_counter_add(&f->board->counters, TLB_COUNTER_QUARANTINE_REFUSED, 1);
 	tlb_log_info("event=prompt_quarantined request=%s attempt=%s part=%" PRIx64
 		     " crashes=%d runs=%d",
@@ -196,6 +197,22 @@
 	return true;
 }
 
+/* The same before the prompt is sent to an endpoint. */
+static bool refuse_quarantined_or_probe(struct tlb_forward *f)
+{
+	struct tlb_edge_board *b = f->board;
+	struct tlb_prompt prompt = prompt_of(f);
+
+	if (refuse_quarantined(f))
+		return true;
+	if (tlb_quarantine_begin_probe(&b->quarantine, &prompt, tlb_clock_now())) {
+		tlb_log_info("event=quarantine_probe request=%s attempt=%s", f->exchange->id,
+			     f->inbound.attempt_id);
+		tlb_quarantine_sync_notify(&b->quarantine_sync);
+	}
+	return false;
+}
+
 /* Hash of the incarnation, the same on all VMs. */
 static uint64_t incarnation_hash(const struct tlb_instance *i)
 {
@@ -523,7 +540,7 @@
 	struct tlb_outbound o;
 	char hold[TLB_HANDLE_LEN];
 
-	if (refuse_quarantined(f))
+	if (refuse_quarantined_or_probe(f))
 		return;
 	snprintf(hold, sizeof(hold), "%s", f->gen.decode_reservation.id);
 	o = make_outbound(f, i, f->gen.kv_source ? TLB_ATTEMPT_DECODE : TLB_ATTEMPT_CALL);
@@ -629,7 +646,7 @@
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 	struct tlb_instance *i;
 
-	if (refuse_quarantined(f))
+	if (refuse_quarantined_or_probe(f))
 		return;
 	p.tokens = f->inbound.prompt_tokens;
 	p.decode_zone = f->gen.decode_reservation.instance->row.zone;
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -254,25 +254,35 @@
 	return n >= TLB_QUARANTINE_CRASHES && request_count >= TLB_QUARANTINE_REQUESTS;
 }
 
-tlb_time tlb_quarantine_ends_at(const struct tlb_quarantine *q, const struct tlb_suspect_part *s)
+/* The time, longer by up to half, different at each VM. */
+static tlb_time spread(const struct tlb_quarantine *q, const struct tlb_suspect_part *s,
+		       tlb_time wait)
+{
+	return q->seed ? wait + (tlb_time)(mix(q->seed ^ s->part) % (uint64_t)(wait / 2)) : wait;
+}
+
+tlb_time tlb_quarantine_next_probe_at(const struct tlb_quarantine *q,
+				      const struct tlb_suspect_part *s)
 {
 	int beyond = s->crash_count - TLB_QUARANTINE_CRASHES;
 	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
-	tlb_time spread = 0;
+	tlb_time at;
+	tlb_time again_at = 0;
 
 	if (s->crash_count == 0)
 		return 0;
 	if (wait > TLB_QUARANTINE_MAX_TIME)
 		wait = TLB_QUARANTINE_MAX_TIME;
-	if (q->seed)
-		spread = (tlb_time)(mix(q->seed ^ s->part) % (uint64_t)(wait / 2));
-	return s->crashes[s->crash_count - 1].at + wait + spread;
+	at = s->crashes[s->crash_count - 1].at + spread(q, s, wait);
+	if (s->probe_at > 0)
+		again_at = s->probe_at + spread(q, s, TLB_QUARANTINE_PROBE_TIME);
+	return at > again_at ? at : again_at;
 }
 
 /* Decides on the parts with that many common parts and crashes. Adds the endpoints whose crashes
  * they explain; returns the new number of these. */
 static int decide_on(struct tlb_quarantine *q, int common, int crashes, uint64_t *explained,
-		     int explained_count, tlb_time now)
+		     int explained_count)
 {
 	struct tlb_suspect_part *s;
 	int n = explained_count;
@@ -284,8 +294,8 @@
 			continue;
 		for (i = 0; i < crashes; i++)
 			explained[n++] = s->crashes[i].endpoint;
-		s->quarantined = now < tlb_quarantine_ends_at(q, s);
-		q->quarantined += s->quarantined;
+		s->quarantined = true;
+		q->quarantined++;
 	}
 	return n;
 }
@@ -293,7 +303,7 @@
 /* Decides on all parts. Those with the most common parts come first, because their verdict rejects
  * the fewest prompts, and of these the ones with the most crashes; they explain crashes for the
  * others. */
-static void evaluate(struct tlb_quarantine *q, tlb_time now)
+static void evaluate(struct tlb_quarantine *q)
 {
 	static uint64_t explained[EXPLAINED_MAX];
 	struct tlb_suspect_part *s;
@@ -308,7 +318,7 @@
 	for (common = TLB_SHARED_PARTS_MAX; common > 0 && q->count > 0; common--)
 		for (crashes = TLB_QUARANTINE_CRASHES_KEPT; crashes >= TLB_QUARANTINE_CRASHES;
 		     crashes--)
-			n = decide_on(q, common, crashes, explained, n, now);
+			n = decide_on(q, common, crashes, explained, n);
 }
 
 bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
@@ -328,7 +338,7 @@
 			s->changed |= add_common(s, p->parts, p->count);
 		changed |= s->changed;
 	}
-	evaluate(q, now);
+	evaluate(q);
 	return changed;
 }
 
@@ -400,7 +410,7 @@
 		s->common_count = kept;
 	}
 	if (changed)
-		evaluate(q, now);
+		evaluate(q);
 	return changed;
 }
 
@@ -416,13 +426,19 @@
 	s = s ? s : add_part(q, from->part);
 	if (!s)
 		return false;
+	/* A message that was under way dates the same probe later. */
+	if (from->probe_at > s->probe_at + TLB_QUARANTINE_PROBE_TIME / 2) {
+		s->probe_at = from->probe_at;
+		s->probe_request = 0;
+		changed = true;
+	}
 	changed |= set_sound_at(s, from->sound_at);
 	changed |= merge_crashes(s, from, oldest);
 	if (s->crash_count > 0 && from->common_count > 0)
 		changed |= add_common(s, from->common, from->common_count);
 	s->changed |= changed;
 	if (changed)
-		evaluate(q, now);
+		evaluate(q);
 	return changed;
 }
 
@@ -436,7 +452,7 @@
 		if (s->crash_count == 0 && !s->logged && now >= s->sound_at + TLB_QUARANTINE_MEMORY)
 			remove_part(q, s);
 	}
-	evaluate(q, now);
+	evaluate(q);
 }
 
 int tlb_quarantine_accounts(const struct tlb_suspect_part *s, uint64_t *first)
@@ -462,26 +478,59 @@
 	return tlb_quarantine_accounts(s, &only) != 1 || only == account;
 }
 
+/* Whether there is a verdict over the part, and the prompt has all parts that it requires. */
+static bool is_concerned(const struct tlb_suspect_part *s, const struct tlb_prompt *p)
+{
+	int i;
+
+	if (!s->quarantined || !tlb_quarantine_concerns(s, p->account))
+		return false;
+	for (i = 0; i < s->common_count; i++)
+		if (!contains(p->parts, p->count, s->common[i]))
+			return false;
+	return true;
+}
+
+/* Whether the prompt is this VM's probe, and no crash has followed. */
+static bool is_probe(const struct tlb_suspect_part *s, const struct tlb_prompt *p)
+{
+	return s->probe_request != 0 && s->probe_request == p->own &&
+	       s->probe_at > s->crashes[s->crash_count - 1].at;
+}
+
 const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
-						   const struct tlb_prompt *p)
+						   const struct tlb_prompt *p, tlb_time now)
 {
 	const struct tlb_suspect_part *s;
-	int i;
 
 	if (q->quarantined == 0)
 		return NULL;
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-		if (!s->quarantined || !tlb_quarantine_concerns(s, p->account))
-			continue;
-		for (i = 0; i < s->common_count; i++)
-			if (!contains(p->parts, p->count, s->common[i]))
-				break;
-		if (i == s->common_count)
+		if (is_concerned(s, p) && !is_probe(s, p) &&
+		    now < tlb_quarantine_next_probe_at(q, s))
 			return s;
 	}
 	return NULL;
 }
 
+bool tlb_quarantine_begin_probe(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now)
+{
+	struct tlb_suspect_part *s;
+	bool changed = false;
+
+	if (q->quarantined == 0)
+		return false;
+	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
+		if (!is_concerned(s, p) || is_probe(s, p))
+			continue;
+		s->probe_at = now;
+		s->probe_request = p->own;
+		s->changed = true;
+		changed = true;
+	}
+	return changed;
+}
+
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q)
 {
 	const struct tlb_suspect_part *s;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -9,8 +9,9 @@
  * A crash is evidence against every shared part of the prompts whose answers had just begun at the
  * endpoint. A part is quarantined after TLB_QUARANTINE_CRASHES crashes of different endpoints, one
  * after the other, by different requests, without a complete answer to a prompt with this part
- * since. What sound requests use is therefore cleared by their next answer. A verdict ends after a
- * time that grows with the number of crashes; the next crash then restores it. A crash with a more
+ * since. What sound requests use is therefore cleared by their next answer. After a time that grows
+ * with the number of crashes, one prompt at a time is let through as a probe: an answer ends the
+ * verdict, a crash confirms it. A crash with a more
  * specific explanation (a quarantined part that occurs together with more other parts) is not held
  * against other parts.
  *
@@ -32,11 +33,13 @@
 #include "clock.h"
 #include "request_info.h"
 
-/* A verdict ends this long after the last crash, and up to half as long again, different at each
- * VM: if the part is still deadly, one VM finds out first. Each crash beyond TLB_QUARANTINE_CRASHES
- * doubles the time, up to TLB_QUARANTINE_MAX_TIME. */
+/* A prompt is let through as a probe this long after the last crash, and up to half as long again,
+ * different at each VM: one VM finds out first whether the part is still deadly. Each crash beyond
+ * TLB_QUARANTINE_CRASHES doubles the time, up to TLB_QUARANTINE_MAX_TIME. */
 #define TLB_QUARANTINE_MIN_TIME (30 * TLB_SECOND)
 #define TLB_QUARANTINE_MAX_TIME (600 * TLB_SECOND)
+/* Time for the outcome of a probe; the next one follows after it, or up to half as long again. */
+#define TLB_QUARANTINE_PROBE_TIME (5 * TLB_SECOND)
 /* Crashes and answers after this are forgotten. */
 #define TLB_QUARANTINE_MEMORY (2 * TLB_QUARANTINE_MAX_TIME)
 /* Crashes that follow each other faster count as one: they can have a common cause, such as a
@@ -93,10 +96,12 @@
 	 * them later than the answer. */
 	uint64_t cleared[TLB_QUARANTINE_CRASHES_KEPT];
 	int next_cleared;
-	tlb_time sound_at; /* latest complete answer since it was suspected; 0: none */
-	bool quarantined;  /* as of the last evaluation */
-	bool logged;	   /* as quarantined */
-	bool changed;	   /* not yet sent to other VMs */
+	tlb_time sound_at;	/* latest complete answer since it was suspected; 0: none */
+	tlb_time probe_at;	/* latest probe, of any VM; 0: none */
+	uint64_t probe_request; /* own part of the probe, if it is this VM's; otherwise 0 */
+	bool quarantined;	/* as of the last evaluation */
+	bool logged;		/* as quarantined */
+	bool changed;		/* not yet sent to other VMs */
 };
 
 APR_RING_HEAD(tlb_suspect_part_ring, tlb_suspect_part);
@@ -121,7 +126,7 @@
 
 /* Owned by the caller; owns the entries. */
 struct tlb_quarantine {
-	uint64_t seed; /* differs between VMs, so that they do not end a verdict at the same time */
+	uint64_t seed; /* differs between VMs, so that they do not probe at the same time */
 	struct tlb_suspect_part_ring parts;
 	int count;
 	int quarantined; /* parts */
@@ -131,7 +136,7 @@
 	int next_notice;
 };
 
-/* seed: see struct tlb_quarantine; 0: verdicts end at the earliest time. */
+/* seed: see struct tlb_quarantine; 0: probes at the earliest time. */
 void tlb_quarantine_init(struct tlb_quarantine *q, uint64_t seed);
 void tlb_quarantine_finish(struct tlb_quarantine *q);
 
@@ -152,20 +157,25 @@
  * something was new. */
 bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
 			  tlb_time now);
-/* Ends verdicts, and forgets what is older than TLB_QUARANTINE_MEMORY. */
+/* Forgets what is older than TLB_QUARANTINE_MEMORY, which ends verdicts. */
 void tlb_quarantine_expire(struct tlb_quarantine *q, tlb_time now);
 
 /* The quarantined part because of which the prompt is rejected, or NULL. */
 const struct tlb_suspect_part *tlb_quarantine_find(const struct tlb_quarantine *q,
-						   const struct tlb_prompt *p);
+						   const struct tlb_prompt *p, tlb_time now);
+/* Called when a prompt that is not rejected is sent to an endpoint: makes it the probe of the
+ * verdicts that concern it. Returns whether other VMs are to be told. */
+bool tlb_quarantine_begin_probe(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now);
 /* Whether the crashes prove that the part is deadly for the prompts of this account: it is the only
  * one that the crashes can have come from, or they came from several accounts. */
 bool tlb_quarantine_concerns(const struct tlb_suspect_part *s, uint64_t account);
 /* Accounts that crashes came from; crashes with TLB_QUARANTINE_MIXED_ACCOUNTS are not counted. At
  * most 2. Sets *first to one of them unless there is none. */
 int tlb_quarantine_accounts(const struct tlb_suspect_part *s, uint64_t *first);
-/* When the verdict over a part ends at this VM unless another crash happens. */
-tlb_time tlb_quarantine_ends_at(const struct tlb_quarantine *q, const struct tlb_suspect_part *s);
+/* When this VM lets a prompt with a quarantined part through, unless another crash happens or
+ * another VM does before. */
+tlb_time tlb_quarantine_next_probe_at(const struct tlb_quarantine *q,
+				      const struct tlb_suspect_part *s);
 /* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q);
 
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -26,12 +26,12 @@
 	uint64_t account;
 
 	if (p->quarantined)
-		tlb_log_warn(
-			"event=part_quarantined part=%" PRIx64
-			" crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
-			p->part, p->crash_count, p->common_count,
-			tlb_quarantine_accounts(p, &account),
-			(long long)((tlb_quarantine_ends_at(q, p) - tlb_clock_now()) / TLB_MS));
+		tlb_log_warn("event=part_quarantined part=%" PRIx64
+			     " crashes=%d common_parts=%d accounts=%d probe_ms=%lld",
+			     p->part, p->crash_count, p->common_count,
+			     tlb_quarantine_accounts(p, &account),
+			     (long long)((tlb_quarantine_next_probe_at(q, p) - tlb_clock_now()) /
+					 TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
 			     p->crash_count, p->sound_at > 0);
@@ -81,6 +81,14 @@
 	}
 }
 
+/* 0 stands for none. */
+static uint64_t age_of_time(tlb_time now, tlb_time at)
+{
+	if (at == 0)
+		return 0;
+	return now > at ? (uint64_t)(now - at) : 1;
+}
+
 static void add_to_message(struct message *m, struct tlb_suspect_part *p, tlb_time now)
 {
 	size_t n = m->body.n_parts++;
@@ -102,9 +110,8 @@
 		m->crash[n][i].age_us = (uint64_t)(now - p->crashes[i].at);
 		m->crashes[n][i] = &m->crash[n][i];
 	}
-	/* 0 stands for none. */
-	if (p->sound_at > 0)
-		out->sound_age_us = now > p->sound_at ? (uint64_t)(now - p->sound_at) : 1;
+	out->sound_age_us = age_of_time(now, p->sound_at);
+	out->probe_age_us = age_of_time(now, p->probe_at);
 }
 
 static void send_message(struct tlb_quarantine_sync *s, struct message *m, const char *vm)
@@ -239,6 +246,8 @@
 			in->crashes[i]->account, in->crashes[i]->request};
 	if (in->sound_age_us > 0)
 		p.sound_at = time_of_age(now, in->sound_age_us);
+	if (in->probe_age_us > 0)
+		p.probe_at = time_of_age(now, in->probe_age_us);
 	if (tlb_quarantine_merge(s->quarantine, &p, now))
 		tlb_quarantine_sync_notify(s);
 }
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3352,7 +3352,7 @@
   (ProtobufCMessageInit) toucan__part_crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__suspect_part__field_descriptors[4] =
+static const ProtobufCFieldDescriptor toucan__suspect_part__field_descriptors[5] =
 {
   {
     "part",
@@ -3402,18 +3402,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probe_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__SuspectPart, probe_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__suspect_part__field_indices_by_name[] = {
   1,   /* field[1] = common */
   2,   /* field[2] = crashes */
   0,   /* field[0] = part */
+  4,   /* field[4] = probe_age_us */
   3,   /* field[3] = sound_age_us */
 };
 static const ProtobufCIntRange toucan__suspect_part__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 4, 2 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__suspect_part__descriptor =
 {
@@ -3423,7 +3436,7 @@
   "Toucan__SuspectPart",
   "toucan",
   sizeof(Toucan__SuspectPart),
-  4,
+  5,
   toucan__suspect_part__field_descriptors,
   toucan__suspect_part__field_indices_by_name,
   2,  toucan__suspect_part__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -344,10 +344,14 @@
    * age of the last complete answer, 0: none since suspected
    */
   uint64_t sound_age_us;
+  /*
+   * age of the last prompt let through as a probe, 0: none
+   */
+  uint64_t probe_age_us;
 };
 #define TOUCAN__SUSPECT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__suspect_part__descriptor) \
-    , 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -70,11 +70,14 @@
 	}
 	ck_assert_int_eq(n, 4);
 	set_prompt(&p, a, b);
-	if (strcmp(event, "answer") == 0)
+	if (strcmp(event, "answer") == 0) {
 		tlb_quarantine_add_answer(q, &p.prompt, now);
-	else
-		ck_assert_msg(!tlb_quarantine_find(q, &p.prompt) == !strcmp(event, "serves"),
-			      "line %d: %s", number, line);
+		return;
+	}
+	ck_assert_msg(!tlb_quarantine_find(q, &p.prompt, now) == !strcmp(event, "serves"),
+		      "line %d: %s", number, line);
+	if (strcmp(event, "serves") == 0)
+		tlb_quarantine_begin_probe(q, &p.prompt, now);
 }
 
 START_TEST(which_prompts_are_rejected)
@@ -125,7 +128,7 @@
 	struct text_prompt p;
 
 	set_prompt(&p, account, parts);
-	return tlb_quarantine_find(q, &p.prompt) != NULL;
+	return tlb_quarantine_find(q, &p.prompt, start + TLB_SECOND) != NULL;
 }
 
 static bool merge_all(struct tlb_quarantine *to, const struct tlb_quarantine *from, int ms)
@@ -257,8 +260,8 @@
 }
 END_TEST
 
-/* The time at which a VM with that seed ends the verdict, in ms. */
-static int verdict_ends_ms(uint64_t seed)
+/* The time at which a VM with that seed lets a prompt through, in ms. */
+static int probe_ms(uint64_t seed)
 {
 	struct tlb_quarantine q;
 	int ms;
@@ -267,13 +270,13 @@
 	crash(&q, "e1", "x", "a", 0);
 	crash(&q, "e2", "x", "a", 200);
 	crash(&q, "e3", "x", "a", 400);
-	ms = (int)((tlb_quarantine_ends_at(&q, APR_RING_FIRST(&q.parts)) - start) / TLB_MS);
+	ms = (int)((tlb_quarantine_next_probe_at(&q, APR_RING_FIRST(&q.parts)) - start) / TLB_MS);
 	tlb_quarantine_finish(&q);
 	return ms;
 }
 
 /* Otherwise requests at all VMs would reach endpoints at the same moment. */
-START_TEST(vms_do_not_end_a_verdict_at_the_same_time)
+START_TEST(vms_do_not_probe_at_the_same_time)
 {
 	const int earliest = 400 + (int)(TLB_QUARANTINE_MIN_TIME / TLB_MS);
 	const int latest = earliest + (int)(TLB_QUARANTINE_MIN_TIME / TLB_MS) / 2;
@@ -283,7 +286,7 @@
 	int i;
 
 	for (i = 1; i <= 100; i++) {
-		ms = verdict_ends_ms((uint64_t)i);
+		ms = probe_ms((uint64_t)i);
 		ck_assert(ms >= earliest && ms <= latest);
 		first = ms < first ? ms : first;
 		last = ms > last ? ms : last;
@@ -292,6 +295,47 @@
 }
 END_TEST
 
+static bool lets_through(struct tlb_quarantine *q, const char *parts, int ms)
+{
+	struct text_prompt p;
+
+	set_prompt(&p, "x", parts);
+	if (tlb_quarantine_find(q, &p.prompt, start + ms * TLB_MS))
+		return false;
+	tlb_quarantine_begin_probe(q, &p.prompt, start + ms * TLB_MS);
+	return true;
+}
+
+START_TEST(a_probe_of_one_vm_holds_back_the_others)
+{
+	struct tlb_suspect_part *s;
+	struct tlb_quarantine q[2];
+
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
+	crash(&q[0], "e1", "x", "ad", 0);
+	crash(&q[0], "e2", "x", "ad", 200);
+	crash(&q[0], "e3", "x", "ad", 400);
+	merge_all(&q[1], &q[0], 500);
+	ck_assert(lets_through(&q[0], "ad.7", 31000));
+	ck_assert(merge_all(&q[1], &q[0], 31050));
+	/* Under way for a second. */
+	APR_RING_FOREACH (s, &q[1].parts, tlb_suspect_part, link) {
+		s->probe_at += TLB_SECOND;
+	}
+	ck_assert(!merge_all(&q[0], &q[1], 31100));
+	ck_assert(!lets_through(&q[1], "ad.8", 31100));
+	ck_assert(!lets_through(&q[1], "ad.7", 31100));
+	ck_assert(lets_through(&q[0], "ad.7", 31200));
+	answer(&q[0], "x", "ad.7", 32000);
+	merge_all(&q[1], &q[0], 32050);
+	ck_assert(lets_through(&q[1], "ad.9", 32100));
+	ck_assert(lets_through(&q[1], "ad.10", 32100));
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(memory_is_bounded_and_verdicts_are_kept)
 {
 	struct tlb_quarantine q;
@@ -326,7 +370,8 @@
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, notices_do_not_circulate_over_a_slow_link);
-	tcase_add_test(t, vms_do_not_end_a_verdict_at_the_same_time);
+	tcase_add_test(t, vms_do_not_probe_at_the_same_time);
+	tcase_add_test(t, a_probe_of_one_vm_holds_back_the_others);
 	tcase_add_test(t, memory_is_bounded_and_verdicts_are_kept);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
--- a/tests/test_quarantine_sync.c
+++ b/tests/test_quarantine_sync.c
@@ -166,7 +166,7 @@
 	int i;
 
 	for (i = 0; i < vms; i++)
-		n += tlb_quarantine_find(&nodes[i].board.quarantine, p) != NULL;
+		n += tlb_quarantine_find(&nodes[i].board.quarantine, p, tlb_clock_now()) != NULL;
 	return n;
 }
 
@@ -249,6 +249,30 @@
 }
 END_TEST
 
+START_TEST(a_probe_of_one_vm_holds_back_the_others)
+{
+	struct tlb_quarantine *q;
+	tlb_time at = tlb_clock_now() - 2 * TLB_QUARANTINE_MIN_TIME;
+	struct tlb_prompt probe = {deadly, 2, ACCOUNT, 1000};
+	int i;
+
+	setup(fleets[_i]);
+	q = &nodes[0].board.quarantine;
+	for (i = 0; i < TLB_QUARANTINE_CRASHES; i++) {
+		deadly_prompt.own++;
+		tlb_quarantine_add_crash(q, &deadly_prompt, 100 + (uint64_t)i, at + i * TLB_SECOND);
+	}
+	tlb_quarantine_sync_notify(&nodes[0].board.quarantine_sync);
+	run_for(LINK_TIME);
+	ck_assert_int_eq(rejecting(&deadly_prompt), 0);
+	ck_assert(tlb_quarantine_begin_probe(q, &probe, tlb_clock_now()));
+	tlb_quarantine_sync_notify(&nodes[0].board.quarantine_sync);
+	expect_rejecting(&deadly_prompt, vms);
+	ck_assert_ptr_null(tlb_quarantine_find(q, &probe, tlb_clock_now()));
+	teardown();
+}
+END_TEST
+
 START_TEST(one_crash_does_not_concern_a_large_fleet)
 {
 	int knowing = 0;
@@ -279,6 +303,7 @@
 	tcase_add_loop_test(t, crashes_seen_by_different_vms_lead_to_a_verdict_of_all, 0, 3);
 	tcase_add_loop_test(t, vm_that_restarts_learns_the_verdict, 0, 3);
 	tcase_add_test(t, vm_that_restarts_learns_the_verdict_beside_many_sound_parts);
+	tcase_add_loop_test(t, a_probe_of_one_vm_holds_back_the_others, 0, 3);
 	tcase_add_test(t, one_crash_does_not_concern_a_large_fleet);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
