Keep crashes before a verdict across a restart of all VMs

Cause: only verdicts were written to the store, and only they were in the hash by which VMs notice that one of them lacks something; evidence below a verdict was sent once, to the VMs linked at that moment.

Evidence: crashes_before_a_verdict_survive_a_restart_of_all_vms fails on (32 prefills and runs after the fifth crash, 24 crashes) and passes now.

Ruled out: storing single crashes. They are frequent in a large fleet, mostly unrelated, and known to the collectors only.

Change: parts with two counted crashes are stored and compared between VMs like verdicts.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -531,6 +531,11 @@
 	return changed;
 }
 
+bool tlb_quarantine_is_lasting(const struct tlb_suspect_part *s)
+{
+	return s->quarantined || s->crash_count > 1;
+}
+
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q)
 {
 	const struct tlb_suspect_part *s;
@@ -539,9 +544,9 @@
 	int i;
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
-		if (!s->quarantined)
+		if (!tlb_quarantine_is_lasting(s))
 			continue;
-		digest ^= mix(s->part + 1);
+		digest ^= mix(s->part + (s->quarantined ? 1 : 2));
 		for (i = 0; i < s->common_count; i++)
 			digest ^= mix(s->part ^ mix(s->common[i]));
 		/* With several accounts VMs may know different ones. */
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -176,7 +176,10 @@
  * another VM does before. */
 tlb_time tlb_quarantine_next_probe_at(const struct tlb_quarantine *q,
 				      const struct tlb_suspect_part *s);
-/* Hash of the verdicts; VMs with the same verdicts have the same. 0: none. */
+/* Whether the evidence must survive a restart of all VMs: a verdict, or crashes that can lead to
+ * one. Those of a single crash are frequent and mostly unrelated. */
+bool tlb_quarantine_is_lasting(const struct tlb_suspect_part *s);
+/* Hash of the verdicts and the other lasting evidence; VMs with the same have the same. 0: none. */
 uint64_t tlb_quarantine_digest(const struct tlb_quarantine *q);
 
 #endif
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -8,7 +8,7 @@
 #include "edgeboard.h"
 #include "log.h"
 
-/* The router's table in the platform's store: one row for each quarantined part. */
+/* The router's table in the platform's store: one row for each part with lasting evidence. */
 static const char table[] = "toucanlb-quarantine";
 /* Key of the ranking that selects the collectors. */
 static const char collectors_key[] = "quarantine";
@@ -194,8 +194,8 @@
 		tlb_timer_set(s->board->loop, &s->flush_timer, at);
 }
 
-/* Sends the entries that are quarantined, or the others that an answer has cleared, to one VM. */
-static void send_entries(struct tlb_quarantine_sync *s, struct tlb_vm *vm, bool quarantined,
+/* Sends the entries with lasting evidence, or the others that an answer has cleared, to one VM. */
+static void send_entries(struct tlb_quarantine_sync *s, struct tlb_vm *vm, bool lasting,
 			 tlb_time now)
 {
 	static struct message m;
@@ -203,7 +203,7 @@
 
 	begin_message(&m);
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
-		if (p->quarantined != quarantined || (!quarantined && p->sound_at == 0))
+		if (tlb_quarantine_is_lasting(p) != lasting || (!lasting && p->sound_at == 0))
 			continue;
 		if (m.body.n_parts == TLB_QUARANTINE_PARTS_SENT_MAX) {
 			send_message(s, &m, vm->id);
@@ -384,24 +384,24 @@
 	tlb_rowstore_write(s->store, &s->op, table, key, -1, value, on_written, s);
 }
 
-static struct tlb_suspect_part *quarantined_part(const struct tlb_quarantine *q, uint64_t part)
+static struct tlb_suspect_part *lasting_part(const struct tlb_quarantine *q, uint64_t part)
 {
 	struct tlb_suspect_part *p;
 
 	APR_RING_FOREACH (p, &q->parts, tlb_suspect_part, link) {
-		if (p->quarantined && p->part == part)
+		if (p->part == part && tlb_quarantine_is_lasting(p))
 			return p;
 	}
 	return NULL;
 }
 
-/* Removes the first row without a verdict. Returns whether there was one. */
+/* Removes the first row without lasting evidence. Returns whether there was one. */
 static bool remove_stale_row(struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows)
 {
 	int i;
 
 	for (i = 0; i < rows->count; i++) {
-		if (quarantined_part(s->quarantine, strtoull(rows->rows[i].key, NULL, 16)))
+		if (lasting_part(s->quarantine, strtoull(rows->rows[i].key, NULL, 16)))
 			continue;
 		write_row(s, rows->rows[i].key, NULL);
 		return true;
@@ -409,7 +409,7 @@
 	return false;
 }
 
-/* Whether the row leads to the same verdict as the entry. */
+/* Whether the row holds as much evidence as the entry. */
 static bool row_matches(const struct tlb_quarantine_sync *s, const struct tlb_stored_row *row,
 			const struct tlb_suspect_part *p)
 {
@@ -434,7 +434,7 @@
 	return false;
 }
 
-/* Writes the first verdict that the rows lack. Returns whether there was one. */
+/* Writes the first lasting evidence that the rows lack. Returns whether there was one. */
 static bool write_missing_row(struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows)
 {
 	const struct tlb_suspect_part *p;
@@ -443,7 +443,7 @@
 
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
 		snprintf(key, sizeof(key), "%" PRIx64, p->part);
-		if (!p->quarantined || has_row(s, rows, p, key))
+		if (!tlb_quarantine_is_lasting(p) || has_row(s, rows, p, key))
 			continue;
 		value = format_row(s, p);
 		/* Without a value the row would be removed. */
--- a/src/quarantine_sync.h
+++ b/src/quarantine_sync.h
@@ -1,6 +1,7 @@
 /*
- * Exchanges the evidence of module quarantine between VMs and keeps the verdicts in the platform's
- * store, so that they survive a restart of all VMs. Nothing waits for the store.
+ * Exchanges the evidence of module quarantine between VMs and keeps what is lasting, verdicts and
+ * crashes that can lead to one, in the platform's store, so that it survives a restart of all VMs.
+ * Nothing waits for the store.
  *
  * New evidence is sent within TLB_QUARANTINE_FLUSH_DELAY. In a small fleet it goes to all VMs. In a
  * larger one, where crashes of endpoints are frequent and mostly unrelated, evidence of a single
@@ -8,10 +9,10 @@
  * crash confirms it. That an endpoint has broken off answers, whatever the prompts, is told to all
  * VMs once for each incarnation, for those whose callers had left.
  *
- * Reports carry a hash of the sender's verdicts; a linked VM with other verdicts sends its own, so
- * that VMs that were restarted, cut off or partitioned learn what they missed.
+ * Reports carry a hash of the sender's lasting evidence; a linked VM with another one sends its
+ * own, so that VMs that were restarted, cut off or partitioned learn what they missed.
  *
- * One VM writes verdicts to the store; others do so if it has not after some time.
+ * One VM writes to the store; others do so if it has not after some time.
  */
 #ifndef TLB_QUARANTINE_SYNC_H
 #define TLB_QUARANTINE_SYNC_H
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1350,12 +1350,7 @@
         with SoundCallers(w.vms):
             crash_until_known(w, send_deadly(w.vms))
         arrivals = deadly_arrivals(w)
-        for vm in w.vms:
-            vm.kill()
-        for vm in w.vms:
-            vm.start()
-        wait(lambda: all(vm.ready() for vm in w.vms), "the VMs are ready again")
-        time.sleep(CONTACT_S)
+        restart_all(w)
         equal(deadly_arrivals(w), arrivals, "arrivals while the VMs start")
         with SoundCallers(w.vms) as sound:
             known = time.monotonic()
@@ -1363,6 +1358,36 @@
         sound.check(known)
 
 
+def restart_all(w):
+    for vm in w.vms:
+        vm.kill()
+    for vm in w.vms:
+        vm.start()
+    wait(lambda: all(vm.ready() for vm in w.vms), "the VMs are ready again")
+    time.sleep(CONTACT_S)
+
+
+def check_crashes_before_a_verdict_survive_a_restart_of_all_vms():
+    """Crashes that are not yet enough for a verdict must count although all VMs restart after every
+    second request."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        crash_on_parts(w, "d1")
+        requests = send_deadly(w.vms)
+        known = None  # arrivals up to the restart after the fifth crash
+        for _ in range(6):
+            next(requests)
+            next(requests)
+            time.sleep(CONTACT_S)
+            restart_all(w)
+            if known is None and crashes(w) >= 5:
+                known = deadly_arrivals(w)
+        assert crashes(w) > 0, "no endpoint crashed"
+        if known is not None:
+            reached = deadly_arrivals(w) - known
+            assert reached <= MAX_REACHED, f"{reached} prefills and runs, {crashes(w)} crashes"
+
+
 def check_account_cannot_quarantine_parts_of_another_account():
     """An account whose requests crash endpoints, each with another deadly part, must not have a
     part refused that requests of another account share, whether these come meanwhile or not."""
