--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -8,7 +8,7 @@
 #include "edgeboard.h"
 #include "log.h"
 
-/* The router's table in the platform's store: one row for each quarantined part. */
+/* The router's table in the platform's store: one row for each part with lasting evidence. */
 static const char table[] = "toucanlb-quarantine";
 /* Key of the ranking that selects the collectors. */
 static const char collectors_key[] = "quarantine";
@@ -26,12 +26,12 @@
 	uint64_t account;
 
 	if (p->quarantined)
-		tlb_log_warn(
-			"event=part_quarantined part=%" PRIx64
-			" crashes=%d common_parts=%d accounts=%d ends_ms=%lld",
-			p->part, p->crash_count, p->common_count,
-			tlb_quarantine_accounts(p, &account),
-			(long long)((tlb_quarantine_ends_at(q, p) - tlb_clock_now()) / TLB_MS));
+		tlb_log_warn("event=part_quarantined part=%" PRIx64
+			     " crashes=%d common_parts=%d accounts=%d probe_ms=%lld",
+			     p->part, p->crash_count, p->common_count,
+			     tlb_quarantine_accounts(p, &account),
+			     (long long)((tlb_quarantine_next_probe_at(q, p) - tlb_clock_now()) /
+					 TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
 			     p->crash_count, p->sound_at > 0);
@@ -81,6 +81,14 @@
 	}
 }
 
+/* 0 stands for none. */
+static uint64_t age_of_time(tlb_time now, tlb_time at)
+{
+	if (at == 0)
+		return 0;
+	return now > at ? (uint64_t)(now - at) : 1;
+}
+
 static void add_to_message(struct message *m, struct tlb_suspect_part *p, tlb_time now)
 {
 	size_t n = m->body.n_parts++;
@@ -102,9 +110,8 @@
 		m->crash[n][i].age_us = (uint64_t)(now - p->crashes[i].at);
 		m->crashes[n][i] = &m->crash[n][i];
 	}
-	/* 0 stands for none. */
-	if (p->sound_at > 0)
-		out->sound_age_us = now > p->sound_at ? (uint64_t)(now - p->sound_at) : 1;
+	out->sound_age_us = age_of_time(now, p->sound_at);
+	out->probe_age_us = age_of_time(now, p->probe_at);
 }
 
 static void send_message(struct tlb_quarantine_sync *s, struct message *m, const char *vm)
@@ -187,8 +194,8 @@
 		tlb_timer_set(s->board->loop, &s->flush_timer, at);
 }
 
-/* Sends the entries that are quarantined, or the others that an answer has cleared, to one VM. */
-static void send_entries(struct tlb_quarantine_sync *s, struct tlb_vm *vm, bool quarantined,
+/* Sends the entries with lasting evidence, or the others that an answer has cleared, to one VM. */
+static void send_entries(struct tlb_quarantine_sync *s, struct tlb_vm *vm, bool lasting,
 			 tlb_time now)
 {
 	static struct message m;
@@ -196,7 +203,7 @@
 
 	begin_message(&m);
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
-		if (p->quarantined != quarantined || (!quarantined && p->sound_at == 0))
+		if (tlb_quarantine_is_lasting(p) != lasting || (!lasting && p->sound_at == 0))
 			continue;
 		if (m.body.n_parts == TLB_QUARANTINE_PARTS_SENT_MAX) {
 			send_message(s, &m, vm->id);
@@ -239,6 +246,8 @@
 			in->crashes[i]->account, in->crashes[i]->request};
 	if (in->sound_age_us > 0)
 		p.sound_at = time_of_age(now, in->sound_age_us);
+	if (in->probe_age_us > 0)
+		p.probe_at = time_of_age(now, in->probe_age_us);
 	if (tlb_quarantine_merge(s->quarantine, &p, now))
 		tlb_quarantine_sync_notify(s);
 }
@@ -375,24 +384,24 @@
 	tlb_rowstore_write(s->store, &s->op, table, key, -1, value, on_written, s);
 }
 
-static struct tlb_suspect_part *quarantined_part(const struct tlb_quarantine *q, uint64_t part)
+static struct tlb_suspect_part *lasting_part(const struct tlb_quarantine *q, uint64_t part)
 {
 	struct tlb_suspect_part *p;
 
 	APR_RING_FOREACH (p, &q->parts, tlb_suspect_part, link) {
-		if (p->quarantined && p->part == part)
+		if (p->part == part && tlb_quarantine_is_lasting(p))
 			return p;
 	}
 	return NULL;
 }
 
-/* Removes the first row without a verdict. Returns whether there was one. */
+/* Removes the first row without lasting evidence. Returns whether there was one. */
 static bool remove_stale_row(struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows)
 {
 	int i;
 
 	for (i = 0; i < rows->count; i++) {
-		if (quarantined_part(s->quarantine, strtoull(rows->rows[i].key, NULL, 16)))
+		if (lasting_part(s->quarantine, strtoull(rows->rows[i].key, NULL, 16)))
 			continue;
 		write_row(s, rows->rows[i].key, NULL);
 		return true;
@@ -400,7 +409,7 @@
 	return false;
 }
 
-/* Whether the row leads to the same verdict as the entry. */
+/* Whether the row holds as much evidence as the entry. */
 static bool row_matches(const struct tlb_quarantine_sync *s, const struct tlb_stored_row *row,
 			const struct tlb_suspect_part *p)
 {
@@ -425,7 +434,7 @@
 	return false;
 }
 
-/* Writes the first verdict that the rows lack. Returns whether there was one. */
+/* Writes the first lasting evidence that the rows lack. Returns whether there was one. */
 static bool write_missing_row(struct tlb_quarantine_sync *s, const struct tlb_stored_rows *rows)
 {
 	const struct tlb_suspect_part *p;
@@ -434,7 +443,7 @@
 
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
 		snprintf(key, sizeof(key), "%" PRIx64, p->part);
-		if (!p->quarantined || has_row(s, rows, p, key))
+		if (!tlb_quarantine_is_lasting(p) || has_row(s, rows, p, key))
 			continue;
 		value = format_row(s, p);
 		/* Without a value the row would be removed. */
