Keep idle connections on which a request has arrived unread

What callers saw: a request sent on a kept connection ended with a closed connection and no answer, when the VM began to drain or the idle timeout passed at that moment. It wasn't passed on to an endpoint. Cause: idle connections are closed from timers, which run after the sockets were polled. Bytes that arrive between the two, or while a slow VM's loop is late, are in the socket buffer when the connection is shut down; epoll then reports a hangup and libmicrohttpd closes the connection unread. No endpoint got the request. Change: a connection with unread bytes isn't closed; the request is read next and gets an answer, 503 while draining. Bytes that arrive after the close still find it closed, as HTTP allows.

--- a/src/listener.c
+++ b/src/listener.c
@@ -590,6 +590,16 @@
 	return info.tcpi_state != TCP_ESTABLISHED;
 }
 
+/* Closes a connection without a request in progress, unless bytes of a request have arrived that
+ * libmicrohttpd has not read yet. */
+static void close_unused(const struct tlb_listener_conn *fc)
+{
+	char byte;
+
+	if (recv(fc->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+		shutdown(fc->fd, SHUT_RDWR);
+}
+
 static void sweep_exchange(struct tlb_exchange *x, tlb_time now)
 {
 	if (x->disconnected || x->fd < 0)
@@ -616,7 +626,7 @@
 	}
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
 		if (now >= fc->idle_deadline)
-			shutdown(fc->fd, SHUT_RDWR);
+			close_unused(fc);
 	}
 	tlb_timer_set(f->loop, &f->sweep_timer, now + SWEEP_MS * TLB_MS);
 }
@@ -719,7 +729,7 @@
 
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
 		if (fc->idle_deadline != TLB_NEVER)
-			shutdown(fc->fd, SHUT_RDWR);
+			close_unused(fc);
 	}
 }
 
--- a/src/listener.h
+++ b/src/listener.h
@@ -131,7 +131,7 @@
 void tlb_listener_finish(struct tlb_listener *f);
 /* Adds "Connection: close" to all further responses, so that callers reconnect to other VMs. */
 void tlb_listener_disable_keepalive(struct tlb_listener *f);
-/* Closes the connections that carry no request. */
+/* Closes the connections that carry no request, but those on which one has begun to arrive. */
 void tlb_listener_close_idle(struct tlb_listener *f);
 /* Stops accepting connections; requests in flight go on. */
 void tlb_listener_stop_accepting(struct tlb_listener *f);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -851,6 +851,42 @@
         equal(vm.process.wait(3), 0, "exit status")
 
 
+def late_loop_answer(vm, conn, before_s):
+    """Sends a request over the idle connection while the VM does not run, from `before_s` on for
+    0.8 s. Returns the status of the answer, or the name of the error."""
+    time.sleep(before_s)
+    vm.process.send_signal(signal.SIGSTOP)
+    time.sleep(0.1)
+    try:
+        conn.request("GET", "/open/1", headers={"Host": "h.example", "X-Attempt-Id": "late"})
+        time.sleep(0.7)
+        vm.process.send_signal(signal.SIGCONT)
+        return conn.getresponse().status
+    except (OSError, http.client.HTTPException) as e:
+        return type(e).__name__
+
+
+def check_request_that_arrived_before_the_drain_is_answered():
+    """A request that has arrived on an idle connection before the VM, whose loop runs late, closes
+    idle connections to drain must be answered; the connection was reset."""
+    with World() as w:
+        vm = w.start()
+        conn = vm.connect()
+        equal(vm.call("/open/1", conn=conn)[0], 200, "before")
+        vm.process.send_signal(signal.SIGTERM)
+        equal(late_loop_answer(vm, conn, 2.2), 503, "answer")
+
+
+def check_request_that_arrived_before_the_idle_timeout_is_answered():
+    """The same when the idle timeout of the connection passes while the loop runs late."""
+    with World() as w:
+        limits = dict(config(3)["limits"], idleTimeoutMs=1)  # 2 s are added
+        vm = w.start(config(3, limits=limits))
+        conn = vm.connect()
+        equal(vm.call("/open/1", conn=conn)[0], 200, "before")
+        equal(late_loop_answer(vm, conn, 1.5), 200, "answer")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
