Let a stream wait when the endpoint reserved for it leaves

What callers saw: beside a release of endpoints, a stream that was being moved to another endpoint ended without its last events. Cause: when the prefill has ended and the reserved decode endpoint is leaving, or the reservation has expired, another one is selected at once; without any (all others tried, or full a moment ago) the stream was cut, without waiting for room as after a refused reservation. The same class as: giving up a stream before it is known that it can't go on. Ruled out: the silent endpoint broke off, the deadline, the retry budget. Change: a stream that has begun is queued, first in its flow, until an endpoint has room or the deadline is near. If its KV cache expires meanwhile, it is prefilled again, which takes no retry from the budget. A request whose answer has not begun gets an error as before.

--- a/src/generation.c
+++ b/src/generation.c
@@ -543,12 +543,27 @@
 	tlb_instance_release(i);
 }
 
+/* Queues a request for which no decode endpoint has room, and starts none of its service for a
+ * moment. May end the request. */
+static void wait_for_room(struct tlb_forward *f)
+{
+	struct tlb_generation_queue *p = f->gen.service_queue;
+	tlb_time now = tlb_clock_now();
+
+	release_window_slot(f, 0);
+	p->full_until = now + TLB_DECODE_FULL_BACKOFF;
+	requeue(f, now);
+	tlb_timer_set(p->board->loop, &p->timer, p->full_until);
+}
+
 static void decode(struct tlb_forward *f)
 {
 	struct tlb_instance *i = decode_endpoint(f);
 
 	if (i)
 		decode_at(f, i);
+	else if (f->gen.streaming)
+		wait_for_room(f);
 	else
 		fail_stream(f, "no decode endpoint is usable");
 }
@@ -646,17 +661,11 @@
 static void on_decode_reservation(void *arg, bool found)
 {
 	struct tlb_forward *f = arg;
-	struct tlb_generation_queue *p = f->gen.service_queue;
-	tlb_time now = tlb_clock_now();
 
-	if (found) {
+	if (found)
 		prefill(f);
-		return;
-	}
-	release_window_slot(f, 0);
-	p->full_until = now + TLB_DECODE_FULL_BACKOFF;
-	requeue(f, now);
-	tlb_timer_set(p->board->loop, &p->timer, p->full_until);
+	else
+		wait_for_room(f);
 }
 
 /* Output length in tokens to reserve memory for. A request that exceeds its reservation may be
@@ -754,6 +763,7 @@
 	if (refuse_quarantined(f))
 		return;
 	if (f->gen.kv_source && p.now < f->gen.kv_deadline) {
+		release_window_slot(f, 0);
 		decode(f);
 		return;
 	}
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -822,6 +822,34 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_stream_survives_the_loss_of_its_reserved_endpoint():
+    """A stream that has begun must wait for room when the endpoint reserved for it leaves during the
+    prefill; it was cut if no other endpoint was usable at that moment."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        reserved = []
+
+        def replace_reserved(h):
+            if any(d.seen for d in w.decodes):
+                reserved.extend(d for d in w.decodes if not d.seen)
+                w.store.put("servers", reserved[0].name, reserved[0].entry("draining"))
+                wait(lambda: any("leaving=1" in e for e in vm.events("instance")), "leaving")
+                w.decodes.append(Endpoint("dec-new", "llm", "decode"))
+                timer = threading.Timer(0.5, lambda: w.store.put(
+                    "servers", "dec-new", w.decodes[-1].entry()))
+                timer.start()
+            return False
+
+        for p in w.prefills:
+            p.plan = replace_reserved
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(len(reserved[0].seen), 0, "runs at the endpoint that leaves")
+
+
 def check_unanswered_requests_are_answered_when_the_drain_ends():
     """A request whose endpoint has not begun to answer when the drain ends must get an error
     response; callers saw a closed connection. Only one that has not run gets a 503."""
