Retry a begun stream whose next endpoint answers with an error

What callers saw: a stream that was resumed after its connection broke ended without its last events, although attempts, retry budget and endpoints were left. Cause: an error response of the endpoint was retried only for requests whose answer had not begun; a begun stream was cut. Evidence: edge.py stream_resumed_at_a_failing_endpoint_goes_on_elsewhere (one break, then two answers with status 500, three attempts allowed) failed 2 of 2 before (two of four events, incomplete) and passes 3 of 3. Ruled out: limits on attempts and budget, which are asked as before. Change: both are retried.

--- a/src/generation.c
+++ b/src/generation.c
@@ -398,12 +398,15 @@
 {
 	bool failed = r->status >= 500;
 
-	if (!f->gen.streaming && failed && tlb_forward_may_retry(f, TLB_ATTEMPT_ANSWERED))
+	if (failed && tlb_forward_may_retry(f, TLB_ATTEMPT_ANSWERED)) {
+		if (f->gen.streaming)
+			tlb_counter_add(&f->board->counters, TLB_COUNTER_RESUMES, 1);
 		start_attempt(f);
-	else if (!f->gen.streaming)
+	} else if (!f->gen.streaming) {
 		tlb_forward_answer(f, r);
-	else
+	} else {
 		fail_stream(f, "the endpoint failed");
+	}
 }
 
 /* Whether a stream that seems to have ended in order was broken off: inside an event, or, when
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -633,6 +633,30 @@
         equal(read_stream(r), (EVENTS, True), "stream")
 
 
+def check_stream_resumed_at_a_failing_endpoint_goes_on_elsewhere():
+    """A stream that has begun must get its next attempt when the endpoint that takes it over answers
+    with an error; it was cut, unlike one that had not begun."""
+    with World(decodes=3) as w:
+        vm = w.start(config(3, routes=[dict(r, maxAttempts=3) for r in config(3)["routes"]]))
+        runs = []
+
+        def plan(h):
+            runs.append(h.headers.get("Last-Event-Id"))
+            if len(runs) == 1:
+                h.stream(0, until=2)
+                h.cut()
+                return True
+            if runs[-1] and len(runs) < 4:
+                h.answer(500, b"failed")
+                return True
+            return False
+
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
