Hold SIGHUP back while a VM starts

What callers saw: nothing lost, but a VM that was reloaded while it started ended by itself and had to be started once more. Cause: until the event loop handles SIGHUP, its default action is in force, which ends the process; the settings, the log and the HTTP library are set up before that. Evidence: edge.py reload_signal_does_not_end_a_vm_that_starts (SIGHUP while the VM reads its settings from a pipe) failed 2 of 2 before (killed by signal 1) and passes 3 of 3. Change: main() blocks SIGHUP first; it is delivered once the loop runs. The time before main() remains. SIGTERM keeps its default action until then, as nothing has been accepted yet.

--- a/src/signals.c
+++ b/src/signals.c
@@ -14,6 +14,15 @@
 	s->fn(s->arg, info.ssi_signo == SIGHUP ? SIGHUP : SIGTERM);
 }
 
+void tlb_signals_hold_reload(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+}
+
 void tlb_signals_init(struct tlb_signals *s, struct tlb_loop *l, tlb_signal_fn *fn, void *arg)
 {
 	sigset_t set;
--- a/src/signals.h
+++ b/src/signals.h
@@ -16,6 +16,8 @@
 	void *arg;
 };
 
+/* Holds SIGHUP back until tlb_signals_init(): its default action ends the process. */
+void tlb_signals_hold_reload(void);
 /* Blocks the three signals' normal delivery and ignores SIGPIPE. l is borrowed. */
 void tlb_signals_init(struct tlb_signals *s, struct tlb_loop *l, tlb_signal_fn *fn, void *arg);
 void tlb_signals_finish(struct tlb_signals *s);
--- a/src/toucanlbd.c
+++ b/src/toucanlbd.c
@@ -8,6 +8,7 @@
 #include "daemon.h"
 #include "edge.h"
 #include "log.h"
+#include "signals.h"
 
 /* Exit codes, documented in man/toucanlbd.8. */
 enum { EXIT_START = 1, EXIT_SETTINGS = 2 };
@@ -91,6 +92,7 @@
 	struct argp argp = {.parser = parse_option, .doc = doc, .args_doc = args_doc};
 	int rc;
 
+	tlb_signals_hold_reload();
 	argp_err_exit_status = EXIT_SETTINGS;
 	argp_parse(&argp, argc, argv, 0, NULL, &settings);
 	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1213,6 +1213,27 @@
         equal(vm.metric("toucanlb_call_seconds_count"), 1.0, "latencies")
 
 
+def check_reload_signal_does_not_end_a_vm_that_starts():
+    """A VM that gets SIGHUP before its event loop runs must start and then reload; it was killed."""
+    with World() as w:
+        vm = w.start()
+        vm.kill()
+        with open(vm.settings, encoding="utf-8") as f:
+            text = f.read()
+        os.remove(vm.settings)
+        os.mkfifo(vm.settings)
+        vm.start()
+        with open(vm.settings, "w", encoding="utf-8") as pipe:  # opened once the VM reads it
+            vm.process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            equal(vm.process.poll(), None, "exit code")
+            os.remove(vm.settings)
+            vm.write_settings(w.doors[0].addr)
+            pipe.write(text)
+        wait(vm.ready, "the VM is ready")
+        wait(lambda: vm.events("edge_reload result=ok"), "the settings are reloaded")
+
+
 def check_changed_settings_are_taken_over():
     """A changed settings file must be applied without a signal; an invalid one changes nothing."""
     with World() as w:
