--- a/tests/edge.py
+++ b/tests/edge.py
@@ -633,6 +633,30 @@
         equal(read_stream(r), (EVENTS, True), "stream")
 
 
+def check_stream_resumed_at_a_failing_endpoint_goes_on_elsewhere():
+    """A stream that has begun must get its next attempt when the endpoint that takes it over answers
+    with an error; it was cut, unlike one that had not begun."""
+    with World(decodes=3) as w:
+        vm = w.start(config(3, routes=[dict(r, maxAttempts=3) for r in config(3)["routes"]]))
+        runs = []
+
+        def plan(h):
+            runs.append(h.headers.get("Last-Event-Id"))
+            if len(runs) == 1:
+                h.stream(0, until=2)
+                h.cut()
+                return True
+            if runs[-1] and len(runs) < 4:
+                h.answer(500, b"failed")
+                return True
+            return False
+
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
@@ -822,6 +846,34 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_stream_survives_the_loss_of_its_reserved_endpoint():
+    """A stream that has begun must wait for room when the endpoint reserved for it leaves during the
+    prefill; it was cut if no other endpoint was usable at that moment."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        reserved = []
+
+        def replace_reserved(h):
+            if any(d.seen for d in w.decodes):
+                reserved.extend(d for d in w.decodes if not d.seen)
+                w.store.put("servers", reserved[0].name, reserved[0].entry("draining"))
+                wait(lambda: any("leaving=1" in e for e in vm.events("instance")), "leaving")
+                w.decodes.append(Endpoint("dec-new", "llm", "decode"))
+                timer = threading.Timer(0.5, lambda: w.store.put(
+                    "servers", "dec-new", w.decodes[-1].entry()))
+                timer.start()
+            return False
+
+        for p in w.prefills:
+            p.plan = replace_reserved
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(len(reserved[0].seen), 0, "runs at the endpoint that leaves")
+
+
 def check_unanswered_requests_are_answered_when_the_drain_ends():
     """A request whose endpoint has not begun to answer when the drain ends must get an error
     response; callers saw a closed connection. Only one that has not run gets a 503."""
@@ -851,6 +903,42 @@
         equal(vm.process.wait(3), 0, "exit status")
 
 
+def late_loop_answer(vm, conn, before_s):
+    """Sends a request over the idle connection while the VM does not run, from `before_s` on for
+    0.8 s. Returns the status of the answer, or the name of the error."""
+    time.sleep(before_s)
+    vm.process.send_signal(signal.SIGSTOP)
+    time.sleep(0.1)
+    try:
+        conn.request("GET", "/open/1", headers={"Host": "h.example", "X-Attempt-Id": "late"})
+        time.sleep(0.7)
+        vm.process.send_signal(signal.SIGCONT)
+        return conn.getresponse().status
+    except (OSError, http.client.HTTPException) as e:
+        return type(e).__name__
+
+
+def check_request_that_arrived_before_the_drain_is_answered():
+    """A request that has arrived on an idle connection before the VM, whose loop runs late, closes
+    idle connections to drain must be answered; the connection was reset."""
+    with World() as w:
+        vm = w.start()
+        conn = vm.connect()
+        equal(vm.call("/open/1", conn=conn)[0], 200, "before")
+        vm.process.send_signal(signal.SIGTERM)
+        equal(late_loop_answer(vm, conn, 2.2), 503, "answer")
+
+
+def check_request_that_arrived_before_the_idle_timeout_is_answered():
+    """The same when the idle timeout of the connection passes while the loop runs late."""
+    with World() as w:
+        limits = dict(config(3)["limits"], idleTimeoutMs=1)  # 2 s are added
+        vm = w.start(config(3, limits=limits))
+        conn = vm.connect()
+        equal(vm.call("/open/1", conn=conn)[0], 200, "before")
+        equal(late_loop_answer(vm, conn, 1.5), 200, "answer")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
@@ -1125,6 +1213,27 @@
         equal(vm.metric("toucanlb_call_seconds_count"), 1.0, "latencies")
 
 
+def check_reload_signal_does_not_end_a_vm_that_starts():
+    """A VM that gets SIGHUP before its event loop runs must start and then reload; it was killed."""
+    with World() as w:
+        vm = w.start()
+        vm.kill()
+        with open(vm.settings, encoding="utf-8") as f:
+            text = f.read()
+        os.remove(vm.settings)
+        os.mkfifo(vm.settings)
+        vm.start()
+        with open(vm.settings, "w", encoding="utf-8") as pipe:  # opened once the VM reads it
+            vm.process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            equal(vm.process.poll(), None, "exit code")
+            os.remove(vm.settings)
+            vm.write_settings(w.doors[0].addr)
+            pipe.write(text)
+        wait(vm.ready, "the VM is ready")
+        wait(lambda: vm.events("edge_reload result=ok"), "the settings are reloaded")
+
+
 def check_changed_settings_are_taken_over():
     """A changed settings file must be applied without a signal; an invalid one changes nothing."""
     with World() as w:
