Log what granted a request's cost

The log named the deciding VM of refusals only, so that the grants of the broken window could not be put down to a bucket. forward_end now names the owner that was asked, "alone" or "own".

--- a/src/forward.c
+++ b/src/forward.c
@@ -88,6 +88,17 @@
 	f->instance = NULL;
 }
 
+/* What granted the cost: the VM that was asked, this VM's fraction ("alone"), or its own bucket in a
+ * small fleet ("own"). */
+static const char *granter(const struct tlb_forward *f)
+{
+	if (f->cost == 0)
+		return "-";
+	if (!f->acquisition.owners)
+		return "own";
+	return f->acquisition.alone ? "alone" : tlb_quota_acquisition_decider(&f->acquisition);
+}
+
 static void log_end(const struct tlb_forward *f, const char *outcome, int status)
 {
 	static const char *const step_names[] = {
@@ -100,11 +111,11 @@
 
 	tlb_log_info(
 		"event=forward_end request=%s attempt=%s route=%s service=%s account=%s outcome=%s "
-		"cost=%lld status=%d tries=%d runs=%d step=%s begun=%d in_progress=%d ms=%lld "
-		"left_ms=%lld config=%lld",
+		"cost=%lld granter=%s status=%d tries=%d runs=%d step=%s begun=%d in_progress=%d "
+		"ms=%lld left_ms=%lld config=%lld",
 		f->exchange->id, f->inbound.attempt_id, f->route->name, f->service,
-		f->account ? f->account->name : "-", outcome, (long long)f->cost, status,
-		f->attempts, f->possible_runs, step_names[f->step], f->gen.streaming,
+		f->account ? f->account->name : "-", outcome, (long long)f->cost, granter(f),
+		status, f->attempts, f->possible_runs, step_names[f->step], f->gen.streaming,
 		f->instance != NULL, (long long)((now - f->exchange->arrived) / TLB_MS),
 		(long long)((f->deadline - now) / TLB_MS), (long long)f->routing->version);
 }
