--- a/src/forward.c
+++ b/src/forward.c
@@ -88,8 +88,8 @@
 	f->instance = NULL;
 }
 
-/* What granted the cost: the VM that was asked, this VM's fraction ("alone"), or its own bucket in a
- * small fleet ("own"). */
+/* What granted the cost: the VM that was asked, this VM's fraction ("alone"), or its own bucket in
+ * a small fleet ("own"). */
 static const char *granter(const struct tlb_forward *f)
 {
 	if (f->cost == 0)
