Write the secret of the test fleet before its VMs start

What was seen: edge.py few_vms_of_a_large_fleet_follow_the_store failed beside load with "not within 8 s: version 9 with all followers refused".

Cause, in the test: World started the processes and then wrote the secret between VMs, without a condition. A VM that had meanwhile found none created its own one after a random time below 0.5 s; it was then overwritten, and that VM had another secret than the others for good. In the log of a failed run, vm-11 refused frames of other VMs (invalid_key, 99 times), had no link and found no rows of VMs at its start. It was also one of the chosen followers, all of which are refused, so that nobody could tell it of version 9.

The rows are now written first and the processes started then, which is what a restart looks like. No check or bound changes. The soak starts its VMs after their rows in the same way.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -166,6 +166,8 @@
         self.configure()
         self.vms = [edge.Vm(f"vm-{n}", directory, p.addr)
                     for n, p in enumerate(self.store_links)]
+        for vm in self.vms:
+            vm.start()
 
     def make(self, name, service, stage):
         e = edge_standin.Endpoint.__new__(edge_standin.Endpoint)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -85,7 +85,6 @@
         self.log = os.path.join(directory, f"{name}.log")
         self.settings = os.path.join(directory, f"{name}.yaml")
         self.write_settings(store)
-        self.start()
 
     def start(self):
         self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings])
@@ -154,6 +153,9 @@
             self.store.put("toucanlb-secret", "peer", "5a" * 32)
             for vm in self.vms:
                 self.store.put("toucanlb-vm", vm.name, {"addr": f"127.0.0.1:{vm.ports['peer']}"})
+        # After the secret: a VM that finds none creates its own one within half a second.
+        for vm in self.vms:
+            vm.start()
 
     def __enter__(self):
         return self
