Take ports of test daemons outside the range of outgoing connections

Cause, in the test: free_ports() took ephemeral ports and closed them again. The VMs that were started first open links from ports of the same range (32768 to 60999 here), and one of these was that port. Ports now come from 10000 to 31999, each once per process, starting at a random one. No check or bound changes.

Open: a daemon whose peer port is taken at its start logs that and never tries again (vms.c, open_listener).

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -5,6 +5,7 @@
 Without arguments it runs all; the exit status is 0 when no check failed but those that
 KNOWN-RED.txt lists as "tests/edge.py NAME: ...", which are printed as known."""
 import http.client
+import itertools
 import os
 import re
 import signal
@@ -14,6 +15,7 @@
 import tempfile
 import threading
 import time
+from random import SystemRandom
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from edge_standin import Door, Endpoint, Store  # noqa: E402
@@ -35,14 +37,25 @@
 """
 
 
+# Outside the range from which the system takes the ports of outgoing connections: one of these could
+# have a port before the daemon listens on it.
+PORTS = range(10000, 32000)
+next_port = itertools.cycle(PORTS)
+for _ in range(SystemRandom().randrange(len(PORTS))):
+    next(next_port)
+
+
 def free_ports(*names):
-    """Returns a different free port for each name; all are held until the last one was chosen."""
-    sockets = {name: socket.socket() for name in names}
-    for s in sockets.values():
-        s.bind(("127.0.0.1", 0))
-    ports = {name: s.getsockname()[1] for name, s in sockets.items()}
-    for s in sockets.values():
-        s.close()
+    """Returns a different free port for each name; other calls return other ones."""
+    ports = {}
+    while len(ports) < len(names):
+        port = next(next_port)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports[names[len(ports)]] = port
     return ports
 
 
