Compress large values that VMs send each other

Cause: a change of a few bytes is passed on as the complete row. A small VM needs 0.44 s to send it once; with several requests at a time none of the copies is complete for seconds, requests are repeated to other VMs every 0.3 s, and after 1 s the store is read besides. Reports, grants and the streams of callers wait behind these bytes. Class: bulk data on links that also carry what is urgent.

Ruled out: a lost or dropped change (all 87 VMs have applied version 14 by 29.6), a store that was not reachable (no store_lost from 23 to 28 s), a process that ended (no exits).

Change: a VM that requests rows says that it reads compressed values, and gets values of 1 KB or more in zlib format, compressed once per value. VMs of the version before do not ask for it and get plain ones.

--- a/src/replica.c
+++ b/src/replica.c
@@ -3,15 +3,25 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "deflate.h"
+
 void tlb_replica_init(struct tlb_replica *r)
 {
 	*r = (struct tlb_replica){0};
 	APR_RING_INIT(&r->rows, tlb_replica_row, link);
 }
 
+static void drop_deflated(struct tlb_replica_row *e)
+{
+	free(e->deflated);
+	e->deflated = NULL;
+	e->deflated_len = 0;
+}
+
 static void free_row(struct tlb_replica_row *e)
 {
 	APR_RING_REMOVE(e, link);
+	drop_deflated(e);
 	free(e->row.value);
 	free(e);
 }
@@ -74,6 +84,7 @@
 	free(e->row.value);
 	e->row.value = NULL;
 	e->row.len = 0;
+	drop_deflated(e);
 	r->tombstones += !e->row.removed;
 	e->row.removed = true;
 	e->use_deadline = use_deadline;
@@ -108,6 +119,7 @@
 	memcpy(value, row->value, row->len);
 	value[row->len] = '\0';
 	free(e->row.value);
+	drop_deflated(e);
 	e->row.value = value;
 	e->row.len = row->len;
 	r->tombstones -= e->row.removed;
@@ -148,6 +160,13 @@
 		r->complete_version = version;
 }
 
+const unsigned char *tlb_replica_deflate(struct tlb_replica_row *e)
+{
+	if (!e->deflated && e->row.len >= TLB_REPLICA_DEFLATE_MIN_BYTES)
+		e->deflated = tlb_deflate(e->row.value, e->row.len, &e->deflated_len);
+	return e->deflated;
+}
+
 bool tlb_replica_covers(const struct tlb_replica *r, int64_t since)
 {
 	return since > 0 && since >= r->forgotten_version;
--- a/src/replica.h
+++ b/src/replica.h
@@ -16,14 +16,16 @@
 #include "stored_rows.h"
 
 /* Removed rows that are remembered. A VM that missed more changes gets the complete table. */
-enum { TLB_REPLICA_TOMBSTONES_MAX = 512 };
+enum { TLB_REPLICA_TOMBSTONES_MAX = 512, TLB_REPLICA_DEFLATE_MIN_BYTES = 1 << 10 };
 
 /* Owned by struct tlb_replica. */
 struct tlb_replica_row {
 	APR_RING_ENTRY(tlb_replica_row) link;
 	struct tlb_stored_row row;
-	tlb_time use_deadline; /* removed: the entry stays in use until then; 0: not */
-	bool listed;	       /* seen in the listing in progress */
+	tlb_time use_deadline;	 /* removed: the entry stays in use until then; 0: not */
+	bool listed;		 /* seen in the listing in progress */
+	unsigned char *deflated; /* compressed value; NULL until it is needed */
+	size_t deflated_len;
 };
 
 APR_RING_HEAD(tlb_replica_ring, tlb_replica_row);
@@ -53,6 +55,9 @@
 			     tlb_replica_row_fn *on_removed, void *arg);
 /* Records that all changes up to a version are known. */
 void tlb_replica_set_complete(struct tlb_replica *r, int64_t version);
+/* Compresses a large value once for all VMs that it is sent to. Returns NULL when the value is
+ * small or does not get smaller. */
+const unsigned char *tlb_replica_deflate(struct tlb_replica_row *e);
 /* Whether the changes since a version can be told apart from rows that were never there; otherwise
  * the complete table is needed. */
 bool tlb_replica_covers(const struct tlb_replica *r, int64_t since);
--- a/src/tables.c
+++ b/src/tables.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "deflate.h"
 #include "edgeboard.h"
 #include "log.h"
 #include "platform.h"
@@ -121,7 +122,7 @@
 	size_t bytes;
 };
 
-static void add_row(struct rows_message *m, const struct tlb_replica_row *e)
+static void add_row(struct rows_message *m, struct tlb_replica_row *e, bool compress)
 {
 	Toucan__TableRow *r = &m->row[m->rows.n_rows];
 	tlb_time now = tlb_clock_now();
@@ -132,6 +133,11 @@
 	r->removed = e->row.removed;
 	r->value.data = (uint8_t *)e->row.value;
 	r->value.len = e->row.len;
+	if (compress && tlb_replica_deflate(e)) {
+		r->value.data = e->deflated;
+		r->value.len = e->deflated_len;
+		r->inflated_bytes = (uint32_t)e->row.len;
+	}
 	if (e->use_deadline > now)
 		r->use_ms = (e->use_deadline - now) / TLB_MS;
 	m->bytes += strlen(r->key) + r->value.len;
@@ -140,9 +146,9 @@
 
 /* Collects the changes after a version. Returns false when they exceed the limits. */
 static bool collect_rows(struct rows_message *m, const struct tlb_shared_table *s, int64_t since,
-			 size_t max_bytes)
+			 size_t max_bytes, bool compress)
 {
-	const struct tlb_replica_row *e;
+	struct tlb_replica_row *e;
 
 	toucan__table_rows__init(&m->rows);
 	m->bytes = 0;
@@ -156,7 +162,7 @@
 			continue;
 		if (m->rows.n_rows == MESSAGE_ROWS_MAX)
 			return false;
-		add_row(m, e);
+		add_row(m, e, compress);
 		if (m->bytes > max_bytes)
 			return false;
 	}
@@ -180,7 +186,7 @@
 
 	if (known >= s->replica.rows_version)
 		return;
-	if (known == 0 || !collect_rows(&m, s, known, PUSH_BYTES_MAX)) {
+	if (known == 0 || !collect_rows(&m, s, known, PUSH_BYTES_MAX, false)) {
 		toucan__table_rows__init(&m.rows);
 		m.rows.table = s->kind;
 		m.rows.base_version = s->replica.rows_version;
@@ -216,6 +222,7 @@
 	s->next_pull_at = now + PULL_INTERVAL;
 	p.table = s->kind;
 	p.have_version = s->listed ? s->replica.complete_version : 0;
+	p.inflates = true;
 	e.body_case = TOUCAN__ENVELOPE__BODY_TABLE_PULL;
 	e.table_pull = &p;
 	tlb_log_info("event=table_pull table=%d from=%s have=%lld", (int)s->kind, vm,
@@ -223,13 +230,13 @@
 	tlb_peers_send_if_up(&t->vms->peers, vm, &e);
 }
 
-static void on_pull(struct tlb_shared_table *s, const char *vm, int64_t have)
+static void on_pull(struct tlb_shared_table *s, const char *vm, const Toucan__TablePull *p)
 {
 	static struct rows_message m;
 
-	if (!s->listed || s->replica.complete_version <= have)
+	if (!s->listed || s->replica.complete_version <= p->have_version)
 		return;
-	if (!collect_rows(&m, s, have, PULL_BYTES_MAX)) {
+	if (!collect_rows(&m, s, p->have_version, PULL_BYTES_MAX, p->inflates)) {
 		tlb_log_warn("event=table_too_large table=%d to=%s bytes=%zu", (int)s->kind, vm,
 			     m.bytes);
 		return;
@@ -267,6 +274,30 @@
 	apply_row(s, &row, use_ms > 0 ? now + use_ms * TLB_MS : 0);
 }
 
+/* Replaces compressed values by the original ones. Returns false when one is damaged. */
+static bool inflate_values(const Toucan__TableRows *m)
+{
+	Toucan__TableRow *r;
+	unsigned char *value;
+	size_t i;
+
+	for (i = 0; i < m->n_rows; i++) {
+		r = m->rows[i];
+		if (r->inflated_bytes == 0)
+			continue;
+		value = r->inflated_bytes <= TLB_HTTP_BODY_MAX
+				? tlb_inflate(r->value.data, r->value.len, r->inflated_bytes)
+				: NULL;
+		if (!value)
+			return false;
+		free(r->value.data);
+		r->value.data = value;
+		r->value.len = r->inflated_bytes;
+		r->inflated_bytes = 0;
+	}
+	return true;
+}
+
 static void on_rows(struct tlb_shared_table *s, const char *vm, const Toucan__TableRows *m)
 {
 	struct tlb_vm *sender = tlb_vms_find(s->tables->vms, vm);
@@ -282,6 +313,12 @@
 		note_behind(s, vm);
 		return;
 	}
+	if (!inflate_values(m)) {
+		tlb_log_warn("event=table_rows_damaged table=%d from=%s version=%lld", (int)s->kind,
+			     vm, (long long)m->version);
+		note_behind(s, vm);
+		return;
+	}
 	if (complete_table)
 		tlb_replica_begin_listing(&s->replica);
 	for (i = 0; i < m->n_rows; i++)
@@ -304,8 +341,7 @@
 		return;
 	case TOUCAN__ENVELOPE__BODY_TABLE_PULL:
 		if (msg->table_pull->table < TLB_TABLE_COUNT)
-			on_pull(&t->table[msg->table_pull->table], vm,
-				msg->table_pull->have_version);
+			on_pull(&t->table[msg->table_pull->table], vm, msg->table_pull);
 		return;
 	default:
 		return;
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3532,7 +3532,7 @@
   (ProtobufCMessageInit) toucan__table_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__table_row__field_descriptors[5] =
+static const ProtobufCFieldDescriptor toucan__table_row__field_descriptors[6] =
 {
   {
     "key",
@@ -3594,8 +3594,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "inflated_bytes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRow, inflated_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__table_row__field_indices_by_name[] = {
+  5,   /* field[5] = inflated_bytes */
   0,   /* field[0] = key */
   2,   /* field[2] = removed */
   4,   /* field[4] = use_ms */
@@ -3605,7 +3618,7 @@
 static const ProtobufCIntRange toucan__table_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor toucan__table_row__descriptor =
 {
@@ -3615,7 +3628,7 @@
   "Toucan__TableRow",
   "toucan",
   sizeof(Toucan__TableRow),
-  5,
+  6,
   toucan__table_row__field_descriptors,
   toucan__table_row__field_indices_by_name,
   1,  toucan__table_row__number_ranges,
@@ -3699,7 +3712,7 @@
   (ProtobufCMessageInit) toucan__table_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__table_pull__field_descriptors[2] =
+static const ProtobufCFieldDescriptor toucan__table_pull__field_descriptors[3] =
 {
   {
     "table",
@@ -3725,15 +3738,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "inflates",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TablePull, inflates),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__table_pull__field_indices_by_name[] = {
   1,   /* field[1] = have_version */
+  2,   /* field[2] = inflates */
   0,   /* field[0] = table */
 };
 static const ProtobufCIntRange toucan__table_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__table_pull__descriptor =
 {
@@ -3743,7 +3769,7 @@
   "Toucan__TablePull",
   "toucan",
   sizeof(Toucan__TablePull),
-  2,
+  3,
   toucan__table_pull__field_descriptors,
   toucan__table_pull__field_indices_by_name,
   1,  toucan__table_pull__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -403,10 +403,14 @@
    * removed: remaining time for which the entry stays in use
    */
   int64_t use_ms;
+  /*
+   * value is in zlib format and has this size without it; 0: plain
+   */
+  uint32_t inflated_bytes;
 };
 #define TOUCAN__TABLE_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__table_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -443,10 +447,14 @@
   ProtobufCMessage base;
   uint32_t table;
   int64_t have_version;
+  /*
+   * the sender reads compressed values
+   */
+  protobuf_c_boolean inflates;
 };
 #define TOUCAN__TABLE_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__table_pull__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -6,6 +6,7 @@
 KNOWN-RED.txt lists as "tests/edge.py NAME: ...", which are printed as known."""
 import http.client
 import itertools
+import json
 import os
 import re
 import signal
@@ -15,7 +16,7 @@
 import tempfile
 import threading
 import time
-from random import SystemRandom
+from random import Random, SystemRandom
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from edge_standin import Door, Endpoint, Store  # noqa: E402
@@ -911,6 +912,39 @@
              "version 9 with all followers refused", 8)
 
 
+def peer_bytes(w):
+    return sum(v.metric("toucanlb_peer_bytes_out_total") for v in w.vms)
+
+
+def check_large_configuration_does_not_fill_the_links():
+    """A configuration of some 600 KB must pass to a VM in at most 78 KB: sixteen linked VMs may
+    request it from one VM with a link of 10 Mbit/s, and must have it within a second."""
+    with World(vms=20, shops=1) as w:
+        w.start()
+        wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
+             "most VMs stop following", 15)
+        random = Random(1)
+        large = config(7)
+        for _ in range(2800):
+            name = f"{random.getrandbits(36):x}"
+            large["routes"].append(dict(large["routes"][0], name=f"r-{name}", prefix=f"/{name}/"))
+        assert len(json.dumps(large)) > 500_000
+        begin = time.monotonic()
+        before = peer_bytes(w)
+        time.sleep(2)
+        idle = (peer_bytes(w) - before) / (time.monotonic() - begin)
+        begin = time.monotonic()
+        before = peer_bytes(w)
+        w.store.put("op", "config", large)
+        wait(lambda: all(v.events("routing_applied source=.* version=7") for v in w.vms),
+             "version 7 at all VMs", 8)
+        took = time.monotonic() - begin
+        copies = max(len([1 for v in w.vms if v.events("routing_applied source=peer version=7")]),
+                     1)
+        sent = (peer_bytes(w) - before - idle * took) / copies
+        assert sent <= 78_000, f"{sent:.0f} bytes between VMs for each that received the change"
+
+
 def check_fleet_starts_for_the_first_time():
     """VMs that start together on an empty store must agree on one secret and find each other."""
     with World(vms=3, first_start=True) as w:
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "deflate.h"
 #include "tables.h"
 
 static struct tlb_replica r;
@@ -122,6 +123,39 @@
 	ck_assert_msg(tlb_tables_should_follow(&i) == expected, "line %d: %s", number, line);
 }
 
+START_TEST(large_value_is_compressed_until_it_changes)
+{
+	static char text[100000];
+	struct tlb_replica_row *e;
+	unsigned char *back;
+
+	memset(text, 'r', sizeof(text) - 1);
+	tlb_replica_init(&r);
+	put("small", 1, "short", true);
+	put("large", 2, text, true);
+	ck_assert_ptr_null(tlb_replica_deflate((struct tlb_replica_row *)find("small")));
+	e = (struct tlb_replica_row *)find("large");
+	ck_assert_ptr_nonnull(tlb_replica_deflate(e));
+	ck_assert_uint_lt(e->deflated_len, sizeof(text) / 10);
+	back = tlb_inflate(e->deflated, e->deflated_len, sizeof(text) - 1);
+	ck_assert_ptr_nonnull(back);
+	ck_assert_mem_eq(back, text, sizeof(text) - 1);
+	free(back);
+	ck_assert_ptr_null(tlb_inflate(e->deflated, e->deflated_len, sizeof(text) - 2));
+	ck_assert_ptr_null(tlb_inflate(e->deflated, e->deflated_len / 2, sizeof(text) - 1));
+	text[0] = 'x';
+	put("large", 3, text, true);
+	tlb_replica_deflate(e);
+	back = tlb_inflate(e->deflated, e->deflated_len, sizeof(text) - 1);
+	ck_assert_ptr_nonnull(back);
+	ck_assert_mem_eq(back, text, sizeof(text) - 1);
+	free(back);
+	put("large", 4, NULL, true);
+	ck_assert_ptr_null(tlb_replica_deflate(e));
+	tlb_replica_finish(&r);
+}
+END_TEST
+
 START_TEST(who_follows_by_load_pattern)
 {
 	FILE *f = fopen("tests/tables/follow.txt", "r");
@@ -152,6 +186,7 @@
 	tcase_add_test(t, older_rows_change_nothing);
 	tcase_add_test(t, listing_removes_what_it_lacks);
 	tcase_add_test(t, tombstones_are_bounded);
+	tcase_add_test(t, large_value_is_compressed_until_it_changes);
 	tcase_add_test(t, who_follows_by_load_pattern);
 	suite_add_tcase(s, t);
 	srunner_run_all(sr, CK_NORMAL);
