Take over from refused followers when the tables get outdated

What callers would see: when the store turns all followers of a large fleet away, a change was in force 4 to 5 s later instead of 2 to 3 s, beyond the operator's bound of 3 s for a configuration.

Found with edge.py few_vms_of_a_large_fleet_follow_the_store.

Cause: the time of a VM's own attempt was drawn while its tables were current, as now + 2 s + a random part, and a VM may follow when its tables are 2 s old and that time has come. At the last draw the tables were already almost 2 s old, so that the 2 s counted twice. It is now the time at which the tables will be outdated plus the random part, as docs/platform.md says.

Test: the same check now also demands that the first takeover is at an age of 3 s at most.

--- a/src/tables.c
+++ b/src/tables.c
@@ -480,10 +480,10 @@
 	bool follow;
 
 	set_pace(t, in.vms);
-	/* Drawn anew while the tables are current, so that it counts from the first outdated time.
-	 */
+	/* Drawn anew while the tables are current, and counted from the time at which they will be
+	 * outdated. */
 	if (!outdated)
-		t->attempt_at = now + TLB_TABLES_MAX_AGE +
+		t->attempt_at = t->confirmed_at + TLB_TABLES_MAX_AGE +
 				(tlb_time)(tlb_random_unit(&t->board->random) *
 					   (double)(TLB_TABLES_ATTEMPT_SPREAD * in.vms));
 	follow = tlb_tables_should_follow(&in);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -881,6 +881,12 @@
         equal(cut.call("/pay/1")[0], 401, "the withdrawn key at the second")
 
 
+def takeover_ages(vm):
+    """Ages of the tables, in ms, when a VM began to follow the store without having been chosen."""
+    return [re.search(r"age_ms=(\d+)", e)[1]
+            for e in vm.events("table_follow on=1 chosen=0 .*behind=0")]
+
+
 def check_few_vms_of_a_large_fleet_follow_the_store():
     """Changes must reach every VM of a large fleet while only a few read the store; when the store
     refuses these, others must take over in time. With every VM following, each change would be
@@ -905,11 +911,15 @@
                          for v in w.vms), "the endpoint's state at all VMs", 4)
         assert w.store.calls - calls <= 160, f"{w.store.calls - calls} calls for 11 changes"
         followers = [n for n, v in enumerate(w.vms) if v.metric("toucanlb_tables_following")]
+        takeovers = [len(takeover_ages(v)) for v in w.vms]
         for n in followers:
             w.doors[n].closed = True
         w.store.put("op", "config", config(9))
         wait(lambda: all(v.events("routing_applied source=.* version=9") for v in w.vms),
              "version 9 with all followers refused", 8)
+        ages = [int(age) for n, v in enumerate(w.vms)
+                for age in takeover_ages(v)[takeovers[n]:]]
+        assert min(ages) <= 3000, f"a change is due within 3 s; ages at the takeovers: {ages}"
 
 
 def peer_bytes(w):
