--- a/tests/edge.py
+++ b/tests/edge.py
@@ -5,6 +5,8 @@
 Without arguments it runs all; the exit status is 0 when no check failed but those that
 KNOWN-RED.txt lists as "tests/edge.py NAME: ...", which are printed as known."""
 import http.client
+import itertools
+import json
 import os
 import re
 import signal
@@ -14,6 +16,7 @@
 import tempfile
 import threading
 import time
+from random import Random, SystemRandom
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from edge_standin import Door, Endpoint, Store  # noqa: E402
@@ -35,14 +38,25 @@
 """
 
 
+# Outside the range from which the system takes the ports of outgoing connections: one of these could
+# have a port before the daemon listens on it.
+PORTS = range(10000, 32000)
+next_port = itertools.cycle(PORTS)
+for _ in range(SystemRandom().randrange(len(PORTS))):
+    next(next_port)
+
+
 def free_ports(*names):
-    """Returns a different free port for each name; all are held until the last one was chosen."""
-    sockets = {name: socket.socket() for name in names}
-    for s in sockets.values():
-        s.bind(("127.0.0.1", 0))
-    ports = {name: s.getsockname()[1] for name, s in sockets.items()}
-    for s in sockets.values():
-        s.close()
+    """Returns a different free port for each name; other calls return other ones."""
+    ports = {}
+    while len(ports) < len(names):
+        port = next(next_port)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports[names[len(ports)]] = port
     return ports
 
 
@@ -85,7 +99,6 @@
         self.log = os.path.join(directory, f"{name}.log")
         self.settings = os.path.join(directory, f"{name}.yaml")
         self.write_settings(store)
-        self.start()
 
     def start(self):
         self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings])
@@ -154,6 +167,9 @@
             self.store.put("toucanlb-secret", "peer", "5a" * 32)
             for vm in self.vms:
                 self.store.put("toucanlb-vm", vm.name, {"addr": f"127.0.0.1:{vm.ports['peer']}"})
+        # After the secret: a VM that finds none creates its own one within half a second.
+        for vm in self.vms:
+            vm.start()
 
     def __enter__(self):
         return self
@@ -953,6 +969,12 @@
         equal(cut.call("/pay/1")[0], 401, "the withdrawn key at the second")
 
 
+def takeover_ages(vm):
+    """Ages of the tables, in ms, when a VM began to follow the store without having been chosen."""
+    return [re.search(r"age_ms=(\d+)", e)[1]
+            for e in vm.events("table_follow on=1 chosen=0 .*behind=0")]
+
+
 def check_few_vms_of_a_large_fleet_follow_the_store():
     """Changes must reach every VM of a large fleet while only a few read the store; when the store
     refuses these, others must take over in time. With every VM following, each change would be
@@ -977,11 +999,48 @@
                          for v in w.vms), "the endpoint's state at all VMs", 4)
         assert w.store.calls - calls <= 160, f"{w.store.calls - calls} calls for 11 changes"
         followers = [n for n, v in enumerate(w.vms) if v.metric("toucanlb_tables_following")]
+        takeovers = [len(takeover_ages(v)) for v in w.vms]
         for n in followers:
             w.doors[n].closed = True
         w.store.put("op", "config", config(9))
         wait(lambda: all(v.events("routing_applied source=.* version=9") for v in w.vms),
              "version 9 with all followers refused", 8)
+        ages = [int(age) for n, v in enumerate(w.vms)
+                for age in takeover_ages(v)[takeovers[n]:]]
+        assert min(ages) <= 3000, f"a change is due within 3 s; ages at the takeovers: {ages}"
+
+
+def peer_bytes(w):
+    return sum(v.metric("toucanlb_peer_bytes_out_total") for v in w.vms)
+
+
+def check_large_configuration_does_not_fill_the_links():
+    """A configuration of some 600 KB must pass to a VM in at most 78 KB: sixteen linked VMs may
+    request it from one VM with a link of 10 Mbit/s, and must have it within a second."""
+    with World(vms=20, shops=1) as w:
+        w.start()
+        wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
+             "most VMs stop following", 15)
+        random = Random(1)
+        large = config(7)
+        for _ in range(2800):
+            name = f"{random.getrandbits(36):x}"
+            large["routes"].append(dict(large["routes"][0], name=f"r-{name}", prefix=f"/{name}/"))
+        assert len(json.dumps(large)) > 500_000
+        begin = time.monotonic()
+        before = peer_bytes(w)
+        time.sleep(2)
+        idle = (peer_bytes(w) - before) / (time.monotonic() - begin)
+        begin = time.monotonic()
+        before = peer_bytes(w)
+        w.store.put("op", "config", large)
+        wait(lambda: all(v.events("routing_applied source=.* version=7") for v in w.vms),
+             "version 7 at all VMs", 8)
+        took = time.monotonic() - begin
+        copies = max(len([1 for v in w.vms if v.events("routing_applied source=peer version=7")]),
+                     1)
+        sent = (peer_bytes(w) - before - idle * took) / copies
+        assert sent <= 78_000, f"{sent:.0f} bytes between VMs for each that received the change"
 
 
 def check_fleet_starts_for_the_first_time():
