Accept and answer what is established before a VM stops listening

Callers saw, at a planned stop under load, that a request on a new connection was cut off without an answer (p09_shutdown terminate_with_endless_callers).

The requests of all six callers were read after "leaving", waited 36 ms for a token reservation and were refused as draining at the stop; none got that response.

Cause: the end of the drain counted requests, not connections. A VM without a request in flight handed its shards over and ended while connections had been accepted whose request was about to arrive, and while others waited in the accept queue, which the close of the socket resets.

Ruled out for the two failures seen: a slow hand-over (18 and 36 ms), and a reset of the accept queue, which is a fault of its own that terminate_with_unaccepted_connections shows.

Stopping to accept now drops new handshakes with a socket filter, gives handshakes in progress 200 ms, and closes the socket when the accept queue is empty. Without the filter the queue is emptied as well; only an instant between the check and the close remains. New connections have 1 s to send a request, idle connections with unread bytes are read first, and the drain is over when no connection is left. Dropping for a bounded time is preferred to accepting until the end because every close leaves a queue behind otherwise.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -370,7 +370,7 @@
 
 static bool has_work_in_flight(const struct tlb_daemon *d)
 {
-	return tlb_listener_in_flight(&d->caller_listener) > 0 ||
+	return !tlb_listener_stopped(&d->caller_listener) ||
 	       tlb_requests_count(&d->board.requests) > 0 ||
 	       tlb_services_count(&d->board.services) > 0;
 }
@@ -410,6 +410,7 @@
 	if (now >= d->drain_deadline && d->phase != TLB_DAEMON_LEAVING) {
 		tlb_log_warn("event=shutdown phase=timeout in_flight=%zu",
 			     tlb_listener_in_flight(&d->caller_listener));
+		tlb_listener_stop_accepting(&d->caller_listener);
 		start_leaving(d);
 		return;
 	}
--- a/src/edge.c
+++ b/src/edge.c
@@ -244,6 +244,7 @@
 	tlb_log_info("event=edge_shutdown phase=flushing in_flight=%zu",
 		     tlb_listener_in_flight(&e->caller_listener));
 	e->phase = TLB_EDGE_FLUSHING;
+	tlb_listener_stop_accepting(&e->caller_listener);
 	tlb_forwards_fail_unanswered(&e->board.forwards);
 }
 
@@ -252,16 +253,17 @@
 {
 	struct tlb_edge *e = arg;
 	tlb_time now = tlb_clock_now();
-	size_t in_flight;
 
 	if (e->phase == TLB_EDGE_NOTICE && (now >= e->notice_deadline || now >= e->drain_deadline))
 		begin_draining(e);
 	if (e->phase == TLB_EDGE_DRAINING && now >= e->drain_deadline)
 		begin_flush(e);
-	in_flight = tlb_listener_in_flight(&e->caller_listener);
-	if (now >= e->drain_deadline + FLUSH_TIME ||
-	    (e->phase != TLB_EDGE_NOTICE && in_flight == 0)) {
-		tlb_log_info("event=edge_shutdown phase=over in_flight=%zu", in_flight);
+	/* New requests are only refused by now. */
+	if (e->phase == TLB_EDGE_DRAINING && e->board.forwards.count == 0)
+		tlb_listener_stop_accepting(&e->caller_listener);
+	if (now >= e->drain_deadline + FLUSH_TIME || tlb_listener_stopped(&e->caller_listener)) {
+		tlb_log_info("event=edge_shutdown phase=over in_flight=%zu",
+			     tlb_listener_in_flight(&e->caller_listener));
 		tlb_loop_stop(&e->loop);
 		return;
 	}
--- a/src/listener.c
+++ b/src/listener.c
@@ -1,9 +1,12 @@
 #include "listener.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <jansson.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,11 +33,19 @@
 	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
 };
 
+/* How long handshakes in progress may still complete after new ones are refused. */
+#define HANDSHAKE_TIME (200 * TLB_MS)
+/* How long a new connection may take to send its request once no more are accepted. */
+#define FIRST_REQUEST_TIME (1 * TLB_SECOND)
+#define ACCEPT_CHECK_INTERVAL (10 * TLB_MS)
+
 /* A caller's connection. Tracked so that a connection that never completes a request is closed;
  * libmicrohttpd restarts its own time-out with every byte. */
 struct tlb_listener_conn {
 	APR_RING_ENTRY(tlb_listener_conn) link;
 	int fd;
+	bool in_request;	/* from the request line to the end of the response */
+	tlb_time fresh_until;	/* until then a connection without a request may still send one */
 	tlb_time idle_deadline; /* TLB_NEVER while a request is in progress */
 };
 
@@ -392,16 +403,29 @@
 	return i ? i->connect_fd : -1;
 }
 
+static struct tlb_listener_conn *conn_of(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *i;
+
+	i = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	return i ? i->socket_context : NULL;
+}
+
 /* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
  * decoding it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
 	struct tlb_listener *f = arg;
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
+	struct tlb_listener_conn *fc = conn_of(conn);
 	const char *question_mark = strchr(uri, '?');
 
 	if (!x)
 		return NULL;
+	if (fc) {
+		fc->in_request = true;
+		fc->fresh_until = 0;
+	}
 	x->listener = f;
 	x->conn = conn;
 	x->fd = fd_of(conn);
@@ -414,14 +438,6 @@
 	return x;
 }
 
-static struct tlb_listener_conn *conn_of(struct MHD_Connection *c)
-{
-	const union MHD_ConnectionInfo *i;
-
-	i = MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	return i ? i->socket_context : NULL;
-}
-
 static void begin_exchange(struct tlb_exchange *x, const char *method)
 {
 	struct tlb_listener_conn *fc = conn_of(x->conn);
@@ -537,8 +553,10 @@
 	struct tlb_listener_conn *fc = conn_of(conn);
 	struct tlb_listener *f = arg;
 
-	if (fc)
+	if (fc) {
+		fc->in_request = false;
 		fc->idle_deadline = tlb_clock_now() + f->limits.idle_timeout_ms * TLB_MS;
+	}
 	if (!x)
 		return;
 	*con_cls = NULL;
@@ -553,6 +571,7 @@
 	struct tlb_listener *f = arg;
 	struct tlb_listener_conn *fc = *socket_context;
 	const union MHD_ConnectionInfo *i;
+	tlb_time now = tlb_clock_now();
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		if (fc)
@@ -566,7 +585,10 @@
 		return;
 	i = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	fc->fd = i->connect_fd;
-	fc->idle_deadline = tlb_clock_now() + f->limits.request_timeout_ms * TLB_MS;
+	fc->fresh_until = now + FIRST_REQUEST_TIME;
+	fc->idle_deadline =
+		f->stopping ? fc->fresh_until : now + f->limits.request_timeout_ms * TLB_MS;
+	f->accepted_late += f->stopping;
 	set_socket_options(fc->fd);
 	APR_RING_INSERT_TAIL(&f->conns, fc, tlb_listener_conn, link);
 	*socket_context = fc;
@@ -590,6 +612,27 @@
 	return info.tcpi_state != TCP_ESTABLISHED;
 }
 
+static bool is_readable(int fd)
+{
+	struct pollfd p = {.fd = fd, .events = POLLIN};
+
+	return poll(&p, 1, 0) > 0 && (p.revents & POLLIN);
+}
+
+static bool has_unread_bytes(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes a connection without a request. A request that has arrived is read and answered first. */
+static void close_if_idle(const struct tlb_listener_conn *fc)
+{
+	if (!has_unread_bytes(fc->fd))
+		shutdown(fc->fd, SHUT_RDWR);
+}
+
 static void sweep_exchange(struct tlb_exchange *x, tlb_time now)
 {
 	if (x->disconnected || x->fd < 0)
@@ -615,8 +658,8 @@
 		sweep_exchange(x, now);
 	}
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
-		if (now >= fc->idle_deadline)
-			shutdown(fc->fd, SHUT_RDWR);
+		if (now >= fc->idle_deadline && (!f->stopping || !fc->in_request))
+			close_if_idle(fc);
 	}
 	tlb_timer_set(f->loop, &f->sweep_timer, now + SWEEP_MS * TLB_MS);
 }
@@ -642,6 +685,49 @@
 	run(arg);
 }
 
+/* --- end of accepting --- */
+
+/* Drops new handshakes, so that the accept queue can be emptied before the socket is closed:
+ * closing resets what is still queued. Callers repeat the dropped segment and are then refused.
+ * Filters see segments from the TCP header on. */
+static bool drop_new_handshakes(int fd)
+{
+	enum { FLAGS_OFFSET = 13, SYN = 0x02, ACK = 0x10 };
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FLAGS_OFFSET),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SYN | ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {.len = sizeof(code) / sizeof(code[0]), .filter = code};
+
+	return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0;
+}
+
+static void close_listen_socket(struct tlb_listener *f)
+{
+	MHD_socket fd = MHD_quiesce_daemon(f->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+	f->listen_fd = -1;
+	tlb_log_info("event=listener_closed addr=%s accepted_late=%d", f->addr, f->accepted_late);
+}
+
+/* Closes the socket when the accept queue is empty. libmicrohttpd accepts a few connections at a
+ * time, and none while it has max_connections. */
+static void on_accept_timer(void *arg)
+{
+	struct tlb_listener *f = arg;
+
+	run(f);
+	if (!is_readable(f->listen_fd))
+		close_listen_socket(f);
+	else
+		tlb_timer_set(f->loop, &f->accept_timer, tlb_clock_now() + ACCEPT_CHECK_INTERVAL);
+}
+
 static enum tlb_code start_daemon(struct tlb_listener *f, const char *addr, struct tlb_error *err)
 {
 	struct MHD_OptionItem no_options[] = {{MHD_OPTION_END, 0, NULL}};
@@ -682,6 +768,7 @@
 	APR_RING_INIT(&f->conns, tlb_listener_conn, link);
 	tlb_timer_init(&f->run_timer, on_run_timer, f);
 	tlb_timer_init(&f->sweep_timer, on_sweep, f);
+	tlb_timer_init(&f->accept_timer, on_accept_timer, f);
 	code = start_daemon(f, addr, err);
 	if (code != TLB_OK)
 		return code;
@@ -705,6 +792,7 @@
 	tlb_loop_unwatch(f->loop, f->watch);
 	tlb_timer_clear(f->loop, &f->run_timer);
 	tlb_timer_clear(f->loop, &f->sweep_timer);
+	tlb_timer_clear(f->loop, &f->accept_timer);
 	MHD_stop_daemon(f->daemon);
 }
 
@@ -715,20 +803,40 @@
 
 void tlb_listener_close_idle(struct tlb_listener *f)
 {
+	tlb_time now = tlb_clock_now();
 	struct tlb_listener_conn *fc;
 
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
-		if (fc->idle_deadline != TLB_NEVER)
-			shutdown(fc->fd, SHUT_RDWR);
+		if (fc->in_request)
+			continue;
+		if (now >= fc->fresh_until)
+			close_if_idle(fc);
+		else
+			fc->idle_deadline = fc->fresh_until;
 	}
 }
 
 void tlb_listener_stop_accepting(struct tlb_listener *f)
 {
-	MHD_socket fd = MHD_quiesce_daemon(f->daemon);
+	tlb_time wait = 0;
 
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
+	if (f->stopping)
+		return;
+	f->stopping = true;
+	f->keepalive_disabled = true;
+	tlb_listener_close_idle(f);
+	if (drop_new_handshakes(f->listen_fd))
+		wait = HANDSHAKE_TIME;
+	else
+		tlb_log_warn("event=listener_unfiltered addr=%s reason=\"%s\"", f->addr,
+			     strerror(errno));
+	tlb_timer_set(f->loop, &f->accept_timer, tlb_clock_now() + wait);
+}
+
+bool tlb_listener_stopped(const struct tlb_listener *f)
+{
+	return f->listen_fd < 0 && APR_RING_EMPTY(&f->exchanges, tlb_exchange, link) &&
+	       APR_RING_EMPTY(&f->conns, tlb_listener_conn, link);
 }
 
 size_t tlb_listener_in_flight(const struct tlb_listener *f)
--- a/src/listener.h
+++ b/src/listener.h
@@ -109,6 +109,7 @@
 	struct tlb_watch *watch;
 	struct tlb_timer run_timer;
 	struct tlb_timer sweep_timer;
+	struct tlb_timer accept_timer; /* when stopping: the next check of the accept queue */
 	struct tlb_exchange_ring exchanges;
 	struct tlb_listener_conn_ring conns;
 	struct tlb_listener_limits limits;
@@ -118,7 +119,9 @@
 	unsigned long long next_id;
 	char addr[TLB_ADDR_LEN]; /* bound address, with the actual port */
 	bool keepalive_disabled; /* every response closes its connection */
-	int listen_fd;
+	int listen_fd;		 /* -1 when it is closed */
+	bool stopping;		 /* tlb_listener_stop_accepting() was called */
+	int accepted_late;	 /* connections accepted when stopping */
 };
 
 /* Binds addr (host:port; port 0 selects a free one) and starts serving. id_prefix makes request ids
@@ -131,10 +134,13 @@
 void tlb_listener_finish(struct tlb_listener *f);
 /* Adds "Connection: close" to all further responses, so that callers reconnect to other VMs. */
 void tlb_listener_disable_keepalive(struct tlb_listener *f);
-/* Closes the connections that carry no request. */
+/* Closes the connections that carry no request; those just accepted only when none follows soon. */
 void tlb_listener_close_idle(struct tlb_listener *f);
-/* Stops accepting connections; requests in flight go on. */
+/* Refuses new connections and closes idle ones. Connections that are established or in handshake
+ * are still accepted and their requests served; then the socket is closed. */
 void tlb_listener_stop_accepting(struct tlb_listener *f);
+/* Whether, after tlb_listener_stop_accepting(), the socket and all connections are closed. */
+bool tlb_listener_stopped(const struct tlb_listener *f);
 /* Requests whose response has not been sent completely. */
 size_t tlb_listener_in_flight(const struct tlb_listener *f);
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -851,6 +851,51 @@
         equal(vm.process.wait(3), 0, "exit status")
 
 
+def unaccepted_requests(vm, freeze_s, count=40):
+    """Freezes the VM, sends requests on new connections, and returns the set of their answers. Every
+    fourth one is sent shortly after the VM runs again."""
+    answers = set()
+    os.kill(vm.process.pid, signal.SIGSTOP)
+    try:
+        conns = [vm.connect(3) for _ in range(count)]
+        for n, c in enumerate(conns):
+            c.connect()
+            if n % 4:
+                c.request("GET", "/look/1", headers=LOOK)
+        time.sleep(freeze_s)
+    finally:
+        os.kill(vm.process.pid, signal.SIGCONT)
+    time.sleep(0.03)
+    for n, c in enumerate(conns):
+        try:
+            if n % 4 == 0:
+                c.request("GET", "/look/1", headers=LOOK)
+        except OSError as e:
+            answers.add(type(e).__name__)
+    for c in conns:
+        try:
+            if c.sock:
+                answers.add(c.getresponse().status)
+        except (OSError, http.client.HTTPException) as e:
+            answers.add(type(e).__name__)
+    return answers
+
+
+LOOK = {"Host": "h.example", "X-Attempt-Id": "late", "X-Deadline-Ms": "6000",
+        "Authorization": f"Bearer {KEY}"}
+
+
+def check_unaccepted_requests_are_answered_when_the_notice_ends():
+    """Requests on connections that wait to be accepted when the last work ends must be answered;
+    they were reset."""
+    with World() as w:
+        vm = w.start()
+        vm.process.send_signal(signal.SIGTERM)
+        time.sleep(2)
+        equal(unaccepted_requests(vm, 1), {503}, "answers")
+        equal(vm.process.wait(3), 0, "exit status")
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
--- a/tests/promises/p09_shutdown.py
+++ b/tests/promises/p09_shutdown.py
@@ -4,8 +4,8 @@
 import threading
 import time
 
-from harness import (Caller, Failed, ask, case, complete, completion_body, judge_completion,
-                     load_result, load_tool, main, parallel, wait_until)
+from harness import (Caller, Failed, Response, ask, case, complete, completion_body,
+                     judge_completion, load_result, load_tool, main, parallel, wait_until)
 
 SLOW_TOKENS = {"engine": ["--token-us", "60000"]}  # streams of up to 4 s
 EXIT_BOUND = 30  # seconds; the longest request takes about 5
@@ -209,6 +209,72 @@
         return cut, 0
 
 
+@case
+def terminate_with_unaccepted_connections(t):
+    """Guards against a shutdown that resets connections which wait to be accepted. The daemon is
+    frozen past the end of its notice while they queue up; every third one sends its request late."""
+    with t.fleet(vms=3) as fleet:
+        vm = t.vm(fleet)
+        begin = time.monotonic()
+        fleet.terminate(vm)
+        time.sleep(1)
+        fleet.freeze(vm)
+        try:
+            callers = [Caller(fleet.callers[vm]) for _ in range(60)]
+            late = callers[::3]
+            for c in callers:
+                if c not in late:
+                    c.send("GET", fleet.service_path, fleet.key)
+            time.sleep(max(0, begin + 2.5 - time.monotonic()))
+        finally:
+            fleet.thaw(vm)
+        time.sleep(0.3)
+        cut = 0
+        for c in late + [c for c in callers if c not in late]:
+            try:
+                if c in late:
+                    c.send("GET", fleet.service_path, fleet.key)
+                r = c.receive()
+            except OSError as e:
+                r = e
+            if not (isinstance(r, Response) and r.complete
+                    and (r.status == 200 or r.outcome == "not_run")):
+                cut += 1
+                t.note(f"{'late' if c in late else 'queued'}: {r!r}")
+            c.close()
+        status = fleet.wait_exit(vm, EXIT_BOUND)
+        if status != 0:
+            raise Failed(f"exit status {status}")
+        return cut, 0
+
+
+@case
+def terminate_with_connections_about_to_send(t):
+    """Guards against a shutdown that ends between the accept of a connection and its request."""
+    with t.fleet(vms=3) as fleet:
+        vm = t.vm(fleet)
+        fleet.terminate(vm)
+        time.sleep(1.7)
+        callers = [Caller(fleet.callers[vm]) for _ in range(20)]
+        time.sleep(0.6)
+        cut = 0
+        for c in callers:
+            try:
+                c.send("GET", fleet.service_path, fleet.key)
+                r = c.receive()
+            except OSError as e:
+                r = e
+            if not (isinstance(r, Response) and r.complete
+                    and (r.status == 200 or r.outcome == "not_run")):
+                cut += 1
+                t.note(repr(r))
+            c.close()
+        status = fleet.wait_exit(vm, EXIT_BOUND)
+        if status != 0:
+            raise Failed(f"exit status {status}")
+        return cut, 0
+
+
 @case
 def idle_connections_do_not_hold_up(t):
     """Without requests the daemon ends quickly, whatever connections are open."""
