Send the last responses before a listener is finished

Callers saw closed connections in place of error responses when a VM exited: requests that outlast drain_timeout_ms, and those that were refused while the shards were handed over, were answered by their handlers, but the listener marked every exchange as disconnected before libmicrohttpd had sent the responses. Connections in the accept queue were reset if the exit was due.

tlb_listener_finish() first drops new handshakes, sends what is complete and refuses what arrives as not run, for 100 ms at most and only while something waits.

--- a/src/listener.c
+++ b/src/listener.c
@@ -38,6 +38,8 @@
 /* How long a new connection may take to send its request once no more are accepted. */
 #define FIRST_REQUEST_TIME (1 * TLB_SECOND)
 #define ACCEPT_CHECK_INTERVAL (10 * TLB_MS)
+/* Longest time that tlb_listener_finish() takes for the last responses. */
+#define FINISH_TIME (100 * TLB_MS)
 
 /* A caller's connection. Tracked so that a connection that never completes a request is closed;
  * libmicrohttpd restarts its own time-out with every byte. */
@@ -498,6 +500,15 @@
 	tlb_exchange_refuse_unadmitted(x, "", &err);
 }
 
+static void refuse_stopping(struct tlb_exchange *x)
+{
+	struct tlb_error err;
+
+	tlb_error_set(&err, TLB_DRAINING, TLB_OUTCOME_NOT_RUN, "read", "",
+		      "this VM is shutting down");
+	tlb_exchange_refuse_unadmitted(x, "", &err);
+}
+
 static enum MHD_Result on_access(void *arg, struct MHD_Connection *conn, const char *url,
 				 const char *method, const char *version, const char *data,
 				 size_t *data_len, void **con_cls)
@@ -525,6 +536,8 @@
 			refuse_headers(x);
 		else if (x->headers_too_large || x->body_too_large)
 			refuse_too_large(x);
+		else if (f->finishing)
+			refuse_stopping(x);
 		else
 			f->on_request(f->arg, x);
 		sodium_memzero(x->key, sizeof(x->key));
@@ -778,10 +791,50 @@
 	return TLB_OK;
 }
 
+/* Whether a caller waits for a response that can still be sent. */
+static bool has_unsent(const struct tlb_listener *f, tlb_time now)
+{
+	const struct tlb_listener_conn *fc;
+	const struct tlb_exchange *x;
+
+	if (f->listen_fd >= 0 && is_readable(f->listen_fd))
+		return true;
+	APR_RING_FOREACH (x, &f->exchanges, tlb_exchange, link) {
+		if (!x->disconnected && (x->state == TLB_EXCHANGE_REPLYING || x->out_done))
+			return true;
+	}
+	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+		if (!fc->in_request && (now < fc->fresh_until || has_unread_bytes(fc->fd)))
+			return true;
+	}
+	return false;
+}
+
+/* Sends the last responses and refuses requests that have arrived and were not read. */
+static void flush(struct tlb_listener *f)
+{
+	tlb_time deadline = tlb_clock_now() + FINISH_TIME;
+	const union MHD_DaemonInfo *i;
+	struct pollfd p = {.events = POLLIN};
+
+	i = MHD_get_daemon_info(f->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	p.fd = i->epoll_fd;
+	f->finishing = true;
+	f->keepalive_disabled = true;
+	if (f->listen_fd >= 0)
+		drop_new_handshakes(f->listen_fd);
+	MHD_run(f->daemon);
+	while (has_unsent(f, tlb_clock_now()) && tlb_clock_now() < deadline) {
+		poll(&p, 1, 1);
+		MHD_run(f->daemon);
+	}
+}
+
 void tlb_listener_finish(struct tlb_listener *f)
 {
 	struct tlb_exchange *x;
 
+	flush(f);
 	APR_RING_FOREACH (x, &f->exchanges, tlb_exchange, link) {
 		notify_disconnect(x);
 		if (x->suspended)
--- a/src/listener.h
+++ b/src/listener.h
@@ -121,6 +121,7 @@
 	bool keepalive_disabled; /* every response closes its connection */
 	int listen_fd;		 /* -1 when it is closed */
 	bool stopping;		 /* tlb_listener_stop_accepting() was called */
+	bool finishing;		 /* further requests are refused as not run */
 	int accepted_late;	 /* connections accepted when stopping */
 };
 
@@ -130,7 +131,8 @@
 				const char *id_prefix, const struct tlb_listener_limits *limits,
 				tlb_listener_request_fn *on_request, void *arg,
 				struct tlb_error *err);
-/* Aborts the remaining exchanges and closes the listener. */
+/* Sends the responses that are complete, for a short time, aborts the remaining exchanges and
+ * closes the listener. */
 void tlb_listener_finish(struct tlb_listener *f);
 /* Adds "Connection: close" to all further responses, so that callers reconnect to other VMs. */
 void tlb_listener_disable_keepalive(struct tlb_listener *f);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -896,6 +896,23 @@
         equal(vm.process.wait(3), 0, "exit status")
 
 
+def check_unaccepted_requests_are_answered_when_the_drain_ends():
+    """The same when the time for the drain is over, with a stream still in flight."""
+    with World() as w:
+        vm = w.start()
+        change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 5000")
+        for d in w.decodes:
+            d.plan = lambda h: h.stream(0, pause=3) or True
+        stream = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        vm.process.send_signal(signal.SIGTERM)
+        begun = time.monotonic()
+        time.sleep(4)
+        equal(unaccepted_requests(vm, 0.7), {503}, "answers")
+        equal(vm.process.wait(3), 0, "exit status")
+        assert time.monotonic() - begun < 5, "the exit came after the grace"
+        stream.close()
+
+
 def check_configuration_comes_from_a_peer():
     """A VM that the store refuses must receive and apply a new configuration from a peer."""
     with World(vms=2) as w:
--- a/tests/promises/p09_shutdown.py
+++ b/tests/promises/p09_shutdown.py
@@ -5,7 +5,8 @@
 import time
 
 from harness import (Caller, Failed, Response, ask, case, complete, completion_body,
-                     judge_completion, load_result, load_tool, main, parallel, wait_until)
+                     judge_completion, load_result, load_tool, main, output_of, parallel,
+                     wait_until)
 
 SLOW_TOKENS = {"engine": ["--token-us", "60000"]}  # streams of up to 4 s
 EXIT_BOUND = 30  # seconds; the longest request takes about 5
@@ -275,6 +276,30 @@
         return cut, 0
 
 
+@case
+def terminate_with_overdue_completions(t):
+    """Requests that outlast drain_timeout_ms get an error response, which was dropped at the exit."""
+    def short_drain(_, path):
+        with open(path, "a", encoding="utf-8") as f:
+            f.write("limits: {drain_timeout_ms: 3000}\n")
+    with t.fleet(vms=3, edit_settings=short_drain, standin_options=SLOW_TOKENS) as fleet:
+        vm = t.vm(fleet)
+        prompts = [t.prompt(100) for _ in range(100)]
+        slow = [p for p in prompts if output_of(p, 64).count(" ") >= 50][:5]
+        fleet.terminate(vm)
+        time.sleep(1.5)
+        callers = [Caller(fleet.callers[vm]) for _ in slow]
+        for c, prompt in zip(callers, slow):
+            c.send("POST", "/v1/completions", fleet.key,
+                   json.dumps(completion_body(fleet, prompt, 64, False)))
+        responses = [c.receive() for c in callers]
+        status = fleet.wait_exit(vm, EXIT_BOUND)
+        if status != 0:
+            raise Failed(f"exit status {status}")
+        t.note(responses)
+        return sum(not (r.complete and r.code == "draining") for r in responses), 0
+
+
 @case
 def idle_connections_do_not_hold_up(t):
     """Without requests the daemon ends quickly, whatever connections are open."""
