Keep the decode reservation when a prefill is refused

What callers saw: a model request whose prefill was refused got 503, or missed its target, although an endpoint had reserved room for it. Cause: the next attempt asked for another decode reservation while it still held the first one. When its own reservation had taken the last room it was refused, queued and given up; otherwise the first one stayed at the endpoint until it expired, and the reference to that endpoint was never released. Ruled out in the test: the retry budget, the deadline, the attempts. Change: an attempt that holds a usable reservation goes on to the prefill; one that can't be used is released first.

--- a/src/generation.c
+++ b/src/generation.c
@@ -524,14 +524,20 @@
 	return o;
 }
 
+/* Whether the request holds a decode reservation at an endpoint that is usable. */
+static bool has_usable_reservation(const struct tlb_forward *f, tlb_time now)
+{
+	return tlb_decode_reservation_is_held(&f->gen.decode_reservation, now) &&
+	       tlb_instance_usable(f->gen.decode_reservation.instance, now);
+}
+
 /* The endpoint that decodes the request: the one with its reservation, or another when there is no
  * valid reservation or its endpoint is not usable; NULL for none. */
 static struct tlb_instance *decode_endpoint(struct tlb_forward *f)
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
-	if (tlb_decode_reservation_is_held(&f->gen.decode_reservation, p.now) &&
-	    tlb_instance_usable(f->gen.decode_reservation.instance, p.now))
+	if (has_usable_reservation(f, p.now))
 		return f->gen.decode_reservation.instance;
 	tlb_decode_reservation_release(&f->gen.decode_reservation);
 	return tlb_instances_select_decode(&f->board->instances, &p);
@@ -774,8 +780,8 @@
 				       0, on_move_reservation, f);
 }
 
-/* Starts an attempt: decodes from the KV cache when it is still valid, else acquires a decode
- * reservation for a new prefill. */
+/* Starts an attempt: decodes from the KV cache when it is still valid, else prefills once a decode
+ * reservation is held. */
 static void start_attempt(struct tlb_forward *f)
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
@@ -788,6 +794,11 @@
 		return;
 	}
 	release_kv_cache(f, false);
+	if (has_usable_reservation(f, p.now)) {
+		prefill(f);
+		return;
+	}
+	tlb_decode_reservation_release(&f->gen.decode_reservation);
 	f->step = TLB_FORWARD_RESERVING;
 	tlb_decode_reservation_acquire(&f->gen.decode_reservation, f->board, &p, reserved_tokens(f),
 				       headroom_tokens(f), on_decode_reservation, f);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -568,6 +568,27 @@
         assert len(w.prefills[0].seen) <= 2, f"asked {len(w.prefills[0].seen)} times"
 
 
+def check_refused_prefill_keeps_its_decode_reservation():
+    """A request whose prefill is refused must go on with the decode reservation that it holds; it
+    made another one, and found no room when its own reservation had taken the last."""
+    with World(prefills=2, decodes=1) as w:
+        vm = w.start()
+
+        def refuse_first(h):
+            w.decodes[0].room = False
+            if sum(len(p.seen) for p in w.prefills) > 1:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_first
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal((r.status, *read_stream(r)), (200, EVENTS, True), "stream")
+        equal(w.decodes[0].holds, 1, "reservations")
+        equal(w.decodes[0].seen[0]["X-Kv-Hold"], "h1", "reservation")
+
+
 def check_stream_goes_on_where_its_prompt_is():
     """A stream whose connection broke must resume at its endpoint, which still has the KV cache,
     without a second prefill."""
