Begin no second search for room beside one in progress

What callers saw: after a VM had stood still for a second or more, as one that is frozen or starved, its process could crash; all its requests ended without an answer. An event that arrives meanwhile sets the timer for the next silence to 1 s later, longer than a search takes, but not when the loop runs late: then both are overdue, the search asks the next endpoint, and the timer began another search in the same struct. Its HTTP call was overwritten in flight, and the heap of timers was left with a stale entry. Ruled out: the stream itself was whole before the crash; the stop alone is borne by other checks (late_loop_answer). Change: no search begins while one is pending, and a stream that moves clears the timer of the attempt that it leaves.

--- a/src/decode_reservation.h
+++ b/src/decode_reservation.h
@@ -53,6 +53,11 @@
 				    const struct tlb_instance_query *p, int64_t tokens,
 				    int64_t spare, tlb_decode_reservation_done_fn *on_done,
 				    void *arg);
+/* Whether a search is in progress; no other may be started then. */
+static inline bool tlb_decode_reservation_is_pending(const struct tlb_decode_reservation *r)
+{
+	return r->state == TLB_DECODE_RESERVATION_PENDING;
+}
 /* Whether a reservation is held and has not expired. */
 bool tlb_decode_reservation_is_held(const struct tlb_decode_reservation *r, tlb_time now);
 /* The request is being sent to the endpoint, which ends the reservation with it. */
--- a/src/generation.c
+++ b/src/generation.c
@@ -733,6 +733,7 @@
 
 	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
 	tlb_http_cancel(&f->call);
+	tlb_timer_clear(f->board->loop, &f->timer);
 	record_abandoned(f);
 	end_prefill(f, f->instance, false);
 	tlb_forward_record_result(f, &r);
@@ -770,7 +771,9 @@
 	struct tlb_forward *f = arg;
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
-	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline)
+	/* A search that began before the last event goes on, because the loop ran late. */
+	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
+	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
 	if (!tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -911,6 +911,41 @@
         equal(len(reserved[0].seen), 0, "runs at the endpoint that leaves")
 
 
+def check_search_for_room_survives_a_late_loop():
+    """A VM whose loop stands still while a silent stream looks for room elsewhere, and an event has
+    arrived meanwhile, must not begin a second search beside the first; it crashed."""
+    with World(decodes=4) as w:
+        vm = w.start()
+
+        def plan(h):
+            if "Last-Event-Id" in h.headers:
+                return False
+            h.begin_stream()
+            h.event(1)
+            h.event(2)
+            holds = sum(d.holds for d in w.decodes)
+            for d in w.decodes:
+                d.hold_pause_s = 1
+            wait(lambda: sum(d.holds for d in w.decodes) > holds, "the search begins")
+            h.event(3)
+            time.sleep(0.05)
+            vm.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.5)
+            vm.process.send_signal(signal.SIGCONT)
+            time.sleep(0.05)
+            h.event(4)
+            h.wfile.write(b"0\r\n\r\n")
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        time.sleep(0.5)
+        equal(vm.process.poll(), None, "exit status of the VM")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
 def check_unanswered_requests_are_answered_when_the_drain_ends():
     """A request whose endpoint has not begun to answer when the drain ends must get an error
     response; callers saw a closed connection. Only one that has not run gets a 503."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -191,6 +191,7 @@
         self.born = int(time.time() * 1000)
         self.plan = lambda handler: False
         self.room = True
+        self.hold_pause_s = 0  # before a request for a reservation is answered
         self.free_tokens = None  # larger reservations are refused; None: no limit
         self.reserved = []  # tokens of the reservations granted
         self.load = {}  # fields of the load report
@@ -277,6 +278,7 @@
         if self.path == "/hold-take":
             tokens = json.loads(self.body())["tokens"]
             e.holds += 1
+            time.sleep(e.hold_pause_s)
             if not e.room or (e.free_tokens is not None and tokens > e.free_tokens):
                 return self.reply(503, headers=[("X-Not-Executed", "1")])
             e.reserved.append(tokens)
