Leave a silent stream where it is while its prompt is quarantined

What callers saw: a stream that was being answered ended without its last events when its endpoint paused for a second and a part of its prompt, shared with requests that crash endpoints, had been quarantined since it began. Cause: the silent attempt was cancelled to move the stream, and only then the quarantine was asked, which lets no new attempt begin: the stream was cut. The same class as: giving up what works before its replacement is held. Ruled out in the test: the retry budget, room elsewhere, the deadline. Change: such a stream isn't moved; its attempt goes on until the endpoint ends it or the deadline passes. No endpoint gets the prompt that did not get it before.

--- a/src/generation.c
+++ b/src/generation.c
@@ -173,12 +173,18 @@
 	};
 }
 
+/* The quarantined part of the request's prompt; NULL when there is none. */
+static const struct tlb_suspect_part *quarantined_part(const struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+
+	return tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
+}
+
 /* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
 static bool refuse_quarantined(struct tlb_forward *f)
 {
-	struct tlb_prompt prompt = prompt_of(f);
-	const struct tlb_suspect_part *s =
-		tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
+	const struct tlb_suspect_part *s = quarantined_part(f);
 	tlb_time wait;
 
 	if (!s)
@@ -752,7 +758,7 @@
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		return;
 	}
-	if (!found || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
+	if (!found || quarantined_part(f) || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
@@ -775,7 +781,7 @@
 	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
 	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
-	if (!tlb_forward_retry_affordable(f)) {
+	if (quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
 	}
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1674,6 +1674,38 @@
             assert reached <= MAX_REACHED, f"{reached} prefills and runs, {crashes(w)} crashes"
 
 
+def check_silent_stream_is_not_ended_because_its_prompt_is_quarantined():
+    """A stream that is being answered must not be taken from its silent endpoint when a part of its
+    prompt has been quarantined meanwhile and it may start nowhere else; it was cut."""
+    with World(prefills=2, decodes=8, shops=0) as w:
+        vm = w.start()
+        crash_on_parts(w, "d1")
+        sent = []
+
+        def answer_until_quarantined(h):
+            h.begin_stream()
+            while not vm.events("prompt_quarantined"):
+                sent.append(len(sent) + 1)
+                h.event(sent[-1])
+                time.sleep(0.3)
+            time.sleep(2.5)
+            h.event(len(sent) + 1)
+            h.wfile.write(b"0\r\n\r\n")
+            return True
+
+        for d in w.decodes:
+            d.plan = lambda h, plan=d.plan: (
+                answer_until_quarantined(h) if h.headers.get("X-Attempt-Id") == "sound" else plan(h))
+        r = vm.send("/gen/1", "POST", b"prompt", attempt="sound", headers=dict(
+            prompt(SHARED, DEADLY, "5a:30"), **{"X-Deadline-Ms": "9000"}))
+        requests = send_deadly(w.vms)
+        while not vm.events("prompt_quarantined"):
+            next(requests)
+        text, whole = read_stream(r)
+        equal(whole, True, "whole")
+        equal(text.count("id: "), len(sent) + 1, "events")
+
+
 def check_account_cannot_quarantine_parts_of_another_account():
     """An account whose requests crash endpoints, each with another deadly part, must not have a
     part refused that requests of another account share, whether these come meanwhile or not."""
