Let the decode endpoint prefill a moved stream when no attempt is left

What callers saw: a stream was taken from an endpoint that had only been silent, and ended without its last events. Cause: each refused prefill counts as an attempt. After the sixth attempt the stream was cut, although its decode endpoint was reserved and can prefill; lets it do so only when the retry budget is used up. Ruled out in the test: the retry budget, the deadline, room at the endpoint. Change: the limit on attempts is treated like the retry budget. The move itself is allowed only while an attempt is left, so that the decode is one more at most.

--- a/src/generation.c
+++ b/src/generation.c
@@ -621,7 +621,8 @@
  * It is slower at that, so only for a stream that has begun and can't have another prefill. */
 static bool may_prefill_at_decode(struct tlb_forward *f)
 {
-	return f->gen.streaming && !tlb_forward_retry_affordable(f) &&
+	return f->gen.streaming &&
+	       (!tlb_forward_attempts_left(f) || !tlb_forward_retry_affordable(f)) &&
 	       tlb_decode_reservation_is_held(&f->gen.decode_reservation, tlb_clock_now());
 }
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -883,6 +883,28 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_moved_stream_survives_prefills_refused_until_no_attempt_is_left():
+    """A stream that moves away from a silent endpoint must go on although prefill endpoints refuse it
+    until its attempts are used up; it was cut with its decode reservation in hand."""
+    with World(prefills=7) as w:
+        vm = w.start()
+
+        def refuse_later(h):
+            if sum(len(p.seen) for p in w.prefills) < 2:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_later
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+
+
 def check_stream_survives_the_loss_of_its_reserved_endpoint():
     """A stream that has begun must wait for room when the endpoint reserved for it leaves during the
     prefill; it was cut if no other endpoint was usable at that moment."""
