Test answers when the loop is late at the end of the drain

The check freezes a VM from 0.2 s before the end of the drain until 0.3 s after the last responses are due. The check it shares its body with is unchanged in what it requires.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -968,9 +968,9 @@
         equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
 
 
-def check_unanswered_requests_are_answered_when_the_drain_ends():
-    """A request whose endpoint has not begun to answer when the drain ends must get an error
-    response; callers saw a closed connection. Only one that has not run gets a 503."""
+def answers_when_the_drain_ends(at_end=lambda vm: None):
+    """Answers of a VM whose drain ends, by name, to a request that has been sent to a decode endpoint
+    and to one that is being prefilled; at_end is called 0.2 s before that."""
     with World(decodes=1) as w:
         vm = w.start()
         change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 4000")
@@ -984,6 +984,7 @@
                 answers[name] = type(e).__name__
 
         vm.process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + 3.1
         threads = [threading.Thread(target=call, args=("sent",))]
         threads[0].start()
         wait(lambda: w.decodes[0].seen, "the decode begins")
@@ -991,10 +992,28 @@
         w.prefills[0].plan = lambda h: time.sleep(5) or True
         threads.append(threading.Thread(target=call, args=("prefilling",)))
         threads[1].start()
+        time.sleep(max(0, end - time.monotonic()))
+        at_end(vm)
         for t in threads:
             t.join()
-        equal(answers, {"sent": 502, "prefilling": 503}, "answers")
         equal(vm.process.wait(3), 0, "exit status")
+        return answers
+
+
+def check_unanswered_requests_are_answered_when_the_drain_ends():
+    """A request whose endpoint has not begun to answer when the drain ends must get an error
+    response; callers saw a closed connection. Only one that has not run gets a 503."""
+    equal(answers_when_the_drain_ends(), {"sent": 502, "prefilling": 503}, "answers")
+
+
+def check_unanswered_requests_are_answered_when_the_loop_is_late_at_the_end():
+    """The same when the loop stands still at that moment until the last responses are overdue."""
+    def freeze(vm):
+        vm.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.8)
+        vm.process.send_signal(signal.SIGCONT)
+
+    equal(answers_when_the_drain_ends(freeze), {"sent": 502, "prefilling": 503}, "answers")
 
 
 def late_loop_answer(vm, conn, before_s):
