Report a call that can't be started through its callback

What callers saw: when there was no memory for the call to an endpoint, a stream that had begun stayed open without another byte, past its deadline, until its caller left. A VM in the fleet of its own (service.c, request.c) left plain calls and generations hanging; those two were found by reading only. Cause: tlb_http_start() returned an error instead of running on_done. The stream was answered like a request without a response, which the listener doesn't send; eight other calls ignored the error, and the store's aborted the process. Ruled out: the deadline of the call, which was never armed. Change: tlb_http_start() can't fail; such a call ends from the event loop like one whose connection was refused, so that retries, budgets and errors apply as usual. The log line send_failed is gone; attempt_failed with sent=0 and the reason replaces it.

--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,13 @@
 
 LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard load/*.c))
 
-$(BUILD)/clockstep.so: tests/clockstep.c
+# Libraries that tests preload into daemons.
+$(BUILD)/%.so: tests/%.c
 	@mkdir -p $(BUILD)
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -shared -fPIC -o $@ $<
 
 .DEFAULT_GOAL = all
-all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(BUILD)/clockstep.so $(STANDINS)
+all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(BUILD)/clockstep.so $(BUILD)/nomemory.so $(STANDINS)
 
 deps:
 	@scripts/install-deps
--- a/bench/passthrough.c
+++ b/bench/passthrough.c
@@ -84,7 +84,7 @@
 	x->on_disconnect = on_disconnect;
 	x->arg = f;
 	snprintf(url, sizeof(url), "http://%s%s", target, x->path);
-	tlb_http_start(&http, &f->call, &spec, NULL);
+	tlb_http_start(&http, &f->call, &spec);
 }
 
 int main(int argc, char **argv)
--- a/src/booking.c
+++ b/src/booking.c
@@ -293,7 +293,7 @@
 	if (tlb_http_active(&t->reconcile_call))
 		return;
 	snprintf(url, sizeof(url), "http://%s/held", t->addr);
-	tlb_http_start(t->board->http, &t->reconcile_call, &spec, NULL);
+	tlb_http_start(t->board->http, &t->reconcile_call, &spec);
 }
 
 static void on_held_timer(void *arg)
@@ -383,7 +383,7 @@
 	snprintf(url, sizeof(url), "http://%s/cancel", c->target->addr);
 	spec.body_len =
 		(size_t)snprintf(body, sizeof(body), "{\"request_id\":\"%s\"}", c->request_id);
-	tlb_http_start(c->bookings->board->http, &c->call, &spec, NULL);
+	tlb_http_start(c->bookings->board->http, &c->call, &spec);
 }
 
 static void cancel_start(struct tlb_bookings *b, struct tlb_target *t, const char *request_id,
--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -96,15 +96,10 @@
 		.on_done = on_response,
 		.arg = r,
 	};
-	struct tlb_error err;
 
 	r->state = TLB_DECODE_RESERVATION_PENDING;
-	if (tlb_instance_call(r->instance, r->board->http, &r->call, &spec,
-			      tlb_platform_reservation_target(), body, &err) != TLB_OK) {
-		tlb_log_error("event=room_failed instance=%s reason=\"%s\"", r->instance->row.id,
-			      err.message);
-		finish(r, false);
-	}
+	tlb_instance_call(r->instance, r->board->http, &r->call, &spec,
+			  tlb_platform_reservation_target(), body);
 	free(body);
 }
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -302,7 +302,6 @@
 		.on_done = on_done,
 		.arg = f,
 	};
-	struct tlb_error err;
 
 	f->instance = i;
 	tlb_instance_acquire(i);
@@ -315,11 +314,7 @@
 		spec.body = x->body.data;
 	snprintf(url, sizeof(url), "http://%s/", i->row.addr);
 	snprintf(target, sizeof(target), "%s%s%s", x->path, *x->query ? "?" : "", x->query);
-	if (tlb_http_start(f->board->http, &f->call, &spec, &err) == TLB_OK)
-		return;
-	tlb_log_error("event=send_failed request=%s reason=\"%s\"", x->id, err.message);
-	release_instance(f);
-	tlb_forward_fail(f, err.message);
+	tlb_http_start(f->board->http, &f->call, &spec);
 }
 
 /* Whether a caller concludes from the status that its request has not run and never will. */
--- a/src/forward.h
+++ b/src/forward.h
@@ -125,8 +125,7 @@
 
 /* --- used by module generation only --- */
 
-/* Starts an attempt at an instance and sets f->instance. When the attempt can't be started, ends
- * the request, which frees f. */
+/* Starts an attempt at an instance and sets f->instance. */
 void tlb_forward_send(struct tlb_forward *f, struct tlb_instance *i, const struct tlb_outbound *o,
 		      tlb_time deadline, tlb_http_data_fn *on_data, tlb_http_done_fn *on_done);
 /* Classifies the result of an attempt, records it in the health of the instance, and releases
--- a/src/generation.c
+++ b/src/generation.c
@@ -570,7 +570,6 @@
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
 	tlb_decode_reservation_consume(&f->gen.decode_reservation);
-	/* May end the request, which frees f. */
 	tlb_forward_send(f, i, &o, f->deadline, on_stream_data, on_stream_done);
 	tlb_instance_release(i);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -35,16 +35,19 @@
 {
 	tlb_timer_clear(c->http->loop, &c->deadline_timer);
 	tlb_timer_clear(c->http->loop, &c->start_timer);
-	curl_multi_remove_handle(c->http->multi, c->easy);
-	recycle_handle(c->http, c->easy);
+	if (c->easy) {
+		curl_multi_remove_handle(c->http->multi, c->easy);
+		recycle_handle(c->http, c->easy);
+	}
 	curl_slist_free_all(c->headers);
+	c->active = false;
 	c->easy = NULL;
 	c->headers = NULL;
 }
 
 void tlb_http_cancel(struct tlb_http_call *c)
 {
-	if (!c->easy)
+	if (!c->active)
 		return;
 	call_release(c);
 	c->http->body_bytes -= c->body.len;
@@ -105,11 +108,13 @@
 	long status = 0;
 
 	memset(&r, 0, sizeof(r));
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
+	if (c->easy) {
+		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+		curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
+		r.sent = request_was_sent(c->easy);
+		add_totals(&c->http->totals, c->easy);
+	}
 	snprintf(type, sizeof(type), "%s", t ? t : "");
-	r.sent = request_was_sent(c->easy);
-	add_totals(&c->http->totals, c->easy);
 	r.timed_out = c->timed_out;
 	r.refused = rc == CURLE_COULDNT_CONNECT;
 	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
@@ -411,37 +416,42 @@
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->dedicated_connection ? 1L : 0L);
 }
 
-/* Adds the transfer from the event loop, because libcurl refuses a new transfer within its own
- * callbacks. */
+/* Adds the transfer again from the event loop, because libcurl refuses a new transfer within its
+ * own callbacks, and on_done may not be called from there. */
 static void on_start(void *arg)
 {
 	struct tlb_http_call *c = arg;
-	CURLMcode rc = curl_multi_add_handle(c->http->multi, c->easy);
+	CURLMcode rc = CURLM_OUT_OF_MEMORY;
 
+	if (c->easy)
+		rc = curl_multi_add_handle(c->http->multi, c->easy);
 	if (rc == CURLM_RECURSIVE_API_CALL)
 		tlb_timer_set(c->http->loop, &c->start_timer, tlb_clock_now());
 	else if (rc != CURLM_OK)
-		call_finish(c, CURLE_FAILED_INIT);
+		call_finish(c, CURLE_OUT_OF_MEMORY);
 }
 
-enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
-			     const struct tlb_http_spec *spec, struct tlb_error *err)
+/* Prepares the transfer; without memory c->easy stays NULL. */
+static void prepare(struct tlb_http_call *c, const struct tlb_http_spec *spec)
 {
-	CURLMcode rc;
+	c->easy = acquire_handle(c->http);
+	if (!c->easy) {
+		curl_slist_free_all(spec->headers);
+		return;
+	}
+	set_headers(c, spec);
+	set_options(c, spec);
+}
 
+void tlb_http_start(struct tlb_http *h, struct tlb_http_call *c, const struct tlb_http_spec *spec)
+{
 	memset(c, 0, sizeof(*c));
 	c->http = h;
+	c->active = true;
 	c->content_length = -1;
 	c->spec = *spec;
 	c->custom_headers = spec->headers != NULL;
-	c->easy = acquire_handle(h);
-	if (!c->easy) {
-		curl_slist_free_all(spec->headers);
-		return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "http", spec->url,
-				     "no memory for an HTTP call");
-	}
-	set_headers(c, spec);
-	set_options(c, spec);
+	prepare(c, spec);
 	/* These are valid during this function only; libcurl holds copies. */
 	c->spec.url = NULL;
 	c->spec.body = NULL;
@@ -451,14 +461,6 @@
 	tlb_timer_init(&c->deadline_timer, on_deadline, c);
 	tlb_timer_init(&c->start_timer, on_start, c);
 	tlb_timer_set(h->loop, &c->deadline_timer, spec->deadline);
-	rc = curl_multi_add_handle(h->multi, c->easy);
-	if (rc == CURLM_OK)
-		return TLB_OK;
-	if (rc == CURLM_RECURSIVE_API_CALL) {
+	if (!c->easy || curl_multi_add_handle(h->multi, c->easy) != CURLM_OK)
 		tlb_timer_set(h->loop, &c->start_timer, tlb_clock_now());
-		return TLB_OK;
-	}
-	tlb_http_cancel(c);
-	return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "http", "", "%s",
-			     curl_multi_strerror(rc));
 }
--- a/src/http.h
+++ b/src/http.h
@@ -66,7 +66,7 @@
 	const char *content_type;    /* NULL for "application/json" when there is a body */
 	const char *idempotency_key; /* sent as that header; NULL for none */
 	/* All request headers, replacing the standard ones (NULL). tlb_http_start() takes
-	 * ownership, even when it fails. Also makes the call keep the response headers. */
+	 * ownership. Also makes the call keep the response headers. */
 	struct curl_slist *headers;
 	const char *target;	   /* request target, sent without change; NULL: from url */
 	tlb_time connect_deadline; /* for establishing the connection; 0: same as deadline */
@@ -83,7 +83,8 @@
 /* Zero-initialised when idle. */
 struct tlb_http_call {
 	struct tlb_http *http;
-	CURL *easy;
+	bool active;
+	CURL *easy; /* NULL when idle, or without memory */
 	struct curl_slist *headers;
 	struct tlb_timer deadline_timer;
 	struct tlb_timer start_timer; /* armed when the transfer has to be added later */
@@ -113,10 +114,9 @@
 int tlb_http_init(struct tlb_http *h, struct tlb_loop *l);
 void tlb_http_finish(struct tlb_http *h);
 
-/* Starts a call; may be called from on_data of another call. The strings of spec are copied.
- * Returns TLB_OK, or TLB_INTERNAL without memory. */
-enum tlb_code tlb_http_start(struct tlb_http *h, struct tlb_http_call *c,
-			     const struct tlb_http_spec *spec, struct tlb_error *err);
+/* Starts a call; may be called from on_data of another call. The strings of spec are copied. A call
+ * for which there is no memory ends through on_done as well. */
+void tlb_http_start(struct tlb_http *h, struct tlb_http_call *c, const struct tlb_http_spec *spec);
 /* Aborts a call without calling on_done and closes its connection; no effect when idle. */
 void tlb_http_cancel(struct tlb_http_call *c);
 /* The response header lines received so far by a call with spec.headers, else ""; valid until
@@ -126,7 +126,7 @@
 int tlb_http_status(const struct tlb_http_call *c);
 static inline bool tlb_http_active(const struct tlb_http_call *c)
 {
-	return c->easy != NULL;
+	return c->active;
 }
 
 #endif
--- a/src/instance.c
+++ b/src/instance.c
@@ -29,9 +29,9 @@
 		free(i);
 }
 
-enum tlb_code tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
-				struct tlb_http_call *call, struct tlb_http_spec *spec,
-				const char *target, const char *body, struct tlb_error *err)
+void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
+		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
+		       const char *body)
 {
 	char url[TLB_ADDR_LEN + TARGET_LEN];
 
@@ -40,7 +40,7 @@
 	spec->body = body;
 	spec->body_len = body ? strlen(body) : 0;
 	spec->dedicated_connection = true;
-	return tlb_http_start(http, call, spec, err);
+	tlb_http_start(http, call, spec);
 }
 
 static void remove_instance(struct tlb_instance *i)
--- a/src/instance.h
+++ b/src/instance.h
@@ -78,10 +78,10 @@
 void tlb_instance_acquire(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
 /* Calls the instance on a dedicated connection. Sets url, body and dedicated_connection of spec,
- * the caller sets the rest; body NULL: no body. Returns the result of tlb_http_start(). */
-enum tlb_code tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
-				struct tlb_http_call *call, struct tlb_http_spec *spec,
-				const char *target, const char *body, struct tlb_error *err);
+ * the caller sets the rest; body NULL: no body. */
+void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
+		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
+		       const char *body);
 /* Whether the instance may receive new requests. */
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now);
 
--- a/src/load.c
+++ b/src/load.c
@@ -378,7 +378,7 @@
 	t->poll_started_at = tlb_clock_now();
 	snprintf(url, sizeof(url), "http://%s/load", t->addr);
 	tlb_counter_add(&t->board->counters, TLB_COUNTER_LOAD_POLLS, 1);
-	tlb_http_start(t->board->http, &t->call, &spec, NULL);
+	tlb_http_start(t->board->http, &t->call, &spec);
 }
 
 static void poll_target(void *arg)
--- a/src/order.c
+++ b/src/order.c
@@ -190,7 +190,7 @@
 	return body;
 }
 
-static bool start_call(struct tlb_order *o, const char *body)
+static void start_call(struct tlb_order *o, const char *body)
 {
 	char url[URL_LEN];
 	struct tlb_http_spec spec = {
@@ -205,23 +205,21 @@
 	};
 
 	snprintf(url, sizeof(url), "http://%s/order", o->addr);
-	if (tlb_http_start(o->orders->board->http, &o->call, &spec, NULL) != TLB_OK)
-		return false;
+	tlb_http_start(o->orders->board->http, &o->call, &spec);
 	curl_easy_setopt(o->call.easy, CURLOPT_PREREQFUNCTION, before_send);
 	curl_easy_setopt(o->call.easy, CURLOPT_PREREQDATA, o);
-	return true;
 }
 
 static void send_order(struct tlb_order *o)
 {
 	char *body = order_body(o);
-	bool started = body && start_call(o, body);
 
-	free(body);
-	if (!started) {
+	if (!body) {
 		schedule(o, tlb_clock_now() + RECHECK_INTERVAL);
 		return;
 	}
+	start_call(o, body);
+	free(body);
 	tlb_counter_add(&o->orders->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
 	tlb_log_info("event=order endpoint=%s decision=send fencing=%" PRId64
 		     " reason=%s attempt=%d model=%s version=%s adapter=%s role=%s",
--- a/src/release.c
+++ b/src/release.c
@@ -38,14 +38,10 @@
 		.on_done = on_released,
 		.arg = r,
 	};
-	struct tlb_error err;
 
 	if (!r)
 		return;
 	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
 	snprintf(r->target, sizeof(r->target), "%s", target);
-	if (tlb_instance_call(i, http, &r->call, &spec, target, NULL, &err) == TLB_OK)
-		return;
-	log_failure(r, 0, err.message);
-	free(r);
+	tlb_instance_call(i, http, &r->call, &spec, target, NULL);
 }
--- a/src/request.c
+++ b/src/request.c
@@ -674,7 +674,7 @@
 	spec->dedicated_connection = true;
 	spec->arg = r;
 	r->call_began = tlb_clock_now();
-	tlb_http_start(r->board->http, &r->call, spec, NULL);
+	tlb_http_start(r->board->http, &r->call, spec);
 	free(body);
 }
 
--- a/src/roles.c
+++ b/src/roles.c
@@ -101,7 +101,6 @@
 		.on_done = on_order_response,
 		.arg = r,
 	};
-	struct tlb_error err;
 
 	if (!i || !body || tlb_clock_now() >= r->act_deadline) {
 		free(body);
@@ -111,9 +110,7 @@
 	r->state = TLB_ROLES_SENDING_ORDER;
 	spec.headers = tlb_platform_order_headers(i->row.id);
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
-	if (tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_order_target(), body,
-			      &err) != TLB_OK)
-		end_change(r, err.message);
+	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_order_target(), body);
 	free(body);
 }
 
@@ -316,16 +313,13 @@
 		.on_done = on_report,
 		.arg = r,
 	};
-	struct tlb_error err;
 
 	if (!i) {
 		end_round(r);
 		return;
 	}
 	snprintf(r->report_instance, sizeof(r->report_instance), "%s", i->row.id);
-	if (tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_report_target(),
-			      NULL, &err) != TLB_OK)
-		end_change(r, err.message);
+	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_report_target(), NULL);
 }
 
 /* Returns the first service whose engines can change roles. Only one service is supported: each one
--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -55,15 +55,13 @@
 	tlb_stored_rows_finish(&rows);
 }
 
-/* Starts an HTTP call for op; the store may delay its response by `wait`. When the call can't be
- * created (out of memory), on_done runs at once with TLB_ROWS_REFUSED. */
+/* Starts an HTTP call for op; the store may delay its response by `wait`. */
 static void start_call(struct tlb_rowstore *s, struct tlb_rowstore_op *op,
 		       struct tlb_http_spec *spec, const char *target, tlb_time wait,
 		       tlb_rowstore_done_fn *on_done, void *arg)
 {
 	char url[TARGET_LEN + TLB_PEER_LEN + 8];
 	tlb_time now = tlb_clock_now();
-	struct tlb_error err;
 
 	op->store = s;
 	op->on_done = on_done;
@@ -75,11 +73,7 @@
 	spec->on_done = on_response;
 	spec->arg = op;
 	s->calls++;
-	if (tlb_http_start(s->http, &op->call, spec, &err) != TLB_OK) {
-		struct tlb_stored_rows none = {0};
-
-		on_done(arg, TLB_ROWS_REFUSED, &none, err.message);
-	}
+	tlb_http_start(s->http, &op->call, spec);
 }
 
 void tlb_rowstore_list(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
--- a/src/service.c
+++ b/src/service.c
@@ -395,7 +395,7 @@
 	snprintf(url, sizeof(url), "http://%s%s", c->endpoint->addr, c->target);
 	c->endpoint->in_flight++;
 	c->call_began = tlb_clock_now();
-	tlb_http_start(c->board->http, &c->call, &spec, NULL);
+	tlb_http_start(c->board->http, &c->call, &spec);
 }
 
 /* --- idempotency claim and token reservation --- */
--- a/src/store.c
+++ b/src/store.c
@@ -96,7 +96,6 @@
 	json_decref(body);
 }
 
-/* Aborts when the call can't be created; network failures are reported through on_done. */
 static void start_call(struct tlb_store *s, struct tlb_store_op *op, struct tlb_http_spec *spec,
 		       tlb_store_done_fn *on_done, void *arg)
 {
@@ -105,8 +104,7 @@
 	op->arg = arg;
 	spec->on_done = on_http_done;
 	spec->arg = op;
-	if (tlb_http_start(s->http, &op->call, spec, NULL) != TLB_OK)
-		abort();
+	tlb_http_start(s->http, &op->call, spec);
 }
 
 static json_t *written_keys(const json_t *txn)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -92,8 +92,9 @@
 class Vm:
     """A toucanlbd process, its ports, settings file and log."""
 
-    def __init__(self, name, directory, store):
+    def __init__(self, name, directory, store, env=None):
         self.name = name
+        self.env = dict(os.environ, **(env or {}))
         ports = free_ports("caller", "ready", "metrics", "peer")
         self.ports = ports
         self.log = os.path.join(directory, f"{name}.log")
@@ -101,7 +102,8 @@
         self.write_settings(store)
 
     def start(self):
-        self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings])
+        self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings],
+                                        env=self.env)
 
     def kill(self):
         self.process.kill()
@@ -152,7 +154,7 @@
 class World:
     """The store, endpoints and daemons of one check; leaving the context ends the daemons."""
 
-    def __init__(self, vms=1, prefills=1, decodes=2, shops=2, first_start=False):
+    def __init__(self, vms=1, prefills=1, decodes=2, shops=2, first_start=False, env=None):
         self.directory = tempfile.TemporaryDirectory()
         self.store = Store()
         self.shops = [Endpoint(f"shop-{n}", "shop") for n in range(shops)]
@@ -161,7 +163,7 @@
         for e in self.shops + self.prefills + self.decodes:
             self.store.put("servers", e.name, e.entry())
         self.doors = [Door(self.store) for _ in range(vms)]
-        self.vms = [Vm(f"vm-{n}", self.directory.name, d.addr)
+        self.vms = [Vm(f"vm-{n}", self.directory.name, d.addr, env)
                     for n, d in enumerate(self.doors)]
         if not first_start:  # as after a restart; VMs that were never there wait for each other
             self.store.put("toucanlb-secret", "peer", "5a" * 32)
@@ -905,6 +907,35 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_requests_end_when_no_call_can_be_started():
+    """A request must end, and a stream that has begun must be cut at its deadline, when there is no
+    memory for the call to the next endpoint; such a stream was left open."""
+    with tempfile.TemporaryDirectory() as directory:
+        no_memory = os.path.join(directory, "no-memory")
+        preload = {"LD_PRELOAD": os.path.join(ROOT, "build", "nomemory.so"),
+                   "NOMEMORY_FILE": no_memory}
+        with World(prefills=2, env=preload) as w:
+            vm = w.start()
+
+            def exhaust_later(h):
+                if sum(len(p.seen) for p in w.prefills) > 1:
+                    with open(no_memory, "w", encoding="utf-8"):
+                        pass
+                return False
+
+            for p in w.prefills:
+                p.plan = exhaust_later
+            plan = pausing_stream()
+            for d in w.decodes:
+                d.plan = plan
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN, conn=vm.connect(8))
+            text, whole = read_stream(r)
+            equal((text.count("id: "), whole), (2, False), "stream")
+            equal(vm.call("/pay/1", conn=vm.connect(3))[0], 503, "a plain call")
+            os.unlink(no_memory)
+            equal(vm.call("/pay/2")[0], 200, "a plain call with memory")
+
+
 def check_stream_survives_the_loss_of_its_reserved_endpoint():
     """A stream that has begun must wait for room when the endpoint reserved for it leaves during the
     prefill; it was cut if no other endpoint was usable at that moment."""
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,8 +1,10 @@
-/* Tests calls that are started from another call's on_data. libcurl refuses to add a transfer from
- * within its own callbacks; without a later retry such a call was never sent and timed out. */
+/* Tests calls that can't be started at once. libcurl refuses to add a transfer from within its own
+ * callbacks; without a later retry such a call, started from another call's on_data, was never sent
+ * and timed out. One without memory never ended. */
 #include <apr_general.h>
 #include <arpa/inet.h>
 #include <check.h>
+#include <dlfcn.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +19,17 @@
 static const char response[] =
 	"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
 
+static bool no_memory;
+
+/* Stands in for the function of libcurl, which the linker resolves to this one. */
+CURLMcode curl_multi_add_handle(CURLM *multi, CURL *easy)
+{
+	CURLMcode (*add)(CURLM *, CURL *) =
+		(CURLMcode(*)(CURLM *, CURL *))dlsym(RTLD_NEXT, "curl_multi_add_handle");
+
+	return no_memory ? CURLM_OUT_OF_MEMORY : add(multi, easy);
+}
+
 struct pair {
 	struct tlb_http http;
 	struct tlb_http_call first;
@@ -86,9 +99,8 @@
 		.on_done = on_second_done,
 		.arg = p,
 	};
-	struct tlb_error err;
 
-	ck_assert_int_eq(tlb_http_start(&p->http, &p->second, &spec, &err), TLB_OK);
+	tlb_http_start(&p->http, &p->second, &spec);
 	if (p->cancel_second)
 		tlb_http_cancel(&p->second);
 	return true;
@@ -107,14 +119,13 @@
 	};
 	tlb_time end = tlb_clock_now() + TEST_WAIT;
 	struct tlb_loop l;
-	struct tlb_error err;
 	pthread_t server;
 	int listener = listen_on_loopback(p->url, sizeof(p->url));
 
 	ck_assert_int_eq(pthread_create(&server, NULL, serve_two, &listener), 0);
 	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
 	ck_assert_int_eq(tlb_http_init(&p->http, &l), 0);
-	ck_assert_int_eq(tlb_http_start(&p->http, &p->first, &spec, &err), TLB_OK);
+	tlb_http_start(&p->http, &p->first, &spec);
 	while (tlb_clock_now() < end && (tlb_http_active(&p->first) || tlb_http_active(&p->second)))
 		tlb_loop_once(&l, tlb_clock_now() + 10 * TLB_MS);
 	tlb_http_finish(&p->http);
@@ -144,6 +155,49 @@
 }
 END_TEST
 
+static void on_unstarted_done(void *arg, const struct tlb_http_result *r)
+{
+	int *done = arg;
+
+	ck_assert_int_eq(r->status, 0);
+	ck_assert(!r->sent);
+	ck_assert(r->reason[0]);
+	(*done)++;
+}
+
+START_TEST(call_without_memory_ends_from_the_event_loop)
+{
+	int done = 0;
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = "http://127.0.0.1:9/",
+		.deadline = TLB_NEVER,
+		.on_done = on_unstarted_done,
+		.arg = &done,
+	};
+	struct tlb_http_call c;
+	struct tlb_http http;
+	struct tlb_loop l;
+
+	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
+	ck_assert_int_eq(tlb_http_init(&http, &l), 0);
+	no_memory = true;
+	tlb_http_start(&http, &c, &spec);
+	ck_assert(tlb_http_active(&c));
+	ck_assert_int_eq(done, 0);
+	tlb_loop_once(&l, tlb_clock_now() + TEST_WAIT);
+	ck_assert_int_eq(done, 1);
+	ck_assert(!tlb_http_active(&c));
+	tlb_http_start(&http, &c, &spec);
+	tlb_http_cancel(&c);
+	tlb_loop_once(&l, tlb_clock_now());
+	ck_assert_int_eq(done, 1);
+	no_memory = false;
+	tlb_http_finish(&http);
+	tlb_loop_finish(&l);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -154,6 +208,7 @@
 	apr_initialize();
 	tcase_add_test(t, call_started_in_on_data_completes);
 	tcase_add_test(t, call_cancelled_before_transfer_is_added_gets_no_response);
+	tcase_add_test(t, call_without_memory_ends_from_the_event_loop);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
