Let a slow idempotent call go on until it can be repeated

What callers saw: an idempotent call whose endpoint was slow got 502 after 0.6 of its target latency, although the endpoint would have answered well before the route's timeout. Cause: whether a second attempt is possible (retry budget, another endpoint) was asked when the first was sent, and its HTTP call got the earlier deadline then. When that passed, another call had often taken the budget: the attempt was given up, and no other one followed. Evidence: edge.py slow_call_is_not_ended_for_lack_of_retry_budget (two calls at a time, endpoints that need 0.5 s, budget for one retry) failed 2 of 2 before (one call 502) and passes 3 of 3. Ruled out in the test: the deadline (2 s), the attempts. Change: the call has the request's deadline. A timer asks, from the same moment on and then every 50 ms, whether another endpoint and the budget allow a second attempt, and only then ends the first. The second attempt, and paid calls, are unchanged.

--- a/src/forward.c
+++ b/src/forward.c
@@ -11,10 +11,12 @@
 /* Share of the allowed retries that the VMs together use: the number of retries counted at the
  * endpoints is a little higher than the number counted here. */
 #define BUDGET_USED_SHARE 0.8
-/* The first attempt of an idempotent call times out after this share of the target latency, so that
- * a second attempt elsewhere can still meet the target. */
+/* An idempotent call is repeated elsewhere after this share of the target latency, so that the
+ * second attempt can still meet the target. */
 #define FIRST_ATTEMPT_SHARE 0.6
 #define FIRST_ATTEMPT_MIN (30 * TLB_MS)
+/* Interval between checks whether a slow call can be repeated. */
+#define REPEAT_CHECK_INTERVAL (50 * TLB_MS)
 /* Backoff before a refused call is retried; also the retry-after time for callers. */
 #define REFUSED_BACKOFF (15 * TLB_MS)
 /* Retry-after time for callers when no endpoint or no configuration is known. */
@@ -426,18 +428,12 @@
 
 /* --- plain calls --- */
 
-static void on_backoff_end(void *arg)
-{
-	struct tlb_forward *f = arg;
-
-	dispatch(f);
-}
-
 static void on_call_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
 	enum tlb_attempt_result end = tlb_forward_record_result(f, r);
 
+	tlb_timer_clear(f->board->loop, &f->timer);
 	if (end != TLB_ATTEMPT_NOT_RUN)
 		f->possible_runs++;
 	if (end == TLB_ATTEMPT_ANSWERED && !is_server_error(r->status)) {
@@ -460,22 +456,41 @@
 	tlb_forward_fail(f, r->reason[0] ? r->reason : "the endpoint gave no usable answer");
 }
 
-/* Deadline of an attempt. For an idempotent call it leaves time for a second attempt, when another
- * endpoint and the retry budget allow one. */
-static tlb_time attempt_deadline(struct tlb_forward *f)
+/* Sets the time at which the call may be repeated elsewhere; only for idempotent calls, which can
+ * then still meet the target latency. */
+static void set_repeat_timer(struct tlb_forward *f)
 {
-	tlb_time now = tlb_clock_now();
 	tlb_time share = (tlb_time)(f->route->target_latency_ms * FIRST_ATTEMPT_SHARE * TLB_MS);
-	int usable = tlb_instances_count(&f->board->instances, f->service, TLB_ROLE_SERVICE, now);
-	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
 
 	if (f->route->request_kind != TLB_REQUEST_IDEMPOTENT ||
-	    tlb_forward_endpoints_used(f) + 1 >= f->route->max_attempts || usable < 2 || !g ||
-	    g->retry.budget < 1)
-		return f->deadline;
+	    tlb_forward_endpoints_used(f) + 1 >= f->route->max_attempts)
+		return;
 	if (share < FIRST_ATTEMPT_MIN)
 		share = FIRST_ATTEMPT_MIN;
-	return now + share < f->deadline ? now + share : f->deadline;
+	tlb_timer_set(f->board->loop, &f->timer, tlb_clock_now() + share);
+}
+
+/* Ends the attempt in progress when another one can be made at once. Until then it goes on: a slow
+ * answer is better than none. */
+static void repeat_if_possible(struct tlb_forward *f)
+{
+	struct tlb_instance_query p = tlb_forward_instance_query(f);
+
+	if (tlb_forward_attempts_left(f) && tlb_forward_retry_affordable(f) &&
+	    tlb_instances_select_service(&f->board->instances, &p))
+		tlb_http_time_out(&f->call);
+	else
+		tlb_timer_set(f->board->loop, &f->timer, p.now + REPEAT_CHECK_INTERVAL);
+}
+
+static void on_timer(void *arg)
+{
+	struct tlb_forward *f = arg;
+
+	if (f->step == TLB_FORWARD_CALLING)
+		repeat_if_possible(f);
+	else
+		dispatch(f);
 }
 
 /* Sends a plain call to an endpoint, or ends the request when none is usable. */
@@ -503,7 +518,8 @@
 	}
 	o.instance = i->row.id;
 	f->step = TLB_FORWARD_CALLING;
-	tlb_forward_send(f, i, &o, attempt_deadline(f), NULL, on_call_done);
+	tlb_forward_send(f, i, &o, f->deadline, NULL, on_call_done);
+	set_repeat_timer(f);
 }
 
 /* --- admission --- */
@@ -578,7 +594,7 @@
 		f->deadline = in->deadline - TLB_FORWARD_DEADLINE_MARGIN;
 	if (route->timeout_ms > 0 && x->arrived + route->timeout_ms * TLB_MS < f->deadline)
 		f->deadline = x->arrived + route->timeout_ms * TLB_MS;
-	tlb_timer_init(&f->timer, on_backoff_end, f);
+	tlb_timer_init(&f->timer, on_timer, f);
 	x->on_disconnect = on_caller_disconnect;
 	x->arg = f;
 	APR_RING_INSERT_TAIL(&b->forwards.requests, f, tlb_forward, link);
--- a/src/forward.h
+++ b/src/forward.h
@@ -91,7 +91,8 @@
 		*instance;   /* instance of the attempt in progress; a reference, or NULL */
 	tlb_time attempt_at; /* when the attempt was sent */
 	struct tlb_http_call call;
-	struct tlb_timer timer; /* end of a backoff, or time limit for the next event */
+	struct tlb_timer timer; /* end of a backoff, next check of a slow call, or time limit for
+				   the next event */
 	struct tlb_generation gen;
 };
 
--- a/src/http.c
+++ b/src/http.c
@@ -146,14 +146,17 @@
 	tlb_buffer_finish(&head);
 }
 
-static void on_deadline(void *arg)
+void tlb_http_time_out(struct tlb_http_call *c)
 {
-	struct tlb_http_call *c = arg;
-
 	c->timed_out = true;
 	call_finish(c, CURLE_OPERATION_TIMEDOUT);
 }
 
+static void on_deadline(void *arg)
+{
+	tlb_http_time_out(arg);
+}
+
 static void finish_completed_calls(struct tlb_http *h)
 {
 	struct tlb_http_call *c;
--- a/src/http.h
+++ b/src/http.h
@@ -119,6 +119,8 @@
 void tlb_http_start(struct tlb_http *h, struct tlb_http_call *c, const struct tlb_http_spec *spec);
 /* Aborts a call without calling on_done and closes its connection; no effect when idle. */
 void tlb_http_cancel(struct tlb_http_call *c);
+/* Ends the call as when its deadline has passed; calls on_done. */
+void tlb_http_time_out(struct tlb_http_call *c);
 /* The response header lines received so far by a call with spec.headers, else ""; valid until
  * control returns to the event loop. */
 const char *tlb_http_head(const struct tlb_http_call *c);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -341,6 +341,37 @@
         assert time.monotonic() - began < 2.5, "waited for a silent endpoint"
 
 
+def check_slow_call_is_not_ended_for_lack_of_retry_budget():
+    """An idempotent call whose endpoint is slow must not be taken from it when the retry budget is
+    used up by then; of two slow calls at a time one got an error."""
+    with World() as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50",
+                        "retry_ratio: 0, retry_slack: 2.5")  # allows one retry at a time
+        first = threading.Barrier(2)
+
+        def slow_first(h):
+            if h.headers.get("X-Attempt-Id") not in waiting:
+                return False
+            waiting.remove(h.headers.get("X-Attempt-Id"))
+            first.wait(2)
+            time.sleep(0.5)
+            return False
+
+        waiting = ["a", "b"]
+        for e in w.shops:
+            e.plan = slow_first
+        answers = {}
+        threads = [threading.Thread(target=lambda a=a: answers.update(
+            {a: vm.call("/look/1", attempt=a)[0]})) for a in ("a", "b")]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        equal(answers, {"a": 200, "b": 200}, "answers")
+        equal(sum(len(e.seen) for e in w.shops), 3, "runs")
+
+
 def check_wrong_instance_does_not_run():
     """A request must not run at an address that now belongs to another endpoint."""
     with World(shops=1) as w:
