Take ports of test endpoints outside the range of outgoing connections

edge.py silent_stream_is_not_ended_for_lack_of_retry_budget failed once in a run of all checks beside other suites: the stream was whole, but the endpoints had recorded 112 requests where one run was expected. The check itself is unchanged.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -5,7 +5,6 @@
 Without arguments it runs all; the exit status is 0 when no check failed but those that
 KNOWN-RED.txt lists as "tests/edge.py NAME: ...", which are printed as known."""
 import http.client
-import itertools
 import json
 import os
 import re
@@ -16,10 +15,10 @@
 import tempfile
 import threading
 import time
-from random import Random, SystemRandom
+from random import Random
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from edge_standin import Door, Endpoint, Store  # noqa: E402
+from edge_standin import Door, Endpoint, Store, free_ports  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 KEY = "a-key-of-the-account"
@@ -38,28 +37,6 @@
 """
 
 
-# Outside the range from which the system takes the ports of outgoing connections: one of these could
-# have a port before the daemon listens on it.
-PORTS = range(10000, 32000)
-next_port = itertools.cycle(PORTS)
-for _ in range(SystemRandom().randrange(len(PORTS))):
-    next(next_port)
-
-
-def free_ports(*names):
-    """Returns a different free port for each name; other calls return other ones."""
-    ports = {}
-    while len(ports) < len(names):
-        port = next(next_port)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports[names[len(ports)]] = port
-    return ports
-
-
 def config(version, **changes):
     routes = [
         {"name": "pay", "hostname": "h.example", "prefix": "/pay/", "kind": "non_idempotent",
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -4,15 +4,40 @@
 loopback, and endpoints record the headers of every request.
 """
 import base64
+import itertools
 import json
 import socket
 import socketserver
 import threading
 import time
 from http.server import BaseHTTPRequestHandler
+from random import SystemRandom
 from urllib.parse import parse_qs, urlsplit
 
 
+# Outside the range from which the system takes ports by itself: an outgoing connection could have a
+# port before a daemon listens on it, and daemons of other tests still call endpoints of theirs that
+# are gone.
+PORTS = range(10000, 32000)
+next_port = itertools.cycle(PORTS)
+for _ in range(SystemRandom().randrange(len(PORTS))):
+    next(next_port)
+
+
+def free_ports(*names):
+    """Returns a different free port for each name; other calls return other ones."""
+    ports = {}
+    while len(ports) < len(names):
+        port = next(next_port)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports[names[len(ports)]] = port
+    return ports
+
+
 class Server(socketserver.ThreadingMixIn, socketserver.TCPServer):
     allow_reuse_address = True
     daemon_threads = True
@@ -50,7 +75,7 @@
 
 def serve(handler, **attributes):
     cls = type("Bound", (handler,), attributes)
-    server = Server(("127.0.0.1", 0), cls)
+    server = Server(("127.0.0.1", free_ports("server")["server"]), cls)
     threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
     return server, f"127.0.0.1:{server.server_address[1]}"
 
