--- a/src/generation.c
+++ b/src/generation.c
@@ -173,12 +173,18 @@
 	};
 }
 
+/* The quarantined part of the request's prompt; NULL when there is none. */
+static const struct tlb_suspect_part *quarantined_part(const struct tlb_forward *f)
+{
+	struct tlb_prompt prompt = prompt_of(f);
+
+	return tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
+}
+
 /* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
 static bool refuse_quarantined(struct tlb_forward *f)
 {
-	struct tlb_prompt prompt = prompt_of(f);
-	const struct tlb_suspect_part *s =
-		tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
+	const struct tlb_suspect_part *s = quarantined_part(f);
 	tlb_time wait;
 
 	if (!s)
@@ -524,14 +530,20 @@
 	return o;
 }
 
+/* Whether the request holds a decode reservation at an endpoint that is usable. */
+static bool has_usable_reservation(const struct tlb_forward *f, tlb_time now)
+{
+	return tlb_decode_reservation_is_held(&f->gen.decode_reservation, now) &&
+	       tlb_instance_usable(f->gen.decode_reservation.instance, now);
+}
+
 /* The endpoint that decodes the request: the one with its reservation, or another when there is no
  * valid reservation or its endpoint is not usable; NULL for none. */
 static struct tlb_instance *decode_endpoint(struct tlb_forward *f)
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
-	if (tlb_decode_reservation_is_held(&f->gen.decode_reservation, p.now) &&
-	    tlb_instance_usable(f->gen.decode_reservation.instance, p.now))
+	if (has_usable_reservation(f, p.now))
 		return f->gen.decode_reservation.instance;
 	tlb_decode_reservation_release(&f->gen.decode_reservation);
 	return tlb_instances_select_decode(&f->board->instances, &p);
@@ -558,7 +570,6 @@
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
 	tlb_decode_reservation_consume(&f->gen.decode_reservation);
-	/* May end the request, which frees f. */
 	tlb_forward_send(f, i, &o, f->deadline, on_stream_data, on_stream_done);
 	tlb_instance_release(i);
 }
@@ -609,7 +620,8 @@
  * It is slower at that, so only for a stream that has begun and can't have another prefill. */
 static bool may_prefill_at_decode(struct tlb_forward *f)
 {
-	return f->gen.streaming && !tlb_forward_retry_affordable(f) &&
+	return f->gen.streaming &&
+	       (!tlb_forward_attempts_left(f) || !tlb_forward_retry_affordable(f)) &&
 	       tlb_decode_reservation_is_held(&f->gen.decode_reservation, tlb_clock_now());
 }
 
@@ -727,6 +739,7 @@
 
 	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
 	tlb_http_cancel(&f->call);
+	tlb_timer_clear(f->board->loop, &f->timer);
 	record_abandoned(f);
 	end_prefill(f, f->instance, false);
 	tlb_forward_record_result(f, &r);
@@ -745,7 +758,7 @@
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		return;
 	}
-	if (!found || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
+	if (!found || quarantined_part(f) || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
@@ -764,9 +777,11 @@
 	struct tlb_forward *f = arg;
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
-	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline)
+	/* A search that began before the last event goes on, because the loop ran late. */
+	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
+	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
-	if (!tlb_forward_retry_affordable(f)) {
+	if (quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
 	}
@@ -774,8 +789,8 @@
 				       0, on_move_reservation, f);
 }
 
-/* Starts an attempt: decodes from the KV cache when it is still valid, else acquires a decode
- * reservation for a new prefill. */
+/* Starts an attempt: decodes from the KV cache when it is still valid, else prefills once a decode
+ * reservation is held. */
 static void start_attempt(struct tlb_forward *f)
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
@@ -788,6 +803,11 @@
 		return;
 	}
 	release_kv_cache(f, false);
+	if (has_usable_reservation(f, p.now)) {
+		prefill(f);
+		return;
+	}
+	tlb_decode_reservation_release(&f->gen.decode_reservation);
 	f->step = TLB_FORWARD_RESERVING;
 	tlb_decode_reservation_acquire(&f->gen.decode_reservation, f->board, &p, reserved_tokens(f),
 				       headroom_tokens(f), on_decode_reservation, f);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -5,7 +5,6 @@
 Without arguments it runs all; the exit status is 0 when no check failed but those that
 KNOWN-RED.txt lists as "tests/edge.py NAME: ...", which are printed as known."""
 import http.client
-import itertools
 import json
 import os
 import re
@@ -16,10 +15,10 @@
 import tempfile
 import threading
 import time
-from random import Random, SystemRandom
+from random import Random
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from edge_standin import Door, Endpoint, Store  # noqa: E402
+from edge_standin import Door, Endpoint, Store, free_ports  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 KEY = "a-key-of-the-account"
@@ -38,28 +37,6 @@
 """
 
 
-# Outside the range from which the system takes the ports of outgoing connections: one of these could
-# have a port before the daemon listens on it.
-PORTS = range(10000, 32000)
-next_port = itertools.cycle(PORTS)
-for _ in range(SystemRandom().randrange(len(PORTS))):
-    next(next_port)
-
-
-def free_ports(*names):
-    """Returns a different free port for each name; other calls return other ones."""
-    ports = {}
-    while len(ports) < len(names):
-        port = next(next_port)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports[names[len(ports)]] = port
-    return ports
-
-
 def config(version, **changes):
     routes = [
         {"name": "pay", "hostname": "h.example", "prefix": "/pay/", "kind": "non_idempotent",
@@ -92,8 +69,9 @@
 class Vm:
     """A toucanlbd process, its ports, settings file and log."""
 
-    def __init__(self, name, directory, store):
+    def __init__(self, name, directory, store, env=None):
         self.name = name
+        self.env = dict(os.environ, **(env or {}))
         ports = free_ports("caller", "ready", "metrics", "peer")
         self.ports = ports
         self.log = os.path.join(directory, f"{name}.log")
@@ -101,7 +79,8 @@
         self.write_settings(store)
 
     def start(self):
-        self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings])
+        self.process = subprocess.Popen([os.path.join(ROOT, "build", "toucanlbd"), self.settings],
+                                        env=self.env)
 
     def kill(self):
         self.process.kill()
@@ -152,7 +131,7 @@
 class World:
     """The store, endpoints and daemons of one check; leaving the context ends the daemons."""
 
-    def __init__(self, vms=1, prefills=1, decodes=2, shops=2, first_start=False):
+    def __init__(self, vms=1, prefills=1, decodes=2, shops=2, first_start=False, env=None):
         self.directory = tempfile.TemporaryDirectory()
         self.store = Store()
         self.shops = [Endpoint(f"shop-{n}", "shop") for n in range(shops)]
@@ -161,7 +140,7 @@
         for e in self.shops + self.prefills + self.decodes:
             self.store.put("servers", e.name, e.entry())
         self.doors = [Door(self.store) for _ in range(vms)]
-        self.vms = [Vm(f"vm-{n}", self.directory.name, d.addr)
+        self.vms = [Vm(f"vm-{n}", self.directory.name, d.addr, env)
                     for n, d in enumerate(self.doors)]
         if not first_start:  # as after a restart; VMs that were never there wait for each other
             self.store.put("toucanlb-secret", "peer", "5a" * 32)
@@ -339,6 +318,37 @@
         assert time.monotonic() - began < 2.5, "waited for a silent endpoint"
 
 
+def check_slow_call_is_not_ended_for_lack_of_retry_budget():
+    """An idempotent call whose endpoint is slow must not be taken from it when the retry budget is
+    used up by then; of two slow calls at a time one got an error."""
+    with World() as w:
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50",
+                        "retry_ratio: 0, retry_slack: 2.5")  # allows one retry at a time
+        first = threading.Barrier(2)
+
+        def slow_first(h):
+            if h.headers.get("X-Attempt-Id") not in waiting:
+                return False
+            waiting.remove(h.headers.get("X-Attempt-Id"))
+            first.wait(2)
+            time.sleep(0.5)
+            return False
+
+        waiting = ["a", "b"]
+        for e in w.shops:
+            e.plan = slow_first
+        answers = {}
+        threads = [threading.Thread(target=lambda a=a: answers.update(
+            {a: vm.call("/look/1", attempt=a)[0]})) for a in ("a", "b")]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        equal(answers, {"a": 200, "b": 200}, "answers")
+        equal(sum(len(e.seen) for e in w.shops), 3, "runs")
+
+
 def check_wrong_instance_does_not_run():
     """A request must not run at an address that now belongs to another endpoint."""
     with World(shops=1) as w:
@@ -568,6 +578,27 @@
         assert len(w.prefills[0].seen) <= 2, f"asked {len(w.prefills[0].seen)} times"
 
 
+def check_refused_prefill_keeps_its_decode_reservation():
+    """A request whose prefill is refused must go on with the decode reservation that it holds; it
+    made another one, and found no room when its own reservation had taken the last."""
+    with World(prefills=2, decodes=1) as w:
+        vm = w.start()
+
+        def refuse_first(h):
+            w.decodes[0].room = False
+            if sum(len(p.seen) for p in w.prefills) > 1:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_first
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal((r.status, *read_stream(r)), (200, EVENTS, True), "stream")
+        equal(w.decodes[0].holds, 1, "reservations")
+        equal(w.decodes[0].seen[0]["X-Kv-Hold"], "h1", "reservation")
+
+
 def check_stream_goes_on_where_its_prompt_is():
     """A stream whose connection broke must resume at its endpoint, which still has the KV cache,
     without a second prefill."""
@@ -862,6 +893,57 @@
         equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
+def check_moved_stream_survives_prefills_refused_until_no_attempt_is_left():
+    """A stream that moves away from a silent endpoint must go on although prefill endpoints refuse it
+    until its attempts are used up; it was cut with its decode reservation in hand."""
+    with World(prefills=7) as w:
+        vm = w.start()
+
+        def refuse_later(h):
+            if sum(len(p.seen) for p in w.prefills) < 2:
+                return False
+            h.reply(503, headers=[("X-Not-Executed", "1")])
+            return True
+
+        for p in w.prefills:
+            p.plan = refuse_later
+        plan = pausing_stream()
+        for d in w.decodes:
+            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+
+
+def check_requests_end_when_no_call_can_be_started():
+    """A request must end, and a stream that has begun must be cut at its deadline, when there is no
+    memory for the call to the next endpoint; such a stream was left open."""
+    with tempfile.TemporaryDirectory() as directory:
+        no_memory = os.path.join(directory, "no-memory")
+        preload = {"LD_PRELOAD": os.path.join(ROOT, "build", "nomemory.so"),
+                   "NOMEMORY_FILE": no_memory}
+        with World(prefills=2, env=preload) as w:
+            vm = w.start()
+
+            def exhaust_later(h):
+                if sum(len(p.seen) for p in w.prefills) > 1:
+                    with open(no_memory, "w", encoding="utf-8"):
+                        pass
+                return False
+
+            for p in w.prefills:
+                p.plan = exhaust_later
+            plan = pausing_stream()
+            for d in w.decodes:
+                d.plan = plan
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN, conn=vm.connect(8))
+            text, whole = read_stream(r)
+            equal((text.count("id: "), whole), (2, False), "stream")
+            equal(vm.call("/pay/1", conn=vm.connect(3))[0], 503, "a plain call")
+            os.unlink(no_memory)
+            equal(vm.call("/pay/2")[0], 200, "a plain call with memory")
+
+
 def check_stream_survives_the_loss_of_its_reserved_endpoint():
     """A stream that has begun must wait for room when the endpoint reserved for it leaves during the
     prefill; it was cut if no other endpoint was usable at that moment."""
@@ -890,9 +972,44 @@
         equal(len(reserved[0].seen), 0, "runs at the endpoint that leaves")
 
 
-def check_unanswered_requests_are_answered_when_the_drain_ends():
-    """A request whose endpoint has not begun to answer when the drain ends must get an error
-    response; callers saw a closed connection. Only one that has not run gets a 503."""
+def check_search_for_room_survives_a_late_loop():
+    """A VM whose loop stands still while a silent stream looks for room elsewhere, and an event has
+    arrived meanwhile, must not begin a second search beside the first; it crashed."""
+    with World(decodes=4) as w:
+        vm = w.start()
+
+        def plan(h):
+            if "Last-Event-Id" in h.headers:
+                return False
+            h.begin_stream()
+            h.event(1)
+            h.event(2)
+            holds = sum(d.holds for d in w.decodes)
+            for d in w.decodes:
+                d.hold_pause_s = 1
+            wait(lambda: sum(d.holds for d in w.decodes) > holds, "the search begins")
+            h.event(3)
+            time.sleep(0.05)
+            vm.process.send_signal(signal.SIGSTOP)
+            time.sleep(1.5)
+            vm.process.send_signal(signal.SIGCONT)
+            time.sleep(0.05)
+            h.event(4)
+            h.wfile.write(b"0\r\n\r\n")
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream")
+        time.sleep(0.5)
+        equal(vm.process.poll(), None, "exit status of the VM")
+        equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
+
+
+def answers_when_the_drain_ends(at_end=lambda vm: None):
+    """Answers of a VM whose drain ends, by name, to a request that has been sent to a decode endpoint
+    and to one that is being prefilled; at_end is called 0.2 s before that."""
     with World(decodes=1) as w:
         vm = w.start()
         change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 4000")
@@ -906,6 +1023,7 @@
                 answers[name] = type(e).__name__
 
         vm.process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + 3.1
         threads = [threading.Thread(target=call, args=("sent",))]
         threads[0].start()
         wait(lambda: w.decodes[0].seen, "the decode begins")
@@ -913,10 +1031,28 @@
         w.prefills[0].plan = lambda h: time.sleep(5) or True
         threads.append(threading.Thread(target=call, args=("prefilling",)))
         threads[1].start()
+        time.sleep(max(0, end - time.monotonic()))
+        at_end(vm)
         for t in threads:
             t.join()
-        equal(answers, {"sent": 502, "prefilling": 503}, "answers")
         equal(vm.process.wait(3), 0, "exit status")
+        return answers
+
+
+def check_unanswered_requests_are_answered_when_the_drain_ends():
+    """A request whose endpoint has not begun to answer when the drain ends must get an error
+    response; callers saw a closed connection. Only one that has not run gets a 503."""
+    equal(answers_when_the_drain_ends(), {"sent": 502, "prefilling": 503}, "answers")
+
+
+def check_unanswered_requests_are_answered_when_the_loop_is_late_at_the_end():
+    """The same when the loop stands still at that moment until the last responses are overdue."""
+    def freeze(vm):
+        vm.process.send_signal(signal.SIGSTOP)
+        time.sleep(0.8)
+        vm.process.send_signal(signal.SIGCONT)
+
+    equal(answers_when_the_drain_ends(freeze), {"sent": 502, "prefilling": 503}, "answers")
 
 
 def late_loop_answer(vm, conn, before_s):
@@ -1618,6 +1754,38 @@
             assert reached <= MAX_REACHED, f"{reached} prefills and runs, {crashes(w)} crashes"
 
 
+def check_silent_stream_is_not_ended_because_its_prompt_is_quarantined():
+    """A stream that is being answered must not be taken from its silent endpoint when a part of its
+    prompt has been quarantined meanwhile and it may start nowhere else; it was cut."""
+    with World(prefills=2, decodes=8, shops=0) as w:
+        vm = w.start()
+        crash_on_parts(w, "d1")
+        sent = []
+
+        def answer_until_quarantined(h):
+            h.begin_stream()
+            while not vm.events("prompt_quarantined"):
+                sent.append(len(sent) + 1)
+                h.event(sent[-1])
+                time.sleep(0.3)
+            time.sleep(2.5)
+            h.event(len(sent) + 1)
+            h.wfile.write(b"0\r\n\r\n")
+            return True
+
+        for d in w.decodes:
+            d.plan = lambda h, plan=d.plan: (
+                answer_until_quarantined(h) if h.headers.get("X-Attempt-Id") == "sound" else plan(h))
+        r = vm.send("/gen/1", "POST", b"prompt", attempt="sound", headers=dict(
+            prompt(SHARED, DEADLY, "5a:30"), **{"X-Deadline-Ms": "9000"}))
+        requests = send_deadly(w.vms)
+        while not vm.events("prompt_quarantined"):
+            next(requests)
+        text, whole = read_stream(r)
+        equal(whole, True, "whole")
+        equal(text.count("id: "), len(sent) + 1, "events")
+
+
 def check_account_cannot_quarantine_parts_of_another_account():
     """An account whose requests crash endpoints, each with another deadly part, must not have a
     part refused that requests of another account share, whether these come meanwhile or not."""
