Take only a successful stream for an answer to its prompt

Cause: an attempt that ended with any answer counted as a complete answer to the prompt when the response had begun, which it has since the first attempt. So the error cleared the crashes of the part each time, and no verdict came about.

Evidence: the log of such a request has its attempts in order, one that breaks off after event 1 and two with status 500, and no part_quarantined; the verdict followed only when the retry budget was used up, after 12 crashes.

Ruled out: that the prefill for the resumed stream clears the crashes (there is a check for that, and it passes).

Change: an answer counts only with a successful status.

--- a/src/generation.c
+++ b/src/generation.c
@@ -459,7 +459,7 @@
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
 		record_failure(f, i, r, early_end);
-	else if (f->gen.streaming)
+	else if (f->gen.streaming && r->status < 300)
 		record_answer(f);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1528,6 +1528,28 @@
     check_part_that_crashes_endpoints_is_quarantined(events=1)
 
 
+def check_error_to_a_resumed_stream_is_no_evidence_for_its_prompt():
+    """A part that crashes each endpoint after the first event must be quarantined although the endpoint
+    at which the stream is resumed answers with an error."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        for vm in w.vms:
+            change_settings(vm, "retry_slack: 50", "retry_slack: 500")
+        crash_on_parts(w, "d1", events=1)
+
+        def plan(h, crash):
+            if not h.headers.get("Last-Event-Id"):
+                return crash(h)
+            h.answer(500, b"failed")
+            return True
+
+        for d in w.decodes:
+            d.plan = lambda h, crash=d.plan: plan(h, crash)
+        requests = send_deadly(w.vms)
+        crash_until_known(w, requests)
+        expect_refused(w, requests)
+
+
 def check_part_that_crashes_endpoints_stays_quarantined_while_its_requests_come():
     """A verdict must not end again and again while requests with the deadly part still come, also
     when they come at all VMs at a time."""
