Learn evidence against prompt parts from before the machine's boot

What callers saw: a VM whose machine has booted a short while ago, for example one that was just added or lost power, does not learn a verdict whose crashes are older than the boot, neither from other VMs nor from the store. Requests with the deadly part that come there crash endpoints again until it has counted three crashes of its own; other VMs refuse them meanwhile.

Cause: times are those of a clock that starts at the boot (CLOCK_BOOTTIME), and 0 stood for "never". Crashes from before the boot were all dated 0, or less when they came from the store, and dropped as not later than the last answer, at 0.

Evidence: with the times of five crashes 56 to 60 s ago and 20 s after the boot, tlb_quarantine_merge() of the code before took over nothing.

Ruled out: that a restart of the process alone does this: the clock goes on, and there are checks for that.

Change: "never" is a time earlier than any other, and an age becomes a time that may be negative. The new tests fail with the old conversion and meaning of 0.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -45,7 +45,7 @@
 
 static tlb_time last_change_at(const struct tlb_suspect_part *s)
 {
-	tlb_time at = s->crash_count > 0 ? s->crashes[s->crash_count - 1].at : 0;
+	tlb_time at = s->crash_count > 0 ? s->crashes[s->crash_count - 1].at : TLB_QUARANTINE_NEVER;
 
 	return at > s->sound_at ? at : s->sound_at;
 }
@@ -66,18 +66,26 @@
 		remove_part(q, least);
 }
 
+void tlb_quarantine_init_part(struct tlb_suspect_part *s, uint64_t part)
+{
+	memset(s, 0, sizeof(*s));
+	s->part = part;
+	s->sound_at = TLB_QUARANTINE_NEVER;
+	s->probe_at = TLB_QUARANTINE_NEVER;
+}
+
 static struct tlb_suspect_part *add_part(struct tlb_quarantine *q, uint64_t part)
 {
 	struct tlb_suspect_part *s = find_part(q, part);
 
 	if (s)
 		return s;
-	s = calloc(1, sizeof(*s));
+	s = malloc(sizeof(*s));
 	if (!s)
 		return NULL;
 	if (q->count >= TLB_QUARANTINE_PARTS_MAX)
 		evict_part(q);
-	s->part = part;
+	tlb_quarantine_init_part(s, part);
 	APR_RING_INSERT_TAIL(&q->parts, s, tlb_suspect_part, link);
 	q->count++;
 	return s;
@@ -267,14 +275,14 @@
 	int beyond = s->crash_count - TLB_QUARANTINE_CRASHES;
 	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
 	tlb_time at;
-	tlb_time again_at = 0;
+	tlb_time again_at = TLB_QUARANTINE_NEVER;
 
 	if (s->crash_count == 0)
-		return 0;
+		return TLB_QUARANTINE_NEVER;
 	if (wait > TLB_QUARANTINE_MAX_TIME)
 		wait = TLB_QUARANTINE_MAX_TIME;
 	at = s->crashes[s->crash_count - 1].at + spread(q, s, wait);
-	if (s->probe_at > 0)
+	if (s->probe_at != TLB_QUARANTINE_NEVER)
 		again_at = s->probe_at + spread(q, s, TLB_QUARANTINE_PROBE_TIME);
 	return at > again_at ? at : again_at;
 }
@@ -414,6 +422,13 @@
 	return changed;
 }
 
+tlb_time tlb_quarantine_time_of_age(tlb_time now, uint64_t age_us)
+{
+	/* Older evidence does not count, whatever its age. */
+	return now -
+	       (tlb_time)(age_us < 2 * TLB_QUARANTINE_MEMORY ? age_us : 2 * TLB_QUARANTINE_MEMORY);
+}
+
 bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
 			  tlb_time now)
 {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -72,6 +72,9 @@
 	uint64_t own;	  /* id of the part that no other request has */
 };
 
+/* No time: earlier than any other. Times before this machine's boot are negative, and 0 is one. */
+#define TLB_QUARANTINE_NEVER INT64_MIN
+
 /* Stands for the account of a crash that broke off prompts of several accounts. */
 #define TLB_QUARANTINE_MIXED_ACCOUNTS UINT64_MAX
 
@@ -96,8 +99,8 @@
 	 * them later than the answer. */
 	uint64_t cleared[TLB_QUARANTINE_CRASHES_KEPT];
 	int next_cleared;
-	tlb_time sound_at;	/* latest complete answer since it was suspected; 0: none */
-	tlb_time probe_at;	/* latest probe, of any VM; 0: none */
+	tlb_time sound_at;	/* latest complete answer since it was suspected */
+	tlb_time probe_at;	/* latest probe, of any VM */
 	uint64_t probe_request; /* own part of the probe, if it is this VM's; otherwise 0 */
 	bool quarantined;	/* as of the last evaluation */
 	bool logged;		/* as quarantined */
@@ -153,6 +156,10 @@
 bool tlb_quarantine_note_crash(struct tlb_quarantine *q, uint64_t endpoint, tlb_time now);
 /* Records a complete answer to the prompt. Returns whether it cleared a suspicion. */
 bool tlb_quarantine_add_answer(struct tlb_quarantine *q, const struct tlb_prompt *p, tlb_time now);
+/* Empties an entry that is to be filled with what another VM, or the store, knows of the part. */
+void tlb_quarantine_init_part(struct tlb_suspect_part *s, uint64_t part);
+/* The time that long ago, on this VM's clock; it can lie before its boot. */
+tlb_time tlb_quarantine_time_of_age(tlb_time now, uint64_t age_us);
 /* Adds what another VM, or the store, knows of a part; times on this VM's clock. Returns whether
  * something was new. */
 bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -34,7 +34,7 @@
 					 TLB_MS));
 	else
 		tlb_log_warn("event=part_released part=%" PRIx64 " crashes=%d answered=%d", p->part,
-			     p->crash_count, p->sound_at > 0);
+			     p->crash_count, p->sound_at != TLB_QUARANTINE_NEVER);
 }
 
 /* Logs the verdicts that have changed since the last call. */
@@ -84,7 +84,7 @@
 /* 0 stands for none. */
 static uint64_t age_of_time(tlb_time now, tlb_time at)
 {
-	if (at == 0)
+	if (at == TLB_QUARANTINE_NEVER)
 		return 0;
 	return now > at ? (uint64_t)(now - at) : 1;
 }
@@ -153,8 +153,8 @@
 /* Whether all VMs should know the evidence, not only the collectors. */
 static bool concerns_all(const struct tlb_quarantine_sync *s, const struct tlb_suspect_part *p)
 {
-	return tlb_vms_count(&s->board->vms) <= TLB_VMS_SMALL_FLEET || p->sound_at > 0 ||
-	       p->crash_count > 1;
+	return tlb_vms_count(&s->board->vms) <= TLB_VMS_SMALL_FLEET ||
+	       p->sound_at != TLB_QUARANTINE_NEVER || p->crash_count > 1;
 }
 
 /* Sends the entries that have changed. */
@@ -203,7 +203,8 @@
 
 	begin_message(&m);
 	APR_RING_FOREACH (p, &s->quarantine->parts, tlb_suspect_part, link) {
-		if (tlb_quarantine_is_lasting(p) != lasting || (!lasting && p->sound_at == 0))
+		if (tlb_quarantine_is_lasting(p) != lasting ||
+		    (!lasting && p->sound_at == TLB_QUARANTINE_NEVER))
 			continue;
 		if (m.body.n_parts == TLB_QUARANTINE_PARTS_SENT_MAX) {
 			send_message(s, &m, vm->id);
@@ -223,31 +224,27 @@
 	send_entries(s, vm, false, now);
 }
 
-/* A time that long ago; times that can't be are taken for long ago. */
-static tlb_time time_of_age(tlb_time now, uint64_t age_us)
-{
-	return age_us < (uint64_t)now ? now - (tlb_time)age_us : 0;
-}
-
 static void merge_received(struct tlb_quarantine_sync *s, const Toucan__SuspectPart *in,
 			   tlb_time now)
 {
-	struct tlb_suspect_part p = {.part = in->part};
+	struct tlb_suspect_part p;
 	size_t i;
 
 	/* A list that was cut short would widen the verdict. */
 	if (in->n_common > TLB_SHARED_PARTS_MAX)
 		return;
+	tlb_quarantine_init_part(&p, in->part);
 	p.common_count = (int)in->n_common;
 	memcpy(p.common, in->common, in->n_common * sizeof(p.common[0]));
 	for (i = 0; i < in->n_crashes && i < TLB_QUARANTINE_CRASHES_KEPT; i++)
 		p.crashes[p.crash_count++] = (struct tlb_part_crash){
-			in->crashes[i]->endpoint, time_of_age(now, in->crashes[i]->age_us),
+			in->crashes[i]->endpoint,
+			tlb_quarantine_time_of_age(now, in->crashes[i]->age_us),
 			in->crashes[i]->account, in->crashes[i]->request};
 	if (in->sound_age_us > 0)
-		p.sound_at = time_of_age(now, in->sound_age_us);
+		p.sound_at = tlb_quarantine_time_of_age(now, in->sound_age_us);
 	if (in->probe_age_us > 0)
-		p.probe_at = time_of_age(now, in->probe_age_us);
+		p.probe_at = tlb_quarantine_time_of_age(now, in->probe_age_us);
 	if (tlb_quarantine_merge(s->quarantine, &p, now))
 		tlb_quarantine_sync_notify(s);
 }
@@ -341,8 +338,7 @@
 	uint64_t requests[TLB_QUARANTINE_CRASHES_KEPT] = {0};
 	int i;
 
-	memset(p, 0, sizeof(*p));
-	p->part = strtoull(row->key, NULL, 16);
+	tlb_quarantine_init_part(p, strtoull(row->key, NULL, 16));
 	p->common_count =
 		get_hex_list(json_object_get(j, "common"), p->common, TLB_SHARED_PARTS_MAX);
 	get_hex_list(json_object_get(j, "accounts"), accounts, TLB_QUARANTINE_CRASHES_KEPT);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -241,6 +241,40 @@
 }
 END_TEST
 
+/* The clock counts from the boot, so that the times of earlier evidence are negative. */
+START_TEST(vm_that_has_just_booted_learns_earlier_crashes_and_answers)
+{
+	const tlb_time now = 20 * TLB_SECOND;
+	struct tlb_suspect_part from;
+	struct text_prompt p;
+	struct tlb_quarantine q;
+	int i;
+
+	tlb_quarantine_init(&q, 0);
+	tlb_quarantine_init_part(&from, 'd');
+	from.common[from.common_count++] = 'd';
+	for (i = 0; i < 5; i++)
+		from.crashes[from.crash_count++] = (struct tlb_part_crash){
+			(uint64_t)i + 1,
+			tlb_quarantine_time_of_age(now, (uint64_t)((60 - i) * TLB_SECOND)), 'x',
+			(uint64_t)i + 1};
+	ck_assert(tlb_quarantine_merge(&q, &from, now));
+	set_prompt(&p, "x", "d");
+	ck_assert_ptr_nonnull(tlb_quarantine_find(&q, &p.prompt, now));
+	from.sound_at = tlb_quarantine_time_of_age(now, (uint64_t)(50 * TLB_SECOND));
+	ck_assert(tlb_quarantine_merge(&q, &from, now));
+	ck_assert_ptr_null(tlb_quarantine_find(&q, &p.prompt, now));
+	tlb_quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(evidence_of_any_age_is_dated)
+{
+	ck_assert(tlb_quarantine_time_of_age(1, UINT64_MAX) < 1 - TLB_QUARANTINE_MEMORY);
+	ck_assert(tlb_quarantine_time_of_age(1, 0) == 1);
+}
+END_TEST
+
 /* A long message delay must not make a notice new for ever. */
 START_TEST(notices_do_not_circulate_over_a_slow_link)
 {
@@ -369,6 +403,8 @@
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
+	tcase_add_test(t, vm_that_has_just_booted_learns_earlier_crashes_and_answers);
+	tcase_add_test(t, evidence_of_any_age_is_dated);
 	tcase_add_test(t, notices_do_not_circulate_over_a_slow_link);
 	tcase_add_test(t, vms_do_not_probe_at_the_same_time);
 	tcase_add_test(t, a_probe_of_one_vm_holds_back_the_others);
