Find a deadly part whose other parts change every few requests

What callers saw: requests with a deadly part crash an endpoint each when the parts beside it change after every third request and no sound request uses these: 60 crashes of 60 requests in a constructed sequence, 45 when they change after every fourth, 30 after every sixth.

Cause: every set of three crashes is explained by a part that occurs together with more other parts, the one that changes, and explained crashes counted nothing against the part that all sets have in common. It never had three others.

Change: crashes that one more specific part explains count as one, if there are at least two of them, so that the common part has a verdict after two such sets and a further crash, or one set and two crashes of different requests. A sound part that began beside a single crash of another one has nothing counted, as before. An answer with the part clears all of it, as before.

Ruled out: preferring the part with the most crashes. It would reject all requests with a part that is rarely used because of two deadly parts beside it.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -243,23 +243,65 @@
 
 /* --- verdicts --- */
 
-/* Whether enough crashes of enough requests have no explanation by other parts. */
-static bool is_deadly(const struct tlb_suspect_part *s, const uint64_t *explained,
-		      int explained_count)
+/* A crash and the quarantined part that explains it. */
+struct explanation {
+	uint64_t endpoint;
+	const struct tlb_suspect_part *part;
+};
+
+static const struct tlb_suspect_part *explaining_part(const struct explanation *list, int count,
+						      uint64_t endpoint)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (list[i].endpoint == endpoint)
+			return list[i].part;
+	return NULL;
+}
+
+/* Number of parts that each explain several of the crashes. */
+static int count_explaining(const struct tlb_suspect_part *s, const struct explanation *list,
+			    int count)
+{
+	const struct tlb_suspect_part *parts[TLB_QUARANTINE_CRASHES_KEPT];
+	int explained;
+	int n = 0;
+	int i;
+	int k;
+
+	for (i = 0; i < s->crash_count; i++)
+		parts[i] = explaining_part(list, count, s->crashes[i].endpoint);
+	for (i = 0; i < s->crash_count; i++) {
+		/* Counts a part at its second crash. */
+		explained = 0;
+		for (k = 0; parts[i] && k <= i; k++)
+			explained += parts[k] == parts[i];
+		n += explained == 2;
+	}
+	return n;
+}
+
+/* Whether enough crashes of enough requests have no explanation by other parts. Crashes that one
+ * other part explains count as one: several such parts, or one and further crashes, have this one
+ * in common. */
+static bool is_deadly(const struct tlb_suspect_part *s, const struct explanation *list, int count)
 {
 	uint64_t requests[TLB_QUARANTINE_CRASHES_KEPT];
+	int explaining = count_explaining(s, list, count);
 	int request_count = 0;
-	int n = 0;
+	int n = explaining;
 	int i;
 
 	for (i = 0; i < s->crash_count; i++) {
-		if (contains(explained, explained_count, s->crashes[i].endpoint))
+		if (explaining_part(list, count, s->crashes[i].endpoint))
 			continue;
 		n++;
 		if (!contains(requests, request_count, s->crashes[i].request))
 			requests[request_count++] = s->crashes[i].request;
 	}
-	return n >= TLB_QUARANTINE_CRASHES && request_count >= TLB_QUARANTINE_REQUESTS;
+	return n >= TLB_QUARANTINE_CRASHES &&
+	       (request_count >= TLB_QUARANTINE_REQUESTS || explaining >= TLB_QUARANTINE_REQUESTS);
 }
 
 /* The time, longer by up to half, different at each VM. */
@@ -287,21 +329,21 @@
 	return at > again_at ? at : again_at;
 }
 
-/* Decides on the parts with that many common parts and crashes. Adds the endpoints whose crashes
- * they explain; returns the new number of these. */
-static int decide_on(struct tlb_quarantine *q, int common, int crashes, uint64_t *explained,
-		     int explained_count)
+/* Decides on the parts with that many common parts and crashes. Adds the crashes that they explain;
+ * returns the new number of these. */
+static int decide_on(struct tlb_quarantine *q, int common, int crashes, struct explanation *list,
+		     int count)
 {
 	struct tlb_suspect_part *s;
-	int n = explained_count;
+	int n = count;
 	int i;
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
 		if (s->common_count != common || s->crash_count != crashes ||
-		    !is_deadly(s, explained, explained_count))
+		    !is_deadly(s, list, count))
 			continue;
 		for (i = 0; i < crashes; i++)
-			explained[n++] = s->crashes[i].endpoint;
+			list[n++] = (struct explanation){s->crashes[i].endpoint, s};
 		s->quarantined = true;
 		q->quarantined++;
 	}
@@ -313,7 +355,7 @@
  * others. */
 static void evaluate(struct tlb_quarantine *q)
 {
-	static uint64_t explained[EXPLAINED_MAX];
+	static struct explanation list[EXPLAINED_MAX];
 	struct tlb_suspect_part *s;
 	int common;
 	int crashes;
@@ -326,7 +368,7 @@
 	for (common = TLB_SHARED_PARTS_MAX; common > 0 && q->count > 0; common--)
 		for (crashes = TLB_QUARANTINE_CRASHES_KEPT; crashes >= TLB_QUARANTINE_CRASHES;
 		     crashes--)
-			n = decide_on(q, common, crashes, explained, n);
+			n = decide_on(q, common, crashes, list, n);
 }
 
 bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -11,9 +11,9 @@
  * after the other, by different requests, without a complete answer to a prompt with this part
  * since. What sound requests use is therefore cleared by their next answer. After a time that grows
  * with the number of crashes, one prompt at a time is let through as a probe: an answer ends the
- * verdict, a crash confirms it. A crash with a more
- * specific explanation (a quarantined part that occurs together with more other parts) is not held
- * against other parts.
+ * verdict, a crash confirms it. Crashes with the same more specific explanation (a quarantined part
+ * that occurs together with more other parts) count as one against other parts, and a single one
+ * not at all.
  *
  * Rejected are only prompts that have all parts in common that the crashed prompts had, and, while
  * all of these came from one client account, only this account's: no account can have the sound
