--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -134,12 +134,15 @@
 {
 	char *head = strndup(data, len);
 	struct tlb_response_info info;
+	struct tlb_inbound in;
 	struct tlb_load_report report;
 	char handle[TLB_HANDLE_LEN];
 
 	if (!head)
 		abort();
 	tlb_platform_read_response_info(503, head, &info);
+	memset(&in, 0, sizeof(in));
+	tlb_platform_read_parts(head, &in);
 	free(tlb_platform_forwarded_head(head));
 	tlb_platform_read_kv_handle(data, len, handle);
 	tlb_platform_read_reservation(data, len, handle);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
  * cases are in tests/platform/. */
 #include <check.h>
 #include <apr_general.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -42,6 +43,32 @@
 	return false;
 }
 
+/* Guards against prompts whose parts are not known, so that a deadly one is not found. */
+START_TEST(test_prompts)
+{
+	struct cases c;
+	struct tlb_inbound in;
+	char got[512];
+	size_t n;
+	int i;
+
+	cases_open(&c, "tests/platform/prompts.txt");
+	while (cases_next(&c)) {
+		memset(&in, 0, sizeof(in));
+		tlb_platform_read_parts(c.input, &in);
+		for (i = 0, n = 0; i < in.shared_part_count; i++)
+			n += (size_t)snprintf(got + n, sizeof(got) - n, "%" PRIx64 " ",
+					      in.shared_parts[i]);
+		snprintf(got + n, sizeof(got) - n, "/ %" PRIx64, in.own_part);
+		ck_assert_msg(strcmp(got, c.expected) == 0, "%s: got %s, expected %s", c.input, got,
+			      c.expected);
+	}
+	memset(&in, 0, sizeof(in));
+	tlb_platform_read_parts(NULL, &in);
+	ck_assert_int_eq(in.shared_part_count, 0);
+}
+END_TEST
+
 /* Guards against accepting a discovery entry with a missing or invalid field. */
 START_TEST(test_instances)
 {
@@ -275,6 +302,7 @@
 
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS)
 		return 1;
+	tcase_add_test(t, test_prompts);
 	tcase_add_test(t, test_instances);
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
