Store and exchange crashes that follow a verdict

What callers saw: after a restart of all VMs a prompt with a deadly part is let through earlier than its crashes require, because those after the verdict are lost. In a run of tests/edge.py's scenario with restarts the VMs counted four crashes, and three again after the restart.

Cause: the hash that VMs compare with each other and with the store covers verdicts, common parts and accounts, not the number of crashes. A fourth crash changed nothing in it, so that the row was not written again. A VM that missed the message of a fourth crash kept the shorter wait, too.

Change: the number of crashes goes into the hash. VMs come to the same number when they exchange their entries, so that it settles.

The new test failed before.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -603,7 +603,7 @@
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
 		if (!tlb_quarantine_is_lasting(s))
 			continue;
-		digest ^= mix(s->part + (s->quarantined ? 1 : 2));
+		digest ^= mix(s->part ^ mix(2 * (uint64_t)s->crash_count + s->quarantined));
 		for (i = 0; i < s->common_count; i++)
 			digest ^= mix(s->part ^ mix(s->common[i]));
 		/* With several accounts VMs may know different ones. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -169,6 +169,29 @@
 }
 END_TEST
 
+/* Otherwise the store and other VMs would keep the shorter wait of a verdict with fewer crashes. */
+START_TEST(a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent)
+{
+	struct tlb_quarantine q[2];
+	uint64_t verdict;
+
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
+	crash(&q[0], "e1", "x", "ad", 0);
+	crash(&q[0], "e2", "x", "ad", 200);
+	crash(&q[0], "e3", "x", "ad", 400);
+	verdict = tlb_quarantine_digest(&q[0]);
+	merge_all(&q[1], &q[0], 500);
+	ck_assert(tlb_quarantine_digest(&q[1]) == verdict);
+	crash(&q[0], "e4", "x", "ad", 600);
+	ck_assert(tlb_quarantine_digest(&q[0]) != verdict);
+	merge_all(&q[1], &q[0], 700);
+	ck_assert(tlb_quarantine_digest(&q[0]) == tlb_quarantine_digest(&q[1]));
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended)
 {
 	struct tlb_quarantine now;
@@ -400,6 +423,7 @@
 
 	tcase_add_test(t, which_prompts_are_rejected);
 	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
+	tcase_add_test(t, a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent);
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
