Come to the same verdicts from different crashes of a burst

What callers saw: after a burst of crashes VMs could explain it differently for as long as it was remembered: one rejected prompts of one account, another VM those of another account, or a part was quarantined at some VMs only. They sent each other their entries once a second meanwhile.

Cause: crashes within 100 ms count once, and each VM kept the one that it had seen first; the lists had the same length, so that neither replaced the other. Accounts and explanations follow from the crashes in the list. Among parts that explain the same crash the first one in the order of arrival was taken.

Change: of two lists of the same length the one with the lower endpoint hashes prevails, and of several explaining parts the one with the lowest id.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -197,9 +197,23 @@
 	return changed;
 }
 
+/* Orders lists of crashes: longer ones first, and of the same length by the endpoints, so that VMs
+ * choose the same. */
+static bool precedes(const struct tlb_suspect_part *a, const struct tlb_suspect_part *b)
+{
+	int i;
+
+	if (a->crash_count != b->crash_count)
+		return a->crash_count > b->crash_count;
+	for (i = 0; i < a->crash_count; i++)
+		if (a->crashes[i].endpoint != b->crashes[i].endpoint)
+			return a->crashes[i].endpoint < b->crashes[i].endpoint;
+	return false;
+}
+
 /* Adds the crashes of another VM's list that are later than a time. Of crashes in quick succession
- * the lists can count different ones; the longer list prevails, so that all VMs come to the same
- * number. */
+ * the lists can count different ones; the first one in order prevails, so that all VMs come to the
+ * same verdict. */
 static bool merge_crashes(struct tlb_suspect_part *s, const struct tlb_suspect_part *from,
 			  tlb_time after)
 {
@@ -209,7 +223,7 @@
 	merged.crash_count = 0;
 	insert_crashes(&merged, from, after);
 	insert_crashes(&merged, s, after);
-	if (merged.crash_count <= s->crash_count)
+	if (!precedes(&merged, s))
 		return changed;
 	s->crash_count = merged.crash_count;
 	memcpy(s->crashes, merged.crashes, sizeof(s->crashes));
@@ -249,15 +263,17 @@
 	const struct tlb_suspect_part *part;
 };
 
+/* Of several parts the one with the lowest id, the same at all VMs. */
 static const struct tlb_suspect_part *explaining_part(const struct explanation *list, int count,
 						      uint64_t endpoint)
 {
+	const struct tlb_suspect_part *found = NULL;
 	int i;
 
 	for (i = 0; i < count; i++)
-		if (list[i].endpoint == endpoint)
-			return list[i].part;
-	return NULL;
+		if (list[i].endpoint == endpoint && (!found || list[i].part->part < found->part))
+			found = list[i].part;
+	return found;
 }
 
 /* Number of parts that each explain several of the crashes. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -169,6 +169,57 @@
 }
 END_TEST
 
+/* A pseudo-random history of VMs that see crashes, often several at a time, and answers. */
+static void random_history(struct tlb_quarantine q[3], unsigned int seed)
+{
+	char parts[4] = "";
+	char at[8];
+	int ms = 0;
+	int n = 3 + rand_r(&seed) % 20;
+	int vm;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(parts, sizeof(parts), "%c%s%s", 'a' + rand_r(&seed) % 3,
+			 rand_r(&seed) % 3 ? "d" : "", rand_r(&seed) % 3 ? "" : "s");
+		snprintf(at, sizeof(at), "e%d", i);
+		ms += rand_r(&seed) % (rand_r(&seed) % 3 ? 30 : 250);
+		vm = rand_r(&seed) % 3;
+		if (rand_r(&seed) % 8 == 0)
+			answer(&q[vm], "x", parts, ms);
+		else
+			crash(&q[vm], at, rand_r(&seed) % 2 ? "x" : "y", parts, ms);
+		if (rand_r(&seed) % 4 == 0)
+			merge_all(&q[rand_r(&seed) % 3], &q[rand_r(&seed) % 3], ms + 1);
+	}
+}
+
+START_TEST(vms_come_to_the_same_verdicts_whatever_crashes_of_a_burst_each_has_seen)
+{
+	struct tlb_quarantine q[3];
+	unsigned int seed;
+	bool changed;
+	int round;
+	int i;
+
+	for (seed = 1; seed <= 1000; seed++) {
+		for (i = 0; i < 3; i++)
+			tlb_quarantine_init(&q[i], 0);
+		random_history(q, seed);
+		changed = true;
+		for (round = 0; round < 10 && changed; round++)
+			for (i = 0, changed = false; i < 6; i++)
+				changed |= merge_all(&q[i % 3], &q[(i + 1 + i / 3) % 3], 10000);
+		ck_assert_msg(!changed, "seed %u: messages go on", seed);
+		for (i = 1; i < 3; i++)
+			ck_assert_msg(tlb_quarantine_digest(&q[i]) == tlb_quarantine_digest(&q[0]),
+				      "seed %u: VM %d", seed, i);
+		for (i = 0; i < 3; i++)
+			tlb_quarantine_finish(&q[i]);
+	}
+}
+END_TEST
+
 /* Otherwise the store and other VMs would keep the shorter wait of a verdict with fewer crashes. */
 START_TEST(a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent)
 {
@@ -423,6 +474,7 @@
 
 	tcase_add_test(t, which_prompts_are_rejected);
 	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
+	tcase_add_test(t, vms_come_to_the_same_verdicts_whatever_crashes_of_a_burst_each_has_seen);
 	tcase_add_test(t, a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent);
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
