--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -45,7 +45,7 @@
 
 static tlb_time last_change_at(const struct tlb_suspect_part *s)
 {
-	tlb_time at = s->crash_count > 0 ? s->crashes[s->crash_count - 1].at : 0;
+	tlb_time at = s->crash_count > 0 ? s->crashes[s->crash_count - 1].at : TLB_QUARANTINE_NEVER;
 
 	return at > s->sound_at ? at : s->sound_at;
 }
@@ -66,18 +66,26 @@
 		remove_part(q, least);
 }
 
+void tlb_quarantine_init_part(struct tlb_suspect_part *s, uint64_t part)
+{
+	memset(s, 0, sizeof(*s));
+	s->part = part;
+	s->sound_at = TLB_QUARANTINE_NEVER;
+	s->probe_at = TLB_QUARANTINE_NEVER;
+}
+
 static struct tlb_suspect_part *add_part(struct tlb_quarantine *q, uint64_t part)
 {
 	struct tlb_suspect_part *s = find_part(q, part);
 
 	if (s)
 		return s;
-	s = calloc(1, sizeof(*s));
+	s = malloc(sizeof(*s));
 	if (!s)
 		return NULL;
 	if (q->count >= TLB_QUARANTINE_PARTS_MAX)
 		evict_part(q);
-	s->part = part;
+	tlb_quarantine_init_part(s, part);
 	APR_RING_INSERT_TAIL(&q->parts, s, tlb_suspect_part, link);
 	q->count++;
 	return s;
@@ -189,9 +197,23 @@
 	return changed;
 }
 
+/* Orders lists of crashes: longer ones first, and of the same length by the endpoints, so that VMs
+ * choose the same. */
+static bool precedes(const struct tlb_suspect_part *a, const struct tlb_suspect_part *b)
+{
+	int i;
+
+	if (a->crash_count != b->crash_count)
+		return a->crash_count > b->crash_count;
+	for (i = 0; i < a->crash_count; i++)
+		if (a->crashes[i].endpoint != b->crashes[i].endpoint)
+			return a->crashes[i].endpoint < b->crashes[i].endpoint;
+	return false;
+}
+
 /* Adds the crashes of another VM's list that are later than a time. Of crashes in quick succession
- * the lists can count different ones; the longer list prevails, so that all VMs come to the same
- * number. */
+ * the lists can count different ones; the first one in order prevails, so that all VMs come to the
+ * same verdict. */
 static bool merge_crashes(struct tlb_suspect_part *s, const struct tlb_suspect_part *from,
 			  tlb_time after)
 {
@@ -201,7 +223,7 @@
 	merged.crash_count = 0;
 	insert_crashes(&merged, from, after);
 	insert_crashes(&merged, s, after);
-	if (merged.crash_count <= s->crash_count)
+	if (!precedes(&merged, s))
 		return changed;
 	s->crash_count = merged.crash_count;
 	memcpy(s->crashes, merged.crashes, sizeof(s->crashes));
@@ -235,23 +257,67 @@
 
 /* --- verdicts --- */
 
-/* Whether enough crashes of enough requests have no explanation by other parts. */
-static bool is_deadly(const struct tlb_suspect_part *s, const uint64_t *explained,
-		      int explained_count)
+/* A crash and the quarantined part that explains it. */
+struct explanation {
+	uint64_t endpoint;
+	const struct tlb_suspect_part *part;
+};
+
+/* Of several parts the one with the lowest id, the same at all VMs. */
+static const struct tlb_suspect_part *explaining_part(const struct explanation *list, int count,
+						      uint64_t endpoint)
+{
+	const struct tlb_suspect_part *found = NULL;
+	int i;
+
+	for (i = 0; i < count; i++)
+		if (list[i].endpoint == endpoint && (!found || list[i].part->part < found->part))
+			found = list[i].part;
+	return found;
+}
+
+/* Number of parts that each explain several of the crashes. */
+static int count_explaining(const struct tlb_suspect_part *s, const struct explanation *list,
+			    int count)
+{
+	const struct tlb_suspect_part *parts[TLB_QUARANTINE_CRASHES_KEPT];
+	int explained;
+	int n = 0;
+	int i;
+	int k;
+
+	for (i = 0; i < s->crash_count; i++)
+		parts[i] = explaining_part(list, count, s->crashes[i].endpoint);
+	for (i = 0; i < s->crash_count; i++) {
+		/* Counts a part at its second crash. */
+		explained = 0;
+		for (k = 0; parts[i] && k <= i; k++)
+			explained += parts[k] == parts[i];
+		n += explained == 2;
+	}
+	return n;
+}
+
+/* Whether enough crashes of enough requests have no explanation by other parts. Crashes that one
+ * other part explains count as one: several such parts, or one and further crashes, have this one
+ * in common. */
+static bool is_deadly(const struct tlb_suspect_part *s, const struct explanation *list, int count)
 {
 	uint64_t requests[TLB_QUARANTINE_CRASHES_KEPT];
+	int explaining = count_explaining(s, list, count);
 	int request_count = 0;
-	int n = 0;
+	int n = explaining;
 	int i;
 
 	for (i = 0; i < s->crash_count; i++) {
-		if (contains(explained, explained_count, s->crashes[i].endpoint))
+		if (explaining_part(list, count, s->crashes[i].endpoint))
 			continue;
 		n++;
 		if (!contains(requests, request_count, s->crashes[i].request))
 			requests[request_count++] = s->crashes[i].request;
 	}
-	return n >= TLB_QUARANTINE_CRASHES && request_count >= TLB_QUARANTINE_REQUESTS;
+	return n >= TLB_QUARANTINE_CRASHES &&
+	       (request_count >= TLB_QUARANTINE_REQUESTS || explaining >= TLB_QUARANTINE_REQUESTS);
 }
 
 /* The time, longer by up to half, different at each VM. */
@@ -267,33 +333,33 @@
 	int beyond = s->crash_count - TLB_QUARANTINE_CRASHES;
 	tlb_time wait = TLB_QUARANTINE_MIN_TIME << (beyond > 0 ? beyond : 0);
 	tlb_time at;
-	tlb_time again_at = 0;
+	tlb_time again_at = TLB_QUARANTINE_NEVER;
 
 	if (s->crash_count == 0)
-		return 0;
+		return TLB_QUARANTINE_NEVER;
 	if (wait > TLB_QUARANTINE_MAX_TIME)
 		wait = TLB_QUARANTINE_MAX_TIME;
 	at = s->crashes[s->crash_count - 1].at + spread(q, s, wait);
-	if (s->probe_at > 0)
+	if (s->probe_at != TLB_QUARANTINE_NEVER)
 		again_at = s->probe_at + spread(q, s, TLB_QUARANTINE_PROBE_TIME);
 	return at > again_at ? at : again_at;
 }
 
-/* Decides on the parts with that many common parts and crashes. Adds the endpoints whose crashes
- * they explain; returns the new number of these. */
-static int decide_on(struct tlb_quarantine *q, int common, int crashes, uint64_t *explained,
-		     int explained_count)
+/* Decides on the parts with that many common parts and crashes. Adds the crashes that they explain;
+ * returns the new number of these. */
+static int decide_on(struct tlb_quarantine *q, int common, int crashes, struct explanation *list,
+		     int count)
 {
 	struct tlb_suspect_part *s;
-	int n = explained_count;
+	int n = count;
 	int i;
 
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
 		if (s->common_count != common || s->crash_count != crashes ||
-		    !is_deadly(s, explained, explained_count))
+		    !is_deadly(s, list, count))
 			continue;
 		for (i = 0; i < crashes; i++)
-			explained[n++] = s->crashes[i].endpoint;
+			list[n++] = (struct explanation){s->crashes[i].endpoint, s};
 		s->quarantined = true;
 		q->quarantined++;
 	}
@@ -305,7 +371,7 @@
  * others. */
 static void evaluate(struct tlb_quarantine *q)
 {
-	static uint64_t explained[EXPLAINED_MAX];
+	static struct explanation list[EXPLAINED_MAX];
 	struct tlb_suspect_part *s;
 	int common;
 	int crashes;
@@ -318,7 +384,7 @@
 	for (common = TLB_SHARED_PARTS_MAX; common > 0 && q->count > 0; common--)
 		for (crashes = TLB_QUARANTINE_CRASHES_KEPT; crashes >= TLB_QUARANTINE_CRASHES;
 		     crashes--)
-			n = decide_on(q, common, crashes, explained, n);
+			n = decide_on(q, common, crashes, list, n);
 }
 
 bool tlb_quarantine_add_crash(struct tlb_quarantine *q, const struct tlb_prompt *p,
@@ -414,6 +480,13 @@
 	return changed;
 }
 
+tlb_time tlb_quarantine_time_of_age(tlb_time now, uint64_t age_us)
+{
+	/* Older evidence does not count, whatever its age. */
+	return now -
+	       (tlb_time)(age_us < 2 * TLB_QUARANTINE_MEMORY ? age_us : 2 * TLB_QUARANTINE_MEMORY);
+}
+
 bool tlb_quarantine_merge(struct tlb_quarantine *q, const struct tlb_suspect_part *from,
 			  tlb_time now)
 {
@@ -546,7 +619,7 @@
 	APR_RING_FOREACH (s, &q->parts, tlb_suspect_part, link) {
 		if (!tlb_quarantine_is_lasting(s))
 			continue;
-		digest ^= mix(s->part + (s->quarantined ? 1 : 2));
+		digest ^= mix(s->part ^ mix(2 * (uint64_t)s->crash_count + s->quarantined));
 		for (i = 0; i < s->common_count; i++)
 			digest ^= mix(s->part ^ mix(s->common[i]));
 		/* With several accounts VMs may know different ones. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -169,6 +169,80 @@
 }
 END_TEST
 
+/* A pseudo-random history of VMs that see crashes, often several at a time, and answers. */
+static void random_history(struct tlb_quarantine q[3], unsigned int seed)
+{
+	char parts[4] = "";
+	char at[8];
+	int ms = 0;
+	int n = 3 + rand_r(&seed) % 20;
+	int vm;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(parts, sizeof(parts), "%c%s%s", 'a' + rand_r(&seed) % 3,
+			 rand_r(&seed) % 3 ? "d" : "", rand_r(&seed) % 3 ? "" : "s");
+		snprintf(at, sizeof(at), "e%d", i);
+		ms += rand_r(&seed) % (rand_r(&seed) % 3 ? 30 : 250);
+		vm = rand_r(&seed) % 3;
+		if (rand_r(&seed) % 8 == 0)
+			answer(&q[vm], "x", parts, ms);
+		else
+			crash(&q[vm], at, rand_r(&seed) % 2 ? "x" : "y", parts, ms);
+		if (rand_r(&seed) % 4 == 0)
+			merge_all(&q[rand_r(&seed) % 3], &q[rand_r(&seed) % 3], ms + 1);
+	}
+}
+
+START_TEST(vms_come_to_the_same_verdicts_whatever_crashes_of_a_burst_each_has_seen)
+{
+	struct tlb_quarantine q[3];
+	unsigned int seed;
+	bool changed;
+	int round;
+	int i;
+
+	for (seed = 1; seed <= 1000; seed++) {
+		for (i = 0; i < 3; i++)
+			tlb_quarantine_init(&q[i], 0);
+		random_history(q, seed);
+		changed = true;
+		for (round = 0; round < 10 && changed; round++)
+			for (i = 0, changed = false; i < 6; i++)
+				changed |= merge_all(&q[i % 3], &q[(i + 1 + i / 3) % 3], 10000);
+		ck_assert_msg(!changed, "seed %u: messages go on", seed);
+		for (i = 1; i < 3; i++)
+			ck_assert_msg(tlb_quarantine_digest(&q[i]) == tlb_quarantine_digest(&q[0]),
+				      "seed %u: VM %d", seed, i);
+		for (i = 0; i < 3; i++)
+			tlb_quarantine_finish(&q[i]);
+	}
+}
+END_TEST
+
+/* Otherwise the store and other VMs would keep the shorter wait of a verdict with fewer crashes. */
+START_TEST(a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent)
+{
+	struct tlb_quarantine q[2];
+	uint64_t verdict;
+
+	tlb_quarantine_init(&q[0], 0);
+	tlb_quarantine_init(&q[1], 0);
+	crash(&q[0], "e1", "x", "ad", 0);
+	crash(&q[0], "e2", "x", "ad", 200);
+	crash(&q[0], "e3", "x", "ad", 400);
+	verdict = tlb_quarantine_digest(&q[0]);
+	merge_all(&q[1], &q[0], 500);
+	ck_assert(tlb_quarantine_digest(&q[1]) == verdict);
+	crash(&q[0], "e4", "x", "ad", 600);
+	ck_assert(tlb_quarantine_digest(&q[0]) != verdict);
+	merge_all(&q[1], &q[0], 700);
+	ck_assert(tlb_quarantine_digest(&q[0]) == tlb_quarantine_digest(&q[1]));
+	tlb_quarantine_finish(&q[0]);
+	tlb_quarantine_finish(&q[1]);
+}
+END_TEST
+
 START_TEST(an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended)
 {
 	struct tlb_quarantine now;
@@ -241,6 +315,40 @@
 }
 END_TEST
 
+/* The clock counts from the boot, so that the times of earlier evidence are negative. */
+START_TEST(vm_that_has_just_booted_learns_earlier_crashes_and_answers)
+{
+	const tlb_time now = 20 * TLB_SECOND;
+	struct tlb_suspect_part from;
+	struct text_prompt p;
+	struct tlb_quarantine q;
+	int i;
+
+	tlb_quarantine_init(&q, 0);
+	tlb_quarantine_init_part(&from, 'd');
+	from.common[from.common_count++] = 'd';
+	for (i = 0; i < 5; i++)
+		from.crashes[from.crash_count++] = (struct tlb_part_crash){
+			(uint64_t)i + 1,
+			tlb_quarantine_time_of_age(now, (uint64_t)((60 - i) * TLB_SECOND)), 'x',
+			(uint64_t)i + 1};
+	ck_assert(tlb_quarantine_merge(&q, &from, now));
+	set_prompt(&p, "x", "d");
+	ck_assert_ptr_nonnull(tlb_quarantine_find(&q, &p.prompt, now));
+	from.sound_at = tlb_quarantine_time_of_age(now, (uint64_t)(50 * TLB_SECOND));
+	ck_assert(tlb_quarantine_merge(&q, &from, now));
+	ck_assert_ptr_null(tlb_quarantine_find(&q, &p.prompt, now));
+	tlb_quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(evidence_of_any_age_is_dated)
+{
+	ck_assert(tlb_quarantine_time_of_age(1, UINT64_MAX) < 1 - TLB_QUARANTINE_MEMORY);
+	ck_assert(tlb_quarantine_time_of_age(1, 0) == 1);
+}
+END_TEST
+
 /* A long message delay must not make a notice new for ever. */
 START_TEST(notices_do_not_circulate_over_a_slow_link)
 {
@@ -366,9 +474,13 @@
 
 	tcase_add_test(t, which_prompts_are_rejected);
 	tcase_add_test(t, vms_that_each_see_a_few_crashes_reach_the_same_verdict);
+	tcase_add_test(t, vms_come_to_the_same_verdicts_whatever_crashes_of_a_burst_each_has_seen);
+	tcase_add_test(t, a_crash_after_the_verdict_is_a_difference_to_be_stored_and_sent);
 	tcase_add_test(t, an_old_message_does_not_bring_back_a_verdict_that_an_answer_ended);
 	tcase_add_test(t, vms_that_count_different_crashes_of_a_burst_come_to_the_same_number);
 	tcase_add_test(t, a_late_message_does_not_bring_back_a_verdict_that_an_answer_ended);
+	tcase_add_test(t, vm_that_has_just_booted_learns_earlier_crashes_and_answers);
+	tcase_add_test(t, evidence_of_any_age_is_dated);
 	tcase_add_test(t, notices_do_not_circulate_over_a_slow_link);
 	tcase_add_test(t, vms_do_not_probe_at_the_same_time);
 	tcase_add_test(t, a_probe_of_one_vm_holds_back_the_others);
