Let adopted batch streams give way

Until the takeover nobody can ask a stream to give way, and afterwards the new owner did not either: adopted bookings were never preempted, and its credit for preemptions began at 0.

Change: adopted batch bookings may be preempted at once; their VMs ignore it when the stream has not started, is urgent or gave way twice, as before. The credit is estimated: each VM counts the bookings of the endpoint that were granted to it, less 20 for each preemption of one of them, and the new owner multiplies its own count by the number of VMs. No message changes. Not carried: the order of victims is by blocks times the model's tokens in a block, an upper bound.

Measured: test_booking_table credit_taken_over_is_bounded covers the limits of the credit.

--- a/src/booking.c
+++ b/src/booking.c
@@ -109,6 +109,17 @@
 	snprintf(out, TLB_OWNER_LEN, "%s/%016llx", vm, (unsigned long long)incarnation);
 }
 
+static void add_preempt_share(struct tlb_target *t, int credit)
+{
+	const int limit = TLB_PREEMPT_COST * TLB_SAVED_PREEMPTIONS_MAX;
+
+	t->preempt_share += credit;
+	if (t->preempt_share > limit)
+		t->preempt_share = limit;
+	else if (t->preempt_share < -limit)
+		t->preempt_share = -limit;
+}
+
 /* Notifies the holder of a booking of this daemon of its preemption. Does nothing when the booking
  * has ended already. */
 static void notify_preempted(struct tlb_bookings *b, const struct tlb_target *t,
@@ -119,6 +130,7 @@
 	APR_RING_FOREACH (h, &b->handles, tlb_booking_handle, link) {
 		if (h->target != t || strcmp(h->request_id, request_id) != 0)
 			continue;
+		add_preempt_share(h->target, -TLB_PREEMPT_COST);
 		if (h->spec.on_preempt)
 			h->spec.on_preempt(h->spec.arg);
 		return;
@@ -423,6 +435,7 @@
 {
 	h->state = TLB_BOOKING_HANDLE_GRANTED;
 	h->target->local_blocks += h->spec.blocks;
+	add_preempt_share(h->target, 1);
 	APR_RING_INSERT_TAIL(&h->board->bookings.handles, h, tlb_booking_handle, link);
 }
 
@@ -666,6 +679,20 @@
 
 /* --- changes of shard ownership --- */
 
+/* The most tokens that a request with so many blocks in this pool prefills again. */
+static int64_t tokens_in_blocks(const struct tlb_bookings *b, const char *pool, int blocks)
+{
+	const struct tlb_model *m;
+
+	APR_RING_FOREACH (m, &b->board->table->models, tlb_model, link) {
+		if (strcmp(m->pool, pool) == 0)
+			return (int64_t)blocks * m->block_tokens;
+	}
+	return 0;
+}
+
+/* When the former owner could have preempted the request is not known here; the holder ignores a
+ * preemption that comes too early or too late. */
 static void adopt(struct tlb_bookings *b, const Toucan__Booking *m)
 {
 	struct tlb_target *t = tlb_load_find(&b->board->load, m->endpoint);
@@ -681,6 +708,8 @@
 	k->blocks = m->pieces;
 	k->class = m->klass == TLB_BATCH ? TLB_BATCH : TLB_INTERACTIVE;
 	k->expires = tlb_clock_now() + TLB_BOOKING_TTL;
+	k->resume_tokens = tokens_in_blocks(b, t->pool, k->blocks);
+	k->preemptible_until = TLB_NEVER;
 	if (!tlb_booking_table_adopt(&t->bookings, k))
 		free(k);
 }
@@ -731,8 +760,23 @@
 	}
 }
 
+static void count_daemon(void *arg, const char *vm)
+{
+	++*(int *)arg;
+}
+
+static int count_daemons(const struct tlb_bookings *b)
+{
+	int count = 1;
+
+	if (b->board->cluster)
+		tlb_cluster_for_each_peer(b->board->cluster, count_daemon, &count);
+	return count;
+}
+
 void tlb_bookings_shards_changed(struct tlb_bookings *b, tlb_shard_set gained, tlb_shard_set lost)
 {
+	int daemons = count_daemons(b);
 	struct tlb_target *t;
 
 	APR_RING_FOREACH (t, &b->board->load.targets, tlb_target, link) {
@@ -741,6 +785,9 @@
 		if (tlb_shard_set_contains(gained | lost, tlb_shard_for_id(t->id))) {
 			clear_bookings(&t->bookings);
 			tlb_load_reset_bookings(t);
+			/* Estimates the former owner's credit: callers reach all daemons alike. */
+			tlb_booking_table_set_credit(&t->bookings,
+						     (int64_t)t->preempt_share * daemons);
 		}
 	}
 	if (!gained)
--- a/src/booking_table.c
+++ b/src/booking_table.c
@@ -65,15 +65,19 @@
 
 /* How long the blocks of a booking count as about to be freed after its preemption is requested. */
 #define PREEMPT_PENDING_TIME (1 * TLB_SECOND)
-/* Credit is limited to this many preemptions. */
-#define MAX_SAVED_PREEMPTIONS 24
 
-static void add_preempt_credit(struct tlb_booking_table *b)
+void tlb_booking_table_set_credit(struct tlb_booking_table *b, int64_t credit)
 {
-	int max_credit = b->preempt_cost * MAX_SAVED_PREEMPTIONS;
+	int64_t limit = (int64_t)b->preempt_cost * TLB_SAVED_PREEMPTIONS_MAX;
+
+	if (credit > limit)
+		credit = limit;
+	b->preempt_credit = credit > 0 ? (int)credit : 0;
+}
 
-	if (b->preempt_credit < max_credit)
-		b->preempt_credit++;
+static void add_preempt_credit(struct tlb_booking_table *b)
+{
+	tlb_booking_table_set_credit(b, (int64_t)b->preempt_credit + 1);
 }
 
 static bool preemptible(const struct tlb_booking *k, tlb_time now)
--- a/src/booking_table.h
+++ b/src/booking_table.h
@@ -28,8 +28,9 @@
 #include "queue.h"
 
 enum {
-	TLB_BOOKING_MAX_ORPHANS = 64
-}; /* orphans per table; an engine's memory holds about 20 requests */
+	TLB_BOOKING_MAX_ORPHANS = 64,  /* per table; an engine's memory holds about 20 requests */
+	TLB_SAVED_PREEMPTIONS_MAX = 24 /* limit of a table's credit for preemptions */
+};
 
 /* One booking; owned by the caller, who embeds or allocates it. Linked into the table from a
  * successful tlb_booking_table_add() or tlb_booking_table_adopt() until release, expire or pop
@@ -124,6 +125,9 @@
 			      tlb_time now, tlb_time expires, struct tlb_booking **victims, int max,
 			      bool *claimed);
 
+/* Sets the credit for preemptions, within its limits, of a table that this daemon takes over. */
+void tlb_booking_table_set_credit(struct tlb_booking_table *b, int64_t credit);
+
 /* Adds *k if it may be granted. When the same owner has booked the request already, that booking is
  * renewed and TLB_BOOKING_OK returned, but *k is not added: check tlb_booking_table_find() == k. */
 enum tlb_booking_result tlb_booking_table_add(struct tlb_booking_table *b, struct tlb_booking *k);
--- a/tests/test_booking_table.c
+++ b/tests/test_booking_table.c
@@ -220,6 +220,27 @@
 }
 END_TEST
 
+/* After a takeover, batch requests would never give way without credit, and too often with more
+ * than a table may save. */
+START_TEST(credit_taken_over_is_bounded)
+{
+	struct tlb_booking *victims[4];
+	bool claimed;
+
+	fill_with_batch(0);
+	tlb_booking_table_set_credit(&table, -1);
+	ck_assert_int_eq(table.preempt_credit, 0);
+	ck_assert_int_eq(
+		tlb_booking_table_preempt(&table, "x", 6, 50, TLB_NEVER, victims, 4, &claimed), 0);
+	tlb_booking_table_set_credit(&table, INT64_MAX / 2);
+	ck_assert_int_eq(table.preempt_credit, 20 * TLB_SAVED_PREEMPTIONS_MAX);
+	tlb_booking_table_set_credit(&table, 20);
+	ck_assert_int_eq(
+		tlb_booking_table_preempt(&table, "x", 6, 50, TLB_NEVER, victims, 4, &claimed), 1);
+	ck_assert_int_eq(table.preempt_credit, 0);
+}
+END_TEST
+
 /* The claim of a disconnected caller must expire. */
 START_TEST(claim_expires_unless_repeated)
 {
@@ -328,6 +349,7 @@
 			    sizeof(preempt_cases) / sizeof(preempt_cases[0]));
 	tcase_add_test(tc, preempted_memory_is_reserved_for_the_request);
 	tcase_add_test(tc, unanswered_preemption_moves_to_another_stream);
+	tcase_add_test(tc, credit_taken_over_is_bounded);
 	tcase_add_test(tc, claim_expires_unless_repeated);
 	tcase_add_test(tc, new_owner_grants_only_after_reconciliation);
 	tcase_add_test(tc, expired_booking_counts_until_engine_frees_it);
