Wait for a new owner that has not begun to grant

Cause: a request whose wait ends stays queued only while the owner of a book is unreachable. From the moment at which another VM owns the shard the owner counts as reachable, but it first asks the other VMs for their bookings (up to 1 s when one of them is frozen as well) and the engine for its list, and the streams that it asks to give way need a moment. A wait that ended in between was refused.

Change: an owner that did not answer counts as lost for 2 s more. The limit of 6 s for the whole wait stays.

Test: p14_preempt owners_frozen_past_their_lease freezes the owners of both books 0 to 0.8 s after the requests were sent, with streams that outlast the takeover. holders_frozen_past_their_lease has such streams too: with the old ones some runs ended with "no batch stream gave way" although all requests were answered, because streams had ended by then. That does not relax it: no place comes free by itself now.

--- a/src/load.h
+++ b/src/load.h
@@ -75,6 +75,7 @@
 	/* Decode endpoints: the booking table, in use when this daemon owns the shard. */
 	struct tlb_booking_table bookings;
 	struct tlb_orphan *orphans; /* for the table; owned, NULL when another VM owns the shard */
+	tlb_time takeover_until;    /* a new owner of the table may not grant until then */
 	/* This daemon's share of the table's credit for preemptions: its granted bookings less the
 	 * cost of the preemptions that it was asked for, whichever VM owned the table. */
 	int preempt_share;
--- a/src/request.c
+++ b/src/request.c
@@ -36,6 +36,9 @@
  * before it grants new ones. */
 #define TAKEOVER_WAIT_MAX (6 * TLB_SECOND)
 #define TAKEOVER_POLL (250 * TLB_MS)
+/* How long a new owner may take to grant: it queries the other VMs and the engine, and batch
+ * requests have to give way. */
+#define TAKEOVER_SETTLE_TIME (2 * TLB_SECOND)
 
 enum {
 	PREEMPTIONS_MAX = 2, /* per request */
@@ -292,16 +295,19 @@
 	return a < b ? a : b;
 }
 
-/* Whether a decode endpoint of the request's pool has no booking table owner at present. */
+/* Whether a decode endpoint of the request's pool has no booking table owner, or had none until a
+ * short time ago. */
 static bool has_lost_owner(const struct tlb_request *r)
 {
 	const struct tlb_target *t;
+	tlb_time now = tlb_clock_now();
 
 	if (!r->board->cluster)
 		return false;
 	APR_RING_FOREACH (t, &r->board->load.targets, tlb_target, link) {
 		if (t->role == TLB_ROLE_DECODE && strcmp(t->pool, r->pool) == 0 &&
-		    tlb_cluster_owner_unreachable(r->board->cluster, t->id))
+		    (now < t->takeover_until ||
+		     tlb_cluster_owner_unreachable(r->board->cluster, t->id)))
 			return true;
 	}
 	return false;
@@ -494,6 +500,8 @@
 		return;
 	}
 	r->preempt_target = NULL;
+	if (unreachable)
+		r->decode->takeover_until = tlb_clock_now() + TAKEOVER_SETTLE_TIME;
 	if (result == TLB_BOOKING_PREEMPTING) {
 		r->preempt_target = r->decode;
 		r->step = STEP_QUEUE;
--- a/tests/promises/p14_preempt.py
+++ b/tests/promises/p14_preempt.py
@@ -106,8 +106,8 @@
         return len(bad) + len(lapsed), 0
 
 
-def preempt(t, disturb=None):
-    with start_fleet(t) as fleet:
+def preempt(t, disturb=None, token_us=TOKEN_US):
+    with start_fleet(t, token_us=token_us) as fleet:
         earn_credit(t, fleet)
         run = Run(t, fleet)
         run.fill()
@@ -177,7 +177,7 @@
 @case
 def holders_frozen_past_their_lease(t):
     """Preempt is lost on them; the claim ends and their memory is free within promise 1's bound."""
-    return preempt(t, freeze_holders(8))
+    return preempt(t, freeze_holders(8), SLOW_TOKEN_US)
 
 
 def book_owner(fleet, endpoint):
@@ -212,6 +212,24 @@
         return run.judge()
 
 
+@case
+def owners_frozen_past_their_lease(t):
+    """The owners of both books are frozen while interactive requests wait: the new owners must ask
+    the batch streams that they adopt to give way, before the requests are refused. The wait of the
+    requests ends at any moment of the takeover."""
+    def disturb(t, fleet, run):
+        owners = book_owners(fleet)
+        run.lost.update(owners)
+        run.start(INTERACTIVE, INTERACTIVE_TOKENS)
+        time.sleep(t.random.uniform(0, 0.8))
+        for vm in owners:
+            fleet.freeze(vm)
+        time.sleep(8)
+        for vm in owners:
+            fleet.thaw(vm)
+    return preempt(t, disturb, SLOW_TOKEN_US)
+
+
 @case
 def holder_killed(t):
     """The VM of a stream that was asked to give way dies."""
