Reserve the ports of an ended VM in the promise tests

Cause, in the test: the fleets of scripts/fleet listen on ports that the system chooses, and from the kill to the new start, 8 s later, the system may give the VM's port to another process or an outgoing connection. Shown by taking it: a connection from the caller port of a killed VM made replace() fail with exactly this message, and the daemon's log says "cannot listen on 127.0.0.1:45239: Address already in use". Change: the harness takes the ports of a VM that was killed or has exited, without listening, as it did for stand-ins already. A connection to them is refused as before, and the daemon, which sets SO_REUSEADDR, listens there again.

--- a/tests/load_reports.py
+++ b/tests/load_reports.py
@@ -5,6 +5,7 @@
 polling it, and against stale reports that look fresh. Prints one line for each check.
 """
 import os
+import socket
 import sys
 import time
 import urllib.request
@@ -136,6 +137,17 @@
           renewed <= MAX_RENEWALS * load["answered"], f"{renewed} of {load['answered']}")
 
 
+def can_connect_from(addr):
+    """Whether an outgoing connection could have this port: a VM could not be started on it again."""
+    host, port = addr.split(":")
+    with socket.socket() as s:
+        try:
+            s.bind((host, int(port)))
+            return True
+        except OSError:
+            return False
+
+
 def main():
     t = Test("load_reports", SEED)
     with Fleet(vms=VMS) as fleet:
@@ -147,6 +159,7 @@
         fleet.kill(killed)
         left = [v for v in range(VMS) if v != killed]
         time.sleep(4)
+        check("killed owner: its port is reserved", not can_connect_from(fleet.callers[killed]))
         known = wait_until(lambda: all_fresh(fleet, left), TAKEOVER_SECONDS - 4)
         check("killed owner: the engines are known again", known is not None)
         fleet.replace(killed)
--- a/tests/promises/harness.py
+++ b/tests/promises/harness.py
@@ -52,6 +52,25 @@
         c.close()
 
 
+def hold_port(addr):
+    """Takes the port of a process that ends, without listening: the system could give it to another
+    process or to an outgoing connection otherwise. A process that sets SO_REUSEADDR can listen there all
+    the same."""
+    host, port = addr.split(":")
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+    def bound():
+        try:
+            holder.bind((host, int(port)))
+            return True
+        except OSError:
+            return False
+    if wait_until(bound, 2, 0.002) is None:
+        raise Failed(f"the port {port} was taken")
+    return holder
+
+
 class Standin:
     """A stand-in under fault control."""
 
@@ -81,20 +100,9 @@
         http_json(self.control, "POST", "/fault", {"kind": "none"})
 
     def hold_port(self):
-        """Takes the port of a stand-in that has ended, without listening: a fleet that runs beside this
-        one could get it otherwise, and would execute what is sent to the dead stand-in."""
-        host, port = self.listen.split(":")
-        self.port_holder = socket.socket()
-        self.port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if wait_until(lambda: self._bind(host, int(port)), 2, 0.01) is None:
-            raise Failed(f"the port of {self.name} was taken")
-
-    def _bind(self, host, port):
-        try:
-            self.port_holder.bind((host, port))
-            return True
-        except OSError:
-            return False
+        """A fleet that runs beside this one could get the port of a stand-in that has ended otherwise,
+        and would execute what is sent to the dead stand-in."""
+        self.port_holder = hold_port(self.listen)
 
 
 def load_fleet_module():
@@ -119,6 +127,7 @@
         self.script = load_fleet_module()
         self.standins = {}
         self.dead = set()
+        self.port_holders = []
         self._patch(rows or {}, standin_options or {}, edit_settings)
         try:
             with contextlib.redirect_stdout(io.StringIO()):
@@ -190,6 +199,8 @@
         self.stop()
 
     def stop(self):
+        for holder in self.port_holders:
+            holder.close()
         if os.path.exists(os.path.join(self.dir, "pids.json")):
             with contextlib.redirect_stdout(io.StringIO()):
                 self.script.stop(argparse.Namespace(dir=self.dir))
@@ -223,9 +234,14 @@
     # --- processes ---
 
     def kill(self, vm):
-        """SIGKILL; vm is an index from 0. Another fleet may get its ports from then on."""
+        """SIGKILL; vm is an index from 0. Its ports stay reserved for replace()."""
         self.dead.add(vm)
         os.kill(self.pids[vm], signal.SIGKILL)
+        self._hold_ports(vm)
+
+    def _hold_ports(self, vm):
+        for addr in [self.callers[vm], *self.operators[vm:vm + 1]]:
+            self.port_holders.append(hold_port(addr))
 
     def freeze(self, vm):
         os.kill(self.pids[vm], signal.SIGSTOP)
@@ -242,6 +258,7 @@
         while time.monotonic() < deadline:
             pid, status = os.waitpid(self.pids[vm], os.WNOHANG)
             if pid:
+                self._hold_ports(vm)
                 return os.waitstatus_to_exitcode(status)
             time.sleep(0.02)
         return None
