Don't take a crash between two events for a complete answer

What callers saw: when every second crash comes between two events of a stream that has neither a length nor chunks, requests with the deadly part go on crashing endpoints: 80 prefills and runs with 20 requests after the fifth crash, where three are allowed.

Cause: such a stream looks complete, and a complete answer clears the crashes of the prompt's parts.

Change: a stream of at most two events that only its closed connection ended is no evidence for its prompt, as a crash with up to two events is evidence against it. It is still passed on as complete, since nothing tells it from one that is.

Remains: crashes that all look like this are not counted, and a part whose sound answers all have at most two events and neither a length nor chunks is cleared by none.

Ruled out: to count such an end as a crash; sound short answers would have their parts quarantined.

--- a/src/generation.c
+++ b/src/generation.c
@@ -250,12 +250,15 @@
 		tlb_generation_on_crash(b, i);
 }
 
-/* Takes a complete answer as evidence for the parts of the prompt. */
-static void record_answer(struct tlb_forward *f)
+/* Takes a complete stream as evidence for the parts of the prompt. One that the closed connection
+ * ended at its beginning may come from an endpoint that crashed between two events. */
+static void record_answer(struct tlb_forward *f, const struct tlb_http_result *r)
 {
 	struct tlb_edge_board *b = f->board;
 	struct tlb_prompt prompt = prompt_of(f);
 
+	if (!f->gen.streaming || r->status >= 300 || (r->ended_by_close && is_at_beginning(f)))
+		return;
 	if (tlb_quarantine_add_answer(&b->quarantine, &prompt, tlb_clock_now()))
 		tlb_quarantine_sync_notify(&b->quarantine_sync);
 }
@@ -459,8 +462,8 @@
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
 		record_failure(f, i, r, early_end);
-	else if (f->gen.streaming && r->status < 300)
-		record_answer(f);
+	else
+		record_answer(f, r);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1550,6 +1550,27 @@
         expect_refused(w, requests)
 
 
+def check_crash_that_looks_like_the_end_of_a_stream_is_no_evidence_for_its_prompt():
+    """A part that crashes endpoints must be quarantined although every second crash comes between two
+    events of a stream that has neither a length nor chunks, so that it looks complete."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        crash_on_parts(w, "d1")
+
+        def plan(h, e, crash):
+            if h.headers.get("X-Prompt-Prefix", "").find(f",{DEADLY},") < 0 or crashes(w) % 2 == 0:
+                return crash(h)
+            h.answer_until_close(b"id: 1\ndata: piece 1\n\n")
+            e.crash(w.store, new_id=True)
+            return True
+
+        for d in w.decodes:
+            d.plan = lambda h, e=d, crash=d.plan: plan(h, e, crash)
+        requests = send_deadly(w.vms)
+        crash_until_known(w, requests)
+        expect_refused(w, requests)
+
+
 def check_part_that_crashes_endpoints_stays_quarantined_while_its_requests_come():
     """A verdict must not end again and again while requests with the deadly part still come, also
     when they come at all VMs at a time."""
