--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1375,6 +1375,7 @@
 SHARED, DEADLY = "a1:40", "d1:30"
 MAX_REACHED = 3  # requests with a deadly part that may reach endpoints once it is known
 CONTACT_S = 1.0
+OUTAGE_KNOWN_S = 5  # requests are served again this long after an outage
 
 
 def prompt(*parts):
@@ -1571,6 +1572,29 @@
         expect_refused(w, requests)
 
 
+def check_outage_of_all_endpoints_is_not_held_against_a_part():
+    """After all endpoints have broken off all answers for a while, requests with a part that all of
+    them share must be served again soon, not only when a verdict over a deadly part would end."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        end = time.monotonic() + 2
+
+        def plan(h):
+            if time.monotonic() > end:
+                return False
+            h.begin_stream()
+            h.cut()
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        with SoundCallers(w.vms) as sound:
+            time.sleep(2 + OUTAGE_KNOWN_S)
+            known = time.monotonic()
+            time.sleep(2)
+        sound.check(known)
+
+
 def check_part_that_crashes_endpoints_stays_quarantined_while_its_requests_come():
     """A verdict must not end again and again while requests with the deadly part still come, also
     when they come at all VMs at a time."""
