--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1511,6 +1511,7 @@
 SHARED, DEADLY = "a1:40", "d1:30"
 MAX_REACHED = 3  # requests with a deadly part that may reach endpoints once it is known
 CONTACT_S = 1.0
+OUTAGE_KNOWN_S = 5  # requests are served again this long after an outage
 
 
 def prompt(*parts):
@@ -1686,6 +1687,50 @@
         expect_refused(w, requests)
 
 
+def check_crash_that_looks_like_the_end_of_a_stream_is_no_evidence_for_its_prompt():
+    """A part that crashes endpoints must be quarantined although every second crash comes between two
+    events of a stream that has neither a length nor chunks, so that it looks complete."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        crash_on_parts(w, "d1")
+
+        def plan(h, e, crash):
+            if h.headers.get("X-Prompt-Prefix", "").find(f",{DEADLY},") < 0 or crashes(w) % 2 == 0:
+                return crash(h)
+            h.answer_until_close(b"id: 1\ndata: piece 1\n\n")
+            e.crash(w.store, new_id=True)
+            return True
+
+        for d in w.decodes:
+            d.plan = lambda h, e=d, crash=d.plan: plan(h, e, crash)
+        requests = send_deadly(w.vms)
+        crash_until_known(w, requests)
+        expect_refused(w, requests)
+
+
+def check_outage_of_all_endpoints_is_not_held_against_a_part():
+    """After all endpoints have broken off all answers for a while, requests with a part that all of
+    them share must be served again soon, not only when a verdict over a deadly part would end."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        end = time.monotonic() + 2
+
+        def plan(h):
+            if time.monotonic() > end:
+                return False
+            h.begin_stream()
+            h.cut()
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        with SoundCallers(w.vms) as sound:
+            time.sleep(2 + OUTAGE_KNOWN_S)
+            known = time.monotonic()
+            time.sleep(2)
+        sound.check(known)
+
+
 def check_part_that_crashes_endpoints_stays_quarantined_while_its_requests_come():
     """A verdict must not end again and again while requests with the deadly part still come, also
     when they come at all VMs at a time."""
