--- a/src/quota.c
+++ b/src/quota.c
@@ -41,16 +41,36 @@
 
 	if (a->level > max_level)
 		a->level = max_level;
+	if (a->fleet_level > (double)a->burst)
+		a->fleet_level = (double)a->burst;
+}
+
+static double refilled_fleet_level(const struct tlb_quota *a, tlb_time now)
+{
+	double level = a->fleet_level;
+
+	if (now > a->refilled_at)
+		level += (double)a->rate * (double)(now - a->refilled_at) / TLB_SECOND;
+	return level < (double)a->burst ? level : (double)a->burst;
 }
 
 static void refill(const struct tlb_quotas *q, struct tlb_quota *a, tlb_time now)
 {
+	a->fleet_level = refilled_fleet_level(a, now);
 	if (now > a->refilled_at)
 		a->level += refill_rate_of(q, a) * (double)(now - a->refilled_at) / TLB_SECOND;
 	a->refilled_at = now;
 	clamp_level(q, a);
 }
 
+/* Adds to what is left, or subtracts when negative. */
+static void add_level(const struct tlb_quotas *q, struct tlb_quota *a, double amount)
+{
+	a->level += amount;
+	a->fleet_level += amount;
+	clamp_level(q, a);
+}
+
 struct tlb_quota *tlb_quotas_find(const struct tlb_quotas *q, const char *account)
 {
 	struct tlb_quota *a;
@@ -77,8 +97,11 @@
 	refill(q, a, now);
 	a->rate = row->rate;
 	a->burst = row->burst > 0 ? row->burst : row->rate;
-	if (!was_limited)
+	if (!was_limited) {
 		a->level = (double)a->burst * INITIAL_LEVEL;
+		a->fleet_level = a->level;
+		a->level_source = 0;
+	}
 	clamp_level(q, a);
 }
 
@@ -116,7 +139,7 @@
 	if (needed > max_level)
 		needed = max_level;
 	if (a->level >= needed) {
-		a->level -= (double)cost;
+		add_level(q, a, -(double)cost);
 		return true;
 	}
 	*ready_at = now + (tlb_time)((needed - a->level) * TLB_SECOND / refill_rate_of(q, a));
@@ -138,13 +161,14 @@
 	double max_level = (double)a->burst * fraction;
 	double refill_rate = (double)a->rate * fraction;
 	double needed = (double)cost < max_level ? (double)cost : max_level;
+	double left = refilled_fleet_level(a, now) * fraction;
 
 	if (a->rate == 0)
 		return true;
 	a->alone_level += refill_rate * (double)(now - a->alone_refilled_at) / TLB_SECOND;
 	a->alone_refilled_at = now;
-	if (a->alone_level > max_level)
-		a->alone_level = max_level;
+	if (a->alone_level > left)
+		a->alone_level = left;
 	if (a->alone_level >= needed) {
 		a->alone_level -= (double)cost;
 		return true;
@@ -157,13 +181,35 @@
 {
 	refill(q, a, now);
 	a->granted -= cost;
-	a->level += (double)cost;
-	clamp_level(q, a);
+	add_level(q, a, (double)cost);
 }
 
 void tlb_quota_add_remote(struct tlb_quotas *q, struct tlb_quota *a, int64_t cost, tlb_time now)
 {
 	refill(q, a, now);
-	a->level -= (double)cost;
+	add_level(q, a, -(double)cost);
+}
+
+void tlb_quota_set_level(struct tlb_quotas *q, struct tlb_quota *a, int64_t level, uint64_t source,
+			 tlb_time now)
+{
+	refill(q, a, now);
+	a->level = (double)level;
+	a->fleet_level = (double)level;
+	a->level_source = source;
 	clamp_level(q, a);
 }
+
+void tlb_quota_limit_level(struct tlb_quotas *q, struct tlb_quota *a, int64_t level, tlb_time now)
+{
+	refill(q, a, now);
+	if (a->fleet_level > (double)level)
+		a->fleet_level = (double)level;
+	if (a->level > a->fleet_level)
+		a->level = a->fleet_level;
+}
+
+int64_t tlb_quota_fleet_level(const struct tlb_quota *a, tlb_time now)
+{
+	return (int64_t)refilled_fleet_level(a, now);
+}
--- a/src/quota.h
+++ b/src/quota.h
@@ -28,6 +28,10 @@
 	int64_t rate;  /* cost per second; 0: no limit */
 	int64_t burst; /* cost */
 	double level;  /* cost that may still be granted; negative after grants of other VMs */
+	/* As level, but refilled with the whole rate up to the whole burst: what the account has
+	 * left, as far as this VM knows. */
+	double fleet_level;
+	uint64_t level_source; /* incarnation of the VM that last set fleet_level; 0: none */
 	tlb_time refilled_at;
 	int64_t granted;  /* cost granted by this VM since its start */
 	int64_t reported; /* value of granted last reported to the other VMs */
@@ -66,7 +70,8 @@
 bool tlb_quota_take(struct tlb_quotas *q, struct tlb_quota *a, int64_t cost, tlb_time now,
 		    tlb_time *ready_at);
 /* Grants from this VM's fraction of rate and burst, 0 to 1, when no VM that knows the grants of the
- * fleet can be asked. A cost above that fraction of the burst is granted when it is full. */
+ * fleet can be asked. A cost above that fraction of the burst is granted when it is full. Starts
+ * from that fraction of what the account had left. */
 bool tlb_quota_take_alone(struct tlb_quota *a, int64_t cost, double fraction, tlb_time now,
 			  tlb_time *ready_at);
 /* Returns the cost of a granted request that did not run. */
@@ -74,5 +79,12 @@
 /* Subtracts the cost that other VMs have granted since their last report; negative when they
  * returned more than they granted. */
 void tlb_quota_add_remote(struct tlb_quotas *q, struct tlb_quota *a, int64_t cost, tlb_time now);
+/* Sets what the account has left, as told by the VM of that incarnation, which decides. */
+void tlb_quota_set_level(struct tlb_quotas *q, struct tlb_quota *a, int64_t level, uint64_t source,
+			 tlb_time now);
+/* Lowers the bucket to what the account has left according to another VM. */
+void tlb_quota_limit_level(struct tlb_quotas *q, struct tlb_quota *a, int64_t level, tlb_time now);
+/* What the account has left, as far as this VM knows. */
+int64_t tlb_quota_fleet_level(const struct tlb_quota *a, tlb_time now);
 
 #endif
--- a/src/quota_owner.c
+++ b/src/quota_owner.c
@@ -21,24 +21,57 @@
 	for (i = 0; i < asked; i++)
 		if (answers[i] == TLB_QUOTA_WARMING)
 			return (struct tlb_quota_step){TLB_QUOTA_ASK_LAST_RESORT, i};
+	for (i = 0; i < asked; i++)
+		if (answers[i] == TLB_QUOTA_LEAVING)
+			return (struct tlb_quota_step){TLB_QUOTA_ASK_LEAVING, 0};
 	return alone;
 }
 
 /* --- the owner's side --- */
 
+/* Applies what the asking VM knows to the bucket before a decision. */
+static void learn_level(struct tlb_quota_owners *o, struct tlb_quota *q,
+			const Toucan__AcquireCost *r, tlb_time now)
+{
+	uint64_t self = o->vms->incarnation;
+	bool warm = now >= o->warm_at;
+	/* A level that this VM has told itself may lack cost that was returned since. */
+	bool told = r->level_source != 0 && r->level_source != self;
+
+	/* The level with which a VM starts is arbitrary. */
+	if (told && q->level_source == 0 && !warm)
+		tlb_quota_set_level(o->quotas, q, r->level, self, now);
+	else if (told)
+		tlb_quota_limit_level(o->quotas, q, r->level, now);
+	if (told || warm || q->level_source != 0)
+		q->level_source = self;
+}
+
 /* Decides on a request for cost that came from any VM, this one included. */
-static enum tlb_quota_answer decide(struct tlb_quota_owners *o, const char *account, int64_t cost,
-				    bool last_resort, tlb_time *ready_at)
+static enum tlb_quota_answer decide(struct tlb_quota_owners *o, const Toucan__AcquireCost *r,
+				    tlb_time *ready_at)
 {
-	struct tlb_quota *q = tlb_quotas_find(o->quotas, account);
+	struct tlb_quota *q = tlb_quotas_find(o->quotas, r->account);
 	tlb_time now = tlb_clock_now();
 
-	if (!q || o->vms->leaving)
+	if (!q)
 		return TLB_QUOTA_UNAVAILABLE;
-	if (now < o->warm_at && !last_resort)
+	if (o->vms->leaving && !r->last_resort)
+		return TLB_QUOTA_LEAVING;
+	if (now < o->warm_at && !r->last_resort)
 		return TLB_QUOTA_WARMING;
-	return tlb_quota_take(o->quotas, q, cost, now, ready_at) ? TLB_QUOTA_GRANTED
-								 : TLB_QUOTA_REFUSED;
+	learn_level(o, q, r, now);
+	return tlb_quota_take(o->quotas, q, r->cost, now, ready_at) ? TLB_QUOTA_GRANTED
+								    : TLB_QUOTA_REFUSED;
+}
+
+/* Adds what the account has left to a decision, unless this VM has started too recently to know. */
+static void add_levels(const struct tlb_quota *q, Toucan__CostReply *reply)
+{
+	reply->fleet_level = tlb_quota_fleet_level(q, tlb_clock_now());
+	reply->fleet_level_known = q->rate > 0 && q->level_source != 0;
+	if (reply->result == TOUCAN__COST_REPLY__RESULT__REFUSED)
+		reply->level = (int64_t)q->level;
 }
 
 static void on_acquire(struct tlb_quota_owners *o, struct tlb_peer *peer,
@@ -47,6 +80,7 @@
 	static const Toucan__CostReply__Result results[] = {
 		[TLB_QUOTA_NO_ANSWER] = TOUCAN__COST_REPLY__RESULT__UNAVAILABLE,
 		[TLB_QUOTA_UNAVAILABLE] = TOUCAN__COST_REPLY__RESULT__UNAVAILABLE,
+		[TLB_QUOTA_LEAVING] = TOUCAN__COST_REPLY__RESULT__LEAVING,
 		[TLB_QUOTA_WARMING] = TOUCAN__COST_REPLY__RESULT__WARMING,
 		[TLB_QUOTA_GRANTED] = TOUCAN__COST_REPLY__RESULT__GRANTED,
 		[TLB_QUOTA_REFUSED] = TOUCAN__COST_REPLY__RESULT__REFUSED,
@@ -59,12 +93,12 @@
 	enum tlb_quota_answer answer = TLB_QUOTA_UNAVAILABLE;
 
 	if (r->cost >= 0)
-		answer = decide(o, r->account, r->cost, r->last_resort, &ready_at);
+		answer = decide(o, r, &ready_at);
 	reply.result = results[answer];
-	if (answer == TLB_QUOTA_REFUSED) {
+	if (answer == TLB_QUOTA_REFUSED)
 		reply.ready_in_us = ready_at - tlb_clock_now();
-		reply.level = (int64_t)tlb_quotas_find(o->quotas, r->account)->level;
-	}
+	if (answer == TLB_QUOTA_GRANTED || answer == TLB_QUOTA_REFUSED)
+		add_levels(tlb_quotas_find(o->quotas, r->account), &reply);
 	snprintf(to.vm, sizeof(to.vm), "%s", peer->id);
 	e.body_case = TOUCAN__ENVELOPE__BODY_COST_REPLY;
 	e.cost_reply = &reply;
@@ -95,17 +129,20 @@
 
 /* Sorts the VMs of the owners' group by the account's rendezvous hash. All accounts share the few
  * VMs of the group, so that every VM needs links to these only. */
-static int rank_owners(const struct tlb_vms *v, const char *account, char ids[][TLB_ID_LEN],
-		       int most)
+static int rank_owners(const struct tlb_vms *v, const char *account, bool with_leaving,
+		       char ids[][TLB_ID_LEN], int most)
 {
 	char group[TLB_QUOTA_OWNERS][TLB_ID_LEN];
 	struct tlb_ranked ranked[TLB_QUOTA_OWNERS];
 	uint64_t key = tlb_vms_hash(account);
-	int size =
-		tlb_vms_rank(v, tlb_vms_hash(group_key), tlb_clock_now(), group, TLB_QUOTA_OWNERS);
+	uint64_t group_hash = tlb_vms_hash(group_key);
+	tlb_time now = tlb_clock_now();
 	int count = 0;
+	int size;
 	int i;
 
+	size = with_leaving ? tlb_vms_rank_all(v, group_hash, now, group, TLB_QUOTA_OWNERS)
+			    : tlb_vms_rank(v, group_hash, now, group, TLB_QUOTA_OWNERS);
 	for (i = 0; i < size; i++)
 		count = tlb_rank_offer(ranked, count, most,
 				       tlb_vms_weight(key, tlb_vms_hash(group[i])), group[i]);
@@ -157,16 +194,30 @@
 	q->refused_cost = a->cost;
 }
 
+/* Remembers what the account has left, to tell it to a VM that decides next. */
+static void record_level(struct tlb_quota_acquisition *a, const Toucan__Envelope *reply)
+{
+	struct tlb_quota *q = tlb_quotas_find(a->owners->quotas, a->account);
+
+	if (q && reply && reply->cost_reply->fleet_level_known)
+		tlb_quota_set_level(a->owners->quotas, q, reply->cost_reply->fleet_level,
+				    reply->incarnation, tlb_clock_now());
+}
+
+/* reply: NULL when this VM has decided by itself, or without a reply. */
 static void handle_answer(struct tlb_quota_acquisition *a, enum tlb_quota_answer answer,
-			  tlb_time ready_at)
+			  tlb_time ready_at, const Toucan__Envelope *reply)
 {
 	switch (answer) {
 	case TLB_QUOTA_GRANTED:
 		send_notice(a, a->rank + 1, a->cost);
+		/* The level includes the grant, which this VM may have been notified of. */
+		record_level(a, reply);
 		finish(a, true, 0);
 		return;
 	case TLB_QUOTA_REFUSED:
 		record_refusal(a, ready_at);
+		record_level(a, reply);
 		finish(a, false, ready_at);
 		return;
 	case TLB_QUOTA_NO_ANSWER:
@@ -174,6 +225,11 @@
 		tlb_vms_avoid(a->owners->vms, a->ranked[a->rank],
 			      tlb_clock_now() + TLB_QUOTA_AVOID_TIME);
 		break;
+	case TLB_QUOTA_LEAVING:
+		/* Its announcement has not arrived yet. */
+		if (reply)
+			tlb_vms_set_leaving(a->owners->vms, a->ranked[a->rank], reply->incarnation);
+		break;
 	case TLB_QUOTA_WARMING:
 		break;
 	}
@@ -191,6 +247,8 @@
 		return TLB_QUOTA_REFUSED;
 	case TOUCAN__COST_REPLY__RESULT__WARMING:
 		return TLB_QUOTA_WARMING;
+	case TOUCAN__COST_REPLY__RESULT__LEAVING:
+		return TLB_QUOTA_LEAVING;
 	default:
 		return TLB_QUOTA_UNAVAILABLE;
 	}
@@ -204,30 +262,35 @@
 		tlb_log_info("event=quota_owner_silent vm=%s account=%s rank=%d reason=\"%s\"",
 			     a->ranked[a->rank], a->account, a->rank,
 			     err ? err->message : "unexpected reply");
-		handle_answer(a, TLB_QUOTA_NO_ANSWER, 0);
+		handle_answer(a, TLB_QUOTA_NO_ANSWER, 0, NULL);
 		return;
 	}
 	a->level = reply->cost_reply->level;
 	handle_answer(a, answer_of(reply->cost_reply),
-		      tlb_clock_now() + reply->cost_reply->ready_in_us);
+		      tlb_clock_now() + reply->cost_reply->ready_in_us, reply);
 }
 
 static void ask(struct tlb_quota_acquisition *a)
 {
 	struct tlb_peers *peers = &a->owners->vms->peers;
+	const struct tlb_quota *q = tlb_quotas_find(a->owners->quotas, a->account);
 	Toucan__AcquireCost r = TOUCAN__ACQUIRE_COST__INIT;
 	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 	enum tlb_quota_answer answer;
 	tlb_time ready_at = 0;
 
+	r.account = a->account;
+	r.cost = a->cost;
+	r.last_resort = a->last_resort || a->asks_leaving;
+	if (q && q->level_source != 0) {
+		r.level = tlb_quota_fleet_level(q, tlb_clock_now());
+		r.level_source = q->level_source;
+	}
 	if (strcmp(a->ranked[a->rank], peers->self) == 0) {
-		answer = decide(a->owners, a->account, a->cost, a->last_resort, &ready_at);
-		handle_answer(a, answer, ready_at);
+		answer = decide(a->owners, &r, &ready_at);
+		handle_answer(a, answer, ready_at, NULL);
 		return;
 	}
-	r.account = a->account;
-	r.cost = a->cost;
-	r.last_resort = a->last_resort;
 	e.body_case = TOUCAN__ENVELOPE__BODY_ACQUIRE_COST;
 	e.acquire_cost = &r;
 	tlb_peers_call(peers, a->ranked[a->rank], &a->call, &e,
@@ -237,7 +300,7 @@
 static void decide_alone(struct tlb_quota_acquisition *a)
 {
 	struct tlb_quota *q = tlb_quotas_find(a->owners->quotas, a->account);
-	int vms = tlb_vms_count(a->owners->vms);
+	int vms = tlb_vms_recent_count(a->owners->vms);
 	tlb_time ready_at = 0;
 	bool granted =
 		!q || tlb_quota_take_alone(q, a->cost, 1.0 / vms, tlb_clock_now(), &ready_at);
@@ -248,6 +311,20 @@
 	finish(a, granted, ready_at);
 }
 
+/* The ranking of all VMs does not depend on how many of them this one knows to be leaving. */
+static void ask_leaving(struct tlb_quota_acquisition *a)
+{
+	if (a->asks_leaving) {
+		decide_alone(a);
+		return;
+	}
+	a->asks_leaving = true;
+	a->asked = 0;
+	a->ranked_count =
+		rank_owners(a->owners->vms, a->account, true, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
+	ask_next(a);
+}
+
 static void ask_next(struct tlb_quota_acquisition *a)
 {
 	int most = a->ranked_count < TLB_QUOTA_VMS_ASKED ? a->ranked_count : TLB_QUOTA_VMS_ASKED;
@@ -260,6 +337,9 @@
 		a->rank = s.rank;
 		ask(a);
 		return;
+	case TLB_QUOTA_ASK_LEAVING:
+		ask_leaving(a);
+		return;
 	case TLB_QUOTA_DECIDE_ALONE:
 		decide_alone(a);
 		return;
@@ -286,8 +366,12 @@
 		finish(a, false, quota->refused_ready_at);
 		return;
 	}
-	a->ranked_count = rank_owners(o->vms, quota->account, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
-	ask_next(a);
+	a->ranked_count =
+		rank_owners(o->vms, quota->account, false, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
+	if (a->ranked_count == 0)
+		ask_leaving(a);
+	else
+		ask_next(a);
 }
 
 void tlb_quota_acquisition_cancel(struct tlb_quota_acquisition *a)
@@ -304,6 +388,9 @@
 void tlb_quota_acquisition_return(struct tlb_quota_acquisition *a)
 {
 	struct tlb_quota *q = tlb_quotas_find(a->owners->quotas, a->account);
+	const char *self = a->owners->vms->peers.self;
+	bool notifies_self = false;
+	int rank;
 
 	if (!q || q->rate == 0)
 		return;
@@ -311,8 +398,12 @@
 		q->alone_level += (double)a->cost;
 		return;
 	}
-	send_notice(a, a->rank, -a->cost);
-	send_notice(a, a->rank + 1, -a->cost);
+	for (rank = a->rank; rank <= a->rank + 1 && rank < a->ranked_count; rank++) {
+		notifies_self |= strcmp(a->ranked[rank], self) == 0;
+		send_notice(a, rank, -a->cost);
+	}
+	if (!notifies_self)
+		tlb_quota_add_remote(a->owners->quotas, q, -a->cost, tlb_clock_now());
 }
 
 void tlb_quota_owners_init(struct tlb_quota_owners *o, struct tlb_vms *vms,
@@ -325,5 +416,5 @@
 
 bool tlb_quota_owners_needed(const struct tlb_quota_owners *o)
 {
-	return tlb_vms_count(o->vms) > TLB_VMS_NEIGHBOURS + 1;
+	return tlb_vms_recent_count(o->vms) > TLB_VMS_NEIGHBOURS + 1;
 }
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -3,6 +3,9 @@
  * time. A hash selects a few VMs, and a hash of the account ranks them. The one ranked first owns
  * the account's bucket: the others ask it for the cost of each request, one round trip between VMs.
  * The one ranked second is told, so that it knows what was granted when it has to decide instead.
+ * Each decision tells the VM that asked what the account has left, and each request tells the VM
+ * that is asked what the last decision has told: whichever VM decides next learns from the first
+ * requests what was granted before, however many owners have left meanwhile.
  *
  * Load pattern: hundreds of VMs that each see a few requests of an account, which together come
  * close to its rate or exceed it. With buckets that learn of other VMs' grants by reports, the
@@ -10,7 +13,11 @@
  *
  * Failures: a VM that does not answer in time is avoided for a while, and the next one is asked. A
  * VM that has just started does not decide as long as another one can, because it does not know
- * what was granted before. When no VM answers, this one grants from its own fraction of the limit.
+ * what was granted before. Neither does one that is leaving, so that the next owner takes over
+ * while those that know the bucket still ask; when all VMs are leaving, they decide among
+ * themselves. When no VM answers, this one grants from its own fraction of the limit. VMs that are
+ * leaving serve requests for some seconds; the fleet counts as large, and fractions as small, until
+ * it has had fewer VMs for a while.
  */
 #ifndef TLB_QUOTA_OWNER_H
 #define TLB_QUOTA_OWNER_H
@@ -21,7 +28,7 @@
 
 /* Time within which a VM must answer; several round trips between zones. */
 #define TLB_QUOTA_ANSWER_TIMEOUT (60 * TLB_MS)
-/* A VM that did not answer, or is leaving, is not asked for this long. */
+/* A VM that did not answer is not asked for this long. */
 #define TLB_QUOTA_AVOID_TIME (2 * TLB_SECOND)
 /* Time after its start in which a VM decides only as a last resort. The list of VMs reaches all of
  * a large fleet, and a bucket refills, within this time. */
@@ -38,15 +45,21 @@
 /* How one VM has answered. */
 enum tlb_quota_answer {
 	TLB_QUOTA_NO_ANSWER,
-	TLB_QUOTA_UNAVAILABLE, /* leaving, or does not know the account */
-	TLB_QUOTA_WARMING,     /* has just started */
+	TLB_QUOTA_UNAVAILABLE, /* does not know the account */
+	TLB_QUOTA_LEAVING,
+	TLB_QUOTA_WARMING, /* has just started */
 	TLB_QUOTA_GRANTED,
 	TLB_QUOTA_REFUSED,
 };
 
 /* The next step of an acquisition. */
 struct tlb_quota_step {
-	enum { TLB_QUOTA_ASK, TLB_QUOTA_ASK_LAST_RESORT, TLB_QUOTA_DECIDE_ALONE } kind;
+	enum {
+		TLB_QUOTA_ASK,
+		TLB_QUOTA_ASK_LAST_RESORT,
+		TLB_QUOTA_ASK_LEAVING, /* rank those that are leaving too, from rank 0 on */
+		TLB_QUOTA_DECIDE_ALONE,
+	} kind;
 	int rank; /* of the VM to ask, from 0 */
 };
 
@@ -71,8 +84,9 @@
 	int asked;
 	enum tlb_quota_answer answers[TLB_QUOTA_VMS_ASKED];
 	bool last_resort;
-	bool alone;    /* granted from this VM's own fraction */
-	int64_t level; /* refused: what the deciding bucket held, for the log */
+	bool asks_leaving; /* ranked includes VMs that are leaving; each decides nevertheless */
+	bool alone;	   /* granted from this VM's own fraction */
+	int64_t level;	   /* refused: what the deciding bucket held, for the log */
 	tlb_quota_done_fn *on_done;
 	void *arg;
 };
@@ -86,8 +100,8 @@
 
 void tlb_quota_owners_init(struct tlb_quota_owners *o, struct tlb_vms *vms,
 			   struct tlb_quotas *quotas);
-/* Whether the fleet is large enough for accounts to have owners. In a smaller one every VM hears
- * every other one, and tlb_quota_grant() decides without a round trip. */
+/* Whether the fleet is, or was recently, large enough for accounts to have owners. In a smaller one
+ * every VM hears every other one, and tlb_quota_grant() decides without a round trip. */
 bool tlb_quota_owners_needed(const struct tlb_quota_owners *o);
 /* Handles AcquireCost and CostNotice. */
 void tlb_quota_owners_on_message(struct tlb_quota_owners *o, struct tlb_peer *peer,
--- a/src/vms.c
+++ b/src/vms.c
@@ -61,8 +61,8 @@
 	return x ^ (x >> 31);
 }
 
-int tlb_vms_rank(const struct tlb_vms *v, uint64_t key, tlb_time now, char ids[][TLB_ID_LEN],
-		 int most)
+static int rank(const struct tlb_vms *v, uint64_t key, bool with_leaving, tlb_time now,
+		char ids[][TLB_ID_LEN], int most)
 {
 	struct tlb_ranked lowest[TLB_VMS_RANK_MAX];
 	struct tlb_vm *m;
@@ -71,10 +71,10 @@
 
 	if (most > TLB_VMS_RANK_MAX)
 		most = TLB_VMS_RANK_MAX;
-	if (!v->leaving)
+	if (!v->leaving || with_leaving)
 		count = tlb_rank_offer(lowest, count, most, tlb_vms_weight(key, v->id_hash), NULL);
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (!m->leaving && !m->gone && m->avoid_until <= now)
+		if ((!m->leaving || with_leaving) && !m->gone && m->avoid_until <= now)
 			count = tlb_rank_offer(lowest, count, most, tlb_vms_weight(key, m->id_hash),
 					       m);
 	}
@@ -85,6 +85,18 @@
 	return count;
 }
 
+int tlb_vms_rank(const struct tlb_vms *v, uint64_t key, tlb_time now, char ids[][TLB_ID_LEN],
+		 int most)
+{
+	return rank(v, key, false, now, ids, most);
+}
+
+int tlb_vms_rank_all(const struct tlb_vms *v, uint64_t key, tlb_time now, char ids[][TLB_ID_LEN],
+		     int most)
+{
+	return rank(v, key, true, now, ids, most);
+}
+
 void tlb_vms_avoid(struct tlb_vms *v, const char *id, tlb_time until)
 {
 	struct tlb_vm *m = tlb_vms_find(v, id);
@@ -96,13 +108,35 @@
 static void count_vms(struct tlb_vms *v)
 {
 	const struct tlb_vm *m;
+	tlb_time now = tlb_clock_now();
 
+	if (v->count >= v->recent_count || now >= v->recent_until) {
+		v->recent_count = v->count;
+		v->recent_until = now + TLB_VMS_EXPIRY;
+	}
 	v->count = 1;
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
 		v->count += !m->leaving && !m->gone;
 	}
 }
 
+static void set_leaving(struct tlb_vms *v, struct tlb_vm *m, bool leaving)
+{
+	m->leaving = leaving;
+	m->last_seen_at = tlb_clock_now();
+	count_vms(v);
+}
+
+void tlb_vms_set_leaving(struct tlb_vms *v, const char *id, uint64_t incarnation)
+{
+	struct tlb_vm *m = tlb_vms_find(v, id);
+
+	if (!m || m->gone || m->leaving || incarnation != m->incarnation)
+		return;
+	m->announce = true;
+	set_leaving(v, m, true);
+}
+
 /* The VMs with the lowest weights are neighbours, so the selection changes little when VMs join or
  * leave. Runs for every VM that is learned, so it makes a single pass over weights that were
  * computed when the VMs were added. */
@@ -115,7 +149,7 @@
 	int i;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (!m->gone)
+		if (!m->gone && (!m->leaving || m->neighbour))
 			count = tlb_rank_offer(lowest, count, TLB_VMS_NEIGHBOURS, m->pair_weight,
 					       m);
 	}
@@ -187,14 +221,15 @@
 		       (wait > TLB_VMS_SILENCE_MIN_TIMEOUT ? wait : TLB_VMS_SILENCE_MIN_TIMEOUT);
 }
 
-/* Only neighbours are expected to report; of other VMs it is known by their neighbours that they
- * are gone. */
+/* Only linked VMs are expected to report; of other VMs it is known by those linked to them that
+ * they are gone. */
 static bool has_expired(const struct tlb_vms *v, const struct tlb_vm *m, tlb_time now)
 {
 	tlb_time since = m->last_report_at > m->last_seen_at ? m->last_report_at : m->last_seen_at;
 
-	return (m->neighbour && now >= since + TLB_VMS_EXPIRY) ||
-	       (m->leaving && is_silent(v, m, now));
+	if (m->leaving && (m->neighbour || m->keeps_link))
+		return is_silent(v, m, now);
+	return (m->neighbour || m->leaving) && now >= since + TLB_VMS_EXPIRY;
 }
 
 /* Takes a VM out of the fleet. The entry is freed once the other VMs were told. */
@@ -230,6 +265,12 @@
 	return v->count;
 }
 
+int tlb_vms_recent_count(const struct tlb_vms *v)
+{
+	return v->recent_count > v->count && tlb_clock_now() < v->recent_until ? v->recent_count
+									       : v->count;
+}
+
 double tlb_vms_reachable_share(const struct tlb_vms *v, tlb_time now)
 {
 	const struct tlb_vm *m;
@@ -237,7 +278,8 @@
 	int reachable = 0;
 
 	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
-		if (!m->neighbour || m->leaving)
+		/* One that is leaving reports until it stops. */
+		if (!m->neighbour || (m->leaving && is_silent(v, m, now)))
 			continue;
 		neighbours++;
 		reachable += !is_silent(v, m, now);
@@ -542,10 +584,9 @@
 		return;
 	deduct = !m->neighbour || m->last_report_at == 0 || !is_silent(v, m, now);
 	/* A VM that has returned after its shutdown was announced to all as leaving. */
-	m->announce |= m->leaving != s->leaving && (own || s->leaving);
 	if (m->leaving != s->leaving && (own || s->leaving || s->incarnation > m->incarnation)) {
-		m->leaving = s->leaving;
-		count_vms(v);
+		m->announce = true;
+		set_leaving(v, m, s->leaving);
 	}
 	if (s->incarnation > m->incarnation) {
 		m->use_count = 0;
--- a/src/vms.h
+++ b/src/vms.h
@@ -65,7 +65,8 @@
 	bool gone;		 /* not part of the fleet; kept until it was announced */
 	tlb_time avoid_until;	 /* not ranked until then, because it did not answer; 0: ranked */
 	tlb_time last_report_at; /* last report from the VM itself; 0: never */
-	tlb_time last_seen_at;	 /* when added, chosen as a neighbour, or last reported */
+	/* When added, chosen as a neighbour, known to be leaving, or last reported. */
+	tlb_time last_seen_at;
 	struct tlb_vm_account_use *uses;
 	int use_count;
 	/* Store version up to which the VM knows all changes of each table, by enum
@@ -98,6 +99,9 @@
 	struct tlb_peers peers;
 	struct tlb_vm_ring all;
 	int count; /* VMs that are neither leaving nor gone, this one included */
+	/* Largest earlier count until recent_until; VMs that have left since may still serve. */
+	int recent_count;
+	tlb_time recent_until;
 	uint64_t incarnation;
 	uint64_t id_hash;      /* of this VM's id */
 	uint64_t last_use_seq; /* sequence number of the last grant total reported */
@@ -138,12 +142,19 @@
  * leaving or to be avoided. VMs with the same list of VMs compute the same ranking. */
 int tlb_vms_rank(const struct tlb_vms *v, uint64_t key, tlb_time now, char ids[][TLB_ID_LEN],
 		 int most);
+/* As tlb_vms_rank(), with the VMs that are leaving. */
+int tlb_vms_rank_all(const struct tlb_vms *v, uint64_t key, tlb_time now, char ids[][TLB_ID_LEN],
+		     int most);
+/* The VM itself has told that it is leaving, in an answer. */
+void tlb_vms_set_leaving(struct tlb_vms *v, const char *id, uint64_t incarnation);
 /* Leaves a VM out of rankings until then. */
 void tlb_vms_avoid(struct tlb_vms *v, const char *id, tlb_time until);
 /* Report interval at the current fleet size. */
 tlb_time tlb_vms_report_interval(const struct tlb_vms *v);
 /* Number of VMs that are not leaving, including this one; at least 1. */
 int tlb_vms_count(const struct tlb_vms *v);
+/* Largest number that tlb_vms_count() has returned within TLB_VMS_EXPIRY. */
+int tlb_vms_recent_count(const struct tlb_vms *v);
 /* Estimated share of the fleet, 0 to 1, that this VM receives reports from, itself included. Its
  * neighbours serve as a sample of the fleet. */
 double tlb_vms_reachable_share(const struct tlb_vms *v, tlb_time now);
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3827,7 +3827,7 @@
   (ProtobufCMessageInit) toucan__fleet_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__acquire_cost__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__acquire_cost__field_descriptors[5] =
 {
   {
     "account",
@@ -3865,16 +3865,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__AcquireCost, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level_source",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__AcquireCost, level_source),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__acquire_cost__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = cost */
   2,   /* field[2] = last_resort */
+  3,   /* field[3] = level */
+  4,   /* field[4] = level_source */
 };
 static const ProtobufCIntRange toucan__acquire_cost__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__acquire_cost__descriptor =
 {
@@ -3884,26 +3910,28 @@
   "Toucan__AcquireCost",
   "toucan",
   sizeof(Toucan__AcquireCost),
-  3,
+  5,
   toucan__acquire_cost__field_descriptors,
   toucan__acquire_cost__field_indices_by_name,
   1,  toucan__acquire_cost__number_ranges,
   (ProtobufCMessageInit) toucan__acquire_cost__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue toucan__cost_reply__result__enum_values_by_number[4] =
+static const ProtobufCEnumValue toucan__cost_reply__result__enum_values_by_number[5] =
 {
   { "UNAVAILABLE", "TOUCAN__COST_REPLY__RESULT__UNAVAILABLE", 0 },
   { "WARMING", "TOUCAN__COST_REPLY__RESULT__WARMING", 1 },
   { "GRANTED", "TOUCAN__COST_REPLY__RESULT__GRANTED", 2 },
   { "REFUSED", "TOUCAN__COST_REPLY__RESULT__REFUSED", 3 },
+  { "LEAVING", "TOUCAN__COST_REPLY__RESULT__LEAVING", 4 },
 };
 static const ProtobufCIntRange toucan__cost_reply__result__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex toucan__cost_reply__result__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex toucan__cost_reply__result__enum_values_by_name[5] =
 {
   { "GRANTED", 2 },
+  { "LEAVING", 4 },
   { "REFUSED", 3 },
   { "UNAVAILABLE", 0 },
   { "WARMING", 1 },
@@ -3915,15 +3943,15 @@
   "Result",
   "Toucan__CostReply__Result",
   "toucan",
-  4,
+  5,
   toucan__cost_reply__result__enum_values_by_number,
-  4,
+  5,
   toucan__cost_reply__result__enum_values_by_name,
   1,
   toucan__cost_reply__result__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor toucan__cost_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__cost_reply__field_descriptors[5] =
 {
   {
     "result",
@@ -3961,8 +3989,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fleet_level",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__CostReply, fleet_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet_level_known",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__CostReply, fleet_level_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__cost_reply__field_indices_by_name[] = {
+  3,   /* field[3] = fleet_level */
+  4,   /* field[4] = fleet_level_known */
   2,   /* field[2] = level */
   1,   /* field[1] = ready_in_us */
   0,   /* field[0] = result */
@@ -3970,7 +4024,7 @@
 static const ProtobufCIntRange toucan__cost_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__cost_reply__descriptor =
 {
@@ -3980,7 +4034,7 @@
   "Toucan__CostReply",
   "toucan",
   sizeof(Toucan__CostReply),
-  3,
+  5,
   toucan__cost_reply__field_descriptors,
   toucan__cost_reply__field_indices_by_name,
   1,  toucan__cost_reply__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -75,7 +75,7 @@
 
 typedef enum _Toucan__CostReply__Result {
   /*
-   * the receiver is leaving or does not know the account
+   * the receiver does not know the account
    */
   TOUCAN__COST_REPLY__RESULT__UNAVAILABLE = 0,
   /*
@@ -83,7 +83,11 @@
    */
   TOUCAN__COST_REPLY__RESULT__WARMING = 1,
   TOUCAN__COST_REPLY__RESULT__GRANTED = 2,
-  TOUCAN__COST_REPLY__RESULT__REFUSED = 3
+  TOUCAN__COST_REPLY__RESULT__REFUSED = 3,
+  /*
+   * the receiver is leaving
+   */
+  TOUCAN__COST_REPLY__RESULT__LEAVING = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__COST_REPLY__RESULT)
 } Toucan__CostReply__Result;
 typedef enum _Toucan__FenceReply__Answer {
@@ -485,13 +489,21 @@
   char *account;
   int64_t cost;
   /*
-   * grant even right after a start: no other VM can decide
+   * decide even after a start or when leaving: no other VM can
    */
   protobuf_c_boolean last_resort;
+  /*
+   * upper bound of what the account has left, as the sender knows it
+   */
+  int64_t level;
+  /*
+   * incarnation that told this level, 0: no level is known
+   */
+  uint64_t level_source;
 };
 #define TOUCAN__ACQUIRE_COST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__acquire_cost__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Toucan__CostReply
@@ -506,10 +518,15 @@
    * REFUSED: cost that the bucket holds, for the log
    */
   int64_t level;
+  /*
+   * what the account has left of the undivided limit, after the grant
+   */
+  int64_t fleet_level;
+  protobuf_c_boolean fleet_level_known;
 };
 #define TOUCAN__COST_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__cost_reply__descriptor) \
-    , TOUCAN__COST_REPLY__RESULT__UNAVAILABLE, 0, 0 }
+    , TOUCAN__COST_REPLY__RESULT__UNAVAILABLE, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -2,7 +2,8 @@
  * Limits of accounts in a fleet that is too large for every VM to hear of every grant: the loads of
  * tests/quota/owner-loads.txt, replayed over real links between VMs of one process. Guards against
  * requests within the limit that are refused because a VM's knowledge is old, against grants beyond
- * the limit while the owner changes, and against a fresh burst from each VM that takes over.
+ * the limit while the owner changes, and against a fresh burst from each VM that takes over, also
+ * when several owners leave at once or all VMs do.
  */
 #include <apr_general.h>
 #include <check.h>
@@ -19,7 +20,17 @@
 #define LINK_TIME (700 * TLB_MS) /* until all links are open */
 static const char secret[] = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
-enum fault { FAULT_NONE, OWNER_STOPPED, OWNER_LEAVING, OWNER_WARMING, ALL_WARMING };
+enum fault {
+	FAULT_NONE,
+	OWNER_STOPPED,
+	OWNER_LEAVING,
+	OWNER_WARMING,
+	ALL_WARMING,
+	OWNERS_LEAVING,
+	ALL_LEAVING,
+	OLD_OWNER_LEAVING,
+	FAULTS,
+};
 
 struct node {
 	struct tlb_settings settings;
@@ -71,10 +82,39 @@
 	return r;
 }
 
+/* Answers as VMs did before levels were told. */
+static void answer_without_level(struct node *n, struct tlb_peer *peer, const Toucan__Envelope *msg)
+{
+	struct tlb_edge_board *b = &n->board;
+	struct tlb_quota *q = tlb_quotas_find(&b->quotas, "acct");
+	struct tlb_peer_reply_address to = {.incarnation = peer->incarnation, .id = msg->id};
+	Toucan__CostReply reply = TOUCAN__COST_REPLY__INIT;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	tlb_time now = tlb_clock_now();
+	tlb_time ready_at = now;
+
+	snprintf(to.vm, sizeof(to.vm), "%s", peer->id);
+	if (b->vms.leaving)
+		reply.result = TOUCAN__COST_REPLY__RESULT__UNAVAILABLE;
+	else if (tlb_quota_take(&b->quotas, q, msg->acquire_cost->cost, now, &ready_at))
+		reply.result = TOUCAN__COST_REPLY__RESULT__GRANTED;
+	else
+		reply.result = TOUCAN__COST_REPLY__RESULT__REFUSED;
+	reply.ready_in_us = ready_at - now;
+	e.body_case = TOUCAN__ENVELOPE__BODY_COST_REPLY;
+	e.cost_reply = &reply;
+	tlb_peers_reply(&b->vms.peers, &to, &e);
+}
+
 static void on_message(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg)
 {
 	struct node *n = arg;
 
+	if (load.fault == OLD_OWNER_LEAVING &&
+	    msg->body_case == TOUCAN__ENVELOPE__BODY_ACQUIRE_COST) {
+		answer_without_level(n, peer, msg);
+		return;
+	}
 	tlb_quota_owners_on_message(&n->board.quota_owners, peer, msg);
 }
 
@@ -140,15 +180,18 @@
 	}
 }
 
-/* The VM that decided on the last request. */
-static int owner(void)
+static int number_of(const char *id)
 {
-	const char *id = tlb_quota_acquisition_decider(&requests[sent - 1].acquisition);
-
 	ck_assert(*id);
 	return atoi(id + strlen("vm-"));
 }
 
+/* The VM that decided on the last request. */
+static int owner(void)
+{
+	return number_of(tlb_quota_acquisition_decider(&requests[sent - 1].acquisition));
+}
+
 static void begin_fault(void)
 {
 	int first = owner();
@@ -165,6 +208,7 @@
 		stop_node(&nodes[first]);
 		return;
 	case OWNER_LEAVING:
+	case OLD_OWNER_LEAVING:
 		nodes[first].board.vms.leaving = true;
 		return;
 	case OWNER_WARMING:
@@ -174,7 +218,20 @@
 		for (i = 0; i < load.vms; i++)
 			nodes[i].board.quota_owners.warm_at = TLB_NEVER;
 		return;
+	case OWNERS_LEAVING:
+		/* The next one is told of the grants; the one after it takes over. */
+		first = number_of(requests[sent - 1].acquisition.ranked[1]);
+		nodes[owner()].board.vms.leaving = true;
+		nodes[first].board.vms.leaving = true;
+		return;
+	case ALL_LEAVING:
+		for (i = 0; i < load.vms; i++)
+			tlb_vms_leave(&nodes[i].board.vms);
+		return;
+	case FAULTS:
+		break;
 	}
+	ck_abort_msg("no such fault");
 }
 
 static void on_decided(void *arg, bool ok, tlb_time ready_at)
@@ -188,6 +245,24 @@
 		wrongly_refused++;
 }
 
+/* Asks for the cost as a request does that a caller has sent to the VM. */
+static void acquire(struct request *r, struct node *n, tlb_time now)
+{
+	struct tlb_edge_board *b = &n->board;
+	struct tlb_quota *q = tlb_quotas_find(&b->quotas, "acct");
+	tlb_time ready_at = 0;
+	bool ok;
+
+	if (tlb_quota_owners_needed(&b->quota_owners)) {
+		tlb_quota_acquire(&r->acquisition, &b->quota_owners, q, COST, on_decided, r);
+		return;
+	}
+	ok = tlb_quota_grant(&b->quotas, q, COST, now, &ready_at);
+	if (ok)
+		tlb_vms_on_grant(&b->vms, q);
+	on_decided(r, ok, ready_at);
+}
+
 static void send_request(tlb_time now)
 {
 	struct request *r = &requests[sent];
@@ -201,8 +276,7 @@
 	r->ideal = tlb_quota_take(&ideal, tlb_quotas_find(&ideal, "acct"), COST, now, &ready_at);
 	if (r->ideal)
 		ideal_granted += COST;
-	tlb_quota_acquire(&r->acquisition, &n->board.quota_owners,
-			  tlb_quotas_find(&n->board.quotas, "acct"), COST, on_decided, r);
+	acquire(r, n, now);
 }
 
 static void on_step(void *arg)
@@ -213,7 +287,7 @@
 		tlb_loop_stop(&loop);
 		return;
 	}
-	if (!fault_begun && now >= begun_at + LOAD_TIME / 2)
+	if (!fault_begun && now >= begun_at + LOAD_TIME / (load.fault == ALL_LEAVING ? 4 : 2))
 		begin_fault();
 	if (now >= begun_at && now < begun_at + LOAD_TIME)
 		backlog += load.demand * RATE * STEP / TLB_SECOND / COST;
@@ -255,11 +329,12 @@
 
 static enum fault fault_of(const char *name)
 {
-	static const char *const names[] = {"none", "owner_stopped", "owner_leaving",
-					    "owner_warming", "all_warming"};
+	static const char *const names[FAULTS] = {
+		"none",	       "owner_stopped",	 "owner_leaving", "owner_warming",
+		"all_warming", "owners_leaving", "all_leaving",	  "old_owner_leaving"};
 	int i;
 
-	for (i = 0; i < 5; i++)
+	for (i = 0; i < FAULTS; i++)
 		if (strcmp(name, names[i]) == 0)
 			return i;
 	ck_abort_msg("unknown fault %s", name);
@@ -322,6 +397,7 @@
 	const enum tlb_quota_answer none = TLB_QUOTA_NO_ANSWER;
 	const enum tlb_quota_answer warming = TLB_QUOTA_WARMING;
 	const enum tlb_quota_answer gone = TLB_QUOTA_UNAVAILABLE;
+	const enum tlb_quota_answer leaving = TLB_QUOTA_LEAVING;
 	const struct step_case cases[] = {
 		{{0}, 0, 4, false, {TLB_QUOTA_ASK, 0}},
 		{{none}, 1, 4, false, {TLB_QUOTA_ASK, 1}},
@@ -330,6 +406,10 @@
 		{{warming, none}, 2, 2, false, {TLB_QUOTA_ASK_LAST_RESORT, 0}},
 		{{warming, none}, 2, 2, true, {TLB_QUOTA_DECIDE_ALONE, 0}},
 		{{none, gone, none, none}, 4, 4, false, {TLB_QUOTA_DECIDE_ALONE, 0}},
+		{{leaving}, 1, 4, false, {TLB_QUOTA_ASK, 1}},
+		{{leaving, warming, leaving}, 3, 3, false, {TLB_QUOTA_ASK_LAST_RESORT, 1}},
+		{{gone, leaving, leaving, none}, 4, 4, false, {TLB_QUOTA_ASK_LEAVING, 0}},
+		{{gone, leaving, leaving, none}, 4, 4, true, {TLB_QUOTA_DECIDE_ALONE, 0}},
 		{{0}, 0, 0, false, {TLB_QUOTA_DECIDE_ALONE, 0}},
 	};
 	size_t i;
@@ -348,7 +428,7 @@
 /* Guards against every VM of a fleet granting a full burst when the owners can't be reached. */
 START_TEST(alone_grants_only_a_fraction)
 {
-	struct tlb_quota q = {.rate = RATE, .burst = BURST};
+	struct tlb_quota q = {.rate = RATE, .burst = BURST, .fleet_level = BURST};
 	tlb_time ready_at = 0;
 	int64_t sum = 0;
 	int i;
@@ -362,6 +442,54 @@
 }
 END_TEST
 
+/* Guards against a burst that all VMs grant once more when they can't reach the owners. */
+START_TEST(alone_grants_no_burst_that_was_used)
+{
+	struct tlb_quota q = {
+		.rate = RATE, .burst = BURST, .fleet_level = 0, .refilled_at = TLB_SECOND};
+	tlb_time ready_at = 0;
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < 2000; i++)
+		if (tlb_quota_take_alone(&q, COST, 0.1, TLB_SECOND + i * TLB_MS, &ready_at))
+			sum += COST;
+	ck_assert_int_le(sum, (int64_t)(2 * RATE * 0.1));
+	ck_assert_int_ge(sum, (int64_t)(2 * RATE * 0.1) - COST);
+}
+END_TEST
+
+/* Cost that was returned must not be lost because a VM passes on what it was told before. */
+START_TEST(owner_ignores_its_own_earlier_level)
+{
+	struct tlb_edge_board *b = &nodes[0].board;
+	struct tlb_peer peer = {.id = "vm-1"};
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+	Toucan__AcquireCost r = TOUCAN__ACQUIRE_COST__INIT;
+	struct tlb_quota *q;
+
+	ck_assert_int_eq(tlb_loop_init(&loop), APR_SUCCESS);
+	ck_assert_int_eq(tlb_http_init(&http, &loop), 0);
+	tlb_rowstore_init(&store, &http, "127.0.0.1:1");
+	start_node(&nodes[0], 0);
+	q = tlb_quotas_find(&b->quotas, "acct");
+	e.body_case = TOUCAN__ENVELOPE__BODY_ACQUIRE_COST;
+	e.acquire_cost = &r;
+	r.account = q->account;
+	r.cost = COST;
+	r.level = 0;
+	r.level_source = b->vms.incarnation;
+	tlb_quota_owners_on_message(&b->quota_owners, &peer, &e);
+	ck_assert_int_ge((int64_t)q->level, BURST - COST);
+	r.level_source = b->vms.incarnation + 1;
+	tlb_quota_owners_on_message(&b->quota_owners, &peer, &e);
+	ck_assert_int_le((int64_t)q->level, BURST / 10);
+	stop_node(&nodes[0]);
+	tlb_http_finish(&http);
+	tlb_loop_finish(&loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("quota_owner");
@@ -374,6 +502,8 @@
 	tcase_set_timeout(t, 120);
 	tcase_add_test(t, next_step_by_answers);
 	tcase_add_test(t, alone_grants_only_a_fraction);
+	tcase_add_test(t, alone_grants_no_burst_that_was_used);
+	tcase_add_test(t, owner_ignores_its_own_earlier_level);
 	tcase_add_test(t, account_keeps_its_limit_under_load);
 	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
--- a/tests/test_vms.c
+++ b/tests/test_vms.c
@@ -282,6 +282,75 @@
 }
 END_TEST
 
+static struct tlb_vm *leaving_vm(void)
+{
+	struct tlb_vm *m;
+
+	APR_RING_FOREACH (m, &fx.board.vms.all, tlb_vm, link) {
+		if (m->leaving)
+			return m;
+	}
+	ck_abort_msg("no VM is leaving");
+	return NULL;
+}
+
+/* VMs that are leaving go on serving requests. When they were forgotten at once, the last VMs of a
+ * fleet that was stopped took themselves for a small one. */
+START_TEST(leaving_vms_are_known_until_they_are_gone)
+{
+	Toucan__VmState other = TOUCAN__VM_STATE__INIT;
+	char ids[3][TLB_ID_LEN];
+	char first[TLB_ID_LEN];
+	uint64_t key = tlb_vms_hash("some account");
+	struct tlb_vm *m;
+	int i;
+	int k;
+
+	setup("vm-0");
+	learn(20);
+	receive(1, false, NULL);
+	tlb_vms_rank(&fx.board.vms, key, tlb_clock_now(), ids, 1);
+	strcpy(first, ids[0]);
+	APR_RING_FOREACH (m, &fx.board.vms.all, tlb_vm, link) {
+		if (m->neighbour || strcmp(m->id, "vm-1") == 0)
+			continue;
+		other.id = m->id;
+		other.addr = m->addr;
+		other.incarnation = 5;
+		other.leaving = true;
+		receive(1, false, &other);
+	}
+	i = tlb_vms_count(&fx.board.vms);
+	ck_assert_int_lt(i, 20);
+	ck_assert_int_eq(tlb_vms_recent_count(&fx.board.vms), 20);
+	report();
+	ck_assert_int_eq(tlb_vms_rank(&fx.board.vms, key, tlb_clock_now(), ids, 3), 3);
+	for (k = 0; k < 3; k++)
+		ck_assert(!vm(ids[k]) || !vm(ids[k])->leaving);
+	ck_assert_int_eq(tlb_vms_rank_all(&fx.board.vms, key, tlb_clock_now(), ids, 3), 3);
+	ck_assert_msg(strcmp(ids[0], first) == 0, "known to be leaving or not, all rank alike");
+	m = leaving_vm();
+	ck_assert(!m->gone);
+	m->announce = false;
+	other.id = m->id;
+	other.addr = m->addr;
+	other.incarnation = 6;
+	other.leaving = false;
+	receive(1, false, &other);
+	ck_assert_msg(!m->leaving && m->announce, "it has started again");
+	fx.board.vms.recent_until = tlb_clock_now();
+	ck_assert_int_eq(tlb_vms_recent_count(&fx.board.vms), i + 1);
+	m = leaving_vm();
+	other.id = m->id;
+	other.addr = m->addr;
+	other.incarnation = 5;
+	other.gone = true;
+	receive(1, false, &other);
+	ck_assert(m->gone);
+	teardown();
+}
+END_TEST
+
 /* All VMs must rank the same VM first, and leave out one that does not answer or is leaving. */
 START_TEST(ranking_is_the_same_everywhere)
 {
@@ -328,6 +397,7 @@
 	tcase_add_test(t, neighbours_have_the_lowest_weights);
 	tcase_add_test(t, all_vms_of_a_small_fleet_are_neighbours);
 	tcase_add_test(t, silent_vms_that_are_no_neighbours_stay);
+	tcase_add_test(t, leaving_vms_are_known_until_they_are_gone);
 	tcase_add_test(t, changes_of_the_membership_are_passed_on);
 	tcase_add_test(t, restarted_vm_is_announced);
 	tcase_add_test(t, reports_go_to_vms_that_keep_the_link);
