Close the stand-ins of an edge check at its end

What was seen: timeouts of edge.py checks beside load that single runs of the same checks did not show. Cause, in the test: World ended its daemons but not the stand-ins. Each is a thread that wakes up 20 times a second, some ten to twenty for each check, all in the process that answers as store and endpoints. Evidence: after 60 fleets of three VMs 888 threads were left, which took 29% of a core with no check running; after 222 fleets (a trial that starts them over and over, load 373 with the other threads of it) the store did not answer in time ("no complete response before the deadline") and no VM became ready within 6 s.

Change: World closes the servers of its stand-ins; an endpoint that has crashed does not come back after that. No check or bound changes.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -19,7 +19,7 @@
 from random import Random, SystemRandom
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from edge_standin import Door, Endpoint, Store  # noqa: E402
+from edge_standin import Door, Endpoint, Store, close_all  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 KEY = "a-key-of-the-account"
@@ -179,6 +179,8 @@
             if vm.process.poll() is None:
                 vm.process.kill()
             vm.process.wait()
+        servers = [e.end() for e in self.shops + self.prefills + self.decodes]
+        close_all([s for s in servers if s] + [d.server for d in self.doors])
         self.directory.cleanup()
 
     def start(self, configuration=None):
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -55,6 +55,16 @@
     return server, f"127.0.0.1:{server.server_address[1]}"
 
 
+def close_all(servers):
+    """Ends the servers and waits for it. A server that is left over wakes up 20 times a second."""
+    threads = [threading.Thread(target=s.shutdown) for s in servers]
+    for t in threads:
+        t.start()
+    for t, s in zip(threads, servers):
+        t.join()
+        s.server_close()
+
+
 class Door:
     """One listening address of the store; answers 503 while `closed`, unlike the others."""
 
@@ -202,6 +212,7 @@
         self.broken_off = 0
         self.open = set()  # connections
         self.crashes = []  # times
+        self.ended = False
         self.lock = threading.Lock()
 
     def crash(self, store, down_s=0.3, new_id=False):
@@ -225,13 +236,24 @@
         timer.daemon = True
         timer.start()
 
+    def end(self):
+        """Returns the server, which the caller closes, or None after a crash. No server is started any
+        more."""
+        with self.lock:
+            self.ended = True
+            server, self.server = self.server, None
+        return server
+
     def come_back(self, store, new_id):
         former = self.name
         if new_id:
             self.name = f"{former.split('.')[0]}.{len(self.crashes)}"
             store.put("servers", former, None)
         self.born = int(time.time() * 1000)
-        self.listen()
+        with self.lock:
+            if self.ended:
+                return
+            self.listen()
         store.put("servers", self.name, self.entry())
 
     def entry(self, state="ready"):
