Order versions in p11 at a VM that has the last one

Cause, in the test: must_order() changes the version at one VM and then at another one, with the version in force there as base. An accepted change is pushed to four VMs, which pass it on; another VM can have it milliseconds later, or with the next heartbeat when all pushes miss it. A change that is based on the version before is refused as a conflict, as it must be. Ruled out: the takeover (v3 is ordered right after the kill, before it); a VM that is stopped for a moment (160 changes beside or after stops of 0.05 to 0.4 s, all accepted).

The test now waits until the last accepted version is in force at the VM, for at most the time of invariant 10, and fails if it is not; this demands more than before. Status and body are in the message.

--- a/tests/promises/p11_orders.py
+++ b/tests/promises/p11_orders.py
@@ -60,11 +60,15 @@
     return int(name[1:])
 
 
-def order_version(fleet, version, vm, base=None, adapter=""):
-    """An operator's change of the model's version; returns the status."""
+def change_version(fleet, version, vm, base=None, adapter=""):
+    """An operator's change of the model's version; returns the status and the body."""
     key = f"config/model/{fleet.model}"
     row = dict(fleet.row(key), version=version, adapter=adapter)
-    return fleet.change({key: row}, vm=vm, base=base)[0]
+    return fleet.change({key: row}, vm=vm, base=base)
+
+
+def order_version(fleet, version, vm, base=None, adapter=""):
+    return change_version(fleet, version, vm, base, adapter)[0]
 
 
 def settle(fleet):
@@ -86,8 +90,15 @@
 
 
 def must_order(fleet, version, vm):
-    if order_version(fleet, version, vm) != 200:
-        raise Failed(f"the change to version {version} was not accepted")
+    """Orders a version at a VM as soon as the last one that was accepted is in force there, within the
+    time of invariant 10; a change based on an earlier one would be refused as a conflict."""
+    last = fleet.row("config/head")["version"]
+    if wait_until(lambda: (fleet.version(vm) or 0) >= last, CONFIG, 0.01) is None:
+        raise Failed(f"configuration {last} is not in force at vm-{vm + 1}")
+    status, body = change_version(fleet, version, vm, last)
+    if status != 200:
+        raise Failed(f"the change to version {version} was not accepted by vm-{vm + 1}: "
+                     f"status {status}, {body}")
 
 
 def has(engine, version):
