--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edgeboard.h"
+#include "evidence.h"
 #include "log.h"
 #include "platform.h"
 #include "release.h"
@@ -53,7 +54,7 @@
 		tlb_instances_record_outcome(&r->board->instances, r->instance, false, 0, now);
 	}
 	if (res->refused)
-		tlb_generation_on_crash(r->board, r->instance);
+		tlb_evidence_add_crash(r->board, r->instance);
 	clear(r);
 	r->refusals++;
 	r->query.now = now;
--- a/src/generation.c
+++ b/src/generation.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edgeboard.h"
+#include "evidence.h"
 #include "log.h"
 #include "platform.h"
 #include "release.h"
@@ -163,28 +164,10 @@
 
 /* --- quarantine of prompt parts --- */
 
-static struct tlb_prompt prompt_of(const struct tlb_forward *f)
-{
-	return (struct tlb_prompt){
-		.parts = f->inbound.shared_parts,
-		.count = f->inbound.shared_part_count,
-		.account = f->account ? tlb_vms_hash(f->account->name) : 0,
-		.own = f->inbound.own_part,
-	};
-}
-
-/* The quarantined part of the request's prompt; NULL when there is none. */
-static const struct tlb_suspect_part *quarantined_part(const struct tlb_forward *f)
-{
-	struct tlb_prompt prompt = prompt_of(f);
-
-	return tlb_quarantine_find(&f->board->quarantine, &prompt, tlb_clock_now());
-}
-
 /* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
 static bool refuse_quarantined(struct tlb_forward *f)
 {
-	const struct tlb_suspect_part *s = quarantined_part(f);
+	const struct tlb_suspect_part *s = tlb_evidence_quarantined_part(f);
 	tlb_time wait;
 
 	if (!s)
@@ -206,79 +189,12 @@
 /* The same before the prompt is sent to an endpoint. */
 static bool refuse_quarantined_or_probe(struct tlb_forward *f)
 {
-	struct tlb_edge_board *b = f->board;
-	struct tlb_prompt prompt = prompt_of(f);
-
 	if (refuse_quarantined(f))
 		return true;
-	if (tlb_quarantine_begin_probe(&b->quarantine, &prompt, tlb_clock_now())) {
-		tlb_log_info("event=quarantine_probe request=%s attempt=%s", f->exchange->id,
-			     f->inbound.attempt_id);
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
-	}
+	tlb_evidence_begin_probe(f);
 	return false;
 }
 
-/* Hash of the incarnation, the same on all VMs. */
-static uint64_t incarnation_hash(const struct tlb_instance *i)
-{
-	char text[TLB_INSTANCE_ID_LEN + 24];
-
-	snprintf(text, sizeof(text), "%s/%lld", i->row.id, (long long)i->row.started_ms);
-	return tlb_vms_hash(text);
-}
-
-void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i)
-{
-	tlb_quarantine_note_crash(&b->quarantine, incarnation_hash(i), tlb_clock_now());
-	tlb_quarantine_sync_notify(&b->quarantine_sync);
-}
-
-/* Whether the answer has not got beyond its beginning at any endpoint. */
-static bool is_at_beginning(const struct tlb_forward *f)
-{
-	return !f->gen.begun_soundly &&
-	       f->gen.events - f->gen.events_before_attempt <= TLB_QUARANTINE_EARLY_EVENTS_MAX;
-}
-
-/* Takes the failure of an attempt as evidence against the parts of the prompt, if its endpoint
- * broke it off at the beginning. */
-static void record_failure(struct tlb_forward *f, const struct tlb_instance *i,
-			   const struct tlb_http_result *r, bool early_end)
-{
-	struct tlb_edge_board *b = f->board;
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (r->sent && (r->broken_off || early_end) && is_at_beginning(f) &&
-	    tlb_quarantine_add_crash(&b->quarantine, &prompt, incarnation_hash(i), tlb_clock_now()))
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
-	if (r->broken_off || r->refused || early_end)
-		tlb_generation_on_crash(b, i);
-}
-
-/* Takes a complete stream as evidence for the parts of the prompt. One that the closed connection
- * ended at its beginning may come from an endpoint that crashed between two events. */
-static void record_answer(struct tlb_forward *f, const struct tlb_http_result *r)
-{
-	struct tlb_edge_board *b = f->board;
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (!f->gen.streaming || r->status >= 300 || (r->ended_by_close && is_at_beginning(f)))
-		return;
-	if (tlb_quarantine_add_answer(&b->quarantine, &prompt, tlb_clock_now()))
-		tlb_quarantine_sync_notify(&b->quarantine_sync);
-}
-
-/* Remembers an attempt that is cancelled as the endpoint begins to answer. */
-static void record_abandoned(struct tlb_forward *f)
-{
-	struct tlb_prompt prompt = prompt_of(f);
-
-	if (f->step == TLB_FORWARD_DECODING && prompt.count > 0 && is_at_beginning(f))
-		tlb_quarantine_add_abandoned(&f->board->quarantine, &prompt,
-					     incarnation_hash(f->instance), tlb_clock_now());
-}
-
 /* --- streams --- */
 
 /* Whether the stream can be resumed at the endpoint that interrupted it: the endpoint is usable and
@@ -411,7 +327,7 @@
 	/* Bytes without a new event, such as comments, are no progress. */
 	if (store_last_event_id(f, b->data, n))
 		set_event_timeout(f, NEXT_EVENT_TIMEOUT);
-	f->gen.begun_soundly |= !is_at_beginning(f);
+	f->gen.begun_soundly |= !tlb_evidence_is_at_beginning(f);
 	if (!tlb_exchange_stream_write(f->exchange, b->data, n))
 		return false;
 	memmove(b->data, b->data + n, b->len - n);
@@ -467,9 +383,9 @@
 	if (early_end)
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
-		record_failure(f, i, r, early_end);
+		tlb_evidence_add_failure(f, i, r, early_end);
 	else
-		record_answer(f, r);
+		tlb_evidence_add_answer(f, r);
 	if (end != TLB_ATTEMPT_ANSWERED) {
 		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
 		tlb_instance_release(i);
@@ -641,7 +557,7 @@
 	end = tlb_forward_record_result(f, r);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
-	record_failure(f, i, r, false);
+	tlb_evidence_add_failure(f, i, r, false);
 	end_prefill(f, i, ok);
 	if (ok) {
 		store_kv_handle(f, i, handle);
@@ -743,7 +659,7 @@
 	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
 	tlb_http_cancel(&f->call);
 	tlb_timer_clear(f->board->loop, &f->timer);
-	record_abandoned(f);
+	tlb_evidence_add_abandoned(f);
 	end_prefill(f, f->instance, false);
 	tlb_forward_record_result(f, &r);
 	f->possible_runs++;
@@ -761,7 +677,8 @@
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		return;
 	}
-	if (!found || quarantined_part(f) || !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
+	if (!found || tlb_evidence_quarantined_part(f) ||
+	    !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
@@ -784,7 +701,7 @@
 	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
 	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
-	if (quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
+	if (tlb_evidence_quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
 	}
@@ -1059,7 +976,7 @@
 		return;
 	tlb_queue_remove(&g->service_queue->queue, &g->item);
 	if (f->instance) {
-		record_abandoned(f);
+		tlb_evidence_add_abandoned(f);
 		end_prefill(f, f->instance, false);
 	}
 	release_window_slot(f, 0);
--- a/src/generation.h
+++ b/src/generation.h
@@ -19,7 +19,6 @@
 #include "window.h"
 
 struct tlb_edge_board;
-struct tlb_instance;
 struct tlb_forward;
 
 /* The fair-queueing flow of one account in the queue of one service. */
@@ -59,8 +58,6 @@
 void tlb_generations_finish(struct tlb_generations *g);
 /* Refuses the queued requests that have not run, at shutdown: another VM can still serve them. */
 void tlb_generations_refuse_waiting(struct tlb_generations *g);
-/* An endpoint has broken off an answer or refused a connection: it may have crashed. */
-void tlb_generation_on_crash(struct tlb_edge_board *b, const struct tlb_instance *i);
 /* Starts queued requests after the list of instances has changed. */
 void tlb_generations_dispatch(struct tlb_generations *g);
 
