Share the bodies of two pairs of new tests

The two checks of p09_shutdown about connections that end with a VM, and the two checks of edge.py about a moved stream whose prefills are refused, repeated each other. They require what they did; all four pass.

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -870,6 +870,25 @@
         equal(sum(len(d.seen) for d in w.decodes), 1, "runs")
 
 
+def expect_moved_stream(w, vm):
+    """The first endpoint of a stream pauses, and all prefills but the first are refused: the stream
+    must go on at another endpoint."""
+    def refuse_later(h):
+        if sum(len(p.seen) for p in w.prefills) < 2:
+            return False
+        h.reply(503, headers=[("X-Not-Executed", "1")])
+        return True
+
+    for p in w.prefills:
+        p.plan = refuse_later
+    plan = pausing_stream()
+    for d in w.decodes:
+        d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
+    r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+    equal(read_stream(r), (EVENTS, True), "stream")
+    equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+
+
 def check_moved_stream_survives_a_refused_prefill_without_retry_budget():
     """A stream that moves away from a silent endpoint must go on although its prefill is refused and
     the retry budget is used up by then; such a stream was cut."""
@@ -877,44 +896,15 @@
         vm = w.start()
         change_settings(vm, "retry_ratio: 1.0, retry_slack: 50",
                         "retry_ratio: 0, retry_slack: 2.5")  # allows one retry
-
-        def refuse_second(h):
-            if sum(len(p.seen) for p in w.prefills) < 2:
-                return False
-            h.reply(503, headers=[("X-Not-Executed", "1")])
-            return True
-
-        for p in w.prefills:
-            p.plan = refuse_second
-        plan = pausing_stream()
-        for d in w.decodes:
-            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
-        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
-        equal(read_stream(r), (EVENTS, True), "stream")
+        expect_moved_stream(w, vm)
         equal([len(p.seen) for p in w.prefills], [1, 1], "prefills")
-        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
 
 
 def check_moved_stream_survives_prefills_refused_until_no_attempt_is_left():
     """A stream that moves away from a silent endpoint must go on although prefill endpoints refuse it
     until its attempts are used up; it was cut with its decode reservation in hand."""
     with World(prefills=7) as w:
-        vm = w.start()
-
-        def refuse_later(h):
-            if sum(len(p.seen) for p in w.prefills) < 2:
-                return False
-            h.reply(503, headers=[("X-Not-Executed", "1")])
-            return True
-
-        for p in w.prefills:
-            p.plan = refuse_later
-        plan = pausing_stream()
-        for d in w.decodes:
-            d.plan = lambda h: "Last-Event-Id" not in h.headers and plan(h)
-        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
-        equal(read_stream(r), (EVENTS, True), "stream")
-        equal(sorted(len(d.seen) for d in w.decodes), [1, 1], "runs at each endpoint")
+        expect_moved_stream(w, w.start())
 
 
 def check_requests_end_when_no_call_can_be_started():
--- a/tests/promises/p09_shutdown.py
+++ b/tests/promises/p09_shutdown.py
@@ -210,6 +210,28 @@
         return cut, 0
 
 
+def cut_at_exit(t, fleet, vm, callers, late=()):
+    """Sends the requests of the late callers, reads the responses of all and waits for the exit.
+    Returns the number of callers without an answer or a refusal."""
+    cut = 0
+    for c in [*late, *(c for c in callers if c not in late)]:
+        try:
+            if c in late:
+                c.send("GET", fleet.service_path, fleet.key)
+            r = c.receive()
+        except OSError as e:
+            r = e
+        if not (isinstance(r, Response) and r.complete
+                and (r.status == 200 or r.outcome == "not_run")):
+            cut += 1
+            t.note(f"{'late' if c in late else 'queued'}: {r!r}")
+        c.close()
+    status = fleet.wait_exit(vm, EXIT_BOUND)
+    if status != 0:
+        raise Failed(f"exit status {status}")
+    return cut
+
+
 @case
 def terminate_with_unaccepted_connections(t):
     """Guards against a shutdown that resets connections which wait to be accepted. The daemon is
@@ -230,23 +252,7 @@
         finally:
             fleet.thaw(vm)
         time.sleep(0.3)
-        cut = 0
-        for c in late + [c for c in callers if c not in late]:
-            try:
-                if c in late:
-                    c.send("GET", fleet.service_path, fleet.key)
-                r = c.receive()
-            except OSError as e:
-                r = e
-            if not (isinstance(r, Response) and r.complete
-                    and (r.status == 200 or r.outcome == "not_run")):
-                cut += 1
-                t.note(f"{'late' if c in late else 'queued'}: {r!r}")
-            c.close()
-        status = fleet.wait_exit(vm, EXIT_BOUND)
-        if status != 0:
-            raise Failed(f"exit status {status}")
-        return cut, 0
+        return cut_at_exit(t, fleet, vm, callers, late), 0
 
 
 @case
@@ -258,22 +264,7 @@
         time.sleep(1.7)
         callers = [Caller(fleet.callers[vm]) for _ in range(20)]
         time.sleep(0.6)
-        cut = 0
-        for c in callers:
-            try:
-                c.send("GET", fleet.service_path, fleet.key)
-                r = c.receive()
-            except OSError as e:
-                r = e
-            if not (isinstance(r, Response) and r.complete
-                    and (r.status == 200 or r.outcome == "not_run")):
-                cut += 1
-                t.note(repr(r))
-            c.close()
-        status = fleet.wait_exit(vm, EXIT_BOUND)
-        if status != 0:
-            raise Failed(f"exit status {status}")
-        return cut, 0
+        return cut_at_exit(t, fleet, vm, callers, callers), 0
 
 
 @case
