Decode the store's answers while they arrive

What callers saw: beside a change of a configuration with thousands of routes, answers were late; VMs with an eighth of a core stood still for seconds. Cause, one of several: an answer of the store was parsed and its base64 values decoded in one step when it was complete, on the event loop. Evidence: 30.5 ms of processor time for an answer of 1.25 MB (4,200 routes) on a whole core of this machine, which is a quarter of a second on an eighth. Ruled out as the largest part: building the routing table takes 182 ms. Change: module rowreader decodes long values piece by piece as they arrive and parses only what remains, in which each long value is replaced by a mark. Measured: 10.2 ms in all, at most 0.21 ms for a piece of 16 KB, 0.06 ms at the end.

--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -32,6 +32,13 @@
 	}
 }
 
+static bool on_data(void *arg, const char *data, size_t len)
+{
+	struct tlb_rowstore_op *op = arg;
+
+	return tlb_rowreader_feed(&op->reader, data, len);
+}
+
 static void on_response(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_rowstore_op *op = arg;
@@ -44,13 +51,17 @@
 		snprintf(reason, sizeof(reason), "%s", r->reason);
 	else
 		snprintf(reason, sizeof(reason), "status %d", r->status);
+	/* Only the body of a success is passed to on_data(). */
+	if (status == TLB_ROWS_CONFLICT)
+		tlb_rowreader_feed(&op->reader, r->body, r->body_len);
 	if ((status == TLB_ROWS_OK || status == TLB_ROWS_CONFLICT) &&
-	    tlb_platform_read_rows(r->body, r->body_len, &rows, &err) != TLB_OK) {
+	    tlb_rowreader_end(&op->reader, &rows, &err) != TLB_OK) {
 		status = TLB_ROWS_UNCERTAIN;
 		snprintf(reason, sizeof(reason), "%s", err.message);
 	}
 	if (status == TLB_ROWS_OK)
 		reason[0] = '\0';
+	tlb_rowreader_finish(&op->reader);
 	op->on_done(op->arg, status, &rows, reason);
 	tlb_stored_rows_finish(&rows);
 }
@@ -70,8 +81,10 @@
 	spec->url = url;
 	spec->connect_deadline = now + TLB_ROWSTORE_CONNECT_TIMEOUT;
 	spec->deadline = now + wait + TLB_ROWSTORE_RESPONSE_MARGIN;
+	spec->on_data = on_data;
 	spec->on_done = on_response;
 	spec->arg = op;
+	tlb_rowreader_finish(&op->reader);
 	s->calls++;
 	tlb_http_start(s->http, &op->call, spec);
 }
@@ -117,4 +130,5 @@
 void tlb_rowstore_cancel(struct tlb_rowstore_op *op)
 {
 	tlb_http_cancel(&op->call);
+	tlb_rowreader_finish(&op->reader);
 }
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -7,6 +7,7 @@
 #define TLB_ROWSTORE_H
 
 #include "http.h"
+#include "rowreader.h"
 #include "stored_rows.h"
 
 /* Time allowed for a response beyond the wait that the store was asked for. */
@@ -37,6 +38,7 @@
 struct tlb_rowstore_op {
 	struct tlb_rowstore *store;
 	struct tlb_http_call call;
+	struct tlb_rowreader reader; /* of the answer in progress */
 	tlb_rowstore_done_fn *on_done;
 	void *arg;
 };
