--- a/src/edge.c
+++ b/src/edge.c
@@ -44,8 +44,9 @@
 
 	if (!r) {
 		tlb_counter_add(&b->counters, TLB_COUNTER_CONFIG_REFUSED, 1);
-		tlb_log_error("event=routing_refused in_force=%lld reason=\"%s\"",
-			      (long long)b->routing->version, err->message);
+		tlb_log_error("event=routing_refused source=%s in_force=%lld reason=\"%s\"",
+			      e->routing_load.source, (long long)b->routing->version,
+			      err->message);
 		return;
 	}
 	if (r->version <= b->routing->version) {
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1233,6 +1233,60 @@
         assert sent <= 78_000, f"{sent:.0f} bytes between VMs for each that received the change"
 
 
+def latencies_while(vm, act, seconds=4.0, interval=0.04):
+    """Sends a call each `interval`, whether earlier ones are answered or not; runs `act` after a
+    while. Returns the sorted latencies in seconds; of calls without an answer 200 it is infinite."""
+    found = []
+
+    def call(n):
+        begin = time.monotonic()
+        try:
+            ok = vm.call("/look/x", attempt=f"l{n}")[0] == 200
+        except OSError:
+            ok = False
+        found.append(time.monotonic() - begin if ok else float("inf"))
+
+    threads = []
+    begin = time.monotonic()
+    for n in range(int(seconds / interval)):
+        if n == int(0.5 / interval):
+            threads.append(threading.Thread(target=act))
+            threads[-1].start()
+        threads.append(threading.Thread(target=call, args=(n,)))
+        threads[-1].start()
+        time.sleep(max(0.0, begin + (n + 1) * interval - time.monotonic()))
+    for t in threads:
+        t.join()
+    return sorted(found)
+
+
+def many_routes(version, count, changed=0):
+    """A configuration with so many routes more, the first `changed` of them with another time-out."""
+    out = config(version)
+    for n in range(count):
+        out["routes"].append({"name": f"m{n}", "hostname": "h.example", "prefix": f"/m{n}/",
+                              "kind": "idempotent", "service": "shop",
+                              "timeoutMs": 1000 + (n < changed)})
+    return out
+
+
+def check_calls_are_answered_in_time_while_a_large_configuration_loads():
+    """The target latency of the route is 200 ms. Before routes were found in a hash table and loaded
+    in slices, the daemon answered nothing for over three seconds."""
+    with World() as w:
+        vm = w.start()
+        for version, changed in ((7, 0), (8, 1)):
+            large = many_routes(version, 20000, changed)
+            found = latencies_while(vm, lambda text=json.dumps(large):
+                                    w.store.put("op", "config", text))
+            wait(lambda v=version: vm.events(f"routing_applied source=store version={v}"),
+                 f"version {version}", 10)
+            late = [f for f in found if f > 0.2]
+            assert len(late) <= len(found) / 20, f"version {version}: {found[-30:]}"
+        equal(vm.call("/m19999/x")[0], 200, "the last route")
+        assert vm.events("routing_read .* parsed=1 shared=20004"), vm.events("routing_read")
+
+
 def check_fleet_starts_for_the_first_time():
     """VMs that start together on an empty store must agree on one secret and find each other."""
     with World(vms=3, first_start=True) as w:
