Find quotas by account in a hash table

What callers saw: nothing yet; found by reading while looking for the cause of the stalls beside large configurations elsewhere. With the 11,000 accounts that are expected, each new configuration would stop the event loop again. Cause: tlb_quotas_configure() searches the list of all accounts for each account, and each request searches it too. Evidence: 428 ms of processor time for 11,000 accounts against 4.4 ms for 1,100, on a whole core (test_quota, which fails without the change). Change: a hash table by account name. Measured: test_quota passes; its bound is a factor of 40 for ten times the accounts.

--- a/src/quota.c
+++ b/src/quota.c
@@ -9,6 +9,9 @@
 void tlb_quotas_init(struct tlb_quotas *q)
 {
 	APR_RING_INIT(&q->all, tlb_quota, link);
+	if (apr_pool_create(&q->pool, NULL) != APR_SUCCESS)
+		abort();
+	q->by_account = apr_hash_make(q->pool);
 	q->share = 1;
 }
 
@@ -21,6 +24,7 @@
 		APR_RING_REMOVE(a, link);
 		free(a);
 	}
+	apr_pool_destroy(q->pool);
 }
 
 /* Highest level: the burst times the share. */
@@ -73,13 +77,7 @@
 
 struct tlb_quota *tlb_quotas_find(const struct tlb_quotas *q, const char *account)
 {
-	struct tlb_quota *a;
-
-	APR_RING_FOREACH (a, &q->all, tlb_quota, link) {
-		if (strcmp(a->account, account) == 0)
-			return a;
-	}
-	return NULL;
+	return apr_hash_get(q->by_account, account, APR_HASH_KEY_STRING);
 }
 
 static void configure(struct tlb_quotas *q, const struct tlb_client_account *row, tlb_time now)
@@ -93,6 +91,7 @@
 			return;
 		strcpy(a->account, row->name);
 		APR_RING_INSERT_TAIL(&q->all, a, tlb_quota, link);
+		apr_hash_set(q->by_account, a->account, APR_HASH_KEY_STRING, a);
 	}
 	refill(q, a, now);
 	a->rate = row->rate;
--- a/src/quota.h
+++ b/src/quota.h
@@ -15,6 +15,8 @@
 #ifndef TLB_QUOTA_H
 #define TLB_QUOTA_H
 
+#include <apr_hash.h>
+#include <apr_pools.h>
 #include <apr_ring.h>
 #include <stdbool.h>
 
@@ -49,6 +51,8 @@
 /* Caller-owned; owns the quotas. */
 struct tlb_quotas {
 	struct tlb_quota_ring all;
+	apr_pool_t *pool;
+	apr_hash_t *by_account; /* name -> struct tlb_quota */
 	double share; /* fraction of rate and burst for this VM and those it can reach, 0 to 1 */
 };
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <sodium.h>
 #include <string.h>
+#include <time.h>
 
 #include "quota.h"
 
@@ -218,6 +219,41 @@
 }
 END_TEST
 
+static double time_to_configure(int accounts)
+{
+	struct tlb_routing *r = tlb_routing_new();
+	struct tlb_quotas q;
+	struct timespec begin;
+	struct timespec end;
+	int i;
+
+	for (i = 0; i < accounts; i++) {
+		struct tlb_client_account *a = tlb_routing_new_account(r);
+
+		snprintf(a->name, sizeof(a->name), "account-of-a-client-%d", i);
+		a->rate = RATE;
+		tlb_routing_add_account(r, a);
+	}
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &begin);
+	tlb_quotas_init(&q);
+	tlb_quotas_configure(&q, r, TLB_SECOND);
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &end);
+	tlb_quotas_finish(&q);
+	tlb_routing_release(r);
+	return (double)(end.tv_sec - begin.tv_sec) * 1e3 +
+	       (double)(end.tv_nsec - begin.tv_nsec) / 1e6;
+}
+
+/* Fails if a configuration takes time in proportion to the square of the accounts. */
+START_TEST(test_configuring_takes_time_in_proportion_to_the_accounts)
+{
+	double few = time_to_configure(1100);
+	double many = time_to_configure(11000);
+
+	ck_assert_msg(many < 40 * few, "%.2f ms and %.2f ms", few, many);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("quota");
@@ -234,6 +270,7 @@
 	tcase_add_test(t, test_return_restores_level);
 	tcase_add_test(t, test_large_request_is_granted_from_full_bucket);
 	tcase_add_test(t, test_lower_limit_applies_at_once);
+	tcase_add_test(t, test_configuring_takes_time_in_proportion_to_the_accounts);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
