Refuse entries of endpoints that are out of bounds

What callers saw: beside an entry of another writer with a sound address and a number out of range, requests were refused with 503: they were sent to that address, whose endpoint does not run requests for another id. Cause: entries were parsed whatever their size and depth. A count of slots that does not fit was clamped to INT_MAX and multiplied, which overflows; "born" or "zone" of another type and a member that came twice were passed over. Ruled out: VMs did not end and went on to follow the list with 20,000 and 40,000 levels (jansson stops at 2,048, also for what it frees), 1 << 70 and 1e400, ports 0, 65536, -1 and 1 << 70, and texts with NUL; all were refused before, too.

--- a/src/jsonscan.c
+++ b/src/jsonscan.c
@@ -64,3 +64,29 @@
 	}
 	return NULL;
 }
+
+int tlb_json_depth(const char *p, const char *end)
+{
+	int depth = 0;
+	int max = 0;
+
+	while (p && p < end) {
+		switch (*p++) {
+		case '"':
+			p = string_end(p, end);
+			break;
+		case '{':
+		case '[':
+			if (++depth > max)
+				max = depth;
+			break;
+		case '}':
+		case ']':
+			depth--;
+			break;
+		default:
+			break;
+		}
+	}
+	return max;
+}
--- a/src/jsonscan.h
+++ b/src/jsonscan.h
@@ -8,4 +8,7 @@
  * that is not valid JSON, the result is some position up to end. */
 const char *tlb_json_value_end(const char *p, const char *end);
 
+/* Returns how deeply objects and arrays are nested in the text, 0 for a scalar. */
+int tlb_json_depth(const char *p, const char *end);
+
 #endif
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -361,6 +361,53 @@
         equal(vm.call("/pay/1", "POST", b"x")[0], 503, "status")
 
 
+def odd_entries(address):
+    """Returns values that another writer could leave among the entries of endpoints, as text. All name
+    this address where they name one at all."""
+    sound = {"service": "shop", "address": address, "zone": "z1", "version": "v1", "slots": 8,
+             "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1}
+    text = json.dumps(sound)
+    host = address.split(":")[0]
+    changes = [{"slots": 1 << 70}, {"slots": (1 << 63) - 1}, {"slots": (1 << 31) - 1},
+               {"slots": -1}, {"slots": 8.5}, {"born": 1 << 70}, {"born": "today"},
+               {"born": -1}, {"zone": 7}, {"zone": "z" * 5000}, {"service": "s" * 5000}]
+    changes += [{"address": f"{host}:{port}"} for port in (0, 65536, 1 << 70, -1, "", "http")]
+    return [json.dumps(dict(sound, **c)) for c in changes] + [
+        "[" * 20000 + "]" * 20000, "[" * 40000, '{"a":' * 10000 + "1" + "}" * 10000,
+        text[:-1] + ',"more":' + "[" * 20000 + "]" * 20000 + "}",
+        text[:-1] + ',"more":[' + "[]," * 12000 + "[]]}",
+        text.replace('"slots": 8', '"slots": 1e400'), text.replace('"slots": 8', '"slots": -0'),
+        text[:-1] + ',"slots": 8}', text.replace("shop", "sh\\u0000op"), text + text, "", "null"]
+
+
+def check_odd_entry_of_an_endpoint_does_not_stop_a_vm():
+    """A VM must go on and follow the list of endpoints, before and after a start, when another writer
+    has left entries that are nested deeply, or have numbers or ports out of range; none of them
+    names an endpoint to use."""
+    with World(vms=3, shops=2) as w:
+        vm = w.start()
+        odd = odd_entries(w.shops[1].addr)
+        w.store.put("servers", "shop-1", None)
+        for n, value in enumerate(odd):
+            w.store.put("servers", f"odd-{n:02}", value)
+        w.store.put("servers", "shop-2", dict(w.shops[0].entry(), address="127.0.0.1:9"))
+        wait(lambda: all(v.events("instance instance=shop-2") for v in w.vms),
+             "an entry after the odd ones")
+        w.store.put("servers", "shop-2", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-2") for v in w.vms), "its end")
+        pids = [v.process.pid for v in w.vms]
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        equal([v.process.poll() for v in w.vms], [None] * 3, "exit codes")
+        equal([v.process.pid for v in w.vms], pids, "processes")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd entries")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
 def check_answer_of_another_request_is_not_passed_on():
     """A response with the attempt id of another request must not reach the caller."""
     with World(shops=1) as w:
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -96,6 +96,34 @@
 }
 END_TEST
 
+/* Guards against parsing an entry of any size or depth that another writer left, which costs memory
+ * and time, or the stack. */
+START_TEST(test_instance_size)
+{
+	enum { ENTRY_LEN = 65536 };
+	static const char sound[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\",\"slots\":8,"
+		"\"state\":\"ready\"";
+	static char entry[ENTRY_LEN];
+	struct tlb_instance_row row;
+	struct tlb_error err;
+
+	memset(entry, '[', sizeof(entry));
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, sizeof(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, 100, &row, &err), TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+	memset(entry, ' ', sizeof(entry));
+	memcpy(entry, sound, sizeof(sound) - 1);
+	entry[sizeof(sound)] = '}';
+	ck_assert_int_eq(tlb_platform_read_instance("i-1", entry, 4096, &row, &err), TLB_OK);
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, sizeof(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+}
+END_TEST
+
 static void describe(const struct tlb_routing *r, char *out, size_t size)
 {
 	const struct tlb_forward_route *route;
@@ -304,6 +332,7 @@
 		return 1;
 	tcase_add_test(t, test_prompts);
 	tcase_add_test(t, test_instances);
+	tcase_add_test(t, test_instance_size);
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
 	tcase_add_test(t, test_outcomes);
