--- a/src/edge.c
+++ b/src/edge.c
@@ -125,10 +125,11 @@
 {
 	struct tlb_instance_row r;
 	struct tlb_error err;
+	char key[TLB_INSTANCE_ID_LEN];
 
 	if (tlb_platform_read_instance(row->key, row->value, row->len, &r, &err) != TLB_OK) {
-		tlb_log_warn("event=instance_entry_ignored instance=%.63s reason=\"%s\"", row->key,
-			     err.message);
+		tlb_log_warn("event=instance_entry_ignored instance=%s reason=\"%s\"",
+			     tlb_log_escape(key, sizeof(key), row->key), err.message);
 		return;
 	}
 	if (tlb_instances_put(&e->board.instances, &r))
@@ -142,13 +143,14 @@
 {
 	struct tlb_edge *e = arg;
 	tlb_time now = tlb_clock_now();
+	char key[TLB_INSTANCE_ID_LEN];
 
 	if (!row->removed) {
 		put_instance(e, row);
 		return;
 	}
-	tlb_log_info("event=instance_gone instance=%.63s version=%lld use_ms=%lld", row->key,
-		     (long long)row->version,
+	tlb_log_info("event=instance_gone instance=%s version=%lld use_ms=%lld",
+		     tlb_log_escape(key, sizeof(key), row->key), (long long)row->version,
 		     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
 	tlb_instances_remove(&e->board.instances, row->key, use_deadline);
 }
--- a/src/log.c
+++ b/src/log.c
@@ -136,7 +136,7 @@
 	for (; *text && n + 2 < size; text++) {
 		if (*text == '"' || *text == '\\')
 			buf[n++] = '\\';
-		buf[n++] = *text;
+		buf[n++] = (unsigned char)*text < ' ' ? '?' : *text;
 	}
 	buf[n] = '\0';
 	return buf;
--- a/src/log.h
+++ b/src/log.h
@@ -20,8 +20,8 @@
  * waits for the reader. */
 int64_t tlb_log_dropped(void);
 
-/* Escapes quotes and backslashes, so that text from a caller can be logged as a quoted value.
- * Truncates it to size; returns buf. */
+/* Escapes quotes and backslashes and replaces control characters, so that text from a caller can be
+ * logged as a quoted value. Truncates it to size; returns buf. */
 const char *tlb_log_escape(char *buf, size_t size, const char *text);
 
 /* Logs one line; control characters are replaced by "?". */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -408,6 +408,26 @@
         equal(w.shops[1].seen, [], "requests to the address of the odd entries")
 
 
+def check_odd_key_of_an_endpoint_is_not_sent_in_a_header():
+    """An entry whose key can't stand in a header names no endpoint to use: a line break in it began
+    another header of the request."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("", "a\r\nX-Tenant: forged", "b\n", "c d", "e\x7f", "f" * 64, "g" * 200, "k\t"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
 def check_answer_of_another_request_is_not_passed_on():
     """A response with the attempt id of another request must not reach the caller."""
     with World(shops=1) as w:
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -124,6 +124,27 @@
 }
 END_TEST
 
+/* Guards against an id that changes the headers of requests. */
+START_TEST(test_instance_ids)
+{
+	static const char entry[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\",\"slots\":8,"
+		"\"state\":\"ready\"}";
+	static const char *const odd[] = {"", "a\r\nX: y", "a\n", "a b", " a", "a\t", "a\x7f"};
+	struct tlb_instance_row row;
+	struct tlb_error err;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		ck_assert_int_ne(
+			tlb_platform_read_instance(odd[i], entry, strlen(entry), &row, &err),
+			TLB_OK);
+	ck_assert_int_eq(tlb_platform_read_instance("i-7f3a91c2", entry, strlen(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(row.id, "i-7f3a91c2");
+}
+END_TEST
+
 static void describe(const struct tlb_routing *r, char *out, size_t size)
 {
 	const struct tlb_forward_route *route;
@@ -333,6 +354,7 @@
 	tcase_add_test(t, test_prompts);
 	tcase_add_test(t, test_instances);
 	tcase_add_test(t, test_instance_size);
+	tcase_add_test(t, test_instance_ids);
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
 	tcase_add_test(t, test_outcomes);
