End the use of an endpoint whose entry can't be read any more

What callers saw: requests went on to an endpoint although another writer had replaced its entry by one that names no endpoint to use; that it leaves, or another one has its address, was not seen any more. Cause: an unreadable entry was ignored, and the earlier one stayed in force. Evidence: odd_entry_of_a_known_endpoint_ends_its_use (tests/edge.py) failed on: 10 of 20 requests reached the endpoint. Change: such an entry removes the endpoint as the end of its entry does; requests in progress go on. An endpoint writes its entry anew with each heartbeat. Measured: the test passes; the endpoint is used again when its entry is back.

--- a/src/edge.c
+++ b/src/edge.c
@@ -130,6 +130,8 @@
 	if (tlb_platform_read_instance(row->key, row->value, row->len, &r, &err) != TLB_OK) {
 		tlb_log_warn("event=instance_entry_ignored instance=%s reason=\"%s\"",
 			     tlb_log_escape(key, sizeof(key), row->key), err.message);
+		/* An earlier entry with this key is no longer valid. */
+		tlb_instances_remove(&e->board.instances, row->key, 0);
 		return;
 	}
 	if (tlb_instances_put(&e->board.instances, &r))
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -428,6 +428,21 @@
         equal(w.shops[1].seen, [], "requests to the address of the odd entries")
 
 
+def check_odd_entry_of_a_known_endpoint_ends_its_use():
+    """An endpoint whose entry can't be read any more must get no new requests until it can."""
+    for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
+        with World(shops=2) as w:
+            vm = w.start()
+            w.store.put("servers", "shop-1", value)
+            wait(lambda: vm.events("instance_entry_ignored instance=shop-1"), "the entry is read")
+            for n in range(20):
+                equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+            equal(w.shops[1].seen, [], "requests to an endpoint with an odd entry")
+            w.store.put("servers", "shop-1", w.shops[1].entry())
+            wait(lambda: vm.call("/pay/1", "POST", b"x")[0] == 200 and w.shops[1].seen,
+                 "requests to the endpoint after its entry is back")
+
+
 def check_answer_of_another_request_is_not_passed_on():
     """A response with the attempt id of another request must not reach the caller."""
     with World(shops=1) as w:
