--- a/src/generation.c
+++ b/src/generation.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "platform.h"
 #include "release.h"
+#include "stream_check.h"
 
 /* Initial and maximum number of concurrent prefills of one VM, for each service. */
 #define WINDOW_INITIAL 4
@@ -265,21 +266,17 @@
 	const char *line = events;
 	const char *end = events + len;
 	const char *next;
-	const char *value;
 	char before[TLB_EVENT_ID_LEN];
+	size_t n;
 
 	strcpy(before, f->gen.last_event_id);
 	for (; line < end; line = next + 1) {
 		next = memchr(line, '\n', (size_t)(end - line));
 		if (!next)
 			break;
-		if (next - line < 4 || strncmp(line, "id:", 3) != 0)
-			continue;
-		value = line + 3;
-		value += *value == ' ';
-		snprintf(f->gen.last_event_id, sizeof(f->gen.last_event_id), "%.*s",
-			 (int)strcspn(value, "\r\n"), value);
-		f->gen.events++;
+		n = (size_t)(next - line);
+		n -= n > 0 && line[n - 1] == '\r';
+		f->gen.events += tlb_stream_read_id(line, n, f->gen.last_event_id);
 	}
 	return strcmp(before, f->gen.last_event_id) != 0;
 }
@@ -299,14 +296,32 @@
 	free(head);
 }
 
-/* Whether the response has the endpoint's signature and belongs to this attempt id. */
-static bool response_is_verified(struct tlb_forward *f)
+/* Whether the response has the endpoint's signature and belongs to this attempt id. When another
+ * response has begun, it must also be the rest of a stream. */
+static bool is_usable_success(const struct tlb_forward *f, int status, const char *head)
 {
 	struct tlb_response_info info;
 
-	tlb_platform_read_response_info(tlb_http_status(&f->call), tlb_http_head(&f->call), &info);
-	return info.has_signature && (!info.attempt_id[0] || !f->inbound.attempt_id[0] ||
-				      strcmp(info.attempt_id, f->inbound.attempt_id) == 0);
+	tlb_platform_read_response_info(status, head, &info);
+	if (!info.has_signature || info.not_run ||
+	    (info.attempt_id[0] && f->inbound.attempt_id[0] &&
+	     strcmp(info.attempt_id, f->inbound.attempt_id) != 0))
+		return false;
+	return !f->gen.resuming || (status == 200 && info.event_stream);
+}
+
+/* Whether complete events can be passed on. Logs why not. */
+static bool check_events(const struct tlb_forward *f, const char *events, size_t len)
+{
+	const char *after = f->gen.resuming ? f->gen.last_event_id : NULL;
+	const char *fault = tlb_stream_find_fault(events, len, after);
+
+	if (fault)
+		tlb_log_info("event=stream_refused request=%s attempt=%s instance=%s "
+			     "last_event=%s reason=\"%s\"",
+			     f->exchange->id, f->inbound.attempt_id, f->instance->row.id,
+			     f->gen.last_event_id, fault);
+	return !fault;
 }
 
 static bool on_stream_data(void *arg, const char *data, size_t len)
@@ -315,7 +330,8 @@
 	struct tlb_buffer *b = &f->gen.partial;
 	size_t n;
 
-	if (!response_is_verified(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
+	if (!is_usable_success(f, tlb_http_status(&f->call), tlb_http_head(&f->call)) ||
+	    !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
 		return false;
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
@@ -323,6 +339,8 @@
 	n = complete_events_len(b);
 	if (n == 0)
 		return true;
+	if (!check_events(f, b->data, n))
+		return false;
 	begin_response(f);
 	/* Bytes without a new event, such as comments, are no progress. */
 	if (store_last_event_id(f, b->data, n))
@@ -366,6 +384,7 @@
 	struct tlb_instance *i = f->instance;
 	enum tlb_attempt_result end;
 	bool early_end;
+	bool no_rest;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_decode_reservation_release(&f->gen.decode_reservation);
@@ -380,14 +399,19 @@
 		release_kv_cache(f, true);
 	}
 	early_end = end == TLB_ATTEMPT_ANSWERED && ended_early(f, r);
-	if (early_end)
+	no_rest = end == TLB_ATTEMPT_ANSWERED && r->status < 300 &&
+		  !is_usable_success(f, r->status, r->head);
+	if (early_end || no_rest)
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
 		tlb_evidence_add_failure(f, i, r, early_end);
 	else
 		tlb_evidence_add_answer(f, r);
 	if (end != TLB_ATTEMPT_ANSWERED) {
-		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
+		retry_or_fail(f, i, end,
+			      r->reason[0] ? r->reason
+			      : no_rest	   ? "the answer is no rest of the stream"
+					   : "the stream broke off");
 		tlb_instance_release(i);
 		return;
 	}
@@ -485,6 +509,7 @@
 	}
 	f->step = TLB_FORWARD_DECODING;
 	f->gen.events_before_attempt = f->gen.events;
+	f->gen.resuming = f->gen.streaming;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
@@ -550,11 +575,13 @@
 	struct tlb_generation_queue *p = f->gen.service_queue;
 	struct tlb_instance *i = f->instance;
 	char handle[TLB_HANDLE_LEN];
-	bool ok = r->status == 200 && tlb_platform_read_kv_handle(r->body, r->body_len, handle);
 	enum tlb_attempt_result end;
+	bool ok;
 
 	tlb_instance_acquire(i);
 	end = tlb_forward_record_result(f, r);
+	ok = end == TLB_ATTEMPT_ANSWERED &&
+	     tlb_platform_read_kv_handle(r->body, r->body_len, handle);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
 	tlb_evidence_add_failure(f, i, r, false);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -361,6 +361,123 @@
         equal(vm.call("/pay/1", "POST", b"x")[0], 503, "status")
 
 
+def odd_entries(address):
+    """Returns values that another writer could leave among the entries of endpoints, as text. All name
+    this address where they name one at all."""
+    sound = {"service": "shop", "address": address, "zone": "z1", "version": "v1", "slots": 8,
+             "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1}
+    text = json.dumps(sound)
+    host = address.split(":")[0]
+    changes = [{"slots": 1 << 70}, {"slots": (1 << 63) - 1}, {"slots": (1 << 31) - 1},
+               {"slots": -1}, {"slots": 8.5}, {"born": 1 << 70}, {"born": "today"},
+               {"born": -1}, {"zone": 7}, {"zone": "z" * 5000}, {"service": "s" * 5000}]
+    changes += [{"address": f"{host}:{port}"} for port in (0, 65536, 1 << 70, -1, "", "http")]
+    return [json.dumps(dict(sound, **c)) for c in changes] + [
+        "[" * 20000 + "]" * 20000, "[" * 40000, '{"a":' * 10000 + "1" + "}" * 10000,
+        text[:-1] + ',"more":' + "[" * 20000 + "]" * 20000 + "}",
+        text[:-1] + ',"more":[' + "[]," * 12000 + "[]]}",
+        text.replace('"slots": 8', '"slots": 1e400'), text.replace('"slots": 8', '"slots": -0'),
+        text[:-1] + ',"slots": 8}', text.replace("shop", "sh\\u0000op"), text + text, "", "null"]
+
+
+def check_odd_entry_of_an_endpoint_does_not_stop_a_vm():
+    """A VM must go on and follow the list of endpoints, before and after a start, when another writer
+    has left entries that are nested deeply, or have numbers or ports out of range; none of them
+    names an endpoint to use."""
+    with World(vms=3, shops=2) as w:
+        vm = w.start()
+        odd = odd_entries(w.shops[1].addr)
+        w.store.put("servers", "shop-1", None)
+        for n, value in enumerate(odd):
+            w.store.put("servers", f"odd-{n:02}", value)
+        w.store.put("servers", "shop-2", dict(w.shops[0].entry(), address="127.0.0.1:9"))
+        wait(lambda: all(v.events("instance instance=shop-2") for v in w.vms),
+             "an entry after the odd ones")
+        w.store.put("servers", "shop-2", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-2") for v in w.vms), "its end")
+        pids = [v.process.pid for v in w.vms]
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        equal([v.process.poll() for v in w.vms], [None] * 3, "exit codes")
+        equal([v.process.pid for v in w.vms], pids, "processes")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd entries")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_odd_key_of_an_endpoint_is_not_sent_in_a_header():
+    """An entry whose key can't stand in a header names no endpoint to use: a line break in it began
+    another header of the request."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("", "a\r\nX-Tenant: forged", "b\n", "c d", "e\x7f", "f" * 64, "g" * 200, "k\t"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_unreadable_key_of_an_endpoint_does_not_hide_the_others():
+    """VMs must go on to follow the list of endpoints when a key in it is no readable text; the store's
+    answers counted as damaged as a whole and were read again and again."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("h\0i", "j\ud800"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_unreadable_page_does_not_end_the_list_of_endpoints():
+    """A VM that starts must read the pages after one without a readable row; the endpoints on them
+    counted as gone."""
+    with World(shops=2) as w:
+        w.start()
+        for key in ("a\0", "a\0b", "h\0", "t\0u"):
+            w.store.put("servers", key, w.shops[0].entry())
+        w.store.page_rows = 2
+        vm = w.vms[0]
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        assert all(s.seen for s in w.shops), "an endpoint on a later page got no request"
+
+
+def check_odd_entry_of_a_known_endpoint_ends_its_use():
+    """An endpoint whose entry can't be read any more must get no new requests until it can."""
+    for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
+        with World(shops=2) as w:
+            vm = w.start()
+            w.store.put("servers", "shop-1", value)
+            wait(lambda: vm.events("instance_entry_ignored instance=shop-1"), "the entry is read")
+            for n in range(20):
+                equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+            equal(w.shops[1].seen, [], "requests to an endpoint with an odd entry")
+            w.store.put("servers", "shop-1", w.shops[1].entry())
+            wait(lambda: vm.call("/pay/1", "POST", b"x")[0] == 200 and w.shops[1].seen,
+                 "requests to the endpoint after its entry is back")
+
+
 def check_answer_of_another_request_is_not_passed_on():
     """A response with the attempt id of another request must not reach the caller."""
     with World(shops=1) as w:
@@ -372,6 +489,117 @@
         assert b"secret" not in body
 
 
+def response(status, headers=(), body=b"", end=True):
+    """Returns the bytes of a response, with a length unless there is a header for the body's end."""
+    names = [name for name, _ in headers]
+    if not {"Content-Length", "Transfer-Encoding", "Connection"}.intersection(names):
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers)
+    return head.encode() + (b"\r\n" if end else b"") + body
+
+
+OWN = [("X-Attempt-Id", "a1"), ("X-Response-Signature", "s")]
+OTHER_REFUSAL = [("X-Attempt-Id", "earlier"), ("X-Not-Executed", "1")]
+REFUSAL = [("X-Attempt-Id", "a1"), ("X-Not-Executed", "1")]
+CHUNKED = ("Transfer-Encoding", "chunked")
+
+
+def answer_first(w, raw):
+    """The first request to any endpoint gets these bytes, and its connection is closed."""
+    first = threading.Event()
+
+    def plan(h):
+        if first.is_set() or h.headers.get("X-Serving-Stage"):
+            return False
+        first.set()
+        h.wfile.write(raw)
+        h.wfile.flush()
+        h.close_connection = True
+        return True
+
+    for e in w.shops + w.decodes:
+        e.plan = plan
+
+
+def check_refusal_that_proves_nothing_is_no_promise():
+    """A call that may have run must neither be refused with a promise nor run again: its answer was a
+    refusal of another request, an interim one, or one without its end."""
+    with World() as w:
+        vm = w.start()
+        for what, raw in (
+                ("503 of another", response(503, OTHER_REFUSAL)),
+                ("429 of another", response(429, OTHER_REFUSAL)),
+                ("421 of another", response(421, OTHER_REFUSAL)),
+                ("408 of another", response(408, OTHER_REFUSAL)),
+                ("400 of another", response(400, OTHER_REFUSAL)),
+                ("another's, then the call's", response(503, OTHER_REFUSAL) + response(200, OWN)),
+                ("another's after an interim one", response(100, [("Connection", "x")]) +
+                 response(503, OTHER_REFUSAL)),
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")])),
+                ("interim refusal, then no proof", response(103, REFUSAL + [("Connection", "x")]) +
+                 response(503, [("X-Attempt-Id", "a1")])),
+                ("switched protocols", response(101, REFUSAL + [("Connection", "Upgrade"),
+                                                                ("Upgrade", "x")])),
+                ("cut head", response(503, REFUSAL, end=False)),
+                ("cut head line", response(503, REFUSAL, end=False)[:-1]),
+                ("cut body", response(503, REFUSAL + [("Content-Length", "9")], b"half")),
+                ("cut chunks", response(503, REFUSAL + [CHUNKED], b"4\r\nhalf\r\n")),
+                ("trailer", response(503, [("X-Attempt-Id", "a1"), CHUNKED],
+                                     b"0\r\nX-Not-Executed: 1\r\n\r\n")),
+                ("trailer of another", response(503, [CHUNKED], b"0\r\nX-Not-Executed: 1\r\n"
+                                                b"X-Attempt-Id: a1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, _, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status), (what, 502), "status")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
+def check_bytes_beside_an_answer_change_nothing():
+    """A call that ran must be answered so, and run once, whatever comes before or after its answer."""
+    with World() as w:
+        vm = w.start()
+        done = response(200, OWN, b"done")
+        for what, raw in (
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")]) + done),
+                ("interim length", response(103, REFUSAL + [("Content-Length", "9")]) + done),
+                ("refusal after it", done + response(503, REFUSAL)),
+                ("text after it", done + b"HTTP/1.1 503"),
+                ("trailers", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                      b"X-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\n\r\n")),
+                ("a head as a trailer", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                                 b"HTTP/1.1 503: x\r\nX-Not-Executed: 1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, body, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status, body), (what, 200, b"done"), "answer")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
+def check_early_refusal_of_another_request_is_no_promise():
+    """The same when the answer arrives before the request was sent completely; a refusal of the
+    request itself sends it to another endpoint."""
+    for headers, status, arrivals in ((OTHER_REFUSAL, 502, 1), (REFUSAL, 200, 2)):
+        with World() as w:
+            vm = w.start()
+            answered = threading.Event()
+
+            def early(h, headers=headers, answered=answered):
+                if answered.is_set():
+                    return False
+                answered.set()
+                h.wfile.write(response(503, headers))
+                h.wfile.flush()
+                return True
+
+            for e in w.shops:
+                e.plan_early = early
+            equal(vm.call("/pay/1", "POST", b"x" * 99000)[0], status, "status")
+            equal(sum(len(s.seen) for s in w.shops), arrivals, "arrivals")
+
+
 def check_cut_answer_is_not_passed_on():
     """A truncated response must not look complete to the caller."""
     def cut_short(h):
@@ -414,6 +642,26 @@
         equal(runs[0]["X-Kv-Hold"], "h1", "reservation")
 
 
+def check_prefill_of_another_request_is_not_used():
+    """A request must not be decoded from the KV cache of another one, whose answer its prefill got."""
+    with World(prefills=2) as w:
+        vm = w.start()
+
+        def other(h):
+            if sum(len(p.seen) for p in w.prefills) > 1:
+                return False
+            h.reply(200, {"kvHandle": "others", "tokens": 10, "version": 1},
+                    [("X-Attempt-Id", "other")])
+            return True
+
+        for p in w.prefills:
+            p.plan = other
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal((r.status, *read_stream(r)), (200, EVENTS, True), "stream")
+        sources = [h.get("X-Kv-Source", "") for d in w.decodes for h in d.seen]
+        assert not any("others" in s for s in sources), sources
+
+
 def check_no_prefill_without_room():
     """A prompt must not be prefilled before a decode endpoint has granted a reservation."""
     with World() as w:
@@ -706,6 +954,106 @@
         equal(read_stream(r), (EVENTS, True), "stream")
 
 
+STREAM = OWN + [("Content-Type", "text/event-stream")]
+ERROR_HEAD = (b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\n"
+              b"failed\n\n")
+
+
+def event(n):
+    return b"id: %d\ndata: piece %d\n\n" % (n, n)
+
+
+def chunks(*pieces, end=True):
+    return b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + (b"0\r\n\r\n" if end else b"")
+
+
+def resume_with(raw, pieces=1):
+    """Returns what a caller gets, and whether it is complete, when the endpoint that should go on with
+    a stream after event 2 sends these bytes; the one after it goes on as it should."""
+    with World(decodes=3) as w:
+        vm = w.start(config(3, routes=[dict(r, maxAttempts=3) for r in config(3)["routes"]]))
+        runs = []
+
+        def plan(h):
+            runs.append(h.headers.get("Last-Event-Id"))
+            if len(runs) == 1:
+                h.stream(0, until=2)
+                h.cut()
+                return True
+            if len(runs) > 2:
+                return False
+            size = -(-len(raw) // pieces)
+            for at in range(0, len(raw), size):
+                h.wfile.write(raw[at:at + size])
+                h.wfile.flush()
+                time.sleep(0.02 if pieces > 1 else 0)
+            h.close_connection = True
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        return read_stream(vm.send("/gen/1", "POST", b"prompt", headers=GEN))
+
+
+def check_error_to_a_resumed_stream_is_not_in_it():
+    """What answers with anything but the rest of a stream must not get into it, nor make it look
+    complete."""
+    plain = OWN + [("Content-Type", "text/plain")]
+    gone = ("Connection", "close")
+    whole = response(200, STREAM + [CHUNKED], chunks(event(3), event(4)))
+    equal(resume_with(whole), (EVENTS, True), "the rest")
+    for status in (500, 503, 502, 429, 404, 400, 302):
+        for headers in (plain, [("Content-Type", "text/event-stream")], STREAM):
+            for raw in (response(status, headers, b"failed\n\n"),
+                        response(status, headers + [CHUNKED], chunks(b"fail", b"ed\n\n")),
+                        response(status, headers + [gone], event(3) + b"failed\n\n")):
+                text, complete = resume_with(raw, 3)
+                assert (text, complete) == (EVENTS, True) or (
+                    not complete and EVENTS.startswith(text)), (raw, text, complete)
+
+
+def check_success_that_is_no_rest_of_a_stream_is_not_in_it():
+    """The same for answers with a status of success."""
+    gzip = ("Content-Encoding", "gzip")
+    for what, raw in (
+            ("text", response(200, OWN + [("Content-Type", "text/plain")], b"failed\n\n")),
+            ("JSON", response(200, OWN + [("Content-Type", "application/json")], b"{}\n\n")),
+            ("no type", response(200, OWN, b"failed\n\n")),
+            ("empty text", response(200, OWN + [("Content-Type", "text/plain")])),
+            ("no signature", response(200, STREAM[:1] + STREAM[2:], event(3) + event(4))),
+            ("empty, no signature", response(200, STREAM[:1] + STREAM[2:])),
+            ("of another", response(200, [("X-Attempt-Id", "b")] + STREAM[1:], event(3) + event(4))),
+            ("encoded", response(200, STREAM + [gzip], b"\x1f\x8b\n\n")),
+            ("empty, encoded", response(200, STREAM + [gzip])),
+            ("no content", response(204, STREAM)),
+            ("part", response(206, STREAM, event(3))),
+            ("created", response(201, STREAM, event(3))),
+            ("refusal", response(200, STREAM + [("X-Not-Executed", "1")], event(3))),
+            ("cut length", response(200, STREAM + [("Content-Length", "500")], event(3))),
+            ("cut chunks", response(200, STREAM + [CHUNKED], chunks(event(3), end=False))),
+            ("cut event", response(200, STREAM + [CHUNKED], chunks(event(3), event(4)[:9]))),
+            ("head for a chunk", response(200, STREAM + [CHUNKED],
+                                          chunks(event(3), end=False) + ERROR_HEAD))):
+        for pieces in (1, 5):
+            equal((what, *resume_with(raw, pieces)), (what, EVENTS, True), "stream")
+
+
+def check_resumed_stream_neither_repeats_nor_goes_back():
+    """A stream must not have events twice when the endpoint that should go on with it begins again, or
+    goes back, or sends an event without an id."""
+    for what, events in (
+            ("again", [event(1), event(2), event(3), event(4)]),
+            ("the last again", [event(2), event(3), event(4)]),
+            ("twice", [event(3), event(3), event(4)]),
+            ("back", [event(3), event(1), event(4)]),
+            ("error", [b"event: error\ndata: failed\n\n"]),
+            ("error after one", [event(3), b"data: failed\n\n"]),
+            ("odd id", [b"id: x\ndata: failed\n\n"])):
+        for raw in (response(200, STREAM + [CHUNKED], chunks(*events)),
+                    response(200, STREAM, b"".join(events))):
+            equal((what, *resume_with(raw)), (what, EVENTS, True), "stream")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
