Log and count late rounds of the event loop

What callers saw: requests that were late, cut or sent on after their callers had left, on VMs whose logs had gaps of up to 4.7 s. Nothing told a suspended VM or one short of processor time from a daemon that was busy. Cause: the event loop did not compare the time at which it came back with the time at which it meant to. Change: a round is late when events or timers may have waited for 100 ms (TLB_LOOP_LATE): the callbacks of the round before, and what the poll took beyond its deadline. module edge logs event=loop_late with the longest delay and the part of it that callbacks took, at most once a second, and exports toucanlb_loop_late_total and toucanlb_loop_late_ms_total. Ruled out: a timer that checks its own delay; it would not see time in callbacks before a poll that finds events at once.

--- a/src/counter.h
+++ b/src/counter.h
@@ -77,6 +77,10 @@
 	  "Prompt parts that are quarantined because they crash endpoints")                        \
 	X(QUARANTINE_REFUSED, "toucanlb_quarantine_refused_total", "counter",                      \
 	  "Requests rejected because of a quarantined prompt part")                                \
+	X(LOOP_LATE, "toucanlb_loop_late_total", "counter",                                        \
+	  "Rounds of the event loop that came late")                                               \
+	X(LOOP_LATE_MS, "toucanlb_loop_late_ms_total", "counter",                                  \
+	  "Time by which rounds of the event loop came late")                                      \
 	X(LOG_DROPPED, "toucanlb_log_dropped_total", "counter",                                    \
 	  "Log lines dropped because the reader of the log was too slow")                          \
 	X(HTTP_CALLS, "toucanlb_http_calls_total", "counter",                                      \
--- a/src/edge.c
+++ b/src/edge.c
@@ -11,6 +11,7 @@
 #include "platform.h"
 
 #define LOG_FLUSH_INTERVAL (100 * TLB_MS)
+#define LATE_LOG_INTERVAL (1 * TLB_SECOND)
 #define DRAIN_CHECK_INTERVAL (50 * TLB_MS)
 /* How long new requests are still served after readiness was withdrawn. The load balancer checks
  * once a second and removes a VM after two failed checks. */
@@ -336,12 +337,43 @@
 		begin_shutdown(e);
 }
 
+/* --- late rounds --- */
+
+static void log_late_rounds(struct tlb_edge *e)
+{
+	struct tlb_late_rounds *r = &e->late_rounds;
+	tlb_time now = tlb_clock_now();
+
+	if (r->count == 0 || now < r->next_log_at)
+		return;
+	tlb_log_warn("event=loop_late ms=%lld busy_ms=%lld rounds=%d",
+		     (long long)(r->longest / TLB_MS), (long long)(r->busy / TLB_MS), r->count);
+	memset(r, 0, sizeof(*r));
+	r->next_log_at = now + LATE_LOG_INTERVAL;
+}
+
+static void on_late_round(void *arg, tlb_time late_by, tlb_time busy)
+{
+	struct tlb_edge *e = arg;
+	struct tlb_late_rounds *r = &e->late_rounds;
+
+	tlb_counter_add(&e->board.counters, TLB_COUNTER_LOOP_LATE, 1);
+	tlb_counter_add(&e->board.counters, TLB_COUNTER_LOOP_LATE_MS, late_by / TLB_MS);
+	r->count++;
+	if (late_by > r->longest) {
+		r->longest = late_by;
+		r->busy = busy;
+	}
+	log_late_rounds(e);
+}
+
 /* --- start --- */
 
 static void on_log_timer(void *arg)
 {
 	struct tlb_edge *e = arg;
 
+	log_late_rounds(e);
 	tlb_log_flush();
 	tlb_timer_set(&e->loop, &e->log_timer, tlb_clock_now() + LOG_FLUSH_INTERVAL);
 }
@@ -409,6 +441,8 @@
 	if (tlb_loop_init(&e->loop) != APR_SUCCESS || tlb_http_init(&e->http, &e->loop) != 0)
 		return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "start", "",
 				     "the event loop could not start");
+	e->loop.on_late = on_late_round;
+	e->loop.late_arg = e;
 	tlb_rowstore_init(&e->store, &e->http, e->settings.store_url + strlen("http://"));
 	tlb_timer_init(&e->drain_timer, on_drain_timer, e);
 	tlb_timer_init(&e->log_timer, on_log_timer, e);
--- a/src/edge.h
+++ b/src/edge.h
@@ -18,12 +18,21 @@
 	TLB_EDGE_FLUSHING, /* sends the last responses */
 };
 
+/* Late rounds of the event loop that are not logged yet. */
+struct tlb_late_rounds {
+	int count;
+	tlb_time longest;
+	tlb_time busy;	      /* the part of longest that this process was busy */
+	tlb_time next_log_at; /* not logged before this */
+};
+
 /* Owned by main(). */
 struct tlb_edge {
 	struct tlb_settings settings;
 	const char *settings_path;
 	time_t settings_changed; /* modification time of the settings file when it was read */
 	struct tlb_loop loop;
+	struct tlb_late_rounds late_rounds;
 	struct tlb_http http;
 	struct tlb_rowstore store;
 	struct tlb_tables tables;
--- a/src/loop.c
+++ b/src/loop.c
@@ -117,24 +117,40 @@
 	}
 }
 
-static apr_interval_time_t poll_wait(const struct tlb_loop *l, tlb_time wait_until)
+/* The time until which a poll that begins now may wait. */
+static tlb_time poll_deadline(const struct tlb_loop *l, tlb_time wait_until, tlb_time now)
 {
 	tlb_time until = wait_until;
-	tlb_time now;
 
+	if (!APR_RING_EMPTY(&l->jobs, tlb_job, link))
+		return now;
 	if (l->heap_len > 0 && l->heap[0]->deadline < until)
 		until = l->heap[0]->deadline;
-	if (!APR_RING_EMPTY(&l->jobs, tlb_job, link))
-		return 0;
+	return until > now ? until : now;
+}
+
+static apr_interval_time_t poll_wait(tlb_time until, tlb_time now)
+{
 	if (until == TLB_NEVER)
 		return -1;
-	now = tlb_clock_now();
 	if (until <= now)
 		return 0;
 	/* APR's epoll method truncates to milliseconds; rounding up avoids busy waiting. */
 	return until - now + TLB_MS - 1;
 }
 
+/* Records a poll that began at began, was to end at until at the latest, and ended now. */
+static void record_poll(struct tlb_loop *l, tlb_time began, tlb_time until)
+{
+	tlb_time now = tlb_clock_now();
+	tlb_time busy = l->polled_at > 0 ? began - l->polled_at : 0;
+	tlb_time overrun = now > until ? now - until : 0;
+
+	l->polled_at = now;
+	if (busy + overrun >= TLB_LOOP_LATE && l->on_late)
+		l->on_late(l->late_arg, busy + overrun, busy);
+}
+
 static void dispatch(const apr_pollfd_t *ready, apr_int32_t n)
 {
 	struct tlb_watch *w;
@@ -165,9 +181,12 @@
 {
 	const apr_pollfd_t *ready = NULL;
 	apr_int32_t n = 0;
+	tlb_time now = tlb_clock_now();
+	tlb_time until = poll_deadline(l, wait_until, now);
 	apr_status_t rv;
 
-	rv = apr_pollset_poll(l->pollset, poll_wait(l, wait_until), &n, &ready);
+	rv = apr_pollset_poll(l->pollset, poll_wait(until, now), &n, &ready);
+	record_poll(l, now, until);
 	if (rv == APR_SUCCESS)
 		dispatch(ready, n);
 	APR_RING_CONCAT(&l->free_watches, &l->removed_watches, tlb_watch, link);
--- a/src/loop.h
+++ b/src/loop.h
@@ -22,6 +22,13 @@
 typedef void tlb_timer_fn(void *arg);
 /* Does some of a job's work, until the deadline; returns whether there is more. */
 typedef bool tlb_job_fn(void *arg, tlb_time slice_deadline);
+/* Called before the events of a late round are handled. late_by: how long events and timers may
+ * have waited; busy: the part of it that callbacks of this process took. */
+typedef void tlb_late_fn(void *arg, tlb_time late_by, tlb_time busy);
+
+/* A round is late when events or timers may have waited this long: the process or its VM was
+ * suspended or short of processor time, or a callback took long. */
+#define TLB_LOOP_LATE (100 * TLB_MS)
 
 /* Longest slice of a job. Between two slices the loop handles the events and timers that are due.
  */
@@ -55,6 +62,9 @@
 	size_t heap_len;
 	size_t heap_cap;
 	struct tlb_job_ring jobs;
+	tlb_time polled_at;   /* when the descriptors were last polled; 0 before the first round */
+	tlb_late_fn *on_late; /* NULL for none; set by the owner */
+	void *late_arg;
 	bool stopping;
 };
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1047,6 +1047,38 @@
     equal(answers_when_the_drain_ends(freeze), {"sent": 502, "prefilling": 503}, "answers")
 
 
+def suspend(vm, seconds):
+    """Suspends the VM for some seconds."""
+    os.kill(vm.process.pid, signal.SIGSTOP)
+    try:
+        time.sleep(seconds)
+    finally:
+        os.kill(vm.process.pid, signal.SIGCONT)
+
+
+def check_late_loop_is_logged():
+    """Logs and metrics must show that the event loop stood still; silent seconds in a VM's log had to
+    be guessed at."""
+    with World() as w:
+        vm = w.start()
+        time.sleep(1.2)
+        begun = time.monotonic()
+        for seconds in (0.5, 0.4, 0.3):
+            suspend(vm, seconds)
+            time.sleep(0.05)
+        late = r"(?s).*loop_late ms=(\d+) busy_ms=\d+ rounds=(\d+)"
+
+        def logged():
+            return [[int(n) for n in re.match(late, line).groups()]
+                    for line in vm.events("loop_late")]
+
+        wait(lambda: sum(rounds for _, rounds in logged()) >= 3, "all delays are logged")
+        assert max(ms for ms, _ in logged()) >= 350, logged()
+        assert len(logged()) <= 2 + time.monotonic() - begun, "more than one line a second"
+        assert vm.metric("toucanlb_loop_late_total") >= 3
+        assert vm.metric("toucanlb_loop_late_ms_total") >= 700
+
+
 def late_loop_answer(vm, conn, before_s):
     """Sends a request over the idle connection while the VM does not run, from `before_s` on for
     0.8 s. Returns the status of the answer, or the name of the error."""
