Read input that waited during a stall before timers run

What callers saw: after a VM had been suspended or had stood still, deadlines that had passed meanwhile were applied to requests, calls and links whose input was already in the socket. Cause: the end of a stop (SIGCONT) interrupts epoll_wait() with EINTR, so that a round ran all overdue timers with no event handled; and when a callback took long, timers ran before what had arrived meanwhile, or what became readable only when the first input was read, such as a request behind its connection. Evidence: a VM stopped for 3.5 s logs link_down reason="no frame in time" for a link whose frames wait in its socket, in the same millisecond as loop_late. Calls to endpoints were spared, because the overdue connect timer of libcurl made it read its sockets first. Change: in a late round, after an interrupted poll, and before a timer when the last poll was 100 ms ago, descriptors are polled again without waiting until nothing is ready, 8 times a round at most. tlb_loop_was_late() tells modules for a second that input may be old. Ruled out: a check in each module before it applies a deadline: there are 48 timers, and the order of events and timers is the loop's matter.

--- a/src/loop.c
+++ b/src/loop.c
@@ -5,7 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { POLLSET_SIZE = 4096, HEAP_INITIAL_CAPACITY = 64, TIMERS_PER_ROUND = 256 };
+enum {
+	POLLSET_SIZE = 4096,
+	HEAP_INITIAL_CAPACITY = 64,
+	TIMERS_PER_ROUND = 256,
+	CATCH_UP_POLLS = 8, /* further polls in a late round, at most */
+};
 
 struct tlb_watch {
 	APR_RING_ENTRY(tlb_watch) link;
@@ -103,20 +108,6 @@
 	apr_pool_destroy(l->pool);
 }
 
-/* Also runs timers that a timer callback sets to fire immediately, which saves a poll for each. The
- * limit prevents starvation of descriptors. */
-static void run_timers(struct tlb_loop *l)
-{
-	struct tlb_timer *t;
-	int remaining = TIMERS_PER_ROUND;
-
-	while (remaining-- > 0 && l->heap_len > 0 && l->heap[0]->deadline <= tlb_clock_now()) {
-		t = l->heap[0];
-		tlb_timer_clear(l, t);
-		t->fn(t->arg);
-	}
-}
-
 /* The time until which a poll that begins now may wait. */
 static tlb_time poll_deadline(const struct tlb_loop *l, tlb_time wait_until, tlb_time now)
 {
@@ -139,7 +130,7 @@
 	return until - now + TLB_MS - 1;
 }
 
-/* Records a poll that began at began, was to end at until at the latest, and ended now. */
+/* Records a poll that began at began and was to end at until at the latest. */
 static void record_poll(struct tlb_loop *l, tlb_time began, tlb_time until)
 {
 	tlb_time now = tlb_clock_now();
@@ -147,7 +138,11 @@
 	tlb_time overrun = now > until ? now - until : 0;
 
 	l->polled_at = now;
-	if (busy + overrun >= TLB_LOOP_LATE && l->on_late)
+	if (busy + overrun < TLB_LOOP_LATE)
+		return;
+	l->late_until = now + TLB_LOOP_LATE_MEMORY;
+	l->catching_up = true;
+	if (l->on_late)
 		l->on_late(l->late_arg, busy + overrun, busy);
 }
 
@@ -164,6 +159,61 @@
 	}
 }
 
+static void poll_and_dispatch(struct tlb_loop *l, tlb_time wait_until)
+{
+	const apr_pollfd_t *ready = NULL;
+	apr_int32_t n = 0;
+	tlb_time now = tlb_clock_now();
+	tlb_time until = poll_deadline(l, wait_until, now);
+	apr_status_t rv;
+
+	rv = apr_pollset_poll(l->pollset, poll_wait(until, now), &n, &ready);
+	record_poll(l, now, until);
+	if (rv == APR_SUCCESS)
+		dispatch(ready, n);
+	else
+		/* The end of a stop interrupts the poll. */
+		l->catching_up = APR_STATUS_IS_EINTR(rv);
+	APR_RING_CONCAT(&l->free_watches, &l->removed_watches, tlb_watch, link);
+}
+
+/* Reads input that has waited: reading some of it may make more of it ready, as with a connection
+ * to be accepted and its request. */
+static void catch_up(struct tlb_loop *l, int *polls_left)
+{
+	while (l->catching_up && *polls_left > 0) {
+		(*polls_left)--;
+		poll_and_dispatch(l, 0);
+	}
+	l->catching_up = false;
+}
+
+static bool timer_is_due(const struct tlb_loop *l)
+{
+	return l->heap_len > 0 && l->heap[0]->deadline <= tlb_clock_now();
+}
+
+/* Also runs timers that a timer callback sets to fire immediately, which saves a poll for each. The
+ * limit prevents starvation of descriptors. A timer is a deadline for input in many cases, so that
+ * none is run before input that has waited was read. */
+static void run_timers(struct tlb_loop *l, int *polls_left)
+{
+	struct tlb_timer *t;
+	int remaining = TIMERS_PER_ROUND;
+
+	while (remaining-- > 0 && timer_is_due(l)) {
+		if (tlb_clock_now() - l->polled_at >= TLB_LOOP_LATE) {
+			l->catching_up = true;
+			catch_up(l, polls_left);
+			if (!timer_is_due(l))
+				break;
+		}
+		t = l->heap[0];
+		tlb_timer_clear(l, t);
+		t->fn(t->arg);
+	}
+}
+
 /* The next job goes first in the next round. */
 static void run_job(struct tlb_loop *l)
 {
@@ -179,21 +229,19 @@
 
 void tlb_loop_once(struct tlb_loop *l, tlb_time wait_until)
 {
-	const apr_pollfd_t *ready = NULL;
-	apr_int32_t n = 0;
-	tlb_time now = tlb_clock_now();
-	tlb_time until = poll_deadline(l, wait_until, now);
-	apr_status_t rv;
+	int polls_left = CATCH_UP_POLLS;
 
-	rv = apr_pollset_poll(l->pollset, poll_wait(until, now), &n, &ready);
-	record_poll(l, now, until);
-	if (rv == APR_SUCCESS)
-		dispatch(ready, n);
-	APR_RING_CONCAT(&l->free_watches, &l->removed_watches, tlb_watch, link);
-	run_timers(l);
+	poll_and_dispatch(l, wait_until);
+	catch_up(l, &polls_left);
+	run_timers(l, &polls_left);
 	run_job(l);
 }
 
+bool tlb_loop_was_late(const struct tlb_loop *l)
+{
+	return l->late_until > 0 && tlb_clock_now() < l->late_until;
+}
+
 void tlb_loop_run(struct tlb_loop *l)
 {
 	while (!l->stopping)
--- a/src/loop.h
+++ b/src/loop.h
@@ -29,6 +29,8 @@
 /* A round is late when events or timers may have waited this long: the process or its VM was
  * suspended or short of processor time, or a callback took long. */
 #define TLB_LOOP_LATE (100 * TLB_MS)
+/* How long after a late round input is still treated as possibly old. */
+#define TLB_LOOP_LATE_MEMORY (1 * TLB_SECOND)
 
 /* Longest slice of a job. Between two slices the loop handles the events and timers that are due.
  */
@@ -63,6 +65,8 @@
 	size_t heap_cap;
 	struct tlb_job_ring jobs;
 	tlb_time polled_at;   /* when the descriptors were last polled; 0 before the first round */
+	tlb_time late_until;  /* end of TLB_LOOP_LATE_MEMORY; 0 before the first late round */
+	bool catching_up;     /* input may be waiting that arrived before the round began */
 	tlb_late_fn *on_late; /* NULL for none; set by the owner */
 	void *late_arg;
 	bool stopping;
@@ -75,8 +79,10 @@
 /* Runs until tlb_loop_stop(). */
 void tlb_loop_run(struct tlb_loop *l);
 /* Runs one round: waits for events or a timer until wait_until at the latest, then runs the
- * callbacks. */
+ * callbacks. When the round is late, polls for more events before timers are run. */
 void tlb_loop_once(struct tlb_loop *l, tlb_time wait_until);
+/* Whether a round was late within TLB_LOOP_LATE_MEMORY. */
+bool tlb_loop_was_late(const struct tlb_loop *l);
 /* Makes tlb_loop_run() return after the current round. */
 void tlb_loop_stop(struct tlb_loop *l);
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1115,6 +1115,35 @@
         equal(late_loop_answer(vm, conn, 1.5), 200, "answer")
 
 
+def check_answers_that_arrived_in_time_are_used_after_a_stall():
+    """Answers of endpoints and of the store, and frames of other VMs, that have arrived before their
+    deadlines, must be used although the loop reads them later; links were closed as silent."""
+    with World(vms=2, shops=1) as w:
+        vm = w.start()
+        release = threading.Event()
+        w.shops[0].plan = lambda h: not release.wait(5) and None
+        answers = []
+        headers = {"X-Deadline-Ms": "900"}
+        threads = [threading.Thread(target=lambda n=n: answers.append(
+            vm.call("/pay/1", "POST", b"x", headers=headers, attempt=f"s{n}")[0]))
+            for n in range(4)]
+        for t in threads:
+            t.start()
+        wait(lambda: len(w.shops[0].seen) == 4, "the requests are sent")
+        os.kill(vm.process.pid, signal.SIGSTOP)
+        try:
+            release.set()
+            time.sleep(3.5)
+        finally:
+            os.kill(vm.process.pid, signal.SIGCONT)
+        for t in threads:
+            t.join()
+        equal(answers, [200] * 4, "answers")
+        time.sleep(0.3)
+        equal(vm.events("store_lost"), [], "failures of the store")
+        equal(vm.metric("toucanlb_peer_silent_total"), 0, "silent links")
+
+
 def unaccepted_requests(vm, freeze_s, count=40):
     """Freezes the VM, sends requests on new connections, and returns the set of their answers. Every
     fourth one is sent shortly after the VM runs again."""
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -1,7 +1,12 @@
-/* Timers must fire in the order of their deadlines, and a cleared timer must not fire. */
+/* Timers must fire in the order of their deadlines, and a cleared timer must not fire. Input that
+ * waited while the loop stood still must be read before deadlines that passed meanwhile are
+ * applied.
+ */
 #include <apr_general.h>
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "loop.h"
 
@@ -36,6 +41,169 @@
 }
 END_TEST
 
+/* A loop with a timer and two pipes. */
+struct late_loop {
+	struct tlb_loop loop;
+	struct tlb_timer timer;
+	struct tlb_timer blocker;
+	int pipe[2][2];
+	bool keeps_input;
+	int reads;	   /* of the second pipe */
+	int reads_at_fire; /* reads when the timer fired; -1 before that */
+};
+
+static void stall(void)
+{
+	usleep(TLB_LOOP_LATE + 20 * TLB_MS);
+}
+
+static void on_fire(void *arg)
+{
+	struct late_loop *t = arg;
+
+	t->reads_at_fire = t->reads;
+}
+
+static void on_input(void *arg, int events)
+{
+	struct late_loop *t = arg;
+	char byte;
+
+	t->reads++;
+	if (!t->keeps_input)
+		ck_assert_int_eq(read(t->pipe[1][0], &byte, 1), 1);
+}
+
+/* Makes the second pipe readable, as an accepted connection brings its request. */
+static void on_first_input(void *arg, int events)
+{
+	struct late_loop *t = arg;
+	char byte;
+
+	ck_assert_int_eq(read(t->pipe[0][0], &byte, 1), 1);
+	ck_assert_int_eq(write(t->pipe[1][1], "x", 1), 1);
+}
+
+static void on_first_input_stalling(void *arg, int events)
+{
+	on_first_input(arg, events);
+	stall();
+}
+
+static void on_blocker(void *arg)
+{
+	struct late_loop *t = arg;
+
+	ck_assert_int_eq(write(t->pipe[1][1], "x", 1), 1);
+	stall();
+}
+
+static void late_loop_init(struct late_loop *t, tlb_watch_fn *on_first)
+{
+	memset(t, 0, sizeof(*t));
+	t->reads_at_fire = -1;
+	ck_assert_int_eq(tlb_loop_init(&t->loop), APR_SUCCESS);
+	ck_assert_int_eq(pipe(t->pipe[0]), 0);
+	ck_assert_int_eq(pipe(t->pipe[1]), 0);
+	ck_assert_ptr_nonnull(tlb_loop_watch(&t->loop, t->pipe[0][0], TLB_READABLE, on_first, t));
+	ck_assert_ptr_nonnull(tlb_loop_watch(&t->loop, t->pipe[1][0], TLB_READABLE, on_input, t));
+	tlb_timer_init(&t->timer, on_fire, t);
+	tlb_timer_init(&t->blocker, on_blocker, t);
+	tlb_loop_once(&t->loop, tlb_clock_now());
+}
+
+static void late_loop_finish(struct late_loop *t)
+{
+	int i;
+
+	tlb_loop_finish(&t->loop);
+	for (i = 0; i < 4; i++)
+		close(t->pipe[i / 2][i % 2]);
+}
+
+START_TEST(input_that_arrives_during_a_callback_is_read_before_deadlines)
+{
+	struct late_loop t;
+
+	late_loop_init(&t, on_first_input_stalling);
+	tlb_timer_set(&t.loop, &t.timer, tlb_clock_now() + TLB_MS);
+	ck_assert_int_eq(write(t.pipe[0][1], "x", 1), 1);
+	tlb_loop_once(&t.loop, TLB_NEVER);
+	ck_assert_int_eq(t.reads_at_fire, 1);
+	late_loop_finish(&t);
+}
+END_TEST
+
+START_TEST(input_behind_other_input_is_read_before_deadlines)
+{
+	struct late_loop t;
+
+	late_loop_init(&t, on_first_input);
+	tlb_timer_set(&t.loop, &t.timer, tlb_clock_now() + TLB_MS);
+	ck_assert_int_eq(write(t.pipe[0][1], "x", 1), 1);
+	stall();
+	tlb_loop_once(&t.loop, TLB_NEVER);
+	ck_assert_int_eq(t.reads_at_fire, 1);
+	late_loop_finish(&t);
+}
+END_TEST
+
+START_TEST(input_that_arrives_during_a_timer_is_read_before_further_deadlines)
+{
+	struct late_loop t;
+
+	late_loop_init(&t, on_first_input);
+	tlb_timer_set(&t.loop, &t.blocker, tlb_clock_now());
+	tlb_timer_set(&t.loop, &t.timer, tlb_clock_now() + TLB_MS);
+	tlb_loop_once(&t.loop, TLB_NEVER);
+	ck_assert_int_eq(t.reads_at_fire, 1);
+	late_loop_finish(&t);
+}
+END_TEST
+
+START_TEST(input_without_end_does_not_hold_up_deadlines)
+{
+	struct late_loop t;
+
+	late_loop_init(&t, on_first_input);
+	t.keeps_input = true;
+	tlb_timer_set(&t.loop, &t.timer, tlb_clock_now() + TLB_MS);
+	ck_assert_int_eq(write(t.pipe[1][1], "x", 1), 1);
+	stall();
+	tlb_loop_once(&t.loop, TLB_NEVER);
+	ck_assert_int_gt(t.reads_at_fire, 1);
+	late_loop_finish(&t);
+}
+END_TEST
+
+static void on_late(void *arg, tlb_time late_by, tlb_time busy)
+{
+	tlb_time *total = arg;
+
+	*total += late_by;
+}
+
+START_TEST(waiting_for_events_is_not_late)
+{
+	struct late_loop t;
+	tlb_time late = 0;
+
+	late_loop_init(&t, on_first_input);
+	t.loop.on_late = on_late;
+	t.loop.late_arg = &late;
+	tlb_loop_once(&t.loop, tlb_clock_now() + 2 * TLB_LOOP_LATE);
+	tlb_timer_set(&t.loop, &t.timer, tlb_clock_now() - TLB_SECOND);
+	tlb_loop_once(&t.loop, tlb_clock_now());
+	ck_assert(!tlb_loop_was_late(&t.loop));
+	ck_assert_int_eq(late, 0);
+	stall();
+	tlb_loop_once(&t.loop, tlb_clock_now());
+	ck_assert(tlb_loop_was_late(&t.loop));
+	ck_assert_int_ge(late, TLB_LOOP_LATE);
+	late_loop_finish(&t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("loop");
@@ -46,6 +214,13 @@
 	apr_initialize();
 	tcase_add_test(tc, timers_fire_in_order);
 	suite_add_tcase(s, tc);
+	tc = tcase_create("late rounds");
+	tcase_add_test(tc, input_that_arrives_during_a_callback_is_read_before_deadlines);
+	tcase_add_test(tc, input_behind_other_input_is_read_before_deadlines);
+	tcase_add_test(tc, input_that_arrives_during_a_timer_is_read_before_further_deadlines);
+	tcase_add_test(tc, input_without_end_does_not_hold_up_deadlines);
+	tcase_add_test(tc, waiting_for_events_is_not_late);
+	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
 	srunner_free(sr);
