Read whole what has arrived of a request before it times out

What callers saw: 408 for a request whose body was in the VM's socket before the time to read it was over, when the VM stood still meanwhile. Cause: libmicrohttpd reads a part of a body in each run. It was run once, and the next run was a timer behind the overdue check for read deadlines. Change: while the loop was late in the last second, the listener runs libmicrohttpd until it has no more to do, 16 times at most, and a request with unread bytes is not timed out.

--- a/src/listener.c
+++ b/src/listener.c
@@ -31,6 +31,7 @@
 	FORWARDED_LINE_MAX = 8192, /* longest forwarded header line of an endpoint */
 	COMPACT_FROM = 65536,	   /* sent bytes from which the stream buffer is compacted */
 	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
+	LATE_RUNS = 16, /* further runs of libmicrohttpd after the loop was late, at most */
 };
 
 /* How long handshakes in progress may still complete after new ones are refused. */
@@ -650,7 +651,8 @@
 {
 	if (x->disconnected || x->fd < 0)
 		return;
-	if (x->state == TLB_EXCHANGE_READING && now >= x->read_deadline)
+	if (x->state == TLB_EXCHANGE_READING && now >= x->read_deadline &&
+	    !(tlb_loop_was_late(x->listener->loop) && has_unread_bytes(x->fd)))
 		refuse_timed_out(x);
 	/* libmicrohttpd does not poll a suspended connection, so it can't detect the disconnect. */
 	if (!x->suspended || !caller_closed(x->fd))
@@ -679,11 +681,23 @@
 
 /* --- event loop integration --- */
 
+static bool has_more_to_do(struct tlb_listener *f)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	return MHD_get_timeout(f->daemon, &ms) == MHD_YES && ms == 0;
+}
+
+/* libmicrohttpd reads a part of a request at a time. When the loop was late, what has arrived is
+ * read before deadlines are applied. */
 static void run(struct tlb_listener *f)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
+	int late_runs = tlb_loop_was_late(f->loop) ? LATE_RUNS : 0;
 
 	MHD_run(f->daemon);
+	while (late_runs-- > 0 && has_more_to_do(f))
+		MHD_run(f->daemon);
 	if (MHD_get_timeout(f->daemon, &ms) == MHD_YES)
 		tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now() + (tlb_time)ms * TLB_MS);
 }
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1115,6 +1115,39 @@
         equal(late_loop_answer(vm, conn, 1.5), 200, "answer")
 
 
+def restart_with(vm, old, new):
+    """Restarts the VM with changed settings."""
+    vm.kill()
+    with open(vm.settings, encoding="utf-8") as f:
+        text = f.read()
+    with open(vm.settings, "w", encoding="utf-8") as f:
+        f.write(text.replace(old, new))
+    vm.start()
+    wait(vm.ready, "ready again")
+
+
+def check_body_that_arrived_before_the_read_timeout_is_read():
+    """A request whose body has arrived while the loop stood still must not be refused because the
+    time to read it is over; it got 408."""
+    with World() as w:
+        vm = w.start()
+        restart_with(vm, "drain_timeout_ms", "request_timeout_ms: 800, drain_timeout_ms")
+        s = socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+        body = b"x" * 99000
+        head = "".join(f"{k}: {v}\r\n" for k, v in LOOK.items())
+        s.sendall(f"POST /pay/1 HTTP/1.1\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode())
+        s.sendall(body[:1000])
+        time.sleep(0.3)
+        os.kill(vm.process.pid, signal.SIGSTOP)
+        try:
+            s.sendall(body[1000:])
+            time.sleep(0.8)
+        finally:
+            os.kill(vm.process.pid, signal.SIGCONT)
+        equal(s.recv(12), b"HTTP/1.1 200", "answer")
+        s.close()
+
+
 def check_answers_that_arrived_in_time_are_used_after_a_stall():
     """Answers of endpoints and of the store, and frames of other VMs, that have arrived before their
     deadlines, must be used although the loop reads them later; links were closed as silent."""
