Drop requests whose callers left while the loop stood still

Cause: after a stall the listener handed out every request that it read. Callers that have closed are found by a check every 200 ms, and requests that are read after it, such as those on connections that are accepted ten at a time, reach endpoints before the next one. Evidence: a VM stopped for 0.6 s, 90 requests on new connections whose callers leave meanwhile, one that stays: 121 and 136 requests arrived at endpoints. Change: within a second after a late round the listener checks that the caller is there before it hands a request to its handler; not otherwise, as it costs two system calls. event=request_abandoned is logged. Ruled out: a shorter interval of the periodic check; it costs system calls all the time and still comes after the first requests.

--- a/src/listener.c
+++ b/src/listener.c
@@ -292,6 +292,50 @@
 	resume(x);
 }
 
+/* --- disconnected callers --- */
+
+/* Whether the caller closed or half-closed the connection. Both count as disconnected. */
+static bool caller_closed(int fd)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+	char byte;
+
+	/* recv() returns 0 when nothing precedes the end of the stream. When bytes of a pipelined
+	 * request do, only the TCP state shows the close. */
+	if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+		return true;
+	if (fd < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return true;
+	return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+static void notify_disconnect(struct tlb_exchange *x)
+{
+	tlb_exchange_disconnect_fn *fn = x->on_disconnect;
+
+	x->disconnected = true;
+	x->on_disconnect = NULL;
+	if (fn)
+		fn(x->arg);
+}
+
+bool tlb_exchange_check_caller(struct tlb_exchange *x)
+{
+	const struct tlb_loop *l = x->listener->loop;
+
+	if (x->disconnected)
+		return true;
+	if (x->fd < 0 || !tlb_loop_was_late(l) || x->caller_checked_at >= l->polled_at)
+		return false;
+	x->caller_checked_at = tlb_clock_now();
+	if (!caller_closed(x->fd))
+		return false;
+	notify_disconnect(x);
+	resume(x);
+	return true;
+}
+
 /* --- requests --- */
 
 static void read_key(struct tlb_exchange *x)
@@ -510,6 +554,15 @@
 	tlb_exchange_refuse_unadmitted(x, "", &err);
 }
 
+/* Whether the caller has left while its request waited to be read. */
+static bool is_abandoned(struct tlb_exchange *x)
+{
+	if (!tlb_exchange_check_caller(x))
+		return false;
+	tlb_log_info("event=request_abandoned request=%s", x->id);
+	return true;
+}
+
 static enum MHD_Result on_access(void *arg, struct MHD_Connection *conn, const char *url,
 				 const char *method, const char *version, const char *data,
 				 size_t *data_len, void **con_cls)
@@ -539,10 +592,12 @@
 			refuse_too_large(x);
 		else if (f->finishing)
 			refuse_stopping(x);
-		else
+		else if (!is_abandoned(x))
 			f->on_request(f->arg, x);
 		sodium_memzero(x->key, sizeof(x->key));
 	}
+	if (x->disconnected)
+		return MHD_NO;
 	if (x->state != TLB_EXCHANGE_RUNNING)
 		return queue_response(x);
 	x->suspended = true;
@@ -550,16 +605,6 @@
 	return MHD_YES;
 }
 
-static void notify_disconnect(struct tlb_exchange *x)
-{
-	tlb_exchange_disconnect_fn *fn = x->on_disconnect;
-
-	x->disconnected = true;
-	x->on_disconnect = NULL;
-	if (fn)
-		fn(x->arg);
-}
-
 static void on_completed(void *arg, struct MHD_Connection *conn, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -610,22 +655,6 @@
 
 /* --- periodic check of connections --- */
 
-/* Whether the caller closed or half-closed the connection. Both count as disconnected. */
-static bool caller_closed(int fd)
-{
-	struct tcp_info info;
-	socklen_t len = sizeof(info);
-	char byte;
-
-	/* recv() returns 0 when nothing precedes the end of the stream. When bytes of a pipelined
-	 * request do, only the TCP state shows the close. */
-	if (recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
-		return true;
-	if (fd < 0 || getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
-		return true;
-	return info.tcpi_state != TCP_ESTABLISHED;
-}
-
 static bool is_readable(int fd)
 {
 	struct pollfd p = {.fd = fd, .events = POLLIN};
--- a/src/listener.h
+++ b/src/listener.h
@@ -67,6 +67,7 @@
 	bool body_too_large;
 	tlb_time read_deadline; /* for the complete request */
 	tlb_time arrived;
+	tlb_time caller_checked_at; /* by tlb_exchange_check_caller() */
 	/* The response. */
 	int status;
 	char *reply;
@@ -168,6 +169,10 @@
 void tlb_exchange_stream_forward(struct tlb_exchange *x, int status, const char *head);
 /* A header of the request, or NULL; valid until the exchange ends. */
 const char *tlb_exchange_header(const struct tlb_exchange *x, const char *name);
+/* Whether the caller has disconnected; on_disconnect is called when this shows here. The periodic
+ * check notices it soon, so that this one costs system calls only after the loop was late, and once
+ * for each poll. */
+bool tlb_exchange_check_caller(struct tlb_exchange *x);
 /* Calls fn for every header of the request. */
 typedef void tlb_exchange_header_fn(void *arg, const char *name, const char *value);
 void tlb_exchange_each_header(const struct tlb_exchange *x, tlb_exchange_header_fn *fn, void *arg);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -784,6 +784,36 @@
         assert time.monotonic() - closed_at < 1.0, "the endpoint saw the disconnect late"
 
 
+def abandon_during_a_stall(vm, requests, seconds=0.6):
+    """Sends requests, each a path and headers, on new connections while the VM does not run. The
+    callers leave before it runs again, but for the last one, whose answer's status is returned."""
+    conns = [vm.connect() for _ in requests]
+    os.kill(vm.process.pid, signal.SIGSTOP)
+    try:
+        for n, (conn, (path, headers)) in enumerate(zip(conns, requests)):
+            conn.request("POST", path, body=b"x", headers=dict(LOOK, **headers) |
+                         {"X-Attempt-Id": f"left-{n}"})
+        time.sleep(seconds)
+        for conn in conns[:-1]:
+            conn.close()
+    finally:
+        os.kill(vm.process.pid, signal.SIGCONT)
+    return conns[-1].getresponse().status
+
+
+def check_requests_whose_callers_left_during_a_stall_are_not_sent():
+    """A request that waited to be read while the loop stood still, and whose caller has left, must not
+    reach an endpoint."""
+    with World() as w:
+        vm = w.start()
+        requests = [("/pay/1", {})] * 30 + [("/look/1", {})] * 30 + [("/gen/1", GEN)] * 30
+        equal(abandon_during_a_stall(vm, requests + [("/pay/1", {})]), 200, "answer")
+        time.sleep(0.5)
+        equal(sum(len(e.seen) for e in w.shops + w.prefills + w.decodes), 1, "requests sent")
+        equal(len(vm.events("request_abandoned")), len(requests), "requests that are not handled")
+        equal(vm.metric("toucanlb_in_flight"), 0, "requests in flight")
+
+
 def check_caller_that_leaves_frees_the_kv_cache():
     """When the caller disconnects, the endpoint that holds the KV cache must free it."""
     with World(decodes=1) as w:
