Make no attempt after the deadline or for a caller that has left

What callers saw: a request whose account's limit is decided by other VMs was held beyond its deadline while these were silent, up to 0.24 s, and then got 503; an attempt was set up for it that could only time out. Cause: the deadline was checked once, before the cost is acquired. No timer ran in step TLB_FORWARD_ADMITTING, and neither the first attempt nor one after a backoff or a wait for room looked at the deadline again. Evidence: 12 VMs of which 11 are stopped, 8 accounts, X-Deadline-Ms: 125: 8 of 8 requests got 503 after all VMs asked had timed out. Change: the request's timer is its deadline while the cost is acquired; then it is refused as expired (408), as when it comes too late. Attempts check the deadline first, and after a late round also that the caller is still there. Ruled out: requests in the queue of a service; their wait ends before the deadline.

--- a/src/forward.c
+++ b/src/forward.c
@@ -203,6 +203,14 @@
 	tlb_exchange_refuse_ms(x, &err, 0);
 }
 
+void tlb_forward_expire(struct tlb_forward *f)
+{
+	if (may_have_run(f))
+		tlb_forward_fail(f, "the deadline has passed");
+	else
+		tlb_forward_refuse(f, TLB_EXPIRED, 0, "the deadline has passed");
+}
+
 void tlb_forward_answer(struct tlb_forward *f, const struct tlb_http_result *r)
 {
 	struct tlb_exchange *x = f->exchange;
@@ -489,15 +497,18 @@
 
 	if (f->step == TLB_FORWARD_CALLING)
 		repeat_if_possible(f);
+	else if (f->step == TLB_FORWARD_ADMITTING)
+		tlb_forward_expire(f);
 	else
 		dispatch(f);
 }
 
-/* Sends a plain call to an endpoint, or ends the request when none is usable. */
+/* Sends a plain call to an endpoint, or ends the request when none is usable, the caller has left
+ * or the deadline has passed. */
 static void dispatch(struct tlb_forward *f)
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
-	struct tlb_instance *i = tlb_instances_select_service(&f->board->instances, &p);
+	struct tlb_instance *i;
 	struct tlb_outbound o = {
 		.kind = TLB_ATTEMPT_CALL,
 		.account = f->account ? f->account->name : "",
@@ -507,6 +518,13 @@
 		.last_event_id = f->inbound.last_event_id,
 	};
 
+	if (tlb_exchange_check_caller(f->exchange))
+		return;
+	if (p.now >= f->deadline) {
+		tlb_forward_expire(f);
+		return;
+	}
+	i = tlb_instances_select_service(&f->board->instances, &p);
 	if (!i) {
 		if (f->possible_runs > 0)
 			tlb_forward_fail(f, "no other endpoint is left");
@@ -639,6 +657,7 @@
 	struct tlb_forward *f = arg;
 	int64_t cost = cost_of(f);
 
+	tlb_timer_clear(f->board->loop, &f->timer);
 	if (granted) {
 		f->cost = cost;
 		start_attempts(f);
@@ -658,6 +677,7 @@
 
 	f->step = TLB_FORWARD_ADMITTING;
 	if (tlb_quota_owners_needed(&b->quota_owners)) {
+		tlb_timer_set(b->loop, &f->timer, f->deadline);
 		tlb_quota_acquire(&f->acquisition, &b->quota_owners, q, cost_of(f),
 				  on_quota_decided, f);
 		return;
@@ -674,7 +694,7 @@
 		f->account ? tlb_quotas_find(&f->board->quotas, f->account->name) : NULL;
 
 	if (tlb_clock_now() >= f->deadline)
-		tlb_forward_refuse(f, TLB_EXPIRED, 0, "the deadline has passed");
+		tlb_forward_expire(f);
 	else if (q)
 		acquire_quota(f, q);
 	else
--- a/src/forward.h
+++ b/src/forward.h
@@ -91,8 +91,8 @@
 		*instance;   /* instance of the attempt in progress; a reference, or NULL */
 	tlb_time attempt_at; /* when the attempt was sent */
 	struct tlb_http_call call;
-	struct tlb_timer timer; /* end of a backoff, next check of a slow call, or time limit for
-				   the next event */
+	struct tlb_timer timer; /* deadline while the cost is acquired, end of a backoff, next check
+				   of a slow call, or time limit for the next event */
 	struct tlb_generation gen;
 };
 
@@ -145,6 +145,8 @@
  * an attempt may have run. */
 void tlb_forward_refuse(struct tlb_forward *f, enum tlb_code code, int retry_after_ms,
 			const char *reason);
+/* Ends a request whose deadline has passed before an attempt: with 408 when it has not run. */
+void tlb_forward_expire(struct tlb_forward *f);
 /* Ends a request whose attempts failed. When one may have run: 504 after the deadline, else 502.
  * When none has: refused as overloaded. */
 void tlb_forward_fail(struct tlb_forward *f, const char *reason);
--- a/src/generation.c
+++ b/src/generation.c
@@ -162,6 +162,21 @@
 	tlb_exchange_stream_end(x, true);
 }
 
+/* Ends a request before an attempt when its caller has left or its deadline has passed. Returns
+ * whether it did, which frees f. */
+static bool end_if_too_late(struct tlb_forward *f)
+{
+	if (tlb_exchange_check_caller(f->exchange))
+		return true;
+	if (tlb_clock_now() < f->deadline)
+		return false;
+	if (f->gen.streaming)
+		fail_stream(f, "the deadline has passed");
+	else
+		tlb_forward_expire(f);
+	return true;
+}
+
 /* --- quarantine of prompt parts --- */
 
 /* Ends a request whose prompt has a quarantined part. Returns whether it did, which frees f. */
@@ -217,6 +232,10 @@
 	struct tlb_generation_queue *p = f->gen.service_queue;
 
 	f->gen.partial.len = 0;
+	if (tlb_exchange_check_caller(f->exchange)) {
+		start_waiting(p);
+		return;
+	}
 	if (!tlb_forward_may_retry(f, end)) {
 		fail_stream(f, reason);
 		start_waiting(p);
@@ -559,11 +578,15 @@
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
 	tlb_evidence_add_failure(f, i, r, false);
 	end_prefill(f, i, ok);
-	if (ok) {
+	if (ok)
 		store_kv_handle(f, i, handle);
-		decode(f);
-	}
 	tlb_instance_release(i);
+	if (ok && end_if_too_late(f)) {
+		start_waiting(p);
+		return;
+	}
+	if (ok)
+		decode(f);
 	if (!ok && may_prefill_at_decode(f)) {
 		begin_prefill(f, f->gen.decode_reservation.instance);
 		decode(f);
@@ -595,7 +618,7 @@
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 	struct tlb_instance *i;
 
-	if (refuse_quarantined_or_probe(f))
+	if (end_if_too_late(f) || refuse_quarantined_or_probe(f))
 		return;
 	p.tokens = f->inbound.prompt_tokens;
 	p.decode_zone = f->gen.decode_reservation.instance->row.zone;
@@ -715,7 +738,7 @@
 {
 	struct tlb_instance_query p = tlb_forward_instance_query(f);
 
-	if (refuse_quarantined(f))
+	if (end_if_too_late(f) || refuse_quarantined(f))
 		return;
 	if (f->gen.kv_source && p.now < f->gen.kv_deadline) {
 		release_window_slot(f, 0);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1549,6 +1549,44 @@
         assert served >= 5, served
 
 
+def check_request_is_refused_at_its_deadline_while_owners_of_its_limit_are_silent():
+    """A request whose deadline passes while the owners of its account's limit are asked must be
+    refused then; it was held longer, and an attempt was begun after its deadline."""
+    keys = [f"a-key-of-account-{n}" for n in range(8)]
+    limited = [{"name": f"acct-{n}", "apiKeys": [k], "unit": "token_count", "plainTokens": 1,
+                "ratePerS": 1000, "burst": 2000} for n, k in enumerate(keys)]
+    with World(vms=12) as w:
+        vm = w.start(config(3, tenants=limited))
+        wait(lambda: len(vm.events("vm_known")) >= 11, "all VMs are known", 10)
+        for k in keys:  # opens links to the owners
+            equal(vm.call("/pay/1", "POST", b"x", key=k)[0], 200, "status before")
+        answers = []
+
+        def call(key):
+            begun = time.monotonic()
+            status = vm.call("/pay/1", "POST", b"x", key=key, attempt=f"late-{key}",
+                             headers={"X-Deadline-Ms": "125"})[0]
+            answers.append((status, time.monotonic() - begun))
+
+        for v in w.vms[1:]:
+            os.kill(v.process.pid, signal.SIGSTOP)
+        try:
+            threads = [threading.Thread(target=call, args=(k,)) for k in keys]
+            for t in threads:
+                t.start()
+            for t in threads:
+                t.join()
+        finally:
+            for v in w.vms[1:]:
+                os.kill(v.process.pid, signal.SIGCONT)
+        statuses = [status for status, _ in answers]
+        # This VM decides at once for some of the accounts.
+        assert set(statuses) <= {200, 408} and 408 in statuses, statuses
+        assert max(took for _, took in answers) < 0.2, answers
+        late = [i for s in w.shops for i in s.attempts() if i.startswith("late")]
+        equal(len(late), statuses.count(200), "requests sent")
+
+
 def check_abandoned_run_counts_against_the_limit():
     """A request whose caller disconnected while it ran must count against the token limit."""
     limited = [{"name": "acct", "apiKeys": [KEY], "unit": "token_count", "plainTokens": 900,
