--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1132,6 +1132,36 @@
         assert time.monotonic() - closed_at < 1.0, "the endpoint saw the disconnect late"
 
 
+def abandon_during_a_stall(vm, requests, seconds=0.6):
+    """Sends requests, each a path and headers, on new connections while the VM does not run. The
+    callers leave before it runs again, but for the last one, whose answer's status is returned."""
+    conns = [vm.connect() for _ in requests]
+    os.kill(vm.process.pid, signal.SIGSTOP)
+    try:
+        for n, (conn, (path, headers)) in enumerate(zip(conns, requests)):
+            conn.request("POST", path, body=b"x", headers=dict(LOOK, **headers) |
+                         {"X-Attempt-Id": f"left-{n}"})
+        time.sleep(seconds)
+        for conn in conns[:-1]:
+            conn.close()
+    finally:
+        os.kill(vm.process.pid, signal.SIGCONT)
+    return conns[-1].getresponse().status
+
+
+def check_requests_whose_callers_left_during_a_stall_are_not_sent():
+    """A request that waited to be read while the loop stood still, and whose caller has left, must not
+    reach an endpoint."""
+    with World() as w:
+        vm = w.start()
+        requests = [("/pay/1", {})] * 30 + [("/look/1", {})] * 30 + [("/gen/1", GEN)] * 30
+        equal(abandon_during_a_stall(vm, requests + [("/pay/1", {})]), 200, "answer")
+        time.sleep(0.5)
+        equal(sum(len(e.seen) for e in w.shops + w.prefills + w.decodes), 1, "requests sent")
+        equal(len(vm.events("request_abandoned")), len(requests), "requests that are not handled")
+        equal(vm.metric("toucanlb_in_flight"), 0, "requests in flight")
+
+
 def check_caller_that_leaves_frees_the_kv_cache():
     """When the caller disconnects, the endpoint that holds the KV cache must free it."""
     with World(decodes=1) as w:
@@ -1395,6 +1425,38 @@
     equal(answers_when_the_drain_ends(freeze), {"sent": 502, "prefilling": 503}, "answers")
 
 
+def suspend(vm, seconds):
+    """Suspends the VM for some seconds."""
+    os.kill(vm.process.pid, signal.SIGSTOP)
+    try:
+        time.sleep(seconds)
+    finally:
+        os.kill(vm.process.pid, signal.SIGCONT)
+
+
+def check_late_loop_is_logged():
+    """Logs and metrics must show that the event loop stood still; silent seconds in a VM's log had to
+    be guessed at."""
+    with World() as w:
+        vm = w.start()
+        time.sleep(1.2)
+        begun = time.monotonic()
+        for seconds in (0.5, 0.4, 0.3):
+            suspend(vm, seconds)
+            time.sleep(0.05)
+        late = r"(?s).*loop_late ms=(\d+) busy_ms=\d+ rounds=(\d+)"
+
+        def logged():
+            return [[int(n) for n in re.match(late, line).groups()]
+                    for line in vm.events("loop_late")]
+
+        wait(lambda: sum(rounds for _, rounds in logged()) >= 3, "all delays are logged")
+        assert max(ms for ms, _ in logged()) >= 350, logged()
+        assert len(logged()) <= 2 + time.monotonic() - begun, "more than one line a second"
+        assert vm.metric("toucanlb_loop_late_total") >= 3
+        assert vm.metric("toucanlb_loop_late_ms_total") >= 700
+
+
 def late_loop_answer(vm, conn, before_s):
     """Sends a request over the idle connection while the VM does not run, from `before_s` on for
     0.8 s. Returns the status of the answer, or the name of the error."""
@@ -1431,6 +1493,68 @@
         equal(late_loop_answer(vm, conn, 1.5), 200, "answer")
 
 
+def restart_with(vm, old, new):
+    """Restarts the VM with changed settings."""
+    vm.kill()
+    with open(vm.settings, encoding="utf-8") as f:
+        text = f.read()
+    with open(vm.settings, "w", encoding="utf-8") as f:
+        f.write(text.replace(old, new))
+    vm.start()
+    wait(vm.ready, "ready again")
+
+
+def check_body_that_arrived_before_the_read_timeout_is_read():
+    """A request whose body has arrived while the loop stood still must not be refused because the
+    time to read it is over; it got 408."""
+    with World() as w:
+        vm = w.start()
+        restart_with(vm, "drain_timeout_ms", "request_timeout_ms: 800, drain_timeout_ms")
+        s = socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+        body = b"x" * 99000
+        head = "".join(f"{k}: {v}\r\n" for k, v in LOOK.items())
+        s.sendall(f"POST /pay/1 HTTP/1.1\r\n{head}Content-Length: {len(body)}\r\n\r\n".encode())
+        s.sendall(body[:1000])
+        time.sleep(0.3)
+        os.kill(vm.process.pid, signal.SIGSTOP)
+        try:
+            s.sendall(body[1000:])
+            time.sleep(0.8)
+        finally:
+            os.kill(vm.process.pid, signal.SIGCONT)
+        equal(s.recv(12), b"HTTP/1.1 200", "answer")
+        s.close()
+
+
+def check_answers_that_arrived_in_time_are_used_after_a_stall():
+    """Answers of endpoints and of the store, and frames of other VMs, that have arrived before their
+    deadlines, must be used although the loop reads them later; links were closed as silent."""
+    with World(vms=2, shops=1) as w:
+        vm = w.start()
+        release = threading.Event()
+        w.shops[0].plan = lambda h: not release.wait(5) and None
+        answers = []
+        headers = {"X-Deadline-Ms": "900"}
+        threads = [threading.Thread(target=lambda n=n: answers.append(
+            vm.call("/pay/1", "POST", b"x", headers=headers, attempt=f"s{n}")[0]))
+            for n in range(4)]
+        for t in threads:
+            t.start()
+        wait(lambda: len(w.shops[0].seen) == 4, "the requests are sent")
+        os.kill(vm.process.pid, signal.SIGSTOP)
+        try:
+            release.set()
+            time.sleep(3.5)
+        finally:
+            os.kill(vm.process.pid, signal.SIGCONT)
+        for t in threads:
+            t.join()
+        equal(answers, [200] * 4, "answers")
+        time.sleep(0.3)
+        equal(vm.events("store_lost"), [], "failures of the store")
+        equal(vm.metric("toucanlb_peer_silent_total"), 0, "silent links")
+
+
 def unaccepted_requests(vm, freeze_s, count=40):
     """Freezes the VM, sends requests on new connections, and returns the set of their answers. Every
     fourth one is sent shortly after the VM runs again."""
@@ -1827,6 +1951,44 @@
         assert served >= 5, served
 
 
+def check_request_is_refused_at_its_deadline_while_owners_of_its_limit_are_silent():
+    """A request whose deadline passes while the owners of its account's limit are asked must be
+    refused then; it was held longer, and an attempt was begun after its deadline."""
+    keys = [f"a-key-of-account-{n}" for n in range(8)]
+    limited = [{"name": f"acct-{n}", "apiKeys": [k], "unit": "token_count", "plainTokens": 1,
+                "ratePerS": 1000, "burst": 2000} for n, k in enumerate(keys)]
+    with World(vms=12) as w:
+        vm = w.start(config(3, tenants=limited))
+        wait(lambda: len(vm.events("vm_known")) >= 11, "all VMs are known", 10)
+        for k in keys:  # opens links to the owners
+            equal(vm.call("/pay/1", "POST", b"x", key=k)[0], 200, "status before")
+        answers = []
+
+        def call(key):
+            begun = time.monotonic()
+            status = vm.call("/pay/1", "POST", b"x", key=key, attempt=f"late-{key}",
+                             headers={"X-Deadline-Ms": "125"})[0]
+            answers.append((status, time.monotonic() - begun))
+
+        for v in w.vms[1:]:
+            os.kill(v.process.pid, signal.SIGSTOP)
+        try:
+            threads = [threading.Thread(target=call, args=(k,)) for k in keys]
+            for t in threads:
+                t.start()
+            for t in threads:
+                t.join()
+        finally:
+            for v in w.vms[1:]:
+                os.kill(v.process.pid, signal.SIGCONT)
+        statuses = [status for status, _ in answers]
+        # This VM decides at once for some of the accounts.
+        assert set(statuses) <= {200, 408} and 408 in statuses, statuses
+        assert max(took for _, took in answers) < 0.2, answers
+        late = [i for s in w.shops for i in s.attempts() if i.startswith("late")]
+        equal(len(late), statuses.count(200), "requests sent")
+
+
 def check_abandoned_run_counts_against_the_limit():
     """A request whose caller disconnected while it ran must count against the token limit."""
     limited = [{"name": "acct", "apiKeys": [KEY], "unit": "token_count", "plainTokens": 900,
