Order the store's rows by era and version

What callers saw: after the store had returned from a copy some seconds old, a change that had been acknowledged was not in force: requests on new routes got 404, and others were handled by an older configuration (CONFIG, DENIED). Cause: VMs ordered rows by the store's version alone, in their copies of tables, in the watcher and between VMs. Versions that are given out again were taken for old ones and dropped. The new checks fail on that code: "not within 2.5 s: version 8" (versions_given_out_again_are_read, vm_of_an_earlier_era_learns_from_others), "not within 4 s: version 8 at all VMs" (large_fleet_reads_versions_given_out_again), "not within 6 s: the entry is gone" (endpoint_missing_from_an_older_copy_stays_in_use). Ruled out: that VMs leave the configuration in force for the restored one. It is compared by the operator's own version and stays; the check covers it. Change: every answer's Store-Era is read. Versions in memory contain the era in their high bits, so that all comparisons order by it first; messages between VMs carry it in a field of its own, which earlier releases ignore. An answer of an earlier era than the latest one known is not used. With a new era tables are listed again, also when no call failed, and the listing replaces the copy; VMs of different eras exchange complete tables only. Endpoints that the copy lacks stay in use as after an outage.

--- a/src/counter.h
+++ b/src/counter.h
@@ -71,6 +71,8 @@
 	  "Time since the shared tables were known to be current")                                 \
 	X(CONFIG_ROWS_VERSION, "toucanlb_config_rows_version", "gauge",                            \
 	  "Store version up to which the configuration table is known")                            \
+	X(STORE_ERA, "toucanlb_store_era", "gauge",                                                \
+	  "Latest era of the store that is known; rises when it returns from an older copy")       \
 	X(ENDPOINT_ROWS_VERSION, "toucanlb_endpoint_rows_version", "gauge",                        \
 	  "Store version up to which the endpoint table is known")                                 \
 	X(QUARANTINED_PARTS, "toucanlb_quarantined_parts", "gauge",                                \
--- a/src/edge.c
+++ b/src/edge.c
@@ -135,7 +135,7 @@
 		tlb_log_info("event=instance instance=%s service=%s addr=%s role=%d slots=%d "
 			     "leaving=%d version=%lld",
 			     r.id, r.service, r.addr, (int)r.role, r.slots, r.leaving,
-			     (long long)row->version);
+			     (long long)tlb_stored_number(row->version));
 }
 
 static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
@@ -148,7 +148,7 @@
 		return;
 	}
 	tlb_log_info("event=instance_gone instance=%.63s version=%lld use_ms=%lld", row->key,
-		     (long long)row->version,
+		     (long long)tlb_stored_number(row->version),
 		     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
 	tlb_instances_remove(&e->board.instances, row->key, use_deadline);
 }
@@ -204,10 +204,13 @@
 	tlb_counter_set(c, TLB_COUNTER_TABLES_FOLLOWING, e->tables.following);
 	tlb_counter_set(c, TLB_COUNTER_TABLES_AGE,
 			tlb_tables_age(&e->tables, tlb_clock_now()) / TLB_MS);
-	tlb_counter_set(c, TLB_COUNTER_CONFIG_ROWS_VERSION,
-			e->tables.table[TLB_TABLE_CONFIG].replica.complete_version);
-	tlb_counter_set(c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
-			e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version);
+	tlb_counter_set(
+		c, TLB_COUNTER_CONFIG_ROWS_VERSION,
+		tlb_stored_number(e->tables.table[TLB_TABLE_CONFIG].replica.complete_version));
+	tlb_counter_set(
+		c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
+		tlb_stored_number(e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version));
+	tlb_counter_set(c, TLB_COUNTER_STORE_ERA, e->store.era);
 }
 
 static void on_metrics_request(void *arg, struct tlb_exchange *x)
--- a/src/http.c
+++ b/src/http.c
@@ -327,7 +327,7 @@
 	char text[32];
 	long long value;
 
-	if (c->custom_headers && !store_header(c, line, len))
+	if (c->keep_head && !store_header(c, line, len))
 		return 0;
 	if (len >= sizeof(encoding) && strncasecmp(line, encoding, sizeof(encoding) - 1) == 0)
 		c->chunked = true;
@@ -453,7 +453,7 @@
 	c->active = true;
 	c->content_length = -1;
 	c->spec = *spec;
-	c->custom_headers = spec->headers != NULL;
+	c->keep_head = spec->keep_head || spec->headers != NULL;
 	prepare(c, spec);
 	/* These are valid during this function only; libcurl holds copies. */
 	c->spec.url = NULL;
--- a/src/http.h
+++ b/src/http.h
@@ -46,7 +46,7 @@
 	bool refused;	     /* no connection could be opened, and not for lack of time */
 	bool broken_off;     /* the peer closed or reset the connection before the response's end */
 	bool ended_by_close; /* has neither a length nor chunks: the closed connection ended it */
-	const char *head;    /* header lines "Name: value\n" of a call with spec.headers; else "" */
+	const char *head;    /* header lines "Name: value\n" if the call keeps them; else "" */
 	const char *body;    /* complete body, NUL-terminated; "" when on_data received it */
 	size_t body_len;
 	const char *content_type; /* "" when absent */
@@ -68,6 +68,7 @@
 	/* All request headers, replacing the standard ones (NULL). tlb_http_start() takes
 	 * ownership. Also makes the call keep the response headers. */
 	struct curl_slist *headers;
+	bool keep_head;		   /* keep the response headers without own request headers too */
 	const char *target;	   /* request target, sent without change; NULL: from url */
 	tlb_time connect_deadline; /* for establishing the connection; 0: same as deadline */
 	tlb_time deadline;	   /* for the complete call; TLB_NEVER for none */
@@ -91,7 +92,7 @@
 	struct tlb_http_spec spec;
 	struct tlb_buffer head;
 	struct tlb_buffer body;
-	bool custom_headers;
+	bool keep_head;
 	bool timed_out;
 	bool too_large;
 	long long content_length; /* of the response; -1 until the header is received */
@@ -121,7 +122,7 @@
 void tlb_http_cancel(struct tlb_http_call *c);
 /* Ends the call as when its deadline has passed; calls on_done. */
 void tlb_http_time_out(struct tlb_http_call *c);
-/* The response header lines received so far by a call with spec.headers, else ""; valid until
+/* The response header lines received so far by a call that keeps them, else ""; valid until
  * control returns to the event loop. */
 const char *tlb_http_head(const struct tlb_http_call *c);
 /* The response status, or 0 before it is received. */
--- a/src/replica.c
+++ b/src/replica.c
@@ -91,6 +91,12 @@
 	set_version(r, e, version);
 }
 
+static bool has_value(const struct tlb_replica_row *e, const struct tlb_stored_row *row)
+{
+	return !e->row.removed && !row->removed && e->row.len == row->len &&
+	       memcmp(e->row.value, row->value, row->len) == 0;
+}
+
 const struct tlb_replica_row *
 tlb_replica_put(struct tlb_replica *r, const struct tlb_stored_row *row, tlb_time use_deadline)
 {
@@ -104,6 +110,10 @@
 	/* Before a row is added, which could itself be the oldest tombstone. */
 	if (!e && row->removed && r->tombstones >= TLB_REPLICA_TOMBSTONES_MAX)
 		forget_oldest_tombstone(r);
+	if (e && has_value(e, row)) {
+		set_version(r, e, row->version);
+		return NULL;
+	}
 	value = row->removed ? NULL : malloc(row->len + 1);
 	if (!e && (value || row->removed))
 		e = add_row(r, row->key);
@@ -151,6 +161,9 @@
 	}
 	while (r->tombstones > TLB_REPLICA_TOMBSTONES_MAX)
 		forget_oldest_tombstone(r);
+	/* What changed between two eras is not known row by row. */
+	if (tlb_stored_era(version) > tlb_stored_era(r->forgotten_version))
+		r->forgotten_version = tlb_stored_version(tlb_stored_era(version), 0);
 	tlb_replica_set_complete(r, version);
 }
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -6,6 +6,9 @@
  * changes are known; a row from another VM with a version up to it is ignored, because this copy
  * has it already or knows that it was removed. So nothing that was removed comes back from a VM
  * that lags behind.
+ *
+ * Versions contain the store's era (stored_rows.h). The first listing of an era replaces the table:
+ * it gives every row a version of that era, and rows that it lacks become tombstones.
  */
 #ifndef TLB_REPLICA_H
 #define TLB_REPLICA_H
@@ -44,7 +47,8 @@
 void tlb_replica_init(struct tlb_replica *r);
 void tlb_replica_finish(struct tlb_replica *r);
 /* Stores a copy of a row or tombstone unless the copy has that version already or a newer one.
- * Returns the stored row, or NULL when it is not newer or there is no memory. */
+ * Returns the stored row, or NULL when it is not newer, has the same value as before, or there is
+ * no memory. */
 const struct tlb_replica_row *
 tlb_replica_put(struct tlb_replica *r, const struct tlb_stored_row *row, tlb_time use_deadline);
 /* Brackets a listing of the complete table as of a version, during which tlb_replica_put() is
--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "platform.h"
 
 enum { TARGET_LEN = 1024 };
@@ -13,8 +14,54 @@
 	memset(s, 0, sizeof(*s));
 	s->http = http;
 	snprintf(s->addr, sizeof(s->addr), "%s", addr);
+	APR_RING_INIT(&s->observers, tlb_rowstore_observer, link);
 }
 
+/* --- eras --- */
+
+void tlb_rowstore_observe(struct tlb_rowstore *s, struct tlb_rowstore_observer *o)
+{
+	APR_RING_INSERT_TAIL(&s->observers, o, tlb_rowstore_observer, link);
+}
+
+void tlb_rowstore_unobserve(struct tlb_rowstore_observer *o)
+{
+	APR_RING_REMOVE(o, link);
+}
+
+/* Returns whether the store is known to have returned from an older copy. */
+static bool enter_era(struct tlb_rowstore *s, int64_t era)
+{
+	bool changed = s->era_known && era > s->era;
+
+	if (changed) {
+		tlb_log_warn("event=store_era from=%lld to=%lld", (long long)s->era,
+			     (long long)era);
+		s->era_began_at = tlb_clock_now();
+	}
+	if (era > s->era)
+		s->era = era;
+	s->era_known = true;
+	return changed;
+}
+
+static void call_observers(struct tlb_rowstore *s)
+{
+	struct tlb_rowstore_observer *o;
+
+	APR_RING_FOREACH (o, &s->observers, tlb_rowstore_observer, link) {
+		o->on_new_era(o->arg);
+	}
+}
+
+void tlb_rowstore_note_era(struct tlb_rowstore *s, int64_t era)
+{
+	if (enter_era(s, era))
+		call_observers(s);
+}
+
+/* --- calls --- */
+
 static enum tlb_rowstore_status status_from_result(const struct tlb_http_result *r)
 {
 	switch (r->status) {
@@ -42,13 +89,21 @@
 static void on_response(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_rowstore_op *op = arg;
+	struct tlb_rowstore *s = op->store;
 	enum tlb_rowstore_status status = status_from_result(r);
+	int64_t era = r->status == 0 ? s->era : tlb_platform_store_era(r->head);
+	bool new_era = r->status != 0 && enter_era(s, era);
 	struct tlb_stored_rows rows = {0};
 	struct tlb_error err;
 	char reason[TLB_MESSAGE_LEN + 160];
 
+	if (era < s->era)
+		status = TLB_ROWS_UNCERTAIN;
 	if (r->status == 0)
 		snprintf(reason, sizeof(reason), "%s", r->reason);
+	else if (era < s->era)
+		snprintf(reason, sizeof(reason), "answer of era %lld after %lld", (long long)era,
+			 (long long)s->era);
 	else
 		snprintf(reason, sizeof(reason), "status %d", r->status);
 	/* Only the body of a success is passed to on_data(). */
@@ -62,8 +117,12 @@
 	if (status == TLB_ROWS_OK)
 		reason[0] = '\0';
 	tlb_rowreader_finish(&op->reader);
+	tlb_stored_rows_set_era(&rows, era);
 	op->on_done(op->arg, status, &rows, reason);
 	tlb_stored_rows_finish(&rows);
+	/* After on_done, so that observers that start a new call don't disturb this one. */
+	if (new_era)
+		call_observers(s);
 }
 
 /* Starts an HTTP call for op; the store may delay its response by `wait`. */
@@ -79,6 +138,7 @@
 	op->arg = arg;
 	snprintf(url, sizeof(url), "http://%s%s", s->addr, target);
 	spec->url = url;
+	spec->keep_head = true;
 	spec->connect_deadline = now + TLB_ROWSTORE_CONNECT_TIMEOUT;
 	spec->deadline = now + wait + TLB_ROWSTORE_RESPONSE_MARGIN;
 	spec->on_data = on_data;
@@ -105,16 +165,27 @@
 	struct tlb_http_spec spec = {.method = "GET"};
 	char target[TARGET_LEN];
 
-	tlb_platform_feed_target(target, sizeof(target), table, after, wait_ms);
+	tlb_platform_feed_target(target, sizeof(target), table, tlb_stored_number(after), wait_ms);
 	start_call(s, op, &spec, target, wait_ms * TLB_MS, on_done, arg);
 }
 
+/* The version that the store compares with. The number of a version of an earlier era may have been
+ * given out again, so one that no row has replaces it. */
+static int64_t expected_number(const struct tlb_rowstore *s, int64_t expected_version)
+{
+	if (expected_version <= 0)
+		return expected_version;
+	if (s->era_known && tlb_stored_era(expected_version) != s->era)
+		return tlb_stored_number(-1);
+	return tlb_stored_number(expected_version);
+}
+
 void tlb_rowstore_write(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
 			const char *key, int64_t expected_version, const char *value,
 			tlb_rowstore_done_fn *on_done, void *arg)
 {
-	char *body = tlb_platform_write_body(table, key, expected_version, value,
-					     value ? strlen(value) : 0);
+	char *body = tlb_platform_write_body(table, key, expected_number(s, expected_version),
+					     value, value ? strlen(value) : 0);
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.body = body,
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -6,6 +6,8 @@
 #ifndef TLB_ROWSTORE_H
 #define TLB_ROWSTORE_H
 
+#include <apr_ring.h>
+
 #include "http.h"
 #include "rowreader.h"
 #include "stored_rows.h"
@@ -15,10 +17,26 @@
 /* Connect timeout; about a hundred round trips between zones. */
 #define TLB_ROWSTORE_CONNECT_TIMEOUT (500 * TLB_MS)
 
+/* Called when the store has returned from an older copy: rows may be gone or older than before.
+ * Owned by its user. */
+struct tlb_rowstore_observer {
+	APR_RING_ENTRY(tlb_rowstore_observer) link;
+	void (*on_new_era)(void *arg);
+	void *arg;
+};
+
+APR_RING_HEAD(tlb_rowstore_observer_ring, tlb_rowstore_observer);
+
+/* A store that returns from an older copy loses its latest rows and gives out their versions again,
+ * in a new era. Responses of an era before the latest one known are not used. */
 struct tlb_rowstore {
 	struct tlb_http *http;
 	char addr[TLB_PEER_LEN]; /* "host:port" */
 	int64_t calls;		 /* calls started; the platform charges for each one */
+	int64_t era;		 /* latest one known */
+	bool era_known;
+	tlb_time era_began_at; /* when the last change of the era was noticed; 0: never */
+	struct tlb_rowstore_observer_ring observers;
 };
 
 enum tlb_rowstore_status {
@@ -29,8 +47,8 @@
 	TLB_ROWS_UNCERTAIN, /* no usable response: a write may be applied, now or later */
 };
 
-/* rows is borrowed and empty unless status is OK, or CONFLICT, when it holds the current row.
- * reason is "" on OK. */
+/* rows is borrowed, its versions contain the era; it is empty unless status is OK, or CONFLICT,
+ * when it holds the current row. reason is "" on OK. */
 typedef void tlb_rowstore_done_fn(void *arg, enum tlb_rowstore_status status,
 				  const struct tlb_stored_rows *rows, const char *reason);
 
@@ -44,6 +62,10 @@
 };
 
 void tlb_rowstore_init(struct tlb_rowstore *s, struct tlb_http *http, const char *addr);
+void tlb_rowstore_observe(struct tlb_rowstore *s, struct tlb_rowstore_observer *o);
+void tlb_rowstore_unobserve(struct tlb_rowstore_observer *o);
+/* Another VM knows of this era. Calls the observers if it is a new one. */
+void tlb_rowstore_note_era(struct tlb_rowstore *s, int64_t era);
 /* Lists rows of a table in key order, starting at key `from`; at most TLB_STORED_ROWS_PAGE_MAX
  * rows. */
 void tlb_rowstore_list(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
@@ -53,7 +75,8 @@
 void tlb_rowstore_follow(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
 			 int64_t after, int wait_ms, tlb_rowstore_done_fn *on_done, void *arg);
 /* Writes one row, or removes it when value is NULL. expected_version: the version that the row must
- * have, 0 when it must not exist, -1 for any (as tlb_platform_write_body()). */
+ * have, 0 when it must not exist, -1 for any (as tlb_platform_write_body()). A version of an
+ * earlier era never matches, unless the new era is not known yet. */
 void tlb_rowstore_write(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
 			const char *key, int64_t expected_version, const char *value,
 			tlb_rowstore_done_fn *on_done, void *arg);
--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -11,6 +11,29 @@
 	TLB_STORED_ROW_KEY_LEN = 201	/* bytes, including the terminating NUL */
 };
 
+/*
+ * Versions in the router's memory contain the era in their high bits, so that they are ordered by
+ * era first: a store that was restored from an older copy gives out versions again, in a new era.
+ * The store itself, other VMs and logs have the two as separate numbers.
+ */
+enum { TLB_STORED_VERSION_BITS = 40, TLB_STORED_ERA_MAX = (1 << 22) - 1 };
+
+static inline int64_t tlb_stored_version(int64_t era, int64_t number)
+{
+	return (era << TLB_STORED_VERSION_BITS) + number;
+}
+
+static inline int64_t tlb_stored_era(int64_t version)
+{
+	return version >> TLB_STORED_VERSION_BITS;
+}
+
+/* The version as the store knows it. */
+static inline int64_t tlb_stored_number(int64_t version)
+{
+	return version & ((INT64_C(1) << TLB_STORED_VERSION_BITS) - 1);
+}
+
 struct tlb_stored_row {
 	char key[TLB_STORED_ROW_KEY_LEN];
 	int64_t version;
@@ -28,6 +51,8 @@
 	struct tlb_stored_row *rows;
 };
 
+/* Adds the era of the response to the versions that the store has sent. */
+void tlb_stored_rows_set_era(struct tlb_stored_rows *r, int64_t era);
 void tlb_stored_rows_finish(struct tlb_stored_rows *r);
 
 #endif
--- a/src/tables.c
+++ b/src/tables.c
@@ -8,9 +8,9 @@
 #include "log.h"
 #include "platform.h"
 
-/* Endpoints whose store entries expired while the store was not reachable stay in use for this long
- * after its return: live endpoints have renewed their entries by then. Must stay below the drain
- * bound of 2 s. */
+/* Endpoints whose store entries expired while the store was not reachable, or are missing since it
+ * returned from an older copy, stay in use for this long after its return: live endpoints have
+ * renewed their entries by then. Must stay below the drain bound of 2 s. */
 #define EXPIRED_ENTRY_GRACE (1900 * TLB_MS)
 /* Changes are passed on after a random delay up to this long; a linked VM that has them by then,
  * from somebody else, is left out. */
@@ -52,12 +52,27 @@
 		tlb_timer_set(t->board->loop, &t->push_timer, tlb_clock_now() + delay);
 }
 
+static tlb_time grace_deadline(tlb_time returned_at)
+{
+	tlb_time until = returned_at + EXPIRED_ENTRY_GRACE;
+
+	return returned_at > 0 && until > tlb_clock_now() ? until : 0;
+}
+
+/* Until when an endpoint stays in use that is missing since the store returned from an older copy;
+ * 0: not. */
+static tlb_time lost_entry_deadline(const struct tlb_shared_table *s)
+{
+	return grace_deadline(s->watcher.store->era_began_at);
+}
+
 /* Until when a removed endpoint stays in use; 0: not. */
 static tlb_time expired_entry_deadline(const struct tlb_shared_table *s)
 {
-	tlb_time until = s->watcher.recovered_at + EXPIRED_ENTRY_GRACE;
+	tlb_time expired = grace_deadline(s->watcher.recovered_at);
+	tlb_time lost = lost_entry_deadline(s);
 
-	return s->watcher.recovered_at > 0 && until > tlb_clock_now() ? until : 0;
+	return lost > expired ? lost : expired;
 }
 
 static void apply_row(struct tlb_shared_table *s, const struct tlb_stored_row *row,
@@ -101,6 +116,8 @@
 	tlb_replica_end_listing(&s->replica, s->watcher.version, expired_entry_deadline(s),
 				on_vanished, s);
 	s->listed = true;
+	/* Rows that are the same as before have new versions in a new era. */
+	schedule_push(s->tables);
 }
 
 static void on_progress(void *arg, int64_t version)
@@ -114,6 +131,12 @@
 
 /* --- messages --- */
 
+/* Messages have the era apart from the numbers of versions; the number 0 stands for none. */
+static int64_t version_in(int64_t era, int64_t number)
+{
+	return number > 0 ? tlb_stored_version(era, number) : 0;
+}
+
 /* A TableRows message under construction. Its strings are borrowed from the replica. */
 struct rows_message {
 	Toucan__TableRows rows;
@@ -129,7 +152,7 @@
 
 	toucan__table_row__init(r);
 	r->key = (char *)e->row.key;
-	r->version = e->row.version;
+	r->version = tlb_stored_number(e->row.version);
 	r->removed = e->row.removed;
 	r->value.data = (uint8_t *)e->row.value;
 	r->value.len = e->row.len;
@@ -144,21 +167,35 @@
 	m->list[m->rows.n_rows++] = r;
 }
 
+/* A message up to a version. base: it has all changes after that one; 0: the complete table. */
+static void begin_rows(struct rows_message *m, const struct tlb_shared_table *s, int64_t base,
+		       int64_t version)
+{
+	toucan__table_rows__init(&m->rows);
+	m->bytes = 0;
+	m->rows.table = s->kind;
+	m->rows.era = tlb_stored_era(version);
+	m->rows.base_version = tlb_stored_number(base);
+	m->rows.version = tlb_stored_number(version);
+	m->rows.rows = m->list;
+}
+
+/* Whether the first listing of an era is in progress: rows are of two eras. */
+static bool is_changing_era(const struct tlb_replica *r)
+{
+	return tlb_stored_era(r->rows_version) > tlb_stored_era(r->complete_version);
+}
+
 /* Collects the changes after a version. Returns false when they exceed the limits. */
 static bool collect_rows(struct rows_message *m, const struct tlb_shared_table *s, int64_t since,
 			 size_t max_bytes, bool compress)
 {
+	int64_t base = tlb_replica_covers(&s->replica, since) ? since : 0;
 	struct tlb_replica_row *e;
 
-	toucan__table_rows__init(&m->rows);
-	m->bytes = 0;
-	m->rows.table = s->kind;
-	m->rows.base_version = tlb_replica_covers(&s->replica, since) ? since : 0;
-	m->rows.version = s->replica.complete_version;
-	m->rows.rows = m->list;
+	begin_rows(m, s, base, s->replica.complete_version);
 	APR_RING_FOREACH (e, &s->replica.rows, tlb_replica_row, link) {
-		if (e->row.version <= m->rows.base_version ||
-		    (e->row.removed && m->rows.base_version == 0))
+		if (e->row.version <= base || (e->row.removed && base == 0))
 			continue;
 		if (m->rows.n_rows == MESSAGE_ROWS_MAX)
 			return false;
@@ -183,17 +220,14 @@
 {
 	static struct rows_message m;
 	int64_t known = vm->table_version[s->kind];
+	int64_t rows_version = s->replica.rows_version;
 
-	if (known >= s->replica.rows_version)
+	if (known >= rows_version || is_changing_era(&s->replica))
 		return;
-	if (known == 0 || !collect_rows(&m, s, known, PUSH_BYTES_MAX, false)) {
-		toucan__table_rows__init(&m.rows);
-		m.rows.table = s->kind;
-		m.rows.base_version = s->replica.rows_version;
-		m.rows.version = s->replica.rows_version;
-	}
+	if (known == 0 || !collect_rows(&m, s, known, PUSH_BYTES_MAX, false))
+		begin_rows(&m, s, rows_version, rows_version);
 	if (send_rows(s->tables, vm->id, &m))
-		vm->table_version[s->kind] = m.rows.version;
+		vm->table_version[s->kind] = version_in(m.rows.era, m.rows.version);
 }
 
 static void on_push_timer(void *arg)
@@ -221,7 +255,10 @@
 		return;
 	s->next_pull_at = now + PULL_INTERVAL;
 	p.table = s->kind;
-	p.have_version = s->listed ? s->replica.complete_version : 0;
+	if (s->listed) {
+		p.have_version = tlb_stored_number(s->replica.complete_version);
+		p.era = tlb_stored_era(s->replica.complete_version);
+	}
 	p.inflates = true;
 	e.body_case = TOUCAN__ENVELOPE__BODY_TABLE_PULL;
 	e.table_pull = &p;
@@ -233,10 +270,11 @@
 static void on_pull(struct tlb_shared_table *s, const char *vm, const Toucan__TablePull *p)
 {
 	static struct rows_message m;
+	int64_t have = version_in(p->era, p->have_version);
 
-	if (!s->listed || s->replica.complete_version <= p->have_version)
+	if (!s->listed || s->replica.complete_version <= have || is_changing_era(&s->replica))
 		return;
-	if (!collect_rows(&m, s, p->have_version, PULL_BYTES_MAX, p->inflates)) {
+	if (!collect_rows(&m, s, have, PULL_BYTES_MAX, p->inflates)) {
 		tlb_log_warn("event=table_too_large table=%d to=%s bytes=%zu", (int)s->kind, vm,
 			     m.bytes);
 		return;
@@ -252,10 +290,11 @@
 	pull(s, vm);
 }
 
-static void apply_peer_row(struct tlb_shared_table *s, const Toucan__TableRow *r, tlb_time now)
+static void apply_peer_row(struct tlb_shared_table *s, const Toucan__TableRow *r, int64_t version,
+			   tlb_time now)
 {
 	struct tlb_stored_row row = {
-		.version = r->version,
+		.version = version,
 		.removed = r->removed,
 		.value = r->removed ? NULL : (char *)r->value.data,
 		.len = r->removed ? 0 : r->value.len,
@@ -298,18 +337,30 @@
 	return true;
 }
 
+/* An era that comes from a release without eras says nothing. */
+static void note_era(struct tlb_shared_table *s, int64_t era)
+{
+	if (era > 0 && era <= TLB_STORED_ERA_MAX)
+		tlb_rowstore_note_era(s->watcher.store, era);
+}
+
 static void on_rows(struct tlb_shared_table *s, const char *vm, const Toucan__TableRows *m)
 {
 	struct tlb_vm *sender = tlb_vms_find(s->tables->vms, vm);
 	bool complete_table = m->base_version == 0;
+	int64_t base = version_in(m->era, m->base_version);
+	int64_t version = version_in(m->era, m->version);
+	int64_t row_version;
 	tlb_time now = tlb_clock_now();
 	size_t i;
 
-	if (sender && m->version > sender->table_version[s->kind])
-		sender->table_version[s->kind] = m->version;
-	if (m->version <= s->replica.complete_version)
+	note_era(s, m->era);
+	if (sender && version > sender->table_version[s->kind])
+		sender->table_version[s->kind] = version;
+	if (version <= s->replica.complete_version)
 		return;
-	if (!complete_table && (!s->listed || m->base_version > s->replica.complete_version)) {
+	if (!complete_table && (!s->listed || base > s->replica.complete_version ||
+				m->era != tlb_stored_era(s->replica.complete_version))) {
 		note_behind(s, vm);
 		return;
 	}
@@ -321,12 +372,15 @@
 	}
 	if (complete_table)
 		tlb_replica_begin_listing(&s->replica);
-	for (i = 0; i < m->n_rows; i++)
-		if (complete_table || m->rows[i]->version > s->replica.complete_version)
-			apply_peer_row(s, m->rows[i], now);
+	for (i = 0; i < m->n_rows; i++) {
+		row_version = version_in(m->era, m->rows[i]->version);
+		if (complete_table || row_version > s->replica.complete_version)
+			apply_peer_row(s, m->rows[i], row_version, now);
+	}
 	if (complete_table)
-		tlb_replica_end_listing(&s->replica, m->version, 0, on_vanished, s);
-	tlb_replica_set_complete(&s->replica, m->version);
+		tlb_replica_end_listing(&s->replica, version, lost_entry_deadline(s), on_vanished,
+					s);
+	tlb_replica_set_complete(&s->replica, version);
 	s->listed = true;
 	s->behind_since = 0;
 	s->handlers.on_changed(s->handlers.arg);
@@ -365,6 +419,16 @@
 	return follows_store(t, now) ? 0 : now - t->confirmed_at;
 }
 
+static void fill_table_state(const struct tlb_replica *r, Toucan__TableState *state)
+{
+	state->era = tlb_stored_era(r->complete_version);
+	state->complete_version = tlb_stored_number(r->complete_version);
+	/* No row, or only some, may be of that era yet. */
+	state->rows_version = tlb_stored_era(r->rows_version) == state->era
+				      ? tlb_stored_number(r->rows_version)
+				      : state->complete_version;
+}
+
 void tlb_tables_fill_state(struct tlb_tables *t, Toucan__VmState *state)
 {
 	static Toucan__TableState states[TLB_TABLE_COUNT];
@@ -374,10 +438,8 @@
 
 	for (i = 0; i < TLB_TABLE_COUNT; i++) {
 		toucan__table_state__init(&states[i]);
-		if (t->table[i].listed) {
-			states[i].complete_version = t->table[i].replica.complete_version;
-			states[i].rows_version = t->table[i].replica.rows_version;
-		}
+		if (t->table[i].listed)
+			fill_table_state(&t->table[i].replica, &states[i]);
 		list[i] = &states[i];
 	}
 	state->tables = list;
@@ -390,6 +452,7 @@
 	tlb_time now = tlb_clock_now();
 	tlb_time confirmed_at = now - (tlb_time)state->confirmed_age_ms * TLB_MS;
 	struct tlb_shared_table *s;
+	int64_t era;
 	size_t i;
 
 	t->heard_at = now;
@@ -397,8 +460,10 @@
 		t->confirmed_at = confirmed_at;
 	for (i = 0; i < state->n_tables && i < TLB_TABLE_COUNT; i++) {
 		s = &t->table[i];
-		vm->table_version[i] = state->tables[i]->complete_version;
-		if (state->tables[i]->rows_version > s->replica.complete_version)
+		era = state->tables[i]->era;
+		note_era(s, era);
+		vm->table_version[i] = version_in(era, state->tables[i]->complete_version);
+		if (version_in(era, state->tables[i]->rows_version) > s->replica.complete_version)
 			note_behind(s, vm->id);
 		else if (s->listed && vm->table_version[i] < s->replica.rows_version)
 			schedule_push(t);
--- a/src/watch.c
+++ b/src/watch.c
@@ -36,7 +36,7 @@
 {
 	if (w->failures++ == 0)
 		tlb_log_warn("event=store_lost table=%s version=%lld reason=\"%s\"", w->table,
-			     (long long)w->version, reason);
+			     (long long)tlb_stored_number(w->version), reason);
 	schedule_retry(w);
 }
 
@@ -46,7 +46,7 @@
 	if (w->failures == 0)
 		return;
 	tlb_log_info("event=store_regained table=%s version=%lld failures=%d", w->table,
-		     (long long)w->version, w->failures);
+		     (long long)tlb_stored_number(w->version), w->failures);
 	w->failures = 0;
 	w->recovered_at = w->last_success_at;
 }
@@ -91,7 +91,8 @@
 
 static void restart_listing(struct tlb_watcher *w)
 {
-	tlb_log_info("event=store_relist table=%s version=%lld", w->table, (long long)w->version);
+	tlb_log_info("event=store_relist table=%s version=%lld", w->table,
+		     (long long)tlb_stored_number(w->version));
 	w->state = TLB_WATCH_LISTING;
 	w->next_page_key[0] = '\0';
 	start_next_call(w);
@@ -112,6 +113,21 @@
 	tlb_timer_set(w->store->http->loop, &w->timer, tlb_clock_now() + delay);
 }
 
+/* Whether the response continues what is known: its listing, or the changes so far, are of the same
+ * era. */
+static bool continues(const struct tlb_watcher *w, const struct tlb_stored_rows *rows)
+{
+	int64_t era = tlb_stored_era(rows->version);
+
+	switch (w->state) {
+	case TLB_WATCH_LISTING:
+		return !w->next_page_key[0] || era == tlb_stored_era(w->listing_version);
+	case TLB_WATCH_FOLLOWING:
+		return era == tlb_stored_era(w->version);
+	}
+	return false;
+}
+
 static void on_response(void *arg, enum tlb_rowstore_status status,
 			const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -127,6 +143,10 @@
 		return;
 	}
 	record_success(w);
+	if (!continues(w, rows)) {
+		restart_listing(w);
+		return;
+	}
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
 		handle_page(w, rows);
@@ -160,6 +180,8 @@
 
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
+		if (!w->next_page_key[0])
+			w->listing_era = w->store->era;
 		tlb_rowstore_list(w->store, &w->op, w->table, w->next_page_key, on_response, w);
 		break;
 	case TLB_WATCH_FOLLOWING:
@@ -169,6 +191,31 @@
 	}
 }
 
+static bool is_in_era(const struct tlb_watcher *w, int64_t era)
+{
+	switch (w->state) {
+	case TLB_WATCH_LISTING:
+		if (w->next_page_key[0])
+			return tlb_stored_era(w->listing_version) == era;
+		return w->listing_era == era;
+	case TLB_WATCH_FOLLOWING:
+		return tlb_stored_era(w->version) == era;
+	}
+	return false;
+}
+
+/* A call in progress may wait for changes after a version that the store no longer has. */
+static void on_new_era(void *arg)
+{
+	struct tlb_watcher *w = arg;
+
+	if (w->paused || is_in_era(w, w->store->era))
+		return;
+	tlb_rowstore_cancel(&w->op);
+	tlb_timer_clear(w->store->http->loop, &w->timer);
+	restart_listing(w);
+}
+
 void tlb_watcher_init(struct tlb_watcher *w, struct tlb_rowstore *store, const char *table,
 		      const struct tlb_watcher_handlers *handlers, uint64_t seed)
 {
@@ -179,10 +226,13 @@
 	tlb_random_init(&w->random, seed);
 	tlb_timer_init(&w->timer, start_next_call, w);
 	w->paused = true;
+	w->observer = (struct tlb_rowstore_observer){.on_new_era = on_new_era, .arg = w};
+	tlb_rowstore_observe(store, &w->observer);
 }
 
 void tlb_watcher_finish(struct tlb_watcher *w)
 {
+	tlb_rowstore_unobserve(&w->observer);
 	tlb_timer_clear(w->store->http->loop, &w->timer);
 	tlb_rowstore_cancel(&w->op);
 }
@@ -196,9 +246,11 @@
 
 void tlb_watcher_resume(struct tlb_watcher *w, int64_t version, bool outage)
 {
+	bool current = version > 0 && tlb_stored_era(version) >= w->store->era;
+
 	w->paused = false;
 	w->next_page_key[0] = '\0';
-	w->state = version > 0 ? TLB_WATCH_FOLLOWING : TLB_WATCH_LISTING;
+	w->state = current ? TLB_WATCH_FOLLOWING : TLB_WATCH_LISTING;
 	w->listed = version > 0;
 	if (version > w->version)
 		w->version = version;
--- a/src/watch.h
+++ b/src/watch.h
@@ -1,6 +1,7 @@
 /*
  * Follows one table of the platform's store: lists all rows, then receives changes by long polling.
- * When the store's change history no longer covers the last version seen, it lists the table again.
+ * When the store's change history no longer covers the last version seen, or the store has returned
+ * from an older copy, it lists the table again.
  */
 #ifndef TLB_WATCH_H
 #define TLB_WATCH_H
@@ -46,12 +47,14 @@
 	enum tlb_watch_state state;
 	int64_t version;	 /* changes up to this version were applied */
 	int64_t listing_version; /* version of the listing's first page */
+	int64_t listing_era;	 /* latest era known when the listing's first page was requested */
 	char next_page_key[TLB_STORED_ROW_KEY_LEN + 1]; /* first key of the next page */
 	int failures;					/* consecutive failed calls */
 	bool listed;					/* a listing has completed */
 	tlb_time last_success_at; /* time of the last successful call; 0: none */
 	tlb_time recovered_at;	  /* first success after the last failure; 0: none */
 	struct tlb_rowstore_op op;
+	struct tlb_rowstore_observer observer;
 	struct tlb_timer timer;
 };
 
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -3494,7 +3494,7 @@
   (ProtobufCMessageInit) toucan__suspect_parts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__table_state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor toucan__table_state__field_descriptors[3] =
 {
   {
     "complete_version",
@@ -3520,15 +3520,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableState, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__table_state__field_indices_by_name[] = {
   0,   /* field[0] = complete_version */
+  2,   /* field[2] = era */
   1,   /* field[1] = rows_version */
 };
 static const ProtobufCIntRange toucan__table_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor toucan__table_state__descriptor =
 {
@@ -3538,7 +3551,7 @@
   "Toucan__TableState",
   "toucan",
   sizeof(Toucan__TableState),
-  2,
+  3,
   toucan__table_state__field_descriptors,
   toucan__table_state__field_indices_by_name,
   1,  toucan__table_state__number_ranges,
@@ -3648,7 +3661,7 @@
   (ProtobufCMessageInit) toucan__table_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__table_rows__field_descriptors[4] =
+static const ProtobufCFieldDescriptor toucan__table_rows__field_descriptors[5] =
 {
   {
     "table",
@@ -3698,9 +3711,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TableRows, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__table_rows__field_indices_by_name[] = {
   1,   /* field[1] = base_version */
+  4,   /* field[4] = era */
   3,   /* field[3] = rows */
   0,   /* field[0] = table */
   2,   /* field[2] = version */
@@ -3708,7 +3734,7 @@
 static const ProtobufCIntRange toucan__table_rows__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor toucan__table_rows__descriptor =
 {
@@ -3718,14 +3744,14 @@
   "Toucan__TableRows",
   "toucan",
   sizeof(Toucan__TableRows),
-  4,
+  5,
   toucan__table_rows__field_descriptors,
   toucan__table_rows__field_indices_by_name,
   1,  toucan__table_rows__number_ranges,
   (ProtobufCMessageInit) toucan__table_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor toucan__table_pull__field_descriptors[3] =
+static const ProtobufCFieldDescriptor toucan__table_pull__field_descriptors[4] =
 {
   {
     "table",
@@ -3763,8 +3789,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__TablePull, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__table_pull__field_indices_by_name[] = {
+  3,   /* field[3] = era */
   1,   /* field[1] = have_version */
   2,   /* field[2] = inflates */
   0,   /* field[0] = table */
@@ -3772,7 +3811,7 @@
 static const ProtobufCIntRange toucan__table_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor toucan__table_pull__descriptor =
 {
@@ -3782,7 +3821,7 @@
   "Toucan__TablePull",
   "toucan",
   sizeof(Toucan__TablePull),
-  3,
+  4,
   toucan__table_pull__field_descriptors,
   toucan__table_pull__field_indices_by_name,
   1,  toucan__table_pull__number_ranges,
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -391,10 +391,14 @@
    * of the newest row
    */
   int64_t rows_version;
+  /*
+   * the store's era that both versions belong to
+   */
+  int64_t era;
 };
 #define TOUCAN__TABLE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__table_state__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -441,10 +445,14 @@
   int64_t version;
   size_t n_rows;
   Toucan__TableRow **rows;
+  /*
+   * the store's era that all versions belong to
+   */
+  int64_t era;
 };
 #define TOUCAN__TABLE_ROWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__table_rows__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -459,10 +467,14 @@
    * the sender reads compressed values
    */
   protobuf_c_boolean inflates;
+  /*
+   * the store's era of have_version
+   */
+  int64_t era;
 };
 #define TOUCAN__TABLE_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&toucan__table_pull__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1407,6 +1407,117 @@
         wait(lambda: vm.events("instance_gone instance=shop-0"), "the removed endpoint")
 
 
+def applied(vm, version):
+    return vm.events(f"routing_applied source=.* version={version}")
+
+
+def restore(store, version):
+    """The store is away for a moment and returns from a copy. Returns its latest version before."""
+    latest = store.version
+    store.down = True
+    time.sleep(0.5)
+    store.restore(version)
+    store.down = False
+    return latest
+
+
+def check_versions_given_out_again_are_read():
+    """After the store has returned from an older copy, a configuration with a version that another
+    row had before must be in force in time, and the restored, older one must not be."""
+    with World(vms=2) as w:
+        w.start()
+        copy = w.store.version
+        w.store.put("op", "config", config(6))
+        wait(lambda: all(applied(v, 6) for v in w.vms), "version 6")
+        for n in range(2):
+            for _ in range(20):
+                w.store.put("any", "row", "x")
+            latest = restore(w.store, copy)
+            w.store.put("op", "config", config(8 + n))
+            assert w.store.version < latest, "the version is not given out again"
+            wait(lambda n=n: all(applied(v, 8 + n) for v in w.vms), f"version {8 + n}", 2.5)
+            wait(lambda n=n: all(len(v.events("store_era")) == n + 1 for v in w.vms),
+                 "the era is logged")
+        for v in w.vms:
+            equal(len(applied(v, 3)), 1, f"times the restored version was applied at {v.name}")
+            equal(v.metric("toucanlb_store_era"), 3, "era")
+
+
+def check_vm_of_an_earlier_era_learns_from_others():
+    """A VM that slept while the store returned from an older copy, and that the store refuses, must
+    take the rows of the others although its own have higher versions, and must not spread those."""
+    with World(vms=3, shops=2) as w:
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        copy = w.store.version
+        for n in range(20):
+            w.store.put("servers", "shop-2", dict(w.shops[1].entry(), slots=n + 1))
+        w.store.put("op", "config", config(6))
+        wait(lambda: all(applied(v, 6) and v.events("instance instance=shop-2") for v in w.vms),
+             "the rows that get lost")
+        sleeper = w.vms[2]
+        sleeper.process.send_signal(signal.SIGSTOP)
+        w.doors[2].closed = True
+        restore(w.store, copy)
+        w.store.put("op", "config", config(8))
+        wait(lambda: all(applied(v, 8) for v in w.vms[:2]), "version 8", 2.5)
+        wait(lambda: all(v.events("instance_gone instance=shop-2") for v in w.vms[:2]),
+             "the lost endpoint is gone")
+        sleeper.process.send_signal(signal.SIGCONT)
+        wait(lambda: sleeper.events("routing_applied source=peer version=8"), "from a peer", 3)
+        wait(lambda: sleeper.events("instance_gone instance=shop-2"), "gone at the sleeper", 3)
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-1") for v in w.vms),
+             "a later change at all VMs", 3)
+        for v in w.vms:
+            equal(len(v.events("instance instance=shop-2")), 1, f"entries of shop-2 at {v.name}")
+
+
+def check_large_fleet_reads_versions_given_out_again():
+    """VMs that do not follow the store must learn of its return from an older copy from others."""
+    with World(vms=20, shops=2) as w:
+        w.start()
+        wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
+             "most VMs stop following", 15)
+        copy = w.store.version
+        w.store.put("op", "config", config(6))
+        for _ in range(20):
+            w.store.put("servers", "shop-0", w.shops[0].entry())
+        wait(lambda: all(applied(v, 6) for v in w.vms), "version 6 at all VMs", 4)
+        latest = restore(w.store, copy)
+        w.store.put("op", "config", config(8))
+        assert w.store.version < latest, "the version is not given out again"
+        wait(lambda: all(applied(v, 8) for v in w.vms), "version 8 at all VMs", 4)
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-1") for v in w.vms),
+             "a removed endpoint at all VMs", 4)
+
+
+def check_endpoint_missing_from_an_older_copy_stays_in_use():
+    """An endpoint whose entry is newer than the copy that the store returned from is alive and
+    writes its entry again; until then it must stay in use, also if no call failed meanwhile."""
+    with World(shops=0) as w:
+        vm = w.start()
+        copy = w.store.version
+        w.shops.append(Endpoint("shop-0", "shop"))
+        w.store.put("servers", "shop-0", w.shops[0].entry())
+        wait(lambda: vm.events("instance instance=shop-0"), "the entry is read")
+        for _ in range(5):
+            w.store.put("op", "other", "x")
+            w.store.put("servers", "other", None)
+        time.sleep(0.2)
+        w.store.restore(copy)
+        wait(lambda: vm.events("instance_gone instance=shop-0"), "the entry is gone")
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "just after the return")
+        w.store.put("servers", "shop-0", w.shops[0].entry())
+        time.sleep(2.2)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "an entry that was written again")
+        w.store.restore(copy)
+        time.sleep(2.5)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 503, "an entry that does not come back")
+        equal(vm.events("store_lost"), [], "failed calls")
+
+
 def check_limit_holds_over_all_vms():
     """An account must not get its full burst at each VM."""
     limited = [{"name": "acct", "apiKeys": [KEY], "unit": "token_count", "plainTokens": 100,
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -101,18 +101,21 @@
 # The tables without which a VM does not become ready.
 STARTUP_TABLES = ("op", "servers", "toucanlb-secret", "toucanlb-vm")
 SILENCE = object()
+CUT = object()
 SILENCE_S = 15  # longer than any call of the router
 
 
 class Store:
     """Rows with one version counter. Faults: `down`, `read_only`, closed doors, `silent` (calls that
     arrive meanwhile are never answered), `withheld` (only reads of `STARTUP_TABLES` are answered),
-    and a dropped change log (`forgotten`: the last version whose change is no longer available)."""
+    a dropped change log (`forgotten`: the last version whose change is no longer available), and a
+    return from an older copy (`restore`)."""
 
     def __init__(self):
         self.rows = {}
         self.log = []
         self.version = 0
+        self.era = 1
         self.changed = threading.Condition()
         self.down = False
         self.read_only = False
@@ -139,6 +142,18 @@
         self.log.append(row)
         self.changed.notify_all()
 
+    def restore(self, version):
+        """Goes back to the rows as of a version; later versions are given out again."""
+        with self.changed:
+            self.log = [r for r in self.log if r["ver"] <= version]
+            self.rows = {}
+            for r in self.log:
+                self.rows[r["table"], r["key"]] = r
+            self.rows = {k: r for k, r in self.rows.items() if "removed" not in r}
+            self.version = version
+            self.era += 1
+            self.changed.notify_all()
+
     def answer(self, **fields):
         return dict(fields, ver=self.version, nowMs=int(time.monotonic() * 1000))
 
@@ -150,9 +165,12 @@
     def feed(self, table, after, wait_ms, door):
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
+            era = self.era
             while True:
-                if after < self.forgotten:
+                if after < self.forgotten or after > self.version:
                     return None
+                if era != self.era:
+                    return CUT
                 if self.silent:
                     return SILENCE
                 rows = [r for r in self.log if r["table"] == table and r["ver"] > after]
@@ -178,6 +196,9 @@
     store = None
     door = None
 
+    def reply(self, status, payload=b"", headers=()):
+        super().reply(status, payload, [("Store-Era", str(self.store.era)), *headers])
+
     def is_down(self):
         return self.store.down or self.door.closed
 
@@ -194,7 +215,7 @@
         if answer is SILENCE:
             time.sleep(SILENCE_S)
             return self.cut()
-        if self.is_down():
+        if self.is_down() or answer is CUT:
             return self.cut()
         return self.reply(410 if answer is None else 200, answer or {})
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -189,6 +189,18 @@
 }
 END_TEST
 
+START_TEST(test_store_era)
+{
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\nstore-era: 7\nB: 2\n"), 7);
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era(""), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: -2\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 3x\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era:\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 99999999999999999999999\n"), 0);
+}
+END_TEST
+
 /* Guards against forwarding hop-by-hop response headers to the caller. */
 START_TEST(test_forwarded_head)
 {
@@ -307,6 +319,7 @@
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
 	tcase_add_test(t, test_outcomes);
+	tcase_add_test(t, test_store_era);
 	tcase_add_test(t, test_forwarded_head);
 	tcase_add_test(t, test_handles);
 	tcase_add_loop_test(t, test_load_report, 0, sizeof(reports) / sizeof(reports[0]));
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -21,8 +21,8 @@
 	strcpy(row.key, key);
 	row.value = (char *)value;
 	row.len = value ? strlen(value) : 0;
-	ck_assert_msg((tlb_replica_put(&r, &row, 0) != NULL) == expected, "%s at %d", key,
-		      (int)version);
+	ck_assert_msg((tlb_replica_put(&r, &row, 0) != NULL) == expected, "%s at %lld", key,
+		      (long long)version);
 }
 
 static const struct tlb_replica_row *find(const char *key)
@@ -98,6 +98,52 @@
 }
 END_TEST
 
+START_TEST(era_orders_before_number)
+{
+	const int64_t former = tlb_stored_version(4, 90);
+	const int64_t later = tlb_stored_version(5, 7);
+
+	ck_assert_int_lt(former, later);
+	ck_assert_int_eq(tlb_stored_era(later), 5);
+	ck_assert_int_eq(tlb_stored_number(later), 7);
+	ck_assert_int_eq(tlb_stored_version(0, 12), 12);
+	tlb_replica_init(&r);
+	put("a", former, "former", true);
+	put("a", later, "later", true);
+	put("a", former + 1, "former", false);
+	ck_assert_str_eq(find("a")->row.value, "later");
+	tlb_replica_finish(&r);
+}
+END_TEST
+
+START_TEST(listing_of_a_new_era_replaces_the_table)
+{
+	const int64_t former = tlb_stored_version(1, 0);
+	const int64_t later = tlb_stored_version(2, 0);
+
+	tlb_replica_init(&r);
+	removals = 0;
+	put("stays", former + 3, "x", true);
+	put("lost", former + 40, "x", true);
+	put("older", former + 41, "x", true);
+	tlb_replica_set_complete(&r, former + 50);
+	ck_assert(tlb_replica_covers(&r, former + 30));
+	tlb_replica_begin_listing(&r);
+	put("stays", later + 3, "x", false);
+	put("older", later + 5, "y", true);
+	tlb_replica_end_listing(&r, later + 8, 0, on_removed, NULL);
+	ck_assert_int_eq(removals, 1);
+	ck_assert(find("lost")->row.removed);
+	ck_assert_int_eq(find("stays")->row.version, later + 3);
+	ck_assert_str_eq(find("older")->row.value, "y");
+	ck_assert_int_eq(r.complete_version, later + 8);
+	ck_assert(!tlb_replica_covers(&r, former + 50));
+	ck_assert(tlb_replica_covers(&r, later + 8));
+	put("lost", former + 60, "x", false);
+	tlb_replica_finish(&r);
+}
+END_TEST
+
 /* One line of tests/tables/follow.txt. Ages are in ms; "-": not set. */
 static void check_line(const char *line, int number)
 {
@@ -186,6 +232,8 @@
 	tcase_add_test(t, older_rows_change_nothing);
 	tcase_add_test(t, listing_removes_what_it_lacks);
 	tcase_add_test(t, tombstones_are_bounded);
+	tcase_add_test(t, era_orders_before_number);
+	tcase_add_test(t, listing_of_a_new_era_replaces_the_table);
 	tcase_add_test(t, large_value_is_compressed_until_it_changes);
 	tcase_add_test(t, who_follows_by_load_pattern);
 	suite_add_tcase(s, t);
