Keep endpoints that left out of use when the store brings their entries back

What callers saw: nothing reported; found by reading after the store's return from an older copy. Requests went to endpoints that had left or were leaving. Cause: an entry of the copy, in which the endpoint was still ready, replaced the newer one, or added the endpoint again after its removal. Ruled out: comparing all entries by their sequence. Within an era the store's order decides, and an entry that is written again unchanged must count. Change: entries of the first complete table of an era are compared with what is known: an earlier start, or the same start and a sequence that is not higher, changes nothing. Of removed endpoints the last 512 are remembered. An endpoint that the copy lacks counts as missing and not as removed. Entries without a start time or sequence are taken as before. The stand-in's sequence now rises with every write, as the platform's does.

--- a/src/edge.c
+++ b/src/edge.c
@@ -62,7 +62,8 @@
 	apply_limits(e, &r->limits);
 }
 
-static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
+static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+			  bool restored)
 {
 	struct tlb_edge *e = arg;
 
@@ -121,7 +122,7 @@
 
 /* --- endpoints --- */
 
-static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row)
+static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row, bool restored)
 {
 	struct tlb_instance_row r;
 	struct tlb_error err;
@@ -131,6 +132,11 @@
 			     err.message);
 		return;
 	}
+	if (restored && tlb_instances_know_newer(&e->board.instances, &r)) {
+		tlb_log_info("event=instance_entry_restored instance=%s sequence=%lld", r.id,
+			     (long long)r.sequence);
+		return;
+	}
 	if (tlb_instances_put(&e->board.instances, &r))
 		tlb_log_info("event=instance instance=%s service=%s addr=%s role=%d slots=%d "
 			     "leaving=%d version=%lld",
@@ -138,19 +144,20 @@
 			     (long long)tlb_stored_number(row->version));
 }
 
-static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
+static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+			    bool restored)
 {
 	struct tlb_edge *e = arg;
 	tlb_time now = tlb_clock_now();
 
 	if (!row->removed) {
-		put_instance(e, row);
+		put_instance(e, row, restored);
 		return;
 	}
 	tlb_log_info("event=instance_gone instance=%.63s version=%lld use_ms=%lld", row->key,
 		     (long long)tlb_stored_number(row->version),
 		     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
-	tlb_instances_remove(&e->board.instances, row->key, use_deadline);
+	tlb_instances_remove(&e->board.instances, row->key, use_deadline, restored);
 }
 
 static void on_instances_changed(void *arg)
--- a/src/instance.c
+++ b/src/instance.c
@@ -107,27 +107,79 @@
 	}
 	i->row = *row;
 	i->listed = true;
+	i->lost = false;
 	i->unlisted_deadline = 0;
 	return changed;
 }
 
-static void unlist(struct tlb_instance *i, tlb_time use_deadline)
+static const struct tlb_removed_instance *find_removed(const struct tlb_instances *s,
+						       const char *id)
+{
+	const struct tlb_removed_instance *newest = NULL;
+	int i;
+
+	for (i = 0; i < TLB_INSTANCES_REMEMBERED; i++)
+		if (strcmp(s->removed[i].id, id) == 0 &&
+		    (!newest || s->removed[i].started_ms > newest->started_ms ||
+		     (s->removed[i].started_ms == newest->started_ms &&
+		      s->removed[i].sequence > newest->sequence)))
+			newest = &s->removed[i];
+	return newest;
+}
+
+static void remember(struct tlb_instances *s, const struct tlb_instance_row *row)
+{
+	struct tlb_removed_instance *r = &s->removed[s->next_removed];
+
+	if (row->started_ms <= 0 || row->sequence <= 0)
+		return;
+	strcpy(r->id, row->id);
+	r->started_ms = row->started_ms;
+	r->sequence = row->sequence;
+	s->next_removed = (s->next_removed + 1) % TLB_INSTANCES_REMEMBERED;
+}
+
+bool tlb_instances_know_newer(const struct tlb_instances *s, const struct tlb_instance_row *row)
+{
+	const struct tlb_instance *i = tlb_instances_find(s, row->id);
+	const struct tlb_removed_instance *r;
+
+	if (row->started_ms <= 0 || row->sequence <= 0)
+		return false;
+	if (!i) {
+		r = find_removed(s, row->id);
+		return r && (row->started_ms < r->started_ms ||
+			     (row->started_ms == r->started_ms && row->sequence <= r->sequence));
+	}
+	if (i->lost || i->row.started_ms <= 0 || i->row.sequence <= 0)
+		return false;
+	if (row->started_ms != i->row.started_ms)
+		return row->started_ms < i->row.started_ms;
+	return row->sequence < i->row.sequence || (row->sequence == i->row.sequence && !i->listed);
+}
+
+static void unlist(struct tlb_instances *s, struct tlb_instance *i, tlb_time use_deadline,
+		   bool lost)
 {
 	if (use_deadline == 0 || i->row.leaving) {
+		/* A leaving one that is lost has left as well. */
+		if (!lost || i->row.leaving)
+			remember(s, &i->row);
 		remove_instance(i);
 		return;
 	}
 	i->listed = false;
+	i->lost = lost;
 	if (i->unlisted_deadline == 0)
 		i->unlisted_deadline = use_deadline;
 }
 
-void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline)
+void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline, bool lost)
 {
 	struct tlb_instance *i = tlb_instances_find(s, id);
 
 	if (i)
-		unlist(i, use_deadline);
+		unlist(s, i, use_deadline, lost);
 }
 
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
--- a/src/instance.h
+++ b/src/instance.h
@@ -15,7 +15,8 @@
 
 enum {
 	TLB_INSTANCE_ID_LEN = 64,
-	TLB_INSTANCES_MAX = 1024, /* candidates for one request */
+	TLB_INSTANCES_MAX = 1024,	/* candidates for one request */
+	TLB_INSTANCES_REMEMBERED = 512, /* removed ones, the oldest is forgotten */
 };
 
 /* Prefill speed in tokens per second, assumed until it has been measured. */
@@ -30,6 +31,7 @@
 	enum tlb_role role;
 	int slots;
 	int64_t started_ms; /* wall-clock time of its start; 0: not given */
+	int64_t sequence;   /* rises with every write of this incarnation; 0: not given */
 	bool leaving;
 };
 
@@ -39,7 +41,8 @@
 	APR_RING_ENTRY(tlb_instance) link;
 	struct tlb_instance_row row;
 	int refcount;
-	bool listed;		    /* its entry exists */
+	bool listed; /* its entry exists */
+	bool lost;   /* its entry is missing since the store returned from an older copy */
 	tlb_time unlisted_deadline; /* usable until then although not listed; 0: not usable */
 	struct tlb_health health;
 	tlb_time full_until;	   /* treated as full until then; 0: not known to be full */
@@ -53,9 +56,18 @@
 
 APR_RING_HEAD(tlb_instance_ring, tlb_instance);
 
+/* The last entry of a removed instance. A value type. */
+struct tlb_removed_instance {
+	char id[TLB_INSTANCE_ID_LEN]; /* "" when unused */
+	int64_t started_ms;
+	int64_t sequence;
+};
+
 /* All instances. Owned by the board; holds a reference to each instance. */
 struct tlb_instances {
 	struct tlb_instance_ring all;
+	struct tlb_removed_instance removed[TLB_INSTANCES_REMEMBERED];
+	int next_removed; /* index that is overwritten next */
 	struct tlb_selector place;
 	/* Filled for each selection; the two arrays have the same indices. */
 	struct tlb_candidate candidate[TLB_INSTANCES_MAX];
@@ -71,9 +83,14 @@
  * discards its statistics. Returns whether an instance was added, or its role or leaving state
  * changed. */
 bool tlb_instances_put(struct tlb_instances *s, const struct tlb_instance_row *row);
+/* Whether an entry that may come from an older copy of the store is older than what is known of the
+ * instance, also when it was removed. False when the entries don't tell. */
+bool tlb_instances_know_newer(const struct tlb_instances *s, const struct tlb_instance_row *row);
 /* Handles the removal of an instance from discovery. It stays usable until use_deadline; 0: it is
- * removed at once. A leaving instance is always removed at once. */
-void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline);
+ * removed at once. A leaving instance is always removed at once. lost: its entry was not removed
+ * but is missing since the store returned from an older copy. */
+void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline,
+			  bool lost);
 
 void tlb_instance_acquire(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
--- a/src/tables.c
+++ b/src/tables.c
@@ -75,6 +75,13 @@
 	return lost > expired ? lost : expired;
 }
 
+/* Whether the row belongs to the first complete table of an era. */
+static bool is_restored(const struct tlb_shared_table *s, const struct tlb_stored_row *row)
+{
+	return s->listed &&
+	       tlb_stored_era(row->version) > tlb_stored_era(s->replica.complete_version);
+}
+
 static void apply_row(struct tlb_shared_table *s, const struct tlb_stored_row *row,
 		      tlb_time use_deadline)
 {
@@ -82,7 +89,7 @@
 
 	if (!e)
 		return;
-	s->handlers.on_row(s->handlers.arg, &e->row, use_deadline);
+	s->handlers.on_row(s->handlers.arg, &e->row, use_deadline, is_restored(s, &e->row));
 	schedule_push(s->tables);
 }
 
@@ -90,7 +97,7 @@
 {
 	struct tlb_shared_table *s = arg;
 
-	s->handlers.on_row(s->handlers.arg, &e->row, e->use_deadline);
+	s->handlers.on_row(s->handlers.arg, &e->row, e->use_deadline, is_restored(s, &e->row));
 	schedule_push(s->tables);
 }
 
--- a/src/tables.h
+++ b/src/tables.h
@@ -63,8 +63,10 @@
 struct tlb_table_handlers {
 	void *arg;
 	/* A row has changed or was removed; use_deadline: a removed entry stays in use until then,
-	 * 0: not. */
-	void (*on_row)(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline);
+	 * 0: not. restored: the row may be older than what was known, or missing without having
+	 * been removed, because the store has returned from an older copy. */
+	void (*on_row)(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+		       bool restored);
 	/* Called after each group of changes. */
 	void (*on_changed)(void *arg);
 };
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1518,6 +1518,34 @@
         equal(vm.events("store_lost"), [], "failed calls")
 
 
+def check_restored_entry_brings_no_endpoint_back():
+    """An endpoint that is known to be leaving, or to have left, must not get requests because the
+    store has returned from a copy in which it was ready."""
+    with World(vms=2, shops=3) as w:
+        w.start()
+        copy = w.store.version
+        w.store.put("servers", "shop-0", w.shops[0].entry("draining"))
+        w.store.put("servers", "shop-1", w.shops[1].entry("draining"))
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance instance=shop-0 .*leaving=1") and
+                         v.events("instance_gone instance=shop-1") for v in w.vms), "both leave")
+        restore(w.store, copy)
+        wait(lambda: all(v.events("store_era") for v in w.vms), "the era is known")
+        w.store.put("op", "config", config(8))
+        wait(lambda: all(applied(v, 8) for v in w.vms), "version 8")
+        for n in range(10):
+            for v in w.vms:
+                equal(v.call("/pay/1", "POST", b"x", attempt=f"r{n}-{v.name}")[0], 200, "status")
+        equal([len(s.seen) for s in w.shops[:2]], [0, 0], "requests at endpoints that left")
+        known = [len(v.events("instance instance=shop-1")) for v in w.vms]
+        w.store.put("servers", "shop-1", w.shops[1].entry())
+        wait(lambda: all(len(v.events("instance instance=shop-1")) > n
+                         for v, n in zip(w.vms, known)), "a newer entry of the same endpoint")
+        for n in range(20):
+            w.vms[0].call("/pay/1", "POST", b"x", attempt=f"s{n}")
+        assert w.shops[1].seen, "the endpoint that wrote its entry again is in use"
+
+
 def check_limit_holds_over_all_vms():
     """An account must not get its full burst at each VM."""
     limited = [{"name": "acct", "apiKeys": [KEY], "unit": "token_count", "plainTokens": 100,
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -245,6 +245,7 @@
         self.stage = stage
         self.slots = slots
         self.born = int(time.time() * 1000)
+        self.sequence = 0
         self.plan = lambda handler: False
         self.room = True
         self.hold_pause_s = 0  # before a request for a reservation is answered
@@ -297,6 +298,7 @@
             self.name = f"{former.split('.')[0]}.{len(self.crashes)}"
             store.put("servers", former, None)
         self.born = int(time.time() * 1000)
+        self.sequence = 0
         with self.lock:
             if self.ended:
                 return
@@ -304,8 +306,10 @@
         store.put("servers", self.name, self.entry())
 
     def entry(self, state="ready"):
+        """The entry that it writes now; the sequence rises with every write."""
+        self.sequence += 1
         row = {"service": self.service, "address": self.addr, "zone": "z1", "version": "v1",
-               "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
+               "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": self.sequence,
                "born": self.born}
         if self.stage:
             row["stage"] = self.stage
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -3,6 +3,7 @@
  * stay usable past their deadline, and against the selection of an endpoint that is full, queued or
  * of another role. */
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "instance.h"
@@ -74,7 +75,7 @@
 {
 	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
 
-	tlb_instances_remove(&instances, "a", now + TLB_SECOND);
+	tlb_instances_remove(&instances, "a", now + TLB_SECOND, false);
 	ck_assert(tlb_instance_usable(i, now));
 	ck_assert(!tlb_instance_usable(i, now + TLB_SECOND));
 	put("a", TLB_ROLE_SERVICE);
@@ -89,7 +90,7 @@
 
 	r.leaving = true;
 	tlb_instances_put(&instances, &r);
-	tlb_instances_remove(&instances, "a", now + TLB_SECOND);
+	tlb_instances_remove(&instances, "a", now + TLB_SECOND, false);
 	ck_assert_ptr_null(tlb_instances_find(&instances, "a"));
 }
 END_TEST
@@ -141,6 +142,68 @@
 }
 END_TEST
 
+static struct tlb_instance_row entry(int64_t started_ms, int64_t sequence)
+{
+	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
+
+	r.started_ms = started_ms;
+	r.sequence = sequence;
+	return r;
+}
+
+static bool knows_newer(int64_t started_ms, int64_t sequence)
+{
+	struct tlb_instance_row r = entry(started_ms, sequence);
+
+	return tlb_instances_know_newer(&instances, &r);
+}
+
+START_TEST(test_restored_entry_is_older)
+{
+	struct tlb_instance_row r = entry(5, 10);
+
+	ck_assert(!knows_newer(5, 9));
+	tlb_instances_put(&instances, &r);
+	ck_assert(knows_newer(5, 9));
+	ck_assert(!knows_newer(5, 10));
+	ck_assert(!knows_newer(5, 11));
+	ck_assert(knows_newer(4, 90));
+	ck_assert(!knows_newer(6, 1));
+	ck_assert(!knows_newer(0, 9));
+	ck_assert(!knows_newer(5, 0));
+	/* Missing from the copy, not removed. */
+	tlb_instances_remove(&instances, "a", now, true);
+	ck_assert(!knows_newer(5, 10));
+	tlb_instances_put(&instances, &r);
+	tlb_instances_remove(&instances, "a", 0, true);
+	ck_assert(!knows_newer(5, 10));
+	tlb_instances_put(&instances, &r);
+	tlb_instances_remove(&instances, "a", 0, false);
+	ck_assert(knows_newer(5, 10));
+	ck_assert(knows_newer(4, 90));
+	ck_assert(!knows_newer(5, 11));
+	ck_assert(!knows_newer(6, 1));
+}
+END_TEST
+
+START_TEST(test_removed_instances_are_bounded)
+{
+	struct tlb_instance_row r = entry(5, 10);
+	int n;
+
+	tlb_instances_put(&instances, &r);
+	tlb_instances_remove(&instances, "a", 0, false);
+	for (n = 0; n < TLB_INSTANCES_REMEMBERED; n++) {
+		ck_assert(knows_newer(5, 10));
+		snprintf(r.id, sizeof(r.id), "b%d", n);
+		tlb_instances_put(&instances, &r);
+		tlb_instances_remove(&instances, r.id, 0, false);
+	}
+	ck_assert(!knows_newer(5, 10));
+	ck_assert(tlb_instances_know_newer(&instances, &r));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("instance");
@@ -156,6 +219,8 @@
 	tcase_add_test(t, test_full_decode_endpoints_are_not_selected);
 	tcase_add_test(t, test_prefill_avoids_queue);
 	tcase_add_test(t, test_selection_respects_roles);
+	tcase_add_test(t, test_restored_entry_is_older);
+	tcase_add_test(t, test_removed_instances_are_bounded);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -86,9 +86,10 @@
 	while (cases_next(&c)) {
 		if (tlb_platform_read_instance("i-1", c.input, strlen(c.input), &row, &err) ==
 		    TLB_OK)
-			snprintf(got, sizeof(got), "%s %s %s %s slots=%d born=%lld leaving=%d",
+			snprintf(got, sizeof(got),
+				 "%s %s %s %s slots=%d born=%lld sequence=%lld leaving=%d",
 				 roles[row.role], row.service, row.addr, row.zone, row.slots,
-				 (long long)row.started_ms, row.leaving);
+				 (long long)row.started_ms, (long long)row.sequence, row.leaving);
 		else
 			snprintf(got, sizeof(got), "refused: %s", err.message);
 		ck_assert_str_eq(got, c.expected);
