Soak: configurations that grow, and a store that returns from an older copy

Both overlap with the other faults; at the end each VM must serve the route that was added last. What the operator and the endpoints wrote is written again after a return. The stand-in of the store keeps all changes for that, also when its readable history is dropped.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -31,6 +31,7 @@
 CALLERS = 6
 WITHDRAWN = "a-key-that-is-withdrawn"
 EVENTS = 6
+ROUTES_MAX = 4000         # added routes of a configuration
 SWITCH_SECONDS = 0.3      # time for an engine to change its role
 LEASE_SECONDS = 3.0       # only one VM may send orders to an engine in this time
 
@@ -153,6 +154,7 @@
         self.judge = judge
         self.directory = directory
         self.version = 3
+        self.added_routes = 0
         self.drains = []
         self.restarting = threading.Lock()
         self.store = edge_standin.Store()
@@ -184,6 +186,7 @@
         self.announce(e)
 
     def announce(self, e, state="ready"):
+        e.state = state
         self.store.put("servers", e.name, e.entry(state))
 
     def configure(self, withdrawn=False):
@@ -191,9 +194,16 @@
         self.version += self.rnd.randint(1, 3)
         tenant = {"name": "acct", "apiKeys": keys, "unit": "token_count", "plainTokens": 1,
                   "ratePerS": 0, "burst": 0}
-        config = edge.config(self.version, tenants=[tenant])
+        config = edge.many_routes(self.version, self.added_routes, tenants=[tenant])
         config["services"][1]["engine"]["stageSwitchS"] = SWITCH_SECONDS
-        self.store.put("op", "config", config)
+        self.config = json.dumps(config)
+        self.store.put("op", "config", self.config)
+
+    def write_again(self):
+        """Writes what the operator and the endpoints wrote last, as after a loss of the newest rows."""
+        self.store.put("op", "config", self.config)
+        for e in self.endpoints:
+            self.announce(e, e.state)
 
     def restart(self, n, old):
         """Waits for the VM's process to end and restarts it, once for each process."""
@@ -235,7 +245,8 @@
         kinds = [self.freeze, self.kill, self.terminate, self.close_door, self.store_down,
                  self.link_fault, self.link_fault, self.reset_links, self.endpoint_fault,
                  self.endpoint_fault, self.leave, self.expire_entry, self.change,
-                 self.drop_history, self.hup, self.overload_pool, self.overload_pool]
+                 self.drop_history, self.hup, self.overload_pool, self.overload_pool,
+                 self.add_routes, self.restore]
         self.rnd.choice(kinds)()
 
     def step(self):
@@ -246,9 +257,8 @@
             undo()
 
     def finish(self):
-        for _, undo in self.open:
-            undo()
-        self.open = []
+        while self.open:
+            self.open.pop()[1]()
 
     def pick_vm(self):
         return self.rnd.randrange(len(self.fleet.vms))
@@ -332,6 +342,25 @@
         self.fleet.configure()
         self.begin("change", 0, lambda: None)
 
+    def add_routes(self):
+        f = self.fleet
+        f.added_routes = min(f.added_routes + self.rnd.randint(100, 1500), ROUTES_MAX)
+        f.configure()
+        self.begin(f"routes-{f.added_routes}", 0, lambda: None)
+
+    def restore(self):
+        """The store is away, and returns from a copy that lacks some of the newest writes."""
+        s = self.fleet.store
+        lost = self.rnd.randint(1, 30)
+        s.down = True
+
+        def come_back():
+            s.restore(max(s.version - lost, 1))
+            s.down = False
+            self.begin("again", self.rnd.uniform(0.1, 1), self.fleet.write_again)
+
+        self.begin(f"restore-{lost}", self.rnd.uniform(0.1, 1.5), come_back)
+
     def drop_history(self):
         s = self.fleet.store
         with s.changed:
@@ -431,6 +460,8 @@
     while fleet.drains and time.monotonic() < deadline:
         time.sleep(0.05)
     time.sleep(seconds)
+    if fleet.added_routes:
+        check_added_routes(fleet, judge)
     for c in callers:
         c.withdrawn = True
         c.counts = {}
@@ -441,6 +472,14 @@
         judge.fault(f"after the faults {served} served, {len(missed)} not: {missed[:5]}")
 
 
+def check_added_routes(fleet, judge):
+    """Each VM must serve the route that was added last."""
+    for vm in fleet.vms:
+        status = vm.call(f"/m{fleet.added_routes - 1}/x", attempt=f"added-{vm.name}")[0]
+        if status in (401, 403, 404):
+            judge.fault(f"{vm.name}: status {status} on an added route")
+
+
 def run_seed(seed, seconds, vms):
     """Returns (judge, injected faults, directory of the logs)."""
     rnd = random.Random(seed)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1732,9 +1732,9 @@
     return sorted(found)
 
 
-def many_routes(version, count, changed=0):
+def many_routes(version, count, changed=0, **changes):
     """A configuration with so many routes more, the first `changed` of them with another time-out."""
-    out = config(version)
+    out = config(version, **changes)
     for n in range(count):
         out["routes"].append({"name": f"m{n}", "hostname": "h.example", "prefix": f"/m{n}/",
                               "kind": "idempotent", "service": "shop",
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -113,7 +113,8 @@
 
     def __init__(self):
         self.rows = {}
-        self.log = []
+        self.log = []  # changes that can be read
+        self.history = []  # all changes, for `restore`
         self.version = 0
         self.era = 1
         self.changed = threading.Condition()
@@ -141,14 +142,16 @@
             row["value"] = base64.b64encode(value.encode()).decode()
             self.rows[table, key] = row
         self.log.append(row)
+        self.history.append(row)
         self.changed.notify_all()
 
     def restore(self, version):
         """Goes back to the rows as of a version; later versions are given out again."""
         with self.changed:
             self.log = [r for r in self.log if r["ver"] <= version]
+            self.history = [r for r in self.history if r["ver"] <= version]
             self.rows = {}
-            for r in self.log:
+            for r in self.history:
                 self.rows[r["table"], r["key"]] = r
             self.rows = {k: r for k, r in self.rows.items() if "removed" not in r}
             self.version = version
