--- a/tests/edge.py
+++ b/tests/edge.py
@@ -428,6 +428,24 @@
         equal(w.shops[1].seen, [], "requests to the address of the odd entries")
 
 
+def check_unreadable_key_of_an_endpoint_does_not_hide_the_others():
+    """VMs must go on to follow the list of endpoints when a key in it is no readable text; the store's
+    answers counted as damaged as a whole and were read again and again."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("h\0i", "j\ud800"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
 def check_odd_entry_of_a_known_endpoint_ends_its_use():
     """An endpoint whose entry can't be read any more must get no new requests until it can."""
     for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
