Go on with a listing after a page without a readable row

What callers saw: 503 from a VM that had started or listed the table anew; endpoints on later pages counted as gone. Cause: the next page was asked for after the last row that could be read. A page without any ended the listing as if it were complete, and what had not been listed was removed. Evidence: unreadable_page_does_not_end_the_list_of_endpoints (tests/edge.py) failed before (503). Pages have 500 rows, so one odd entry alone does not do it here. Change: the reader reports the key of the last row as far as it can be read. A page without any such key counts as a failed call and is asked for again. Measured: the test passes.

--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -26,6 +26,8 @@
 	bool more;	 /* there are further rows after the last one */
 	int count;
 	struct tlb_stored_row *rows;
+	char last_key[TLB_STORED_ROW_KEY_LEN]; /* of the last row, also when its value can't be
+						* read; "" when no key can be read */
 };
 
 void tlb_stored_rows_finish(struct tlb_stored_rows *r);
--- a/src/watch.c
+++ b/src/watch.c
@@ -61,16 +61,14 @@
 
 static void handle_page(struct tlb_watcher *w, const struct tlb_stored_rows *rows)
 {
-	const struct tlb_stored_row *last = rows->count ? &rows->rows[rows->count - 1] : NULL;
-
 	if (!w->next_page_key[0]) {
 		w->listing_version = rows->version;
 		w->handlers.on_list_begin(w->handlers.arg);
 	}
 	deliver_rows(w, rows);
-	if (rows->more && last) {
+	if (rows->more) {
 		/* The next page starts after the last key: with that key extended by "\x01". */
-		snprintf(w->next_page_key, sizeof(w->next_page_key), "%s\x01", last->key);
+		snprintf(w->next_page_key, sizeof(w->next_page_key), "%s\x01", rows->last_key);
 		return;
 	}
 	w->next_page_key[0] = '\0';
@@ -126,6 +124,11 @@
 		record_failure(w, reason);
 		return;
 	}
+	if (w->state == TLB_WATCH_LISTING && rows->more && !rows->last_key[0]) {
+		/* Rows after this page would count as removed if the listing ended here. */
+		record_failure(w, "no key of a page can be read");
+		return;
+	}
 	record_success(w);
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -446,6 +446,23 @@
         equal(w.shops[1].seen, [], "requests to the address of the odd entries")
 
 
+def check_unreadable_page_does_not_end_the_list_of_endpoints():
+    """A VM that starts must read the pages after one without a readable row; the endpoints on them
+    counted as gone."""
+    with World(shops=2) as w:
+        w.start()
+        for key in ("a\0", "a\0b", "h\0", "t\0u"):
+            w.store.put("servers", key, w.shops[0].entry())
+        w.store.page_rows = 2
+        vm = w.vms[0]
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        assert all(s.seen for s in w.shops), "an endpoint on a later page got no request"
+
+
 def check_odd_entry_of_a_known_endpoint_ends_its_use():
     """An endpoint whose entry can't be read any more must get no new requests until it can."""
     for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -107,7 +107,8 @@
 class Store:
     """Rows with one version counter. Faults: `down`, `read_only`, closed doors, `silent` (calls that
     arrive meanwhile are never answered), `withheld` (only reads of `STARTUP_TABLES` are answered),
-    and a dropped change log (`forgotten`: the last version whose change is no longer available)."""
+    and a dropped change log (`forgotten`: the last version whose change is no longer available). Pages
+    of a listing have `page_rows` rows."""
 
     def __init__(self):
         self.rows = {}
@@ -119,6 +120,7 @@
         self.silent = False
         self.withheld = False
         self.forgotten = 0
+        self.page_rows = 500
         self.calls = 0
 
     def put(self, table, key, value):
@@ -142,10 +144,11 @@
     def answer(self, **fields):
         return dict(fields, ver=self.version, nowMs=int(time.monotonic() * 1000))
 
-    def listing(self, table):
+    def listing(self, table, start=""):
+        """One page of a table, of at most `page_rows` rows."""
         with self.changed:
-            rows = [r for (t, _), r in sorted(self.rows.items()) if t == table]
-            return self.answer(rows=rows, truncated=False)
+            rows = [r for (t, k), r in sorted(self.rows.items()) if t == table and k >= start]
+            return self.answer(rows=rows[:self.page_rows], truncated=len(rows) > self.page_rows)
 
     def feed(self, table, after, wait_ms, door):
         end = time.monotonic() + wait_ms / 1000
@@ -189,7 +192,7 @@
         if self.is_down() or (s.withheld and q["table"] not in STARTUP_TABLES):
             return self.reply(503)
         if parts.path == "/rows-get":
-            return self.reply(200, s.listing(q["table"]))
+            return self.reply(200, s.listing(q["table"], q.get("from", "")))
         answer = s.feed(q["table"], int(q["after"]), int(q["waitMs"]), self.door)
         if answer is SILENCE:
             time.sleep(SILENCE_S)
