Fuzz the reading of configurations in slices, and odd entries of endpoints

New target routing reads the input entry by entry, beside a table in force; instance uses the input as a key as well, rows reads an answer in pieces.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -21,6 +21,7 @@
 #include "frame.h"
 #include "platform.h"
 #include "random.h"
+#include "routing_reader.h"
 #include "settings.h"
 #include "sse.h"
 #include "table.h"
@@ -112,20 +113,64 @@
 	tlb_routing_release(r);
 }
 
+static enum tlb_read_state read_in_slices(const char *data, size_t len,
+					  struct tlb_routing *previous, struct tlb_routing **out)
+{
+	struct tlb_routing_reader r;
+	enum tlb_read_state state;
+
+	tlb_routing_reader_init(&r, data, len, previous);
+	do {
+		state = tlb_routing_reader_step(&r, 0);
+	} while (state == TLB_READ_MORE);
+	*out = state == TLB_READ_DONE ? tlb_routing_reader_take(&r) : NULL;
+	tlb_routing_reader_finish(&r);
+	return state;
+}
+
+/* Reads the input entry by entry, with the first input, the sample itself, as the table in force.
+ */
+static void fuzz_routing(const char *data, size_t len)
+{
+	static struct tlb_routing *in_force;
+	struct tlb_routing *r;
+
+	if (read_in_slices(data, len, in_force, &r) != TLB_READ_DONE)
+		return;
+	tlb_routing_find_route(r, "h.example", "/a/b/c");
+	if (!in_force)
+		in_force = tlb_routing_acquire(r);
+	tlb_routing_release(r);
+}
+
+/* Parses the input as an entry, and its beginning as the key of a sound one. */
 static void fuzz_instance(const char *data, size_t len)
 {
+	static const char sound[] = "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+				    "\"slots\":8,\"state\":\"ready\"}";
 	struct tlb_instance_row row;
 	struct tlb_error err;
+	char key[TLB_STORED_ROW_KEY_LEN];
 
 	tlb_platform_read_instance("i-1", data, len, &row, &err);
+	snprintf(key, sizeof(key), "%.*s", (int)(len < sizeof(key) ? len : sizeof(key)), data);
+	tlb_platform_read_instance(key, sound, sizeof(sound) - 1, &row, &err);
 }
 
+/* Reads the input as a store's answer that arrives in pieces. */
 static void fuzz_rows(const char *data, size_t len)
 {
+	enum { PIECE = 700 };
+	struct tlb_rowreader reader = {0};
 	struct tlb_stored_rows rows;
 	struct tlb_error err;
+	size_t n;
 
-	if (tlb_platform_read_rows(data, len, &rows, &err) == TLB_OK)
+	for (; len > 0 && !reader.malformed; data += n, len -= n) {
+		n = len < PIECE ? len : PIECE;
+		tlb_rowreader_feed(&reader, data, n);
+	}
+	if (tlb_rowreader_end(&reader, &rows, &err) == TLB_OK)
 		tlb_stored_rows_finish(&rows);
 }
 
@@ -212,11 +257,17 @@
 	const char *name;
 	target_fn *fn;
 } targets[] = {
-	{"settings", fuzz_settings}, {"table", fuzz_table},
-	{"events", fuzz_events},     {"configuration", fuzz_configuration},
-	{"instance", fuzz_instance}, {"rows", fuzz_rows},
-	{"answer", fuzz_response},   {"completion", fuzz_completion},
-	{"address", fuzz_address},   {"frame", fuzz_frame},
+	{"settings", fuzz_settings},
+	{"table", fuzz_table},
+	{"events", fuzz_events},
+	{"configuration", fuzz_configuration},
+	{"routing", fuzz_routing},
+	{"instance", fuzz_instance},
+	{"rows", fuzz_rows},
+	{"answer", fuzz_response},
+	{"completion", fuzz_completion},
+	{"address", fuzz_address},
+	{"frame", fuzz_frame},
 };
 
 static struct sample read_sample(const char *path)
