Read the outcome of an attempt from its final head alone

What callers saw: a call that may run once was sent to a second endpoint after the first had run it (TWICE), or answered 503 after a run (REFUSED); an answer after an interim one with a length was replaced by 502. Cause: libcurl passes the trailers of a chunked body to the header callback. They were stored with the head, so that X-Not-Executed after the body made a run a refusal. The lengths of interim heads were taken for those of the final one. Evidence: refusal_that_proves_nothing_is_no_promise and bytes_beside_an_answer_change_nothing (tests/edge.py) failed on: two arrivals of a non-idempotent call, status 200 from the second endpoint; 502 instead of 200. Ruled out by the other cases of the two checks, which passed before: refusals with the id of another request, of any status, also after an interim one or followed by the request's own answer, cut bodies, 101, bytes after a complete answer. An earlier answer can't arrive on the connection of an attempt, which is used for one attempt only. Change: lines after the final head are ignored, and each head starts anew. Measured: both checks pass.

--- a/src/http.c
+++ b/src/http.c
@@ -300,46 +300,79 @@
 	return body_append(c, data, len) ? len : 0;
 }
 
-/* Stores a header line. A status line discards the lines before it, so that only the headers of the
- * final response remain and not those of interim ones (RFC 9110, section 15.2). */
+/* Begins a head. Only the headers of the final response remain and not those of interim ones (RFC
+ * 9110, section 15.2). */
+static void begin_head(struct tlb_http_call *c)
+{
+	c->head.len = 0;
+	c->content_length = -1;
+	c->chunked = false;
+}
+
+static bool is_final(const struct tlb_http_call *c)
+{
+	long status = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status >= 200;
+}
+
 static bool store_header(struct tlb_http_call *c, const char *line, size_t len)
 {
-	if (len >= 5 && strncmp(line, "HTTP/", 5) == 0) {
-		c->head.len = 0;
-		return true;
-	}
-	while (len > 0 && (line[len - 1] == '\r' || line[len - 1] == '\n'))
-		len--;
-	if (len == 0)
-		return true;
 	return tlb_buffer_append(&c->head, line, len, TLB_HTTP_HEAD_MAX) &&
 	       tlb_buffer_append(&c->head, "\n", 1, TLB_HTTP_HEAD_MAX);
 }
 
-/* Stores header lines and aborts on two different Content-Length values, which leave the end of the
- * response undefined (RFC 9112, section 6.3); libcurl would use the last one. */
-static size_t on_header(char *line, size_t size, size_t n, void *arg)
+static size_t line_len(const char *line, size_t len)
+{
+	while (len > 0 && (line[len - 1] == '\r' || line[len - 1] == '\n'))
+		len--;
+	return len;
+}
+
+/* Notes how the body ends. Returns false on two different Content-Length values, which leave its
+ * end undefined (RFC 9112, section 6.3); libcurl would use the last one. */
+static bool read_framing(struct tlb_http_call *c, const char *line, size_t len)
 {
 	static const char name[] = "Content-Length:";
 	static const char encoding[] = "Transfer-Encoding:";
-	struct tlb_http_call *c = arg;
-	size_t len = size * n;
 	char text[32];
 	long long value;
 
-	if (c->custom_headers && !store_header(c, line, len))
-		return 0;
 	if (len >= sizeof(encoding) && strncasecmp(line, encoding, sizeof(encoding) - 1) == 0)
 		c->chunked = true;
 	if (len < sizeof(name) || strncasecmp(line, name, sizeof(name) - 1) != 0)
-		return len;
+		return true;
 	snprintf(text, sizeof(text), "%.*s", (int)(len - sizeof(name) + 1),
 		 line + sizeof(name) - 1);
 	value = strtoll(text, NULL, 10);
 	if (c->content_length >= 0 && c->content_length != value)
 		c->conflicting_lengths = true;
 	c->content_length = value;
-	return c->conflicting_lengths ? 0 : len;
+	return !c->conflicting_lengths;
+}
+
+/* Reads a line of a head. libcurl passes the trailers of a chunked body as well, which say nothing
+ * about the response (RFC 9110, section 6.5.1). */
+static size_t on_header(char *line, size_t size, size_t n, void *arg)
+{
+	struct tlb_http_call *c = arg;
+	size_t all = size * n;
+	size_t len = line_len(line, all);
+
+	if (c->head_complete)
+		return all;
+	if (len == 0) {
+		c->head_complete = is_final(c);
+		return all;
+	}
+	if (len >= 5 && strncmp(line, "HTTP/", 5) == 0) {
+		begin_head(c);
+		return all;
+	}
+	if (c->custom_headers && !store_header(c, line, len))
+		return 0;
+	return read_framing(c, line, len) ? all : 0;
 }
 
 static int on_sockopt(void *arg, curl_socket_t fd, curlsocktype purpose)
--- a/src/http.h
+++ b/src/http.h
@@ -97,6 +97,7 @@
 	long long content_length; /* of the response; -1 until the header is received */
 	bool conflicting_lengths; /* the response has two different Content-Length headers */
 	bool chunked;
+	bool head_complete; /* of the final response */
 };
 
 /* Largest collected response body and header lines in bytes; a larger response fails the call. When
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -489,6 +489,93 @@
         assert b"secret" not in body
 
 
+def response(status, headers=(), body=b"", end=True):
+    """Returns the bytes of a response, with a length unless there is a header for the body's end."""
+    names = [name for name, _ in headers]
+    if not {"Content-Length", "Transfer-Encoding", "Connection"}.intersection(names):
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers)
+    return head.encode() + (b"\r\n" if end else b"") + body
+
+
+OWN = [("X-Attempt-Id", "a1"), ("X-Response-Signature", "s")]
+OTHER_REFUSAL = [("X-Attempt-Id", "earlier"), ("X-Not-Executed", "1")]
+REFUSAL = [("X-Attempt-Id", "a1"), ("X-Not-Executed", "1")]
+CHUNKED = ("Transfer-Encoding", "chunked")
+
+
+def answer_first(w, raw, read_first=True):
+    """The first request to any endpoint gets these bytes, and its connection is closed."""
+    first = threading.Event()
+
+    def plan(h):
+        if first.is_set() or h.headers.get("X-Serving-Stage"):
+            return False
+        first.set()
+        h.wfile.write(raw)
+        h.wfile.flush()
+        h.close_connection = True
+        return True
+
+    for e in w.shops + w.decodes:
+        e.plan = plan
+
+
+def check_refusal_that_proves_nothing_is_no_promise():
+    """A call that may have run must neither be refused with a promise nor run again: its answer was a
+    refusal of another request, an interim one, or one without its end."""
+    with World() as w:
+        vm = w.start()
+        for what, raw in (
+                ("503 of another", response(503, OTHER_REFUSAL)),
+                ("429 of another", response(429, OTHER_REFUSAL)),
+                ("421 of another", response(421, OTHER_REFUSAL)),
+                ("408 of another", response(408, OTHER_REFUSAL)),
+                ("400 of another", response(400, OTHER_REFUSAL)),
+                ("another's, then the call's", response(503, OTHER_REFUSAL) + response(200, OWN)),
+                ("another's after an interim one", response(100, [("Connection", "x")]) +
+                 response(503, OTHER_REFUSAL)),
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")])),
+                ("interim refusal, then no proof", response(103, REFUSAL + [("Connection", "x")]) +
+                 response(503, [("X-Attempt-Id", "a1")])),
+                ("switched protocols", response(101, REFUSAL + [("Connection", "Upgrade"),
+                                                                ("Upgrade", "x")])),
+                ("cut body", response(503, REFUSAL + [("Content-Length", "9")], b"half")),
+                ("cut chunks", response(503, REFUSAL + [CHUNKED], b"4\r\nhalf\r\n")),
+                ("trailer", response(503, [("X-Attempt-Id", "a1"), CHUNKED],
+                                     b"0\r\nX-Not-Executed: 1\r\n\r\n")),
+                ("trailer of another", response(503, [CHUNKED], b"0\r\nX-Not-Executed: 1\r\n"
+                                                b"X-Attempt-Id: a1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, _, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status), (what, 502), "status")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
+def check_bytes_beside_an_answer_change_nothing():
+    """A call that ran must be answered so, and run once, whatever comes before or after its answer."""
+    with World() as w:
+        vm = w.start()
+        done = response(200, OWN, b"done")
+        for what, raw in (
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")]) + done),
+                ("interim length", response(103, REFUSAL + [("Content-Length", "9")]) + done),
+                ("refusal after it", done + response(503, REFUSAL)),
+                ("text after it", done + b"HTTP/1.1 503"),
+                ("trailers", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                      b"X-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\n\r\n")),
+                ("a head as a trailer", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                                 b"HTTP/1.1 503: x\r\nX-Not-Executed: 1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, body, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status, body), (what, 200, b"done"), "answer")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
 def check_cut_answer_is_not_passed_on():
     """A truncated response must not look complete to the caller."""
     def cut_short(h):
