Take no proof from an answer that ends inside its head

What callers saw: a call that may run once was sent to a second endpoint although the first may have run it (TWICE). Cause: libcurl reports success when the connection ends before the empty line. What had arrived of the head counted, such as X-Not-Executed without the X-Attempt-Id after it. Evidence: cases "cut head" and "cut head line" of refusal_that_proves_nothing_is_no_promise (tests/edge.py) failed before: status 200 from a second endpoint instead of 502. Change: such a response counts as broken off. It is also evidence of a crash then, as a cut body is.

--- a/src/http.c
+++ b/src/http.c
@@ -106,6 +106,7 @@
 	struct tlb_buffer body = c->body;
 	struct tlb_buffer head = c->head;
 	long status = 0;
+	bool cut_head;
 
 	memset(&r, 0, sizeof(r));
 	if (c->easy) {
@@ -117,8 +118,10 @@
 	snprintf(type, sizeof(type), "%s", t ? t : "");
 	r.timed_out = c->timed_out;
 	r.refused = rc == CURLE_COULDNT_CONNECT;
+	/* For libcurl, a response is complete when its connection ends inside the head. */
+	cut_head = rc == CURLE_OK && !c->head_complete;
 	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
-		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR;
+		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR || cut_head;
 	r.ended_by_close = rc == CURLE_OK && c->content_length < 0 && !c->chunked;
 	if (c->timed_out)
 		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
@@ -130,6 +133,8 @@
 		snprintf(r.reason, sizeof(r.reason), "two different Content-Length headers");
 	else if (rc != CURLE_OK)
 		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
+	else if (cut_head)
+		snprintf(r.reason, sizeof(r.reason), "the response ended in its head");
 	else
 		r.status = (int)status;
 	r.body = body.data ? body.data : "";
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -540,6 +540,8 @@
                  response(503, [("X-Attempt-Id", "a1")])),
                 ("switched protocols", response(101, REFUSAL + [("Connection", "Upgrade"),
                                                                 ("Upgrade", "x")])),
+                ("cut head", response(503, REFUSAL, end=False)),
+                ("cut head line", response(503, REFUSAL, end=False)[:-1]),
                 ("cut body", response(503, REFUSAL + [("Content-Length", "9")], b"half")),
                 ("cut chunks", response(503, REFUSAL + [CHUNKED], b"4\r\nhalf\r\n")),
                 ("trailer", response(503, [("X-Attempt-Id", "a1"), CHUNKED],
