--- a/tests/edge.py
+++ b/tests/edge.py
@@ -578,6 +578,28 @@
             equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
 
 
+def check_early_refusal_of_another_request_is_no_promise():
+    """The same when the answer arrives before the request was sent completely; a refusal of the
+    request itself sends it to another endpoint."""
+    for headers, status, arrivals in ((OTHER_REFUSAL, 502, 1), (REFUSAL, 200, 2)):
+        with World() as w:
+            vm = w.start()
+            answered = threading.Event()
+
+            def early(h, headers=headers, answered=answered):
+                if answered.is_set():
+                    return False
+                answered.set()
+                h.wfile.write(response(503, headers))
+                h.wfile.flush()
+                return True
+
+            for e in w.shops:
+                e.plan_early = early
+            equal(vm.call("/pay/1", "POST", b"x" * 99000)[0], status, "status")
+            equal(sum(len(s.seen) for s in w.shops), arrivals, "arrivals")
+
+
 def check_cut_answer_is_not_passed_on():
     """A truncated response must not look complete to the caller."""
     def cut_short(h):
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -228,6 +228,7 @@
         self.slots = slots
         self.born = int(time.time() * 1000)
         self.plan = lambda handler: False
+        self.plan_early = lambda handler: False  # the same, before the request's body is read
         self.room = True
         self.hold_pause_s = 0  # before a request for a reservation is answered
         self.free_tokens = None  # larger reservations are refused; None: no limit
@@ -341,6 +342,9 @@
 
     def run(self):
         e = self.endpoint
+        if e.plan_early(self):
+            e.seen.append(dict(self.headers.items()))
+            return self.body()
         self.payload = self.body()
         e.seen.append(dict(self.headers.items()))
         if self.headers.get("X-Target-Instance") != e.name:
