Use no prefill whose answer belongs to another request

Cause: an answer to a prefill counted as one when it had status 200 and a handle; its X-Attempt-Id was only evaluated for the endpoint's health. Evidence: prefill_of_another_request_is_not_used (tests/edge.py) failed before: the decode named the other request's handle in X-Kv-Source. Ruled out: reservations, reports, orders and releases have no id, but each has a connection of its own; the only calls on kept connections are reads of the store. Change: the attempt must count as answered.

--- a/src/generation.c
+++ b/src/generation.c
@@ -550,11 +550,13 @@
 	struct tlb_generation_queue *p = f->gen.service_queue;
 	struct tlb_instance *i = f->instance;
 	char handle[TLB_HANDLE_LEN];
-	bool ok = r->status == 200 && tlb_platform_read_kv_handle(r->body, r->body_len, handle);
 	enum tlb_attempt_result end;
+	bool ok;
 
 	tlb_instance_acquire(i);
 	end = tlb_forward_record_result(f, r);
+	ok = end == TLB_ATTEMPT_ANSWERED &&
+	     tlb_platform_read_kv_handle(r->body, r->body_len, handle);
 	if (end == TLB_ATTEMPT_NOT_RUN && r->sent)
 		i->full_until = tlb_clock_now() + prefill_refusal_backoff(f);
 	tlb_evidence_add_failure(f, i, r, false);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -642,6 +642,26 @@
         equal(runs[0]["X-Kv-Hold"], "h1", "reservation")
 
 
+def check_prefill_of_another_request_is_not_used():
+    """A request must not be decoded from the KV cache of another one, whose answer its prefill got."""
+    with World(prefills=2) as w:
+        vm = w.start()
+
+        def other(h):
+            if sum(len(p.seen) for p in w.prefills) > 1:
+                return False
+            h.reply(200, {"kvHandle": "others", "tokens": 10, "version": 1},
+                    [("X-Attempt-Id", "other")])
+            return True
+
+        for p in w.prefills:
+            p.plan = other
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal((r.status, *read_stream(r)), (200, EVENTS, True), "stream")
+        sources = [h.get("X-Kv-Source", "") for d in w.decodes for h in d.seen]
+        assert not any("others" in s for s in sources), sources
+
+
 def check_no_prefill_without_room():
     """A prompt must not be prefilled before a decode endpoint has granted a reservation."""
     with World() as w:
