Go on with a stream only from an event stream

Cause: whatever an endpoint sent with a 2xx and its signature was added to the stream that another endpoint had begun, whatever its Content-Type, Content-Encoding and status; a 204, or an empty 200 of any type, ended it in order. Evidence: success_that_is_no_rest_of_a_stream_is_not_in_it (tests/edge.py) failed before: "failed" after event 2, and complete. Ruled out by error_to_a_resumed_stream_is_not_in_it, which passed before: answers with an error status, with or without signature, in pieces, in chunks or until the connection's end are not passed on; the stream goes on elsewhere or is cut. Cut lengths, chunks and events, answers without signature or of another request, and a head in place of a chunk were found before, too. Change: the answer to a resumed attempt must be a 200 with text/event-stream and no encoding; X-Not-Executed excludes a body for any attempt. Measured: both checks pass.

--- a/src/forward.h
+++ b/src/forward.h
@@ -66,6 +66,7 @@
 	int events_before_attempt;
 	bool begun_soundly;    /* some attempt got beyond the beginning of the answer */
 	bool streaming;	       /* the response to the caller has begun */
+	bool resuming;	       /* the attempt in progress goes on with a response that has begun */
 	bool resumed_in_place; /* was resumed at the endpoint that interrupted it */
 };
 
--- a/src/generation.c
+++ b/src/generation.c
@@ -299,14 +299,18 @@
 	free(head);
 }
 
-/* Whether the response has the endpoint's signature and belongs to this attempt id. */
-static bool response_is_verified(struct tlb_forward *f)
+/* Whether the response has the endpoint's signature and belongs to this attempt id. When another
+ * response has begun, it must also be the rest of a stream. */
+static bool is_usable_success(const struct tlb_forward *f, int status, const char *head)
 {
 	struct tlb_response_info info;
 
-	tlb_platform_read_response_info(tlb_http_status(&f->call), tlb_http_head(&f->call), &info);
-	return info.has_signature && (!info.attempt_id[0] || !f->inbound.attempt_id[0] ||
-				      strcmp(info.attempt_id, f->inbound.attempt_id) == 0);
+	tlb_platform_read_response_info(status, head, &info);
+	if (!info.has_signature || info.not_run ||
+	    (info.attempt_id[0] && f->inbound.attempt_id[0] &&
+	     strcmp(info.attempt_id, f->inbound.attempt_id) != 0))
+		return false;
+	return !f->gen.resuming || (status == 200 && info.event_stream);
 }
 
 static bool on_stream_data(void *arg, const char *data, size_t len)
@@ -315,7 +319,8 @@
 	struct tlb_buffer *b = &f->gen.partial;
 	size_t n;
 
-	if (!response_is_verified(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
+	if (!is_usable_success(f, tlb_http_status(&f->call), tlb_http_head(&f->call)) ||
+	    !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
 		return false;
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
@@ -366,6 +371,7 @@
 	struct tlb_instance *i = f->instance;
 	enum tlb_attempt_result end;
 	bool early_end;
+	bool no_rest;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_decode_reservation_release(&f->gen.decode_reservation);
@@ -380,14 +386,19 @@
 		release_kv_cache(f, true);
 	}
 	early_end = end == TLB_ATTEMPT_ANSWERED && ended_early(f, r);
-	if (early_end)
+	no_rest = end == TLB_ATTEMPT_ANSWERED && r->status < 300 &&
+		  !is_usable_success(f, r->status, r->head);
+	if (early_end || no_rest)
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
 		tlb_evidence_add_failure(f, i, r, early_end);
 	else
 		tlb_evidence_add_answer(f, r);
 	if (end != TLB_ATTEMPT_ANSWERED) {
-		retry_or_fail(f, i, end, r->reason[0] ? r->reason : "the stream broke off");
+		retry_or_fail(f, i, end,
+			      r->reason[0] ? r->reason
+			      : no_rest	   ? "the answer is no rest of the stream"
+					   : "the stream broke off");
 		tlb_instance_release(i);
 		return;
 	}
@@ -485,6 +496,7 @@
 	}
 	f->step = TLB_FORWARD_DECODING;
 	f->gen.events_before_attempt = f->gen.events;
+	f->gen.resuming = f->gen.streaming;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -504,7 +504,7 @@
 CHUNKED = ("Transfer-Encoding", "chunked")
 
 
-def answer_first(w, raw, read_first=True):
+def answer_first(w, raw):
     """The first request to any endpoint gets these bytes, and its connection is closed."""
     first = threading.Event()
 
@@ -954,6 +954,90 @@
         equal(read_stream(r), (EVENTS, True), "stream")
 
 
+STREAM = OWN + [("Content-Type", "text/event-stream")]
+ERROR_HEAD = (b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\n"
+              b"failed\n\n")
+
+
+def event(n):
+    return b"id: %d\ndata: piece %d\n\n" % (n, n)
+
+
+def chunks(*pieces, end=True):
+    return b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + (b"0\r\n\r\n" if end else b"")
+
+
+def resume_with(raw, pieces=1):
+    """Returns what a caller gets, and whether it is complete, when the endpoint that should go on with
+    a stream after event 2 sends these bytes; the one after it goes on as it should."""
+    with World(decodes=3) as w:
+        vm = w.start(config(3, routes=[dict(r, maxAttempts=3) for r in config(3)["routes"]]))
+        runs = []
+
+        def plan(h):
+            runs.append(h.headers.get("Last-Event-Id"))
+            if len(runs) == 1:
+                h.stream(0, until=2)
+                h.cut()
+                return True
+            if len(runs) > 2:
+                return False
+            size = -(-len(raw) // pieces)
+            for at in range(0, len(raw), size):
+                h.wfile.write(raw[at:at + size])
+                h.wfile.flush()
+                time.sleep(0.02 if pieces > 1 else 0)
+            h.close_connection = True
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        return read_stream(vm.send("/gen/1", "POST", b"prompt", headers=GEN))
+
+
+def check_error_to_a_resumed_stream_is_not_in_it():
+    """What answers with anything but the rest of a stream must not get into it, nor make it look
+    complete."""
+    plain = OWN + [("Content-Type", "text/plain")]
+    gone = ("Connection", "close")
+    whole = response(200, STREAM + [CHUNKED], chunks(event(3), event(4)))
+    equal(resume_with(whole), (EVENTS, True), "the rest")
+    for status in (500, 503, 502, 429, 404, 400, 302):
+        for headers in (plain, [("Content-Type", "text/event-stream")], STREAM):
+            for raw in (response(status, headers, b"failed\n\n"),
+                        response(status, headers + [CHUNKED], chunks(b"fail", b"ed\n\n")),
+                        response(status, headers + [gone], event(3) + b"failed\n\n")):
+                text, complete = resume_with(raw, 3)
+                assert (text, complete) == (EVENTS, True) or (
+                    not complete and EVENTS.startswith(text)), (raw, text, complete)
+
+
+def check_success_that_is_no_rest_of_a_stream_is_not_in_it():
+    """The same for answers with a status of success."""
+    gzip = ("Content-Encoding", "gzip")
+    for what, raw in (
+            ("text", response(200, OWN + [("Content-Type", "text/plain")], b"failed\n\n")),
+            ("JSON", response(200, OWN + [("Content-Type", "application/json")], b"{}\n\n")),
+            ("no type", response(200, OWN, b"failed\n\n")),
+            ("empty text", response(200, OWN + [("Content-Type", "text/plain")])),
+            ("no signature", response(200, STREAM[:1] + STREAM[2:], event(3) + event(4))),
+            ("empty, no signature", response(200, STREAM[:1] + STREAM[2:])),
+            ("of another", response(200, [("X-Attempt-Id", "b")] + STREAM[1:], event(3) + event(4))),
+            ("encoded", response(200, STREAM + [gzip], b"\x1f\x8b\n\n")),
+            ("empty, encoded", response(200, STREAM + [gzip])),
+            ("no content", response(204, STREAM)),
+            ("part", response(206, STREAM, event(3))),
+            ("created", response(201, STREAM, event(3))),
+            ("refusal", response(200, STREAM + [("X-Not-Executed", "1")], event(3))),
+            ("cut length", response(200, STREAM + [("Content-Length", "500")], event(3))),
+            ("cut chunks", response(200, STREAM + [CHUNKED], chunks(event(3), end=False))),
+            ("cut event", response(200, STREAM + [CHUNKED], chunks(event(3), event(4)[:9]))),
+            ("head for a chunk", response(200, STREAM + [CHUNKED],
+                                          chunks(event(3), end=False) + ERROR_HEAD))):
+        for pieces in (1, 5):
+            equal((what, *resume_with(raw, pieces)), (what, EVENTS, True), "stream")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
