Pass on no event of a resumed stream that does not follow the last one

Cause: the events of a resumed attempt were passed on whatever their ids; an endpoint that begins again, goes back, or sends an event without an id was not found. Evidence: resumed_stream_neither_repeats_nor_goes_back (tests/edge.py) failed before: events 1, 2, 1, 2, 3, 4. Change: module stream_check: in a resumed attempt each event with data needs an id that follows the one before; numbers must increase. Otherwise the attempt is broken off and the stream goes on elsewhere or is cut; event=stream_refused has the reason. A gap between ids can't be told from an event of several tokens.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -24,6 +24,7 @@
 #include "routing_reader.h"
 #include "settings.h"
 #include "sse.h"
+#include "stream_check.h"
 #include "table.h"
 
 enum { SAMPLES_MAX = 16, SAMPLE_MAX = 32768, INPUT_MAX = 65536, MUTATIONS_MAX = 8 };
@@ -90,6 +91,8 @@
 	if (tlb_sse_feed(&s, data, middle, parse_event, NULL))
 		tlb_sse_feed(&s, data + middle, len - middle, parse_event, NULL);
 	tlb_sse_finish(&s);
+	tlb_stream_find_fault(data, len, NULL);
+	tlb_stream_find_fault(data, len, "1");
 }
 
 static void fuzz_completion(const char *data, size_t len)
--- a/src/generation.c
+++ b/src/generation.c
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "platform.h"
 #include "release.h"
+#include "stream_check.h"
 
 /* Initial and maximum number of concurrent prefills of one VM, for each service. */
 #define WINDOW_INITIAL 4
@@ -265,21 +266,17 @@
 	const char *line = events;
 	const char *end = events + len;
 	const char *next;
-	const char *value;
 	char before[TLB_EVENT_ID_LEN];
+	size_t n;
 
 	strcpy(before, f->gen.last_event_id);
 	for (; line < end; line = next + 1) {
 		next = memchr(line, '\n', (size_t)(end - line));
 		if (!next)
 			break;
-		if (next - line < 4 || strncmp(line, "id:", 3) != 0)
-			continue;
-		value = line + 3;
-		value += *value == ' ';
-		snprintf(f->gen.last_event_id, sizeof(f->gen.last_event_id), "%.*s",
-			 (int)strcspn(value, "\r\n"), value);
-		f->gen.events++;
+		n = (size_t)(next - line);
+		n -= n > 0 && line[n - 1] == '\r';
+		f->gen.events += tlb_stream_read_id(line, n, f->gen.last_event_id);
 	}
 	return strcmp(before, f->gen.last_event_id) != 0;
 }
@@ -313,6 +310,20 @@
 	return !f->gen.resuming || (status == 200 && info.event_stream);
 }
 
+/* Whether complete events can be passed on. Logs why not. */
+static bool check_events(const struct tlb_forward *f, const char *events, size_t len)
+{
+	const char *after = f->gen.resuming ? f->gen.last_event_id : NULL;
+	const char *fault = tlb_stream_find_fault(events, len, after);
+
+	if (fault)
+		tlb_log_info("event=stream_refused request=%s attempt=%s instance=%s "
+			     "last_event=%s reason=\"%s\"",
+			     f->exchange->id, f->inbound.attempt_id, f->instance->row.id,
+			     f->gen.last_event_id, fault);
+	return !fault;
+}
+
 static bool on_stream_data(void *arg, const char *data, size_t len)
 {
 	struct tlb_forward *f = arg;
@@ -328,6 +339,8 @@
 	n = complete_events_len(b);
 	if (n == 0)
 		return true;
+	if (!check_events(f, b->data, n))
+		return false;
 	begin_response(f);
 	/* Bytes without a new event, such as comments, are no progress. */
 	if (store_last_event_id(f, b->data, n))
