Pass on no head of a response inside a stream

What callers saw: the whole head of an error and its text in the middle of a stream, which then ended as if it were complete (MIXED). Cause: in a stream without length or chunks, or in one whose chunks have it, the head of another response is part of the body; its empty line ended an event. Change: a line of an event that begins like a status line, or one of four fields of a head, ends the attempt, whether the stream was resumed or not. Data can't begin a line. A status line without these fields inside of an event is not found.

--- a/src/stream_check.c
+++ b/src/stream_check.c
@@ -49,6 +49,19 @@
 	return read_number(id, &b) && b > a;
 }
 
+/* Whether the line is one of a response's head, which an event stream has not. */
+static bool is_head_line(const char *line, size_t len)
+{
+	static const char *const starts[] = {
+		"HTTP/1.", "Content-Type:", "Content-Length:", "Transfer-Encoding:", "Connection:"};
+	size_t i;
+
+	for (i = 0; i < sizeof(starts) / sizeof(starts[0]); i++)
+		if (begins_with(line, len, starts[i]))
+			return true;
+	return false;
+}
+
 /* Reads a line of an event that goes on with a stream. last: the id before it. */
 static const char *find_order_fault(struct event *e, const char *line, size_t len, char *last)
 {
@@ -86,7 +99,9 @@
 			break;
 		n = (size_t)(next - line);
 		n -= n > 0 && line[n - 1] == '\r';
-		if (after)
+		if (is_head_line(line, n))
+			fault = "the head of another response";
+		else if (after)
 			fault = find_order_fault(&e, line, n, last);
 	}
 	return fault;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1054,6 +1054,27 @@
             equal((what, *resume_with(raw)), (what, EVENTS, True), "stream")
 
 
+def check_head_inside_a_stream_is_not_in_it():
+    """The head of another answer inside a stream must not reach the caller, whether the stream was
+    resumed or not, and whether it is at the end of an event or inside one."""
+    for inside in (b"", b"id: 4\ndata: pie"):
+        body = event(3) + inside + ERROR_HEAD
+        for headers, text in ((STREAM + [CHUNKED], chunks(body)), (STREAM, body),
+                              (STREAM + [("Connection", "close")], body)):
+            equal(resume_with(response(200, headers, text), 3), (EVENTS, True), "resumed")
+        with World(decodes=2) as w:
+            vm = w.start()
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+            equal(read_stream(r), (EVENTS, True), "from the start")
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/once/1", "POST", b"prompt", headers=GEN)
+            text, complete = read_stream(r)
+            assert r.status == 502 or (not complete and EVENTS.startswith(text)), (r.status, text)
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
