End a resumed stream without events only after a second such answer

Cause: such an answer counted as the end of the stream. It is right only when the first endpoint broke off between its last event and the end of its body. Change: the stream goes on at another endpoint, or is cut when no attempt is left; a second answer without events ends it. An endpoint that ends its part too early in order, after some event, can't be found.

--- a/src/generation.c
+++ b/src/generation.c
@@ -377,6 +377,23 @@
 					  f->gen.events == f->gen.events_before_attempt);
 }
 
+/* Whether an attempt that was answered has not ended the stream: its answer is not the rest of one,
+ * or has no event. An endpoint that fails can look like one that has nothing left, so the end of a
+ * stream needs a second such answer. */
+static bool leaves_stream_open(struct tlb_forward *f, const struct tlb_http_result *r)
+{
+	bool first = !f->gen.empty_rest;
+
+	if (r->status >= 300)
+		return false;
+	if (!is_usable_success(f, r->status, r->head))
+		return true;
+	if (!f->gen.resuming || f->gen.events > f->gen.events_before_attempt)
+		return false;
+	f->gen.empty_rest = true;
+	return first;
+}
+
 static void on_stream_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
@@ -384,7 +401,7 @@
 	struct tlb_instance *i = f->instance;
 	enum tlb_attempt_result end;
 	bool early_end;
-	bool no_rest;
+	bool unfinished;
 
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_decode_reservation_release(&f->gen.decode_reservation);
@@ -399,18 +416,18 @@
 		release_kv_cache(f, true);
 	}
 	early_end = end == TLB_ATTEMPT_ANSWERED && ended_early(f, r);
-	no_rest = end == TLB_ATTEMPT_ANSWERED && r->status < 300 &&
-		  !is_usable_success(f, r->status, r->head);
-	if (early_end || no_rest)
+	unfinished = end == TLB_ATTEMPT_ANSWERED && !early_end && leaves_stream_open(f, r);
+	if (early_end || unfinished)
 		end = TLB_ATTEMPT_UNKNOWN;
 	if (end != TLB_ATTEMPT_ANSWERED)
 		tlb_evidence_add_failure(f, i, r, early_end);
 	else
 		tlb_evidence_add_answer(f, r);
 	if (end != TLB_ATTEMPT_ANSWERED) {
-		retry_or_fail(f, i, end,
+		/* Another endpoint is asked when this one has no event left. */
+		retry_or_fail(f, unfinished ? NULL : i, end,
 			      r->reason[0] ? r->reason
-			      : no_rest	   ? "the answer is no rest of the stream"
+			      : unfinished ? "the answer is no rest of the stream"
 					   : "the stream broke off");
 		tlb_instance_release(i);
 		return;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1075,6 +1075,33 @@
             assert r.status == 502 or (not complete and EVENTS.startswith(text)), (r.status, text)
 
 
+def check_empty_rest_of_a_stream_does_not_end_it():
+    """A stream must not end as if it were complete because one endpoint that should go on with it has
+    nothing to add; when a second one has nothing either, it was complete."""
+    for headers, body in ((STREAM + [CHUNKED], chunks()), (STREAM, b""),
+                          (STREAM + [CHUNKED], chunks(b": comment\n\n"))):
+        text, complete = resume_with(response(200, headers, body))
+        equal((text.replace(": comment\n\n", ""), complete), (EVENTS, True), "stream")
+    with World() as w:
+        vm = w.start()
+        broken = threading.Event()
+
+        def break_off_at_the_end(h):
+            if broken.is_set():
+                return False
+            broken.set()
+            h.begin_stream()
+            for n in range(1, 5):
+                h.event(n)
+            h.cut()
+            return True
+
+        for d in w.decodes:
+            d.plan = break_off_at_the_end
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream that broke off after its last event")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
