Copy an empty row from another VM without a null pointer

What callers saw: nothing; a build with sanitizers ended at a VM that got an entry of an endpoint without a text from another VM. Cause: protobuf-c leaves the data of an empty value NULL, which then went to memcpy(). Evidence: odd_entry_of_an_endpoint_does_not_stop_a_vm (tests/edge.py) with address and undefined-behaviour sanitizers: src/replica.c:119, null pointer passed as argument 2. Change: the value of such a row is "". Measured: the check passes with the sanitizers.

--- a/src/tables.c
+++ b/src/tables.c
@@ -254,10 +254,13 @@
 
 static void apply_peer_row(struct tlb_shared_table *s, const Toucan__TableRow *r, tlb_time now)
 {
+	/* The data of an empty value is NULL. */
+	char empty[] = "";
+	char *value = r->value.data ? (char *)r->value.data : empty;
 	struct tlb_stored_row row = {
 		.version = r->version,
 		.removed = r->removed,
-		.value = r->removed ? NULL : (char *)r->value.data,
+		.value = r->removed ? NULL : value,
 		.len = r->removed ? 0 : r->value.len,
 	};
 	int64_t use_ms = r->use_ms;
