--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -25,6 +25,7 @@
 	int64_t now_ms;	 /* the store's monotonic clock at the time of the response */
 	bool more;	 /* there are further rows after the last one */
 	int count;
+	int unreadable; /* rows that were passed over */
 	struct tlb_stored_row *rows;
 	char last_key[TLB_STORED_ROW_KEY_LEN]; /* of the last row, also when its value can't be
 						* read; "" when no key can be read */
--- a/src/watch.c
+++ b/src/watch.c
@@ -55,6 +55,9 @@
 {
 	int i;
 
+	if (rows->unreadable > 0)
+		tlb_log_warn("event=store_rows_ignored table=%s version=%lld rows=%d", w->table,
+			     (long long)rows->version, rows->unreadable);
 	for (i = 0; i < rows->count; i++)
 		w->handlers.on_row(w->handlers.arg, &rows->rows[i]);
 }
