Leave a claim with a time out of range to its holder

Cause: the end of a claim was its time plus its life, which overflows; a claim with the largest time counted as old, though a malformed one has to count as valid. Evidence: claimed_roles_are_left_alone (tests/edge.py) failed with at_ms 2^63 - 1: no change was given up. Change: its life is taken from the present time instead. Measured: the check passes with 2^50, 2^63 - 1 and a text.

--- a/src/roles.c
+++ b/src/roles.c
@@ -150,7 +150,7 @@
 	const json_t *at = json_object_get(j, "at_ms");
 	bool own = vm && strcmp(vm, r->board->settings->vm_id) == 0;
 	bool old = json_is_integer(at) &&
-		   r->now_ms >= json_integer_value(at) + TLB_ROLES_CLAIM_TTL / TLB_MS;
+		   r->now_ms - TLB_ROLES_CLAIM_TTL / TLB_MS >= json_integer_value(at);
 
 	json_decref(j);
 	return !own && !old;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -790,11 +790,12 @@
 
 def check_claimed_roles_are_left_alone():
     """A VM must not send orders while the store holds another VM's claim."""
-    with World(prefills=3) as w:
-        w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
-        start_with_full_decodes(w)
-        wait(lambda: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
-        equal(orders_of(w), [], "orders")
+    for at_ms in (1 << 50, (1 << 63) - 1, "today"):
+        with World(prefills=3) as w:
+            w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": at_ms})
+            start_with_full_decodes(w)
+            wait(lambda w=w: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
+            equal(orders_of(w), [], "orders")
 
 
 def check_unanswered_order_is_not_repeated():
