--- a/tests/edge.py
+++ b/tests/edge.py
@@ -790,11 +790,12 @@
 
 def check_claimed_roles_are_left_alone():
     """A VM must not send orders while the store holds another VM's claim."""
-    with World(prefills=3) as w:
-        w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
-        start_with_full_decodes(w)
-        wait(lambda: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
-        equal(orders_of(w), [], "orders")
+    for at_ms in (1 << 50, (1 << 63) - 1, "today"):
+        with World(prefills=3) as w:
+            w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": at_ms})
+            start_with_full_decodes(w)
+            wait(lambda w=w: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
+            equal(orders_of(w), [], "orders")
 
 
 def check_unanswered_order_is_not_repeated():
@@ -1054,6 +1055,54 @@
             equal((what, *resume_with(raw)), (what, EVENTS, True), "stream")
 
 
+def check_head_inside_a_stream_is_not_in_it():
+    """The head of another answer inside a stream must not reach the caller, whether the stream was
+    resumed or not, and whether it is at the end of an event or inside one."""
+    for inside in (b"", b"id: 4\ndata: pie"):
+        body = event(3) + inside + ERROR_HEAD
+        for headers, text in ((STREAM + [CHUNKED], chunks(body)), (STREAM, body),
+                              (STREAM + [("Connection", "close")], body)):
+            equal(resume_with(response(200, headers, text), 3), (EVENTS, True), "resumed")
+        with World(decodes=2) as w:
+            vm = w.start()
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+            equal(read_stream(r), (EVENTS, True), "from the start")
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/once/1", "POST", b"prompt", headers=GEN)
+            text, complete = read_stream(r)
+            assert r.status == 502 or (not complete and EVENTS.startswith(text)), (r.status, text)
+
+
+def check_empty_rest_of_a_stream_does_not_end_it():
+    """A stream must not end as if it were complete because one endpoint that should go on with it has
+    nothing to add; when a second one has nothing either, it was complete."""
+    for headers, body in ((STREAM + [CHUNKED], chunks()), (STREAM, b""),
+                          (STREAM + [CHUNKED], chunks(b": comment\n\n"))):
+        text, complete = resume_with(response(200, headers, body))
+        equal((text.replace(": comment\n\n", ""), complete), (EVENTS, True), "stream")
+    with World() as w:
+        vm = w.start()
+        broken = threading.Event()
+
+        def break_off_at_the_end(h):
+            if broken.is_set():
+                return False
+            broken.set()
+            h.begin_stream()
+            for n in range(1, 5):
+                h.event(n)
+            h.cut()
+            return True
+
+        for d in w.decodes:
+            d.plan = break_off_at_the_end
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream that broke off after its last event")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
@@ -1606,7 +1655,7 @@
         vm = w.start()
         change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 5000")
         for d in w.decodes:
-            d.plan = lambda h: h.stream(0, pause=3) or True
+            d.plan = lambda h: h.stream(int(h.headers.get("Last-Event-Id") or 0), pause=3) or True
         stream = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
         vm.process.send_signal(signal.SIGTERM)
         begun = time.monotonic()
