Send no new work to an endpoint whose answers say that it leaves

What callers would see: an endpoint says Server-Leaving: 1 in its answers some time before discovery says so, or while the store is away. The VM read the header nowhere and went on sending requests there until the entry changed; the endpoint ends, and with it the requests that it has.

Change: the head of any answer of an endpoint (success, error, refusal, prefill, stream, reservation, load report, order, release) is read by module instance_notice, also of an answer that breaks off or is cancelled. A stream's head is read with its first bytes, before any of it is passed on. The instance is then left out like one whose entry is draining: no call, prefill, decode, reservation, order, retry or resumed stream. Calls with standard headers now keep the head of the response, as those with headers of their own did.

The mark is final for the incarnation. An entry that says ready, older or newer, does not take it back; neither does an entry that was removed and comes back: the last 256 leaving instances are remembered after their removal. That holds for instances whose entry said so as well. A new incarnation starts without it.

Work already there: what runs goes on to its end, and a KV cache that the endpoint holds is still fetched. A decode reservation that was granted there, also by the very answer that says so, is released and not used; the request looks for another endpoint. Queued requests are bound to no endpoint. VMs don't tell each other: each learns it from the first answer, and discovery tells all.

The header is passed on to callers as it is, like all end-to-end headers that the router does not set; test_forwarded_head holds that.

Ruled out: keeping removed leaving instances in the list itself; they would stay candidates of every search, and test_leaving_entry_is_removed_at_once forbids it.

--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -6,6 +6,7 @@
 
 #include "edgeboard.h"
 #include "evidence.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 #include "release.h"
@@ -41,6 +42,14 @@
 	finish(r, true);
 }
 
+static void try_elsewhere(struct tlb_decode_reservation *r)
+{
+	clear(r);
+	r->refusals++;
+	r->query.now = tlb_clock_now();
+	try_next_endpoint(r);
+}
+
 static void on_refusal(struct tlb_decode_reservation *r, const struct tlb_http_result *res)
 {
 	tlb_time now = tlb_clock_now();
@@ -55,10 +64,7 @@
 	}
 	if (res->refused)
 		tlb_evidence_add_crash(r->board, r->instance);
-	clear(r);
-	r->refusals++;
-	r->query.now = now;
-	try_next_endpoint(r);
+	try_elsewhere(r);
 }
 
 static void release_at_endpoint(struct tlb_decode_reservation *r)
@@ -73,10 +79,16 @@
 {
 	struct tlb_decode_reservation *r = arg;
 
+	tlb_instance_notice_read(r->instance, res->status, res->head);
 	if (res->status != 200 || !tlb_platform_read_reservation(res->body, res->body_len, r->id)) {
 		on_refusal(r, res);
 		return;
 	}
+	if (!tlb_instance_usable(r->instance, tlb_clock_now())) {
+		release_at_endpoint(r);
+		try_elsewhere(r);
+		return;
+	}
 	if (r->probing) {
 		r->probing = false;
 		release_at_endpoint(r);
--- a/src/forward.c
+++ b/src/forward.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edgeboard.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 
@@ -138,11 +139,18 @@
 		tlb_quota_refund(&f->board->quotas, q, f->cost, tlb_clock_now());
 }
 
+void tlb_forward_read_notice(struct tlb_forward *f)
+{
+	tlb_instance_notice_read(f->instance, tlb_http_status(&f->call), tlb_http_head(&f->call));
+}
+
 void tlb_forward_end(struct tlb_forward *f, const char *outcome, int status)
 {
 	/* An attempt that is cancelled here may have run. */
 	if (f->instance && f->step != TLB_FORWARD_PREFILLING)
 		f->possible_runs++;
+	if (f->instance)
+		tlb_forward_read_notice(f);
 	log_end(f, outcome, status);
 	f->exchange->on_disconnect = NULL;
 	tlb_quota_acquisition_cancel(&f->acquisition);
@@ -389,6 +397,7 @@
 	bool ok;
 
 	tlb_platform_read_response_info(r->status, r->head, &info);
+	tlb_instance_notice_record(f->instance, &info);
 	end = classify(f, r, &info);
 	/* A refusal (lack of free capacity) is not counted as a fault of the endpoint. */
 	ok = end == TLB_ATTEMPT_ANSWERED ? !is_server_error(r->status)
--- a/src/forward.h
+++ b/src/forward.h
@@ -129,6 +129,8 @@
 /* Starts an attempt at an instance and sets f->instance. */
 void tlb_forward_send(struct tlb_forward *f, struct tlb_instance *i, const struct tlb_outbound *o,
 		      tlb_time deadline, tlb_http_data_fn *on_data, tlb_http_done_fn *on_done);
+/* Records what the head of the response, as far as it has arrived, says about f->instance. */
+void tlb_forward_read_notice(struct tlb_forward *f);
 /* Classifies the result of an attempt, records it in the health of the instance, and releases
  * f->instance. */
 enum tlb_attempt_result tlb_forward_record_result(struct tlb_forward *f,
--- a/src/generation.c
+++ b/src/generation.c
@@ -6,6 +6,7 @@
 
 #include "edgeboard.h"
 #include "evidence.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 #include "release.h"
@@ -299,12 +300,14 @@
 	free(head);
 }
 
-/* Whether the response has the endpoint's signature and belongs to this attempt id. */
-static bool response_is_verified(struct tlb_forward *f)
+/* Reads the head of a stream that has not ended. Returns whether it has the endpoint's signature
+ * and belongs to this attempt id. */
+static bool verify_head(struct tlb_forward *f)
 {
 	struct tlb_response_info info;
 
 	tlb_platform_read_response_info(tlb_http_status(&f->call), tlb_http_head(&f->call), &info);
+	tlb_instance_notice_record(f->instance, &info);
 	return info.has_signature && (!info.attempt_id[0] || !f->inbound.attempt_id[0] ||
 				      strcmp(info.attempt_id, f->inbound.attempt_id) == 0);
 }
@@ -315,7 +318,7 @@
 	struct tlb_buffer *b = &f->gen.partial;
 	size_t n;
 
-	if (!response_is_verified(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
+	if (!verify_head(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
 		return false;
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
@@ -657,6 +660,7 @@
 	struct tlb_http_result r = {.sent = true, .timed_out = true, .head = "", .body = ""};
 
 	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
+	tlb_forward_read_notice(f);
 	tlb_http_cancel(&f->call);
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_evidence_add_abandoned(f);
--- a/src/instance.c
+++ b/src/instance.c
@@ -10,11 +10,15 @@
 /* Plain calls per slot that a small service accepts, including those in its own queue. */
 enum { CALLS_PER_SLOT = 4 };
 enum { TARGET_LEN = 256 };
+/* Leaving instances that are remembered after their removal: more than are replaced at once in a
+ * large deployment. */
+enum { LEFT_MAX = 256 };
 
 void tlb_instances_init(struct tlb_instances *s, const char *zone, uint64_t seed)
 {
 	memset(s, 0, sizeof(*s));
 	APR_RING_INIT(&s->all, tlb_instance, link);
+	APR_RING_INIT(&s->left, tlb_instance, link);
 	tlb_selector_init(&s->place, TLB_POLICY_TOUCANLB, zone, seed);
 }
 
@@ -29,12 +33,28 @@
 		free(i);
 }
 
+static struct curl_slist *make_headers(const char *body)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Accept: */*");
+	struct curl_slist *longer;
+
+	if (!list || !body)
+		return list;
+	longer = curl_slist_append(list, "Content-Type: application/json");
+	if (!longer)
+		curl_slist_free_all(list);
+	return longer;
+}
+
 void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
 		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
 		       const char *body)
 {
 	char url[TLB_ADDR_LEN + TARGET_LEN];
 
+	/* Only a call with headers of its own keeps those of the response. */
+	if (!spec->headers)
+		spec->headers = make_headers(body);
 	snprintf(url, sizeof(url), "http://%s%s", i->row.addr, target);
 	spec->url = url;
 	spec->body = body;
@@ -43,19 +63,41 @@
 	tlb_http_start(http, call, spec);
 }
 
-static void remove_instance(struct tlb_instance *i)
+static void unlink_instance(struct tlb_instance *i)
 {
 	APR_RING_REMOVE(i, link);
 	APR_RING_ELEM_INIT(i, link);
+}
+
+static void forget_oldest_left(struct tlb_instances *s)
+{
+	struct tlb_instance *i = APR_RING_FIRST(&s->left);
+
+	unlink_instance(i);
+	s->left_count--;
+	tlb_instance_release(i);
+}
+
+static void remove_instance(struct tlb_instances *s, struct tlb_instance *i)
+{
+	unlink_instance(i);
 	i->listed = false;
 	i->unlisted_deadline = 0;
-	tlb_instance_release(i);
+	if (!i->leaving) {
+		tlb_instance_release(i);
+		return;
+	}
+	APR_RING_INSERT_TAIL(&s->left, i, tlb_instance, link);
+	if (++s->left_count > LEFT_MAX)
+		forget_oldest_left(s);
 }
 
 void tlb_instances_finish(struct tlb_instances *s)
 {
 	while (!APR_RING_EMPTY(&s->all, tlb_instance, link))
-		remove_instance(APR_RING_FIRST(&s->all));
+		remove_instance(s, APR_RING_FIRST(&s->all));
+	while (s->left_count > 0)
+		forget_oldest_left(s);
 }
 
 struct tlb_instance *tlb_instances_find(const struct tlb_instances *s, const char *id)
@@ -78,15 +120,34 @@
 		return NULL;
 	i->refcount = 1;
 	i->row = *row;
+	i->leaving = row->leaving;
 	i->listed = true;
 	i->tokens_per_second = TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND;
 	APR_RING_INSERT_TAIL(&s->all, i, tlb_instance, link);
 	return i;
 }
 
-static bool same_incarnation(const struct tlb_instance_row *a, const struct tlb_instance_row *b)
+static bool same_incarnation(const struct tlb_instance *i, const struct tlb_instance_row *row)
 {
-	return a->started_ms == b->started_ms && strcmp(a->addr, b->addr) == 0;
+	return i->row.started_ms == row->started_ms && strcmp(i->row.addr, row->addr) == 0;
+}
+
+/* Lists a leaving instance again whose entry is back. Returns false when it is not remembered. */
+static bool relist_left(struct tlb_instances *s, const struct tlb_instance_row *row)
+{
+	struct tlb_instance *i;
+
+	APR_RING_FOREACH (i, &s->left, tlb_instance, link) {
+		if (strcmp(i->row.id, row->id) != 0 || !same_incarnation(i, row))
+			continue;
+		unlink_instance(i);
+		s->left_count--;
+		i->row = *row;
+		i->listed = true;
+		APR_RING_INSERT_TAIL(&s->all, i, tlb_instance, link);
+		return true;
+	}
+	return false;
 }
 
 bool tlb_instances_put(struct tlb_instances *s, const struct tlb_instance_row *row)
@@ -94,27 +155,28 @@
 	struct tlb_instance *i = tlb_instances_find(s, row->id);
 	bool changed;
 
-	if (i && !same_incarnation(&i->row, row)) {
-		remove_instance(i);
+	if (i && !same_incarnation(i, row)) {
+		remove_instance(s, i);
 		i = NULL;
 	}
 	if (!i)
-		return add_instance(s, row) != NULL;
+		return relist_left(s, row) || add_instance(s, row) != NULL;
 	changed = i->row.leaving != row->leaving || i->row.role != row->role;
 	if (i->row.role != row->role) {
 		i->switching_until = 0;
 		i->full_until = 0;
 	}
 	i->row = *row;
+	i->leaving |= row->leaving;
 	i->listed = true;
 	i->unlisted_deadline = 0;
 	return changed;
 }
 
-static void unlist(struct tlb_instance *i, tlb_time use_deadline)
+static void unlist(struct tlb_instances *s, struct tlb_instance *i, tlb_time use_deadline)
 {
-	if (use_deadline == 0 || i->row.leaving) {
-		remove_instance(i);
+	if (use_deadline == 0 || i->leaving) {
+		remove_instance(s, i);
 		return;
 	}
 	i->listed = false;
@@ -127,12 +189,12 @@
 	struct tlb_instance *i = tlb_instances_find(s, id);
 
 	if (i)
-		unlist(i, use_deadline);
+		unlist(s, i, use_deadline);
 }
 
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
 {
-	return !i->row.leaving && now >= i->switching_until &&
+	return !i->leaving && now >= i->switching_until &&
 	       (i->listed || now < i->unlisted_deadline);
 }
 
@@ -313,6 +375,14 @@
 	return tlb_health_median_latency(latency, n);
 }
 
+bool tlb_instance_mark_leaving(struct tlb_instance *i)
+{
+	bool was_leaving = i->leaving;
+
+	i->leaving = true;
+	return !was_leaving;
+}
+
 bool tlb_instances_record_outcome(struct tlb_instances *s, struct tlb_instance *i, bool ok,
 				  tlb_time latency, tlb_time now)
 {
--- a/src/instance.h
+++ b/src/instance.h
@@ -41,6 +41,7 @@
 	int refcount;
 	bool listed;		    /* its entry exists */
 	tlb_time unlisted_deadline; /* usable until then although not listed; 0: not usable */
+	bool leaving;		    /* by its entry or an answer; final for the incarnation */
 	struct tlb_health health;
 	tlb_time full_until;	   /* treated as full until then; 0: not known to be full */
 	tlb_time switching_until;  /* role change in progress until then; 0: none */
@@ -56,6 +57,10 @@
 /* All instances. Owned by the board; holds a reference to each instance. */
 struct tlb_instances {
 	struct tlb_instance_ring all;
+	/* The last leaving instances that were removed, oldest first. Their entries can come back
+	 * when discovery returns to an earlier state. */
+	struct tlb_instance_ring left;
+	int left_count;
 	struct tlb_selector place;
 	/* Filled for each selection; the two arrays have the same indices. */
 	struct tlb_candidate candidate[TLB_INSTANCES_MAX];
@@ -77,8 +82,9 @@
 
 void tlb_instance_acquire(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
-/* Calls the instance on a dedicated connection. Sets url, body and dedicated_connection of spec,
- * the caller sets the rest; body NULL: no body. */
+/* Calls the instance on a dedicated connection. Sets url, body, dedicated_connection and, unless
+ * the caller has, headers of spec, the caller sets the rest; body NULL: no body. The result has the
+ * head of the response. */
 void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
 		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
 		       const char *body);
@@ -117,6 +123,8 @@
 int tlb_instances_count(const struct tlb_instances *s, const char *service, enum tlb_role role,
 			tlb_time now);
 
+/* Records that the instance announced its departure. Returns whether that is new. */
+bool tlb_instance_mark_leaving(struct tlb_instance *i);
 /* Records the outcome of a request. latency 0: not measured. Returns true if this outcome ejects
  * the instance. */
 bool tlb_instances_record_outcome(struct tlb_instances *s, struct tlb_instance *i, bool ok,
--- a/src/release.c
+++ b/src/release.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "instance_notice.h"
 #include "log.h"
 
 #define RELEASE_TIMEOUT (1000 * TLB_MS)
@@ -10,26 +11,28 @@
 /* One DELETE request in flight. Freed when it ends. */
 struct release {
 	struct tlb_http_call call;
-	char instance[TLB_INSTANCE_ID_LEN];
+	struct tlb_instance *instance; /* a reference */
 	char target[256];
 };
 
 static void log_failure(const struct release *r, int status, const char *reason)
 {
 	tlb_log_info("event=release_failed instance=%s target=%s status=%d reason=\"%s\"",
-		     r->instance, r->target, status, reason);
+		     r->instance->row.id, r->target, status, reason);
 }
 
 static void on_released(void *arg, const struct tlb_http_result *res)
 {
 	struct release *r = arg;
 
+	tlb_instance_notice_read(r->instance, res->status, res->head);
 	if (res->status != 200)
 		log_failure(r, res->status, res->reason);
+	tlb_instance_release(r->instance);
 	free(r);
 }
 
-void tlb_release_send(struct tlb_http *http, const struct tlb_instance *i, const char *target)
+void tlb_release_send(struct tlb_http *http, struct tlb_instance *i, const char *target)
 {
 	struct release *r = calloc(1, sizeof(*r));
 	struct tlb_http_spec spec = {
@@ -41,7 +44,8 @@
 
 	if (!r)
 		return;
-	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
+	tlb_instance_acquire(i);
+	r->instance = i;
 	snprintf(r->target, sizeof(r->target), "%s", target);
 	tlb_instance_call(i, http, &r->call, &spec, target, NULL);
 }
--- a/src/release.h
+++ b/src/release.h
@@ -7,6 +7,6 @@
 
 /* Sends DELETE for a request target, without retries. A failure is only logged, because a resource
  * that is not released expires at the endpoint. */
-void tlb_release_send(struct tlb_http *http, const struct tlb_instance *i, const char *target);
+void tlb_release_send(struct tlb_http *http, struct tlb_instance *i, const char *target);
 
 #endif
--- a/src/request_info.h
+++ b/src/request_info.h
@@ -56,6 +56,7 @@
 struct tlb_response_info {
 	bool not_run;	    /* the endpoint proves that the request did not run */
 	bool has_signature; /* the response carries the endpoint's signature */
+	bool leaving;	    /* the endpoint is about to leave */
 	char attempt_id[TLB_ATTEMPT_ID_LEN];
 };
 
--- a/src/roles.c
+++ b/src/roles.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edgeboard.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 
@@ -62,6 +63,24 @@
 	return moved;
 }
 
+/* --- calls --- */
+
+static void call_engine(struct tlb_roles *r, struct tlb_instance *i, struct tlb_http_spec *spec,
+			const char *target, const char *body)
+{
+	tlb_instance_acquire(i);
+	r->callee = i;
+	tlb_instance_call(i, r->board->http, &r->call, spec, target, body);
+}
+
+/* Ends the call in progress. */
+static void end_call(struct tlb_roles *r, const struct tlb_http_result *res)
+{
+	tlb_instance_notice_read(r->callee, res->status, res->head);
+	tlb_instance_release(r->callee);
+	r->callee = NULL;
+}
+
 /* --- orders --- */
 
 static void end_change(struct tlb_roles *r, const char *reason)
@@ -78,6 +97,7 @@
 	struct tlb_roles *r = arg;
 	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
 
+	end_call(r, res);
 	tlb_log_info("event=role_ordered instance=%s role=%d status=%d reason=\"%s\"", r->instance,
 		     (int)r->role, res->status, res->reason);
 	if (res->status != 0 && res->status != 200 && res->status != 202) {
@@ -102,7 +122,8 @@
 		.arg = r,
 	};
 
-	if (!i || !body || tlb_clock_now() >= r->act_deadline) {
+	if (!i || !body || tlb_clock_now() >= r->act_deadline ||
+	    !tlb_instance_usable(i, tlb_clock_now())) {
 		free(body);
 		end_change(r, "claim written too late for an order");
 		return;
@@ -110,7 +131,7 @@
 	r->state = TLB_ROLES_SENDING_ORDER;
 	spec.headers = tlb_platform_order_headers(i->row.id);
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
-	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_order_target(), body);
+	call_engine(r, i, &spec, tlb_platform_order_target(), body);
 	free(body);
 }
 
@@ -273,6 +294,7 @@
 	const struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->report_instance);
 	struct tlb_load_report p;
 
+	end_call(r, res);
 	if (!i || res->status != 200 ||
 	    !tlb_platform_read_load_report(res->body, res->body_len, &p)) {
 		tlb_log_info("event=role_report_unread instance=%s status=%d reason=\"%s\"",
@@ -288,10 +310,10 @@
 }
 
 /* Returns the usable engine with the next higher id, or NULL. */
-static const struct tlb_instance *next_engine(const struct tlb_roles *r, const char *id)
+static struct tlb_instance *next_engine(const struct tlb_roles *r, const char *id)
 {
-	const struct tlb_instance *best = NULL;
-	const struct tlb_instance *i;
+	struct tlb_instance *best = NULL;
+	struct tlb_instance *i;
 	tlb_time now = tlb_clock_now();
 
 	APR_RING_FOREACH (i, &r->board->instances.all, tlb_instance, link) {
@@ -306,7 +328,7 @@
 
 static void request_next_report(struct tlb_roles *r)
 {
-	const struct tlb_instance *i = next_engine(r, r->report_instance);
+	struct tlb_instance *i = next_engine(r, r->report_instance);
 	struct tlb_http_spec spec = {
 		.method = "GET",
 		.deadline = tlb_clock_now() + REPORT_TIMEOUT,
@@ -319,7 +341,7 @@
 		return;
 	}
 	snprintf(r->report_instance, sizeof(r->report_instance), "%s", i->row.id);
-	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_report_target(), NULL);
+	call_engine(r, i, &spec, tlb_platform_report_target(), NULL);
 }
 
 /* Returns the first service whose engines can change roles. Only one service is supported: each one
@@ -375,4 +397,7 @@
 	tlb_timer_clear(r->board->loop, &r->timer);
 	tlb_rowstore_cancel(&r->op);
 	tlb_http_cancel(&r->call);
+	if (r->callee)
+		tlb_instance_release(r->callee);
+	r->callee = NULL;
 }
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1390,6 +1390,151 @@
         equal(len(w.shops[0].seen), 0, "requests at the leaving endpoint")
 
 
+def expect_no_calls(vm, endpoint, count=10):
+    """Sends plain calls, none of which may reach the endpoint."""
+    before = len(endpoint.seen)
+    for n in range(count):
+        equal(vm.call("/pay/1", "POST", b"x", attempt=f"n{n}")[0], 200, "status")
+    equal(len(endpoint.seen) - before, 0, f"requests at {endpoint.name}")
+
+
+def call_until_seen(vm, endpoint):
+    """Sends plain calls until one reaches the endpoint; returns the answer to that one."""
+    for n in range(100):
+        status, _, r = vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")
+        equal(status, 200, "status")
+        if endpoint.seen:
+            return r
+    raise AssertionError(f"no request reached {endpoint.name}")
+
+
+def check_endpoint_whose_answer_says_that_it_leaves_gets_no_new_work():
+    """An endpoint that says in an answer that it leaves must get no new request, also while its
+    entry says that it is ready, until it starts anew; the caller gets the answer as it is."""
+    with World() as w:
+        vm = w.start()
+        leaver = w.shops[0]
+        leaver.leaving = True
+        equal(call_until_seen(vm, leaver).getheader("Server-Leaving"), "1", "header")
+        expect_no_calls(vm, leaver)
+        w.store.put("servers", "shop-0", dict(leaver.entry(), sequence=2, slots=9))
+        time.sleep(0.3)
+        expect_no_calls(vm, leaver)
+        w.store.put("servers", "shop-0", None)
+        wait(lambda: vm.events("instance_gone instance=shop-0"), "the entry is gone")
+        w.store.put("servers", "shop-0", leaver.entry())
+        wait(lambda: len(vm.events("instance instance=shop-0")) > 1, "the entry is back")
+        expect_no_calls(vm, leaver)
+        leaver.leaving = False
+        leaver.seen.clear()
+        w.store.put("servers", "shop-0", dict(leaver.entry(), born=leaver.born + 5000))
+        wait(lambda: len(vm.events("instance instance=shop-0")) > 2, "it starts anew")
+        equal(len(vm.events("instance_leaving instance=shop-0 service=shop")), 1, "log lines")
+        call_until_seen(vm, leaver)
+
+
+def check_refusal_or_error_that_says_that_the_endpoint_leaves():
+    """An endpoint that says that it leaves with a refusal, an error or an answer that breaks
+    off must get no new request either."""
+    def refuse(h):
+        h.reply(503, headers=[("X-Not-Executed", "1")])
+        return True
+
+    def break_off(h):
+        h.send_response(200)
+        h.send_header("Content-Length", "100")
+        h.end_headers()
+        h.wfile.write(b"part")
+        h.wfile.flush()
+        time.sleep(0.05)
+        h.cut()
+        return True
+
+    for plan in (refuse, lambda h: h.answer(500, b"error") or True, break_off):
+        with World() as w:
+            vm = w.start()
+            leaver = w.shops[0]
+            leaver.leaving = True
+            leaver.plan = plan
+            for n in range(100):
+                if leaver.seen:
+                    break
+                vm.call("/look/1", attempt=f"e{n}")
+            equal(len(leaver.seen), 1, "requests")
+            expect_no_calls(vm, leaver)
+
+
+def check_stream_whose_head_says_that_the_endpoint_leaves():
+    """The head of a stream that goes on for seconds must end new work at its endpoint at once; the
+    stream itself must go on there to its end."""
+    with World() as w:
+        vm = w.start()
+        def plan(h):
+            h.endpoint.leaving = True
+            h.stream(0, pause=0.5)
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        first = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        leaver = next(d for d in w.decodes if d.seen)
+        other = next(d for d in w.decodes if not d.seen)
+        other.plan = lambda h: False
+        other.room = False
+        equal(late_answer(vm, 6000), 503, "status without room at the other")
+        equal((len(leaver.seen), leaver.holds), (1, 1), "runs and reservations at the leaving one")
+        other.room = True
+        equal(late_answer(vm, 6000), 200, "status with room at the other")
+        equal(read_stream(first), (EVENTS, True), "stream")
+        equal((len(leaver.seen), leaver.holds), (1, 1), "runs and reservations at the leaving one")
+
+
+def check_reservation_at_an_endpoint_that_says_that_it_leaves():
+    """An endpoint that says that it leaves when it grants a reservation must not get the request:
+    the reservation is released, and the request runs elsewhere."""
+    with World() as w:
+        vm = w.start()
+        w.decodes[0].leaving = True
+        for n in range(8):
+            equal(late_answer(vm, 6000), 200, "status")
+        leaver = w.decodes[0]
+        equal((leaver.holds, len(leaver.seen)), (1, 0), "reservations and runs")
+        wait(lambda: leaver.released == ["/hold-drop/h1"], "the reservation is released")
+
+
+def check_prefill_answer_that_says_that_the_endpoint_leaves():
+    """The KV cache of a prefill must be fetched although its endpoint says that it leaves; new
+    prefills must go elsewhere."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        for p in w.prefills:
+            p.leaving = True
+        equal(late_answer(vm, 6000), 200, "status")
+        leaver = next(p for p in w.prefills if p.seen)
+        other = next(p for p in w.prefills if not p.seen)
+        other.leaving = False
+        runs = [h for d in w.decodes for h in d.seen]
+        equal([h["X-Kv-Source"] for h in runs], [f"{leaver.addr}/kv1"], "KV cache")
+        for n in range(6):
+            equal(late_answer(vm, 6000), 200, "status")
+        equal((len(leaver.seen), len(other.seen)), (1, 6), "prefills")
+
+
+def check_load_report_that_says_that_the_engine_leaves():
+    """A load report that says that its engine leaves must end new work there."""
+    with World(prefills=3) as w:
+        w.start(role_config())
+        vm = w.vms[0]
+        equal(late_answer(vm, 6000), 200, "status")
+        leaver = w.prefills[0]
+        before = len(leaver.seen)
+        leaver.leaving = True
+        wait(lambda: vm.events("instance_leaving instance=pre-0"), "the load report is read", 8)
+        for n in range(6):
+            equal(late_answer(vm, 6000), 200, "status")
+        equal(len(leaver.seen), before, "prefills at the leaving engine")
+
+
 def check_dropped_history_is_read_again():
     """Changes must not be missed when the store has dropped its change log."""
     with World() as w:
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -239,6 +239,7 @@
         self.open = set()  # connections
         self.crashes = []  # times
         self.ended = False
+        self.leaving = False  # all answers say that it leaves
         self.lock = threading.Lock()
 
     def crash(self, store, down_s=0.3, new_id=False):
@@ -309,6 +310,11 @@
             self.endpoint.open.discard(self.connection)
         super().finish()
 
+    def end_headers(self):
+        if self.endpoint.leaving:
+            self.send_header("Server-Leaving", "1")
+        super().end_headers()
+
     def do_GET(self):
         if self.path == "/report":
             report = {"stage": self.endpoint.stage, "running": 0, "waiting": 0, "kvUsed": 0,
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -3,6 +3,7 @@
  * stay usable past their deadline, and against the selection of an endpoint that is full, queued or
  * of another role. */
 #include <check.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "instance.h"
@@ -94,6 +95,63 @@
 }
 END_TEST
 
+/* Discovery reads entries that were written before the endpoint said that it leaves, or returns to
+ * an earlier state. */
+START_TEST(test_ready_entry_does_not_take_back_leaving)
+{
+	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+	struct tlb_instance_query p = query();
+
+	ck_assert(tlb_instance_mark_leaving(i));
+	ck_assert(!tlb_instance_mark_leaving(i));
+	tlb_instances_put(&instances, &r);
+	ck_assert(!tlb_instance_usable(i, now));
+	tlb_instances_remove(&instances, "a", now + TLB_SECOND);
+	ck_assert_ptr_null(tlb_instances_find(&instances, "a"));
+	ck_assert(tlb_instances_put(&instances, &r));
+	ck_assert_ptr_eq(tlb_instances_find(&instances, "a"), i);
+	ck_assert(!tlb_instance_usable(i, now));
+	ck_assert_ptr_null(tlb_instances_select_service(&instances, &p));
+	ck_assert_int_eq(tlb_instances_count(&instances, "s", TLB_ROLE_SERVICE, now), 0);
+}
+END_TEST
+
+START_TEST(test_new_incarnation_is_not_leaving)
+{
+	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
+
+	tlb_instance_mark_leaving(put("a", TLB_ROLE_SERVICE));
+	r.started_ms = 2;
+	tlb_instances_put(&instances, &r);
+	ck_assert(tlb_instance_usable(tlb_instances_find(&instances, "a"), now));
+	tlb_instance_mark_leaving(tlb_instances_find(&instances, "a"));
+	tlb_instances_remove(&instances, "a", 0);
+	r.started_ms = 3;
+	tlb_instances_put(&instances, &r);
+	ck_assert(tlb_instance_usable(tlb_instances_find(&instances, "a"), now));
+}
+END_TEST
+
+/* Every endpoint of a large release leaves; what is remembered of them must not grow. */
+START_TEST(test_many_leaving_instances_are_forgotten)
+{
+	struct tlb_instance_row r = row("", TLB_ROLE_SERVICE);
+	int n;
+
+	for (n = 0; n < 2000; n++) {
+		sprintf(r.id, "i-%d", n);
+		r.leaving = true;
+		tlb_instances_put(&instances, &r);
+		tlb_instances_remove(&instances, r.id, 0);
+		ck_assert_int_le(instances.left_count, 256);
+	}
+	r.leaving = false;
+	tlb_instances_put(&instances, &r);
+	ck_assert(!tlb_instance_usable(tlb_instances_find(&instances, r.id), now));
+}
+END_TEST
+
 START_TEST(test_full_decode_endpoints_are_not_selected)
 {
 	struct tlb_instance *a = put("a", TLB_ROLE_DECODE);
@@ -153,6 +211,9 @@
 	tcase_add_test(t, test_role_change_keeps_instance);
 	tcase_add_test(t, test_removed_entry_is_usable_until_deadline);
 	tcase_add_test(t, test_leaving_entry_is_removed_at_once);
+	tcase_add_test(t, test_ready_entry_does_not_take_back_leaving);
+	tcase_add_test(t, test_new_incarnation_is_not_leaving);
+	tcase_add_test(t, test_many_leaving_instances_are_forgotten);
 	tcase_add_test(t, test_full_decode_endpoints_are_not_selected);
 	tcase_add_test(t, test_prefill_avoids_queue);
 	tcase_add_test(t, test_selection_respects_roles);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -182,8 +182,8 @@
 			if (*p == '|')
 				*p = '\n';
 		tlb_platform_read_response_info(status, head, &info);
-		snprintf(got, sizeof(got), "not_run=%d vouched=%d attempt=%s", info.not_run,
-			 info.has_signature, info.attempt_id);
+		snprintf(got, sizeof(got), "not_run=%d vouched=%d leaving=%d attempt=%s",
+			 info.not_run, info.has_signature, info.leaving, info.attempt_id);
 		ck_assert_str_eq(got, c.expected);
 	}
 }
@@ -194,10 +194,12 @@
 {
 	static const char head[] = "Content-Type: text/plain\nConnection: close\n"
 				   "X-Response-Signature: s\ntransfer-encoding: chunked\n"
-				   "Content-Length: 3\nKeep-Alive: timeout=5\nEtag: x\n";
+				   "Content-Length: 3\nKeep-Alive: timeout=5\nEtag: x\n"
+				   "Server-Leaving: 1\nRetry-After: 2\n";
 	char *out = tlb_platform_forwarded_head(head);
 
-	ck_assert_str_eq(out, "Content-Type: text/plain\nX-Response-Signature: s\nEtag: x\n");
+	ck_assert_str_eq(out, "Content-Type: text/plain\nX-Response-Signature: s\nEtag: x\n"
+			      "Server-Leaving: 1\nRetry-After: 2\n");
 	free(out);
 }
 END_TEST
