Send no requests to an endpoint that refused with a time until it has passed

What callers would see: an endpoint that is full answers 503 with Retry-After: it wants nothing from this VM for so long. The VM ignored the time and went on sending, so that requests were refused one after the other, used up retries, and were held until their deadline or refused with a time that nothing stood behind.

Change: a 503 with Retry-After to any call (plain call, prefill, decode, reservation, load report, order, release) sets a deadline in the instance. Until then it gets no call of any kind from this VM: selection, retries, resumed streams, reservations and orders leave it out; load reports are not asked, and the engine counts as full in the choice of roles; releases are left out as well, since what they would free expires within kvHoldS or holdMs. Requests already on their way are not ended.

When all endpoints of a service in service have asked for a pause, a plain call is refused at once, after the refusal of the last one as well, with the time until the first takes requests again, spread over 0.1 s. A model request waits for the end of the pauses when it can still start in time, and is refused at once otherwise; so are those that are queued when the pauses begin. When all prefill engines have asked for a pause, decode engines prefill, as they do without prefill engines.

Values that are not a decimal number of seconds (dates, signs, exponents) are ignored. At most 60 s are honoured, as long as the longest ejection, so that one faulty answer does not take an endpoint out of service. Later answers make the pause longer, never shorter. A refusal with a time is no fault of the endpoint, also without X-Not-Executed; without that header it is still no promise to callers. The runner's own Retry-After does not reach callers, because its 503 does not; on other answers the header is forwarded like any other. VMs don't tell each other: an endpoint asks each one.

Ruled out: ejecting it, which is ignored when all endpoints are ejected and grows with each time; using full_until, which prefill searches ignore when all are full and which the end of any stream clears; and no grace for reservations: a request with room at its endpoint was then refused (reservation_made_before_a_pause_is_used fails with 503).

--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -75,6 +75,13 @@
 	tlb_release_send(r->board->http, r->instance, target);
 }
 
+/* Whether the endpoint, which has granted the reservation, still takes what comes next. */
+static bool is_still_wanted(const struct tlb_decode_reservation *r, tlb_time now)
+{
+	return r->probing ? tlb_instance_usable(r->instance, now)
+			  : tlb_instance_takes_reserved(r->instance, now);
+}
+
 static void on_response(void *arg, const struct tlb_http_result *res)
 {
 	struct tlb_decode_reservation *r = arg;
@@ -84,7 +91,7 @@
 		on_refusal(r, res);
 		return;
 	}
-	if (!tlb_instance_usable(r->instance, tlb_clock_now())) {
+	if (!is_still_wanted(r, tlb_clock_now())) {
 		release_at_endpoint(r);
 		try_elsewhere(r);
 		return;
--- a/src/forward.c
+++ b/src/forward.c
@@ -20,6 +20,8 @@
 #define REPEAT_CHECK_INTERVAL (50 * TLB_MS)
 /* Backoff before a refused call is retried; also the retry-after time for callers. */
 #define REFUSED_BACKOFF (15 * TLB_MS)
+/* Callers that are told the end of a pause return spread over this time. */
+#define RETURN_SPREAD (100 * TLB_MS)
 /* Retry-after time for callers when no endpoint or no configuration is known. */
 #define NO_ENDPOINT_RETRY_AFTER (300 * TLB_MS)
 /* Parts of a prompt listed in a log line, and the length of one: 16 hexadecimal digits, comma. */
@@ -202,7 +204,7 @@
 
 	if (!may_have_run(f)) {
 		tlb_forward_refuse(f, TLB_OVERLOADED,
-				   tlb_forward_retry_after_ms(f, REFUSED_BACKOFF), reason);
+				   tlb_forward_unserved_retry_after_ms(f, REFUSED_BACKOFF), reason);
 		return;
 	}
 	tlb_error_set(&err, code, TLB_OUTCOME_UNKNOWN, "forward", f->service, "%s", reason);
@@ -232,10 +234,10 @@
 	free(head);
 }
 
-int tlb_forward_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait)
+/* Limits a retry-after time to what the caller complies with. */
+static int limited_retry_after_ms(const struct tlb_forward *f, double wait)
 {
 	tlb_time left = f->inbound.deadline - tlb_clock_now();
-	double wait = (double)base_wait * (1 + tlb_random_unit(&f->board->random));
 
 	/* Callers comply with retry-after times up to a third of the time that they have left. */
 	if (f->inbound.deadline != TLB_NEVER && wait > (double)left / 3)
@@ -243,6 +245,36 @@
 	return wait > (double)TLB_MS ? (int)(wait / (double)TLB_MS) : 1;
 }
 
+int tlb_forward_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait)
+{
+	double jitter = tlb_random_unit(&f->board->random);
+
+	return limited_retry_after_ms(f, (double)base_wait * (1 + jitter));
+}
+
+/* How long all endpoints of the request's service have asked for no requests; 0: one is usable, or
+ * none is in service. */
+static tlb_time pause_left(const struct tlb_forward *f)
+{
+	enum tlb_role role =
+		f->route->request_kind == TLB_REQUEST_STREAM ? TLB_ROLE_DECODE : TLB_ROLE_SERVICE;
+	tlb_time now = tlb_clock_now();
+	tlb_time at = tlb_instances_usable_at(&f->board->instances, f->service, role, now);
+
+	return at == TLB_NEVER ? 0 : at - now;
+}
+
+int tlb_forward_unserved_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait)
+{
+	tlb_time pause = pause_left(f);
+	double jitter;
+
+	if (pause == 0)
+		return tlb_forward_retry_after_ms(f, base_wait);
+	jitter = tlb_random_unit(&f->board->random);
+	return limited_retry_after_ms(f, (double)pause + RETURN_SPREAD * jitter);
+}
+
 /* --- attempts --- */
 
 int tlb_forward_endpoints_used(const struct tlb_forward *f)
@@ -400,8 +432,9 @@
 	tlb_instance_notice_record(f->instance, &info);
 	end = classify(f, r, &info);
 	/* A refusal (lack of free capacity) is not counted as a fault of the endpoint. */
-	ok = end == TLB_ATTEMPT_ANSWERED ? !is_server_error(r->status)
-					 : end == TLB_ATTEMPT_NOT_RUN && r->sent;
+	ok = end == TLB_ATTEMPT_ANSWERED
+		     ? !is_server_error(r->status)
+		     : (end == TLB_ATTEMPT_NOT_RUN && r->sent) || info.retry_after_ms > 0;
 	if (end != TLB_ATTEMPT_ANSWERED || !ok)
 		log_failed_attempt(f, r, end == TLB_ATTEMPT_NOT_RUN, elapsed);
 	if (tlb_instances_record_outcome(&f->board->instances, f->instance, ok,
@@ -449,6 +482,10 @@
 		tlb_forward_answer(f, r);
 		return;
 	}
+	if (end == TLB_ATTEMPT_NOT_RUN && f->possible_runs == 0 && pause_left(f) > 0) {
+		tlb_forward_fail(f, "all endpoints have asked for a pause");
+		return;
+	}
 	if (tlb_forward_may_retry(f, end)) {
 		if (end != TLB_ATTEMPT_NOT_RUN || !r->sent) {
 			dispatch(f);
@@ -520,9 +557,10 @@
 		if (f->possible_runs > 0)
 			tlb_forward_fail(f, "no other endpoint is left");
 		else
-			tlb_forward_refuse(f, TLB_NO_ENDPOINT,
-					   tlb_forward_retry_after_ms(f, NO_ENDPOINT_RETRY_AFTER),
-					   "no endpoint of the service is usable");
+			tlb_forward_refuse(
+				f, TLB_NO_ENDPOINT,
+				tlb_forward_unserved_retry_after_ms(f, NO_ENDPOINT_RETRY_AFTER),
+				"no endpoint of the service is usable");
 		return;
 	}
 	o.instance = i->row.id;
--- a/src/forward.h
+++ b/src/forward.h
@@ -162,5 +162,8 @@
 /* Retry-after time for the caller in ms: from base_wait to twice that, by random jitter, but at
  * most a third of the time left before its deadline. */
 int tlb_forward_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait);
+/* The same for a request that no endpoint takes. When all of the service have asked for a pause, it
+ * is the time until the first takes requests again. */
+int tlb_forward_unserved_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait);
 
 #endif
--- a/src/generation.c
+++ b/src/generation.c
@@ -456,7 +456,7 @@
 static bool has_usable_reservation(const struct tlb_forward *f, tlb_time now)
 {
 	return tlb_decode_reservation_is_held(&f->gen.decode_reservation, now) &&
-	       tlb_instance_usable(f->gen.decode_reservation.instance, now);
+	       tlb_instance_takes_reserved(f->gen.decode_reservation.instance, now);
 }
 
 /* The endpoint that decodes the request: the one with its reservation, or another when there is no
@@ -799,7 +799,18 @@
 		fail_stream(f, reason);
 	else
 		tlb_forward_refuse(f, TLB_OVERLOADED,
-				   tlb_forward_retry_after_ms(f, OVERLOAD_RETRY_AFTER), reason);
+				   tlb_forward_unserved_retry_after_ms(f, OVERLOAD_RETRY_AFTER),
+				   reason);
+}
+
+/* The earliest time to start a request: now, or the end of the pauses that all decode endpoints
+ * have asked for. */
+static tlb_time earliest_start(const struct tlb_generation_queue *p, tlb_time now)
+{
+	tlb_time at =
+		tlb_instances_usable_at(&p->board->instances, p->service, TLB_ROLE_DECODE, now);
+
+	return at == TLB_NEVER ? now : at;
 }
 
 /* Queues a request that can't meet its target latency as TLB_BATCH when the caller has retried it;
@@ -810,7 +821,8 @@
 
 	if (expires > latest_prefill_start(f))
 		expires = latest_prefill_start(f);
-	if (is_first_try(f) || now >= expires || !enqueue(f, TLB_BATCH, expires, now))
+	if (is_first_try(f) || earliest_start(f->gen.service_queue, now) >= expires ||
+	    !enqueue(f, TLB_BATCH, expires, now))
 		reject(f, "no endpoint has room in time");
 }
 
@@ -839,14 +851,16 @@
 	tlb_queue_requeue(&p->queue, flow, it);
 }
 
-/* Handles the queued requests whose wait has expired. An interactive one can't meet its target any
- * more and may be queued again as TLB_BATCH; the others are rejected. */
+/* Handles the queued requests whose wait has expired or will before one can start. An interactive
+ * one can't meet its target any more and may be queued again as TLB_BATCH; the others are rejected.
+ */
 static void process_expired(struct tlb_generation_queue *p, tlb_time now)
 {
 	struct tlb_forward *f;
 	struct tlb_queue_item *it;
+	tlb_time start = earliest_start(p, now);
 
-	while ((it = tlb_queue_expire(&p->queue, now))) {
+	while ((it = tlb_queue_expire(&p->queue, start))) {
 		f = forward_of(it);
 		if (it->class == TLB_INTERACTIVE && f->possible_runs == 0)
 			enqueue_late(f, now);
@@ -878,13 +892,17 @@
 	start_attempt(f);
 }
 
-/* Sets the pool's timer to the next expiry, or to full_until when that comes first. */
+/* Sets the pool's timer to the next expiry, or to the time when requests can start again when that
+ * comes first. */
 static void set_pool_timer(struct tlb_generation_queue *p, tlb_time now)
 {
 	tlb_time at = tlb_queue_next_expiry(&p->queue);
+	tlb_time start = earliest_start(p, now);
 
 	if (tlb_queue_count(&p->queue) > 0 && now < p->full_until && p->full_until < at)
 		at = p->full_until;
+	if (start > now && start < at)
+		at = start;
 	tlb_timer_set(p->board->loop, &p->timer, at);
 }
 
@@ -962,7 +980,7 @@
 		     (long long)f->inbound.prompt_tokens, (long long)f->inbound.max_output_tokens,
 		     (long long)f->inbound.expected_output_tokens, tlb_queue_count(&p->queue),
 		     p->window.limit, p->window.in_use, (long long)(p->mean_prefill_us / TLB_MS));
-	if (!can_meet_target(f, now))
+	if (!can_meet_target(f, earliest_start(p, now)))
 		enqueue_late(f, now);
 	else if (!enqueue(f, TLB_INTERACTIVE,
 			  f->exchange->arrived + f->route->target_latency_ms * TLB_MS -
--- a/src/instance.c
+++ b/src/instance.c
@@ -192,12 +192,23 @@
 		unlist(s, i, use_deadline);
 }
 
-bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
+bool tlb_instance_in_service(const struct tlb_instance *i, tlb_time now)
 {
 	return !i->leaving && now >= i->switching_until &&
 	       (i->listed || now < i->unlisted_deadline);
 }
 
+bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
+{
+	return tlb_instance_in_service(i, now) && now >= i->backoff_until;
+}
+
+bool tlb_instance_takes_reserved(const struct tlb_instance *i, tlb_time now)
+{
+	return tlb_instance_in_service(i, now) &&
+	       (now >= i->backoff_until || now < i->reserved_use_until);
+}
+
 void tlb_tried_instances_add(struct tlb_tried_instances *t, const char *id)
 {
 	if (t->count == TLB_TRIED_MAX)
@@ -360,6 +371,20 @@
 	return n;
 }
 
+tlb_time tlb_instances_usable_at(const struct tlb_instances *s, const char *service,
+				 enum tlb_role role, tlb_time now)
+{
+	const struct tlb_instance *i;
+	tlb_time first = TLB_NEVER;
+
+	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
+		if (i->row.role == role && tlb_instance_in_service(i, now) &&
+		    strcmp(i->row.service, service) == 0 && i->backoff_until < first)
+			first = i->backoff_until;
+	}
+	return first > now ? first : now;
+}
+
 /* The median latency of the instances with the same service and role. */
 static tlb_time median_latency(const struct tlb_instances *s, const struct tlb_instance *peer)
 {
@@ -375,6 +400,20 @@
 	return tlb_health_median_latency(latency, n);
 }
 
+bool tlb_instance_back_off(struct tlb_instance *i, int64_t pause_ms, tlb_time now)
+{
+	tlb_time until = now + TLB_INSTANCE_BACKOFF_MAX;
+	bool begins = now >= i->backoff_until;
+
+	if (pause_ms < TLB_INSTANCE_BACKOFF_MAX / TLB_MS)
+		until = now + pause_ms * TLB_MS;
+	if (begins)
+		i->reserved_use_until = now + TLB_INSTANCE_RESERVED_GRACE;
+	if (until > i->backoff_until)
+		i->backoff_until = until;
+	return begins;
+}
+
 bool tlb_instance_mark_leaving(struct tlb_instance *i)
 {
 	bool was_leaving = i->leaving;
--- a/src/instance.h
+++ b/src/instance.h
@@ -21,6 +21,14 @@
 /* Prefill speed in tokens per second, assumed until it has been measured. */
 #define TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND 50000.0
 
+/* Longest pause that an instance can ask for. A faulty one would otherwise remain without requests;
+ * as long as the longest ejection of an endpoint that fails. */
+#define TLB_INSTANCE_BACKOFF_MAX (60 * TLB_SECOND)
+
+/* Requests on their way when an instance asks for a pause may reach it half a second later; this
+ * one leaves time to send them. */
+#define TLB_INSTANCE_RESERVED_GRACE (400 * TLB_MS)
+
 /* The discovery record of one instance. A value type. */
 struct tlb_instance_row {
 	char id[TLB_INSTANCE_ID_LEN];
@@ -43,13 +51,15 @@
 	tlb_time unlisted_deadline; /* usable until then although not listed; 0: not usable */
 	bool leaving;		    /* by its entry or an answer; final for the incarnation */
 	struct tlb_health health;
-	tlb_time full_until;	   /* treated as full until then; 0: not known to be full */
-	tlb_time switching_until;  /* role change in progress until then; 0: none */
-	int in_flight;		   /* requests of this VM in flight */
-	int64_t prefill_in_flight; /* prompt tokens of this VM being prefilled */
-	double tokens_per_second;  /* prefill speed: recent maximum, which decays */
-	int64_t queued_tokens;	   /* estimated from the last prefill */
-	tlb_time queue_seen_at;	   /* time of that estimate; 0: none */
+	tlb_time backoff_until;	     /* asked this VM for no requests until then; 0: not */
+	tlb_time reserved_use_until; /* in a pause, reserved capacity may be used until then */
+	tlb_time full_until;	     /* treated as full until then; 0: not known to be full */
+	tlb_time switching_until;    /* role change in progress until then; 0: none */
+	int in_flight;		     /* requests of this VM in flight */
+	int64_t prefill_in_flight;   /* prompt tokens of this VM being prefilled */
+	double tokens_per_second;    /* prefill speed: recent maximum, which decays */
+	int64_t queued_tokens;	     /* estimated from the last prefill */
+	tlb_time queue_seen_at;	     /* time of that estimate; 0: none */
 };
 
 APR_RING_HEAD(tlb_instance_ring, tlb_instance);
@@ -88,7 +98,9 @@
 void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
 		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
 		       const char *body);
-/* Whether the instance may receive new requests. */
+/* Whether the instance is listed and neither leaving nor changing its role. */
+bool tlb_instance_in_service(const struct tlb_instance *i, tlb_time now);
+/* Whether the instance may receive new requests: it is in service and has not asked for a pause. */
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now);
 
 /* Instances that one request has tried. A value type. */
@@ -123,6 +135,16 @@
 int tlb_instances_count(const struct tlb_instances *s, const char *service, enum tlb_role role,
 			tlb_time now);
 
+/* Whether a request may be sent that has reserved capacity at the instance: as long as it is
+ * usable, and at the beginning of a pause. */
+bool tlb_instance_takes_reserved(const struct tlb_instance *i, tlb_time now);
+/* Returns when the first instance of a service and role is usable: now, or the end of the pauses
+ * that all have asked for. TLB_NEVER: none is in service. */
+tlb_time tlb_instances_usable_at(const struct tlb_instances *s, const char *service,
+				 enum tlb_role role, tlb_time now);
+
+/* Records that the instance asked for no requests for so long. Returns whether a pause begins. */
+bool tlb_instance_back_off(struct tlb_instance *i, int64_t pause_ms, tlb_time now);
 /* Records that the instance announced its departure. Returns whether that is new. */
 bool tlb_instance_mark_leaving(struct tlb_instance *i);
 /* Records the outcome of a request. latency 0: not measured. Returns true if this outcome ejects
--- a/src/release.c
+++ b/src/release.c
@@ -42,6 +42,11 @@
 		.arg = r,
 	};
 
+	/* The endpoint wants no calls, and what it keeps expires within seconds. */
+	if (tlb_clock_now() < i->backoff_until) {
+		free(r);
+		return;
+	}
 	if (!r)
 		return;
 	tlb_instance_acquire(i);
--- a/src/request_info.h
+++ b/src/request_info.h
@@ -54,9 +54,10 @@
 
 /* Contents of the headers of an endpoint's response. A value type. */
 struct tlb_response_info {
-	bool not_run;	    /* the endpoint proves that the request did not run */
-	bool has_signature; /* the response carries the endpoint's signature */
-	bool leaving;	    /* the endpoint is about to leave */
+	bool not_run;		/* the endpoint proves that the request did not run */
+	bool has_signature;	/* the response carries the endpoint's signature */
+	bool leaving;		/* the endpoint is about to leave */
+	int64_t retry_after_ms; /* a refusal: no requests are wanted for so long; 0: not stated */
 	char attempt_id[TLB_ATTEMPT_ID_LEN];
 };
 
--- a/src/roles.c
+++ b/src/roles.c
@@ -288,6 +288,17 @@
 	return memory_use > slot_use ? memory_use : slot_use;
 }
 
+static void add_load(struct tlb_roles *r, enum tlb_role role, double used)
+{
+	if (role == TLB_ROLE_PREFILL) {
+		r->round.prefills++;
+		r->round.prefills_busy += used;
+	} else {
+		r->round.decodes++;
+		r->round.decodes_used += used;
+	}
+}
+
 static void on_report(void *arg, const struct tlb_http_result *res)
 {
 	struct tlb_roles *r = arg;
@@ -300,16 +311,14 @@
 		tlb_log_info("event=role_report_unread instance=%s status=%d reason=\"%s\"",
 			     r->report_instance, res->status, res->reason);
 	} else if (i->row.role == TLB_ROLE_PREFILL) {
-		r->round.prefills++;
-		r->round.prefills_busy += p.running + p.waiting > 0;
+		add_load(r, i->row.role, p.running + p.waiting > 0);
 	} else {
-		r->round.decodes++;
-		r->round.decodes_used += used_fraction(&p, i->row.slots);
+		add_load(r, i->row.role, used_fraction(&p, i->row.slots));
 	}
 	request_next_report(r);
 }
 
-/* Returns the usable engine with the next higher id, or NULL. */
+/* Returns the engine in service with the next higher id, or NULL. */
 static struct tlb_instance *next_engine(const struct tlb_roles *r, const char *id)
 {
 	struct tlb_instance *best = NULL;
@@ -317,7 +326,7 @@
 	tlb_time now = tlb_clock_now();
 
 	APR_RING_FOREACH (i, &r->board->instances.all, tlb_instance, link) {
-		if (i->row.role == TLB_ROLE_SERVICE || !tlb_instance_usable(i, now) ||
+		if (i->row.role == TLB_ROLE_SERVICE || !tlb_instance_in_service(i, now) ||
 		    strcmp(i->row.service, r->service) != 0 || strcmp(i->row.id, id) <= 0)
 			continue;
 		if (!best || strcmp(i->row.id, best->row.id) < 0)
@@ -326,9 +335,21 @@
 	return best;
 }
 
-static void request_next_report(struct tlb_roles *r)
+/* Returns the next engine that takes calls, or NULL. Those that asked for a pause count as full. */
+static struct tlb_instance *next_engine_to_ask(struct tlb_roles *r)
 {
 	struct tlb_instance *i = next_engine(r, r->report_instance);
+
+	while (i && !tlb_instance_usable(i, tlb_clock_now())) {
+		add_load(r, i->row.role, 1);
+		i = next_engine(r, i->row.id);
+	}
+	return i;
+}
+
+static void request_next_report(struct tlb_roles *r)
+{
+	struct tlb_instance *i = next_engine_to_ask(r);
 	struct tlb_http_spec spec = {
 		.method = "GET",
 		.deadline = tlb_clock_now() + REPORT_TIMEOUT,
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -580,6 +580,219 @@
         assert len(w.prefills[0].seen) <= 2, f"asked {len(w.prefills[0].seen)} times"
 
 
+def expect_no_calls(vm, endpoint, count=10):
+    """Sends plain calls, none of which may reach the endpoint."""
+    before = len(endpoint.seen)
+    for n in range(count):
+        equal(vm.call("/pay/1", "POST", b"x", attempt=f"n{n}")[0], 200, "status")
+    equal(len(endpoint.seen) - before, 0, f"requests at {endpoint.name}")
+
+
+def call_until_seen(vm, endpoint):
+    """Sends plain calls until one reaches the endpoint; returns the answer to that one."""
+    for n in range(100):
+        status, _, r = vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")
+        equal(status, 200, "status")
+        if endpoint.seen:
+            return r
+    raise AssertionError(f"no request reached {endpoint.name}")
+
+
+def check_endpoint_that_asks_for_a_pause_gets_no_requests():
+    """An endpoint that refuses with a time must get no requests until then, and must not count as
+    failing; a time that is not a number of seconds must change nothing."""
+    with World() as w:
+        vm = w.start()
+        refuser = w.shops[0]
+        refuser.plan = lambda h: h.refuse()
+        refuser.retry_after = "1.5"
+        call_until_seen(vm, refuser)
+        end = time.monotonic() + 1.3
+        while time.monotonic() < end:
+            expect_no_calls(vm, refuser, 1)
+            time.sleep(0.02)
+        equal(len(refuser.seen), 1, "requests before the end of the pause")
+        wait(lambda: vm.events("instance_backoff instance=shop-0 service=shop"), "the log line")
+        refuser.plan = lambda h: False
+        time.sleep(0.3)
+        refuser.seen.clear()
+        call_until_seen(vm, refuser)
+        equal(vm.events("instance_eject"), [], "ejections")
+        refuser.plan = lambda h: h.refuse()
+        for value in ("", "soon", "-2", "1e3", "Wed, 21 Oct 2026 07:28:00 GMT", "0"):
+            refuser.retry_after = value
+            for _ in range(2):
+                refuser.seen.clear()
+                call_until_seen(vm, refuser)
+        equal(len(vm.events("instance_backoff")), 1, "pauses")
+
+
+def check_unproved_refusal_with_a_time_is_no_fault():
+    """An endpoint that asks for a pause without stating that the request did not run must not count
+    as failing, and its answer is no promise."""
+    with World(shops=1) as w:
+        vm = w.start()
+        w.shops[0].plan = lambda h: h.reply(503) or True
+        w.shops[0].retry_after = "0.1"
+        for n in range(5):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")[0], 502, "status")
+            time.sleep(0.15)
+        equal(vm.events("instance_eject"), [], "ejections")
+
+
+def check_pause_stops_requests_that_arrive_in_numbers():
+    """Of many requests that are in flight or arrive when an endpoint asks for a pause, none may
+    reach it later than half a second after its answer."""
+    with World() as w:
+        vm = w.start()
+        refuser = w.shops[0]
+        arrivals = []
+        refused = []
+
+        def plan(h):
+            arrivals.append(time.monotonic())
+            time.sleep(0.1)
+            refused.append(time.monotonic())
+            return h.refuse()
+
+        refuser.plan = plan
+        refuser.retry_after = "2"
+        end = time.monotonic() + 1.5
+        results = []
+
+        def client(n):
+            while time.monotonic() < end:
+                results.append(vm.call("/pay/1", "POST", b"x", attempt=f"c{n}")[0])
+
+        threads = [threading.Thread(target=client, args=(n,)) for n in range(16)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        assert len(arrivals) > 1, "requests in flight at the refusal"
+        equal([t for t in arrivals if t > refused[0] + 0.5], [], "late arrivals")
+        equal(set(results), {200}, "statuses")
+
+
+def check_caller_is_told_when_all_endpoints_end_their_pause():
+    """While all endpoints of a service ask for a pause, callers must be refused at once, with the
+    time until the first takes requests again, and must be served then."""
+    with World() as w:
+        vm = w.start()
+        refused = []
+        for s, pause in zip(w.shops, ("1.2", "5")):
+            s.plan = lambda h: refused.append(time.monotonic()) or h.refuse()
+            s.retry_after = pause
+        status, body, r = vm.call("/pay/1", "POST", b"x")
+        equal((status, r.getheader("Server-Leaving")), (503, None), "answer when both refused")
+        for path in ("/pay/1", "/look/1"):
+            began = time.monotonic()
+            status, body, r = vm.call(path, "POST", b"x")
+            equal((status, b"no_endpoint" in body), (503, True), "answer during the pauses")
+            now = time.monotonic()
+            assert now - began < 0.5, "held"
+            pause = float(r.getheader("Retry-After"))
+            assert refused[0] + 1.2 - now - 0.01 < pause < 1.35, f"told {pause} s"
+        equal([len(s.seen) for s in w.shops], [1, 1], "requests at the endpoints")
+        w.shops[0].plan = lambda h: False
+        time.sleep(pause)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "status after the pause")
+
+
+def check_model_request_is_not_held_through_a_pause_that_it_cannot_wait_for():
+    """A model request must be refused at once when all decode endpoints ask for a pause that ends
+    too late for it, and must wait for the end of one that does not."""
+    with World() as w:
+        vm = w.start()
+        for d in w.decodes:
+            d.room = False
+            d.retry_after = "1.5"
+        for n in range(3):
+            began = time.monotonic()
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+            r.read()
+            equal(r.status, 503, "status during a long pause")
+            assert time.monotonic() - began < 0.5, "held"
+            assert 1 < float(r.getheader("Retry-After")) <= 1.7, r.getheader("Retry-After")
+        equal([d.holds for d in w.decodes], [1, 1], "requests for reservations")
+        time.sleep(1.6)
+        for d in w.decodes:
+            d.retry_after = "0.3"
+        threading.Timer(0.1, lambda: [setattr(d, "room", True) for d in w.decodes]).start()
+        began = time.monotonic()
+        equal(late_answer(vm, 6000), 200, "status with a short pause")
+        assert time.monotonic() - began > 0.28, "the pause is over"
+        equal(sum(d.holds for d in w.decodes), 5, "requests for reservations")
+
+
+def reserve_before_a_pause(w, prefill_s):
+    """Sends a model request whose prefill takes that long; meanwhile the endpoint that has granted
+    its reservation refuses another one with a time. Returns that endpoint."""
+    vm = w.start()
+    w.prefills[0].plan = lambda h: time.sleep(prefill_s)
+    results = []
+    first = threading.Thread(target=lambda: results.append(late_answer(vm, 6000)))
+    first.start()
+    wait(lambda: w.prefills[0].seen, "the first prefill")
+    granter = next(d for d in w.decodes if d.holds)
+    for d in w.decodes:
+        d.room = False
+    granter.retry_after = "3"
+    equal(late_answer(vm, 6000), 503, "status without room")
+    wait(lambda: vm.events(f"instance_backoff instance={granter.name}"), "the pause begins")
+    first.join()
+    equal(results, [200], "status with a reservation")
+    equal(granter.released, [], "releases in the pause")
+    return granter
+
+
+def check_reservation_made_before_a_pause_is_used():
+    """A request that holds a reservation must still run when its endpoint refuses others with a
+    time meanwhile; there is room for it."""
+    with World(decodes=1) as w:
+        granter = reserve_before_a_pause(w, 0.2)
+        equal([h.get("X-Kv-Hold") for h in granter.seen], ["h1"], "runs")
+
+
+def check_reservation_is_not_used_late_in_a_pause():
+    """A request whose endpoint has asked for a pause long before its prefill ends must run at
+    another one."""
+    with World() as w:
+        granter = reserve_before_a_pause(w, 1.5)
+        equal(len(granter.seen), 0, "runs at the endpoint that asked for a pause")
+
+
+def check_engines_that_ask_for_a_pause_get_no_prefill_and_no_run():
+    """Engines that refuse a prefill or a run with a time must get none until then, nor calls for
+    their load; the request goes on at the others."""
+    with World(prefills=2) as w:
+        w.start(role_config())
+        vm = w.vms[0]
+        refuser = {}  # the engine of each stage that is asked first
+
+        def plan(h):
+            e = h.endpoint
+            return refuser.setdefault(e.stage, e) is e and h.refuse()
+
+        for e in w.prefills + w.decodes:
+            e.plan = plan
+            e.retry_after = "5"
+        for _ in range(9):
+            equal(late_answer(vm, 6000), 200, "status")
+        other = next(p for p in w.prefills if p is not refuser["prefill"])
+        refusers = list(refuser.values())
+        equal([len(e.seen) for e in refusers], [1, 1], "requests")
+        equal(refuser["decode"].holds, 1, "reservations")
+        before = [e.reports for e in refusers]
+        others = other.reports
+        wait(lambda: other.reports > others + 1, "the others are asked for their load")
+        equal([e.reports for e in refusers], before, "load reports")
+        other.plan = lambda h: h.refuse()
+        for _ in range(4):
+            equal(late_answer(vm, 6000), 200, "status without a prefill engine")
+        equal([len(e.seen) for e in refusers + [other]], [1, 1, 10], "requests")
+
+
 def check_refused_prefill_keeps_its_decode_reservation():
     """A request whose prefill is refused must go on with the decode reservation that it holds; it
     made another one, and found no room when its own reservation had taken the last."""
@@ -1390,24 +1603,6 @@
         equal(len(w.shops[0].seen), 0, "requests at the leaving endpoint")
 
 
-def expect_no_calls(vm, endpoint, count=10):
-    """Sends plain calls, none of which may reach the endpoint."""
-    before = len(endpoint.seen)
-    for n in range(count):
-        equal(vm.call("/pay/1", "POST", b"x", attempt=f"n{n}")[0], 200, "status")
-    equal(len(endpoint.seen) - before, 0, f"requests at {endpoint.name}")
-
-
-def call_until_seen(vm, endpoint):
-    """Sends plain calls until one reaches the endpoint; returns the answer to that one."""
-    for n in range(100):
-        status, _, r = vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")
-        equal(status, 200, "status")
-        if endpoint.seen:
-            return r
-    raise AssertionError(f"no request reached {endpoint.name}")
-
-
 def check_endpoint_whose_answer_says_that_it_leaves_gets_no_new_work():
     """An endpoint that says in an answer that it leaves must get no new request, also while its
     entry says that it is ready, until it starts anew; the caller gets the answer as it is."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -230,6 +230,7 @@
         self.free_tokens = None  # larger reservations are refused; None: no limit
         self.reserved = []  # tokens of the reservations granted
         self.load = {}  # fields of the load report
+        self.reports = 0
         self.orders = []
         self.order_status = 202  # None: orders are not answered
         self.seen = []
@@ -240,6 +241,7 @@
         self.crashes = []  # times
         self.ended = False
         self.leaving = False  # all answers say that it leaves
+        self.retry_after = None  # in all refusals
         self.lock = threading.Lock()
 
     def crash(self, store, down_s=0.3, new_id=False):
@@ -310,13 +312,23 @@
             self.endpoint.open.discard(self.connection)
         super().finish()
 
+    def send_response(self, code, message=None):
+        super().send_response(code, message)
+        if code == 503 and self.endpoint.retry_after is not None:
+            self.send_header("Retry-After", self.endpoint.retry_after)
+
     def end_headers(self):
         if self.endpoint.leaving:
             self.send_header("Server-Leaving", "1")
         super().end_headers()
 
+    def refuse(self):
+        self.reply(503, headers=[("X-Not-Executed", "1")])
+        return True
+
     def do_GET(self):
         if self.path == "/report":
+            self.endpoint.reports += 1
             report = {"stage": self.endpoint.stage, "running": 0, "waiting": 0, "kvUsed": 0,
                       "kvTotal": 1000}
             return self.reply(200, dict(report, **self.endpoint.load))
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -152,6 +152,71 @@
 }
 END_TEST
 
+/* A refusal with a time: no requests until then, also where no other endpoint is left. */
+START_TEST(test_instance_that_asked_for_a_pause_is_not_selected)
+{
+	static const enum tlb_role roles[] = {TLB_ROLE_PREFILL, TLB_ROLE_DECODE, TLB_ROLE_SERVICE};
+	enum tlb_role role = roles[_i];
+	struct tlb_instance *a = put("a", role);
+	struct tlb_instance *b = put("b", role);
+	struct tlb_instance_query p = query();
+	struct tlb_instance *(*select)(struct tlb_instances *, const struct tlb_instance_query *) =
+		role == TLB_ROLE_PREFILL  ? tlb_instances_select_prefill
+		: role == TLB_ROLE_DECODE ? tlb_instances_select_decode
+					  : tlb_instances_select_service;
+	int n;
+
+	ck_assert(tlb_instance_back_off(a, 2000, now));
+	for (n = 0; n < 20; n++)
+		ck_assert_ptr_eq(select(&instances, &p), b);
+	ck_assert_int_eq(tlb_instances_usable_at(&instances, "s", role, now), now);
+	ck_assert(tlb_instance_back_off(b, 1000, now));
+	ck_assert_ptr_null(select(&instances, &p));
+	ck_assert_int_eq(tlb_instances_count(&instances, "s", role, now), 0);
+	ck_assert_int_eq(tlb_instances_usable_at(&instances, "s", role, now), now + TLB_SECOND);
+	p.now = now + TLB_SECOND;
+	ck_assert_ptr_eq(select(&instances, &p), b);
+	ck_assert_int_eq(tlb_instances_usable_at(&instances, "other", role, now), TLB_NEVER);
+	tlb_instance_mark_leaving(b);
+	ck_assert_int_eq(tlb_instances_usable_at(&instances, "s", role, now), now + 2 * TLB_SECOND);
+}
+END_TEST
+
+/* The answers to requests in flight at the refusal must neither shorten the pause nor count as a
+ * second one, and a faulty endpoint must not be left out for ever. */
+START_TEST(test_pause_is_kept_and_bounded)
+{
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+
+	ck_assert(tlb_instance_back_off(i, 5000, now));
+	ck_assert(!tlb_instance_back_off(i, 100, now + TLB_MS));
+	ck_assert_int_eq(i->backoff_until, now + 5 * TLB_SECOND);
+	ck_assert(!tlb_instance_back_off(i, INT64_MAX, now));
+	ck_assert_int_eq(i->backoff_until, now + 60 * TLB_SECOND);
+	ck_assert(!tlb_instance_usable(i, now + 60 * TLB_SECOND - 1));
+	ck_assert(tlb_instance_usable(i, now + 60 * TLB_SECOND));
+	ck_assert(tlb_instance_in_service(i, now));
+	ck_assert(tlb_instance_takes_reserved(i, now + 400 * TLB_MS - 1));
+	ck_assert(!tlb_instance_takes_reserved(i, now + 400 * TLB_MS));
+	ck_assert(tlb_instance_takes_reserved(i, now + 60 * TLB_SECOND));
+	ck_assert(tlb_instance_back_off(i, 100, now + 61 * TLB_SECOND));
+}
+END_TEST
+
+START_TEST(test_new_incarnation_has_asked_for_no_pause)
+{
+	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+
+	tlb_instance_back_off(i, 5000, now);
+	tlb_instances_put(&instances, &r);
+	ck_assert(!tlb_instance_usable(i, now));
+	r.started_ms = 2;
+	tlb_instances_put(&instances, &r);
+	ck_assert(tlb_instance_usable(tlb_instances_find(&instances, "a"), now));
+}
+END_TEST
+
 START_TEST(test_full_decode_endpoints_are_not_selected)
 {
 	struct tlb_instance *a = put("a", TLB_ROLE_DECODE);
@@ -214,6 +279,9 @@
 	tcase_add_test(t, test_ready_entry_does_not_take_back_leaving);
 	tcase_add_test(t, test_new_incarnation_is_not_leaving);
 	tcase_add_test(t, test_many_leaving_instances_are_forgotten);
+	tcase_add_loop_test(t, test_instance_that_asked_for_a_pause_is_not_selected, 0, 3);
+	tcase_add_test(t, test_pause_is_kept_and_bounded);
+	tcase_add_test(t, test_new_incarnation_has_asked_for_no_pause);
 	tcase_add_test(t, test_full_decode_endpoints_are_not_selected);
 	tcase_add_test(t, test_prefill_avoids_queue);
 	tcase_add_test(t, test_selection_respects_roles);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -170,7 +170,7 @@
 	struct cases c;
 	struct tlb_response_info info;
 	char head[512];
-	char got[128];
+	char got[192];
 	char *p;
 
 	cases_open(&c, "tests/platform/outcomes.txt");
@@ -182,8 +182,10 @@
 			if (*p == '|')
 				*p = '\n';
 		tlb_platform_read_response_info(status, head, &info);
-		snprintf(got, sizeof(got), "not_run=%d vouched=%d leaving=%d attempt=%s",
-			 info.not_run, info.has_signature, info.leaving, info.attempt_id);
+		snprintf(got, sizeof(got),
+			 "not_run=%d vouched=%d leaving=%d retry_ms=%lld attempt=%s", info.not_run,
+			 info.has_signature, info.leaving, (long long)info.retry_after_ms,
+			 info.attempt_id);
 		ck_assert_str_eq(got, c.expected);
 	}
 }
