--- a/src/generation.c
+++ b/src/generation.c
@@ -6,6 +6,7 @@
 
 #include "edgeboard.h"
 #include "evidence.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 #include "release.h"
@@ -317,16 +318,25 @@
 
 /* Whether the response has the endpoint's signature and belongs to this attempt id. When another
  * response has begun, it must also be the rest of a stream. */
-static bool is_usable_success(const struct tlb_forward *f, int status, const char *head)
+static bool is_usable_success(const struct tlb_forward *f, int status,
+			      const struct tlb_response_info *info)
 {
+	if (!info->has_signature || info->not_run ||
+	    (info->attempt_id[0] && f->inbound.attempt_id[0] &&
+	     strcmp(info->attempt_id, f->inbound.attempt_id) != 0))
+		return false;
+	return !f->gen.resuming || (status == 200 && info->event_stream);
+}
+
+/* The same for the head of the attempt in progress. */
+static bool verify_head(struct tlb_forward *f)
+{
+	int status = tlb_http_status(&f->call);
 	struct tlb_response_info info;
 
-	tlb_platform_read_response_info(status, head, &info);
-	if (!info.has_signature || info.not_run ||
-	    (info.attempt_id[0] && f->inbound.attempt_id[0] &&
-	     strcmp(info.attempt_id, f->inbound.attempt_id) != 0))
-		return false;
-	return !f->gen.resuming || (status == 200 && info.event_stream);
+	tlb_platform_read_response_info(status, tlb_http_head(&f->call), &info);
+	tlb_instance_notice_record(f->instance, &info);
+	return is_usable_success(f, status, &info);
 }
 
 /* Whether complete events can be passed on. Logs why not. */
@@ -349,8 +359,7 @@
 	struct tlb_buffer *b = &f->gen.partial;
 	size_t n;
 
-	if (!is_usable_success(f, tlb_http_status(&f->call), tlb_http_head(&f->call)) ||
-	    !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
+	if (!verify_head(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
 		return false;
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
@@ -402,10 +411,12 @@
 static bool leaves_stream_open(struct tlb_forward *f, const struct tlb_http_result *r)
 {
 	bool first = !f->gen.empty_rest;
+	struct tlb_response_info info;
 
 	if (r->status >= 300)
 		return false;
-	if (!is_usable_success(f, r->status, r->head))
+	tlb_platform_read_response_info(r->status, r->head, &info);
+	if (!is_usable_success(f, r->status, &info))
 		return true;
 	if (!f->gen.resuming || f->gen.events > f->gen.events_before_attempt)
 		return false;
@@ -513,7 +524,7 @@
 static bool has_usable_reservation(const struct tlb_forward *f, tlb_time now)
 {
 	return tlb_decode_reservation_is_held(&f->gen.decode_reservation, now) &&
-	       tlb_instance_usable(f->gen.decode_reservation.instance, now);
+	       tlb_instance_takes_reserved(f->gen.decode_reservation.instance, now);
 }
 
 /* The endpoint that decodes the request: the one with its reservation, or another when there is no
@@ -724,6 +735,7 @@
 	struct tlb_http_result r = {.sent = true, .timed_out = true, .head = "", .body = ""};
 
 	snprintf(r.reason, sizeof(r.reason), "the endpoint's stream fell silent");
+	tlb_forward_read_notice(f);
 	tlb_http_cancel(&f->call);
 	tlb_timer_clear(f->board->loop, &f->timer);
 	tlb_evidence_add_abandoned(f);
@@ -862,7 +874,18 @@
 		fail_stream(f, reason);
 	else
 		tlb_forward_refuse(f, TLB_OVERLOADED,
-				   tlb_forward_retry_after_ms(f, OVERLOAD_RETRY_AFTER), reason);
+				   tlb_forward_unserved_retry_after_ms(f, OVERLOAD_RETRY_AFTER),
+				   reason);
+}
+
+/* The earliest time to start a request: now, or the end of the pauses that all decode endpoints
+ * have asked for. */
+static tlb_time earliest_start(const struct tlb_generation_queue *p, tlb_time now)
+{
+	tlb_time at =
+		tlb_instances_usable_at(&p->board->instances, p->service, TLB_ROLE_DECODE, now);
+
+	return at == TLB_NEVER ? now : at;
 }
 
 /* Queues a request that can't meet its target latency as TLB_BATCH when the caller has retried it;
@@ -873,7 +896,8 @@
 
 	if (expires > latest_prefill_start(f))
 		expires = latest_prefill_start(f);
-	if (is_first_try(f) || now >= expires || !enqueue(f, TLB_BATCH, expires, now))
+	if (is_first_try(f) || earliest_start(f->gen.service_queue, now) >= expires ||
+	    !enqueue(f, TLB_BATCH, expires, now))
 		reject(f, "no endpoint has room in time");
 }
 
@@ -902,14 +926,16 @@
 	tlb_queue_requeue(&p->queue, flow, it);
 }
 
-/* Handles the queued requests whose wait has expired. An interactive one can't meet its target any
- * more and may be queued again as TLB_BATCH; the others are rejected. */
+/* Handles the queued requests whose wait has expired or will before one can start. An interactive
+ * one can't meet its target any more and may be queued again as TLB_BATCH; the others are rejected.
+ */
 static void process_expired(struct tlb_generation_queue *p, tlb_time now)
 {
 	struct tlb_forward *f;
 	struct tlb_queue_item *it;
+	tlb_time start = earliest_start(p, now);
 
-	while ((it = tlb_queue_expire(&p->queue, now))) {
+	while ((it = tlb_queue_expire(&p->queue, start))) {
 		f = forward_of(it);
 		if (it->class == TLB_INTERACTIVE && f->possible_runs == 0)
 			enqueue_late(f, now);
@@ -941,13 +967,17 @@
 	start_attempt(f);
 }
 
-/* Sets the pool's timer to the next expiry, or to full_until when that comes first. */
+/* Sets the pool's timer to the next expiry, or to the time when requests can start again when that
+ * comes first. */
 static void set_pool_timer(struct tlb_generation_queue *p, tlb_time now)
 {
 	tlb_time at = tlb_queue_next_expiry(&p->queue);
+	tlb_time start = earliest_start(p, now);
 
 	if (tlb_queue_count(&p->queue) > 0 && now < p->full_until && p->full_until < at)
 		at = p->full_until;
+	if (start > now && start < at)
+		at = start;
 	tlb_timer_set(p->board->loop, &p->timer, at);
 }
 
@@ -1025,7 +1055,7 @@
 		     (long long)f->inbound.prompt_tokens, (long long)f->inbound.max_output_tokens,
 		     (long long)f->inbound.expected_output_tokens, tlb_queue_count(&p->queue),
 		     p->window.limit, p->window.in_use, (long long)(p->mean_prefill_us / TLB_MS));
-	if (!can_meet_target(f, now))
+	if (!can_meet_target(f, earliest_start(p, now)))
 		enqueue_late(f, now);
 	else if (!enqueue(f, TLB_INTERACTIVE,
 			  f->exchange->arrived + f->route->target_latency_ms * TLB_MS -
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -220,7 +220,7 @@
 	struct cases c;
 	struct tlb_response_info info;
 	char head[512];
-	char got[128];
+	char got[192];
 	char *p;
 
 	cases_open(&c, "tests/platform/outcomes.txt");
@@ -232,8 +232,10 @@
 			if (*p == '|')
 				*p = '\n';
 		tlb_platform_read_response_info(status, head, &info);
-		snprintf(got, sizeof(got), "not_run=%d vouched=%d attempt=%s", info.not_run,
-			 info.has_signature, info.attempt_id);
+		snprintf(got, sizeof(got),
+			 "not_run=%d vouched=%d leaving=%d retry_ms=%lld attempt=%s", info.not_run,
+			 info.has_signature, info.leaving, (long long)info.retry_after_ms,
+			 info.attempt_id);
 		ck_assert_str_eq(got, c.expected);
 	}
 }
@@ -256,10 +258,12 @@
 {
 	static const char head[] = "Content-Type: text/plain\nConnection: close\n"
 				   "X-Response-Signature: s\ntransfer-encoding: chunked\n"
-				   "Content-Length: 3\nKeep-Alive: timeout=5\nEtag: x\n";
+				   "Content-Length: 3\nKeep-Alive: timeout=5\nEtag: x\n"
+				   "Server-Leaving: 1\nRetry-After: 2\n";
 	char *out = tlb_platform_forwarded_head(head);
 
-	ck_assert_str_eq(out, "Content-Type: text/plain\nX-Response-Signature: s\nEtag: x\n");
+	ck_assert_str_eq(out, "Content-Type: text/plain\nX-Response-Signature: s\nEtag: x\n"
+			      "Server-Leaving: 1\nRetry-After: 2\n");
 	free(out);
 }
 END_TEST
