Send no role orders while a claim may be lost with the store's latest rows

What callers saw: nothing reported; found by reading after the store's return from an older copy. Two VMs could send orders to one engine within a lease. Cause: a claim that was written after the copy was made is gone, and another VM takes the role for unclaimed, while orders of the first may still arrive. Evidence: lost_claim_of_roles_is_respected fails on the commit before: "ordered after 1.7 s"; a claim is valid for 15 s. Ruled out: fencing numbers that go down. They contain the era since the versions do; fence_of_roles_rises_when_versions_go_back passes on the commit before. Change: for the time of a claim after a VM has learned of a new era it sends orders only if it knows its own claim to be valid. A claim that is written across a change of the era is not acted on. A VM that starts in a later era than the first can't know when it began and waits as long.

--- a/src/roles.c
+++ b/src/roles.c
@@ -116,6 +116,14 @@
 
 /* --- the claim --- */
 
+/* Whether the store would show a claim of another VM. */
+static bool claims_are_known(const struct tlb_roles *r, tlb_time now)
+{
+	tlb_time began_at = r->store->era_began_at;
+
+	return began_at == 0 || now >= began_at + TLB_ROLES_CLAIM_TTL || now < r->claimed_until;
+}
+
 static void on_claim_written(void *arg, enum tlb_rowstore_status status,
 			     const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -125,7 +133,12 @@
 		end_change(r, *reason ? reason : "another VM has claimed it");
 		return;
 	}
+	if (tlb_stored_era(rows->version) != r->claim_era) {
+		end_change(r, "the store has returned from an older copy");
+		return;
+	}
 	r->claim_version = rows->version;
+	r->claimed_until = r->claim_began_at + TLB_ROLES_CLAIM_TTL;
 	send_order(r, rows->version);
 }
 
@@ -166,7 +179,12 @@
 		end_change(r, reason);
 		return;
 	}
+	if (!claims_are_known(r, tlb_clock_now())) {
+		end_change(r, "a claim may be lost with the store's latest rows");
+		return;
+	}
 	r->now_ms = rows->now_ms;
+	r->claim_era = tlb_stored_era(rows->version);
 	r->claim_version = 0;
 	if (r->now_ms <= 0) {
 		end_change(r, "store returned no time, so the age of a claim is unknown");
@@ -214,6 +232,7 @@
 	}
 	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
 	r->state = TLB_ROLES_CLAIMING;
+	r->claim_began_at = tlb_clock_now();
 	tlb_rowstore_list(r->store, &r->op, claim_table, r->service, on_claim_read, r);
 }
 
@@ -226,7 +245,8 @@
 	tlb_time now = tlb_clock_now();
 
 	r->state = TLB_ROLES_IDLE;
-	if (r->round_count < MIN_ROUNDS || surplus == 0 || now < r->cooldown_until || !info)
+	if (r->round_count < MIN_ROUNDS || surplus == 0 || now < r->cooldown_until || !info ||
+	    !claims_are_known(r, now))
 		return;
 	tlb_log_info("event=role_change service=%s prefills=%d busy=%.2f decodes=%d filled=%.2f "
 		     "surplus=%d",
--- a/src/roles.h
+++ b/src/roles.h
@@ -13,6 +13,9 @@
  * order per claim, within TLB_ROLES_ORDER_TIMEOUT. The version of the claim is the fencing number.
  * Another VM may acquire the claim only after TLB_ROLES_CLAIM_TTL, so that two VMs never send
  * orders to one engine within a lease, even if one of them was suspended.
+ *
+ * A store that returns from an older copy may have lost a claim. For TLB_ROLES_CLAIM_TTL after
+ * that, only the VM may act that knows its own claim to be valid.
  */
 #ifndef TLB_ROLES_H
 #define TLB_ROLES_H
@@ -61,9 +64,12 @@
 	struct tlb_role_load smoothed;
 	int round_count; /* rounds of reports since the last change */
 	int64_t claim_version;
-	int64_t now_ms;	    /* time of the store's clock when the claim was read */
-	int remaining;	    /* number of engines still to be changed */
-	enum tlb_role role; /* the new role of these engines */
+	int64_t claim_era;	 /* of the store when the claim was read */
+	int64_t now_ms;		 /* time of the store's clock when the claim was read */
+	tlb_time claim_began_at; /* before the claim was read */
+	tlb_time claimed_until;	 /* no other VM may have a claim until then; 0: none */
+	int remaining;		 /* number of engines still to be changed */
+	enum tlb_role role;	 /* the new role of these engines */
 	char instance[TLB_INSTANCE_ID_LEN];
 	int switch_ms;
 	tlb_time act_deadline;
--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -34,13 +34,13 @@
 {
 	bool changed = s->era_known && era > s->era;
 
-	if (changed) {
+	if (changed)
 		tlb_log_warn("event=store_era from=%lld to=%lld", (long long)s->era,
 			     (long long)era);
-		s->era_began_at = tlb_clock_now();
-	}
-	if (era > s->era)
+	if (era > s->era) {
 		s->era = era;
+		s->era_began_at = era > TLB_STORED_FIRST_ERA ? tlb_clock_now() : 0;
+	}
 	s->era_known = true;
 	return changed;
 }
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -35,7 +35,8 @@
 	int64_t calls;		 /* calls started; the platform charges for each one */
 	int64_t era;		 /* latest one known */
 	bool era_known;
-	tlb_time era_began_at; /* when the last change of the era was noticed; 0: never */
+	/* When this VM learned of the era; 0: the store has never returned from a copy. */
+	tlb_time era_began_at;
 	struct tlb_rowstore_observer_ring observers;
 };
 
--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -16,7 +16,7 @@
  * era first: a store that was restored from an older copy gives out versions again, in a new era.
  * The store itself, other VMs and logs have the two as separate numbers.
  */
-enum { TLB_STORED_VERSION_BITS = 40, TLB_STORED_ERA_MAX = (1 << 22) - 1 };
+enum { TLB_STORED_VERSION_BITS = 40, TLB_STORED_FIRST_ERA = 1, TLB_STORED_ERA_MAX = (1 << 22) - 1 };
 
 static inline int64_t tlb_stored_version(int64_t era, int64_t number)
 {
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -549,6 +549,46 @@
         equal(orders_of(w), [], "orders")
 
 
+def check_lost_claim_of_roles_is_respected():
+    """After the store has returned from an older copy, a claim of another VM may be lost with the
+    latest rows; its orders may still arrive."""
+    with World(prefills=3) as w:
+        vm = w.start(role_config())
+        copy = w.store.version
+        w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
+        w.store.put("op", "config", dict(role_config(), version=4))
+        wait(lambda: applied(vm, 4), "version 4")
+        restore(w.store, copy)
+        wait(lambda: vm.events("store_era"), "the era is known")
+        began = time.monotonic()
+        for d in w.decodes:
+            d.load = {"running": 8, "kvUsed": 900}
+        equal(late_answer(vm, 6000), 200, "status")
+        wait(lambda: orders_of(w), "an order", 30)
+        assert time.monotonic() - began >= 14.5, f"ordered after {time.monotonic() - began:.1f} s"
+
+
+def check_fence_of_roles_rises_when_versions_go_back():
+    """Fencing numbers must rise although the store gives out versions again; the VM that knows its
+    own claim to be valid goes on."""
+    with World(prefills=3) as w:
+        copy = w.store.version
+        start_with_full_decodes(w)
+        for _ in range(20):
+            w.store.put("any", "row", "x")
+        wait(lambda: len(orders_of(w)) == 1, "an order", 8)
+        first = orders_of(w)[0][1]["fence"]
+        restore(w.store, copy)
+        w.store.put("op", "config", role_config())
+        for e in w.prefills + w.decodes:
+            w.store.put("servers", e.name, e.entry())
+        w.prefills.append(Endpoint("pre-9", "llm", "prefill"))
+        w.store.put("servers", "pre-9", w.prefills[-1].entry())
+        wait(lambda: len(orders_of(w)) == 2, "a second order", 12)
+        second = [o["fence"] for _, o in orders_of(w) if o["fence"] != first]
+        assert len(second) == 1 and second[0] > first, (first, second)
+
+
 def check_unanswered_order_is_not_repeated():
     """An unanswered order may still be executed later: the engine must not get a second one."""
     with World(prefills=3) as w:
