Write evidence against prompt parts again that the store has lost

What callers saw: nothing reported; found by reading after the store's return from an older copy. A verdict that is held only in memory is lost with a restart of all VMs, and the prompts crash endpoints again. Cause: once written, the rows were taken to be in the store for ever. Change: what a VM knows of the stored verdicts belongs to an era. In a later one the VM with the lowest id compares the rows again, the others if it has not after some time; a report counts only if its sender's tables are of the same era. Ruled out: that restored rows bring back verdicts that have ended. The answer that ended one is later than the crashes in the row, and evidence is merged. Read in tlb_quarantine_merge(), not run.

--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -262,10 +262,22 @@
 		tlb_quarantine_sync_notify(s);
 }
 
+/* Whether the store is known to have these verdicts. */
+static bool is_stored(const struct tlb_quarantine_sync *s, uint64_t verdicts)
+{
+	return s->store_known && s->store_era == s->store->era && s->store_verdicts == verdicts;
+}
+
 void tlb_quarantine_sync_fill_state(const struct tlb_quarantine_sync *s, Toucan__VmState *state)
 {
 	state->verdicts = tlb_quarantine_digest(s->quarantine);
-	state->verdicts_stored = s->store_known && s->store_verdicts == state->verdicts;
+	state->verdicts_stored = is_stored(s, state->verdicts);
+}
+
+/* Whether the sender's tables are of that era. */
+static bool is_in_era(const Toucan__VmState *state, int64_t era)
+{
+	return state->n_tables > 0 && state->tables[0]->era == era;
 }
 
 void tlb_quarantine_sync_on_state(struct tlb_quarantine_sync *s, struct tlb_vm *vm,
@@ -274,8 +286,9 @@
 	tlb_time now = tlb_clock_now();
 	uint64_t own = tlb_quarantine_digest(s->quarantine);
 
-	if (state->verdicts == own && state->verdicts_stored) {
+	if (state->verdicts == own && state->verdicts_stored && is_in_era(state, s->store->era)) {
 		s->store_known = true;
+		s->store_era = s->store->era;
 		s->store_verdicts = own;
 	} else if (state->verdicts != own &&
 		   now >= vm->verdicts_sent_at + TLB_QUARANTINE_RESEND_INTERVAL) {
@@ -472,6 +485,7 @@
 	if (remove_stale_row(s, rows) || write_missing_row(s, rows))
 		return;
 	s->store_known = true;
+	s->store_era = tlb_stored_era(rows->version);
 	s->store_verdicts = tlb_quarantine_digest(s->quarantine);
 	s->adjusting = false;
 }
@@ -500,7 +514,7 @@
 
 static void adjust_store(struct tlb_quarantine_sync *s, tlb_time now)
 {
-	bool agrees = s->store_known && s->store_verdicts == tlb_quarantine_digest(s->quarantine);
+	bool agrees = is_stored(s, tlb_quarantine_digest(s->quarantine));
 
 	if (agrees)
 		s->store_deadline = 0;
--- a/src/quarantine_sync.h
+++ b/src/quarantine_sync.h
@@ -43,7 +43,8 @@
 	struct tlb_timer flush_timer;
 	struct tlb_timer check_timer; /* expiry, and differences from the store */
 	struct tlb_rowstore_op op;
-	bool store_known; /* the store's verdicts are known: their hash is store_verdicts */
+	bool store_known;  /* the store's verdicts are known: their hash is store_verdicts */
+	int64_t store_era; /* to which they belong; in a later one rows may be gone */
 	uint64_t store_verdicts;
 	tlb_time store_deadline;    /* when this VM adjusts the store's verdicts; 0: they agree */
 	bool adjusting;		    /* does so now */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1971,6 +1971,25 @@
     time.sleep(CONTACT_S)
 
 
+def check_evidence_that_the_store_has_lost_is_written_again():
+    """Rows of evidence that are gone after the store's return from an older copy must be written
+    again: after a restart of all VMs the parts would crash endpoints once more."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        copy = w.store.version
+        crash_on_parts(w, "d1")
+        with SoundCallers(w.vms):
+            crash_until_known(w, send_deadly(w.vms))
+        rows = stored_evidence(w)
+        assert rows, "evidence is in the store"
+        restore(w.store, copy)
+        wait(lambda: stored_evidence(w) >= rows, "the rows are there again", 12)
+
+
+def stored_evidence(w):
+    return {key for table, key in list(w.store.rows) if table == "toucanlb-quarantine"}
+
+
 def check_crashes_before_a_verdict_survive_a_restart_of_all_vms():
     """Crashes that are not yet enough for a verdict must count although all VMs restart after every
     second request."""
