Write the rows of VMs and the peer key again that the store has lost

What callers saw: nothing reported; found by reading after the store's return from an older copy. VMs that started later found no rows of the others, and made a key of their own that nobody else accepted: they would have been alone with their share of limits and without evidence and configurations of others. Cause: the key was read once, and rows every 10 s or less often; a key that is gone or another one was never noticed. Change: in a new era each VM reads both again after a random time of up to 20 ms per VM. A VM that knows the key writes it if there is none. If another one is there, it is accepted at once, signs when all VMs have read it, and the former one stays accepted. Both have the same key id, as earlier releases know only that one, so all keys with a frame's id are tried.

--- a/src/frame.c
+++ b/src/frame.c
@@ -103,14 +103,21 @@
 	return TLB_OK;
 }
 
-static const struct tlb_peer_key *find_key(const struct tlb_frame_keys *keys, int id)
+static bool has_valid_mac(const unsigned char *p, size_t payload_len,
+			  const struct tlb_frame_keys *keys, const struct tlb_frame_stream *stream)
 {
+	unsigned char mac[TLB_FRAME_MAC_BYTES];
 	int i;
 
-	for (i = 0; i < keys->count; i++)
-		if (keys->key[i].id == id)
-			return &keys->key[i];
-	return NULL;
+	for (i = 0; i < keys->count; i++) {
+		if (keys->key[i].id != p[KEY_ID_OFFSET])
+			continue;
+		compute_mac(mac, &keys->key[i], stream, p[KEY_ID_OFFSET],
+			    p + TLB_FRAME_HEADER_BYTES, payload_len);
+		if (sodium_memcmp(mac, p + MAC_OFFSET, sizeof(mac)) == 0)
+			return true;
+	}
+	return false;
 }
 
 static enum tlb_code verify_and_unpack(const unsigned char *p, size_t payload_len,
@@ -118,13 +125,7 @@
 				       const struct tlb_frame_stream *stream,
 				       Toucan__Envelope **envelope)
 {
-	const struct tlb_peer_key *key = find_key(keys, p[KEY_ID_OFFSET]);
-	unsigned char mac[TLB_FRAME_MAC_BYTES];
-
-	if (!key)
-		return TLB_INVALID_KEY;
-	compute_mac(mac, key, stream, p[KEY_ID_OFFSET], p + TLB_FRAME_HEADER_BYTES, payload_len);
-	if (sodium_memcmp(mac, p + MAC_OFFSET, sizeof(mac)) != 0)
+	if (!has_valid_mac(p, payload_len, keys, stream))
 		return TLB_INVALID_KEY;
 	*envelope = toucan__envelope__unpack(NULL, payload_len, p + TLB_FRAME_HEADER_BYTES);
 	return *envelope ? TLB_OK : TLB_BAD_REQUEST;
--- a/src/frame.h
+++ b/src/frame.h
@@ -28,7 +28,8 @@
 	uint64_t next_seq; /* sequence number of the next frame */
 };
 
-/* Valid keys, borrowed: the first one signs, all are accepted (for key rotation). */
+/* Valid keys, borrowed: the first one signs, all are accepted (for key rotation). Keys may have the
+ * same id. */
 struct tlb_frame_keys {
 	const struct tlb_peer_key *key;
 	int count;
--- a/src/vmrows.c
+++ b/src/vmrows.c
@@ -26,6 +26,10 @@
  * for a small one. */
 #define REREAD_DELAY (2 * TLB_SECOND)
 
+/* In a new era of the store the rows are read again after a random time up to this, per VM of the
+ * fleet: VMs that find each other only by the rows must not wait for the next regular reading. */
+#define REREAD_SPREAD_PER_VM (20 * TLB_MS)
+
 static void list_rows(void *arg);
 static void read_secret(void *arg);
 
@@ -132,6 +136,13 @@
 		retry_secret(arg, reason);
 }
 
+/* Writes the secret if there is none. */
+static void write_secret(struct tlb_vm_rows *r, const char *hex)
+{
+	tlb_rowstore_write(r->store, &r->secret_op, secret_table, secret_key, 0, hex,
+			   on_secret_written, r);
+}
+
 static void create_secret(struct tlb_vm_rows *r)
 {
 	unsigned char secret[TLB_SECRET_LEN];
@@ -139,8 +150,7 @@
 
 	randombytes_buf(secret, sizeof(secret));
 	sodium_bin2hex(hex, sizeof(hex), secret, sizeof(secret));
-	tlb_rowstore_write(r->store, &r->secret_op, secret_table, secret_key, 0, hex,
-			   on_secret_written, r);
+	write_secret(r, hex);
 	sodium_memzero(secret, sizeof(secret));
 	sodium_memzero(hex, sizeof(hex));
 }
@@ -154,6 +164,12 @@
 	tlb_timer_set(r->store->http->loop, &r->secret_timer, tlb_clock_now() + delay);
 }
 
+static void take_secret(struct tlb_vm_rows *r, const char *hex)
+{
+	if (strcmp(hex, r->secret) != 0 && r->handlers.on_secret(r->handlers.arg, hex))
+		snprintf(r->secret, sizeof(r->secret), "%s", hex);
+}
+
 static void on_secret(void *arg, enum tlb_rowstore_status status,
 		      const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -162,7 +178,9 @@
 	if (status != TLB_ROWS_OK)
 		retry_secret(r, reason);
 	else if (rows->count > 0 && !rows->rows[0].removed)
-		r->handlers.on_secret(r->handlers.arg, rows->rows[0].value);
+		take_secret(r, rows->rows[0].value);
+	else if (*r->secret)
+		write_secret(r, r->secret);
 	else if (r->secret_missed)
 		create_secret(r);
 	else
@@ -173,9 +191,31 @@
 {
 	struct tlb_vm_rows *r = arg;
 
+	tlb_rowstore_cancel(&r->secret_op);
 	tlb_rowstore_list(r->store, &r->secret_op, secret_table, "", on_secret, r);
 }
 
+tlb_time tlb_vm_rows_reread_time(const struct tlb_vm_rows *r)
+{
+	return REREAD_SPREAD_PER_VM * r->handlers.count(r->handlers.arg);
+}
+
+static tlb_time reread_at(const struct tlb_vm_rows *r)
+{
+	return tlb_clock_now() +
+	       (tlb_time)(tlb_random_unit(r->random) * (double)tlb_vm_rows_reread_time(r));
+}
+
+static void on_new_era(void *arg)
+{
+	struct tlb_vm_rows *r = arg;
+
+	if (r->leaving || !*r->secret)
+		return;
+	tlb_timer_set(r->store->http->loop, &r->secret_timer, reread_at(r));
+	schedule_list(r, reread_at(r));
+}
+
 void tlb_vm_rows_init(struct tlb_vm_rows *r, struct tlb_rowstore *store, struct tlb_random *random,
 		      const char *self, const struct tlb_vm_rows_handlers *handlers)
 {
@@ -187,6 +227,8 @@
 	r->handlers = *handlers;
 	tlb_timer_init(&r->secret_timer, read_secret, r);
 	tlb_timer_init(&r->list_timer, list_rows, r);
+	r->observer = (struct tlb_rowstore_observer){.on_new_era = on_new_era, .arg = r};
+	tlb_rowstore_observe(store, &r->observer);
 }
 
 void tlb_vm_rows_start(struct tlb_vm_rows *r)
@@ -210,6 +252,7 @@
 
 void tlb_vm_rows_finish(struct tlb_vm_rows *r)
 {
+	tlb_rowstore_unobserve(&r->observer);
 	tlb_rowstore_cancel(&r->secret_op);
 	tlb_rowstore_cancel(&r->write_op);
 	tlb_rowstore_cancel(&r->list_op);
--- a/src/vms.c
+++ b/src/vms.c
@@ -15,6 +15,9 @@
 /* Unreported grants, as a share of the account's burst, below which a report omits the account. */
 #define MIN_REPORT_SHARE 0.002
 enum { KEY_ID = 1 };
+/* After a change of the peer key, the former one signs for the time in which all VMs learn of the
+ * new one and this long beyond. */
+#define KEY_CHANGE_MARGIN (3 * TLB_SECOND)
 
 /* --- list of VMs --- */
 
@@ -693,31 +696,76 @@
 		tlb_timer_set(v->board->loop, &v->report_timer, at);
 }
 
-/* Called with the peer key, in hexadecimal digits: links to other VMs can be opened. */
-static void open_listener(void *arg, const char *hex)
+static bool has_secret(const struct tlb_peer_key *a, const struct tlb_peer_key *b)
+{
+	return sodium_memcmp(a->secret, b->secret, sizeof(a->secret)) == 0;
+}
+
+/* Accepts another key, which signs later: other VMs may not know it yet. */
+static void change_key(struct tlb_vms *v, const struct tlb_peer_key *key)
+{
+	struct tlb_peer_key *keys = v->board->settings->peer_keys;
+	tlb_time delay = tlb_vm_rows_reread_time(&v->rows) + KEY_CHANGE_MARGIN;
+
+	tlb_timer_clear(v->board->loop, &v->key_timer);
+	if (has_secret(&keys[0], key))
+		return;
+	keys[1] = *key;
+	v->board->settings->peer_key_count = 2;
+	v->peers.keys.count = 2;
+	tlb_timer_set(v->board->loop, &v->key_timer, tlb_clock_now() + delay);
+	tlb_log_warn("event=peer_key_changed signs_in_ms=%lld", (long long)(delay / TLB_MS));
+}
+
+/* The former key is still accepted, from VMs that learn of the change late. */
+static void on_key_timer(void *arg)
 {
 	struct tlb_vms *v = arg;
-	struct tlb_settings *s = v->board->settings;
+	struct tlb_peer_key *keys = v->board->settings->peer_keys;
+	struct tlb_peer_key former = keys[0];
+
+	keys[0] = keys[1];
+	keys[1] = former;
+}
+
+static void open_listener(struct tlb_vms *v)
+{
 	struct tlb_error err;
+
+	if (tlb_peers_listen(&v->peers, v->board->settings->peer_addr, &err) != TLB_OK) {
+		tlb_log_error("event=peer_listen_failed reason=\"%s\"", err.message);
+		return;
+	}
+	v->listening = true;
+	tlb_vm_rows_announce(&v->rows, v->peers.addr);
+	on_report_timer(v);
+}
+
+/* Called with the peer key, in hexadecimal digits. With the first one links to other VMs can be
+ * opened. */
+static bool on_secret(void *arg, const char *hex)
+{
+	struct tlb_vms *v = arg;
+	struct tlb_settings *s = v->board->settings;
+	struct tlb_peer_key key = {.id = KEY_ID};
 	size_t len = 0;
 
-	s->peer_keys[0].id = KEY_ID;
-	if (sodium_hex2bin(s->peer_keys[0].secret, sizeof(s->peer_keys[0].secret), hex, strlen(hex),
-			   NULL, &len, NULL) != 0 ||
+	if (sodium_hex2bin(key.secret, sizeof(key.secret), hex, strlen(hex), NULL, &len, NULL) !=
+		    0 ||
 	    len != TLB_SECRET_LEN) {
 		tlb_log_error("event=peer_key_unreadable");
-		return;
+		return false;
 	}
+	if (v->listening) {
+		change_key(v, &key);
+		return true;
+	}
+	s->peer_keys[0] = key;
 	s->peer_key_count = 1;
 	v->peers.keys.key = s->peer_keys;
 	v->peers.keys.count = 1;
-	if (tlb_peers_listen(&v->peers, s->peer_addr, &err) != TLB_OK) {
-		tlb_log_error("event=peer_listen_failed reason=\"%s\"", err.message);
-		return;
-	}
-	v->listening = true;
-	tlb_vm_rows_announce(&v->rows, v->peers.addr);
-	on_report_timer(v);
+	open_listener(v);
+	return true;
 }
 
 static void on_vm_row(void *arg, const char *id, const char *addr)
@@ -746,7 +794,7 @@
 
 	const struct tlb_vm_rows_handlers row_handlers = {
 		.arg = v,
-		.on_secret = open_listener,
+		.on_secret = on_secret,
 		.on_vm = on_vm_row,
 		.count = count_of_fleet,
 	};
@@ -758,6 +806,7 @@
 	v->incarnation = ((uint64_t)tlb_clock_wall_ms() << 16) | randombytes_uniform(1 << 16);
 	APR_RING_INIT(&v->all, tlb_vm, link);
 	tlb_timer_init(&v->report_timer, on_report_timer, v);
+	tlb_timer_init(&v->key_timer, on_key_timer, v);
 	tlb_peers_init(&v->peers, b->loop, &b->counters, b->settings, &handlers);
 	tlb_peers_set_incarnation(&v->peers, v->incarnation);
 	v->id_hash = tlb_vms_hash(v->peers.self);
@@ -784,6 +833,7 @@
 
 	tlb_vm_rows_finish(&v->rows);
 	tlb_timer_clear(v->board->loop, &v->report_timer);
+	tlb_timer_clear(v->board->loop, &v->key_timer);
 	tlb_peers_finish(&v->peers);
 	while (!APR_RING_EMPTY(&v->all, tlb_vm, link)) {
 		m = APR_RING_FIRST(&v->all);
--- a/src/vms.h
+++ b/src/vms.h
@@ -108,6 +108,7 @@
 	bool leaving;
 	bool listening; /* the peer key is available and the listener is open */
 	struct tlb_timer report_timer;
+	struct tlb_timer key_timer;	  /* until the new one of two peer keys signs */
 	tlb_time last_report_at;	  /* time of the last periodic report */
 	struct tlb_vms_handlers handlers; /* set by the daemon before the start */
 };
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1282,6 +1282,52 @@
         equal(len([k for k in w.store.rows if k[0] == "toucanlb-vm"]), 3, "rows of VMs")
 
 
+def check_lost_rows_of_vms_are_written_again():
+    """The secret and the rows of VMs that are gone after the store's return from an older copy must
+    be written again soon, and the secret must be the same: links stay, and VMs that start find the
+    others."""
+    with World(vms=3, first_start=True) as w:
+        copy = w.store.version  # before the VMs have written anything
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        own = {k for k in w.store.rows if k[0] in ("toucanlb-secret", "toucanlb-vm")}
+        equal(len(own), 4, "rows of the fleet")
+        secret = w.store.rows["toucanlb-secret", "peer"]["value"]
+        restore(w.store, copy)
+        wait(lambda: own <= set(w.store.rows), "the rows are there again", 3)
+        equal(w.store.rows["toucanlb-secret", "peer"]["value"], secret, "the secret")
+        w.store.put("op", "config", config(3))
+        equal(sum(len(v.events("link_down")) for v in w.vms), 0, "links that were lost")
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM finds the others")
+
+
+def check_vms_agree_on_another_secret():
+    """When another secret is in the store after its return from an older copy, VMs must take it and
+    talk to each other all the time, and to a VM that knows only the new one."""
+    with World(vms=3) as w:
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        w.store.down = True
+        time.sleep(0.5)
+        w.store.put("toucanlb-secret", "peer", "6b" * 32)
+        w.store.restore(w.store.version)
+        w.store.down = False
+        wait(lambda: all(v.events("peer_key_changed") for v in w.vms), "the secret is read", 3)
+        time.sleep(4)
+        w.doors[1].closed = True
+        w.store.put("op", "config", config(8))
+        wait(lambda: w.vms[1].events("routing_applied source=peer version=8"), "from a peer")
+        for name in ("link_down", "vm_heard_again", "bad_frame"):
+            equal(sum(len(v.events(name)) for v in w.vms), 0, name)
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM with the new one")
+
+
 def check_store_that_was_silent_is_read_soon():
     """A call that was lost in an outage must not delay changes until the longest wait for changes
     has passed; they have to be in force within two seconds of the store's return."""
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -107,6 +107,26 @@
 }
 END_TEST
 
+/* Guards against a frame that is rejected because the first key with its id is another one. */
+START_TEST(keys_with_one_id_are_tried)
+{
+	struct tlb_frame_buffer b = {0};
+	struct tlb_frame_keys both = keys(0, 2);
+	struct tlb_frame_keys second = keys(1, 1);
+	struct tlb_frame_keys forger = {.key = &forged_key, .count = 1};
+	Toucan__Envelope *msg;
+
+	test_keys[1].id = test_keys[0].id;
+	encode_first(&b, &second, 1);
+	ck_assert_int_eq(decode_first(&b, &both, &msg), TLB_OK);
+	ck_assert_ptr_nonnull(msg);
+	toucan__envelope__free_unpacked(msg, NULL);
+	encode_first(&b, &forger, 2);
+	ck_assert_int_eq(decode_first(&b, &both, &msg), TLB_INVALID_KEY);
+	tlb_frame_buffer_finish(&b);
+}
+END_TEST
+
 static void set_bytes(struct tlb_frame_buffer *b, size_t at, const unsigned char *bytes, size_t len)
 {
 	memcpy(b->data + at, bytes, len);
@@ -274,6 +294,7 @@
 	tcase_add_checked_fixture(tc, setup, NULL);
 	tcase_add_test(tc, frames_are_decoded_incrementally);
 	tcase_add_test(tc, keys_rotate);
+	tcase_add_test(tc, keys_with_one_id_are_tried);
 	tcase_add_test(tc, malformed_frames_are_rejected);
 	tcase_add_test(tc, mac_covers_every_bit);
 	tcase_add_test(tc, forged_and_truncated_frames);
