--- a/tests/edge.py
+++ b/tests/edge.py
@@ -798,6 +798,46 @@
             equal(orders_of(w), [], "orders")
 
 
+def check_lost_claim_of_roles_is_respected():
+    """After the store has returned from an older copy, a claim of another VM may be lost with the
+    latest rows; its orders may still arrive."""
+    with World(prefills=3) as w:
+        vm = w.start(role_config())
+        copy = w.store.version
+        w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
+        w.store.put("op", "config", dict(role_config(), version=4))
+        wait(lambda: applied(vm, 4), "version 4")
+        restore(w.store, copy)
+        wait(lambda: vm.events("store_era"), "the era is known")
+        began = time.monotonic()
+        for d in w.decodes:
+            d.load = {"running": 8, "kvUsed": 900}
+        equal(late_answer(vm, 6000), 200, "status")
+        wait(lambda: orders_of(w), "an order", 30)
+        assert time.monotonic() - began >= 14.5, f"ordered after {time.monotonic() - began:.1f} s"
+
+
+def check_fence_of_roles_rises_when_versions_go_back():
+    """Fencing numbers must rise although the store gives out versions again; the VM that knows its
+    own claim to be valid goes on."""
+    with World(prefills=3) as w:
+        copy = w.store.version
+        start_with_full_decodes(w)
+        for _ in range(20):
+            w.store.put("any", "row", "x")
+        wait(lambda: len(orders_of(w)) == 1, "an order", 8)
+        first = orders_of(w)[0][1]["fence"]
+        restore(w.store, copy)
+        w.store.put("op", "config", role_config())
+        for e in w.prefills + w.decodes:
+            w.store.put("servers", e.name, e.entry())
+        w.prefills.append(Endpoint("pre-9", "llm", "prefill"))
+        w.store.put("servers", "pre-9", w.prefills[-1].entry())
+        wait(lambda: len(orders_of(w)) == 2, "a second order", 12)
+        second = [o["fence"] for _, o in orders_of(w) if o["fence"] != first]
+        assert len(second) == 1 and second[0] > first, (first, second)
+
+
 def check_unanswered_order_is_not_repeated():
     """An unanswered order may still be executed later: the engine must not get a second one."""
     with World(prefills=3) as w:
@@ -2030,6 +2070,52 @@
         equal(len([k for k in w.store.rows if k[0] == "toucanlb-vm"]), 3, "rows of VMs")
 
 
+def check_lost_rows_of_vms_are_written_again():
+    """The secret and the rows of VMs that are gone after the store's return from an older copy must
+    be written again soon, and the secret must be the same: links stay, and VMs that start find the
+    others."""
+    with World(vms=3, first_start=True) as w:
+        copy = w.store.version  # before the VMs have written anything
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        own = {k for k in w.store.rows if k[0] in ("toucanlb-secret", "toucanlb-vm")}
+        equal(len(own), 4, "rows of the fleet")
+        secret = w.store.rows["toucanlb-secret", "peer"]["value"]
+        restore(w.store, copy)
+        wait(lambda: own <= set(w.store.rows), "the rows are there again", 3)
+        equal(w.store.rows["toucanlb-secret", "peer"]["value"], secret, "the secret")
+        w.store.put("op", "config", config(3))
+        equal(sum(len(v.events("link_down")) for v in w.vms), 0, "links that were lost")
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM finds the others")
+
+
+def check_vms_agree_on_another_secret():
+    """When another secret is in the store after its return from an older copy, VMs must take it and
+    talk to each other all the time, and to a VM that knows only the new one."""
+    with World(vms=3) as w:
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        w.store.down = True
+        time.sleep(0.5)
+        w.store.put("toucanlb-secret", "peer", "6b" * 32)
+        w.store.restore(w.store.version)
+        w.store.down = False
+        wait(lambda: all(v.events("peer_key_changed") for v in w.vms), "the secret is read", 3)
+        time.sleep(4)
+        w.doors[1].closed = True
+        w.store.put("op", "config", config(8))
+        wait(lambda: w.vms[1].events("routing_applied source=peer version=8"), "from a peer")
+        for name in ("link_down", "vm_heard_again", "bad_frame"):
+            equal(sum(len(v.events(name)) for v in w.vms), 0, name)
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM with the new one")
+
+
 def check_store_that_was_silent_is_read_soon():
     """A call that was lost in an outage must not delay changes until the longest wait for changes
     has passed; they have to be in force within two seconds of the store's return."""
@@ -2884,6 +2970,25 @@
     time.sleep(CONTACT_S)
 
 
+def check_evidence_that_the_store_has_lost_is_written_again():
+    """Rows of evidence that are gone after the store's return from an older copy must be written
+    again: after a restart of all VMs the parts would crash endpoints once more."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        copy = w.store.version
+        crash_on_parts(w, "d1")
+        with SoundCallers(w.vms):
+            crash_until_known(w, send_deadly(w.vms))
+        rows = stored_evidence(w)
+        assert rows, "evidence is in the store"
+        restore(w.store, copy)
+        wait(lambda: stored_evidence(w) >= rows, "the rows are there again", 12)
+
+
+def stored_evidence(w):
+    return {key for table, key in list(w.store.rows) if table == "toucanlb-quarantine"}
+
+
 def check_crashes_before_a_verdict_survive_a_restart_of_all_vms():
     """Crashes that are not yet enough for a verdict must count although all VMs restart after every
     second request."""
