Do not match a route across the end of the host

A request with the Host header "h.example/a" and the path "/b/" went by the route of h.example with the prefix "/a/b/", where 404 is due, and a route whose host has a slash could hide one of another host. Cause: the key of a route was its host and its prefix, concatenated, so that the end of the host was lost. Evidence: host_is_not_continued_by_the_path fails without the change: a route is found. Change: a NUL, which neither can contain, separates the two.

--- a/src/routing.c
+++ b/src/routing.c
@@ -104,12 +104,13 @@
 }
 
 /* Copies a route and its strings into one block. The host is followed directly by the prefix:
- * together they are the route's key, in which the prefix begins at the first "/". */
+ * together they are the route's key, in which a NUL separates them. */
 static struct tlb_forward_route *copy_route(const struct tlb_forward_route *from)
 {
 	char host[TLB_NAME_LEN];
 	size_t host_len = normalize_host(from->host, host, sizeof(host));
-	size_t size = sizeof(*from) + strlen(from->name) + 1 + host_len + strlen(from->prefix) + 1;
+	size_t size =
+		sizeof(*from) + strlen(from->name) + 1 + host_len + 1 + strlen(from->prefix) + 1;
 	struct tlb_forward_route *r;
 	char *at;
 	int i;
@@ -123,8 +124,7 @@
 	r->references = 0;
 	at = (char *)(r + 1);
 	r->name = copy_text(&at, from->name);
-	r->host = memcpy(at, host, host_len);
-	at += host_len;
+	r->host = copy_text(&at, host);
 	r->prefix = copy_text(&at, from->prefix);
 	for (i = 0; i < from->target_count; i++)
 		r->target[i].service = copy_text(&at, from->target[i].service);
@@ -192,17 +192,17 @@
 						       const char *host, const char *path)
 {
 	char key[2 * TLB_NAME_LEN];
-	size_t host_len = normalize_host(host, key, TLB_NAME_LEN);
+	size_t host_size = normalize_host(host, key, TLB_NAME_LEN) + 1;
 	size_t len = strnlen(path, r->longest_prefix);
 	const struct tlb_forward_route *route;
 
 	if (path[0] != '/')
 		return NULL;
-	memcpy(key + host_len, path, len);
+	memcpy(key + host_size, path, len);
 	for (; len > 0; len--) {
 		if (path[len - 1] != '/')
 			continue;
-		route = apr_hash_get(r->routes_by_key, key, (apr_ssize_t)(host_len + len));
+		route = apr_hash_get(r->routes_by_key, key, (apr_ssize_t)(host_size + len));
 		if (route)
 			return route;
 	}
--- a/src/routing.h
+++ b/src/routing.h
@@ -41,7 +41,7 @@
 	int references;
 	struct tlb_content_hash content;
 	const char *name;
-	const char *host;   /* in a table without a terminating NUL: the prefix follows */
+	const char *host;
 	const char *prefix; /* begins and ends with "/" */
 	enum tlb_request_kind request_kind;
 	int timeout_ms;	       /* limit on the total time of a request */
@@ -105,7 +105,7 @@
 	struct tlb_client_account_ring accounts;
 	struct tlb_service_info_ring services;
 	apr_pool_t *pool;
-	apr_hash_t *routes_by_key;     /* host and prefix, concatenated */
+	apr_hash_t *routes_by_key;     /* host, NUL and prefix */
 	apr_hash_t *routes_by_content; /* struct tlb_content_hash */
 	apr_hash_t *accounts_by_key;   /* SHA-256 of the key -> struct tlb_client_account */
 	apr_hash_t *services_by_name;
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -93,6 +93,19 @@
 }
 END_TEST
 
+START_TEST(host_is_not_continued_by_the_path)
+{
+	struct tlb_routing *r = tlb_routing_new();
+
+	add_route(r, "ab", "h.example", "/a/b/", true);
+	add_route(r, "host with a slash", "g.example/a", "/b/", true);
+	add_route(r, "g", "g.example", "/a/b/", true);
+	ck_assert_ptr_null(tlb_routing_find_route(r, "h.example/a", "/b/c"));
+	ck_assert_str_eq(tlb_routing_find_route(r, "g.example", "/a/b/c")->name, "g");
+	tlb_routing_release(r);
+}
+END_TEST
+
 START_TEST(only_changed_routes_are_parsed)
 {
 	struct tlb_routing *before = read_text(write_config(1, FEW_ROUTES, 0, 0));
@@ -240,6 +253,7 @@
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS)
 		return EXIT_FAILURE;
 	tcase_add_test(t, longest_matching_prefix_wins);
+	tcase_add_test(t, host_is_not_continued_by_the_path);
 	tcase_add_test(t, only_changed_routes_are_parsed);
 	tcase_add_test(t, large_configuration_is_read_in_slices);
 	tcase_add_test(t, reading_takes_time_in_proportion_to_the_routes);
