Refuse configurations that are not valid JSON again

Of a configuration with missing, doubled or trailing commas, or with bytes after its end, what could be read was put in force; before, it was refused and the last one stayed. Of two lists with the same name both were added up, so that the route of the first one won; before, the last one held. Cause: the reader goes through the object and its lists itself and took commas as white space. Evidence: configuration_that_is_not_valid_json_is_refused and last_of_several_lists_with_a_name_holds fail without the change, the first one at its first case with a comma. A list that begins again drops what it had.

--- a/src/routing.c
+++ b/src/routing.c
@@ -40,6 +40,27 @@
 		free(route);
 }
 
+void tlb_routing_clear_routes(struct tlb_routing *r)
+{
+	apr_hash_clear(r->routes_by_key);
+	apr_hash_clear(r->routes_by_content);
+	while (r->route_count > 0)
+		release_route(r->routes[--r->route_count]);
+	r->longest_prefix = 0;
+}
+
+void tlb_routing_clear_accounts(struct tlb_routing *r)
+{
+	APR_RING_INIT(&r->accounts, tlb_client_account, link);
+	apr_hash_clear(r->accounts_by_key);
+}
+
+void tlb_routing_clear_services(struct tlb_routing *r)
+{
+	APR_RING_INIT(&r->services, tlb_service_info, link);
+	apr_hash_clear(r->services_by_name);
+}
+
 void tlb_routing_release(struct tlb_routing *r)
 {
 	int i;
--- a/src/routing.h
+++ b/src/routing.h
@@ -133,6 +133,10 @@
 /* Adds an API key, given in plain text, to an account; only its hash is stored. */
 void tlb_routing_add_key(struct tlb_routing *r, struct tlb_client_account *a, const char *key);
 void tlb_routing_add_service(struct tlb_routing *r, struct tlb_service_info *s);
+/* Remove what was added to a table that is not in force yet. */
+void tlb_routing_clear_routes(struct tlb_routing *r);
+void tlb_routing_clear_accounts(struct tlb_routing *r);
+void tlb_routing_clear_services(struct tlb_routing *r);
 
 /* Returns the host's route with the longest matching path prefix, or NULL. The port and the case of
  * host are ignored. */
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -106,6 +106,66 @@
 }
 END_TEST
 
+START_TEST(configuration_that_is_not_valid_json_is_refused)
+{
+	static const char *const cases[] = {
+		"",
+		"{",
+		"[]",
+		"{\"version\":1",
+		"{\"version\":1}}",
+		"{\"version\":1} x",
+		"{,\"version\":1}",
+		"{\"version\":1,}",
+		"{\"version\":1,,\"limits\":{}}",
+		"{\"version\":1 \"limits\":{}}",
+		"{\"version\":1,\"services\":[] \"routes\":[]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"},]}",
+		"{\"version\":1,\"services\":[,{\"name\":\"s\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"},,{\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}{\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"} {\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}}",
+		"{\"version\":1,\"services\":[}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}]",
+		"{\"version\":1,\"services\":[{\"name\":}]}",
+	};
+	static const char nul_at_end[] = "{\"version\":1}\0x";
+	struct tlb_error err;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		ck_assert_msg(!tlb_platform_read_routing(cases[i], strlen(cases[i]), &err), "%s",
+			      cases[i]);
+	ck_assert_ptr_null(tlb_platform_read_routing(nul_at_end, sizeof(nul_at_end) - 1, &err));
+}
+END_TEST
+
+/* As a parser of the whole text does. */
+START_TEST(last_of_several_lists_with_a_name_holds)
+{
+	static const char config[] =
+		"{\"version\":1,"
+		"\"routes\":[{\"name\":\"old\",\"hostname\":\"h.example\",\"prefix\":\"/\","
+		"\"service\":\"s\"}],"
+		"\"tenants\":[{\"name\":\"old\",\"apiKeys\":[\"k\"]}],"
+		"\"services\":[{\"name\":\"old\"}],"
+		"\"services\":[],\"tenants\":[],"
+		"\"routes\":[{\"name\":\"new\",\"hostname\":\"h.example\",\"prefix\":\"/\","
+		"\"service\":\"s\"}]}";
+	struct tlb_routing *r = read_text((size_t)snprintf(text, sizeof(text), "%s", config));
+	unsigned char hash[TLB_KEY_HASH_LEN];
+
+	crypto_hash_sha256(hash, (const unsigned char *)"k", 1);
+	ck_assert_str_eq(tlb_routing_find_route(r, "h.example", "/x")->name, "new");
+	ck_assert_int_eq(r->route_count, 1);
+	ck_assert_ptr_null(tlb_routing_find_account(r, hash));
+	ck_assert(APR_RING_EMPTY(&r->accounts, tlb_client_account, link));
+	ck_assert_ptr_null(tlb_routing_find_service(r, "old"));
+	tlb_routing_release(r);
+}
+END_TEST
+
 START_TEST(only_changed_routes_are_parsed)
 {
 	struct tlb_routing *before = read_text(write_config(1, FEW_ROUTES, 0, 0));
@@ -254,6 +314,8 @@
 		return EXIT_FAILURE;
 	tcase_add_test(t, longest_matching_prefix_wins);
 	tcase_add_test(t, host_is_not_continued_by_the_path);
+	tcase_add_test(t, configuration_that_is_not_valid_json_is_refused);
+	tcase_add_test(t, last_of_several_lists_with_a_name_holds);
 	tcase_add_test(t, only_changed_routes_are_parsed);
 	tcase_add_test(t, large_configuration_is_read_in_slices);
 	tcase_add_test(t, reading_takes_time_in_proportion_to_the_routes);
