--- a/tests/test_rowreader.c
+++ b/tests/test_rowreader.c
@@ -80,6 +80,41 @@
 }
 END_TEST
 
+/* Some encoders escape "/", "+" and "=" (RFC 8259, section 7). */
+START_TEST(escaped_characters_of_a_long_value_are_decoded)
+{
+	static const char *const escapes[][2] = {{"/", "\\/"}, {"+", "\\u002B"}, {"=", "\\u003d"}};
+	static char plain[ANSWER_MAX];
+	struct tlb_stored_rows rows;
+	size_t len = build_answer(VALUE_MAX);
+	size_t value_at = (size_t)(strstr(answer, "config") - answer);
+	size_t out = 0;
+	size_t piece;
+	size_t i;
+	int e;
+
+	strcpy(plain, answer);
+	for (i = 0; i < len; i++) {
+		for (e = 2; e >= 0 && escapes[e][0][0] != plain[i]; e--)
+			;
+		/* The beginning has none, so that the value is decoded as it arrives. */
+		if (e >= 0 && i > value_at + TLB_ROWREADER_LONG_VALUE + 100)
+			out += (size_t)sprintf(answer + out, "%s", escapes[e][1]);
+		else if (e >= 0 && e < 2 && i > value_at)
+			answer[out++] = 'A';
+		else
+			answer[out++] = plain[i];
+	}
+	for (piece = 1; piece < out; piece += 1 + out / PIECES) {
+		ck_assert_int_eq(read_in_pieces(out, piece, &rows), TLB_OK);
+		ck_assert_int_eq(rows.count, 3);
+		ck_assert_uint_eq(rows.rows[1].len, VALUE_MAX);
+		ck_assert_mem_eq(rows.rows[1].value + 3200, value + 3200, VALUE_MAX - 3200);
+		tlb_stored_rows_finish(&rows);
+	}
+}
+END_TEST
+
 START_TEST(long_text_that_is_no_row_value_is_kept)
 {
 	struct tlb_stored_rows rows;
@@ -109,6 +144,7 @@
 
 	tcase_add_test(t, answer_reads_the_same_wherever_it_is_cut);
 	tcase_add_test(t, cut_or_damaged_long_value_is_refused);
+	tcase_add_test(t, escaped_characters_of_a_long_value_are_decoded);
 	tcase_add_test(t, long_text_that_is_no_row_value_is_kept);
 	suite_add_tcase(s, t);
 	runner = srunner_create(s);
