--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -86,9 +86,10 @@
 	while (cases_next(&c)) {
 		if (tlb_platform_read_instance("i-1", c.input, strlen(c.input), &row, &err) ==
 		    TLB_OK)
-			snprintf(got, sizeof(got), "%s %s %s %s slots=%d born=%lld leaving=%d",
+			snprintf(got, sizeof(got),
+				 "%s %s %s %s slots=%d born=%lld sequence=%lld leaving=%d",
 				 roles[row.role], row.service, row.addr, row.zone, row.slots,
-				 (long long)row.started_ms, row.leaving);
+				 (long long)row.started_ms, (long long)row.sequence, row.leaving);
 		else
 			snprintf(got, sizeof(got), "refused: %s", err.message);
 		ck_assert_str_eq(got, c.expected);
@@ -238,6 +239,18 @@
 }
 END_TEST
 
+START_TEST(test_store_era)
+{
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\nstore-era: 7\nB: 2\n"), 7);
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era(""), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: -2\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 3x\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era:\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 99999999999999999999999\n"), 0);
+}
+END_TEST
+
 /* Guards against forwarding hop-by-hop response headers to the caller. */
 START_TEST(test_forwarded_head)
 {
@@ -358,6 +371,7 @@
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
 	tcase_add_test(t, test_outcomes);
+	tcase_add_test(t, test_store_era);
 	tcase_add_test(t, test_forwarded_head);
 	tcase_add_test(t, test_handles);
 	tcase_add_loop_test(t, test_load_report, 0, sizeof(reports) / sizeof(reports[0]));
