--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,9 @@
 $(BUILD)/limits: $(BUILD)/bench-limits.o $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/config_load: $(BUILD)/bench-config_load.o $(BUILD)/libtoucanlb.a
+	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/bench: $(BENCH_OBJ) $(BUILD)/libtoucanlb.a
 	$(CC) $(CFLAGS) $(LDFLAGS) -o $@ $^ $(LIBS)
 
