--- a/src/roles.c
+++ b/src/roles.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "edgeboard.h"
+#include "instance_notice.h"
 #include "log.h"
 #include "platform.h"
 
@@ -62,6 +63,24 @@
 	return moved;
 }
 
+/* --- calls --- */
+
+static void call_engine(struct tlb_roles *r, struct tlb_instance *i, struct tlb_http_spec *spec,
+			const char *target, const char *body)
+{
+	tlb_instance_acquire(i);
+	r->callee = i;
+	tlb_instance_call(i, r->board->http, &r->call, spec, target, body);
+}
+
+/* Ends the call in progress. */
+static void end_call(struct tlb_roles *r, const struct tlb_http_result *res)
+{
+	tlb_instance_notice_read(r->callee, res->status, res->head);
+	tlb_instance_release(r->callee);
+	r->callee = NULL;
+}
+
 /* --- orders --- */
 
 static void end_change(struct tlb_roles *r, const char *reason)
@@ -78,6 +97,7 @@
 	struct tlb_roles *r = arg;
 	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
 
+	end_call(r, res);
 	tlb_log_info("event=role_ordered instance=%s role=%d status=%d reason=\"%s\"", r->instance,
 		     (int)r->role, res->status, res->reason);
 	if (res->status != 0 && res->status != 200 && res->status != 202) {
@@ -102,7 +122,8 @@
 		.arg = r,
 	};
 
-	if (!i || !body || tlb_clock_now() >= r->act_deadline) {
+	if (!i || !body || tlb_clock_now() >= r->act_deadline ||
+	    !tlb_instance_usable(i, tlb_clock_now())) {
 		free(body);
 		end_change(r, "claim written too late for an order");
 		return;
@@ -110,12 +131,20 @@
 	r->state = TLB_ROLES_SENDING_ORDER;
 	spec.headers = tlb_platform_order_headers(i->row.id);
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
-	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_order_target(), body);
+	call_engine(r, i, &spec, tlb_platform_order_target(), body);
 	free(body);
 }
 
 /* --- the claim --- */
 
+/* Whether the store would show a claim of another VM. */
+static bool claims_are_known(const struct tlb_roles *r, tlb_time now)
+{
+	tlb_time began_at = r->store->era_began_at;
+
+	return began_at == 0 || now >= began_at + TLB_ROLES_CLAIM_TTL || now < r->claimed_until;
+}
+
 static void on_claim_written(void *arg, enum tlb_rowstore_status status,
 			     const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -125,7 +154,12 @@
 		end_change(r, *reason ? reason : "another VM has claimed it");
 		return;
 	}
+	if (tlb_stored_era(rows->version) != r->claim_era) {
+		end_change(r, "the store has returned from an older copy");
+		return;
+	}
 	r->claim_version = rows->version;
+	r->claimed_until = r->claim_began_at + TLB_ROLES_CLAIM_TTL;
 	send_order(r, rows->version);
 }
 
@@ -150,7 +184,7 @@
 	const json_t *at = json_object_get(j, "at_ms");
 	bool own = vm && strcmp(vm, r->board->settings->vm_id) == 0;
 	bool old = json_is_integer(at) &&
-		   r->now_ms >= json_integer_value(at) + TLB_ROLES_CLAIM_TTL / TLB_MS;
+		   r->now_ms - TLB_ROLES_CLAIM_TTL / TLB_MS >= json_integer_value(at);
 
 	json_decref(j);
 	return !own && !old;
@@ -166,7 +200,12 @@
 		end_change(r, reason);
 		return;
 	}
+	if (!claims_are_known(r, tlb_clock_now())) {
+		end_change(r, "a claim may be lost with the store's latest rows");
+		return;
+	}
 	r->now_ms = rows->now_ms;
+	r->claim_era = tlb_stored_era(rows->version);
 	r->claim_version = 0;
 	if (r->now_ms <= 0) {
 		end_change(r, "store returned no time, so the age of a claim is unknown");
@@ -214,6 +253,7 @@
 	}
 	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
 	r->state = TLB_ROLES_CLAIMING;
+	r->claim_began_at = tlb_clock_now();
 	tlb_rowstore_list(r->store, &r->op, claim_table, r->service, on_claim_read, r);
 }
 
@@ -226,7 +266,8 @@
 	tlb_time now = tlb_clock_now();
 
 	r->state = TLB_ROLES_IDLE;
-	if (r->round_count < MIN_ROUNDS || surplus == 0 || now < r->cooldown_until || !info)
+	if (r->round_count < MIN_ROUNDS || surplus == 0 || now < r->cooldown_until || !info ||
+	    !claims_are_known(r, now))
 		return;
 	tlb_log_info("event=role_change service=%s prefills=%d busy=%.2f decodes=%d filled=%.2f "
 		     "surplus=%d",
@@ -267,35 +308,45 @@
 	return memory_use > slot_use ? memory_use : slot_use;
 }
 
+static void add_load(struct tlb_roles *r, enum tlb_role role, double used)
+{
+	if (role == TLB_ROLE_PREFILL) {
+		r->round.prefills++;
+		r->round.prefills_busy += used;
+	} else {
+		r->round.decodes++;
+		r->round.decodes_used += used;
+	}
+}
+
 static void on_report(void *arg, const struct tlb_http_result *res)
 {
 	struct tlb_roles *r = arg;
 	const struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->report_instance);
 	struct tlb_load_report p;
 
+	end_call(r, res);
 	if (!i || res->status != 200 ||
 	    !tlb_platform_read_load_report(res->body, res->body_len, &p)) {
 		tlb_log_info("event=role_report_unread instance=%s status=%d reason=\"%s\"",
 			     r->report_instance, res->status, res->reason);
 	} else if (i->row.role == TLB_ROLE_PREFILL) {
-		r->round.prefills++;
-		r->round.prefills_busy += p.running + p.waiting > 0;
+		add_load(r, i->row.role, p.running + p.waiting > 0);
 	} else {
-		r->round.decodes++;
-		r->round.decodes_used += used_fraction(&p, i->row.slots);
+		add_load(r, i->row.role, used_fraction(&p, i->row.slots));
 	}
 	request_next_report(r);
 }
 
-/* Returns the usable engine with the next higher id, or NULL. */
-static const struct tlb_instance *next_engine(const struct tlb_roles *r, const char *id)
+/* Returns the engine in service with the next higher id, or NULL. */
+static struct tlb_instance *next_engine(const struct tlb_roles *r, const char *id)
 {
-	const struct tlb_instance *best = NULL;
-	const struct tlb_instance *i;
+	struct tlb_instance *best = NULL;
+	struct tlb_instance *i;
 	tlb_time now = tlb_clock_now();
 
 	APR_RING_FOREACH (i, &r->board->instances.all, tlb_instance, link) {
-		if (i->row.role == TLB_ROLE_SERVICE || !tlb_instance_usable(i, now) ||
+		if (i->row.role == TLB_ROLE_SERVICE || !tlb_instance_in_service(i, now) ||
 		    strcmp(i->row.service, r->service) != 0 || strcmp(i->row.id, id) <= 0)
 			continue;
 		if (!best || strcmp(i->row.id, best->row.id) < 0)
@@ -304,9 +355,21 @@
 	return best;
 }
 
+/* Returns the next engine that takes calls, or NULL. Those that asked for a pause count as full. */
+static struct tlb_instance *next_engine_to_ask(struct tlb_roles *r)
+{
+	struct tlb_instance *i = next_engine(r, r->report_instance);
+
+	while (i && !tlb_instance_usable(i, tlb_clock_now())) {
+		add_load(r, i->row.role, 1);
+		i = next_engine(r, i->row.id);
+	}
+	return i;
+}
+
 static void request_next_report(struct tlb_roles *r)
 {
-	const struct tlb_instance *i = next_engine(r, r->report_instance);
+	struct tlb_instance *i = next_engine_to_ask(r);
 	struct tlb_http_spec spec = {
 		.method = "GET",
 		.deadline = tlb_clock_now() + REPORT_TIMEOUT,
@@ -319,7 +382,7 @@
 		return;
 	}
 	snprintf(r->report_instance, sizeof(r->report_instance), "%s", i->row.id);
-	tlb_instance_call(i, r->board->http, &r->call, &spec, tlb_platform_report_target(), NULL);
+	call_engine(r, i, &spec, tlb_platform_report_target(), NULL);
 }
 
 /* Returns the first service whose engines can change roles. Only one service is supported: each one
@@ -375,4 +438,7 @@
 	tlb_timer_clear(r->board->loop, &r->timer);
 	tlb_rowstore_cancel(&r->op);
 	tlb_http_cancel(&r->call);
+	if (r->callee)
+		tlb_instance_release(r->callee);
+	r->callee = NULL;
 }
--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -16,7 +16,7 @@
  * era first: a store that was restored from an older copy gives out versions again, in a new era.
  * The store itself, other VMs and logs have the two as separate numbers.
  */
-enum { TLB_STORED_VERSION_BITS = 40, TLB_STORED_ERA_MAX = (1 << 22) - 1 };
+enum { TLB_STORED_VERSION_BITS = 40, TLB_STORED_FIRST_ERA = 1, TLB_STORED_ERA_MAX = (1 << 22) - 1 };
 
 static inline int64_t tlb_stored_version(int64_t era, int64_t number)
 {
@@ -48,6 +48,7 @@
 	int64_t now_ms;	 /* the store's monotonic clock at the time of the response */
 	bool more;	 /* there are further rows after the last one */
 	int count;
+	int unreadable; /* rows that were passed over */
 	struct tlb_stored_row *rows;
 	char last_key[TLB_STORED_ROW_KEY_LEN]; /* of the last row, also when its value can't be
 						* read; "" when no key can be read */
