--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -93,6 +93,79 @@
 }
 END_TEST
 
+START_TEST(host_is_not_continued_by_the_path)
+{
+	struct tlb_routing *r = tlb_routing_new();
+
+	add_route(r, "ab", "h.example", "/a/b/", true);
+	add_route(r, "host with a slash", "g.example/a", "/b/", true);
+	add_route(r, "g", "g.example", "/a/b/", true);
+	ck_assert_ptr_null(tlb_routing_find_route(r, "h.example/a", "/b/c"));
+	ck_assert_str_eq(tlb_routing_find_route(r, "g.example", "/a/b/c")->name, "g");
+	tlb_routing_release(r);
+}
+END_TEST
+
+START_TEST(configuration_that_is_not_valid_json_is_refused)
+{
+	static const char *const cases[] = {
+		"",
+		"{",
+		"[]",
+		"{\"version\":1",
+		"{\"version\":1}}",
+		"{\"version\":1} x",
+		"{,\"version\":1}",
+		"{\"version\":1,}",
+		"{\"version\":1,,\"limits\":{}}",
+		"{\"version\":1 \"limits\":{}}",
+		"{\"version\":1,\"services\":[] \"routes\":[]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"},]}",
+		"{\"version\":1,\"services\":[,{\"name\":\"s\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"},,{\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}{\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"} {\"name\":\"t\"}]}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}}",
+		"{\"version\":1,\"services\":[}",
+		"{\"version\":1,\"services\":[{\"name\":\"s\"}]",
+		"{\"version\":1,\"services\":[{\"name\":}]}",
+	};
+	static const char nul_at_end[] = "{\"version\":1}\0x";
+	struct tlb_error err;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		ck_assert_msg(!tlb_platform_read_routing(cases[i], strlen(cases[i]), &err), "%s",
+			      cases[i]);
+	ck_assert_ptr_null(tlb_platform_read_routing(nul_at_end, sizeof(nul_at_end) - 1, &err));
+}
+END_TEST
+
+/* As a parser of the whole text does. */
+START_TEST(last_of_several_lists_with_a_name_holds)
+{
+	static const char config[] =
+		"{\"version\":1,"
+		"\"routes\":[{\"name\":\"old\",\"hostname\":\"h.example\",\"prefix\":\"/\","
+		"\"service\":\"s\"}],"
+		"\"tenants\":[{\"name\":\"old\",\"apiKeys\":[\"k\"]}],"
+		"\"services\":[{\"name\":\"old\"}],"
+		"\"services\":[],\"tenants\":[],"
+		"\"routes\":[{\"name\":\"new\",\"hostname\":\"h.example\",\"prefix\":\"/\","
+		"\"service\":\"s\"}]}";
+	struct tlb_routing *r = read_text((size_t)snprintf(text, sizeof(text), "%s", config));
+	unsigned char hash[TLB_KEY_HASH_LEN];
+
+	crypto_hash_sha256(hash, (const unsigned char *)"k", 1);
+	ck_assert_str_eq(tlb_routing_find_route(r, "h.example", "/x")->name, "new");
+	ck_assert_int_eq(r->route_count, 1);
+	ck_assert_ptr_null(tlb_routing_find_account(r, hash));
+	ck_assert_int_eq(r->account_count, 0);
+	ck_assert_ptr_null(tlb_routing_find_service(r, "old"));
+	tlb_routing_release(r);
+}
+END_TEST
+
 START_TEST(only_changed_routes_are_parsed)
 {
 	struct tlb_routing *before = read_text(write_config(1, FEW_ROUTES, 0, 0));
@@ -117,6 +190,51 @@
 }
 END_TEST
 
+/* Writes a configuration with n accounts, of which the first `changed` have that rate. */
+static size_t write_accounts(int version, int n, int changed, int rate)
+{
+	size_t len = (size_t)snprintf(text, sizeof(text), "{\"version\":%d,\"tenants\":[", version);
+	int i;
+
+	for (i = 0; i < n; i++)
+		len += (size_t)snprintf(
+			text + len, sizeof(text) - len,
+			"%s{\"name\":\"a%d\",\"apiKeys\":[\"k%d\",\"l%d\"],\"ratePerS\":%d}",
+			i ? "," : "", i, i, i, i < changed ? rate : 1);
+	return len + (size_t)snprintf(text + len, sizeof(text) - len, "]}");
+}
+
+static const struct tlb_client_account *find_key(const struct tlb_routing *r, const char *key)
+{
+	unsigned char hash[TLB_KEY_HASH_LEN];
+
+	crypto_hash_sha256(hash, (const unsigned char *)key, strlen(key));
+	return tlb_routing_find_account(r, hash);
+}
+
+START_TEST(only_changed_accounts_are_parsed)
+{
+	struct tlb_routing *before = read_text(write_accounts(1, FEW_ROUTES, 0, 0));
+	size_t len = write_accounts(2, FEW_ROUTES - 10, 5, 77);
+	struct tlb_routing_reader reader;
+	struct tlb_routing *after;
+
+	tlb_routing_reader_init(&reader, text, len, before);
+	ck_assert_int_eq(tlb_routing_reader_step(&reader, TLB_NEVER), TLB_READ_DONE);
+	ck_assert_int_eq(reader.parsed_accounts, 5);
+	ck_assert_int_eq(reader.shared_accounts, FEW_ROUTES - 15);
+	after = tlb_routing_reader_take(&reader);
+	tlb_routing_reader_finish(&reader);
+	/* Shared accounts outlive the table from which they came. */
+	tlb_routing_release(before);
+	ck_assert_int_eq(find_key(after, "k4")->rate, 77);
+	ck_assert_int_eq(find_key(after, "l5")->rate, 1);
+	ck_assert_str_eq(find_key(after, "k1989")->name, "a1989");
+	ck_assert_ptr_null(find_key(after, "k1990"));
+	tlb_routing_release(after);
+}
+END_TEST
+
 START_TEST(large_configuration_is_read_in_slices)
 {
 	size_t len = write_config(1, FEW_ROUTES, 0, 0);
@@ -240,7 +358,11 @@
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS)
 		return EXIT_FAILURE;
 	tcase_add_test(t, longest_matching_prefix_wins);
+	tcase_add_test(t, host_is_not_continued_by_the_path);
+	tcase_add_test(t, configuration_that_is_not_valid_json_is_refused);
+	tcase_add_test(t, last_of_several_lists_with_a_name_holds);
 	tcase_add_test(t, only_changed_routes_are_parsed);
+	tcase_add_test(t, only_changed_accounts_are_parsed);
 	tcase_add_test(t, large_configuration_is_read_in_slices);
 	tcase_add_test(t, reading_takes_time_in_proportion_to_the_routes);
 	tcase_add_test(t, newest_configuration_replaces_those_that_wait);
