Do not take an endpoint for silent in a late round

What callers saw: a stream was moved to another endpoint, with a second run, after its VM had stood still for 1.5 s, although its endpoint went on. Cause: since input is read before deadlines are applied, the answer to a search for room that came during the stall is used, and the limit for the next event has passed. While the VM stands still it can't see whether the endpoint is silent. The loop tells whether the round is late.

--- a/src/generation.c
+++ b/src/generation.c
@@ -700,7 +700,7 @@
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		return;
 	}
-	if (!found || tlb_evidence_quarantined_part(f) ||
+	if (!found || f->board->loop->late || tlb_evidence_quarantined_part(f) ||
 	    !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
@@ -724,7 +724,9 @@
 	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
 	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
-	if (tlb_evidence_quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
+	/* In a late round, the silence of the endpoint is not proved. */
+	if (f->board->loop->late || tlb_evidence_quarantined_part(f) ||
+	    !tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
 	}
--- a/src/loop.c
+++ b/src/loop.c
@@ -140,6 +140,9 @@
 	l->polled_at = now;
 	if (busy + overrun < TLB_LOOP_LATE)
 		return;
+	if (!l->late)
+		l->late_since = now - busy - overrun;
+	l->late = true;
 	l->late_until = now + TLB_LOOP_LATE_MEMORY;
 	l->catching_up = true;
 	if (l->on_late)
@@ -231,6 +234,7 @@
 {
 	int polls_left = CATCH_UP_POLLS;
 
+	l->late = false;
 	poll_and_dispatch(l, wait_until);
 	catch_up(l, &polls_left);
 	run_timers(l, &polls_left);
--- a/src/loop.h
+++ b/src/loop.h
@@ -65,6 +65,8 @@
 	size_t heap_cap;
 	struct tlb_job_ring jobs;
 	tlb_time polled_at;   /* when the descriptors were last polled; 0 before the first round */
+	bool late;	      /* this round is late */
+	tlb_time late_since;  /* since when events may have waited, in the last late round */
 	tlb_time late_until;  /* end of TLB_LOOP_LATE_MEMORY; 0 before the first late round */
 	bool catching_up;     /* input may be waiting that arrived before the round began */
 	tlb_late_fn *on_late; /* NULL for none; set by the owner */
