Count deadlines from a request's arrival, not from its reading

Cause: the arrival of a request was the time at which libmicrohttpd passed its first line. Evidence: X-Deadline-Ms: 3000, a stop of 1 s: the endpoint gets 2974. Change: within a second after a late round the listener asks the system when the connection got its last bytes (TCP_INFO). Ruled out: the start of the stall as the arrival: callers whose requests had just arrived, with budgets shorter than the stall, would all be refused. Measured: the two new checks of tests/edge.py fail 2 of 2 before and pass 3 of 3 now.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -shared -fPIC -o $@ $<
 
 .DEFAULT_GOAL = all
-all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(BUILD)/clockstep.so $(BUILD)/nomemory.so $(STANDINS)
+all: $(BUILD)/toucanlbd $(BUILD)/toucanlb $(BUILD)/passthrough $(BUILD)/toucanlb-load $(BUILD)/clockstep.so $(BUILD)/nomemory.so $(BUILD)/tcpstate.so $(STANDINS)
 
 deps:
 	@scripts/install-deps
--- a/src/forward.c
+++ b/src/forward.c
@@ -21,6 +21,8 @@
 #define REFUSED_BACKOFF (15 * TLB_MS)
 /* Retry-after time for callers when no endpoint or no configuration is known. */
 #define NO_ENDPOINT_RETRY_AFTER (300 * TLB_MS)
+/* By how much the arrival of a request that waited for a late loop may be assumed too late. */
+#define ARRIVAL_ERROR_MAX (400 * TLB_MS)
 /* Parts of a prompt listed in a log line, and the length of one: 16 hexadecimal digits, comma. */
 enum { LOGGED_PARTS_MAX = 8, PART_TEXT_LEN = 17 };
 
@@ -590,6 +592,18 @@
 	return false;
 }
 
+/* How long a request is assumed to have waited to be read, when this is not known: half of the time
+ * that it may have waited, or more, for an error of at most ARRIVAL_ERROR_MAX. Its caller is still
+ * there, so that it has waited for less than the time to its deadline. */
+static tlb_time assumed_wait(const struct tlb_exchange *x, tlb_time deadline)
+{
+	tlb_time longest = x->arrived - x->arrived_after;
+
+	if (longest > deadline - x->arrived)
+		longest = deadline > x->arrived ? deadline - x->arrived : 0;
+	return longest / 2 > ARRIVAL_ERROR_MAX ? longest - ARRIVAL_ERROR_MAX : longest / 2;
+}
+
 static struct tlb_forward *make_forward(struct tlb_edge_board *b, struct tlb_exchange *x,
 					const struct tlb_inbound *in,
 					const struct tlb_forward_route *route,
@@ -612,6 +626,8 @@
 		f->deadline = in->deadline - TLB_FORWARD_DEADLINE_MARGIN;
 	if (route->timeout_ms > 0 && x->arrived + route->timeout_ms * TLB_MS < f->deadline)
 		f->deadline = x->arrived + route->timeout_ms * TLB_MS;
+	if (f->deadline != TLB_NEVER)
+		f->deadline -= assumed_wait(x, f->deadline);
 	tlb_timer_init(&f->timer, on_timer, f);
 	x->on_disconnect = on_caller_disconnect;
 	x->arg = f;
--- a/src/listener.c
+++ b/src/listener.c
@@ -458,6 +458,35 @@
 	return i ? i->socket_context : NULL;
 }
 
+/* Whether the system tells when the last bytes on the connection arrived, and when that was.
+ * Network stacks in user space may leave this at 0, which otherwise means now. */
+static bool read_arrival(struct tlb_listener *f, int fd, tlb_time now, tlb_time *at)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return false;
+	f->arrivals_known |= info.tcpi_last_data_recv > 0;
+	*at = now - (tlb_time)info.tcpi_last_data_recv * TLB_MS;
+	return f->arrivals_known;
+}
+
+/* Sets the arrival of a request that is read now. After the loop was late, it may have waited. */
+static void set_arrival(struct tlb_exchange *x, tlb_time now)
+{
+	struct tlb_listener *f = x->listener;
+
+	x->arrived = now;
+	x->arrived_after = now;
+	if (!tlb_loop_was_late(f->loop))
+		return;
+	if (read_arrival(f, x->fd, now, &x->arrived))
+		x->arrived_after = x->arrived;
+	else if (f->loop->late)
+		x->arrived_after = f->loop->late_since;
+}
+
 /* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
  * decoding it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
@@ -466,6 +495,7 @@
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
 	struct tlb_listener_conn *fc = conn_of(conn);
 	const char *question_mark = strchr(uri, '?');
+	tlb_time now = tlb_clock_now();
 
 	if (!x)
 		return NULL;
@@ -476,8 +506,8 @@
 	x->listener = f;
 	x->conn = conn;
 	x->fd = fd_of(conn);
-	x->arrived = tlb_clock_now();
-	x->read_deadline = x->arrived + f->limits.request_timeout_ms * TLB_MS;
+	set_arrival(x, now);
+	x->read_deadline = now + f->limits.request_timeout_ms * TLB_MS;
 	x->path = question_mark ? strndup(uri, (size_t)(question_mark - uri)) : strdup(uri);
 	x->query = strdup(question_mark ? question_mark + 1 : "");
 	snprintf(x->id, sizeof(x->id), "%s-%llx", f->id_prefix, ++f->next_id);
--- a/src/listener.h
+++ b/src/listener.h
@@ -66,7 +66,9 @@
 	struct tlb_buffer body;
 	bool body_too_large;
 	tlb_time read_deadline; /* for the complete request */
-	tlb_time arrived;
+	tlb_time arrived; /* when its bytes arrived, as far as this is known, else when it was read
+			   */
+	tlb_time arrived_after;	    /* before arrived when this is not known exactly */
 	tlb_time caller_checked_at; /* by tlb_exchange_check_caller() */
 	/* The response. */
 	int status;
@@ -121,6 +123,7 @@
 	char addr[TLB_ADDR_LEN]; /* bound address, with the actual port */
 	bool keepalive_disabled; /* every response closes its connection */
 	int listen_fd;		 /* -1 when it is closed */
+	bool arrivals_known;	 /* the system tells when bytes arrived */
 	bool stopping;		 /* tlb_listener_stop_accepting() was called */
 	bool finishing;		 /* further requests are refused as not run */
 	int accepted_late;	 /* connections accepted when stopping */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1207,6 +1207,48 @@
         equal(vm.metric("toucanlb_peer_silent_total"), 0, "silent links")
 
 
+def deadlines_after_a_stall(env, budget_ms, stall_s):
+    """Sends two requests while the VM does not run, one at the beginning and one at the end of the
+    stall. Returns the deadlines that endpoints got for them."""
+    with World(shops=1, env=env) as w:
+        routes = [dict(r, timeoutMs=60000) for r in config(3)["routes"]]
+        vm = w.start(config(3, routes=routes))
+        conns = {name: vm.connect() for name in ("first", "last")}
+        os.kill(vm.process.pid, signal.SIGSTOP)
+        try:
+            for name, pause in (("first", stall_s), ("last", 0.02)):
+                conns[name].request("POST", "/pay/1", body=b"x", headers=dict(
+                    LOOK, **{"X-Attempt-Id": name, "X-Deadline-Ms": str(budget_ms)}))
+                time.sleep(pause)
+        finally:
+            os.kill(vm.process.pid, signal.SIGCONT)
+        for c in conns.values():
+            equal(c.getresponse().status, 200, "status")
+        got = {h["X-Attempt-Id"]: int(h["X-Deadline-Ms"]) for h in w.shops[0].seen}
+        return got["first"], got["last"]
+
+
+def check_time_in_which_a_request_waited_to_be_read_counts():
+    """A deadline that endpoints get must count from the arrival of the request; after a stall it was
+    too late by the time that the request had waited to be read."""
+    first, last = deadlines_after_a_stall(None, 3000, 1.0)
+    assert 1500 < first < 2050, f"told {first} ms after 1 s of 3 s"
+    assert 2500 < last < 3000, f"told {last} ms after 0.02 s of 3 s"
+
+
+def check_time_to_be_read_is_bounded_where_arrivals_are_unknown():
+    """The same when the system does not tell when a request has arrived: the deadline may be too late
+    by 0.4 s, and a request that has just arrived must keep time to run."""
+    preload = {"LD_PRELOAD": os.path.join(ROOT, "build", "tcpstate.so")}
+    for budget_ms, stall_s in ((3000, 0.7), (6000, 2.0)):
+        first, last = deadlines_after_a_stall(preload, budget_ms, stall_s)
+        left = budget_ms - 1000 * stall_s
+        assert left - 500 < first < left + 450, f"told {first} ms after {stall_s} s"
+        assert left - 500 < last < left + 450, f"told {last} ms, at most {budget_ms}"
+    first, last = deadlines_after_a_stall(preload, 500, 0.8)
+    assert 100 < last < 300, f"told {last} ms of 500"
+
+
 def unaccepted_requests(vm, freeze_s, count=40):
     """Freezes the VM and sends requests on new connections, every fourth one shortly after the VM runs
     again. Returns the sets of the answers to those sent before and after that."""
