--- a/src/edge.c
+++ b/src/edge.c
@@ -45,8 +45,8 @@
 
 	if (!r) {
 		tlb_counter_add(&b->counters, TLB_COUNTER_CONFIG_REFUSED, 1);
-		tlb_log_error("event=routing_refused in_force=%lld reason=\"%s\"",
-			      (long long)b->routing->version, err->message);
+		tlb_log_error("event=routing_refused source=%s in_force=%lld reason=\"%s\"",
+			      e->routing_load.source, (long long)b->routing->version, err->message);
 		return;
 	}
 	if (r->version <= b->routing->version) {
@@ -63,7 +63,8 @@
 	apply_limits(e, &r->limits);
 }
 
-static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
+static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+			  bool restored)
 {
 	struct tlb_edge *e = arg;
 
@@ -122,36 +123,47 @@
 
 /* --- endpoints --- */
 
-static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row)
+static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row, bool restored)
 {
 	struct tlb_instance_row r;
 	struct tlb_error err;
+	char key[TLB_INSTANCE_ID_LEN];
 
 	if (tlb_platform_read_instance(row->key, row->value, row->len, &r, &err) != TLB_OK) {
-		tlb_log_warn("event=instance_entry_ignored instance=%.63s reason=\"%s\"", row->key,
-			     err.message);
+		tlb_log_warn("event=instance_entry_ignored instance=%s reason=\"%s\"",
+			     tlb_log_escape(key, sizeof(key), row->key), err.message);
+		/* An earlier entry with this key is no longer valid. */
+		tlb_instances_remove(&e->board.instances, row->key, 0, false);
+		return;
+	}
+	if (restored && tlb_instances_know_newer(&e->board.instances, &r)) {
+		tlb_log_info("event=instance_entry_restored instance=%s sequence=%lld", r.id,
+			     (long long)r.sequence);
 		return;
 	}
 	if (tlb_instances_put(&e->board.instances, &r))
 		tlb_log_info("event=instance instance=%s service=%s addr=%s role=%d slots=%d "
 			     "leaving=%d version=%lld",
 			     r.id, r.service, r.addr, (int)r.role, r.slots, r.leaving,
-			     (long long)row->version);
+			     (long long)tlb_stored_number(row->version));
 }
 
-static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline)
+static void on_instance_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+			    bool restored)
 {
 	struct tlb_edge *e = arg;
 	tlb_time now = tlb_clock_now();
+	char key[TLB_INSTANCE_ID_LEN];
 
 	if (!row->removed) {
-		put_instance(e, row);
+		put_instance(e, row, restored);
 		return;
 	}
-	tlb_log_info("event=instance_gone instance=%.63s version=%lld use_ms=%lld", row->key,
-		     (long long)row->version,
+	tlb_log_info("event=instance_gone instance=%s version=%lld use_ms=%lld",
+		     tlb_log_escape(key, sizeof(key), row->key),
+		     (long long)tlb_stored_number(row->version),
 		     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
-	tlb_instances_remove(&e->board.instances, row->key, use_deadline);
+	tlb_instances_remove(&e->board.instances, row->key, use_deadline, restored);
 }
 
 static void on_instances_changed(void *arg)
@@ -205,10 +217,13 @@
 	tlb_counter_set(c, TLB_COUNTER_TABLES_FOLLOWING, e->tables.following);
 	tlb_counter_set(c, TLB_COUNTER_TABLES_AGE,
 			tlb_tables_age(&e->tables, tlb_clock_now()) / TLB_MS);
-	tlb_counter_set(c, TLB_COUNTER_CONFIG_ROWS_VERSION,
-			e->tables.table[TLB_TABLE_CONFIG].replica.complete_version);
-	tlb_counter_set(c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
-			e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version);
+	tlb_counter_set(
+		c, TLB_COUNTER_CONFIG_ROWS_VERSION,
+		tlb_stored_number(e->tables.table[TLB_TABLE_CONFIG].replica.complete_version));
+	tlb_counter_set(
+		c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
+		tlb_stored_number(e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version));
+	tlb_counter_set(c, TLB_COUNTER_STORE_ERA, e->store.era);
 }
 
 static void on_metrics_request(void *arg, struct tlb_exchange *x)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -361,6 +361,123 @@
         equal(vm.call("/pay/1", "POST", b"x")[0], 503, "status")
 
 
+def odd_entries(address):
+    """Returns values that another writer could leave among the entries of endpoints, as text. All name
+    this address where they name one at all."""
+    sound = {"service": "shop", "address": address, "zone": "z1", "version": "v1", "slots": 8,
+             "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1}
+    text = json.dumps(sound)
+    host = address.split(":")[0]
+    changes = [{"slots": 1 << 70}, {"slots": (1 << 63) - 1}, {"slots": (1 << 31) - 1},
+               {"slots": -1}, {"slots": 8.5}, {"born": 1 << 70}, {"born": "today"},
+               {"born": -1}, {"zone": 7}, {"zone": "z" * 5000}, {"service": "s" * 5000}]
+    changes += [{"address": f"{host}:{port}"} for port in (0, 65536, 1 << 70, -1, "", "http")]
+    return [json.dumps(dict(sound, **c)) for c in changes] + [
+        "[" * 20000 + "]" * 20000, "[" * 40000, '{"a":' * 10000 + "1" + "}" * 10000,
+        text[:-1] + ',"more":' + "[" * 20000 + "]" * 20000 + "}",
+        text[:-1] + ',"more":[' + "[]," * 12000 + "[]]}",
+        text.replace('"slots": 8', '"slots": 1e400'), text.replace('"slots": 8', '"slots": -0'),
+        text[:-1] + ',"slots": 8}', text.replace("shop", "sh\\u0000op"), text + text, "", "null"]
+
+
+def check_odd_entry_of_an_endpoint_does_not_stop_a_vm():
+    """A VM must go on and follow the list of endpoints, before and after a start, when another writer
+    has left entries that are nested deeply, or have numbers or ports out of range; none of them
+    names an endpoint to use."""
+    with World(vms=3, shops=2) as w:
+        vm = w.start()
+        odd = odd_entries(w.shops[1].addr)
+        w.store.put("servers", "shop-1", None)
+        for n, value in enumerate(odd):
+            w.store.put("servers", f"odd-{n:02}", value)
+        w.store.put("servers", "shop-2", dict(w.shops[0].entry(), address="127.0.0.1:9"))
+        wait(lambda: all(v.events("instance instance=shop-2") for v in w.vms),
+             "an entry after the odd ones")
+        w.store.put("servers", "shop-2", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-2") for v in w.vms), "its end")
+        pids = [v.process.pid for v in w.vms]
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        equal([v.process.poll() for v in w.vms], [None] * 3, "exit codes")
+        equal([v.process.pid for v in w.vms], pids, "processes")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd entries")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_odd_key_of_an_endpoint_is_not_sent_in_a_header():
+    """An entry whose key can't stand in a header names no endpoint to use: a line break in it began
+    another header of the request."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("", "a\r\nX-Tenant: forged", "b\n", "c d", "e\x7f", "f" * 64, "g" * 200, "k\t"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_unreadable_key_of_an_endpoint_does_not_hide_the_others():
+    """VMs must go on to follow the list of endpoints when a key in it is no readable text; the store's
+    answers counted as damaged as a whole and were read again and again."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.put("servers", "shop-1", None)
+        for key in ("h\0i", "j\ud800"):
+            w.store.put("servers", key, w.shops[1].entry())
+        w.store.put("servers", "z-2", dict(w.shops[1].entry(), service="other"))
+        wait(lambda: vm.events("instance instance=z-2"), "an entry after the odd ones")
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start beside the odd keys")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        equal(w.shops[1].seen, [], "requests to the address of the odd entries")
+
+
+def check_unreadable_page_does_not_end_the_list_of_endpoints():
+    """A VM that starts must read the pages after one without a readable row; the endpoints on them
+    counted as gone."""
+    with World(shops=2) as w:
+        w.start()
+        for key in ("a\0", "a\0b", "h\0", "t\0u"):
+            w.store.put("servers", key, w.shops[0].entry())
+        w.store.page_rows = 2
+        vm = w.vms[0]
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start")
+        for n in range(20):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"q{n}")[0], 200, "status")
+        assert all(s.seen for s in w.shops), "an endpoint on a later page got no request"
+
+
+def check_odd_entry_of_a_known_endpoint_ends_its_use():
+    """An endpoint whose entry can't be read any more must get no new requests until it can."""
+    for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
+        with World(shops=2) as w:
+            vm = w.start()
+            w.store.put("servers", "shop-1", value)
+            wait(lambda: vm.events("instance_entry_ignored instance=shop-1"), "the entry is read")
+            for n in range(20):
+                equal(vm.call("/pay/1", "POST", b"x", attempt=f"p{n}")[0], 200, "status")
+            equal(w.shops[1].seen, [], "requests to an endpoint with an odd entry")
+            w.store.put("servers", "shop-1", w.shops[1].entry())
+            wait(lambda: vm.call("/pay/1", "POST", b"x")[0] == 200 and w.shops[1].seen,
+                 "requests to the endpoint after its entry is back")
+
+
 def check_answer_of_another_request_is_not_passed_on():
     """A response with the attempt id of another request must not reach the caller."""
     with World(shops=1) as w:
@@ -372,6 +489,117 @@
         assert b"secret" not in body
 
 
+def response(status, headers=(), body=b"", end=True):
+    """Returns the bytes of a response, with a length unless there is a header for the body's end."""
+    names = [name for name, _ in headers]
+    if not {"Content-Length", "Transfer-Encoding", "Connection"}.intersection(names):
+        headers = [*headers, ("Content-Length", str(len(body)))]
+    head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers)
+    return head.encode() + (b"\r\n" if end else b"") + body
+
+
+OWN = [("X-Attempt-Id", "a1"), ("X-Response-Signature", "s")]
+OTHER_REFUSAL = [("X-Attempt-Id", "earlier"), ("X-Not-Executed", "1")]
+REFUSAL = [("X-Attempt-Id", "a1"), ("X-Not-Executed", "1")]
+CHUNKED = ("Transfer-Encoding", "chunked")
+
+
+def answer_first(w, raw):
+    """The first request to any endpoint gets these bytes, and its connection is closed."""
+    first = threading.Event()
+
+    def plan(h):
+        if first.is_set() or h.headers.get("X-Serving-Stage"):
+            return False
+        first.set()
+        h.wfile.write(raw)
+        h.wfile.flush()
+        h.close_connection = True
+        return True
+
+    for e in w.shops + w.decodes:
+        e.plan = plan
+
+
+def check_refusal_that_proves_nothing_is_no_promise():
+    """A call that may have run must neither be refused with a promise nor run again: its answer was a
+    refusal of another request, an interim one, or one without its end."""
+    with World() as w:
+        vm = w.start()
+        for what, raw in (
+                ("503 of another", response(503, OTHER_REFUSAL)),
+                ("429 of another", response(429, OTHER_REFUSAL)),
+                ("421 of another", response(421, OTHER_REFUSAL)),
+                ("408 of another", response(408, OTHER_REFUSAL)),
+                ("400 of another", response(400, OTHER_REFUSAL)),
+                ("another's, then the call's", response(503, OTHER_REFUSAL) + response(200, OWN)),
+                ("another's after an interim one", response(100, [("Connection", "x")]) +
+                 response(503, OTHER_REFUSAL)),
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")])),
+                ("interim refusal, then no proof", response(103, REFUSAL + [("Connection", "x")]) +
+                 response(503, [("X-Attempt-Id", "a1")])),
+                ("switched protocols", response(101, REFUSAL + [("Connection", "Upgrade"),
+                                                                ("Upgrade", "x")])),
+                ("cut head", response(503, REFUSAL, end=False)),
+                ("cut head line", response(503, REFUSAL, end=False)[:-1]),
+                ("cut body", response(503, REFUSAL + [("Content-Length", "9")], b"half")),
+                ("cut chunks", response(503, REFUSAL + [CHUNKED], b"4\r\nhalf\r\n")),
+                ("trailer", response(503, [("X-Attempt-Id", "a1"), CHUNKED],
+                                     b"0\r\nX-Not-Executed: 1\r\n\r\n")),
+                ("trailer of another", response(503, [CHUNKED], b"0\r\nX-Not-Executed: 1\r\n"
+                                                b"X-Attempt-Id: a1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, _, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status), (what, 502), "status")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
+def check_bytes_beside_an_answer_change_nothing():
+    """A call that ran must be answered so, and run once, whatever comes before or after its answer."""
+    with World() as w:
+        vm = w.start()
+        done = response(200, OWN, b"done")
+        for what, raw in (
+                ("interim refusal", response(103, REFUSAL + [("Connection", "x")]) + done),
+                ("interim length", response(103, REFUSAL + [("Content-Length", "9")]) + done),
+                ("refusal after it", done + response(503, REFUSAL)),
+                ("text after it", done + b"HTTP/1.1 503"),
+                ("trailers", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                      b"X-Not-Executed: 1\r\nX-Attempt-Id: earlier\r\n\r\n")),
+                ("a head as a trailer", response(200, OWN + [CHUNKED], b"4\r\ndone\r\n0\r\n"
+                                                 b"HTTP/1.1 503: x\r\nX-Not-Executed: 1\r\n\r\n"))):
+            for e in w.shops:
+                e.seen.clear()
+            answer_first(w, raw)
+            status, body, _ = vm.call("/pay/1", "POST", b"x")
+            equal((what, status, body), (what, 200, b"done"), "answer")
+            equal((what, sum(len(s.seen) for s in w.shops)), (what, 1), "arrivals")
+
+
+def check_early_refusal_of_another_request_is_no_promise():
+    """The same when the answer arrives before the request was sent completely; a refusal of the
+    request itself sends it to another endpoint."""
+    for headers, status, arrivals in ((OTHER_REFUSAL, 502, 1), (REFUSAL, 200, 2)):
+        with World() as w:
+            vm = w.start()
+            answered = threading.Event()
+
+            def early(h, headers=headers, answered=answered):
+                if answered.is_set():
+                    return False
+                answered.set()
+                h.wfile.write(response(503, headers))
+                h.wfile.flush()
+                return True
+
+            for e in w.shops:
+                e.plan_early = early
+            equal(vm.call("/pay/1", "POST", b"x" * 99000)[0], status, "status")
+            equal(sum(len(s.seen) for s in w.shops), arrivals, "arrivals")
+
+
 def check_cut_answer_is_not_passed_on():
     """A truncated response must not look complete to the caller."""
     def cut_short(h):
@@ -443,6 +671,26 @@
         equal(runs[0]["X-Kv-Hold"], "h1", "reservation")
 
 
+def check_prefill_of_another_request_is_not_used():
+    """A request must not be decoded from the KV cache of another one, whose answer its prefill got."""
+    with World(prefills=2) as w:
+        vm = w.start()
+
+        def other(h):
+            if sum(len(p.seen) for p in w.prefills) > 1:
+                return False
+            h.reply(200, {"kvHandle": "others", "tokens": 10, "version": 1},
+                    [("X-Attempt-Id", "other")])
+            return True
+
+        for p in w.prefills:
+            p.plan = other
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal((r.status, *read_stream(r)), (200, EVENTS, True), "stream")
+        sources = [h.get("X-Kv-Source", "") for d in w.decodes for h in d.seen]
+        assert not any("others" in s for s in sources), sources
+
+
 def check_no_prefill_without_room():
     """A prompt must not be prefilled before a decode endpoint has granted a reservation."""
     with World() as w:
@@ -735,6 +983,106 @@
         equal(read_stream(r), (EVENTS, True), "stream")
 
 
+STREAM = OWN + [("Content-Type", "text/event-stream")]
+ERROR_HEAD = (b"HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\n"
+              b"failed\n\n")
+
+
+def event(n):
+    return b"id: %d\ndata: piece %d\n\n" % (n, n)
+
+
+def chunks(*pieces, end=True):
+    return b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + (b"0\r\n\r\n" if end else b"")
+
+
+def resume_with(raw, pieces=1):
+    """Returns what a caller gets, and whether it is complete, when the endpoint that should go on with
+    a stream after event 2 sends these bytes; the one after it goes on as it should."""
+    with World(decodes=3) as w:
+        vm = w.start(config(3, routes=[dict(r, maxAttempts=3) for r in config(3)["routes"]]))
+        runs = []
+
+        def plan(h):
+            runs.append(h.headers.get("Last-Event-Id"))
+            if len(runs) == 1:
+                h.stream(0, until=2)
+                h.cut()
+                return True
+            if len(runs) > 2:
+                return False
+            size = -(-len(raw) // pieces)
+            for at in range(0, len(raw), size):
+                h.wfile.write(raw[at:at + size])
+                h.wfile.flush()
+                time.sleep(0.02 if pieces > 1 else 0)
+            h.close_connection = True
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        return read_stream(vm.send("/gen/1", "POST", b"prompt", headers=GEN))
+
+
+def check_error_to_a_resumed_stream_is_not_in_it():
+    """What answers with anything but the rest of a stream must not get into it, nor make it look
+    complete."""
+    plain = OWN + [("Content-Type", "text/plain")]
+    gone = ("Connection", "close")
+    whole = response(200, STREAM + [CHUNKED], chunks(event(3), event(4)))
+    equal(resume_with(whole), (EVENTS, True), "the rest")
+    for status in (500, 503, 502, 429, 404, 400, 302):
+        for headers in (plain, [("Content-Type", "text/event-stream")], STREAM):
+            for raw in (response(status, headers, b"failed\n\n"),
+                        response(status, headers + [CHUNKED], chunks(b"fail", b"ed\n\n")),
+                        response(status, headers + [gone], event(3) + b"failed\n\n")):
+                text, complete = resume_with(raw, 3)
+                assert (text, complete) == (EVENTS, True) or (
+                    not complete and EVENTS.startswith(text)), (raw, text, complete)
+
+
+def check_success_that_is_no_rest_of_a_stream_is_not_in_it():
+    """The same for answers with a status of success."""
+    gzip = ("Content-Encoding", "gzip")
+    for what, raw in (
+            ("text", response(200, OWN + [("Content-Type", "text/plain")], b"failed\n\n")),
+            ("JSON", response(200, OWN + [("Content-Type", "application/json")], b"{}\n\n")),
+            ("no type", response(200, OWN, b"failed\n\n")),
+            ("empty text", response(200, OWN + [("Content-Type", "text/plain")])),
+            ("no signature", response(200, STREAM[:1] + STREAM[2:], event(3) + event(4))),
+            ("empty, no signature", response(200, STREAM[:1] + STREAM[2:])),
+            ("of another", response(200, [("X-Attempt-Id", "b")] + STREAM[1:], event(3) + event(4))),
+            ("encoded", response(200, STREAM + [gzip], b"\x1f\x8b\n\n")),
+            ("empty, encoded", response(200, STREAM + [gzip])),
+            ("no content", response(204, STREAM)),
+            ("part", response(206, STREAM, event(3))),
+            ("created", response(201, STREAM, event(3))),
+            ("refusal", response(200, STREAM + [("X-Not-Executed", "1")], event(3))),
+            ("cut length", response(200, STREAM + [("Content-Length", "500")], event(3))),
+            ("cut chunks", response(200, STREAM + [CHUNKED], chunks(event(3), end=False))),
+            ("cut event", response(200, STREAM + [CHUNKED], chunks(event(3), event(4)[:9]))),
+            ("head for a chunk", response(200, STREAM + [CHUNKED],
+                                          chunks(event(3), end=False) + ERROR_HEAD))):
+        for pieces in (1, 5):
+            equal((what, *resume_with(raw, pieces)), (what, EVENTS, True), "stream")
+
+
+def check_resumed_stream_neither_repeats_nor_goes_back():
+    """A stream must not have events twice when the endpoint that should go on with it begins again, or
+    goes back, or sends an event without an id."""
+    for what, events in (
+            ("again", [event(1), event(2), event(3), event(4)]),
+            ("the last again", [event(2), event(3), event(4)]),
+            ("twice", [event(3), event(3), event(4)]),
+            ("back", [event(3), event(1), event(4)]),
+            ("error", [b"event: error\ndata: failed\n\n"]),
+            ("error after one", [event(3), b"data: failed\n\n"]),
+            ("odd id", [b"id: x\ndata: failed\n\n"])):
+        for raw in (response(200, STREAM + [CHUNKED], chunks(*events)),
+                    response(200, STREAM, b"".join(events))):
+            equal((what, *resume_with(raw)), (what, EVENTS, True), "stream")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
@@ -1428,6 +1776,60 @@
         assert sent <= 78_000, f"{sent:.0f} bytes between VMs for each that received the change"
 
 
+def latencies_while(vm, act, seconds=4.0, interval=0.04):
+    """Sends a call each `interval`, whether earlier ones are answered or not; runs `act` after a
+    while. Returns the sorted latencies in seconds; of calls without an answer 200 it is infinite."""
+    found = []
+
+    def call(n):
+        begin = time.monotonic()
+        try:
+            ok = vm.call("/look/x", attempt=f"l{n}")[0] == 200
+        except OSError:
+            ok = False
+        found.append(time.monotonic() - begin if ok else float("inf"))
+
+    threads = []
+    begin = time.monotonic()
+    for n in range(int(seconds / interval)):
+        if n == int(0.5 / interval):
+            threads.append(threading.Thread(target=act))
+            threads[-1].start()
+        threads.append(threading.Thread(target=call, args=(n,)))
+        threads[-1].start()
+        time.sleep(max(0.0, begin + (n + 1) * interval - time.monotonic()))
+    for t in threads:
+        t.join()
+    return sorted(found)
+
+
+def many_routes(version, count, changed=0):
+    """A configuration with so many routes more, the first `changed` of them with another time-out."""
+    out = config(version)
+    for n in range(count):
+        out["routes"].append({"name": f"m{n}", "hostname": "h.example", "prefix": f"/m{n}/",
+                              "kind": "idempotent", "service": "shop",
+                              "timeoutMs": 1000 + (n < changed)})
+    return out
+
+
+def check_calls_are_answered_in_time_while_a_large_configuration_loads():
+    """The target latency of the route is 200 ms. Before routes were found in a hash table and loaded
+    in slices, the daemon answered nothing for over three seconds."""
+    with World() as w:
+        vm = w.start()
+        for version, changed in ((7, 0), (8, 1)):
+            large = many_routes(version, 20000, changed)
+            found = latencies_while(vm, lambda text=json.dumps(large):
+                                    w.store.put("op", "config", text))
+            wait(lambda v=version: vm.events(f"routing_applied source=store version={v}"),
+                 f"version {version}", 10)
+            late = [f for f in found if f > 0.2]
+            assert len(late) <= len(found) / 20, f"version {version}: {found[-30:]}"
+        equal(vm.call("/m19999/x")[0], 200, "the last route")
+        assert vm.events("routing_read .* parsed=1 shared=20004"), vm.events("routing_read")
+
+
 def check_fleet_starts_for_the_first_time():
     """VMs that start together on an empty store must agree on one secret and find each other."""
     with World(vms=3, first_start=True) as w:
@@ -1602,6 +2004,145 @@
         wait(lambda: vm.events("instance_gone instance=shop-0"), "the removed endpoint")
 
 
+def applied(vm, version):
+    return vm.events(f"routing_applied source=.* version={version}")
+
+
+def restore(store, version):
+    """The store is away for a moment and returns from a copy. Returns its latest version before."""
+    latest = store.version
+    store.down = True
+    time.sleep(0.5)
+    store.restore(version)
+    store.down = False
+    return latest
+
+
+def check_versions_given_out_again_are_read():
+    """After the store has returned from an older copy, a configuration with a version that another
+    row had before must be in force in time, and the restored, older one must not be."""
+    with World(vms=2) as w:
+        w.start()
+        copy = w.store.version
+        w.store.put("op", "config", config(6))
+        wait(lambda: all(applied(v, 6) for v in w.vms), "version 6")
+        for n in range(2):
+            for _ in range(20):
+                w.store.put("any", "row", "x")
+            latest = restore(w.store, copy)
+            w.store.put("op", "config", config(8 + n))
+            assert w.store.version < latest, "the version is not given out again"
+            wait(lambda n=n: all(applied(v, 8 + n) for v in w.vms), f"version {8 + n}", 2.5)
+            wait(lambda n=n: all(len(v.events("store_era")) == n + 1 for v in w.vms),
+                 "the era is logged")
+        for v in w.vms:
+            equal(len(applied(v, 3)), 1, f"times the restored version was applied at {v.name}")
+            equal(v.metric("toucanlb_store_era"), 3, "era")
+
+
+def check_vm_of_an_earlier_era_learns_from_others():
+    """A VM that slept while the store returned from an older copy, and that the store refuses, must
+    take the rows of the others although its own have higher versions, and must not spread those."""
+    with World(vms=3, shops=2) as w:
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        copy = w.store.version
+        for n in range(20):
+            w.store.put("servers", "shop-2", dict(w.shops[1].entry(), slots=n + 1))
+        w.store.put("op", "config", config(6))
+        wait(lambda: all(applied(v, 6) and v.events("instance instance=shop-2") for v in w.vms),
+             "the rows that get lost")
+        sleeper = w.vms[2]
+        sleeper.process.send_signal(signal.SIGSTOP)
+        w.doors[2].closed = True
+        restore(w.store, copy)
+        w.store.put("op", "config", config(8))
+        wait(lambda: all(applied(v, 8) for v in w.vms[:2]), "version 8", 2.5)
+        wait(lambda: all(v.events("instance_gone instance=shop-2") for v in w.vms[:2]),
+             "the lost endpoint is gone")
+        sleeper.process.send_signal(signal.SIGCONT)
+        wait(lambda: sleeper.events("routing_applied source=peer version=8"), "from a peer", 3)
+        wait(lambda: sleeper.events("instance_gone instance=shop-2"), "gone at the sleeper", 3)
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-1") for v in w.vms),
+             "a later change at all VMs", 3)
+        for v in w.vms:
+            equal(len(v.events("instance instance=shop-2")), 1, f"entries of shop-2 at {v.name}")
+
+
+def check_large_fleet_reads_versions_given_out_again():
+    """VMs that do not follow the store must learn of its return from an older copy from others."""
+    with World(vms=20, shops=2) as w:
+        w.start()
+        wait(lambda: sum(v.metric("toucanlb_tables_following") for v in w.vms) <= 8,
+             "most VMs stop following", 15)
+        copy = w.store.version
+        w.store.put("op", "config", config(6))
+        for _ in range(20):
+            w.store.put("servers", "shop-0", w.shops[0].entry())
+        wait(lambda: all(applied(v, 6) for v in w.vms), "version 6 at all VMs", 4)
+        latest = restore(w.store, copy)
+        w.store.put("op", "config", config(8))
+        assert w.store.version < latest, "the version is not given out again"
+        wait(lambda: all(applied(v, 8) for v in w.vms), "version 8 at all VMs", 4)
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance_gone instance=shop-1") for v in w.vms),
+             "a removed endpoint at all VMs", 4)
+
+
+def check_endpoint_missing_from_an_older_copy_stays_in_use():
+    """An endpoint whose entry is newer than the copy that the store returned from is alive and
+    writes its entry again; until then it must stay in use, also if no call failed meanwhile."""
+    with World(shops=0) as w:
+        vm = w.start()
+        copy = w.store.version
+        w.shops.append(Endpoint("shop-0", "shop"))
+        w.store.put("servers", "shop-0", w.shops[0].entry())
+        wait(lambda: vm.events("instance instance=shop-0"), "the entry is read")
+        for _ in range(5):
+            w.store.put("op", "other", "x")
+            w.store.put("servers", "other", None)
+        time.sleep(0.2)
+        w.store.restore(copy)
+        wait(lambda: vm.events("instance_gone instance=shop-0"), "the entry is gone")
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "just after the return")
+        w.store.put("servers", "shop-0", w.shops[0].entry())
+        time.sleep(2.2)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "an entry that was written again")
+        w.store.restore(copy)
+        time.sleep(2.5)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 503, "an entry that does not come back")
+        equal(vm.events("store_lost"), [], "failed calls")
+
+
+def check_restored_entry_brings_no_endpoint_back():
+    """An endpoint that is known to be leaving, or to have left, must not get requests because the
+    store has returned from a copy in which it was ready."""
+    with World(vms=2, shops=3) as w:
+        w.start()
+        copy = w.store.version
+        w.store.put("servers", "shop-0", w.shops[0].entry("draining"))
+        w.store.put("servers", "shop-1", w.shops[1].entry("draining"))
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: all(v.events("instance instance=shop-0 .*leaving=1") and
+                         v.events("instance_gone instance=shop-1") for v in w.vms), "both leave")
+        restore(w.store, copy)
+        wait(lambda: all(v.events("store_era") for v in w.vms), "the era is known")
+        w.store.put("op", "config", config(8))
+        wait(lambda: all(applied(v, 8) for v in w.vms), "version 8")
+        for n in range(10):
+            for v in w.vms:
+                equal(v.call("/pay/1", "POST", b"x", attempt=f"r{n}-{v.name}")[0], 200, "status")
+        equal([len(s.seen) for s in w.shops[:2]], [0, 0], "requests at endpoints that left")
+        known = [len(v.events("instance instance=shop-1")) for v in w.vms]
+        w.store.put("servers", "shop-1", w.shops[1].entry())
+        wait(lambda: all(len(v.events("instance instance=shop-1")) > n
+                         for v, n in zip(w.vms, known)), "a newer entry of the same endpoint")
+        for n in range(20):
+            w.vms[0].call("/pay/1", "POST", b"x", attempt=f"s{n}")
+        assert w.shops[1].seen, "the endpoint that wrote its entry again is in use"
+
+
 def check_limit_holds_over_all_vms():
     """An account must not get its full burst at each VM."""
     limited = [{"name": "acct", "apiKeys": [KEY], "unit": "token_count", "plainTokens": 100,
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -101,24 +101,28 @@
 # The tables without which a VM does not become ready.
 STARTUP_TABLES = ("op", "servers", "toucanlb-secret", "toucanlb-vm")
 SILENCE = object()
+CUT = object()
 SILENCE_S = 15  # longer than any call of the router
 
 
 class Store:
     """Rows with one version counter. Faults: `down`, `read_only`, closed doors, `silent` (calls that
     arrive meanwhile are never answered), `withheld` (only reads of `STARTUP_TABLES` are answered),
-    and a dropped change log (`forgotten`: the last version whose change is no longer available)."""
+    a dropped change log (`forgotten`: the last version whose change is no longer available), and a
+    return from an older copy (`restore`). Pages of a listing have `page_rows` rows."""
 
     def __init__(self):
         self.rows = {}
         self.log = []
         self.version = 0
+        self.era = 1
         self.changed = threading.Condition()
         self.down = False
         self.read_only = False
         self.silent = False
         self.withheld = False
         self.forgotten = 0
+        self.page_rows = 500
         self.calls = 0
 
     def put(self, table, key, value):
@@ -139,20 +143,36 @@
         self.log.append(row)
         self.changed.notify_all()
 
+    def restore(self, version):
+        """Goes back to the rows as of a version; later versions are given out again."""
+        with self.changed:
+            self.log = [r for r in self.log if r["ver"] <= version]
+            self.rows = {}
+            for r in self.log:
+                self.rows[r["table"], r["key"]] = r
+            self.rows = {k: r for k, r in self.rows.items() if "removed" not in r}
+            self.version = version
+            self.era += 1
+            self.changed.notify_all()
+
     def answer(self, **fields):
         return dict(fields, ver=self.version, nowMs=int(time.monotonic() * 1000))
 
-    def listing(self, table):
+    def listing(self, table, start=""):
+        """One page of a table, of at most `page_rows` rows."""
         with self.changed:
-            rows = [r for (t, _), r in sorted(self.rows.items()) if t == table]
-            return self.answer(rows=rows, truncated=False)
+            rows = [r for (t, k), r in sorted(self.rows.items()) if t == table and k >= start]
+            return self.answer(rows=rows[:self.page_rows], truncated=len(rows) > self.page_rows)
 
     def feed(self, table, after, wait_ms, door):
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
+            era = self.era
             while True:
-                if after < self.forgotten:
+                if after < self.forgotten or after > self.version:
                     return None
+                if era != self.era:
+                    return CUT
                 if self.silent:
                     return SILENCE
                 rows = [r for r in self.log if r["table"] == table and r["ver"] > after]
@@ -178,6 +198,9 @@
     store = None
     door = None
 
+    def reply(self, status, payload=b"", headers=()):
+        super().reply(status, payload, [("Store-Era", str(self.store.era)), *headers])
+
     def is_down(self):
         return self.store.down or self.door.closed
 
@@ -189,12 +212,12 @@
         if self.is_down() or (s.withheld and q["table"] not in STARTUP_TABLES):
             return self.reply(503)
         if parts.path == "/rows-get":
-            return self.reply(200, s.listing(q["table"]))
+            return self.reply(200, s.listing(q["table"], q.get("from", "")))
         answer = s.feed(q["table"], int(q["after"]), int(q["waitMs"]), self.door)
         if answer is SILENCE:
             time.sleep(SILENCE_S)
             return self.cut()
-        if self.is_down():
+        if self.is_down() or answer is CUT:
             return self.cut()
         return self.reply(410 if answer is None else 200, answer or {})
 
@@ -224,7 +247,9 @@
         self.stage = stage
         self.slots = slots
         self.born = int(time.time() * 1000)
+        self.sequence = 0
         self.plan = lambda handler: False
+        self.plan_early = lambda handler: False  # the same, before the request's body is read
         self.room = True
         self.hold_pause_s = 0  # before a request for a reservation is answered
         self.free_tokens = None  # larger reservations are refused; None: no limit
@@ -276,6 +301,7 @@
             self.name = f"{former.split('.')[0]}.{len(self.crashes)}"
             store.put("servers", former, None)
         self.born = int(time.time() * 1000)
+        self.sequence = 0
         with self.lock:
             if self.ended:
                 return
@@ -283,8 +309,10 @@
         store.put("servers", self.name, self.entry())
 
     def entry(self, state="ready"):
+        """The entry that it writes now; the sequence rises with every write."""
+        self.sequence += 1
         row = {"service": self.service, "address": self.addr, "zone": "z1", "version": "v1",
-               "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
+               "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": self.sequence,
                "born": self.born}
         if self.stage:
             row["stage"] = self.stage
@@ -338,6 +366,9 @@
 
     def run(self):
         e = self.endpoint
+        if e.plan_early(self):
+            e.seen.append(dict(self.headers.items()))
+            return self.body()
         self.payload = self.body()
         e.seen.append(dict(self.headers.items()))
         if self.headers.get("X-Target-Instance") != e.name:
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -86,9 +86,10 @@
 	while (cases_next(&c)) {
 		if (tlb_platform_read_instance("i-1", c.input, strlen(c.input), &row, &err) ==
 		    TLB_OK)
-			snprintf(got, sizeof(got), "%s %s %s %s slots=%d born=%lld leaving=%d",
+			snprintf(got, sizeof(got),
+				 "%s %s %s %s slots=%d born=%lld sequence=%lld leaving=%d",
 				 roles[row.role], row.service, row.addr, row.zone, row.slots,
-				 (long long)row.started_ms, row.leaving);
+				 (long long)row.started_ms, (long long)row.sequence, row.leaving);
 		else
 			snprintf(got, sizeof(got), "refused: %s", err.message);
 		ck_assert_str_eq(got, c.expected);
@@ -96,6 +97,55 @@
 }
 END_TEST
 
+/* Guards against parsing an entry of any size or depth that another writer left, which costs memory
+ * and time, or the stack. */
+START_TEST(test_instance_size)
+{
+	enum { ENTRY_LEN = 65536 };
+	static const char sound[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\",\"slots\":8,"
+		"\"state\":\"ready\"";
+	static char entry[ENTRY_LEN];
+	struct tlb_instance_row row;
+	struct tlb_error err;
+
+	memset(entry, '[', sizeof(entry));
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, sizeof(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, 100, &row, &err), TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+	memset(entry, ' ', sizeof(entry));
+	memcpy(entry, sound, sizeof(sound) - 1);
+	entry[sizeof(sound)] = '}';
+	ck_assert_int_eq(tlb_platform_read_instance("i-1", entry, 4096, &row, &err), TLB_OK);
+	ck_assert_int_ne(tlb_platform_read_instance("i-1", entry, sizeof(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(err.message, "the entry is too large or nested too deeply");
+}
+END_TEST
+
+/* Guards against an id that changes the headers of requests. */
+START_TEST(test_instance_ids)
+{
+	static const char entry[] =
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z1\",\"slots\":8,"
+		"\"state\":\"ready\"}";
+	static const char *const odd[] = {"", "a\r\nX: y", "a\n", "a b", " a", "a\t", "a\x7f"};
+	struct tlb_instance_row row;
+	struct tlb_error err;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++)
+		ck_assert_int_ne(
+			tlb_platform_read_instance(odd[i], entry, strlen(entry), &row, &err),
+			TLB_OK);
+	ck_assert_int_eq(tlb_platform_read_instance("i-7f3a91c2", entry, strlen(entry), &row, &err),
+			 TLB_OK);
+	ck_assert_str_eq(row.id, "i-7f3a91c2");
+}
+END_TEST
+
 static void describe(const struct tlb_routing *r, char *out, size_t size)
 {
 	const struct tlb_forward_route *route;
@@ -189,6 +239,18 @@
 }
 END_TEST
 
+START_TEST(test_store_era)
+{
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\nstore-era: 7\nB: 2\n"), 7);
+	ck_assert_int_eq(tlb_platform_store_era("A: 1\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era(""), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: -2\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 3x\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era:\n"), 0);
+	ck_assert_int_eq(tlb_platform_store_era("Store-Era: 99999999999999999999999\n"), 0);
+}
+END_TEST
+
 /* Guards against forwarding hop-by-hop response headers to the caller. */
 START_TEST(test_forwarded_head)
 {
@@ -304,9 +366,12 @@
 		return 1;
 	tcase_add_test(t, test_prompts);
 	tcase_add_test(t, test_instances);
+	tcase_add_test(t, test_instance_size);
+	tcase_add_test(t, test_instance_ids);
 	tcase_add_test(t, test_configurations);
 	tcase_add_test(t, test_rows);
 	tcase_add_test(t, test_outcomes);
+	tcase_add_test(t, test_store_era);
 	tcase_add_test(t, test_forwarded_head);
 	tcase_add_test(t, test_handles);
 	tcase_add_loop_test(t, test_load_report, 0, sizeof(reports) / sizeof(reports[0]));
