--- a/src/forward.h
+++ b/src/forward.h
@@ -67,6 +67,7 @@
 	bool begun_soundly;    /* some attempt got beyond the beginning of the answer */
 	bool streaming;	       /* the response to the caller has begun */
 	bool resuming;	       /* the attempt in progress goes on with a response that has begun */
+	bool empty_rest;       /* an endpoint that resumed the stream had no event left */
 	bool resumed_in_place; /* was resumed at the endpoint that interrupted it */
 };
 
@@ -130,6 +131,8 @@
 /* Starts an attempt at an instance and sets f->instance. */
 void tlb_forward_send(struct tlb_forward *f, struct tlb_instance *i, const struct tlb_outbound *o,
 		      tlb_time deadline, tlb_http_data_fn *on_data, tlb_http_done_fn *on_done);
+/* Records what the head of the response, as far as it has arrived, says about f->instance. */
+void tlb_forward_read_notice(struct tlb_forward *f);
 /* Classifies the result of an attempt, records it in the health of the instance, and releases
  * f->instance. */
 enum tlb_attempt_result tlb_forward_record_result(struct tlb_forward *f,
@@ -163,5 +166,8 @@
 /* Retry-after time for the caller in ms: from base_wait to twice that, by random jitter, but at
  * most a third of the time left before its deadline. */
 int tlb_forward_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait);
+/* The same for a request that no endpoint takes. When all of the service have asked for a pause, it
+ * is the time until the first takes requests again. */
+int tlb_forward_unserved_retry_after_ms(const struct tlb_forward *f, tlb_time base_wait);
 
 #endif
--- a/src/instance.c
+++ b/src/instance.c
@@ -40,6 +40,7 @@
 	spec->body = body;
 	spec->body_len = body ? strlen(body) : 0;
 	spec->dedicated_connection = true;
+	spec->keep_head = true;
 	tlb_http_start(http, call, spec);
 }
 
@@ -69,6 +70,29 @@
 	return NULL;
 }
 
+static bool is_leaving(const struct tlb_instance *i)
+{
+	return i->leaving || i->row.leaving;
+}
+
+static bool same_incarnation(int64_t started_ms, const char *addr,
+			     const struct tlb_instance_row *row)
+{
+	return started_ms == row->started_ms && strcmp(addr, row->addr) == 0;
+}
+
+/* Whether this incarnation was leaving when it was removed. */
+static bool has_left(const struct tlb_instances *s, const struct tlb_instance_row *row)
+{
+	const struct tlb_removed_instance *r;
+
+	for (r = s->removed; r < s->removed + TLB_INSTANCES_REMEMBERED; r++)
+		if (r->leaving && strcmp(r->id, row->id) == 0 &&
+		    same_incarnation(r->started_ms, r->addr, row))
+			return true;
+	return false;
+}
+
 static struct tlb_instance *add_instance(struct tlb_instances *s,
 					 const struct tlb_instance_row *row)
 {
@@ -78,23 +102,19 @@
 		return NULL;
 	i->refcount = 1;
 	i->row = *row;
+	i->leaving = has_left(s, row);
 	i->listed = true;
 	i->tokens_per_second = TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND;
 	APR_RING_INSERT_TAIL(&s->all, i, tlb_instance, link);
 	return i;
 }
 
-static bool same_incarnation(const struct tlb_instance_row *a, const struct tlb_instance_row *b)
-{
-	return a->started_ms == b->started_ms && strcmp(a->addr, b->addr) == 0;
-}
-
 bool tlb_instances_put(struct tlb_instances *s, const struct tlb_instance_row *row)
 {
 	struct tlb_instance *i = tlb_instances_find(s, row->id);
 	bool changed;
 
-	if (i && !same_incarnation(&i->row, row)) {
+	if (i && !same_incarnation(i->row.started_ms, i->row.addr, row)) {
 		remove_instance(i);
 		i = NULL;
 	}
@@ -127,15 +147,17 @@
 	return newest;
 }
 
-static void remember(struct tlb_instances *s, const struct tlb_instance_row *row)
+static void remember(struct tlb_instances *s, const struct tlb_instance *i)
 {
 	struct tlb_removed_instance *r = &s->removed[s->next_removed];
 
-	if (row->started_ms <= 0 || row->sequence <= 0)
+	if (!is_leaving(i) && (i->row.started_ms <= 0 || i->row.sequence <= 0))
 		return;
-	strcpy(r->id, row->id);
-	r->started_ms = row->started_ms;
-	r->sequence = row->sequence;
+	strcpy(r->id, i->row.id);
+	strcpy(r->addr, i->row.addr);
+	r->started_ms = i->row.started_ms;
+	r->sequence = i->row.sequence;
+	r->leaving = is_leaving(i);
 	s->next_removed = (s->next_removed + 1) % TLB_INSTANCES_REMEMBERED;
 }
 
@@ -161,10 +183,10 @@
 static void unlist(struct tlb_instances *s, struct tlb_instance *i, tlb_time use_deadline,
 		   bool lost)
 {
-	if (use_deadline == 0 || i->row.leaving) {
+	if (use_deadline == 0 || is_leaving(i)) {
 		/* A leaving one that is lost has left as well. */
-		if (!lost || i->row.leaving)
-			remember(s, &i->row);
+		if (!lost || is_leaving(i))
+			remember(s, i);
 		remove_instance(i);
 		return;
 	}
@@ -182,12 +204,23 @@
 		unlist(s, i, use_deadline, lost);
 }
 
-bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
+bool tlb_instance_in_service(const struct tlb_instance *i, tlb_time now)
 {
-	return !i->row.leaving && now >= i->switching_until &&
+	return !is_leaving(i) && now >= i->switching_until &&
 	       (i->listed || now < i->unlisted_deadline);
 }
 
+bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now)
+{
+	return tlb_instance_in_service(i, now) && now >= i->backoff_until;
+}
+
+bool tlb_instance_takes_reserved(const struct tlb_instance *i, tlb_time now)
+{
+	return tlb_instance_in_service(i, now) &&
+	       (now >= i->backoff_until || now < i->reserved_use_until);
+}
+
 void tlb_tried_instances_add(struct tlb_tried_instances *t, const char *id)
 {
 	if (t->count == TLB_TRIED_MAX)
@@ -350,6 +383,20 @@
 	return n;
 }
 
+tlb_time tlb_instances_usable_at(const struct tlb_instances *s, const char *service,
+				 enum tlb_role role, tlb_time now)
+{
+	const struct tlb_instance *i;
+	tlb_time first = TLB_NEVER;
+
+	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
+		if (i->row.role == role && tlb_instance_in_service(i, now) &&
+		    strcmp(i->row.service, service) == 0 && i->backoff_until < first)
+			first = i->backoff_until;
+	}
+	return first > now ? first : now;
+}
+
 /* The median latency of the instances with the same service and role. */
 static tlb_time median_latency(const struct tlb_instances *s, const struct tlb_instance *peer)
 {
@@ -365,6 +412,28 @@
 	return tlb_health_median_latency(latency, n);
 }
 
+bool tlb_instance_back_off(struct tlb_instance *i, int64_t pause_ms, tlb_time now)
+{
+	tlb_time until = now + TLB_INSTANCE_BACKOFF_MAX;
+	bool begins = now >= i->backoff_until;
+
+	if (pause_ms < TLB_INSTANCE_BACKOFF_MAX / TLB_MS)
+		until = now + pause_ms * TLB_MS;
+	if (begins)
+		i->reserved_use_until = now + TLB_INSTANCE_RESERVED_GRACE;
+	if (until > i->backoff_until)
+		i->backoff_until = until;
+	return begins;
+}
+
+bool tlb_instance_mark_leaving(struct tlb_instance *i)
+{
+	bool was_leaving = i->leaving;
+
+	i->leaving = true;
+	return !was_leaving;
+}
+
 bool tlb_instances_record_outcome(struct tlb_instances *s, struct tlb_instance *i, bool ok,
 				  tlb_time latency, tlb_time now)
 {
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -819,11 +819,52 @@
 
 def check_claimed_roles_are_left_alone():
     """A VM must not send orders while the store holds another VM's claim."""
+    for at_ms in (1 << 50, (1 << 63) - 1, "today"):
+        with World(prefills=3) as w:
+            w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": at_ms})
+            start_with_full_decodes(w)
+            wait(lambda w=w: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
+            equal(orders_of(w), [], "orders")
+
+
+def check_lost_claim_of_roles_is_respected():
+    """After the store has returned from an older copy, a claim of another VM may be lost with the
+    latest rows; its orders may still arrive."""
     with World(prefills=3) as w:
+        vm = w.start(role_config())
+        copy = w.store.version
         w.store.put("toucanlb-role", "llm", {"vm": "vm-9", "at_ms": 1 << 50})
+        w.store.put("op", "config", dict(role_config(), version=4))
+        wait(lambda: applied(vm, 4), "version 4")
+        restore(w.store, copy)
+        wait(lambda: vm.events("store_era"), "the era is known")
+        began = time.monotonic()
+        for d in w.decodes:
+            d.load = {"running": 8, "kvUsed": 900}
+        equal(late_answer(vm, 6000), 200, "status")
+        wait(lambda: orders_of(w), "an order", 30)
+        assert time.monotonic() - began >= 14.5, f"ordered after {time.monotonic() - began:.1f} s"
+
+
+def check_fence_of_roles_rises_when_versions_go_back():
+    """Fencing numbers must rise although the store gives out versions again; the VM that knows its
+    own claim to be valid goes on."""
+    with World(prefills=3) as w:
+        copy = w.store.version
         start_with_full_decodes(w)
-        wait(lambda: w.vms[0].events("role_change_given_up"), "a change is given up", 8)
-        equal(orders_of(w), [], "orders")
+        for _ in range(20):
+            w.store.put("any", "row", "x")
+        wait(lambda: len(orders_of(w)) == 1, "an order", 8)
+        first = orders_of(w)[0][1]["fence"]
+        restore(w.store, copy)
+        w.store.put("op", "config", role_config())
+        for e in w.prefills + w.decodes:
+            w.store.put("servers", e.name, e.entry())
+        w.prefills.append(Endpoint("pre-9", "llm", "prefill"))
+        w.store.put("servers", "pre-9", w.prefills[-1].entry())
+        wait(lambda: len(orders_of(w)) == 2, "a second order", 12)
+        second = [o["fence"] for _, o in orders_of(w) if o["fence"] != first]
+        assert len(second) == 1 and second[0] > first, (first, second)
 
 
 def check_unanswered_order_is_not_repeated():
@@ -857,6 +898,219 @@
         assert len(w.prefills[0].seen) <= 2, f"asked {len(w.prefills[0].seen)} times"
 
 
+def expect_no_calls(vm, endpoint, count=10):
+    """Sends plain calls, none of which may reach the endpoint."""
+    before = len(endpoint.seen)
+    for n in range(count):
+        equal(vm.call("/pay/1", "POST", b"x", attempt=f"n{n}")[0], 200, "status")
+    equal(len(endpoint.seen) - before, 0, f"requests at {endpoint.name}")
+
+
+def call_until_seen(vm, endpoint):
+    """Sends plain calls until one reaches the endpoint; returns the answer to that one."""
+    for n in range(100):
+        status, _, r = vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")
+        equal(status, 200, "status")
+        if endpoint.seen:
+            return r
+    raise AssertionError(f"no request reached {endpoint.name}")
+
+
+def check_endpoint_that_asks_for_a_pause_gets_no_requests():
+    """An endpoint that refuses with a time must get no requests until then, and must not count as
+    failing; a time that is not a number of seconds must change nothing."""
+    with World() as w:
+        vm = w.start()
+        refuser = w.shops[0]
+        refuser.plan = lambda h: h.refuse()
+        refuser.retry_after = "1.5"
+        call_until_seen(vm, refuser)
+        end = time.monotonic() + 1.3
+        while time.monotonic() < end:
+            expect_no_calls(vm, refuser, 1)
+            time.sleep(0.02)
+        equal(len(refuser.seen), 1, "requests before the end of the pause")
+        wait(lambda: vm.events("instance_backoff instance=shop-0 service=shop"), "the log line")
+        refuser.plan = lambda h: False
+        time.sleep(0.3)
+        refuser.seen.clear()
+        call_until_seen(vm, refuser)
+        equal(vm.events("instance_eject"), [], "ejections")
+        refuser.plan = lambda h: h.refuse()
+        for value in ("", "soon", "-2", "1e3", "Wed, 21 Oct 2026 07:28:00 GMT", "0"):
+            refuser.retry_after = value
+            for _ in range(2):
+                refuser.seen.clear()
+                call_until_seen(vm, refuser)
+        equal(len(vm.events("instance_backoff")), 1, "pauses")
+
+
+def check_unproved_refusal_with_a_time_is_no_fault():
+    """An endpoint that asks for a pause without stating that the request did not run must not count
+    as failing, and its answer is no promise."""
+    with World(shops=1) as w:
+        vm = w.start()
+        w.shops[0].plan = lambda h: h.reply(503) or True
+        w.shops[0].retry_after = "0.1"
+        for n in range(5):
+            equal(vm.call("/pay/1", "POST", b"x", attempt=f"u{n}")[0], 502, "status")
+            time.sleep(0.15)
+        equal(vm.events("instance_eject"), [], "ejections")
+
+
+def check_pause_stops_requests_that_arrive_in_numbers():
+    """Of many requests that are in flight or arrive when an endpoint asks for a pause, none may
+    reach it later than half a second after its answer."""
+    with World() as w:
+        vm = w.start()
+        refuser = w.shops[0]
+        arrivals = []
+        refused = []
+
+        def plan(h):
+            arrivals.append(time.monotonic())
+            time.sleep(0.1)
+            refused.append(time.monotonic())
+            return h.refuse()
+
+        refuser.plan = plan
+        refuser.retry_after = "2"
+        end = time.monotonic() + 1.5
+        results = []
+
+        def client(n):
+            while time.monotonic() < end:
+                results.append(vm.call("/pay/1", "POST", b"x", attempt=f"c{n}")[0])
+
+        threads = [threading.Thread(target=client, args=(n,)) for n in range(16)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        assert len(arrivals) > 1, "requests in flight at the refusal"
+        equal([t for t in arrivals if t > refused[0] + 0.5], [], "late arrivals")
+        equal(set(results), {200}, "statuses")
+
+
+def check_caller_is_told_when_all_endpoints_end_their_pause():
+    """While all endpoints of a service ask for a pause, callers must be refused at once, with the
+    time until the first takes requests again, and must be served then."""
+    with World() as w:
+        vm = w.start()
+        refused = []
+        for s, pause in zip(w.shops, ("1.2", "5")):
+            s.plan = lambda h: refused.append(time.monotonic()) or h.refuse()
+            s.retry_after = pause
+        status, body, r = vm.call("/pay/1", "POST", b"x")
+        equal((status, r.getheader("Server-Leaving")), (503, None), "answer when both refused")
+        for path in ("/pay/1", "/look/1"):
+            began = time.monotonic()
+            status, body, r = vm.call(path, "POST", b"x")
+            equal((status, b"no_endpoint" in body), (503, True), "answer during the pauses")
+            now = time.monotonic()
+            assert now - began < 0.5, "held"
+            pause = float(r.getheader("Retry-After"))
+            assert refused[0] + 1.2 - now - 0.01 < pause < 1.35, f"told {pause} s"
+        equal([len(s.seen) for s in w.shops], [1, 1], "requests at the endpoints")
+        w.shops[0].plan = lambda h: False
+        time.sleep(pause)
+        equal(vm.call("/pay/1", "POST", b"x")[0], 200, "status after the pause")
+
+
+def check_model_request_is_not_held_through_a_pause_that_it_cannot_wait_for():
+    """A model request must be refused at once when all decode endpoints ask for a pause that ends
+    too late for it, and must wait for the end of one that does not."""
+    with World() as w:
+        vm = w.start()
+        for d in w.decodes:
+            d.room = False
+            d.retry_after = "1.5"
+        for n in range(3):
+            began = time.monotonic()
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+            r.read()
+            equal(r.status, 503, "status during a long pause")
+            assert time.monotonic() - began < 0.5, "held"
+            assert 1 < float(r.getheader("Retry-After")) <= 1.7, r.getheader("Retry-After")
+        equal([d.holds for d in w.decodes], [1, 1], "requests for reservations")
+        time.sleep(1.6)
+        for d in w.decodes:
+            d.retry_after = "0.3"
+        threading.Timer(0.1, lambda: [setattr(d, "room", True) for d in w.decodes]).start()
+        began = time.monotonic()
+        equal(late_answer(vm, 6000), 200, "status with a short pause")
+        assert time.monotonic() - began > 0.28, "the pause is over"
+        equal(sum(d.holds for d in w.decodes), 5, "requests for reservations")
+
+
+def reserve_before_a_pause(w, prefill_s):
+    """Sends a model request whose prefill takes that long; meanwhile the endpoint that has granted
+    its reservation refuses another one with a time. Returns that endpoint."""
+    vm = w.start()
+    w.prefills[0].plan = lambda h: time.sleep(prefill_s)
+    results = []
+    first = threading.Thread(target=lambda: results.append(late_answer(vm, 6000)))
+    first.start()
+    wait(lambda: w.prefills[0].seen, "the first prefill")
+    granter = next(d for d in w.decodes if d.holds)
+    for d in w.decodes:
+        d.room = False
+    granter.retry_after = "3"
+    equal(late_answer(vm, 6000), 503, "status without room")
+    wait(lambda: vm.events(f"instance_backoff instance={granter.name}"), "the pause begins")
+    first.join()
+    equal(results, [200], "status with a reservation")
+    equal(granter.released, [], "releases in the pause")
+    return granter
+
+
+def check_reservation_made_before_a_pause_is_used():
+    """A request that holds a reservation must still run when its endpoint refuses others with a
+    time meanwhile; there is room for it."""
+    with World(decodes=1) as w:
+        granter = reserve_before_a_pause(w, 0.2)
+        equal([h.get("X-Kv-Hold") for h in granter.seen], ["h1"], "runs")
+
+
+def check_reservation_is_not_used_late_in_a_pause():
+    """A request whose endpoint has asked for a pause long before its prefill ends must run at
+    another one."""
+    with World() as w:
+        granter = reserve_before_a_pause(w, 1.5)
+        equal(len(granter.seen), 0, "runs at the endpoint that asked for a pause")
+
+
+def check_engines_that_ask_for_a_pause_get_no_prefill_and_no_run():
+    """Engines that refuse a prefill or a run with a time must get none until then, nor calls for
+    their load; the request goes on at the others."""
+    with World(prefills=2) as w:
+        w.start(role_config())
+        vm = w.vms[0]
+        refuser = {}  # the engine of each stage that is asked first
+
+        def plan(h):
+            e = h.endpoint
+            return refuser.setdefault(e.stage, e) is e and h.refuse()
+
+        for e in w.prefills + w.decodes:
+            e.plan = plan
+            e.retry_after = "5"
+        for _ in range(9):
+            equal(late_answer(vm, 6000), 200, "status")
+        other = next(p for p in w.prefills if p is not refuser["prefill"])
+        refusers = list(refuser.values())
+        equal([len(e.seen) for e in refusers], [1, 1], "requests")
+        equal(refuser["decode"].holds, 1, "reservations")
+        before = [e.reports for e in refusers]
+        others = other.reports
+        wait(lambda: other.reports > others + 1, "the others are asked for their load")
+        equal([e.reports for e in refusers], before, "load reports")
+        other.plan = lambda h: h.refuse()
+        for _ in range(4):
+            equal(late_answer(vm, 6000), 200, "status without a prefill engine")
+        equal([len(e.seen) for e in refusers + [other]], [1, 1, 10], "requests")
+
+
 def check_refused_prefill_keeps_its_decode_reservation():
     """A request whose prefill is refused must go on with the decode reservation that it holds; it
     made another one, and found no room when its own reservation had taken the last."""
@@ -1083,6 +1337,54 @@
             equal((what, *resume_with(raw)), (what, EVENTS, True), "stream")
 
 
+def check_head_inside_a_stream_is_not_in_it():
+    """The head of another answer inside a stream must not reach the caller, whether the stream was
+    resumed or not, and whether it is at the end of an event or inside one."""
+    for inside in (b"", b"id: 4\ndata: pie"):
+        body = event(3) + inside + ERROR_HEAD
+        for headers, text in ((STREAM + [CHUNKED], chunks(body)), (STREAM, body),
+                              (STREAM + [("Connection", "close")], body)):
+            equal(resume_with(response(200, headers, text), 3), (EVENTS, True), "resumed")
+        with World(decodes=2) as w:
+            vm = w.start()
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+            equal(read_stream(r), (EVENTS, True), "from the start")
+            answer_first(w, response(200, STREAM + [("Connection", "close")],
+                                     event(1) + event(2) + body))
+            r = vm.send("/once/1", "POST", b"prompt", headers=GEN)
+            text, complete = read_stream(r)
+            assert r.status == 502 or (not complete and EVENTS.startswith(text)), (r.status, text)
+
+
+def check_empty_rest_of_a_stream_does_not_end_it():
+    """A stream must not end as if it were complete because one endpoint that should go on with it has
+    nothing to add; when a second one has nothing either, it was complete."""
+    for headers, body in ((STREAM + [CHUNKED], chunks()), (STREAM, b""),
+                          (STREAM + [CHUNKED], chunks(b": comment\n\n"))):
+        text, complete = resume_with(response(200, headers, body))
+        equal((text.replace(": comment\n\n", ""), complete), (EVENTS, True), "stream")
+    with World() as w:
+        vm = w.start()
+        broken = threading.Event()
+
+        def break_off_at_the_end(h):
+            if broken.is_set():
+                return False
+            broken.set()
+            h.begin_stream()
+            for n in range(1, 5):
+                h.event(n)
+            h.cut()
+            return True
+
+        for d in w.decodes:
+            d.plan = break_off_at_the_end
+        r = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        equal(read_stream(r), (EVENTS, True), "stream that broke off after its last event")
+
+
 def check_stream_that_may_not_repeat_is_cut():
     """A non-resumable stream must end visibly incomplete when its endpoint disconnects."""
     def break_off(h):
@@ -1677,7 +1979,7 @@
         vm = w.start()
         change_settings(vm, "drain_timeout_ms: 8000", "drain_timeout_ms: 5000")
         for d in w.decodes:
-            d.plan = lambda h: h.stream(0, pause=3) or True
+            d.plan = lambda h: h.stream(int(h.headers.get("Last-Event-Id") or 0), pause=3) or True
         stream = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
         vm.process.send_signal(signal.SIGTERM)
         begun = time.monotonic()
@@ -1803,9 +2105,9 @@
     return sorted(found)
 
 
-def many_routes(version, count, changed=0):
+def many_routes(version, count, changed=0, **changes):
     """A configuration with so many routes more, the first `changed` of them with another time-out."""
-    out = config(version)
+    out = config(version, **changes)
     for n in range(count):
         out["routes"].append({"name": f"m{n}", "hostname": "h.example", "prefix": f"/m{n}/",
                               "kind": "idempotent", "service": "shop",
@@ -1839,6 +2141,52 @@
         equal(len([k for k in w.store.rows if k[0] == "toucanlb-vm"]), 3, "rows of VMs")
 
 
+def check_lost_rows_of_vms_are_written_again():
+    """The secret and the rows of VMs that are gone after the store's return from an older copy must
+    be written again soon, and the secret must be the same: links stay, and VMs that start find the
+    others."""
+    with World(vms=3, first_start=True) as w:
+        copy = w.store.version  # before the VMs have written anything
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        own = {k for k in w.store.rows if k[0] in ("toucanlb-secret", "toucanlb-vm")}
+        equal(len(own), 4, "rows of the fleet")
+        secret = w.store.rows["toucanlb-secret", "peer"]["value"]
+        restore(w.store, copy)
+        wait(lambda: own <= set(w.store.rows), "the rows are there again", 3)
+        equal(w.store.rows["toucanlb-secret", "peer"]["value"], secret, "the secret")
+        w.store.put("op", "config", config(3))
+        equal(sum(len(v.events("link_down")) for v in w.vms), 0, "links that were lost")
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM finds the others")
+
+
+def check_vms_agree_on_another_secret():
+    """When another secret is in the store after its return from an older copy, VMs must take it and
+    talk to each other all the time, and to a VM that knows only the new one."""
+    with World(vms=3) as w:
+        w.start()
+        wait(lambda: all(len(v.events("link_up")) >= 2 for v in w.vms), "the VMs are linked")
+        w.store.down = True
+        time.sleep(0.5)
+        w.store.put("toucanlb-secret", "peer", "6b" * 32)
+        w.store.restore(w.store.version)
+        w.store.down = False
+        wait(lambda: all(v.events("peer_key_changed") for v in w.vms), "the secret is read", 3)
+        time.sleep(4)
+        w.doors[1].closed = True
+        w.store.put("op", "config", config(8))
+        wait(lambda: w.vms[1].events("routing_applied source=peer version=8"), "from a peer")
+        for name in ("link_down", "vm_heard_again", "bad_frame"):
+            equal(sum(len(v.events(name)) for v in w.vms), 0, name)
+        w.vms[2].kill()
+        os.remove(w.vms[2].log)
+        w.vms[2].start()
+        wait(lambda: w.vms[2].ready() and w.vms[2].events("link_up"), "a VM with the new one")
+
+
 def check_store_that_was_silent_is_read_soon():
     """A call that was lost in an outage must not delay changes until the longest wait for changes
     has passed; they have to be in force within two seconds of the store's return."""
@@ -1987,6 +2335,133 @@
         equal(len(w.shops[0].seen), 0, "requests at the leaving endpoint")
 
 
+def check_endpoint_whose_answer_says_that_it_leaves_gets_no_new_work():
+    """An endpoint that says in an answer that it leaves must get no new request, also while its
+    entry says that it is ready, until it starts anew; the caller gets the answer as it is."""
+    with World() as w:
+        vm = w.start()
+        leaver = w.shops[0]
+        leaver.leaving = True
+        equal(call_until_seen(vm, leaver).getheader("Server-Leaving"), "1", "header")
+        expect_no_calls(vm, leaver)
+        w.store.put("servers", "shop-0", dict(leaver.entry(), sequence=2, slots=9))
+        time.sleep(0.3)
+        expect_no_calls(vm, leaver)
+        w.store.put("servers", "shop-0", None)
+        wait(lambda: vm.events("instance_gone instance=shop-0"), "the entry is gone")
+        w.store.put("servers", "shop-0", leaver.entry())
+        wait(lambda: len(vm.events("instance instance=shop-0")) > 1, "the entry is back")
+        expect_no_calls(vm, leaver)
+        leaver.leaving = False
+        leaver.seen.clear()
+        w.store.put("servers", "shop-0", dict(leaver.entry(), born=leaver.born + 5000))
+        wait(lambda: len(vm.events("instance instance=shop-0")) > 2, "it starts anew")
+        equal(len(vm.events("instance_leaving instance=shop-0 service=shop")), 1, "log lines")
+        call_until_seen(vm, leaver)
+
+
+def check_refusal_or_error_that_says_that_the_endpoint_leaves():
+    """An endpoint that says that it leaves with a refusal, an error or an answer that breaks
+    off must get no new request either."""
+    def refuse(h):
+        h.reply(503, headers=[("X-Not-Executed", "1")])
+        return True
+
+    def break_off(h):
+        h.send_response(200)
+        h.send_header("Content-Length", "100")
+        h.end_headers()
+        h.wfile.write(b"part")
+        h.wfile.flush()
+        time.sleep(0.05)
+        h.cut()
+        return True
+
+    for plan in (refuse, lambda h: h.answer(500, b"error") or True, break_off):
+        with World() as w:
+            vm = w.start()
+            leaver = w.shops[0]
+            leaver.leaving = True
+            leaver.plan = plan
+            for n in range(100):
+                if leaver.seen:
+                    break
+                vm.call("/look/1", attempt=f"e{n}")
+            equal(len(leaver.seen), 1, "requests")
+            expect_no_calls(vm, leaver)
+
+
+def check_stream_whose_head_says_that_the_endpoint_leaves():
+    """The head of a stream that goes on for seconds must end new work at its endpoint at once; the
+    stream itself must go on there to its end."""
+    with World() as w:
+        vm = w.start()
+        def plan(h):
+            h.endpoint.leaving = True
+            h.stream(0, pause=0.5)
+            return True
+
+        for d in w.decodes:
+            d.plan = plan
+        first = vm.send("/gen/1", "POST", b"prompt", headers=GEN)
+        leaver = next(d for d in w.decodes if d.seen)
+        other = next(d for d in w.decodes if not d.seen)
+        other.plan = lambda h: False
+        other.room = False
+        equal(late_answer(vm, 6000), 503, "status without room at the other")
+        equal((len(leaver.seen), leaver.holds), (1, 1), "runs and reservations at the leaving one")
+        other.room = True
+        equal(late_answer(vm, 6000), 200, "status with room at the other")
+        equal(read_stream(first), (EVENTS, True), "stream")
+        equal((len(leaver.seen), leaver.holds), (1, 1), "runs and reservations at the leaving one")
+
+
+def check_reservation_at_an_endpoint_that_says_that_it_leaves():
+    """An endpoint that says that it leaves when it grants a reservation must not get the request:
+    the reservation is released, and the request runs elsewhere."""
+    with World() as w:
+        vm = w.start()
+        w.decodes[0].leaving = True
+        for n in range(8):
+            equal(late_answer(vm, 6000), 200, "status")
+        leaver = w.decodes[0]
+        equal((leaver.holds, len(leaver.seen)), (1, 0), "reservations and runs")
+        wait(lambda: leaver.released == ["/hold-drop/h1"], "the reservation is released")
+
+
+def check_prefill_answer_that_says_that_the_endpoint_leaves():
+    """The KV cache of a prefill must be fetched although its endpoint says that it leaves; new
+    prefills must go elsewhere."""
+    with World(prefills=2) as w:
+        vm = w.start()
+        for p in w.prefills:
+            p.leaving = True
+        equal(late_answer(vm, 6000), 200, "status")
+        leaver = next(p for p in w.prefills if p.seen)
+        other = next(p for p in w.prefills if not p.seen)
+        other.leaving = False
+        runs = [h for d in w.decodes for h in d.seen]
+        equal([h["X-Kv-Source"] for h in runs], [f"{leaver.addr}/kv1"], "KV cache")
+        for n in range(6):
+            equal(late_answer(vm, 6000), 200, "status")
+        equal((len(leaver.seen), len(other.seen)), (1, 6), "prefills")
+
+
+def check_load_report_that_says_that_the_engine_leaves():
+    """A load report that says that its engine leaves must end new work there."""
+    with World(prefills=3) as w:
+        w.start(role_config())
+        vm = w.vms[0]
+        equal(late_answer(vm, 6000), 200, "status")
+        leaver = w.prefills[0]
+        before = len(leaver.seen)
+        leaver.leaving = True
+        wait(lambda: vm.events("instance_leaving instance=pre-0"), "the load report is read", 8)
+        for n in range(6):
+            equal(late_answer(vm, 6000), 200, "status")
+        equal(len(leaver.seen), before, "prefills at the leaving engine")
+
+
 def check_dropped_history_is_read_again():
     """Changes must not be missed when the store has dropped its change log."""
     with World() as w:
@@ -2566,6 +3041,25 @@
     time.sleep(CONTACT_S)
 
 
+def check_evidence_that_the_store_has_lost_is_written_again():
+    """Rows of evidence that are gone after the store's return from an older copy must be written
+    again: after a restart of all VMs the parts would crash endpoints once more."""
+    with World(**TAINTED) as w:
+        start_tainted(w)
+        copy = w.store.version
+        crash_on_parts(w, "d1")
+        with SoundCallers(w.vms):
+            crash_until_known(w, send_deadly(w.vms))
+        rows = stored_evidence(w)
+        assert rows, "evidence is in the store"
+        restore(w.store, copy)
+        wait(lambda: stored_evidence(w) >= rows, "the rows are there again", 12)
+
+
+def stored_evidence(w):
+    return {key for table, key in list(w.store.rows) if table == "toucanlb-quarantine"}
+
+
 def check_crashes_before_a_verdict_survive_a_restart_of_all_vms():
     """Crashes that are not yet enough for a verdict must count although all VMs restart after every
     second request."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -113,7 +113,8 @@
 
     def __init__(self):
         self.rows = {}
-        self.log = []
+        self.log = []  # changes that can be read
+        self.history = []  # all changes, for `restore`
         self.version = 0
         self.era = 1
         self.changed = threading.Condition()
@@ -141,14 +142,16 @@
             row["value"] = base64.b64encode(value.encode()).decode()
             self.rows[table, key] = row
         self.log.append(row)
+        self.history.append(row)
         self.changed.notify_all()
 
     def restore(self, version):
         """Goes back to the rows as of a version; later versions are given out again."""
         with self.changed:
             self.log = [r for r in self.log if r["ver"] <= version]
+            self.history = [r for r in self.history if r["ver"] <= version]
             self.rows = {}
-            for r in self.log:
+            for r in self.history:
                 self.rows[r["table"], r["key"]] = r
             self.rows = {k: r for k, r in self.rows.items() if "removed" not in r}
             self.version = version
@@ -255,6 +258,7 @@
         self.free_tokens = None  # larger reservations are refused; None: no limit
         self.reserved = []  # tokens of the reservations granted
         self.load = {}  # fields of the load report
+        self.reports = 0
         self.orders = []
         self.order_status = 202  # None: orders are not answered
         self.seen = []
@@ -264,6 +268,8 @@
         self.open = set()  # connections
         self.crashes = []  # times
         self.ended = False
+        self.leaving = False  # all answers say that it leaves
+        self.retry_after = None  # in all refusals
         self.lock = threading.Lock()
 
     def crash(self, store, down_s=0.3, new_id=False):
@@ -337,8 +343,23 @@
             self.endpoint.open.discard(self.connection)
         super().finish()
 
+    def send_response(self, code, message=None):
+        super().send_response(code, message)
+        if code == 503 and self.endpoint.retry_after is not None:
+            self.send_header("Retry-After", self.endpoint.retry_after)
+
+    def end_headers(self):
+        if self.endpoint.leaving:
+            self.send_header("Server-Leaving", "1")
+        super().end_headers()
+
+    def refuse(self):
+        self.reply(503, headers=[("X-Not-Executed", "1")])
+        return True
+
     def do_GET(self):
         if self.path == "/report":
+            self.endpoint.reports += 1
             report = {"stage": self.endpoint.stage, "running": 0, "waiting": 0, "kvUsed": 0,
                       "kvTotal": 1000}
             return self.reply(200, dict(report, **self.endpoint.load))
