Let a reservation lapse from when it was requested

What callers saw: nothing; after a stall a decode endpoint was asked to use a reservation that it no longer held. Cause: the lifetime of a reservation was counted from when its grant was read, which may have waited for a late loop. Evidence: a grant that arrives during a stop of 2.2 s, lifetime 2 s: the decode is sent with the reservation. Change: the lifetime counts from when the request for it was sent. A reservation that has lapsed is dropped, as before, and the decode goes without one.

--- a/src/decode_reservation.c
+++ b/src/decode_reservation.c
@@ -38,7 +38,9 @@
 static void finish_held(struct tlb_decode_reservation *r, int life_ms)
 {
 	r->state = TLB_DECODE_RESERVATION_HELD;
-	r->expires_at = tlb_clock_now() + life_ms * TLB_MS;
+	/* The answer may have waited for a late loop; it was not given before the request was sent.
+	 */
+	r->expires_at = r->sent_at + life_ms * TLB_MS;
 	finish(r, true);
 }
 
@@ -118,6 +120,7 @@
 	};
 
 	r->state = TLB_DECODE_RESERVATION_PENDING;
+	r->sent_at = tlb_clock_now();
 	tlb_instance_call(r->instance, r->board->http, &r->call, &spec,
 			  tlb_platform_reservation_target(), body);
 	free(body);
--- a/src/decode_reservation.h
+++ b/src/decode_reservation.h
@@ -35,6 +35,7 @@
 	enum tlb_decode_reservation_state state;
 	struct tlb_instance *instance; /* instance of the reservation; a reference, or NULL */
 	char id[TLB_HANDLE_LEN]; /* reservation id; "" when the endpoint takes no reservations */
+	tlb_time sent_at;	 /* when the request for it was sent */
 	tlb_time expires_at;	 /* the reservation expires then */
 	int64_t tokens;		 /* to reserve */
 	int64_t headroom_tokens; /* must be free in addition to tokens, but are not reserved */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -1673,6 +1673,23 @@
         equal(len(reserved[0].seen), 0, "runs at the endpoint that leaves")
 
 
+def check_reservation_that_lapsed_during_a_stall_is_not_used():
+    """A reservation whose grant waited to be read for longer than it lasts must not be used; its time
+    counted from when the answer was read."""
+    with World(decodes=1) as w:
+        vm = w.start()
+        w.decodes[0].hold_pause_s = 0.1
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(
+            read_stream(vm.send("/gen/1", "POST", b"prompt", headers=GEN))))
+        caller.start()
+        wait(lambda: w.decodes[0].holds, "a reservation is requested")
+        suspend(vm, 2.2)  # it lasts 2 s
+        caller.join()
+        equal(answers, [(EVENTS, True)], "stream")
+        equal([h.get("X-Kv-Hold") for h in w.decodes[0].seen], [None], "reservations used")
+
+
 def check_search_for_room_survives_a_late_loop():
     """A VM whose loop stands still while a silent stream looks for room elsewhere, and an event has
     arrived meanwhile, must not begin a second search beside the first; it crashed."""
