--- a/src/generation.c
+++ b/src/generation.c
@@ -301,19 +301,26 @@
 	return strcmp(before, f->gen.last_event_id) != 0;
 }
 
-/* Sends the status and headers of the response, unless it has begun. */
-static void begin_response(struct tlb_forward *f)
+/* Sends the status and headers of the response, unless it has begun. Returns false when they are
+ * too large. */
+static bool begin_response(struct tlb_forward *f)
 {
 	char *head;
+	bool fits;
 
 	if (f->gen.streaming)
-		return;
+		return true;
 	head = tlb_platform_forwarded_head(tlb_http_head(&f->call));
-	f->gen.streaming = true;
-	tlb_latency_record(&f->board->latencies, TLB_LATENCY_FIRST_EVENT,
-			   tlb_clock_now() - f->exchange->arrived);
-	tlb_exchange_stream_forward(f->exchange, tlb_http_status(&f->call), head ? head : "");
+	fits = tlb_exchange_head_fits(f->exchange, head ? head : "");
+	if (fits) {
+		f->gen.streaming = true;
+		tlb_latency_record(&f->board->latencies, TLB_LATENCY_FIRST_EVENT,
+				   tlb_clock_now() - f->exchange->arrived);
+		tlb_exchange_stream_forward(f->exchange, tlb_http_status(&f->call),
+					    head ? head : "");
+	}
 	free(head);
+	return fits;
 }
 
 /* Whether the response has the endpoint's signature and belongs to this attempt id. When another
@@ -367,9 +374,8 @@
 	n = complete_events_len(b);
 	if (n == 0)
 		return true;
-	if (!check_events(f, b->data, n))
+	if (!check_events(f, b->data, n) || !begin_response(f))
 		return false;
-	begin_response(f);
 	/* Bytes without a new event, such as comments, are no progress. */
 	if (store_last_event_id(f, b->data, n))
 		set_event_timeout(f, NEXT_EVENT_TIMEOUT);
@@ -756,7 +762,7 @@
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		return;
 	}
-	if (!found || tlb_evidence_quarantined_part(f) ||
+	if (!found || f->board->loop->late || tlb_evidence_quarantined_part(f) ||
 	    !tlb_forward_may_retry(f, TLB_ATTEMPT_TIMED_OUT)) {
 		tlb_decode_reservation_release(&f->gen.decode_reservation);
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
@@ -780,7 +786,9 @@
 	if (!tlb_forward_attempts_left(f) || p.now >= f->deadline ||
 	    tlb_decode_reservation_is_pending(&f->gen.decode_reservation))
 		return;
-	if (tlb_evidence_quarantined_part(f) || !tlb_forward_retry_affordable(f)) {
+	/* In a late round, the silence of the endpoint is not proved. */
+	if (f->board->loop->late || tlb_evidence_quarantined_part(f) ||
+	    !tlb_forward_retry_affordable(f)) {
 		set_event_timeout(f, MOVE_RETRY_INTERVAL);
 		return;
 	}
--- a/src/listener.c
+++ b/src/listener.c
@@ -24,6 +24,9 @@
 	 * more. It holds the request headers with about 70 bytes of overhead each, and the response
 	 * headers. */
 	CONNECTION_MEMORY = 65536,
+	/* What a header needs of it besides its bytes, and a response besides its headers. */
+	HEADER_MEMORY = 72,
+	RESPONSE_MEMORY = 1024,
 	USER_TIMEOUT_MS = 10000,
 	KEEPALIVE_IDLE_S = 5,
 	KEEPALIVE_INTERVAL_S = 2,
@@ -197,6 +200,11 @@
 	tlb_exchange_refuse_ms(x, err, 1000 * (retry_after_s > 0 ? retry_after_s : 1));
 }
 
+bool tlb_exchange_head_fits(const struct tlb_exchange *x, const char *head)
+{
+	return x->head_memory + strlen(head) + RESPONSE_MEMORY <= CONNECTION_MEMORY;
+}
+
 void tlb_exchange_forward(struct tlb_exchange *x, int status, const char *head, char *body,
 			  size_t len)
 {
@@ -369,6 +377,7 @@
 
 struct header_counts {
 	size_t bytes;
+	size_t count;
 	int length;
 	int encoding;
 	int authorization;
@@ -381,6 +390,7 @@
 	struct header_counts *n = arg;
 
 	n->bytes += strlen(name) + (value ? strlen(value) : 0) + HEADER_OVERHEAD;
+	n->count++;
 	n->length += strcasecmp(name, "Content-Length") == 0;
 	n->encoding += strcasecmp(name, "Transfer-Encoding") == 0;
 	n->authorization += strcasecmp(name, "Authorization") == 0;
@@ -400,6 +410,7 @@
 	if (n.authorization > 1 || n.idempotency > 1)
 		x->header_error = "Authorization and Idempotency-Key may be sent only once";
 	x->headers_too_large = n.bytes > HEADERS_MAX;
+	x->head_memory = n.bytes + n.count * HEADER_MEMORY;
 	x->close_connection = x->header_error || x->headers_too_large;
 }
 
@@ -458,6 +469,35 @@
 	return i ? i->socket_context : NULL;
 }
 
+/* Whether the system tells when the last bytes on the connection arrived, and when that was.
+ * Network stacks in user space may leave this at 0, which otherwise means now. */
+static bool read_arrival(struct tlb_listener *f, int fd, tlb_time now, tlb_time *at)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return false;
+	f->arrivals_known |= info.tcpi_last_data_recv > 0;
+	*at = now - (tlb_time)info.tcpi_last_data_recv * TLB_MS;
+	return f->arrivals_known;
+}
+
+/* Sets the arrival of a request that is read now. After the loop was late, it may have waited. */
+static void set_arrival(struct tlb_exchange *x, tlb_time now)
+{
+	struct tlb_listener *f = x->listener;
+
+	x->arrived = now;
+	x->arrived_after = now;
+	if (!tlb_loop_was_late(f->loop))
+		return;
+	if (read_arrival(f, x->fd, now, &x->arrived))
+		x->arrived_after = x->arrived;
+	else if (f->loop->late)
+		x->arrived_after = f->loop->late_since;
+}
+
 /* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
  * decoding it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
@@ -466,6 +506,7 @@
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
 	struct tlb_listener_conn *fc = conn_of(conn);
 	const char *question_mark = strchr(uri, '?');
+	tlb_time now = tlb_clock_now();
 
 	if (!x)
 		return NULL;
@@ -476,8 +517,8 @@
 	x->listener = f;
 	x->conn = conn;
 	x->fd = fd_of(conn);
-	x->arrived = tlb_clock_now();
-	x->read_deadline = x->arrived + f->limits.request_timeout_ms * TLB_MS;
+	set_arrival(x, now);
+	x->read_deadline = now + f->limits.request_timeout_ms * TLB_MS;
 	x->path = question_mark ? strndup(uri, (size_t)(question_mark - uri)) : strdup(uri);
 	x->query = strdup(question_mark ? question_mark + 1 : "");
 	snprintf(x->id, sizeof(x->id), "%s-%llx", f->id_prefix, ++f->next_id);
--- a/src/listener.h
+++ b/src/listener.h
@@ -63,10 +63,13 @@
 	char idempotency_key[TLB_IDEMPOTENCY_KEY_LEN];
 	const char *header_error; /* why the headers are invalid; NULL when they are valid */
 	bool headers_too_large;
+	size_t head_memory; /* that the request's headers take of the connection's memory */
 	struct tlb_buffer body;
 	bool body_too_large;
 	tlb_time read_deadline; /* for the complete request */
-	tlb_time arrived;
+	tlb_time arrived; /* when its bytes arrived, as far as this is known, else when it was read
+			   */
+	tlb_time arrived_after;	    /* before arrived when this is not known exactly */
 	tlb_time caller_checked_at; /* by tlb_exchange_check_caller() */
 	/* The response. */
 	int status;
@@ -121,6 +124,7 @@
 	char addr[TLB_ADDR_LEN]; /* bound address, with the actual port */
 	bool keepalive_disabled; /* every response closes its connection */
 	int listen_fd;		 /* -1 when it is closed */
+	bool arrivals_known;	 /* the system tells when bytes arrived */
 	bool stopping;		 /* tlb_listener_stop_accepting() was called */
 	bool finishing;		 /* further requests are refused as not run */
 	int accepted_late;	 /* connections accepted when stopping */
@@ -161,6 +165,9 @@
 /* Like tlb_exchange_refuse() with Retry-After in milliseconds, sent as seconds with a fraction. */
 void tlb_exchange_refuse_ms(struct tlb_exchange *x, const struct tlb_error *err,
 			    int retry_after_ms);
+/* Whether header lines of a response can be sent: they share the connection's memory with those of
+ * the request. libmicrohttpd closes the connection without a response otherwise. */
+bool tlb_exchange_head_fits(const struct tlb_exchange *x, const char *head);
 /* Sends an endpoint's response: status, header lines "Name: value\n" (copied) and the malloc'd
  * body, of which it takes ownership. */
 void tlb_exchange_forward(struct tlb_exchange *x, int status, const char *head, char *body,
