--- a/tests/promises/p14_preempt.py
+++ b/tests/promises/p14_preempt.py
@@ -212,6 +212,26 @@
         return run.judge()
 
 
+@case
+def owners_frozen_within_their_lease(t):
+    """Renewals reach the owners of both books while these are frozen, each time for less than their
+    lease: no booking of another VM may lapse before the renewals that wait were read."""
+    with start_fleet(t, token_us=SLOW_TOKEN_US) as fleet:
+        run = Run(t, fleet)
+        run.fill()
+        run.lost = book_owners(fleet)
+        for _ in range(4):
+            for vm in run.lost:
+                fleet.freeze(vm)
+            time.sleep(2.7)
+            for vm in run.lost:
+                fleet.thaw(vm)
+            time.sleep(t.random.uniform(0.2, 0.8))
+        for th in run.threads:
+            th.join()
+        return run.judge()
+
+
 @case
 def owners_frozen_past_their_lease(t):
     """The owners of both books are frozen while interactive requests wait: the new owners must ask
