Send the complete table to VMs that are behind a listing

What callers saw: nothing reported; found by reading. An endpoint that was removed stays in use for ever at a VM that does not follow the store. Cause: tombstones were taken to be complete since the beginning, or since the begin of the era. A listing leaves none of rows that came and went before it, so the changes sent to a VM behind it lacked their removal, and that VM then took its table for complete. A new era makes all VMs list, at different times. Ruled out: VMs that follow the store. They read the removal themselves. Change: after a listing only versions from its own on are covered; a VM behind it gets the complete table.

--- a/src/replica.c
+++ b/src/replica.c
@@ -161,9 +161,9 @@
 	}
 	while (r->tombstones > TLB_REPLICA_TOMBSTONES_MAX)
 		forget_oldest_tombstone(r);
-	/* What changed between two eras is not known row by row. */
-	if (tlb_stored_era(version) > tlb_stored_era(r->forgotten_version))
-		r->forgotten_version = tlb_stored_version(tlb_stored_era(version), 0);
+	/* A row that was added and removed again before the listing has no tombstone. */
+	if (version > r->forgotten_version)
+		r->forgotten_version = version;
 	tlb_replica_set_complete(r, version);
 }
 
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -79,6 +79,29 @@
 }
 END_TEST
 
+/* A row that came and went before a listing leaves no tombstone in it: another VM that still has
+ * the row kept it for ever when it was sent the changes since then. */
+START_TEST(changes_before_a_listing_are_not_passed_on_as_complete)
+{
+	tlb_replica_init(&r);
+	removals = 0;
+	tlb_replica_begin_listing(&r);
+	put("a", 5, "x", true);
+	tlb_replica_end_listing(&r, 50, 0, on_removed, NULL);
+	ck_assert(!tlb_replica_covers(&r, 10));
+	ck_assert(tlb_replica_covers(&r, 50));
+	tlb_replica_begin_listing(&r);
+	put("a", 5, "x", false);
+	tlb_replica_end_listing(&r, 90, 0, on_removed, NULL);
+	ck_assert(!tlb_replica_covers(&r, 70));
+	ck_assert(tlb_replica_covers(&r, 90));
+	put("b", 95, NULL, true);
+	tlb_replica_set_complete(&r, 95);
+	ck_assert(tlb_replica_covers(&r, 90));
+	tlb_replica_finish(&r);
+}
+END_TEST
+
 START_TEST(tombstones_are_bounded)
 {
 	char key[32];
@@ -231,6 +254,7 @@
 
 	tcase_add_test(t, older_rows_change_nothing);
 	tcase_add_test(t, listing_removes_what_it_lacks);
+	tcase_add_test(t, changes_before_a_listing_are_not_passed_on_as_complete);
 	tcase_add_test(t, tombstones_are_bounded);
 	tcase_add_test(t, era_orders_before_number);
 	tcase_add_test(t, listing_of_a_new_era_replaces_the_table);
