End a listing when another VM's complete table comes between its pages

What callers saw: nothing reported; found by reading. A VM took an endpoint for removed that was there, until its entry next changed. Cause: a listing of several pages and the complete table of another VM use the same marks of rows that were seen. The other VM's table, which is older than the listing, cleared the mark of a row of the first page, and the end of the listing removed it. Likewise a row that only the older table has would have stayed. VMs of different eras send each other complete tables while they all list, so the store's return makes this meeting likely where a table has several pages. Ruled out: tables of one page (500 rows). Its rows are read in one step. Change: with the complete table known, the listing ends, and the changes after that table's version are read. The stand-in's doors can delay listings and further pages.

--- a/src/tables.c
+++ b/src/tables.c
@@ -389,9 +389,11 @@
 		if (complete_table || row_version > s->replica.complete_version)
 			apply_peer_row(s, m->rows[i], row_version, now);
 	}
-	if (complete_table)
+	if (complete_table) {
 		tlb_replica_end_listing(&s->replica, version, lost_entry_deadline(s), on_vanished,
 					s);
+		tlb_watcher_skip_listing(&s->watcher, version);
+	}
 	tlb_replica_set_complete(&s->replica, version);
 	s->listed = true;
 	s->behind_since = 0;
--- a/src/watch.c
+++ b/src/watch.c
@@ -265,6 +265,14 @@
 	tlb_timer_set(w->store->http->loop, &w->timer, tlb_clock_now());
 }
 
+void tlb_watcher_skip_listing(struct tlb_watcher *w, int64_t version)
+{
+	if (w->paused || w->state != TLB_WATCH_LISTING || !w->next_page_key[0])
+		return;
+	tlb_watcher_pause(w);
+	tlb_watcher_resume(w, version, false);
+}
+
 bool tlb_watcher_store_reachable(const struct tlb_watcher *w, tlb_time now)
 {
 	return !w->paused && w->listed && w->failures == 0 &&
--- a/src/watch.h
+++ b/src/watch.h
@@ -68,6 +68,9 @@
  * listed. outage: the store was not readable by any VM meanwhile, so that entries may have expired.
  */
 void tlb_watcher_resume(struct tlb_watcher *w, int64_t version, bool outage);
+/* The table as of a version is known from another VM. A listing between two pages ends: with rows
+ * of both, those missing in it would not be known to be removed. */
+void tlb_watcher_skip_listing(struct tlb_watcher *w, int64_t version);
 /* Whether the store is reachable: the last call succeeded and the current one is not overdue. */
 bool tlb_watcher_store_reachable(const struct tlb_watcher *w, tlb_time now);
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2582,6 +2582,31 @@
              "a removed endpoint at all VMs", 4)
 
 
+def check_table_of_another_vm_during_a_listing_removes_no_endpoint():
+    """A VM that gets the complete table of a new era from another one, between two pages of its own
+    listing, must keep an endpoint of the first page that the other one does not know yet."""
+    with World(vms=2) as w:
+        w.start()
+        wait(lambda: all(v.events("link_up") for v in w.vms), "the VMs are linked")
+        late = Endpoint("a-shop", "shop")
+        w.shops.append(late)
+        w.vms[1].process.send_signal(signal.SIGSTOP)
+        w.doors[0].list_delay_s = 0.8
+        w.doors[1].page_pause_s = 0.8
+        w.store.restore(w.store.version)
+        wait(lambda: w.vms[0].events("store_relist table=servers"), "the listing begins")
+        time.sleep(0.1)
+        w.store.put("servers", "a-shop", late.entry())
+        w.doors[0].closed = True
+        w.store.page_rows = 2
+        w.vms[1].process.send_signal(signal.SIGCONT)
+        wait(lambda: w.vms[1].events("instance instance=a-shop"), "the first page")
+        time.sleep(3)
+        equal(w.vms[1].events("instance_gone"), [], "endpoints that are gone")
+        w.store.put("servers", "shop-1", None)
+        wait(lambda: w.vms[1].events("instance_gone instance=shop-1"), "a later change")
+
+
 def check_endpoint_missing_from_an_older_copy_stays_in_use():
     """An endpoint whose entry is newer than the copy that the store returned from is alive and
     writes its entry again; until then it must stay in use, also if no call failed meanwhile."""
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -91,10 +91,14 @@
 
 
 class Door:
-    """One listening address of the store; answers 503 while `closed`, unlike the others."""
+    """One listening address of the store; answers 503 while `closed`, unlike the others. Listings of
+    the endpoints are answered `list_delay_s` late, from the rows before, and further pages of one
+    after `page_pause_s`."""
 
     def __init__(self, store):
         self.closed = False
+        self.list_delay_s = 0
+        self.page_pause_s = 0
         self.server, self.addr = serve(StoreHandler, store=store, door=self)
 
 
@@ -215,7 +219,11 @@
         if self.is_down() or (s.withheld and q["table"] not in STARTUP_TABLES):
             return self.reply(503)
         if parts.path == "/rows-get":
-            return self.reply(200, s.listing(q["table"], q.get("from", "")))
+            endpoints = q["table"] == "servers"
+            time.sleep(self.door.page_pause_s if endpoints and q.get("from") else 0)
+            answer = s.listing(q["table"], q.get("from", ""))
+            time.sleep(self.door.list_delay_s if endpoints else 0)
+            return self.reply(200, answer)
         answer = s.feed(q["table"], int(q["after"]), int(q["waitMs"]), self.door)
         if answer is SILENCE:
             time.sleep(SILENCE_S)
