Read a waiting configuration also when the store returns from an older copy

What callers saw: nothing reported; found by reading. A configuration that the store had acknowledged was not in force at a VM until the operator wrote again. Cause: while one configuration is read, the last one that arrives waits and replaces those that waited before, as the newest. The row of the older copy arrives last and is not the newest: it replaced the one that the store has lost. Large configurations are read for long enough. Evidence: restored_configuration_does_not_replace_those_that_wait, with the new argument ignored as the code before would: "Assertion 'highest == 14' failed: highest == 11". Ruled out: to drop the restored one. It may be one that was written after the return, or newer than what this VM has. Change: a restored configuration waits behind those before it; up to three wait.

--- a/src/edge.c
+++ b/src/edge.c
@@ -75,7 +75,7 @@
 			     (long long)e->board.routing->version);
 	else
 		tlb_routing_load_start(&e->routing_load, row->value, row->len,
-				       e->tables.table[TLB_TABLE_CONFIG].source);
+				       e->tables.table[TLB_TABLE_CONFIG].source, restored);
 }
 
 static void ignore_event(void *arg)
--- a/src/routing_load.c
+++ b/src/routing_load.c
@@ -11,10 +11,10 @@
 static void begin(struct tlb_routing_load *l)
 {
 	l->reading = true;
-	l->waiting = false;
-	l->text = l->next;
-	l->source = l->next_source;
-	l->next = (struct tlb_buffer){0};
+	l->text = l->waiting[0].text;
+	l->source = l->waiting[0].source;
+	l->waiting_count--;
+	memmove(l->waiting, l->waiting + 1, (size_t)l->waiting_count * sizeof(l->waiting[0]));
 	l->started_at = tlb_clock_now();
 	tlb_routing_reader_init(&l->reader, l->text.data, l->text.len, *l->in_force);
 	tlb_job_start(l->loop, &l->job);
@@ -32,7 +32,7 @@
 	tlb_buffer_finish(&l->text);
 	l->reading = false;
 	l->on_loaded(l->arg, r, &err);
-	if (l->waiting && !l->reading)
+	if (l->waiting_count > 0 && !l->reading)
 		begin(l);
 }
 
@@ -64,19 +64,22 @@
 	tlb_job_cancel(&l->job);
 	tlb_routing_reader_finish(&l->reader);
 	tlb_buffer_finish(&l->text);
-	tlb_buffer_finish(&l->next);
+	while (l->waiting_count > 0)
+		tlb_buffer_finish(&l->waiting[--l->waiting_count].text);
 }
 
 void tlb_routing_load_start(struct tlb_routing_load *l, const char *text, size_t len,
-			    const char *source)
+			    const char *source, bool restored)
 {
-	tlb_buffer_finish(&l->next);
-	if (!tlb_buffer_append(&l->next, text, len, TEXT_MAX_BYTES)) {
+	struct tlb_buffer copy = {0};
+
+	if (!tlb_buffer_append(&copy, text, len, TEXT_MAX_BYTES)) {
 		tlb_log_error("event=routing_not_read bytes=%zu reason=\"no memory\"", len);
 		return;
 	}
-	l->waiting = true;
-	l->next_source = source;
+	if (l->waiting_count == TLB_ROUTING_WAITING_MAX || (l->waiting_count > 0 && !restored))
+		tlb_buffer_finish(&l->waiting[--l->waiting_count].text);
+	l->waiting[l->waiting_count++] = (struct tlb_waiting_routing){copy, source};
 	if (!l->reading)
 		begin(l);
 }
--- a/tests/test_routing.c
+++ b/tests/test_routing.c
@@ -303,18 +303,18 @@
 	ck_assert_int_eq(tlb_loop_init(&loop), APR_SUCCESS);
 	tlb_routing_load_init(&load, &loop, &in_force, on_loaded, NULL);
 	for (version = 1; version <= 5; version++)
-		tlb_routing_load_start(&load, text, write_config(version, FEW_ROUTES, 0, 0),
-				       "test");
+		tlb_routing_load_start(&load, text, write_config(version, FEW_ROUTES, 0, 0), "test",
+				       false);
 	while (in_force->version != 5 && tlb_clock_now() < give_up_at)
 		tlb_loop_once(&loop, give_up_at);
 	ck_assert_int_eq(in_force->version, 5);
 	ck_assert_int_eq(loaded_count, 2);
-	tlb_routing_load_start(&load, "", 0, "test");
-	tlb_routing_load_start(&load, "{\"version\":", 11, "test");
+	tlb_routing_load_start(&load, "", 0, "test", false);
+	tlb_routing_load_start(&load, "{\"version\":", 11, "test", false);
 	while (refused_count < 2 && tlb_clock_now() < give_up_at)
 		tlb_loop_once(&loop, give_up_at);
 	ck_assert_int_eq(refused_count, 2);
-	tlb_routing_load_start(&load, text, write_config(6, FEW_ROUTES, 0, 0), "test");
+	tlb_routing_load_start(&load, text, write_config(6, FEW_ROUTES, 0, 0), "test", false);
 	tlb_loop_once(&loop, give_up_at);
 	tlb_routing_load_finish(&load);
 	tlb_routing_release(in_force);
@@ -322,6 +322,45 @@
 }
 END_TEST
 
+/* A configuration that waited to be read was lost when the store returned from an older copy. */
+START_TEST(restored_configuration_does_not_replace_those_that_wait)
+{
+	tlb_time give_up_at = tlb_clock_now() + WAIT_S * TLB_SECOND;
+	struct tlb_loop loop;
+	struct tlb_routing_load load;
+	int64_t highest = 0;
+	int loaded_before = loaded_count;
+	int version;
+
+	in_force = tlb_routing_new();
+	ck_assert_int_eq(tlb_loop_init(&loop), APR_SUCCESS);
+	tlb_routing_load_init(&load, &loop, &in_force, on_loaded, NULL);
+	for (version = 11; version <= 14; version++)
+		tlb_routing_load_start(&load, text, write_config(version, FEW_ROUTES, 0, 0), "test",
+				       false);
+	tlb_routing_load_start(&load, text, write_config(8, FEW_ROUTES, 0, 0), "test", true);
+	tlb_routing_load_start(&load, text, write_config(9, FEW_ROUTES, 0, 0), "test", false);
+	while (in_force->version != 9 && tlb_clock_now() < give_up_at) {
+		tlb_loop_once(&loop, give_up_at);
+		if (in_force->version > highest)
+			highest = in_force->version;
+	}
+	ck_assert_int_eq(highest, 14);
+	ck_assert_int_eq(in_force->version, 9);
+	ck_assert_int_eq(loaded_count - loaded_before, 3);
+	for (version = 20; version <= 30; version++)
+		tlb_routing_load_start(&load, text, write_config(version, FEW_ROUTES, 0, 0), "test",
+				       true);
+	while (in_force->version != 30 && tlb_clock_now() < give_up_at)
+		tlb_loop_once(&loop, give_up_at);
+	ck_assert_int_eq(in_force->version, 30);
+	ck_assert_int_eq(loaded_count - loaded_before, 7);
+	tlb_routing_load_finish(&load);
+	tlb_routing_release(in_force);
+	tlb_loop_finish(&loop);
+}
+END_TEST
+
 START_TEST(json_values_end_where_they_end)
 {
 	static const char *const cases[][2] = {
@@ -366,6 +405,7 @@
 	tcase_add_test(t, large_configuration_is_read_in_slices);
 	tcase_add_test(t, reading_takes_time_in_proportion_to_the_routes);
 	tcase_add_test(t, newest_configuration_replaces_those_that_wait);
+	tcase_add_test(t, restored_configuration_does_not_replace_those_that_wait);
 	tcase_add_test(t, json_values_end_where_they_end);
 	suite_add_tcase(s, t);
 	runner = srunner_create(s);
