Take versions of rows that don't fit for none

What callers saw: nothing; found by reading. Cause: the number of a version was cut to the bits beside the era. A negative one or one with too many bits became any other, -1 the highest of its era, so that no later row of this key, or of the table between VMs, counted.

--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -34,6 +34,12 @@
 	return version & ((INT64_C(1) << TLB_STORED_VERSION_BITS) - 1);
 }
 
+/* A number that does not fit is taken for none, which is before all others. */
+static inline int64_t tlb_stored_checked_number(int64_t number)
+{
+	return number == tlb_stored_number(number) ? number : 0;
+}
+
 struct tlb_stored_row {
 	char key[TLB_STORED_ROW_KEY_LEN];
 	int64_t version;
--- a/src/tables.c
+++ b/src/tables.c
@@ -141,9 +141,9 @@
 /* Messages have the era apart from the numbers of versions; the number 0 stands for none. */
 static int64_t version_in(int64_t era, int64_t number)
 {
-	if (era < 0 || era > TLB_STORED_ERA_MAX || number <= 0)
+	if (era < 0 || era > TLB_STORED_ERA_MAX || tlb_stored_checked_number(number) == 0)
 		return 0;
-	return tlb_stored_version(era, tlb_stored_number(number));
+	return tlb_stored_version(era, number);
 }
 
 /* A TableRows message under construction. Its strings are borrowed from the replica. */
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -139,6 +139,25 @@
 }
 END_TEST
 
+/* A version that does not fit was taken for the highest of its era, so that no later row counted.
+ */
+START_TEST(version_out_of_range_is_not_the_highest)
+{
+	const int64_t odd[] = {-1, INT64_MIN, INT64_MAX,
+			       (INT64_C(1) << TLB_STORED_VERSION_BITS) + 9};
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		struct tlb_stored_row row = {.version = odd[i]};
+		struct tlb_stored_rows rows = {.version = odd[i], .count = 1, .rows = &row};
+
+		tlb_stored_rows_set_era(&rows, 3);
+		ck_assert_int_eq(rows.version, tlb_stored_version(3, 0));
+		ck_assert_int_eq(row.version, tlb_stored_version(3, 0));
+	}
+}
+END_TEST
+
 START_TEST(listing_of_a_new_era_replaces_the_table)
 {
 	const int64_t former = tlb_stored_version(1, 0);
@@ -257,6 +276,7 @@
 	tcase_add_test(t, changes_before_a_listing_are_not_passed_on_as_complete);
 	tcase_add_test(t, tombstones_are_bounded);
 	tcase_add_test(t, era_orders_before_number);
+	tcase_add_test(t, version_out_of_range_is_not_the_highest);
 	tcase_add_test(t, listing_of_a_new_era_replaces_the_table);
 	tcase_add_test(t, large_value_is_compressed_until_it_changes);
 	tcase_add_test(t, who_follows_by_load_pattern);
