Take no confirmation of the tables from VMs of an earlier era

What callers saw: nothing reported; found by reading. Cause: a report that the sender's tables are current was taken for this VM's tables as well, in whatever era. Rows of an earlier era are not taken from the sender, so nobody brought the changes and this VM did not see to it itself. Evidence: vm_of_an_earlier_era_confirms_nothing fails on the commit before: "Assertion '!confirms(0, 90)' failed". Not shown between daemons: no earlier release is run by the checks.

--- a/src/tables.c
+++ b/src/tables.c
@@ -461,6 +461,18 @@
 	state->confirmed_age_ms = age < UINT32_MAX * TLB_MS ? (uint32_t)(age / TLB_MS) : UINT32_MAX;
 }
 
+/* Whether the sender's tables are of an earlier era than this VM's: it does not know what has
+ * changed in this one. */
+static bool is_of_earlier_era(const struct tlb_tables *t, const Toucan__VmState *state)
+{
+	size_t i;
+
+	for (i = 0; i < state->n_tables && i < TLB_TABLE_COUNT; i++)
+		if (state->tables[i]->era < tlb_stored_era(t->table[i].replica.complete_version))
+			return true;
+	return false;
+}
+
 void tlb_tables_on_state(struct tlb_tables *t, struct tlb_vm *vm, const Toucan__VmState *state)
 {
 	tlb_time now = tlb_clock_now();
@@ -470,7 +482,7 @@
 	size_t i;
 
 	t->heard_at = now;
-	if (confirmed_at > t->confirmed_at)
+	if (confirmed_at > t->confirmed_at && !is_of_earlier_era(t, state))
 		t->confirmed_at = confirmed_at;
 	for (i = 0; i < state->n_tables && i < TLB_TABLE_COUNT; i++) {
 		s = &t->table[i];
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -186,6 +186,50 @@
 }
 END_TEST
 
+static struct tlb_tables tables;
+static struct tlb_rowstore store;
+
+/* Handles a state whose sender knew its tables to be current. Returns whether this VM then takes
+ * its own for current. */
+static bool confirms(int64_t era, int64_t version)
+{
+	Toucan__TableState table = TOUCAN__TABLE_STATE__INIT;
+	Toucan__TableState *list[] = {&table, &table};
+	Toucan__VmState state = TOUCAN__VM_STATE__INIT;
+	struct tlb_vm vm = {0};
+
+	table.era = era;
+	table.complete_version = version;
+	state.tables = list;
+	state.n_tables = TLB_TABLE_COUNT;
+	tables.confirmed_at = 0;
+	tlb_tables_on_state(&tables, &vm, &state);
+	return tables.confirmed_at > 0;
+}
+
+/* A VM that heard only of VMs that did not know of the store's return, or of releases without eras,
+ * took its tables for current and missed all changes. */
+START_TEST(vm_of_an_earlier_era_confirms_nothing)
+{
+	int i;
+
+	tlb_rowstore_init(&store, NULL, "");
+	for (i = 0; i < TLB_TABLE_COUNT; i++) {
+		tlb_replica_init(&tables.table[i].replica);
+		tables.table[i].watcher.store = &store;
+	}
+	ck_assert(confirms(0, 90));
+	for (i = 0; i < TLB_TABLE_COUNT; i++) {
+		tables.table[i].listed = true;
+		tlb_replica_set_complete(&tables.table[i].replica, tlb_stored_version(2, 50));
+	}
+	ck_assert(!confirms(0, 90));
+	ck_assert(!confirms(1, 90));
+	ck_assert(confirms(2, 40));
+	ck_assert(confirms(3, 10));
+}
+END_TEST
+
 /* One line of tests/tables/follow.txt. Ages are in ms; "-": not set. */
 static void check_line(const char *line, int number)
 {
@@ -278,6 +322,7 @@
 	tcase_add_test(t, era_orders_before_number);
 	tcase_add_test(t, version_out_of_range_is_not_the_highest);
 	tcase_add_test(t, listing_of_a_new_era_replaces_the_table);
+	tcase_add_test(t, vm_of_an_earlier_era_confirms_nothing);
 	tcase_add_test(t, large_value_is_compressed_until_it_changes);
 	tcase_add_test(t, who_follows_by_load_pattern);
 	suite_add_tcase(s, t);
