--- a/src/tables.c
+++ b/src/tables.c
@@ -141,9 +141,9 @@
 /* Messages have the era apart from the numbers of versions; the number 0 stands for none. */
 static int64_t version_in(int64_t era, int64_t number)
 {
-	if (era < 0 || era > TLB_STORED_ERA_MAX || number <= 0)
+	if (era < 0 || era > TLB_STORED_ERA_MAX || tlb_stored_checked_number(number) == 0)
 		return 0;
-	return tlb_stored_version(era, tlb_stored_number(number));
+	return tlb_stored_version(era, number);
 }
 
 /* A TableRows message under construction. Its strings are borrowed from the replica. */
@@ -389,9 +389,11 @@
 		if (complete_table || row_version > s->replica.complete_version)
 			apply_peer_row(s, m->rows[i], row_version, now);
 	}
-	if (complete_table)
+	if (complete_table) {
 		tlb_replica_end_listing(&s->replica, version, lost_entry_deadline(s), on_vanished,
 					s);
+		tlb_watcher_skip_listing(&s->watcher, version);
+	}
 	tlb_replica_set_complete(&s->replica, version);
 	s->listed = true;
 	s->behind_since = 0;
@@ -459,6 +461,18 @@
 	state->confirmed_age_ms = age < UINT32_MAX * TLB_MS ? (uint32_t)(age / TLB_MS) : UINT32_MAX;
 }
 
+/* Whether the sender's tables are of an earlier era than this VM's: it does not know what has
+ * changed in this one. */
+static bool is_of_earlier_era(const struct tlb_tables *t, const Toucan__VmState *state)
+{
+	size_t i;
+
+	for (i = 0; i < state->n_tables && i < TLB_TABLE_COUNT; i++)
+		if (state->tables[i]->era < tlb_stored_era(t->table[i].replica.complete_version))
+			return true;
+	return false;
+}
+
 void tlb_tables_on_state(struct tlb_tables *t, struct tlb_vm *vm, const Toucan__VmState *state)
 {
 	tlb_time now = tlb_clock_now();
@@ -468,7 +482,7 @@
 	size_t i;
 
 	t->heard_at = now;
-	if (confirmed_at > t->confirmed_at)
+	if (confirmed_at > t->confirmed_at && !is_of_earlier_era(t, state))
 		t->confirmed_at = confirmed_at;
 	for (i = 0; i < state->n_tables && i < TLB_TABLE_COUNT; i++) {
 		s = &t->table[i];
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -79,6 +79,29 @@
 }
 END_TEST
 
+/* A row that came and went before a listing leaves no tombstone in it: another VM that still has
+ * the row kept it for ever when it was sent the changes since then. */
+START_TEST(changes_before_a_listing_are_not_passed_on_as_complete)
+{
+	tlb_replica_init(&r);
+	removals = 0;
+	tlb_replica_begin_listing(&r);
+	put("a", 5, "x", true);
+	tlb_replica_end_listing(&r, 50, 0, on_removed, NULL);
+	ck_assert(!tlb_replica_covers(&r, 10));
+	ck_assert(tlb_replica_covers(&r, 50));
+	tlb_replica_begin_listing(&r);
+	put("a", 5, "x", false);
+	tlb_replica_end_listing(&r, 90, 0, on_removed, NULL);
+	ck_assert(!tlb_replica_covers(&r, 70));
+	ck_assert(tlb_replica_covers(&r, 90));
+	put("b", 95, NULL, true);
+	tlb_replica_set_complete(&r, 95);
+	ck_assert(tlb_replica_covers(&r, 90));
+	tlb_replica_finish(&r);
+}
+END_TEST
+
 START_TEST(tombstones_are_bounded)
 {
 	char key[32];
@@ -116,6 +139,25 @@
 }
 END_TEST
 
+/* A version that does not fit was taken for the highest of its era, so that no later row counted.
+ */
+START_TEST(version_out_of_range_is_not_the_highest)
+{
+	const int64_t odd[] = {-1, INT64_MIN, INT64_MAX,
+			       (INT64_C(1) << TLB_STORED_VERSION_BITS) + 9};
+	size_t i;
+
+	for (i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		struct tlb_stored_row row = {.version = odd[i]};
+		struct tlb_stored_rows rows = {.version = odd[i], .count = 1, .rows = &row};
+
+		tlb_stored_rows_set_era(&rows, 3);
+		ck_assert_int_eq(rows.version, tlb_stored_version(3, 0));
+		ck_assert_int_eq(row.version, tlb_stored_version(3, 0));
+	}
+}
+END_TEST
+
 START_TEST(listing_of_a_new_era_replaces_the_table)
 {
 	const int64_t former = tlb_stored_version(1, 0);
@@ -144,6 +186,50 @@
 }
 END_TEST
 
+static struct tlb_tables tables;
+static struct tlb_rowstore store;
+
+/* Handles a state whose sender knew its tables to be current. Returns whether this VM then takes
+ * its own for current. */
+static bool confirms(int64_t era, int64_t version)
+{
+	Toucan__TableState table = TOUCAN__TABLE_STATE__INIT;
+	Toucan__TableState *list[] = {&table, &table};
+	Toucan__VmState state = TOUCAN__VM_STATE__INIT;
+	struct tlb_vm vm = {0};
+
+	table.era = era;
+	table.complete_version = version;
+	state.tables = list;
+	state.n_tables = TLB_TABLE_COUNT;
+	tables.confirmed_at = 0;
+	tlb_tables_on_state(&tables, &vm, &state);
+	return tables.confirmed_at > 0;
+}
+
+/* A VM that heard only of VMs that did not know of the store's return, or of releases without eras,
+ * took its tables for current and missed all changes. */
+START_TEST(vm_of_an_earlier_era_confirms_nothing)
+{
+	int i;
+
+	tlb_rowstore_init(&store, NULL, "");
+	for (i = 0; i < TLB_TABLE_COUNT; i++) {
+		tlb_replica_init(&tables.table[i].replica);
+		tables.table[i].watcher.store = &store;
+	}
+	ck_assert(confirms(0, 90));
+	for (i = 0; i < TLB_TABLE_COUNT; i++) {
+		tables.table[i].listed = true;
+		tlb_replica_set_complete(&tables.table[i].replica, tlb_stored_version(2, 50));
+	}
+	ck_assert(!confirms(0, 90));
+	ck_assert(!confirms(1, 90));
+	ck_assert(confirms(2, 40));
+	ck_assert(confirms(3, 10));
+}
+END_TEST
+
 /* One line of tests/tables/follow.txt. Ages are in ms; "-": not set. */
 static void check_line(const char *line, int number)
 {
@@ -231,9 +317,12 @@
 
 	tcase_add_test(t, older_rows_change_nothing);
 	tcase_add_test(t, listing_removes_what_it_lacks);
+	tcase_add_test(t, changes_before_a_listing_are_not_passed_on_as_complete);
 	tcase_add_test(t, tombstones_are_bounded);
 	tcase_add_test(t, era_orders_before_number);
+	tcase_add_test(t, version_out_of_range_is_not_the_highest);
 	tcase_add_test(t, listing_of_a_new_era_replaces_the_table);
+	tcase_add_test(t, vm_of_an_earlier_era_confirms_nothing);
 	tcase_add_test(t, large_value_is_compressed_until_it_changes);
 	tcase_add_test(t, who_follows_by_load_pattern);
 	suite_add_tcase(s, t);
