Read an entry without common parts without a null pointer

What callers saw: nothing; the sanitizers end the daemon (quarantine_sync.c, memcpy() from a null pointer) when another VM sends evidence that an answer has cleared of its common parts. Cause: protobuf-c leaves an empty list NULL, and memcpy() must not get NULL, not even for 0 bytes. Evidence: tests/edge.py account_cannot_quarantine_parts_of_another_account with a daemon built with -fsanitize=undefined -fno-sanitize-recover=all fails without the change and passes with it. No test of its own: without the sanitizers nothing is to be seen. Change: an empty list is not copied.

--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -235,7 +235,8 @@
 		return;
 	tlb_quarantine_init_part(&p, in->part);
 	p.common_count = (int)in->n_common;
-	memcpy(p.common, in->common, in->n_common * sizeof(p.common[0]));
+	if (in->n_common > 0)
+		memcpy(p.common, in->common, in->n_common * sizeof(p.common[0]));
 	for (i = 0; i < in->n_crashes && i < TLB_QUARANTINE_CRASHES_KEPT; i++)
 		p.crashes[p.crash_count++] = (struct tlb_part_crash){
 			in->crashes[i]->endpoint,
