Let a newer entry take back that an endpoint was leaving when it was removed

What callers saw: an endpoint whose entry had been removed while it was leaving, and that wrote a newer entry of the same incarnation, stayed out of use. Cause: the join merged two memories of removed endpoints into one and treated what an entry had said as final, like what an answer says. Change: only a later sequence takes back an entry; an answer stays final for the incarnation. test_newer_entry_takes_back_a_leaving_entry covers both.

--- a/src/instance.c
+++ b/src/instance.c
@@ -81,14 +81,16 @@
 	return started_ms == row->started_ms && strcmp(addr, row->addr) == 0;
 }
 
-/* Whether this incarnation was leaving when it was removed. */
+/* Whether this incarnation was leaving when it was removed. What its entry had said is taken back
+ * by a newer entry, what an answer had said is not. */
 static bool has_left(const struct tlb_instances *s, const struct tlb_instance_row *row)
 {
 	const struct tlb_removed_instance *r;
 
 	for (r = s->removed; r < s->removed + TLB_INSTANCES_REMEMBERED; r++)
 		if (r->leaving && strcmp(r->id, row->id) == 0 &&
-		    same_incarnation(r->started_ms, r->addr, row))
+		    same_incarnation(r->started_ms, r->addr, row) &&
+		    (r->said_leaving || row->sequence <= r->sequence))
 			return true;
 	return false;
 }
@@ -158,6 +160,7 @@
 	r->started_ms = i->row.started_ms;
 	r->sequence = i->row.sequence;
 	r->leaving = is_leaving(i);
+	r->said_leaving = i->leaving;
 	s->next_removed = (s->next_removed + 1) % TLB_INSTANCES_REMEMBERED;
 }
 
--- a/src/instance.h
+++ b/src/instance.h
@@ -73,7 +73,8 @@
 	char addr[TLB_ADDR_LEN];
 	int64_t started_ms;
 	int64_t sequence;
-	bool leaving; /* when it was removed */
+	bool leaving;	   /* when it was removed */
+	bool said_leaving; /* an answer had said so */
 };
 
 /* All instances. Owned by the board; holds a reference to each instance. */
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -133,6 +133,32 @@
 }
 END_TEST
 
+/* An entry that says draining is taken back by a newer one, before and after its removal; an answer
+ * is not. */
+START_TEST(test_newer_entry_takes_back_a_leaving_entry)
+{
+	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
+	int removed;
+
+	for (removed = 0; removed < 2; removed++) {
+		r.sequence = 10 * removed + 1;
+		r.leaving = true;
+		tlb_instances_put(&instances, &r);
+		if (removed)
+			tlb_instances_remove(&instances, "a", 0, false);
+		r.sequence++;
+		r.leaving = false;
+		tlb_instances_put(&instances, &r);
+		ck_assert(tlb_instance_usable(tlb_instances_find(&instances, "a"), now));
+	}
+	tlb_instance_mark_leaving(tlb_instances_find(&instances, "a"));
+	tlb_instances_remove(&instances, "a", 0, false);
+	r.sequence++;
+	tlb_instances_put(&instances, &r);
+	ck_assert(!tlb_instance_usable(tlb_instances_find(&instances, "a"), now));
+}
+END_TEST
+
 /* Every endpoint of a large release leaves; what is remembered of them must not grow. */
 START_TEST(test_many_leaving_instances_are_forgotten)
 {
@@ -343,6 +369,7 @@
 	tcase_add_test(t, test_leaving_entry_is_removed_at_once);
 	tcase_add_test(t, test_ready_entry_does_not_take_back_leaving);
 	tcase_add_test(t, test_new_incarnation_is_not_leaving);
+	tcase_add_test(t, test_newer_entry_takes_back_a_leaving_entry);
 	tcase_add_test(t, test_many_leaving_instances_are_forgotten);
 	tcase_add_loop_test(t, test_instance_that_asked_for_a_pause_is_not_selected, 0, 3);
 	tcase_add_test(t, test_pause_is_kept_and_bounded);
