--- a/bench/config_load.c
+++ b/bench/config_load.c
@@ -113,7 +113,7 @@
 	struct measurement m = {0};
 	double start = processor_ms();
 
-	tlb_routing_load_start(l, text, len, "bench");
+	tlb_routing_load_start(l, text, len, "bench", false);
 	add_round(&m, start);
 	while (t->routing->version != version) {
 		start = processor_ms();
