--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,121 +1,70 @@
-"""A part of prompts crashes each runner that begins to write an answer on it. The prompts have a long
-history, so that the part comes after the first 32 ones. PARTS sets the length of the history."""
+"""Look-ups and payments with a long query, inside the operator's limit on heads, must reach the runner
+with the query that the client sent."""
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from deployment import (BROKEN, CONTACT_S, HELD, KEY, LIMITS, NOT_RUN, TROUBLE, Client,  # noqa: E402
-                        Deployment, Endpoint, main, route, service, tenant)
+from deployment import (BROKEN, HELD, KEY, LIMITS, NOT_RUN, TROUBLE, Client, Deployment,  # noqa: E402
+                        Endpoint, main, route, service, tenant)
 
-PARTS = int(os.environ.get("PARTS", "40"))  # before the one that crashes runners, or the last one
-HISTORY = ["5c1e07a2:200"] + [f"{0x91bd3f00 + i:x}:100" for i in range(PARTS - 1)]
-DEADLY = "e4402b7d:50"
-DOWN_S = 2.5  # a runner that has crashed is back after some seconds
-PERIOD_S = 1.2  # between requests with the part
-LENGTH_S = 40
-ALLOWED = 3
-FIFTH = 5
-TOKENS = f"{200 + 100 * PARTS + 100},70"
+ORDERS = (330, 400, 500, 800) if TROUBLE else (1, 20, 100, 300)  # listed in the query
+PER_SIZE = 5
 
 
 def configuration():
-    streams = {"timeoutMs": 14000, "targetLatencyMs": 900, "gapAimMs": 300, "priority": 1,
-               "sessionAffinity": True}
     return {"version": 7,
-            "routes": [route("kveld-oppsum", "/lohu930/", "streaming", "baker-llm", maxAttempts=2,
-                             resumable=True, **streams),
-                       route("kundenotat", "/pule252/", "streaming", "baker-llm", **streams)],
-            "services": [service("baker-llm", engine=True)],
+            "routes": [route("ordre-betal", "/baye92/", "non_idempotent", "butikk-app"),
+                       route("sjekk-ordre", "/puxa403/", "idempotent", "butikk-app")],
+            "services": [service("butikk-app")],
             "tenants": [tenant("huka270", KEY)], "limits": LIMITS}
 
 
-def headers(*parts):
-    return [("X-Model", "m"), ("X-Token-Usage", TOKENS), ("X-Prompt-Prefix", ",".join(parts))]
+def query_of(orders, n):
+    return "?ids=" + ",".join(f"{100000 * n + i:011d}" for i in range(orders)) + "&pickup=saturday"
 
 
 def play(record):
-    prefills = [Endpoint(f"i-pre{n}", "baker-llm", "prefill", slots=16) for n in range(2)]
-    decodes = [Endpoint(f"i-dec{n}", "baker-llm", "decode", slots=16) for n in range(10)]
-    arrivals = []  # (time, runner) of requests with the part
-    crashes = []
+    runners = [Endpoint(f"i-{n}", "butikk-app", slots=6) for n in range(2)]
+    run = {}
 
     def plan(h):
-        e = h.endpoint
-        ids = h.headers.get("X-Prompt-Prefix", "").split(",")
-        if DEADLY in ids[:-1]:
-            arrivals.append(time.monotonic())
-            record(f"runner {e.name}: gets {h.headers.get('X-Attempt-Id')}, which has the part")
-        if h.headers.get("X-Serving-Stage") == "prefill":
-            return False
-        if DEADLY in ids[:-1] and TROUBLE:
-            crashes.append(time.monotonic())
-            record(f"runner {e.name}: crashes on {h.headers.get('X-Attempt-Id')}")
-            h.begin_stream()
-            e.crash(d.store, down_s=DOWN_S, new_id=True)
-            h.cut()
-            return True
-        h.stream(int(h.headers.get("Last-Event-Id") or 0), pause=0.1)
-        return True
+        attempt = h.headers.get("X-Attempt-Id")
+        run[attempt] = h.path
+        record(f"runner {h.endpoint.name}: runs {attempt}: {h.command}, target of {len(h.path)} "
+               f"bytes, ends with {h.path[-24:]!r}")
+        return False
 
-    for e in prefills + decodes:
+    for e in runners:
         e.plan = plan
-    sound = []  # (time, whole)
-    ended = threading.Event()
-
-    def summarize(machine, number):
-        n = 0
-        while not ended.wait(0.1):
-            n += 1
-            began = time.monotonic()
-            answer = call(machine, "/pule252/2f", f"sound-{machine.name}-{number}-{n}",
-                          headers(*HISTORY, f"{number}{n:x}5:30"), quiet=True)
-            sound.append((began, bool(answer and answer.whole and answer.status == 200)))
-
-    def call(machine, path, attempt, lines, quiet=False):
-        client = Client(machine, record)
-        try:
-            return client.request("POST", path, attempt, b"x", quiet=quiet, deadline_ms=14000,
-                                  headers=lines)
-        except OSError:
-            return None
-        finally:
-            client.close()
-
-    with Deployment(record, configuration(), prefills + decodes) as d:
+    changed = []
+    sent = 0
+    largest = 0
+    with Deployment(record, configuration(), runners) as d:
         if not d.settle():
             return NOT_RUN, "the machines did not become ready"
-        threads = [threading.Thread(target=summarize, args=(m, n)) for m in d.machines
-                   for n in range(3)]
-        for t in threads:
-            t.start()
-        end = time.monotonic() + LENGTH_S
-        senders = []
-        n = 0
-        while time.monotonic() < end:
-            n += 1
-            t = threading.Thread(target=call, args=(
-                d.machines[n % 2], "/lohu930/2f", f"deadly-{n}",
-                headers(*HISTORY, DEADLY, f"{n:x}e:30")))
-            t.start()
-            senders.append(t)
-            time.sleep(PERIOD_S)
-        ended.set()
-        for t in threads + senders:
-            t.join(15)
-    if not TROUBLE:
-        lost = [w for _, w in sound].count(False)
-        return HELD, f"no runner crashed; {lost} of {len(sound)} sound streams not whole"
-    if len(crashes) < FIFTH:
-        return HELD, f"only {len(crashes)} crashes"
-    known = crashes[FIFTH - 1] + CONTACT_S
-    late = sum(at > known for at in arrivals)
-    after = [w for at, w in sound if at > known]
-    return (BROKEN if late > ALLOWED else HELD), (
-        f"{late} requests with the part reached runners later than {CONTACT_S:.0f} s after the fifth "
-        f"crash ({ALLOWED} allowed); {len(crashes)} crashes; {after.count(False)} of {len(after)} "
-        f"sound streams begun since then were not answered whole")
+        for orders in ORDERS:
+            for n in range(PER_SIZE):
+                for method, prefix in (("GET", "/puxa403/2f"), ("POST", "/baye92/2f")):
+                    target = prefix + query_of(orders, n)
+                    attempt = f"{method}-{orders}-{n}"
+                    client = Client(d.machines[n % 2], record)
+                    largest = max(largest, len(client.head(method, target, attempt, length=4)))
+                    record(f"client: {attempt} has a target of {len(target)} bytes, "
+                           f"ends with {target[-24:]!r}")
+                    client.request(method, target, attempt, b"pay!" if method == "POST" else b"")
+                    client.close()
+                    sent += 1
+                    if attempt in run and run[attempt] != target:
+                        changed.append(attempt)
+        time.sleep(0.2)
+    if largest > LIMITS["maxHeaderBytes"]:
+        return NOT_RUN, f"a head of {largest} bytes is over the operator's limit"
+    for a in changed:
+        record(f"UNASKED: {a} ran with a target that its client did not send")
+    return (BROKEN if changed else HELD), (
+        f"{len(changed)} of {sent} requests ran with another query than the client sent; "
+        f"largest head {largest} of {LIMITS['maxHeaderBytes']} bytes allowed")
 
 
 main(os.path.dirname(os.path.abspath(__file__)), play)
