Parse responses on own connections; bound every part of a message

What callers saw: a faulty endpoint ended an answer with trailer lines without end.

Cause: on_header() accepted every line after the head without counting it, and libcurl keeps each line it has passed on, some 150 bytes for "X-T: 1".

Ruled out: the router's own buffers (they have limits, and were small) and the callers' side (12 MB with the endpoint behaving). Limits on top of libcurl: it shows neither chunk framing nor what it keeps.

Change: the HTTP client has connections of its own (module connection) and parses responses with http_parser. Status lines, heads, interim heads and trailers of a call share a limit of 64 KB; framing is limited to 128 KB and eight times the body. One readiness event reads 16 KB. A chunked response is complete with its last chunk (RFC 9112, section 8); trailers are read only from connections that are used again. The daemon no longer links libcurl.

--- a/src/buffer.c
+++ b/src/buffer.c
@@ -42,6 +42,13 @@
 	return data;
 }
 
+void tlb_buffer_clear(struct tlb_buffer *b)
+{
+	b->len = 0;
+	if (b->data)
+		b->data[0] = '\0';
+}
+
 void tlb_buffer_finish(struct tlb_buffer *b)
 {
 	free(b->data);
--- a/src/buffer.h
+++ b/src/buffer.h
@@ -17,6 +17,8 @@
 bool tlb_buffer_append(struct tlb_buffer *b, const char *bytes, size_t n, size_t max);
 /* Returns the malloc'd data, which the caller frees, and leaves the buffer empty. */
 char *tlb_buffer_detach(struct tlb_buffer *b);
+/* Empties the buffer, which keeps its memory. */
+void tlb_buffer_clear(struct tlb_buffer *b);
 void tlb_buffer_finish(struct tlb_buffer *b);
 
 #endif
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -308,7 +308,7 @@
 	const struct tlb_http_totals *t = &d->http.totals;
 
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_CALLS, t->calls);
-	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_CONNECTS, t->connects);
+	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_CONNECTS, d->http.connections.opened);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_IN, t->bytes_in);
 	tlb_counter_set(&d->board.counters, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
 }
@@ -574,9 +574,10 @@
 
 enum tlb_code tlb_daemon_init(struct tlb_daemon *d, struct tlb_error *err)
 {
-	if (tlb_loop_init(&d->loop) != APR_SUCCESS || tlb_http_init(&d->http, &d->loop) != 0)
+	if (tlb_loop_init(&d->loop) != APR_SUCCESS)
 		return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "start", "",
 				     "the event loop could not start");
+	tlb_http_init(&d->http, &d->loop);
 	tlb_store_init(&d->store, &d->http, d->settings.store_url);
 	tlb_config_init(&d->config, &d->loop, &d->store, &d->board.counters, on_table, d);
 	tlb_changes_init(&d->changes, &d->config);
--- a/src/edge.c
+++ b/src/edge.c
@@ -209,7 +209,7 @@
 
 	tlb_counter_set(c, TLB_COUNTER_IN_FLIGHT, e->board.forwards.count);
 	tlb_counter_set(c, TLB_COUNTER_HTTP_CALLS, t->calls);
-	tlb_counter_set(c, TLB_COUNTER_HTTP_CONNECTS, t->connects);
+	tlb_counter_set(c, TLB_COUNTER_HTTP_CONNECTS, e->http.connections.opened);
 	tlb_counter_set(c, TLB_COUNTER_HTTP_BYTES_IN, t->bytes_in);
 	tlb_counter_set(c, TLB_COUNTER_HTTP_BYTES_OUT, t->bytes_out);
 	tlb_counter_set(c, TLB_COUNTER_STORE_CALLS, e->store.calls);
@@ -453,9 +453,10 @@
 
 enum tlb_code tlb_edge_init(struct tlb_edge *e, struct tlb_error *err)
 {
-	if (tlb_loop_init(&e->loop) != APR_SUCCESS || tlb_http_init(&e->http, &e->loop) != 0)
+	if (tlb_loop_init(&e->loop) != APR_SUCCESS)
 		return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "start", "",
 				     "the event loop could not start");
+	tlb_http_init(&e->http, &e->loop);
 	e->loop.on_late = on_late_round;
 	e->loop.late_arg = e;
 	tlb_rowstore_init(&e->store, &e->http, e->settings.store_url + strlen("http://"));
--- a/src/forward.c
+++ b/src/forward.c
@@ -344,17 +344,17 @@
 	struct tlb_exchange *x = f->exchange;
 	char target[4096];
 	char url[128];
+	struct tlb_buffer headers = {0};
 	struct tlb_http_spec spec = {
 		.method = x->method,
 		.url = url,
 		.target = target,
-		.headers = tlb_platform_headers(x, o),
 		.body = x->body.len > 0 || strcmp(x->method, "POST") == 0 ? "" : NULL,
 		.body_len = x->body.len,
+		.body_borrowed = true,
 		.connect_deadline = tlb_clock_now() + TLB_FORWARD_CONNECT_TIMEOUT,
 		.deadline = deadline,
-		/* On a new connection no response to an earlier request can arrive, and the HTTP
-		 * library does not resend the request. */
+		/* On a new connection no response to an earlier request can arrive. */
 		.dedicated_connection = true,
 		.on_data = on_data,
 		.on_done = on_done,
@@ -372,7 +372,11 @@
 		spec.body = x->body.data;
 	snprintf(url, sizeof(url), "http://%s/", i->row.addr);
 	snprintf(target, sizeof(target), "%s%s%s", x->path, *x->query ? "?" : "", x->query);
+	if (!tlb_platform_headers(x, o, &headers))
+		spec.unsendable = "the request's headers can't be sent";
+	spec.headers = headers.data;
 	tlb_http_start(f->board->http, &f->call, &spec);
+	tlb_buffer_finish(&headers);
 }
 
 /* Whether a caller concludes from the status that its request has not run and never will. */
--- a/src/http.c
+++ b/src/http.c
@@ -1,56 +1,58 @@
 #include "http.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* A connection that was idle for IDLE_AGE_MAX_S is not reused: a NAT or firewall on the path may
- * have dropped its state. */
 enum {
-	IDLE_AGE_MAX_S = 5,
-	CONNECTION_LIFETIME_S = 60,
-	USER_TIMEOUT_MS = 4000,
-	CONNECTIONS_MAX = 512
+	/* Reads of one connection in a round after the loop was late, so that what has arrived is
+	 * read before deadlines are applied. */
+	LATE_READS = 4,
+	/* Bytes of a response that are neither counted as head nor delivered as body, such as chunk
+	 * sizes and their extensions: a fixed number and a multiple of the body, which allows for
+	 * chunks of one byte. */
+	FRAMING_MAX = 2 * TLB_HTTP_HEAD_MAX,
+	FRAMING_PER_BODY_BYTE = 8,
+	/* What a line of a head, or a head without lines, takes besides its text. */
+	LINE_OVERHEAD = 16,
 };
 
-static void on_timer(void *arg);
+/* How a call has ended. */
+enum call_end {
+	END_COMPLETE,
+	END_TIMED_OUT,
+	END_NOT_CONNECTED,
+	END_CONNECT_TIMED_OUT,
+	END_NOT_SENT,
+	END_BROKEN_OFF,
+	END_UNUSABLE, /* the response, or on_data stopped the call */
+};
 
-static CURL *acquire_handle(struct tlb_http *h)
-{
-	return h->idle_count > 0 ? h->idle[--h->idle_count] : curl_easy_init();
-}
+static void on_event(void *arg, struct tlb_connection *conn, int events);
 
-static void recycle_handle(struct tlb_http *h, CURL *easy)
-{
-	if (h->idle_count == TLB_HTTP_IDLE_HANDLES) {
-		curl_easy_cleanup(easy);
-		return;
-	}
-	curl_easy_reset(easy);
-	h->idle[h->idle_count++] = easy;
-}
+/* --- end of a call --- */
 
-static void call_release(struct tlb_http_call *c)
+static void release(struct tlb_http_call *c)
 {
-	tlb_timer_clear(c->http->loop, &c->deadline_timer);
-	tlb_timer_clear(c->http->loop, &c->start_timer);
-	if (c->easy) {
-		curl_multi_remove_handle(c->http->multi, c->easy);
-		recycle_handle(c->http, c->easy);
-	}
-	curl_slist_free_all(c->headers);
+	struct tlb_loop *l = c->http->loop;
+
+	tlb_timer_clear(l, &c->deadline_timer);
+	tlb_timer_clear(l, &c->connect_timer);
+	tlb_timer_clear(l, &c->start_timer);
+	tlb_connection_close(c->connection);
+	c->connection = NULL;
 	c->active = false;
-	c->easy = NULL;
-	c->headers = NULL;
+	c->http->body_bytes -= c->body.len;
+	tlb_buffer_finish(&c->request);
 }
 
 void tlb_http_cancel(struct tlb_http_call *c)
 {
 	if (!c->active)
 		return;
-	call_release(c);
-	c->http->body_bytes -= c->body.len;
+	release(c);
 	tlb_buffer_finish(&c->head);
 	tlb_buffer_finish(&c->body);
 }
@@ -62,99 +64,70 @@
 
 int tlb_http_status(const struct tlb_http_call *c)
 {
-	long status = 0;
-
-	if (c->easy)
-		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	return (int)status;
+	return c->active ? (int)c->parser.status_code : 0;
 }
 
-/* Whether any byte of the request may have been sent. libcurl counts request bytes as it writes
- * them. */
-static bool request_was_sent(CURL *easy)
+static void add_totals(struct tlb_http_totals *t, const struct tlb_http_call *c)
 {
-	long size = 0;
-
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &size);
-	return size > 0;
+	t->calls++;
+	t->bytes_in += (int64_t)c->received_bytes;
+	t->bytes_out += (int64_t)c->sent_bytes;
 }
 
-static void add_totals(struct tlb_http_totals *t, CURL *easy)
+/* Copies the value of Content-Type. */
+static void read_content_type(const char *head, char *out, size_t size)
 {
-	curl_off_t down = 0;
-	curl_off_t up = 0;
-	long header = 0;
-	long request = 0;
-	long connects = 0;
+	static const char name[] = "Content-Type: ";
+	const char *end;
 
-	curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
-	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &up);
-	curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header);
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
-	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
-	t->calls++;
-	t->connects += connects;
-	t->bytes_in += down + header;
-	t->bytes_out += up + request;
+	*out = '\0';
+	for (; (end = strchr(head, '\n')); head = end + 1)
+		if (strncasecmp(head, name, sizeof(name) - 1) == 0)
+			snprintf(out, size, "%.*s", (int)(end - head - (sizeof(name) - 1)),
+				 head + sizeof(name) - 1);
 }
 
-static void call_finish(struct tlb_http_call *c, CURLcode rc)
+static void finish(struct tlb_http_call *c, enum call_end end, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+static void finish(struct tlb_http_call *c, enum call_end end, const char *fmt, ...)
 {
 	struct tlb_http_result r;
-	char type[80] = "";
-	char *t = NULL;
-	struct tlb_buffer body = c->body;
 	struct tlb_buffer head = c->head;
-	long status = 0;
-	bool cut_head;
+	struct tlb_buffer body = c->body;
+	char type[80];
+	va_list ap;
 
 	memset(&r, 0, sizeof(r));
-	if (c->easy) {
-		curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-		curl_easy_getinfo(c->easy, CURLINFO_CONTENT_TYPE, &t);
-		r.sent = request_was_sent(c->easy);
-		add_totals(&c->http->totals, c->easy);
-	}
-	snprintf(type, sizeof(type), "%s", t ? t : "");
-	r.timed_out = c->timed_out;
-	r.refused = rc == CURLE_COULDNT_CONNECT;
-	/* For libcurl, a response is complete when its connection ends inside the head. */
-	cut_head = rc == CURLE_OK && !c->head_complete;
-	r.broken_off = rc == CURLE_PARTIAL_FILE || rc == CURLE_GOT_NOTHING ||
-		       rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR || cut_head;
-	r.ended_by_close = rc == CURLE_OK && c->content_length < 0 && !c->chunked;
-	if (c->timed_out)
-		snprintf(r.reason, sizeof(r.reason), "no complete response before the deadline");
-	else if (c->too_large)
-		snprintf(r.reason, sizeof(r.reason),
-			 "response body too large: %zu bytes, %zu in all calls", c->body.len,
-			 c->http->body_bytes);
-	else if (c->conflicting_lengths)
-		snprintf(r.reason, sizeof(r.reason), "two different Content-Length headers");
-	else if (rc != CURLE_OK)
-		snprintf(r.reason, sizeof(r.reason), "%s", curl_easy_strerror(rc));
-	else if (cut_head)
-		snprintf(r.reason, sizeof(r.reason), "the response ended in its head");
-	else
-		r.status = (int)status;
+	va_start(ap, fmt);
+	vsnprintf(r.reason, sizeof(r.reason), fmt, ap);
+	va_end(ap);
+	add_totals(&c->http->totals, c);
+	r.sent = c->sent;
+	r.timed_out = end == END_TIMED_OUT;
+	r.refused = end == END_NOT_CONNECTED;
+	r.broken_off = end == END_BROKEN_OFF;
+	r.head = head.data ? head.data : "";
 	r.body = body.data ? body.data : "";
 	r.body_len = body.len;
-	r.head = head.data ? head.data : "";
+	read_content_type(r.head, type, sizeof(type));
 	r.content_type = type;
-	call_release(c);
-	c->http->body_bytes -= body.len;
+	if (end == END_COMPLETE) {
+		r.status = c->status;
+		r.ended_by_close = c->ended_by_close;
+	}
+	release(c);
 	/* The callback may start the call again, so body and head are detached from it first. */
-	tlb_buffer_detach(&c->body);
 	tlb_buffer_detach(&c->head);
+	tlb_buffer_detach(&c->body);
 	c->spec.on_done(c->spec.arg, &r);
-	tlb_buffer_finish(&body);
 	tlb_buffer_finish(&head);
+	tlb_buffer_finish(&body);
 }
 
 void tlb_http_time_out(struct tlb_http_call *c)
 {
-	c->timed_out = true;
-	call_finish(c, CURLE_OPERATION_TIMEDOUT);
+	finish(c, END_TIMED_OUT, "no complete response before the deadline");
 }
 
 static void on_deadline(void *arg)
@@ -162,326 +135,431 @@
 	tlb_http_time_out(arg);
 }
 
-static void finish_completed_calls(struct tlb_http *h)
+static void on_connect_deadline(void *arg)
 {
-	struct tlb_http_call *c;
-	CURLMsg *m;
-	int left;
-
-	while ((m = curl_multi_info_read(h->multi, &left))) {
-		if (m->msg != CURLMSG_DONE)
-			continue;
-		c = NULL;
-		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, (char **)&c);
-		call_finish(c, m->data.result);
-	}
+	finish(arg, END_CONNECT_TIMED_OUT, "no connection before its deadline");
 }
 
-static void run_socket_action(struct tlb_http *h, curl_socket_t fd, int mask)
+/* --- the response --- */
+
+/* Notes what makes the response unusable; stops the parser as the result of its callback. */
+static int fail(struct tlb_http_call *c, const char *fault)
 {
-	int running;
+	if (!c->fault)
+		c->fault = fault;
+	return -1;
+}
 
-	curl_multi_socket_action(h->multi, fd, mask, &running);
-	finish_completed_calls(h);
+/* Counts bytes of a head or a trailer. */
+static int count_head(struct tlb_http_call *c, size_t len)
+{
+	c->head_bytes += len;
+	return c->head_bytes <= TLB_HTTP_HEAD_MAX ? 0 : fail(c, "response head too large");
 }
 
-static void on_timer(void *arg)
+/* Appends to the lines of the final head. Trailers say nothing about the response (RFC 9110,
+ * section 6.5.1). */
+static int append_head(struct tlb_http_call *c, const char *text, size_t len)
 {
-	run_socket_action(arg, CURL_SOCKET_TIMEOUT, 0);
+	if (c->status > 0 || tlb_buffer_append(&c->head, text, len, 2 * TLB_HTTP_HEAD_MAX))
+		return 0;
+	return fail(c, "no memory for the response head");
 }
 
-static int set_timer(CURLM *multi, long timeout_ms, void *arg)
+/* Begins a head. Only the headers of the final response remain and not those of interim ones (RFC
+ * 9110, section 15.2). */
+static int on_message_begin(http_parser *p)
 {
-	struct tlb_http *h = arg;
+	struct tlb_http_call *c = p->data;
 
-	if (timeout_ms < 0)
-		tlb_timer_clear(h->loop, &h->timer);
-	else
-		tlb_timer_set(h->loop, &h->timer, tlb_clock_now() + timeout_ms * TLB_MS);
-	return 0;
+	tlb_buffer_clear(&c->head);
+	c->line = TLB_HTTP_LINE_NONE;
+	return count_head(c, LINE_OVERHEAD);
 }
 
-/* Argument of a watch callback: the callback receives one pointer but needs the client and the
- * descriptor. */
-struct socket_slot {
-	struct tlb_http *http;
-	struct tlb_watch *watch;
-	curl_socket_t fd;
-};
-
-static void on_socket(void *arg, int events)
+static int on_status(http_parser *p, const char *text, size_t len)
 {
-	struct socket_slot *slot = arg;
-	int mask = 0;
+	return count_head(p->data, len);
+}
 
-	if (events & TLB_READABLE)
-		mask |= CURL_CSELECT_IN;
-	if (events & TLB_WRITABLE)
-		mask |= CURL_CSELECT_OUT;
-	if (events & TLB_HANGUP)
-		mask |= CURL_CSELECT_ERR;
-	run_socket_action(slot->http, slot->fd, mask);
+static int end_line(struct tlb_http_call *c)
+{
+	if (c->line == TLB_HTTP_LINE_NONE)
+		return 0;
+	c->line = TLB_HTTP_LINE_NONE;
+	return append_head(c, "\n", 1);
 }
 
-static int set_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *socket_arg)
+/* Name and value of a header may come in several pieces. */
+static int on_header_field(http_parser *p, const char *text, size_t len)
 {
-	struct tlb_http *h = arg;
-	struct socket_slot *slot = socket_arg;
-	int events = 0;
+	struct tlb_http_call *c = p->data;
+	bool begins = c->line != TLB_HTTP_LINE_NAME;
 
-	if (what == CURL_POLL_REMOVE) {
-		if (slot)
-			tlb_loop_unwatch(h->loop, slot->watch);
-		free(slot);
-		return 0;
-	}
-	if (what & CURL_POLL_IN)
-		events |= TLB_READABLE;
-	if (what & CURL_POLL_OUT)
-		events |= TLB_WRITABLE;
-	if (slot) {
-		tlb_loop_set_events(h->loop, slot->watch, events);
-		return 0;
-	}
-	slot = calloc(1, sizeof(*slot));
-	if (!slot)
+	if (begins && (end_line(c) != 0 || count_head(c, LINE_OVERHEAD) != 0))
 		return -1;
-	slot->http = h;
-	slot->fd = fd;
-	slot->watch = tlb_loop_watch(h->loop, fd, events, on_socket, slot);
-	curl_multi_assign(h->multi, fd, slot);
-	return slot->watch ? 0 : -1;
+	c->line = TLB_HTTP_LINE_NAME;
+	return count_head(c, len) == 0 ? append_head(c, text, len) : -1;
 }
 
-int tlb_http_init(struct tlb_http *h, struct tlb_loop *l)
+static int on_header_value(http_parser *p, const char *text, size_t len)
 {
-	memset(h, 0, sizeof(*h));
-	h->loop = l;
-	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
-		return -1;
-	h->multi = curl_multi_init();
-	if (!h->multi)
+	struct tlb_http_call *c = p->data;
+
+	if (c->line == TLB_HTTP_LINE_NAME && append_head(c, ": ", 2) != 0)
 		return -1;
-	tlb_timer_init(&h->timer, on_timer, h);
-	curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
-	curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
-	curl_multi_setopt(h->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-	curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
-	curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTIONS_MAX);
-	return 0;
+	c->line = TLB_HTTP_LINE_VALUE;
+	return count_head(c, len) == 0 ? append_head(c, text, len) : -1;
 }
 
-void tlb_http_finish(struct tlb_http *h)
+static bool is_passed_on(const struct tlb_http_call *c)
 {
-	while (h->idle_count > 0)
-		curl_easy_cleanup(h->idle[--h->idle_count]);
-	curl_multi_cleanup(h->multi);
-	tlb_timer_clear(h->loop, &h->timer);
-	curl_global_cleanup();
+	return c->spec.on_data && c->status >= 200 && c->status < 300;
+}
+
+/* Whether the response has no body, whatever its headers say (RFC 9112, section 6.3). */
+static bool has_no_body(const struct tlb_http_call *c, unsigned status)
+{
+	return c->head_only || status < 200 || status == 204 || status == 304;
+}
+
+/* Returns 1 when the parser must expect no body. */
+static int on_headers_complete(http_parser *p)
+{
+	struct tlb_http_call *c = p->data;
+
+	if (end_line(c) != 0)
+		return -1;
+	if (p->status_code == 101)
+		return fail(c, "the peer changes the protocol");
+	if (p->status_code >= 200)
+		c->status = (int)p->status_code;
+	return has_no_body(c, p->status_code);
 }
 
 static bool body_append(struct tlb_http_call *c, const char *data, size_t len)
 {
 	size_t size = c->body.len + len;
 
-	c->too_large =
-		size > TLB_HTTP_BODY_MAX ||
-		(size > TLB_HTTP_SMALL_BODY && c->http->body_bytes + len > TLB_HTTP_BODIES_MAX);
-	if (c->too_large || !tlb_buffer_append(&c->body, data, len, TLB_HTTP_BODY_MAX))
+	if (size > TLB_HTTP_BODY_MAX ||
+	    (size > TLB_HTTP_SMALL_BODY && c->http->body_bytes + len > TLB_HTTP_BODIES_MAX) ||
+	    !tlb_buffer_append(&c->body, data, len, TLB_HTTP_BODY_MAX))
 		return false;
 	c->http->body_bytes += len;
 	return true;
 }
 
-static size_t on_body(char *data, size_t size, size_t n, void *arg)
+static int on_body(http_parser *p, const char *data, size_t len)
 {
-	struct tlb_http_call *c = arg;
-	long status = 0;
-	size_t len = size * n;
+	struct tlb_http_call *c = p->data;
 
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (c->spec.on_data && status >= 200 && status < 300)
-		return c->spec.on_data(c->spec.arg, data, len) ? len : 0;
-	return body_append(c, data, len) ? len : 0;
+	c->delivered_bytes += len;
+	if (!is_passed_on(c))
+		return body_append(c, data, len) ? 0 : fail(c, "response body too large");
+	return c->spec.on_data(c->spec.arg, data, len) ? 0
+						       : fail(c, "the response was not accepted");
 }
 
-/* Begins a head. Only the headers of the final response remain and not those of interim ones (RFC
- * 9110, section 15.2). */
-static void begin_head(struct tlb_http_call *c)
+/* Stops after the final response: what follows belongs to no request. */
+static int on_message_complete(http_parser *p)
+{
+	struct tlb_http_call *c = p->data;
+
+	if (c->status > 0) {
+		c->complete = true;
+		http_parser_pause(p, 1);
+	}
+	return 0;
+}
+
+/* The last chunk completes the response (RFC 9112, section 8). The trailers after it are read only
+ * from a connection that will be used again. */
+static int on_chunk_header(http_parser *p)
 {
-	c->head.len = 0;
-	c->content_length = -1;
-	c->chunked = false;
+	struct tlb_http_call *c = p->data;
+
+	if (p->content_length == 0 && c->spec.dedicated_connection)
+		on_message_complete(p);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_status = on_status,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_chunk_header = on_chunk_header,
+	.on_message_complete = on_message_complete,
+};
+
+/* Why a response that was parsed so far is not usable, or NULL. */
+static const char *find_fault(const struct tlb_http_call *c)
+{
+	size_t framing = c->received_bytes - c->delivered_bytes;
+	enum http_errno error = HTTP_PARSER_ERRNO(&c->parser);
+
+	if (c->fault)
+		return c->fault;
+	if (error == HPE_UNEXPECTED_CONTENT_LENGTH)
+		return "the response states its length more than once";
+	if (error != HPE_OK)
+		return http_errno_description(error);
+	if (framing > FRAMING_MAX + FRAMING_PER_BODY_BYTE * c->delivered_bytes)
+		return "the response has hardly any content";
+	return NULL;
+}
+
+/* Parses a piece of the response. Returns whether the call goes on; else it has ended. */
+static bool parse(struct tlb_http_call *c, const char *data, size_t len)
+{
+	struct tlb_connection *conn = c->connection;
+	const char *fault;
+	size_t parsed;
+
+	c->received_bytes += len;
+	parsed = http_parser_execute(&c->parser, &parser_settings, data, len);
+	if (c->complete) {
+		if (parsed == len && c->sent_bytes == c->request.len &&
+		    !c->spec.dedicated_connection && http_should_keep_alive(&c->parser)) {
+			c->connection = NULL;
+			tlb_connection_keep(conn);
+		}
+		finish(c, END_COMPLETE, "%s", "");
+		return false;
+	}
+	fault = find_fault(c);
+	if (fault)
+		finish(c, END_UNUSABLE, "%s (%zu bytes received)", fault, c->received_bytes);
+	return !fault;
 }
 
-static bool is_final(const struct tlb_http_call *c)
+/* Sends the request again, on a new connection, when a kept one proves to be closed. Returns
+ * whether it does. */
+static bool restart(struct tlb_http_call *c)
 {
-	long status = 0;
+	if (!c->connection->reused || !c->idempotent || c->received_bytes > 0)
+		return false;
+	tlb_connection_close(c->connection);
+	c->sent_bytes = 0;
+	c->connection = tlb_connections_get(&c->http->connections, c->addr, true, on_event, c);
+	if (!c->connection)
+		finish(c, END_NOT_CONNECTED, "%s", strerror(errno));
+	return true;
+}
 
-	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-	return status >= 200;
+static void on_end_of_stream(struct tlb_http_call *c)
+{
+	if (restart(c))
+		return;
+	http_parser_execute(&c->parser, &parser_settings, NULL, 0);
+	if (c->complete) {
+		c->ended_by_close = true;
+		finish(c, END_COMPLETE, "%s", "");
+	} else if (c->received_bytes == 0) {
+		finish(c, END_BROKEN_OFF, "the connection was closed without a response");
+	} else if (c->status == 0) {
+		finish(c, END_BROKEN_OFF, "the response ended in its head");
+	} else {
+		finish(c, END_BROKEN_OFF, "the response ended after %zu bytes of its body",
+		       c->delivered_bytes);
+	}
 }
 
-static bool store_header(struct tlb_http_call *c, const char *line, size_t len)
+static void receive(struct tlb_http_call *c)
 {
-	return tlb_buffer_append(&c->head, line, len, TLB_HTTP_HEAD_MAX) &&
-	       tlb_buffer_append(&c->head, "\n", 1, TLB_HTTP_HEAD_MAX);
+	int reads = tlb_loop_was_late(c->http->loop) ? LATE_READS : 1;
+	char *input = c->http->input;
+	ssize_t n;
+
+	while (reads-- > 0) {
+		n = tlb_connection_read(c->connection, input);
+		if (n < 0 && errno == EAGAIN)
+			return;
+		if (n == 0)
+			on_end_of_stream(c);
+		else if (n < 0 && !restart(c))
+			finish(c, END_BROKEN_OFF, "%s", strerror(errno));
+		if (n <= 0 || !parse(c, input, (size_t)n) || n < TLB_CONNECTION_READ_BYTES)
+			return;
+	}
 }
 
-static size_t line_len(const char *line, size_t len)
+/* --- the request --- */
+
+static size_t borrowed_len(const struct tlb_http_call *c)
 {
-	while (len > 0 && (line[len - 1] == '\r' || line[len - 1] == '\n'))
-		len--;
-	return len;
+	return c->spec.body_borrowed ? c->spec.body_len : 0;
 }
 
-/* Notes how the body ends. Returns false on two different Content-Length values, which leave its
- * end undefined (RFC 9112, section 6.3); libcurl would use the last one. */
-static bool read_framing(struct tlb_http_call *c, const char *line, size_t len)
+/* Sends as much as the connection takes. Returns false when it takes no more for good. */
+static bool send_request(struct tlb_http_call *c)
 {
-	static const char name[] = "Content-Length:";
-	static const char encoding[] = "Transfer-Encoding:";
-	char text[32];
-	long long value;
+	size_t head_left = c->sent_bytes < c->request.len ? c->request.len - c->sent_bytes : 0;
+	size_t body_sent = c->sent_bytes - (c->request.len - head_left);
+	size_t body_left = borrowed_len(c) - body_sent;
+	ssize_t n;
 
-	if (len >= sizeof(encoding) && strncasecmp(line, encoding, sizeof(encoding) - 1) == 0)
-		c->chunked = true;
-	if (len < sizeof(name) || strncasecmp(line, name, sizeof(name) - 1) != 0)
-		return true;
-	snprintf(text, sizeof(text), "%.*s", (int)(len - sizeof(name) + 1),
-		 line + sizeof(name) - 1);
-	value = strtoll(text, NULL, 10);
-	if (c->content_length >= 0 && c->content_length != value)
-		c->conflicting_lengths = true;
-	c->content_length = value;
-	return !c->conflicting_lengths;
+	n = tlb_connection_send(c->connection, c->request.data + c->request.len - head_left,
+				head_left, body_left > 0 ? c->spec.body + body_sent : NULL,
+				body_left);
+	if (n < 0)
+		return false;
+	c->sent |= n > 0;
+	c->sent_bytes += (size_t)n;
+	if (c->sent_bytes == c->request.len + borrowed_len(c))
+		tlb_connection_set_events(c->connection, TLB_READABLE);
+	else
+		tlb_connection_set_events(c->connection, TLB_READABLE | TLB_WRITABLE);
+	return true;
 }
 
-/* Reads a line of a head. libcurl passes the trailers of a chunked body as well, which say nothing
- * about the response (RFC 9110, section 6.5.1). */
-static size_t on_header(char *line, size_t size, size_t n, void *arg)
+/* Returns whether the connection can be used; else the call has ended. */
+static bool on_established(struct tlb_http_call *c)
 {
-	struct tlb_http_call *c = arg;
-	size_t all = size * n;
-	size_t len = line_len(line, all);
-
-	if (c->head_complete)
-		return all;
-	if (len == 0) {
-		c->head_complete = is_final(c);
-		return all;
+	int error = tlb_connection_established(c->connection);
+
+	tlb_timer_clear(c->http->loop, &c->connect_timer);
+	if (error != 0) {
+		finish(c, END_NOT_CONNECTED, "%s", strerror(error));
+		return false;
 	}
-	if (len >= 5 && strncmp(line, "HTTP/", 5) == 0) {
-		begin_head(c);
-		return all;
+	if (c->spec.before_send && !c->spec.before_send(c->spec.arg)) {
+		finish(c, END_NOT_SENT, "not sent any more");
+		return false;
 	}
-	if (c->keep_head && !store_header(c, line, len))
-		return 0;
-	return read_framing(c, line, len) ? all : 0;
+	return true;
 }
 
-static int on_sockopt(void *arg, curl_socket_t fd, curlsocktype purpose)
+static void on_event(void *arg, struct tlb_connection *conn, int events)
 {
-	int timeout_ms = USER_TIMEOUT_MS;
+	struct tlb_http_call *c = arg;
 
-	/* Closes the connection when sent data stays unacknowledged for this long: the peer or the
-	 * network path has failed. */
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
-	return CURL_SOCKOPT_OK;
+	if (conn->state == TLB_CONNECTION_CONNECTING && !on_established(c))
+		return;
+	/* A peer that takes no more may have answered before. */
+	if ((events & TLB_WRITABLE) && !send_request(c))
+		events = TLB_READABLE;
+	if (events & (TLB_READABLE | TLB_HANGUP))
+		receive(c);
 }
 
-static void set_headers(struct tlb_http_call *c, const struct tlb_http_spec *spec)
+static bool append(struct tlb_buffer *b, const char *text)
 {
-	char line[160];
+	return tlb_buffer_append(b, text, strlen(text), SIZE_MAX - 1);
+}
 
-	if (spec->headers) {
-		c->headers = curl_slist_append(spec->headers, "Expect:");
-		curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
-		return;
-	}
-	/* Disables the "Expect" header, with which libcurl waits up to 1 s for "100 Continue"
-	 * before it sends a large body. */
-	c->headers = curl_slist_append(c->headers, "Expect:");
-	if (spec->body) {
-		snprintf(line, sizeof(line), "Content-Type: %s",
-			 spec->content_type ? spec->content_type : "application/json");
-		c->headers = curl_slist_append(c->headers, line);
-	}
-	if (spec->idempotency_key) {
-		snprintf(line, sizeof(line), "Idempotency-Key: %s", spec->idempotency_key);
-		c->headers = curl_slist_append(c->headers, line);
-	}
-	curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
-}
-
-/* Milliseconds until the deadline, for libcurl; at least 1, because 0 selects libcurl's default. */
-static long milliseconds_left(tlb_time deadline)
-{
-	tlb_time left = deadline - tlb_clock_now();
-
-	return left > TLB_MS ? (long)(left / TLB_MS) : 1;
-}
-
-static void set_options(struct tlb_http_call *c, const struct tlb_http_spec *spec)
-{
-	CURL *e = c->easy;
-
-	curl_easy_setopt(e, CURLOPT_URL, spec->url);
-	curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, spec->method);
-	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(e, CURLOPT_PROXY, "");
-	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
-	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
-	curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_sockopt);
-	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_MAX_S);
-	curl_easy_setopt(e, CURLOPT_MAXLIFETIME_CONN, (long)CONNECTION_LIFETIME_S);
-	if (spec->target)
-		curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, spec->target);
-	if (spec->connect_deadline)
-		curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
-				 milliseconds_left(spec->connect_deadline));
-	if (strcmp(spec->method, "HEAD") == 0)
-		curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
-	if (spec->body) {
-		curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)spec->body_len);
-		curl_easy_setopt(e, CURLOPT_COPYPOSTFIELDS, spec->body);
+static bool append_line(struct tlb_buffer *b, const char *name, const char *value)
+{
+	return append(b, name) && append(b, ": ") && append(b, value) && append(b, "\r\n");
+}
+
+/* Whether one of some header lines has that name. */
+static bool has_header(const char *lines, const char *name)
+{
+	size_t len = strlen(name);
+
+	while (lines) {
+		if (strncasecmp(lines, name, len) == 0 && lines[len] == ':')
+			return true;
+		lines = strchr(lines, '\n');
+		lines = lines ? lines + 1 : NULL;
 	}
-	/* libcurl resends a request when a reused connection closes before the first byte of the
-	 * response; a connection used only once rules this out. */
-	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, spec->dedicated_connection ? 1L : 0L);
-	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, spec->dedicated_connection ? 1L : 0L);
+	return false;
 }
 
-/* Adds the transfer again from the event loop, because libcurl refuses a new transfer within its
- * own callbacks, and on_done may not be called from there. */
-static void on_start(void *arg)
+static bool append_standard_headers(struct tlb_buffer *b, const struct tlb_http_spec *spec)
 {
-	struct tlb_http_call *c = arg;
-	CURLMcode rc = CURLM_OUT_OF_MEMORY;
+	const char *type = spec->content_type ? spec->content_type : "application/json";
 
-	if (c->easy)
-		rc = curl_multi_add_handle(c->http->multi, c->easy);
-	if (rc == CURLM_RECURSIVE_API_CALL)
-		tlb_timer_set(c->http->loop, &c->start_timer, tlb_clock_now());
-	else if (rc != CURLM_OK)
-		call_finish(c, CURLE_OUT_OF_MEMORY);
+	if (spec->body && !append_line(b, "Content-Type", type))
+		return false;
+	if (spec->idempotency_key && !append_line(b, "Idempotency-Key", spec->idempotency_key))
+		return false;
+	return append_line(b, "Accept", "*/*");
 }
 
-/* Prepares the transfer; without memory c->easy stays NULL. */
-static void prepare(struct tlb_http_call *c, const struct tlb_http_spec *spec)
+static bool append_headers(struct tlb_http_call *c, const struct tlb_http_spec *spec)
 {
-	c->easy = acquire_handle(c->http);
-	if (!c->easy) {
-		curl_slist_free_all(spec->headers);
-		return;
+	struct tlb_buffer *b = &c->request;
+	char length[24];
+
+	if (!(spec->headers ? append(b, spec->headers) : append_standard_headers(b, spec)))
+		return false;
+	if (!has_header(spec->headers, "Host") && !append_line(b, "Host", c->addr))
+		return false;
+	if (!spec->body)
+		return append(b, "\r\n");
+	snprintf(length, sizeof(length), "%zu", spec->body_len);
+	return append_line(b, "Content-Length", length) && append(b, "\r\n");
+}
+
+/* Composes the request. Returns false without memory. */
+static bool compose(struct tlb_http_call *c, const struct tlb_http_spec *spec, const char *path)
+{
+	struct tlb_buffer *b = &c->request;
+
+	if (!append(b, spec->method) || !append(b, " ") ||
+	    !append(b, spec->target ? spec->target : path) || !append(b, " HTTP/1.1\r\n") ||
+	    !append_headers(c, spec))
+		return false;
+	return !spec->body || spec->body_borrowed ||
+	       tlb_buffer_append(b, spec->body, spec->body_len, SIZE_MAX - 1);
+}
+
+/* Splits "http://IP:PORT/path". Returns the path, or NULL for another form. */
+static const char *split_url(const char *url, char addr[TLB_ADDR_LEN])
+{
+	static const char scheme[] = "http://";
+	size_t len;
+
+	if (strncmp(url, scheme, sizeof(scheme) - 1) != 0)
+		return NULL;
+	url += sizeof(scheme) - 1;
+	len = strcspn(url, "/");
+	if (len >= TLB_ADDR_LEN)
+		return NULL;
+	memcpy(addr, url, len);
+	addr[len] = '\0';
+	return url[len] ? url + len : "/";
+}
+
+/* Whether a connection could not be opened because of the peer or the network. */
+static bool is_network_error(int error)
+{
+	return error == ECONNREFUSED || error == ECONNRESET || error == ETIMEDOUT ||
+	       error == EHOSTUNREACH || error == ENETUNREACH;
+}
+
+/* Returns why the call can't be started, or NULL when it was. */
+static const char *try_start(struct tlb_http_call *c, const struct tlb_http_spec *spec)
+{
+	const char *path = split_url(spec->url, c->addr);
+
+	if (spec->unsendable)
+		return spec->unsendable;
+	if (!path)
+		return "the URL is not http://IP:PORT";
+	if (!compose(c, spec, path))
+		return "no memory for the request";
+	c->connection = tlb_connections_get(&c->http->connections, c->addr,
+					    spec->dedicated_connection, on_event, c);
+	if (!c->connection) {
+		c->refused = is_network_error(errno);
+		return strerror(errno);
 	}
-	set_headers(c, spec);
-	set_options(c, spec);
+	if (c->connection->state == TLB_CONNECTION_CONNECTING && spec->connect_deadline)
+		tlb_timer_set(c->http->loop, &c->connect_timer, spec->connect_deadline);
+	return NULL;
+}
+
+/* Ends a call that could not be started, from the event loop. */
+static void on_start_failed(void *arg)
+{
+	struct tlb_http_call *c = arg;
+
+	finish(c, c->refused ? END_NOT_CONNECTED : END_NOT_SENT, "%s", c->fault);
 }
 
 void tlb_http_start(struct tlb_http *h, struct tlb_http_call *c, const struct tlb_http_spec *spec)
@@ -489,19 +567,37 @@
 	memset(c, 0, sizeof(*c));
 	c->http = h;
 	c->active = true;
-	c->content_length = -1;
 	c->spec = *spec;
-	c->keep_head = spec->keep_head || spec->headers != NULL;
-	prepare(c, spec);
-	/* These are valid during this function only; libcurl holds copies. */
+	c->head_only = strcmp(spec->method, "HEAD") == 0;
+	c->idempotent = strcmp(spec->method, "GET") == 0;
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	c->parser.allow_chunked_length = 1;
+	tlb_timer_init(&c->deadline_timer, on_deadline, c);
+	tlb_timer_init(&c->connect_timer, on_connect_deadline, c);
+	tlb_timer_init(&c->start_timer, on_start_failed, c);
+	c->fault = try_start(c, spec);
+	if (c->fault)
+		tlb_timer_set(h->loop, &c->start_timer, tlb_clock_now());
+	tlb_timer_set(h->loop, &c->deadline_timer, spec->deadline);
+	/* These are valid during this function only. */
 	c->spec.url = NULL;
-	c->spec.body = NULL;
 	c->spec.method = NULL;
 	c->spec.target = NULL;
 	c->spec.headers = NULL;
-	tlb_timer_init(&c->deadline_timer, on_deadline, c);
-	tlb_timer_init(&c->start_timer, on_start, c);
-	tlb_timer_set(h->loop, &c->deadline_timer, spec->deadline);
-	if (!c->easy || curl_multi_add_handle(h->multi, c->easy) != CURLM_OK)
-		tlb_timer_set(h->loop, &c->start_timer, tlb_clock_now());
+	c->spec.unsendable = NULL;
+	if (!spec->body_borrowed)
+		c->spec.body = NULL;
+}
+
+void tlb_http_init(struct tlb_http *h, struct tlb_loop *l)
+{
+	memset(h, 0, sizeof(*h));
+	h->loop = l;
+	tlb_connections_init(&h->connections, l);
+}
+
+void tlb_http_finish(struct tlb_http *h)
+{
+	tlb_connections_finish(&h->connections);
 }
--- a/src/instance.c
+++ b/src/instance.c
@@ -40,7 +40,6 @@
 	spec->body = body;
 	spec->body_len = body ? strlen(body) : 0;
 	spec->dedicated_connection = true;
-	spec->keep_head = true;
 	tlb_http_start(http, call, spec);
 }
 
--- a/src/order.c
+++ b/src/order.c
@@ -172,11 +172,11 @@
 
 /* --- sending --- */
 
-/* libcurl callback: runs after the connection is established, before the request is written. Aborts
- * the call if the lease has expired since, as after a pause of the process. */
-static int before_send(void *arg, char *peer_ip, char *local_ip, int peer_port, int local_port)
+/* Ends the call if the lease has expired while the connection was established, as after a pause of
+ * the process. */
+static bool before_send(void *arg)
 {
-	return may_send(arg) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+	return may_send(arg);
 }
 
 static char *order_body(const struct tlb_order *o)
@@ -200,14 +200,13 @@
 		.body_len = strlen(body),
 		.deadline = tlb_clock_now() + TLB_ORDER_TIMEOUT,
 		.dedicated_connection = true,
+		.before_send = before_send,
 		.on_done = on_response,
 		.arg = o,
 	};
 
 	snprintf(url, sizeof(url), "http://%s/order", o->addr);
 	tlb_http_start(o->orders->board->http, &o->call, &spec);
-	curl_easy_setopt(o->call.easy, CURLOPT_PREREQFUNCTION, before_send);
-	curl_easy_setopt(o->call.easy, CURLOPT_PREREQDATA, o);
 }
 
 static void send_order(struct tlb_order *o)
--- a/src/roles.c
+++ b/src/roles.c
@@ -115,6 +115,7 @@
 {
 	struct tlb_instance *i = tlb_instances_find(&r->board->instances, r->instance);
 	char *body = tlb_platform_role_order(r->role, r->board->settings->vm_id, fence);
+	struct tlb_buffer headers = {0};
 	struct tlb_http_spec spec = {
 		.method = "POST",
 		.deadline = tlb_clock_now() + ORDER_TIMEOUT,
@@ -129,9 +130,12 @@
 		return;
 	}
 	r->state = TLB_ROLES_SENDING_ORDER;
-	spec.headers = tlb_platform_order_headers(i->row.id);
+	if (!tlb_platform_order_headers(i->row.id, &headers))
+		spec.unsendable = "no memory for the headers";
+	spec.headers = headers.data;
 	tlb_counter_add(&r->board->counters, TLB_COUNTER_ORDERS_SENT, 1);
 	call_engine(r, i, &spec, tlb_platform_order_target(), body);
+	tlb_buffer_finish(&headers);
 	free(body);
 }
 
--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -138,7 +138,6 @@
 	op->arg = arg;
 	snprintf(url, sizeof(url), "http://%s%s", s->addr, target);
 	spec->url = url;
-	spec->keep_head = true;
 	spec->connect_deadline = now + TLB_ROWSTORE_CONNECT_TIMEOUT;
 	spec->deadline = now + wait + TLB_ROWSTORE_RESPONSE_MARGIN;
 	spec->on_data = on_data;
@@ -190,7 +189,8 @@
 		.method = "POST",
 		.body = body,
 		.body_len = body ? strlen(body) : 0,
-		/* On a reused connection libcurl may resend the request by itself. */
+		/* A late response on a reused connection could be taken for the one to this write.
+		 */
 		.dedicated_connection = true,
 	};
 
--- a/src/store.c
+++ b/src/store.c
@@ -3,6 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "percent.h"
+
+enum { QUERY_LEN = 24, ESCAPED_LEN = 1024 };
+
 void tlb_store_init(struct tlb_store *s, struct tlb_http *h, const char *url)
 {
 	memset(s, 0, sizeof(*s));
@@ -130,8 +134,8 @@
 		.body = text,
 		.body_len = text ? strlen(text) : 0,
 		.deadline = deadline,
-		/* On a reused connection libcurl may send a write twice and report only the second
-		 * response: a refusal, although the write was applied. */
+		/* A late response on a reused connection could be taken for the one to this write.
+		 */
 		.dedicated_connection = true,
 	};
 
@@ -146,12 +150,13 @@
 static void start_read(struct tlb_store *s, struct tlb_store_op *op, const char *query,
 		       const char *value, tlb_time deadline, tlb_store_done_fn *on_done, void *arg)
 {
-	char url[TLB_STORE_URL_LEN + 1024];
-	char *escaped = curl_easy_escape(NULL, value, 0);
+	char url[TLB_STORE_URL_LEN + ESCAPED_LEN + QUERY_LEN];
+	char escaped[ESCAPED_LEN];
 	struct tlb_http_spec spec = {.method = "GET", .url = url, .deadline = deadline};
 
-	snprintf(url, sizeof(url), "%s/%s=%s", s->url, query, escaped ? escaped : "");
-	curl_free(escaped);
+	if (!tlb_percent_encode(value, escaped, sizeof(escaped)))
+		spec.unsendable = "the key is too long";
+	snprintf(url, sizeof(url), "%s/%s=%s", s->url, query, escaped);
 	op->expected = json_string(value);
 	op->prefix = strncmp(query, "rows", 4) == 0;
 	start_call(s, op, &spec, on_done, arg);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -4,6 +4,7 @@
  * pauses, partitions, lost responses of the store, graceful shutdown. Throughout, no shard may have
  * two owners with valid sessions.
  */
+#include <curl/curl.h>
 #include <apr_general.h>
 #include <check.h>
 #include <fcntl.h>
