Keep one peer from holding the event loop

What callers saw: a decode endpoint sent one event that did not end, in chunks of eight bytes at 1 MB/s.

Cause: the search for the end of an event went over the whole incomplete event for each piece, and the head was read again for each piece.

Ruled out: the log and the caller's side of the stream (docs/incidents/2026-12-06-held-loop.md).

--- a/src/forward.h
+++ b/src/forward.h
@@ -66,6 +66,7 @@
 	int events_before_attempt;
 	bool begun_soundly;    /* some attempt got beyond the beginning of the answer */
 	bool streaming;	       /* the response to the caller has begun */
+	bool head_verified;    /* of the attempt in progress */
 	bool resuming;	       /* the attempt in progress goes on with a response that has begun */
 	bool empty_rest;       /* an endpoint that resumed the stream had no event left */
 	bool resumed_in_place; /* was resumed at the endpoint that interrupted it */
--- a/src/generation.c
+++ b/src/generation.c
@@ -265,12 +265,13 @@
 	tlb_timer_set(f->board->loop, &f->timer, f->gen.event_deadline);
 }
 
-/* Length in bytes of the complete events at the start of b; an event ends with an empty line. */
-static size_t complete_events_len(const struct tlb_buffer *b)
+/* Length in bytes of the complete events at the start of b; an event ends with an empty line. The
+ * first `searched` bytes are known to hold no complete event. */
+static size_t complete_events_len(const struct tlb_buffer *b, size_t searched)
 {
 	size_t i;
 
-	for (i = b->len; i >= 2; i--) {
+	for (i = b->len; i >= 2 && i > searched; i--) {
 		if (b->data[i - 1] != '\n')
 			continue;
 		if (b->data[i - 2] == '\n' ||
@@ -364,14 +365,18 @@
 {
 	struct tlb_forward *f = arg;
 	struct tlb_buffer *b = &f->gen.partial;
+	size_t searched = b->len;
 	size_t n;
 
-	if (!verify_head(f) || !tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
+	if (!f->gen.head_verified && !verify_head(f))
+		return false;
+	f->gen.head_verified = true;
+	if (!tlb_buffer_append(b, data, len, PARTIAL_EVENT_MAX_BYTES))
 		return false;
 	if (f->gen.prefill_tokens > 0)
 		end_prefill(f, f->instance, true);
 	release_kv_cache(f, true);
-	n = complete_events_len(b);
+	n = complete_events_len(b, searched);
 	if (n == 0)
 		return true;
 	if (!check_events(f, b->data, n) || !begin_response(f))
@@ -563,6 +568,7 @@
 	f->step = TLB_FORWARD_DECODING;
 	f->gen.events_before_attempt = f->gen.events;
 	f->gen.resuming = f->gen.streaming;
+	f->gen.head_verified = false;
 	set_event_timeout(f, f->gen.kv_source ? FIRST_EVENT_TIMEOUT
 					      : FIRST_EVENT_TIMEOUT_WITH_PREFILL);
 	tlb_instance_acquire(i);
--- a/src/loop.c
+++ b/src/loop.c
@@ -13,6 +13,9 @@
 	JOB_ROUND_DIVISOR = 4, /* a job may take this part of the round's time before it */
 };
 
+/* Timers run this long after a poll at most, before descriptors are polled again. */
+#define TIMERS_TIME (10 * TLB_MS)
+
 struct tlb_watch {
 	APR_RING_ENTRY(tlb_watch) link;
 	apr_socket_t *socket;
@@ -198,15 +201,19 @@
 }
 
 /* Also runs timers that a timer callback sets to fire immediately, which saves a poll for each. The
- * limit prevents starvation of descriptors. A timer is a deadline for input in many cases, so that
+ * limits prevent starvation of descriptors. A timer is a deadline for input in many cases, so that
  * none is run before input that has waited was read. */
 static void run_timers(struct tlb_loop *l, int *polls_left)
 {
 	struct tlb_timer *t;
 	int remaining = TIMERS_PER_ROUND;
+	tlb_time since_poll;
 
 	while (remaining-- > 0 && timer_is_due(l)) {
-		if (tlb_clock_now() - l->polled_at >= TLB_LOOP_LATE) {
+		since_poll = tlb_clock_now() - l->polled_at;
+		if (since_poll >= TIMERS_TIME && since_poll < TLB_LOOP_LATE)
+			break;
+		if (since_poll >= TLB_LOOP_LATE) {
 			l->catching_up = true;
 			catch_up(l, polls_left);
 			if (!timer_is_due(l))
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2149,6 +2149,68 @@
         assert vm.events("routing_read .* parsed=1 shared=20004"), vm.events("routing_read")
 
 
+def send_without_end(begin, block, bytes_per_s, seconds=8):
+    """A plan that begins a stream with `begin` and sends `block` until the router closes."""
+    def plan(handler):
+        if not handler.headers.get("X-Attempt-Id", "").startswith("endless"):
+            return False
+        sent = 0
+        started = time.monotonic()
+        handler.close_connection = True
+        try:
+            handler.begin_stream()
+            handler.wfile.write(begin)
+            while time.monotonic() < started + seconds:
+                handler.wfile.write(block)
+                sent += len(block)
+                time.sleep(max(0, started + sent / bytes_per_s - time.monotonic()))
+        except OSError:
+            pass  # the router has closed
+        return True
+    return plan
+
+
+def check_endless_answers_do_not_hold_up_others():
+    """An endpoint that sends an answer without end must not keep the router from other requests, from
+    its timers and from readiness checks. Work for each piece grew with what had arrived of an event,
+    and one connection was read as long as bytes waited: the daemon answered nothing for 30 s."""
+    event = b"8\r\n" + b"x" * 8 + b"\r\n"
+    byte = b"1\r\nx\r\n"
+    for what, begin, block, rate, path, count in (
+            ("an event in chunks of eight bytes", b"", event * 500, 1e6, "/once/x", 1),
+            ("events in chunks of eight bytes", b"", event * 500, 1e6, "/once/x", 4),
+            ("an event in chunks of a byte", b"", byte * 500, 1e6, "/once/x", 1),
+            ("comments", b"", b"4\r\n: x\n\r\n" * 500, 1e6, "/once/x", 1),
+            ("chunk extensions", b"4;", b"x" * 65536, 1e9, "/once/x", 6),
+            ("a body in chunks of a byte", b"", byte * 500, 1e6, "/pay/x", 2)):
+        with World(shops=3) as w:
+            vm = w.start()
+            ready = []
+            bad = w.decodes if path == "/once/x" else w.shops[:1]
+            for e in bad:
+                e.plan = send_without_end(begin, block, rate)
+
+            def call(n, vm=vm, path=path):
+                try:
+                    vm.call(path, "POST", b"x", headers=GEN, attempt=f"endless-{n}")
+                except (http.client.HTTPException, OSError):
+                    pass  # the answer was cut
+
+            def act(vm=vm, call=call, count=count):
+                threads = [threading.Thread(target=call, args=(n,)) for n in range(count)]
+                for t in threads:
+                    t.start()
+                for _ in range(8):
+                    asked = time.monotonic()
+                    ready.append(vm.ready() and time.monotonic() - asked < 1)
+                    time.sleep(0.3)
+
+            found = latencies_while(vm, act)
+            assert all(ready), f"{what}: readiness checks {ready}"
+            late = [f for f in found if f > 0.2]
+            assert len(late) <= len(found) / 20, f"{what}: {found[-30:]}"
+
+
 def check_fleet_starts_for_the_first_time():
     """VMs that start together on an empty store must agree on one secret and find each other."""
     with World(vms=3, first_start=True) as w:
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -176,6 +176,39 @@
 }
 END_TEST
 
+struct busy_timer {
+	struct tlb_loop loop;
+	struct tlb_timer timer;
+	int fired;
+};
+
+/* Works for 2 ms and is due again at once, like a connection that always has more to read. */
+static void on_busy_timer(void *arg)
+{
+	struct busy_timer *b = arg;
+	tlb_time end = tlb_clock_now() + 2 * TLB_MS;
+
+	b->fired++;
+	while (tlb_clock_now() < end)
+		;
+	tlb_timer_set(&b->loop, &b->timer, tlb_clock_now());
+}
+
+/* A timer that was due again at once ran for up to 100 ms before descriptors were polled. */
+START_TEST(timer_that_is_always_due_does_not_hold_up_input)
+{
+	struct busy_timer b = {0};
+
+	ck_assert_int_eq(tlb_loop_init(&b.loop), APR_SUCCESS);
+	tlb_timer_init(&b.timer, on_busy_timer, &b);
+	tlb_timer_set(&b.loop, &b.timer, tlb_clock_now());
+	tlb_loop_once(&b.loop, tlb_clock_now());
+	ck_assert_int_gt(b.fired, 0);
+	ck_assert_int_lt(b.fired, 10);
+	tlb_loop_finish(&b.loop);
+}
+END_TEST
+
 static void on_late(void *arg, tlb_time late_by, tlb_time busy)
 {
 	tlb_time *total = arg;
@@ -263,6 +296,7 @@
 	tcase_add_test(tc, input_behind_other_input_is_read_before_deadlines);
 	tcase_add_test(tc, input_that_arrives_during_a_timer_is_read_before_further_deadlines);
 	tcase_add_test(tc, input_without_end_does_not_hold_up_deadlines);
+	tcase_add_test(tc, timer_that_is_always_due_does_not_hold_up_input);
 	tcase_add_test(tc, waiting_for_events_is_not_late);
 	suite_add_tcase(s, tc);
 	tc = tcase_create("jobs");
--- a/tests/test_rowreader.c
+++ b/tests/test_rowreader.c
@@ -135,6 +135,22 @@
 }
 END_TEST
 
+/* Guards against work for each piece that grows with what was read before: this took 14 s. */
+START_TEST(long_text_in_small_pieces_takes_no_longer_than_in_one)
+{
+	enum { TEXT_MAX = 4 << 20, PIECE = 64 };
+	static char text[PIECE];
+	struct tlb_rowreader r = {0};
+	size_t at;
+
+	memset(text, 'z', sizeof(text));
+	ck_assert(tlb_rowreader_feed(&r, "{\"note\":\"", 9));
+	for (at = 0; at < TEXT_MAX; at += PIECE)
+		ck_assert(tlb_rowreader_feed(&r, text, PIECE));
+	tlb_rowreader_finish(&r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rowreader");
@@ -146,6 +162,7 @@
 	tcase_add_test(t, cut_or_damaged_long_value_is_refused);
 	tcase_add_test(t, escaped_characters_of_a_long_value_are_decoded);
 	tcase_add_test(t, long_text_that_is_no_row_value_is_kept);
+	tcase_add_test(t, long_text_in_small_pieces_takes_no_longer_than_in_one);
 	suite_add_tcase(s, t);
 	runner = srunner_create(s);
 	srunner_run_all(runner, CK_NORMAL);
