Tests for answers that end in their head and for planned stops under load

An endpoint that stops in the middle of its answer's head: at each byte of the head, closed or reset, on a payment, a look-up and a stream (answer_that_ends_in_its_head_is_not_passed_on), for the answer to a prefill or a reservation (prefill_or_reservation_whose_head_is_cut_is_not_used) and for the endpoint that should go on with a stream (resumed_stream_whose_head_is_cut_goes_on_elsewhere).

--- a/tests/edge.py
+++ b/tests/edge.py
@@ -819,6 +819,104 @@
         equal(vm.call("/pay/1", "POST", b"x")[0], 502, "status")
 
 
+def cuts_of(head, body=b""):
+    """Each place at which an endpoint can stop inside a head: the bytes that it has sent."""
+    whole = head + body
+    return [whole[:n] for n in range(0, len(head))]
+
+
+def send_cut(h, raw, reset):
+    """Sends these bytes and closes the connection, with a TCP reset or without."""
+    h.wfile.write(raw)
+    h.wfile.flush()
+    h.close_connection = True
+    if reset:
+        time.sleep(0.02)
+        h.cut()
+    return True
+
+
+def check_answer_that_ends_in_its_head_is_not_passed_on():
+    """An endpoint that stops in the middle of its answer's head must not look as if it had answered
+    with an empty or a short body: not to a payment, a look-up or a stream, and not with the answer to
+    a prefill or a reservation. Other operators' callers got a 200 that was framed as whole."""
+    head = response(200, [("X-Response-Signature", "s"), ("X-Attempt-Id", "a1"),
+                          ("Content-Type", "text/event-stream"), ("Content-Length", "4")])
+    early = b"HTTP/1.1 103 Hints\r\nX-Response-Signature: s\r\nX-Attempt-Id: a1\r\n\r\n"
+    cuts = [(raw, reset) for raw in cuts_of(head) for reset in (False, True)]
+    cuts += [(early + raw, False) for raw in cuts_of(head)[::7]]
+    generous = [dict(r, maxAttempts=1) for r in config(3)["routes"]]
+    with World(shops=1, decodes=1, prefills=1) as w:
+        vm = w.start(config(3, routes=generous))
+        for e in w.shops + w.decodes:
+            def plan(h):
+                n = int(h.headers["X-Attempt-Id"][1:])
+                return send_cut(h, *cuts[n])
+            e.plan = plan
+        for n, (raw, reset) in enumerate(cuts):
+            path = ("/pay/1", "/look/1", "/once/1")[n % 3]
+            headers = GEN if path == "/once/1" else {}
+            # Endpoints that fail again and again are not used for a while.
+            deadline = time.monotonic() + 20
+            while True:
+                arrived = sum(len(e.seen) for e in w.shops + w.decodes)
+                status, _, _ = vm.call(path, "POST", b"x", attempt=f"a{n}", headers=headers)
+                if sum(len(e.seen) for e in w.shops + w.decodes) > arrived:
+                    break
+                assert time.monotonic() < deadline, f"{path} is not sent any more"
+                time.sleep(0.05)
+            equal((path, raw, reset, status), (path, raw, reset, 502), "status")
+
+
+def check_prefill_or_reservation_whose_head_is_cut_is_not_used():
+    """The same for the calls that prepare a stream: their answer is not used, and the stream is served
+    whole by way of another endpoint."""
+    prefill = response(200, [("Content-Type", "application/json"), ("Content-Length", "44")],
+                       b'{"kvHandle":"cut","tokens":100,"version":1}\n')
+    reserve = response(200, [("Content-Type", "application/json"), ("Content-Length", "15")],
+                       b'{"hold":"cut"}\n')
+    with World(decodes=1, prefills=1) as w:
+        vm = w.start()
+        used = []
+        cut = []  # the next answer to a prefill or to a reservation is cut to this
+
+        def expect_whole_stream(what, raw, attempt):
+            """One call fails; the router may leave its endpoint out for a while, and then the request
+            is refused as not run and comes again."""
+            cut.append(raw)
+            deadline = time.monotonic() + 20
+            while cut or status == 503:
+                assert time.monotonic() < deadline, f"{what}: {raw}"
+                status, body, _ = vm.call("/gen/1", "POST", b"x", attempt=attempt, headers=GEN)
+            equal((what, raw, status, body.count(b"id: ")), (what, raw, 200, 4), "stream")
+
+        w.decodes[0].plan = lambda h: used.extend([h.headers.get("X-Kv-Source", ""),
+                                                   h.headers.get("X-Kv-Hold", "")])
+        w.prefills[0].plan = lambda h: cut and send_cut(h, cut.pop(), False)
+        for n, raw in enumerate(cuts_of(prefill)[::9]):
+            expect_whole_stream("prefill", raw, f"p{n}")
+        w.prefills[0].plan = lambda h: False
+
+        def post(h):
+            if h.path == "/hold-take" and cut:
+                return send_cut(h, cut.pop(), False)
+            return EndpointHandler.do_POST(h)
+
+        w.decodes[0].server.RequestHandlerClass.do_POST = post
+        for n, raw in enumerate(cuts_of(reserve)[::9]):
+            expect_whole_stream("reservation", raw, f"r{n}")
+        assert not any("cut" in u for u in used), f"used: {used}"
+
+
+def check_resumed_stream_whose_head_is_cut_goes_on_elsewhere():
+    """The same for the endpoint that should go on with a stream: its end is no end of the stream."""
+    head = response(200, [("X-Response-Signature", "s"), ("X-Attempt-Id", "a1"),
+                          ("Content-Type", "text/event-stream"), CHUNKED])
+    for raw in cuts_of(head)[::11]:
+        text, whole = resume_with(raw)
+        equal((raw, re.findall(r"id: (\d+)", text), whole), (raw, ["1", "2", "3", "4"], True), "stream")
+
+
 def read_stream(response):
     try:
         return response.read().decode(), True
@@ -1958,6 +2056,115 @@
         return answers
 
 
+class StopLoad:
+    """Callers that use kept connections until the process is gone, with payments, look-ups and streams
+    that take up to most of the grace period, also in their prefill. `records` holds the path, the
+    attempt, when it was sent and what came: a status, or None without a complete answer."""
+
+    def __init__(self, w, vm, seed, callers=14):
+        self.vm = vm
+        self.random = Random(seed)
+        self.lock = threading.Lock()
+        self.records = []
+        self.ended = {}  # attempt: when its endpoint was done with it
+        self.runs = {}
+        for e in w.shops:
+            e.plan = self.work
+        for e in w.decodes:
+            e.plan = self.stream
+        for e in w.prefills:
+            e.plan = self.prefill
+        self.threads = [threading.Thread(target=self.call_until_gone, args=(n,))
+                        for n in range(callers)]
+        for t in self.threads:
+            t.start()
+
+    def draw(self, low, high):
+        with self.lock:
+            return self.random.uniform(low, high)
+
+    def note_run(self, h):
+        attempt = h.headers["X-Attempt-Id"]
+        with self.lock:
+            self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        return attempt
+
+    def work(self, h):
+        attempt = self.note_run(h)
+        time.sleep(self.draw(0.01, 0.1) if self.draw(0, 1) < 0.6 else self.draw(0.1, 6.5))
+        self.ended[attempt] = time.monotonic()
+        return False
+
+    def prefill(self, h):
+        time.sleep(self.draw(0, 1) if self.draw(0, 1) < 0.9 else self.draw(1, 2.4))
+        return False
+
+    def stream(self, h):
+        attempt = self.note_run(h)
+        h.stream(int(h.headers.get("Last-Event-Id") or 0), pause=self.draw(0.01, 1.2))
+        self.ended[attempt] = time.monotonic()
+        return True
+
+    def call_until_gone(self, n):
+        conn = None
+        for i in range(1000):
+            path = ("/pay/1", "/look/1", "/once/1", "/gen/1")[(n + i) % 4]
+            attempt = f"a{n}-{i}"
+            sent = time.monotonic()
+            status = None
+            try:
+                conn = conn or self.vm.connect()
+                r = self.vm.send(path, "POST", b"x", attempt=attempt, conn=conn,
+                                 headers=dict(GEN, **{"X-Deadline-Ms": "12000"}))
+                _, whole = read_stream(r)
+                status = r.status if whole else None
+                if r.will_close or not whole:
+                    conn.close()
+                    conn = None
+            except ConnectionRefusedError:
+                return
+            except (OSError, http.client.HTTPException):
+                conn = None
+            with self.lock:
+                self.records.append((path, attempt, sent, status))
+
+
+def check_planned_stop_under_load_cuts_no_request():
+    """In a planned stop every request that an endpoint has got must get a complete answer, also one
+    that comes late in the grace period; a refusal as not run must be true. Only a stream may be cut
+    that was sent within 3 s and that its endpoint still works on in the last sixth of that time. Other
+    operators' machines took requests late, passed them on and cut them without an answer."""
+    grace = 8  # drain_timeout_ms
+    routes = [dict(r, timeoutMs=12000) for r in config(3)["routes"]]
+    for seed in (1, 2):
+        with World(shops=3, decodes=3, prefills=2) as w:
+            vm = w.start(config(3, routes=routes))
+            load = StopLoad(w, vm, seed)
+            time.sleep(2)
+            vm.process.send_signal(signal.SIGTERM)
+            stopped = time.monotonic()
+            equal(vm.process.wait(grace + 1), 0, "exit status")
+            took = time.monotonic() - stopped
+            assert took < grace, f"the process ended {took:.1f} s after SIGTERM"
+            for t in load.threads:
+                t.join()
+            time.sleep(0.5)
+            late = 0
+            for path, attempt, sent, status in load.records:
+                runs = load.runs.get(attempt, 0)
+                what = (seed, path, attempt, f"{sent - stopped:.2f} s", status)
+                late += sent - stopped > 2.6
+                if path != "/gen/1" and path != "/look/1":
+                    assert runs <= 1, f"{what} ran {runs} times"
+                if status == 503:
+                    assert runs == 0 or path == "/gen/1", f"{what} ran and was refused as not run"
+                if status is None and runs > 0:
+                    at_work = load.ended.get(attempt, float("inf")) - stopped
+                    assert path in ("/once/1", "/gen/1") and sent - stopped <= 3 and \
+                        at_work >= grace * 5 / 6, f"{what}: no answer; at work until {at_work:.1f} s"
+            assert late > 20, f"{late} requests late in the grace period"
+
+
 def check_unanswered_requests_are_answered_when_the_drain_ends():
     """A request whose endpoint has not begun to answer when the drain ends must get an error
     response; callers saw a closed connection. Only one that has not run gets a 503."""
