Read up to 256 shared parts of a prompt

Cause: parts after the 32nd were dropped without a sign, so that neither the evidence nor the check before a send saw it. Ruled out: that the history is taken for the cause; sound requests were served.

Change: 256 parts are read and 512 suspected ones kept; of more parts the last ones are read, with a log line.

Tests that fail before: part_that_crashes_endpoints_behind_many_others_is_quarantined (33 and 200 parts), test_prompts_of_many_parts.

--- a/src/generation.c
+++ b/src/generation.c
@@ -1061,6 +1061,10 @@
 		tlb_forward_refuse(f, TLB_OVERLOADED, 0, "no memory for the request");
 		return;
 	}
+	if (f->inbound.ignored_part_count > 0)
+		tlb_log_warn("event=prompt_parts_ignored request=%s attempt=%s read=%d ignored=%d",
+			     f->exchange->id, f->inbound.attempt_label,
+			     f->inbound.shared_part_count, f->inbound.ignored_part_count);
 	if (refuse_quarantined(f))
 		return;
 	if (f->inbound.deadline != TLB_NEVER &&
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -58,7 +58,7 @@
 	TLB_QUARANTINE_CRASHES = 3,
 	TLB_QUARANTINE_REQUESTS = 2,
 	TLB_QUARANTINE_CRASHES_KEPT = 8, /* of one part, the latest */
-	TLB_QUARANTINE_PARTS_MAX = 256,	 /* suspected parts known at a time */
+	TLB_QUARANTINE_PARTS_MAX = 512,	 /* suspected parts known at a time */
 	TLB_QUARANTINE_ABANDONED_MAX = 64,
 	TLB_QUARANTINE_NOTICES_MAX = 1024,   /* all endpoints can break off at the same time */
 	TLB_QUARANTINE_EARLY_EVENTS_MAX = 2, /* an answer with more events has begun soundly */
--- a/src/request_info.h
+++ b/src/request_info.h
@@ -13,7 +13,7 @@
 enum {
 	TLB_HANDLE_LEN = 256,
 	TLB_EVENT_ID_MAX = 4096,   /* bytes of an event's id */
-	TLB_SHARED_PARTS_MAX = 32, /* further parts of a prompt are not read */
+	TLB_SHARED_PARTS_MAX = 256, /* the last ones of a prompt are read */
 };
 
 /* Parameters of a caller's request. A value type; the strings are borrowed from its exchange. */
@@ -30,6 +30,7 @@
 	/* The parts of the prompt that other requests may share, in order: all but the last one. */
 	uint64_t shared_parts[TLB_SHARED_PARTS_MAX];
 	int shared_part_count;
+	int ignored_part_count; /* before them */
 	uint64_t own_part; /* id of the last part, the same when the caller retries; 0 for none */
 };
 
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -3460,7 +3460,8 @@
 class SoundCallers:
     """Callers, one at each VM, whose prompts share the first part; `served` has (start, whole)."""
 
-    def __init__(self, vms):
+    def __init__(self, vms, shared=SHARED):
+        self.shared = shared
         self.served = []
         self.ended = threading.Event()
         self.threads = [threading.Thread(target=self.call, args=(vm,)) for vm in vms]
@@ -3470,7 +3471,7 @@
         while not self.ended.wait(0.05):
             n += 1
             began = time.monotonic()
-            headers = prompt(SHARED, f"{n:x}5:30")
+            headers = prompt(self.shared, f"{n:x}5:30")
             self.served.append((began, is_whole(vm, f"sound-{vm.name}-{n}", headers)))
 
     def __enter__(self):
@@ -3490,7 +3491,7 @@
         equal(whole.count(False), 0, f"sound requests of {len(whole)} not served whole")
 
 
-def send_deadly(vms):
+def send_deadly(vms, shared=SHARED):
     """Sends requests with the deadly part to the VMs in turn, one with each step, no two alike.
     Yields whether the request was refused at once."""
     n = 0
@@ -3500,7 +3501,7 @@
         try:
             status, _, r = vms[n % len(vms)].call(
                 "/gen/x", "POST", b"x", attempt=f"deadly-{n}-{began}",
-                headers=prompt(SHARED, DEADLY, f"{n:x}e:30"))
+                headers=prompt(shared, DEADLY, f"{n:x}e:30"))
             refused = status == 503 and r.getheader("Retry-After") is not None
         except (http.client.HTTPException, OSError):
             refused = False
@@ -3559,6 +3560,21 @@
         sound.check(known)
 
 
+def check_part_that_crashes_endpoints_behind_many_others_is_quarantined():
+    """The same for a part that comes after a long history; parts after the 32nd were not read."""
+    for parts in (33, 200):
+        shared = ",".join([SHARED] + [f"{0x91bd3f00 + i:x}:10" for i in range(parts - 1)])
+        with World(**TAINTED) as w:
+            start_tainted(w)
+            crash_on_parts(w, "d1")
+            requests = send_deadly(w.vms, shared)
+            with SoundCallers(w.vms, shared) as sound:
+                crash_until_known(w, requests)
+                known = time.monotonic()
+                expect_refused(w, requests)
+            sound.check(known)
+
+
 def check_part_that_crashes_endpoints_after_the_first_event_is_quarantined():
     """The same when the caller has the first event before the crash: the prefill for the resumed
     stream is no complete answer."""
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -69,6 +69,35 @@
 }
 END_TEST
 
+/* Guards against a deadly part that isn't noticed behind many others, and against more parts than
+ * there is room for. */
+START_TEST(test_prompts_of_many_parts)
+{
+	static const int counts[] = {31, 32, 33, TLB_SHARED_PARTS_MAX, TLB_SHARED_PARTS_MAX + 1,
+				     TLB_SHARED_PARTS_MAX + 900};
+	static char text[16384];
+	struct tlb_inbound in;
+	size_t len;
+	size_t i;
+	int read;
+	int k;
+
+	for (i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+		for (k = 0, len = 0; k <= counts[i]; k++)
+			len += (size_t)snprintf(text + len, sizeof(text) - len, "%s%x:10",
+						k ? "," : "", k + 1);
+		memset(&in, 0, sizeof(in));
+		tlb_platform_read_parts(text, &in);
+		read = counts[i] < TLB_SHARED_PARTS_MAX ? counts[i] : TLB_SHARED_PARTS_MAX;
+		ck_assert_int_eq(in.shared_part_count, read);
+		ck_assert_int_eq(in.ignored_part_count, counts[i] - read);
+		for (k = 0; k < read; k++)
+			ck_assert_uint_eq(in.shared_parts[k], (uint64_t)(counts[i] - read + k + 1));
+		ck_assert_uint_eq(in.own_part, (uint64_t)counts[i] + 1);
+	}
+}
+END_TEST
+
 /* Guards against accepting a discovery entry with a missing or invalid field. */
 START_TEST(test_instances)
 {
@@ -379,6 +408,7 @@
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS)
 		return 1;
 	tcase_add_test(t, test_prompts);
+	tcase_add_test(t, test_prompts_of_many_parts);
 	tcase_add_test(t, test_instances);
 	tcase_add_test(t, test_instance_size);
 	tcase_add_test(t, test_instance_ids);
