--- a/src/request_info.h
+++ b/src/request_info.h
@@ -12,7 +12,7 @@
 
 enum {
 	TLB_HANDLE_LEN = 256,
-	TLB_EVENT_ID_MAX = 4096,   /* bytes of an event's id */
+	TLB_EVENT_ID_MAX = 4096,    /* bytes of an event's id */
 	TLB_SHARED_PARTS_MAX = 256, /* the last ones of a prompt are read */
 };
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -73,7 +73,11 @@
  * there is room for. */
 START_TEST(test_prompts_of_many_parts)
 {
-	static const int counts[] = {31, 32, 33, TLB_SHARED_PARTS_MAX, TLB_SHARED_PARTS_MAX + 1,
+	static const int counts[] = {31,
+				     32,
+				     33,
+				     TLB_SHARED_PARTS_MAX,
+				     TLB_SHARED_PARTS_MAX + 1,
 				     TLB_SHARED_PARTS_MAX + 900};
 	static char text[16384];
 	struct tlb_inbound in;
