Log escaped texts as long as their buffer allows

The end of an endpoint with an id of 200 bytes was logged without the id's last byte: tlb_log_escape() kept room for an escape before every character.

--- a/src/log.c
+++ b/src/log.c
@@ -5,6 +5,7 @@
 #include <log4c/rc.h>
 #include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -132,9 +133,13 @@
 const char *tlb_log_escape(char *buf, size_t size, const char *text)
 {
 	size_t n = 0;
+	bool quoted;
 
-	for (; *text && n + 2 < size; text++) {
-		if (*text == '"' || *text == '\\')
+	for (; *text; text++) {
+		quoted = *text == '"' || *text == '\\';
+		if (n + quoted + 1 >= size)
+			break;
+		if (quoted)
 			buf[n++] = '\\';
 		buf[n++] = (unsigned char)*text < ' ' ? '?' : *text;
 	}
