Tell grants to all ranked owners when several VMs grant

Cause: VMs avoid different silent owners, so up to seven granted from buckets of their own, and only the VM ranked after the granting one was told.

Ruled out: VMs that grant alone weren't measured apart; unchanged, they leave the limit held.

Change: an owner that grants beside the first-ranked one tells the others what it granted, once in 50 ms for an account, and so does the first one for 4 s after it heard of it.

--- a/src/edge.c
+++ b/src/edge.c
@@ -567,6 +567,7 @@
 	tlb_tables_finish(&e->tables);
 	tlb_quarantine_sync_finish(&e->board.quarantine_sync);
 	tlb_quarantine_finish(&e->board.quarantine);
+	tlb_quota_owners_finish(&e->board.quota_owners);
 	tlb_vms_finish(&e->board.vms);
 	tlb_quotas_finish(&e->board.quotas);
 	tlb_instances_finish(&e->board.instances);
--- a/src/quota.h
+++ b/src/quota.h
@@ -34,6 +34,9 @@
 	 * left, as far as this VM knows. */
 	double fleet_level;
 	uint64_t level_source; /* incarnation of the VM that last set fleet_level; 0: none */
+	int64_t untold;	       /* cost granted by this VM as an owner and not told to others */
+	APR_RING_ENTRY(tlb_quota) untold_link; /* while untold is not 0 */
+	tlb_time contested_until;	       /* another VM has granted lately as an owner */
 	tlb_time refilled_at;
 	int64_t granted;  /* cost granted by this VM since its start */
 	int64_t reported; /* value of granted last reported to the other VMs */
--- a/src/quota_owner.c
+++ b/src/quota_owner.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "edgeboard.h"
 #include "log.h"
 #include "rank.h"
 
@@ -27,6 +28,107 @@
 	return alone;
 }
 
+/* --- the ranking of owners --- */
+
+/* Key of the ranking that selects the group of owners. */
+static const char group_key[] = "quota-owners";
+
+/* Which VMs a ranking leaves out. */
+enum ranking { RANK_USABLE, RANK_WITH_LEAVING, RANK_TRUE };
+
+/* Sorts the VMs of the owners' group by the account's rendezvous hash. All accounts share the few
+ * VMs of the group, so that every VM needs links to these only. */
+static int rank_owners(const struct tlb_vms *v, const char *account, enum ranking ranking,
+		       char ids[][TLB_ID_LEN], int most)
+{
+	char group[TLB_QUOTA_OWNERS][TLB_ID_LEN];
+	struct tlb_ranked ranked[TLB_QUOTA_OWNERS];
+	uint64_t key = tlb_vms_hash(account);
+	uint64_t group_hash = tlb_vms_hash(group_key);
+	tlb_time now = tlb_clock_now();
+	int count = 0;
+	int size = 0;
+	int i;
+
+	switch (ranking) {
+	case RANK_USABLE:
+		size = tlb_vms_rank(v, group_hash, now, group, TLB_QUOTA_OWNERS);
+		break;
+	case RANK_WITH_LEAVING:
+		size = tlb_vms_rank_all(v, group_hash, now, group, TLB_QUOTA_OWNERS);
+		break;
+	case RANK_TRUE:
+		size = tlb_vms_rank_true(v, group_hash, group, TLB_QUOTA_OWNERS);
+		break;
+	}
+	for (i = 0; i < size; i++)
+		count = tlb_rank_offer(ranked, count, most,
+				       tlb_vms_weight(key, tlb_vms_hash(group[i])), group[i]);
+	for (i = 0; i < count; i++)
+		strcpy(ids[i], ranked[i].item);
+	return count;
+}
+
+/* --- grants of several owners at a time --- */
+
+static bool send_cost_notice(struct tlb_quota_owners *o, const char *vm, const char *account,
+			     int64_t cost)
+{
+	Toucan__CostNotice n = TOUCAN__COST_NOTICE__INIT;
+	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
+
+	n.account = (char *)account;
+	n.cost = cost;
+	e.body_case = TOUCAN__ENVELOPE__BODY_COST_NOTICE;
+	e.cost_notice = &n;
+	return tlb_peers_send(&o->vms->peers, vm, &e);
+}
+
+/* Tells the other owners of the account what this VM has granted. The VM ranked after it is told of
+ * each grant by the VM that asked for it. */
+static void tell_grants(struct tlb_quota_owners *o, struct tlb_quota *q)
+{
+	char ids[TLB_QUOTA_VMS_ASKED][TLB_ID_LEN];
+	const char *self = o->vms->peers.self;
+	int count = rank_owners(o->vms, q->account, RANK_TRUE, ids, TLB_QUOTA_VMS_ASKED);
+	int64_t cost = q->untold;
+	int own = 0;
+	int i;
+
+	while (own < count && strcmp(ids[own], self) != 0)
+		own++;
+	q->untold = 0;
+	if (own == 0 && tlb_clock_now() >= q->contested_until)
+		return;
+	for (i = 0; i < count; i++)
+		if (i != own && i != own + 1)
+			send_cost_notice(o, ids[i], q->account, cost);
+}
+
+static void on_tell_timer(void *arg)
+{
+	struct tlb_quota_owners *o = arg;
+	struct tlb_quota *q;
+
+	while (!APR_RING_EMPTY(&o->untold, tlb_quota, untold_link)) {
+		q = APR_RING_FIRST(&o->untold);
+		APR_RING_REMOVE(q, untold_link);
+		tell_grants(o, q);
+	}
+}
+
+static void note_grant(struct tlb_quota_owners *o, struct tlb_quota *q, int64_t cost)
+{
+	if (cost == 0)
+		return;
+	if (q->untold == 0)
+		APR_RING_INSERT_TAIL(&o->untold, q, tlb_quota, untold_link);
+	q->untold += cost;
+	if (!tlb_timer_active(&o->tell_timer))
+		tlb_timer_set(o->vms->board->loop, &o->tell_timer,
+			      tlb_clock_now() + TLB_QUOTA_TELL_DELAY);
+}
+
 /* --- the owner's side --- */
 
 /* Applies what the asking VM knows to the bucket before a decision. */
@@ -61,8 +163,10 @@
 	if (now < o->warm_at && !r->last_resort)
 		return TLB_QUOTA_WARMING;
 	learn_level(o, q, r, now);
-	return tlb_quota_take(o->quotas, q, r->cost, now, ready_at) ? TLB_QUOTA_GRANTED
-								    : TLB_QUOTA_REFUSED;
+	if (!tlb_quota_take(o->quotas, q, r->cost, now, ready_at))
+		return TLB_QUOTA_REFUSED;
+	note_grant(o, q, r->cost);
+	return TLB_QUOTA_GRANTED;
 }
 
 /* Adds what the account has left to a decision, unless this VM has started too recently to know. */
@@ -108,9 +212,13 @@
 static void on_notice(struct tlb_quota_owners *o, const Toucan__CostNotice *n)
 {
 	struct tlb_quota *q = tlb_quotas_find(o->quotas, n->account);
+	tlb_time now = tlb_clock_now();
 
-	if (q && q->rate > 0)
-		tlb_quota_add_remote(o->quotas, q, n->cost, tlb_clock_now());
+	if (!q || q->rate == 0)
+		return;
+	tlb_quota_add_remote(o->quotas, q, n->cost, now);
+	if (n->cost > 0)
+		q->contested_until = now + TLB_QUOTA_CONTEST_TIME;
 }
 
 void tlb_quota_owners_on_message(struct tlb_quota_owners *o, struct tlb_peer *peer,
@@ -124,54 +232,23 @@
 
 /* --- the asking side --- */
 
-/* Key of the ranking that selects the group of owners. */
-static const char group_key[] = "quota-owners";
-
-/* Sorts the VMs of the owners' group by the account's rendezvous hash. All accounts share the few
- * VMs of the group, so that every VM needs links to these only. */
-static int rank_owners(const struct tlb_vms *v, const char *account, bool with_leaving,
-		       char ids[][TLB_ID_LEN], int most)
-{
-	char group[TLB_QUOTA_OWNERS][TLB_ID_LEN];
-	struct tlb_ranked ranked[TLB_QUOTA_OWNERS];
-	uint64_t key = tlb_vms_hash(account);
-	uint64_t group_hash = tlb_vms_hash(group_key);
-	tlb_time now = tlb_clock_now();
-	int count = 0;
-	int size;
-	int i;
-
-	size = with_leaving ? tlb_vms_rank_all(v, group_hash, now, group, TLB_QUOTA_OWNERS)
-			    : tlb_vms_rank(v, group_hash, now, group, TLB_QUOTA_OWNERS);
-	for (i = 0; i < size; i++)
-		count = tlb_rank_offer(ranked, count, most,
-				       tlb_vms_weight(key, tlb_vms_hash(group[i])), group[i]);
-	for (i = 0; i < count; i++)
-		strcpy(ids[i], ranked[i].item);
-	return count;
-}
-
 static void ask_next(struct tlb_quota_acquisition *a);
 
 /* Tells a ranked VM of cost that another one granted or that was returned. */
 static void send_notice(struct tlb_quota_acquisition *a, int rank, int64_t cost)
 {
-	struct tlb_peers *peers = &a->owners->vms->peers;
 	Toucan__CostNotice n = TOUCAN__COST_NOTICE__INIT;
-	Toucan__Envelope e = TOUCAN__ENVELOPE__INIT;
 
 	if (rank >= a->ranked_count)
 		return;
-	n.account = a->account;
-	n.cost = cost;
-	if (strcmp(a->ranked[rank], peers->self) == 0) {
+	if (strcmp(a->ranked[rank], a->owners->vms->peers.self) == 0) {
+		n.account = a->account;
+		n.cost = cost;
 		on_notice(a->owners, &n);
 		return;
 	}
-	e.body_case = TOUCAN__ENVELOPE__BODY_COST_NOTICE;
-	e.cost_notice = &n;
 	/* Without this notice the next VM would grant a little more after a takeover. */
-	if (!tlb_peers_send(peers, a->ranked[rank], &e))
+	if (!send_cost_notice(a->owners, a->ranked[rank], a->account, cost))
 		tlb_log_info("event=quota_notice_not_sent vm=%s account=%s cost=%lld",
 			     a->ranked[rank], a->account, (long long)cost);
 }
@@ -320,8 +397,8 @@
 	}
 	a->asks_leaving = true;
 	a->asked = 0;
-	a->ranked_count =
-		rank_owners(a->owners->vms, a->account, true, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
+	a->ranked_count = rank_owners(a->owners->vms, a->account, RANK_WITH_LEAVING, a->ranked,
+				      TLB_QUOTA_VMS_ASKED + 1);
 	ask_next(a);
 }
 
@@ -366,8 +443,8 @@
 		finish(a, false, quota->refused_ready_at);
 		return;
 	}
-	a->ranked_count =
-		rank_owners(o->vms, quota->account, false, a->ranked, TLB_QUOTA_VMS_ASKED + 1);
+	a->ranked_count = rank_owners(o->vms, quota->account, RANK_USABLE, a->ranked,
+				      TLB_QUOTA_VMS_ASKED + 1);
 	if (a->ranked_count == 0)
 		ask_leaving(a);
 	else
@@ -412,6 +489,13 @@
 	o->vms = vms;
 	o->quotas = quotas;
 	o->warm_at = tlb_clock_now() + TLB_QUOTA_WARMUP;
+	APR_RING_INIT(&o->untold, tlb_quota, untold_link);
+	tlb_timer_init(&o->tell_timer, on_tell_timer, o);
+}
+
+void tlb_quota_owners_finish(struct tlb_quota_owners *o)
+{
+	tlb_timer_clear(o->vms->board->loop, &o->tell_timer);
 }
 
 bool tlb_quota_owners_needed(const struct tlb_quota_owners *o)
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -11,9 +11,11 @@
  * close to its rate or exceed it. With buckets that learn of other VMs' grants by reports, the
  * requests between two reports are refused wrongly or exceed the limit.
  *
- * Failures: a VM that does not answer in time is avoided for a while, and the next one is asked. A
- * VM that has just started does not decide as long as another one can, because it does not know
- * what was granted before. Neither does one that is leaving, so that the next owner takes over
+ * Failures: a VM that does not answer in time is avoided for a while, and the next one is asked.
+ * When links lose packets, several VMs are thus asked for the same account at a time. Those that
+ * grant beside the one ranked first tell each other, and so does that one as soon as it hears of
+ * it. A VM that has just started does not decide as long as another one can, because it does not
+ * know what was granted before. Neither does one that is leaving, so that the next owner takes over
  * while those that know the bucket still ask; when all VMs are leaving, they decide among
  * themselves. When no VM answers, this one grants from its own fraction of the limit. VMs that are
  * leaving serve requests for some seconds; the fleet counts as large, and fractions as small, until
@@ -33,6 +35,10 @@
 /* Time after its start in which a VM decides only as a last resort. The list of VMs reaches all of
  * a large fleet, and a bucket refills, within this time. */
 #define TLB_QUOTA_WARMUP (4 * TLB_SECOND)
+/* A VM that grants beside another one tells the other owners of its grants after this time. */
+#define TLB_QUOTA_TELL_DELAY (50 * TLB_MS)
+/* How long after a grant of another VM the VM ranked first tells all others of its own. */
+#define TLB_QUOTA_CONTEST_TIME (4 * TLB_SECOND)
 /* After a refusal, requests of at least that cost are refused without asking again for this long;
  * returned cost may make the owner grant earlier than it expected. */
 #define TLB_QUOTA_REFUSAL_TTL (200 * TLB_MS)
@@ -96,10 +102,13 @@
 	struct tlb_vms *vms;
 	struct tlb_quotas *quotas;
 	tlb_time warm_at; /* from then on this VM decides without being the last resort */
+	struct tlb_quota_ring untold; /* accounts with grants to tell */
+	struct tlb_timer tell_timer;  /* set while there are any */
 };
 
 void tlb_quota_owners_init(struct tlb_quota_owners *o, struct tlb_vms *vms,
 			   struct tlb_quotas *quotas);
+void tlb_quota_owners_finish(struct tlb_quota_owners *o);
 /* Whether the fleet is, or was recently, large enough for accounts to have owners. In a smaller one
  * every VM hears every other one, and tlb_quota_grant() decides without a round trip. */
 bool tlb_quota_owners_needed(const struct tlb_quota_owners *o);
--- a/src/vms.c
+++ b/src/vms.c
@@ -100,6 +100,11 @@
 	return rank(v, key, true, now, ids, most);
 }
 
+int tlb_vms_rank_true(const struct tlb_vms *v, uint64_t key, char ids[][TLB_ID_LEN], int most)
+{
+	return rank(v, key, true, TLB_NEVER, ids, most);
+}
+
 void tlb_vms_avoid(struct tlb_vms *v, const char *id, tlb_time until)
 {
 	struct tlb_vm *m = tlb_vms_find(v, id);
--- a/tests/test_quota_owner.c
+++ b/tests/test_quota_owner.c
@@ -29,6 +29,7 @@
 	OWNERS_LEAVING,
 	ALL_LEAVING,
 	OLD_OWNER_LEAVING,
+	OWNERS_SLOW,
 	FAULTS,
 };
 
@@ -155,6 +156,7 @@
 	if (n->stopped)
 		return;
 	n->stopped = true;
+	tlb_quota_owners_finish(&n->board.quota_owners);
 	tlb_vms_finish(&n->board.vms);
 	tlb_quotas_finish(&n->board.quotas);
 	tlb_routing_release(n->board.routing);
@@ -191,6 +193,18 @@
 	return number_of(tlb_quota_acquisition_decider(&requests[sent - 1].acquisition));
 }
 
+/* As when links lose packets: a third of the VMs ask the second VM, and a third the third one. */
+static void avoid_owners(void)
+{
+	const struct tlb_quota_acquisition *last = &requests[sent - 1].acquisition;
+	int i;
+	int rank;
+
+	for (i = 0; i < load.vms; i++)
+		for (rank = 0; rank < i % 3; rank++)
+			tlb_vms_avoid(&nodes[i].board.vms, last->ranked[rank], TLB_NEVER);
+}
+
 static void begin_fault(void)
 {
 	int first = owner();
@@ -227,6 +241,9 @@
 		for (i = 0; i < load.vms; i++)
 			tlb_vms_leave(&nodes[i].board.vms);
 		return;
+	case OWNERS_SLOW:
+		avoid_owners();
+		return;
 	case FAULTS:
 		break;
 	}
@@ -329,8 +346,9 @@
 static enum fault fault_of(const char *name)
 {
 	static const char *const names[FAULTS] = {
-		"none",	       "owner_stopped",	 "owner_leaving", "owner_warming",
-		"all_warming", "owners_leaving", "all_leaving",	  "old_owner_leaving"};
+		"none",		 "owner_stopped",     "owner_leaving",
+		"owner_warming", "all_warming",	      "owners_leaving",
+		"all_leaving",	 "old_owner_leaving", "owners_slow"};
 	int i;
 
 	for (i = 0; i < FAULTS; i++)
