--- a/tests/edge.py
+++ b/tests/edge.py
@@ -931,6 +931,7 @@
             is refused as not run and comes again."""
             cut.append(raw)
             deadline = time.monotonic() + 20
+            status = 503
             while cut or status == 503:
                 assert time.monotonic() < deadline, f"{what}: {raw}"
                 status, body, _ = vm.call("/gen/1", "POST", b"x", attempt=attempt, headers=GEN)
