Limit the memory of heads that have not arrived whole

What callers saw: 1,600 callers that each sent 60 KB of a head and no end of it took a VM to 101 MB (88 MB allowed on the smallest ones), so that it would have been killed with everybody's requests.

Cause: connections were charged to the common limit from their request line on; a head that never ends, or a request line, was not counted, and libmicrohttpd can't refuse it before it is complete.

Ruled out: a lower limit for each connection, as operators allow heads of 16 KB and libmicrohttpd takes its 64 KB anyway.

Change: such heads may hold half of the limit; beyond that, or when all of it is in use, the oldest are answered 503 and closed. Runs of libmicrohttpd after a late loop are bounded by time too.

--- a/src/listener.c
+++ b/src/listener.c
@@ -16,6 +16,7 @@
 
 #include "address.h"
 #include "log.h"
+#include "socket.h"
 
 enum {
 	SWEEP_MS = 200,	     /* interval of the check for timed-out and disconnected callers */
@@ -38,8 +39,17 @@
 	COMPACT_FROM = 65536, /* sent bytes from which the stream buffer is compacted */
 	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
 	LATE_RUNS = 16, /* further runs of libmicrohttpd after the loop was late, at most */
+	HEAD_RUNS = 16, /* runs of libmicrohttpd that read a head which has arrived, at most */
+	/* Incomplete heads may hold the limit of the memory divided by this. */
+	HEADS_DIVISOR = 2,
 };
 
+/* Longest time that further runs after the loop was late take before other work has its turn. */
+#define LATE_RUNS_TIME (20 * TLB_MS)
+#define HEADS_CHECK_INTERVAL (20 * TLB_MS) /* while they may exceed that */
+/* When the whole memory is in use, heads that are incomplete for longer are given up. */
+#define HEAD_GRACE (1 * TLB_SECOND)
+
 /* How long handshakes in progress may still complete after new ones are refused. */
 #define HANDSHAKE_TIME (200 * TLB_MS)
 /* How long a new connection may take to send its request once no more are accepted. */
@@ -57,6 +67,9 @@
 	int fd;
 	bool in_request;		/* from the request line to the end of the response */
 	struct tlb_memory_share memory; /* what libmicrohttpd holds for the connection */
+	bool holds_head;		/* at the last check */
+	unsigned head_run;		/* tlb_listener.runs at head_since */
+	tlb_time head_since;	/* an incomplete head began, or was expected; TLB_NEVER: none */
 	tlb_time fresh_until;	/* until then a connection without a request may still send one */
 	tlb_time idle_since;	/* the end of the last response */
 	tlb_time idle_deadline; /* TLB_NEVER while a request is in progress */
@@ -589,6 +602,108 @@
 		x->arrived_after = f->loop->late_since;
 }
 
+/* --- incomplete heads --- */
+
+/* How many connections may hold an incomplete head. */
+static size_t heads_max(const struct tlb_listener *f)
+{
+	const struct tlb_memory *m = f->limits.memory;
+
+	return m ? m->limit / HEADS_DIVISOR / CONNECTION_MEMORY : SIZE_MAX;
+}
+
+static void schedule_heads_check(struct tlb_listener *f, tlb_time now)
+{
+	if (f->open_heads > heads_max(f) && !tlb_timer_active(&f->heads_timer))
+		tlb_timer_set(f->loop, &f->heads_timer, now + HEADS_CHECK_INTERVAL);
+}
+
+static void begin_head(struct tlb_listener *f, struct tlb_listener_conn *fc, tlb_time now)
+{
+	if (fc->head_since != TLB_NEVER)
+		return;
+	fc->head_since = now;
+	fc->head_run = f->runs;
+	f->open_heads++;
+	schedule_heads_check(f, now);
+}
+
+static void end_head(struct tlb_listener *f, struct tlb_listener_conn *fc)
+{
+	f->open_heads -= fc->head_since != TLB_NEVER;
+	fc->head_since = TLB_NEVER;
+}
+
+static void charge_connection(struct tlb_listener_conn *fc)
+{
+	if (fc->memory.bytes == 0)
+		tlb_memory_charge_used(&fc->memory, CONNECTION_MEMORY);
+}
+
+/* Whether libmicrohttpd holds bytes of an incomplete head. It holds none of a connection that is
+ * silent; a head that has arrived whole is read in HEAD_RUNS. */
+static bool holds_part_of_head(const struct tlb_listener *f, const struct tlb_listener_conn *fc)
+{
+	if (fc->head_since == TLB_NEVER)
+		return false;
+	if (f->runs < fc->head_run + HEAD_RUNS && tlb_socket_has_unread(fc->fd))
+		return false;
+	return fc->in_request || tlb_socket_has_received(fc->fd);
+}
+
+/* Refuses the request of an incomplete head, which libmicrohttpd can't answer yet. */
+static void give_up_head(struct tlb_listener *f, struct tlb_listener_conn *fc)
+{
+	static const char answer[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+				     "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+	tlb_socket_discard_unread(fc->fd);
+	send(fc->fd, answer, sizeof(answer) - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
+	shutdown(fc->fd, SHUT_RDWR);
+	end_head(f, fc);
+}
+
+/* Keeps incomplete heads within their part of the memory: the oldest ones are given up, as heads
+ * that arrive at all arrive within moments. */
+static void check_heads(struct tlb_listener *f, tlb_time now)
+{
+	const struct tlb_memory *m = f->limits.memory;
+	struct tlb_listener_conn *fc;
+	size_t held = 0;
+	int given_up = 0;
+
+	if (!m)
+		return;
+	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+		fc->holds_head = holds_part_of_head(f, fc);
+		held += fc->holds_head;
+		if (fc->holds_head)
+			charge_connection(fc);
+	}
+	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+		if (!fc->holds_head)
+			continue;
+		if (held <= heads_max(f) &&
+		    (m->used <= m->limit || now < fc->head_since + HEAD_GRACE))
+			continue;
+		give_up_head(f, fc);
+		held--;
+		given_up++;
+	}
+	if (given_up > 0)
+		tlb_log_info("event=heads_given_up count=%d held=%zu memory=%zu", given_up, held,
+			     m->used);
+}
+
+static void on_heads_timer(void *arg)
+{
+	struct tlb_listener *f = arg;
+	tlb_time now = tlb_clock_now();
+
+	check_heads(f, now);
+	schedule_heads_check(f, now);
+}
+
 /* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
  * decoding it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
@@ -604,8 +719,8 @@
 	if (fc) {
 		fc->in_request = true;
 		fc->fresh_until = 0;
-		if (fc->memory.bytes == 0)
-			tlb_memory_charge_used(&fc->memory, CONNECTION_MEMORY);
+		begin_head(f, fc, now);
+		charge_connection(fc);
 	}
 	x->listener = f;
 	x->memory.memory = f->limits.memory;
@@ -651,8 +766,10 @@
 {
 	struct tlb_listener_conn *fc = conn_of(x->conn);
 
-	if (fc)
+	if (fc) {
 		fc->idle_deadline = TLB_NEVER;
+		end_head(x->listener, fc);
+	}
 	x->method = strdup(method);
 	if (!x->method)
 		return false;
@@ -814,6 +931,7 @@
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
 		if (fc) {
 			APR_RING_REMOVE(fc, link);
+			end_head(f, fc);
 			tlb_memory_release(&fc->memory);
 		}
 		free(fc);
@@ -826,6 +944,8 @@
 	i = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
 	fc->fd = i->connect_fd;
 	fc->memory.memory = f->limits.memory;
+	fc->head_since = TLB_NEVER;
+	begin_head(f, fc, now);
 	fc->fresh_until = now + FIRST_REQUEST_TIME;
 	fc->idle_deadline =
 		f->stopping ? fc->fresh_until : now + f->limits.request_timeout_ms * TLB_MS;
@@ -844,17 +964,10 @@
 	return poll(&p, 1, 0) > 0 && (p.revents & POLLIN);
 }
 
-static bool has_unread_bytes(int fd)
-{
-	char byte;
-
-	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* Closes a connection without a request. A request that has arrived is read and answered first. */
 static void close_if_idle(const struct tlb_listener_conn *fc)
 {
-	if (!has_unread_bytes(fc->fd))
+	if (!tlb_socket_has_unread(fc->fd))
 		shutdown(fc->fd, SHUT_RDWR);
 }
 
@@ -862,7 +975,7 @@
 static bool gives_memory_back(const struct tlb_listener *f, const struct tlb_listener_conn *fc,
 			      tlb_time now)
 {
-	return is_memory_short(f) && !fc->in_request && fc->memory.bytes > 0 &&
+	return is_memory_short(f) && !fc->in_request && fc->head_since == TLB_NEVER &&
 	       now >= fc->idle_since + SHORT_IDLE_TIME;
 }
 
@@ -871,7 +984,7 @@
 	if (x->disconnected || x->fd < 0)
 		return;
 	if (x->state == TLB_EXCHANGE_READING && now >= x->read_deadline &&
-	    !(tlb_loop_was_late(x->listener->loop) && has_unread_bytes(x->fd)))
+	    !(tlb_loop_was_late(x->listener->loop) && tlb_socket_has_unread(x->fd)))
 		refuse_timed_out(x);
 	/* libmicrohttpd does not poll a suspended connection, so it can't detect the disconnect. */
 	if (!x->suspended || !caller_closed(x->fd))
@@ -891,6 +1004,7 @@
 	APR_RING_FOREACH_SAFE (x, next, &f->exchanges, tlb_exchange, link) {
 		sweep_exchange(x, now);
 	}
+	check_heads(f, now);
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
 		if ((now >= fc->idle_deadline && (!f->stopping || !fc->in_request)) ||
 		    gives_memory_back(f, fc, now))
@@ -908,16 +1022,23 @@
 	return MHD_get_timeout(f->daemon, &ms) == MHD_YES && ms == 0;
 }
 
+static void run_once(struct tlb_listener *f)
+{
+	f->runs++;
+	MHD_run(f->daemon);
+}
+
 /* libmicrohttpd reads a part of a request at a time. When the loop was late, what has arrived is
  * read before deadlines are applied. */
 static void run(struct tlb_listener *f)
 {
 	MHD_UNSIGNED_LONG_LONG ms;
 	int late_runs = tlb_loop_was_late(f->loop) ? LATE_RUNS : 0;
+	tlb_time late_deadline = tlb_clock_now() + LATE_RUNS_TIME;
 
-	MHD_run(f->daemon);
-	while (late_runs-- > 0 && has_more_to_do(f))
-		MHD_run(f->daemon);
+	run_once(f);
+	while (late_runs-- > 0 && tlb_clock_now() < late_deadline && has_more_to_do(f))
+		run_once(f);
 	if (MHD_get_timeout(f->daemon, &ms) == MHD_YES)
 		tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now() + (tlb_time)ms * TLB_MS);
 }
@@ -1015,6 +1136,7 @@
 	APR_RING_INIT(&f->conns, tlb_listener_conn, link);
 	tlb_timer_init(&f->run_timer, on_run_timer, f);
 	tlb_timer_init(&f->sweep_timer, on_sweep, f);
+	tlb_timer_init(&f->heads_timer, on_heads_timer, f);
 	tlb_timer_init(&f->accept_timer, on_accept_timer, f);
 	code = start_daemon(f, addr, err);
 	if (code != TLB_OK)
@@ -1038,7 +1160,7 @@
 			return true;
 	}
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
-		if (!fc->in_request && (now < fc->fresh_until || has_unread_bytes(fc->fd)))
+		if (!fc->in_request && (now < fc->fresh_until || tlb_socket_has_unread(fc->fd)))
 			return true;
 	}
 	return false;
@@ -1079,6 +1201,7 @@
 	tlb_loop_unwatch(f->loop, f->watch);
 	tlb_timer_clear(f->loop, &f->run_timer);
 	tlb_timer_clear(f->loop, &f->sweep_timer);
+	tlb_timer_clear(f->loop, &f->heads_timer);
 	tlb_timer_clear(f->loop, &f->accept_timer);
 	MHD_stop_daemon(f->daemon);
 }
--- a/src/listener.h
+++ b/src/listener.h
@@ -124,9 +124,12 @@
 	struct tlb_watch *watch;
 	struct tlb_timer run_timer;
 	struct tlb_timer sweep_timer;
+	struct tlb_timer heads_timer;  /* set while many heads are incomplete */
 	struct tlb_timer accept_timer; /* when stopping: the next check of the accept queue */
 	struct tlb_exchange_ring exchanges;
 	struct tlb_listener_conn_ring conns;
+	unsigned runs;	   /* of libmicrohttpd */
+	size_t open_heads; /* connections whose next head is incomplete; those just accepted too */
 	struct tlb_listener_limits limits;
 	tlb_listener_request_fn *on_request;
 	void *arg;
--- /dev/null
+++ b/src/socket.c
@@ -0,0 +1,30 @@
+#include "socket.h"
+
+/* The tcp_info of <netinet/tcp.h> lacks tcpi_bytes_received. */
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <stddef.h>
+#include <sys/socket.h>
+
+enum { DISCARD_MAX = 256 << 10 }; /* bytes */
+
+bool tlb_socket_has_unread(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool tlb_socket_has_received(int fd)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+
+	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0 &&
+	       info.tcpi_bytes_received > 0;
+}
+
+void tlb_socket_discard_unread(int fd)
+{
+	recv(fd, NULL, DISCARD_MAX, MSG_TRUNC | MSG_DONTWAIT);
+}
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2945,6 +2945,42 @@
         assert len(kept) > 200, f"{len(kept)} connections kept"
 
 
+def check_unfinished_heads_stay_within_memory():
+    """Callers that send only a part of a head must not exhaust a small VM, in the request line or
+    behind it: nobody refused what libmicrohttpd holds of them. Sound requests are served meanwhile,
+    also one whose head comes in pieces."""
+    for begin in (b"GET /", b"GET /look/1 HTTP/1.1\r\nX-A: "):
+        with World() as w:
+            vm = w.start()
+            part = begin + b"a" * 60000
+            callers = [socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+                       for _ in range(1600)]
+            slow = socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+            slow.sendall(b"GET /look/1 HTTP/1.1\r\nHost: h.example\r\n")
+            for n, s in enumerate(callers):
+                s.setblocking(False)
+                try:
+                    s.send(part)
+                except OSError:
+                    pass  # closed by the VM
+                if n % 40 == 0:
+                    equal(vm.call("/look/1", attempt=f"sound-{n}")[0], 200, "sound request")
+            late = socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+            late.sendall(b"GET /look/1 HTTP/1.1\r\nHost: h.example\r\n")
+            time.sleep(0.3)
+            late.sendall(f"Authorization: Bearer {KEY}\r\n\r\n".encode())
+            late.settimeout(6)
+            equal(late.recv(12), b"HTTP/1.1 200", "a head in two pieces")
+            for n in range(20):
+                equal(vm.call("/look/1", attempt=f"later-{n}")[0], 200, "sound request")
+            peak = peak_memory_mb(vm)
+            assert peak < VM_MEMORY_MB, f"{peak:.0f} MB"
+            answered = sum(s.recv(12) == b"HTTP/1.1 503" for s in callers[:200])
+            equal(answered, 200, "unfinished heads that are refused")
+            for s in callers + [slow, late]:
+                s.close()
+
+
 def check_dripping_stream_is_resumed_elsewhere():
     """A stalled stream that still sends a byte or a comment now and then must not count as alive: it
     is resumed at another endpoint. A slow stream with an event every 0.7 s is left alone."""
