--- a/src/instance.c
+++ b/src/instance.c
@@ -417,10 +417,10 @@
 
 bool tlb_instance_back_off(struct tlb_instance *i, int64_t pause_ms, tlb_time now)
 {
-	tlb_time until = now + TLB_INSTANCE_BACKOFF_MAX;
+	tlb_time until = TLB_NEVER;
 	bool begins = now >= i->backoff_until;
 
-	if (pause_ms < TLB_INSTANCE_BACKOFF_MAX / TLB_MS)
+	if (pause_ms < (TLB_NEVER - now) / TLB_MS)
 		until = now + pause_ms * TLB_MS;
 	if (begins)
 		i->reserved_use_until = now + TLB_INSTANCE_RESERVED_GRACE;
--- a/src/instance.h
+++ b/src/instance.h
@@ -22,10 +22,6 @@
 /* Prefill speed in tokens per second, assumed until it has been measured. */
 #define TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND 50000.0
 
-/* Longest pause that an instance can ask for. A faulty one would otherwise remain without requests;
- * as long as the longest ejection of an endpoint that fails. */
-#define TLB_INSTANCE_BACKOFF_MAX (60 * TLB_SECOND)
-
 /* Requests on their way when an instance asks for a pause may reach it half a second later; this
  * one leaves time to send them. */
 #define TLB_INSTANCE_RESERVED_GRACE (400 * TLB_MS)
