Refuse operators' ids that are too long instead of cutting them

What operators saw: GET /v1/table with an id of 48 bytes or more showed the row whose id is the first 47 of them.

Evidence: test_long_id (tests/operator.py) fails before (200 with that row) and passes now.

--- a/src/operator.c
+++ b/src/operator.c
@@ -83,23 +83,28 @@
 
 /* --- query parameters --- */
 
-/* Copies the value of a query parameter, truncated to size; "" when it is absent. Values are not
- * percent-decoded, because kinds, ids and numbers contain no escaped characters. */
-static void get_param(const struct tlb_exchange *x, const char *name, char *out, size_t size)
+/* Copies the value of a query parameter; "" when it is absent. Returns false, with "", when it does
+ * not fit. Values are not percent-decoded, because kinds, ids and numbers contain no escaped
+ * characters. */
+static bool get_param(const struct tlb_exchange *x, const char *name, char *out, size_t size)
 {
 	size_t name_len = strlen(name);
 	const char *p = x->query;
 	size_t len;
 
 	out[0] = '\0';
-	while (*p) {
+	for (; *p; p += len + (p[len] == '&')) {
 		len = strcspn(p, "&");
-		if (len > name_len && strncmp(p, name, name_len) == 0 && p[name_len] == '=') {
-			snprintf(out, size, "%.*s", (int)(len - name_len - 1), p + name_len + 1);
-			return;
-		}
-		p += len + (p[len] == '&');
+		if (len <= name_len || strncmp(p, name, name_len) != 0 || p[name_len] != '=')
+			continue;
+		len -= name_len + 1;
+		if (len >= size)
+			return false;
+		memcpy(out, p + name_len + 1, len);
+		out[len] = '\0';
+		return true;
 	}
+	return true;
 }
 
 /* Parses the parameter kind; *has_kind is whether it is present. Returns false after an error
@@ -108,8 +113,7 @@
 {
 	char name[16];
 
-	get_param(x, "kind", name, sizeof(name));
-	*has_kind = name[0] != '\0';
+	*has_kind = !get_param(x, "kind", name, sizeof(name)) || name[0] != '\0';
 	if (!*has_kind || tlb_table_kind_from_name(name, kind))
 		return true;
 	reply_error(x, TLB_BAD_REQUEST,
@@ -187,7 +191,10 @@
 
 	if (!parse_kind(x, &kind, &has_kind))
 		return;
-	get_param(x, "id", id, sizeof(id));
+	if (!get_param(x, "id", id, sizeof(id))) {
+		reply_error(x, TLB_BAD_REQUEST, "the parameter id is too long");
+		return;
+	}
 	rows = json_array();
 	if (has_kind && id[0])
 		append_row(rows, t, kind, id);
@@ -549,13 +556,12 @@
 static int64_t requested_version(const struct tlb_operator_listener *o,
 				 const struct tlb_exchange *x)
 {
-	char text[20];
+	char text[19]; /* any 18 digits */
 
-	get_param(x, "version", text, sizeof(text));
+	if (!get_param(x, "version", text, sizeof(text)) || text[strspn(text, "0123456789")])
+		return -1;
 	if (!text[0])
 		return o->config->table->version;
-	if (strlen(text) > 18 || text[strspn(text, "0123456789")])
-		return -1;
 	return strtoll(text, NULL, 10);
 }
 
--- a/tests/operator.py
+++ b/tests/operator.py
@@ -154,6 +154,17 @@
     assert f.call("GET", "/v1/table.csv?kind=account")[1] == b"id,weight,rate,burst\r\na1,1.0,10,100\r\n"
 
 
+def test_long_id(f):
+    """Guards against a request for a row whose id is cut to that of another row."""
+    longest = "a" * 47
+    assert f.change({f"account/{longest}": ACCOUNT})[0] == 200
+    status, table = f.call("GET", f"/v1/table?kind=account&id={longest}")
+    assert (status, len(table["rows"])) == (200, 1)
+    status, body = f.call("GET", f"/v1/table?kind=account&id={longest}b")
+    assert (status, body["error"]["code"]) == (400, "bad_request"), body
+    assert f.change({f"account/{longest}": None})[0] == 200
+
+
 def test_faults(f):
     """Guards against an invalid change that is partly written, or reported with missing faults."""
     before = f.version()
@@ -310,8 +321,8 @@
     assert f.slow.seconds is not None and f.slow.seconds < 20, f.slow.seconds
 
 
-TESTS = [test_credentials, test_first_operator, test_change, test_faults, test_bad_requests,
-         test_conflict, test_lost_answer, test_store_down, test_tool, test_import,
+TESTS = [test_credentials, test_first_operator, test_change, test_long_id, test_faults,
+         test_bad_requests, test_conflict, test_lost_answer, test_store_down, test_tool, test_import,
          test_tool_conflict, test_withdrawn_operator, test_slow_request]
 
 
