Count the header lines of forwarded responses to the memory limit

What callers saw: 240 streams whose heads have 3,400 short lines took a VM to 126 MB (88 MB allowed on the smallest ones).

Cause: libmicrohttpd keeps each line of a response as a list entry of some 130 bytes until the response ends; only the 64 KB of the head itself were counted.

tlb_exchange_set_head() takes and charges the head before the response begins. A stream without memory for its head fails, where it would have begun without headers.

--- a/src/forward.c
+++ b/src/forward.c
@@ -229,6 +229,7 @@
 	char *head = tlb_platform_forwarded_head(r->head);
 	char *body = tlb_http_take_body(r);
 	int status = r->status;
+	bool fits;
 
 	if (!head || !body) {
 		free(head);
@@ -236,8 +237,9 @@
 		tlb_forward_fail(f, "no memory for the answer");
 		return;
 	}
-	if (!tlb_exchange_head_fits(x, head)) {
-		free(head);
+	fits = tlb_exchange_set_head(x, head);
+	free(head);
+	if (!fits) {
 		free(body);
 		tlb_forward_fail(f, "the headers of the endpoint's answer are too large");
 		return;
@@ -245,8 +247,7 @@
 	tlb_counter_add(&f->board->counters, TLB_COUNTER_ANSWERED, 1);
 	tlb_latency_record(&f->board->latencies, TLB_LATENCY_CALL, tlb_clock_now() - x->arrived);
 	tlb_forward_end(f, "answered", status);
-	tlb_exchange_forward(x, status, head, body, r->body_len);
-	free(head);
+	tlb_exchange_forward(x, status, body, r->body_len);
 }
 
 /* Limits a retry-after time to what the caller complies with. */
--- a/src/generation.c
+++ b/src/generation.c
@@ -320,15 +320,14 @@
 	if (f->gen.streaming)
 		return true;
 	head = tlb_platform_forwarded_head(tlb_http_head(&f->call));
-	fits = tlb_exchange_head_fits(f->exchange, head ? head : "");
+	fits = head && tlb_exchange_set_head(f->exchange, head);
+	free(head);
 	if (fits) {
 		f->gen.streaming = true;
 		tlb_latency_record(&f->board->latencies, TLB_LATENCY_FIRST_EVENT,
 				   tlb_clock_now() - f->exchange->arrived);
-		tlb_exchange_stream_forward(f->exchange, tlb_http_status(&f->call),
-					    head ? head : "");
+		tlb_exchange_stream_forward(f->exchange, tlb_http_status(&f->call));
 	}
-	free(head);
 	return fits;
 }
 
--- a/src/listener.c
+++ b/src/listener.c
@@ -28,6 +28,9 @@
 	/* What a header needs of it besides its bytes, and a response besides its headers. */
 	HEADER_MEMORY = 72,
 	RESPONSE_MEMORY = 1024,
+	/* What a header of a response takes outside of it, besides its bytes: the list entry, and
+	 * allocations of its name and value. */
+	RESPONSE_HEADER_MEMORY = 128,
 	/* What an exchange takes besides its bytes, with a call to an endpoint. */
 	EXCHANGE_MEMORY = 8192,
 	/* A caller that was refused for lack of memory may come back after this time. */
@@ -247,21 +250,33 @@
 	tlb_exchange_refuse_ms(x, err, 1000 * (retry_after_s > 0 ? retry_after_s : 1));
 }
 
-bool tlb_exchange_head_fits(const struct tlb_exchange *x, const char *head)
+static size_t count_lines(const char *text)
 {
-	return x->head_memory + strlen(head) + RESPONSE_MEMORY <= CONNECTION_MEMORY;
+	size_t n = 0;
+
+	for (; *text; text++)
+		n += *text == '\n';
+	return n;
 }
 
-void tlb_exchange_forward(struct tlb_exchange *x, int status, const char *head, char *body,
-			  size_t len)
+bool tlb_exchange_set_head(struct tlb_exchange *x, const char *head)
 {
+	size_t len = strlen(head);
+
+	if (x->head_memory + len + RESPONSE_MEMORY > CONNECTION_MEMORY ||
+	    !tlb_memory_charge(&x->memory, 2 * len + count_lines(head) * RESPONSE_HEADER_MEMORY))
+		return false;
 	x->reply_head = strdup(head);
+	return x->reply_head != NULL;
+}
+
+void tlb_exchange_forward(struct tlb_exchange *x, int status, char *body, size_t len)
+{
 	tlb_exchange_reply(x, status, "", body, len);
 }
 
-void tlb_exchange_stream_forward(struct tlb_exchange *x, int status, const char *head)
+void tlb_exchange_stream_forward(struct tlb_exchange *x, int status)
 {
-	x->reply_head = strdup(head);
 	tlb_exchange_stream_begin(x);
 	x->status = status;
 }
--- a/src/listener.h
+++ b/src/listener.h
@@ -179,15 +179,15 @@
 /* Like tlb_exchange_refuse() with Retry-After in milliseconds, sent as seconds with a fraction. */
 void tlb_exchange_refuse_ms(struct tlb_exchange *x, const struct tlb_error *err,
 			    int retry_after_ms);
-/* Whether header lines of a response can be sent: they share the connection's memory with those of
- * the request. libmicrohttpd closes the connection without a response otherwise. */
-bool tlb_exchange_head_fits(const struct tlb_exchange *x, const char *head);
-/* Sends an endpoint's response: status, header lines "Name: value\n" (copied) and the malloc'd
- * body, of which it takes ownership. */
-void tlb_exchange_forward(struct tlb_exchange *x, int status, const char *head, char *body,
-			  size_t len);
-/* Starts a stream with an endpoint's status and header lines (copied). */
-void tlb_exchange_stream_forward(struct tlb_exchange *x, int status, const char *head);
+/* Takes the header lines "Name: value\n" of an endpoint's response (copied), which is forwarded
+ * next. Returns false when they can't be sent: they share the connection's memory with those of the
+ * request, and libmicrohttpd closes the connection without a response otherwise; or there is no
+ * memory. */
+bool tlb_exchange_set_head(struct tlb_exchange *x, const char *head);
+/* Sends an endpoint's response: status and the malloc'd body, of which it takes ownership. */
+void tlb_exchange_forward(struct tlb_exchange *x, int status, char *body, size_t len);
+/* Starts a stream with an endpoint's status. */
+void tlb_exchange_stream_forward(struct tlb_exchange *x, int status);
 /* A header of the request, or NULL; valid until the exchange ends. */
 const char *tlb_exchange_header(const struct tlb_exchange *x, const char *name);
 /* Whether the caller has disconnected; on_disconnect is called when this shows here. The periodic
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -2926,6 +2926,42 @@
         assert peak < VM_MEMORY_MB, f"{peak:.0f} MB"
 
 
+def check_heads_of_many_lines_stay_within_memory():
+    """Streams whose heads have thousands of short lines must not exhaust a small VM: libmicrohttpd
+    keeps each line as a list entry of some 130 bytes until the stream ends, which nobody counted."""
+    def stream(h):
+        h.wfile.write(b"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+                      b"Content-Type: text/event-stream\r\n" + b"a: b\r\n" * 3400 + b"\r\n")
+        for n in range(1, 5):
+            h.wfile.write(b"id: %d\ndata: x\n\n" % n)
+            ended.wait(1)
+        h.close_connection = True
+        return True
+
+    with World(shops=1, decodes=30) as w:
+        vm = w.start()
+        ended = threading.Event()
+        for e in w.decodes:
+            e.plan = stream
+        callers = []
+        for n in range(240):
+            s = socket.create_connection(("127.0.0.1", vm.ports["caller"]), 9)
+            lines = "".join(f"{k}: {v}\r\n" for k, v in GEN.items())
+            s.sendall(f"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer {KEY}\r\n"
+                      f"X-Attempt-Id: s{n}\r\nContent-Length: 0\r\n{lines}\r\n".encode())
+            callers.append(s)
+        for n in range(20):
+            equal(vm.call("/look/x", attempt=f"sound-{n}")[0], 200, "sound request")
+            time.sleep(0.1)
+        peak = peak_memory_mb(vm)
+        ended.set()
+        found = [s.recv(12)[9:] for s in callers]
+        for s in callers:
+            s.close()
+        assert peak < VM_MEMORY_MB, f"{peak:.0f} MB"
+        assert found.count(b"200") > 20, found
+
+
 def check_large_bodies_at_once_stay_within_memory():
     """Callers that send bodies of the operator's limit at once must not exhaust a small VM: a body
     that does not fit is refused as not run, and not kept. The sum of the bodies had no limit."""
