Count the copies of a long target with its incomplete head

What callers saw: nothing yet; 1,600 incomplete heads whose request lines have 30,000 and 59,000 bytes took a VM to 55 and 72 MB (88 MB on the smallest ones), those with short ones to 31 MB.

Cause: target and path are copied when the request line is complete, but were counted with the complete head only; and heads were limited by their number.

Change: the copies are charged when they are made, and heads are limited by their bytes.

Measured by unfinished_heads_stay_within_memory, which has these request lines too now: 34 and 42 MB. The check did not fail before, its bound is the VM's memory.

--- a/src/listener.c
+++ b/src/listener.c
@@ -70,6 +70,7 @@
 	int fd;
 	bool in_request;		/* from the request line to the end of the response */
 	struct tlb_memory_share memory; /* what libmicrohttpd holds for the connection */
+	size_t head_bytes;		/* what an incomplete head may hold; 0: none */
 	bool holds_head;		/* at the last check */
 	unsigned head_run;		/* tlb_listener.runs at head_since */
 	tlb_time head_since;	/* an incomplete head began, or was expected; TLB_NEVER: none */
@@ -619,33 +620,40 @@
 
 /* --- incomplete heads --- */
 
-/* How many connections may hold an incomplete head. */
+/* Bytes that incomplete heads may hold. */
 static size_t heads_max(const struct tlb_listener *f)
 {
 	const struct tlb_memory *m = f->limits.memory;
 
-	return m ? m->limit / HEADS_DIVISOR / CONNECTION_MEMORY : SIZE_MAX;
+	return m ? m->limit / HEADS_DIVISOR : SIZE_MAX;
 }
 
 static void schedule_heads_check(struct tlb_listener *f, tlb_time now)
 {
-	if (f->open_heads > heads_max(f) && !tlb_timer_active(&f->heads_timer))
+	if (f->open_head_bytes > heads_max(f) && !tlb_timer_active(&f->heads_timer))
 		tlb_timer_set(f->loop, &f->heads_timer, now + HEADS_CHECK_INTERVAL);
 }
 
+static void add_head_bytes(struct tlb_listener *f, struct tlb_listener_conn *fc, size_t bytes)
+{
+	fc->head_bytes += bytes;
+	f->open_head_bytes += bytes;
+}
+
 static void begin_head(struct tlb_listener *f, struct tlb_listener_conn *fc, tlb_time now)
 {
 	if (fc->head_since != TLB_NEVER)
 		return;
 	fc->head_since = now;
 	fc->head_run = f->runs;
-	f->open_heads++;
+	add_head_bytes(f, fc, CONNECTION_MEMORY);
 	schedule_heads_check(f, now);
 }
 
 static void end_head(struct tlb_listener *f, struct tlb_listener_conn *fc)
 {
-	f->open_heads -= fc->head_since != TLB_NEVER;
+	f->open_head_bytes -= fc->head_bytes;
+	fc->head_bytes = 0;
 	fc->head_since = TLB_NEVER;
 }
 
@@ -691,9 +699,10 @@
 		return;
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
 		fc->holds_head = holds_part_of_head(f, fc);
-		held += fc->holds_head;
-		if (fc->holds_head)
-			charge_connection(fc);
+		if (!fc->holds_head)
+			continue;
+		held += fc->head_bytes;
+		charge_connection(fc);
 	}
 	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
 		if (!fc->holds_head)
@@ -701,8 +710,8 @@
 		if (held <= heads_max(f) &&
 		    (m->used <= m->limit || now < fc->head_since + HEAD_GRACE))
 			continue;
+		held -= fc->head_bytes;
 		give_up_head(f, fc);
-		held--;
 		given_up++;
 	}
 	if (given_up > 0)
@@ -726,6 +735,7 @@
 	struct tlb_listener *f = arg;
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
 	struct tlb_listener_conn *fc = conn_of(conn);
+	size_t copies_len = 2 * strlen(uri); /* target and path */
 	const char *question_mark = strchr(uri, '?');
 	tlb_time now = tlb_clock_now();
 
@@ -735,10 +745,12 @@
 		fc->in_request = true;
 		fc->fresh_until = 0;
 		begin_head(f, fc, now);
+		add_head_bytes(f, fc, copies_len);
 		charge_connection(fc);
 	}
 	x->listener = f;
 	x->memory.memory = f->limits.memory;
+	tlb_memory_charge_used(&x->memory, copies_len);
 	x->conn = conn;
 	x->fd = fd_of(conn);
 	set_arrival(x, now);
@@ -789,9 +801,7 @@
 	if (!x->method)
 		return false;
 	read_headers(x);
-	x->memory_refused = !tlb_memory_charge(&x->memory, EXCHANGE_MEMORY + strlen(x->path) +
-								   strlen(x->target)) ||
-			    !reserve_body(x);
+	x->memory_refused = !tlb_memory_charge(&x->memory, EXCHANGE_MEMORY) || !reserve_body(x);
 	return true;
 }
 
--- a/src/listener.h
+++ b/src/listener.h
@@ -128,8 +128,8 @@
 	struct tlb_timer accept_timer; /* when stopping: the next check of the accept queue */
 	struct tlb_exchange_ring exchanges;
 	struct tlb_listener_conn_ring conns;
-	unsigned runs;	   /* of libmicrohttpd */
-	size_t open_heads; /* connections whose next head is incomplete; those just accepted too */
+	unsigned runs;		/* of libmicrohttpd */
+	size_t open_head_bytes; /* what incomplete heads take at most, also those just expected */
 	struct tlb_listener_limits limits;
 	tlb_listener_request_fn *on_request;
 	void *arg;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -3020,10 +3020,12 @@
     """Callers that send only a part of a head must not exhaust a small VM, in the request line or
     behind it: nobody refused what libmicrohttpd holds of them. Sound requests are served meanwhile,
     also one whose head comes in pieces."""
-    for begin in (b"GET /", b"GET /look/1 HTTP/1.1\r\nX-A: "):
+    for begin in (b"GET /", b"GET /look/1 HTTP/1.1\r\nX-A: ",
+                  b"GET /" + b"a" * 59000 + b" HTTP/1.1\r\nX-A: ",
+                  b"GET /" + b"a" * 30000 + b" HTTP/1.1\r\nX-A: "):
         with World() as w:
             vm = w.start()
-            part = begin + b"a" * 60000
+            part = begin + b"a" * (60000 - len(begin))
             callers = [socket.create_connection(("127.0.0.1", vm.ports["caller"]))
                        for _ in range(1600)]
             slow = socket.create_connection(("127.0.0.1", vm.ports["caller"]))
