Split callers' connections and request heads from the listener

Connections with their incomplete heads move to caller_conn, the reading and checking of heads to request_head.

--- a/src/listener.c
+++ b/src/listener.c
@@ -1,6 +1,5 @@
 #include "listener.h"
 
-#include <apr_lib.h>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <jansson.h>
@@ -16,19 +15,14 @@
 
 #include "address.h"
 #include "log.h"
+#include "request_head.h"
 #include "socket.h"
 
 enum {
-	SWEEP_MS = 200,	     /* interval of the check for timed-out and disconnected callers */
-	HEADER_OVERHEAD = 4, /* ": " and the end of the line */
-	/* Memory per connection in libmicrohttpd, which sends an HTML error when a request needs
-	 * more. It holds the request headers with about 70 bytes of overhead each, and the response
-	 * headers. */
-	CONNECTION_MEMORY = 65536,
-	/* What a header needs of it besides its bytes, and a response besides its headers. */
-	HEADER_MEMORY = 72,
+	SWEEP_MS = 200, /* interval of the check for timed-out and disconnected callers */
+	/* What a response needs of its connection's memory besides its headers. */
 	RESPONSE_MEMORY = 1024,
-	/* What a header of a response takes outside of it, besides its bytes: the list entry, and
+	/* What a header of a response takes in libmicrohttpd besides its bytes: the list entry, and
 	 * allocations of its name and value. */
 	RESPONSE_HEADER_MEMORY = 128,
 	/* What an exchange takes besides its bytes, with a call to an endpoint. */
@@ -42,43 +36,19 @@
 	COMPACT_FROM = 65536, /* sent bytes from which the stream buffer is compacted */
 	STREAM_BUFFER_MAX = TLB_STREAM_BACKLOG_MAX + COMPACT_FROM,
 	LATE_RUNS = 16, /* further runs of libmicrohttpd after the loop was late, at most */
-	HEAD_RUNS = 16, /* runs of libmicrohttpd that read a head which has arrived, at most */
-	/* Incomplete heads may hold the limit of the memory divided by this. */
-	HEADS_DIVISOR = 2,
 };
 
 /* Longest time that further runs after the loop was late take before other work has its turn. */
 #define LATE_RUNS_TIME (20 * TLB_MS)
-#define HEADS_CHECK_INTERVAL (20 * TLB_MS) /* while they may exceed that */
-/* When the whole memory is in use, heads that are incomplete for longer are given up. */
-#define HEAD_GRACE (1 * TLB_SECOND)
 
 /* How long handshakes in progress may still complete after new ones are refused. */
 #define HANDSHAKE_TIME (200 * TLB_MS)
 /* How long a new connection may take to send its request once no more are accepted. */
 #define FIRST_REQUEST_TIME (1 * TLB_SECOND)
-/* Connections that were idle for this long are closed when memory is short. */
-#define SHORT_IDLE_TIME (1 * TLB_SECOND)
 #define ACCEPT_CHECK_INTERVAL (10 * TLB_MS)
 /* Longest time that tlb_listener_finish() takes for the last responses. */
 #define FINISH_TIME (100 * TLB_MS)
 
-/* A caller's connection. Tracked so that a connection that never completes a request is closed;
- * libmicrohttpd restarts its own time-out with every byte. */
-struct tlb_listener_conn {
-	APR_RING_ENTRY(tlb_listener_conn) link;
-	int fd;
-	bool in_request;		/* from the request line to the end of the response */
-	struct tlb_memory_share memory; /* what libmicrohttpd holds for the connection */
-	size_t head_bytes;		/* what an incomplete head may hold; 0: none */
-	bool holds_head;		/* at the last check */
-	unsigned head_run;		/* tlb_listener.runs at head_since */
-	tlb_time head_since;	/* an incomplete head began, or was expected; TLB_NEVER: none */
-	tlb_time fresh_until;	/* until then a connection without a request may still send one */
-	tlb_time idle_since;	/* the end of the last response */
-	tlb_time idle_deadline; /* TLB_NEVER while a request is in progress */
-};
-
 static void schedule_run(struct tlb_listener *f)
 {
 	tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now());
@@ -166,15 +136,6 @@
 		snprintf(out, size, "%d.%03d", ms / 1000, ms % 1000);
 }
 
-/* Whether half of the memory is in use. Then no connection is kept: libmicrohttpd holds the whole
- * CONNECTION_MEMORY of each that has carried a request. */
-static bool is_memory_short(const struct tlb_listener *f)
-{
-	const struct tlb_memory *m = f->limits.memory;
-
-	return m && m->used > m->limit / 2;
-}
-
 /* Returns false without memory. */
 static bool add_headers(struct tlb_exchange *x, struct MHD_Response *r)
 {
@@ -191,7 +152,8 @@
 		format_seconds(x->retry_after_ms, seconds, sizeof(seconds));
 		MHD_add_response_header(r, "Retry-After", seconds);
 	}
-	if (x->listener->keepalive_disabled || x->close_connection || is_memory_short(x->listener))
+	if (x->listener->keepalive_disabled || x->close_connection ||
+	    tlb_caller_conns_memory_short(&x->listener->conns))
 		MHD_add_response_header(r, "Connection", "close");
 	return true;
 }
@@ -264,7 +226,7 @@
 {
 	size_t len = strlen(head);
 
-	if (x->head_memory + len + RESPONSE_MEMORY > CONNECTION_MEMORY ||
+	if (x->head_memory + len + RESPONSE_MEMORY > TLB_CALLER_CONN_MEMORY ||
 	    !tlb_memory_charge(&x->memory, 2 * len + count_lines(head) * RESPONSE_HEADER_MEMORY))
 		return false;
 	x->reply_head = strdup(head);
@@ -421,127 +383,6 @@
 
 /* --- requests --- */
 
-static void read_key(struct tlb_exchange *x)
-{
-	const char *h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Authorization");
-	size_t len;
-
-	if (!h)
-		return;
-	if (strncasecmp(h, "Bearer ", 7) != 0 || !h[7]) {
-		x->key_form = TLB_KEY_MALFORMED;
-		return;
-	}
-	h += 7;
-	len = strlen(h);
-	x->key_form = TLB_KEY_UNUSUAL;
-	crypto_hash_sha256(x->key_hash, (const unsigned char *)h, len);
-	if (len < TLB_KEY_MIN_BYTES || len > TLB_KEY_MAX_BYTES)
-		return;
-	x->key_form = TLB_KEY_PRESENT;
-	memcpy(x->key, h, len + 1);
-}
-
-static void read_idempotency_key(struct tlb_exchange *x)
-{
-	const char *h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Idempotency-Key");
-
-	if (!h)
-		return;
-	/* Refused and not ignored: without its key, a repeated non-idempotent call would run
-	 * again. */
-	if (!*h || strlen(h) >= sizeof(x->idempotency_key))
-		x->header_error = "the Idempotency-Key must have 1 to 159 characters";
-	snprintf(x->idempotency_key, sizeof(x->idempotency_key), "%s", h);
-}
-
-/* A method or the name of a header (RFC 9110, section 5.6.2). */
-static bool is_token(const char *text, size_t len)
-{
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		if (!apr_isalnum(text[i]) && (!text[i] || !strchr("!#$%&'*+-.^_`|~", text[i])))
-			return false;
-	}
-	return len > 0;
-}
-
-static bool has_control_characters(const char *text, size_t len)
-{
-	size_t i;
-
-	for (i = 0; i < len; i++) {
-		if (apr_iscntrl(text[i]) && text[i] != '\t')
-			return true;
-	}
-	return false;
-}
-
-struct header_counts {
-	size_t bytes;
-	size_t count;
-	bool malformed;
-	int length;
-	int encoding;
-	int authorization;
-	int idempotency;
-};
-
-static enum MHD_Result count_header(void *arg, enum MHD_ValueKind kind, const char *name,
-				    size_t name_len, const char *value, size_t value_len)
-{
-	struct header_counts *n = arg;
-
-	n->bytes += name_len + value_len + HEADER_OVERHEAD;
-	n->count++;
-	if (!is_token(name, name_len) || has_control_characters(value, value_len))
-		n->malformed = true;
-	n->length += strcasecmp(name, "Content-Length") == 0;
-	n->encoding += strcasecmp(name, "Transfer-Encoding") == 0;
-	n->authorization += strcasecmp(name, "Authorization") == 0;
-	n->idempotency += strcasecmp(name, "Idempotency-Key") == 0;
-	return MHD_YES;
-}
-
-/* Whether the request line can be passed on: libmicrohttpd accepts blanks and control characters.
- */
-static bool is_sound_line(const struct tlb_exchange *x)
-{
-	return is_token(x->method, strlen(x->method)) && !strpbrk(x->target, " \t") &&
-	       !has_control_characters(x->target, strlen(x->target));
-}
-
-/* Rejects heads that two HTTP implementations could interpret differently: malformed lines (RFC
- * 9112, sections 2.2 and 5.1), duplicate length (section 6.3), Authorization or Idempotency-Key
- * headers. */
-static void check_headers(struct tlb_exchange *x)
-{
-	struct header_counts n = {.bytes = strlen(x->path) + strlen(x->query)};
-
-	MHD_get_connection_values_n(x->conn, MHD_HEADER_KIND, count_header, &n);
-	if (n.malformed || !is_sound_line(x))
-		x->header_error = "malformed request line or header";
-	if (n.length + n.encoding > 1)
-		x->header_error = "the request states its length more than once";
-	if (n.authorization > 1 || n.idempotency > 1)
-		x->header_error = "Authorization and Idempotency-Key may be sent only once";
-	x->headers_too_large = n.bytes > TLB_LISTENER_HEADERS_MAX;
-	x->head_memory = n.bytes + n.count * HEADER_MEMORY;
-	x->close_connection = x->header_error || x->headers_too_large;
-}
-
-static void read_headers(struct tlb_exchange *x)
-{
-	const char *h;
-
-	read_key(x);
-	h = MHD_lookup_connection_value(x->conn, MHD_HEADER_KIND, "Content-Type");
-	x->content_type = h ? h : "";
-	read_idempotency_key(x);
-	check_headers(x);
-}
-
 static void set_socket_options(int fd)
 {
 	int one = 1;
@@ -581,7 +422,7 @@
 	return i ? i->connect_fd : -1;
 }
 
-static struct tlb_listener_conn *conn_of(struct MHD_Connection *c)
+static struct tlb_caller_conn *conn_of(struct MHD_Connection *c)
 {
 	const union MHD_ConnectionInfo *i;
 
@@ -618,136 +459,21 @@
 		x->arrived_after = f->loop->late_since;
 }
 
-/* --- incomplete heads --- */
-
-/* Bytes that incomplete heads may hold. */
-static size_t heads_max(const struct tlb_listener *f)
-{
-	const struct tlb_memory *m = f->limits.memory;
-
-	return m ? m->limit / HEADS_DIVISOR : SIZE_MAX;
-}
-
-static void schedule_heads_check(struct tlb_listener *f, tlb_time now)
-{
-	if (f->open_head_bytes > heads_max(f) && !tlb_timer_active(&f->heads_timer))
-		tlb_timer_set(f->loop, &f->heads_timer, now + HEADS_CHECK_INTERVAL);
-}
-
-static void add_head_bytes(struct tlb_listener *f, struct tlb_listener_conn *fc, size_t bytes)
-{
-	fc->head_bytes += bytes;
-	f->open_head_bytes += bytes;
-}
-
-static void begin_head(struct tlb_listener *f, struct tlb_listener_conn *fc, tlb_time now)
-{
-	if (fc->head_since != TLB_NEVER)
-		return;
-	fc->head_since = now;
-	fc->head_run = f->runs;
-	add_head_bytes(f, fc, CONNECTION_MEMORY);
-	schedule_heads_check(f, now);
-}
-
-static void end_head(struct tlb_listener *f, struct tlb_listener_conn *fc)
-{
-	f->open_head_bytes -= fc->head_bytes;
-	fc->head_bytes = 0;
-	fc->head_since = TLB_NEVER;
-}
-
-static void charge_connection(struct tlb_listener_conn *fc)
-{
-	if (fc->memory.bytes == 0)
-		tlb_memory_charge_used(&fc->memory, CONNECTION_MEMORY);
-}
-
-/* Whether libmicrohttpd holds bytes of an incomplete head. It holds none of a connection that is
- * silent; a head that has arrived whole is read in HEAD_RUNS. */
-static bool holds_part_of_head(const struct tlb_listener *f, const struct tlb_listener_conn *fc)
-{
-	if (fc->head_since == TLB_NEVER)
-		return false;
-	if (f->runs < fc->head_run + HEAD_RUNS && tlb_socket_has_unread(fc->fd))
-		return false;
-	return fc->in_request || tlb_socket_has_received(fc->fd);
-}
-
-/* Refuses the request of an incomplete head, which libmicrohttpd can't answer yet. */
-static void give_up_head(struct tlb_listener *f, struct tlb_listener_conn *fc)
-{
-	static const char answer[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-				     "Content-Length: 0\r\nConnection: close\r\n\r\n";
-
-	tlb_socket_discard_unread(fc->fd);
-	send(fc->fd, answer, sizeof(answer) - 1, MSG_DONTWAIT | MSG_NOSIGNAL);
-	shutdown(fc->fd, SHUT_RDWR);
-	end_head(f, fc);
-}
-
-/* Keeps incomplete heads within their part of the memory: the oldest ones are given up, as heads
- * that arrive at all arrive within moments. */
-static void check_heads(struct tlb_listener *f, tlb_time now)
-{
-	const struct tlb_memory *m = f->limits.memory;
-	struct tlb_listener_conn *fc;
-	size_t held = 0;
-	int given_up = 0;
-
-	if (!m)
-		return;
-	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
-		fc->holds_head = holds_part_of_head(f, fc);
-		if (!fc->holds_head)
-			continue;
-		held += fc->head_bytes;
-		charge_connection(fc);
-	}
-	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
-		if (!fc->holds_head)
-			continue;
-		if (held <= heads_max(f) &&
-		    (m->used <= m->limit || now < fc->head_since + HEAD_GRACE))
-			continue;
-		held -= fc->head_bytes;
-		give_up_head(f, fc);
-		given_up++;
-	}
-	if (given_up > 0)
-		tlb_log_info("event=heads_given_up count=%d held=%zu memory=%zu", given_up, held,
-			     m->used);
-}
-
-static void on_heads_timer(void *arg)
-{
-	struct tlb_listener *f = arg;
-	tlb_time now = tlb_clock_now();
-
-	check_heads(f, now);
-	schedule_heads_check(f, now);
-}
-
 /* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
  * decoding it. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
 	struct tlb_listener *f = arg;
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
-	struct tlb_listener_conn *fc = conn_of(conn);
+	struct tlb_caller_conn *fc = conn_of(conn);
 	size_t copies_len = 2 * strlen(uri); /* target and path */
 	const char *question_mark = strchr(uri, '?');
 	tlb_time now = tlb_clock_now();
 
 	if (!x)
 		return NULL;
-	if (fc) {
-		fc->in_request = true;
-		fc->fresh_until = 0;
-		begin_head(f, fc, now);
-		add_head_bytes(f, fc, copies_len);
-		charge_connection(fc);
-	}
+	if (fc)
+		tlb_caller_conn_begin_request(&f->conns, fc, copies_len, now);
 	x->listener = f;
 	x->memory.memory = f->limits.memory;
 	tlb_memory_charge_used(&x->memory, copies_len);
@@ -791,16 +517,16 @@
 /* Returns false without memory. */
 static bool begin_exchange(struct tlb_exchange *x, const char *method)
 {
-	struct tlb_listener_conn *fc = conn_of(x->conn);
+	struct tlb_caller_conn *fc = conn_of(x->conn);
 
 	if (fc) {
 		fc->idle_deadline = TLB_NEVER;
-		end_head(x->listener, fc);
+		tlb_caller_conn_end_head(&x->listener->conns, fc);
 	}
 	x->method = strdup(method);
 	if (!x->method)
 		return false;
-	read_headers(x);
+	tlb_request_head_read(x);
 	x->memory_refused = !tlb_memory_charge(&x->memory, EXCHANGE_MEMORY) || !reserve_body(x);
 	return true;
 }
@@ -929,14 +655,12 @@
 			 enum MHD_RequestTerminationCode code)
 {
 	struct tlb_exchange *x = *con_cls;
-	struct tlb_listener_conn *fc = conn_of(conn);
+	struct tlb_caller_conn *fc = conn_of(conn);
 	struct tlb_listener *f = arg;
+	tlb_time now = tlb_clock_now();
 
-	if (fc) {
-		fc->in_request = false;
-		fc->idle_since = tlb_clock_now();
-		fc->idle_deadline = fc->idle_since + f->limits.idle_timeout_ms * TLB_MS;
-	}
+	if (fc)
+		tlb_caller_conn_end_request(fc, now, now + f->limits.idle_timeout_ms * TLB_MS);
 	if (!x)
 		return;
 	*con_cls = NULL;
@@ -949,34 +673,25 @@
 			  enum MHD_ConnectionNotificationCode code)
 {
 	struct tlb_listener *f = arg;
-	struct tlb_listener_conn *fc = *socket_context;
+	struct tlb_caller_conn *fc = *socket_context;
 	const union MHD_ConnectionInfo *i;
 	tlb_time now = tlb_clock_now();
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-		if (fc) {
-			APR_RING_REMOVE(fc, link);
-			end_head(f, fc);
-			tlb_memory_release(&fc->memory);
-		}
-		free(fc);
+		if (fc)
+			tlb_caller_conn_remove(&f->conns, fc);
 		*socket_context = NULL;
 		return;
 	}
-	fc = calloc(1, sizeof(*fc));
+	i = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	fc = tlb_caller_conn_add(&f->conns, i->connect_fd, now);
 	if (!fc)
 		return;
-	i = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-	fc->fd = i->connect_fd;
-	fc->memory.memory = f->limits.memory;
-	fc->head_since = TLB_NEVER;
-	begin_head(f, fc, now);
 	fc->fresh_until = now + FIRST_REQUEST_TIME;
 	fc->idle_deadline =
 		f->stopping ? fc->fresh_until : now + f->limits.request_timeout_ms * TLB_MS;
 	f->accepted_late += f->stopping;
 	set_socket_options(fc->fd);
-	APR_RING_INSERT_TAIL(&f->conns, fc, tlb_listener_conn, link);
 	*socket_context = fc;
 }
 
@@ -989,21 +704,6 @@
 	return poll(&p, 1, 0) > 0 && (p.revents & POLLIN);
 }
 
-/* Closes a connection without a request. A request that has arrived is read and answered first. */
-static void close_if_idle(const struct tlb_listener_conn *fc)
-{
-	if (!tlb_socket_has_unread(fc->fd))
-		shutdown(fc->fd, SHUT_RDWR);
-}
-
-/* Whether a connection that was idle for a while is closed for the memory that it holds. */
-static bool gives_memory_back(const struct tlb_listener *f, const struct tlb_listener_conn *fc,
-			      tlb_time now)
-{
-	return is_memory_short(f) && !fc->in_request && fc->head_since == TLB_NEVER &&
-	       now >= fc->idle_since + SHORT_IDLE_TIME;
-}
-
 static void sweep_exchange(struct tlb_exchange *x, tlb_time now)
 {
 	if (x->disconnected || x->fd < 0)
@@ -1024,16 +724,16 @@
 	tlb_time now = tlb_clock_now();
 	struct tlb_exchange *x;
 	struct tlb_exchange *next;
-	struct tlb_listener_conn *fc;
+	struct tlb_caller_conn *fc;
 
 	APR_RING_FOREACH_SAFE (x, next, &f->exchanges, tlb_exchange, link) {
 		sweep_exchange(x, now);
 	}
-	check_heads(f, now);
-	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+	tlb_caller_conns_check_heads(&f->conns, now);
+	APR_RING_FOREACH (fc, &f->conns.all, tlb_caller_conn, link) {
 		if ((now >= fc->idle_deadline && (!f->stopping || !fc->in_request)) ||
-		    gives_memory_back(f, fc, now))
-			close_if_idle(fc);
+		    tlb_caller_conn_gives_memory_back(&f->conns, fc, now))
+			tlb_caller_conn_close_if_idle(fc);
 	}
 	tlb_timer_set(f->loop, &f->sweep_timer, now + SWEEP_MS * TLB_MS);
 }
@@ -1049,7 +749,7 @@
 
 static void run_once(struct tlb_listener *f)
 {
-	f->runs++;
+	f->conns.runs++;
 	MHD_run(f->daemon);
 }
 
@@ -1133,8 +833,8 @@
 		MHD_OPTION_LISTEN_SOCKET, f->listen_fd, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f, MHD_OPTION_NOTIFY_CONNECTION,
 		on_connection, f, MHD_OPTION_CONNECTION_LIMIT, f->limits.max_connections,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_ARRAY,
-		no_options, MHD_OPTION_END);
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)TLB_CALLER_CONN_MEMORY,
+		MHD_OPTION_ARRAY, no_options, MHD_OPTION_END);
 	if (!f->daemon) {
 		close(f->listen_fd);
 		return tlb_error_set(err, TLB_INTERNAL, TLB_OUTCOME_NOT_RUN, "listen", addr,
@@ -1158,10 +858,9 @@
 	f->arg = arg;
 	snprintf(f->id_prefix, sizeof(f->id_prefix), "%s", id_prefix);
 	APR_RING_INIT(&f->exchanges, tlb_exchange, link);
-	APR_RING_INIT(&f->conns, tlb_listener_conn, link);
+	tlb_caller_conns_init(&f->conns, l, limits->memory);
 	tlb_timer_init(&f->run_timer, on_run_timer, f);
 	tlb_timer_init(&f->sweep_timer, on_sweep, f);
-	tlb_timer_init(&f->heads_timer, on_heads_timer, f);
 	tlb_timer_init(&f->accept_timer, on_accept_timer, f);
 	code = start_daemon(f, addr, err);
 	if (code != TLB_OK)
@@ -1175,7 +874,7 @@
 /* Whether a caller waits for a response that can still be sent. */
 static bool has_unsent(const struct tlb_listener *f, tlb_time now)
 {
-	const struct tlb_listener_conn *fc;
+	const struct tlb_caller_conn *fc;
 	const struct tlb_exchange *x;
 
 	if (f->listen_fd >= 0 && is_readable(f->listen_fd))
@@ -1184,7 +883,7 @@
 		if (!x->disconnected && (x->state == TLB_EXCHANGE_REPLYING || x->out_done))
 			return true;
 	}
-	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+	APR_RING_FOREACH (fc, &f->conns.all, tlb_caller_conn, link) {
 		if (!fc->in_request && (now < fc->fresh_until || tlb_socket_has_unread(fc->fd)))
 			return true;
 	}
@@ -1226,9 +925,9 @@
 	tlb_loop_unwatch(f->loop, f->watch);
 	tlb_timer_clear(f->loop, &f->run_timer);
 	tlb_timer_clear(f->loop, &f->sweep_timer);
-	tlb_timer_clear(f->loop, &f->heads_timer);
 	tlb_timer_clear(f->loop, &f->accept_timer);
 	MHD_stop_daemon(f->daemon);
+	tlb_caller_conns_finish(&f->conns);
 }
 
 void tlb_listener_disable_keepalive(struct tlb_listener *f)
@@ -1239,13 +938,13 @@
 void tlb_listener_close_idle(struct tlb_listener *f)
 {
 	tlb_time now = tlb_clock_now();
-	struct tlb_listener_conn *fc;
+	struct tlb_caller_conn *fc;
 
-	APR_RING_FOREACH (fc, &f->conns, tlb_listener_conn, link) {
+	APR_RING_FOREACH (fc, &f->conns.all, tlb_caller_conn, link) {
 		if (fc->in_request)
 			continue;
 		if (now >= fc->fresh_until)
-			close_if_idle(fc);
+			tlb_caller_conn_close_if_idle(fc);
 		else
 			fc->idle_deadline = fc->fresh_until;
 	}
@@ -1271,7 +970,7 @@
 bool tlb_listener_stopped(const struct tlb_listener *f)
 {
 	return f->listen_fd < 0 && APR_RING_EMPTY(&f->exchanges, tlb_exchange, link) &&
-	       APR_RING_EMPTY(&f->conns, tlb_listener_conn, link);
+	       APR_RING_EMPTY(&f->conns.all, tlb_caller_conn, link);
 }
 
 size_t tlb_listener_in_flight(const struct tlb_listener *f)
--- a/src/listener.h
+++ b/src/listener.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 #include "buffer.h"
+#include "caller_conn.h"
 #include "error.h"
 #include "ident.h"
 #include "keyscan.h"
@@ -101,7 +102,6 @@
 };
 
 APR_RING_HEAD(tlb_exchange_ring, tlb_exchange);
-APR_RING_HEAD(tlb_listener_conn_ring, tlb_listener_conn);
 
 /* Idle time-out of listeners that have no setting for it. */
 enum { TLB_LISTENER_IDLE_MS = 30000 };
@@ -124,12 +124,9 @@
 	struct tlb_watch *watch;
 	struct tlb_timer run_timer;
 	struct tlb_timer sweep_timer;
-	struct tlb_timer heads_timer;  /* set while many heads are incomplete */
 	struct tlb_timer accept_timer; /* when stopping: the next check of the accept queue */
 	struct tlb_exchange_ring exchanges;
-	struct tlb_listener_conn_ring conns;
-	unsigned runs;		/* of libmicrohttpd */
-	size_t open_head_bytes; /* what incomplete heads take at most, also those just expected */
+	struct tlb_caller_conns conns;
 	struct tlb_listener_limits limits;
 	tlb_listener_request_fn *on_request;
 	void *arg;
