Log connections whose head was too large to be read

What operators saw: nothing.

Change: a connection that ends with an incomplete head of more than 32 KB is logged as head_not_read, with the bytes that arrived.

Evidence: the new part of long_texts_are_carried_whole fails before (no such line within 6 s) and passes now, for a long header and a long path.

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -1,5 +1,6 @@
 #include "caller_conn.h"
 
+#include <inttypes.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,8 @@
 	HEAD_RUNS = 16, /* runs of libmicrohttpd that read a head which has arrived, at most */
 	/* Incomplete heads may hold the limit of the memory divided by this. */
 	HEADS_DIVISOR = 2,
+	/* An incomplete head of this size may have been refused for it. */
+	LARGE_HEAD_MIN = TLB_CALLER_CONN_MEMORY / 2,
 };
 
 #define HEADS_CHECK_INTERVAL (20 * TLB_MS) /* while they may exceed that */
@@ -71,7 +74,7 @@
 		return false;
 	if (s->runs < c->head_run + HEAD_RUNS && tlb_socket_has_unread(c->fd))
 		return false;
-	return c->in_request || tlb_socket_has_received(c->fd);
+	return c->in_request || tlb_socket_received_bytes(c->fd) > 0;
 }
 
 /* Refuses the request of an incomplete head, which libmicrohttpd can't answer yet. */
@@ -152,8 +155,18 @@
 	return c;
 }
 
+/* libmicrohttpd answers a head that exceeds the connection's memory by itself and tells nobody. */
+static void log_large_head(const struct tlb_caller_conn *c)
+{
+	uint64_t bytes = c->head_since == TLB_NEVER ? 0 : tlb_socket_received_bytes(c->fd);
+
+	if (bytes > LARGE_HEAD_MIN)
+		tlb_log_info("event=head_not_read bytes=%" PRIu64, bytes);
+}
+
 void tlb_caller_conn_remove(struct tlb_caller_conns *s, struct tlb_caller_conn *c)
 {
+	log_large_head(c);
 	APR_RING_REMOVE(c, link);
 	tlb_caller_conn_end_head(s, c);
 	tlb_memory_release(&c->memory);
--- a/src/socket.c
+++ b/src/socket.c
@@ -15,13 +15,14 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-bool tlb_socket_has_received(int fd)
+uint64_t tlb_socket_received_bytes(int fd)
 {
-	struct tcp_info info;
+	struct tcp_info info = {0};
 	socklen_t len = sizeof(info);
 
-	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0 &&
-	       info.tcpi_bytes_received > 0;
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return 0;
+	return info.tcpi_bytes_received;
 }
 
 void tlb_socket_discard_unread(int fd)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -287,6 +287,11 @@
         equal((status, json.loads(body)["error"]["outcome"]), (431, "not_run"), "a head too large")
         equal(got, {}, "request with a head that is too large")
         wait(lambda: vm.events("refuse .*headers are"), "the refusal is logged")
+        for path, headers, expected in (("/pay/1", {"X-Note": "n" * 70000}, 431),
+                                        ("/pay/" + "p" * 70000, {}, 414)):
+            before = len(vm.events("head_not_read"))
+            equal(vm.call(path, headers=headers)[0], expected, "a head beyond all limits")
+            wait(lambda n=before: len(vm.events("head_not_read")) == n + 1, "it is logged")
         equal(vm.call("/pay/1", headers={"Host": long_host + "x"})[0], 404, "another long host")
 
 
