Copy a request's target once, and not when it can't be served

What callers saw: nothing yet. 1,600 callers whose heads with targets of 30,000 bytes arrive while the VM is suspended took it to 156 MB, 1,900 to 176 MB (88 MB allowed on the smallest ones): all of them are read in one run of libmicrohttpd, before a check of the heads can refuse any.

Cause: target and path were copied with the request line, whatever memory was in use.

Change: only the target is copied then; the path follows with the complete head. A target beyond the limit of heads, or without memory, isn't copied and its request refused as before. Heads are checked between further runs too when the loop was late.

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -31,9 +31,14 @@
 	return s->memory ? s->memory->limit / HEADS_DIVISOR : SIZE_MAX;
 }
 
+static bool may_exceed(const struct tlb_caller_conns *s)
+{
+	return s->head_bytes > heads_max(s);
+}
+
 static void schedule_heads_check(struct tlb_caller_conns *s, tlb_time now)
 {
-	if (s->head_bytes > heads_max(s) && !tlb_timer_active(&s->heads_timer))
+	if (may_exceed(s) && !tlb_timer_active(&s->heads_timer))
 		tlb_timer_set(s->loop, &s->heads_timer, now + HEADS_CHECK_INTERVAL);
 }
 
@@ -130,6 +135,12 @@
 			     m->used);
 }
 
+void tlb_caller_conns_check_many_heads(struct tlb_caller_conns *s, tlb_time now)
+{
+	if (may_exceed(s))
+		tlb_caller_conns_check_heads(s, now);
+}
+
 static void on_heads_timer(void *arg)
 {
 	struct tlb_caller_conns *s = arg;
--- a/src/caller_conn.h
+++ b/src/caller_conn.h
@@ -69,5 +69,7 @@
 /* Keeps incomplete heads within their part of the memory: the oldest ones are given up, as heads
  * that arrive at all arrive within moments. */
 void tlb_caller_conns_check_heads(struct tlb_caller_conns *s, tlb_time now);
+/* Does so when they may exceed it. */
+void tlb_caller_conns_check_many_heads(struct tlb_caller_conns *s, tlb_time now);
 
 #endif
--- a/src/listener.c
+++ b/src/listener.c
@@ -459,31 +459,41 @@
 		x->arrived_after = f->loop->late_since;
 }
 
-/* Creates the exchange and splits the raw request target, which libmicrohttpd passes before
- * decoding it. */
+/* Copies the raw request target, which libmicrohttpd passes before decoding it, unless the request
+ * will be refused. Returns false without memory. */
+static bool copy_target(struct tlb_exchange *x, const char *uri)
+{
+	size_t len = strlen(uri);
+
+	x->headers_too_large = len > TLB_LISTENER_HEADERS_MAX;
+	x->memory_refused = !x->headers_too_large && !tlb_memory_charge(&x->memory, len);
+	x->target = strdup(x->headers_too_large || x->memory_refused ? "" : uri);
+	return x->target != NULL;
+}
+
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
 	struct tlb_listener *f = arg;
 	struct tlb_exchange *x = calloc(1, sizeof(*x));
 	struct tlb_caller_conn *fc = conn_of(conn);
-	size_t copies_len = 2 * strlen(uri); /* target and path */
-	const char *question_mark = strchr(uri, '?');
 	tlb_time now = tlb_clock_now();
 
 	if (!x)
 		return NULL;
+	x->memory.memory = f->limits.memory;
+	if (!copy_target(x, uri)) {
+		tlb_memory_release(&x->memory);
+		free(x);
+		return NULL;
+	}
 	if (fc)
-		tlb_caller_conn_begin_request(&f->conns, fc, copies_len, now);
+		tlb_caller_conn_begin_request(&f->conns, fc, strlen(x->target), now);
 	x->listener = f;
-	x->memory.memory = f->limits.memory;
-	tlb_memory_charge_used(&x->memory, copies_len);
 	x->conn = conn;
 	x->fd = fd_of(conn);
 	set_arrival(x, now);
 	x->read_deadline = now + f->limits.request_timeout_ms * TLB_MS;
-	x->target = strdup(uri);
-	x->path = question_mark ? strndup(uri, (size_t)(question_mark - uri)) : strdup(uri);
-	x->query = question_mark && x->target ? x->target + (question_mark - uri) + 1 : "";
+	x->query = "";
 	x->content_type = "";
 	snprintf(x->id, sizeof(x->id), "%s-%llx", f->id_prefix, ++f->next_id);
 	APR_RING_INSERT_TAIL(&f->exchanges, x, tlb_exchange, link);
@@ -514,6 +524,18 @@
 		tlb_exchange_drop(x, &x->body);
 }
 
+/* Splits the target. Returns false without memory. */
+static bool split_target(struct tlb_exchange *x)
+{
+	size_t path_len = strcspn(x->target, "?");
+
+	x->memory_refused |= !tlb_memory_charge(&x->memory, path_len);
+	x->path = strndup(x->target, path_len);
+	if (x->target[path_len])
+		x->query = x->target + path_len + 1;
+	return x->path != NULL;
+}
+
 /* Returns false without memory. */
 static bool begin_exchange(struct tlb_exchange *x, const char *method)
 {
@@ -524,10 +546,10 @@
 		tlb_caller_conn_end_head(&x->listener->conns, fc);
 	}
 	x->method = strdup(method);
-	if (!x->method)
+	if (!x->method || !split_target(x))
 		return false;
 	tlb_request_head_read(x);
-	x->memory_refused = !tlb_memory_charge(&x->memory, EXCHANGE_MEMORY) || !reserve_body(x);
+	x->memory_refused |= !tlb_memory_charge(&x->memory, EXCHANGE_MEMORY) || !reserve_body(x);
 	return true;
 }
 
@@ -619,7 +641,7 @@
 	struct tlb_exchange *x = *con_cls;
 	struct tlb_listener *f = arg;
 
-	if (!x || !x->path || !x->target || x->disconnected)
+	if (!x || x->disconnected)
 		return MHD_NO;
 	if (!x->method)
 		return begin_exchange(x, method) ? MHD_YES : MHD_NO;
@@ -762,8 +784,10 @@
 	tlb_time late_deadline = tlb_clock_now() + LATE_RUNS_TIME;
 
 	run_once(f);
-	while (late_runs-- > 0 && tlb_clock_now() < late_deadline && has_more_to_do(f))
+	while (late_runs-- > 0 && tlb_clock_now() < late_deadline && has_more_to_do(f)) {
+		tlb_caller_conns_check_many_heads(&f->conns, tlb_clock_now());
 		run_once(f);
+	}
 	if (MHD_get_timeout(f->daemon, &ms) == MHD_YES)
 		tlb_timer_set(f->loop, &f->run_timer, tlb_clock_now() + (tlb_time)ms * TLB_MS);
 }
--- a/src/request_head.c
+++ b/src/request_head.c
@@ -115,7 +115,7 @@
 		x->header_error = "the request states its length more than once";
 	if (n.authorization > 1 || n.idempotency > 1)
 		x->header_error = "Authorization and Idempotency-Key may be sent only once";
-	x->headers_too_large = n.bytes > TLB_LISTENER_HEADERS_MAX;
+	x->headers_too_large |= n.bytes > TLB_LISTENER_HEADERS_MAX;
 	x->head_memory = n.bytes + n.count * HEADER_MEMORY;
 	x->close_connection = x->header_error || x->headers_too_large;
 }
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -3059,6 +3059,29 @@
                 s.close()
 
 
+def check_unfinished_heads_that_arrive_in_a_pause_stay_within_memory():
+    """The same when the VM was suspended while they arrived, so that all of them are read at once:
+    1,600 copies of long targets were made before a check could refuse them."""
+    part = b"GET /" + b"a" * 30000 + b" HTTP/1.1\r\nX-A: " + b"a" * 29000
+    with World() as w:
+        vm = w.start()
+        callers = [socket.create_connection(("127.0.0.1", vm.ports["caller"]))
+                   for _ in range(1600)]
+        wait(lambda: vm.call("/look/1", attempt="first")[0] == 200, "the connections are accepted")
+        vm.process.send_signal(signal.SIGSTOP)
+        for s in callers:
+            s.setblocking(False)
+            s.send(part)
+        time.sleep(1)
+        vm.process.send_signal(signal.SIGCONT)
+        wait(lambda: vm.call("/look/1", attempt="sound")[0] == 200, "sound requests are served", 1)
+        wait(lambda: vm.events("heads_given_up"), "heads are given up")
+        peak = peak_memory_mb(vm)
+        for s in callers:
+            s.close()
+        assert peak < VM_MEMORY_MB, f"{peak:.0f} MB"
+
+
 def check_dripping_stream_is_resumed_elsewhere():
     """A stalled stream that still sends a byte or a comment now and then must not count as alive: it
     is resumed at another endpoint. A slow stream with an event every 0.7 s is left alone."""
