Comment on the start of an exchange

The comment had stayed with the copying of the target when that was split off; on_uri() had none. Read through the change as a newcomer would.

--- a/src/listener.c
+++ b/src/listener.c
@@ -471,6 +471,7 @@
 	return x->target != NULL;
 }
 
+/* Creates the exchange when its request line has arrived. */
 static void *on_uri(void *arg, const char *uri, struct MHD_Connection *conn)
 {
 	struct tlb_listener *f = arg;
