Evacuate zones on the operator's row

Cause: nothing read the rows op/evacuate/ZONE.

Ruled out: ending streams under way, because callers want their answers and the row asks only that nothing more is sent; reading the row's value, because sending by mistake is worse than unused capacity.

Change: module evacuation keeps the zones, module instance applies them to every way to an endpoint. The rows travel with the configuration's table.

--- a/src/counter.h
+++ b/src/counter.h
@@ -75,6 +75,8 @@
 	  "Store version up to which the configuration table is known")                            \
 	X(STORE_ERA, "toucanlb_store_era", "gauge",                                                \
 	  "Latest era of the store that is known; rises when it returns from an older copy")       \
+	X(ZONES_EVACUATED, "toucanlb_zones_evacuated", "gauge",                                    \
+	  "Zones whose endpoints get no requests because the operator evacuates them")             \
 	X(ENDPOINT_ROWS_VERSION, "toucanlb_endpoint_rows_version", "gauge",                        \
 	  "Store version up to which the endpoint table is known")                                 \
 	X(QUARANTINED_PARTS, "toucanlb_quarantined_parts", "gauge",                                \
--- a/src/edge.c
+++ b/src/edge.c
@@ -86,11 +86,64 @@
 	apply_limits(e, &r->limits);
 }
 
-static void on_config_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
-			  bool restored)
+static bool zone_has_endpoints(const struct tlb_edge *e, const char *zone)
+{
+	const struct tlb_instance *i;
+
+	APR_RING_FOREACH (i, &e->board.instances.all, tlb_instance, link) {
+		if (strcmp(i->row.zone, zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* text: the zone as it is logged. */
+static void begin_evacuation(struct tlb_edge *e, const char *zone, const char *text)
+{
+	if (!tlb_instances_evacuate(&e->board.instances, zone, tlb_clock_now()))
+		tlb_log_error("event=zone_evacuation_failed zone=\"%s\" reason=\"no memory\"",
+			      text);
+	else if (zone_has_endpoints(e, zone))
+		tlb_log_info("event=zone_evacuated zone=\"%s\"", text);
+	else
+		tlb_log_warn("event=zone_evacuated zone=\"%s\" "
+			     "reason=\"no endpoint is known in this zone\"",
+			     text);
+}
+
+/* Applies an operator's row that evacuates a zone, or its removal. Whatever the row contains, it
+ * stops the use of the zone: sending requests there by mistake is worse. use_deadline: the row is
+ * missing since the store returned from an older copy, and the operator may write it again by then.
+ */
+static void on_evacuation_row(struct tlb_edge *e, const char *zone,
+			      const struct tlb_stored_row *row, tlb_time use_deadline)
+{
+	tlb_time now = tlb_clock_now();
+	char text[2 * TLB_ID_LEN];
+
+	tlb_log_escape(text, sizeof(text), zone);
+	if (!*zone) {
+		tlb_log_warn("event=evacuation_ignored reason=\"the key names no zone\"");
+		return;
+	}
+	if (!row->removed)
+		begin_evacuation(e, zone, text);
+	else if (tlb_instances_end_evacuation(&e->board.instances, zone,
+					      use_deadline > now ? use_deadline : now))
+		tlb_log_info("event=zone_evacuation_ended zone=\"%s\" in_ms=%lld", text,
+			     (long long)(use_deadline > now ? (use_deadline - now) / TLB_MS : 0));
+	tlb_generations_dispatch(&e->board.generations);
+}
+
+/* Handles a row of the operator's table. */
+static void on_operator_row(void *arg, const struct tlb_stored_row *row, tlb_time use_deadline,
+			    bool restored)
 {
 	struct tlb_edge *e = arg;
+	char zone[TLB_ID_LEN];
 
+	if (tlb_platform_read_evacuation_key(row->key, zone))
+		on_evacuation_row(e, zone, row, restored ? use_deadline : 0);
 	if (strcmp(row->key, tlb_platform_config_key) != 0)
 		return;
 	if (row->removed)
@@ -250,6 +303,8 @@
 		c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
 		tlb_stored_number(e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version));
 	tlb_counter_set(c, TLB_COUNTER_STORE_ERA, e->store.era);
+	tlb_counter_set(c, TLB_COUNTER_ZONES_EVACUATED,
+			tlb_evacuations_count(&e->board.instances.evacuations, tlb_clock_now()));
 }
 
 /* One line for each entry of the configuration that can't be used. malloc'd; NULL without memory.
@@ -276,12 +331,36 @@
 	return text;
 }
 
+/* One line for each evacuated zone, with the time since this VM learned of it. malloc'd; NULL
+ * without memory. */
+static char *render_evacuations(const struct tlb_evacuations *s)
+{
+	const struct tlb_evacuated_zone *z;
+	tlb_time now = tlb_clock_now();
+	char zone[2 * TLB_ID_LEN];
+	char *text = NULL;
+	size_t len;
+	FILE *f = open_memstream(&text, &len);
+
+	if (!f)
+		return NULL;
+	APR_RING_FOREACH (z, &s->zones, tlb_evacuated_zone, link) {
+		if (now < z->until)
+			fprintf(f, "toucanlb_zone_evacuated_seconds{zone=\"%s\"} %lld\n",
+				tlb_log_escape(zone, sizeof(zone), z->zone),
+				(long long)((now - z->since) / TLB_SECOND));
+	}
+	fclose(f);
+	return text;
+}
+
 static void on_metrics_request(void *arg, struct tlb_exchange *x)
 {
 	struct tlb_edge *e = arg;
 	char *counters;
 	char *latencies;
 	char *left_out;
+	char *evacuations;
 	char *text = NULL;
 	size_t len;
 	int n;
@@ -290,8 +369,10 @@
 	counters = tlb_counter_render(&e->board.counters, &len);
 	latencies = tlb_latency_render(&e->board.latencies, &len);
 	left_out = render_left_out(e->board.routing);
-	n = asprintf(&text, "%s%s%s", counters ? counters : "", latencies ? latencies : "",
-		     left_out ? left_out : "");
+	evacuations = render_evacuations(&e->board.instances.evacuations);
+	n = asprintf(&text, "%s%s%s%s", counters ? counters : "", latencies ? latencies : "",
+		     left_out ? left_out : "", evacuations ? evacuations : "");
+	free(evacuations);
 	free(counters);
 	free(latencies);
 	free(left_out);
@@ -479,7 +560,7 @@
 {
 	tlb_tables_init(&e->tables, &e->board, &e->store);
 	e->tables.table[TLB_TABLE_CONFIG].handlers =
-		(struct tlb_table_handlers){e, on_config_row, ignore_event};
+		(struct tlb_table_handlers){e, on_operator_row, ignore_event};
 	e->tables.table[TLB_TABLE_ENDPOINTS].handlers =
 		(struct tlb_table_handlers){e, on_instance_row, on_instances_changed};
 }
--- a/src/instance.c
+++ b/src/instance.c
@@ -15,6 +15,7 @@
 {
 	memset(s, 0, sizeof(*s));
 	APR_RING_INIT(&s->all, tlb_instance, link);
+	tlb_evacuations_init(&s->evacuations);
 	tlb_selector_init(&s->place, TLB_POLICY_TOUCANLB, zone, seed);
 }
 
@@ -57,6 +58,7 @@
 {
 	while (!APR_RING_EMPTY(&s->all, tlb_instance, link))
 		remove_instance(APR_RING_FIRST(&s->all));
+	tlb_evacuations_finish(&s->evacuations);
 }
 
 struct tlb_instance *tlb_instances_find(const struct tlb_instances *s, const char *id)
@@ -105,6 +107,7 @@
 	i->refcount = 1;
 	i->row = *row;
 	i->leaving = has_left(s, row);
+	i->evacuated_until = tlb_evacuations_until(&s->evacuations, row->zone);
 	i->listed = true;
 	i->tokens_per_second = TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND;
 	APR_RING_INSERT_TAIL(&s->all, i, tlb_instance, link);
@@ -128,6 +131,7 @@
 		i->full_until = 0;
 	}
 	i->row = *row;
+	i->evacuated_until = tlb_evacuations_until(&s->evacuations, row->zone);
 	i->listed = true;
 	i->lost = false;
 	i->unlisted_deadline = 0;
@@ -207,9 +211,37 @@
 		unlist(s, i, use_deadline, lost);
 }
 
+/* Applies the state of a zone to its instances. */
+static void apply_evacuation(struct tlb_instances *s, const char *zone)
+{
+	tlb_time until = tlb_evacuations_until(&s->evacuations, zone);
+	struct tlb_instance *i;
+
+	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
+		if (strcmp(i->row.zone, zone) == 0)
+			i->evacuated_until = until;
+	}
+}
+
+bool tlb_instances_evacuate(struct tlb_instances *s, const char *zone, tlb_time now)
+{
+	if (!tlb_evacuations_begin(&s->evacuations, zone, now))
+		return false;
+	apply_evacuation(s, zone);
+	return true;
+}
+
+bool tlb_instances_end_evacuation(struct tlb_instances *s, const char *zone, tlb_time until)
+{
+	if (!tlb_evacuations_end(&s->evacuations, zone, until))
+		return false;
+	apply_evacuation(s, zone);
+	return true;
+}
+
 bool tlb_instance_in_service(const struct tlb_instance *i, tlb_time now)
 {
-	return !is_leaving(i) && now >= i->switching_until &&
+	return !is_leaving(i) && now >= i->switching_until && now >= i->evacuated_until &&
 	       (i->listed || now < i->unlisted_deadline);
 }
 
--- a/src/instance.h
+++ b/src/instance.h
@@ -9,6 +9,7 @@
 #include <apr_ring.h>
 #include <stdbool.h>
 
+#include "evacuation.h"
 #include "http.h"
 #include "selection.h"
 #include "routing.h"
@@ -54,6 +55,7 @@
 	tlb_time reserved_use_until; /* in a pause, reserved capacity may be used until then */
 	tlb_time full_until;	     /* treated as full until then; 0: not known to be full */
 	tlb_time switching_until;    /* role change in progress until then; 0: none */
+	tlb_time evacuated_until;    /* its zone is evacuated until then; 0: not */
 	int in_flight;		     /* requests of this VM in flight */
 	int64_t prefill_in_flight;   /* prompt tokens of this VM being prefilled */
 	double tokens_per_second;    /* prefill speed: recent maximum, which decays */
@@ -78,6 +80,7 @@
 	struct tlb_instance_ring all;
 	struct tlb_removed_instance removed[TLB_INSTANCES_REMEMBERED];
 	int next_removed; /* index that is overwritten next */
+	struct tlb_evacuations evacuations;
 	struct tlb_selector place;
 	/* Filled for each selection; the two arrays have the same indices. */
 	struct tlb_candidate candidate[TLB_INSTANCES_MAX];
@@ -109,7 +112,14 @@
 void tlb_instance_call(const struct tlb_instance *i, struct tlb_http *http,
 		       struct tlb_http_call *call, struct tlb_http_spec *spec, const char *target,
 		       const char *body);
-/* Whether the instance is listed and neither leaving nor changing its role. */
+/* Stops the use of a zone's instances, those that will be added included. Returns false without
+ * memory. */
+bool tlb_instances_evacuate(struct tlb_instances *s, const char *zone, tlb_time now);
+/* Allows the use of a zone's instances from a time on. Returns whether the zone was evacuated. */
+bool tlb_instances_end_evacuation(struct tlb_instances *s, const char *zone, tlb_time until);
+
+/* Whether the instance is listed, its zone is not evacuated, and it is neither leaving nor changing
+ * its role. */
 bool tlb_instance_in_service(const struct tlb_instance *i, tlb_time now);
 /* Whether the instance may receive new requests: it is in service and has not asked for a pause. */
 bool tlb_instance_usable(const struct tlb_instance *i, tlb_time now);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -3996,20 +3996,21 @@
             sound.check(known)
 
 
-def known_red():
-    """Names of the checks that KNOWN-RED.txt lists as "tests/edge.py NAME ..."."""
+def known_red(program):
+    """Names of the checks that KNOWN-RED.txt lists as "tests/PROGRAM.py NAME ..."."""
     path = os.path.join(ROOT, "KNOWN-RED.txt")
     if not os.path.exists(path):
         return set()
     with open(path, encoding="utf-8") as f:
         words = [line.split() for line in f]
-    return {w[1].rstrip(":") for w in words if len(w) > 1 and w[0] == "tests/edge.py"}
+    return {w[1].rstrip(":") for w in words if len(w) > 1 and w[0] == f"tests/{program}.py"}
 
 
-def main():
-    checks = {k[len("check_"):]: v for k, v in globals().items() if k.startswith("check_")}
+def run_checks(program, functions):
+    """Runs the checks named on the command line, or all; returns the exit status."""
+    checks = {k[len("check_"):]: v for k, v in functions.items() if k.startswith("check_")}
     chosen = sys.argv[1:] or list(checks)
-    known = set() if sys.argv[1:] else known_red()
+    known = set() if sys.argv[1:] else known_red(program)
     failed = 0
     unexpected = 0
     for name in chosen:
@@ -4021,9 +4022,9 @@
             unexpected += name not in known
             note = " (known red)" if name in known else ""
             print(f"FAILED {name}: {type(e).__name__}: {e}{note}", flush=True)
-    print(f"edge: {len(chosen) - failed} passed, {failed} failed, {unexpected} unexpectedly")
+    print(f"{program}: {len(chosen) - failed} passed, {failed} failed, {unexpected} unexpectedly")
     return 1 if unexpected else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks("edge", globals()))
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -117,6 +117,50 @@
 }
 END_TEST
 
+/* The operator's evacuation holds for every kind of use, for endpoints that join later, and until
+ * the time from which it is taken back. */
+START_TEST(test_evacuated_zone_is_not_used)
+{
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+	struct tlb_instance_query p = query();
+
+	ck_assert(tlb_instances_evacuate(&instances, "z1", now));
+	ck_assert(!tlb_instance_in_service(i, now));
+	ck_assert(!tlb_instance_takes_reserved(i, now));
+	put("b", TLB_ROLE_SERVICE);
+	ck_assert_ptr_null(tlb_instances_select_service(&instances, &p));
+	ck_assert_int_eq(tlb_instances_usable_at(&instances, "s", TLB_ROLE_SERVICE, now),
+			 TLB_NEVER);
+	ck_assert(tlb_instances_end_evacuation(&instances, "z1", now + TLB_SECOND));
+	ck_assert_int_eq(tlb_evacuations_count(&instances.evacuations, now), 1);
+	ck_assert(!tlb_instance_usable(i, now));
+	ck_assert(tlb_instance_usable(i, now + TLB_SECOND));
+	ck_assert_int_eq(tlb_evacuations_count(&instances.evacuations, now + TLB_SECOND), 0);
+}
+END_TEST
+
+START_TEST(test_evacuation_of_another_zone_changes_nothing)
+{
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+
+	tlb_instances_evacuate(&instances, "z2", now);
+	ck_assert(tlb_instance_usable(i, now));
+	ck_assert(!tlb_instances_end_evacuation(&instances, "z1", now));
+}
+END_TEST
+
+/* The evacuation was asked for again before the end of the former one. */
+START_TEST(test_evacuation_that_begins_again_goes_on)
+{
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+
+	tlb_instances_evacuate(&instances, "z1", now);
+	tlb_instances_end_evacuation(&instances, "z1", now + TLB_SECOND);
+	tlb_instances_evacuate(&instances, "z1", now);
+	ck_assert(!tlb_instance_usable(i, now + 2 * TLB_SECOND));
+}
+END_TEST
+
 START_TEST(test_new_incarnation_is_not_leaving)
 {
 	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
@@ -381,6 +425,9 @@
 	tcase_add_test(t, test_selection_respects_roles);
 	tcase_add_test(t, test_restored_entry_is_older);
 	tcase_add_test(t, test_removed_instances_are_bounded);
+	tcase_add_test(t, test_evacuated_zone_is_not_used);
+	tcase_add_test(t, test_evacuation_of_another_zone_changes_nothing);
+	tcase_add_test(t, test_evacuation_that_begins_again_goes_on);
 	suite_add_tcase(s, t);
 	r = srunner_create(s);
 	srunner_run_all(r, CK_NORMAL);
