Control the overload of plain services over all VMs

Cause: each VM decided alone, so that the queue that decides stood at the endpoints.

Change: modules overload (the decisions) and overload_control (reports to one VM a service, shares back), switched on by policy.overload_control. After a refusal by a full endpoint no contended one is tried.

--- a/src/edge.c
+++ b/src/edge.c
@@ -190,6 +190,13 @@
 	tlb_quota_owners_on_message(&e->board.quota_owners, peer, msg);
 }
 
+static void on_overload_report(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg)
+{
+	struct tlb_edge *e = arg;
+
+	tlb_overload_control_on_message(&e->board.overload_control, peer, msg);
+}
+
 static void on_suspect_parts(void *arg, const Toucan__SuspectParts *msg)
 {
 	struct tlb_edge *e = arg;
@@ -545,11 +552,17 @@
 	tlb_instances_init(&b->instances, e->settings.zone, seed ^ 1);
 	tlb_quotas_init(&b->quotas);
 	tlb_vms_init(&b->vms, b, &e->store);
-	b->vms.handlers = (struct tlb_vms_handlers){
-		e, fill_state, on_vm_state, on_table_message, on_quota_message, on_suspect_parts};
+	b->vms.handlers = (struct tlb_vms_handlers){e,
+						    fill_state,
+						    on_vm_state,
+						    on_table_message,
+						    on_quota_message,
+						    on_overload_report,
+						    on_suspect_parts};
 	tlb_quarantine_init(&b->quarantine, b->vms.id_hash);
 	tlb_quarantine_sync_init(&b->quarantine_sync, b, &e->store);
 	tlb_quota_owners_init(&b->quota_owners, &b->vms, &b->quotas);
+	tlb_overload_control_init(&b->overload_control, b);
 	tlb_forwards_init(&b->forwards, b);
 	tlb_generations_init(&b->generations, b);
 	tlb_roles_init(&b->roles, b, &e->store);
@@ -649,6 +662,7 @@
 	tlb_quarantine_sync_finish(&e->board.quarantine_sync);
 	tlb_quarantine_finish(&e->board.quarantine);
 	tlb_quota_owners_finish(&e->board.quota_owners);
+	tlb_overload_control_finish(&e->board.overload_control);
 	tlb_vms_finish(&e->board.vms);
 	tlb_quotas_finish(&e->board.quotas);
 	tlb_instances_finish(&e->board.instances);
--- a/src/edgeboard.h
+++ b/src/edgeboard.h
@@ -11,6 +11,7 @@
 #include "http.h"
 #include "instance.h"
 #include "latency.h"
+#include "overload_control.h"
 #include "quarantine_sync.h"
 #include "quota.h"
 #include "quota_owner.h"
@@ -33,6 +34,7 @@
 	struct tlb_forwards forwards;
 	struct tlb_generations generations;
 	struct tlb_roles roles;
+	struct tlb_overload_control overload_control;
 	struct tlb_counters counters;
 	struct tlb_latencies latencies;
 	struct tlb_random random;
--- a/src/forward.c
+++ b/src/forward.c
@@ -24,8 +24,12 @@
 #define RETURN_SPREAD (100 * TLB_MS)
 /* Retry-after time for callers when no endpoint or no configuration is known. */
 #define NO_ENDPOINT_RETRY_AFTER (300 * TLB_MS)
+/* Retry-after time for callers of an overloaded service. */
+#define OVERLOAD_RETRY_AFTER (300 * TLB_MS)
 /* By how much the arrival of a request that waited for a late loop may be assumed too late. */
 #define ARRIVAL_ERROR_MAX (400 * TLB_MS)
+/* HTTP status of an endpoint that is full. */
+enum { FULL_STATUS = 503 };
 /* Parts of a prompt listed in a log line, and the length of one: 16 hexadecimal digits, comma. */
 enum { LOGGED_PARTS_MAX = 8, PART_TEXT_LEN = 17 };
 
@@ -497,11 +501,46 @@
 
 /* --- plain calls --- */
 
+/* Refuses a request that exceeds the capacity of the service. */
+static void shed(struct tlb_forward *f)
+{
+	tlb_counter_add(&f->board->counters, TLB_COUNTER_OVERLOAD_REFUSED, 1);
+	tlb_forward_refuse(f, TLB_OVERLOADED, tlb_forward_retry_after_ms(f, OVERLOAD_RETRY_AFTER),
+			   "the service is overloaded");
+}
+
+/* Whether all endpoints that are left for the request are contended, so that another attempt would
+ * only add to their load. */
+static bool is_overloaded(const struct tlb_forward *f)
+{
+	struct tlb_instance_query p = tlb_forward_instance_query(f);
+
+	return f->board->settings->overload_control &&
+	       !tlb_instances_has_spare(&f->board->instances, &p);
+}
+
+/* Records what the attempt tells about the load of its endpoint. */
+static void record_load(struct tlb_forward *f, const struct tlb_http_result *r)
+{
+	struct tlb_response_info info;
+	bool full;
+
+	tlb_platform_read_response_info(r->status, r->head, &info);
+	full = info.not_run && r->status == FULL_STATUS && info.retry_after_ms == 0 &&
+	       !info.leaving;
+	if (full || (r->status != 0 && !info.not_run))
+		tlb_overload_control_record(&f->board->overload_control, f->instance, full,
+					    tlb_clock_now() - f->attempt_at,
+					    f->route->target_latency_ms * TLB_MS);
+}
+
 static void on_call_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
-	enum tlb_attempt_result end = tlb_forward_record_result(f, r);
+	enum tlb_attempt_result end;
 
+	record_load(f, r);
+	end = tlb_forward_record_result(f, r);
 	tlb_timer_clear(f->board->loop, &f->timer);
 	if (end != TLB_ATTEMPT_NOT_RUN)
 		f->possible_runs++;
@@ -513,6 +552,10 @@
 		tlb_forward_fail(f, "all endpoints have asked for a pause");
 		return;
 	}
+	if (end == TLB_ATTEMPT_NOT_RUN && f->possible_runs == 0 && is_overloaded(f)) {
+		shed(f);
+		return;
+	}
 	if (tlb_forward_may_retry(f, end)) {
 		if (end != TLB_ATTEMPT_NOT_RUN || !r->sent) {
 			dispatch(f);
@@ -707,13 +750,29 @@
 					   : f->account->default_cost;
 }
 
+/* Whether the request has used up so much of its caller's time that it is a retry, which can't meet
+ * its target any more. */
+static bool is_late(const struct tlb_forward *f)
+{
+	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	tlb_time left = f->inbound.deadline - f->exchange->arrived;
+
+	if (!g || f->inbound.deadline == TLB_NEVER)
+		return false;
+	if (left > g->max_time_budget)
+		g->max_time_budget = left;
+	return (double)left < (double)g->max_time_budget * TLB_FORWARD_FIRST_TRY_SHARE;
+}
+
 static void start_attempts(struct tlb_forward *f)
 {
 	count_first_attempt(f);
 	if (f->route->request_kind == TLB_REQUEST_STREAM)
 		tlb_generation_start(f);
-	else
+	else if (tlb_overload_control_admit(&f->board->overload_control, f->service, is_late(f)))
 		dispatch(f);
+	else
+		shed(f);
 }
 
 static void log_over_limit(const struct tlb_forward *f, int64_t cost, tlb_time ready_at)
--- a/src/forward.h
+++ b/src/forward.h
@@ -25,6 +25,10 @@
 /* Timeout for connecting to an endpoint; nothing has been sent then, so that a retry is safe.
  * Endpoints accept within some milliseconds; a lost packet is retransmitted after 200 ms. */
 #define TLB_FORWARD_CONNECT_TIMEOUT (300 * TLB_MS)
+/* A request whose time to its deadline is below this share of the longest one seen counts as a
+ * retry by the caller. Callers' time budgets vary by less than the difference, and a caller that
+ * was refused with a retry-after time has used up more. */
+#define TLB_FORWARD_FIRST_TRY_SHARE 0.8
 /* Maximum attempts for one request, including refused ones. A stream needs at least two: one
  * prefill and one decode. */
 enum { TLB_FORWARD_MAX_ATTEMPTS = 3, TLB_FORWARD_STREAM_MAX_ATTEMPTS = 6 };
@@ -101,11 +105,12 @@
 
 APR_RING_HEAD(tlb_forward_ring, tlb_forward);
 
-/* The retry budget of one service at this VM. */
+/* The retry budget of one service at this VM, and what its callers' requests have in common. */
 struct tlb_service_retry_budget {
 	APR_RING_ENTRY(tlb_service_retry_budget) link;
 	char service[TLB_LABEL_LEN];
 	struct tlb_retry_budget retry;
+	tlb_time max_time_budget; /* longest time from the arrival of a request to its deadline */
 };
 
 APR_RING_HEAD(tlb_service_retry_budget_ring, tlb_service_retry_budget);
--- a/src/generation.c
+++ b/src/generation.c
@@ -44,10 +44,6 @@
  * that on-time requests leave. A first try that can't meet its target is refused at once with a
  * retry-after time: load peaks last some seconds, and serving it now would make others late. */
 #define LATE_MAX_WAIT (500 * TLB_MS)
-/* A request whose time to its deadline is below this share of the longest one seen counts as a
- * retry by the caller. Callers' time budgets vary by less than the difference, and a caller that
- * was refused with a retry-after time has used up more. */
-#define FIRST_TRY_SHARE 0.8
 /* Callers' estimates of their output length are right at the median; the factor covers most of
  * those that are too low. */
 #define OUTPUT_ESTIMATE_FACTOR 1.8
@@ -494,7 +490,7 @@
 {
 	return f->inbound.deadline == TLB_NEVER ||
 	       (double)(f->inbound.deadline - f->exchange->arrived) >=
-		       (double)f->gen.service_queue->max_time_budget * FIRST_TRY_SHARE;
+		       (double)f->gen.service_queue->max_time_budget * TLB_FORWARD_FIRST_TRY_SHARE;
 }
 
 /* Whether the first event can still be sent within the route's target latency. */
--- a/src/instance.c
+++ b/src/instance.c
@@ -110,6 +110,7 @@
 	i->evacuated_until = tlb_evacuations_until(&s->evacuations, row->zone);
 	i->listed = true;
 	i->tokens_per_second = TLB_INSTANCE_INITIAL_TOKENS_PER_SECOND;
+	i->weight = 1;
 	APR_RING_INSERT_TAIL(&s->all, i, tlb_instance, link);
 	return i;
 }
@@ -311,6 +312,23 @@
 	};
 }
 
+/* Leaves candidates out at random, so that the others get as many more requests as their weights
+ * are higher; none when no candidate would be left. */
+static void apply_weights(struct tlb_instances *s)
+{
+	bool kept[TLB_INSTANCES_MAX];
+	bool any = false;
+	int i;
+
+	for (i = 0; i < s->count; i++) {
+		kept[i] = s->considered[i]->weight >= 1 ||
+			  tlb_random_unit(&s->place.random) < s->considered[i]->weight;
+		any |= kept[i] && !s->candidate[i].tried;
+	}
+	for (i = 0; any && i < s->count; i++)
+		s->candidate[i].usable &= kept[i];
+}
+
 struct tlb_instance *tlb_instances_select_service(struct tlb_instances *s,
 						  const struct tlb_instance_query *p)
 {
@@ -328,10 +346,24 @@
 		c->total_blocks = CALLS_PER_SLOT * (i->row.slots > 0 ? i->row.slots : 1);
 		c->free_blocks = c->total_blocks - i->in_flight;
 	}
+	apply_weights(s);
 	pl = tlb_select_decode(&s->place, &r, s->candidate, s->count);
 	return selected_instance(s, &pl);
 }
 
+bool tlb_instances_has_spare(const struct tlb_instances *s, const struct tlb_instance_query *p)
+{
+	const struct tlb_instance *i;
+
+	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
+		if (i->row.role == TLB_ROLE_SERVICE && strcmp(i->row.service, p->service) == 0 &&
+		    tlb_instance_usable(i, p->now) && !was_tried(p->tried, i->row.id) &&
+		    p->now >= i->contended_until)
+			return true;
+	}
+	return false;
+}
+
 struct tlb_instance *tlb_instances_select_decode(struct tlb_instances *s,
 						 const struct tlb_instance_query *p)
 {
--- a/src/instance.h
+++ b/src/instance.h
@@ -11,6 +11,7 @@
 
 #include "evacuation.h"
 #include "http.h"
+#include "overload.h"
 #include "selection.h"
 #include "routing.h"
 
@@ -61,6 +62,10 @@
 	double tokens_per_second;    /* prefill speed: recent maximum, which decays */
 	int64_t queued_tokens;	     /* estimated from the last prefill */
 	tlb_time queue_seen_at;	     /* time of that estimate; 0: none */
+	/* Overload control of plain services (overload_control.h). */
+	double weight;			       /* of the endpoint in a choice, 0 to 1 */
+	struct tlb_overload_sample unreported; /* outcomes since the last report */
+	tlb_time contended_until;	       /* has refused calls lately */
 };
 
 APR_RING_HEAD(tlb_instance_ring, tlb_instance);
@@ -145,6 +150,8 @@
 /* Selects the instance for a plain call, or returns NULL. */
 struct tlb_instance *tlb_instances_select_service(struct tlb_instances *s,
 						  const struct tlb_instance_query *p);
+/* Whether an endpoint is left for a plain call that has not refused calls lately. */
+bool tlb_instances_has_spare(const struct tlb_instances *s, const struct tlb_instance_query *p);
 /* Selects a prefill endpoint by expected completion time, or returns NULL. */
 struct tlb_instance *tlb_instances_select_prefill(struct tlb_instances *s,
 						  const struct tlb_instance_query *p);
--- a/src/settings.h
+++ b/src/settings.h
@@ -67,9 +67,10 @@
 	double refusal_weight;
 	/* Retry budget of one service, shared by all VMs: a fraction of its requests plus a fixed
 	 * number of retries, per accounting window of the platform */
-	double retry_ratio; /* default 0.2 */
-	double retry_slack; /* default 50 */
-	char policy[24];    /* "toucanlb" (default), "round_robin", "least_load" */
+	double retry_ratio;   /* default 0.2 */
+	double retry_slack;   /* default 50 */
+	int overload_control; /* 1: overload control of plain services; default 0 */
+	char policy[24];      /* "toucanlb" (default), "round_robin", "least_load" */
 };
 
 /* Whether an adapter translates the platform's own protocol (module edge). */
--- a/src/vms.c
+++ b/src/vms.c
@@ -638,6 +638,9 @@
 	case TOUCAN__ENVELOPE__BODY_COST_NOTICE:
 		v->handlers.on_quota_message(v->handlers.arg, peer, msg);
 		return;
+	case TOUCAN__ENVELOPE__BODY_OVERLOAD_REPORT:
+		v->handlers.on_overload_report(v->handlers.arg, peer, msg);
+		return;
 	case TOUCAN__ENVELOPE__BODY_SUSPECT_PARTS:
 		v->handlers.on_suspect_parts(v->handlers.arg, msg->suspect_parts);
 		return;
--- a/src/vms.h
+++ b/src/vms.h
@@ -88,6 +88,8 @@
 	void (*on_table_message)(void *arg, const char *vm, const Toucan__Envelope *msg);
 	/* A message about the quota of an account. */
 	void (*on_quota_message)(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg);
+	/* A report about endpoints of an overloaded service. */
+	void (*on_overload_report)(void *arg, struct tlb_peer *peer, const Toucan__Envelope *msg);
 	/* Evidence against prompt parts. */
 	void (*on_suspect_parts)(void *arg, const Toucan__SuspectParts *msg);
 };
--- a/src/wire.pb-c.c
+++ b/src/wire.pb-c.c
@@ -502,6 +502,186 @@
   assert(message->base.descriptor == &toucan__fleet_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   toucan__endpoint_outcomes__init
+                     (Toucan__EndpointOutcomes         *message)
+{
+  static const Toucan__EndpointOutcomes init_value = TOUCAN__ENDPOINT_OUTCOMES__INIT;
+  *message = init_value;
+}
+size_t toucan__endpoint_outcomes__get_packed_size
+                     (const Toucan__EndpointOutcomes *message)
+{
+  assert(message->base.descriptor == &toucan__endpoint_outcomes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__endpoint_outcomes__pack
+                     (const Toucan__EndpointOutcomes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__endpoint_outcomes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__endpoint_outcomes__pack_to_buffer
+                     (const Toucan__EndpointOutcomes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__endpoint_outcomes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__EndpointOutcomes *
+       toucan__endpoint_outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__EndpointOutcomes *)
+     protobuf_c_message_unpack (&toucan__endpoint_outcomes__descriptor,
+                                allocator, len, data);
+}
+void   toucan__endpoint_outcomes__free_unpacked
+                     (Toucan__EndpointOutcomes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__endpoint_outcomes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__overload_report__init
+                     (Toucan__OverloadReport         *message)
+{
+  static const Toucan__OverloadReport init_value = TOUCAN__OVERLOAD_REPORT__INIT;
+  *message = init_value;
+}
+size_t toucan__overload_report__get_packed_size
+                     (const Toucan__OverloadReport *message)
+{
+  assert(message->base.descriptor == &toucan__overload_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__overload_report__pack
+                     (const Toucan__OverloadReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__overload_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__overload_report__pack_to_buffer
+                     (const Toucan__OverloadReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__overload_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__OverloadReport *
+       toucan__overload_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__OverloadReport *)
+     protobuf_c_message_unpack (&toucan__overload_report__descriptor,
+                                allocator, len, data);
+}
+void   toucan__overload_report__free_unpacked
+                     (Toucan__OverloadReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__overload_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__endpoint_weight__init
+                     (Toucan__EndpointWeight         *message)
+{
+  static const Toucan__EndpointWeight init_value = TOUCAN__ENDPOINT_WEIGHT__INIT;
+  *message = init_value;
+}
+size_t toucan__endpoint_weight__get_packed_size
+                     (const Toucan__EndpointWeight *message)
+{
+  assert(message->base.descriptor == &toucan__endpoint_weight__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__endpoint_weight__pack
+                     (const Toucan__EndpointWeight *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__endpoint_weight__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__endpoint_weight__pack_to_buffer
+                     (const Toucan__EndpointWeight *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__endpoint_weight__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__EndpointWeight *
+       toucan__endpoint_weight__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__EndpointWeight *)
+     protobuf_c_message_unpack (&toucan__endpoint_weight__descriptor,
+                                allocator, len, data);
+}
+void   toucan__endpoint_weight__free_unpacked
+                     (Toucan__EndpointWeight *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__endpoint_weight__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   toucan__overload_shares__init
+                     (Toucan__OverloadShares         *message)
+{
+  static const Toucan__OverloadShares init_value = TOUCAN__OVERLOAD_SHARES__INIT;
+  *message = init_value;
+}
+size_t toucan__overload_shares__get_packed_size
+                     (const Toucan__OverloadShares *message)
+{
+  assert(message->base.descriptor == &toucan__overload_shares__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t toucan__overload_shares__pack
+                     (const Toucan__OverloadShares *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &toucan__overload_shares__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t toucan__overload_shares__pack_to_buffer
+                     (const Toucan__OverloadShares *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &toucan__overload_shares__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Toucan__OverloadShares *
+       toucan__overload_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Toucan__OverloadShares *)
+     protobuf_c_message_unpack (&toucan__overload_shares__descriptor,
+                                allocator, len, data);
+}
+void   toucan__overload_shares__free_unpacked
+                     (Toucan__OverloadShares *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &toucan__overload_shares__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   toucan__acquire_cost__init
                      (Toucan__AcquireCost         *message)
 {
@@ -2437,7 +2617,7 @@
   assert(message->base.descriptor == &toucan__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[43] =
+static const ProtobufCFieldDescriptor toucan__envelope__field_descriptors[45] =
 {
   {
     "source",
@@ -2955,6 +3135,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "overload_report",
+    68,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, overload_report),
+    &toucan__overload_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "overload_shares",
+    69,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__Envelope, body_case),
+    offsetof(Toucan__Envelope, overload_shares),
+    &toucan__overload_shares__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned toucan__envelope__field_indices_by_name[] = {
   37,   /* field[37] = acquire_cost */
@@ -2983,6 +3187,8 @@
   35,   /* field[35] = link_ready */
   29,   /* field[29] = load_notice */
   26,   /* field[26] = open_part */
+  43,   /* field[43] = overload_report */
+  44,   /* field[44] = overload_shares */
   28,   /* field[28] = part_reply */
   34,   /* field[34] = preempt */
   19,   /* field[19] = release_booking */
@@ -3011,7 +3217,7 @@
   { 50, 30 },
   { 55, 34 },
   { 60, 35 },
-  { 0, 43 }
+  { 0, 45 }
 };
 const ProtobufCMessageDescriptor toucan__envelope__descriptor =
 {
@@ -3021,7 +3227,7 @@
   "Toucan__Envelope",
   "toucan",
   sizeof(Toucan__Envelope),
-  43,
+  45,
   toucan__envelope__field_descriptors,
   toucan__envelope__field_indices_by_name,
   8,  toucan__envelope__number_ranges,
@@ -3866,6 +4072,301 @@
   (ProtobufCMessageInit) toucan__fleet_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor toucan__endpoint_outcomes__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointOutcomes, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointOutcomes, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointOutcomes, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointOutcomes, latency_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__endpoint_outcomes__field_indices_by_name[] = {
+  1,   /* field[1] = answered */
+  0,   /* field[0] = endpoint */
+  3,   /* field[3] = latency_us */
+  2,   /* field[2] = refused */
+};
+static const ProtobufCIntRange toucan__endpoint_outcomes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor toucan__endpoint_outcomes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.EndpointOutcomes",
+  "EndpointOutcomes",
+  "Toucan__EndpointOutcomes",
+  "toucan",
+  sizeof(Toucan__EndpointOutcomes),
+  4,
+  toucan__endpoint_outcomes__field_descriptors,
+  toucan__endpoint_outcomes__field_indices_by_name,
+  1,  toucan__endpoint_outcomes__number_ranges,
+  (ProtobufCMessageInit) toucan__endpoint_outcomes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__overload_report__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadReport, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadReport, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "on_time",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadReport, on_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadReport, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__OverloadReport, n_endpoints),
+    offsetof(Toucan__OverloadReport, endpoints),
+    &toucan__endpoint_outcomes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__overload_report__field_indices_by_name[] = {
+  2,   /* field[2] = elapsed_ms */
+  5,   /* field[5] = endpoints */
+  4,   /* field[4] = late */
+  3,   /* field[3] = on_time */
+  0,   /* field[0] = service */
+  1,   /* field[1] = target_ms */
+};
+static const ProtobufCIntRange toucan__overload_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor toucan__overload_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.OverloadReport",
+  "OverloadReport",
+  "Toucan__OverloadReport",
+  "toucan",
+  sizeof(Toucan__OverloadReport),
+  6,
+  toucan__overload_report__field_descriptors,
+  toucan__overload_report__field_indices_by_name,
+  1,  toucan__overload_report__number_ranges,
+  (ProtobufCMessageInit) toucan__overload_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__endpoint_weight__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointWeight, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permille",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__EndpointWeight, permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__endpoint_weight__field_indices_by_name[] = {
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = permille */
+};
+static const ProtobufCIntRange toucan__endpoint_weight__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor toucan__endpoint_weight__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.EndpointWeight",
+  "EndpointWeight",
+  "Toucan__EndpointWeight",
+  "toucan",
+  sizeof(Toucan__EndpointWeight),
+  2,
+  toucan__endpoint_weight__field_descriptors,
+  toucan__endpoint_weight__field_indices_by_name,
+  1,  toucan__endpoint_weight__number_ranges,
+  (ProtobufCMessageInit) toucan__endpoint_weight__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor toucan__overload_shares__field_descriptors[3] =
+{
+  {
+    "on_time_permille",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadShares, on_time_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late_permille",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Toucan__OverloadShares, late_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Toucan__OverloadShares, n_endpoints),
+    offsetof(Toucan__OverloadShares, endpoints),
+    &toucan__endpoint_weight__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned toucan__overload_shares__field_indices_by_name[] = {
+  2,   /* field[2] = endpoints */
+  1,   /* field[1] = late_permille */
+  0,   /* field[0] = on_time_permille */
+};
+static const ProtobufCIntRange toucan__overload_shares__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor toucan__overload_shares__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "toucan.OverloadShares",
+  "OverloadShares",
+  "Toucan__OverloadShares",
+  "toucan",
+  sizeof(Toucan__OverloadShares),
+  3,
+  toucan__overload_shares__field_descriptors,
+  toucan__overload_shares__field_indices_by_name,
+  1,  toucan__overload_shares__number_ranges,
+  (ProtobufCMessageInit) toucan__overload_shares__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor toucan__acquire_cost__field_descriptors[5] =
 {
   {
--- a/src/wire.pb-c.h
+++ b/src/wire.pb-c.h
@@ -26,6 +26,10 @@
 typedef struct Toucan__TableRows Toucan__TableRows;
 typedef struct Toucan__TablePull Toucan__TablePull;
 typedef struct Toucan__FleetState Toucan__FleetState;
+typedef struct Toucan__EndpointOutcomes Toucan__EndpointOutcomes;
+typedef struct Toucan__OverloadReport Toucan__OverloadReport;
+typedef struct Toucan__EndpointWeight Toucan__EndpointWeight;
+typedef struct Toucan__OverloadShares Toucan__OverloadShares;
 typedef struct Toucan__AcquireCost Toucan__AcquireCost;
 typedef struct Toucan__CostReply Toucan__CostReply;
 typedef struct Toucan__CostNotice Toucan__CostNotice;
@@ -148,7 +152,9 @@
   TOUCAN__ENVELOPE__BODY_COST_NOTICE = 64,
   TOUCAN__ENVELOPE__BODY_TABLE_ROWS = 65,
   TOUCAN__ENVELOPE__BODY_TABLE_PULL = 66,
-  TOUCAN__ENVELOPE__BODY_SUSPECT_PARTS = 67
+  TOUCAN__ENVELOPE__BODY_SUSPECT_PARTS = 67,
+  TOUCAN__ENVELOPE__BODY_OVERLOAD_REPORT = 68,
+  TOUCAN__ENVELOPE__BODY_OVERLOAD_SHARES = 69
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(TOUCAN__ENVELOPE__BODY__CASE)
 } Toucan__Envelope__BodyCase;
 
@@ -215,6 +221,8 @@
     Toucan__TableRows *table_rows;
     Toucan__TablePull *table_pull;
     Toucan__SuspectParts *suspect_parts;
+    Toucan__OverloadReport *overload_report;
+    Toucan__OverloadShares *overload_shares;
   };
 };
 #define TOUCAN__ENVELOPE__INIT \
@@ -492,6 +500,90 @@
     , 0,NULL }
 
 
+/*
+ * What a VM has seen at an endpoint of a plain service since its last report.
+ */
+struct  Toucan__EndpointOutcomes
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  uint32_t answered;
+  /*
+   * calls for which the endpoint was full
+   */
+  uint32_t refused;
+  /*
+   * sum over the answered ones
+   */
+  uint64_t latency_us;
+};
+#define TOUCAN__ENDPOINT_OUTCOMES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__endpoint_outcomes__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Sent to the VM that controls the service's overload, while endpoints refuse calls or not all
+ * requests are sent. Answered by OverloadShares.
+ */
+struct  Toucan__OverloadReport
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * lowest target latency of the requests; 0: none
+   */
+  uint32_t target_ms;
+  /*
+   * since the last report
+   */
+  uint32_t elapsed_ms;
+  /*
+   * requests that arrived since then and could meet their target
+   */
+  uint32_t on_time;
+  /*
+   * the other requests that arrived
+   */
+  uint32_t late;
+  size_t n_endpoints;
+  Toucan__EndpointOutcomes **endpoints;
+};
+#define TOUCAN__OVERLOAD_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__overload_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Toucan__EndpointWeight
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  /*
+   * of the weight of the endpoint that gets most requests
+   */
+  uint32_t permille;
+};
+#define TOUCAN__ENDPOINT_WEIGHT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__endpoint_weight__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Toucan__OverloadShares
+{
+  ProtobufCMessage base;
+  /*
+   * share of the requests that are sent
+   */
+  uint32_t on_time_permille;
+  uint32_t late_permille;
+  size_t n_endpoints;
+  Toucan__EndpointWeight **endpoints;
+};
+#define TOUCAN__OVERLOAD_SHARES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&toucan__overload_shares__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 /*
  * Requests the cost of a request from the VM that owns the account's bucket. Answered by CostReply.
  */
@@ -1499,6 +1591,82 @@
 void   toucan__fleet_state__free_unpacked
                      (Toucan__FleetState *message,
                       ProtobufCAllocator *allocator);
+/* Toucan__EndpointOutcomes methods */
+void   toucan__endpoint_outcomes__init
+                     (Toucan__EndpointOutcomes         *message);
+size_t toucan__endpoint_outcomes__get_packed_size
+                     (const Toucan__EndpointOutcomes   *message);
+size_t toucan__endpoint_outcomes__pack
+                     (const Toucan__EndpointOutcomes   *message,
+                      uint8_t             *out);
+size_t toucan__endpoint_outcomes__pack_to_buffer
+                     (const Toucan__EndpointOutcomes   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__EndpointOutcomes *
+       toucan__endpoint_outcomes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__endpoint_outcomes__free_unpacked
+                     (Toucan__EndpointOutcomes *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__OverloadReport methods */
+void   toucan__overload_report__init
+                     (Toucan__OverloadReport         *message);
+size_t toucan__overload_report__get_packed_size
+                     (const Toucan__OverloadReport   *message);
+size_t toucan__overload_report__pack
+                     (const Toucan__OverloadReport   *message,
+                      uint8_t             *out);
+size_t toucan__overload_report__pack_to_buffer
+                     (const Toucan__OverloadReport   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__OverloadReport *
+       toucan__overload_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__overload_report__free_unpacked
+                     (Toucan__OverloadReport *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__EndpointWeight methods */
+void   toucan__endpoint_weight__init
+                     (Toucan__EndpointWeight         *message);
+size_t toucan__endpoint_weight__get_packed_size
+                     (const Toucan__EndpointWeight   *message);
+size_t toucan__endpoint_weight__pack
+                     (const Toucan__EndpointWeight   *message,
+                      uint8_t             *out);
+size_t toucan__endpoint_weight__pack_to_buffer
+                     (const Toucan__EndpointWeight   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__EndpointWeight *
+       toucan__endpoint_weight__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__endpoint_weight__free_unpacked
+                     (Toucan__EndpointWeight *message,
+                      ProtobufCAllocator *allocator);
+/* Toucan__OverloadShares methods */
+void   toucan__overload_shares__init
+                     (Toucan__OverloadShares         *message);
+size_t toucan__overload_shares__get_packed_size
+                     (const Toucan__OverloadShares   *message);
+size_t toucan__overload_shares__pack
+                     (const Toucan__OverloadShares   *message,
+                      uint8_t             *out);
+size_t toucan__overload_shares__pack_to_buffer
+                     (const Toucan__OverloadShares   *message,
+                      ProtobufCBuffer     *buffer);
+Toucan__OverloadShares *
+       toucan__overload_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   toucan__overload_shares__free_unpacked
+                     (Toucan__OverloadShares *message,
+                      ProtobufCAllocator *allocator);
 /* Toucan__AcquireCost methods */
 void   toucan__acquire_cost__init
                      (Toucan__AcquireCost         *message);
@@ -2351,6 +2519,18 @@
 typedef void (*Toucan__FleetState_Closure)
                  (const Toucan__FleetState *message,
                   void *closure_data);
+typedef void (*Toucan__EndpointOutcomes_Closure)
+                 (const Toucan__EndpointOutcomes *message,
+                  void *closure_data);
+typedef void (*Toucan__OverloadReport_Closure)
+                 (const Toucan__OverloadReport *message,
+                  void *closure_data);
+typedef void (*Toucan__EndpointWeight_Closure)
+                 (const Toucan__EndpointWeight *message,
+                  void *closure_data);
+typedef void (*Toucan__OverloadShares_Closure)
+                 (const Toucan__OverloadShares *message,
+                  void *closure_data);
 typedef void (*Toucan__AcquireCost_Closure)
                  (const Toucan__AcquireCost *message,
                   void *closure_data);
@@ -2497,6 +2677,10 @@
 extern const ProtobufCMessageDescriptor toucan__table_rows__descriptor;
 extern const ProtobufCMessageDescriptor toucan__table_pull__descriptor;
 extern const ProtobufCMessageDescriptor toucan__fleet_state__descriptor;
+extern const ProtobufCMessageDescriptor toucan__endpoint_outcomes__descriptor;
+extern const ProtobufCMessageDescriptor toucan__overload_report__descriptor;
+extern const ProtobufCMessageDescriptor toucan__endpoint_weight__descriptor;
+extern const ProtobufCMessageDescriptor toucan__overload_shares__descriptor;
 extern const ProtobufCMessageDescriptor toucan__acquire_cost__descriptor;
 extern const ProtobufCMessageDescriptor toucan__cost_reply__descriptor;
 extern const ProtobufCEnumDescriptor    toucan__cost_reply__result__descriptor;
