Send requests to cold endpoints at the rate that they bear

Cause: nothing read coldRemainingMs, coldStartS and coldPerS; all VMs sent to a cold endpoint as to others.

Ruled out: even shares of all VMs; an owner for each endpoint's rate (docs/design/cold-endpoints.md).

Change: module cold; instance counts what this VM sends. Partial: the rate of one VM does not follow its demand, and an endpoint that turns cold without a word is known by its next entry.

--- a/src/counter.h
+++ b/src/counter.h
@@ -77,6 +77,8 @@
 	  "Latest era of the store that is known; rises when it returns from an older copy")       \
 	X(OVERLOAD_REFUSED, "toucanlb_overload_refused_total", "counter",                          \
 	  "Requests refused because they exceed the capacity of a plain service")                  \
+	X(COLD_ENDPOINTS, "toucanlb_cold_endpoints", "gauge",                                      \
+	  "Endpoints that are cold, or may be, and get requests at a limited rate")                \
 	X(ZONES_EVACUATED, "toucanlb_zones_evacuated", "gauge",                                    \
 	  "Zones whose endpoints get no requests because the operator evacuates them")             \
 	X(ENDPOINT_ROWS_VERSION, "toucanlb_endpoint_rows_version", "gauge",                        \
--- a/src/edge.c
+++ b/src/edge.c
@@ -206,11 +206,42 @@
 
 /* --- endpoints --- */
 
+/* An entry that does not say whether its endpoint is cold counts when the endpoint is new. */
+static void note_cold(struct tlb_edge *e, const struct tlb_instance_row *row, bool added)
+{
+	struct tlb_instance *i = tlb_instances_find(&e->board.instances, row->id);
+	tlb_time now = tlb_clock_now();
+	bool was_cold;
+
+	if (!i || (row->cold_ms < 0 && !added))
+		return;
+	was_cold = now < i->cold_until;
+	tlb_instance_note_cold(i, row->cold_ms, now);
+	if (row->cold_ms > 0 && !was_cold)
+		tlb_log_info("event=instance_cold instance=%s service=%s cold_ms=%lld", row->id,
+			     row->service, (long long)row->cold_ms);
+}
+
+static int count_cold(const struct tlb_edge *e)
+{
+	const struct tlb_instance *i;
+	tlb_time now = tlb_clock_now();
+	int n = 0;
+
+	APR_RING_FOREACH (i, &e->board.instances.all, tlb_instance, link) {
+		n += tlb_instance_is_cold(
+			i, tlb_routing_find_service(e->board.routing, i->row.service), now);
+	}
+	return n;
+}
+
 static void put_instance(struct tlb_edge *e, const struct tlb_stored_row *row, bool restored)
 {
 	struct tlb_instance_row r;
 	struct tlb_error err;
 	char key[TLB_INSTANCE_ID_LEN];
+	bool added;
+	bool changed;
 
 	if (tlb_platform_read_instance(row->key, row->value, row->len, &r, &err) != TLB_OK) {
 		tlb_log_warn("event=instance_entry_ignored instance=%s reason=\"%s\"",
@@ -224,7 +255,10 @@
 			     (long long)r.sequence);
 		return;
 	}
-	if (tlb_instances_put(&e->board.instances, &r))
+	added = !tlb_instances_find(&e->board.instances, r.id);
+	changed = tlb_instances_put(&e->board.instances, &r);
+	note_cold(e, &r, added);
+	if (changed)
 		tlb_log_info("event=instance instance=%s service=%s addr=%s role=%d slots=%d "
 			     "leaving=%d version=%lld",
 			     r.id, r.service, r.addr, (int)r.role, r.slots, r.leaving,
@@ -310,6 +344,7 @@
 		c, TLB_COUNTER_ENDPOINT_ROWS_VERSION,
 		tlb_stored_number(e->tables.table[TLB_TABLE_ENDPOINTS].replica.complete_version));
 	tlb_counter_set(c, TLB_COUNTER_STORE_ERA, e->store.era);
+	tlb_counter_set(c, TLB_COUNTER_COLD_ENDPOINTS, count_cold(e));
 	tlb_counter_set(c, TLB_COUNTER_ZONES_EVACUATED,
 			tlb_evacuations_count(&e->board.instances.evacuations, tlb_clock_now()));
 }
--- a/src/forward.c
+++ b/src/forward.c
@@ -320,6 +320,7 @@
 	return (struct tlb_instance_query){
 		.service = f->service,
 		.info = f->info,
+		.vms = &f->board->vms,
 		.tried = &f->tried,
 		.now = tlb_clock_now(),
 	};
--- a/src/instance.c
+++ b/src/instance.c
@@ -4,12 +4,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cold.h"
+#include "vms.h"
+
 /* Weight of each slower prefill in the speed estimate: a slowdown of an endpoint shows in the
  * estimate within tens of requests. */
 #define SPEED_DECAY 0.03
 /* Plain calls per slot that a small service accepts, including those in its own queue. */
 enum { CALLS_PER_SLOT = 4 };
 enum { TARGET_LEN = 256 };
+/* Longer times for which an endpoint says that it stays cold count as without end. */
+enum { COLD_MAX_MS = 1 << 30 };
 
 void tlb_instances_init(struct tlb_instances *s, const char *zone, uint64_t seed)
 {
@@ -218,9 +223,12 @@
 	tlb_time until = tlb_evacuations_until(&s->evacuations, zone);
 	struct tlb_instance *i;
 
+	/* Endpoints may have turned cold while they got no requests. */
 	APR_RING_FOREACH (i, &s->all, tlb_instance, link) {
-		if (strcmp(i->row.zone, zone) == 0)
-			i->evacuated_until = until;
+		if (strcmp(i->row.zone, zone) != 0)
+			continue;
+		i->evacuated_until = until;
+		i->maybe_cold_from = until;
 	}
 }
 
@@ -274,13 +282,46 @@
 	return false;
 }
 
+void tlb_instance_note_cold(struct tlb_instance *i, int64_t cold_ms, tlb_time now)
+{
+	if (cold_ms < 0)
+		i->maybe_cold_from = now;
+	else
+		i->cold_until = cold_ms < COLD_MAX_MS ? now + cold_ms * TLB_MS : TLB_NEVER;
+}
+
+bool tlb_instance_is_cold(const struct tlb_instance *i, const struct tlb_service_info *info,
+			  tlb_time now)
+{
+	if (!info || info->cold_rate <= 0)
+		return false;
+	return now < i->cold_until ||
+	       (i->maybe_cold_from > 0 && now < i->maybe_cold_from + info->cold_ms * TLB_MS);
+}
+
+static struct tlb_cold_share cold_share(const struct tlb_instance *i,
+					const struct tlb_instance_query *p)
+{
+	int vms = p->vms ? tlb_vms_recent_count(p->vms) : 1;
+	int rank = p->vms ? tlb_vms_own_rank(p->vms, tlb_vms_hash(i->row.id)) : 0;
+
+	return tlb_cold_share(p->info->cold_rate, vms, rank);
+}
+
+/* Whether the rate of a cold instance leaves room for a request of this VM. */
+static bool cold_rate_allows(const struct tlb_instance *i, const struct tlb_instance_query *p)
+{
+	return !tlb_instance_is_cold(i, p->info, p->now) ||
+	       (p->now >= i->cold_next_at && cold_share(i, p).sends);
+}
+
 static struct tlb_candidate *add_candidate(struct tlb_instances *s, struct tlb_instance *i,
 					   const struct tlb_instance_query *p)
 {
 	struct tlb_candidate *c;
 
 	if (s->count == TLB_INSTANCES_MAX || strcmp(i->row.service, p->service) != 0 ||
-	    !tlb_instance_usable(i, p->now))
+	    !tlb_instance_usable(i, p->now) || !cold_rate_allows(i, p))
 		return NULL;
 	s->considered[s->count] = i;
 	c = &s->candidate[s->count++];
@@ -296,10 +337,16 @@
 	return c;
 }
 
+/* The selected instance, or NULL. A request to a cold one counts against its rate. */
 static struct tlb_instance *selected_instance(const struct tlb_instances *s,
-					      const struct tlb_selection *pl)
+					      const struct tlb_selection *pl,
+					      const struct tlb_instance_query *p)
 {
-	return pl->selected < 0 ? NULL : s->considered[pl->selected];
+	struct tlb_instance *i = pl->selected < 0 ? NULL : s->considered[pl->selected];
+
+	if (i && tlb_instance_is_cold(i, p->info, p->now))
+		i->cold_next_at = p->now + cold_share(i, p).interval;
+	return i;
 }
 
 static struct tlb_selection_input place_request(const struct tlb_instance_query *p)
@@ -348,7 +395,7 @@
 	}
 	apply_weights(s);
 	pl = tlb_select_decode(&s->place, &r, s->candidate, s->count);
-	return selected_instance(s, &pl);
+	return selected_instance(s, &pl, p);
 }
 
 bool tlb_instances_has_spare(const struct tlb_instances *s, const struct tlb_instance_query *p)
@@ -385,7 +432,7 @@
 		c->free_blocks = c->total_blocks - i->in_flight;
 	}
 	pl = tlb_select_decode(&s->place, &r, s->candidate, s->count);
-	return selected_instance(s, &pl);
+	return selected_instance(s, &pl, p);
 }
 
 /* Estimates how many tokens remain of the queue that the last prefill waited for. */
@@ -434,7 +481,7 @@
 	decode.link_mbps = p->info ? p->info->link_mbps : 0;
 	pl = tlb_select_prefill(&s->place, &r, p->decode_zone ? &decode : NULL, s->candidate,
 				s->count);
-	return selected_instance(s, &pl);
+	return selected_instance(s, &pl, p);
 }
 
 int tlb_instances_count(const struct tlb_instances *s, const char *service, enum tlb_role role,
--- a/src/instance.h
+++ b/src/instance.h
@@ -39,6 +39,7 @@
 	int64_t started_ms; /* wall-clock time of its start; 0: not given */
 	int64_t sequence;   /* rises with every write of this incarnation; 0: not given */
 	bool leaving;
+	int64_t cold_ms; /* how long it stays cold; -1: not given */
 };
 
 /* Reference-counted: struct tlb_instances holds one reference and each request another, so that an
@@ -57,6 +58,9 @@
 	tlb_time full_until;	     /* treated as full until then; 0: not known to be full */
 	tlb_time switching_until;    /* role change in progress until then; 0: none */
 	tlb_time evacuated_until;    /* its zone is evacuated until then; 0: not */
+	tlb_time cold_until;	     /* by its entry; 0: not cold */
+	tlb_time maybe_cold_from;    /* may have turned cold by then; 0: not */
+	tlb_time cold_next_at;	     /* while cold, no request of this VM before */
 	int in_flight;		     /* requests of this VM in flight */
 	int64_t prefill_in_flight;   /* prompt tokens of this VM being prefilled */
 	double tokens_per_second;    /* prefill speed: recent maximum, which decays */
@@ -110,6 +114,12 @@
 void tlb_instances_remove(struct tlb_instances *s, const char *id, tlb_time use_deadline,
 			  bool lost);
 
+/* Takes in what an entry has said of how long the instance stays cold. */
+void tlb_instance_note_cold(struct tlb_instance *i, int64_t cold_ms, tlb_time now);
+/* Whether the instance is cold, or may be. info: of its service; NULL when not known. */
+bool tlb_instance_is_cold(const struct tlb_instance *i, const struct tlb_service_info *info,
+			  tlb_time now);
+
 void tlb_instance_acquire(struct tlb_instance *i);
 void tlb_instance_release(struct tlb_instance *i);
 /* Calls the instance on a dedicated connection for a response with a few fields. Sets url and body
@@ -137,12 +147,15 @@
 };
 void tlb_tried_instances_add(struct tlb_tried_instances *t, const char *id);
 
+struct tlb_vms;
+
 /* What an instance is selected for. */
 struct tlb_instance_query {
 	const char *service;
 	const struct tlb_service_info *info; /* NULL when not known */
-	int64_t tokens;			     /* prompt tokens to prefill; 0 for plain calls */
-	const char *decode_zone;	     /* zone of the decode endpoint; NULL if not known */
+	const struct tlb_vms *vms; /* that share the rate of cold endpoints; NULL: only this one */
+	int64_t tokens;		   /* prompt tokens to prefill; 0 for plain calls */
+	const char *decode_zone;   /* zone of the decode endpoint; NULL if not known */
 	const struct tlb_tried_instances *tried; /* already tried, not selected again */
 	tlb_time now;
 };
--- a/src/routing.h
+++ b/src/routing.h
@@ -81,6 +81,8 @@
 	int link_mbps;
 	int role_switch_ms;	/* downtime of a role change; 0: not supported */
 	int max_reservation_ms; /* longest decode reservation; 0: not supported */
+	int cold_ms;		/* how long an endpoint is cold after its start; 0: never */
+	double cold_rate;	/* requests a second that a cold endpoint bears; 0: any */
 	int kv_ttl_ms;		/* how long a prefilled KV cache is kept */
 };
 
--- a/src/vms.c
+++ b/src/vms.c
@@ -105,6 +105,18 @@
 	return rank(v, key, true, TLB_NEVER, ids, most);
 }
 
+int tlb_vms_own_rank(const struct tlb_vms *v, uint64_t key)
+{
+	uint64_t own = tlb_vms_weight(key, v->id_hash);
+	const struct tlb_vm *m;
+	int n = 0;
+
+	APR_RING_FOREACH (m, &v->all, tlb_vm, link) {
+		n += !m->gone && tlb_vms_weight(key, m->id_hash) < own;
+	}
+	return n;
+}
+
 void tlb_vms_avoid(struct tlb_vms *v, const char *id, tlb_time until)
 {
 	struct tlb_vm *m = tlb_vms_find(v, id);
--- a/src/vms.h
+++ b/src/vms.h
@@ -150,6 +150,8 @@
 		     int most);
 /* As tlb_vms_rank_all(), with those to be avoided: the same at all VMs. */
 int tlb_vms_rank_true(const struct tlb_vms *v, uint64_t key, char ids[][TLB_ID_LEN], int most);
+/* The rank of this VM for a key among all VMs, those that are leaving included; from 0. */
+int tlb_vms_own_rank(const struct tlb_vms *v, uint64_t key);
 /* The VM itself has told that it is leaving, in an answer. */
 void tlb_vms_set_leaving(struct tlb_vms *v, const char *id, uint64_t incarnation);
 /* Leaves a VM out of rankings until then. */
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -161,6 +161,33 @@
 }
 END_TEST
 
+/* A cold endpoint bears a limited rate. When it is not known whether it is cold, because its entry
+ * does not say or its zone was evacuated, it counts as cold for the time of a start. */
+START_TEST(test_cold_endpoint_gets_requests_at_its_rate)
+{
+	struct tlb_service_info info = {.cold_ms = 3000, .cold_rate = 3};
+	struct tlb_instance *i = put("a", TLB_ROLE_SERVICE);
+	struct tlb_instance_query p = query();
+
+	p.info = &info;
+	tlb_instance_note_cold(i, 2000, now);
+	ck_assert_ptr_nonnull(tlb_instances_select_service(&instances, &p));
+	ck_assert_ptr_null(tlb_instances_select_service(&instances, &p));
+	p.now = now + TLB_SECOND;
+	ck_assert_ptr_nonnull(tlb_instances_select_service(&instances, &p));
+	tlb_instance_note_cold(i, 0, p.now);
+	ck_assert_ptr_nonnull(tlb_instances_select_service(&instances, &p));
+	tlb_instance_note_cold(i, -1, p.now);
+	ck_assert(tlb_instance_is_cold(i, &info, p.now + 2 * TLB_SECOND));
+	ck_assert(!tlb_instance_is_cold(i, &info, p.now + 3 * TLB_SECOND));
+	tlb_instances_evacuate(&instances, "z1", p.now);
+	tlb_instances_end_evacuation(&instances, "z1", p.now + 10 * TLB_SECOND);
+	ck_assert(tlb_instance_is_cold(i, &info, p.now + 12 * TLB_SECOND));
+	info.cold_rate = 0;
+	ck_assert(!tlb_instance_is_cold(i, &info, p.now));
+}
+END_TEST
+
 START_TEST(test_new_incarnation_is_not_leaving)
 {
 	struct tlb_instance_row r = row("a", TLB_ROLE_SERVICE);
@@ -426,6 +453,7 @@
 	tcase_add_test(t, test_restored_entry_is_older);
 	tcase_add_test(t, test_removed_instances_are_bounded);
 	tcase_add_test(t, test_evacuated_zone_is_not_used);
+	tcase_add_test(t, test_cold_endpoint_gets_requests_at_its_rate);
 	tcase_add_test(t, test_evacuation_of_another_zone_changes_nothing);
 	tcase_add_test(t, test_evacuation_that_begins_again_goes_on);
 	suite_add_tcase(s, t);
--- a/tests/zones.py
+++ b/tests/zones.py
@@ -4,8 +4,7 @@
 import sys
 import time
 
-from edge import GEN, World, equal, restore, wait
-from edge import run_checks
+from edge import GEN, World, config, equal, restore, run_checks, wait
 
 
 def put_in_zone(store, endpoint, zone, **changes):
@@ -143,5 +142,38 @@
         assert time.monotonic() - begin < 0.5, "the refusal came late"
 
 
+def cold_config(**cold):
+    c = config(3)
+    c["services"][0].update(cold)
+    return c
+
+
+def check_cold_endpoint_gets_requests_at_its_rate():
+    """A cold endpoint must get no more requests than it bears from all VMs together, while the others
+    carry the load; afterwards it is used like them."""
+    with World(vms=2) as w:
+        put_in_zone(w.store, w.shops[0], "z1", coldRemainingMs=2500)
+        w.start(cold_config(coldStartS=3, coldPerS=6))
+        begin = time.monotonic()
+        for n in range(60):
+            equal(w.vms[n % 2].call(f"/look/{n}", attempt=f"l{n}")[0], 200, "status")
+        seconds = time.monotonic() - begin
+        most = 6 * 1.5 * (seconds + 1)
+        assert len(w.shops[0].seen) <= most, f"{len(w.shops[0].seen)} requests in {seconds:.1f} s"
+        wait(lambda: all(vm.metric("toucanlb_cold_endpoints") == 0 for vm in w.vms), "it is warm")
+        before = len(w.shops[0].seen)
+        for n in range(60):
+            w.vms[n % 2].call(f"/look/w{n}", attempt=f"w{n}")
+        assert len(w.shops[0].seen) - before > 10, "the warm endpoint is used"
+
+
+def check_cold_rate_that_is_none_is_named():
+    """A rate that can't be used must be logged, and must not keep the service out of use."""
+    with World() as w:
+        vm = w.start(cold_config(coldStartS=3, coldPerS="many"))
+        assert vm.events("config_entry_left_out"), "the rate is named"
+        equal(vm.call("/look/a")[0], 200, "status")
+
+
 if __name__ == "__main__":
     sys.exit(run_checks("zones", globals()))
