Decide when plain calls leave the zone

Operators asked that the system decide when leaving a zone pays, and how much to send. Module zone_choice moves the share of a VM's calls that may leave by what calls take in the own zone and elsewhere, against a price that operators state in time (policy.zone_price_ms, off by default).

Ruled out: the lower of two latencies for each call, load told between VMs.

--- a/src/counter.h
+++ b/src/counter.h
@@ -75,6 +75,10 @@
 	  "Store version up to which the configuration table is known")                            \
 	X(STORE_ERA, "toucanlb_store_era", "gauge",                                                \
 	  "Latest era of the store that is known; rises when it returns from an older copy")       \
+	X(ZONE_STAYED, "toucanlb_zone_stayed_total", "counter",                                    \
+	  "Plain calls answered by endpoints of this VM's zone")                                   \
+	X(ZONE_LEFT, "toucanlb_zone_left_total", "counter",                                        \
+	  "Plain calls answered by endpoints of other zones")                                      \
 	X(OVERLOAD_REFUSED, "toucanlb_overload_refused_total", "counter",                          \
 	  "Requests refused because they exceed the capacity of a plain service")                  \
 	X(COLD_ENDPOINTS, "toucanlb_cold_endpoints", "gauge",                                      \
--- a/src/forward.c
+++ b/src/forward.c
@@ -56,6 +56,7 @@
 	if (!g)
 		return NULL;
 	strcpy(g->service, service);
+	tlb_zone_choice_init(&g->zones);
 	tlb_retry_init(&g->retry, s->board->settings->retry_ratio * BUDGET_USED_SHARE,
 		       max_budget(s->board));
 	APR_RING_INSERT_TAIL(&s->budgets, g, tlb_service_retry_budget, link);
@@ -520,12 +521,28 @@
 	       !tlb_instances_has_spare(&f->board->instances, &p);
 }
 
+/* Records the latency of a call for the choice between this VM's zone and the others. */
+static void record_zone(struct tlb_forward *f, tlb_time latency)
+{
+	const struct tlb_settings *s = f->board->settings;
+	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	bool own = strcmp(f->instance->row.zone, s->zone) == 0;
+
+	if (!g || s->zone_price_ms == 0)
+		return;
+	tlb_zone_choice_record(&g->zones, own, latency, s->zone_price_ms * TLB_MS);
+	tlb_counter_add(&f->board->counters, own ? TLB_COUNTER_ZONE_STAYED : TLB_COUNTER_ZONE_LEFT,
+			1);
+}
+
 /* Records what the attempt tells about the load of its endpoint. */
 static void record_load(struct tlb_forward *f, const struct tlb_http_result *r)
 {
 	struct tlb_response_info info;
 	bool full;
 
+	if (r->status != 0 && r->status < FULL_STATUS)
+		record_zone(f, tlb_clock_now() - f->attempt_at);
 	tlb_platform_read_response_info(r->status, r->head, &info);
 	full = info.not_run && r->status == FULL_STATUS && info.retry_after_ms == 0 &&
 	       !info.leaving;
@@ -633,6 +650,7 @@
 		tlb_forward_expire(f);
 		return;
 	}
+	p.stays = f->stays && f->attempts == 0;
 	i = tlb_instances_select_service(&f->board->instances, &p);
 	if (!i) {
 		if (f->possible_runs > 0)
@@ -765,13 +783,22 @@
 	return (double)left < (double)g->max_time_budget * TLB_FORWARD_FIRST_TRY_SHARE;
 }
 
+static void start_call(struct tlb_forward *f)
+{
+	const struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+
+	f->stays = g && f->board->settings->zone_price_ms > 0 &&
+		   tlb_random_unit(&f->board->random) >= g->zones.leaving;
+	dispatch(f);
+}
+
 static void start_attempts(struct tlb_forward *f)
 {
 	count_first_attempt(f);
 	if (f->route->request_kind == TLB_REQUEST_STREAM)
 		tlb_generation_start(f);
 	else if (tlb_overload_control_admit(&f->board->overload_control, f->service, is_late(f)))
-		dispatch(f);
+		start_call(f);
 	else
 		shed(f);
 }
--- a/src/forward.h
+++ b/src/forward.h
@@ -17,6 +17,7 @@
 #include "retry.h"
 #include "decode_reservation.h"
 #include "routing.h"
+#include "zone_choice.h"
 
 struct tlb_edge_board;
 
@@ -91,6 +92,7 @@
 	tlb_time deadline; /* of the final answer */
 	int64_t cost;	   /* granted by the quota */
 	struct tlb_quota_acquisition acquisition;
+	bool stays;	   /* the first attempt of a plain call is made in this VM's zone */
 	int attempts;	   /* attempts, including those that were refused */
 	int possible_runs; /* attempts that may have run */
 	struct tlb_tried_instances tried;
@@ -110,6 +112,7 @@
 	APR_RING_ENTRY(tlb_service_retry_budget) link;
 	char service[TLB_LABEL_LEN];
 	struct tlb_retry_budget retry;
+	struct tlb_zone_choice zones;
 	tlb_time max_time_budget; /* longest time from the arrival of a request to its deadline */
 };
 
--- a/src/instance.c
+++ b/src/instance.c
@@ -376,6 +376,25 @@
 		s->candidate[i].usable &= kept[i];
 }
 
+/* Leaves out the candidates of other zones, when the own zone has one that is sound. Once endpoints of
+ * any zone refuse calls, overload control spreads the calls over all. */
+static void keep_own_zone(struct tlb_instances *s, const struct tlb_instance_query *p)
+{
+	bool own[TLB_INSTANCES_MAX];
+	bool any = false;
+	int i;
+
+	for (i = 0; i < s->count; i++) {
+		if (p->now < s->considered[i]->contended_until)
+			return;
+		own[i] = strcmp(s->candidate[i].zone, s->place.zone) == 0 &&
+			 s->candidate[i].ejected_until <= p->now && !s->candidate[i].tried;
+		any |= own[i];
+	}
+	for (i = 0; any && i < s->count; i++)
+		s->candidate[i].usable &= own[i];
+}
+
 struct tlb_instance *tlb_instances_select_service(struct tlb_instances *s,
 						  const struct tlb_instance_query *p)
 {
@@ -393,6 +412,8 @@
 		c->total_blocks = CALLS_PER_SLOT * (i->row.slots > 0 ? i->row.slots : 1);
 		c->free_blocks = c->total_blocks - i->in_flight;
 	}
+	if (p->stays)
+		keep_own_zone(s, p);
 	apply_weights(s);
 	pl = tlb_select_decode(&s->place, &r, s->candidate, s->count);
 	return selected_instance(s, &pl, p);
--- a/src/instance.h
+++ b/src/instance.h
@@ -155,7 +155,8 @@
 	const struct tlb_service_info *info; /* NULL when not known */
 	const struct tlb_vms *vms; /* that share the rate of cold endpoints; NULL: only this one */
 	int64_t tokens;		   /* prompt tokens to prefill; 0 for plain calls */
-	const char *decode_zone;   /* zone of the decode endpoint; NULL if not known */
+	bool stays; /* a plain call: in this VM's zone, unless its endpoints refuse calls */
+	const char *decode_zone; /* zone of the decode endpoint; NULL if not known */
 	const struct tlb_tried_instances *tried; /* already tried, not selected again */
 	tlb_time now;
 };
--- a/src/settings.c
+++ b/src/settings.c
@@ -710,6 +710,7 @@
 		{"policy", "waste_weight", WEIGHT(s->waste_weight)},
 		{"policy", "worst_weight", WEIGHT(s->worst_weight)},
 		{"policy", "refusal_weight", WEIGHT(s->refusal_weight)},
+		{"policy", "zone_price_ms", INTEGER(s->zone_price_ms, 0, 1000, "0")},
 		{"policy", "overload_control", INTEGER(s->overload_control, 0, 1, "0")},
 		{"policy", "retry_ratio", FIELD_NUMBER, false, "0.2", .number = &s->retry_ratio,
 		 .min = 0, .max = 10},
--- a/src/settings.h
+++ b/src/settings.h
@@ -69,6 +69,7 @@
 	 * number of retries, per accounting window of the platform */
 	double retry_ratio;   /* default 0.2 */
 	double retry_slack;   /* default 50 */
+	int zone_price_ms;    /* time by which calls must be faster in another zone; 0: any zone */
 	int overload_control; /* 1: overload control of plain services; default 0 */
 	char policy[24];      /* "toucanlb" (default), "round_robin", "least_load" */
 };
