Charge no retry budget after an attempt that reached no endpoint

Cause: a VM's share of the retry budget was charged for the attempt after one for which no connection could be opened.

Evidence: edge.py endpoint_that_is_not_reached_uses_no_retry_budget fails on the code before (503) and passes.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -33,6 +33,9 @@
 EVENTS = 6
 ROUTES_MAX = 4000         # added routes of a configuration
 SWITCH_SECONDS = 0.3      # time for an engine to change its role
+EVACUATE_SECONDS = 5.0     # until nothing is sent to an evacuated zone
+ZONES = ("z1", "z2")
+COLD = {"coldStartS": 1, "coldPerS": 60}
 LEASE_SECONDS = 3.0       # only one VM may send orders to an engine in this time
 
 
@@ -101,6 +104,7 @@
             self.judge.fault(f"{attempt}: account {self.headers.get('X-Tenant')}")
         if self.headers.get("X-Target-Instance") != e.name:
             return self.reply(421, headers=[("X-Instance-Id", e.name)])
+        e.requests += 1
         if e.mode == "full":
             return self.reply(503, headers=[("X-Not-Executed", "1")])
         if e.mode == "mute":
@@ -156,6 +160,7 @@
         self.version = 3
         self.added_routes = 0
         self.drains = []
+        self.evacuated = set()
         self.restarting = threading.Lock()
         self.store = edge_standin.Store()
         self.endpoints = [self.make(f"shop-{n}", "shop", None) for n in range(3)]
@@ -175,6 +180,8 @@
         e = edge_standin.Endpoint.__new__(edge_standin.Endpoint)
         e.begin(name, service, stage)
         e.mode = ""
+        e.requests = 0
+        e.zone = ZONES[name.endswith("2")]
         e.take_role = lambda role: self.take_role(e, role)
         e.server, e.direct = edge_standin.serve(SoakEndpoint, endpoint=e, judge=self.judge)
         e.link = proxy.Proxy(e.direct)
@@ -185,9 +192,14 @@
         e.stage = role
         self.announce(e)
 
-    def announce(self, e, state="ready"):
+    def announce(self, e, state="ready", cold_ms=0):
         e.state = state
-        self.store.put("servers", e.name, e.entry(state))
+        self.store.put("servers", e.name,
+                       dict(e.entry(state), zone=e.zone, coldRemainingMs=cold_ms))
+
+    def evacuate(self, zone, begin=True):
+        (self.evacuated.add if begin else self.evacuated.discard)(zone)
+        self.store.put("op", f"evacuate/{zone}", {} if begin else None)
 
     def configure(self, withdrawn=False):
         keys = [edge.KEY] + ([] if withdrawn else [WITHDRAWN])
@@ -196,12 +208,16 @@
                   "ratePerS": 0, "burst": 0}
         config = edge.many_routes(self.version, self.added_routes, tenants=[tenant])
         config["services"][1]["engine"]["stageSwitchS"] = SWITCH_SECONDS
+        for service in config["services"]:
+            service.update(COLD)
         self.config = json.dumps(config)
         self.store.put("op", "config", self.config)
 
     def write_again(self):
         """Writes what the operator and the endpoints wrote last, as after a loss of the newest rows."""
         self.store.put("op", "config", self.config)
+        for zone in ZONES:
+            self.evacuate(zone, zone in self.evacuated)
         for e in self.endpoints:
             self.announce(e, e.state)
 
@@ -246,7 +262,7 @@
                  self.link_fault, self.link_fault, self.reset_links, self.endpoint_fault,
                  self.endpoint_fault, self.leave, self.expire_entry, self.change,
                  self.drop_history, self.hup, self.overload_pool, self.overload_pool,
-                 self.add_routes, self.restore]
+                 self.add_routes, self.restore, self.evacuate, self.turn_cold]
         self.rnd.choice(kinds)()
 
     def step(self):
@@ -361,6 +377,19 @@
 
         self.begin(f"restore-{lost}", self.rnd.uniform(0.1, 1.5), come_back)
 
+    def evacuate(self):
+        zone = self.rnd.choice(ZONES)
+        if self.fleet.evacuated:
+            return
+        self.fleet.evacuate(zone)
+        self.begin(f"evacuate-{zone}", self.rnd.uniform(0.5, 4),
+                   lambda: self.fleet.evacuate(zone, False))
+
+    def turn_cold(self):
+        for e in self.rnd.sample(self.fleet.endpoints, 3):
+            self.fleet.announce(e, e.state, 1000)
+        self.begin("cold", 0, lambda: None)
+
     def drop_history(self):
         s = self.fleet.store
         with s.changed:
@@ -462,6 +491,7 @@
     time.sleep(seconds)
     if fleet.added_routes:
         check_added_routes(fleet, judge)
+    check_evacuation(fleet, judge)
     for c in callers:
         c.withdrawn = True
         c.counts = {}
@@ -472,6 +502,20 @@
         judge.fault(f"after the faults {served} served, {len(missed)} not: {missed[:5]}")
 
 
+def check_evacuation(fleet, judge):
+    """While a zone is evacuated, nothing is sent to its endpoints."""
+    zone = ZONES[1]
+    inside = [e for e in fleet.endpoints if e.zone == zone]
+    fleet.evacuate(zone)
+    time.sleep(EVACUATE_SECONDS)
+    before = sum(e.requests for e in inside)
+    time.sleep(1)
+    after = sum(e.requests for e in inside)
+    fleet.evacuate(zone, False)
+    if after > before:
+        judge.fault(f"{after - before} requests reached the evacuated {zone}")
+
+
 def check_added_routes(fleet, judge):
     """Each VM must serve the route that was added last."""
     for vm in fleet.vms:
--- a/src/forward.c
+++ b/src/forward.c
@@ -464,6 +464,7 @@
 	tlb_platform_read_response_info(r->status, r->head, &info);
 	tlb_instance_notice_record(f->instance, &info);
 	end = classify(f, r, &info);
+	f->unsent = !r->sent;
 	/* A refusal (lack of free capacity) is not counted as a fault of the endpoint. */
 	ok = end == TLB_ATTEMPT_ANSWERED
 		     ? !is_server_error(r->status)
@@ -498,7 +499,7 @@
 		return false;
 	if (tlb_clock_now() >= f->deadline)
 		return false;
-	return charge_budget(f);
+	return f->unsent || charge_budget(f);
 }
 
 /* --- plain calls --- */
--- a/src/forward.h
+++ b/src/forward.h
@@ -95,6 +95,7 @@
 	bool stays;	   /* the first attempt of a plain call is made in this VM's zone */
 	int attempts;	   /* attempts, including those that were refused */
 	int possible_runs; /* attempts that may have run */
+	bool unsent;	   /* nothing of the last attempt was sent: it has reached no endpoint */
 	struct tlb_tried_instances tried;
 	struct tlb_instance
 		*instance;   /* instance of the attempt in progress; a reference, or NULL */
@@ -152,7 +153,8 @@
 bool tlb_forward_attempts_left(const struct tlb_forward *f);
 /* Whether the retry budget of the service allows a retry. */
 bool tlb_forward_retry_affordable(struct tlb_forward *f);
-/* Whether a retry is allowed after an attempt that ended like this; charges the retry budget. */
+/* Whether a retry is allowed after an attempt that ended like this; charges the retry budget,
+ * unless that attempt has reached no endpoint. */
 bool tlb_forward_may_retry(struct tlb_forward *f, enum tlb_attempt_result end);
 /* Forwards the endpoint's complete response to the caller and ends the request. */
 void tlb_forward_answer(struct tlb_forward *f, const struct tlb_http_result *r);
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -566,6 +566,20 @@
         assert time.monotonic() - began < 2.5, "waited for a silent endpoint"
 
 
+def check_endpoint_that_is_not_reached_uses_no_retry_budget():
+    """An attempt for which no connection could be opened loads no endpoint. Without retry budget the
+    request must go on elsewhere all the same."""
+    with World(prefills=2, shops=2) as w:
+        gone = free_ports("gone")["gone"]
+        for e in (w.shops[0], w.prefills[0]):
+            w.store.put("servers", e.name, dict(e.entry(), address=f"127.0.0.1:{gone}"))
+        vm = w.start()
+        change_settings(vm, "retry_ratio: 1.0, retry_slack: 50", "retry_ratio: 0, retry_slack: 0")
+        for n in range(6):
+            equal(vm.call(f"/pay/{n}", "POST", "x", attempt=f"p{n}")[0], 200, "call")
+            equal(vm.call(f"/gen/{n}", "POST", "x", headers=GEN, attempt=f"g{n}")[0], 200, "stream")
+
+
 def check_slow_call_is_not_ended_for_lack_of_retry_budget():
     """An idempotent call whose endpoint is slow must not be taken from it when the retry budget is
     used up by then; of two slow calls at a time one got an error."""
