--- a/src/forward.c
+++ b/src/forward.c
@@ -43,12 +43,12 @@
 	return b->settings->retry_slack * BUDGET_USED_SHARE / tlb_vms_count(&b->vms);
 }
 
-/* The service's retry budget, created on demand; NULL without memory. */
-static struct tlb_service_retry_budget *budget_of(struct tlb_forwards *s, const char *service)
+/* What is kept for a service, created on demand; NULL without memory. */
+static struct tlb_forward_service *service_of(struct tlb_forwards *s, const char *service)
 {
-	struct tlb_service_retry_budget *g;
+	struct tlb_forward_service *g;
 
-	APR_RING_FOREACH (g, &s->budgets, tlb_service_retry_budget, link) {
+	APR_RING_FOREACH (g, &s->services, tlb_forward_service, link) {
 		if (strcmp(g->service, service) == 0)
 			return g;
 	}
@@ -59,13 +59,13 @@
 	tlb_zone_choice_init(&g->zones);
 	tlb_retry_init(&g->retry, s->board->settings->retry_ratio * BUDGET_USED_SHARE,
 		       max_budget(s->board));
-	APR_RING_INSERT_TAIL(&s->budgets, g, tlb_service_retry_budget, link);
+	APR_RING_INSERT_TAIL(&s->services, g, tlb_forward_service, link);
 	return g;
 }
 
 static void count_first_attempt(struct tlb_forward *f)
 {
-	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	struct tlb_forward_service *g = service_of(&f->board->forwards, f->service);
 
 	if (!g)
 		return;
@@ -75,7 +75,7 @@
 
 bool tlb_forward_retry_affordable(struct tlb_forward *f)
 {
-	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	struct tlb_forward_service *g = service_of(&f->board->forwards, f->service);
 
 	return g && g->retry.budget >= 1;
 }
@@ -85,7 +85,7 @@
 {
 	if (!tlb_forward_retry_affordable(f))
 		return false;
-	budget_of(&f->board->forwards, f->service)->retry.budget -= 1;
+	service_of(&f->board->forwards, f->service)->retry.budget -= 1;
 	return true;
 }
 
@@ -526,7 +526,7 @@
 static void record_zone(struct tlb_forward *f, tlb_time latency)
 {
 	const struct tlb_settings *s = f->board->settings;
-	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	struct tlb_forward_service *g = service_of(&f->board->forwards, f->service);
 	bool own = strcmp(f->instance->row.zone, s->zone) == 0;
 
 	if (!g || s->zone_price_ms == 0)
@@ -774,7 +774,7 @@
  * its target any more. */
 static bool is_late(const struct tlb_forward *f)
 {
-	struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	struct tlb_forward_service *g = service_of(&f->board->forwards, f->service);
 	tlb_time left = f->inbound.deadline - f->exchange->arrived;
 
 	if (!g || f->inbound.deadline == TLB_NEVER)
@@ -786,7 +786,7 @@
 
 static void start_call(struct tlb_forward *f)
 {
-	const struct tlb_service_retry_budget *g = budget_of(&f->board->forwards, f->service);
+	const struct tlb_forward_service *g = service_of(&f->board->forwards, f->service);
 
 	f->stays = g && f->board->settings->zone_price_ms > 0 &&
 		   tlb_random_unit(&f->board->random) >= g->zones.leaving;
@@ -904,7 +904,7 @@
 	s->board = b;
 	s->count = 0;
 	APR_RING_INIT(&s->requests, tlb_forward, link);
-	APR_RING_INIT(&s->budgets, tlb_service_retry_budget, link);
+	APR_RING_INIT(&s->services, tlb_forward_service, link);
 }
 
 void tlb_forwards_fail_unanswered(struct tlb_forwards *s)
@@ -924,12 +924,12 @@
 
 void tlb_forwards_finish(struct tlb_forwards *s)
 {
-	struct tlb_service_retry_budget *g;
+	struct tlb_forward_service *g;
 
 	while (!APR_RING_EMPTY(&s->requests, tlb_forward, link))
 		tlb_forward_end(APR_RING_FIRST(&s->requests), "shutdown", 0);
-	while (!APR_RING_EMPTY(&s->budgets, tlb_service_retry_budget, link)) {
-		g = APR_RING_FIRST(&s->budgets);
+	while (!APR_RING_EMPTY(&s->services, tlb_forward_service, link)) {
+		g = APR_RING_FIRST(&s->services);
 		APR_RING_REMOVE(g, link);
 		free(g);
 	}
--- a/src/forward.h
+++ b/src/forward.h
@@ -108,29 +108,30 @@
 
 APR_RING_HEAD(tlb_forward_ring, tlb_forward);
 
-/* The retry budget of one service at this VM, and what its callers' requests have in common. */
-struct tlb_service_retry_budget {
-	APR_RING_ENTRY(tlb_service_retry_budget) link;
+/* What this VM keeps for one service: its retry budget, and what its requests and calls have shown.
+ */
+struct tlb_forward_service {
+	APR_RING_ENTRY(tlb_forward_service) link;
 	char service[TLB_LABEL_LEN];
 	struct tlb_retry_budget retry;
 	struct tlb_zone_choice zones;
 	tlb_time max_time_budget; /* longest time from the arrival of a request to its deadline */
 };
 
-APR_RING_HEAD(tlb_service_retry_budget_ring, tlb_service_retry_budget);
+APR_RING_HEAD(tlb_forward_service_ring, tlb_forward_service);
 
-/* Owned by struct tlb_edge_board; owns requests and budgets. */
+/* Owned by struct tlb_edge_board; owns requests and services. */
 struct tlb_forwards {
 	struct tlb_edge_board *board;
 	struct tlb_forward_ring requests;
-	struct tlb_service_retry_budget_ring budgets;
+	struct tlb_forward_service_ring services;
 	int count;
 };
 
 void tlb_forwards_init(struct tlb_forwards *s, struct tlb_edge_board *b);
 /* Ends with an error every request in flight whose response has not begun. */
 void tlb_forwards_fail_unanswered(struct tlb_forwards *s);
-/* Ends every request in flight without an answer and frees the budgets. */
+/* Ends every request in flight without an answer and frees the services. */
 void tlb_forwards_finish(struct tlb_forwards *s);
 
 /* Handles a request from the callers' listener; arg is the struct tlb_edge_board. */
--- a/src/instance.c
+++ b/src/instance.c
@@ -376,8 +376,8 @@
 		s->candidate[i].usable &= kept[i];
 }
 
-/* Leaves out the candidates of other zones, when the own zone has one that is sound. Once endpoints of
- * any zone refuse calls, overload control spreads the calls over all. */
+/* Leaves out the candidates of other zones, when the own zone has one that is sound. Once endpoints
+ * of any zone refuse calls, overload control spreads the calls over all. */
 static void keep_own_zone(struct tlb_instances *s, const struct tlb_instance_query *p)
 {
 	bool own[TLB_INSTANCES_MAX];
