Shed after refusals by full endpoints only; compare cold times without overflow

Read over: a call for which no connection could be opened, or that another instance refused, was shed as overload when the other endpoints had refused calls lately, instead of being tried there. And the end of the cold time of an endpoint in an evacuated zone was computed beyond the largest time.

Change: record_load() returns whether the endpoint was full, and only that leads to shed(); the cold time is subtracted from now. test_instance covers an endpoint of an evacuated zone.

--- a/src/forward.c
+++ b/src/forward.c
@@ -536,8 +536,9 @@
 			1);
 }
 
-/* Records what the attempt tells about the load of its endpoint. */
-static void record_load(struct tlb_forward *f, const struct tlb_http_result *r)
+/* Records what the attempt tells about the load of its endpoint. Returns whether the endpoint has
+ * refused the call because it is full. */
+static bool record_load(struct tlb_forward *f, const struct tlb_http_result *r)
 {
 	struct tlb_response_info info;
 	bool full;
@@ -551,14 +552,15 @@
 		tlb_overload_control_record(&f->board->overload_control, f->instance, full,
 					    tlb_clock_now() - f->attempt_at,
 					    f->route->target_latency_ms * TLB_MS);
+	return full;
 }
 
 static void on_call_done(void *arg, const struct tlb_http_result *r)
 {
 	struct tlb_forward *f = arg;
+	bool full = record_load(f, r);
 	enum tlb_attempt_result end;
 
-	record_load(f, r);
 	end = tlb_forward_record_result(f, r);
 	tlb_timer_clear(f->board->loop, &f->timer);
 	if (end != TLB_ATTEMPT_NOT_RUN)
@@ -571,7 +573,7 @@
 		tlb_forward_fail(f, "all endpoints have asked for a pause");
 		return;
 	}
-	if (end == TLB_ATTEMPT_NOT_RUN && f->possible_runs == 0 && is_overloaded(f)) {
+	if (full && f->possible_runs == 0 && is_overloaded(f)) {
 		shed(f);
 		return;
 	}
--- a/src/instance.c
+++ b/src/instance.c
@@ -296,7 +296,7 @@
 	if (!info || info->cold_rate <= 0)
 		return false;
 	return now < i->cold_until ||
-	       (i->maybe_cold_from > 0 && now < i->maybe_cold_from + info->cold_ms * TLB_MS);
+	       (i->maybe_cold_from > 0 && now - info->cold_ms * TLB_MS < i->maybe_cold_from);
 }
 
 static struct tlb_cold_share cold_share(const struct tlb_instance *i,
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -181,6 +181,7 @@
 	ck_assert(tlb_instance_is_cold(i, &info, p.now + 2 * TLB_SECOND));
 	ck_assert(!tlb_instance_is_cold(i, &info, p.now + 3 * TLB_SECOND));
 	tlb_instances_evacuate(&instances, "z1", p.now);
+	ck_assert(tlb_instance_is_cold(i, &info, p.now + 10 * TLB_SECOND));
 	tlb_instances_end_evacuation(&instances, "z1", p.now + 10 * TLB_SECOND);
 	ck_assert(tlb_instance_is_cold(i, &info, p.now + 12 * TLB_SECOND));
 	info.cold_rate = 0;
