Report a reset after a failed send; an answer cut by it is not complete

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: a socket reports an error once. When the reset was noticed by sendmsg() first, it took the error, and the recv() after it returned 0, which the HTTP client took for the end of the stream. That end completes a response with neither a length nor chunks (RFC 9112, section 6.3). The same holds for a connection that times out.

Ruled out: answers with a length or chunks (no end of the stream completes them); links between VMs (a frame has a length, and both results of recv() end the link).

Change: module connection keeps the error of the first send that failed and reports it after what arrived before it. EPIPE is no such error: the peer had ended its stream before it refused the rest of the request, so the answer is whole and is still passed on.

--- a/src/connection.c
+++ b/src/connection.c
@@ -160,7 +160,18 @@
 	struct msghdr m = {.msg_iov = parts, .msg_iovlen = body_len > 0 ? 2 : 1};
 	ssize_t n = sendmsg(c->fd, &m, MSG_NOSIGNAL);
 
-	return n < 0 && (errno == EAGAIN || errno == EINTR) ? 0 : n;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return 0;
+	if (n < 0 && c->send_error == 0)
+		c->send_error = errno;
+	return n;
+}
+
+/* Whether the connection failed before the peer had ended its stream. A socket reports an error
+ * once, and afterwards the end of the stream; a send that fails after the peer's end gets EPIPE. */
+static bool is_end_of_stream_lost(const struct tlb_connection *c)
+{
+	return c->send_error != 0 && c->send_error != EPIPE;
 }
 
 ssize_t tlb_connection_read(struct tlb_connection *c, char *out)
@@ -169,6 +180,10 @@
 
 	if (n < 0 && errno == EINTR)
 		errno = EAGAIN;
+	if (n == 0 && is_end_of_stream_lost(c)) {
+		errno = c->send_error;
+		return -1;
+	}
 	return n;
 }
 
--- a/src/connection.h
+++ b/src/connection.h
@@ -39,6 +39,7 @@
 	char addr[TLB_ADDR_LEN];
 	tlb_time reusable_until; /* its age limit */
 	tlb_time idle_until;
+	int send_error; /* errno of the first send that failed; 0: none */
 	tlb_connection_fn *on_event;
 	void *arg;
 };
@@ -69,8 +70,9 @@
  * or -1 with errno set. */
 ssize_t tlb_connection_send(struct tlb_connection *c, const char *head, size_t head_len,
 			    const char *body, size_t body_len);
-/* Reads up to TLB_CONNECTION_READ_BYTES. Returns the number of bytes, 0 at the end of the stream,
- * or -1 with errno set; EAGAIN: nothing now. */
+/* Reads up to TLB_CONNECTION_READ_BYTES. Returns the number of bytes, 0 when the peer has ended the
+ * stream, or -1 with errno set; EAGAIN: nothing now. A reset is reported after what arrived before
+ * it, also when sending has failed for it. */
 ssize_t tlb_connection_read(struct tlb_connection *c, char *out);
 /* Closes and frees a connection. NULL is allowed. */
 void tlb_connection_close(struct tlb_connection *c);
--- /dev/null
+++ b/tests/cases/answers.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/../answers.py"
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,5 +1,5 @@
 /* Tests of the HTTP client: calls started from another call's callback, calls that can't be
- * started, and responses without end. */
+ * started, and responses that are broken off, without end or no responses. */
 #include <apr_general.h>
 #include <arpa/inet.h>
 #include <check.h>
@@ -330,6 +330,143 @@
 }
 END_TEST
 
+/* --- responses that are reset --- */
+
+#define RESET_DEADLINE (2 * TLB_SECOND)
+#define CLOSE_DELIMITED "HTTP/1.1 200 OK\r\nX-T: 1\r\n\r\n"
+
+enum {
+	UPLOAD_BYTES = 16 << 20, /* more than the sockets of both ends hold */
+	LONG_PART_BYTES = 60000,
+};
+
+/* A response to a long upload: its connection is reset while the upload is being sent. */
+static const struct reset_case {
+	const char *name;
+	const char *head;
+	size_t body_len;
+	bool is_ended; /* the stream is closed in order before the reset */
+	bool is_collected;
+	int status; /* that the call ends with */
+} reset_cases[] = {
+	{"no body", CLOSE_DELIMITED, 0, false, false, 0},
+	{"a part", CLOSE_DELIMITED, 4, false, false, 0},
+	{"a long part", CLOSE_DELIMITED, LONG_PART_BYTES, false, false, 0},
+	{"a part, collected", CLOSE_DELIMITED, 4, false, true, 0},
+	{"a long part, collected", CLOSE_DELIMITED, LONG_PART_BYTES, false, true, 0},
+	{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", 4, false, false, 0},
+	{"failure", "HTTP/1.1 404 Not Found\r\n\r\n", 4, false, false, 0},
+	{"after an interim response", "HTTP/1.1 100 Continue\r\n\r\n" CLOSE_DELIMITED, 4, false,
+	 false, 0},
+	{"a part of a length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 4, false, false, 0},
+	{"a part of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n", 4,
+	 false, false, 0},
+	{"a whole length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", 4, false, false, 200},
+	{"after the end of the stream", CLOSE_DELIMITED, 4, true, false, 200},
+	{"after the end of a long one", CLOSE_DELIMITED, LONG_PART_BYTES, true, true, 200},
+};
+
+struct reset_server {
+	const struct reset_case *c;
+	int listener;
+};
+
+static void reset_connection(int peer)
+{
+	struct linger reset = {.l_onoff = 1};
+
+	setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(peer);
+}
+
+/* Responds as soon as the upload begins. */
+static void *respond_and_reset(void *arg)
+{
+	const struct reset_server *s = arg;
+	static const char body[LONG_PART_BYTES];
+	char request[4096];
+	int peer = accept(s->listener, NULL, NULL);
+
+	ck_assert(read(peer, request, sizeof(request)) > 0);
+	ck_assert(write(peer, s->c->head, strlen(s->c->head)) > 0);
+	ck_assert(write(peer, body, s->c->body_len) == (ssize_t)s->c->body_len);
+	if (s->c->is_ended)
+		shutdown(peer, SHUT_WR);
+	reset_connection(peer);
+	return NULL;
+}
+
+struct reset_call {
+	bool done;
+	int status;
+	bool broken_off;
+	size_t body_len;
+};
+
+static void on_reset_done(void *arg, const struct tlb_http_result *r)
+{
+	struct reset_call *e = arg;
+
+	e->done = true;
+	e->status = r->status;
+	e->broken_off = r->broken_off;
+	e->body_len += r->body_len;
+}
+
+static bool count_data(void *arg, const char *data, size_t len)
+{
+	struct reset_call *e = arg;
+
+	e->body_len += len;
+	return true;
+}
+
+/* A response that ends with its connection was taken for complete when the connection was reset
+ * during the upload: sending had taken the socket's error, so that reading found the end only. */
+START_TEST(response_that_is_reset_during_the_upload_is_not_complete)
+{
+	const struct reset_case *c = &reset_cases[_i];
+	struct reset_server s = {.c = c};
+	struct reset_call e = {0};
+	char url[64];
+	struct tlb_http_spec spec = {
+		.method = "POST",
+		.url = url,
+		.body = calloc(1, UPLOAD_BYTES),
+		.body_len = UPLOAD_BYTES,
+		.body_borrowed = true,
+		.dedicated_connection = true,
+		.deadline = tlb_clock_now() + RESET_DEADLINE,
+		.on_data = c->is_collected ? NULL : count_data,
+		.on_done = on_reset_done,
+		.arg = &e,
+	};
+	struct tlb_http_call call;
+	struct tlb_http http;
+	struct tlb_loop l;
+	pthread_t server;
+
+	s.listener = listen_on_loopback(url, sizeof(url));
+	ck_assert_int_eq(pthread_create(&server, NULL, respond_and_reset, &s), 0);
+	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
+	tlb_http_init(&http, &l);
+	tlb_http_start(&http, &call, &spec);
+	while (call.sent_bytes == 0)
+		tlb_loop_once(&l, tlb_clock_now() + 10 * TLB_MS);
+	pthread_join(server, NULL);
+	while (!e.done)
+		tlb_loop_once(&l, tlb_clock_now() + 10 * TLB_MS);
+	ck_assert_msg(e.status == c->status, "%s: status %d", c->name, e.status);
+	ck_assert_msg(e.broken_off == (c->status == 0), "%s: broken_off %d", c->name, e.broken_off);
+	ck_assert_msg(c->status == 0 || e.body_len == c->body_len, "%s: %zu bytes", c->name,
+		      e.body_len);
+	tlb_http_finish(&http);
+	tlb_loop_finish(&l);
+	close(s.listener);
+	free((char *)spec.body);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -347,6 +484,10 @@
 	tcase_add_loop_test(t, response_without_end_is_ended_within_bounded_memory, 0,
 			    sizeof(endless_cases) / sizeof(endless_cases[0]));
 	suite_add_tcase(s, t);
+	t = tcase_create("reset");
+	tcase_add_loop_test(t, response_that_is_reset_during_the_upload_is_not_complete, 0,
+			    sizeof(reset_cases) / sizeof(reset_cases[0]));
+	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
