Test of resets during an upload: send the head and the part in one write

The stand-in sent head and body in two writes without TCP_NODELAY, so the body could still wait for the acknowledgement of the head when the reset discarded it.

Change: one write. The check and its expectations are unchanged.

--- a/tests/answers.py
+++ b/tests/answers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from edge import EVENTS, GEN, World, config, equal, read_stream, run_checks
+from edge import EVENTS, GEN, STREAM, World, config, equal, read_stream, response, run_checks
 
 UPLOAD_BYTES = 12 << 20  # more than the sockets of both ends hold
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 16 << 20, "headerTimeoutMs": 3000,
@@ -21,8 +21,7 @@
             return False
         first.set()
         h.endpoint.seen.append(dict(h.headers.items()))
-        h.begin_stream(chunked=False)
-        h.wfile.write(payload)
+        h.wfile.write(response(200, STREAM + [("Connection", "close")], payload))
         time.sleep(pause_s)
         h.cut()
         raise ConnectionAbortedError("the body is not read")
