Refuse responses whose status line is none of HTTP/1

What callers saw: an answer with the status 0200, or with the version HTTP/2.0 or HTTP/0.9, or with control bytes in its status line, came to them as a plain 200; so did a 200 that followed a head with the status 000, which was skipped like an interim response. The same answers were used for a prefill, a reservation, and as rows of the store: a configuration from such answers came into force.

Cause: http_parser takes any digits up to 999 for a status, counts those below 200 as interim, any digits for a version, and any text for a reason, and the HTTP client checked none of it. A status of 000 alone was not passed on before either: the call waited for a further head until its deadline or the end of the connection, and now ends at once.

Change: module response_head checks the status line against RFC 9112, section 4: HTTP/1 and one digit, one blank, three digits from 100 to 599, a blank before the reason, no control characters. The HTTP client checks the bytes of each head before they are parsed, for all of its users: answers of endpoints and engines, preparing calls, load reports, orders, the store. 600 to 999, which are outside of HTTP (RFC 9110, section 15), were passed on unchanged and give 502 now.

Evidence: tests/test_http.c sends 38 forms, whole and byte by byte: before, 13 fail (0200, 600, 999, two blanks, HTTP/2.0, HTTP/0.9, a line break before the status line, four with control bytes, 000 and 099 before a 200). tests/answers.py with daemons, before: six of nine status lines reach callers on payments, look-ups and streams, and five of these the prefill, the reservation and the rows of the store.

--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -1,7 +1,7 @@
 /*
  * Feeds mutated inputs to every parser of external data: settings, table rows, peer frames, engine
- * events, completion bodies, addresses and messages in the platform's formats. Built with the
- * address and undefined-behaviour sanitizers, which abort the run at the first error.
+ * events, completion bodies, heads of responses, addresses and messages in the platform's formats.
+ * Built with the address and undefined-behaviour sanitizers, which abort the run at the first error.
  *
  *   fuzz TARGET SEED COUNT SAMPLE...
  *
@@ -21,6 +21,7 @@
 #include "frame.h"
 #include "platform.h"
 #include "random.h"
+#include "response_head.h"
 #include "routing_reader.h"
 #include "settings.h"
 #include "sse.h"
@@ -198,6 +199,21 @@
 	free(head);
 }
 
+/* The verdict must not depend on the pieces in which a head arrives. */
+static void fuzz_response_head(const char *data, size_t len)
+{
+	struct tlb_response_head whole = {0};
+	struct tlb_response_head pieces = {0};
+	const char *fault = tlb_response_head_check(&whole, data, len);
+	const char *piece_fault = NULL;
+	size_t i;
+
+	for (i = 0; i < len && !piece_fault; i++)
+		piece_fault = tlb_response_head_check(&pieces, data + i, 1);
+	if (fault != piece_fault || whole.state != pieces.state)
+		abort();
+}
+
 static void fuzz_address(const char *data, size_t len)
 {
 	struct sockaddr_storage a;
@@ -269,6 +285,7 @@
 	{"rows", fuzz_rows},
 	{"answer", fuzz_response},
 	{"completion", fuzz_completion},
+	{"head", fuzz_response_head},
 	{"address", fuzz_address},
 	{"frame", fuzz_frame},
 };
--- a/src/http.c
+++ b/src/http.c
@@ -323,10 +323,12 @@
 {
 	struct tlb_connection *conn = c->connection;
 	const char *fault;
-	size_t parsed;
+	size_t parsed = 0;
 
 	c->received_bytes += len;
-	parsed = http_parser_execute(&c->parser, &parser_settings, data, len);
+	c->fault = tlb_response_head_check(&c->head_check, data, len);
+	if (!c->fault)
+		parsed = http_parser_execute(&c->parser, &parser_settings, data, len);
 	if (c->complete) {
 		if (parsed == len && c->sent_bytes == c->request.len &&
 		    !c->spec.dedicated_connection && http_should_keep_alive(&c->parser)) {
--- a/src/http.h
+++ b/src/http.h
@@ -16,6 +16,7 @@
 #include "error.h"
 #include "loop.h"
 #include "memory.h"
+#include "response_head.h"
 
 /* Totals over the calls that got a response or failed; bytes include the HTTP headers. */
 struct tlb_http_totals {
@@ -104,6 +105,7 @@
 	bool head_only; /* the response to a HEAD request has no body */
 	bool idempotent;
 	/* The response. */
+	struct tlb_response_head head_check;
 	http_parser parser;
 	struct tlb_buffer head;
 	struct tlb_buffer body;
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -5,7 +5,9 @@
 import threading
 import time
 
-from edge import EVENTS, GEN, STREAM, World, config, equal, read_stream, response, run_checks
+from edge import (CHUNKED, EVENTS, GEN, OWN, STREAM, World, chunks, config, equal, event, read_stream,
+                  response, resume_with, run_checks, wait)
+from edge_standin import EndpointHandler, StoreHandler
 
 UPLOAD_BYTES = 12 << 20  # more than the sockets of both ends hold
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 16 << 20, "headerTimeoutMs": 3000,
@@ -58,5 +60,120 @@
                     assert "half" not in text, case
 
 
+class Breaker:
+    """Replaces the first answer that a test waits for by these bytes, and closes the connection."""
+
+    def __init__(self, w):
+        self.w = w
+        self.raw = None
+        self.lock = threading.Lock()
+        for e in w.shops + w.prefills + w.decodes:
+            e.plan = self.send
+            e.server.RequestHandlerClass.do_POST = lambda h: self.post(h)
+
+    def wanted(self, h):
+        kind = "reservation" if h.path == "/hold-take" else h.headers.get("X-Serving-Stage", "run")
+        return kind == self.kind
+
+    def send(self, h):
+        with self.lock:
+            raw = self.raw if self.wanted(h) else None
+            if raw is None:
+                return False
+            self.raw = None
+        h.wfile.write(raw)
+        h.close_connection = True
+        return True
+
+    def post(self, h):
+        if h.path != "/hold-take" or not self.send(h):
+            EndpointHandler.do_POST(h)
+
+    def call(self, path, kind, raw):
+        """Returns the status and the text that the caller gets, and whether that is whole. An endpoint
+        that fails often is left out for a while; then the request is refused and comes again."""
+        self.kind = kind
+        self.raw = raw
+        deadline = time.monotonic() + 20
+        while True:
+            assert time.monotonic() < deadline, f"{path}: no {kind} arrives for {raw}"
+            r = self.w.vms[0].send(path, "POST", b"x", headers=GEN)
+            text, whole = read_stream(r)
+            if self.raw is None and r.status != 503:
+                return r.status, text, whole
+            time.sleep(0.05)
+
+
+def expect_no_answer(break_head):
+    """No call may take for an answer what break_head makes of the head of one: not a payment, a
+    look-up, a stream or the rest of one, and not the calls that prepare a stream."""
+    json_type = [("Content-Type", "application/json")]
+    prefill = response(200, json_type, b'{"kvHandle":"bad","tokens":100,"version":1}')
+    reservation = response(200, json_type, b'{"hold":"bad"}')
+    stream = response(200, STREAM + [CHUNKED], chunks(event(1), event(2), event(3), event(4)))
+    used = []
+    with World() as w:
+        vm = w.start()
+        breaker = Breaker(w)
+        for path, kind, raw, expected in (
+                ("/pay/1", "run", response(200, OWN, b"half"), (502, None)),
+                ("/look/1", "run", response(200, OWN, b"half"), (200, "done")),
+                ("/once/1", "run", stream, (502, None)),
+                ("/gen/1", "run", stream, (200, EVENTS)),
+                ("/gen/1", "prefill", prefill, (200, EVENTS)),
+                ("/gen/1", "reservation", reservation, (200, EVENTS))):
+            status, text, whole = breaker.call(path, kind, break_head(raw))
+            case = path, kind, break_head(raw)
+            equal((*case, status), (*case, expected[0]), "status")
+            if expected[1] is not None:
+                equal((*case, text, whole), (*case, expected[1], True), "answer")
+        for d in w.decodes:
+            used += [h.get(name, "") for h in d.seen for name in ("X-Kv-Source", "X-Kv-Hold")]
+        assert not any("bad" in u for u in used), f"used: {used}"
+        assert vm.ready()
+    rest = break_head(response(200, STREAM + [CHUNKED], chunks(event(3), event(4))))
+    equal((rest, *resume_with(rest)), (rest, EVENTS, True), "resumed stream")
+
+
+def expect_no_rows(break_line):
+    """What a store sends must not be taken for rows when each line of its heads is broken."""
+    with World() as w:
+        vm = w.start()
+        flush = StoreHandler.flush_headers
+
+        def flush_broken(h):
+            h._headers_buffer = [break_line(line) for line in h._headers_buffer]
+            flush(h)
+
+        handler = w.doors[0].server.RequestHandlerClass
+        handler.flush_headers = flush_broken
+        w.store.put("op", "config", config(4, routes=config(4)["routes"][:1]))
+        end = time.monotonic() + 1
+        while time.monotonic() < end:
+            equal(vm.call("/look/1")[0], 200, "a route of the version in force")
+        assert vm.ready()
+        handler.flush_headers = flush
+        wait(lambda: vm.call("/look/1")[0] == 404, "the new version is in force")
+
+
+# Replacements of the status line "HTTP/1.1 200 OK".
+NO_STATUS_LINES = (b"HTTP/1.1 000 OK", b"HTTP/1.1 0 OK", b"HTTP/1.1 099 OK", b"HTTP/1.1 0200 OK",
+                   b"HTTP/1.1 600 OK", b"HTTP/2.0 200 OK", b"HTTP/0.9 200 OK", b"HTTP/1.1 200 O\1K",
+                   b"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK")
+
+
+def check_answer_without_a_status_is_not_passed_on():
+    """An answer whose status line is none of HTTP/1, or whose status is none, is no answer; a status
+    of 000 looked like an interim one, and 0200 or a version of HTTP/2.0 like a plain 200."""
+    for line in NO_STATUS_LINES:
+        expect_no_answer(lambda raw, line=line: line + raw[raw.index(b"\r\n"):])
+
+
+def check_store_without_a_status_is_not_read():
+    """The same for the answers of the store."""
+    for line in NO_STATUS_LINES:
+        expect_no_rows(lambda raw, line=line: raw.replace(b"HTTP/1.1 200 OK", line))
+
+
 if __name__ == "__main__":
     sys.exit(run_checks("answers", globals()))
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -467,6 +467,143 @@
 }
 END_TEST
 
+/* --- what is no response --- */
+
+#define RAW(text) text, sizeof(text) - 1
+#define REST "\r\nContent-Length: 4\r\n\r\ndone"
+
+/* What a peer sends, and the status that the call ends with; 0: it is not usable. */
+static const struct raw_case {
+	const char *raw;
+	size_t len;
+	int status;
+} raw_cases[] = {
+	{RAW("HTTP/1.1 200 OK" REST), 200},
+	{RAW("HTTP/1.1 200 " REST), 200},
+	{RAW("HTTP/1.1 200" REST), 200},
+	{RAW("HTTP/1.1 200 \xc3\xa9\t!" REST), 200},
+	{RAW("HTTP/1.0 200 OK" REST), 200},
+	{RAW("HTTP/1.2 200 OK" REST), 200},
+	{RAW("HTTP/1.1 200 OK\nContent-Length: 4\n\ndone"), 200},
+	{RAW("HTTP/1.1 404 Not Found" REST), 404},
+	{RAW("HTTP/1.1 599 X" REST), 599},
+	{RAW("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK" REST),
+	 200},
+	{RAW("HTTP/1.1 000 OK" REST), 0},
+	{RAW("HTTP/1.1 0 OK" REST), 0},
+	{RAW("HTTP/1.1 00 OK" REST), 0},
+	{RAW("HTTP/1.1 099 OK" REST), 0},
+	{RAW("HTTP/1.1 0200 OK" REST), 0},
+	{RAW("HTTP/1.1 2000 OK" REST), 0},
+	{RAW("HTTP/1.1 20 OK" REST), 0},
+	{RAW("HTTP/1.1 600 OK" REST), 0},
+	{RAW("HTTP/1.1 999 OK" REST), 0},
+	{RAW("HTTP/1.1 -200 OK" REST), 0},
+	{RAW("HTTP/1.1  200 OK" REST), 0},
+	{RAW("HTTP/1.1\t200 OK" REST), 0},
+	{RAW("HTTP/1.1 200OK" REST), 0},
+	{RAW("HTTP/1.1 OK" REST), 0},
+	{RAW("HTTP/1.1" REST), 0},
+	{RAW("HTTP/2.0 200 OK" REST), 0},
+	{RAW("HTTP/0.9 200 OK" REST), 0},
+	{RAW("HTTP/1.10 200 OK" REST), 0},
+	{RAW("HTTP/11 200 OK" REST), 0},
+	{RAW("http/1.1 200 OK" REST), 0},
+	{RAW("\r\nHTTP/1.1 200 OK" REST), 0},
+	{RAW("HTTP/1.1 200 O\1K" REST), 0},
+	{RAW("HTTP/1.1 200 O\0K" REST), 0},
+	{RAW("HTTP/1.1 200 O\x7fK" REST), 0},
+	{RAW("HTTP/1.1 200 O\rK" REST), 0},
+	/* A status that is none was read as that of an interim response. */
+	{RAW("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK" REST), 0},
+	{RAW("HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK" REST), 0},
+	{RAW("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X" REST), 0},
+};
+
+struct raw_call {
+	bool done;
+	int status;
+	char body[32];
+	char reason[120];
+};
+
+static void on_raw_done(void *arg, const struct tlb_http_result *r)
+{
+	struct raw_call *e = arg;
+
+	e->done = true;
+	e->status = r->status;
+	snprintf(e->body, sizeof(e->body), "%s", r->body);
+	snprintf(e->reason, sizeof(e->reason), "%s", r->reason);
+}
+
+/* Sends the case to the peer of a call, some bytes at a time, and closes the connection. */
+static void send_raw(const struct raw_case *c, size_t piece, int peer, struct tlb_loop *l,
+		     const struct tlb_http_call *call, const struct raw_call *e)
+{
+	size_t sent = 0;
+	size_t n;
+
+	while (sent < c->len && !e->done) {
+		n = c->len - sent < piece ? c->len - sent : piece;
+		ck_assert(send(peer, c->raw + sent, n, MSG_NOSIGNAL) == (ssize_t)n);
+		sent += n;
+		while (call->received_bytes < sent && !e->done)
+			tlb_loop_once(l, tlb_clock_now() + 10 * TLB_MS);
+	}
+	close(peer);
+	while (!e->done)
+		tlb_loop_once(l, tlb_clock_now() + 10 * TLB_MS);
+}
+
+static void run_raw(const struct raw_case *c, size_t piece, bool dedicated)
+{
+	struct raw_call e = {0};
+	char request[4096];
+	char url[64];
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = url,
+		.dedicated_connection = dedicated,
+		.deadline = tlb_clock_now() + CALL_WAIT,
+		.on_done = on_raw_done,
+		.arg = &e,
+	};
+	struct tlb_http_call call;
+	struct tlb_http http;
+	struct tlb_loop l;
+	int listener = listen_on_loopback(url, sizeof(url));
+	int peer;
+
+	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
+	tlb_http_init(&http, &l);
+	tlb_http_start(&http, &call, &spec);
+	while (call.sent_bytes == 0)
+		tlb_loop_once(&l, tlb_clock_now() + 10 * TLB_MS);
+	peer = accept(listener, NULL, NULL);
+	ck_assert(read(peer, request, sizeof(request)) > 0);
+	send_raw(c, piece, peer, &l, &call, &e);
+	ck_assert_msg(e.status == c->status, "%s (%zu at a time): status %d, %s", c->raw, piece,
+		      e.status, e.reason);
+	if (c->status != 0)
+		ck_assert_str_eq(e.body, "done");
+	tlb_http_finish(&http);
+	tlb_loop_finish(&l);
+	close(listener);
+}
+
+/* Bytes that are no response in HTTP/1 were taken for one, because http_parser reads more than the
+ * grammar of RFC 9112 allows. */
+START_TEST(bytes_that_are_no_response_are_not_taken_for_one)
+{
+	const struct raw_case *c = &raw_cases[_i];
+
+	run_raw(c, c->len, true);
+	run_raw(c, c->len, false);
+	run_raw(c, 1, true);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -488,6 +625,10 @@
 	tcase_add_loop_test(t, response_that_is_reset_during_the_upload_is_not_complete, 0,
 			    sizeof(reset_cases) / sizeof(reset_cases[0]));
 	suite_add_tcase(s, t);
+	t = tcase_create("no response");
+	tcase_add_loop_test(t, bytes_that_are_no_response_are_not_taken_for_one, 0,
+			    sizeof(raw_cases) / sizeof(raw_cases[0]));
+	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
