Refuse responses in whose head the name of a header is not a token

What callers saw: an answer in whose head the name of a header held a blank came to them as a complete answer, without that line, and with "Content-Length : 2" cut to 2 bytes. A line that begins with a blank became part of the value before it: the signature "s" came as "s X: v". The store's answers with such lines were read as rows, and those of engines as handles and reservations.

Cause: the http_parser of Debian is built without its strict mode, in which a blank counts as a character of a name, and in which it matches Content-Length and Transfer-Encoding with blanks behind them. It joins folded lines without a blank. Other control characters in names and values it refuses; those cases held and keep their tests.

Change: response_head checks the lines of each head, interim ones included: a name of token characters up to the colon, a value without control characters. A folded line is refused, as RFC 9112, section 5.2, allows a gateway; what it belonged to is not known.

--- a/src/response_head.c
+++ b/src/response_head.c
@@ -1,12 +1,14 @@
 #include "response_head.h"
 
 #include <ctype.h>
+#include <string.h>
 
 /* Statuses have this number of digits and are in this range (RFC 9110, section 15). */
 enum { STATUS_DIGITS = 3, STATUS_MIN = 100, STATUS_FINAL_MIN = 200, STATUS_MAX = 599 };
 
 static const char bad_version[] = "the status line does not begin with a version of HTTP/1";
 static const char bad_status[] = "the status is not a number from 100 to 599";
+static const char bad_name[] = "a header whose name is not a token";
 static const char bad_text[] = "a control character in the head";
 
 /* What the status line begins with; ? stands for a digit. */
@@ -17,6 +19,12 @@
 	return c == '\t' || (c >= ' ' && c != 0x7f);
 }
 
+/* Whether c can be part of a header's name (RFC 9110, section 5.6.2). */
+static bool is_token(unsigned char c)
+{
+	return isalnum(c) || (c != '\0' && strchr("!#$%&'*+-.^_`|~", c));
+}
+
 static const char *read_version(struct tlb_response_head *h, unsigned char c)
 {
 	char expected = version[h->read++];
@@ -76,14 +84,27 @@
 	return NULL;
 }
 
+static const char *read_name(struct tlb_response_head *h, unsigned char c)
+{
+	if (c == ':')
+		h->state = TLB_RESPONSE_HEAD_TEXT;
+	else if (!is_token(c))
+		return bad_name;
+	return NULL;
+}
+
+/* Begins a line. One that begins with a blank would continue the value before it; a gateway may
+ * refuse such a response (RFC 9112, section 5.2). */
 static const char *read_line(struct tlb_response_head *h, unsigned char c)
 {
 	if (c == '\n')
 		return read_end(h, c);
-	if (c != '\r')
-		return read_text(h, c);
-	h->state = TLB_RESPONSE_HEAD_END;
-	return NULL;
+	if (c == '\r') {
+		h->state = TLB_RESPONSE_HEAD_END;
+		return NULL;
+	}
+	h->state = TLB_RESPONSE_HEAD_NAME;
+	return is_token(c) ? NULL : bad_name;
 }
 
 static const char *read_byte(struct tlb_response_head *h, unsigned char c)
@@ -99,6 +120,8 @@
 		return read_line_end(h, c);
 	case TLB_RESPONSE_HEAD_LINE:
 		return read_line(h, c);
+	case TLB_RESPONSE_HEAD_NAME:
+		return read_name(h, c);
 	case TLB_RESPONSE_HEAD_END:
 		return read_end(h, c);
 	case TLB_RESPONSE_HEAD_COMPLETE:
--- a/src/response_head.h
+++ b/src/response_head.h
@@ -11,9 +11,10 @@
 enum tlb_response_head_state {
 	TLB_RESPONSE_HEAD_VERSION, /* the status line up to the status */
 	TLB_RESPONSE_HEAD_STATUS,
-	TLB_RESPONSE_HEAD_TEXT,	    /* the rest of a line */
+	TLB_RESPONSE_HEAD_TEXT,	    /* a reason or a value */
 	TLB_RESPONSE_HEAD_LINE_END, /* after the CR of a line */
 	TLB_RESPONSE_HEAD_LINE,	    /* the begin of a line */
+	TLB_RESPONSE_HEAD_NAME,
 	TLB_RESPONSE_HEAD_END,	    /* after the CR of the empty line */
 	TLB_RESPONSE_HEAD_COMPLETE, /* the head of the final response has ended */
 };
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -175,5 +175,36 @@
         expect_no_rows(lambda raw, line=line: raw.replace(b"HTTP/1.1 200 OK", line))
 
 
+# Lines of a head that are no headers.
+NO_HEADERS = (b"X Y: v", b"X : v", b" X: v", b"\tX: v", b"X\tY: v", b"X\0Y: v", b"X\1: v", b"X\x7f: v",
+              b"Content-Length : 2", b"Transfer-Encoding : chunked")
+
+
+def add_header(raw, line):
+    """Adds a line to a head as its second to last one."""
+    end = raw.index(b"\r\n\r\n")
+    last = raw.rindex(b"\r\n", 0, end)
+    return raw[:last] + b"\r\n" + line + raw[last:]
+
+
+def check_answer_with_a_broken_header_is_not_passed_on():
+    """An answer in whose head the name of a header holds a blank or a control character is no answer.
+    One with "Content-Length : 2" was cut to 2 bytes, a line that begins with a blank became part of
+    the value before it, and others reached callers unchanged."""
+    for line in NO_HEADERS:
+        expect_no_answer(lambda raw, line=line: add_header(raw, line))
+    cut = response(200, OWN, b"half").replace(b"Content-Length: 4", b"Content-Length : 2")
+    with World() as w:
+        w.start()
+        equal(Breaker(w).call("/pay/1", "run", cut)[0], 502, "status")
+
+
+def check_store_with_a_broken_header_is_not_read():
+    """The same for the answers of the store."""
+    for line in NO_HEADERS:
+        expect_no_rows(lambda raw, line=line: line + b"\r\n" + raw
+                       if raw.startswith(b"Content-Length") else raw)
+
+
 if __name__ == "__main__":
     sys.exit(run_checks("answers", globals()))
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -470,7 +470,9 @@
 /* --- what is no response --- */
 
 #define RAW(text) text, sizeof(text) - 1
-#define REST "\r\nContent-Length: 4\r\n\r\ndone"
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 4\r\n\r\ndone"
+#define REST "\r\n" LENGTH
 
 /* What a peer sends, and the status that the call ends with; 0: it is not usable. */
 static const struct raw_case {
@@ -518,6 +520,33 @@
 	{RAW("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK" REST), 0},
 	{RAW("HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK" REST), 0},
 	{RAW("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X" REST), 0},
+	{RAW(OK "X-1!#$%&'*+.^_`|~: v\r\n" LENGTH), 200},
+	{RAW(OK "X:\r\nY: \r\nZ:v w\t\xe9 \r\n" LENGTH), 200},
+	{RAW(OK "X Y: v\r\n" LENGTH), 0},
+	{RAW(OK "X : v\r\n" LENGTH), 0},
+	{RAW(OK "X\tY: v\r\n" LENGTH), 0},
+	{RAW(OK "X\t: v\r\n" LENGTH), 0},
+	{RAW(OK "X\1: v\r\n" LENGTH), 0},
+	{RAW(OK "X\0: v\r\n" LENGTH), 0},
+	{RAW(OK "X\r: v\r\n" LENGTH), 0},
+	{RAW(OK "X\x7f: v\r\n" LENGTH), 0},
+	{RAW(OK "X\xe9: v\r\n" LENGTH), 0},
+	{RAW(OK "(X): v\r\n" LENGTH), 0},
+	{RAW(OK ": v\r\n" LENGTH), 0},
+	{RAW(OK "X\r\n" LENGTH), 0},
+	{RAW(OK "X: \1\r\n" LENGTH), 0},
+	{RAW(OK "X: \0\r\n" LENGTH), 0},
+	{RAW(OK "X: v\rw\r\n" LENGTH), 0},
+	{RAW(OK " X: v\r\n" LENGTH), 0},
+	/* A line that begins with a blank was appended to the value before it. */
+	{RAW(OK "X: v\r\n Y: w\r\n" LENGTH), 0},
+	{RAW(OK "X: v\r\n\tY: w\r\n" LENGTH), 0},
+	{RAW(OK "X: v\r\n \r\n" LENGTH), 0},
+	{RAW(OK "Content-Length: 4\r\n \r\ndone"), 0},
+	{RAW(OK "Content-Length : 2\r\n\r\ndone"), 0},
+	{RAW(OK "Content-Length : 2\r\n" LENGTH), 0},
+	{RAW(OK "Transfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), 0},
+	{RAW("HTTP/1.1 103 Hints\r\nX Y: z\r\n\r\n" OK LENGTH), 0},
 };
 
 struct raw_call {
