--- a/fuzz/fuzz.c
+++ b/fuzz/fuzz.c
@@ -1,7 +1,8 @@
 /*
  * Feeds mutated inputs to every parser of external data: settings, table rows, peer frames, engine
  * events, completion bodies, heads of responses, addresses and messages in the platform's formats.
- * Built with the address and undefined-behaviour sanitizers, which abort the run at the first error.
+ * Built with the address and undefined-behaviour sanitizers, which abort the run at the first
+ * error.
  *
  *   fuzz TARGET SEED COUNT SAMPLE...
  *
