Test of resets in test_http: send the body without waiting for the head

The peer sent head and body in two writes, and the second could wait for the acknowledgement of the first when the reset discarded it, so that the answer was not whole.

Change: TCP_NODELAY on the peer's socket. Forms and expectations are unchanged.

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <errno.h>
 #include <malloc.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -386,7 +387,10 @@
 	static const char body[LONG_PART_BYTES];
 	char request[4096];
 	int peer = accept(s->listener, NULL, NULL);
+	int one = 1;
 
+	/* A reset discards what waits for the acknowledgement of an earlier write. */
+	setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	ck_assert(read(peer, request, sizeof(request)) > 0);
 	ck_assert(write(peer, s->c->head, strlen(s->c->head)) > 0);
 	ck_assert(write(peer, body, s->c->body_len) == (ssize_t)s->c->body_len);
