Check the line break after each chunk of a response and after its size

What callers saw: a chunked answer whose chunk was two bytes longer than its size, or whose line break was overwritten, came to them as a whole answer without these two bytes; so did one with another byte after the CR of a chunk size.

Cause: http_parser, which Debian builds without its strict mode, takes any two bytes for the line break after a chunk's data and any byte after the CR of its size.

Change: the HTTP client pauses the parser where it has read such a line break and looks at the bytes.

--- a/src/http.c
+++ b/src/http.c
@@ -311,17 +311,34 @@
 	return 0;
 }
 
+static void pause_at_line_break(http_parser *p)
+{
+	struct tlb_http_call *c = p->data;
+
+	c->at_line_break = true;
+	http_parser_pause(p, 1);
+}
+
 /* The last chunk completes the response (RFC 9112, section 8). The trailers after it are read only
  * from a connection that will be used again. */
 static int on_chunk_header(http_parser *p)
 {
 	struct tlb_http_call *c = p->data;
 
+	pause_at_line_break(p);
 	if (p->content_length == 0 && c->spec.dedicated_connection)
 		on_message_complete(p);
 	return 0;
 }
 
+static int on_chunk_complete(http_parser *p)
+{
+	/* The last chunk has no data; its end is that of the trailers. */
+	if (!(p->flags & F_TRAILING))
+		pause_at_line_break(p);
+	return 0;
+}
+
 static const http_parser_settings parser_settings = {
 	.on_message_begin = on_message_begin,
 	.on_status = on_status,
@@ -330,6 +347,7 @@
 	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
 	.on_chunk_header = on_chunk_header,
+	.on_chunk_complete = on_chunk_complete,
 	.on_message_complete = on_message_complete,
 };
 
@@ -350,6 +368,33 @@
 	return NULL;
 }
 
+/* Whether the bytes received up to and including data[len - 1] end with a line break. */
+static bool ends_with_line_break(const struct tlb_http_call *c, const char *data, size_t len)
+{
+	return data[len - 1] == '\n' && (len > 1 ? data[len - 2] : c->last_byte) == '\r';
+}
+
+/* Runs the parser over a piece of the response. It takes any two bytes for the line break after a
+ * chunk's size and data, and is paused there. Returns the number of bytes parsed. */
+static size_t execute(struct tlb_http_call *c, const char *data, size_t len)
+{
+	size_t parsed = 0;
+
+	do {
+		c->at_line_break = false;
+		parsed += http_parser_execute(&c->parser, &parser_settings, data + parsed,
+					      len - parsed);
+		if (!c->at_line_break)
+			break;
+		if (!ends_with_line_break(c, data, parsed))
+			fail(c, "a chunk without its line break");
+		else if (!c->complete)
+			http_parser_pause(&c->parser, 0);
+	} while (!c->complete && !c->fault && parsed < len);
+	c->last_byte = data[len - 1];
+	return parsed;
+}
+
 /* Parses a piece of the response. Returns whether the call goes on; else it has ended. */
 static bool parse(struct tlb_http_call *c, const char *data, size_t len)
 {
@@ -360,8 +405,8 @@
 	c->received_bytes += len;
 	c->fault = tlb_response_head_check(&c->head_check, data, len);
 	if (!c->fault)
-		parsed = http_parser_execute(&c->parser, &parser_settings, data, len);
-	if (c->complete) {
+		parsed = execute(c, data, len);
+	if (c->complete && !c->fault) {
 		if (parsed == len && c->sent_bytes == c->request.len &&
 		    !c->spec.dedicated_connection && http_should_keep_alive(&c->parser)) {
 			c->connection = NULL;
--- a/src/http.h
+++ b/src/http.h
@@ -110,8 +110,10 @@
 	struct tlb_buffer head;
 	struct tlb_buffer body;
 	enum { TLB_HTTP_LINE_NONE, TLB_HTTP_LINE_NAME, TLB_HTTP_LINE_VALUE } line;
-	int status;    /* of the final response; 0 before its head is complete */
-	bool complete; /* the final response has been received */
+	bool at_line_break; /* the parser is paused after what it took for one */
+	char last_byte;	    /* that was received */
+	int status;	    /* of the final response; 0 before its head is complete */
+	bool complete;	    /* the final response has been received */
 	bool ended_by_close;
 	size_t head_bytes;	/* of all heads, interim ones included, and trailers */
 	size_t received_bytes;	/* of the whole response */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -478,6 +478,7 @@
 #define LENGTH "Content-Length: 4\r\n\r\ndone"
 #define REST "\r\n" LENGTH
 #define CODING "Transfer-Encoding: "
+#define CHUNKED OK CODING "chunked\r\n\r\n"
 #define CHUNKS "\r\n4\r\ndone\r\n0\r\n\r\n"
 
 /* What a peer sends, and the status that the call ends with; 0: it is not usable. */
@@ -573,6 +574,20 @@
 	{RAW(OK CODING "chunked\r\n" CODING "chunked\r\n" CHUNKS), 0},
 	{RAW(OK CODING "gzip\r\n" CODING "chunked\r\n" CHUNKS), 0},
 	{RAW(OK CODING "chunked\r\n" CODING "gzip\r\n" CHUNKS), 0},
+	{RAW(CHUNKED "2\r\ndo\r\n2;x=1\r\nne\r\n0\r\nX: y\r\n\r\n"), 200},
+	{RAW(CHUNKED "4 \r\ndone\r\n00\r\n\r\n"), 200},
+	/* Each chunk ends with a line break, as its size does. */
+	{RAW(CHUNKED "4\r\ndoneXY0\r\n\r\n"), 0},
+	{RAW(CHUNKED "4\r\ndone\rY0\r\n\r\n"), 0},
+	{RAW(CHUNKED "4\r\ndoneX\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "2\r\ndoXX2\r\nne\r\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "4\rXdone\r\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "4;x\rXdone\r\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "4\r\ndone\r\n0\rX\r\n"), 0},
+	{RAW(CHUNKED "4\r\ndone0\r\n\r\n"), 0},
+	{RAW(CHUNKED "2\r\ndone\r\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "+4\r\ndone\r\n0\r\n\r\n"), 0},
+	{RAW(CHUNKED "0x4\r\ndone\r\n0\r\n\r\n"), 0},
 };
 
 struct raw_call {
