Use no kept connection again on which something has arrived

What was seen: a GET on a kept connection got an answer that the peer had sent between two calls, one to no request, as its own.

Cause: the loop closes an idle connection when anything arrives on it, but a call that is started before the loop polls again, such as from the callback that ends the one before, took the connection with the bytes unread.

Change: an idle connection is used again when a read of its socket finds nothing: no bytes, no end and no error. An answer that comes after the request was sent can't be told from its own in this way.

--- a/src/connection.c
+++ b/src/connection.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "address.h"
+#include "socket.h"
 
 enum {
 	/* Closes the connection when sent data stays unacknowledged for this long: the peer or the
@@ -96,7 +97,8 @@
 	return c;
 }
 
-/* Removes and returns a usable idle connection to addr, or NULL. Closes those that are too old. */
+/* Removes and returns a usable idle connection to addr, or NULL. Closes those that are too old, and
+ * those to addr on which something has arrived that the loop has not reported yet. */
 static struct tlb_connection *take_idle(struct tlb_connections *p, const char *addr)
 {
 	tlb_time now = tlb_clock_now();
@@ -104,9 +106,12 @@
 	struct tlb_connection *next;
 
 	APR_RING_FOREACH_SAFE (c, next, &p->idle, tlb_connection, link) {
-		if (now >= c->idle_until || now >= c->reusable_until) {
+		bool matches = strcmp(c->addr, addr) == 0;
+
+		if (now >= c->idle_until || now >= c->reusable_until ||
+		    (matches && !tlb_socket_is_quiet(c->fd))) {
 			tlb_connection_close(c);
-		} else if (strcmp(c->addr, addr) == 0) {
+		} else if (matches) {
 			APR_RING_REMOVE(c, link);
 			p->idle_count--;
 			return c;
--- a/src/socket.c
+++ b/src/socket.c
@@ -1,5 +1,6 @@
 #include "socket.h"
 
+#include <errno.h>
 /* The tcp_info of <netinet/tcp.h> lacks tcpi_bytes_received. */
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -15,6 +16,13 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool tlb_socket_is_quiet(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 uint64_t tlb_socket_received_bytes(int fd)
 {
 	struct tcp_info info = {0};
--- a/src/socket.h
+++ b/src/socket.h
@@ -7,6 +7,9 @@
 
 /* Whether bytes have arrived that were not read yet. */
 bool tlb_socket_has_unread(int fd);
+/* Whether the connection is open and nothing has arrived that was not read yet: no bytes, no end of
+ * the stream and no error. */
+bool tlb_socket_is_quiet(int fd);
 /* Bytes that have arrived since the connection began, read or not; 0 also when this is not known.
  */
 uint64_t tlb_socket_received_bytes(int fd);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <malloc.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -674,6 +675,92 @@
 }
 END_TEST
 
+/* --- connections that are used again --- */
+
+#define OWN_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+#define LATE_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+/* What arrives on a kept connection before its next call. */
+static const struct kept_case {
+	const char *extra;
+	bool is_ended; /* the peer then ends the stream */
+	int connections;
+} kept_cases[] = {
+	{"", false, 1},	    {LATE_ANSWER, false, 2}, {LATE_ANSWER, true, 2},
+	{"\r\n", false, 2}, {"", true, 2},
+};
+
+struct kept_server {
+	int listener;
+	int peer[2];
+	int count;
+};
+
+/* Answers a request on the newest connection, unless its stream was ended. */
+static void answer_kept(struct kept_server *s)
+{
+	char request[4096];
+	int peer = accept(s->listener, NULL, NULL);
+
+	if (peer >= 0)
+		s->peer[s->count++] = peer;
+	peer = s->count > 0 ? s->peer[s->count - 1] : -1;
+	if (recv(peer, request, sizeof(request), MSG_DONTWAIT) > 0)
+		send(peer, OWN_ANSWER, strlen(OWN_ANSWER), MSG_NOSIGNAL);
+}
+
+static void call_kept(struct kept_server *s, struct tlb_http *http, const char *url,
+		      struct raw_call *e)
+{
+	struct tlb_http_call call;
+	struct tlb_http_spec spec = {
+		.method = "GET",
+		.url = url,
+		.deadline = tlb_clock_now() + CALL_WAIT,
+		.on_done = on_raw_done,
+		.arg = e,
+	};
+
+	memset(e, 0, sizeof(*e));
+	tlb_http_start(http, &call, &spec);
+	while (!e->done) {
+		tlb_loop_once(http->loop, tlb_clock_now() + 10 * TLB_MS);
+		answer_kept(s);
+	}
+}
+
+/* An answer that arrived between two calls was taken for the one to the second, when the loop had
+ * not noticed it yet. */
+START_TEST(connection_on_which_something_has_arrived_is_not_used_again)
+{
+	const struct kept_case *c = &kept_cases[_i];
+	struct kept_server s = {0};
+	struct raw_call e;
+	struct tlb_http http;
+	struct tlb_loop l;
+	char url[64];
+
+	s.listener = listen_on_loopback(url, sizeof(url));
+	fcntl(s.listener, F_SETFL, O_NONBLOCK);
+	ck_assert_int_eq(tlb_loop_init(&l), APR_SUCCESS);
+	tlb_http_init(&http, &l);
+	call_kept(&s, &http, url, &e);
+	ck_assert_str_eq(e.body, "own");
+	ck_assert(send(s.peer[0], c->extra, strlen(c->extra), MSG_NOSIGNAL) >= 0);
+	if (c->is_ended)
+		shutdown(s.peer[0], SHUT_WR);
+	call_kept(&s, &http, url, &e);
+	ck_assert_msg(e.status == 200, "%d: %s", e.status, e.reason);
+	ck_assert_str_eq(e.body, "own");
+	ck_assert_int_eq(s.count, c->connections);
+	tlb_http_finish(&http);
+	tlb_loop_finish(&l);
+	while (s.count > 0)
+		close(s.peer[--s.count]);
+	close(s.listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -699,6 +786,10 @@
 	tcase_add_loop_test(t, bytes_that_are_no_response_are_not_taken_for_one, 0,
 			    sizeof(raw_cases) / sizeof(raw_cases[0]));
 	suite_add_tcase(s, t);
+	t = tcase_create("used again");
+	tcase_add_loop_test(t, connection_on_which_something_has_arrived_is_not_used_again, 0,
+			    sizeof(kept_cases) / sizeof(kept_cases[0]));
+	suite_add_tcase(s, t);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
