Soak: endpoints that send answers with broken heads

Cause: no fault of the soak made an endpoint send bytes that are no answer.

Change: mode "garble" of the soak's endpoints: after a run they send an answer whose status line or one of whose headers is broken, in the forms of tests/answers.py. The judge is unchanged: a complete 200 must be the caller's own answer.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -17,9 +17,11 @@
 import sys
 import threading
 import time
+import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path[:0] = [os.path.join(ROOT, "tests"), os.path.join(ROOT, "soak")]
+import answers  # noqa: E402
 import edge  # noqa: E402
 import edge_standin  # noqa: E402
 import proxy  # noqa: E402
@@ -116,6 +118,8 @@
         self.judge.ran(attempt)
         if e.mode == "lose":
             return self.cut()
+        if e.mode == "garble":
+            return self.garble(attempt)
         if e.stage:
             return self.generate(attempt)
         time.sleep(0.005)
@@ -134,6 +138,16 @@
         threading.Timer(SWITCH_SECONDS, e.take_role, (order["stage"],)).start()
         return self.cut() if e.mode in ("mute", "lose") else self.reply(202)
 
+    def garble(self, attempt):
+        """Sends an answer that is none: its status line or one of its headers is broken."""
+        headers = [("X-Attempt-Id", attempt), ("X-Response-Signature", "s"),
+                   ("Content-Type", "text/event-stream")]
+        sound = edge.response(200, headers, b"id: 1\ndata: garbled\n\n")
+        broken = [answers.replace_status_line(sound, line) for line in answers.NO_STATUS_LINES]
+        broken += [answers.add_header(sound, line) for line in answers.NO_HEADERS]
+        self.wfile.write(broken[zlib.crc32(attempt.encode()) % len(broken)])
+        self.close_connection = True
+
     def generate(self, attempt):
         cut_at = EVENTS // 2 if self.endpoint.mode == "cut" else None
         try:
@@ -341,7 +355,7 @@
 
     def endpoint_fault(self):
         e = self.rnd.choice(self.fleet.endpoints)
-        e.mode = self.rnd.choice(["full", "mute", "lose", "cut"])
+        e.mode = self.rnd.choice(["full", "mute", "lose", "cut", "garble"])
         self.begin(f"{e.name}-{e.mode}", self.rnd.uniform(0.3, 3), lambda: setattr(e, "mode", ""))
 
     def leave(self):
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -162,11 +162,15 @@
                    b"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK")
 
 
+def replace_status_line(raw, line):
+    return line + raw[raw.index(b"\r\n"):]
+
+
 def check_answer_without_a_status_is_not_passed_on():
     """An answer whose status line is none of HTTP/1, or whose status is none, is no answer; a status
     of 000 looked like an interim one, and 0200 or a version of HTTP/2.0 like a plain 200."""
     for line in NO_STATUS_LINES:
-        expect_no_answer(lambda raw, line=line: line + raw[raw.index(b"\r\n"):])
+        expect_no_answer(lambda raw, line=line: replace_status_line(raw, line))
 
 
 def check_store_without_a_status_is_not_read():
