Names and comments of the read-through: failed_before_end, http.h

Cause: read as a newcomer would, three names and comments said less than the code does; one docstring of tests/answers.py said that broken lines reached callers, which get the answer without them.

Change: words alone.

--- a/src/connection.c
+++ b/src/connection.c
@@ -174,7 +174,7 @@
 
 /* Whether the connection failed before the peer had ended its stream. A socket reports an error
  * once, and afterwards the end of the stream; a send that fails after the peer's end gets EPIPE. */
-static bool is_end_of_stream_lost(const struct tlb_connection *c)
+static bool failed_before_end(const struct tlb_connection *c)
 {
 	return c->send_error != 0 && c->send_error != EPIPE;
 }
@@ -185,7 +185,7 @@
 
 	if (n < 0 && errno == EINTR)
 		errno = EAGAIN;
-	if (n == 0 && is_end_of_stream_lost(c)) {
+	if (n == 0 && failed_before_end(c)) {
 		errno = c->send_error;
 		return -1;
 	}
--- a/src/http.h
+++ b/src/http.h
@@ -1,6 +1,7 @@
 /*
  * HTTP client for the daemon: outgoing calls on the event loop. Connections are module
- * connection's, responses are parsed by http_parser, a piece at a time.
+ * connection's. Responses are parsed by http_parser, a piece at a time, once module response_head
+ * has found no fault in the piece.
  *
  * A call is owned by its user and embedded in the user's struct. Callbacks run from the event loop,
  * never from within tlb_http_start(). After on_done, or after tlb_http_cancel(), no callback runs.
--- a/tests/answers.py
+++ b/tests/answers.py
@@ -61,7 +61,7 @@
 
 
 class Breaker:
-    """Replaces the first answer that a test waits for by these bytes, and closes the connection."""
+    """Replaces the next answer of one kind of call by bytes of a test and closes the connection."""
 
     def __init__(self, w):
         self.w = w
@@ -194,7 +194,7 @@
 def check_answer_with_a_broken_header_is_not_passed_on():
     """An answer in whose head the name of a header holds a blank or a control character is no answer.
     One with "Content-Length : 2" was cut to 2 bytes, a line that begins with a blank became part of
-    the value before it, and others reached callers unchanged."""
+    the value before it, and others reached callers without that line."""
     for line in NO_HEADERS:
         expect_no_answer(lambda raw, line=line: add_header(raw, line))
     cut = response(200, OWN, b"half").replace(b"Content-Length: 4", b"Content-Length : 2")
