Promise 5: broken heads and resets during an upload on the own interface

Calls to plain services on the own interface were covered only by the tests of the HTTP client that they use.

Change: two cases of p05_whole with a service under byte control: ten heads that HTTP/1 does not have, and a 200 without a length that is reset while 900,000 bytes are being sent.

--- a/tests/promises/p05_whole.py
+++ b/tests/promises/p05_whole.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Promise 5: a caller receives the complete response to its own request, even when responses
 arrive late or crossed. An answer that was cut never looks complete."""
+import socket
 import time
 
 from harness import (Caller, FakeService, ask, case, complete, completion_body, fake_routes,
@@ -401,5 +402,44 @@
     return fake_service(t, behave)
 
 
+@case
+def service_answers_with_a_broken_head(t):
+    """The same for a status line or a header that HTTP/1 does not have, in an answer that is whole."""
+    broken = [b"HTTP/1.1 000 OK\r\n", b"HTTP/1.1 0200 OK\r\n", b"HTTP/2.0 200 OK\r\n",
+              b"HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nX Y: v\r\n",
+              b"HTTP/1.1 200 OK\r\nX : v\r\n", b"HTTP/1.1 200 OK\r\nX: v\r\n Y: w\r\n",
+              b"HTTP/1.1 200 OK\r\nX\1: v\r\n", b"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+              b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"]
+
+    def behave(conn, request, n):
+        if n % 2:
+            conn.sendall(broken[n // 2 % len(broken)] + b"Content-Length: 6\r\n\r\nbroken")
+            return False
+        return conn.sendall(response_bytes(echo(request)))
+    return fake_service(t, behave, requests=40, pause=0.1)
+
+
+@case
+def service_resets_during_an_upload(t):
+    """It answers a long request at once without a length, sends a part and resets the connection."""
+    def behave(conn, number):
+        conn.recv(100)
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+        reset_connection(conn)
+        return False
+
+    service = FakeService(None, behave)
+    service.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    rows = {**fake_routes(idempotent=False), "config/endpoint/fake-1": service.row()}
+    with t.fleet(rows=rows, vms=2) as fleet:
+        answers = [ask(fleet.callers[i % 2], "POST", "/fake", fleet.key, b"x" * 900000)
+                   for i in range(12)]
+    t.note(answers)
+    service.close()
+    if service.connections == 0:
+        return None, 0
+    return sum(not r.complete or not r.outcome for r in answers), 0
+
+
 if __name__ == "__main__":
     main(5)
