Response head: compare the version as unsigned char

Cause: char is signed on x86-64, so that the linter rejects the comparison of the expected byte of the status line with the unsigned char that was read. Change: the expected byte is an unsigned char, with a cast where it is read. No change of behaviour.

--- a/src/response_head.c
+++ b/src/response_head.c
@@ -27,7 +27,7 @@
 
 static const char *read_version(struct tlb_response_head *h, unsigned char c)
 {
-	char expected = version[h->read++];
+	unsigned char expected = (unsigned char)version[h->read++];
 
 	if (expected == '?' ? !isdigit(c) : c != expected)
 		return bad_version;
