Review case 11: the freeze of a machine loses pieces of its streams too

Cause: after a freeze the backlog of callers that read at full speed grows over its limit as well, and streams are resumed behind the pieces that are dropped. Change: case 11 freezes a machine first, then plays its slow callers.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,8 @@
-"""A caller reads its stream slowly; the pieces that it gets must have no gap."""
+"""Callers get long streams while their machine is frozen for a moment, and read them slowly. The pieces
+that each gets must have no gap."""
 import os
-import random
 import re
+import signal
 import socket
 import sys
 import threading
@@ -9,13 +10,16 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-3"))
-from site_3 import (BROKEN, HELD, HOST, KEY, NOT_RUN, TROUBLE, Record, Site, engines,  # noqa: E402
+from site_3 import (BROKEN, HELD, HOST, KEY, TROUBLE, Record, Site, engines,  # noqa: E402
                     run)
 
 PIECES = 3000
 PIECE_BYTES = 1900  # the largest of the site
 PIECE_INTERVAL_S = 0.0012  # two steps of the site's engines
 FIRST_S = 0.1  # a runner's time to the first piece
+FREEZE_AFTER_S = 0.7
+FREEZE_S = 3.2  # callers give a stream up after 3.6 s without a piece
+FAST_CALLERS = 8
 # Bytes a second that callers with a slow link read, and the time after which the others stop
 # reading with how long they do, in seconds.
 RATES = (500_000, 700_000, 900_000, 1_100_000)
@@ -115,31 +119,52 @@
     return body, False
 
 
-def main():
-    record = Record(FOLDER)
+def play(record, name, make_callers, interval_s, freezes):
+    """Runs callers against a machine; returns those whose streams have a gap or a repeat."""
     runners = engines()
     for r in runners:
         if r.stage == "decode":
             r.plan = stream(record)
     with Site(runners) as site:
-        callers = [Caller(site, record, f"rate-{n}", rate=r if TROUBLE else None)
-                   for n, r in enumerate(RATES)]
-        callers += [Caller(site, record, f"stall-{n}", stall=p if TROUBLE else None)
-                    for n, p in enumerate(STALLS)]
+        callers = make_callers(site)
         threads = [threading.Thread(target=c.run) for c in callers]
         for t in threads:
             t.start()
-            time.sleep(0.5)
+            time.sleep(interval_s)
+        if freezes and TROUBLE:
+            time.sleep(FREEZE_AFTER_S)
+            record(f"frozen machine={site.machines[0].name}")
+            site.machines[0].process.send_signal(signal.SIGSTOP)
+            time.sleep(FREEZE_S)
+            site.machines[0].process.send_signal(signal.SIGCONT)
+            record(f"thawed machine={site.machines[0].name}")
         for t in threads:
             t.join()
         for line in site.machines[0].lines("attempt_failed", "forward_end", "stream_cut"):
             record(f"log {line}")
     if not all(c.ids for c in callers):
-        return NOT_RUN
+        raise RuntimeError("a caller got no piece")
     broken = [c for c in callers if c.gaps() or (c.complete and c.ids[-1:] != [PIECES])]
     for c in broken:
-        print(f"{c.name}: gaps {c.gaps()}, complete {c.complete}")
-    record(f"streams with a missing or repeated piece: {len(broken)} of {len(callers)}")
+        print(f"{name}: {c.name}: gaps {c.gaps()}, complete {c.complete}")
+    record(f"{name}: streams with a missing or repeated piece: {len(broken)} of {len(callers)}")
+    return broken
+
+
+def main():
+    record = Record(FOLDER)
+
+    def fast(site):
+        return [Caller(site, record, f"fast-{n}") for n in range(FAST_CALLERS)]
+
+    def slow(site):
+        callers = [Caller(site, record, f"rate-{n}", rate=r if TROUBLE else None)
+                   for n, r in enumerate(RATES)]
+        return callers + [Caller(site, record, f"stall-{n}", stall=p if TROUBLE else None)
+                          for n, p in enumerate(STALLS)]
+
+    broken = play(record, "freeze", fast, 0.1, True)
+    broken += play(record, "slow callers", slow, 0.5, False)
     return BROKEN if broken else HELD
 
 
