Split the check of header lines from that of response heads

Requests and trailers need the same grammar of names, values and line ends; response_head keeps the status line.

--- a/src/response_head.h
+++ b/src/response_head.h
@@ -5,17 +5,12 @@
 #ifndef TLB_RESPONSE_HEAD_H
 #define TLB_RESPONSE_HEAD_H
 
-#include <stdbool.h>
-#include <stddef.h>
+#include "header_lines.h"
 
 enum tlb_response_head_state {
 	TLB_RESPONSE_HEAD_VERSION, /* the status line up to the status */
 	TLB_RESPONSE_HEAD_STATUS,
-	TLB_RESPONSE_HEAD_TEXT,	    /* a reason or a value */
-	TLB_RESPONSE_HEAD_LINE_END, /* after the CR of a line */
-	TLB_RESPONSE_HEAD_LINE,	    /* the begin of a line */
-	TLB_RESPONSE_HEAD_NAME,
-	TLB_RESPONSE_HEAD_END,	    /* after the CR of the empty line */
+	TLB_RESPONSE_HEAD_LINES,    /* the reason and the header lines */
 	TLB_RESPONSE_HEAD_COMPLETE, /* the head of the final response has ended */
 };
 
@@ -24,6 +19,7 @@
 	enum tlb_response_head_state state;
 	int status;  /* its digits so far */
 	size_t read; /* bytes of the version, then digits of the status */
+	struct tlb_header_lines lines;
 };
 
 /* Reads bytes of a response that follow those read before. Returns why they can't be part of one,
