Carry the place of a listing whole: VMs no longer list one page for ever

Cause: the key at the end of a page was cut at its first NUL, was that of an earlier row when it has an unpaired surrogate, and had no room when it had 200 bytes; the next page began at the key and a byte 1, and the result of its encoding was not looked at. The listing asked for a page again, or began anew, without end.

Change: stored_key computes the least key of at most 200 bytes behind the last one from the bytes of its JSON string; it has a length and fits into the call by its type; a listing without it is not sent, and a page that does not move on is a failure with backoff. roles, vmrows and quarantine_sync list through the same functions.

--- a/src/percent.h
+++ b/src/percent.h
@@ -4,9 +4,12 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stddef.h>
 
 /* Writes text to out with every character outside the unreserved set encoded. Returns false, with
  * out empty, when it does not fit. */
 bool tlb_percent_encode(const char *text, char *out, size_t size);
+/* The same for bytes, which may contain NUL. */
+bool tlb_percent_encode_bytes(const char *bytes, size_t len, char *out, size_t size);
 
 #endif
--- a/src/quarantine_sync.c
+++ b/src/quarantine_sync.c
@@ -496,7 +496,7 @@
 {
 	s->adjusting = true;
 	tlb_rowstore_cancel(&s->op);
-	tlb_rowstore_list(s->store, &s->op, table, "", on_listed, s);
+	tlb_rowstore_list_first(s->store, &s->op, table, on_listed, s);
 }
 
 /* When this VM reads or adjusts the store's verdicts. In a small fleet every VM reads them at its
--- a/src/roles.c
+++ b/src/roles.c
@@ -248,6 +248,7 @@
  * renews the claim. */
 static void change_next_engine(struct tlb_roles *r)
 {
+	struct tlb_stored_key key;
 	const struct tlb_instance *i =
 		r->remaining > 0 && !r->board->draining ? select_engine(r, tlb_clock_now()) : NULL;
 
@@ -258,7 +259,10 @@
 	snprintf(r->instance, sizeof(r->instance), "%s", i->row.id);
 	r->state = TLB_ROLES_CLAIMING;
 	r->claim_began_at = tlb_clock_now();
-	tlb_rowstore_list(r->store, &r->op, claim_table, r->service, on_claim_read, r);
+	if (tlb_stored_key_set(&key, r->service))
+		tlb_rowstore_list(r->store, &r->op, claim_table, &key, on_claim_read, r);
+	else
+		end_change(r, "the service's name is too long for the key of a claim");
 }
 
 static void decide(struct tlb_roles *r)
--- a/src/rowstore.c
+++ b/src/rowstore.c
@@ -149,15 +149,25 @@
 }
 
 void tlb_rowstore_list(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
-		       const char *from, tlb_rowstore_done_fn *on_done, void *arg)
+		       const struct tlb_stored_key *from, tlb_rowstore_done_fn *on_done, void *arg)
 {
 	struct tlb_http_spec spec = {.method = "GET"};
 	char target[TARGET_LEN];
 
-	tlb_platform_list_target(target, sizeof(target), table, from);
+	/* A listing that lacks its place would begin anew. */
+	if (!tlb_platform_list_target(target, sizeof(target), table, from))
+		spec.unsendable = "the place of the listing does not fit into the call";
 	start_call(s, op, &spec, target, 0, on_done, arg);
 }
 
+void tlb_rowstore_list_first(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
+			     tlb_rowstore_done_fn *on_done, void *arg)
+{
+	static const struct tlb_stored_key first;
+
+	tlb_rowstore_list(s, op, table, &first, on_done, arg);
+}
+
 void tlb_rowstore_follow(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
 			 int64_t after, int wait_ms, tlb_rowstore_done_fn *on_done, void *arg)
 {
--- a/src/rowstore.h
+++ b/src/rowstore.h
@@ -70,7 +70,10 @@
 /* Lists rows of a table in key order, starting at key `from`; at most TLB_STORED_ROWS_PAGE_MAX
  * rows. */
 void tlb_rowstore_list(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
-		       const char *from, tlb_rowstore_done_fn *on_done, void *arg);
+		       const struct tlb_stored_key *from, tlb_rowstore_done_fn *on_done, void *arg);
+/* Lists the rows from the begin of a table. */
+void tlb_rowstore_list_first(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
+			     tlb_rowstore_done_fn *on_done, void *arg);
 /* Long poll for rows that changed after version `after`; the store delays its response until a row
  * changes, for up to wait_ms. */
 void tlb_rowstore_follow(struct tlb_rowstore *s, struct tlb_rowstore_op *op, const char *table,
--- a/src/stored_rows.h
+++ b/src/stored_rows.h
@@ -6,9 +6,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "stored_key.h"
+
 enum {
-	TLB_STORED_ROWS_PAGE_MAX = 500, /* most rows in one response */
-	TLB_STORED_ROW_KEY_LEN = 201	/* bytes, including the terminating NUL */
+	TLB_STORED_ROWS_PAGE_MAX = 500,			/* most rows in one response */
+	TLB_STORED_ROW_KEY_LEN = TLB_STORED_KEY_MAX + 1 /* with the terminating NUL */
 };
 
 /*
@@ -56,8 +58,9 @@
 	int count;
 	int unreadable; /* rows that were passed over */
 	struct tlb_stored_row *rows;
-	char last_key[TLB_STORED_ROW_KEY_LEN]; /* of the last row, also when its value can't be
-						* read; "" when no key can be read */
+	/* Where the listing goes on: behind the last row that has a key, also when the row can't be
+	 * read. len 0: no row has one. */
+	struct tlb_stored_key next;
 };
 
 /* Adds the era of the response to the versions that the store has sent. */
--- a/src/vmrows.c
+++ b/src/vmrows.c
@@ -117,7 +117,7 @@
 	struct tlb_vm_rows *r = arg;
 
 	tlb_rowstore_cancel(&r->list_op);
-	tlb_rowstore_list(r->store, &r->list_op, vm_table, "", on_listed, r);
+	tlb_rowstore_list_first(r->store, &r->list_op, vm_table, on_listed, r);
 }
 
 static void retry_secret(struct tlb_vm_rows *r, const char *reason)
@@ -192,7 +192,7 @@
 	struct tlb_vm_rows *r = arg;
 
 	tlb_rowstore_cancel(&r->secret_op);
-	tlb_rowstore_list(r->store, &r->secret_op, secret_table, "", on_secret, r);
+	tlb_rowstore_list_first(r->store, &r->secret_op, secret_table, on_secret, r);
 }
 
 tlb_time tlb_vm_rows_reread_time(const struct tlb_vm_rows *r)
--- a/src/watch.c
+++ b/src/watch.c
@@ -64,17 +64,16 @@
 
 static void handle_page(struct tlb_watcher *w, const struct tlb_stored_rows *rows)
 {
-	if (!w->next_page_key[0]) {
+	if (w->place.len == 0) {
 		w->listing_version = rows->version;
 		w->handlers.on_list_begin(w->handlers.arg);
 	}
 	deliver_rows(w, rows);
 	if (rows->more) {
-		/* The next page starts after the last key: with that key extended by "\x01". */
-		snprintf(w->next_page_key, sizeof(w->next_page_key), "%s\x01", rows->last_key);
+		w->place = rows->next;
 		return;
 	}
-	w->next_page_key[0] = '\0';
+	w->place.len = 0;
 	w->version = w->listing_version;
 	w->state = TLB_WATCH_FOLLOWING;
 	w->listed = true;
@@ -95,7 +94,7 @@
 	tlb_log_info("event=store_relist table=%s version=%lld", w->table,
 		     (long long)tlb_stored_number(w->version));
 	w->state = TLB_WATCH_LISTING;
-	w->next_page_key[0] = '\0';
+	w->place.len = 0;
 	start_next_call(w);
 }
 
@@ -122,13 +121,20 @@
 
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
-		return !w->next_page_key[0] || era == tlb_stored_era(w->listing_version);
+		return w->place.len == 0 || era == tlb_stored_era(w->listing_version);
 	case TLB_WATCH_FOLLOWING:
 		return era == tlb_stored_era(w->version);
 	}
 	return false;
 }
 
+/* Whether a page ends the listing or ends behind the place where it began: else it would be asked
+ * for again without end. Rows after it would count as removed if the listing ended here. */
+static bool moves_on(const struct tlb_watcher *w, const struct tlb_stored_rows *rows)
+{
+	return !rows->more || tlb_stored_key_compare(&rows->next, &w->place) > 0;
+}
+
 static void on_response(void *arg, enum tlb_rowstore_status status,
 			const struct tlb_stored_rows *rows, const char *reason)
 {
@@ -143,9 +149,8 @@
 		record_failure(w, reason);
 		return;
 	}
-	if (w->state == TLB_WATCH_LISTING && rows->more && !rows->last_key[0]) {
-		/* Rows after this page would count as removed if the listing ended here. */
-		record_failure(w, "no key of a page can be read");
+	if (w->state == TLB_WATCH_LISTING && !moves_on(w, rows)) {
+		record_failure(w, "a page of the listing does not move on");
 		return;
 	}
 	record_success(w);
@@ -186,9 +191,9 @@
 
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
-		if (!w->next_page_key[0])
+		if (w->place.len == 0)
 			w->listing_era = w->store->era;
-		tlb_rowstore_list(w->store, &w->op, w->table, w->next_page_key, on_response, w);
+		tlb_rowstore_list(w->store, &w->op, w->table, &w->place, on_response, w);
 		break;
 	case TLB_WATCH_FOLLOWING:
 		tlb_rowstore_follow(w->store, &w->op, w->table, w->version, wait_ms(w), on_response,
@@ -201,7 +206,7 @@
 {
 	switch (w->state) {
 	case TLB_WATCH_LISTING:
-		if (w->next_page_key[0])
+		if (w->place.len > 0)
 			return tlb_stored_era(w->listing_version) == era;
 		return w->listing_era == era;
 	case TLB_WATCH_FOLLOWING:
@@ -255,7 +260,7 @@
 	bool current = version > 0 && tlb_stored_era(version) >= w->store->era;
 
 	w->paused = false;
-	w->next_page_key[0] = '\0';
+	w->place.len = 0;
 	w->state = current ? TLB_WATCH_FOLLOWING : TLB_WATCH_LISTING;
 	w->listed = version > 0;
 	if (version > w->version)
@@ -267,7 +272,7 @@
 
 void tlb_watcher_skip_listing(struct tlb_watcher *w, int64_t version)
 {
-	if (w->paused || w->state != TLB_WATCH_LISTING || !w->next_page_key[0])
+	if (w->paused || w->state != TLB_WATCH_LISTING || w->place.len == 0)
 		return;
 	tlb_watcher_pause(w);
 	tlb_watcher_resume(w, version, false);
--- a/src/watch.h
+++ b/src/watch.h
@@ -48,11 +48,11 @@
 	int64_t version;	 /* changes up to this version were applied */
 	int64_t listing_version; /* version of the listing's first page */
 	int64_t listing_era;	 /* latest era known when the listing's first page was requested */
-	char next_page_key[TLB_STORED_ROW_KEY_LEN + 1]; /* first key of the next page */
-	int failures;					/* consecutive failed calls */
-	bool listed;					/* a listing has completed */
-	tlb_time last_success_at; /* time of the last successful call; 0: none */
-	tlb_time recovered_at;	  /* first success after the last failure; 0: none */
+	struct tlb_stored_key place; /* of the listing: first key of the next page */
+	int failures;		     /* consecutive failed calls */
+	bool listed;		     /* a listing has completed */
+	tlb_time last_success_at;    /* time of the last successful call; 0: none */
+	tlb_time recovered_at;	     /* first success after the last failure; 0: none */
 	struct tlb_rowstore_op op;
 	struct tlb_rowstore_observer observer;
 	struct tlb_timer timer;
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -795,6 +795,51 @@
         assert all(s.seen for s in w.shops), "an endpoint on a later page got no request"
 
 
+ODD_KEYS = {
+    "that begin with U+0000": lambda n: f"\0entry-{n}",
+    "that are U+0000": lambda n: "\0" * (n + 1),
+    "of 200 bytes": lambda n: "\u00e9" * 99 + chr(0xc0 + n),
+    "of 200 bytes of ASCII": lambda n: "!" * 199 + chr(0x21 + n),
+    "with unpaired surrogates": lambda n: chr(0xd800 + n) + "a",
+    "with unpaired surrogates behind U+0000": lambda n: f"\0{chr(0xdfff - n)}",
+    "that are the last ones": lambda n: "\U0010ffff" * (50 - n),
+    "that differ behind U+0000": lambda n: "h\0" + chr(n),
+}
+
+
+def check_odd_keys_end_no_listing_of_the_endpoints():
+    """Entries of another writer fill whole pages of a listing. Their keys are not carried whole where
+    the listing goes on: machines that were all restarted asked for one page for ever, knew no
+    endpoint and refused every request, and one that runs on learned of no endpoint any more."""
+    for what, key in ODD_KEYS.items():
+        with World(shops=2, vms=2) as w:
+            w.start()
+            for n in range(16):
+                w.store.put("servers", key(n), "x")
+            w.store.page_rows = 4
+            for vm in w.vms:
+                vm.kill()
+            for vm in w.vms:
+                vm.start()
+            wait(lambda: all(vm.ready() for vm in w.vms), f"ready beside keys {what}")
+            for vm in w.vms:
+                equal(vm.call("/pay/1", "POST", b"x")[0], 200, f"status beside keys {what}")
+            # The table is listed again, after all endpoints were replaced.
+            for e in w.shops:
+                e.crash(w.store, new_id=True)
+            w.store.forgotten = w.store.version + 1
+            w.store.put("op", "other", "{}")
+            before = w.store.listings
+            wait(lambda: all(e.server for e in w.shops), "the endpoints are back")
+            w.store.forgotten = 0
+            for vm in w.vms:
+                wait(lambda vm=vm: vm.call("/pay/1", "POST", b"x")[0] == 200,
+                     f"new endpoints are known beside keys {what}", 8)
+            time.sleep(1)
+            # Twenty entries are five pages; each VM may list a few times.
+            assert w.store.listings - before <= 60, f"{w.store.listings - before} calls"
+
+
 def check_odd_entry_of_a_known_endpoint_ends_its_use():
     """An endpoint whose entry can't be read any more must get no new requests until it can."""
     for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
--- a/tests/edge_standin.py
+++ b/tests/edge_standin.py
@@ -104,11 +104,17 @@
 
 # The tables without which a VM does not become ready.
 STARTUP_TABLES = ("op", "servers", "toucanlb-secret", "toucanlb-vm")
+KEY_BYTES_MAX = 200
 SILENCE = object()
 CUT = object()
 SILENCE_S = 15  # longer than any call of the router
 
 
+def key_bytes(key):
+    """A key may be any text that JSON can hold."""
+    return key.encode(errors="surrogatepass")
+
+
 class Store:
     """Rows with one version counter. Faults: `down`, `read_only`, closed doors, `silent` (calls that
     arrive meanwhile are never answered), `withheld` (only reads of `STARTUP_TABLES` are answered),
@@ -129,6 +135,7 @@
         self.forgotten = 0
         self.page_rows = 500
         self.calls = 0
+        self.listings = 0  # calls for a page of the endpoints
 
     def put(self, table, key, value):
         with self.changed:
@@ -166,9 +173,10 @@
         return dict(fields, ver=self.version, nowMs=int(time.monotonic() * 1000))
 
     def listing(self, table, start=""):
-        """One page of a table, of at most `page_rows` rows."""
+        """One page of a table, of at most `page_rows` rows, with keys in byte order."""
         with self.changed:
-            rows = [r for (t, k), r in sorted(self.rows.items()) if t == table and k >= start]
+            rows = [r for (t, k), r in sorted(self.rows.items(), key=lambda i: key_bytes(i[0][1]))
+                    if t == table and key_bytes(k) >= key_bytes(start)]
             return self.answer(rows=rows[:self.page_rows], truncated=len(rows) > self.page_rows)
 
     def feed(self, table, after, wait_ms, door):
@@ -221,7 +229,11 @@
         if parts.path == "/rows-get":
             endpoints = q["table"] == "servers"
             time.sleep(self.door.page_pause_s if endpoints and q.get("from") else 0)
-            answer = s.listing(q["table"], q.get("from", ""))
+            start = q.get("from", "")
+            if len(key_bytes(start)) > KEY_BYTES_MAX:
+                return self.reply(400)
+            s.listings += endpoints
+            answer = s.listing(q["table"], start)
             time.sleep(self.door.list_delay_s if endpoints else 0)
             return self.reply(200, answer)
         answer = s.feed(q["table"], int(q["after"]), int(q["waitMs"]), self.door)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -395,10 +395,17 @@
 /* Guards against a key that adds parameters to the request target. */
 START_TEST(test_targets_are_escaped)
 {
+	struct tlb_stored_key key;
 	char target[256];
 
-	tlb_platform_list_target(target, sizeof(target), "vm", "a b&c\x01");
+	ck_assert(tlb_stored_key_set(&key, "a b&c\x01"));
+	ck_assert(tlb_platform_list_target(target, sizeof(target), "vm", &key));
 	ck_assert_str_eq(target, "/rows-get?table=vm&part=&limit=500&from=a%20b%26c%01");
+	key.len++;
+	key.text[key.len - 1] = '\0';
+	ck_assert(tlb_platform_list_target(target, sizeof(target), "vm", &key));
+	ck_assert_str_eq(target, "/rows-get?table=vm&part=&limit=500&from=a%20b%26c%01%00");
+	ck_assert(!tlb_platform_list_target(target, 40, "vm", &key));
 }
 END_TEST
 
