Pause between listings while the store drops what it is asked for

A store that answers 410 to each call for changes (it may discard its history at any time) was listed, followed, and listed again without a pause.

Change: the first listing after a 410 or a new era begins at once, further ones before changes could be followed with the backoff of failed calls.

--- a/src/watch.c
+++ b/src/watch.c
@@ -19,12 +19,13 @@
 	return w->vms > TLB_WATCH_SMALL_FLEET_VMS ? 2 * MAX_BACKOFF : MAX_BACKOFF;
 }
 
-static void schedule_retry(struct tlb_watcher *w)
+/* Schedules the next call after so many attempts without progress. */
+static void schedule_retry(struct tlb_watcher *w, int attempts)
 {
 	tlb_time delay = MIN_BACKOFF;
 	int i;
 
-	for (i = 1; i < w->failures && delay < max_backoff(w); i++)
+	for (i = 1; i < attempts && delay < max_backoff(w); i++)
 		delay *= 2;
 	if (delay > max_backoff(w))
 		delay = max_backoff(w);
@@ -37,7 +38,7 @@
 	if (w->failures++ == 0)
 		tlb_log_warn("event=store_lost table=%s version=%lld reason=\"%s\"", w->table,
 			     (long long)tlb_stored_number(w->version), reason);
-	schedule_retry(w);
+	schedule_retry(w, w->failures);
 }
 
 static void record_success(struct tlb_watcher *w)
@@ -83,6 +84,7 @@
 
 static void handle_changes(struct tlb_watcher *w, const struct tlb_stored_rows *rows)
 {
+	w->restarts = 0;
 	deliver_rows(w, rows);
 	if (rows->version > w->version)
 		w->version = rows->version;
@@ -95,7 +97,11 @@
 		     (long long)tlb_stored_number(w->version));
 	w->state = TLB_WATCH_LISTING;
 	w->place.len = 0;
-	start_next_call(w);
+	/* A store that keeps no history would be listed without end. */
+	if (w->restarts++ == 0)
+		start_next_call(w);
+	else
+		schedule_retry(w, w->restarts - 1);
 }
 
 /* Changes come in bursts. In a large fleet, one call per change from every VM would overload the
--- a/src/watch.h
+++ b/src/watch.h
@@ -50,6 +50,7 @@
 	int64_t listing_era;	 /* latest era known when the listing's first page was requested */
 	struct tlb_stored_key place; /* of the listing: first key of the next page */
 	int failures;		     /* consecutive failed calls */
+	int restarts;		     /* listings begun anew since changes were followed */
 	bool listed;		     /* a listing has completed */
 	tlb_time last_success_at;    /* time of the last successful call; 0: none */
 	tlb_time recovered_at;	     /* first success after the last failure; 0: none */
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -840,6 +840,29 @@
             assert w.store.listings - before <= 60, f"{w.store.listings - before} calls"
 
 
+def check_store_without_history_is_not_listed_without_end():
+    """While the store has dropped all changes that it is asked for, the endpoints must be listed again
+    at a bounded rate, and a new one found: a VM listed them without a pause."""
+    with World(shops=2) as w:
+        vm = w.start()
+        w.store.forgotten = w.store.version + 1000000
+        w.store.put("op", "other", "{}")
+        time.sleep(1)
+        before = w.store.listings
+        time.sleep(3)
+        assert 1 <= w.store.listings - before <= 12, f"{w.store.listings - before} calls in 3 s"
+        for e in w.shops:
+            e.crash(w.store, new_id=True)
+        wait(lambda: all(e.server for e in w.shops), "the endpoints are back")
+        wait(lambda: vm.call("/pay/1", "POST", b"x")[0] == 200, "new endpoints are known")
+        w.store.forgotten = 0
+        w.store.put("servers", "other", "{}")
+        time.sleep(2)
+        before = w.store.listings
+        time.sleep(1)
+        equal(w.store.listings, before, "listings once there is a history")
+
+
 def check_odd_entry_of_a_known_endpoint_ends_its_use():
     """An endpoint whose entry can't be read any more must get no new requests until it can."""
     for value in ("[" * 20000, json.dumps({"service": "shop"}), ""):
