Begin no request with an empty line; UTF-8 in a module of its own

An empty line behind a request (some clients send one) began a request that would be answered 408 after the time-out, and be taken for the answer to the next one; libmicrohttpd passed over it. Found by reading the new listener; empty_line_begins_no_request guards it.

--- a/src/listener.c
+++ b/src/listener.c
@@ -439,9 +439,9 @@
 	size_t n;
 
 	while (len > 0 && c->state == TLB_CALLER_CONN_READING) {
-		if (c->head_since == TLB_NEVER)
-			begin_request(c, tlb_clock_now());
 		n = tlb_request_reader_read(&c->reader, data, len);
+		if (c->head_since == TLB_NEVER && tlb_request_reader_has_begun(&c->reader))
+			begin_request(c, tlb_clock_now());
 		data += n;
 		len -= n;
 		proceed(c);
--- a/src/request_reader.c
+++ b/src/request_reader.c
@@ -350,6 +350,11 @@
 
 /* --- the reader --- */
 
+bool tlb_request_reader_has_begun(const struct tlb_request_reader *r)
+{
+	return r->state != TLB_REQUEST_METHOD || r->head.len > 0;
+}
+
 bool tlb_request_reader_in_head(const struct tlb_request_reader *r)
 {
 	return r->state <= TLB_REQUEST_HEADERS && r->head.len > 0;
--- a/src/request_reader.h
+++ b/src/request_reader.h
@@ -83,6 +83,8 @@
 
 /* Reads bytes up to the end of the head, of the body, or of a fault. Returns how many were read. */
 size_t tlb_request_reader_read(struct tlb_request_reader *r, const char *data, size_t len);
+/* Whether anything of a request has arrived; empty lines before it are none. */
+bool tlb_request_reader_has_begun(const struct tlb_request_reader *r);
 /* Whether a part of a head has arrived. */
 bool tlb_request_reader_in_head(const struct tlb_request_reader *r);
 /* Whether the head has arrived whole and is valid. */
--- a/src/stored_key.c
+++ b/src/stored_key.c
@@ -4,71 +4,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "utf8.h"
+
 enum {
 	SURROGATES_BEGIN = 0xD800,
 	LOW_SURROGATES_BEGIN = 0xDC00,
 	SURROGATES_END = 0xE000,
-	CHARACTER_MAX = 0x10FFFF,
-	CHARACTER_BYTES_MAX = 4,
 	NO_CHARACTER = -1,
 	ESCAPE_LEN = 6, /* of a backslash, "u" and four digits */
 };
 
-/* --- UTF-8 --- */
-
-/* Writes a character; returns its length. */
-static size_t encode(int32_t c, unsigned char *out)
-{
-	if (c < 0x80) {
-		out[0] = (unsigned char)c;
-		return 1;
-	}
-	if (c < 0x800) {
-		out[0] = (unsigned char)(0xC0 | c >> 6);
-		out[1] = (unsigned char)(0x80 | (c & 0x3F));
-		return 2;
-	}
-	if (c < 0x10000) {
-		out[0] = (unsigned char)(0xE0 | c >> 12);
-		out[1] = (unsigned char)(0x80 | (c >> 6 & 0x3F));
-		out[2] = (unsigned char)(0x80 | (c & 0x3F));
-		return 3;
-	}
-	out[0] = (unsigned char)(0xF0 | c >> 18);
-	out[1] = (unsigned char)(0x80 | (c >> 12 & 0x3F));
-	out[2] = (unsigned char)(0x80 | (c >> 6 & 0x3F));
-	out[3] = (unsigned char)(0x80 | (c & 0x3F));
-	return 4;
-}
-
-/* Length of the character that begins with a byte, as far as the byte tells; 0: none does. */
-static size_t length_by_lead(unsigned char lead)
-{
-	if (lead < 0x80)
-		return 1;
-	if (lead < 0xC2 || lead > 0xF4)
-		return 0;
-	return lead < 0xE0 ? 2 : lead < 0xF0 ? 3 : 4;
-}
-
-/* Reads a character. Returns its length, or 0 when the bytes are none. */
-static size_t decode(const unsigned char *p, size_t left, int32_t *c)
-{
-	static const unsigned char lead_bits[] = {0, 0x7F, 0x1F, 0x0F, 0x07};
-	unsigned char again[CHARACTER_BYTES_MAX];
-	size_t len = length_by_lead(p[0]);
-	size_t i;
-
-	if (len == 0 || len > left)
-		return 0;
-	*c = p[0] & lead_bits[len];
-	for (i = 1; i < len; i++)
-		*c = *c << 6 | (p[i] & 0x3F);
-	/* Also tells overlong forms and bytes that continue no character. */
-	if (*c > CHARACTER_MAX || encode(*c, again) != len || memcmp(again, p, len) != 0)
-		return 0;
-	return len;
-}
+/* --- characters --- */
 
 static bool is_surrogate(int32_t c)
 {
@@ -116,8 +62,8 @@
 /* Appends a character. Returns false when it does not fit. */
 static bool append(struct tlb_stored_key *k, int32_t c)
 {
-	unsigned char bytes[CHARACTER_BYTES_MAX];
-	size_t len = encode(c, bytes);
+	unsigned char bytes[TLB_UTF8_BYTES_MAX];
+	size_t len = tlb_utf8_encode(c, bytes);
 
 	if (k->len + len > TLB_STORED_KEY_MAX)
 		return false;
@@ -134,7 +80,7 @@
 	do
 		k->len--;
 	while (((unsigned char)k->text[k->len] & 0xC0) == 0x80);
-	decode((const unsigned char *)k->text + k->len, TLB_STORED_KEY_MAX - k->len, &c);
+	tlb_utf8_decode((const unsigned char *)k->text + k->len, TLB_STORED_KEY_MAX - k->len, &c);
 	return c;
 }
 
@@ -147,7 +93,7 @@
 		c = remove_last(k) + 1;
 		if (is_surrogate(c))
 			c = SURROGATES_END;
-		if (c <= CHARACTER_MAX && append(k, c))
+		if (c <= TLB_UTF8_CHARACTER_MAX && append(k, c))
 			return true;
 	}
 	return false;
@@ -211,7 +157,7 @@
 	for (; string < end; string += n) {
 		left = (size_t)(end - string);
 		n = *string == '\\' ? read_escape(string, left, &c)
-				    : decode((const unsigned char *)string, left, &c);
+				    : tlb_utf8_decode((const unsigned char *)string, left, &c);
 		if (n == 0 && *string == '\\')
 			break;
 		if (n == 0)
--- a/tests/test_listing.c
+++ b/tests/test_listing.c
@@ -10,13 +10,13 @@
 
 #include "platform.h"
 #include "random.h"
+#include "utf8.h"
 
 enum {
 	TABLES = 4000,
 	ROWS_MAX = 40,
 	PAGE_MAX = 6,
 	KEY_MAX = 210, /* bytes; more than a key may have */
-	CHARACTER_BYTES_MAX = 4,
 	ANSWER_BYTES = 128 << 10,
 	TARGET_BYTES = 1024,
 };
@@ -41,30 +41,6 @@
 	return (int)(tlb_random_unit(r) * n);
 }
 
-static size_t encode(int c, unsigned char *out)
-{
-	if (c < 0x80) {
-		out[0] = (unsigned char)c;
-		return 1;
-	}
-	if (c < 0x800) {
-		out[0] = (unsigned char)(0xC0 | c >> 6);
-		out[1] = (unsigned char)(0x80 | (c & 0x3F));
-		return 2;
-	}
-	if (c < 0x10000) {
-		out[0] = (unsigned char)(0xE0 | c >> 12);
-		out[1] = (unsigned char)(0x80 | (c >> 6 & 0x3F));
-		out[2] = (unsigned char)(0x80 | (c & 0x3F));
-		return 3;
-	}
-	out[0] = (unsigned char)(0xF0 | c >> 18);
-	out[1] = (unsigned char)(0x80 | (c >> 12 & 0x3F));
-	out[2] = (unsigned char)(0x80 | (c >> 6 & 0x3F));
-	out[3] = (unsigned char)(0x80 | (c & 0x3F));
-	return 4;
-}
-
 /* Few characters, so that keys share beginnings and differ by what is hard to carry. */
 static int random_character(struct tlb_random *r)
 {
@@ -84,8 +60,8 @@
 /* Writes a character of a JSON string, as it is where that is possible. */
 static char *write_json(char *out, int c, bool escaped)
 {
-	unsigned char bytes[CHARACTER_BYTES_MAX];
-	size_t len = encode(c, bytes);
+	unsigned char bytes[TLB_UTF8_BYTES_MAX];
+	size_t len = tlb_utf8_encode(c, bytes);
 
 	if (c == '"' || c == '\\')
 		return out + sprintf(out, "\\%c", c);
@@ -101,7 +77,7 @@
 static void append(struct row *k, char **json, int c, bool escaped)
 {
 	k->usable &= c != 0 && !is_surrogate(c);
-	k->len += encode(c, k->key + k->len);
+	k->len += tlb_utf8_encode(c, k->key + k->len);
 	*json = write_json(*json, c, escaped);
 }
 
--- a/tests/test_request_reader.c
+++ b/tests/test_request_reader.c
@@ -171,6 +171,21 @@
 }
 END_TEST
 
+/* A connection on which one arrives is idle: else the request that it doesn't begin would time out.
+ */
+START_TEST(empty_line_begins_no_request)
+{
+	struct tlb_request_reader r;
+
+	tlb_request_reader_init(&r, NULL, append_body, NULL);
+	ck_assert_uint_eq(tlb_request_reader_read(&r, "\r\n", 2), 2);
+	ck_assert(!tlb_request_reader_has_begun(&r));
+	ck_assert_uint_eq(tlb_request_reader_read(&r, "G", 1), 1);
+	ck_assert(tlb_request_reader_has_begun(&r));
+	tlb_request_reader_finish(&r);
+}
+END_TEST
+
 START_TEST(reader_reads_one_request_after_the_other)
 {
 	static const char two[] = "POST /1 HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"
@@ -204,6 +219,7 @@
 	tcase_add_test(tc, request_reads_the_same_wherever_it_is_cut);
 	tcase_add_loop_test(tc, parts_without_end_are_refused, 0,
 			    sizeof(endless) / sizeof(endless[0]));
+	tcase_add_test(tc, empty_line_begins_no_request);
 	tcase_add_test(tc, reader_reads_one_request_after_the_other);
 	suite_add_tcase(s, tc);
 	sr = srunner_create(s);
