--- a/src/listener.c
+++ b/src/listener.c
@@ -611,10 +611,12 @@
 			break;
 		}
 	}
-	if (left < 0 || f->stopping)
+	if (left < 0)
 		return;
+	/* The queue stays readable meanwhile. */
 	set_accepting(f, false);
-	tlb_timer_set(f->loop, &f->accept_timer, tlb_clock_now() + ACCEPT_RETRY_INTERVAL);
+	if (!f->stopping)
+		tlb_timer_set(f->loop, &f->accept_timer, tlb_clock_now() + ACCEPT_RETRY_INTERVAL);
 }
 
 static void on_acceptable(void *arg, int events)
--- a/tests/edge.py
+++ b/tests/edge.py
@@ -3161,6 +3161,47 @@
         equal(vm.call("/pay/z", "POST", b"x" * (limit - 1000))[0], 200, "a large body later")
 
 
+def check_full_vm_waits_for_connections_without_work():
+    """A VM that has all connections that it may have must not use its processor for those that wait
+    to be accepted, also while it stops; they are served once there is room."""
+    with World(shops=1) as w:
+        vm = w.start()
+        with open(vm.settings, encoding="utf-8") as f:
+            text = f.read()
+        with open(vm.settings, "w", encoding="utf-8") as f:
+            f.write(text.replace("limits: {", "limits: {max_connections: 4, "))
+        vm.kill()
+        vm.start()
+        wait(vm.ready, "ready after a start")
+        head = b"GET /look/1 HTTP/1.1\r\nHost: h.example\r\n"
+        end = f"X-Attempt-Id: q\r\nAuthorization: Bearer {KEY}\r\nConnection: close\r\n\r\n".encode()
+        callers = []
+
+        def begin_requests():
+            callers[:] = [socket.create_connection(("127.0.0.1", vm.ports["caller"]), 5)
+                          for _ in range(7)]
+            for s in callers:
+                s.sendall(head)
+
+        def expect_rest(seconds, when):
+            before = processor_time(vm)
+            time.sleep(seconds)
+            used = processor_time(vm) - before
+            assert used < seconds / 10, f"{used:.2f} s in {seconds} s {when}"
+
+        begin_requests()
+        expect_rest(1.5, "while callers wait")
+        for s in callers:
+            s.sendall(end)
+        equal([s.recv(12) for s in callers], [b"HTTP/1.1 200"] * 7, "answers")
+        vm.process.send_signal(signal.SIGTERM)
+        begin_requests()
+        wait(lambda: vm.events("edge_shutdown phase=draining"), "the VM stops")
+        expect_rest(1.5, "while it stops")
+        for s in callers:
+            s.close()
+
+
 def check_kept_connections_stay_within_memory():
     """Callers that keep their connections must not exhaust a small VM: libmicrohttpd holds 64 KB for
     each that has carried a request, which nobody counted."""
