--- a/src/header_lines.c
+++ b/src/header_lines.c
@@ -16,6 +16,28 @@
 	return c == '\t' || (c >= ' ' && c != 0x7f);
 }
 
+static bool separates_options(char c)
+{
+	return c == ',' || c == ' ' || c == '\t';
+}
+
+/* Scans bytes: strcspn() takes longer for options as short as these, of which there may be
+ * thousands. */
+const char *tlb_next_option(const char **list, size_t *len)
+{
+	const char *p = *list;
+	const char *begin;
+
+	while (separates_options(*p))
+		p++;
+	begin = p;
+	while (*p && !separates_options(*p))
+		p++;
+	*list = p;
+	*len = (size_t)(p - begin);
+	return *len > 0 ? begin : NULL;
+}
+
 static const char *read_begin(struct tlb_header_lines *h, unsigned char c)
 {
 	if (c == '\n') {
--- a/src/header_lines.h
+++ b/src/header_lines.h
@@ -28,6 +28,10 @@
 /* Whether c can be part of a header's value or a reason: no control character but the tab. */
 bool tlb_is_text_char(unsigned char c);
 
+/* Returns the next option of a Connection header, of *len bytes, and moves *list behind it; NULL at
+ * the end. */
+const char *tlb_next_option(const char **list, size_t *len);
+
 /* Reads bytes that follow those read before, up to the end of the empty line. Returns why they
  * can't be part of a section, or NULL with *used set to the number of bytes read. */
 const char *tlb_header_lines_check(struct tlb_header_lines *h, const char *data, size_t len,
--- a/src/request_reader.c
+++ b/src/request_reader.c
@@ -180,15 +180,14 @@
 	return !*text;
 }
 
-/* Whether a list of options, separated by commas, contains one. */
+/* Whether a list of options contains one. */
 static bool has_option(const char *list, const char *option)
 {
+	const char *next;
 	size_t len;
 
-	for (; *list; list += len) {
-		list += strspn(list, " \t,");
-		len = strcspn(list, " \t,");
-		if (len == strlen(option) && strncasecmp(list, option, len) == 0)
+	while ((next = tlb_next_option(&list, &len))) {
+		if (len == strlen(option) && strncasecmp(next, option, len) == 0)
 			return true;
 	}
 	return false;
